--- a/src/main/java/kitemux/Balancer.java
+++ b/src/main/java/kitemux/Balancer.java
@@ -247,7 +247,7 @@
         public List<ReportField> reportFields = new ArrayList<>();
 
         /** Throws IllegalArgumentException, naming the field, if a setting is missing or out of range. */
-        void validate() {
+        public void validate() {
             require(!classes.isEmpty(), "classes is empty");
             require(nodes >= 1, "nodes is under 1");
             require(me >= 0 && me < nodes, "me is not among nodes");
--- a/src/main/java/kitemux/adapter/BootInfo.java
+++ b/src/main/java/kitemux/adapter/BootInfo.java
@@ -11,25 +11,50 @@
 import kitemux.Balancer.Tenant;
 
 /**
- * Turns the wire's settings into the module's. Missing settings take the module's documented defaults,
+ * Turns settings by dotted names into the module's: the wire's, and the node's configuration once it is
+ * flattened, so that the two cannot drift apart. Missing settings take the module's documented defaults,
  * but for the classes and their main figures, which are named as missing.
  */
-final class BootInfo {
-    private final Map<String, String> values = new HashMap<>();
-    private final Line line;
+public final class BootInfo {
+    private final Map<String, String> values;
 
-    private BootInfo(Line line) {
-        this.line = line;
+    /** A setting that is missing or not as it must be. */
+    public static final class BadSettingException extends Exception {
+        private static final long serialVersionUID = 1;
+        /** Its dotted name. */
+        public final String field;
+        /** What is wrong with it, to stand behind the name. */
+        public final String reason;
+
+        BadSettingException(String field, String reason) {
+            super(field + " " + reason);
+            this.field = field;
+            this.reason = reason;
+        }
+    }
+
+    private BootInfo(Map<String, String> values) {
+        this.values = values;
+    }
+
+    static Settings read(Line line) throws WireException {
+        Map<String, String> values = new HashMap<>();
         for (int i = 0; i < line.fieldCount(); i++) {
             values.put(line.key(i), line.value(i));
         }
+        try {
+            return read(values);
+        } catch (BadSettingException e) {
+            throw line.bad(e.field, e.reason);
+        }
     }
 
-    static Settings read(Line line) throws WireException {
-        return new BootInfo(line).settings();
+    /** Reads settings by dotted names; lists of objects have a {@code count}, lists of values commas. */
+    public static Settings read(Map<String, String> values) throws BadSettingException {
+        return new BootInfo(values).settings();
     }
 
-    private Settings settings() throws WireException {
+    private Settings settings() throws BadSettingException {
         Settings set = new Settings();
         set.nodes = (int) whole("balancers", set.nodes);
         set.me = (int) whole("me", set.me);
@@ -78,7 +103,7 @@
         return set;
     }
 
-    private RequestClass requestClass(String prefix) throws WireException {
+    private RequestClass requestClass(String prefix) throws BadSettingException {
         String repeat = need(prefix + "repeat");
         String group = values.getOrDefault(prefix + "group", "all");
         return new RequestClass(need(prefix + "name"), whole(prefix + "onTimeUs"),
@@ -88,21 +113,21 @@
                     case "safe" -> Repeat.SAFE;
                     case "keyed" -> Repeat.KEYED;
                     case "unsafe" -> Repeat.UNSAFE;
-                    default -> throw line.bad(prefix + "repeat", "is unknown: " + repeat);
+                    default -> throw new BadSettingException(prefix + "repeat", "is unknown: " + repeat);
                 },
                 switch (group) {
                     case "all" -> Group.ALL;
                     case "zone" -> Group.ZONE;
                     case "cell" -> Group.CELL;
-                    default -> throw line.bad(prefix + "group", "is unknown: " + group);
+                    default -> throw new BadSettingException(prefix + "group", "is unknown: " + group);
                 },
                 whole(prefix + "windowUs", 0), flag(prefix + "stream"));
     }
 
-    private String need(String path) throws WireException {
+    private String need(String path) throws BadSettingException {
         String value = values.get(path);
         if (value == null) {
-            throw line.bad(path, "is missing");
+            throw new BadSettingException(path, "is missing");
         }
         return value;
     }
@@ -112,28 +137,28 @@
         return value.isEmpty() ? new String[0] : value.split(",");
     }
 
-    private boolean flag(String path) throws WireException {
+    private boolean flag(String path) throws BadSettingException {
         String value = values.getOrDefault(path, "false");
         return switch (value) {
             case "1", "true" -> true;
             case "0", "false" -> false;
-            default -> throw line.bad(path, "is neither true nor false: " + value);
+            default -> throw new BadSettingException(path, "is neither true nor false: " + value);
         };
     }
 
-    private long whole(String path) throws WireException {
+    private long whole(String path) throws BadSettingException {
         return (long) decimal(path, need(path));
     }
 
-    private long whole(String path, long otherwise) throws WireException {
+    private long whole(String path, long otherwise) throws BadSettingException {
         return values.containsKey(path) ? whole(path) : otherwise;
     }
 
-    private double decimal(String path, double otherwise) throws WireException {
+    private double decimal(String path, double otherwise) throws BadSettingException {
         return values.containsKey(path) ? decimal(path, need(path)) : otherwise;
     }
 
-    private double decimal(String path, String text) throws WireException {
+    private double decimal(String path, String text) throws BadSettingException {
         try {
             double value = Double.parseDouble(text);
             if (Double.isFinite(value)) {
@@ -142,6 +167,6 @@
         } catch (NumberFormatException e) {
             // Named below.
         }
-        throw line.bad(path, "is not a number");
+        throw new BadSettingException(path, "is not a number");
     }
 }
--- a/src/main/java/kitemux/adapter/Main.java
+++ b/src/main/java/kitemux/adapter/Main.java
@@ -12,11 +12,7 @@
      * Runs until the input ends; a malformed input ends it with one line on standard error and exit
      * code 2.
      */
-    public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar kitemux.jar adapter");
-            System.exit(2);
-        }
+    public static void run() {
         try {
             new Link(System.in, new FileOutputStream(FileDescriptor.out)).run();
         } catch (WireException | IOException e) {
--- /dev/null
+++ b/src/main/java/kitemux/node/ClientRequest.java
@@ -0,0 +1,20 @@
+package kitemux.node;
+
+import io.netty.handler.codec.http.HttpMethod;
+
+/**
+ * A client's request as it came.
+ *
+ * @param method passed on unchanged, like path, id, idempotency key and body
+ * @param uri path and query
+ * @param txn the client's id for it
+ * @param idempotencyKey or null
+ * @param classIndex its class by the settings
+ * @param tenant by the settings, or -1
+ * @param leftUs how long the client waits from now on
+ * @param workUs a guess at the work, or 0
+ * @param retry whether the client marks it as a repeat
+ * @param key what it is about, or null
+ */
+record ClientRequest(HttpMethod method, String uri, String txn, String idempotencyKey, byte[] body,
+        int classIndex, int tenant, long leftUs, long workUs, boolean retry, String key) { }
--- /dev/null
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -0,0 +1,193 @@
+package kitemux.node;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
+
+/** The watch on discovery's list. When it breaks it says so; asking again is the module's word. */
+final class Discovery {
+    /** What the watch tells. */
+    interface Listener {
+        void listed(HostList list);
+
+        void failed(String reason);
+    }
+
+    /** Discovery writes every 2 s. Three beats missed: a watch that is silent for so long is broken. */
+    private static final long MOST_SILENCE_US = 7_000_000;
+    private static final int CONNECT_TIMEOUT_MS = 2_000;
+    /** No list is so long; a line without an end must not fill the memory. */
+    private static final int MOST_LINE = 4 << 20;
+
+    private final EventLoop loop;
+    private final NodeConfig config;
+    private final Listener listener;
+    private final Bootstrap dialer;
+    private final ObjectMapper json = new ObjectMapper();
+    private long rev;
+    private Watch current;
+
+    Discovery(EventLoop loop, NodeConfig config, Listener listener) {
+        this.loop = loop;
+        this.config = config;
+        this.listener = listener;
+        rev = config.known().rev();
+        dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec());
+                    }
+                });
+    }
+
+    /** Opens a watch for all that changed since the last list; it takes the place of an earlier one. */
+    void subscribe() {
+        if (current != null) {
+            current.end();
+        }
+        Watch watch = new Watch();
+        current = watch;
+        ChannelFuture opening = dialer.connect(config.discovery());
+        watch.channel = opening.channel();
+        watch.expectMore();
+        opening.addListener(done -> {
+            if (!done.isSuccess()) {
+                watch.broken("no connection: " + done.cause().getMessage());
+                return;
+            }
+            watch.channel.pipeline().addLast(watch);
+            FullHttpRequest ask = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                    "/discovery/hosts?watch=1&after=" + rev);
+            ask.headers().set(HttpHeaderNames.HOST, "discovery");
+            watch.channel.writeAndFlush(ask);
+        });
+    }
+
+    private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private Channel channel;
+        private Future<?> silence;
+        private boolean over;
+        private boolean told;
+
+        private void expectMore() {
+            if (silence != null) {
+                silence.cancel(false);
+            }
+            silence = loop.schedule(() -> broken("silent"), MOST_SILENCE_US, TimeUnit.MICROSECONDS);
+        }
+
+        /** Ends without a word. */
+        void end() {
+            over = true;
+            silence.cancel(false);
+            channel.close();
+        }
+
+        private void broken(String reason) {
+            if (!over) {
+                end();
+                current = null;
+                listener.failed(reason);
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+            if (over) {
+                return;
+            }
+            expectMore();
+            if (message.decoderResult().isFailure()) {
+                broken("answer cannot be read");
+            } else if (message instanceof HttpResponse response && response.status().code() != 200) {
+                broken("status " + response.status().code());
+            } else if (message instanceof HttpContent content) {
+                read(content.content());
+                if (message instanceof LastHttpContent) {
+                    broken("watch ended");
+                }
+            }
+        }
+
+        private void read(ByteBuf bytes) {
+            while (bytes.isReadable() && !over) {
+                int length = bytes.bytesBefore((byte) '\n');
+                byte[] part = new byte[length < 0 ? bytes.readableBytes() : length];
+                bytes.readBytes(part);
+                line.writeBytes(part);
+                if (line.size() > MOST_LINE) {
+                    broken("line without an end");
+                } else if (length >= 0) {
+                    bytes.skipBytes(1);
+                    byte[] whole = line.toByteArray();
+                    line.reset();
+                    readLine(whole);
+                }
+            }
+        }
+
+        private void readLine(byte[] whole) {
+            HostList list;
+            try {
+                if (new String(whole, StandardCharsets.US_ASCII).isBlank()) {
+                    // A beat. As the first word it says that nothing has changed: the call has its answer.
+                    list = told ? null : new HostList(rev, false, List.of());
+                } else {
+                    list = HostList.decode(json.readTree(whole), config.settings().zones, "");
+                }
+            } catch (IOException | ConfigException e) {
+                broken("bad line: " + e.getMessage());
+                return;
+            }
+            if (list != null) {
+                told = true;
+                rev = list.rev();
+                listener.listed(list);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            broken("connection ended");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                Log.error("watch on discovery", cause);
+            }
+            broken("connection failed");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/node/RequestReader.java
@@ -0,0 +1,105 @@
+package kitemux.node;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+
+import kitemux.Balancer.Repeat;
+import kitemux.Balancer.Settings;
+
+/** Reads a client's request by the protocol; what does not keep to it is turned down here. */
+final class RequestReader {
+    private static final String PREFIX = "/api/";
+    /** The way from the client, by which its time is shorter than it says. */
+    private static final long WAY_US = 1_000;
+    private static final double MOST_LEFT_US = 3.6e9;
+
+    private final Settings settings;
+    private final Map<String, Integer> classes = new HashMap<>();
+    private final Map<String, Integer> tenants = new HashMap<>();
+
+    RequestReader(Settings settings) {
+        this.settings = settings;
+        settings.classes.forEach(c -> classes.put(c.name(), classes.size()));
+        settings.tenants.forEach(t -> tenants.put(t.name(), tenants.size()));
+    }
+
+    static String path(String uri) {
+        int end = uri.indexOf('?');
+        return end < 0 ? uri : uri.substring(0, end);
+    }
+
+    static boolean isRequestPath(String path) {
+        return path.startsWith(PREFIX) || path.equals("/api");
+    }
+
+    ClientRequest read(FullHttpRequest message) throws BadRequestException {
+        String txn = need(message, "X-Txn");
+        Integer classIndex = classes.get(need(message, "X-Lane"));
+        if (classIndex == null) {
+            throw new BadRequestException("X-Lane names no class");
+        }
+        String idempotencyKey = one(message, "Idempotency-Key");
+        Repeat repeat = settings.classes.get(classIndex).repeat();
+        // A class stands for one way to repeat: were another asked for, an effect could happen twice.
+        if (!message.method().equals(repeat == Repeat.SAFE ? HttpMethod.GET : HttpMethod.POST)) {
+            throw new BadRequestException("the class does not go with the method");
+        }
+        if (repeat == Repeat.KEYED == (idempotencyKey == null)) {
+            throw new BadRequestException("Idempotency-Key does not go with the class");
+        }
+        String tenant = one(message, "X-Org");
+        String path = path(message.uri());
+        String key = path.substring(path.lastIndexOf('/') + 1);
+        return new ClientRequest(message.method(), message.uri(), txn, idempotencyKey,
+                ByteBufUtil.getBytes(message.content()), classIndex,
+                tenant == null ? -1 : tenants.getOrDefault(tenant, -1), left(need(message, "X-Remaining")),
+                work(one(message, "X-Estimate")), "1".equals(one(message, "X-Resent")), key.isEmpty() ? null : key);
+    }
+
+    private static String need(FullHttpRequest message, String name) throws BadRequestException {
+        String value = one(message, name);
+        if (value == null || value.isEmpty()) {
+            throw new BadRequestException(name + " is missing");
+        }
+        return value;
+    }
+
+    private static String one(FullHttpRequest message, String name) throws BadRequestException {
+        List<String> values = message.headers().getAll(name);
+        if (values.size() > 1) {
+            throw new BadRequestException(name + " is given twice");
+        }
+        return values.isEmpty() ? null : values.get(0);
+    }
+
+    /** Time left by X-Remaining, a number and a unit. */
+    static long left(String text) throws BadRequestException {
+        double unit = text.endsWith("m") ? 1_000 : text.endsWith("u") ? 1 : 0;
+        double us = unit * number(text.substring(0, text.length() - 1), "X-Remaining");
+        if (unit == 0 || us > MOST_LEFT_US) {
+            throw new BadRequestException("X-Remaining cannot be read");
+        }
+        return Math.max(0, (long) us - WAY_US);
+    }
+
+    private static long work(String text) throws BadRequestException {
+        return text == null ? 0 : (long) number(text, "X-Estimate");
+    }
+
+    private static double number(String text, String name) throws BadRequestException {
+        // Not all that Double.parseDouble takes: it reads 1f, 0x1p3, NaN and blanks too.
+        if (!text.isEmpty() && text.length() <= 20 && text.chars().allMatch(c -> c >= '0' && c <= '9' || c == '.')) {
+            try {
+                return Double.parseDouble(text);
+            } catch (NumberFormatException e) {
+                // Named below.
+            }
+        }
+        throw new BadRequestException(name + " cannot be read");
+    }
+}
