--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -114,7 +114,7 @@
         long now = System.nanoTime();
         for (Client client : new ArrayList<>(clients)) {
             long since = now - client.activeAtNanos;
-            if (client.isIdle() && (since > MOST_IDLE_NANOS || client.reading && since > MOST_READING_NANOS)) {
+            if (client.isIdle() && since > (client.reading ? MOST_READING_NANOS : MOST_IDLE_NANOS)) {
                 client.channel.close();
             }
         }
@@ -216,15 +216,16 @@
             try {
                 String path = RequestReader.path(message.uri());
                 if (path.equals("/up")) {
-                    answer(draining ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, NO_BODY, 0);
+                    answer(draining ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
+                            NO_BODY, 0);
                 } else if (RequestReader.isRequestPath(path)) {
                     handler.asked(this, reader.read(message));
                 } else {
                     answer(HttpResponseStatus.NOT_FOUND, NO_BODY, 0);
                 }
             } catch (BadRequestException e) {
-                answer(HttpResponseStatus.BAD_REQUEST, (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8),
-                        0);
+                answer(HttpResponseStatus.BAD_REQUEST,
+                        (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8), 0);
             } catch (RuntimeException e) {
                 // A defect met by one request must not leave it without an answer.
                 Log.error("request " + message.uri(), e);
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -400,7 +400,8 @@
         @Override
         public void ended(Result result, byte[] body) {
             expiry.cancel(false);
-            tell(null, () -> balancer.onProbe(clock.nowUs(), serverId, result, clock.nowUs() - sentAtUs, null));
+            tell(null, () -> balancer.onProbe(clock.nowUs(), serverId, result,
+                    clock.nowUs() - sentAtUs, null));
         }
     }
 
--- a/src/main/java/kitemux/node/NodeConfig.java
+++ b/src/main/java/kitemux/node/NodeConfig.java
@@ -60,8 +60,9 @@
         if (idle <= 0) {
             throw new ConfigException("settings.limits.connIdleUs", "is not above 0");
         }
-        return new NodeConfig(address("listen", env.getOrDefault("PROXY_LISTEN", json.path("listen").asText())),
-                address("discovery", env.getOrDefault("PROXY_DISCOVERY", json.path("discovery").asText())),
+        String listen = env.getOrDefault("PROXY_LISTEN", json.path("listen").asText());
+        String discovery = env.getOrDefault("PROXY_DISCOVERY", json.path("discovery").asText());
+        return new NodeConfig(address("listen", listen), address("discovery", discovery),
                 seed(json.path("seed").asText()), sockets.asInt(), idle, known(json, settings.zones), settings);
     }
 
--- a/src/main/java/kitemux/node/RequestReader.java
+++ b/src/main/java/kitemux/node/RequestReader.java
@@ -58,7 +58,8 @@
         return new ClientRequest(message.method(), message.uri(), txn, idempotencyKey,
                 ByteBufUtil.getBytes(message.content()), classIndex,
                 tenant == null ? -1 : tenants.getOrDefault(tenant, -1), left(need(message, "X-Remaining")),
-                work(one(message, "X-Estimate")), "1".equals(one(message, "X-Resent")), key.isEmpty() ? null : key);
+                work(one(message, "X-Estimate")), "1".equals(one(message, "X-Resent")),
+                key.isEmpty() ? null : key);
     }
 
     private static String need(FullHttpRequest message, String name) throws BadRequestException {
@@ -93,7 +94,7 @@
 
     private static double number(String text, String name) throws BadRequestException {
         // Not all that Double.parseDouble takes: it reads 1f, 0x1p3, NaN and blanks too.
-        if (!text.isEmpty() && text.length() <= 20 && text.chars().allMatch(c -> c >= '0' && c <= '9' || c == '.')) {
+        if (text.matches("[0-9.]{1,20}")) {
             try {
                 return Double.parseDouble(text);
             } catch (NumberFormatException e) {
