--- a/src/main/java/kitemux/node/NodeConfig.java
+++ b/src/main/java/kitemux/node/NodeConfig.java
@@ -63,7 +63,8 @@
         String listen = env.getOrDefault("PROXY_LISTEN", json.path("listen").asText());
         String discovery = env.getOrDefault("PROXY_DISCOVERY", json.path("discovery").asText());
         return new NodeConfig(address("listen", listen), address("discovery", discovery),
-                seed(json.path("seed").asText()), sockets.asInt(), idle, known(json, settings.zones), settings);
+                seed(json.path("seed").asText()), sockets.asInt(), idle, known(json, settings.zones),
+                settings);
     }
 
     private static Settings settings(JsonNode json) throws ConfigException {
--- a/src/main/java/kitemux/node/ServerPool.java
+++ b/src/main/java/kitemux/node/ServerPool.java
@@ -208,7 +208,7 @@
         }
     }
 
-    /** Closes what has been idle for half of what servers allow: a request that meets their close is reset. */
+    /** Closes what has been idle for half of what servers allow: a request that met their close would reset. */
     void closeOld() {
         long before = clock.nowUs() - connIdleUs / 2;
         for (Upstream upstream : upstreams.values()) {
