--- a/src/main/java/kitemux/node/ServerPool.java
+++ b/src/main/java/kitemux/node/ServerPool.java
@@ -208,7 +208,7 @@
         }
     }
 
-    /** Closes what has been idle for half of what servers allow: a request that met their close would reset. */
+    /** Closes what has been idle for half of what servers allow: a request that met their close resets. */
     void closeOld() {
         long before = clock.nowUs() - connIdleUs / 2;
         for (Upstream upstream : upstreams.values()) {
