Test the node over loopback sockets; tell the list before what it frees

Found by the test of drain word: what awaited a connection to a draining server was told as never sent before the module had the list, so the module sent it to the same server until its attempts were spent, and refused it.

--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -41,23 +42,27 @@
     }
 
     /** Discovery writes every 2 s. Three beats missed: a watch that is silent for so long is broken. */
-    private static final long MOST_SILENCE_US = 7_000_000;
+    static final long MOST_SILENCE_US = 7_000_000;
     private static final int CONNECT_TIMEOUT_MS = 2_000;
     /** No list is so long; a line without an end must not fill the memory. */
     private static final int MOST_LINE = 4 << 20;
 
     private final EventLoop loop;
-    private final NodeConfig config;
+    private final InetSocketAddress address;
+    private final List<String> zones;
+    private final long mostSilenceUs;
     private final Listener listener;
     private final Bootstrap dialer;
     private final ObjectMapper json = new ObjectMapper();
     private long rev;
     private Watch current;
 
-    Discovery(EventLoop loop, NodeConfig config, Listener listener) {
+    Discovery(EventLoop loop, NodeConfig config, long mostSilenceUs, Listener listener) {
         this.loop = loop;
-        this.config = config;
+        this.mostSilenceUs = mostSilenceUs;
         this.listener = listener;
+        address = config.discovery();
+        zones = config.settings().zones;
         rev = config.known().rev();
         dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
@@ -77,7 +82,7 @@
         }
         Watch watch = new Watch();
         current = watch;
-        ChannelFuture opening = dialer.connect(config.discovery());
+        ChannelFuture opening = dialer.connect(address);
         watch.channel = opening.channel();
         watch.expectMore();
         opening.addListener(done -> {
@@ -104,7 +109,7 @@
             if (silence != null) {
                 silence.cancel(false);
             }
-            silence = loop.schedule(() -> broken("silent"), MOST_SILENCE_US, TimeUnit.MICROSECONDS);
+            silence = loop.schedule(() -> broken("silent"), mostSilenceUs, TimeUnit.MICROSECONDS);
         }
 
         /** Ends without a word. */
@@ -164,7 +169,7 @@
                     // A beat. As the first word it says that nothing has changed: the call has its answer.
                     list = told ? null : new HostList(rev, false, List.of());
                 } else {
-                    list = HostList.decode(json.readTree(whole), config.settings().zones, "");
+                    list = HostList.decode(json.readTree(whole), zones, "");
                 }
             } catch (IOException | ConfigException e) {
                 broken("bad line: " + e.getMessage());
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -102,7 +102,7 @@
                         });
                     }
                 });
-        discovery = new Discovery(loop, config, new Discovery.Listener() {
+        discovery = new Discovery(loop, config, Discovery.MOST_SILENCE_US, new Discovery.Listener() {
             @Override
             public void listed(HostList list) {
                 list(list, list.all() ? ListKind.FULL : ListKind.CHANGES);
@@ -198,9 +198,12 @@
     }
 
     private void list(HostList list, ListKind kind) {
-        pool.update(list);
-        tell(null, () -> balancer.onServers(clock.nowUs(), kind,
-                list.hosts().stream().map(HostList.Host::entry).toList()));
+        tell(null, () -> {
+            // The pool first, as the module sends to new servers at once. What it frees from a draining
+            // server is told after the list: the module would else send it there again.
+            pool.update(list);
+            balancer.onServers(clock.nowUs(), kind, list.hosts().stream().map(HostList.Host::entry).toList());
+        });
     }
 
     private void take(ClientServer.Client client, ClientRequest request) {
--- /dev/null
+++ b/src/test/java/kitemux/node/ServerPoolTest.java
@@ -0,0 +1,157 @@
+package kitemux.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** How attempts end, seen from outside: an order may go on to another server only if it never ran. */
+class ServerPoolTest {
+    private static final int ASKED = 12;
+
+    /** Asks for a number of orders, of which about half meet the first server; all must be served. */
+    private static void allServed(Site site) throws IOException {
+        for (int i = 0; i < ASKED; i++) {
+            assertEquals(200, site.ask(Http.order("t" + i, "4000m")).status());
+        }
+    }
+
+    @Test
+    void aRefusedConnectionNeverRan() throws Exception {
+        try (FarServer dead = FarServer.serving("x"); FarServer good = FarServer.serving("x");
+                Site site = Site.quiet()) {
+            dead.stop();
+            site.start(dead, good);
+            allServed(site);
+            assertEquals(ASKED, good.requests.size());
+        }
+    }
+
+    @Test
+    void aRequestTurnedAwayNeverRan() throws Exception {
+        try (FarServer full = new FarServer((request, peer) ->
+                peer.write(Http.answer("504 Over", "X-Turned-Away: 1\r\n", "")));
+                FarServer good = FarServer.serving("x"); Site site = Site.quiet().start(full, good)) {
+            allServed(site);
+            assertEquals(ASKED, good.requests.size());
+            assertTrue(full.requests.size() > 0);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "HTTP/1.1 500 Error\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+        "",
+        "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly part of it",
+        "HTTP/1.1 200 OK\r\n\r\nhow long is this",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n",
+        "what is this\r\n\r\n",
+    })
+    void aBadAnswerMayHaveRunAndIsNeverServed(String answer) throws Exception {
+        try (FarServer bad = new FarServer((request, peer) -> {
+            peer.write(answer);
+            peer.socket().close();
+        }); Site site = Site.quiet().start(bad)) {
+            assertEquals(502, site.ask(Http.order("t", "4000m")).status());
+            assertEquals(1, bad.requests.size(), "an order is sent once");
+        }
+    }
+
+    @Test
+    void aRepeatableRequestPassesOnAfterAReset() throws Exception {
+        try (FarServer bad = new FarServer((request, peer) -> peer.reset());
+                FarServer good = FarServer.serving("x"); Site site = Site.quiet().start(bad, good)) {
+            for (int i = 0; i < ASKED; i++) {
+                assertEquals(200, site.ask(Http.page("/api/p", "t" + i, "4000m")).status());
+            }
+            assertTrue(bad.requests.size() > 0);
+        }
+    }
+
+    @Test
+    void interimAnswersArePassedOver() throws Exception {
+        try (FarServer server = new FarServer((request, peer) ->
+                peer.write("HTTP/1.1 102 Processing\r\n\r\n" + Http.ok("final")));
+                Site site = Site.quiet().start(server)) {
+            assertEquals("final", site.ask(Http.page("t")).body());
+        }
+    }
+
+    @Test
+    void whatComesBehindAnAnswerDoesNotAnswerTheNext() throws Exception {
+        try (FarServer server = new FarServer((request, peer) ->
+                peer.write(Http.ok(request.headers().get("x-txn")) + Http.ok("stray")));
+                Site site = Site.quiet().start(server)) {
+            for (int i = 0; i < 3; i++) {
+                assertEquals("t" + i, site.ask(Http.page("/api/p", "t" + i, "4000m")).body());
+            }
+        }
+    }
+
+    @Test
+    void anAttemptOutOfTimeIsGivenUpByClosingItsConnection() throws Exception {
+        try (FarServer silent = new FarServer((request, peer) -> { });
+                Site site = Site.quiet().start(silent)) {
+            assertEquals(502, site.ask(Http.order("t", "100m")).status());
+            FarServer.next(silent.ended);
+        }
+    }
+
+    @Test
+    void theMostRecentlyUsedConnectionIsTakenAndOldOnesAreClosed() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+            site.connIdleUs = 200_000;
+            site.start(server);
+            assertEquals(200, site.ask(Http.page("a")).status());
+            assertEquals(200, site.ask(Http.page("b")).status());
+            FarServer.Peer first = FarServer.next(server.peers);
+            assertEquals(first, FarServer.next(server.peers), "used again");
+            assertEquals(first, FarServer.next(server.ended), "closed by the node before the server does");
+            assertEquals(200, site.ask(Http.page("c")).status());
+            assertNotEquals(first, FarServer.next(server.peers));
+        }
+    }
+
+    @Test
+    void wordOfADrainFreesWhatAwaitsAConnection() throws Exception {
+        // A listener whose backlog is full: connections to it never come up.
+        try (ServerSocket hanging = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Socket one = new Socket(hanging.getInetAddress(), hanging.getLocalPort());
+                Socket two = new Socket(hanging.getInetAddress(), hanging.getLocalPort());
+                FarServer good = FarServer.serving("x"); Site site = Site.quiet()) {
+            assertTrue(one.isConnected() && two.isConnected());
+            String hangs = "s0=127.0.0.1:" + hanging.getLocalPort();
+            site.startKnowing(Site.list(1, true, hangs + "=Ready"));
+            FarServer.Peer watch = FarServer.next(site.discovery.peers);
+            Socket client = site.connect();
+            Site.write(client, Http.order("t", "5000m"));
+            // Once the answer to a later request is there, the order has been taken up and awaits its turn.
+            assertEquals(404, site.ask(Http.page("/nothing", "u", "1m")).status());
+            watch.write(Site.chunk(Site.list(2, false, hangs + "=Terminating",
+                    "s1=" + good.endpoint() + "=Ready") + "\n"));
+            assertEquals(200, Http.read(client.getInputStream()).status());
+        }
+    }
+
+    @Test
+    void aChangedEndpointMovesNewConnections() throws Exception {
+        try (FarServer before = FarServer.serving("old"); FarServer after = FarServer.serving("new");
+                Site site = Site.quiet().start(before)) {
+            FarServer.Peer watch = FarServer.next(site.discovery.peers);
+            assertEquals("old", site.ask(Http.page("a")).body());
+            watch.write(Site.chunk(Site.list(2, false, "s0=" + after.endpoint() + "=Ready") + "\n"));
+            FarServer.next(before.ended);
+            assertEquals("new", site.ask(Http.page("b")).body());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/kitemux/node/Site.java
@@ -0,0 +1,126 @@
+package kitemux.node;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import io.netty.channel.EventLoop;
+
+import kitemux.Balancer.Group;
+import kitemux.Balancer.Repeat;
+import kitemux.Balancer.RequestClass;
+import kitemux.Balancer.Settings;
+import kitemux.Balancer.Tenant;
+
+/** A node on loopback sockets with the servers that its list names and a discovery that a test plays. */
+final class Site implements AutoCloseable {
+    final Settings settings = new Settings();
+    final FarServer discovery;
+    final EventLoop loop = Node.newLoop();
+    int sockets = 256;
+    long connIdleUs = 60_000_000;
+    Node node;
+    private InetSocketAddress address;
+    private final List<Socket> clients = new ArrayList<>();
+
+    Site(FarServer discovery) {
+        this.discovery = discovery;
+        settings.zones.add("here");
+        settings.classes.add(requestClass("page", Repeat.SAFE, Group.ALL));
+        settings.classes.add(requestClass("photo", Repeat.KEYED, Group.CELL));
+        settings.classes.add(requestClass("order", Repeat.UNSAFE, Group.ALL));
+        settings.tenants.add(new Tenant("org", 0));
+        settings.maxAttempts = 4;
+        settings.cancel = true;
+        settings.maxRetryAfterUs = 250_000;
+        settings.connectTimeoutUs = 5_000_000;
+        settings.listOnRequest = true;
+    }
+
+    private static RequestClass requestClass(String name, Repeat repeat, Group group) {
+        return new RequestClass(name, 1_000_000, 0, 5_000_000, 1, 0, repeat, group, 1_200_000, false);
+    }
+
+    /** A site whose discovery opens a watch and says nothing on it. */
+    static Site quiet() throws IOException {
+        return new Site(new FarServer((request, peer) -> peer.write(watchHead())));
+    }
+
+    static String watchHead() {
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    }
+
+    static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    /** A list whose entries are id=endpoint=state. */
+    static String list(int rev, boolean all, String... entries) {
+        StringBuilder targets = new StringBuilder();
+        for (String entry : entries) {
+            String[] parts = entry.split("=");
+            targets.append(targets.isEmpty() ? "" : ",").append("{\"uid\":\"").append(parts[0])
+                    .append("\",\"endpoint\":\"").append(parts[1])
+                    .append("\",\"az\":\"here\",\"pod_group\":0,\"state\":\"").append(parts[2])
+                    .append("\",\"capacity_hint\":1.0,\"boot_ms\":0}");
+        }
+        return "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[" + targets + "]}";
+    }
+
+    NodeConfig config(String known) throws Exception {
+        return new NodeConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                NodeConfig.address("discovery", discovery.endpoint()), 7, sockets, connIdleUs,
+                HostList.decode(new ObjectMapper().readTree(known), settings.zones, ""), settings);
+    }
+
+    /** Starts the node with the servers s0, s1, ... */
+    Site start(FarServer... servers) throws Exception {
+        String[] entries = new String[servers.length];
+        for (int i = 0; i < servers.length; i++) {
+            entries[i] = "s" + i + "=" + servers[i].endpoint() + "=Ready";
+        }
+        return startKnowing(list(1, true, entries));
+    }
+
+    Site startKnowing(String known) throws Exception {
+        node = new Node(config(known), loop);
+        address = (InetSocketAddress) node.start().sync().channel().localAddress();
+        return this;
+    }
+
+    Socket connect() throws IOException {
+        Socket client = new Socket(address.getAddress(), address.getPort());
+        client.setSoTimeout(20_000);
+        clients.add(client);
+        return client;
+    }
+
+    static Http.Message ask(Socket client, String request) throws IOException {
+        write(client, request);
+        return Http.read(client.getInputStream());
+    }
+
+    static void write(Socket client, String text) throws IOException {
+        client.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** One request on a connection of its own. */
+    Http.Message ask(String request) throws IOException {
+        return ask(connect(), request);
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Socket client : clients) {
+            client.close();
+        }
+        discovery.close();
+        loop.parent().shutdownGracefully();
+    }
+}
