--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
@@ -82,6 +83,10 @@
     }
 
     Node(NodeConfig config, EventLoop loop) {
+        this(config, loop, actions -> new ServiceQBalancer(config.settings(), config.seed(), actions));
+    }
+
+    Node(NodeConfig config, EventLoop loop, Function<Balancer.Actions, Balancer> module) {
         this.config = config;
         this.loop = loop;
         Sockets sockets = new Sockets(config.sockets());
@@ -115,7 +120,7 @@
                 tell(null, () -> balancer.onListFailed(clock.nowUs()));
             }
         });
-        balancer = new ServiceQBalancer(config.settings(), config.seed(), this);
+        balancer = module.apply(this);
     }
 
     // ---------------------------------------------------------------- start and end
@@ -147,6 +152,7 @@
                 Thread.currentThread().interrupt();
             }
         }, "drain"));
+        Log.line("listening on " + config.listen());
     }
 
     static EventLoop newLoop() {
--- a/src/test/java/kitemux/node/Site.java
+++ b/src/test/java/kitemux/node/Site.java
@@ -7,16 +7,19 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 import io.netty.channel.EventLoop;
 
+import kitemux.Balancer;
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Settings;
 import kitemux.Balancer.Tenant;
+import kitemux.ServiceQBalancer;
 
 /** A node on loopback sockets with the servers that its list names and a discovery that a test plays. */
 final class Site implements AutoCloseable {
@@ -25,12 +28,15 @@
     final EventLoop loop = Node.newLoop();
     int sockets = 256;
     long connIdleUs = 60_000_000;
+    /** The decision module; a test may put a faulty one in its place. */
+    Function<Balancer.Actions, Balancer> module;
     Node node;
     private InetSocketAddress address;
     private final List<Socket> clients = new ArrayList<>();
 
     Site(FarServer discovery) {
         this.discovery = discovery;
+        module = actions -> new ServiceQBalancer(settings, 7, actions);
         settings.zones.add("here");
         settings.classes.add(requestClass("page", Repeat.SAFE, Group.ALL));
         settings.classes.add(requestClass("photo", Repeat.KEYED, Group.CELL));
@@ -89,7 +95,7 @@
     }
 
     Site startKnowing(String known) throws Exception {
-        node = new Node(config(known), loop);
+        node = new Node(config(known), loop, module);
         address = (InetSocketAddress) node.start().sync().channel().localAddress();
         return this;
     }
