--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -117,31 +117,6 @@
         }
     }
 
-    @Test
-    void aClientThatReadsNoAnswerIsServedNoMoreThanItsSocketHolds() throws Exception {
-        String large = "x".repeat(60_000);
-        try (FarServer server = FarServer.serving(large); Site site = Site.quiet().start(server)) {
-            Socket client = site.connect();
-            int asked = 400;
-            Thread asking = new Thread(() -> {
-                try {
-                    for (int i = 0; i < asked; i++) {
-                        Site.write(client, Http.page("/api/p", "t" + i, "5000m"));
-                    }
-                } catch (IOException e) {
-                    // The test is over.
-                }
-            });
-            asking.start();
-            asking.join();
-            // Other clients are served meanwhile, in far more time than all of the first would take.
-            for (int i = 0; i < asked; i++) {
-                assertEquals(200, site.ask(Http.page("/api/p", "u" + i, "5000m")).status());
-            }
-            assertTrue(server.requests.size() < 2 * asked, "served " + server.requests.size());
-        }
-    }
-
     @Test
     void aClientThatClosesIsGoneAndItsAttemptGivenUp() throws Exception {
         try (FarServer server = new FarServer((request, peer) -> { });
