Read the configuration again on SIGHUP and move the watch on discovery

Cause: a JVM ends on SIGHUP by default and nothing handled it.

Reload takes the signal over before the rehearsal, reads the file with its own 'discovery' above PROXY_DISCOVERY, and Discovery.moveTo opens the watch at the new address at once, without a failure told for the old one. A bad file is logged and changes nothing.

--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/node/Discovery.java
@@ -48,13 +48,16 @@
     private static final int MOST_LINE = 4 << 20;
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final List<String> zones;
     private final long mostSilenceUs;
     private final Listener listener;
     private final Bootstrap dialer;
     private final ObjectMapper json = new ObjectMapper();
+    private InetSocketAddress address;
     private long rev;
+    /** Whether the version is one of this place's, so that a watch can go on from it. */
+    private boolean revIsOfHere = true;
+    private boolean wanted;
     private Watch current;
 
     Discovery(EventLoop loop, NodeConfig config, long mostSilenceUs, Listener listener) {
@@ -77,6 +80,7 @@
 
     /** Opens a watch for all that changed since the last list; it takes the place of an earlier one. */
     void subscribe() {
+        wanted = true;
         if (current != null) {
             current.end();
         }
@@ -92,12 +96,27 @@
             }
             watch.channel.pipeline().addLast(watch);
             FullHttpRequest ask = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/discovery/hosts?watch=1&after=" + rev);
+                    "/discovery/hosts?watch=1" + (revIsOfHere ? "&after=" + rev : ""));
             ask.headers().set(HttpHeaderNames.HOST, "discovery");
             watch.channel.writeAndFlush(ask);
         });
     }
 
+    /**
+     * Discovery is elsewhere from now on. The watch goes there at once; no failure is told of the old one.
+     * Nothing says that versions mean the same at both places, so the whole list is asked for.
+     */
+    void moveTo(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            Log.line("discovery is at " + to + " now");
+            address = to;
+            revIsOfHere = false;
+            if (wanted) {
+                subscribe();
+            }
+        }
+    }
+
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
         private Channel channel;
@@ -167,7 +186,7 @@
             try {
                 if (new String(whole, StandardCharsets.US_ASCII).isBlank()) {
                     // A beat. As the first word it says that nothing has changed: the call has its answer.
-                    list = told ? null : new HostList(rev, false, List.of());
+                    list = told || !revIsOfHere ? null : new HostList(rev, false, List.of());
                 } else {
                     list = HostList.decode(json.readTree(whole), zones, "");
                 }
@@ -178,6 +197,7 @@
             if (list != null) {
                 told = true;
                 rev = list.rev();
+                revIsOfHere = true;
                 listener.listed(list);
             }
         }
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -136,8 +136,9 @@
             return;
         }
         EventLoop loop = newLoop();
-        Rehearsal.play(config, loop);
         Node node = new Node(config, loop);
+        Reload.onHangUp(env, node);
+        Rehearsal.play(config, loop);
         ChannelFuture listening = node.start().awaitUninterruptibly();
         if (!listening.isSuccess()) {
             System.err.println("kitemux: listen " + config.listen() + ": " + listening.cause().getMessage());
@@ -169,6 +170,11 @@
         return clients.listen(config.listen());
     }
 
+    /** Takes over what may change while a node runs, which is where discovery is. */
+    void reload(NodeConfig changed) {
+        loop.execute(() -> discovery.moveTo(changed.discovery()));
+    }
+
     /** Says no to the front, serves what still comes, and calls back once nothing is held. */
     void drain(Runnable whenEmpty) {
         loop.execute(() -> clients.drain(whenEmpty));
--- a/src/main/java/kitemux/node/NodeConfig.java
+++ b/src/main/java/kitemux/node/NodeConfig.java
@@ -67,6 +67,13 @@
                 settings);
     }
 
+    /** As the file has it now: where discovery is, it says since the start, and no longer the environment. */
+    static NodeConfig reread(Map<String, String> env) throws ConfigException {
+        Map<String, String> now = new HashMap<>(env);
+        now.remove("PROXY_DISCOVERY");
+        return read(now);
+    }
+
     private static Settings settings(JsonNode json) throws ConfigException {
         Map<String, String> flat = new HashMap<>();
         flatten("", json, flat);
--- /dev/null
+++ b/src/main/java/kitemux/node/Reload.java
@@ -0,0 +1,45 @@
+package kitemux.node;
+
+import java.lang.reflect.Proxy;
+import java.util.Map;
+
+/** SIGHUP: the configuration file is read again and the node is told. A JVM left alone would end on it. */
+final class Reload {
+    private final Map<String, String> env;
+    private final Node node;
+
+    private Reload(Map<String, String> env, Node node) {
+        this.env = env;
+        this.node = node;
+    }
+
+    /**
+     * Takes over the signal. By name, as the compiler's warning about sun.misc.Signal, which is the only way
+     * to have signals, cannot be turned off for one class.
+     */
+    static void onHangUp(Map<String, String> env, Node node) {
+        Reload reload = new Reload(env, node);
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object read = Proxy.newProxyInstance(Reload.class.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, args) -> {
+                        reload.read();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), read);
+        } catch (ReflectiveOperationException e) {
+            Log.error("SIGHUP cannot be handled", e);
+        }
+    }
+
+    /** Each signal has a thread of its own: one at a time, so that the file as read last is what holds. */
+    private synchronized void read() {
+        try {
+            node.reload(NodeConfig.reread(env));
+        } catch (ConfigException e) {
+            Log.line("reload: " + e.getMessage() + "; the configuration stays as it was");
+        }
+    }
+}
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetSocketAddress;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -106,4 +107,25 @@
             assertEquals(2, calls.get());
         }
     }
+
+    @Test
+    void aMoveAsksTheNewPlaceForAllThereIsAndTellsOfNoFailure() throws Exception {
+        try (Site site = Site.quiet(); FarServer there = new FarServer((request, peer) -> peer.write(
+                Site.watchHead() + Site.chunk(Site.list(7, true, ENTRY) + "\n")))) {
+            BlockingQueue<String> told = new LinkedBlockingQueue<>();
+            Discovery discovery = watch(site, Discovery.MOST_SILENCE_US, told);
+            FarServer.next(site.discovery.requests);
+            InetSocketAddress to = NodeConfig.address("discovery", there.endpoint());
+            site.loop.execute(() -> discovery.moveTo(to));
+            FarServer.next(site.discovery.ended);
+            assertEquals("/discovery/hosts?watch=1", FarServer.next(there.requests).path());
+            assertEquals("7 all 1", FarServer.next(told));
+            // Told of the same place again the watch stays; a later call goes to the new place too.
+            site.loop.execute(() -> discovery.moveTo(to));
+            site.loop.execute(discovery::subscribe);
+            assertEquals("/discovery/hosts?watch=1&after=7", FarServer.next(there.requests).path());
+            assertEquals(2, there.connections.get());
+            assertEquals(1, site.discovery.connections.get());
+        }
+    }
 }
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -1,12 +1,15 @@
 package kitemux.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
@@ -51,20 +54,42 @@
         }
     }
 
-    @Test
-    void theProgramEndsOnSigtermOnceNothingIsHeld(@TempDir Path folder) throws Exception {
-        Path config = Files.writeString(folder.resolve("config.json"), """
-                {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","limits":{"sockets":256},
-                 "settings":{"classes":[{"name":"page","onTimeUs":100000,"giveUpUs":500000,"repeat":"safe"}]}}
-                """);
+    private static Path configure(Path folder, String discovery) throws Exception {
+        Path next = Files.writeString(folder.resolve("next.json"), """
+                {"listen":"127.0.0.1:0","discovery":"%s","seed":"1","limits":{"sockets":256},"settings":
+                 {"membershipMode":"on_request","limits":{"attemptsCap":1},
+                  "classes":[{"name":"page","onTimeUs":100000,"giveUpUs":500000,"repeat":"safe"}]}}
+                """.formatted(discovery));
+        return Files.move(next, folder.resolve("config.json"), StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** A node as a process, which is told of discovery by the environment as well. */
+    private static Process program(Path config, String discovery) throws Exception {
         String java = ProcessHandle.current().info().command().orElseThrow();
         ProcessBuilder builder = new ProcessBuilder(java, "-XX:TieredStopAtLevel=1", "-cp",
                 System.getProperty("java.class.path"), Main.class.getName(), "node");
         builder.environment().put("PROXY_CONFIG", config.toString());
-        Process process = builder.redirectErrorStream(true).start();
+        builder.environment().put("PROXY_DISCOVERY", discovery);
+        return builder.redirectErrorStream(true).start();
+    }
+
+    private static void awaitLine(BufferedReader lines, String part) throws Exception {
+        String line = lines.readLine();
+        while (line != null && !line.contains(part)) {
+            line = lines.readLine();
+        }
+        assertNotNull(line, "no line says " + part);
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+    }
+
+    @Test
+    void theProgramEndsOnSigtermOnceNothingIsHeld(@TempDir Path folder) throws Exception {
+        Process process = program(configure(folder, "127.0.0.1:9"), "127.0.0.1:9");
         try {
-            String ready = process.inputReader().readLine();
-            assertTrue(ready.startsWith("listening on "), ready);
+            awaitLine(process.inputReader(), "listening on ");
             process.destroy();
             assertTrue(process.waitFor(20, TimeUnit.SECONDS));
             assertEquals(143, process.exitValue(), "ended by SIGTERM in good order");
@@ -72,4 +97,36 @@
             process.destroyForcibly();
         }
     }
+
+    @Test
+    void onSighupTheWatchMovesToWhereTheFileSaysAndABadFileChangesNothing(@TempDir Path folder)
+            throws Exception {
+        FarServer.Script watch = (request, peer) -> peer.write(Site.watchHead());
+        try (FarServer before = new FarServer(watch); FarServer after = new FarServer(watch)) {
+            Path config = configure(folder, before.endpoint());
+            Process process = program(config, before.endpoint());
+            try {
+                BufferedReader lines = process.inputReader();
+                FarServer.next(before.requests);
+                configure(folder, after.endpoint());
+                hangUp(process);
+                FarServer.next(after.requests);
+                FarServer.next(before.ended);
+                Files.writeString(config, "{");
+                hangUp(process);
+                awaitLine(lines, "PROXY_CONFIG is not JSON");
+                configure(folder, before.endpoint());
+                hangUp(process);
+                hangUp(process);
+                FarServer.next(before.requests);
+                process.destroy();
+                hangUp(process);
+                assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+                assertEquals(143, process.exitValue(), "still ended by SIGTERM in good order");
+                assertEquals(1, after.connections.get());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
 }
