--- a/src/test/java/kitemux/node/ServerPoolTest.java
+++ b/src/test/java/kitemux/node/ServerPoolTest.java
@@ -68,7 +68,8 @@
         "HTTP/1.1 +200 OK\r\nContent-Length: 1\r\n\r\nx",
         "HTTP/1.1 200 OK\r\nContent-Length: +1\r\n\r\nx",
         "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 3\r\n\r\nxyz",
-        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + "1\r\nx\r\n0\r\n\r\n",
     })
     void aBadAnswerMayHaveRunAndIsNeverServed(String answer) throws Exception {
         try (FarServer bad = new FarServer((request, peer) -> {
@@ -117,7 +118,8 @@
         try (ServerSocket far = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             // Nothing is read by itself, as when the loop has not come to it yet.
             ServerChannel channel = (ServerChannel) new Bootstrap().group(loop)
-                    .channelFactory(ServerChannel::new).option(ChannelOption.AUTO_READ, false).handler(new ChannelInboundHandlerAdapter())
+                    .channelFactory(ServerChannel::new).option(ChannelOption.AUTO_READ, false)
+                    .handler(new ChannelInboundHandlerAdapter())
                     .connect(far.getLocalSocketAddress()).sync().channel();
             Socket server = far.accept();
             assertTrue(channel.isQuiet());
