Bound what clients may cost: time limits, errors that end the connection, ids once

Read off the code and tried by tests, each of which failed before: half a head lived for 120 s and a silent connection too; behind a client's error the rest was served; a second request with the X-Txn of an open one was passed on; hundreds of pipelined requests were held at once; a flood of silent connections closed the usual clients' idle ones first; one oversized body behind an open request closed that one.

ClientServer kept every connection and took it apart as well; ClientConnection has that now, without Netty's aggregator, and drops what comes behind an error before the decoder. Limits names the bounds. The test of a client that never reads is back and asserts that it is served no further and closed. FarServer told of a connection before its script had written, which made a watch test fail now and then; mended.

--- /dev/null
+++ b/src/main/java/kitemux/node/ClientConnection.java
@@ -0,0 +1,300 @@
+package kitemux.node;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * A client's connection: one request at a time, further ones wait their turn. Behind what is turned down as
+ * the client's error nothing is read or served, and the connection ends.
+ */
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+    private static final byte[] NO_BODY = {};
+
+    private final ClientServer server;
+    private final RequestReader reader;
+    private final ClientServer.Handler handler;
+    private final SocketChannel channel;
+    /** What came whole and waits for its turn. */
+    private final ArrayDeque<Incoming> waiting = new ArrayDeque<>();
+
+    private HttpRequest head;
+    private ByteArrayOutputStream body;
+    /** Whether something came since the last whole request. */
+    private boolean reading;
+    /** Nothing more is read: what comes is dropped. */
+    private boolean deaf;
+    /** From a request's turn until its answer is written. */
+    private boolean busy;
+    private boolean keepAlive = true;
+    private long lingerMs;
+    /** When the client's part began: to ask, to go on asking, or to take its answer. */
+    private long sinceNanos = System.nanoTime();
+    private boolean everAsked;
+    /** The request that is open, as the handler knows it. */
+    Node.Held held;
+
+    /** A request, or the status that what came instead of one is owed. */
+    private record Incoming(HttpRequest head, byte[] body, HttpResponseStatus error) { }
+
+    ClientConnection(ClientServer server, RequestReader reader, ClientServer.Handler handler,
+            SocketChannel channel) {
+        this.server = server;
+        this.reader = reader;
+        this.handler = handler;
+        this.channel = channel;
+    }
+
+    // ---------------------------------------------------------------- what comes
+
+    /** What stands before the decoder: bad clients send much, and what is not read is not taken apart. */
+    ChannelInboundHandler gate() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object bytes) {
+                if (deaf) {
+                    ReferenceCountUtil.release(bytes);
+                    return;
+                }
+                if (!reading) {
+                    reading = true;
+                    sinceNanos = everAsked && !busy ? System.nanoTime() : sinceNanos;
+                }
+                context.fireChannelRead(bytes);
+            }
+        };
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (!deaf) {
+                read((HttpObject) message);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void read(HttpObject part) {
+        if (part.decoderResult().isFailure()) {
+            turnDown(HttpResponseStatus.BAD_REQUEST);
+            return;
+        }
+        if (part instanceof HttpRequest begun) {
+            head = begun;
+            body = new ByteArrayOutputStream();
+            HttpResponseStatus error = RequestReader.errorOf(begun);
+            if (error != null) {
+                turnDown(error);
+                return;
+            }
+            if (HttpUtil.is100ContinueExpected(begun) && !busy) {
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            }
+        }
+        if (part instanceof HttpContent content) {
+            ByteBuf bytes = content.content();
+            if (body.size() + bytes.readableBytes() > Limits.MOST_BODY) {
+                turnDown(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                return;
+            }
+            append(bytes);
+        }
+        if (part instanceof LastHttpContent) {
+            Incoming whole = new Incoming(head, body.toByteArray(), null);
+            forgetPart();
+            take(whole);
+        }
+    }
+
+    private void append(ByteBuf bytes) {
+        try {
+            bytes.readBytes(body, bytes.readableBytes());
+        } catch (IOException e) {
+            throw new IllegalStateException("memory cannot be written", e);
+        }
+    }
+
+    private void forgetPart() {
+        head = null;
+        body = null;
+        reading = false;
+    }
+
+    /** What comes cannot be used: where the next request would begin is not known, nothing more is read. */
+    private void turnDown(HttpResponseStatus error) {
+        forgetPart();
+        deaf = true;
+        take(new Incoming(null, NO_BODY, error));
+    }
+
+    private void take(Incoming next) {
+        everAsked = true;
+        if (!busy && waiting.isEmpty()) {
+            serve(next);
+            return;
+        }
+        // Sent ahead of the answer: read on only once it is its turn, so that what waits is bounded.
+        waiting.add(next);
+        channel.config().setAutoRead(false);
+        if (waiting.size() > Limits.MOST_AHEAD && !deaf) {
+            waiting.removeLast();
+            turnDown(HttpResponseStatus.BAD_REQUEST);
+        }
+    }
+
+    // ---------------------------------------------------------------- one after another
+
+    private void serve(Incoming next) {
+        busy = true;
+        server.used(this);
+        if (next.error != null) {
+            refuse(next.error, NO_BODY);
+            return;
+        }
+        keepAlive = HttpUtil.isKeepAlive(next.head);
+        try {
+            String path = RequestReader.path(next.head.uri());
+            if (path.equals("/up")) {
+                answer(server.isDraining() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
+                        NO_BODY, 0);
+            } else if (RequestReader.isRequestPath(path)) {
+                handler.asked(this, reader.read(next.head, next.body));
+            } else {
+                refuse(HttpResponseStatus.NOT_FOUND, NO_BODY);
+            }
+        } catch (BadRequestException e) {
+            refuse(HttpResponseStatus.BAD_REQUEST, (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8));
+        } catch (RuntimeException e) {
+            // A defect met by one request must not leave it without an answer.
+            Log.error("request " + next.head.uri(), e);
+            if (held == null) {
+                answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, NO_BODY, 0);
+            }
+        }
+    }
+
+    /** Answers a client's error and ends the connection: who errs once does so again, at a cost each time. */
+    private void refuse(HttpResponseStatus error, byte[] reason) {
+        keepAlive = false;
+        lingerMs = Limits.LINGER_MS;
+        waiting.clear();
+        deaf = true;
+        answer(error, reason, 0);
+    }
+
+    /** The one answer to the request that is open; {@code retryAfterUs} of 0 gives no advice. */
+    void answer(HttpResponseStatus status, byte[] content, long retryAfterUs) {
+        held = null;
+        sinceNanos = System.nanoTime();
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.wrappedBuffer(content));
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
+        if (retryAfterUs > 0) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterUs / 1e6);
+        }
+        if (!keepAlive || server.isDraining()) {
+            keepAlive = false;
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        channel.writeAndFlush(response).addListener(written -> answered());
+    }
+
+    /** Only once an answer is written is it the next one's turn: a client may ask and never read. */
+    private void answered() {
+        busy = false;
+        sinceNanos = System.nanoTime();
+        if (!keepAlive) {
+            channel.shutdownOutput();
+            channel.eventLoop().schedule(this::close, lingerMs, TimeUnit.MILLISECONDS);
+        } else if (!waiting.isEmpty()) {
+            channel.eventLoop().execute(this::serveNext);
+        }
+    }
+
+    private void serveNext() {
+        Incoming next = busy || !keepAlive ? null : waiting.poll();
+        if (next != null) {
+            serve(next);
+        }
+        if (waiting.isEmpty()) {
+            channel.config().setAutoRead(true);
+        }
+    }
+
+    // ---------------------------------------------------------------- its end
+
+    boolean isIdle() {
+        return !busy;
+    }
+
+    boolean isOlderThan(long ms) {
+        return System.nanoTime() - sinceNanos > TimeUnit.MILLISECONDS.toNanos(ms);
+    }
+
+    /** Ends a connection whose client takes too long to ask or to take its answer. */
+    void closeIfLate() {
+        if (held != null || deaf && !busy) {
+            return;
+        }
+        if (busy) {
+            closeIfOlderThan(Limits.WRITING_MS);
+        } else if (!reading) {
+            closeIfOlderThan(everAsked ? Limits.IDLE_MS : Limits.READING_MS);
+        } else if (isOlderThan(Limits.READING_MS)) {
+            turnDown(HttpResponseStatus.REQUEST_TIMEOUT);
+        }
+    }
+
+    private void closeIfOlderThan(long ms) {
+        if (isOlderThan(ms)) {
+            close();
+        }
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        keepAlive = false;
+        deaf = true;
+        waiting.clear();
+        server.ended(this);
+        if (held != null) {
+            handler.left(this);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            Log.error("connection to a client", cause);
+        }
+        close();
+    }
+}
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -3,8 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -38,11 +40,9 @@
 public final class Node implements Balancer.Actions {
     /** Buffers of just the size needed, on the heap: memory is short, and loads are small. */
     static final ByteBufAllocator ALLOCATOR = new UnpooledByteBufAllocator(false, true);
-    static final int MOST_BODY = 64 << 10;
 
     private static final byte[] NO_BODY = {};
     private static final long PROBE_US = 1_000_000;
-    private static final long HOUSEKEEPING_MS = 1_000;
 
     private final NodeConfig config;
     private final EventLoop loop;
@@ -53,6 +53,8 @@
     private final Balancer balancer;
 
     private final Map<Long, Held> held = new HashMap<>();
+    /** The ids of those that are owed an answer. A second one of the same id could have its effect twice. */
+    private final Set<String> openTxns = new HashSet<>();
     private long lastId;
     /** What the module is still to be told: nothing is fed back into it from inside one of its events. */
     private final ArrayDeque<Event> events = new ArrayDeque<>();
@@ -68,13 +70,13 @@
     static final class Held {
         private final long id;
         private final ClientRequest request;
-        private final ClientServer.Client client;
+        private final ClientConnection client;
         private final long deadlineUs;
         private final List<Attempt> attempts = new ArrayList<>(1);
         private int outstanding;
         private boolean ended;
 
-        Held(long id, ClientRequest request, ClientServer.Client client, long deadlineUs) {
+        Held(long id, ClientRequest request, ClientConnection client, long deadlineUs) {
             this.id = id;
             this.request = request;
             this.client = client;
@@ -94,15 +96,16 @@
         clients = new ClientServer(loop, new RequestReader(config.settings()), sockets,
                 new ClientServer.Handler() {
                     @Override
-                    public void asked(ClientServer.Client client, ClientRequest request) {
+                    public void asked(ClientConnection client, ClientRequest request)
+                            throws BadRequestException {
                         take(client, request);
                     }
 
                     @Override
-                    public void left(ClientServer.Client client) {
+                    public void left(ClientConnection client) {
                         Held gone = client.held;
                         tell(gone, () -> {
-                            gone.ended = true;
+                            end(gone);
                             balancer.onClientGone(clock.nowUs(), gone.id);
                             forgetIfOver(gone);
                         });
@@ -166,7 +169,7 @@
         housekeeping = loop.scheduleAtFixedRate(() -> {
             pool.closeOld();
             clients.closeOld();
-        }, HOUSEKEEPING_MS, HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
+        }, Limits.HOUSEKEEPING_MS, Limits.HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
         return clients.listen(config.listen());
     }
 
@@ -232,7 +235,10 @@
         });
     }
 
-    private void take(ClientServer.Client client, ClientRequest request) {
+    private void take(ClientConnection client, ClientRequest request) throws BadRequestException {
+        if (!openTxns.add(request.txn())) {
+            throw new BadRequestException("X-Txn is that of an open request");
+        }
         long now = clock.nowUs();
         Held taken = new Held(++lastId, request, client, now + request.leftUs());
         client.held = taken;
@@ -327,12 +333,17 @@
         }
     }
 
+    private void end(Held request) {
+        request.ended = true;
+        openTxns.remove(request.request.txn());
+    }
+
     /** The one final answer; nothing is sent for the request after it. */
     private void answer(Held request, HttpResponseStatus status, byte[] body, long retryAfterUs) {
         if (request.ended) {
             return;
         }
-        request.ended = true;
+        end(request);
         request.client.answer(status, body, retryAfterUs);
         forgetIfOver(request);
     }
--- a/src/main/java/kitemux/node/Rehearsal.java
+++ b/src/main/java/kitemux/node/Rehearsal.java
@@ -90,7 +90,7 @@
             @Override
             protected void initChannel(SocketChannel channel) {
                 ChannelHandler codec = server ? new HttpServerCodec() : new HttpClientCodec();
-                channel.pipeline().addLast(codec, new HttpObjectAggregator(Node.MOST_BODY),
+                channel.pipeline().addLast(codec, new HttpObjectAggregator(Limits.MOST_BODY),
                         server ? new FarServer() : new FarClient());
             }
         };
--- a/src/main/java/kitemux/node/RequestReader.java
+++ b/src/main/java/kitemux/node/RequestReader.java
@@ -4,9 +4,11 @@
 import java.util.List;
 import java.util.Map;
 
-import io.netty.buffer.ByteBufUtil;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.Settings;
@@ -37,7 +39,20 @@
         return path.startsWith(PREFIX) || path.equals("/api");
     }
 
-    ClientRequest read(FullHttpRequest message) throws BadRequestException {
+    /** The status owed to a request whose head alone tells that it cannot be read, or null. */
+    static HttpResponseStatus errorOf(HttpRequest head) {
+        List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean hasLength = head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+        if (!codings.isEmpty()
+                && (hasLength || codings.size() > 1 || !codings.get(0).equalsIgnoreCase("chunked"))) {
+            // Another reader might find another end of it, and in the rest another request.
+            return HttpResponseStatus.BAD_REQUEST;
+        }
+        return HttpUtil.getContentLength(head, 0L) > Limits.MOST_BODY
+                ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : null;
+    }
+
+    ClientRequest read(HttpRequest message, byte[] body) throws BadRequestException {
         String txn = need(message, "X-Txn");
         Integer classIndex = classes.get(need(message, "X-Lane"));
         if (classIndex == null) {
@@ -56,13 +71,13 @@
         String path = path(message.uri());
         String key = path.substring(path.lastIndexOf('/') + 1);
         return new ClientRequest(message.method(), message.uri(), txn, idempotencyKey,
-                ByteBufUtil.getBytes(message.content()), classIndex,
+                body, classIndex,
                 tenant == null ? -1 : tenants.getOrDefault(tenant, -1), left(need(message, "X-Remaining")),
                 work(one(message, "X-Estimate")), "1".equals(one(message, "X-Resent")),
                 key.isEmpty() ? null : key);
     }
 
-    private static String need(FullHttpRequest message, String name) throws BadRequestException {
+    private static String need(HttpRequest message, String name) throws BadRequestException {
         String value = one(message, name);
         if (value == null || value.isEmpty()) {
             throw new BadRequestException(name + " is missing");
@@ -70,7 +85,7 @@
         return value;
     }
 
-    private static String one(FullHttpRequest message, String name) throws BadRequestException {
+    private static String one(HttpRequest message, String name) throws BadRequestException {
         List<String> values = message.headers().getAll(name);
         if (values.size() > 1) {
             throw new BadRequestException(name + " is given twice");
--- a/src/main/java/kitemux/node/ServerPool.java
+++ b/src/main/java/kitemux/node/ServerPool.java
@@ -321,7 +321,7 @@
             if (message instanceof HttpResponse response) {
                 head = response;
                 // A length that is past all bounds spoils the answer before any of it has come.
-                if (HttpUtil.getContentLength(response, 0L) > Node.MOST_BODY) {
+                if (HttpUtil.getContentLength(response, 0L) > Limits.MOST_BODY) {
                     fail();
                     return;
                 }
@@ -334,7 +334,7 @@
                 }
             }
             if (message instanceof HttpContent content) {
-                if (body.readableBytes() + content.content().readableBytes() > Node.MOST_BODY) {
+                if (body.readableBytes() + content.content().readableBytes() > Limits.MOST_BODY) {
                     fail();
                     return;
                 }
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -172,11 +173,151 @@
             site.start(server);
             Socket first = site.connect();
             assertEquals(200, Site.ask(first, Http.page("first")).status());
+            for (int i = 0; i < 20; i++) {
+                assertEquals(200, site.ask(Http.page("t" + i)).status());
+            }
+            assertEquals(-1, first.getInputStream().read(), "the longest idle made room");
+        }
+    }
+
+    @Test
+    void silentConnectionsMakeRoomBeforeThoseThatAsk() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+            site.sockets = 64;
+            site.start(server);
+            Socket usual = site.connect();
+            assertEquals(200, Site.ask(usual, Http.page("a")).status());
+            Socket silent = site.connect();
             for (int i = 0; i < 100; i++) {
                 site.connect();
             }
-            assertEquals(200, site.ask(Http.page("last")).status());
-            assertEquals(-1, first.getInputStream().read(), "the longest idle made room");
+            assertEquals(-1, silent.getInputStream().read());
+            assertEquals(200, Site.ask(usual, Http.page("b")).status());
+        }
+    }
+
+    @Test
+    void whoDoesNotGetOnIsCutOff() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            Socket silent = site.connect();
+            Socket headOnly = site.connect();
+            Site.write(headOnly, "POST /api/order HTTP/1.1\r\nX-Txn: a\r\n");
+            Socket bodyToCome = site.connect();
+            Site.write(bodyToCome, Http.order("b", "4000m").replace("\r\nab", "\r\na"));
+            Socket second = site.connect();
+            assertEquals(200, Site.ask(second, Http.page("c")).status());
+            Site.write(second, "GET /api");
+            Socket idle = site.connect();
+            assertEquals(200, Site.ask(idle, Http.page("d")).status());
+            assertEquals(-1, silent.getInputStream().read());
+            for (Socket late : new Socket[] {headOnly, bodyToCome, second}) {
+                assertEquals(408, Http.read(late.getInputStream()).status());
+                assertEquals(-1, late.getInputStream().read());
+            }
+            assertEquals(-1, idle.getInputStream().read());
+            assertEquals(2, server.requests.size());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "Transfer-Encoding: chunked|Content-Length: 4",
+        "Content-Length: 4|Transfer-Encoding: chunked",
+        "Transfer-Encoding: chunked|Transfer-Encoding: chunked",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: identity",
+        "Content-Length: 4|Content-Length: 4",
+        "Content-Length: 4|Content-Length: 40",
+        "Content-Length: +4",
+        "Content-Length: -4",
+        "Content-Length: 0x4",
+        "Content-Length: 99999999999999999999",
+        "Content-Length : 4",
+        "no colon|Content-Length: 4",
+    })
+    void whatMayHideAnotherRequestGets400AndNothingBehindItIsServed(String framing) throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            Site.write(client, Http.order("t", "4000m").replace("Content-Length: 2", framing
+                    .replace("|", "\r\n")).replace("ab", "0\r\n\r\n" + Http.page("hidden")));
+            assertEquals(400, Http.read(client.getInputStream()).status());
+            assertEquals(-1, client.getInputStream().read());
+            assertEquals(0, server.connections.get());
+        }
+    }
+
+    @Test
+    void behindAClientsErrorNothingIsServed() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            Site.write(client, Http.page("/api/p", "t", "soon") + Http.page("u"));
+            assertEquals(400, Http.read(client.getInputStream()).status());
+            assertEquals(-1, client.getInputStream().read());
+            assertEquals(0, server.connections.get());
+        }
+    }
+
+    @Test
+    void anIdIsTakenOnceAtATime() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (FarServer server = new FarServer((request, peer) -> {
+            try {
+                answer.await();
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+            peer.write(Http.ok("x"));
+        }); Site site = Site.quiet().start(server)) {
+            Socket first = site.connect();
+            Site.write(first, Http.order("same", "5000m"));
+            FarServer.next(server.requests);
+            assertEquals(400, site.ask(Http.order("same", "5000m")).status());
+            answer.countDown();
+            assertEquals(200, Http.read(first.getInputStream()).status());
+            assertEquals(1, server.connections.get());
+            assertEquals(200, site.ask(Http.order("same", "5000m")).status(), "once answered it is free");
+        }
+    }
+
+    @Test
+    void whatIsSentAheadIsBounded() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            StringBuilder many = new StringBuilder();
+            for (int i = 0; i < 300; i++) {
+                many.append(Http.page("t" + i));
+            }
+            Site.write(client, many.toString());
+            int served = 0;
+            Http.Message answer = Http.read(client.getInputStream());
+            for (; answer.status() == 200; answer = Http.read(client.getInputStream())) {
+                served++;
+            }
+            assertEquals(400, answer.status());
+            assertEquals(Limits.MOST_AHEAD + 1, served);
+            assertEquals(-1, client.getInputStream().read());
+        }
+    }
+
+    @Test
+    @Timeout(60)
+    void aClientThatNeverReadsIsServedNoFurtherAndCutOff() throws Exception {
+        String large = "a".repeat(Limits.MOST_BODY);
+        try (FarServer server = FarServer.serving(large); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            int asked = 0;
+            do {
+                Site.write(client, Http.page("/api/p", "t" + asked++, "5000m"));
+                // What the sockets between hold is some MB at most; then the answer before stays unwritten.
+            } while (server.requests.poll(1, TimeUnit.SECONDS) != null && asked < 1_000);
+            assertTrue(asked < 1_000, "asked " + asked);
+            // Once the node has closed with the answer unwritten, writing fails.
+            assertThrows(IOException.class, () -> {
+                while (true) {
+                    Site.write(client, "x");
+                    Thread.yield();
+                }
+            });
         }
     }
 
--- a/src/test/java/kitemux/node/FarServer.java
+++ b/src/test/java/kitemux/node/FarServer.java
@@ -35,6 +35,7 @@
     }
 
     final BlockingQueue<Http.Message> requests = new LinkedBlockingQueue<>();
+    /** Where a request came from, once the script has answered it: what a test writes then comes after. */
     final BlockingQueue<Peer> peers = new LinkedBlockingQueue<>();
     final BlockingQueue<Peer> ended = new LinkedBlockingQueue<>();
     final AtomicInteger connections = new AtomicInteger();
@@ -80,8 +81,8 @@
             while (true) {
                 Http.Message request = Http.read(peer.socket.getInputStream());
                 requests.add(request);
-                peers.add(peer);
                 script.answer(request, peer);
+                peers.add(peer);
             }
         } catch (IOException e) {
             ended.add(peer);
--- a/src/test/java/kitemux/node/RehearsalTest.java
+++ b/src/test/java/kitemux/node/RehearsalTest.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** What a starting process does before it listens. */
 class RehearsalTest {
@@ -21,6 +22,7 @@
     }
 
     @Test
+    @Timeout(20)
     void aNodeThatIsClosedLeavesNothingOpen() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
@@ -28,7 +30,13 @@
             site.node.close();
             assertEquals(-1, client.getInputStream().read());
             FarServer.next(server.ended);
-            assertThrows(IOException.class, site::connect);
+            // The system closes the listening socket a moment after the loop has.
+            assertThrows(IOException.class, () -> {
+                while (true) {
+                    site.connect();
+                    Thread.yield();
+                }
+            });
         }
     }
 }
