Eject a server only for what it fails beyond what all servers fail in common

Resets hit all servers alike, 7 in 100 answers; with four failures in sixteen a sound server is out every forty answers or so, up to half the fleet, and the rest is full. Mend: eject() is reached at 4 failures plus twice what all fail in common (a running share over 256 answers, ejected servers left out). A server failing alone in a fleet of four is out after 5 failures.

With the share set to nothing the new test fails.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -21,7 +21,7 @@
  * clears it; a first try draws two servers by weights that fall with the count and goes to the one with
  * fewer of this node's own requests in flight; a failure that may be repeated passes to the next server
  * in list order; when nothing can be tried the request waits, first come first served, inside the
- * client's time. Departures are marked "Exception" below and explained in docs/design.md.
+ * client's time. Departures are marked "Exception" below.
  */
 public final class ServiceQBalancer implements Balancer {
 
@@ -86,8 +86,11 @@
      * all servers are slow, some may still wait. */
     private static final double TOO_LATE_AT = 2;
     private static final double MOST_LATE_AT = 0.8;
-    /** Failures among a server's last {@link #REMEMBERED} answers from which on it is ejected. */
+    /** Failures among a server's last {@link #REMEMBERED} answers from which on it is ejected, beside so many
+     * times what all servers fail in common: connections that break anywhere are no server's fault. */
     private static final int EJECT_AT = 4;
+    private static final double IN_COMMON = 2;
+    private static final double COMMON_GAIN = 1.0 / 256;
     private static final int REMEMBERED = 16;
     /** Successes in a row that restore a server: one may be luck, three hardly if most fail. */
     private static final int TRIALS = 3;
@@ -145,6 +148,7 @@
     /** Whether so many nodes share a server that own requests in flight tell little of its load. */
     private boolean sparse;
     private double timely = 0.75;
+    private double failing;
 
     private final Map<String, Server> byId = new HashMap<>();
     private final List<Server> listed = new ArrayList<>();
@@ -653,10 +657,11 @@
     private void failed(Server server, Health ofClass, boolean ill) {
         server.errors++;
         weightsStale = true;
+        failing += ill && !server.overall.ejected ? COMMON_GAIN * (1 - failing) : 0;
         for (Health health : ill ? new Health[] {server.overall, ofClass} : new Health[0]) {
             health.history = health.history << 1 | 1;
             health.trialsWon = 0;
-            if (health.ejected || health.recentFailures() >= EJECT_AT
+            if (health.ejected || health.recentFailures() >= EJECT_AT + IN_COMMON * REMEMBERED * failing
                     && (health == ofClass || !servesOthers(server, ofClass))) {
                 eject(server, health);
             }
@@ -675,6 +680,7 @@
 
     /** A success clears the count; an ejected server has to succeed several times in a row. */
     private void succeeded(Server server, Health ofClass, boolean slow) {
+        failing -= COMMON_GAIN * failing;
         for (Health health : new Health[] {server.overall, ofClass}) {
             health.history <<= 1;
             health.servedAt = now;
@@ -788,10 +794,7 @@
     /** Two draws by weight; the one with fewer own requests in flight, ties at random. */
     private Server drawForFirstTry(Call call) {
         Server due = ejected.isEmpty() ? null : trial(call);
-        if (due != null) {
-            return due;
-        }
-        return drawByZone(call);
+        return due != null ? due : drawByZone(call);
     }
 
     private Server drawByZone(Call call) {
--- a/src/test/java/kitemux/HealthTest.java
+++ b/src/test/java/kitemux/HealthTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
 
@@ -55,6 +56,30 @@
         assertTrue(hits >= 2 && hits <= 14, "trials in 20 s: " + hits);
     }
 
+    /** Ten servers at which one attempt in 14 is reset, and all attempts at the one that is named. */
+    private static Node withResets(String bad) {
+        Node node = new Node().with(10);
+        SplittableRandom random = new SplittableRandom(3);
+        for (int i = 0; i < 4_000; i++) {
+            long id = node.ask(Node.SAFE);
+            for (int attempt = 0; attempt < node.attempts(id); attempt++) {
+                boolean reset = random.nextInt(14) == 0 || node.last(id).server().equals(bad);
+                node.answer(id, reset ? Result.RESET : Result.OK, 5_000);
+            }
+        }
+        return node;
+    }
+
+    @Test
+    void whatAllServersFailInCommonEjectsNoneOfThem() {
+        assertEquals(List.of(), withResets("none").logged);
+    }
+
+    @Test
+    void aServerThatFailsMuchMoreThanAllDoIsEjected() {
+        assertEjected(withResets("s0"));
+    }
+
     @Test
     void unsafeRequestsAreNotUsedForTrials() {
         Node node = withFailingServer();
--- a/src/test/java/kitemux/node/FarServer.java
+++ b/src/test/java/kitemux/node/FarServer.java
@@ -10,6 +10,7 @@
 import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -53,6 +54,18 @@
         return new FarServer((request, peer) -> peer.write(Http.ok(body)));
     }
 
+    /** Answers from when the latch opens. */
+    static FarServer servingFrom(CountDownLatch start, String body) throws IOException {
+        return new FarServer((request, peer) -> {
+            try {
+                start.await();
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+            peer.write(Http.ok(body));
+        });
+    }
+
     String endpoint() {
         return "127.0.0.1:" + listening.getLocalPort();
     }
