Take answers of up to 1 MiB, and let the rehearsal's clients ask under ids of their own

A trace of the refused answers: all good ones with lengths of 180 to 340 KB, past the 64 KiB that the protocol says, the same at every server asked in turn. ServerPool's bound was to blame: it took a large answer for a spoilt one. Mend: answers have a bound of their own, and all that are on their way together one of 16 MiB; room grows with what comes, not with the length that is said. A client whose answer cannot be written is closed; it would have waited.

--- a/src/main/java/kitemux/node/ClientConnection.java
+++ b/src/main/java/kitemux/node/ClientConnection.java
@@ -89,7 +89,8 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            if (!deaf) {
+            // As a connection ends the decoder tells of what is unfinished: nothing is owed for that.
+            if (!deaf && channel.isActive()) {
                 read((HttpObject) message);
             }
         } finally {
@@ -220,14 +221,16 @@
             keepAlive = false;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        channel.writeAndFlush(response).addListener(written -> answered());
+        channel.writeAndFlush(response).addListener(written -> answered(written.isSuccess()));
     }
 
     /** Only once an answer is written is it the next one's turn: a client may ask and never read. */
-    private void answered() {
+    private void answered(boolean written) {
         busy = false;
         sinceNanos = System.nanoTime();
-        if (!keepAlive) {
+        if (!written) {
+            close();
+        } else if (!keepAlive) {
             channel.shutdownOutput();
             channel.eventLoop().schedule(this::close, lingerMs, TimeUnit.MILLISECONDS);
         } else if (!waiting.isEmpty()) {
--- a/src/main/java/kitemux/node/Limits.java
+++ b/src/main/java/kitemux/node/Limits.java
@@ -1,9 +1,15 @@
 package kitemux.node;
 
-/** What a node allows at most, and what each bound guards against. */
+/** What a node allows at most, either way, and what each bound guards against. */
 final class Limits {
-    /** A body either way, by the protocol: memory is short. */
+    /** A request's body, by the protocol: memory is short. */
     static final int MOST_BODY = 64 << 10;
+    /** An answer's body: servers send more than the protocol says, but one without end fills the memory. */
+    static final int MOST_ANSWER = 1 << 20;
+    /** All answers together that are on their way from servers: a quarter of the heap. */
+    static final int MOST_ANSWERS = 16 << 20;
+    /** Room that an answer is given before it comes, whatever length it says it has. */
+    static final int FIRST_ROOM = 16 << 10;
     /** Requests that a client may send ahead of the answer: each takes memory, and clients send one. */
     static final int MOST_AHEAD = 16;
     /** From the first byte of a request to its last, and from connecting to the first request: whoever does
--- a/src/main/java/kitemux/node/Rehearsal.java
+++ b/src/main/java/kitemux/node/Rehearsal.java
@@ -50,12 +50,19 @@
     private final List<RequestClass> classes;
     private final CountDownLatch left = new CountDownLatch(REQUESTS);
 
+    private long asked;
+    private volatile boolean turnedDown;
+
     private Rehearsal(EventLoop loop, List<RequestClass> classes) {
         this.loop = loop;
         this.classes = classes;
     }
 
-    /** Plays until enough has been served or the time is up, and tells how many; it leaves nothing open. */
+    /**
+     * Plays until enough has been served or the time is up; it leaves nothing open.
+     *
+     * @return how many were served; 0 if any was turned down, as then it was something else that got warm
+     */
     static long play(NodeConfig config, EventLoop loop) {
         return new Rehearsal(loop, config.settings().classes).play(config);
     }
@@ -82,7 +89,7 @@
         }
         node.close();
         server.close();
-        return REQUESTS - left.getCount();
+        return turnedDown ? 0 : REQUESTS - left.getCount();
     }
 
     private ChannelInitializer<SocketChannel> pipeline(boolean server) {
@@ -116,6 +123,10 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            if (response.status().code() != HttpResponseStatus.OK.code()) {
+                turnedDown = true;
+                return;
+            }
             left.countDown();
             if (left.getCount() > 0) {
                 ask(context);
@@ -123,17 +134,17 @@
         }
 
         private void ask(ChannelHandlerContext context) {
-            RequestClass asked = classes.get((int) (left.getCount() % classes.size()));
-            boolean safe = asked.repeat() == Repeat.SAFE;
+            RequestClass next = classes.get((int) (left.getCount() % classes.size()));
+            boolean safe = next.repeat() == Repeat.SAFE;
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
                     safe ? HttpMethod.GET : HttpMethod.POST, "/api/rehearsal",
                     Unpooled.wrappedBuffer(new byte[safe ? 0 : 64]));
             request.headers().set(HttpHeaderNames.HOST, "rehearsal")
-                    .set("X-Txn", Long.toString(left.getCount()))
-                    .set("X-Lane", asked.name())
+                    .set("X-Txn", Long.toString(++asked))
+                    .set("X-Lane", next.name())
                     .set("X-Remaining", "1000m")
                     .set(HttpHeaderNames.CONTENT_LENGTH, safe ? 0 : 64);
-            if (asked.repeat() == Repeat.KEYED) {
+            if (next.repeat() == Repeat.KEYED) {
                 request.headers().set("Idempotency-Key", "rehearsal");
             }
             context.writeAndFlush(request);
--- a/src/main/java/kitemux/node/ServerPool.java
+++ b/src/main/java/kitemux/node/ServerPool.java
@@ -10,6 +10,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -51,6 +52,8 @@
     private final Map<String, Upstream> upstreams = new HashMap<>();
     /** The connections that carry an exchange. */
     private final Map<Exchange, Connection> carriers = new HashMap<>();
+    /** How much of answers has come that have not ended yet. */
+    private int answersBytes;
 
     ServerPool(EventLoop loop, Sockets sockets, Clock clock, long connectTimeoutUs, long connIdleUs) {
         this.loop = loop;
@@ -321,11 +324,12 @@
             if (message instanceof HttpResponse response) {
                 head = response;
                 // A length that is past all bounds spoils the answer before any of it has come.
-                if (HttpUtil.getContentLength(response, 0L) > Limits.MOST_BODY) {
+                long length = HttpUtil.getContentLength(response, 256L);
+                if (length > Limits.MOST_ANSWER) {
                     fail();
                     return;
                 }
-                body = Node.ALLOCATOR.buffer((int) HttpUtil.getContentLength(response, 256L));
+                body = Node.ALLOCATOR.buffer((int) Math.min(length, Limits.FIRST_ROOM));
                 // Where only the end of the connection ends a body, one cut short would pass for whole.
                 if (response.status().code() == 200 && !HttpUtil.isContentLengthSet(response)
                         && !HttpUtil.isTransferEncodingChunked(response)) {
@@ -334,10 +338,13 @@
                 }
             }
             if (message instanceof HttpContent content) {
-                if (body.readableBytes() + content.content().readableBytes() > Limits.MOST_BODY) {
+                int more = content.content().readableBytes();
+                if (body.readableBytes() + more > Limits.MOST_ANSWER
+                        || answersBytes + more > Limits.MOST_ANSWERS) {
                     fail();
                     return;
                 }
+                answersBytes += more;
                 body.writeBytes(content.content());
             }
             if (message instanceof LastHttpContent
@@ -347,8 +354,7 @@
         }
 
         private void answered() {
-            byte[] bytes = new byte[body.readableBytes()];
-            body.readBytes(bytes);
+            byte[] bytes = ByteBufUtil.getBytes(body);
             int status = head.status().code();
             Result result = status == 200 ? Result.OK
                     : (status == 503 || status == 504) && "1".equals(head.headers().get("X-Turned-Away"))
@@ -378,6 +384,7 @@
 
         private void end(Result result, byte[] bytes) {
             head = null;
+            answersBytes -= body == null ? 0 : body.readableBytes();
             body = null;
             Exchange over = exchange;
             exchange = null;
--- a/src/test/java/kitemux/node/ServerPoolTest.java
+++ b/src/test/java/kitemux/node/ServerPoolTest.java
@@ -102,6 +102,16 @@
         }
     }
 
+    @Test
+    void anAnswerLargerThanRequestsMayBePassesOnWhole() throws Exception {
+        String large = "photo".repeat(70_000);
+        try (FarServer server = FarServer.serving(large); Site site = Site.quiet().start(server)) {
+            assertEquals(large, site.ask(Http.order("t", "4000m")).body());
+            assertEquals(large, site.ask(Http.order("u", "4000m")).body());
+            assertEquals(1, server.connections.get());
+        }
+    }
+
     @Test
     void anUnreadableLoadReportSpoilsNoAnswer() throws Exception {
         try (FarServer server = new FarServer((request, peer) ->
