Bound the idle connections of clients by a sixth of the descriptors

Checked: traces of sockets, final answers and the ends of clients' connections. The nodes refused ten requests in all and turned no connection away; they held 128 idle ones, each used once, which is just the third of 384 that clients may open for requests. They made room only at 201 connections or after 5 s, so no client could connect. ClientServer.makeRoom is to blame: it looks at the node's room alone. Mend: idle connections are kept to half of that third, the longest unused closed first; sets of fresh, busy and idle connections take the place of a search.

--- a/src/main/java/kitemux/node/ClientConnection.java
+++ b/src/main/java/kitemux/node/ClientConnection.java
@@ -228,6 +228,7 @@
     private void answered(boolean written) {
         busy = false;
         sinceNanos = System.nanoTime();
+        server.rested(this);
         if (!written) {
             close();
         } else if (!keepAlive) {
@@ -250,10 +251,6 @@
 
     // ---------------------------------------------------------------- its end
 
-    boolean isIdle() {
-        return !busy;
-    }
-
     boolean isOlderThan(long ms) {
         return System.nanoTime() - sinceNanos > TimeUnit.MILLISECONDS.toNanos(ms);
     }
--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -38,8 +39,10 @@
     private final Handler handler;
     /** Connections that have had no whole request yet, the oldest first. */
     private final Set<ClientConnection> fresh = new LinkedHashSet<>();
+    /** Those with a request whose answer is not written. */
+    private final Set<ClientConnection> busy = new LinkedHashSet<>();
     /** All others, the longest unused first. */
-    private final Set<ClientConnection> known = new LinkedHashSet<>();
+    private final Set<ClientConnection> idle = new LinkedHashSet<>();
     private Channel listening;
     private boolean draining;
     private boolean closed;
@@ -91,36 +94,46 @@
     private boolean makeRoom() {
         if (!fresh.isEmpty()) {
             ClientConnection oldest = fresh.iterator().next();
-            if (fresh.size() > known.size() || oldest.isOlderThan(Limits.FRESH_MS)) {
+            if (fresh.size() > busy.size() + idle.size() || oldest.isOlderThan(Limits.FRESH_MS)) {
                 oldest.close();
                 return true;
             }
         }
-        for (ClientConnection client : known) {
-            if (client.isIdle()) {
-                client.close();
-                return true;
-            }
+        if (idle.isEmpty()) {
+            return false;
         }
-        return false;
+        idle.iterator().next().close();
+        return true;
     }
 
-    /** A request of this connection has come whole. */
+    /** A request of this connection has its turn. */
     void used(ClientConnection client) {
         fresh.remove(client);
-        known.remove(client);
-        known.add(client);
+        idle.remove(client);
+        busy.add(client);
+    }
+
+    /** Its answer is written. Clients that keep what they use no more would hold all that they may open. */
+    void rested(ClientConnection client) {
+        if (busy.remove(client)) {
+            idle.add(client);
+            if (idle.size() > sockets.mostIdleClients()) {
+                idle.iterator().next().close();
+            }
+        }
     }
 
     void ended(ClientConnection client) {
         fresh.remove(client);
-        known.remove(client);
+        busy.remove(client);
+        idle.remove(client);
         tellIfEmpty();
     }
 
-    private Iterable<ClientConnection> all() {
-        ArrayList<ClientConnection> all = new ArrayList<>(fresh);
-        all.addAll(known);
+    private List<ClientConnection> all() {
+        List<ClientConnection> all = new ArrayList<>(fresh);
+        all.addAll(busy);
+        all.addAll(idle);
         return all;
     }
 
@@ -144,11 +157,9 @@
         whenEmpty = whenDone;
         loop.schedule(() -> listening.close().addListener(done -> {
             closed = true;
-            all().forEach(client -> {
-                if (client.isIdle()) {
-                    client.close();
-                }
-            });
+            List<ClientConnection> unused = all();
+            unused.removeAll(busy);
+            unused.forEach(ClientConnection::close);
             tellIfEmpty();
         }), Limits.ARRIVING_MS, TimeUnit.MILLISECONDS);
     }
@@ -159,7 +170,7 @@
     }
 
     private void tellIfEmpty() {
-        if (closed && fresh.isEmpty() && known.isEmpty()) {
+        if (closed && all().isEmpty()) {
             whenEmpty.run();
         }
     }
--- a/src/main/java/kitemux/node/Sockets.java
+++ b/src/main/java/kitemux/node/Sockets.java
@@ -7,12 +7,18 @@
     /** The part that clients may hold at most; a request in work needs a connection to a server too. */
     private static final double CLIENT_PART = 0.6;
 
+    /** The part of the limit that idle clients may hold: half of what clients may open for requests at all,
+     * so that some can always be opened anew. */
+    private static final double IDLE_PART = 1.0 / 6;
+
     private final int most;
+    private final int mostIdleClients;
     private int open;
     private int clients;
 
     Sockets(int limit) {
         most = Math.max(8, limit - RESERVED);
+        mostIdleClients = (int) (IDLE_PART * limit);
     }
 
     void opened() {
@@ -33,6 +39,10 @@
         clients--;
     }
 
+    int mostIdleClients() {
+        return mostIdleClients;
+    }
+
     boolean hasRoomForServer() {
         return open < most;
     }
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -172,6 +172,23 @@
         }
     }
 
+    @Test
+    void whatClientsKeepAndUseNoMoreIsBounded() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            Socket usual = site.connect();
+            Socket first = site.connect();
+            assertEquals(200, Site.ask(first, Http.page("first")).status());
+            // Far fewer than there is room for: clients themselves may open no more than a third.
+            for (int i = 0; i < site.sockets / 6; i++) {
+                assertEquals(200, Site.ask(usual, Http.page("u" + i)).status());
+                assertEquals(200, site.ask(Http.page("t" + i)).status());
+            }
+            first.setSoTimeout(2_000);
+            assertEquals(-1, first.getInputStream().read(), "closed long before it has been idle for long");
+            assertEquals(200, Site.ask(usual, Http.page("last")).status());
+        }
+    }
+
     @Test
     void silentConnectionsMakeRoomBeforeThoseThatAsk() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
