Take a connection that makes room out at once

Checked: a trace of the sets showed up to 149 idle connections where 64 are allowed. Two answers written in one turn of the loop closed the same oldest connection, as its end is told later; each time one too many stayed. makeRoom had the same fault before.

--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/node/ClientServer.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -95,17 +96,25 @@
         if (!fresh.isEmpty()) {
             ClientConnection oldest = fresh.iterator().next();
             if (fresh.size() > busy.size() + idle.size() || oldest.isOlderThan(Limits.FRESH_MS)) {
-                oldest.close();
+                closeFirst(fresh);
                 return true;
             }
         }
         if (idle.isEmpty()) {
             return false;
         }
-        idle.iterator().next().close();
+        closeFirst(idle);
         return true;
     }
 
+    /** It is taken out at once: of its end the loop tells later, and until then it would be closed again. */
+    private static void closeFirst(Set<ClientConnection> clients) {
+        Iterator<ClientConnection> first = clients.iterator();
+        ClientConnection client = first.next();
+        first.remove();
+        client.close();
+    }
+
     /** A request of this connection has its turn. */
     void used(ClientConnection client) {
         fresh.remove(client);
@@ -118,7 +127,7 @@
         if (busy.remove(client)) {
             idle.add(client);
             if (idle.size() > sockets.mostIdleClients()) {
-                idle.iterator().next().close();
+                closeFirst(idle);
             }
         }
     }
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -7,6 +7,9 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -189,6 +192,42 @@
         }
     }
 
+    private static boolean hasEnded(Socket client) {
+        try {
+            return client.getInputStream().read() < 0;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    @Test
+    @Timeout(4)
+    void whatComesAtOnceIsBoundedToo() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (FarServer server = FarServer.servingFrom(answer, "x"); Site site = Site.quiet().start(server)) {
+            int most = site.sockets / 6;
+            List<Socket> clients = new ArrayList<>();
+            for (int i = 0; i < 2 * most; i++) {
+                Socket client = site.connect();
+                Site.write(client, Http.page("/api/p", "t" + i, "5000m"));
+                clients.add(client);
+            }
+            assertEquals(404, site.ask(Http.page("/nothing", "u", "1m")).status());
+            answer.countDown();
+            for (Socket client : clients) {
+                Http.read(client.getInputStream());
+                client.setSoTimeout(1);
+            }
+            // Which ones are closed depends on the order of the answers.
+            while (clients.size() > most) {
+                clients.removeIf(ClientServerTest::hasEnded);
+            }
+            assertEquals(200, Site.ask(site.connect(), Http.page("next")).status());
+        }
+    }
+
     @Test
     void silentConnectionsMakeRoomBeforeThoseThatAsk() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
