--- a/src/main/java/kitemux/node/Rehearsal.java
+++ b/src/main/java/kitemux/node/Rehearsal.java
@@ -41,11 +41,11 @@
  * time in the first second, and requests ran out of time unanswered.
  */
 final class Rehearsal {
-    /** Enough that what serves a request is loaded and mostly compiled: the compiler's threshold is 200
-     * calls, and the far sides use the same codecs. A node that begins cold under full load uses up its share
-     * of the core: its turns last 100 ms and more, and clients that give up and ask again make it more work.
-     * More would leave the site without a node for longer where restarts overlap. */
-    static final int REQUESTS = 120;
+    /** Past the compiler's threshold of 200 calls, so that what serves a request is compiled and not only
+     * loaded. A node that begins cold under full load uses up its share of the core: its turns last 100 ms
+     * and more, and clients that give up and ask again make it more work. With half as many a node alone was
+     * ready half a second sooner and lost more than that by it. */
+    static final int REQUESTS = 250;
     private static final int CLIENTS = 4;
     /** A start must not wait for longer, however little CPU there is. On half a core that another node shares
      * 500 ms were over after 60 requests. Harm: a restart takes so much longer. */
