--- a/src/main/java/kitemux/node/ClientConnection.java
+++ b/src/main/java/kitemux/node/ClientConnection.java
@@ -110,7 +110,7 @@
                 turnDown(error);
                 return;
             }
-            if (HttpUtil.is100ContinueExpected(begun) && !busy) {
+            if (HttpUtil.is100ContinueExpected(begun) && !busy && waiting.isEmpty()) {
                 channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                         HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
