--- a/src/main/java/kitemux/adapter/Link.java
+++ b/src/main/java/kitemux/adapter/Link.java
@@ -16,6 +16,7 @@
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.Balancer.Settings;
+import kitemux.config.SettingsReader;
 import kitemux.ServiceQBalancer;
 
 /** Carries events from the wire to the instances and their actions back. It decides nothing. */
@@ -142,7 +143,7 @@
     }
 
     private void boot(String node) throws WireException {
-        Settings settings = BootInfo.read(line);
+        Settings settings = settings(line);
         long seed = line.whole("initSeed");
         Map<String, Integer> classes = new HashMap<>();
         settings.classes.forEach(c -> classes.put(c.name(), classes.size()));
@@ -158,6 +159,18 @@
         }
     }
 
+    private static Settings settings(Line line) throws WireException {
+        Map<String, String> values = new HashMap<>();
+        for (int i = 0; i < line.fieldCount(); i++) {
+            values.put(line.key(i), line.value(i));
+        }
+        try {
+            return SettingsReader.read(values);
+        } catch (SettingsReader.BadSettingException e) {
+            throw line.bad(e.field, e.reason);
+        }
+    }
+
     private void roster() throws IOException, WireException {
         int number = rosterNumber();
         long count = line.whole("nodesList", 0);
--- a/src/main/java/kitemux/adapter/BootInfo.java
+++ b/src/main/java/kitemux/config/SettingsReader.java
@@ -1,6 +1,5 @@
-package kitemux.adapter;
+package kitemux.config;
 
-import java.util.HashMap;
 import java.util.Map;
 
 import kitemux.Balancer.Group;
@@ -15,7 +14,7 @@
  * flattened, so that the two cannot drift apart. Missing settings take the module's documented defaults,
  * but for the classes and their main figures, which are named as missing.
  */
-public final class BootInfo {
+public final class SettingsReader {
     private final Map<String, String> values;
 
     /** A setting that is missing or not as it must be. */
@@ -33,25 +32,13 @@
         }
     }
 
-    private BootInfo(Map<String, String> values) {
+    private SettingsReader(Map<String, String> values) {
         this.values = values;
     }
 
-    static Settings read(Line line) throws WireException {
-        Map<String, String> values = new HashMap<>();
-        for (int i = 0; i < line.fieldCount(); i++) {
-            values.put(line.key(i), line.value(i));
-        }
-        try {
-            return read(values);
-        } catch (BadSettingException e) {
-            throw line.bad(e.field, e.reason);
-        }
-    }
-
     /** Reads settings by dotted names; lists of objects have a {@code count}, lists of values commas. */
     public static Settings read(Map<String, String> values) throws BadSettingException {
-        return new BootInfo(values).settings();
+        return new SettingsReader(values).settings();
     }
 
     private Settings settings() throws BadSettingException {
--- a/src/main/java/kitemux/node/Discovery.java
+++ b/src/main/java/kitemux/discovery/Discovery.java
@@ -1,4 +1,4 @@
-package kitemux.node;
+package kitemux.discovery;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -18,8 +18,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -32,17 +30,25 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 
+import kitemux.config.ConfigException;
+import kitemux.engine.Lists;
+import kitemux.engine.Log;
+import kitemux.net.HostList;
+import kitemux.net.Network;
+
 /** The watch on discovery's list. When it breaks it says so; asking again is the module's word. */
-final class Discovery {
+public final class Discovery implements Lists {
     /** What the watch tells. */
-    interface Listener {
+    public interface Listener {
+        /** A list has come; its version is the one to go on from. */
         void listed(HostList list);
 
+        /** The watch is over, or could not begin; it is not opened again by itself. */
         void failed(String reason);
     }
 
     /** Discovery writes every 2 s. Three beats missed: a watch that is silent for so long is broken. */
-    static final long MOST_SILENCE_US = 7_000_000;
+    public static final long MOST_SILENCE_US = 7_000_000;
     private static final int CONNECT_TIMEOUT_MS = 2_000;
     /** No list is so long; a line without an end must not fill the memory. */
     private static final int MOST_LINE = 4 << 20;
@@ -51,6 +57,7 @@
     private final List<String> zones;
     private final long mostSilenceUs;
     private final Listener listener;
+    private final Log log;
     private final Bootstrap dialer;
     private final ObjectMapper json = new ObjectMapper();
     private InetSocketAddress address;
@@ -60,26 +67,35 @@
     private boolean wanted;
     private Watch current;
 
-    Discovery(EventLoop loop, NodeConfig config, long mostSilenceUs, Listener listener) {
+    /**
+     * Asks nothing yet.
+     *
+     * @param knownRev the version of the list that the node began with
+     * @param mostSilenceUs a watch on which nothing comes for so many microseconds is broken
+     */
+    public Discovery(EventLoop loop, Network network, InetSocketAddress at, List<String> zones, long knownRev,
+            long mostSilenceUs, Listener listener, Log log) {
         this.loop = loop;
+        this.log = log;
+        this.zones = zones;
         this.mostSilenceUs = mostSilenceUs;
         this.listener = listener;
-        address = config.discovery();
-        zones = config.settings().zones;
-        rev = config.known().rev();
-        dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
+        address = at;
+        rev = knownRev;
+        dialer = new Bootstrap().group(loop).channelFactory(network::dialer)
+                .option(ChannelOption.ALLOCATOR, network.allocator())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .handler(new ChannelInitializer<SocketChannel>() {
+                .handler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(SocketChannel channel) {
+                    protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpClientCodec());
                     }
                 });
     }
 
     /** Opens a watch for all that changed since the last list; it takes the place of an earlier one. */
-    void subscribe() {
+    @Override
+    public void subscribe() {
         wanted = true;
         if (current != null) {
             current.end();
@@ -106,9 +122,9 @@
      * Discovery is elsewhere from now on. The watch goes there at once; no failure is told of the old one.
      * Nothing says that versions mean the same at both places, so the whole list is asked for.
      */
-    void moveTo(InetSocketAddress to) {
+    public void moveTo(InetSocketAddress to) {
         if (!to.equals(address)) {
-            Log.line("discovery is at " + to + " now");
+            log.line("discovery is at " + to + " now");
             address = to;
             revIsOfHere = false;
             if (wanted) {
@@ -117,6 +133,15 @@
         }
     }
 
+    /** Ends the watch without a word. */
+    public void close() {
+        wanted = false;
+        if (current != null) {
+            current.end();
+            current = null;
+        }
+    }
+
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
         private Channel channel;
@@ -188,7 +213,7 @@
                     // A beat. As the first word it says that nothing has changed: the call has its answer.
                     list = told || !revIsOfHere ? null : new HostList(rev, false, List.of());
                 } else {
-                    list = HostList.decode(json.readTree(whole), zones, "");
+                    list = HostListReader.read(json.readTree(whole), zones, "");
                 }
             } catch (IOException | ConfigException e) {
                 broken("bad line: " + e.getMessage());
@@ -210,7 +235,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (!(cause instanceof IOException)) {
-                Log.error("watch on discovery", cause);
+                log.error("watch on discovery", cause);
             }
             broken("connection failed");
         }
--- /dev/null
+++ b/src/main/java/kitemux/engine/Asked.java
@@ -0,0 +1,25 @@
+package kitemux.engine;
+
+/** What the engine must know of a request, whatever the protocol that it came by. */
+public interface Asked {
+    /** The client's id for it: of two requests that are open at once none may have the same. */
+    String txn();
+
+    /** Its class, an index into the settings' classes. */
+    int classIndex();
+
+    /** Its tenant, an index into the settings' tenants, or -1. */
+    int tenant();
+
+    /** How long the client waits from now on, in microseconds, 0 or more. */
+    long leftUs();
+
+    /** A guess at the work in microseconds on a standard core, or 0. */
+    long workUs();
+
+    /** Whether the client marks it as a repeat. */
+    boolean retry();
+
+    /** What it is about, or null. */
+    String key();
+}
--- /dev/null
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -0,0 +1,413 @@
+package kitemux.engine;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+
+import kitemux.Balancer;
+import kitemux.Balancer.ListKind;
+import kitemux.Balancer.Outcome;
+import kitemux.Balancer.Request;
+import kitemux.Balancer.Result;
+import kitemux.Balancer.ServerEntry;
+
+/**
+ * Carries requests from their coming to the end of their last attempt: what happens goes to the decision
+ * module as events, what the module asks for goes to the transport and the clients. It decides nothing and
+ * knows no protocol, socket or clock but those that it is given. One thread calls it.
+ *
+ * @param <Q> requests of the protocol
+ * @param <A> answers of the protocol
+ */
+public final class Engine<Q extends Asked, A> implements Balancer.Actions {
+    /** A server that has not answered a probe in this time is not going to. */
+    private static final long PROBE_US = 1_000_000;
+
+    private final int maxAttempts;
+    private final Time time;
+    private final Transport<Q, A> transport;
+    private final Lists lists;
+    private final Observer observer;
+    private final Log log;
+    private final Balancer balancer;
+
+    private final Map<Long, Held<Q, A>> held = new HashMap<>();
+    /** The ids of those that are owed an answer. A second one of the same id could have its effect twice. */
+    private final Set<String> openTxns = new HashSet<>();
+    private long lastId;
+    /** What the module is still to be told: nothing is fed back into it from inside one of its events. */
+    private final ArrayDeque<Event<Q, A>> events = new ArrayDeque<>();
+    private boolean telling;
+    private int probing;
+    private Time.Timer wake;
+    private long wakeAtUs;
+    private boolean closed;
+
+    /** Something to tell the module, and the request that it is about, or null. */
+    private record Event<Q extends Asked, A>(Held<Q, A> about, Runnable call) { }
+
+    /**
+     * A client's request from its coming until its last attempt has ended.
+     *
+     * @param <Q> requests of the protocol
+     * @param <A> answers of the protocol
+     */
+    public static final class Held<Q extends Asked, A> {
+        private final long id;
+        private final Q request;
+        private final Client<A> client;
+        private final long deadlineUs;
+        private final List<Engine<Q, A>.Attempt> attempts = new ArrayList<>(1);
+        private int outstanding;
+        private boolean ended;
+
+        private Held(long id, Q request, Client<A> client, long deadlineUs) {
+            this.id = id;
+            this.request = request;
+            this.client = client;
+            this.deadlineUs = deadlineUs;
+        }
+    }
+
+    /**
+     * An engine that has been told nothing.
+     *
+     * @param maxAttempts most attempts for a request
+     * @param module makes the decision module, which is to call the actions that it is given
+     */
+    public Engine(int maxAttempts, Time time, Transport<Q, A> transport, Lists lists, Observer observer,
+            Log log, Function<Balancer.Actions, Balancer> module) {
+        this.maxAttempts = maxAttempts;
+        this.time = time;
+        this.transport = transport;
+        this.lists = lists;
+        this.observer = observer;
+        this.log = log;
+        balancer = module.apply(this);
+    }
+
+    // ---------------------------------------------------------------- events for the module
+
+    private void tell(Held<Q, A> about, Runnable call) {
+        events.add(new Event<>(about, call));
+        if (telling) {
+            return;
+        }
+        telling = true;
+        try {
+            Event<Q, A> event;
+            while ((event = events.poll()) != null) {
+                tellOne(event);
+            }
+        } finally {
+            telling = false;
+        }
+    }
+
+    private void tellOne(Event<Q, A> event) {
+        try {
+            event.call.run();
+        } catch (RuntimeException e) {
+            // A defect met by one request must neither end the node nor leave it without an answer.
+            log.error("event", e);
+            Held<Q, A> about = event.about;
+            if (about != null && !about.ended) {
+                end(about, Observer.Answer.BROKEN);
+                about.client.broken();
+                forgetIfOver(about);
+                events.add(new Event<>(null, () -> balancer.onClientGone(time.nowUs(), about.id)));
+            }
+        }
+    }
+
+    /**
+     * The list of servers as it is now.
+     *
+     * @param before run just before the module is told, in turn with all other events: the transport follows
+     *     the list first, as the module sends to new servers at once. What it frees from a draining server
+     *     is told after the list: the module would else send it there again
+     */
+    public void listed(ListKind kind, List<ServerEntry> entries, Runnable before) {
+        tell(null, () -> {
+            before.run();
+            balancer.onServers(time.nowUs(), kind, entries);
+        });
+    }
+
+    /** The list could not be had; the old one stands. */
+    public void listFailed() {
+        tell(null, () -> balancer.onListFailed(time.nowUs()));
+    }
+
+    /**
+     * Takes a request in, for which the client is owed an answer from now on.
+     *
+     * @return what to pass to {@link #ask} and {@link #left}, or null if one of its id is open: nothing is
+     *     owed then
+     */
+    public Held<Q, A> take(Client<A> client, Q request) {
+        if (!openTxns.add(request.txn())) {
+            return null;
+        }
+        Held<Q, A> taken = new Held<>(++lastId, request, client, time.nowUs() + request.leftUs());
+        held.put(taken.id, taken);
+        observer.taken(taken.id, request);
+        return taken;
+    }
+
+    /** Puts a request that was taken before the module; its answer may come from inside this call. */
+    public void ask(Held<Q, A> taken) {
+        Q request = taken.request;
+        tell(taken, () -> {
+            long now = time.nowUs();
+            balancer.onRequest(now, new Request(taken.id, request.classIndex(), request.tenant(),
+                    Math.max(0, taken.deadlineUs - now), request.workUs(), request.retry(), request.key()));
+        });
+    }
+
+    /** A client has left before it had its answer: nothing is owed any more. */
+    public void left(Held<Q, A> gone) {
+        tell(gone, () -> {
+            end(gone, Observer.Answer.LEFT);
+            balancer.onClientGone(time.nowUs(), gone.id);
+            forgetIfOver(gone);
+        });
+    }
+
+    /** Tells the module nothing more by itself; the transport is to be closed before. */
+    public void close() {
+        closed = true;
+        if (wake != null) {
+            wake.cancel();
+            wake = null;
+        }
+    }
+
+    // ---------------------------------------------------------------- attempts
+
+    private final class Attempt implements Transport.Exchange<Q, A> {
+        private final Held<Q, A> of;
+        private final int number;
+        private final String serverId;
+        private final long sentAtUs = time.nowUs();
+        private final long untilUs;
+        private Time.Timer expiry;
+        private boolean over;
+
+        Attempt(Held<Q, A> of, int number, String serverId, long untilUs) {
+            this.of = of;
+            this.number = number;
+            this.serverId = serverId;
+            this.untilUs = untilUs;
+        }
+
+        @Override
+        public Q request() {
+            return of.request;
+        }
+
+        @Override
+        public long untilUs() {
+            return untilUs;
+        }
+
+        void begin() {
+            of.outstanding++;
+            observer.sent(of.id, number, serverId, untilUs);
+            if (untilUs <= sentAtUs || number >= maxAttempts || of.ended) {
+                ended(Result.MOOT, null);
+                return;
+            }
+            expiry = time.after(untilUs - sentAtUs, this::expire);
+            transport.start(serverId, this);
+        }
+
+        private void expire() {
+            // What never left for want of a connection is known not to have run.
+            ended(transport.giveUp(serverId, this) ? Result.TIMEOUT : Result.CONNECT_FAILED, null);
+        }
+
+        void cancel() {
+            if (!over) {
+                transport.giveUp(serverId, this);
+                ended(Result.CANCELLED, null);
+            }
+        }
+
+        @Override
+        public void ended(Result result, A answer) {
+            if (over) {
+                return;
+            }
+            over = true;
+            if (expiry != null) {
+                expiry.cancel();
+            }
+            observer.ended(of.id, number, result);
+            if (result == Result.OK && !of.ended) {
+                end(of, Observer.Answer.SERVED);
+                of.client.served(answer);
+            }
+            tell(of, () -> {
+                of.outstanding--;
+                forgetIfOver(of);
+                balancer.onOutcome(time.nowUs(), new Outcome(of.id, number, result,
+                        time.nowUs() - sentAtUs, of.ended, null));
+            });
+        }
+    }
+
+    private void forgetIfOver(Held<Q, A> request) {
+        if (request.ended && request.outstanding == 0) {
+            held.remove(request.id);
+        }
+    }
+
+    /** The request has its one final answer; nothing is sent for it after it. */
+    private void end(Held<Q, A> request, Observer.Answer answer) {
+        request.ended = true;
+        openTxns.remove(request.request.txn());
+        observer.answered(request.id, answer);
+    }
+
+    // ---------------------------------------------------------------- what the module asks for
+
+    @Override
+    public void send(long requestId, String serverId, long untilUs) {
+        Held<Q, A> request = held.get(requestId);
+        long until = untilUs == 0 ? request.deadlineUs : Math.min(untilUs, request.deadlineUs);
+        Attempt attempt = new Attempt(request, request.attempts.size(), serverId, until);
+        request.attempts.add(attempt);
+        attempt.begin();
+    }
+
+    @Override
+    public void cancel(long requestId, int attempt) {
+        Held<Q, A> request = held.get(requestId);
+        if (request != null) {
+            request.attempts.get(attempt).cancel();
+        }
+    }
+
+    @Override
+    public void refuse(long requestId, long retryAfterUs) {
+        Held<Q, A> request = held.get(requestId);
+        if (request != null && !request.ended) {
+            end(request, Observer.Answer.REFUSED);
+            request.client.refused(retryAfterUs);
+            forgetIfOver(request);
+        }
+    }
+
+    @Override
+    public void fail(long requestId) {
+        Held<Q, A> request = held.get(requestId);
+        if (request != null && !request.ended) {
+            end(request, Observer.Answer.FAILED);
+            request.client.failed();
+            forgetIfOver(request);
+        }
+    }
+
+    /** The module keeps one wake-up pending at most: an earlier one takes the place of a later. */
+    @Override
+    public void wakeAt(long atUs) {
+        if (wake != null) {
+            wake.cancel();
+            wake = null;
+        }
+        wakeAtUs = atUs;
+        if (!closed) {
+            scheduleWake();
+        }
+    }
+
+    private void scheduleWake() {
+        wake = time.after(Math.max(0, wakeAtUs - time.nowUs()), () -> {
+            wake = null;
+            if (time.nowUs() < wakeAtUs) {
+                scheduleWake();
+                return;
+            }
+            tell(null, () -> balancer.onWake(time.nowUs()));
+        });
+    }
+
+    @Override
+    public void probe(String serverId) {
+        new Probe(serverId).begin();
+    }
+
+    /** A check of one server. */
+    private final class Probe implements Transport.Exchange<Q, A> {
+        private final String serverId;
+        private final long sentAtUs = time.nowUs();
+        private Time.Timer expiry;
+
+        Probe(String serverId) {
+            this.serverId = serverId;
+        }
+
+        void begin() {
+            probing++;
+            expiry = time.after(PROBE_US, () -> {
+                transport.giveUp(serverId, this);
+                ended(Result.TIMEOUT, null);
+            });
+            transport.start(serverId, this);
+        }
+
+        @Override
+        public Q request() {
+            return transport.probe();
+        }
+
+        @Override
+        public long untilUs() {
+            return sentAtUs + PROBE_US;
+        }
+
+        @Override
+        public void ended(Result result, A answer) {
+            probing--;
+            expiry.cancel();
+            tell(null, () -> balancer.onProbe(time.nowUs(), serverId, result, time.nowUs() - sentAtUs, null));
+        }
+    }
+
+    @Override
+    public void closeIdle(String serverId) {
+        transport.closeIdle(serverId);
+    }
+
+    @Override
+    public void subscribe() {
+        lists.subscribe();
+    }
+
+    @Override
+    public void log(String line) {
+        log.line(line);
+    }
+
+    // ---------------------------------------------------------------- what stands, for whoever checks
+
+    /** Requests that are owed an answer or have attempts out. */
+    public int heldCount() {
+        return held.size();
+    }
+
+    /** Attempts and probes whose end has not been told. */
+    public int outstandingCount() {
+        int out = probing;
+        for (Held<Q, A> request : held.values()) {
+            out += request.outstanding;
+        }
+        return out;
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/engine/Observer.java
@@ -0,0 +1,28 @@
+package kitemux.engine;
+
+import kitemux.Balancer.Result;
+
+/**
+ * Told what becomes of requests, on the loop's thread. It must neither block nor throw, and must not call
+ * the engine. Ids are the engine's own, new with each request of a process. All methods do nothing unless
+ * they are taken over.
+ */
+public interface Observer {
+    /** Told of nothing. */
+    Observer NONE = new Observer() { };
+
+    /** How a request was answered. */
+    enum Answer { SERVED, REFUSED, FAILED, BROKEN, LEFT }
+
+    /** A request is held from now on. */
+    default void taken(long id, Asked request) { }
+
+    /** An attempt begins, given up at this time; its request may not have been written yet. */
+    default void sent(long id, int attempt, String serverId, long untilUs) { }
+
+    /** An attempt has ended; told once for each that was {@link #sent}. */
+    default void ended(long id, int attempt, Result result) { }
+
+    /** The request has its one answer, or its client has left. */
+    default void answered(long id, Answer answer) { }
+}
--- /dev/null
+++ b/src/main/java/kitemux/engine/Time.java
@@ -0,0 +1,16 @@
+package kitemux.engine;
+
+/** The clock and the timers of the one thread that a node runs on. */
+public interface Time {
+    /** A task that has not run yet. */
+    interface Timer {
+        /** Calls it off; without effect once it has run. */
+        void cancel();
+    }
+
+    /** Unix time in microseconds that never goes back. */
+    long nowUs();
+
+    /** Runs a task on the loop so many microseconds from now or soon after, never from inside this call. */
+    Timer after(long us, Runnable task);
+}
--- /dev/null
+++ b/src/main/java/kitemux/engine/Transport.java
@@ -0,0 +1,41 @@
+package kitemux.engine;
+
+import kitemux.Balancer.Result;
+
+/**
+ * Carries attempts to servers. All calls come from the loop's thread, and an exchange's end may be told from
+ * inside them.
+ *
+ * @param <Q> requests of its protocol
+ * @param <A> answers of its protocol
+ */
+public interface Transport<Q, A> {
+    /**
+     * What is sent to a server and waits for its answer.
+     *
+     * @param <Q> requests
+     * @param <A> answers
+     */
+    interface Exchange<Q, A> {
+        /** What to send. */
+        Q request();
+
+        /** When it is given up, in microseconds of the engine's clock. */
+        long untilUs();
+
+        /** Its one end; the answer is the server's where the result is OK, else null. */
+        void ended(Result result, A answer);
+    }
+
+    /** Starts an exchange, which is told its end unless it is given up. */
+    void start(String serverId, Exchange<Q, A> exchange);
+
+    /** Gives an exchange up without telling its end. True if its request may have been written whole. */
+    boolean giveUp(String serverId, Exchange<Q, A> exchange);
+
+    /** What checks a server, where the settings allow probes. */
+    Q probe();
+
+    /** Closes the idle connections to a server. */
+    void closeIdle(String serverId);
+}
--- a/src/main/java/kitemux/node/AnswerDecoder.java
+++ b/src/main/java/kitemux/http/AnswerDecoder.java
@@ -1,4 +1,4 @@
-package kitemux.node;
+package kitemux.http;
 
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
--- a/src/main/java/kitemux/node/BadRequestException.java
+++ b/src/main/java/kitemux/http/BadRequestException.java
@@ -1,7 +1,7 @@
-package kitemux.node;
+package kitemux.http;
 
 /** A request that cannot be used; the message says why. */
-final class BadRequestException extends Exception {
+public final class BadRequestException extends Exception {
     private static final long serialVersionUID = 1;
 
     BadRequestException(String message) {
--- a/src/main/java/kitemux/node/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -1,4 +1,4 @@
-package kitemux.node;
+package kitemux.http;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -23,18 +23,26 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Ticker;
+
+import kitemux.engine.Client;
+import kitemux.engine.Engine;
+import kitemux.engine.Log;
+import kitemux.net.QuietChannel;
 
 /**
  * A client's connection: one request at a time, further ones wait their turn. Behind what is turned down as
  * the client's error nothing is read or served, and the connection ends.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements Client<byte[]> {
     private static final byte[] NO_BODY = {};
 
     private final ClientServer server;
     private final RequestReader reader;
-    private final ClientServer.Handler handler;
-    private final ClientListener.Accepted channel;
+    private final Engine<ClientRequest, byte[]> engine;
+    private final Log log;
+    private final QuietChannel channel;
+    private final Ticker ticker;
     /** What came whole and waits for its turn. */
     private final ArrayDeque<Incoming> waiting = new ArrayDeque<>();
 
@@ -49,20 +57,23 @@
     private boolean keepAlive = true;
     private long lingerMs;
     /** When the client's part began: to ask, to go on asking, or to take its answer. */
-    private long sinceNanos = System.nanoTime();
+    private long sinceNanos;
     private boolean everAsked;
-    /** The request that is open, as the handler knows it. */
-    Node.Held held;
+    /** The request that is open, as the engine knows it. */
+    private Engine.Held<ClientRequest, byte[]> held;
 
     /** A request, or the status that what came instead of one is owed. */
     private record Incoming(HttpRequest head, byte[] body, HttpResponseStatus error) { }
 
-    ClientConnection(ClientServer server, RequestReader reader, ClientServer.Handler handler,
-            ClientListener.Accepted channel) {
+    ClientConnection(ClientServer server, RequestReader reader, Engine<ClientRequest, byte[]> engine, Log log,
+            QuietChannel channel) {
         this.server = server;
         this.reader = reader;
-        this.handler = handler;
+        this.engine = engine;
+        this.log = log;
         this.channel = channel;
+        ticker = channel.eventLoop().ticker();
+        sinceNanos = ticker.nanoTime();
     }
 
     // ---------------------------------------------------------------- what comes
@@ -78,7 +89,7 @@
                 }
                 if (!reading) {
                     reading = true;
-                    sinceNanos = everAsked && !busy ? System.nanoTime() : sinceNanos;
+                    sinceNanos = everAsked && !busy ? ticker.nanoTime() : sinceNanos;
                 }
                 context.fireChannelRead(bytes);
             }
@@ -186,7 +197,7 @@
                 answer(server.isDraining() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
                         NO_BODY, 0);
             } else if (RequestReader.isRequestPath(path)) {
-                handler.asked(this, reader.read(next.head, next.body));
+                ask(reader.read(next.head, next.body));
             } else {
                 refuse(HttpResponseStatus.NOT_FOUND, NO_BODY);
             }
@@ -194,13 +205,42 @@
             refuse(HttpResponseStatus.BAD_REQUEST, (e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8));
         } catch (RuntimeException e) {
             // A defect met by one request must not leave it without an answer.
-            Log.error("request " + next.head.uri(), e);
+            log.error("request " + next.head.uri(), e);
             if (held == null) {
                 answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, NO_BODY, 0);
             }
         }
     }
 
+    private void ask(ClientRequest request) throws BadRequestException {
+        Engine.Held<ClientRequest, byte[]> taken = engine.take(this, request);
+        if (taken == null) {
+            throw new BadRequestException("X-Txn is that of an open request");
+        }
+        held = taken;
+        engine.ask(taken);
+    }
+
+    @Override
+    public void served(byte[] answer) {
+        answer(HttpResponseStatus.OK, answer, 0);
+    }
+
+    @Override
+    public void refused(long retryAfterUs) {
+        answer(HttpResponseStatus.SERVICE_UNAVAILABLE, NO_BODY, retryAfterUs);
+    }
+
+    @Override
+    public void failed() {
+        answer(HttpResponseStatus.BAD_GATEWAY, NO_BODY, 0);
+    }
+
+    @Override
+    public void broken() {
+        answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, NO_BODY, 0);
+    }
+
     /** Answers a client's error and ends the connection: who errs once does so again, at a cost each time. */
     private void refuse(HttpResponseStatus error, byte[] reason) {
         keepAlive = false;
@@ -211,9 +251,9 @@
     }
 
     /** The one answer to the request that is open; {@code retryAfterUs} of 0 gives no advice. */
-    void answer(HttpResponseStatus status, byte[] content, long retryAfterUs) {
+    private void answer(HttpResponseStatus status, byte[] content, long retryAfterUs) {
         held = null;
-        sinceNanos = System.nanoTime();
+        sinceNanos = ticker.nanoTime();
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                 Unpooled.wrappedBuffer(content));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
@@ -230,7 +270,7 @@
     /** Only once an answer is written is it the next one's turn: a client may ask and never read. */
     private void answered(boolean written) {
         busy = false;
-        sinceNanos = System.nanoTime();
+        sinceNanos = ticker.nanoTime();
         if (waiting.isEmpty()) {
             server.rested(this);
         }
@@ -257,7 +297,7 @@
     // ---------------------------------------------------------------- its end
 
     boolean isOlderThan(long ms) {
-        return System.nanoTime() - sinceNanos > TimeUnit.MILLISECONDS.toNanos(ms);
+        return ticker.nanoTime() - sinceNanos > TimeUnit.MILLISECONDS.toNanos(ms);
     }
 
     /** Ends a connection whose client takes too long to ask or to take its answer. */
@@ -298,14 +338,14 @@
         waiting.clear();
         server.ended(this);
         if (held != null) {
-            handler.left(this);
+            engine.left(held);
         }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (!(cause instanceof IOException)) {
-            Log.error("connection to a client", cause);
+            log.error("connection to a client", cause);
         }
         close();
     }
--- a/src/main/java/kitemux/node/ClientRequest.java
+++ b/src/main/java/kitemux/http/ClientRequest.java
@@ -1,13 +1,15 @@
-package kitemux.node;
+package kitemux.http;
 
 import io.netty.handler.codec.http.HttpMethod;
 
+import kitemux.engine.Asked;
+
 /**
  * A client's request as it came.
  *
  * @param method passed on unchanged, like path, id, idempotency key and body
  * @param uri path and query
- * @param txn the client's id for it
+ * @param txn the client's id for it; null for a probe
  * @param idempotencyKey or null
  * @param classIndex its class by the settings
  * @param tenant by the settings, or -1
@@ -16,5 +18,11 @@
  * @param retry whether the client marks it as a repeat
  * @param key what it is about, or null
  */
-record ClientRequest(HttpMethod method, String uri, String txn, String idempotencyKey, byte[] body,
-        int classIndex, int tenant, long leftUs, long workUs, boolean retry, String key) { }
+public record ClientRequest(HttpMethod method, String uri, String txn, String idempotencyKey, byte[] body,
+        int classIndex, int tenant, long leftUs, long workUs, boolean retry, String key)
+        implements Asked {
+
+    /** What checks a server, where the settings allow probes. */
+    static final ClientRequest PROBE = new ClientRequest(HttpMethod.GET, "/alive", null, null, new byte[0],
+            -1, -1, 0, 0, false, null);
+}
--- a/src/main/java/kitemux/node/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -1,4 +1,4 @@
-package kitemux.node;
+package kitemux.http;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -19,28 +19,23 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 
-/** The side that clients see: which connections there are, which make room for others, and their end. */
-final class ClientServer {
-    /** What becomes of requests. */
-    interface Handler {
-        /**
-         * A whole request that can be read; it is owed one {@link ClientConnection#answer}.
-         *
-         * @throws BadRequestException if it is not taken; nothing is owed then
-         */
-        void asked(ClientConnection client, ClientRequest request) throws BadRequestException;
-
-        /** The client has closed before it had its answer. */
-        void left(ClientConnection client);
-    }
+import kitemux.engine.Engine;
+import kitemux.engine.Log;
+import kitemux.net.Network;
+import kitemux.net.QuietChannel;
+import kitemux.net.Sockets;
 
+/** The side that clients see: which connections there are, which make room for others, and their end. */
+public final class ClientServer {
     /** Reads from one connection in a turn of the loop, Netty's usual number: then others have their turn. */
     private static final int READS = 16;
 
     private final EventLoopGroup loop;
+    private final Network network;
     private final RequestReader reader;
     private final Sockets sockets;
-    private final Handler handler;
+    private final Engine<ClientRequest, byte[]> engine;
+    private final Log log;
     /** Connections that have had no whole request yet, the oldest first. */
     private final Set<ClientConnection> fresh = new LinkedHashSet<>();
     /** Those with a request whose answer is not written. */
@@ -52,36 +47,41 @@
     private boolean closed;
     private Runnable whenEmpty = () -> { };
 
-    ClientServer(EventLoopGroup loop, RequestReader reader, Sockets sockets, Handler handler) {
+    /** Serves nobody yet; requests go to the engine, which lives on the same loop. */
+    public ClientServer(EventLoopGroup loop, Network network, RequestReader reader, Sockets sockets,
+            Engine<ClientRequest, byte[]> engine, Log log) {
         this.loop = loop;
+        this.network = network;
         this.reader = reader;
         this.sockets = sockets;
-        this.handler = handler;
+        this.engine = engine;
+        this.log = log;
     }
 
-    ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture opening = new ServerBootstrap().group(loop).channelFactory(ClientListener::new)
+    /** Listens; the future is done once clients can connect. */
+    public ChannelFuture listen(InetSocketAddress address) {
+        ChannelFuture opening = new ServerBootstrap().group(loop).channelFactory(network::listener)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, 1024)
-                .childOption(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
+                .childOption(ChannelOption.ALLOCATOR, network.allocator())
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
-                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(Limits.MOST_ACCEPTED))
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(Sockets.MOST_ACCEPTED))
                 // Each is read until nothing more has come, its end included: whoever has left is not served.
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false)
                                 .maxMessagesPerRead(READS))
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<ClientListener.Accepted>() {
+                .childHandler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(ClientListener.Accepted channel) {
-                        accepted(channel);
+                    protected void initChannel(Channel channel) {
+                        accepted((QuietChannel) channel);
                     }
                 }).bind(address);
         listening = opening.channel();
         return opening;
     }
 
-    private void accepted(ClientListener.Accepted channel) {
+    private void accepted(QuietChannel channel) {
         sockets.clientOpened();
         channel.closeFuture().addListener(done -> sockets.clientClosed());
         if (!sockets.hasRoomForClient() && !makeRoom()) {
@@ -89,7 +89,7 @@
             channel.close();
             return;
         }
-        ClientConnection client = new ClientConnection(this, reader, handler, channel);
+        ClientConnection client = new ClientConnection(this, reader, engine, log, channel);
         fresh.add(client);
         channel.pipeline().addLast(client.gate(),
                 new HttpServerCodec(new HttpDecoderConfig().setMaxChunkSize(Limits.MOST_BODY)), client);
@@ -163,7 +163,7 @@
     }
 
     /** Ends what has taken too long on the clients' part. */
-    void closeOld() {
+    public void closeOld() {
         all().forEach(ClientConnection::closeIfLate);
     }
 
@@ -177,7 +177,7 @@
      *
      * @param whenDone called once no connection is left and none can come
      */
-    void drain(Runnable whenDone) {
+    public void drain(Runnable whenDone) {
         draining = true;
         whenEmpty = whenDone;
         loop.schedule(() -> listening.close().addListener(done -> {
@@ -191,7 +191,8 @@
         }), Limits.ARRIVING_MS, TimeUnit.MILLISECONDS);
     }
 
-    void close() {
+    /** Ends everything at once. */
+    public void close() {
         listening.close();
         all().forEach(ClientConnection::close);
     }
--- a/src/main/java/kitemux/node/RequestReader.java
+++ b/src/main/java/kitemux/http/RequestReader.java
@@ -1,4 +1,4 @@
-package kitemux.node;
+package kitemux.http;
 
 import java.util.HashMap;
 import java.util.List;
@@ -14,7 +14,7 @@
 import kitemux.Balancer.Settings;
 
 /** Reads a client's request by the protocol; what does not keep to it is turned down here. */
-final class RequestReader {
+public final class RequestReader {
     private static final String PREFIX = "/api/";
     /** The way from the client, by which its time is shorter than it says. */
     private static final long WAY_US = 1_000;
@@ -24,7 +24,8 @@
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
 
-    RequestReader(Settings settings) {
+    /** Reads by the classes and tenants of these settings. */
+    public RequestReader(Settings settings) {
         this.settings = settings;
         settings.classes.forEach(c -> classes.put(c.name(), classes.size()));
         settings.tenants.forEach(t -> tenants.put(t.name(), tenants.size()));
@@ -93,8 +94,12 @@
         return values.isEmpty() ? null : values.get(0);
     }
 
-    /** Time left by X-Remaining, a number and a unit. */
-    static long left(String text) throws BadRequestException {
+    /**
+     * Time left in microseconds by X-Remaining, a number and a unit.
+     *
+     * @throws BadRequestException if it is anything else
+     */
+    public static long left(String text) throws BadRequestException {
         double unit = text.endsWith("m") ? 1_000 : text.endsWith("u") ? 1 : 0;
         double us = unit * number(text.substring(0, text.length() - 1), "X-Remaining");
         if (unit == 0 || us > MOST_LEFT_US) {
--- a/src/main/java/kitemux/node/ServerPool.java
+++ b/src/main/java/kitemux/http/ServerPool.java
@@ -1,4 +1,4 @@
-package kitemux.node;
+package kitemux.http;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -10,63 +10,79 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
 import kitemux.Balancer.Result;
 import kitemux.Balancer.ServerState;
+import kitemux.Balancer.Settings;
+import kitemux.engine.Log;
+import kitemux.engine.Time;
+import kitemux.engine.Transport;
+import kitemux.net.HostList;
+import kitemux.net.Network;
+import kitemux.net.QuietChannel;
+import kitemux.net.Sockets;
 
 /** The connections to servers: one exchange at a time on each, the most recently used first. */
-final class ServerPool {
-    /** What is sent to a server and waits for its answer. */
-    interface Exchange {
-        /** The message; asked for once, when a connection is there to carry it. */
-        FullHttpRequest message();
-
-        /** Its one end. The body is the server's where the result is OK, else it is empty. */
-        void ended(Result result, byte[] body);
-    }
-
-    private static final byte[] NO_BODY = {};
-
+public final class ServerPool implements Transport<ClientRequest, byte[]> {
     private final Bootstrap dialer;
     private final EventLoop loop;
     private final Sockets sockets;
     private final long connIdleUs;
-    private final Clock clock;
+    private final Time clock;
+    private final Settings settings;
+    private final ByteBufAllocator allocator;
+    private final Log log;
     private final Map<String, Upstream> upstreams = new HashMap<>();
     /** The connections that carry an exchange. */
-    private final Map<Exchange, Connection> carriers = new HashMap<>();
+    private final Map<Exchange<ClientRequest, byte[]>, Connection> carriers = new HashMap<>();
     /** How much of answers has come that have not ended yet. */
     private int answersBytes;
 
-    ServerPool(EventLoop loop, Sockets sockets, Clock clock, long connectTimeoutUs, long connIdleUs) {
+    /**
+     * No server is known yet.
+     *
+     * @param connIdleUs after so many microseconds servers close idle connections
+     */
+    public ServerPool(EventLoop loop, Network network, Sockets sockets, Time clock, Settings settings,
+            long connIdleUs, Log log) {
         this.loop = loop;
+        this.settings = settings;
+        this.log = log;
+        allocator = network.allocator();
         this.sockets = sockets;
         this.clock = clock;
         this.connIdleUs = connIdleUs;
-        dialer = new Bootstrap().group(loop).channelFactory(ServerChannel::new)
-                .option(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
+        dialer = new Bootstrap().group(loop).channelFactory(network::dialer)
+                .option(ChannelOption.ALLOCATOR, allocator)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1_000))
-                .handler(new ChannelInitializer<SocketChannel>() {
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                        (int) Math.max(1, settings.connectTimeoutUs / 1_000))
+                .handler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(SocketChannel channel) {
+                    protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new AnswerDecoder(), new HttpRequestEncoder());
                     }
                 });
@@ -77,7 +93,7 @@
         final String id;
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
         /** Exchanges for which a connection is being opened; they take the first that is free. */
-        final ArrayDeque<Exchange> awaiting = new ArrayDeque<>();
+        final ArrayDeque<Exchange<ClientRequest, byte[]>> awaiting = new ArrayDeque<>();
         InetSocketAddress endpoint;
         long startedAtUs;
         boolean ready;
@@ -91,7 +107,7 @@
     // ---------------------------------------------------------------- the list
 
     /** Follows the list. Word of a drain takes effect at once, also for what awaits a connection. */
-    void update(HostList list) {
+    public void update(HostList list) {
         Map<String, Upstream> missing = list.all() ? new HashMap<>(upstreams) : Map.of();
         for (HostList.Host host : list.hosts()) {
             String id = host.entry().id();
@@ -131,9 +147,9 @@
 
     /** Ends what awaits a connection to a server that wants nothing new: it never ran. */
     private static void turnAway(Upstream upstream) {
-        Exchange exchange;
+        Exchange<ClientRequest, byte[]> exchange;
         while ((exchange = upstream.awaiting.poll()) != null) {
-            exchange.ended(Result.MOOT, NO_BODY);
+            exchange.ended(Result.MOOT, null);
         }
     }
 
@@ -144,10 +160,11 @@
     // ---------------------------------------------------------------- exchanges
 
     /** Starts an exchange; the connection that carries it tells its end. */
-    void start(String serverId, Exchange exchange) {
+    @Override
+    public void start(String serverId, Exchange<ClientRequest, byte[]> exchange) {
         Upstream upstream = upstreams.get(serverId);
         if (upstream == null || !upstream.ready) {
-            exchange.ended(Result.MOOT, NO_BODY);
+            exchange.ended(Result.MOOT, null);
             return;
         }
         Connection free;
@@ -161,15 +178,15 @@
             free.close();
         }
         if (!sockets.hasRoomForServer() && !closeOldestIdle()) {
-            exchange.ended(Result.CONNECT_FAILED, NO_BODY);
+            exchange.ended(Result.CONNECT_FAILED, null);
             return;
         }
         upstream.awaiting.add(exchange);
         dial(upstream);
     }
 
-    /** Gives an exchange up without telling its end. True if its request may have been written whole. */
-    boolean giveUp(String serverId, Exchange exchange) {
+    @Override
+    public boolean giveUp(String serverId, Exchange<ClientRequest, byte[]> exchange) {
         Upstream upstream = upstreams.get(serverId);
         if (upstream != null && upstream.awaiting.remove(exchange)) {
             return false;
@@ -183,6 +200,31 @@
         return connection.written;
     }
 
+    @Override
+    public ClientRequest probe() {
+        return ClientRequest.PROBE;
+    }
+
+    /** As late as a connection is there to carry it: it says how long the node will wait. */
+    private FullHttpRequest message(Exchange<ClientRequest, byte[]> exchange) {
+        ClientRequest request = exchange.request();
+        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
+                request.uri(), Unpooled.wrappedBuffer(request.body()));
+        message.headers().set(HttpHeaderNames.HOST, "backend.local");
+        if (request.txn() != null) {
+            message.headers().set("X-Txn", request.txn())
+                    .set("X-Lane", settings.classes.get(request.classIndex()).name())
+                    .set("X-Remaining", Math.max(1, exchange.untilUs() - clock.nowUs()) + "u");
+        }
+        if (request.idempotencyKey() != null) {
+            message.headers().set("Idempotency-Key", request.idempotencyKey());
+        }
+        if (!request.method().equals(HttpMethod.GET)) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+        }
+        return message;
+    }
+
     private void dial(Upstream upstream) {
         upstream.dialing++;
         sockets.opened();
@@ -196,30 +238,32 @@
     private void dialed(Upstream upstream, InetSocketAddress to, ChannelFuture opening) {
         upstream.dialing--;
         if (opening.isSuccess()) {
-            Connection connection = new Connection(upstream, to, (ServerChannel) opening.channel());
+            Connection connection = new Connection(upstream, to, (QuietChannel) opening.channel());
             opening.channel().pipeline().addLast(connection);
             connection.offer();
         } else if (upstream.awaiting.size() > upstream.dialing) {
             // One dial was made for each that waits; some may have found a connection that came free.
-            upstream.awaiting.poll().ended(Result.CONNECT_FAILED, NO_BODY);
+            upstream.awaiting.poll().ended(Result.CONNECT_FAILED, null);
         }
     }
 
     // ---------------------------------------------------------------- idle connections
 
-    void closeIdle(String serverId) {
+    @Override
+    public void closeIdle(String serverId) {
         Upstream upstream = upstreams.get(serverId);
         if (upstream != null) {
             closeAll(upstream.idle);
         }
     }
 
-    void close() {
+    /** Closes what is idle; what awaits a connection has ended, what is on one ends with its loop. */
+    public void close() {
         List.copyOf(upstreams.keySet()).forEach(this::remove);
     }
 
     /** Closes what has been idle for half of what servers allow: a request that met their close resets. */
-    void closeOld() {
+    public void closeOld() {
         long before = clock.nowUs() - connIdleUs / 2;
         for (Upstream upstream : upstreams.values()) {
             while (!upstream.idle.isEmpty() && upstream.idle.peekLast().idleSinceUs < before) {
@@ -247,16 +291,16 @@
     private final class Connection extends ChannelInboundHandlerAdapter {
         private final Upstream upstream;
         private final InetSocketAddress endpoint;
-        private final ServerChannel channel;
+        private final QuietChannel channel;
         private final long openedAtUs = clock.nowUs();
-        private Exchange exchange;
+        private Exchange<ClientRequest, byte[]> exchange;
         private boolean written;
         private long idleSinceUs;
         private HttpResponse head;
         private ByteBuf body;
         private boolean answered;
 
-        Connection(Upstream upstream, InetSocketAddress endpoint, ServerChannel channel) {
+        Connection(Upstream upstream, InetSocketAddress endpoint, QuietChannel channel) {
             this.upstream = upstream;
             this.endpoint = endpoint;
             this.channel = channel;
@@ -273,21 +317,21 @@
                 close();
                 // Its dial was for one that still waits, perhaps at an address that has changed since.
                 if (upstream.ready && upstream.awaiting.size() > upstream.dialing) {
-                    upstream.awaiting.poll().ended(Result.CONNECT_FAILED, NO_BODY);
+                    upstream.awaiting.poll().ended(Result.CONNECT_FAILED, null);
                 }
                 return;
             }
             idleSinceUs = clock.nowUs();
             upstream.idle.push(this);
-            Exchange next = upstream.awaiting.poll();
+            Exchange<ClientRequest, byte[]> next = upstream.awaiting.poll();
             if (next != null) {
                 carry(next);
             }
         }
 
-        void carry(Exchange next) {
+        void carry(Exchange<ClientRequest, byte[]> next) {
             // First, as a message that cannot be made must not cost the connection.
-            FullHttpRequest message = next.message();
+            FullHttpRequest message = message(next);
             upstream.idle.remove(this);
             exchange = next;
             written = false;
@@ -329,7 +373,7 @@
                     fail();
                     return;
                 }
-                body = Node.ALLOCATOR.buffer((int) Math.min(length, Limits.FIRST_ROOM));
+                body = allocator.buffer((int) Math.min(length, Limits.FIRST_ROOM));
                 // Where only the end of the connection ends a body, one cut short would pass for whole.
                 if (response.status().code() == 200 && !HttpUtil.isContentLengthSet(response)
                         && !HttpUtil.isTransferEncodingChunked(response)) {
@@ -363,7 +407,7 @@
             if (!answered) {
                 channel.close();
             }
-            end(result, result == Result.OK ? bytes : NO_BODY);
+            end(result, result == Result.OK ? bytes : null);
         }
 
         @Override
@@ -379,14 +423,14 @@
         private void fail() {
             answered = false;
             close();
-            end(Result.RESET, NO_BODY);
+            end(Result.RESET, null);
         }
 
         private void end(Result result, byte[] bytes) {
             head = null;
             answersBytes -= body == null ? 0 : body.readableBytes();
             body = null;
-            Exchange over = exchange;
+            Exchange<ClientRequest, byte[]> over = exchange;
             exchange = null;
             if (over != null) {
                 carriers.remove(over);
@@ -397,13 +441,13 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             upstream.idle.remove(this);
-            end(written ? Result.RESET : Result.CONNECT_FAILED, NO_BODY);
+            end(written ? Result.RESET : Result.CONNECT_FAILED, null);
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (!(cause instanceof IOException)) {
-                Log.error("connection to server " + upstream.id, cause);
+                log.error("connection to server " + upstream.id, cause);
             }
             close();
         }
--- a/src/main/java/kitemux/node/ClientListener.java
+++ b/src/main/java/kitemux/net/ClientListener.java
@@ -1,4 +1,4 @@
-package kitemux.node;
+package kitemux.net;
 
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
@@ -22,14 +22,15 @@
     }
 
     /** A client's socket. */
-    static final class Accepted extends NioSocketChannel {
+    static final class Accepted extends NioSocketChannel implements QuietChannel {
 
         Accepted(Channel listener, SocketChannel socket) {
             super(listener, socket);
         }
 
         /** Whether all that has come is read; nothing is taken from the socket. */
-        boolean isQuiet() {
+        @Override
+        public boolean isQuiet() {
             try {
                 return !isActive() || javaChannel().socket().getInputStream().available() == 0;
             } catch (IOException e) {
--- a/src/main/java/kitemux/node/ServerChannel.java
+++ b/src/main/java/kitemux/net/DialedChannel.java
@@ -1,19 +1,20 @@
-package kitemux.node;
+package kitemux.net;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
 
 import io.netty.channel.socket.nio.NioSocketChannel;
 
-/** A socket to a server that can be asked whether anything has come that was not read yet. */
-final class ServerChannel extends NioSocketChannel {
+/** A socket that this node opens; it can be asked whether anything has come that was not read yet. */
+final class DialedChannel extends NioSocketChannel implements QuietChannel {
     private final ByteBuffer one = ByteBuffer.allocate(1);
 
     /**
      * Whether the connection is open and nothing is to be read on it. For use between two exchanges alone:
      * a byte that has come, which nobody has asked for, is gone then, and the connection must be closed.
      */
-    boolean isQuiet() {
+    @Override
+    public boolean isQuiet() {
         try {
             return isActive() && javaChannel().read(one.clear()) == 0;
         } catch (IOException e) {
--- a/src/main/java/kitemux/node/NodeConfig.java
+++ b/src/main/java/kitemux/node/NodeConfig.java
@@ -2,7 +2,6 @@
 
 import java.io.File;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
@@ -12,10 +11,12 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
-import io.netty.util.NetUtil;
-
 import kitemux.Balancer.Settings;
-import kitemux.adapter.BootInfo;
+import kitemux.config.ConfigException;
+import kitemux.config.SettingsReader;
+import kitemux.discovery.HostListReader;
+import kitemux.net.Addresses;
+import kitemux.net.HostList;
 
 /**
  * What a node is told at its start, by the environment and the configuration file.
@@ -28,7 +29,7 @@
  * @param known the server list as this node last had it
  * @param settings the module's
  */
-record NodeConfig(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+public record NodeConfig(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         long connIdleUs, HostList known, Settings settings) {
 
     private static final int LEAST_SOCKETS = 64;
@@ -62,7 +63,7 @@
         }
         String listen = env.getOrDefault("PROXY_LISTEN", json.path("listen").asText());
         String discovery = env.getOrDefault("PROXY_DISCOVERY", json.path("discovery").asText());
-        return new NodeConfig(address("listen", listen), address("discovery", discovery),
+        return new NodeConfig(Addresses.read("listen", listen), Addresses.read("discovery", discovery),
                 seed(json.path("seed").asText()), sockets.asInt(), idle, known(json, settings.zones),
                 settings);
     }
@@ -78,10 +79,10 @@
         Map<String, String> flat = new HashMap<>();
         flatten("", json, flat);
         try {
-            Settings settings = BootInfo.read(flat);
+            Settings settings = SettingsReader.read(flat);
             settings.validate();
             return settings;
-        } catch (BootInfo.BadSettingException e) {
+        } catch (SettingsReader.BadSettingException e) {
             throw new ConfigException("settings." + e.field, e.reason);
         } catch (IllegalArgumentException e) {
             throw new ConfigException("settings:", e.getMessage());
@@ -123,7 +124,7 @@
         if (!json.hasNonNull("known")) {
             return new HostList(0, true, List.of());
         }
-        return HostList.decode(json.get("known"), zones, "known.");
+        return HostListReader.read(json.get("known"), zones, "known.");
     }
 
     private static long seed(String text) throws ConfigException {
@@ -133,19 +134,4 @@
             throw new ConfigException("seed", "is not 1 to 16 hex digits");
         }
     }
-
-    /** An IP address with a port. There are no host names: looking one up would block. */
-    static InetSocketAddress address(String field, String text) throws ConfigException {
-        int colon = text.lastIndexOf(':');
-        byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
-        try {
-            if (ip != null) {
-                return new InetSocketAddress(InetAddress.getByAddress(ip),
-                        Integer.parseInt(text.substring(colon + 1)));
-            }
-        } catch (IOException | IllegalArgumentException e) {
-            // Named below.
-        }
-        throw new ConfigException(field, "is not address:port: " + text);
-    }
 }
--- a/src/main/java/kitemux/node/Rehearsal.java
+++ b/src/main/java/kitemux/node/Rehearsal.java
@@ -34,6 +34,10 @@
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
+import kitemux.engine.Log;
+import kitemux.http.Limits;
+import kitemux.net.HostList;
+import kitemux.net.NioNetwork;
 
 /**
  * Warms a starting process before it listens: a node apart serves requests between a client and a server of
@@ -68,21 +72,21 @@
      *
      * @return how many were served; 0 if any was turned down, as then it was something else that got warm
      */
-    static long play(NodeConfig config, EventLoop loop) {
-        return new Rehearsal(loop, config.settings().classes).play(config);
+    static long play(NodeConfig config, EventLoop loop, Log log) {
+        return new Rehearsal(loop, config.settings().classes).play(config, log);
     }
 
-    private long play(NodeConfig config) {
+    private long play(NodeConfig config, Log log) {
         Channel server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .childOption(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
+                .childOption(ChannelOption.ALLOCATOR, NioNetwork.SYSTEM.allocator())
                 .childHandler(pipeline(true))
                 .bind(new InetSocketAddress(config.listen().getAddress(), 0)).syncUninterruptibly().channel();
         HostList.Host host = new HostList.Host(new ServerEntry("rehearsal", 0, 0, ServerState.READY, 1, 0),
                 (InetSocketAddress) server.localAddress());
-        Node node = new Node(config.apart(new HostList(0, true, List.of(host))), loop);
+        Node node = new Node(config.apart(new HostList(0, true, List.of(host))), loop, log);
         Channel listening = node.start().syncUninterruptibly().channel();
         Bootstrap client = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.ALLOCATOR, Node.ALLOCATOR)
+                .option(ChannelOption.ALLOCATOR, NioNetwork.SYSTEM.allocator())
                 .handler(pipeline(false));
         for (int i = 0; i < CLIENTS; i++) {
             client.connect(listening.localAddress());
--- a/src/main/java/kitemux/node/Reload.java
+++ b/src/main/java/kitemux/node/Reload.java
@@ -3,22 +3,27 @@
 import java.lang.reflect.Proxy;
 import java.util.Map;
 
+import kitemux.config.ConfigException;
+import kitemux.engine.Log;
+
 /** SIGHUP: the configuration file is read again and the node is told. A JVM left alone would end on it. */
 final class Reload {
     private final Map<String, String> env;
     private final Node node;
+    private final Log log;
 
-    private Reload(Map<String, String> env, Node node) {
+    private Reload(Map<String, String> env, Node node, Log log) {
         this.env = env;
         this.node = node;
+        this.log = log;
     }
 
     /**
      * Takes over the signal. By name, as the compiler's warning about sun.misc.Signal, which is the only way
      * to have signals, cannot be turned off for one class.
      */
-    static void onHangUp(Map<String, String> env, Node node) {
-        Reload reload = new Reload(env, node);
+    static void onHangUp(Map<String, String> env, Node node, Log log) {
+        Reload reload = new Reload(env, node, log);
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -30,7 +35,7 @@
             signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), read);
         } catch (ReflectiveOperationException e) {
-            Log.error("SIGHUP cannot be handled", e);
+            log.error("SIGHUP cannot be handled", e);
         }
     }
 
@@ -39,7 +44,7 @@
         try {
             node.reload(NodeConfig.reread(env));
         } catch (ConfigException e) {
-            Log.line("reload: " + e.getMessage() + "; the configuration stays as it was");
+            log.line("reload: " + e.getMessage() + "; the configuration stays as it was");
         }
     }
 }
--- a/src/main/java/kitemux/node/Log.java
+++ b/src/main/java/kitemux/node/StderrLog.java
@@ -1,21 +1,23 @@
 package kitemux.node;
 
+import kitemux.engine.Log;
+
 /** Lines for the operators on standard error: few, so that a flood of failures cannot stall the loop. */
-final class Log {
+final class StderrLog implements Log {
     private static final int MOST_PER_S = 20;
 
-    private static long second;
-    private static int lines;
-
-    private Log() { }
+    private long second;
+    private int lines;
 
-    static void line(String text) {
+    @Override
+    public void line(String text) {
         if (hasRoom()) {
             System.err.println(text.replace('\n', ' ').replace('\r', ' '));
         }
     }
 
-    static void error(String what, Throwable cause) {
+    @Override
+    public void error(String what, Throwable cause) {
         if (hasRoom()) {
             System.err.println(what + ": " + cause);
             for (StackTraceElement frame : cause.getStackTrace()) {
@@ -24,7 +26,7 @@
         }
     }
 
-    private static synchronized boolean hasRoom() {
+    private synchronized boolean hasRoom() {
         long now = System.nanoTime() / 1_000_000_000L;
         if (now != second) {
             second = now;
--- /dev/null
+++ b/src/test/java/kitemux/ArchitectureTest.java
@@ -0,0 +1,137 @@
+package kitemux;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.junit.jupiter.api.Test;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.Dependency;
+import com.tngtech.archunit.core.domain.JavaCall;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** Which package may know which: arrows go one way, and what decides reaches nothing outside itself. */
+class ArchitectureTest {
+    private static final JavaClasses PROGRAM = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("kitemux");
+
+    /** For each package those that it may know besides itself. The root holds the decisions. */
+    private static final Map<String, Set<String>> MAY_KNOW = Map.ofEntries(
+            Map.entry("", Set.of()),
+            Map.entry("config", Set.of("")),
+            Map.entry("engine", Set.of("")),
+            Map.entry("net", Set.of("", "engine", "config")),
+            Map.entry("http", Set.of("", "engine", "net")),
+            Map.entry("discovery", Set.of("", "engine", "net", "config")),
+            Map.entry("adapter", Set.of("", "config")),
+            Map.entry("node", Set.of("", "engine", "net", "http", "discovery", "config")),
+            Map.entry("world", Set.of("", "engine", "net", "http", "node", "config")),
+            Map.entry("standin", Set.of()),
+            Map.entry("bench", Set.of("standin")),
+            Map.entry("cli", Set.of("adapter", "node", "world", "bench", "standin")));
+
+    private static String room(JavaClass c) {
+        String[] parts = c.getPackageName().split("\\.");
+        return parts.length < 2 ? "" : parts[1];
+    }
+
+    private static boolean isOurs(JavaClass c) {
+        return c.getPackageName().equals("kitemux") || c.getPackageName().startsWith("kitemux.");
+    }
+
+    /** The arrows that are not allowed, as "from -> to", with one place each. */
+    private static Map<String, String> forbidden(JavaClasses classes) {
+        Map<String, String> found = new TreeMap<>();
+        for (JavaClass from : classes) {
+            Set<String> may = MAY_KNOW.get(room(from));
+            for (Dependency arrow : from.getDirectDependenciesFromSelf()) {
+                JavaClass to = arrow.getTargetClass();
+                if (isOurs(to) && !room(to).equals(room(from)) && (may == null || !may.contains(room(to)))) {
+                    found.putIfAbsent(room(from) + " -> " + room(to), arrow.getDescription());
+                }
+            }
+        }
+        return found;
+    }
+
+    @Test
+    void arrowsBetweenPackagesPointOneWay() {
+        Set<String> rooms = new TreeSet<>();
+        PROGRAM.forEach(c -> rooms.add(room(c)));
+        rooms.removeAll(MAY_KNOW.keySet());
+        assertEquals(Set.of(), rooms, "packages of which nothing is said");
+        assertEquals(Map.of(), forbidden(PROGRAM));
+    }
+
+    @Test
+    void anArrowThatPointsUpIsFound() {
+        JavaClasses withTests = new ClassFileImporter().importClasses(UpwardArrow.class);
+        assertEquals(Set.of(" -> engine"), forbidden(withTests).keySet());
+    }
+
+    /** The decisions know an engine here, which they must not. */
+    private static final class UpwardArrow {
+        static final Object LOOKS_UP = kitemux.engine.Observer.NONE;
+    }
+
+    private static final DescribedPredicate<JavaClass> OUTSIDE =
+            new DescribedPredicate<>("Netty, JSON, files, sockets, threads or the system's clocks") {
+                private static final List<String> PACKAGES = List.of("io.netty", "com.fasterxml", "picocli",
+                        "java.io", "java.net", "java.nio", "java.time", "java.util.concurrent", "sun.",
+                        "jdk.");
+
+                @Override
+                public boolean test(JavaClass c) {
+                    return PACKAGES.stream().anyMatch(p -> c.getPackageName().startsWith(p))
+                            || c.isEquivalentTo(Thread.class) || c.isEquivalentTo(Process.class)
+                            || c.isEquivalentTo(ProcessBuilder.class) || c.isEquivalentTo(Runtime.class);
+                }
+            };
+
+    private static final DescribedPredicate<JavaCall<?>> SYSTEM_CALLS =
+            new DescribedPredicate<>("the system's clocks, streams or environment") {
+                @Override
+                public boolean test(JavaCall<?> call) {
+                    return call.getTargetOwner().isEquivalentTo(System.class)
+                            && !call.getName().equals("arraycopy")
+                            && !call.getName().equals("identityHashCode");
+                }
+            };
+
+    private static ArchRule pure(String... packages) {
+        return noClasses().that().resideInAnyPackage(packages)
+                .should().dependOnClassesThat(OUTSIDE)
+                .orShould().callMethodWhere(DescribedPredicate.describe(SYSTEM_CALLS.getDescription(),
+                        SYSTEM_CALLS::test));
+    }
+
+    @Test
+    void whatDecidesAndTheEngineReachNothingOutside() {
+        pure("kitemux", "kitemux.engine").check(PROGRAM);
+    }
+
+    @Test
+    void aReachOutsideIsFound() {
+        assertThrows(AssertionError.class, () -> pure("kitemux.node").check(PROGRAM));
+        assertThrows(AssertionError.class,
+                () -> pure("kitemux").check(new ClassFileImporter().importClasses(ReadsTheClock.class)));
+    }
+
+    /** Asks the system for the time. */
+    private static final class ReadsTheClock {
+        static long now() {
+            return System.nanoTime();
+        }
+    }
+}
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -18,6 +18,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import kitemux.http.Limits;
+import kitemux.http.RequestReader;
+
 /** What clients see of a node. */
 class ClientServerTest {
 
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -12,6 +12,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import kitemux.discovery.Discovery;
+import kitemux.net.Addresses;
+import kitemux.net.HostList;
+import kitemux.net.NioNetwork;
+
 /** The watch on the list. */
 class DiscoveryTest {
     private static final String KNOWN = Site.list(41, true);
@@ -20,8 +25,9 @@
     /** A watch alone; what it tells comes as a line. */
     private static Discovery watch(Site site, long mostSilenceUs, BlockingQueue<String> told)
             throws Exception {
-        Discovery discovery = new Discovery(site.loop, site.config(KNOWN), mostSilenceUs,
-                new Discovery.Listener() {
+        Discovery discovery = new Discovery(site.loop, NioNetwork.SYSTEM,
+                Addresses.read("discovery", site.discovery.endpoint()), site.settings.zones, 41,
+                mostSilenceUs, new Discovery.Listener() {
                     @Override
                     public void listed(HostList list) {
                         told.add(list.rev() + (list.all() ? " all " : " changes ") + list.hosts().size());
@@ -31,7 +37,7 @@
                     public void failed(String reason) {
                         told.add("failed");
                     }
-                });
+                }, new StderrLog());
         site.loop.execute(discovery::subscribe);
         return discovery;
     }
@@ -115,7 +121,7 @@
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
             Discovery discovery = watch(site, Discovery.MOST_SILENCE_US, told);
             FarServer.next(site.discovery.requests);
-            InetSocketAddress to = NodeConfig.address("discovery", there.endpoint());
+            InetSocketAddress to = Addresses.read("discovery", there.endpoint());
             site.loop.execute(() -> discovery.moveTo(to));
             FarServer.next(site.discovery.ended);
             assertEquals("/discovery/hosts?watch=1", FarServer.next(there.requests).path());
--- a/src/test/java/kitemux/node/NodeConfigTest.java
+++ b/src/test/java/kitemux/node/NodeConfigTest.java
@@ -20,7 +20,9 @@
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.ServerState;
-import kitemux.Main;
+import kitemux.cli.Main;
+import kitemux.config.ConfigException;
+import kitemux.net.HostList;
 
 /** What a node is told at its start. */
 class NodeConfigTest {
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -18,8 +18,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import kitemux.Balancer;
-import kitemux.Main;
 import kitemux.ServiceQBalancer;
+import kitemux.cli.Main;
 
 /** A node as a whole. */
 class NodeTest {
--- a/src/test/java/kitemux/node/RehearsalTest.java
+++ b/src/test/java/kitemux/node/RehearsalTest.java
@@ -16,7 +16,7 @@
     @Test
     void requestsAreServedWithNoWordToDiscovery() throws Exception {
         try (Site site = Site.quiet()) {
-            assertTrue(Rehearsal.play(site.config(Site.list(1, true)), site.loop) > 0);
+            assertTrue(Rehearsal.play(site.config(Site.list(1, true)), site.loop, new StderrLog()) > 0);
             assertEquals(0, site.discovery.connections.get());
         }
     }
@@ -35,7 +35,8 @@
                     }
                 }
             });
-            long served = Rehearsal.play(site.config(Site.list(1, true)), site.loop);
+            long served = Rehearsal.play(site.config(Site.list(1, true)), site.loop,
+                    new StderrLog());
             over.set(true);
             assertEquals(Rehearsal.REQUESTS, served);
         }
--- a/src/test/java/kitemux/node/ServerPoolTest.java
+++ b/src/test/java/kitemux/node/ServerPoolTest.java
@@ -20,6 +20,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 
+import kitemux.net.NioNetwork;
+import kitemux.net.QuietChannel;
+
 /** How attempts end, seen from outside: an order may go on to another server only if it never ran. */
 class ServerPoolTest {
     private static final int ASKED = 12;
@@ -127,8 +130,8 @@
         EventLoop loop = Node.newLoop();
         try (ServerSocket far = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             // Nothing is read by itself, as when the loop has not come to it yet.
-            ServerChannel channel = (ServerChannel) new Bootstrap().group(loop)
-                    .channelFactory(ServerChannel::new).option(ChannelOption.AUTO_READ, false)
+            QuietChannel channel = (QuietChannel) new Bootstrap().group(loop)
+                    .channelFactory(NioNetwork.SYSTEM::dialer).option(ChannelOption.AUTO_READ, false)
                     .handler(new ChannelInboundHandlerAdapter())
                     .connect(far.getLocalSocketAddress()).sync().channel();
             Socket server = far.accept();
--- a/src/test/java/kitemux/node/Site.java
+++ b/src/test/java/kitemux/node/Site.java
@@ -24,6 +24,8 @@
 import kitemux.Balancer.Settings;
 import kitemux.Balancer.Tenant;
 import kitemux.ServiceQBalancer;
+import kitemux.discovery.HostListReader;
+import kitemux.net.Addresses;
 
 /** A node on loopback sockets with the servers that its list names and a discovery that a test plays. */
 final class Site implements AutoCloseable {
@@ -85,8 +87,8 @@
 
     NodeConfig config(String known) throws Exception {
         return new NodeConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                NodeConfig.address("discovery", discovery.endpoint()), 7, sockets, connIdleUs,
-                HostList.decode(new ObjectMapper().readTree(known), settings.zones, ""), settings);
+                Addresses.read("discovery", discovery.endpoint()), 7, sockets, connIdleUs,
+                HostListReader.read(new ObjectMapper().readTree(known), settings.zones, ""), settings);
     }
 
     /** Starts the node with the servers s0, s1, ... */
@@ -99,7 +101,7 @@
     }
 
     Site startKnowing(String known) throws Exception {
-        node = new Node(config(known), loop, module);
+        node = new Node(config(known), loop, Node.Parts.real(loop, new StderrLog(), module));
         address = (InetSocketAddress) node.start().sync().channel().localAddress();
         return this;
     }
