--- a/src/main/java/kitemux/discovery/Discovery.java
+++ b/src/main/java/kitemux/discovery/Discovery.java
@@ -49,6 +49,9 @@
 
     /** Discovery writes every 2 s. Three beats missed: a watch that is silent for so long is broken. */
     public static final long MOST_SILENCE_US = 7_000_000;
+    /** For discovery to catch up with what it told before it was down. Harm: a place whose versions have
+     * begun anew is not believed for so long. */
+    static final long MOST_OLD_US = 10_000_000;
     private static final int CONNECT_TIMEOUT_MS = 2_000;
     /** No list is so long; a line without an end must not fill the memory. */
     private static final int MOST_LINE = 4 << 20;
@@ -64,6 +67,9 @@
     private long rev;
     /** Whether the version is one of this place's, so that a watch can go on from it. */
     private boolean revIsOfHere = true;
+    /** The version that this place told this process last; -1 before. What a node began with may be from
+     * another place. */
+    private long heardRev = -1;
     private boolean wanted;
     private Watch current;
 
@@ -83,6 +89,8 @@
         address = at;
         rev = knownRev;
         dialer = new Bootstrap().group(loop).channelFactory(network::dialer)
+                // Addresses only: no name is ever looked up, and no resolver kept for the loop.
+                .disableResolver()
                 .option(ChannelOption.ALLOCATOR, network.allocator())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .handler(new ChannelInitializer<Channel>() {
@@ -127,6 +135,7 @@
             log.line("discovery is at " + to + " now");
             address = to;
             revIsOfHere = false;
+            heardRev = -1;
             if (wanted) {
                 subscribe();
             }
@@ -148,6 +157,8 @@
         private Future<?> silence;
         private boolean over;
         private boolean told;
+        /** Runs while all that it tells is older than what is known. */
+        private Future<?> lasting;
 
         private void expectMore() {
             if (silence != null) {
@@ -160,6 +171,9 @@
         void end() {
             over = true;
             silence.cancel(false);
+            if (lasting != null) {
+                lasting.cancel(false);
+            }
             channel.close();
         }
 
@@ -219,14 +233,39 @@
                 broken("bad line: " + e.getMessage());
                 return;
             }
+            if (list != null && list.rev() < heardRev) {
+                list = older();
+            } else if (list != null && lasting != null) {
+                lasting.cancel(false);
+                lasting = null;
+            }
             if (list != null) {
                 told = true;
                 rev = list.rev();
                 revIsOfHere = true;
+                heardRev = rev;
                 listener.listed(list);
             }
         }
 
+        /**
+         * This place knew more once: after it was down it may have come back with an old list. What it said
+         * since, of servers that drain above all, stands; what it tells on this watch counts again once it
+         * has caught up. If it does not, its versions have begun anew, and the whole list is asked for.
+         */
+        private HostList older() {
+            if (lasting == null) {
+                log.line("discovery: its list is older than the one that it told; waiting for it to catch "
+                        + "up");
+                lasting = loop.schedule(() -> {
+                    revIsOfHere = false;
+                    heardRev = -1;
+                    subscribe();
+                }, MOST_OLD_US, TimeUnit.MICROSECONDS);
+            }
+            return told ? null : new HostList(rev, false, List.of());
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             broken("connection ended");
--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -23,11 +23,13 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Ticker;
 
 import kitemux.engine.Client;
 import kitemux.engine.Engine;
 import kitemux.engine.Log;
+import kitemux.net.LoopTime;
 import kitemux.net.QuietChannel;
 
 /**
@@ -43,6 +45,10 @@
     private final Log log;
     private final QuietChannel channel;
     private final Ticker ticker;
+    private final LoopTime time;
+    /** The earliest that it may have come up: what is read at first may have come with it. */
+    private final long openedUs;
+    private boolean readBefore;
     /** What came whole and waits for its turn. */
     private final ArrayDeque<Incoming> waiting = new ArrayDeque<>();
 
@@ -56,26 +62,39 @@
     private boolean busy;
     private boolean keepAlive = true;
     private long lingerMs;
+    private Future<?> lingering;
     /** When the client's part began: to ask, to go on asking, or to take its answer. */
     private long sinceNanos;
     private boolean everAsked;
+    private boolean crowded;
+    private boolean turnedAway;
     /** The request that is open, as the engine knows it. */
     private Engine.Held<ClientRequest, byte[]> held;
 
     /** A request, or the status that what came instead of one is owed. */
-    private record Incoming(HttpRequest head, byte[] body, HttpResponseStatus error) { }
+    private record Incoming(HttpRequest head, byte[] body, long cameUs, HttpResponseStatus error) { }
 
-    ClientConnection(ClientServer server, RequestReader reader, Engine<ClientRequest, byte[]> engine, Log log,
-            QuietChannel channel) {
+    ClientConnection(ClientServer server, RequestReader reader, Engine<ClientRequest, byte[]> engine,
+            LoopTime time,
+            Log log, QuietChannel channel, long openedUs) {
         this.server = server;
         this.reader = reader;
         this.engine = engine;
+        this.time = time;
+        this.openedUs = openedUs;
         this.log = log;
         this.channel = channel;
         ticker = channel.eventLoop().ticker();
         sinceNanos = ticker.nanoTime();
     }
 
+    /** There is no room to keep it: its first answer ends it, and is a refusal if there is none to serve
+     * it. */
+    void endAfterOne(boolean serve) {
+        crowded = true;
+        turnedAway = !serve;
+    }
+
     // ---------------------------------------------------------------- what comes
 
     /** What stands before the decoder: bad clients send much, and what is not read is not taken apart. */
@@ -135,12 +154,23 @@
             append(bytes);
         }
         if (part instanceof LastHttpContent) {
-            Incoming whole = new Incoming(head, body.toByteArray(), null);
+            Incoming whole = new Incoming(head, body.toByteArray(), cameUs(), null);
             forgetPart();
             take(whole);
         }
     }
 
+    /** The earliest that what is read now may have come. */
+    private long cameUs() {
+        long sinceLook = time.nowUs() - time.unreadUs();
+        return readBefore ? sinceLook : Math.min(sinceLook, openedUs);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        readBefore = true;
+    }
+
     private void append(ByteBuf bytes) {
         try {
             bytes.readBytes(body, bytes.readableBytes());
@@ -159,7 +189,7 @@
     private void turnDown(HttpResponseStatus error) {
         forgetPart();
         deaf = true;
-        take(new Incoming(null, NO_BODY, error));
+        take(new Incoming(null, NO_BODY, 0, error));
     }
 
     private void take(Incoming next) {
@@ -197,7 +227,13 @@
                 answer(server.isDraining() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
                         NO_BODY, 0);
             } else if (RequestReader.isRequestPath(path)) {
-                ask(reader.read(next.head, next.body));
+                ClientRequest request = reader.read(next.head, next.body, time.nowUs() - next.cameUs);
+                if (turnedAway) {
+                    // Never sent anywhere, so that trying again does no harm.
+                    refused(reader.retryAfterUs());
+                } else {
+                    ask(request);
+                }
             } else {
                 refuse(HttpResponseStatus.NOT_FOUND, NO_BODY);
             }
@@ -260,7 +296,7 @@
         if (retryAfterUs > 0) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterUs / 1e6);
         }
-        if (!keepAlive || server.isDraining()) {
+        if (!keepAlive || crowded || server.isDraining()) {
             keepAlive = false;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -278,7 +314,7 @@
             close();
         } else if (!keepAlive) {
             channel.shutdownOutput();
-            channel.eventLoop().schedule(this::close, lingerMs, TimeUnit.MILLISECONDS);
+            lingering = channel.eventLoop().schedule(this::close, lingerMs, TimeUnit.MILLISECONDS);
         } else if (!waiting.isEmpty()) {
             channel.eventLoop().execute(this::serveNext);
         }
@@ -336,6 +372,9 @@
         keepAlive = false;
         deaf = true;
         waiting.clear();
+        if (lingering != null) {
+            lingering.cancel(false);
+        }
         server.ended(this);
         if (held != null) {
             engine.left(held);
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -21,6 +21,7 @@
 
 import kitemux.engine.Engine;
 import kitemux.engine.Log;
+import kitemux.net.LoopTime;
 import kitemux.net.Network;
 import kitemux.net.QuietChannel;
 import kitemux.net.Sockets;
@@ -35,6 +36,7 @@
     private final RequestReader reader;
     private final Sockets sockets;
     private final Engine<ClientRequest, byte[]> engine;
+    private final LoopTime time;
     private final Log log;
     /** Connections that have had no whole request yet, the oldest first. */
     private final Set<ClientConnection> fresh = new LinkedHashSet<>();
@@ -43,24 +45,46 @@
     /** All others, the longest unused first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
     private Channel listening;
+    /** Since when some that have come up may wait to be taken in; without end if all were taken. */
+    private long waitingSinceUs = Long.MAX_VALUE;
+    private int takenInTurn;
+    /** Whether some were left waiting in this turn for want of room. */
+    private boolean leftInTurn;
+    /** How many connections were ever taken in. */
+    private long taken;
     private boolean draining;
     private boolean closed;
     private Runnable whenEmpty = () -> { };
 
+    private final Network.Gate gate = new Network.Gate() {
+        @Override
+        public boolean mayTake() {
+            boolean may = sockets.mayTakeClient();
+            leftInTurn |= !may;
+            return may;
+        }
+
+        @Override
+        public void taken() {
+            sockets.clientTaken();
+        }
+    };
+
     /** Serves nobody yet; requests go to the engine, which lives on the same loop. */
     public ClientServer(EventLoopGroup loop, Network network, RequestReader reader, Sockets sockets,
-            Engine<ClientRequest, byte[]> engine, Log log) {
+            Engine<ClientRequest, byte[]> engine, LoopTime time, Log log) {
         this.loop = loop;
         this.network = network;
         this.reader = reader;
         this.sockets = sockets;
         this.engine = engine;
+        this.time = time;
         this.log = log;
     }
 
     /** Listens; the future is done once clients can connect. */
     public ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture opening = new ServerBootstrap().group(loop).channelFactory(network::listener)
+        ChannelFuture opening = new ServerBootstrap().group(loop).channelFactory(() -> network.listener(gate))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.ALLOCATOR, network.allocator())
@@ -82,19 +106,52 @@
     }
 
     private void accepted(QuietChannel channel) {
+        taken++;
         sockets.clientOpened();
-        channel.closeFuture().addListener(done -> sockets.clientClosed());
+        channel.closeFuture().addListener(done -> {
+            sockets.clientClosed();
+            acceptIfRoom();
+        });
+        ClientConnection client = new ClientConnection(this, reader, engine, time, log, channel,
+                earliestUs());
         if (!sockets.hasRoomForClient() && !makeRoom()) {
-            // Every connection has a request open: one more would take descriptors that those need.
-            channel.close();
-            return;
+            // Every connection has a request open. This one may have brought one too, which is owed an
+            // answer: it is served, or where even that takes too many turned away, and let go. Harm:
+            // clients beyond the bound open a connection for each request.
+            client.endAfterOne(sockets.mayServeClient());
+            if (!sockets.mayTakeClient()) {
+                // Further ones wait with the system, which has room for many.
+                listening.config().setAutoRead(false);
+                leftInTurn = true;
+            }
         }
-        ClientConnection client = new ClientConnection(this, reader, engine, log, channel);
         fresh.add(client);
         channel.pipeline().addLast(client.gate(),
                 new HttpServerCodec(new HttpDecoderConfig().setMaxChunkSize(Limits.MOST_BODY)), client);
     }
 
+    /** The earliest that a connection that is taken in now may have come up. */
+    private long earliestUs() {
+        long earliest = Math.min(waitingSinceUs, time.nowUs() - time.unreadUs());
+        if (takenInTurn++ == 0) {
+            // In the same turn, behind all that is taken in in it.
+            loop.execute(() -> {
+                boolean left = leftInTurn || takenInTurn >= Sockets.MOST_ACCEPTED
+                        || !listening.config().isAutoRead();
+                waitingSinceUs = left ? earliest : Long.MAX_VALUE;
+                takenInTurn = 0;
+                leftInTurn = false;
+            });
+        }
+        return earliest;
+    }
+
+    private void acceptIfRoom() {
+        if (!listening.config().isAutoRead() && listening.isOpen() && sockets.mayTakeClient()) {
+            listening.config().setAutoRead(true);
+        }
+    }
+
     /**
      * Closes the oldest that has asked nothing, unless it is new, else the longest unused. Where silent ones
      * are the most they make room however new: a flood of them must not cost the usual clients theirs.
@@ -142,7 +199,7 @@
     void rested(ClientConnection client) {
         if (busy.remove(client)) {
             idle.add(client);
-            if (idle.size() > sockets.mostIdleClients()) {
+            if (idle.size() > sockets.mostIdleClients() || !listening.config().isAutoRead()) {
                 closeFirst(idle);
             }
         }
@@ -180,7 +237,18 @@
     public void drain(Runnable whenDone) {
         draining = true;
         whenEmpty = whenDone;
-        loop.schedule(() -> listening.close().addListener(done -> {
+        loop.schedule(() -> closeOnceNoneComes(-1), Limits.ARRIVING_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** The system resets connections that wait to be taken as the listener closes, and requests with
+     * them: a loop that is behind takes them first. */
+    private void closeOnceNoneComes(long takenBefore) {
+        if (taken != takenBefore || !listening.config().isAutoRead()) {
+            long now = taken;
+            loop.schedule(() -> closeOnceNoneComes(now), LoopTime.BEAT_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        listening.close().addListener(done -> {
             closed = true;
             List<ClientConnection> unused = all();
             unused.removeAll(busy);
@@ -188,7 +256,7 @@
             unused.removeIf(client -> !client.isQuiet());
             unused.forEach(ClientConnection::close);
             tellIfEmpty();
-        }), Limits.ARRIVING_MS, TimeUnit.MILLISECONDS);
+        });
     }
 
     /** Ends everything at once. */
--- a/src/main/java/kitemux/http/RequestReader.java
+++ b/src/main/java/kitemux/http/RequestReader.java
@@ -18,6 +18,8 @@
     private static final String PREFIX = "/api/";
     /** The way from the client, by which its time is shorter than it says. */
     private static final long WAY_US = 1_000;
+    /** In which requests that hold connections now are mostly answered. */
+    private static final long CROWDED_US = 500_000;
     private static final double MOST_LEFT_US = 3.6e9;
 
     private final Settings settings;
@@ -53,7 +55,14 @@
                 ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : null;
     }
 
-    ClientRequest read(HttpRequest message, byte[] body) throws BadRequestException {
+    /** When to come back for a client that was turned away for want of descriptors, in microseconds; 0
+     * for none. */
+    long retryAfterUs() {
+        return Math.min(CROWDED_US, settings.maxRetryAfterUs);
+    }
+
+    /** Reads a request whose last byte came so many microseconds ago. */
+    ClientRequest read(HttpRequest message, byte[] body, long agoUs) throws BadRequestException {
         String txn = need(message, "X-Txn");
         Integer classIndex = classes.get(need(message, "X-Lane"));
         if (classIndex == null) {
@@ -73,7 +82,8 @@
         String key = path.substring(path.lastIndexOf('/') + 1);
         return new ClientRequest(message.method(), message.uri(), txn, idempotencyKey,
                 body, classIndex,
-                tenant == null ? -1 : tenants.getOrDefault(tenant, -1), left(need(message, "X-Remaining")),
+                tenant == null ? -1 : tenants.getOrDefault(tenant, -1),
+                Math.max(0, left(need(message, "X-Remaining")) - agoUs),
                 work(one(message, "X-Estimate")), "1".equals(one(message, "X-Resent")),
                 key.isEmpty() ? null : key);
     }
--- a/src/main/java/kitemux/http/ServerPool.java
+++ b/src/main/java/kitemux/http/ServerPool.java
@@ -76,6 +76,8 @@
         this.clock = clock;
         this.connIdleUs = connIdleUs;
         dialer = new Bootstrap().group(loop).channelFactory(network::dialer)
+                // Addresses only: no name is ever looked up, and no resolver kept for the loop.
+                .disableResolver()
                 .option(ChannelOption.ALLOCATOR, allocator)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
@@ -367,6 +369,7 @@
             }
             if (message instanceof HttpResponse response) {
                 head = response;
+                dropBody();
                 // A length that is past all bounds spoils the answer before any of it has come.
                 long length = HttpUtil.getContentLength(response, 256L);
                 if (length > Limits.MOST_ANSWER) {
@@ -428,8 +431,7 @@
 
         private void end(Result result, byte[] bytes) {
             head = null;
-            answersBytes -= body == null ? 0 : body.readableBytes();
-            body = null;
+            dropBody();
             Exchange<ClientRequest, byte[]> over = exchange;
             exchange = null;
             if (over != null) {
@@ -438,6 +440,14 @@
             }
         }
 
+        private void dropBody() {
+            if (body != null) {
+                answersBytes -= body.readableBytes();
+                body.release();
+                body = null;
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             upstream.idle.remove(this);
--- a/src/main/java/kitemux/net/ClientListener.java
+++ b/src/main/java/kitemux/net/ClientListener.java
@@ -10,13 +10,19 @@
 
 /** Listens for clients, whose connections can be asked whether anything has come that was not read yet. */
 final class ClientListener extends NioServerSocketChannel {
+    private final Network.Gate gate;
+
+    ClientListener(Network.Gate gate) {
+        this.gate = gate;
+    }
 
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
-        SocketChannel socket = javaChannel().accept();
+        SocketChannel socket = gate.mayTake() ? javaChannel().accept() : null;
         if (socket == null) {
             return 0;
         }
+        gate.taken();
         accepted.add(new Accepted(this, socket));
         return 1;
     }
--- a/src/main/java/kitemux/net/Network.java
+++ b/src/main/java/kitemux/net/Network.java
@@ -5,8 +5,18 @@
 
 /** Where a node's channels come from: the system's sockets, or a world that plays them. */
 public interface Network {
+    /** Says how many connections a listener may take in. */
+    interface Gate {
+        /** Whether one more may be taken; while not, the listener takes none, and is to be told to stop
+         * reading. */
+        boolean mayTake();
+
+        /** One was taken; it will be heard of as a channel in the same turn of the loop. */
+        void taken();
+    }
+
     /** A channel that listens; those that it takes in are {@link QuietChannel}s. */
-    ServerChannel listener();
+    ServerChannel listener(Gate gate);
 
     /** A channel to a server or to discovery, not yet connected. */
     QuietChannel dialer();
--- a/src/main/java/kitemux/net/NioNetwork.java
+++ b/src/main/java/kitemux/net/NioNetwork.java
@@ -15,8 +15,8 @@
     private NioNetwork() { }
 
     @Override
-    public ServerChannel listener() {
-        return new ClientListener();
+    public ServerChannel listener(Gate gate) {
+        return new ClientListener(gate);
     }
 
     @Override
--- a/src/main/java/kitemux/net/Sockets.java
+++ b/src/main/java/kitemux/net/Sockets.java
@@ -9,8 +9,13 @@
     /** Descriptors that the JVM, the jar, the listener and discovery hold, and those of new connections that
      * have been taken together and are looked at one by one. */
     private static final int RESERVED = 32 + MOST_ACCEPTED;
-    /** The part that clients may hold at most; a request in work needs a connection to a server too. */
+    /** The part that clients may keep; a request in work needs a connection to a server too. */
     private static final double CLIENT_PART = 0.6;
+    /** The part that clients may hold while each beyond {@link #CLIENT_PART} is let go with its next
+     * answer: what has come on it is owed one, so it cannot be closed, and the rest is for connections
+     * to servers. Beyond this part they are turned away, from what is kept for connections that are
+     * taken together. */
+    private static final double CROWDED_PART = 0.75;
 
     /** The part of the limit that idle clients may hold: half of what clients may open for requests at all,
      * so that some can always be opened anew. */
@@ -20,6 +25,8 @@
     private final int mostIdleClients;
     private int open;
     private int clients;
+    /** Taken in together and not looked at yet: those that were looked at must not make room for them. */
+    private int taken;
 
     /**
      * None open yet.
@@ -41,9 +48,15 @@
         open--;
     }
 
-    /** One more from a client. */
-    public void clientOpened() {
+    /** One more from a client was taken in; it is {@link #clientOpened} in the same turn of the loop. */
+    public void clientTaken() {
         open++;
+        taken++;
+    }
+
+    /** One that was taken in is looked at. */
+    public void clientOpened() {
+        taken--;
         clients++;
     }
 
@@ -63,9 +76,19 @@
         return open < most;
     }
 
-    /** Whether one more from a client may be kept. */
+    /** Whether one more from a client may be taken at all, be it to turn it away. */
+    public boolean mayTakeClient() {
+        return clients + taken < CROWDED_PART * most + MOST_ACCEPTED;
+    }
+
+    /** Whether one that was taken may be served. */
+    public boolean mayServeClient() {
+        return clients <= CROWDED_PART * most;
+    }
+
+    /** Whether one that was taken may be kept for further requests. */
     public boolean hasRoomForClient() {
-        return open < most && clients < CLIENT_PART * most;
+        return open - taken <= most && clients <= CLIENT_PART * most;
     }
 
     /** Descriptors that are open now. */
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -20,7 +20,6 @@
 import kitemux.engine.Engine;
 import kitemux.engine.Log;
 import kitemux.engine.Observer;
-import kitemux.engine.Time;
 import kitemux.engine.Transport;
 import kitemux.http.ClientRequest;
 import kitemux.http.ClientServer;
@@ -47,7 +46,9 @@
     private final ClientServer clients;
     private final Discovery discovery;
     private final Engine<ClientRequest, byte[]> engine;
+    private final LoopTime time;
     private Future<?> housekeeping;
+    private Future<?> beating;
 
     /**
      * What a node stands on and may be given anew.
@@ -59,7 +60,7 @@
      * @param module makes the decision module
      * @param transport stands before the servers' connections, or is those themselves
      */
-    public record Parts(Network network, Time time, Log log, Observer observer,
+    public record Parts(Network network, LoopTime time, Log log, Observer observer,
             Function<Balancer.Actions, Balancer> module,
             UnaryOperator<Transport<ClientRequest, byte[]>> transport) {
 
@@ -98,7 +99,8 @@
         engine = new Engine<>(config.settings().maxAttempts, parts.time(), parts.transport().apply(pool),
                 discovery, parts.observer(), log, parts.module());
         clients = new ClientServer(loop, parts.network(), new RequestReader(config.settings()), sockets,
-                engine, log);
+                engine, parts.time(), log);
+        time = parts.time();
     }
 
     /** The module that nodes have, with this configuration's settings and seed. */
@@ -151,6 +153,7 @@
             pool.closeOld();
             clients.closeOld();
         }, HOUSEKEEPING_MS, HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
+        beating = loop.scheduleWithFixedDelay(time::beat, 0, LoopTime.BEAT_MS, TimeUnit.MILLISECONDS);
         return clients.listen(config.listen());
     }
 
@@ -168,6 +171,7 @@
     public void close() {
         loop.execute(() -> {
             housekeeping.cancel(false);
+            beating.cancel(false);
             clients.close();
             pool.close();
             discovery.close();
--- /dev/null
+++ b/src/main/java/kitemux/world/Judge.java
@@ -0,0 +1,209 @@
+package kitemux.world;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import kitemux.Balancer.Group;
+import kitemux.Balancer.Repeat;
+import kitemux.Balancer.RequestClass;
+import kitemux.Balancer.Settings;
+
+/**
+ * Holds what servers, clients and discovery saw against the rules. It shares no code with the node: it knows
+ * requests, connections and lists, and no engine, module or codec.
+ */
+final class Judge {
+    /** By the protocol each time limit on sockets is so much longer. */
+    private static final long LONGER_US = 50_000;
+    /** After the client's deadline an answer still counts for so long. */
+    private static final long GRACE_TO_ANSWER_US = 8_000;
+    /** What a cold server stands beyond its budget, as a share of it: chance. */
+    private static final double COLD_SLACK = 0.15;
+    /** Share of the work that must have come from nodes that knew of the start, for it to be their fault. */
+    private static final double FROM_TOLD = 2.0 / 3;
+    private static final int MOST_BREACHES = 20;
+
+    private final Scheduler time;
+    private final Tape tape;
+    private final Settings settings;
+    private final List<Breach> breaches = new ArrayList<>();
+    private final Map<String, Ask> asks = new HashMap<>();
+    /** Attempts that are with servers and whose answer is not at the node's machine yet. */
+    private final List<Ask.Run> out = new ArrayList<>();
+    int served;
+    int refused;
+    int failed;
+    int lostWithNodes;
+
+    Judge(Scheduler time, Tape tape, Settings settings) {
+        this.time = time;
+        this.tape = tape;
+        this.settings = settings;
+    }
+
+    List<Breach> breaches() {
+        return breaches;
+    }
+
+    void breach(Rule rule, String what) {
+        tape.note(Tape.What.BREACH, rule.ordinal(), breaches.size());
+        Breach breach = new Breach(rule, time.steps(), time.now() / 1e6, what);
+        if (tape.isOn()) {
+            tape.line(Tape.What.BREACH, breach.toString());
+        }
+        if (breaches.size() < MOST_BREACHES) {
+            breaches.add(breach);
+        }
+    }
+
+    // ---------------------------------------------------------------- clients
+
+    void asked(Ask ask) {
+        asks.put(ask.txn, ask);
+    }
+
+    /** When the answer to a request that was sent now is due at the latest, in nanoseconds. */
+    static long dueAt(Ask ask) {
+        return ask.sentAt + (ask.remainingUs + LONGER_US + GRACE_TO_ANSWER_US) * 1_000;
+    }
+
+    /** A whole answer has come; the writing of its last byte is known from the network. */
+    void answered(Ask ask, Messages.Message answer) {
+        int status = answer.status();
+        ask.status = status;
+        ask.answerSentAt = answer.lastSentAt();
+        ask.answeredAt = time.now();
+        tape.note(Tape.What.ANSWER, ask.number, status);
+        if (tape.isOn()) {
+            tape.line(Tape.What.ANSWER, ask + " " + status);
+        }
+        if (status == 200) {
+            served++;
+            if (ask.made.stream().noneMatch(made -> Arrays.equals(made, answer.body()))) {
+                breach(Rule.ANSWERED, ask + " was served with what no server made for it");
+            }
+        } else if (status == 429 || status == 503) {
+            refused++;
+            String after = answer.header("retry-after");
+            if (after != null && Double.parseDouble(after) * 1e6 > settings.maxRetryAfterUs) {
+                breach(Rule.UNCHANGED, ask + " is to come back after " + after + " s");
+            }
+            for (Ask.Run run : ask.runs) {
+                checkRefusal(ask, run);
+            }
+        } else {
+            failed++;
+            if (status < 500) {
+                breach(Rule.UNCHANGED, ask + " is well formed and was turned down with " + status);
+            }
+        }
+    }
+
+    private void checkRefusal(Ask ask, Ask.Run run) {
+        RequestClass cls = ask.cls;
+        boolean harmless = cls.repeat() == Repeat.SAFE
+                || cls.repeat() == Repeat.KEYED && cls.group() == Group.ALL;
+        if (!harmless && run.mayHaveRun(ask.answerSentAt)) {
+            breach(Rule.EFFECTS, ask + " was refused though it may have run at " + run.box);
+        }
+    }
+
+    /** No whole answer, though one was due or its connection has ended. */
+    void lost(Ask ask, String how) {
+        breach(Rule.ANSWERED, ask + " " + how);
+    }
+
+    // ---------------------------------------------------------------- servers
+
+    /** The try that a request at a server belongs to; null if no client sent it in this form. */
+    Ask askOf(Messages.Message request) {
+        Ask ask = asks.get(String.valueOf(request.header("x-txn")));
+        if (ask == null) {
+            breach(Rule.UNCHANGED, "a server was asked for " + request.start() + " that no client sent");
+            return null;
+        }
+        if (!request.start().equals(ask.what + " HTTP/1.1") || !Arrays.equals(request.body(), ask.body)
+                || !Objects.equals(ask.idempotencyKey, request.header("idempotency-key"))) {
+            breach(Rule.UNCHANGED, ask + " came to a server changed: " + request.start());
+        }
+        return ask;
+    }
+
+    /** A request came to a server whole. */
+    void arrived(Ask ask, Ask.Run run, NodeHost from) {
+        RequestClass cls = ask.cls;
+        if (ask.isAnswered() && run.sentAt > ask.answeredAt) {
+            breach(Rule.ANSWERED, ask + " was sent to " + run.box + " after its final answer");
+        }
+        if (ask.status == 429 || ask.status == 503) {
+            checkRefusal(ask, run);
+        }
+        if (ask.runs.size() >= settings.maxAttempts) {
+            breach(Rule.EFFECTS, ask + " was sent more than " + settings.maxAttempts + " times");
+        }
+        for (Ask.Run earlier : ask.runs) {
+            if (!earlier.mayHaveRun(run.sentAt)) {
+                continue;
+            }
+            if (cls.repeat() == Repeat.UNSAFE) {
+                breach(Rule.EFFECTS, ask + " was sent to " + run.box + " though it may have run at "
+                        + earlier.box);
+            } else if (cls.repeat() == Repeat.KEYED && cls.group() == Group.CELL
+                    && earlier.box.cell != run.box.cell) {
+                breach(Rule.EFFECTS, ask + " was repeated at " + run.box + ", outside the group of "
+                        + earlier.box);
+            } else if (cls.repeat() == Repeat.KEYED
+                    && run.sentAt - earlier.sentAt > (cls.windowUs() + LONGER_US) * 1_000) {
+                breach(Rule.EFFECTS, ask + " was repeated " + (run.sentAt - earlier.sentAt) / 1_000_000
+                        + " ms after it was sent to " + earlier.box);
+            }
+            if (!settings.secondCopies && !earlier.answerHeard && !earlier.end.peer.closed
+                    && !earlier.end.peer.resetIn && !earlier.end.closed) {
+                breach(Rule.EFFECTS, ask + " was at " + earlier.box + " and " + run.box + " at once");
+            }
+        }
+        Long told = from.toldGone(run.box.uid);
+        if (told != null && run.sentAt > told + (settings.drainGraceUs + LONGER_US) * 1_000) {
+            breach(Rule.DRAINS, ask + " was sent to " + run.box + " " + (run.sentAt - told) / 1_000_000
+                    + " ms after " + from + " was told that it drains or has gone");
+        }
+        ask.runs.add(run);
+        out.add(run);
+    }
+
+    /**
+     * Work came to a server that is not warm yet.
+     *
+     * @param sentUs what was sent to it in the span
+     * @param fromToldUs the part that came from nodes that knew of its start
+     * @param budgetUs what it can do in that span as it is now
+     * @return whether it falls over
+     */
+    boolean fallsOver(Box box, double sentUs, double fromToldUs, double budgetUs, double largestUs) {
+        if (sentUs <= settings.fallMultiple * budgetUs * (1 + COLD_SLACK) + largestUs) {
+            return false;
+        }
+        if (fromToldUs >= FROM_TOLD * sentUs) {
+            breach(Rule.COLD, box + " was sent " + Math.round(sentUs / 1_000) + " ms of work in "
+                    + settings.fallUs / 1_000 + " ms, in which it can do " + Math.round(budgetUs / 1_000));
+        }
+        return true;
+    }
+
+    // ---------------------------------------------------------------- what is out
+
+    /** Attempts of a node that are with servers, unanswered, on connections that its process has open. */
+    int outOf(Machine node) {
+        out.removeIf(run -> run.answerHeard || run.end.closed || run.end.resetIn || run.end.peer.closed
+                || run.end.peer.resetIn);
+        int count = 0;
+        for (Ask.Run run : out) {
+            count += run.end.peer.machine == node ? 1 : 0;
+        }
+        return count;
+    }
+}
--- a/src/test/java/kitemux/node/BacklogTest.java
+++ b/src/test/java/kitemux/node/BacklogTest.java
@@ -1,6 +1,7 @@
 package kitemux.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
@@ -13,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
 
 import org.junit.jupiter.api.Test;
 
@@ -130,4 +132,55 @@
             assertEquals(200, Http.read(longest.getInputStream()).status());
         }
     }
+
+    /** Lets the loop stand still for so long, from now on. */
+    private static void stall(EventLoop loop, long ms) throws InterruptedException {
+        CountDownLatch standing = new CountDownLatch(1);
+        loop.execute(() -> {
+            standing.countDown();
+            long until = System.nanoTime() + ms * 1_000_000;
+            while (System.nanoTime() < until) {
+                LockSupport.parkNanos(until - System.nanoTime());
+            }
+        });
+        standing.await();
+    }
+
+    @Test
+    void aRequestsTimeRunsWhileItLiesUnread() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            Socket kept = site.connect();
+            assertEquals(200, Site.ask(kept, Http.page("before")).status());
+            stall(site.loop, 700);
+            Site.write(kept, Http.page("/api/p", "on a connection that was there", "400m"));
+            Socket fresh = site.connect();
+            Site.write(fresh, Http.page("/api/p", "on a new one", "400m"));
+            assertEquals(503, Http.read(kept.getInputStream()).status());
+            assertEquals(503, Http.read(fresh.getInputStream()).status());
+            assertEquals(1, server.requests.size(), "nobody waits for the answers any more");
+            assertEquals(200, Site.ask(kept, Http.page("after")).status());
+        }
+    }
+
+    @Test
+    void whoComesBeforeTheListenerClosesIsServedHoweverFarBehindTheLoopIs() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+            site.sockets = 1_024;
+            site.start(server);
+            CountDownLatch drained = new CountDownLatch(1);
+            site.node.drain(drained::countDown);
+            // Past the time at which the listener closes; more come meanwhile than are taken in one turn.
+            stall(site.loop, 900);
+            List<Socket> clients = new ArrayList<>();
+            for (int i = 0; i < 150; i++) {
+                Socket client = site.connect();
+                Site.write(client, Http.page("/api/p", "t" + i, "5000m"));
+                clients.add(client);
+            }
+            for (Socket client : clients) {
+                assertEquals(200, Http.read(client.getInputStream()).status());
+            }
+            assertTrue(drained.await(20, TimeUnit.SECONDS));
+        }
+    }
 }
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -10,6 +10,9 @@
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -382,6 +385,36 @@
         }
     }
 
+    @Test
+    void whoComesBeyondWhatThereIsRoomForIsAnsweredAll() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (FarServer server = FarServer.servingFrom(answer, "x"); Site site = Site.quiet()) {
+            // Room for 19 that stay and 24 that are served.
+            site.sockets = 128;
+            site.start(server);
+            List<Socket> clients = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                Socket client = site.connect();
+                Site.write(client, Http.page("/api/p", "t" + i, "4000m"));
+                clients.add(client);
+            }
+            // Those beyond are turned away at once, the rest has to wait for the server.
+            Http.Message last = Http.read(clients.get(59).getInputStream());
+            assertEquals(503, last.status());
+            assertEquals("0.25", last.headers().get("retry-after"));
+            assertEquals("close", last.headers().get("connection"));
+            answer.countDown();
+            Map<Integer, Integer> answers = new TreeMap<>();
+            for (Socket client : clients.subList(0, 59)) {
+                answers.merge(Http.read(client.getInputStream()).status(), 1, Integer::sum);
+            }
+            assertEquals(59, answers.values().stream().mapToInt(n -> n).sum(),
+                    "each has its answer: " + answers);
+            assertEquals(Set.of(200, 503), answers.keySet());
+            assertEquals(200, site.ask(Http.page("afterwards")).status());
+        }
+    }
+
     @Test
     void refusalsSayWhenToComeBack() throws Exception {
         try (FarServer server = new FarServer((request, peer) ->
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -61,6 +61,36 @@
         }
     }
 
+    @Test
+    void anOlderListTakesNothingBackUntilItsPlaceHasCaughtUp() throws Exception {
+        try (Site site = Site.quiet()) {
+            BlockingQueue<String> told = new LinkedBlockingQueue<>();
+            Discovery discovery = watch(site, Discovery.MOST_SILENCE_US, told);
+            FarServer.Peer peer = FarServer.next(site.discovery.peers);
+            peer.write(Site.chunk(Site.list(45, true, "s0=10.0.0.1:80=Terminating") + "\n"));
+            assertEquals("45 all 1", FarServer.next(told));
+            peer.socket().close();
+            assertEquals("failed", FarServer.next(told));
+            site.loop.execute(discovery::subscribe);
+            peer = FarServer.next(site.discovery.peers);
+            // It was down and knows less: that the server is ready is what was before it drained.
+            peer.write(Site.chunk(Site.list(43, true, ENTRY) + "\n" + Site.list(44, false, ENTRY) + "\n"));
+            assertEquals("45 changes 0", FarServer.next(told), "the call has its answer");
+            peer.write(Site.chunk(Site.list(46, false, ENTRY, "s1=10.0.0.2:80=Ready") + "\n"));
+            assertEquals("46 changes 2", FarServer.next(told));
+        }
+    }
+
+    @Test
+    void aListThatANodeBeganWithMayBeFromAnotherPlace() throws Exception {
+        try (Site site = Site.quiet()) {
+            BlockingQueue<String> told = new LinkedBlockingQueue<>();
+            watch(site, Discovery.MOST_SILENCE_US, told);
+            FarServer.next(site.discovery.peers).write(Site.chunk(Site.list(7, true, ENTRY) + "\n"));
+            assertEquals("7 all 1", FarServer.next(told), "though it began with 41");
+        }
+    }
+
     @Test
     void aBeatAsTheFirstWordSaysThatNothingHasChanged() throws Exception {
         try (Site site = Site.quiet()) {
