--- a/src/main/java/kitemux/world/Box.java
+++ b/src/main/java/kitemux/world/Box.java
@@ -173,7 +173,6 @@
 
         private void got(Messages.Message request) {
             if (request.start().equals("GET /alive HTTP/1.1")) {
-                world.probes++;
                 end.write(Messages.write("HTTP/1.1 200 OK", "", new byte[0]));
                 return;
             }
--- a/src/main/java/kitemux/world/Clients.java
+++ b/src/main/java/kitemux/world/Clients.java
@@ -442,9 +442,6 @@
                 return;
             }
             ask.over = true;
-            if (killed) {
-                world.judge.lostWithNodes++;
-            }
             if (taken && !last) {
                 world.judge.lost(ask, "was taken, and its connection #" + end.connection
                         + " ended with no whole answer");
--- a/src/main/java/kitemux/world/Fabric.java
+++ b/src/main/java/kitemux/world/Fabric.java
@@ -6,6 +6,9 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 
+import kitemux.config.ConfigException;
+import kitemux.net.Addresses;
+
 /** The network between the machines: ways that take time, and what may go wrong on them. */
 final class Fabric {
     /** Shortest way, and the mean of what comes on top, in nanoseconds: one server room. */
@@ -35,7 +38,7 @@
     }
 
     Machine add(String name, int number, String address) {
-        Machine machine = new Machine(name, number, Addresses.of(address));
+        Machine machine = new Machine(name, number, address(address));
         machines.put(machine.address, machine);
         return machine;
     }
@@ -176,23 +179,12 @@
         }
     }
 
-    /** Addresses without a look-up. */
-    static final class Addresses {
-        private Addresses() { }
-
-        static InetSocketAddress of(String text) {
-            int colon = text.lastIndexOf(':');
-            String[] parts = text.substring(0, colon).split("\\.");
-            byte[] ip = new byte[parts.length];
-            for (int i = 0; i < ip.length; i++) {
-                ip[i] = (byte) Integer.parseInt(parts[i]);
-            }
-            try {
-                return new InetSocketAddress(java.net.InetAddress.getByAddress(ip),
-                        Integer.parseInt(text.substring(colon + 1)));
-            } catch (java.net.UnknownHostException e) {
-                throw new IllegalArgumentException(text, e);
-            }
+    /** An address as plans write it. */
+    static InetSocketAddress address(String text) {
+        try {
+            return Addresses.read("address", text);
+        } catch (ConfigException e) {
+            throw new IllegalArgumentException(e);
         }
     }
 }
--- a/src/main/java/kitemux/world/Judge.java
+++ b/src/main/java/kitemux/world/Judge.java
@@ -37,7 +37,6 @@
     int served;
     int refused;
     int failed;
-    int lostWithNodes;
 
     Judge(Scheduler time, Tape tape, Settings settings) {
         this.time = time;
--- a/src/main/java/kitemux/world/NodeHost.java
+++ b/src/main/java/kitemux/world/NodeHost.java
@@ -78,10 +78,6 @@
         return node != null;
     }
 
-    boolean isDraining() {
-        return draining;
-    }
-
     // ---------------------------------------------------------------- its life
 
     void start() {
@@ -93,7 +89,7 @@
         for (ListServer.Entry e : known.values()) {
             ServerState state = e.state().equals("Ready") ? ServerState.READY : ServerState.DRAINING;
             hosts.add(new HostList.Host(new ServerEntry(e.uid(), 0, e.cell(), state, 1, e.bootMs() * 1_000),
-                    Fabric.Addresses.of(e.endpoint())));
+                    Fabric.address(e.endpoint())));
             if (state == ServerState.DRAINING) {
                 gone.put(e.uid(), world.time.now());
             }
--- a/src/main/java/kitemux/world/World.java
+++ b/src/main/java/kitemux/world/World.java
@@ -42,7 +42,6 @@
     private final SplittableRandom chance;
     private long listDelayMs;
     private double burst = 1;
-    int probes;
 
     /**
      * What became of a world.
