--- a/src/main/java/kitemux/bench/StartBench.java
+++ b/src/main/java/kitemux/bench/StartBench.java
@@ -12,15 +12,18 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 
+import kitemux.config.ClassArchive;
 import kitemux.standin.BoxServer;
 
 /**
@@ -40,6 +43,8 @@
     private final String pin;
     private final boolean half;
     private final PrintStream out;
+    /** The archives that builds were told of and did not use. */
+    private final Set<Path> slowed = new LinkedHashSet<>();
 
     /**
      * A run.
@@ -59,7 +64,6 @@
 
     /** One start. */
     private record Start(double cpuS, double wallS, double inTime, double p50Us, double p99Us) { }
-
     /** Measures and prints a table; ends all that it started. */
     public void run() throws IOException, InterruptedException {
         EventLoopGroup loops = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
@@ -97,7 +101,7 @@
         }
     }
 
-    private static Start start(Processes processes, Path jar, List<BoxServer> boxes, Path folder,
+    private Start start(Processes processes, Path jar, List<BoxServer> boxes, Path folder,
             EventLoopGroup loops) throws IOException, InterruptedException {
         InetSocketAddress listen = Processes.freeAddress();
         ProcessBuilder builder = processes.nodeBuilder(jar, listen, boxes, folder)
@@ -113,6 +117,8 @@
             }
             double wallS = (System.nanoTime() - began) / 1e9;
             double cpuS = cpuS(process.pid());
+            Path proc = Path.of("/proc", Long.toString(process.pid()));
+            ClassArchive.unused(proc).ifPresent(slowed::add);
             long[] first = Load.first(loops, listen, CONNECTIONS, FIRST_REQUESTS);
             long inTime = Arrays.stream(first).filter(nanos -> nanos <= IN_TIME_US * 1e3).count();
             return new Start(cpuS, wallS, (double) inTime / FIRST_REQUESTS, Load.at(first, 0.5),
@@ -141,6 +147,7 @@
     }
 
     private void print(Map<Path, List<Start>> all) {
+        slowed.forEach(archive -> out.println("not in use, so that its build is held back: " + archive));
         out.printf("%d starts of each in turn, %s, %s; median and worst%n", starts,
                 pin.isEmpty() ? "not pinned" : "pinned to " + pin, half ? "half a core" : "the core alone");
         out.printf("%-28s %15s %15s %15s %19s %19s %s%n", "", "CPU s", "wall s", "in time", "p50 us",
--- a/src/main/java/kitemux/discovery/Discovery.java
+++ b/src/main/java/kitemux/discovery/Discovery.java
@@ -7,8 +7,6 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -31,6 +29,7 @@
 import io.netty.util.concurrent.Future;
 
 import kitemux.config.ConfigException;
+import kitemux.config.Json;
 import kitemux.engine.Lists;
 import kitemux.engine.Log;
 import kitemux.net.HostList;
@@ -62,7 +61,6 @@
     private final Listener listener;
     private final Log log;
     private final Bootstrap dialer;
-    private final ObjectMapper json = new ObjectMapper();
     private InetSocketAddress address;
     private long rev;
     /** Whether the version is one of this place's, so that a watch can go on from it. */
@@ -227,7 +225,7 @@
                     // A beat. As the first word it says that nothing has changed: the call has its answer.
                     list = told || !revIsOfHere ? null : new HostList(rev, false, List.of());
                 } else {
-                    list = HostListReader.read(json.readTree(whole), zones, "");
+                    list = HostListReader.read(Json.read(whole), zones, "");
                 }
             } catch (IOException | ConfigException e) {
                 broken("bad line: " + e.getMessage());
--- a/src/main/java/kitemux/discovery/HostListReader.java
+++ b/src/main/java/kitemux/discovery/HostListReader.java
@@ -4,11 +4,10 @@
 import java.util.ArrayList;
 import java.util.List;
 
-import com.fasterxml.jackson.databind.JsonNode;
-
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.config.ConfigException;
+import kitemux.config.Json;
 import kitemux.net.Addresses;
 import kitemux.net.HostList;
 
@@ -22,27 +21,27 @@
      * @param at where it stands, for the message: empty, or a name and a dot
      * @throws ConfigException if it is not in discovery's form; the message names the field
      */
-    public static HostList read(JsonNode list, List<String> zones, String at) throws ConfigException {
-        JsonNode targets = list.path("targets");
-        if (!list.path("rev").isIntegralNumber()) {
+    public static HostList read(Json list, List<String> zones, String at) throws ConfigException {
+        Json targets = list.path("targets");
+        if (!list.path("rev").isWhole()) {
             throw new ConfigException(at + "rev", "is missing or not a whole number");
         }
-        if (!targets.isArray()) {
+        if (!targets.isList()) {
             throw new ConfigException(at + "targets", "is missing or not a list");
         }
-        List<HostList.Host> hosts = new ArrayList<>(targets.size());
-        for (JsonNode target : targets) {
+        List<HostList.Host> hosts = new ArrayList<>(targets.values().size());
+        for (Json target : targets) {
             hosts.add(host(target, zones, at + "targets[" + hosts.size() + "]."));
         }
-        return new HostList(list.path("rev").asLong(), list.path("all").asBoolean(), hosts);
+        return new HostList(list.path("rev").whole(0), list.path("all").flag(), hosts);
     }
 
-    private static HostList.Host host(JsonNode target, List<String> zones, String at) throws ConfigException {
-        String id = target.path("uid").asText();
+    private static HostList.Host host(Json target, List<String> zones, String at) throws ConfigException {
+        String id = target.path("uid").text();
         if (id.isEmpty()) {
             throw new ConfigException(at + "uid", "is missing");
         }
-        ServerState state = switch (target.path("state").asText()) {
+        ServerState state = switch (target.path("state").text()) {
             case "Ready" -> ServerState.READY;
             case "Terminating" -> ServerState.DRAINING;
             case "Gone" -> ServerState.GONE;
@@ -50,11 +49,11 @@
         };
         // A server that has gone needs no address; word of it must not be lost for want of one.
         InetSocketAddress endpoint = state == ServerState.GONE ? null
-                : Addresses.read(at + "endpoint", target.path("endpoint").asText());
+                : Addresses.read(at + "endpoint", target.path("endpoint").text());
         // Boot times may lie some milliseconds off ours; the module's clock is Unix time too.
-        ServerEntry entry = new ServerEntry(id, zones.indexOf(target.path("az").asText()),
-                target.path("pod_group").asInt(0), state, target.path("capacity_hint").asDouble(1),
-                target.path("boot_ms").asLong(0) * 1_000);
+        ServerEntry entry = new ServerEntry(id, zones.indexOf(target.path("az").text()),
+                (int) target.path("pod_group").whole(0), state, target.path("capacity_hint").decimal(1),
+                target.path("boot_ms").whole(0) * 1_000);
         return new HostList.Host(entry, endpoint);
     }
 }
--- a/src/main/java/kitemux/http/RequestReader.java
+++ b/src/main/java/kitemux/http/RequestReader.java
@@ -21,6 +21,8 @@
     /** In which requests that hold connections now are mostly answered. */
     private static final long CROWDED_US = 500_000;
     private static final double MOST_LEFT_US = 3.6e9;
+    /** Of a number, so that none costs more to read than it is worth. */
+    private static final int MOST_DIGITS = 20;
 
     private final Settings settings;
     private final Map<String, Integer> classes = new HashMap<>();
@@ -83,7 +85,7 @@
         return new ClientRequest(message.method(), message.uri(), txn, idempotencyKey,
                 body, classIndex,
                 tenant == null ? -1 : tenants.getOrDefault(tenant, -1),
-                Math.max(0, left(need(message, "X-Remaining")) - agoUs),
+                Math.max(0, left(need(message, "X-Remaining")) - agoUs), agoUs,
                 work(one(message, "X-Estimate")), "1".equals(one(message, "X-Resent")),
                 key.isEmpty() ? null : key);
     }
@@ -122,9 +124,19 @@
         return text == null ? 0 : (long) number(text, "X-Estimate");
     }
 
+    private static boolean isPlain(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c != '.' && (c < '0' || c > '9')) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static double number(String text, String name) throws BadRequestException {
         // Not all that Double.parseDouble takes: it reads 1f, 0x1p3, NaN and blanks too.
-        if (text.matches("[0-9.]{1,20}")) {
+        if (text.length() <= MOST_DIGITS && isPlain(text)) {
             try {
                 return Double.parseDouble(text);
             } catch (NumberFormatException e) {
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -1,5 +1,7 @@
 package kitemux.node;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -15,6 +17,7 @@
 import kitemux.Balancer;
 import kitemux.Balancer.ListKind;
 import kitemux.ServiceQBalancer;
+import kitemux.config.ClassArchive;
 import kitemux.config.ConfigException;
 import kitemux.discovery.Discovery;
 import kitemux.engine.Engine;
@@ -120,6 +123,7 @@
         EventLoop loop = newLoop();
         Node node = new Node(config, loop, log);
         Reload.onHangUp(env, node, log);
+        log.line("warming up");
         Rehearsal.play(config, loop, log);
         ChannelFuture listening = node.start().awaitUninterruptibly();
         if (!listening.isSuccess()) {
@@ -135,9 +139,21 @@
                 Thread.currentThread().interrupt();
             }
         }, "drain"));
+        tellOfUnusedArchive(log);
         log.line("listening on " + config.listen());
     }
 
+    /** To be called once clients can connect: the start that was slow by it is over. */
+    private static void tellOfUnusedArchive(Log log) {
+        try {
+            ClassArchive.unused(Path.of("/proc/self")).ifPresent(archive -> log.line("the class archive "
+                    + archive + " is missing, or was made from another jar or by another JVM: starts take "
+                    + "more than need be until it is made anew"));
+        } catch (IOException e) {
+            // Not on this system: nothing is known of it, and nothing but the word is lost.
+        }
+    }
+
     static EventLoop newLoop() {
         return (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     }
--- a/src/main/java/kitemux/node/NodeConfig.java
+++ b/src/main/java/kitemux/node/NodeConfig.java
@@ -1,18 +1,17 @@
 package kitemux.node;
 
-import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-
 import kitemux.Balancer.Settings;
 import kitemux.config.ConfigException;
+import kitemux.config.Json;
 import kitemux.config.SettingsReader;
 import kitemux.discovery.HostListReader;
 import kitemux.net.Addresses;
@@ -41,30 +40,34 @@
         if (path.isEmpty()) {
             throw new ConfigException("PROXY_CONFIG", "is not set");
         }
-        JsonNode json;
+        byte[] text;
         try {
-            json = new ObjectMapper().readTree(new File(path));
-        } catch (JsonProcessingException e) {
-            throw new ConfigException("PROXY_CONFIG", "is not JSON: " + e.getOriginalMessage());
-        } catch (IOException e) {
+            text = Files.readAllBytes(Path.of(path));
+        } catch (IOException | InvalidPathException e) {
             throw new ConfigException("PROXY_CONFIG", "cannot be read: " + e.getMessage());
         }
-        if (!json.isObject() || !json.path("settings").isObject()) {
+        Json json;
+        try {
+            json = Json.read(text);
+        } catch (IOException e) {
+            throw new ConfigException("PROXY_CONFIG", "is not JSON: " + e.getMessage());
+        }
+        if (!json.path("settings").isObject()) {
             throw new ConfigException("settings", "is missing or not an object");
         }
-        Settings settings = settings(json.get("settings"));
-        JsonNode sockets = json.path("limits").path("sockets");
-        if (!sockets.canConvertToInt() || sockets.asInt() < LEAST_SOCKETS) {
+        Settings settings = settings(json.path("settings"));
+        long sockets = json.path("limits").path("sockets").whole(0);
+        if (sockets < LEAST_SOCKETS || sockets > Integer.MAX_VALUE) {
             throw new ConfigException("limits.sockets", "is missing or under " + LEAST_SOCKETS);
         }
-        long idle = json.path("settings").path("limits").path("connIdleUs").asLong(DEFAULT_CONN_IDLE_US);
+        long idle = json.path("settings").path("limits").path("connIdleUs").whole(DEFAULT_CONN_IDLE_US);
         if (idle <= 0) {
             throw new ConfigException("settings.limits.connIdleUs", "is not above 0");
         }
-        String listen = env.getOrDefault("PROXY_LISTEN", json.path("listen").asText());
-        String discovery = env.getOrDefault("PROXY_DISCOVERY", json.path("discovery").asText());
+        String listen = env.getOrDefault("PROXY_LISTEN", json.path("listen").text());
+        String discovery = env.getOrDefault("PROXY_DISCOVERY", json.path("discovery").text());
         return new NodeConfig(Addresses.read("listen", listen), Addresses.read("discovery", discovery),
-                seed(json.path("seed").asText()), sockets.asInt(), idle, known(json, settings.zones),
+                seed(json.path("seed").text()), (int) sockets, idle, known(json, settings.zones),
                 settings);
     }
 
@@ -75,7 +78,7 @@
         return read(now);
     }
 
-    private static Settings settings(JsonNode json) throws ConfigException {
+    private static Settings settings(Json json) throws ConfigException {
         Map<String, String> flat = new HashMap<>();
         flatten("", json, flat);
         try {
@@ -90,21 +93,25 @@
     }
 
     /** Dotted names as on the simulator's wire: objects in a list are numbered and counted. */
-    private static void flatten(String path, JsonNode json, Map<String, String> flat) {
+    private static void flatten(String path, Json json, Map<String, String> flat) {
         String prefix = path.isEmpty() ? "" : path + ".";
         if (json.isObject()) {
-            json.properties().forEach(field -> flatten(prefix + field.getKey(), field.getValue(), flat));
-        } else if (json.isArray() && json.path(0).isObject()) {
-            flat.put(prefix + "count", Integer.toString(json.size()));
-            for (int i = 0; i < json.size(); i++) {
-                flatten(prefix + i, json.get(i), flat);
+            for (Map.Entry<String, Json> field : json.fields().entrySet()) {
+                flatten(prefix + field.getKey(), field.getValue(), flat);
+            }
+        } else if (json.isList() && !json.values().isEmpty() && json.values().get(0).isObject()) {
+            flat.put(prefix + "count", Integer.toString(json.values().size()));
+            for (int i = 0; i < json.values().size(); i++) {
+                flatten(prefix + i, json.values().get(i), flat);
             }
-        } else if (json.isArray()) {
+        } else if (json.isList()) {
             StringBuilder values = new StringBuilder();
-            json.forEach(value -> values.append(values.isEmpty() ? "" : ",").append(value.asText()));
+            for (Json value : json) {
+                values.append(values.isEmpty() ? "" : ",").append(value.text());
+            }
             flat.put(path, values.toString());
-        } else if (!json.isNull()) {
-            flat.put(path, json.asText());
+        } else if (!json.isMissing()) {
+            flat.put(path, json.text());
         }
     }
 
@@ -120,11 +127,10 @@
                 connIdleUs, servers, apart);
     }
 
-    private static HostList known(JsonNode json, List<String> zones) throws ConfigException {
-        if (!json.hasNonNull("known")) {
-            return new HostList(0, true, List.of());
-        }
-        return HostListReader.read(json.get("known"), zones, "known.");
+    private static HostList known(Json json, List<String> zones) throws ConfigException {
+        Json known = json.path("known");
+        return known.isMissing() ? new HostList(0, true, List.of())
+                : HostListReader.read(known, zones, "known.");
     }
 
     private static long seed(String text) throws ConfigException {
--- a/src/main/java/kitemux/node/Rehearsal.java
+++ b/src/main/java/kitemux/node/Rehearsal.java
@@ -34,11 +34,12 @@
  * time in the first second, and requests ran out of time unanswered.
  */
 final class Rehearsal {
-    /** Past the compiler's threshold of 200 calls, so that what serves a request is compiled and not only
-     * loaded. A node that begins cold under full load uses up its share of the core: its turns last 100 ms
-     * and more, and clients that give up and ask again make it more work. With half as many a node alone was
-     * ready half a second sooner and lost more than that by it. */
-    static final int REQUESTS = 250;
+    /** So many that what serves a request is compiled and not only loaded, by the thresholds that
+     * deploy/compile-commands sets (50 calls for this program and its library), and the compiler is through
+     * with what it was given. A node that begins cold under full load uses up its share of the core: its
+     * turns last 100 ms and more, and clients that give up and ask again make it more work. With 64 a node
+     * was ready sooner by a tenth of its CPU, the compiler still behind, and lost more than that by it. */
+    static final int REQUESTS = 128;
     private static final int CLIENTS = 4;
     /** Bytes of each body, and where a status begins in an answer. */
     private static final int BODY = 64;
@@ -111,8 +112,7 @@
         public void channelRead(ChannelHandlerContext context, Object message) {
             ByteBuf bytes = (ByteBuf) message;
             come = come.isReadable() ? Unpooled.wrappedBuffer(come, bytes) : bytes;
-            int head = headLength();
-            if (head < 0 || come.readableBytes() < head + bodyLength(come)) {
+            if (!endsHead(come.writerIndex() - bodyLength(come))) {
                 return;
             }
             ByteBuf whole = come;
@@ -121,17 +121,13 @@
             whole.release();
         }
 
-        /** Up to and with the blank line; negative if that has not come. */
-        private int headLength() {
-            for (int i = come.readerIndex() + 3; i < come.writerIndex(); i++) {
-                if (come.getByte(i) == '\n' && come.getByte(i - 2) == '\n') {
-                    return i + 1 - come.readerIndex();
-                }
-            }
-            return -1;
+        /** Whether a blank line ends here. Only there is it looked for: cold code searches slowly. */
+        private boolean endsHead(int at) {
+            return at >= come.readerIndex() + 4 && come.getByte(at - 1) == '\n'
+                    && come.getByte(at - 3) == '\n';
         }
 
-        /** Of a message whose head has come. */
+        /** Of a message of which the first bytes have come. */
         abstract int bodyLength(ByteBuf message);
 
         abstract void came(ChannelHandlerContext context, ByteBuf message);
@@ -172,7 +168,8 @@
         }
 
         private boolean isServed(ByteBuf answer) {
-            return answer.getByte(answer.readerIndex() + STATUS_AT) == '2';
+            return answer.readableBytes() > STATUS_AT
+                    && answer.getByte(answer.readerIndex() + STATUS_AT) == '2';
         }
 
         @Override
--- a/src/main/java/kitemux/world/Scenario.java
+++ b/src/main/java/kitemux/world/Scenario.java
@@ -38,6 +38,61 @@
                             random.nextDouble())));
         }
     },
+    /** A second node stops taking connections before the first is back. */
+    NODES_OVERLAP_IN_RESTART {
+        @Override
+        Plan plan(long seed) {
+            Plan drawn = Plan.draw(seed);
+            Plan plan = drawn.like(2, drawn.leaving(), drawn.secondCopies(), drawn.group(), drawn.windowUs());
+            SplittableRandom random = random(seed);
+            long at = plan.lengthMs() / 4;
+            return plan.with(List.of(
+                    new Fault(Kind.NODE_TERMINATED, at, 100 + random.nextInt(400), 1, 0),
+                    new Fault(Kind.NODE_TERMINATED, at + random.nextInt((int) plan.startMs()),
+                            100 + random.nextInt(400), 1, 0.9)));
+        }
+    },
+    /** The only node ends in good order, and later with none. */
+    LONE_NODE_RESTARTS {
+        @Override
+        Plan plan(long seed) {
+            Plan drawn = Plan.draw(seed);
+            Plan plan = drawn.like(1, drawn.leaving(), drawn.secondCopies(), drawn.group(), drawn.windowUs());
+            SplittableRandom random = random(seed);
+            return plan.with(List.of(
+                    new Fault(Kind.NODE_TERMINATED, plan.lengthMs() / 5, 100 + random.nextInt(500), 1, 0),
+                    new Fault(Kind.NODE_KILLED, plan.lengthMs() * 3 / 5, 100 + random.nextInt(500), 1, 0)));
+        }
+    },
+    /** A node starts with a list that names servers which have died or drained since, and nobody tells it. */
+    RESTART_WITH_OLD_LIST {
+        @Override
+        Plan plan(long seed) {
+            Plan plan = Plan.draw(seed);
+            SplittableRandom random = random(seed);
+            long at = plan.lengthMs() / 4;
+            return plan.with(List.of(
+                    new Fault(Kind.LIST_DOWN, at - 500, 1_000 + random.nextInt(4_000), 0.9,
+                            random.nextDouble()),
+                    new Fault(Kind.NODE_KILLED, at, 200 + random.nextInt(800), 1, random.nextDouble()),
+                    new Fault(Kind.BOXES_DIE, at - 300, plan.lengthMs(), 0.22, random.nextDouble()),
+                    new Fault(Kind.BOX_DRAINS, at + 100, 8_000, 1, random.nextDouble())));
+        }
+    },
+    /** A node starts while twice as much is asked as before. */
+    RESTART_INTO_BURST {
+        @Override
+        Plan plan(long seed) {
+            Plan plan = Plan.draw(seed);
+            SplittableRandom random = random(seed);
+            long at = plan.lengthMs() / 4;
+            return plan.with(List.of(
+                    new Fault(random.nextBoolean() ? Kind.NODE_KILLED : Kind.NODE_TERMINATED, at,
+                            200 + random.nextInt(800), 1, random.nextDouble()),
+                    new Fault(Kind.BURST, at - 200, 1_000 + plan.startMs(), 1, 0),
+                    new Fault(Kind.NODE_STALLS, at + plan.startMs(), 1_500, 0.5, 0)));
+        }
+    },
     /** Connections are reset after a request's last byte and before the first of its answer. */
     RESET_BEFORE_ANSWER {
         @Override
--- /dev/null
+++ b/src/test/java/kitemux/config/JsonTest.java
@@ -0,0 +1,83 @@
+package kitemux.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** JSON values as they are read. */
+class JsonTest {
+    private static Json read(String text) throws IOException {
+        return Json.read(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void valuesAreHadByTheirPath() throws IOException {
+        Json json = read("""
+                {"a":{"b":[1,{"c":"\\u00e9"}],"d":true,"e":null},"f":1.5,"g":-7}""");
+        assertEquals("1", json.path("a").path("b").values().get(0).text());
+        assertEquals("é", json.path("a").path("b").values().get(1).path("c").text());
+        assertTrue(json.path("a").path("d").flag());
+        assertTrue(json.path("a").path("e").isMissing());
+        assertEquals(1.5, json.path("f").decimal(0));
+        assertEquals(1, json.path("f").whole(0));
+        assertEquals(-7, json.path("g").whole(0));
+        assertEquals(List.of("a", "f", "g"), List.copyOf(json.fields().keySet()));
+    }
+
+    @Test
+    void whatIsNotThereIsMissingAllTheWayDown() throws IOException {
+        Json missing = read("[1]").path("a").path("b");
+        assertTrue(missing.isMissing());
+        assertFalse(missing.isObject() || missing.isList() || missing.isWhole() || missing.flag());
+        assertEquals("", missing.text());
+        assertEquals(3, missing.whole(3));
+        assertEquals(0.5, missing.decimal(0.5));
+        assertEquals(List.of(), missing.values());
+    }
+
+    @Test
+    void numbersInStringsAreNumbers() throws IOException {
+        Json json = read("{\"n\":\"12\",\"x\":\"1e400\",\"y\":\"NaN\",\"z\":\"twelve\"}");
+        assertEquals(12, json.path("n").whole(0));
+        assertEquals(12, json.path("n").decimal(0));
+        assertEquals(9, json.path("x").decimal(9));
+        assertEquals(9, json.path("y").whole(9));
+        assertEquals(9, json.path("z").whole(9));
+    }
+
+    @Test
+    void onlyWhatALongHoldsIsWhole() throws IOException {
+        Json json = read("[9223372036854775807,9223372036854775808,1.0,\"1\"]");
+        assertEquals(List.of(true, false, false, false), json.values().stream().map(Json::isWhole).toList());
+        assertEquals(Long.MAX_VALUE, json.values().get(0).whole(0));
+    }
+
+    @Test
+    void theLastOfTwoFieldsOfOneNameHolds() throws IOException {
+        assertEquals("2", read("{\"a\":1,\"a\":2}").path("a").text());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", " ", "{", "{\"a\"}", "[1,", "{\"a\":tru}", "nul", "{a:1}", "\"no end"})
+    void whatIsNotJsonIsSaidToBeSo(String text) {
+        String said = assertThrows(IOException.class, () -> read(text)).getMessage();
+        assertTrue(text.isBlank() || said.contains(" at line 1, column "), said);
+        assertFalse(said.contains("\n"), said);
+    }
+
+    @Test
+    void aLineOfBracketsEndsBeforeTheStackDoes() throws IOException {
+        String deepest = "[".repeat(Json.MOST_NESTED) + "]".repeat(Json.MOST_NESTED);
+        assertTrue(read(deepest).isList());
+        assertThrows(IOException.class, () -> read("[".repeat(1_000_000)));
+    }
+}
