--- a/src/main/java/kitemux/bench/Processes.java
+++ b/src/main/java/kitemux/bench/Processes.java
@@ -50,7 +50,7 @@
      * A command of a build, run as its own deployment says and from its own folder: flags, archive and what
      * they name belong to the build as its code does. One that stands alone is run with no flags.
      */
-    private ProcessBuilder java(Path jar, String... arguments) throws IOException {
+    ProcessBuilder java(Path jar, String... arguments) throws IOException {
         List<String> command = new ArrayList<>(pinned());
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         Path root = jar.toAbsolutePath().normalize().getParent().getParent();
--- a/src/main/java/kitemux/cli/Main.java
+++ b/src/main/java/kitemux/cli/Main.java
@@ -42,7 +42,8 @@
     /** The program. */
     @Command(name = "kitemux", mixinStandardHelpOptions = true, version = "kitemux " + Version.TEXT,
             description = "A load-balancing proxy node and what belongs to it.",
-            subcommands = {NodeCommand.class, AdapterCommand.class, FaultsCommand.class, BenchCommand.class})
+            subcommands = {NodeCommand.class, AdapterCommand.class, FaultsCommand.class, BenchCommand.class,
+                OrdersCommand.class})
     static final class Kitemux implements Callable<Integer> {
         @Override
         public Integer call() {
--- a/src/main/java/kitemux/engine/Asked.java
+++ b/src/main/java/kitemux/engine/Asked.java
@@ -25,4 +25,10 @@
 
     /** What it is about, or null. */
     String key();
+
+    /** The client's own key for its effect, or null. */
+    String idempotencyKey();
+
+    /** What it carries; not to be changed. */
+    byte[] body();
 }
--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -35,6 +35,7 @@
     private final Transport<Q, A> transport;
     private final Lists lists;
     private final Observer observer;
+    private final SendGate<Q> gate;
     private final Log log;
     private final Balancer balancer;
 
@@ -80,10 +81,12 @@
      * An engine that has been told nothing.
      *
      * @param maxAttempts most attempts for a request
+     * @param gate stands before each attempt
      * @param module makes the decision module, which is to call the actions that it is given
      */
     public Engine(int maxAttempts, Time time, Transport<Q, A> transport, Lists lists, Observer observer,
-            Log log, Function<Balancer.Actions, Balancer> module) {
+            SendGate<Q> gate, Log log, Function<Balancer.Actions, Balancer> module) {
+        this.gate = gate;
         this.maxAttempts = maxAttempts;
         this.time = time;
         this.transport = transport;
@@ -200,6 +203,8 @@
         private final long untilUs;
         private Time.Timer expiry;
         private boolean over;
+        private Result result;
+        private boolean sent;
         private boolean lookedOnceMore;
 
         Attempt(Held<Q, A> of, int number, String serverId, long untilUs) {
@@ -227,7 +232,30 @@
                 return;
             }
             expiry = time.after(untilUs - sentAtUs, this::expire);
-            transport.start(serverId, this);
+            gate.before(of.id, of.request, number, serverId, () -> transport.endpoint(serverId), untilUs,
+                    this::passed);
+        }
+
+        /** The gate has opened, or is not going to. */
+        private void passed(boolean open) {
+            if (over) {
+                return;
+            }
+            if (open) {
+                sent = true;
+                transport.start(serverId, this);
+            } else {
+                if (!of.ended && of.attempts.stream().noneMatch(Attempt::mayHaveRun)) {
+                    // Nothing of it has been sent anywhere: trying again is harmless, and at once.
+                    end(of, Observer.Answer.REFUSED);
+                    of.client.refused(gate.retryAfterUs());
+                }
+                ended(Result.MOOT, null);
+            }
+        }
+
+        private boolean mayHaveRun() {
+            return sent && (result == null || !result.neverRan);
         }
 
         private void expire() {
@@ -254,36 +282,37 @@
          * server then had for it, that it was over there tells of this node: counted as full or silent,
          * servers with room would lose their share.
          */
-        private Result told(Result result) {
+        private Result told(Result how) {
             if (untilUs < of.deadlineUs || of.request.lateUs() <= untilUs - sentAtUs) {
-                return result;
+                return how;
             }
-            return switch (result) {
+            return switch (how) {
                 case FULL -> Result.MOOT;
                 case TIMEOUT -> Result.CANCELLED;
-                default -> result;
+                default -> how;
             };
         }
 
         @Override
-        public void ended(Result result, A answer) {
+        public void ended(Result how, A answer) {
             if (over) {
                 return;
             }
             over = true;
+            result = how;
             if (expiry != null) {
                 expiry.cancel();
             }
-            long latencyUs = latencyUs(result, sentAtUs);
-            observer.ended(of.id, number, result);
-            if (result == Result.OK && !of.ended) {
+            long latencyUs = latencyUs(how, sentAtUs);
+            observer.ended(of.id, number, how);
+            if (how == Result.OK && !of.ended) {
                 end(of, Observer.Answer.SERVED);
                 of.client.served(answer);
             }
             tell(of, () -> {
                 of.outstanding--;
                 forgetIfOver(of);
-                balancer.onOutcome(time.nowUs(), new Outcome(of.id, number, told(result), latencyUs,
+                balancer.onOutcome(time.nowUs(), new Outcome(of.id, number, told(how), latencyUs,
                         of.ended, null));
             });
         }
@@ -303,6 +332,7 @@
     private void forgetIfOver(Held<Q, A> request) {
         if (request.ended && request.outstanding == 0) {
             held.remove(request.id);
+            observer.forgotten(request.id);
         }
     }
 
--- a/src/main/java/kitemux/engine/Observer.java
+++ b/src/main/java/kitemux/engine/Observer.java
@@ -25,4 +25,7 @@
 
     /** The request has its one answer, or its client has left. */
     default void answered(long id, Answer answer) { }
+
+    /** Nothing more will be told of a request: it is answered, and no attempt is out. */
+    default void forgotten(long id) { }
 }
--- a/src/main/java/kitemux/engine/Transport.java
+++ b/src/main/java/kitemux/engine/Transport.java
@@ -36,6 +36,9 @@
     /** What checks a server, where the settings allow probes. */
     Q probe();
 
+    /** A server's address as text; empty if it is not known, or no more. */
+    String endpoint(String serverId);
+
     /** Closes the idle connections to a server. */
     void closeIdle(String serverId);
 }
--- a/src/main/java/kitemux/http/ServerPool.java
+++ b/src/main/java/kitemux/http/ServerPool.java
@@ -249,6 +249,13 @@
         }
     }
 
+    @Override
+    public String endpoint(String serverId) {
+        Upstream upstream = upstreams.get(serverId);
+        return upstream == null || upstream.endpoint == null ? ""
+                : upstream.endpoint.getHostString() + ":" + upstream.endpoint.getPort();
+    }
+
     // ---------------------------------------------------------------- idle connections
 
     @Override
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -23,6 +25,7 @@
 import kitemux.engine.Engine;
 import kitemux.engine.Log;
 import kitemux.engine.Observer;
+import kitemux.engine.SendGate;
 import kitemux.engine.Transport;
 import kitemux.http.ClientRequest;
 import kitemux.http.ClientServer;
@@ -33,6 +36,8 @@
 import kitemux.net.Network;
 import kitemux.net.NioNetwork;
 import kitemux.net.Sockets;
+import kitemux.orders.OrderKeeper;
+import kitemux.orders.Orders;
 
 /**
  * A real node: clients' and servers' connections, the watch on the list, the engine between them and its
@@ -60,23 +65,33 @@
      * @param time the loop's
      * @param log for the operators
      * @param observer told what becomes of requests
+     * @param gate stands before each attempt
      * @param module makes the decision module
      * @param transport stands before the servers' connections, or is those themselves
      */
     public record Parts(Network network, LoopTime time, Log log, Observer observer,
-            Function<Balancer.Actions, Balancer> module,
+            SendGate<ClientRequest> gate, Function<Balancer.Actions, Balancer> module,
             UnaryOperator<Transport<ClientRequest, byte[]>> transport) {
 
         /** The system's sockets and clock, and nothing in between. */
         static Parts real(EventLoop loop, Log log, Function<Balancer.Actions, Balancer> module) {
-            return new Parts(NioNetwork.SYSTEM, LoopTime.of(loop), log, Observer.NONE, module,
-                    UnaryOperator.identity());
+            return new Parts(NioNetwork.SYSTEM, LoopTime.of(loop), log, Observer.NONE, SendGate.open(),
+                    module, UnaryOperator.identity());
+        }
+
+        /** The same with a keeper of orders, or with none where that is null. */
+        Parts with(LoopTime keepersTime, OrderKeeper<ClientRequest> keeper) {
+            return keeper == null ? this
+                    : new Parts(network, keepersTime, log, keeper, keeper, module, transport);
         }
     }
 
     Node(NodeConfig config, EventLoop loop, Log log) {
-        this(config, loop, Parts.real(loop, log,
-                actions -> new ServiceQBalancer(config.settings(), config.seed(), actions)));
+        this(config, loop, Parts.real(loop, log, module(config)));
+    }
+
+    private static Function<Balancer.Actions, Balancer> module(NodeConfig config) {
+        return actions -> new ServiceQBalancer(config.settings(), config.seed(), actions);
     }
 
     /** A node that is not started; the loop is the thread that owns it from then on. */
@@ -101,7 +116,7 @@
                     }
                 }, log);
         engine = new Engine<>(config.settings().maxAttempts, parts.time(), parts.transport().apply(pool),
-                discovery, parts.observer(), log, parts.module());
+                discovery, parts.observer(), parts.gate(), log, parts.module());
         clients = new ClientServer(loop, parts.network(), new RequestReader(config.settings()), sockets,
                 engine, parts.time(), log);
         time = parts.time();
@@ -119,9 +134,26 @@
             System.exit(2);
             return;
         }
+        List<String> faults = new ArrayList<>();
+        OperatorSettings operator = OperatorSettings.read(env, faults);
+        if (!faults.isEmpty()) {
+            faults.forEach(fault -> System.err.println("kitemux: " + fault));
+            System.exit(2);
+        }
         Log log = new StderrLog();
         EventLoop loop = newLoop();
-        Node node = new Node(config, loop, log);
+        LoopTime time = LoopTime.of(loop);
+        Orders orders = null;
+        if (operator.orders() != null) {
+            try {
+                orders = Orders.open(operator.orders(), time, loop, log::line);
+            } catch (IOException e) {
+                System.err.println("kitemux: orders.folder cannot be used: " + e.getMessage());
+                System.exit(2);
+            }
+        }
+        Node node = new Node(config, loop, Parts.real(loop, log, module(config)).with(time,
+                orders == null ? null : orders.keeper(operator.orders(), config.settings(), time)));
         Reload.onHangUp(env, node, log);
         log.line("warming up");
         Rehearsal.play(config, loop, log);
@@ -130,11 +162,18 @@
             System.err.println("kitemux: listen " + config.listen() + ": " + listening.cause().getMessage());
             System.exit(2);
         }
+        Orders journal = orders;
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             CountDownLatch empty = new CountDownLatch(1);
             node.drain(empty::countDown);
             try {
                 empty.await();
+                if (journal != null) {
+                    // What the last answers told is still on its way to the disk.
+                    journal.close();
+                }
+            } catch (IOException e) {
+                log.line("orders: the journal could not be closed: " + e);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
--- /dev/null
+++ b/src/main/java/kitemux/node/OperatorSettings.java
@@ -0,0 +1,44 @@
+package kitemux.node;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import kitemux.config.Json;
+import kitemux.orders.OrderSettings;
+
+/**
+ * The operator's own file, which turns on what an installation has room for; without one all of it is off.
+ *
+ * @param orders how a journal of orders is kept; null for none
+ */
+record OperatorSettings(OrderSettings orders) {
+    /** Names the file. */
+    static final String VARIABLE = "KITEMUX_SETTINGS";
+
+    /**
+     * Reads the file that the environment names, if it names one.
+     *
+     * @param faults one line is added for each that is found, with field and reason
+     */
+    static OperatorSettings read(Map<String, String> env, List<String> faults) {
+        String path = env.getOrDefault(VARIABLE, "");
+        if (path.isEmpty()) {
+            return new OperatorSettings(null);
+        }
+        try {
+            Json json = Json.read(Files.readAllBytes(Path.of(path)));
+            List<String> unknown = new ArrayList<>(json.fields().keySet());
+            unknown.remove("orders");
+            unknown.forEach(name -> faults.add(name + " is not known; known is orders"));
+            return new OperatorSettings(OrderSettings.read(json.path("orders"), faults));
+        } catch (IOException | InvalidPathException e) {
+            faults.add(VARIABLE + " names a file that cannot be read: " + e.getMessage());
+            return new OperatorSettings(null);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/orders/Disk.java
@@ -0,0 +1,43 @@
+package kitemux.orders;
+
+import java.io.IOException;
+import java.util.List;
+
+/**
+ * The folder that a journal is in, and the few things that it needs of one. What is written is safe once
+ * {@link Out#sync} has returned, a file's being there once {@link #syncFolder} has.
+ */
+interface Disk {
+    /** A file that is written to at its end. */
+    interface Out extends AutoCloseable {
+        /** Writes all of it, or fails with any part of it written. */
+        void write(byte[] bytes) throws IOException;
+
+        /** Waits until all that was written is safe. */
+        void sync() throws IOException;
+
+        @Override
+        void close() throws IOException;
+    }
+
+    /** Names of the files in it, in no order. */
+    List<String> list() throws IOException;
+
+    /** All of a file. */
+    byte[] read(String name) throws IOException;
+
+    /** A new file; fails if there is one of this name. */
+    Out create(String name) throws IOException;
+
+    /** A file, cut to so many bytes first. */
+    Out append(String name, long from) throws IOException;
+
+    /** Gives a file another name; one that has it already goes. */
+    void rename(String from, String to) throws IOException;
+
+    /** Takes a file away. */
+    void delete(String name) throws IOException;
+
+    /** Waits until files that were made, renamed or deleted are safely so. */
+    void syncFolder() throws IOException;
+}
--- /dev/null
+++ b/src/main/java/kitemux/orders/Journal.java
@@ -0,0 +1,193 @@
+package kitemux.orders;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import kitemux.orders.Entry.Checkpoint;
+import kitemux.orders.Entry.LeftOpen;
+import kitemux.orders.Segment.Content;
+import kitemux.orders.Segment.Fault;
+import kitemux.orders.Segment.Header;
+
+/**
+ * The journal on its disk, for the one thread that writes it: recovered as it is opened, gone on with in
+ * segments. After any failure it is to be closed and opened anew: what a failed write or sync has left on a
+ * disk cannot be known, and is only found by reading it.
+ */
+final class Journal implements AutoCloseable {
+    private final Disk disk;
+    private final long mostSegment;
+    private final LongSupplier clockUs;
+    private final LongSupplier nonces;
+    private final Consumer<String> log;
+    private final OpenOrders open;
+    private Header header;
+    private Disk.Out out;
+    private long length;
+
+    private Journal(Disk disk, long mostSegment, LongSupplier clockUs, LongSupplier nonces,
+            Consumer<String> log, OpenOrders open) {
+        this.open = open;
+        this.disk = disk;
+        this.mostSegment = mostSegment;
+        this.clockUs = clockUs;
+        this.nonces = nonces;
+        this.log = log;
+    }
+
+    /**
+     * Recovers what there is, marks what was open as left open, and is ready to be written to. It reads one
+     * segment, or two where the last was being begun as the process died.
+     *
+     * @param mostSegment bytes after which a segment is ended
+     * @param nonces random numbers
+     * @param log told of what was found spoilt
+     */
+    static Journal open(Disk disk, long mostSegment, LongSupplier clockUs, LongSupplier nonces,
+            Consumer<String> log) throws IOException {
+        Journal journal = new Journal(disk, mostSegment, clockUs, nonces, log, new OpenOrders());
+        try {
+            journal.recover();
+            return journal;
+        } catch (IOException e) {
+            journal.close();
+            throw e;
+        }
+    }
+
+    /**
+     * Goes on after a failure of one that this process wrote: what is open is known, and still under way. The
+     * files are left as they are, but for a new segment.
+     */
+    static Journal goOn(Journal failed) throws IOException {
+        Journal journal = new Journal(failed.disk, failed.mostSegment, failed.clockUs, failed.nonces,
+                failed.log, failed.open);
+        try {
+            List<Long> segments = SegmentNames.sequences(failed.disk.list());
+            long last = segments.isEmpty() ? 0 : segments.get(segments.size() - 1);
+            journal.begin(Math.max(last, failed.header.sequence()) + 1);
+            return journal;
+        } catch (IOException e) {
+            journal.close();
+            throw e;
+        }
+    }
+
+    private void recover() throws IOException {
+        List<Long> segments = SegmentNames.sequences(disk.list());
+        long last = segments.isEmpty() ? 0 : segments.get(segments.size() - 1);
+        for (int i = segments.size() - 1; i >= 0 && header == null; i--) {
+            goOnIn(segments.get(i));
+        }
+        if (header == null || length >= mostSegment || header.sequence() < last) {
+            begin(last + 1);
+        }
+        List<Entry> left = new ArrayList<>();
+        for (long number : open.numbers()) {
+            left.add(new LeftOpen(number, clockUs.getAsLong()));
+        }
+        if (!left.isEmpty()) {
+            append(left);
+            sync();
+            log.accept("orders: " + left.size() + " were open as the node ended; they are marked as such");
+        }
+    }
+
+    /** Takes up a segment, unless it was only being begun: what is not a whole checkpoint tells nothing. */
+    private void goOnIn(long sequence) throws IOException {
+        String name = SegmentNames.of(sequence);
+        Content content = Segment.read(disk.read(name));
+        if (content.header() == null || content.header().sequence() != sequence || !isBegun(content)) {
+            // Never deleted: whoever looks for an order may find more in it than this program does.
+            log.accept("orders: " + name + " has no whole beginning and is set aside");
+            disk.rename(name, name + SegmentNames.ASIDE);
+            disk.syncFolder();
+            return;
+        }
+        for (Fault fault : content.faults()) {
+            log.accept("orders: " + name + ", offset " + fault.offset() + ": " + fault.bytes()
+                    + " bytes are no entry: " + fault.reason());
+        }
+        content.entries().forEach(placed -> open.add(placed.entry()));
+        header = content.header();
+        length = content.soundUpTo();
+        out = disk.append(name, length);
+        out.sync();
+    }
+
+    private static boolean isBegun(Content content) {
+        for (Segment.Placed placed : content.entries()) {
+            if (!(placed.entry() instanceof Checkpoint point)) {
+                return false;
+            }
+            if (point.last()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void begin(long sequence) throws IOException {
+        if (out != null) {
+            out.sync();
+            out.close();
+        }
+        header = new Header(sequence, nonces.getAsLong(), clockUs.getAsLong());
+        out = disk.create(SegmentNames.of(sequence));
+        out.write(header.bytes());
+        length = Segment.HEADER;
+        write(open.checkpoint(clockUs.getAsLong()));
+        out.sync();
+        disk.syncFolder();
+    }
+
+    private void write(List<Entry> entries) throws IOException {
+        ByteArrayOutputStream frames = new ByteArrayOutputStream();
+        for (Entry entry : entries) {
+            frames.writeBytes(Segment.frame(header, length + frames.size(), entry));
+        }
+        out.write(frames.toByteArray());
+        length += frames.size();
+    }
+
+    /** Writes entries; they are safe once {@link #sync} has returned. */
+    void append(List<Entry> entries) throws IOException {
+        if (length >= mostSegment) {
+            begin(header.sequence() + 1);
+        }
+        write(entries);
+        entries.forEach(open::add);
+    }
+
+    /** Waits until all that was written is safe. */
+    void sync() throws IOException {
+        out.sync();
+    }
+
+    /** The number for the next request that is taken. */
+    long next() {
+        return open.next();
+    }
+
+    /** The segment that is written to, and when it was begun. */
+    Header header() {
+        return header;
+    }
+
+    /** The oldest request that is open: segments that end before it are over. */
+    long oldestOpen() {
+        return open.oldest();
+    }
+
+    @Override
+    public void close() throws IOException {
+        if (out != null) {
+            out.close();
+            out = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/orders/OrderKeeper.java
@@ -0,0 +1,132 @@
+package kitemux.orders;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import kitemux.Balancer;
+import kitemux.Balancer.Repeat;
+import kitemux.Balancer.RequestClass;
+import kitemux.Balancer.Settings;
+import kitemux.engine.Asked;
+import kitemux.engine.Observer;
+import kitemux.engine.SendGate;
+import kitemux.engine.Time;
+import kitemux.orders.Entry.Answered;
+import kitemux.orders.Entry.Ended;
+import kitemux.orders.Entry.Intent;
+import kitemux.orders.Entry.Taken;
+
+/**
+ * Keeps the journal of what an engine does with requests of the classes that must never run twice: it is told
+ * of all, and holds each send back until the journal has it. On the engine's loop.
+ *
+ * @param <Q> requests of the protocol
+ */
+public final class OrderKeeper<Q extends Asked> implements Observer, SendGate<Q> {
+    private final Settings settings;
+    private final Time time;
+    private final OrderLog orders;
+    private final long lateUs;
+    private final Map<Long, Long> numbers = new HashMap<>();
+    private long next;
+    private long late;
+
+    /**
+     * A keeper that has heard of nothing.
+     *
+     * @param next the number for the first request that is taken
+     * @param lateUs a send waits for its record no longer than this; after that the disk is late
+     */
+    OrderKeeper(Settings settings, Time time, OrderLog orders, long next, long lateUs) {
+        this.settings = settings;
+        this.time = time;
+        this.orders = orders;
+        this.next = next;
+        this.lateUs = lateUs;
+    }
+
+    private boolean isKept(int classIndex) {
+        return settings.classes.get(classIndex).repeat() == Repeat.UNSAFE;
+    }
+
+    /** How many sends found their record late. */
+    long lateCount() {
+        return late;
+    }
+
+    @Override
+    public void taken(long id, Asked request) {
+        if (!isKept(request.classIndex())) {
+            return;
+        }
+        long number = next++;
+        numbers.put(id, number);
+        long now = time.nowUs();
+        RequestClass of = settings.classes.get(request.classIndex());
+        String tenant = request.tenant() < 0 ? "" : settings.tenants.get(request.tenant()).name();
+        String key = request.key() == null ? "" : request.key();
+        String idempotencyKey = request.idempotencyKey() == null ? "" : request.idempotencyKey();
+        String txn = request.txn();
+        byte[] body = request.body();
+        // The digest is the writer's work: of a long body it would hold the loop up.
+        orders.note(() -> new Taken(number, now, txn, of.name(), tenant, key, idempotencyKey, body.length,
+                Digest.of(body)));
+    }
+
+    @Override
+    public void before(long id, Q request, int attempt, String serverId, Supplier<String> endpoint,
+            long untilUs, Consumer<Boolean> then) {
+        Long number = numbers.get(id);
+        if (number == null) {
+            then.accept(true);
+            return;
+        }
+        Intent intent = new Intent(number, time.nowUs(), attempt, serverId, endpoint.get(), untilUs);
+        boolean[] told = {false};
+        Time.Timer patience = time.after(lateUs, () -> {
+            if (!told[0]) {
+                told[0] = true;
+                late++;
+                then.accept(false);
+            }
+        });
+        orders.commit(() -> intent, durable -> {
+            if (!told[0]) {
+                told[0] = true;
+                patience.cancel();
+                then.accept(durable);
+            }
+        });
+    }
+
+    @Override
+    public long retryAfterUs() {
+        return Math.min(OrderLog.RETRY_MS * 1_000, settings.maxRetryAfterUs);
+    }
+
+    @Override
+    public void ended(long id, int attempt, Balancer.Result result) {
+        Long number = numbers.get(id);
+        if (number != null) {
+            long now = time.nowUs();
+            orders.note(() -> new Ended(number, now, attempt, Entry.Result.valueOf(result.name()),
+                    !result.neverRan));
+        }
+    }
+
+    @Override
+    public void answered(long id, Answer answer) {
+        Long number = numbers.get(id);
+        if (number != null) {
+            long now = time.nowUs();
+            orders.note(() -> new Answered(number, now, Entry.Answer.valueOf(answer.name())));
+        }
+    }
+
+    @Override
+    public void forgotten(long id) {
+        numbers.remove(id);
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/orders/OrderSettings.java
@@ -0,0 +1,84 @@
+package kitemux.orders;
+
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+import kitemux.config.Json;
+
+/**
+ * How a journal is kept.
+ *
+ * @param folder where; made where it is not there
+ * @param sync what a commit promises
+ * @param syncMs between two syncs where they are timed
+ * @param lateMs a send waits for its record no longer than this
+ * @param segmentBytes after so many a segment is ended
+ */
+public record OrderSettings(Path folder, OrderLog.Sync sync, long syncMs, long lateMs, long segmentBytes) {
+    private static final Set<String> FIELDS = Set.of("folder", "sync", "syncMs", "lateMs", "segmentKiB");
+    private static final long MOST_MS = 60_000;
+    /**
+     * Smaller ones are all beginnings, and larger ones more than a node's memory has room to recover from.
+     */
+    private static final long LEAST_KIB = 64;
+    private static final long MOST_KIB = 8 << 10;
+
+    /**
+     * Reads them, or null where there are none: no journal is kept then.
+     *
+     * @param faults one line is added for each that is found
+     */
+    public static OrderSettings read(Json json, List<String> faults) {
+        if (json.isMissing()) {
+            return null;
+        }
+        int before = faults.size();
+        json.fields().keySet().stream().filter(name -> !FIELDS.contains(name)).sorted()
+                .forEach(name -> faults.add("orders." + name + " is not known; known are "
+                        + String.join(", ", FIELDS.stream().sorted().toList())));
+        Path folder = folder(json.path("folder"), faults);
+        OrderLog.Sync sync = sync(json.path("sync"), faults);
+        long syncMs = within(json, "syncMs", 20, 1, MOST_MS, faults);
+        long lateMs = within(json, "lateMs", 100, 1, MOST_MS, faults);
+        long segment = within(json, "segmentKiB", 4 << 10, LEAST_KIB, MOST_KIB, faults);
+        return faults.size() > before ? null : new OrderSettings(folder, sync, syncMs, lateMs, segment << 10);
+    }
+
+    private static Path folder(Json json, List<String> faults) {
+        try {
+            if (!json.text().isEmpty()) {
+                return Path.of(json.text());
+            }
+            faults.add("orders.folder is missing");
+        } catch (InvalidPathException e) {
+            faults.add("orders.folder is no path: " + e.getMessage());
+        }
+        return null;
+    }
+
+    private static OrderLog.Sync sync(Json json, List<String> faults) {
+        if (json.isMissing()) {
+            return OrderLog.Sync.EACH;
+        }
+        for (OrderLog.Sync each : OrderLog.Sync.values()) {
+            if (each.name().toLowerCase(Locale.ROOT).equals(json.text())) {
+                return each;
+            }
+        }
+        faults.add("orders.sync is none of each, timed, never: " + json.text());
+        return null;
+    }
+
+    private static long within(Json json, String field, long otherwise, long least, long most,
+            List<String> faults) {
+        Json given = json.path(field);
+        long value = given.isMissing() ? otherwise : given.isWhole() ? given.whole(-1) : -1;
+        if (value < least || value > most) {
+            faults.add("orders." + field + " is not a whole number from " + least + " to " + most);
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/orders/Orders.java
@@ -0,0 +1,79 @@
+package kitemux.orders;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.NotDirectoryException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+
+import kitemux.Balancer.Settings;
+import kitemux.engine.Asked;
+import kitemux.engine.Time;
+
+/** A node's journal, open: its folder's lock, its writer and its keeper. */
+public final class Orders {
+    private final FolderDisk disk;
+    private final OrderLog log;
+    private final long next;
+
+    private Orders(FolderDisk disk, OrderLog log, long next) {
+        this.disk = disk;
+        this.log = log;
+        this.next = next;
+    }
+
+    /**
+     * Locks and recovers a journal, and starts its writer.
+     *
+     * @param loop runs what the writer tells
+     * @param say lines for the operators, from any thread
+     * @throws IOException if it cannot be opened, also as another node holds it; the message says why
+     */
+    public static Orders open(OrderSettings settings, Time time, Executor loop, Consumer<String> say)
+            throws IOException {
+        FolderDisk disk = FolderDisk.toWrite(settings.folder());
+        try {
+            SecureRandom random = new SecureRandom();
+            long[] next = new long[1];
+            OrderLog log = OrderLog.start(failed -> {
+                if (failed != null) {
+                    return Journal.goOn(failed);
+                }
+                Journal journal = Journal.open(disk, settings.segmentBytes(), time::nowUs, random::nextLong,
+                        say);
+                next[0] = journal.next();
+                return journal;
+            }, settings.sync(), settings.syncMs(), loop, say);
+            return new Orders(disk, log, next[0]);
+        } catch (IOException e) {
+            disk.close();
+            throw e;
+        }
+    }
+
+    /** What an engine is to be given; once. */
+    public <Q extends Asked> OrderKeeper<Q> keeper(OrderSettings how, Settings settings, Time time) {
+        return new OrderKeeper<>(settings, time, log, next, how.lateMs() * 1_000);
+    }
+
+    /** Writes and syncs what has come, and lets go of the folder. Not to be called on the loop. */
+    public void close() throws IOException, InterruptedException {
+        log.close();
+        disk.close();
+    }
+
+    /** Reads the journal in a folder; nothing is changed, and a node may be writing to it. */
+    public static JournalReader reader(Path folder) throws IOException {
+        if (!Files.isDirectory(folder)) {
+            throw new NotDirectoryException(folder.toString());
+        }
+        return new JournalReader(FolderDisk.toRead(folder));
+    }
+
+    /** Whether a node writes to this folder now. */
+    public static boolean isLive(Path folder) throws IOException {
+        return FolderDisk.isWrittenTo(folder);
+    }
+}
--- a/src/main/java/kitemux/world/NodeHost.java
+++ b/src/main/java/kitemux/world/NodeHost.java
@@ -99,6 +99,7 @@
         network = new WorldNetwork(world.fabric, machine, loop, this::soon, world.defect);
         Node.Parts parts = new Node.Parts(network, LoopTime.startingAt(loop, world.unixUs()),
                 new TapeLog(), Observer.NONE,
+                new DiskGate(loop, world.time, settings, world.plan.seed()),
                 actions -> {
                     checked = new Checked(world.judge, world.tape, actions,
                             world.defect.module(asked -> new ServiceQBalancer(
--- a/src/test/java/kitemux/ArchitectureTest.java
+++ b/src/test/java/kitemux/ArchitectureTest.java
@@ -35,11 +35,12 @@
             Map.entry("http", Set.of("", "engine", "net")),
             Map.entry("discovery", Set.of("", "engine", "net", "config")),
             Map.entry("adapter", Set.of("", "config")),
-            Map.entry("node", Set.of("", "engine", "net", "http", "discovery", "config")),
+            Map.entry("orders", Set.of("", "engine", "config")),
+            Map.entry("node", Set.of("", "engine", "net", "http", "discovery", "config", "orders")),
             Map.entry("world", Set.of("", "engine", "net", "http", "node", "config")),
             Map.entry("standin", Set.of()),
-            Map.entry("bench", Set.of("standin", "config")),
-            Map.entry("cli", Set.of("adapter", "node", "world", "bench", "standin")));
+            Map.entry("bench", Set.of("standin", "config", "orders")),
+            Map.entry("cli", Set.of("adapter", "node", "world", "bench", "standin", "orders")));
 
     private static String room(JavaClass c) {
         String[] parts = c.getPackageName().split("\\.");
--- a/src/test/java/kitemux/engine/EngineTest.java
+++ b/src/test/java/kitemux/engine/EngineTest.java
@@ -7,6 +7,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import org.junit.jupiter.api.Test;
 
@@ -50,6 +52,16 @@
         public String key() {
             return null;
         }
+
+        @Override
+        public String idempotencyKey() {
+            return null;
+        }
+
+        @Override
+        public byte[] body() {
+            return new byte[0];
+        }
     }
 
     /** Timers that run when a test says so, as late as it likes. */
@@ -90,6 +102,25 @@
     private final List<Outcome> told = new ArrayList<>();
     private final List<String> answers = new ArrayList<>();
     private Transport.Exchange<Ask, String> exchange;
+    /** What waits at the gate; a test that puts nothing here has one that is open. */
+    private List<Consumer<Boolean>> atGate;
+
+    private final SendGate<Ask> gate = new SendGate<>() {
+        @Override
+        public void before(long id, Ask request, int attempt, String serverId, Supplier<String> endpoint,
+                long untilUs, Consumer<Boolean> then) {
+            if (atGate == null) {
+                then.accept(true);
+            } else {
+                atGate.add(then);
+            }
+        }
+
+        @Override
+        public long retryAfterUs() {
+            return 7;
+        }
+    };
 
     private final Transport<Ask, String> transport = new Transport<>() {
         @Override
@@ -99,7 +130,7 @@
 
         @Override
         public boolean giveUp(String serverId, Exchange<Ask, String> given) {
-            return true;
+            return given == exchange;
         }
 
         @Override
@@ -107,6 +138,11 @@
             throw new AssertionError("nobody asked for a probe");
         }
 
+        @Override
+        public String endpoint(String serverId) {
+            return "127.0.0.1:1";
+        }
+
         @Override
         public void closeIdle(String serverId) {
             throw new AssertionError("nobody asked for that");
@@ -121,7 +157,7 @@
 
         @Override
         public void refused(long retryAfterUs) {
-            answers.add("refused");
+            answers.add("refused " + retryAfterUs);
         }
 
         @Override
@@ -153,7 +189,8 @@
     }
 
     private void ask(long leftUs, long lateUs) {
-        Engine<Ask, String> engine = new Engine<>(3, time, transport, () -> { }, Observer.NONE, new Log() {
+        Engine<Ask, String> engine = new Engine<>(3, time, transport, () -> { }, Observer.NONE, gate,
+                new Log() {
             @Override
             public void line(String text) {
                 throw new AssertionError(text);
@@ -248,6 +285,39 @@
         assertEquals(Result.FULL, told.get(0).result());
     }
 
+    @Test
+    void nothingIsSentBeforeTheGateOpens() {
+        atGate = new ArrayList<>();
+        ask(LEFT_US, 0);
+        assertEquals(null, exchange);
+        atGate.get(0).accept(true);
+        exchange.ended(Result.OK, "yes");
+        assertEquals(List.of("yes"), answers);
+    }
+
+    @Test
+    void whatTheGateTurnsAwayIsRefusedAtOnceAndWasNeverSent() {
+        atGate = new ArrayList<>();
+        ask(LEFT_US, 0);
+        atGate.get(0).accept(false);
+        assertEquals(List.of("refused 7"), answers);
+        assertEquals(Result.MOOT, told.get(0).result());
+        assertTrue(told.get(0).requestEnded());
+        assertEquals(null, exchange);
+    }
+
+    @Test
+    void aDeadlineHoldsAtTheGateAndAnOpeningThatComesLaterSendsNothing() {
+        atGate = new ArrayList<>();
+        ask(LEFT_US, 0);
+        time.nowUs += LEFT_US;
+        time.runDue();
+        assertEquals(List.of("failed"), answers);
+        assertTrue(told.get(0).result().neverRan, "known not to have run");
+        atGate.get(0).accept(true);
+        assertEquals(null, exchange);
+    }
+
     @Test
     void anErrorIsAnErrorHoweverLateTheNodeWas() {
         ask(5_000, 80_000);
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -196,6 +196,43 @@
         }
     }
 
+    private static Process keeping(Path folder, String operator) throws Exception {
+        ProcessBuilder builder = new ProcessBuilder(JAVA, "-XX:TieredStopAtLevel=1", "-cp",
+                System.getProperty("java.class.path"), Main.class.getName(), "node");
+        builder.environment().put("PROXY_CONFIG", configure(folder, "127.0.0.1:9").toString());
+        builder.environment().put("KITEMUX_SETTINGS",
+                Files.writeString(folder.resolve("operator.json"), operator).toString());
+        return builder.redirectErrorStream(true).start();
+    }
+
+    @Test
+    void twoNodesDoNotWriteToOneJournal(@TempDir Path folder) throws Exception {
+        String operator = "{\"orders\":{\"folder\":\"" + folder.resolve("orders") + "\"}}";
+        Process first = keeping(folder, operator);
+        try {
+            awaitLine(first.inputReader(), "listening on ");
+            Process second = keeping(folder, operator);
+            awaitLine(second.inputReader(), "orders.folder cannot be used: another node writes");
+            assertEquals(2, second.waitFor());
+            assertTrue(first.isAlive());
+            first.destroy();
+            assertEquals(143, first.waitFor(), "ended in good order, with its journal");
+        } finally {
+            first.destroyForcibly();
+        }
+    }
+
+    @Test
+    void eachFaultOfTheOperatorsFileHasItsLine(@TempDir Path folder) throws Exception {
+        Process process = keeping(folder, "{\"orders\":{\"sync\":\"x\",\"lateMs\":0},\"color\":1}");
+        List<String> lines = process.inputReader().lines().toList();
+        assertEquals(2, process.waitFor());
+        for (String field : List.of("color", "orders.folder", "orders.sync", "orders.lateMs")) {
+            assertTrue(lines.stream().anyMatch(line -> line.startsWith("kitemux: " + field + " ")),
+                    lines.toString());
+        }
+    }
+
     @Test
     void onSighupTheWatchMovesToWhereTheFileSaysAndABadFileChangesNothing(@TempDir Path folder)
             throws Exception {
--- a/src/test/java/kitemux/world/Mutant.java
+++ b/src/test/java/kitemux/world/Mutant.java
@@ -427,6 +427,11 @@
             return sound.probe();
         }
 
+        @Override
+        public String endpoint(String serverId) {
+            return sound.endpoint(serverId);
+        }
+
         @Override
         public void closeIdle(String serverId) {
             sound.closeIdle(serverId);
