--- a/src/main/java/kitemux/bench/Load.java
+++ b/src/main/java/kitemux/bench/Load.java
@@ -24,6 +24,7 @@
 final class Load {
     private static final int MOST_SAMPLES = 1 << 21;
     private static final byte[] END_OF_HEAD = "\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final String ORDER = "{\"book\":\"2026\",\"copies\":2}".repeat(8);
     private static final AtomicLong LAST_TXN = new AtomicLong();
 
     private final long[] samples = new long[MOST_SAMPLES];
@@ -31,6 +32,8 @@
     private final long untilNanos;
     /** Requests that are asked in all, at most. */
     private final long most;
+    /** Whether orders are placed, which must never run twice, or pages asked for. */
+    private final boolean orders;
     private long asked;
     private int count;
     private int failed;
@@ -46,19 +49,20 @@
      */
     record Figures(double perS, double p50Us, double p99Us, int failed) { }
 
-    private Load(int connections, long fromNanos, long untilNanos, long most) {
+    private Load(int connections, long fromNanos, long untilNanos, long most, boolean orders) {
         this.most = most;
+        this.orders = orders;
         this.fromNanos = fromNanos;
         this.untilNanos = untilNanos;
         left = new CountDownLatch(connections);
     }
 
-    /** Asks for so long, after a time that does not count. */
+    /** Asks for pages, or places orders, for so long, after a time that does not count. */
     static Figures run(EventLoopGroup loops, InetSocketAddress target, int connections, double warmS,
-            double s)
-            throws InterruptedException {
+            double s, boolean orders) throws InterruptedException {
         long from = System.nanoTime() + (long) (warmS * 1e9);
-        Load load = new Load(connections, from, from + (long) (s * 1e9), Long.MAX_VALUE);
+        Load load = new Load(connections, from, from + (long) (s * 1e9), Long.MAX_VALUE,
+                orders);
         load.ask(loops, target, connections, warmS + s);
         long[] sorted = load.sorted();
         return new Figures(load.count / s, at(sorted, 0.5), at(sorted, 0.99), load.failed);
@@ -72,7 +76,7 @@
     static long[] first(EventLoopGroup loops, InetSocketAddress target, int connections, int count)
             throws InterruptedException {
         long now = System.nanoTime();
-        Load load = new Load(connections, now, now + 10_000_000_000L, count);
+        Load load = new Load(connections, now, now + 10_000_000_000L, count, false);
         load.ask(loops, target, connections, 10);
         return load.sorted();
     }
@@ -122,9 +126,11 @@
                 context.close();
                 return;
             }
-            String request = "GET /api/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: backend.local\r\nX-Txn: "
-                    + Long.toHexString(LAST_TXN.incrementAndGet())
-                    + "\r\nX-Lane: page\r\nX-Remaining: 1000m\r\n\r\n";
+            String request = (orders ? "POST" : "GET")
+                    + " /api/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: backend.local\r\nX-Txn: "
+                    + Long.toHexString(LAST_TXN.incrementAndGet()) + "\r\nX-Remaining: 1000m\r\nX-Lane: "
+                    + (orders ? "order\r\nContent-Length: " + ORDER.length() + "\r\n\r\n" + ORDER
+                            : "page\r\n\r\n");
             context.writeAndFlush(Unpooled.wrappedBuffer(request.getBytes(StandardCharsets.US_ASCII)));
         }
 
--- a/src/main/java/kitemux/bench/LoadBench.java
+++ b/src/main/java/kitemux/bench/LoadBench.java
@@ -1,11 +1,13 @@
 package kitemux.bench;
 
-import java.io.File;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
@@ -27,12 +29,16 @@
     private static final int BOXES = 4;
     private static final int ANSWER_BYTES = 200;
 
+    /** Of an order's entries up to its being sent. */
+    private static final int ORDER_BYTES = 200;
+
     private final List<Path> jars;
     private final int[] connections;
     private final double warmS;
     private final double seconds;
     private final int rounds;
     private final String pin;
+    private final boolean orders;
     private final Processes processes;
     private final PrintStream out;
 
@@ -44,9 +50,12 @@
      * @param seconds length of each measurement
      * @param rounds how often each is measured
      * @param pin the processor that nodes and the relay run on, as taskset names it; empty for any
+     * @param orders whether orders are placed, at the first build with no journal and with each way to sync
+     *     one, in place of pages that are asked for at all builds
      */
     public LoadBench(List<Path> jars, int[] connections, double warmS, double seconds, int rounds, String pin,
-            PrintStream out) {
+            boolean orders, PrintStream out) {
+        this.orders = orders;
         this.jars = jars;
         this.connections = connections;
         this.warmS = warmS;
@@ -74,11 +83,19 @@
             InetSocketAddress relay = Processes.freeAddress();
             targets.add(new Target("a relay of bytes", relay,
                     processes.relay(relay, boxes.get(0).address())));
-            for (Path jar : jars) {
+            for (Path jar : orders ? jars.subList(0, 1) : jars) {
                 InetSocketAddress listen = Processes.freeAddress();
                 targets.add(new Target("node " + Processes.name(jar), listen,
                         processes.node(jar, listen, boxes, folder)));
             }
+            for (String sync : orders ? List.of("each", "timed", "never") : List.<String>of()) {
+                InetSocketAddress listen = Processes.freeAddress();
+                targets.add(new Target("node, journal synced " + sync, listen,
+                        processes.journaling(jars.get(0), listen, boxes, folder, sync)));
+            }
+            if (orders) {
+                printSyncs(folder);
+            }
             out.printf(Locale.ROOT,
                     "%d boxes, %d rounds of %.0f s after %.0f s, %s, Java %s, %d processors%n", BOXES,
                     rounds, seconds, warmS, pin.isEmpty() ? "not pinned" : "pinned to " + pin,
@@ -94,11 +111,29 @@
             }
             boxes.forEach(BoxServer::close);
             loops.shutdownGracefully();
-            for (File left : folder.toFile().listFiles()) {
-                Files.delete(left.toPath());
+            Processes.deleteAll(folder);
+        }
+    }
+
+    /** What the disk does by itself, with as many bytes as an order's two commits have. */
+    private void printSyncs(Path folder) throws IOException {
+        Path file = folder.resolve("syncs");
+        long[] took = new long[1 << 20];
+        int count = 0;
+        long until = System.nanoTime() + (long) (seconds * 1e9);
+        try (FileChannel bare = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            for (long now = System.nanoTime(); now < until && count < took.length; count++) {
+                bare.write(ByteBuffer.allocate(ORDER_BYTES));
+                bare.force(false);
+                long after = System.nanoTime();
+                took[count] = after - now;
+                now = after;
             }
-            Files.delete(folder);
         }
+        long[] sorted = Arrays.copyOf(took, count);
+        Arrays.sort(sorted);
+        out.printf(Locale.ROOT, "bare fdatasync of %d bytes: %.0f a second, p50 %.1f us, p99 %.1f us%n",
+                ORDER_BYTES, count / seconds, Load.at(sorted, 0.5), Load.at(sorted, 0.99));
     }
 
     private void measure(EventLoopGroup loops, List<Target> targets, int n) throws InterruptedException {
@@ -106,7 +141,7 @@
         targets.forEach(t -> figures.put(t, new ArrayList<>()));
         for (int round = 0; round < rounds; round++) {
             for (Target target : targets) {
-                figures.get(target).add(Load.run(loops, target.address, n, warmS, seconds));
+                figures.get(target).add(Load.run(loops, target.address, n, warmS, seconds, orders));
             }
         }
         out.printf("%n%d connections%n%-28s %9s %17s %9s %9s %7s %14s%n", n, "", "requests", "", "", "", "",
--- a/src/main/java/kitemux/bench/Processes.java
+++ b/src/main/java/kitemux/bench/Processes.java
@@ -8,9 +8,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 import kitemux.standin.BoxServer;
 
@@ -77,6 +79,16 @@
         return started(nodeBuilder(jar, listen, boxes, folder), "listening");
     }
 
+    /** A node, up, that keeps a journal of orders in a folder of its own and syncs it so. */
+    Process journaling(Path jar, InetSocketAddress listen, List<BoxServer> boxes, Path folder, String sync)
+            throws IOException {
+        ProcessBuilder builder = nodeBuilder(jar, listen, boxes, folder);
+        builder.environment().put("KITEMUX_SETTINGS", Files.writeString(folder.resolve(sync + ".json"),
+                "{\"orders\":{\"folder\":\"" + folder.resolve(sync) + "\",\"sync\":\"" + sync
+                + "\",\"lateMs\":1000}}").toString());
+        return started(builder, "listening");
+    }
+
     /** A node that is to be started. */
     ProcessBuilder nodeBuilder(Path jar, InetSocketAddress listen, List<BoxServer> boxes, Path folder)
             throws IOException {
@@ -94,7 +106,8 @@
                         + "]},\"settings\":{\"zones\":[\"z\"],\"myZone\":\"z\","
                 + "\"membershipMode\":\"pushed\",\"limits\":{\"attemptsCap\":4,\"cancelling\":true},"
                 + "\"classes\":[{\"name\":\"page\",\"onTimeUs\":500000,\"giveUpUs\":1000000,"
-                + "\"repeat\":\"safe\"}]}}");
+                + "\"repeat\":\"safe\"},{\"name\":\"order\",\"onTimeUs\":500000,\"giveUpUs\":1000000,"
+                + "\"repeat\":\"unsafe\"}]}}");
         ProcessBuilder builder = java(jar, "node");
         builder.environment().put("PROXY_CONFIG", config.toString());
         return builder;
@@ -116,4 +129,13 @@
         }
         throw new IOException("a process did not start: " + all);
     }
+
+    /** Takes a folder away with all that is in it. */
+    static void deleteAll(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
 }
--- a/src/main/java/kitemux/bench/StartBench.java
+++ b/src/main/java/kitemux/bench/StartBench.java
@@ -1,6 +1,5 @@
 package kitemux.bench;
 
-import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
@@ -94,10 +93,7 @@
             }
             boxes.forEach(BoxServer::close);
             loops.shutdownGracefully();
-            for (File left : folder.toFile().listFiles()) {
-                Files.delete(left.toPath());
-            }
-            Files.delete(folder);
+            Processes.deleteAll(folder);
         }
     }
 
--- a/src/main/java/kitemux/cli/BenchCommand.java
+++ b/src/main/java/kitemux/cli/BenchCommand.java
@@ -53,6 +53,11 @@
             description = "with --starts: a busy process takes half of the processor; needs --pin")
     private boolean half;
 
+    @Option(names = "--orders",
+            description = "orders in place of pages, at the first build: without a journal of orders and "
+                + "with each way to sync one")
+    private boolean orders;
+
     @Option(names = "--as-relay", arity = "2", hidden = true,
             description = "relays from one address to another")
     private List<String> relay = List.of();
@@ -87,8 +92,7 @@
             return Main.DONE;
         }
         new LoadBench(jars.stream().map(Path::toAbsolutePath).toList(), connections, warm, seconds, rounds,
-                pin,
-                System.out).run();
+                pin, orders, System.out).run();
         return Main.DONE;
     }
 
--- a/src/main/java/kitemux/cli/OrdersCommand.java
+++ b/src/main/java/kitemux/cli/OrdersCommand.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
 import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.function.Predicate;
@@ -15,6 +16,7 @@
 import kitemux.orders.Entry.Taken;
 import kitemux.orders.JournalReader;
 import kitemux.orders.JournalReader.Verdict;
+import kitemux.orders.Kin;
 import kitemux.orders.Orders;
 import kitemux.orders.Story;
 import kitemux.orders.Story.State;
@@ -54,6 +56,9 @@
         "Exit code 0: what became of each is known; 1: none was ever taken; 2: the call cannot be used; "
             + "3: of one at least it is not known whether it ran, or the node still has it."})
     static final class Ask implements Callable<Integer> {
+        /** Of so many orders kin is looked for; a question that finds more is not about one. */
+        private static final int MOST_ASKED = 100;
+
         @Option(names = "--journal", required = true, paramLabel = "DIR",
                 description = "the journal's folder")
         private Path journal;
@@ -86,6 +91,7 @@
                         && (key == null || key.equals(taken.key())) && taken.atUs() >= sinceUs;
                 boolean live = Orders.isLive(journal);
                 int[] found = new int[2];
+                List<Taken> asked = new ArrayList<>();
                 Orders.reader(journal).stories(about, story -> {
                     State is = story.state(live);
                     if (state != null && is != state) {
@@ -93,10 +99,18 @@
                     }
                     found[0]++;
                     found[1] += is == State.UNKNOWN || is == State.UNDER_WAY ? 1 : 0;
+                    if (asked.size() < MOST_ASKED) {
+                        asked.add(story.taken());
+                    }
                     System.out.println(json ? StoryText.json(story, live) : StoryText.sentence(story, live));
                 });
+                if (order != null || key != null) {
+                    tellOfKin(asked, about, live);
+                }
                 if (found[0] == 0) {
-                    System.out.println(json ? "" : "never taken");
+                    if (!json) {
+                        System.out.println("never taken");
+                    }
                     return Main.FOUND;
                 }
                 return found[1] > 0 ? UNKNOWN : Main.DONE;
@@ -106,6 +120,21 @@
                 return unusable("the journal cannot be read: " + e);
             }
         }
+
+        /** A client that tried again under a new id made another order here: the desk should know of both. */
+        private void tellOfKin(List<Taken> asked, Predicate<Taken> about, boolean live) throws IOException {
+            Orders.reader(journal).stories(taken -> !about.test(taken) && kin(asked, taken) != Kin.NONE,
+                    story -> {
+                        Kin kin = kin(asked, story.taken());
+                        System.out.println(json ? StoryText.json(story, live, kin)
+                                : kin.words() + ": " + StoryText.sentence(story, live));
+                    });
+        }
+
+        private static Kin kin(List<Taken> asked, Taken other) {
+            return asked.stream().map(one -> Kin.of(one, other)).filter(kin -> kin != Kin.NONE).findFirst()
+                    .orElse(Kin.NONE);
+        }
     }
 
     /** A check of every byte. */
--- a/src/main/java/kitemux/orders/Journal.java
+++ b/src/main/java/kitemux/orders/Journal.java
@@ -19,8 +19,21 @@
  * disk cannot be known, and is only found by reading it.
  */
 final class Journal implements AutoCloseable {
+    /** Files taken away at a time, so that the writer is not held up for long. */
+    private static final int MOST_TAKEN_AWAY = 8;
+
+    /**
+     * When segments end and go.
+     *
+     * @param bytes a segment is ended after so many
+     * @param ageUs or when it was begun so long ago
+     * @param keepUs one that ended so long ago, with nothing open in it, is taken away as a new one is begun;
+     *     0 keeps them for good
+     */
+    record Limits(long bytes, long ageUs, long keepUs) { }
+
     private final Disk disk;
-    private final long mostSegment;
+    private final Limits limits;
     private final LongSupplier clockUs;
     private final LongSupplier nonces;
     private final Consumer<String> log;
@@ -29,11 +42,11 @@
     private Disk.Out out;
     private long length;
 
-    private Journal(Disk disk, long mostSegment, LongSupplier clockUs, LongSupplier nonces,
+    private Journal(Disk disk, Limits limits, LongSupplier clockUs, LongSupplier nonces,
             Consumer<String> log, OpenOrders open) {
         this.open = open;
         this.disk = disk;
-        this.mostSegment = mostSegment;
+        this.limits = limits;
         this.clockUs = clockUs;
         this.nonces = nonces;
         this.log = log;
@@ -43,13 +56,12 @@
      * Recovers what there is, marks what was open as left open, and is ready to be written to. It reads one
      * segment, or two where the last was being begun as the process died.
      *
-     * @param mostSegment bytes after which a segment is ended
      * @param nonces random numbers
      * @param log told of what was found spoilt
      */
-    static Journal open(Disk disk, long mostSegment, LongSupplier clockUs, LongSupplier nonces,
+    static Journal open(Disk disk, Limits limits, LongSupplier clockUs, LongSupplier nonces,
             Consumer<String> log) throws IOException {
-        Journal journal = new Journal(disk, mostSegment, clockUs, nonces, log, new OpenOrders());
+        Journal journal = new Journal(disk, limits, clockUs, nonces, log, new OpenOrders());
         try {
             journal.recover();
             return journal;
@@ -64,7 +76,7 @@
      * files are left as they are, but for a new segment.
      */
     static Journal goOn(Journal failed) throws IOException {
-        Journal journal = new Journal(failed.disk, failed.mostSegment, failed.clockUs, failed.nonces,
+        Journal journal = new Journal(failed.disk, failed.limits, failed.clockUs, failed.nonces,
                 failed.log, failed.open);
         try {
             List<Long> segments = SegmentNames.sequences(failed.disk.list());
@@ -83,7 +95,7 @@
         for (int i = segments.size() - 1; i >= 0 && header == null; i--) {
             goOnIn(segments.get(i));
         }
-        if (header == null || length >= mostSegment || header.sequence() < last) {
+        if (header == null || length >= limits.bytes || header.sequence() < last) {
             begin(last + 1);
         }
         List<Entry> left = new ArrayList<>();
@@ -101,7 +113,7 @@
     private void goOnIn(long sequence) throws IOException {
         String name = SegmentNames.of(sequence);
         Content content = Segment.read(disk.read(name));
-        if (content.header() == null || content.header().sequence() != sequence || !isBegun(content)) {
+        if (!isBegun(content) || content.header().sequence() != sequence) {
             // Never deleted: whoever looks for an order may find more in it than this program does.
             log.accept("orders: " + name + " has no whole beginning and is set aside");
             disk.rename(name, name + SegmentNames.ASIDE);
@@ -119,6 +131,7 @@
         out.sync();
     }
 
+    /** Whether header and checkpoint are whole. */
     private static boolean isBegun(Content content) {
         for (Segment.Placed placed : content.entries()) {
             if (!(placed.entry() instanceof Checkpoint point)) {
@@ -145,6 +158,27 @@
         disk.syncFolder();
     }
 
+    /** A segment ended when the next was begun, and what was taken in it has numbers under the next one's. */
+    private void takeAwayOld() {
+        if (limits.keepUs == 0) {
+            return;
+        }
+        try {
+            List<Long> segments = SegmentNames.sequences(disk.list());
+            for (int i = 0; i < Math.min(segments.size() - 1, MOST_TAKEN_AWAY); i++) {
+                Content next = Segment.read(disk.read(SegmentNames.of(segments.get(i + 1))));
+                if (!isBegun(next) || next.header().createdAtUs() > clockUs.getAsLong() - limits.keepUs
+                        || open.oldest() < next.entries().get(0).entry().number()) {
+                    return;
+                }
+                disk.delete(SegmentNames.of(segments.get(i)));
+            }
+        } catch (IOException e) {
+            // Room is lost, and nothing else: it is tried again with the next segment.
+            log.accept("orders: old segments cannot be taken away: " + e);
+        }
+    }
+
     private void write(List<Entry> entries) throws IOException {
         ByteArrayOutputStream frames = new ByteArrayOutputStream();
         for (Entry entry : entries) {
@@ -156,8 +190,9 @@
 
     /** Writes entries; they are safe once {@link #sync} has returned. */
     void append(List<Entry> entries) throws IOException {
-        if (length >= mostSegment) {
+        if (length >= limits.bytes || clockUs.getAsLong() - header.createdAtUs() >= limits.ageUs) {
             begin(header.sequence() + 1);
+            takeAwayOld();
         }
         write(entries);
         entries.forEach(open::add);
--- a/src/main/java/kitemux/orders/OrderKeeper.java
+++ b/src/main/java/kitemux/orders/OrderKeeper.java
@@ -31,7 +31,6 @@
     private final long lateUs;
     private final Map<Long, Long> numbers = new HashMap<>();
     private long next;
-    private long late;
 
     /**
      * A keeper that has heard of nothing.
@@ -51,11 +50,6 @@
         return settings.classes.get(classIndex).repeat() == Repeat.UNSAFE;
     }
 
-    /** How many sends found their record late. */
-    long lateCount() {
-        return late;
-    }
-
     @Override
     public void taken(long id, Asked request) {
         if (!isKept(request.classIndex())) {
@@ -88,7 +82,7 @@
         Time.Timer patience = time.after(lateUs, () -> {
             if (!told[0]) {
                 told[0] = true;
-                late++;
+                orders.countLate();
                 then.accept(false);
             }
         });
--- a/src/main/java/kitemux/orders/OrderLog.java
+++ b/src/main/java/kitemux/orders/OrderLog.java
@@ -121,7 +121,12 @@
         LockSupport.unpark(writer);
     }
 
-    /** Commits that were turned away, or failed. */
+    /** Somebody would wait no longer: the send is refused, whatever becomes of its record. */
+    void countLate() {
+        refused.incrementAndGet();
+    }
+
+    /** Commits that were turned away, or failed, or came too late. */
     long refusedCount() {
         return refused.get();
     }
--- a/src/main/java/kitemux/orders/OrderSettings.java
+++ b/src/main/java/kitemux/orders/OrderSettings.java
@@ -16,9 +16,14 @@
  * @param syncMs between two syncs where they are timed
  * @param lateMs a send waits for its record no longer than this
  * @param segmentBytes after so many a segment is ended
+ * @param segmentHours or when it was begun so long ago
+ * @param keepDays segments that ended so many days ago are taken away; 0 keeps them for good
  */
-public record OrderSettings(Path folder, OrderLog.Sync sync, long syncMs, long lateMs, long segmentBytes) {
-    private static final Set<String> FIELDS = Set.of("folder", "sync", "syncMs", "lateMs", "segmentKiB");
+public record OrderSettings(Path folder, OrderLog.Sync sync, long syncMs, long lateMs, long segmentBytes,
+        long segmentHours, long keepDays) {
+    private static final Set<String> FIELDS =
+            Set.of("folder", "sync", "syncMs", "lateMs", "segmentKiB", "segmentHours", "keepDays");
+    private static final long MOST_DAYS = 36_500;
     private static final long MOST_MS = 60_000;
     /**
      * Smaller ones are all beginnings, and larger ones more than a node's memory has room to recover from.
@@ -44,7 +49,11 @@
         long syncMs = within(json, "syncMs", 20, 1, MOST_MS, faults);
         long lateMs = within(json, "lateMs", 100, 1, MOST_MS, faults);
         long segment = within(json, "segmentKiB", 4 << 10, LEAST_KIB, MOST_KIB, faults);
-        return faults.size() > before ? null : new OrderSettings(folder, sync, syncMs, lateMs, segment << 10);
+        long hours = within(json, "segmentHours", 24, 1, 24 * MOST_DAYS, faults);
+        long keepDays = within(json, "keepDays", 0, 0, MOST_DAYS, faults);
+        return faults.size() > before ? null
+                : new OrderSettings(folder, sync, syncMs, lateMs, segment << 10, hours,
+                        keepDays);
     }
 
     private static Path folder(Json json, List<String> faults) {
--- a/src/main/java/kitemux/orders/Orders.java
+++ b/src/main/java/kitemux/orders/Orders.java
@@ -14,11 +14,15 @@
 
 /** A node's journal, open: its folder's lock, its writer and its keeper. */
 public final class Orders {
+    private static final long HOUR_US = 3_600_000_000L;
+
     private final FolderDisk disk;
     private final OrderLog log;
     private final long next;
+    private final Consumer<String> say;
 
-    private Orders(FolderDisk disk, OrderLog log, long next) {
+    private Orders(FolderDisk disk, OrderLog log, long next, Consumer<String> say) {
+        this.say = say;
         this.disk = disk;
         this.log = log;
         this.next = next;
@@ -41,12 +45,13 @@
                 if (failed != null) {
                     return Journal.goOn(failed);
                 }
-                Journal journal = Journal.open(disk, settings.segmentBytes(), time::nowUs, random::nextLong,
-                        say);
+                Journal journal = Journal.open(disk, new Journal.Limits(settings.segmentBytes(),
+                        settings.segmentHours() * HOUR_US, settings.keepDays() * 24 * HOUR_US), time::nowUs,
+                        random::nextLong, say);
                 next[0] = journal.next();
                 return journal;
             }, settings.sync(), settings.syncMs(), loop, say);
-            return new Orders(disk, log, next[0]);
+            return new Orders(disk, log, next[0], say);
         } catch (IOException e) {
             disk.close();
             throw e;
@@ -62,6 +67,10 @@
     public void close() throws IOException, InterruptedException {
         log.close();
         disk.close();
+        if (log.refusedCount() + log.lostCount() > 0) {
+            say.accept("orders: " + log.refusedCount() + " sends were refused for want of their record, "
+                    + log.lostCount() + " entries were lost");
+        }
     }
 
     /** Reads the journal in a folder; nothing is changed, and a node may be writing to it. */
--- a/src/main/java/kitemux/orders/StoryText.java
+++ b/src/main/java/kitemux/orders/StoryText.java
@@ -75,10 +75,18 @@
 
     /** One line of JSON. */
     public static String json(Story story, boolean live) {
+        return json(story, live, Kin.NONE);
+    }
+
+    /** One line of JSON, of an order that is kin to one that was asked for. */
+    public static String json(Story story, boolean live, Kin kin) {
         StringWriter line = new StringWriter();
         try (JsonGenerator out = JSON.createGenerator(line)) {
             Taken taken = story.taken();
             out.writeStartObject();
+            if (kin != Kin.NONE) {
+                out.writeStringField("kin", kin.name().toLowerCase(Locale.ROOT));
+            }
             out.writeStringField("order", taken.order());
             out.writeStringField("class", taken.requestClass());
             out.writeStringField("tenant", taken.tenant());
--- a/src/test/java/kitemux/cli/OrdersCommandTest.java
+++ b/src/test/java/kitemux/cli/OrdersCommandTest.java
@@ -108,4 +108,19 @@
         assertEquals(0, run("orders", "export", "--journal", journal.toString(), "--json"));
         assertEquals(3, said.lines().filter(line -> line.startsWith("{")).count());
     }
+
+    @Test
+    void aSecondTryUnderAnotherIdIsNamedAsWhatItCanBeKnownToBe() throws Exception {
+        JournalOnDisk.write(journal, JournalOnDisk.again(9, "again", "cart-1", ""),
+                JournalOnDisk.again(10, "keyed", "cart-7", "k"),
+                JournalOnDisk.again(11, "rekeyed", "cart-8", "k"));
+        run("orders", "ask", "--journal", journal.toString(), "--order", "paid");
+        assertTrue(said.lines().anyMatch(line -> line.startsWith("perhaps the same")
+                && line.contains("order again ")), said);
+        run("orders", "ask", "--journal", journal.toString(), "--order", "keyed", "--json");
+        assertTrue(said.lines().anyMatch(line -> line.startsWith("{\"kin\":\"same\",\"order\":"
+                + "\"rekeyed\"")), said);
+        run("orders", "ask", "--journal", journal.toString(), "--order", "kept");
+        assertEquals(1, said.lines().count(), said);
+    }
 }
--- a/src/test/java/kitemux/orders/JournalOnDisk.java
+++ b/src/test/java/kitemux/orders/JournalOnDisk.java
@@ -11,12 +11,20 @@
     /** Writes entries to a journal as a node would that ends right after. */
     public static void write(Path folder, Entry... entries) throws IOException {
         try (FolderDisk disk = FolderDisk.toWrite(folder);
-                Journal journal = Journal.open(disk, 1 << 20, () -> 9, () -> 77, line -> { })) {
+                Journal journal = Journal.open(disk, new Journal.Limits(1 << 20, Long.MAX_VALUE, 0),
+                        () -> 9, () -> 77, line -> { })) {
             journal.append(List.of(entries));
             journal.sync();
         }
     }
 
+    /** A request that is taken with this path key and idempotency key, and the body that all have. */
+    public static Entry.Taken again(long number, String order, String key, String idempotencyKey) {
+        Entry.Taken like = JournalTest.taken(number, order);
+        return new Entry.Taken(number, like.atUs(), order, like.requestClass(), like.tenant(), key,
+                idempotencyKey, like.bodyBytes(), like.digest());
+    }
+
     /** Holds a journal as a live node does. */
     public static AutoCloseable hold(Path folder) throws IOException {
         return FolderDisk.toWrite(folder);
--- a/src/test/java/kitemux/orders/JournalTest.java
+++ b/src/test/java/kitemux/orders/JournalTest.java
@@ -29,10 +29,13 @@
 
     private final List<String> lines = new ArrayList<>();
     private long clockUs = 1_000_000;
+    private long ageUs = Long.MAX_VALUE;
+    private long keepUs;
 
     private Journal open(Disk disk, long mostSegment, long seed) throws IOException {
         SplittableRandom random = new SplittableRandom(seed);
-        return Journal.open(disk, mostSegment, () -> clockUs++, random::nextLong, lines::add);
+        return Journal.open(disk, new Journal.Limits(mostSegment, ageUs, keepUs), () -> clockUs++,
+                random::nextLong, lines::add);
     }
 
     static Taken taken(long number, String order) {
@@ -204,4 +207,40 @@
         assertTrue(disk.list().contains(SegmentNames.of(2) + SegmentNames.ASIDE));
         assertFalse(disk.list().contains(SegmentNames.of(2)));
     }
+
+    @Test
+    void aSegmentEndsWhenItIsOldToo() throws IOException {
+        ageUs = 1_000;
+        MemoryDisk disk = new MemoryDisk();
+        try (Journal journal = open(disk, 1 << 20, 7)) {
+            journal.append(List.of(taken(1, "a")));
+            assertEquals(1, journal.header().sequence());
+            clockUs += 1_000;
+            journal.append(List.of(taken(2, "b")));
+            assertEquals(2, journal.header().sequence());
+            clockUs -= 500_000;
+            journal.append(List.of(taken(3, "c")));
+            assertEquals(2, journal.header().sequence(), "a clock that is set back ends nothing");
+        }
+    }
+
+    @Test
+    void oldSegmentsAreTakenAwayButNoneWithAnOpenOrder() throws IOException {
+        keepUs = 1;
+        MemoryDisk disk = new MemoryDisk();
+        orders(disk, 12, 400);
+        int kept = SegmentNames.sequences(disk.list()).size();
+        assertTrue(kept <= 2, kept + " segments are kept");
+        try (Journal journal = open(disk, 400, 8)) {
+            long waiting = journal.next();
+            journal.append(List.of(taken(waiting, "waits"), new Intent(waiting, 6, 0, "s", "", 9)));
+            for (int i = 1; i < 12; i++) {
+                journal.append(List.of(taken(waiting + i, "o" + i), new Answered(waiting + i, 8,
+                        Answer.REFUSED)));
+            }
+            journal.sync();
+            assertTrue(entries(disk).contains(taken(waiting, "waits")), "open, however old");
+            assertEquals(waiting, journal.oldestOpen());
+        }
+    }
 }
--- a/src/test/java/kitemux/orders/OrderLogTest.java
+++ b/src/test/java/kitemux/orders/OrderLogTest.java
@@ -103,7 +103,8 @@
 
     private OrderLog start(OrderLog.Sync sync, long syncMs) throws IOException {
         log = OrderLog.start(failed -> failed == null
-                ? Journal.open(moody, 1 << 20, () -> 1, () -> 5, lines::add) : Journal.goOn(failed),
+                ? Journal.open(moody, new Journal.Limits(1 << 20, Long.MAX_VALUE, 0), () -> 1, () -> 5,
+                lines::add) : Journal.goOn(failed),
                 sync, syncMs, Runnable::run, lines::add);
         return log;
     }
