--- a/src/main/java/kitemux/engine/Asked.java
+++ b/src/main/java/kitemux/engine/Asked.java
@@ -14,9 +14,6 @@
     /** How long the client waits from now on, in microseconds, 0 or more. */
     long leftUs();
 
-    /** How long it may have lain unread before, in microseconds: 0 where the node keeps up. */
-    long lateUs();
-
     /** A guess at the work in microseconds on a standard core, or 0. */
     long workUs();
 
--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -27,8 +27,6 @@
 public final class Engine<Q extends Asked, A> implements Balancer.Actions {
     /** A server that has not answered a probe in this time is not going to. */
     private static final long PROBE_US = 1_000_000;
-    /** A timer that runs so much after its time tells of a loop that is behind: answers may lie unread. */
-    private static final long BEHIND_US = 2_000;
 
     private final int maxAttempts;
     private final Time time;
@@ -205,7 +203,6 @@
         private boolean over;
         private Result result;
         private boolean sent;
-        private boolean lookedOnceMore;
 
         Attempt(Held<Q, A> of, int number, String serverId, long untilUs) {
             this.of = of;
@@ -259,13 +256,6 @@
         }
 
         private void expire() {
-            if (!lookedOnceMore && time.nowUs() - untilUs > BEHIND_US) {
-                // What is late is the node: the answer may have come in time, and would be thrown away with
-                // the server's good name. What lies on the sockets is read before the next timers run.
-                lookedOnceMore = true;
-                expiry = time.after(0, this::expire);
-                return;
-            }
             // What never left for want of a connection is known not to have run.
             ended(transport.giveUp(serverId, this) ? Result.TIMEOUT : Result.CONNECT_FAILED, null);
         }
@@ -277,22 +267,6 @@
             }
         }
 
-        /**
-         * What the module is to know of the server. Where a request lay unread here for longer than the
-         * server then had for it, that it was over there tells of this node: counted as full or silent,
-         * servers with room would lose their share.
-         */
-        private Result told(Result how) {
-            if (untilUs < of.deadlineUs || of.request.lateUs() <= untilUs - sentAtUs) {
-                return how;
-            }
-            return switch (how) {
-                case FULL -> Result.MOOT;
-                case TIMEOUT -> Result.CANCELLED;
-                default -> how;
-            };
-        }
-
         @Override
         public void ended(Result how, A answer) {
             if (over) {
@@ -303,7 +277,6 @@
             if (expiry != null) {
                 expiry.cancel();
             }
-            long latencyUs = latencyUs(how, sentAtUs);
             observer.ended(of.id, number, how);
             if (how == Result.OK && !of.ended) {
                 end(of, Observer.Answer.SERVED);
@@ -312,23 +285,12 @@
             tell(of, () -> {
                 of.outstanding--;
                 forgetIfOver(of);
-                balancer.onOutcome(time.nowUs(), new Outcome(of.id, number, told(how), latencyUs,
-                        of.ended, null));
+                balancer.onOutcome(time.nowUs(), new Outcome(of.id, number, how,
+                        time.nowUs() - sentAtUs, of.ended, null));
             });
         }
     }
 
-    /**
-     * How long a server took for what ends now. An answer that a loop which is behind comes to read may have
-     * lain there since it last looked or have come just now: the middle of the two, as all of it would make
-     * servers slow that are not, and none of it quicker than any server is.
-     */
-    private long latencyUs(Result result, long sentAtUs) {
-        long sinceUs = time.nowUs() - sentAtUs;
-        boolean isRead = result == Result.OK || result == Result.ERROR || result == Result.FULL;
-        return isRead ? sinceUs - Math.min(sinceUs, time.unreadUs()) / 2 : sinceUs;
-    }
-
     private void forgetIfOver(Held<Q, A> request) {
         if (request.ended && request.outstanding == 0) {
             held.remove(request.id);
@@ -444,8 +406,7 @@
         public void ended(Result result, A answer) {
             probing--;
             expiry.cancel();
-            long latencyUs = latencyUs(result, sentAtUs);
-            tell(null, () -> balancer.onProbe(time.nowUs(), serverId, result, latencyUs, null));
+            tell(null, () -> balancer.onProbe(time.nowUs(), serverId, result, time.nowUs() - sentAtUs, null));
         }
     }
 
--- a/src/main/java/kitemux/http/ClientRequest.java
+++ b/src/main/java/kitemux/http/ClientRequest.java
@@ -14,16 +14,15 @@
  * @param classIndex its class by the settings
  * @param tenant by the settings, or -1
  * @param leftUs how long the client waits from now on
- * @param lateUs how long it may have lain unread before
  * @param workUs a guess at the work, or 0
  * @param retry whether the client marks it as a repeat
  * @param key what it is about, or null
  */
 public record ClientRequest(HttpMethod method, String uri, String txn, String idempotencyKey, byte[] body,
-        int classIndex, int tenant, long leftUs, long lateUs, long workUs, boolean retry, String key)
+        int classIndex, int tenant, long leftUs, long workUs, boolean retry, String key)
         implements Asked {
 
     /** What checks a server, where the settings allow probes. */
     static final ClientRequest PROBE = new ClientRequest(HttpMethod.GET, "/alive", null, null, new byte[0],
-            -1, -1, 0, 0, 0, false, null);
+            -1, -1, 0, 0, false, null);
 }
--- a/src/main/java/kitemux/http/RequestReader.java
+++ b/src/main/java/kitemux/http/RequestReader.java
@@ -85,7 +85,7 @@
         return new ClientRequest(message.method(), message.uri(), txn, idempotencyKey,
                 body, classIndex,
                 tenant == null ? -1 : tenants.getOrDefault(tenant, -1),
-                Math.max(0, left(need(message, "X-Remaining")) - agoUs), agoUs,
+                Math.max(0, left(need(message, "X-Remaining")) - agoUs),
                 work(one(message, "X-Estimate")), "1".equals(one(message, "X-Resent")),
                 key.isEmpty() ? null : key);
     }
--- a/src/main/java/kitemux/net/LoopTime.java
+++ b/src/main/java/kitemux/net/LoopTime.java
@@ -53,11 +53,11 @@
     }
 
     /**
-     * A loop that is behind reads before its timers run, so the last beat tells since when it may not have
-     * looked. A request's time runs from when it came: a node that was a tenth of a second behind would else
-     * answer a tenth of a second after the client's time was over.
+     * How long what is read from a socket now may have lain there unread, at most, in microseconds. A loop
+     * that is behind reads before its timers run, so the last beat tells since when it may not have looked. A
+     * request's time runs from when it came: a node that was a tenth of a second behind would else answer a
+     * tenth of a second after the client's time was over.
      */
-    @Override
     public long unreadUs() {
         return Math.max(0, (ticker.nanoTime() - beatNanos) / 1_000 - BEAT_MS * 1_000);
     }
--- a/src/test/java/kitemux/engine/EngineTest.java
+++ b/src/test/java/kitemux/engine/EngineTest.java
@@ -17,12 +17,12 @@
 import kitemux.Balancer.Request;
 import kitemux.Balancer.Result;
 
-/** What the engine tells the module where the node itself was late. */
+/** What the engine does at its gate and at deadlines. */
 class EngineTest {
     private static final long LEFT_US = 100_000;
 
     /** Asked for by a test: what it cannot say stands still. */
-    private record Ask(long leftUs, long lateUs) implements Asked {
+    private record Ask(long leftUs) implements Asked {
         @Override
         public String txn() {
             return "t";
@@ -70,18 +70,12 @@
 
         private final List<Due> due = new ArrayList<>();
         private long nowUs = 1_000_000;
-        private long unreadUs;
 
         @Override
         public long nowUs() {
             return nowUs;
         }
 
-        @Override
-        public long unreadUs() {
-            return unreadUs;
-        }
-
         @Override
         public Timer after(long us, Runnable task) {
             Due timer = new Due(nowUs + us, task);
@@ -188,7 +182,7 @@
                 });
     }
 
-    private void ask(long leftUs, long lateUs) {
+    private void ask(long leftUs) {
         Engine<Ask, String> engine = new Engine<>(3, time, transport, () -> { }, Observer.NONE, gate,
                 new Log() {
             @Override
@@ -201,94 +195,22 @@
                 throw new AssertionError(what, cause);
             }
         }, this::module);
-        engine.ask(engine.take(client, new Ask(leftUs, lateUs)));
-    }
-
-    @Test
-    void anAnswerThatMayHaveLainUnreadCountsFromTheMiddleOfThatTime() {
-        ask(LEFT_US, 0);
-        time.nowUs += 50_000;
-        time.unreadUs = 40_000;
-        exchange.ended(Result.OK, "yes");
-        assertEquals(30_000, told.get(0).latencyUs());
-    }
-
-    @Test
-    void noAnswerCountsAsReadBeforeItWasAskedFor() {
-        ask(LEFT_US, 0);
-        time.nowUs += 10_000;
-        time.unreadUs = 40_000;
-        exchange.ended(Result.OK, "yes");
-        assertEquals(5_000, told.get(0).latencyUs());
-    }
-
-    @Test
-    void aLoopThatKeepsUpTakesNothingOff() {
-        ask(LEFT_US, 0);
-        time.nowUs += 50_000;
-        exchange.ended(Result.OK, "yes");
-        assertEquals(50_000, told.get(0).latencyUs());
-    }
-
-    @Test
-    void whatIsGivenUpByALoopThatIsBehindIsLookedForOnceMore() {
-        ask(LEFT_US, 0);
-        time.nowUs += LEFT_US + 60_000;
-        time.runDue();
-        assertTrue(told.isEmpty(), "the answer may lie on the socket");
-        exchange.ended(Result.OK, "yes");
-        time.runDue();
-        assertEquals(List.of("yes"), answers);
-        assertEquals(List.of(Result.OK), told.stream().map(Outcome::result).toList());
-    }
-
-    @Test
-    void whatIsNotThereThenIsGivenUpInTheNextTurn() {
-        ask(LEFT_US, 0);
-        time.nowUs += LEFT_US + 60_000;
-        time.runDue();
-        time.runDue();
-        assertEquals(List.of("failed"), answers);
-        assertEquals(Result.TIMEOUT, told.get(0).result());
+        engine.ask(engine.take(client, new Ask(leftUs)));
     }
 
     @Test
     void aLoopThatKeepsUpGivesUpAtOnce() {
-        ask(LEFT_US, 0);
+        ask(LEFT_US);
         time.nowUs += LEFT_US;
         time.runDue();
         assertEquals(List.of("failed"), answers);
         assertEquals(Result.TIMEOUT, told.get(0).result());
     }
 
-    @Test
-    void aServerThatWasLeftTooLittleTimeByThisNodeIsNotFull() {
-        ask(5_000, 80_000);
-        time.nowUs += 1_000;
-        exchange.ended(Result.FULL, null);
-        assertEquals(Result.MOOT, told.get(0).result());
-    }
-
-    @Test
-    void norIsItSilent() {
-        ask(5_000, 80_000);
-        time.nowUs += 5_000;
-        time.runDue();
-        assertEquals(Result.CANCELLED, told.get(0).result());
-    }
-
-    @Test
-    void aServerThatHadMoreOfTheTimeThanThisNodeIsFull() {
-        ask(LEFT_US, 80_000);
-        time.nowUs += 1_000;
-        exchange.ended(Result.FULL, null);
-        assertEquals(Result.FULL, told.get(0).result());
-    }
-
     @Test
     void nothingIsSentBeforeTheGateOpens() {
         atGate = new ArrayList<>();
-        ask(LEFT_US, 0);
+        ask(LEFT_US);
         assertEquals(null, exchange);
         atGate.get(0).accept(true);
         exchange.ended(Result.OK, "yes");
@@ -298,7 +220,7 @@
     @Test
     void whatTheGateTurnsAwayIsRefusedAtOnceAndWasNeverSent() {
         atGate = new ArrayList<>();
-        ask(LEFT_US, 0);
+        ask(LEFT_US);
         atGate.get(0).accept(false);
         assertEquals(List.of("refused 7"), answers);
         assertEquals(Result.MOOT, told.get(0).result());
@@ -309,7 +231,7 @@
     @Test
     void aDeadlineHoldsAtTheGateAndAnOpeningThatComesLaterSendsNothing() {
         atGate = new ArrayList<>();
-        ask(LEFT_US, 0);
+        ask(LEFT_US);
         time.nowUs += LEFT_US;
         time.runDue();
         assertEquals(List.of("failed"), answers);
@@ -317,11 +239,4 @@
         atGate.get(0).accept(true);
         assertEquals(null, exchange);
     }
-
-    @Test
-    void anErrorIsAnErrorHoweverLateTheNodeWas() {
-        ask(5_000, 80_000);
-        exchange.ended(Result.ERROR, null);
-        assertEquals(Result.ERROR, told.get(0).result());
-    }
 }
