--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -257,16 +257,21 @@
 
         private void expire() {
             // What never left for want of a connection is known not to have run.
-            ended(transport.giveUp(serverId, this) ? Result.TIMEOUT : Result.CONNECT_FAILED, null);
+            giveUp(transport.giveUp(serverId, this) ? Result.TIMEOUT : Result.CONNECT_FAILED);
         }
 
         void cancel() {
             if (!over) {
                 transport.giveUp(serverId, this);
-                ended(Result.CANCELLED, null);
+                giveUp(Result.CANCELLED);
             }
         }
 
+        /** What still waits at the gate has not run, and says nothing of its server. */
+        private void giveUp(Result ifSent) {
+            ended(sent ? ifSent : Result.MOOT, null);
+        }
+
         @Override
         public void ended(Result how, A answer) {
             if (over) {
--- a/src/main/java/kitemux/orders/EntryCodec.java
+++ b/src/main/java/kitemux/orders/EntryCodec.java
@@ -1,9 +1,12 @@
 package kitemux.orders;
 
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.List;
 
 import kitemux.orders.Entry.Answer;
@@ -20,12 +23,15 @@
  * "Payloads"; numbers are big-endian, texts UTF-8 behind their length.
  */
 final class EntryCodec {
-    /** More than any request's head can hold, so that each entry fits. */
-    static final int MOST_BYTES = 32 << 10;
+    /** Room for all texts of an entry at their longest; what says that it is longer is none. */
+    static final int MOST_BYTES = 64 << 10;
     /** Of one text. Longer ones are cut, and say so by their last characters. */
     static final int MOST_TEXT = 8 << 10;
     private static final String CUT = "...";
 
+    /** Most entries fit into it; it grows. */
+    private static final int FIRST_ROOM = 192;
+
     private static final byte TAKEN = 1;
     private static final byte INTENT = 2;
     private static final byte ENDED = 3;
@@ -36,7 +42,16 @@
     private EntryCodec() { }
 
     static byte[] write(Entry entry) {
-        ByteBuffer out = ByteBuffer.allocate(MOST_BYTES);
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(FIRST_ROOM);
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            write(out, entry);
+        } catch (IOException e) {
+            throw new UncheckedIOException("memory cannot be written", e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static void write(DataOutputStream out, Entry entry) throws IOException {
         if (entry instanceof Taken taken) {
             head(out, TAKEN, entry);
             text(out, taken.order());
@@ -44,38 +59,41 @@
             text(out, taken.tenant());
             text(out, taken.key());
             text(out, taken.idempotencyKey());
-            out.putInt(taken.bodyBytes());
-            out.put(taken.digest().bytes());
+            out.writeInt(taken.bodyBytes());
+            out.write(taken.digest().bytes());
         } else if (entry instanceof Intent intent) {
             head(out, INTENT, entry);
-            out.putShort((short) intent.attempt());
-            out.putLong(intent.untilUs());
+            out.writeShort(intent.attempt());
+            out.writeLong(intent.untilUs());
             text(out, intent.server());
             text(out, intent.endpoint());
         } else if (entry instanceof Ended ended) {
             head(out, ENDED, entry);
-            out.putShort((short) ended.attempt());
-            out.put((byte) ended.result().code());
-            out.put((byte) (ended.mayHaveRun() ? 1 : 0));
+            out.writeShort(ended.attempt());
+            out.writeByte(ended.result().code());
+            out.writeBoolean(ended.mayHaveRun());
         } else if (entry instanceof Answered answered) {
             head(out, ANSWERED, entry);
-            out.put((byte) answered.answer().code());
+            out.writeByte(answered.answer().code());
         } else if (entry instanceof LeftOpen) {
             head(out, LEFT_OPEN, entry);
         } else if (entry instanceof Checkpoint point) {
             head(out, CHECKPOINT, entry);
-            out.put((byte) (point.last() ? 1 : 0));
-            out.putInt(point.open().size());
-            point.open().forEach(out::putLong);
+            out.writeBoolean(point.last());
+            out.writeInt(point.open().size());
+            for (long number : point.open()) {
+                out.writeLong(number);
+            }
         }
-        return Arrays.copyOf(out.array(), out.position());
     }
 
-    private static void head(ByteBuffer out, byte type, Entry entry) {
-        out.put(type).putLong(entry.number()).putLong(entry.atUs());
+    private static void head(DataOutputStream out, byte type, Entry entry) throws IOException {
+        out.writeByte(type);
+        out.writeLong(entry.number());
+        out.writeLong(entry.atUs());
     }
 
-    private static void text(ByteBuffer out, String text) {
+    private static void text(DataOutputStream out, String text) throws IOException {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         if (bytes.length > MOST_TEXT) {
             // Cut between characters: a half of one would not be read back as it was written.
@@ -86,7 +104,8 @@
             bytes = (new String(bytes, 0, end, StandardCharsets.UTF_8) + CUT)
                     .getBytes(StandardCharsets.UTF_8);
         }
-        out.putShort((short) bytes.length).put(bytes);
+        out.writeShort(bytes.length);
+        out.write(bytes);
     }
 
     /**
--- a/src/main/java/kitemux/orders/Journal.java
+++ b/src/main/java/kitemux/orders/Journal.java
@@ -151,11 +151,20 @@
         }
         header = new Header(sequence, nonces.getAsLong(), clockUs.getAsLong());
         out = disk.create(SegmentNames.of(sequence));
-        out.write(header.bytes());
-        length = Segment.HEADER;
-        write(open.checkpoint(clockUs.getAsLong()));
-        out.sync();
-        disk.syncFolder();
+        try {
+            out.write(header.bytes());
+            length = Segment.HEADER;
+            write(open.checkpoint(clockUs.getAsLong()));
+            out.sync();
+            disk.syncFolder();
+        } catch (IOException e) {
+            // Nothing that anybody was told of is in it. A disk that is full would else be tried again and
+            // again, and fill up with beginnings.
+            out.close();
+            out = null;
+            disk.delete(SegmentNames.of(sequence));
+            throw e;
+        }
     }
 
     /** A segment ended when the next was begun, and what was taken in it has numbers under the next one's. */
--- a/src/main/java/kitemux/world/Plan.java
+++ b/src/main/java/kitemux/world/Plan.java
@@ -99,6 +99,11 @@
                 group, windowUs, sockets, wholeLists, startMs, List.copyOf(others));
     }
 
+    /** The same with so many nodes. */
+    Plan onNodes(int count) {
+        return like(count, leaving, secondCopies, group, windowUs);
+    }
+
     /** The same, asked and served otherwise. */
     Plan like(int nodeCount, double leavingShare, boolean copies, Group keyedGroup, long keyedWindowUs) {
         return new Plan(seed, boxes, nodeCount, cells, lengthMs, requests, load, rude, leavingShare,
--- a/src/test/java/kitemux/orders/OrderLogTest.java
+++ b/src/test/java/kitemux/orders/OrderLogTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -27,6 +28,8 @@
 class OrderLogTest {
     private final MemoryDisk disk = new MemoryDisk();
     private final AtomicBoolean gone = new AtomicBoolean();
+    private final AtomicBoolean full = new AtomicBoolean();
+    private final AtomicInteger created = new AtomicInteger();
     private final Semaphore syncs = new Semaphore(Integer.MAX_VALUE / 2);
     private final BlockingQueue<Boolean> told = new LinkedBlockingQueue<>();
     private final List<String> lines = Collections.synchronizedList(new ArrayList<>());
@@ -45,6 +48,9 @@
                 @Override
                 public void write(byte[] bytes) throws IOException {
                     check();
+                    if (full.get()) {
+                        throw new IOException("no space left");
+                    }
                     sound.write(bytes);
                 }
 
@@ -76,6 +82,7 @@
         @Override
         public Out create(String name) throws IOException {
             check();
+            created.incrementAndGet();
             return out(disk.create(name));
         }
 
@@ -112,6 +119,7 @@
     @AfterEach
     void end() throws InterruptedException {
         gone.set(false);
+        full.set(false);
         syncs.release(1_000);
         log.close();
     }
@@ -184,6 +192,36 @@
         assertTrue(lines.stream().anyMatch(line -> line.contains("is written again")), lines.toString());
     }
 
+    @Test
+    void aDiskThatIsFullIsNotFilledWithBeginnings() throws Exception {
+        start(OrderLog.Sync.EACH, 1);
+        int files = disk.list().size();
+        full.set(true);
+        log.commit(() -> intent(1), told::add);
+        assertEquals(false, next());
+        while (created.get() < 4) {
+            Thread.onSpinWait();
+        }
+        full.set(false);
+        do {
+            log.commit(() -> intent(2), told::add);
+        } while (!next());
+        assertEquals(files + 1, disk.list().size(), disk.list().toString());
+    }
+
+    @Test
+    void aDefectCostsItsEntryAndNotTheWriter() throws Exception {
+        start(OrderLog.Sync.EACH, 1);
+        log.commit(() -> {
+            throw new IllegalStateException("broken for the test");
+        }, told::add);
+        assertEquals(false, next());
+        do {
+            log.commit(() -> intent(2), told::add);
+        } while (!next());
+        assertTrue(onDisk().contains(intent(2)));
+    }
+
     @Test
     void aFullQueueTurnsAwayWhatIsWaitedForBeforeWhatHasHappened() throws Exception {
         start(OrderLog.Sync.EACH, 1);
