Serve whom there is room for in a burst: those turned away take no server's place

Need: `whoComesBeyondWhatThereIsRoomForIsAnsweredAll` failed when its class ran first. It was right: where 60 clients with room for 24 came in one turn, those that were about to be turned away held the descriptors that connections to servers needed, and every request was refused.

They now count against what is kept for connections taken together, which they came from.

--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -118,7 +118,12 @@
             // Every connection has a request open. This one may have brought one too, which is owed an
             // answer: it is served, or where even that takes too many turned away, and let go. Harm:
             // clients beyond the bound open a connection for each request.
-            client.endAfterOne(sockets.mayServeClient());
+            boolean serve = sockets.mayServeClient();
+            client.endAfterOne(serve);
+            if (!serve) {
+                sockets.clientTurnedAway();
+                channel.closeFuture().addListener(done -> sockets.clientLeft());
+            }
             if (!sockets.mayTakeClient()) {
                 // Further ones wait with the system, which has room for many.
                 listening.config().setAutoRead(false);
--- a/src/main/java/kitemux/net/Sockets.java
+++ b/src/main/java/kitemux/net/Sockets.java
@@ -27,6 +27,8 @@
     private int clients;
     /** Taken in together and not looked at yet: those that were looked at must not make room for them. */
     private int taken;
+    /** Looked at and turned away; they end with their answer. */
+    private int leaving;
 
     /**
      * None open yet.
@@ -60,6 +62,16 @@
         clients++;
     }
 
+    /** One that was looked at is turned away. */
+    public void clientTurnedAway() {
+        leaving++;
+    }
+
+    /** One that was turned away is {@link #clientClosed}. */
+    public void clientLeft() {
+        leaving--;
+    }
+
     /** One from a client less. */
     public void clientClosed() {
         open--;
@@ -71,9 +83,13 @@
         return mostIdleClients;
     }
 
-    /** Whether one more to a server may be opened. */
+    /**
+     * Whether one more to a server may be opened. What is taken together is kept for those that are looked at
+     * one by one or turned away: a burst of them would else leave those that are served no server, and all
+     * would be refused.
+     */
     public boolean hasRoomForServer() {
-        return open < most;
+        return open - Math.min(MOST_ACCEPTED, taken + leaving) < most;
     }
 
     /** Whether one more from a client may be taken at all, be it to turn it away. */
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -392,12 +392,23 @@
             // Room for 19 that stay and 24 that are served.
             site.sockets = 128;
             site.start(server);
+            // All come in one turn of the loop: were the first answered before the last come, there would be
+            // room for these.
+            CountDownLatch come = new CountDownLatch(1);
+            site.loop.execute(() -> {
+                try {
+                    come.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
             List<Socket> clients = new ArrayList<>();
             for (int i = 0; i < 60; i++) {
                 Socket client = site.connect();
                 Site.write(client, Http.page("/api/p", "t" + i, "4000m"));
                 clients.add(client);
             }
+            come.countDown();
             // Those beyond are turned away at once, the rest has to wait for the server.
             Http.Message last = Http.read(clients.get(59).getInputStream());
             assertEquals(503, last.status());
