Keep the port of a process that is yet to start, so that nobody else is given it

The port is now kept bound by a socket that neither listens nor connects, beside which a listener that may reuse addresses can be bound. The load and start benchmarks had the same gap and use the same.

--- a/src/main/java/kitemux/bench/KillRuns.java
+++ b/src/main/java/kitemux/bench/KillRuns.java
@@ -91,7 +91,13 @@
     }
 
     private void round(int number, boolean last) throws IOException, InterruptedException {
-        InetSocketAddress listen = Processes.freeAddress();
+        try (HeldAddress held = new HeldAddress()) {
+            round(number, last, held.address());
+        }
+    }
+
+    private void round(int number, boolean last, InetSocketAddress listen)
+            throws IOException, InterruptedException {
         configure(listen);
         Process process = node.redirectErrorStream(true).start();
         try {
--- a/src/main/java/kitemux/bench/LoadBench.java
+++ b/src/main/java/kitemux/bench/LoadBench.java
@@ -75,21 +75,22 @@
         Path folder = Files.createTempDirectory("kitemux-bench");
         List<Target> targets = new ArrayList<>();
         List<BoxServer> boxes = new ArrayList<>();
+        List<HeldAddress> held = new ArrayList<>();
         try {
             for (int i = 0; i < BOXES; i++) {
                 boxes.add(BoxServer.start(loops, ANSWER_BYTES));
             }
             targets.add(new Target("box", boxes.get(0).address(), null));
-            InetSocketAddress relay = Processes.freeAddress();
+            InetSocketAddress relay = hold(held);
             targets.add(new Target("a relay of bytes", relay,
                     processes.relay(relay, boxes.get(0).address())));
             for (Path jar : orders ? jars.subList(0, 1) : jars) {
-                InetSocketAddress listen = Processes.freeAddress();
+                InetSocketAddress listen = hold(held);
                 targets.add(new Target("node " + Processes.name(jar), listen,
                         processes.node(jar, listen, boxes, folder)));
             }
             for (String sync : orders ? List.of("each", "timed", "never") : List.<String>of()) {
-                InetSocketAddress listen = Processes.freeAddress();
+                InetSocketAddress listen = hold(held);
                 targets.add(new Target("node, journal synced " + sync, listen,
                         processes.journaling(jars.get(0), listen, boxes, folder, sync)));
             }
@@ -109,12 +110,21 @@
                     target.process.destroyForcibly().waitFor();
                 }
             }
+            for (HeldAddress each : held) {
+                each.close();
+            }
             boxes.forEach(BoxServer::close);
             loops.shutdownGracefully();
             Processes.deleteAll(folder);
         }
     }
 
+    private static InetSocketAddress hold(List<HeldAddress> held) throws IOException {
+        HeldAddress one = new HeldAddress();
+        held.add(one);
+        return one.address();
+    }
+
     /** What the disk does by itself, with as many bytes as an order's two commits have. */
     private void printSyncs(Path folder) throws IOException {
         Path file = folder.resolve("syncs");
--- a/src/main/java/kitemux/bench/Processes.java
+++ b/src/main/java/kitemux/bench/Processes.java
@@ -2,9 +2,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -27,12 +25,6 @@
         this.pin = pin;
     }
 
-    static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return (InetSocketAddress) free.getLocalSocketAddress();
-        }
-    }
-
     /** A build's file with the two folders above it, by which builds are told apart. */
     static String name(Path jar) {
         int names = jar.toAbsolutePath().normalize().getNameCount();
--- a/src/main/java/kitemux/bench/StartBench.java
+++ b/src/main/java/kitemux/bench/StartBench.java
@@ -99,7 +99,13 @@
 
     private Start start(Processes processes, Path jar, List<BoxServer> boxes, Path folder,
             EventLoopGroup loops) throws IOException, InterruptedException {
-        InetSocketAddress listen = Processes.freeAddress();
+        try (HeldAddress held = new HeldAddress()) {
+            return start(processes, jar, held.address(), boxes, folder, loops);
+        }
+    }
+
+    private Start start(Processes processes, Path jar, InetSocketAddress listen, List<BoxServer> boxes,
+            Path folder, EventLoopGroup loops) throws IOException, InterruptedException {
         ProcessBuilder builder = processes.nodeBuilder(jar, listen, boxes, folder)
                 .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD);
         long began = System.nanoTime();
