--- a/src/main/java/kitemux/bench/LoadBench.java
+++ b/src/main/java/kitemux/bench/LoadBench.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.ToDoubleFunction;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -29,6 +30,9 @@
     private static final int BOXES = 4;
     private static final int ANSWER_BYTES = 200;
 
+    /** Connections of those who ask for pages, and of the flood beside them. */
+    private static final int PAGES = 4;
+    private static final int FLOOD = 16;
     /** Of an order's entries up to its being sent. */
     private static final int ORDER_BYTES = 200;
 
@@ -104,6 +108,9 @@
             for (int n : connections) {
                 measure(loops, targets, n);
             }
+            if (orders) {
+                measurePages(loops, targets.subList(2, targets.size()));
+            }
         } finally {
             for (Target target : targets) {
                 if (target.process != null) {
@@ -163,15 +170,50 @@
         figures.forEach((target, all) -> {
             double[] perS = all.stream().mapToDouble(Load.Figures::perS).sorted().toArray();
             out.printf(Locale.ROOT, "%-28s %9.0f %8.0f %8.0f %9.1f %9.1f %7d %s%n", target.name,
-                    median(perS), perS[0],
-                    perS[perS.length - 1], median(all.stream().mapToDouble(Load.Figures::p50Us).toArray()),
-                    median(all.stream().mapToDouble(Load.Figures::p99Us).toArray()),
+                    median(perS), perS[0], perS[perS.length - 1], median(all, Load.Figures::p50Us),
+                    median(all, Load.Figures::p99Us),
                     all.stream().mapToInt(Load.Figures::failed).sum(),
                     first == null || target == first || !target.name.startsWith("node") ? ""
                             : ratio(all, figures.get(first)));
         });
     }
 
+    /** Pages that a few clients ask for, by themselves and beside a flood of orders. */
+    private void measurePages(EventLoopGroup loops, List<Target> nodes) throws InterruptedException {
+        out.printf("%npages on %d connections%n%-28s %24s %30s%n%-28s %11s %12s %17s %12s%n", PAGES, "",
+                "by themselves", "beside orders on " + FLOOD, "through", "p50 us", "p99 us", "p50 us",
+                "p99 us");
+        Map<Target, List<Load.Figures>> alone = new LinkedHashMap<>();
+        Map<Target, List<Load.Figures>> beside = new LinkedHashMap<>();
+        for (int round = 0; round < rounds; round++) {
+            for (Target node : nodes) {
+                alone.computeIfAbsent(node, t -> new ArrayList<>())
+                        .add(Load.run(loops, node.address, PAGES, warmS, seconds, false));
+                Thread flood = new Thread(() -> flood(loops, node), "flood");
+                flood.start();
+                beside.computeIfAbsent(node, t -> new ArrayList<>())
+                        .add(Load.run(loops, node.address, PAGES, warmS, seconds, false));
+                flood.join();
+            }
+        }
+        alone.forEach((node, figures) -> out.printf(Locale.ROOT, "%-28s %11.1f %12.1f %17.1f %12.1f%n",
+                node.name, median(figures, Load.Figures::p50Us), median(figures, Load.Figures::p99Us),
+                median(beside.get(node), Load.Figures::p50Us),
+                median(beside.get(node), Load.Figures::p99Us)));
+    }
+
+    private void flood(EventLoopGroup loops, Target node) {
+        try {
+            Load.run(loops, node.address, FLOOD, 0, warmS + seconds, true);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static double median(List<Load.Figures> figures, ToDoubleFunction<Load.Figures> of) {
+        return median(figures.stream().mapToDouble(of).toArray());
+    }
+
     private static String ratio(List<Load.Figures> these, List<Load.Figures> those) {
         double[] ratios = new double[these.size()];
         for (int i = 0; i < ratios.length; i++) {
--- a/src/main/java/kitemux/cli/OrdersCommand.java
+++ b/src/main/java/kitemux/cli/OrdersCommand.java
@@ -10,7 +10,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import kitemux.bench.KillRuns;
 import kitemux.orders.Entry.Taken;
@@ -30,7 +34,7 @@
 @Command(name = "orders", mixinStandardHelpOptions = true,
         description = "Reads the journal of orders that a node keeps: was one sent, and where?",
         subcommands = {OrdersCommand.Ask.class, OrdersCommand.Verify.class, OrdersCommand.Export.class,
-            OrdersCommand.Kills.class})
+            OrdersCommand.Index.class, OrdersCommand.Kills.class})
 final class OrdersCommand implements Callable<Integer> {
     /** An order that was sent, and nobody knows what became of it; or the node still has it. */
     static final int UNKNOWN = 3;
@@ -92,7 +96,7 @@
                 boolean live = Orders.isLive(journal);
                 int[] found = new int[2];
                 List<Taken> asked = new ArrayList<>();
-                Orders.reader(journal).stories(about, story -> {
+                Consumer<Story> print = story -> {
                     State is = story.state(live);
                     if (state != null && is != state) {
                         return;
@@ -103,8 +107,13 @@
                         asked.add(story.taken());
                     }
                     System.out.println(json ? StoryText.json(story, live) : StoryText.sentence(story, live));
-                });
-                if (order != null || key != null) {
+                };
+                if (order == null && key == null) {
+                    Orders.reader(journal).stories(about, print);
+                } else {
+                    // By one of the two is enough to find it by; the other is looked at in what is found.
+                    Orders.reader(journal).storiesOf(order == null ? Set.of() : Set.of(order),
+                            order != null ? Set.of() : Set.of(key), Set.of(), about, print);
                     tellOfKin(asked, about, live);
                 }
                 if (found[0] == 0) {
@@ -123,14 +132,19 @@
 
         /** A client that tried again under a new id made another order here: the desk should know of both. */
         private void tellOfKin(List<Taken> asked, Predicate<Taken> about, boolean live) throws IOException {
-            Orders.reader(journal).stories(taken -> !about.test(taken) && kin(asked, taken) != Kin.NONE,
-                    story -> {
+            Orders.reader(journal).storiesOf(Set.of(), texts(asked, Taken::key),
+                    texts(asked, Taken::idempotencyKey),
+                    taken -> !about.test(taken) && kin(asked, taken) != Kin.NONE, story -> {
                         Kin kin = kin(asked, story.taken());
                         System.out.println(json ? StoryText.json(story, live, kin)
                                 : kin.words() + ": " + StoryText.sentence(story, live));
                     });
         }
 
+        private static Set<String> texts(List<Taken> asked, Function<Taken, String> of) {
+            return asked.stream().map(of).filter(text -> !text.isEmpty()).collect(Collectors.toSet());
+        }
+
         private static Kin kin(List<Taken> asked, Taken other) {
             return asked.stream().map(one -> Kin.of(one, other)).filter(kin -> kin != Kin.NONE).findFirst()
                     .orElse(Kin.NONE);
@@ -196,6 +210,25 @@
         }
     }
 
+    /** What makes questions quick. */
+    @Command(name = "index", mixinStandardHelpOptions = true, description = {
+        "Makes the indexes of ended segments anew that are missing or unsound; all else is left as it is.",
+        "Exit code 0: they are there; 2: the call cannot be used, or they cannot be written."})
+    static final class Index implements Callable<Integer> {
+        @Parameters(paramLabel = "DIR", description = "the journal's folder")
+        private Path journal;
+
+        @Override
+        public Integer call() {
+            try {
+                System.out.println(Orders.reader(journal).index() + " indexes were made");
+                return Main.DONE;
+            } catch (IOException e) {
+                return unusable("the journal cannot be indexed: " + e);
+            }
+        }
+    }
+
     /** Proof by killing. */
     @Command(name = "kills", mixinStandardHelpOptions = true, description = {
         "Kills a node at random moments while orders are placed through it, on one journal, and holds what "
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -135,7 +135,7 @@
             return;
         }
         List<String> faults = new ArrayList<>();
-        OperatorSettings operator = OperatorSettings.read(env, faults);
+        OperatorSettings operator = OperatorSettings.read(env, config.settings(), faults);
         if (!faults.isEmpty()) {
             faults.forEach(fault -> System.err.println("kitemux: " + fault));
             System.exit(2);
--- a/src/main/java/kitemux/node/OperatorSettings.java
+++ b/src/main/java/kitemux/node/OperatorSettings.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 
+import kitemux.Balancer.Settings;
 import kitemux.config.Json;
 import kitemux.orders.OrderSettings;
 
@@ -23,9 +24,10 @@
     /**
      * Reads the file that the environment names, if it names one.
      *
+     * @param settings what the platform says
      * @param faults one line is added for each that is found, with field and reason
      */
-    static OperatorSettings read(Map<String, String> env, List<String> faults) {
+    static OperatorSettings read(Map<String, String> env, Settings settings, List<String> faults) {
         String path = env.getOrDefault(VARIABLE, "");
         if (path.isEmpty()) {
             return new OperatorSettings(null);
@@ -35,7 +37,8 @@
             List<String> unknown = new ArrayList<>(json.fields().keySet());
             unknown.remove("orders");
             unknown.forEach(name -> faults.add(name + " is not known; known is orders"));
-            return new OperatorSettings(OrderSettings.read(json.path("orders"), faults));
+            return new OperatorSettings(OrderSettings.read(json.path("orders"), settings.classes,
+                    faults));
         } catch (IOException | InvalidPathException e) {
             faults.add(VARIABLE + " names a file that cannot be read: " + e.getMessage());
             return new OperatorSettings(null);
--- a/src/main/java/kitemux/orders/Disk.java
+++ b/src/main/java/kitemux/orders/Disk.java
@@ -26,6 +26,9 @@
     /** All of a file. */
     byte[] read(String name) throws IOException;
 
+    /** Bytes of a file. */
+    long size(String name) throws IOException;
+
     /** A new file; fails if there is one of this name. */
     Out create(String name) throws IOException;
 
--- a/src/main/java/kitemux/orders/FolderDisk.java
+++ b/src/main/java/kitemux/orders/FolderDisk.java
@@ -80,6 +80,11 @@
         return Files.readAllBytes(folder.resolve(name));
     }
 
+    @Override
+    public long size(String name) throws IOException {
+        return Files.size(folder.resolve(name));
+    }
+
     @Override
     public Out create(String name) throws IOException {
         return new ChannelOut(FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE_NEW,
--- a/src/main/java/kitemux/orders/Journal.java
+++ b/src/main/java/kitemux/orders/Journal.java
@@ -38,6 +38,7 @@
     private final LongSupplier nonces;
     private final Consumer<String> log;
     private final OpenOrders open;
+    private SegmentIndex.Builder index = new SegmentIndex.Builder();
     private Header header;
     private Disk.Out out;
     private long length;
@@ -124,7 +125,10 @@
             log.accept("orders: " + name + ", offset " + fault.offset() + ": " + fault.bytes()
                     + " bytes are no entry: " + fault.reason());
         }
-        content.entries().forEach(placed -> open.add(placed.entry()));
+        for (Segment.Placed placed : content.entries()) {
+            open.add(placed.entry());
+            index.add(placed.entry());
+        }
         header = content.header();
         length = content.soundUpTo();
         out = disk.append(name, length);
@@ -148,7 +152,9 @@
         if (out != null) {
             out.sync();
             out.close();
+            JournalReader.writeIndex(disk, header.sequence(), index.bytes(header.sequence(), length), log);
         }
+        index = new SegmentIndex.Builder();
         header = new Header(sequence, nonces.getAsLong(), clockUs.getAsLong());
         out = disk.create(SegmentNames.of(sequence));
         try {
@@ -181,6 +187,9 @@
                     return;
                 }
                 disk.delete(SegmentNames.of(segments.get(i)));
+                if (disk.list().contains(SegmentNames.index(segments.get(i)))) {
+                    disk.delete(SegmentNames.index(segments.get(i)));
+                }
             }
         } catch (IOException e) {
             // Room is lost, and nothing else: it is tried again with the next segment.
@@ -204,7 +213,10 @@
             takeAwayOld();
         }
         write(entries);
-        entries.forEach(open::add);
+        for (Entry entry : entries) {
+            open.add(entry);
+            index.add(entry);
+        }
     }
 
     /** Waits until all that was written is safe. */
--- a/src/main/java/kitemux/orders/JournalReader.java
+++ b/src/main/java/kitemux/orders/JournalReader.java
@@ -6,14 +6,18 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongPredicate;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 import kitemux.orders.Entry.Checkpoint;
 import kitemux.orders.Entry.Taken;
 import kitemux.orders.Segment.Content;
 import kitemux.orders.Segment.Fault;
 import kitemux.orders.Segment.Placed;
+import kitemux.orders.SegmentIndex.By;
 
 /**
  * Reads a journal, of a live node or a dead one, one segment at a time, and changes nothing. What a live node
@@ -31,12 +35,14 @@
         void segment(String name, boolean last, Content content);
     }
 
-    void each(Visitor visitor) throws IOException {
+    private void each(LongPredicate wanted, Visitor visitor) throws IOException {
         List<Long> segments = SegmentNames.sequences(disk.list());
         for (int i = 0; i < segments.size(); i++) {
             String name = SegmentNames.of(segments.get(i));
             try {
-                visitor.segment(name, i == segments.size() - 1, Segment.read(disk.read(name)));
+                if (wanted.test(segments.get(i))) {
+                    visitor.segment(name, i == segments.size() - 1, Segment.read(disk.read(name)));
+                }
             } catch (NoSuchFileException e) {
                 // Too old by now: a live node has taken it away since the folder was listed.
             }
@@ -49,9 +55,28 @@
      * open at once.
      */
     public void stories(Predicate<Taken> about, Consumer<Story> found) throws IOException {
+        stories(null, about, found);
+    }
+
+    /**
+     * The same of those only that have one of these ids, keys or idempotency keys; segments whose index says
+     * that they took none of them are not read.
+     */
+    public void storiesOf(Set<String> orders, Set<String> keys, Set<String> idempotencyKeys,
+            Predicate<Taken> about, Consumer<Story> found) throws IOException {
+        long[] hashes = Stream.of(orders.stream().map(By.ORDER::hash), keys.stream().map(By.KEY::hash),
+                idempotencyKeys.stream().map(By.IDEMPOTENCY::hash)).flatMap(each -> each)
+                .mapToLong(Long::longValue).toArray();
+        stories(hashes, about.and(taken -> orders.contains(taken.order()) || keys.contains(taken.key())
+                || idempotencyKeys.contains(taken.idempotencyKey())), found);
+    }
+
+    private void stories(long[] hashes, Predicate<Taken> about, Consumer<Story> found) throws IOException {
         Map<Long, Story> open = new LinkedHashMap<>();
         long[] highest = new long[1];
-        each((name, last, content) -> {
+        // Stories that are not over go on in the next segment.
+        each(segment -> hashes == null || !open.isEmpty() || mayHold(segment, hashes),
+                (name, last, content) -> {
             for (Placed placed : content.entries()) {
                 Entry entry = placed.entry();
                 Story story = open.get(entry.number());
@@ -73,6 +98,62 @@
         new ArrayList<>(open.values()).forEach(found);
     }
 
+    private boolean mayHold(long segment, long[] hashes) {
+        SegmentIndex index = index(segment);
+        return index == null || index.mayHold(hashes);
+    }
+
+    /** A segment's index, or null if there is none that is sound and of it as it stands. */
+    private SegmentIndex index(long segment) {
+        try {
+            SegmentIndex index = SegmentIndex.read(disk.read(SegmentNames.index(segment)));
+            return index != null && index.isOf(segment, disk.size(SegmentNames.of(segment))) ? index : null;
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    /**
+     * Makes the indexes anew that are missing or unsound, but for the last segment, which may go on.
+     *
+     * @return how many
+     */
+    public int index() throws IOException {
+        List<Long> segments = SegmentNames.sequences(disk.list());
+        int made = 0;
+        for (long segment : segments.subList(0, Math.max(0, segments.size() - 1))) {
+            if (index(segment) == null) {
+                byte[] bytes = disk.read(SegmentNames.of(segment));
+                SegmentIndex.Builder builder = new SegmentIndex.Builder();
+                Segment.read(bytes).entries().forEach(placed -> builder.add(placed.entry()));
+                List<String> failed = new ArrayList<>();
+                writeIndex(disk, segment, builder.bytes(segment, bytes.length), failed::add);
+                if (!failed.isEmpty()) {
+                    throw new IOException(failed.get(0));
+                }
+                made++;
+            }
+        }
+        return made;
+    }
+
+    /** Under another name first: half an index would be found unsound, but a whole one stays what it was. */
+    static void writeIndex(Disk disk, long segment, byte[] bytes, Consumer<String> log) {
+        String name = SegmentNames.index(segment);
+        try {
+            if (disk.list().contains(name + ".new")) {
+                disk.delete(name + ".new");
+            }
+            try (Disk.Out out = disk.create(name + ".new")) {
+                out.write(bytes);
+            }
+            disk.rename(name + ".new", name);
+        } catch (IOException e) {
+            // Questions take longer, and nothing else.
+            log.accept("orders: " + name + " cannot be written: " + e);
+        }
+    }
+
     /**
      * What a check of every byte found.
      *
@@ -90,7 +171,7 @@
         int[] segments = new int[1];
         long[] entries = new long[1];
         int[] torn = new int[1];
-        each((name, last, content) -> {
+        each(segment -> true, (name, last, content) -> {
             segments[0]++;
             entries[0] += content.entries().size();
             if (last && content.isTorn()) {
--- a/src/main/java/kitemux/orders/OrderKeeper.java
+++ b/src/main/java/kitemux/orders/OrderKeeper.java
@@ -19,8 +19,9 @@
 import kitemux.orders.Entry.Taken;
 
 /**
- * Keeps the journal of what an engine does with requests of the classes that must never run twice: it is told
- * of all, and holds each send back until the journal has it. On the engine's loop.
+ * Keeps the journal of what an engine does with requests of the classes that must never run twice, and of
+ * others that it is told to keep: it hears of all, and holds each send back until the journal has it. On the
+ * engine's loop.
  *
  * @param <Q> requests of the protocol
  */
@@ -28,7 +29,7 @@
     private final Settings settings;
     private final Time time;
     private final OrderLog orders;
-    private final long lateUs;
+    private final OrderSettings how;
     private final Map<Long, Long> numbers = new HashMap<>();
     private long next;
 
@@ -36,18 +37,19 @@
      * A keeper that has heard of nothing.
      *
      * @param next the number for the first request that is taken
-     * @param lateUs a send waits for its record no longer than this; after that the disk is late
+     * @param how which classes are kept, and how long a send waits for its record
      */
-    OrderKeeper(Settings settings, Time time, OrderLog orders, long next, long lateUs) {
+    OrderKeeper(Settings settings, Time time, OrderLog orders, long next, OrderSettings how) {
         this.settings = settings;
         this.time = time;
         this.orders = orders;
         this.next = next;
-        this.lateUs = lateUs;
+        this.how = how;
     }
 
     private boolean isKept(int classIndex) {
-        return settings.classes.get(classIndex).repeat() == Repeat.UNSAFE;
+        RequestClass of = settings.classes.get(classIndex);
+        return of.repeat() == Repeat.UNSAFE || how.classes().contains(of.name());
     }
 
     @Override
@@ -79,7 +81,7 @@
         }
         Intent intent = new Intent(number, time.nowUs(), attempt, serverId, endpoint.get(), untilUs);
         boolean[] told = {false};
-        Time.Timer patience = time.after(lateUs, () -> {
+        Time.Timer patience = time.after(how.lateMs() * 1_000, () -> {
             if (!told[0]) {
                 told[0] = true;
                 orders.countLate();
--- a/src/main/java/kitemux/orders/OrderLog.java
+++ b/src/main/java/kitemux/orders/OrderLog.java
@@ -151,6 +151,7 @@
             } else if (!batch.isEmpty()) {
                 write(batch);
             }
+            syncIfDue();
             if (last && (batch.isEmpty() || journal == null)) {
                 break;
             }
@@ -175,7 +176,7 @@
             batch.forEach(item -> entries.add(item.entry.get()));
             journal.append(entries);
             unsynced = true;
-            if (sync == Sync.EACH || isSyncDue()) {
+            if (sync == Sync.EACH) {
                 sync();
             }
         } catch (IOException e) {
@@ -196,8 +197,17 @@
         batch.clear();
     }
 
-    private boolean isSyncDue() {
-        return sync == Sync.TIMED && unsynced && System.nanoTime() - syncedNanos >= syncNanos;
+    /** Where syncs are timed nobody waits for one. */
+    private void syncIfDue() {
+        if (journal == null || sync != Sync.TIMED || !unsynced
+                || System.nanoTime() - syncedNanos < syncNanos) {
+            return;
+        }
+        try {
+            sync();
+        } catch (IOException e) {
+            fail(e);
+        }
     }
 
     private void sync() throws IOException {
@@ -259,13 +269,6 @@
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(RETRY_MS / 10));
         } else if (sync == Sync.TIMED && unsynced) {
             LockSupport.parkNanos(Math.max(1, syncNanos - (System.nanoTime() - syncedNanos)));
-            try {
-                if (isSyncDue()) {
-                    sync();
-                }
-            } catch (IOException e) {
-                fail(e);
-            }
         } else if (queue.isEmpty()) {
             LockSupport.park(this);
         }
--- a/src/main/java/kitemux/orders/OrderSettings.java
+++ b/src/main/java/kitemux/orders/OrderSettings.java
@@ -2,10 +2,12 @@
 
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 
+import kitemux.Balancer.RequestClass;
 import kitemux.config.Json;
 
 /**
@@ -18,11 +20,12 @@
  * @param segmentBytes after so many a segment is ended
  * @param segmentHours or when it was begun so long ago
  * @param keepDays segments that ended so many days ago are taken away; 0 keeps them for good
+ * @param classes of requests that are kept besides those that must never run twice
  */
 public record OrderSettings(Path folder, OrderLog.Sync sync, long syncMs, long lateMs, long segmentBytes,
-        long segmentHours, long keepDays) {
+        long segmentHours, long keepDays, Set<String> classes) {
     private static final Set<String> FIELDS =
-            Set.of("folder", "sync", "syncMs", "lateMs", "segmentKiB", "segmentHours", "keepDays");
+            Set.of("folder", "sync", "syncMs", "lateMs", "segmentKiB", "segmentHours", "keepDays", "classes");
     private static final long MOST_DAYS = 36_500;
     private static final long MOST_MS = 60_000;
     /**
@@ -34,9 +37,10 @@
     /**
      * Reads them, or null where there are none: no journal is kept then.
      *
+     * @param known the classes that there are
      * @param faults one line is added for each that is found
      */
-    public static OrderSettings read(Json json, List<String> faults) {
+    public static OrderSettings read(Json json, List<RequestClass> known, List<String> faults) {
         if (json.isMissing()) {
             return null;
         }
@@ -51,9 +55,10 @@
         long segment = within(json, "segmentKiB", 4 << 10, LEAST_KIB, MOST_KIB, faults);
         long hours = within(json, "segmentHours", 24, 1, 24 * MOST_DAYS, faults);
         long keepDays = within(json, "keepDays", 0, 0, MOST_DAYS, faults);
+        Set<String> classes = classes(json.path("classes"), known, faults);
         return faults.size() > before ? null
                 : new OrderSettings(folder, sync, syncMs, lateMs, segment << 10, hours,
-                        keepDays);
+                        keepDays, classes);
     }
 
     private static Path folder(Json json, List<String> faults) {
@@ -81,6 +86,20 @@
         return null;
     }
 
+    private static Set<String> classes(Json json, List<RequestClass> known, List<String> faults) {
+        if (!json.isMissing() && !json.isList()) {
+            faults.add("orders.classes is not a list of names");
+        }
+        Set<String> names = new LinkedHashSet<>();
+        for (Json name : json) {
+            names.add(name.text());
+            if (known.stream().noneMatch(each -> each.name().equals(name.text()))) {
+                faults.add("orders.classes names one that is not there: " + name.text());
+            }
+        }
+        return names;
+    }
+
     private static long within(Json json, String field, long otherwise, long least, long most,
             List<String> faults) {
         Json given = json.path(field);
--- a/src/main/java/kitemux/orders/Orders.java
+++ b/src/main/java/kitemux/orders/Orders.java
@@ -60,7 +60,7 @@
 
     /** What an engine is to be given; once. */
     public <Q extends Asked> OrderKeeper<Q> keeper(OrderSettings how, Settings settings, Time time) {
-        return new OrderKeeper<>(settings, time, log, next, how.lateMs() * 1_000);
+        return new OrderKeeper<>(settings, time, log, next, how);
     }
 
     /** Writes and syncs what has come, and lets go of the folder. Not to be called on the loop. */
--- a/src/main/java/kitemux/orders/SegmentNames.java
+++ b/src/main/java/kitemux/orders/SegmentNames.java
@@ -18,6 +18,11 @@
         return "0".repeat(16 - digits.length()) + digits + ".orders";
     }
 
+    /** The index of a segment. */
+    static String index(long sequence) {
+        return of(sequence).replace(".orders", ".index");
+    }
+
     /** The numbers of the segments among these files, in their order. */
     static List<Long> sequences(Collection<String> names) {
         return names.stream().map(SEGMENT::matcher).filter(Matcher::matches)
--- a/src/test/java/kitemux/orders/JournalTest.java
+++ b/src/test/java/kitemux/orders/JournalTest.java
@@ -243,4 +243,58 @@
             assertEquals(waiting, journal.oldestOpen());
         }
     }
+
+    private static List<String> found(MemoryDisk disk, String order, int[] reads) throws IOException {
+        List<String> found = new ArrayList<>();
+        disk.reads = 0;
+        new JournalReader(disk).storiesOf(Set.of(order), Set.of(), Set.of(), taken -> true,
+                story -> found.add(story.taken().order() + " " + story.state(false)));
+        reads[0] = disk.reads;
+        return found;
+    }
+
+    @Test
+    void anIndexSparesTheReadingOfSegmentsAndChangesNoAnswer() throws IOException {
+        MemoryDisk disk = new MemoryDisk();
+        orders(disk, 40, 800);
+        List<Long> segments = SegmentNames.sequences(disk.list());
+        int[] with = new int[1];
+        int[] without = new int[1];
+        for (int i = 1; i <= 41; i++) {
+            List<String> quick = found(disk, "o" + i, with);
+            MemoryDisk bare = disk.afterPowerCut(0);
+            for (long segment : segments.subList(0, segments.size() - 1)) {
+                bare.files().remove(SegmentNames.index(segment));
+            }
+            assertEquals(found(bare, "o" + i, without), quick);
+            assertEquals(i <= 40 ? List.of("o" + i + " ANSWERED") : List.of(), quick);
+            assertTrue(with[0] <= 4 && without[0] == segments.size(), with[0] + " of " + without[0]);
+            if (i == 41) {
+                assertEquals(segments.size() - 1, new JournalReader(bare).index());
+                assertEquals(0, new JournalReader(bare).index());
+                found(bare, "o7", with);
+                assertTrue(with[0] <= 4, "made anew, it spares as much");
+            }
+        }
+    }
+
+    @Test
+    void anIndexThatIsSpoiltOrOfAnotherTimeCountsAsNone() throws IOException {
+        MemoryDisk disk = new MemoryDisk();
+        orders(disk, 12, 800);
+        String name = SegmentNames.index(1);
+        byte[] sound = disk.read(name);
+        assertTrue(SegmentIndex.read(sound).isOf(1, disk.size(SegmentNames.of(1))));
+        assertFalse(SegmentIndex.read(sound).isOf(2, disk.size(SegmentNames.of(1))));
+        assertFalse(SegmentIndex.read(sound).isOf(1, disk.size(SegmentNames.of(1)) + 1));
+        for (int i = 0; i < sound.length; i++) {
+            byte[] spoilt = sound.clone();
+            spoilt[i] ^= 1;
+            disk.put(name, spoilt);
+            assertEquals(List.of("o1 ANSWERED"), found(disk, "o1", new int[1]), "byte " + i);
+        }
+        for (int length = 0; length < sound.length; length++) {
+            assertEquals(null, SegmentIndex.read(java.util.Arrays.copyOf(sound, length)));
+        }
+    }
 }
--- a/src/test/java/kitemux/orders/MemoryDisk.java
+++ b/src/test/java/kitemux/orders/MemoryDisk.java
@@ -22,6 +22,8 @@
     /** Operations until all fail; negative for never. */
     int failAfter = -1;
     int operations;
+    /** Segments read. */
+    int reads;
 
     private void step() throws IOException {
         operations++;
@@ -53,6 +55,11 @@
         return found;
     }
 
+    /** What the machine sees, to be changed. */
+    Map<String, ByteArrayOutputStream> files() {
+        return files;
+    }
+
     /** A file that is there and safe. */
     void put(String name, byte[] bytes) {
         ByteArrayOutputStream file = new ByteArrayOutputStream();
@@ -69,6 +76,7 @@
 
     @Override
     public byte[] read(String name) throws IOException {
+        reads += name.endsWith(".orders") ? 1 : 0;
         ByteArrayOutputStream file = files.get(name);
         if (file == null) {
             throw new FileNotFoundException(name);
@@ -76,6 +84,11 @@
         return file.toByteArray();
     }
 
+    @Override
+    public long size(String name) throws IOException {
+        return files.get(name).size();
+    }
+
     @Override
     public Out create(String name) throws IOException {
         step();
--- /dev/null
+++ b/src/test/java/kitemux/orders/OrderKeeperTest.java
@@ -0,0 +1,160 @@
+package kitemux.orders;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import kitemux.Balancer.Group;
+import kitemux.Balancer.Repeat;
+import kitemux.Balancer.RequestClass;
+import kitemux.Balancer.Result;
+import kitemux.Balancer.Settings;
+import kitemux.engine.Asked;
+import kitemux.engine.Observer;
+import kitemux.engine.Time;
+
+/** Which requests a journal holds, and what becomes of a send whose record is late. */
+class OrderKeeperTest {
+    /** Asked for by a test. */
+    private record Ask(int classIndex) implements Asked {
+        @Override
+        public String txn() {
+            return "t" + classIndex;
+        }
+
+        @Override
+        public int tenant() {
+            return -1;
+        }
+
+        @Override
+        public long leftUs() {
+            return 1_000_000;
+        }
+
+        @Override
+        public long workUs() {
+            return 0;
+        }
+
+        @Override
+        public boolean retry() {
+            return false;
+        }
+
+        @Override
+        public String key() {
+            return "cart";
+        }
+
+        @Override
+        public String idempotencyKey() {
+            return classIndex == 1 ? "k" : null;
+        }
+
+        @Override
+        public byte[] body() {
+            return new byte[] {4, 5};
+        }
+    }
+
+    private final Settings settings = new Settings();
+    private final MemoryDisk disk = new MemoryDisk();
+    private final BlockingQueue<Runnable> loop = new LinkedBlockingQueue<>();
+    private final Queue<Runnable> timers = new ArrayDeque<>();
+    private final List<Boolean> gate = new ArrayList<>();
+
+    private final Time time = new Time() {
+        @Override
+        public long nowUs() {
+            return 50;
+        }
+
+        @Override
+        public Timer after(long us, Runnable task) {
+            timers.add(task);
+            return () -> timers.remove(task);
+        }
+    };
+
+    private OrderLog log;
+
+    private OrderKeeper<Ask> keeper(Set<String> more) throws Exception {
+        for (Repeat repeat : List.of(Repeat.SAFE, Repeat.KEYED, Repeat.UNSAFE)) {
+            settings.classes.add(new RequestClass(repeat.name(), 1, 0, 2, 1, 0, repeat, Group.ALL, 1, false));
+        }
+        log = OrderLog.start(failed -> Journal.open(disk, new Journal.Limits(1 << 20, Long.MAX_VALUE, 0),
+                () -> 50, () -> 3, line -> { }), OrderLog.Sync.EACH, 1, loop::add, line -> { });
+        return new OrderKeeper<>(settings, time, log, 1, new OrderSettings(Path.of("x"),
+                OrderLog.Sync.EACH, 1, 100, 1 << 20, 1, 0, more));
+    }
+
+    private List<String> kept() throws Exception {
+        log.close();
+        List<String> kept = new ArrayList<>();
+        new JournalReader(disk).stories(taken -> true,
+                story -> kept.add(story.taken().order() + " " + story.state(false)));
+        return kept;
+    }
+
+    private void play(OrderKeeper<Ask> keeper, int classIndex) throws Exception {
+        Ask ask = new Ask(classIndex);
+        long id = 10 + classIndex;
+        keeper.taken(id, ask);
+        keeper.before(id, ask, 0, "s", () -> "127.0.0.1:1", 99, gate::add);
+        while (gate.isEmpty()) {
+            loop.poll(20, TimeUnit.SECONDS).run();
+        }
+        assertEquals(List.of(true), gate);
+        gate.clear();
+        keeper.ended(id, 0, Result.OK);
+        keeper.answered(id, Observer.Answer.SERVED);
+        keeper.forgotten(id);
+    }
+
+    @Test
+    void onlyWhatMustNeverRunTwiceIsKept() throws Exception {
+        OrderKeeper<Ask> keeper = keeper(Set.of());
+        for (int c = 0; c < 3; c++) {
+            play(keeper, c);
+        }
+        assertEquals(List.of("t2 ANSWERED"), kept());
+        assertTrue(timers.isEmpty(), "a record that came in time leaves no timer");
+    }
+
+    @Test
+    void otherClassesAreKeptWhereTheSettingsNameThem() throws Exception {
+        OrderKeeper<Ask> keeper = keeper(Set.of("KEYED"));
+        for (int c = 0; c < 3; c++) {
+            play(keeper, c);
+        }
+        assertEquals(List.of("t1 ANSWERED", "t2 ANSWERED"), kept());
+    }
+
+    @Test
+    void aRecordThatIsLateSendsNothingHoweverItEnds() throws Exception {
+        OrderKeeper<Ask> keeper = keeper(Set.of());
+        keeper.taken(7, new Ask(2));
+        keeper.before(7, new Ask(2), 0, "s", () -> "", 99, gate::add);
+        timers.remove().run();
+        assertEquals(List.of(false), gate);
+        loop.poll(20, TimeUnit.SECONDS).run();
+        assertEquals(List.of(false), gate, "told once");
+        keeper.ended(7, 0, Result.MOOT);
+        keeper.answered(7, Observer.Answer.REFUSED);
+        keeper.forgotten(7);
+        assertEquals(List.of("t2 REFUSED"), kept());
+        assertEquals(1, log.refusedCount());
+    }
+}
--- a/src/test/java/kitemux/orders/OrderLogTest.java
+++ b/src/test/java/kitemux/orders/OrderLogTest.java
@@ -79,6 +79,11 @@
             return disk.read(name);
         }
 
+        @Override
+        public long size(String name) throws IOException {
+            return disk.size(name);
+        }
+
         @Override
         public Out create(String name) throws IOException {
             check();
--- a/src/test/java/kitemux/orders/StoryTest.java
+++ b/src/test/java/kitemux/orders/StoryTest.java
@@ -116,14 +116,16 @@
     void settingsSayEachFaultInALine() throws Exception {
         List<String> faults = new ArrayList<>();
         assertEquals(null, OrderSettings.read(Json.read("""
-                {"sync":"often","lateMs":0,"segmentKiB":"x","color":1}""".getBytes(UTF_8)), faults));
-        assertEquals(5, faults.size(), faults.toString());
+                {"sync":"often","lateMs":0,"segmentKiB":"x","color":1,"classes":["none"]}""".getBytes(UTF_8)),
+                List.of(), faults));
+        assertEquals(6, faults.size(), faults.toString());
         for (String field : List.of("orders.folder", "orders.sync", "orders.lateMs", "orders.segmentKiB",
-                "orders.color")) {
+                "orders.color", "orders.classes")) {
             assertTrue(faults.stream().anyMatch(fault -> fault.startsWith(field + " ")), field);
         }
         faults.clear();
-        OrderSettings read = OrderSettings.read(Json.read("{\"folder\":\"/x\"}".getBytes(UTF_8)), faults);
+        OrderSettings read = OrderSettings.read(Json.read("{\"folder\":\"/x\"}".getBytes(UTF_8)), List.of(),
+                faults);
         assertEquals(List.of(), faults);
         assertEquals(OrderLog.Sync.EACH, read.sync());
         assertEquals(4 << 20, read.segmentBytes());
