--- a/src/main/java/kitemux/bench/Load.java
+++ b/src/main/java/kitemux/bench/Load.java
@@ -34,6 +34,8 @@
     private final long most;
     /** Whether orders are placed, which must never run twice, or pages asked for. */
     private final boolean orders;
+    /** Between two requests of a connection, at least; 0 to ask as soon as the answer is there. */
+    private final long gapNanos;
     private long asked;
     private int count;
     private int failed;
@@ -49,7 +51,8 @@
      */
     record Figures(double perS, double p50Us, double p99Us, int failed) { }
 
-    private Load(int connections, long fromNanos, long untilNanos, long most, boolean orders) {
+    private Load(int connections, long fromNanos, long untilNanos, long most, boolean orders, double perS) {
+        gapNanos = perS == 0 ? 0 : (long) (connections * 1e9 / perS);
         this.most = most;
         this.orders = orders;
         this.fromNanos = fromNanos;
@@ -57,12 +60,15 @@
         left = new CountDownLatch(connections);
     }
 
-    /** Asks for pages, or places orders, for so long, after a time that does not count. */
+    /**
+     * Asks for pages, or places orders, for so long, after a time that does not count.
+     *
+     * @param perS so many a second on all connections together, at most; 0 for as many as are answered
+     */
     static Figures run(EventLoopGroup loops, InetSocketAddress target, int connections, double warmS,
-            double s, boolean orders) throws InterruptedException {
+            double s, boolean orders, double perS) throws InterruptedException {
         long from = System.nanoTime() + (long) (warmS * 1e9);
-        Load load = new Load(connections, from, from + (long) (s * 1e9), Long.MAX_VALUE,
-                orders);
+        Load load = new Load(connections, from, from + (long) (s * 1e9), Long.MAX_VALUE, orders, perS);
         load.ask(loops, target, connections, warmS + s);
         long[] sorted = load.sorted();
         return new Figures(load.count / s, at(sorted, 0.5), at(sorted, 0.99), load.failed);
@@ -76,7 +82,7 @@
     static long[] first(EventLoopGroup loops, InetSocketAddress target, int connections, int count)
             throws InterruptedException {
         long now = System.nanoTime();
-        Load load = new Load(connections, now, now + 10_000_000_000L, count, false);
+        Load load = new Load(connections, now, now + 10_000_000_000L, count, false, 0);
         load.ask(loops, target, connections, 10);
         return load.sorted();
     }
@@ -150,7 +156,12 @@
                 samples[count++] = now - askedAt;
             }
             answer.setLength(0);
-            ask(context);
+            long waitNanos = gapNanos - (now - askedAt);
+            if (waitNanos > 0) {
+                context.executor().schedule(() -> ask(context), waitNanos, TimeUnit.NANOSECONDS);
+            } else {
+                ask(context);
+            }
         }
 
         private int length(int headEnd) {
--- a/src/main/java/kitemux/bench/LoadBench.java
+++ b/src/main/java/kitemux/bench/LoadBench.java
@@ -33,6 +33,9 @@
     /** Connections of those who ask for pages, and of the flood beside them. */
     private static final int PAGES = 4;
     private static final int FLOOD = 16;
+    /** Orders a second of that flood: more than twice what the busiest hour has been, and no full load, in
+     * which pages wait for the processor and not for the journal. */
+    private static final double FLOOD_PER_S = 500;
     /** Of an order's entries up to its being sent. */
     private static final int ORDER_BYTES = 200;
 
@@ -158,7 +161,7 @@
         targets.forEach(t -> figures.put(t, new ArrayList<>()));
         for (int round = 0; round < rounds; round++) {
             for (Target target : targets) {
-                figures.get(target).add(Load.run(loops, target.address, n, warmS, seconds, orders));
+                figures.get(target).add(Load.run(loops, target.address, n, warmS, seconds, orders, 0));
             }
         }
         out.printf("%n%d connections%n%-28s %9s %17s %9s %9s %7s %14s%n", n, "", "requests", "", "", "", "",
@@ -181,18 +184,19 @@
     /** Pages that a few clients ask for, by themselves and beside a flood of orders. */
     private void measurePages(EventLoopGroup loops, List<Target> nodes) throws InterruptedException {
         out.printf("%npages on %d connections%n%-28s %24s %30s%n%-28s %11s %12s %17s %12s%n", PAGES, "",
-                "by themselves", "beside orders on " + FLOOD, "through", "p50 us", "p99 us", "p50 us",
+                "by themselves", String.format(Locale.ROOT, "beside %.0f orders a second", FLOOD_PER_S),
+                "through", "p50 us", "p99 us", "p50 us",
                 "p99 us");
         Map<Target, List<Load.Figures>> alone = new LinkedHashMap<>();
         Map<Target, List<Load.Figures>> beside = new LinkedHashMap<>();
         for (int round = 0; round < rounds; round++) {
             for (Target node : nodes) {
                 alone.computeIfAbsent(node, t -> new ArrayList<>())
-                        .add(Load.run(loops, node.address, PAGES, warmS, seconds, false));
+                        .add(Load.run(loops, node.address, PAGES, warmS, seconds, false, 0));
                 Thread flood = new Thread(() -> flood(loops, node), "flood");
                 flood.start();
                 beside.computeIfAbsent(node, t -> new ArrayList<>())
-                        .add(Load.run(loops, node.address, PAGES, warmS, seconds, false));
+                        .add(Load.run(loops, node.address, PAGES, warmS, seconds, false, 0));
                 flood.join();
             }
         }
@@ -204,7 +208,7 @@
 
     private void flood(EventLoopGroup loops, Target node) {
         try {
-            Load.run(loops, node.address, FLOOD, 0, warmS + seconds, true);
+            Load.run(loops, node.address, FLOOD, 0, warmS + seconds, true, FLOOD_PER_S);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/kitemux/cli/BenchCommand.java
+++ b/src/main/java/kitemux/cli/BenchCommand.java
@@ -10,6 +10,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 
+import kitemux.bench.JournalBench;
 import kitemux.bench.LoadBench;
 import kitemux.bench.StartBench;
 import kitemux.standin.Relay;
@@ -24,6 +25,8 @@
         + "through nodes, in turn; it stops by itself."})
 final class BenchCommand implements Callable<Integer> {
     private static final int MOST_CONNECTIONS = 400;
+    /** Some 2.5 GB on disk. */
+    private static final int MOST_ORDERS = 10_000_000;
 
     @Option(names = "--jar", paramLabel = "FILE",
             description = "a build whose node is measured; may be given again; target/kitemux.jar by default")
@@ -58,6 +61,10 @@
                 + "with each way to sync one")
     private boolean orders;
 
+    @Option(names = "--journal", paramLabel = "N",
+            description = "a journal of so many orders in place of load: written, taken up, asked, checked")
+    private int journal;
+
     @Option(names = "--as-relay", arity = "2", hidden = true,
             description = "relays from one address to another")
     private List<String> relay = List.of();
@@ -86,6 +93,13 @@
         if (starts < 0 || starts > 100 || half && (starts == 0 || pin.isEmpty())) {
             return unusable("--starts is not up to 100, or --half is given without --starts and --pin");
         }
+        if (journal < 0 || journal > MOST_ORDERS) {
+            return unusable("--journal is not up to " + MOST_ORDERS);
+        }
+        if (journal > 0) {
+            new JournalBench(journal, System.out).run();
+            return Main.DONE;
+        }
         if (starts > 0) {
             new StartBench(jars.stream().map(Path::toAbsolutePath).toList(), starts, pin, half,
                     System.out).run();
--- a/src/main/java/kitemux/orders/Journal.java
+++ b/src/main/java/kitemux/orders/Journal.java
@@ -28,9 +28,11 @@
      * @param bytes a segment is ended after so many
      * @param ageUs or when it was begun so long ago
      * @param keepUs one that ended so long ago, with nothing open in it, is taken away as a new one is begun;
-     *     0 keeps them for good
+     *     0 keeps them however old
+     * @param keepBytes the oldest are taken away as well while all together have more than this, with nothing
+     *     open in them; 0 keeps them however many
      */
-    record Limits(long bytes, long ageUs, long keepUs) { }
+    record Limits(long bytes, long ageUs, long keepUs, long keepBytes) { }
 
     private final Disk disk;
     private final Limits limits;
@@ -175,17 +177,19 @@
 
     /** A segment ended when the next was begun, and what was taken in it has numbers under the next one's. */
     private void takeAwayOld() {
-        if (limits.keepUs == 0) {
+        if (limits.keepUs == 0 && limits.keepBytes == 0) {
             return;
         }
         try {
             List<Long> segments = SegmentNames.sequences(disk.list());
+            long beyond = limits.keepBytes == 0 ? 0 : bytes(segments) - limits.keepBytes;
             for (int i = 0; i < Math.min(segments.size() - 1, MOST_TAKEN_AWAY); i++) {
                 Content next = Segment.read(disk.read(SegmentNames.of(segments.get(i + 1))));
-                if (!isBegun(next) || next.header().createdAtUs() > clockUs.getAsLong() - limits.keepUs
+                if (!isBegun(next) || beyond <= 0 && !isOld(next.header())
                         || open.oldest() < next.entries().get(0).entry().number()) {
                     return;
                 }
+                beyond -= disk.size(SegmentNames.of(segments.get(i)));
                 disk.delete(SegmentNames.of(segments.get(i)));
                 if (disk.list().contains(SegmentNames.index(segments.get(i)))) {
                     disk.delete(SegmentNames.index(segments.get(i)));
@@ -197,6 +201,18 @@
         }
     }
 
+    private boolean isOld(Header next) {
+        return limits.keepUs > 0 && next.createdAtUs() <= clockUs.getAsLong() - limits.keepUs;
+    }
+
+    private long bytes(List<Long> segments) throws IOException {
+        long bytes = 0;
+        for (long segment : segments) {
+            bytes += disk.size(SegmentNames.of(segment));
+        }
+        return bytes;
+    }
+
     private void write(List<Entry> entries) throws IOException {
         ByteArrayOutputStream frames = new ByteArrayOutputStream();
         for (Entry entry : entries) {
--- a/src/main/java/kitemux/orders/OrderLog.java
+++ b/src/main/java/kitemux/orders/OrderLog.java
@@ -27,7 +27,7 @@
 
     /** What a commit promises. */
     public enum Sync {
-        /** What is told durable survives a crash of the machine. */
+        /** What is told durable survives a crash of the machine; what nobody waits for, once it is synced. */
         EACH,
         /** It survives the process; a crash of the machine takes what came since the last sync. */
         TIMED,
@@ -54,7 +54,8 @@
     private Journal journal;
     private Journal failed;
     private boolean unsynced;
-    private long syncedNanos = System.nanoTime();
+    /** When the oldest entry was written that no sync has followed. */
+    private long unsyncedNanos;
     private long failedNanos;
 
     /** Opens a journal, and again one that failed. */
@@ -79,7 +80,7 @@
      * Recovers a journal and starts to write to it.
      *
      * @param sync what a commit promises
-     * @param syncMs between two syncs where they are timed
+     * @param syncMs what nobody waits for is synced so long after it was written, unless it is never synced
      * @param loop runs what is told
      * @param log for the operators, from the writer's thread
      * @throws IOException if it cannot be opened
@@ -175,8 +176,10 @@
             List<Entry> entries = new ArrayList<>(batch.size());
             batch.forEach(item -> entries.add(item.entry.get()));
             journal.append(entries);
+            unsyncedNanos = unsynced ? unsyncedNanos : System.nanoTime();
             unsynced = true;
-            if (sync == Sync.EACH) {
+            // What has happened goes with the next sync: the next order would else wait for it first.
+            if (sync == Sync.EACH && batch.stream().anyMatch(item -> item.told != null)) {
                 sync();
             }
         } catch (IOException e) {
@@ -197,10 +200,10 @@
         batch.clear();
     }
 
-    /** Where syncs are timed nobody waits for one. */
+    /** What nobody waits for. */
     private void syncIfDue() {
-        if (journal == null || sync != Sync.TIMED || !unsynced
-                || System.nanoTime() - syncedNanos < syncNanos) {
+        if (journal == null || sync == Sync.NEVER || !unsynced
+                || System.nanoTime() - unsyncedNanos < syncNanos) {
             return;
         }
         try {
@@ -213,7 +216,6 @@
     private void sync() throws IOException {
         journal.sync();
         unsynced = false;
-        syncedNanos = System.nanoTime();
     }
 
     private void fail(Exception e) {
@@ -267,8 +269,8 @@
         }
         if (journal == null) {
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(RETRY_MS / 10));
-        } else if (sync == Sync.TIMED && unsynced) {
-            LockSupport.parkNanos(Math.max(1, syncNanos - (System.nanoTime() - syncedNanos)));
+        } else if (sync != Sync.NEVER && unsynced) {
+            LockSupport.parkNanos(Math.max(1, syncNanos - (System.nanoTime() - unsyncedNanos)));
         } else if (queue.isEmpty()) {
             LockSupport.park(this);
         }
--- a/src/main/java/kitemux/orders/OrderSettings.java
+++ b/src/main/java/kitemux/orders/OrderSettings.java
@@ -15,18 +15,21 @@
  *
  * @param folder where; made where it is not there
  * @param sync what a commit promises
- * @param syncMs between two syncs where they are timed
+ * @param syncMs what nobody waits for is synced so long after it was written, unless it is never synced
  * @param lateMs a send waits for its record no longer than this
  * @param segmentBytes after so many a segment is ended
  * @param segmentHours or when it was begun so long ago
- * @param keepDays segments that ended so many days ago are taken away; 0 keeps them for good
+ * @param keepDays segments that ended so many days ago are taken away; 0 keeps them however old
+ * @param keepBytes the oldest are taken away while all together have more; 0 keeps them however many
  * @param classes of requests that are kept besides those that must never run twice
  */
 public record OrderSettings(Path folder, OrderLog.Sync sync, long syncMs, long lateMs, long segmentBytes,
-        long segmentHours, long keepDays, Set<String> classes) {
+        long segmentHours, long keepDays, long keepBytes, Set<String> classes) {
     private static final Set<String> FIELDS =
-            Set.of("folder", "sync", "syncMs", "lateMs", "segmentKiB", "segmentHours", "keepDays", "classes");
+            Set.of("folder", "sync", "syncMs", "lateMs", "segmentKiB", "segmentHours", "keepDays", "keepMiB",
+                    "classes");
     private static final long MOST_DAYS = 36_500;
+    private static final long MOST_KEPT_MIB = 1 << 20;
     private static final long MOST_MS = 60_000;
     /**
      * Smaller ones are all beginnings, and larger ones more than a node's memory has room to recover from.
@@ -55,10 +58,11 @@
         long segment = within(json, "segmentKiB", 4 << 10, LEAST_KIB, MOST_KIB, faults);
         long hours = within(json, "segmentHours", 24, 1, 24 * MOST_DAYS, faults);
         long keepDays = within(json, "keepDays", 0, 0, MOST_DAYS, faults);
+        long keepMiB = within(json, "keepMiB", 0, 0, MOST_KEPT_MIB, faults);
         Set<String> classes = classes(json.path("classes"), known, faults);
         return faults.size() > before ? null
-                : new OrderSettings(folder, sync, syncMs, lateMs, segment << 10, hours,
-                        keepDays, classes);
+                : new OrderSettings(folder, sync, syncMs, lateMs, segment << 10, hours, keepDays, keepMiB << 20,
+                        classes);
     }
 
     private static Path folder(Json json, List<String> faults) {
--- a/src/main/java/kitemux/orders/Orders.java
+++ b/src/main/java/kitemux/orders/Orders.java
@@ -46,8 +46,8 @@
                     return Journal.goOn(failed);
                 }
                 Journal journal = Journal.open(disk, new Journal.Limits(settings.segmentBytes(),
-                        settings.segmentHours() * HOUR_US, settings.keepDays() * 24 * HOUR_US), time::nowUs,
-                        random::nextLong, say);
+                        settings.segmentHours() * HOUR_US, settings.keepDays() * 24 * HOUR_US,
+                        settings.keepBytes()), time::nowUs, random::nextLong, say);
                 next[0] = journal.next();
                 return journal;
             }, settings.sync(), settings.syncMs(), loop, say);
--- a/src/main/java/kitemux/orders/Segment.java
+++ b/src/main/java/kitemux/orders/Segment.java
@@ -62,9 +62,13 @@
      * @param soundUpTo behind the last sound frame
      */
     record Content(Header header, List<Placed> entries, List<Fault> faults, int soundUpTo) {
-        /** Whether all that is wrong is that its end is missing, as when a process dies while it writes. */
+        /**
+         * Whether all that is wrong is that its end is missing, as when a process dies while it writes; also
+         * where it dies before the header is there.
+         */
         boolean isTorn() {
-            return header != null && faults.size() == 1 && faults.get(0).offset() == soundUpTo;
+            return faults.size() == 1 && faults.get(0).offset() == soundUpTo
+                    && (header != null || faults.get(0).bytes() < HEADER);
         }
     }
 
--- a/src/test/java/kitemux/ArchitectureTest.java
+++ b/src/test/java/kitemux/ArchitectureTest.java
@@ -39,7 +39,7 @@
             Map.entry("node", Set.of("", "engine", "net", "http", "discovery", "config", "orders")),
             Map.entry("world", Set.of("", "engine", "net", "http", "node", "config")),
             Map.entry("standin", Set.of()),
-            Map.entry("bench", Set.of("standin", "config", "orders")),
+            Map.entry("bench", Set.of("", "engine", "standin", "config", "orders")),
             Map.entry("cli", Set.of("adapter", "node", "world", "bench", "standin", "orders")));
 
     private static String room(JavaClass c) {
--- a/src/test/java/kitemux/orders/JournalOnDisk.java
+++ b/src/test/java/kitemux/orders/JournalOnDisk.java
@@ -11,7 +11,7 @@
     /** Writes entries to a journal as a node would that ends right after. */
     public static void write(Path folder, Entry... entries) throws IOException {
         try (FolderDisk disk = FolderDisk.toWrite(folder);
-                Journal journal = Journal.open(disk, new Journal.Limits(1 << 20, Long.MAX_VALUE, 0),
+                Journal journal = Journal.open(disk, new Journal.Limits(1 << 20, Long.MAX_VALUE, 0, 0),
                         () -> 9, () -> 77, line -> { })) {
             journal.append(List.of(entries));
             journal.sync();
--- a/src/test/java/kitemux/orders/JournalTest.java
+++ b/src/test/java/kitemux/orders/JournalTest.java
@@ -31,10 +31,11 @@
     private long clockUs = 1_000_000;
     private long ageUs = Long.MAX_VALUE;
     private long keepUs;
+    private long keepBytes;
 
     private Journal open(Disk disk, long mostSegment, long seed) throws IOException {
         SplittableRandom random = new SplittableRandom(seed);
-        return Journal.open(disk, new Journal.Limits(mostSegment, ageUs, keepUs), () -> clockUs++,
+        return Journal.open(disk, new Journal.Limits(mostSegment, ageUs, keepUs, keepBytes), () -> clockUs++,
                 random::nextLong, lines::add);
     }
 
@@ -244,6 +245,63 @@
         }
     }
 
+    @Test
+    void theOldestGoWhileThereIsTooMuchAndNoneWithAnOpenOrder() throws IOException {
+        keepBytes = 2_500;
+        MemoryDisk disk = new MemoryDisk();
+        orders(disk, 12, 400);
+        List<Long> segments = SegmentNames.sequences(disk.list());
+        assertTrue(segments.size() > 2 && segments.get(0) > 1, segments + " are kept");
+        long bytes = 0;
+        for (long segment : segments) {
+            bytes += disk.size(SegmentNames.of(segment));
+        }
+        assertTrue(bytes <= keepBytes + 1_000, bytes + " bytes: at most what one segment holds beyond");
+        assertTrue(disk.list().stream().noneMatch(name -> name.equals(SegmentNames.index(1))),
+                "an index goes with its segment");
+        try (Journal journal = open(disk, 400, 8)) {
+            long waiting = journal.next();
+            journal.append(List.of(taken(waiting, "waits"), new Intent(waiting, 6, 0, "s", "", 9)));
+            for (int i = 1; i < 30; i++) {
+                journal.append(List.of(taken(waiting + i, "o" + i), new Answered(waiting + i, 8,
+                        Answer.REFUSED)));
+            }
+            assertTrue(entries(disk).contains(taken(waiting, "waits")), "open, however much there is");
+        }
+    }
+
+    @Test
+    void anIdThatComesAgainAfterARestartIsAnOrderOfItsOwn() throws IOException {
+        MemoryDisk disk = new MemoryDisk();
+        try (Journal journal = open(disk, 1 << 20, 7)) {
+            journal.append(List.of(taken(1, "same"), new Intent(1, 6, 0, "s", "", 9)));
+        }
+        try (Journal journal = open(disk, 1 << 20, 8)) {
+            long number = journal.next();
+            journal.append(List.of(taken(number, "same"), new Answered(number, 8, Answer.REFUSED)));
+        }
+        assertEquals(List.of("same UNKNOWN", "same REFUSED"), found(disk, "same", new int[1]));
+    }
+
+    @Test
+    void aLastSegmentWithoutAWholeHeaderIsTornAndNoFault() throws IOException {
+        MemoryDisk disk = new MemoryDisk();
+        orders(disk, 3, 1 << 20);
+        byte[] first = disk.read(SegmentNames.of(1));
+        for (int length = 0; length < Segment.HEADER; length++) {
+            disk.put(SegmentNames.of(2), java.util.Arrays.copyOf(first, length));
+            JournalReader.Verdict verdict = new JournalReader(disk).verify();
+            assertEquals(List.of(), verdict.faults(), "a node died, or is, before " + length + " bytes");
+            assertEquals(length, verdict.tornBytes());
+        }
+        disk.put(SegmentNames.of(2), new byte[Segment.HEADER]);
+        assertEquals(1, new JournalReader(disk).verify().faults().size(), "long enough, and no header");
+        disk.put(SegmentNames.of(2), new byte[3]);
+        disk.put(SegmentNames.of(3), first);
+        assertEquals(2, new JournalReader(disk).verify().faults().size(),
+                "not the last, and one that says it is another");
+    }
+
     private static List<String> found(MemoryDisk disk, String order, int[] reads) throws IOException {
         List<String> found = new ArrayList<>();
         disk.reads = 0;
--- a/src/test/java/kitemux/orders/OrderKeeperTest.java
+++ b/src/test/java/kitemux/orders/OrderKeeperTest.java
@@ -94,10 +94,10 @@
         for (Repeat repeat : List.of(Repeat.SAFE, Repeat.KEYED, Repeat.UNSAFE)) {
             settings.classes.add(new RequestClass(repeat.name(), 1, 0, 2, 1, 0, repeat, Group.ALL, 1, false));
         }
-        log = OrderLog.start(failed -> Journal.open(disk, new Journal.Limits(1 << 20, Long.MAX_VALUE, 0),
+        log = OrderLog.start(failed -> Journal.open(disk, new Journal.Limits(1 << 20, Long.MAX_VALUE, 0, 0),
                 () -> 50, () -> 3, line -> { }), OrderLog.Sync.EACH, 1, loop::add, line -> { });
         return new OrderKeeper<>(settings, time, log, 1, new OrderSettings(Path.of("x"),
-                OrderLog.Sync.EACH, 1, 100, 1 << 20, 1, 0, more));
+                OrderLog.Sync.EACH, 1, 100, 1 << 20, 1, 0, 0, more));
     }
 
     private List<String> kept() throws Exception {
--- a/src/test/java/kitemux/orders/OrderLogTest.java
+++ b/src/test/java/kitemux/orders/OrderLogTest.java
@@ -19,6 +19,7 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import kitemux.orders.Entry.Answer;
 import kitemux.orders.Entry.Answered;
@@ -115,7 +116,7 @@
 
     private OrderLog start(OrderLog.Sync sync, long syncMs) throws IOException {
         log = OrderLog.start(failed -> failed == null
-                ? Journal.open(moody, new Journal.Limits(1 << 20, Long.MAX_VALUE, 0), () -> 1, () -> 5,
+                ? Journal.open(moody, new Journal.Limits(1 << 20, Long.MAX_VALUE, 0, 0), () -> 1, () -> 5,
                 lines::add) : Journal.goOn(failed),
                 sync, syncMs, Runnable::run, lines::add);
         return log;
@@ -173,6 +174,31 @@
         }
     }
 
+    @Test
+    void whatNobodyWaitsForGoesWithTheNextSyncAndHoldsUpNone() throws Exception {
+        start(OrderLog.Sync.EACH, 60_000);
+        syncs.drainPermits();
+        log.note(() -> new Answered(1, 4, Answer.SERVED));
+        while (!onDisk().contains(new Answered(1, 4, Answer.SERVED))) {
+            Thread.onSpinWait();
+        }
+        log.commit(() -> intent(2), told::add);
+        syncs.release();
+        assertEquals(true, next(), "one sync is enough for both");
+    }
+
+    @Test
+    @Timeout(60)
+    void whatNobodyWaitsForIsSyncedByItselfIfNothingElseComes() throws Exception {
+        start(OrderLog.Sync.EACH, 5);
+        syncs.drainPermits();
+        log.note(() -> new Answered(1, 4, Answer.SERVED));
+        while (!syncs.hasQueuedThreads()) {
+            Thread.onSpinWait();
+        }
+        assertTrue(onDisk().contains(new Answered(1, 4, Answer.SERVED)));
+    }
+
     @Test
     void aDiskThatIsGoneRefusesAtOnceAndWhatHappenedIsWrittenOnceItIsBack() throws Exception {
         start(OrderLog.Sync.EACH, 1);
