--- a/src/main/java/kitemux/bench/JournalBench.java
+++ b/src/main/java/kitemux/bench/JournalBench.java
@@ -113,8 +113,8 @@
                 }
             }
             out.printf(Locale.ROOT, "%-44s %9.1f MB%n", "on disk", bytes / 1e6);
-            timed("taken up after a crash, " + Math.min(orders, AT_A_TIME) + " marked", () ->
-                    Orders.open(how, new WallTime(), Runnable::run, line -> out.println("  " + line)).close());
+            timed("taken up after a crash", () -> Orders.open(how, new WallTime(), Runnable::run,
+                    line -> out.println("  " + line)).close());
             JournalReader reader = Orders.reader(journal);
             String one = "order-" + orders / 2;
             timed("asked for one by its id", () -> {
--- a/src/main/java/kitemux/orders/OrderSettings.java
+++ b/src/main/java/kitemux/orders/OrderSettings.java
@@ -61,8 +61,8 @@
         long keepMiB = within(json, "keepMiB", 0, 0, MOST_KEPT_MIB, faults);
         Set<String> classes = classes(json.path("classes"), known, faults);
         return faults.size() > before ? null
-                : new OrderSettings(folder, sync, syncMs, lateMs, segment << 10, hours, keepDays, keepMiB << 20,
-                        classes);
+                : new OrderSettings(folder, sync, syncMs, lateMs, segment << 10, hours, keepDays,
+                        keepMiB << 20, classes);
     }
 
     private static Path folder(Json json, List<String> faults) {
