Count a request's aim from when it came, and refuse at once what was read too late

Need: a node that is behind (half a core, all load on it after the other node went) read requests that could not be in time any more, sent them, and gave servers' places, connections and its own time for nothing. Its module had no word of it: it was told the time left, not the time gone.

The engine now tells how long ago a request came (0 where the node keeps up). Where a late answer is worth nothing and the aim cannot be met, it is refused at once, with Retry-After.

--- a/src/main/java/kitemux/Balancer.java
+++ b/src/main/java/kitemux/Balancer.java
@@ -106,9 +106,18 @@
      * @param workUs rough expected work on a standard core; 0 if not known
      * @param retry true if the client is known to repeat itself
      * @param key what the request is about, or null
+     * @param agoUs how long ago it came, as far as the node can tell: its aim runs from then. 0 where the
+     *     node keeps up
      */
     record Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry,
-            String key) { }
+            String key, long agoUs) {
+
+        /** One that has come just now. */
+        public Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry,
+                String key) {
+            this(id, classIndex, tenant, leftUs, workUs, retry, key, 0);
+        }
+    }
 
     /** How an attempt or a probe ended. */
     enum Result {
--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -275,9 +275,9 @@
             this.request = request;
             cls = set.classes.get(request.classIndex());
             long aim = Math.min(cls.deadlineUs(), cls.aimUs() + (long) (cls.aimStretch() * request.workUs()));
-            arrivedAt = now;
+            arrivedAt = now - Math.max(0, request.agoUs());
             deadlineAt = now + Math.max(0, request.leftUs());
-            aimAt = Math.min(deadlineAt, now + aim);
+            aimAt = Math.min(deadlineAt, arrivedAt + aim);
             servers = new Server[set.maxAttempts];
             sentAt = new long[set.maxAttempts];
             results = new Result[set.maxAttempts];
@@ -539,7 +539,8 @@
         Call call = new Call(request, set, now);
         calls.put(request.id(), call);
         call.value = value(call);
-        if (sparse && random.nextDouble() >= admitted(call)) {
+        // A node that is behind spends no more on what it has read too late: that is how it catches up.
+        if (sparse && random.nextDouble() >= admitted(call) || isTooLate(call) && call.cls.lateWorth() == 0) {
             giveUp(call);
             scheduleWake();
             return;
@@ -1007,11 +1008,9 @@
             if (!call.waiting) {
                 continue;
             }
-            boolean late = call.aimAt - now < Math.min(MOST_LATE_AT * (call.aimAt - call.arrivedAt),
-                    TOO_LATE_AT * latencyUs[call.request.classIndex()]);
+            boolean late = isTooLate(call);
             if (call.deadlineAt - now <= sweepUs + set.tickUs || late && call.cls.lateWorth() == 0
                     || !mayTryAgain(call)) {
-                call.waiting = false;
                 giveUp(call);
                 continue;
             }
@@ -1045,6 +1044,11 @@
         }
     }
 
+    private boolean isTooLate(Call call) {
+        return call.aimAt - now < Math.min(MOST_LATE_AT * (call.aimAt - call.arrivedAt),
+                TOO_LATE_AT * latencyUs[call.request.classIndex()]);
+    }
+
     /**
      * What a request earns for the work it takes, by which the queue is ordered: its class's worth, less
      * if its tenant is beyond this node's part of its share, over the usual latency of its class as the
@@ -1215,11 +1219,8 @@
 
     /** Rule 1: the one final answer, a refusal wherever that is known to be harmless. */
     private void giveUp(Call call) {
-        boolean harmless = switch (call.cls.repeat()) {
-            case SAFE -> true;
-            case KEYED -> call.binding() < 0 || call.cls.group() == Group.ALL;
-            case UNSAFE -> call.binding() < 0;
-        };
+        boolean harmless = call.binding() < 0 || call.cls.repeat() == Repeat.SAFE
+                || call.cls.repeat() == Repeat.KEYED && call.cls.group() == Group.ALL;
         if (harmless) {
             out.refuse(call.request.id(), set.maxRetryAfterUs);
         } else {
--- a/src/main/java/kitemux/engine/Asked.java
+++ b/src/main/java/kitemux/engine/Asked.java
@@ -14,6 +14,11 @@
     /** How long the client waits from now on, in microseconds, 0 or more. */
     long leftUs();
 
+    /** How long ago it came, as far as that can be told, in microseconds: 0 where the node keeps up. */
+    default long agoUs() {
+        return 0;
+    }
+
     /** A guess at the work in microseconds on a standard core, or 0. */
     long workUs();
 
--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -169,7 +169,8 @@
         tell(taken, () -> {
             long now = time.nowUs();
             balancer.onRequest(now, new Request(taken.id, request.classIndex(), request.tenant(),
-                    Math.max(0, taken.deadlineUs - now), request.workUs(), request.retry(), request.key()));
+                    Math.max(0, taken.deadlineUs - now), request.workUs(), request.retry(), request.key(),
+                    request.agoUs()));
         });
     }
 
--- a/src/main/java/kitemux/http/ClientRequest.java
+++ b/src/main/java/kitemux/http/ClientRequest.java
@@ -17,12 +17,13 @@
  * @param workUs a guess at the work, or 0
  * @param retry whether the client marks it as a repeat
  * @param key what it is about, or null
+ * @param agoUs how long ago it came, as far as that can be told
  */
 public record ClientRequest(HttpMethod method, String uri, String txn, String idempotencyKey, byte[] body,
-        int classIndex, int tenant, long leftUs, long workUs, boolean retry, String key)
+        int classIndex, int tenant, long leftUs, long workUs, boolean retry, String key, long agoUs)
         implements Asked {
 
     /** What checks a server, where the settings allow probes. */
     static final ClientRequest PROBE = new ClientRequest(HttpMethod.GET, "/alive", null, null, new byte[0],
-            -1, -1, 0, 0, false, null);
+            -1, -1, 0, 0, false, null, 0);
 }
--- a/src/test/java/kitemux/engine/EngineTest.java
+++ b/src/test/java/kitemux/engine/EngineTest.java
@@ -19,10 +19,17 @@
 
 /** What the engine does at its gate and at deadlines. */
 class EngineTest {
+    private static final long AGO_US = 31;
+
     private static final long LEFT_US = 100_000;
 
     /** Asked for by a test: what it cannot say stands still. */
     private record Ask(long leftUs) implements Asked {
+        @Override
+        public long agoUs() {
+            return AGO_US;
+        }
+
         @Override
         public String txn() {
             return "t";
@@ -170,6 +177,7 @@
         return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
                 new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
                     if (method.getName().equals("onRequest")) {
+                        assertEquals(AGO_US, ((Request) args[1]).agoUs(), "as the protocol has it");
                         actions.send(((Request) args[1]).id(), "s", 0);
                     } else if (method.getName().equals("onOutcome")) {
                         Outcome outcome = (Outcome) args[1];
--- /dev/null
+++ b/src/test/java/kitemux/http/RequestReaderTest.java
@@ -0,0 +1,34 @@
+package kitemux.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+
+import kitemux.Balancer.Repeat;
+import kitemux.Balancer.RequestClass;
+import kitemux.Balancer.Settings;
+
+/** What is read of a request. */
+class RequestReaderTest {
+    private static ClientRequest read(long agoUs) throws BadRequestException {
+        Settings settings = new Settings();
+        settings.classes.add(new RequestClass("page", 100_000, 0, 500_000, 1, 0, Repeat.SAFE, null, 0, false));
+        HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/x");
+        request.headers().set("X-Txn", "t").set("X-Lane", "page").set("X-Remaining", "300m");
+        return new RequestReader(settings).read(request, new byte[0], agoUs);
+    }
+
+    @Test
+    void itsTimeRunsFromTheEarliestThatItMayHaveComeAndItsAimFromTheMiddle() throws Exception {
+        assertEquals(0, read(0).agoUs());
+        long allUs = read(0).leftUs();
+        assertEquals(allUs - 80_000, read(80_000).leftUs());
+        assertEquals(40_000, read(80_000).agoUs());
+        assertEquals(0, read(400_000).leftUs());
+    }
+}
--- a/src/test/java/kitemux/world/Mutant.java
+++ b/src/test/java/kitemux/world/Mutant.java
@@ -204,9 +204,9 @@
             return new Told(module) {
                 @Override
                 public void onRequest(long nowUs, Request r) {
+                    // Nor is it told how late it was read: a module that knows refuses most of them at once.
                     super.onRequest(nowUs, new Request(r.id(), r.classIndex(), r.tenant(),
-                            r.leftUs() + 500_000,
-                            r.workUs(), r.retry(), r.key()));
+                            r.leftUs() + 500_000, r.workUs(), r.retry(), r.key()));
                 }
             };
         }
