MySQL protocol: packets, greetings, proofs and what a statement's text tells, by properties

First its pure part, as the engine must know of a statement whether it may run twice before any of it is sent.

A statement is a read only if every word of it may stand in a read: functions not known, a known one's name behind a schema or a blank, several statements, executed comments, user variables and quotes that depend on a mode are not.

Nothing of it is loaded by a node.

--- /dev/null
+++ b/src/main/java/kitemux/mysql/ErrPacket.java
@@ -0,0 +1,34 @@
+package kitemux.mysql;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * ERR_Packet, in the form of protocol 4.1.
+ *
+ * @param code error number, 0 to 65,535
+ * @param sqlState five letters and digits; "HY000" where the packet has none, as before the greetings are over
+ * @param message for people
+ */
+public record ErrPacket(int code, String sqlState, String message) {
+    static final int HEADER = 0xff;
+    private static final int STATE_LENGTH = 5;
+
+    /** Reads one whose header byte is read. */
+    static ErrPacket read(ByteBuf in) {
+        int code = Fields.int2(in, "an error's number");
+        String state = "HY000";
+        if (in.isReadable() && in.getByte(in.readerIndex()) == '#') {
+            in.skipBytes(1);
+            state = new String(Fields.bytes(in, STATE_LENGTH, "an error's state"), StandardCharsets.US_ASCII);
+        }
+        return new ErrPacket(code, state, Fields.rest(in));
+    }
+
+    void write(ByteBuf out) {
+        out.writeByte(HEADER).writeShortLE(code).writeByte('#');
+        out.writeCharSequence(sqlState, StandardCharsets.US_ASCII);
+        out.writeCharSequence(message, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/mysql/Fields.java
@@ -0,0 +1,139 @@
+package kitemux.mysql;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+
+/**
+ * Fields of packets: whole numbers, strings and byte strings in the protocol's forms. Each reading method
+ * throws a {@link Fault} where the packet ends too early, and reads nothing behind its end.
+ */
+final class Fields {
+    private static final int TWO_BYTES = 0xfc;
+    private static final int THREE_BYTES = 0xfd;
+    private static final int EIGHT_BYTES = 0xfe;
+    /** Stands for NULL in rows of text, and begins no number. */
+    static final int NULL = 0xfb;
+
+    private Fields() { }
+
+    private static Fault early(String what) {
+        return new Fault(Fault.Kind.MALFORMED, "the packet ends within " + what);
+    }
+
+    private static void need(ByteBuf in, long bytes, String what) {
+        if (bytes < 0 || in.readableBytes() < bytes) {
+            throw early(what);
+        }
+    }
+
+    /** int&lt;1&gt;. */
+    static int int1(ByteBuf in, String what) {
+        need(in, 1, what);
+        return in.readUnsignedByte();
+    }
+
+    /** int&lt;2&gt;. */
+    static int int2(ByteBuf in, String what) {
+        need(in, 2, what);
+        return in.readUnsignedShortLE();
+    }
+
+    /** int&lt;4&gt;. */
+    static long int4(ByteBuf in, String what) {
+        need(in, 4, what);
+        return in.readUnsignedIntLE();
+    }
+
+    /**
+     * int&lt;lenenc&gt;: 0 to 2^64 - 1, the upper half as negative numbers.
+     */
+    static long lenenc(ByteBuf in, String what) {
+        int first = int1(in, what);
+        switch (first) {
+            case TWO_BYTES:
+                return int2(in, what);
+            case THREE_BYTES:
+                need(in, 3, what);
+                return in.readUnsignedMediumLE();
+            case EIGHT_BYTES:
+                need(in, 8, what);
+                return in.readLongLE();
+            case NULL:
+            case 0xff:
+                throw new Fault(Fault.Kind.MALFORMED, "no number begins with " + first + " in " + what);
+            default:
+                return first;
+        }
+    }
+
+    /** Writes int&lt;lenenc&gt; in its shortest form. */
+    static void putLenenc(ByteBuf out, long value) {
+        if (value >= 0 && value < NULL) {
+            out.writeByte((int) value);
+        } else if (value >= 0 && value < 1 << 16) {
+            out.writeByte(TWO_BYTES).writeShortLE((int) value);
+        } else if (value >= 0 && value < 1 << 24) {
+            out.writeByte(THREE_BYTES).writeMediumLE((int) value);
+        } else {
+            out.writeByte(EIGHT_BYTES).writeLongLE(value);
+        }
+    }
+
+    /** So many bytes. */
+    static byte[] bytes(ByteBuf in, long count, String what) {
+        need(in, count, what);
+        byte[] bytes = new byte[(int) count];
+        in.readBytes(bytes);
+        return bytes;
+    }
+
+    /** string&lt;lenenc&gt; as bytes. */
+    static byte[] lenencBytes(ByteBuf in, String what) {
+        return bytes(in, lenenc(in, what), what);
+    }
+
+    /** string&lt;lenenc&gt; in UTF-8. */
+    static String lenencText(ByteBuf in, String what) {
+        return new String(lenencBytes(in, what), StandardCharsets.UTF_8);
+    }
+
+    /** Writes string&lt;lenenc&gt;. */
+    static void putLenencBytes(ByteBuf out, byte[] bytes) {
+        putLenenc(out, bytes.length);
+        out.writeBytes(bytes);
+    }
+
+    /** Writes string&lt;lenenc&gt; in UTF-8. */
+    static void putLenencText(ByteBuf out, String text) {
+        putLenencBytes(out, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** string&lt;NUL&gt; in UTF-8. */
+    static String nulText(ByteBuf in, String what) {
+        int length = in.bytesBefore((byte) 0);
+        if (length < 0) {
+            throw early(what);
+        }
+        String text = in.toString(in.readerIndex(), length, StandardCharsets.UTF_8);
+        in.skipBytes(length + 1);
+        return text;
+    }
+
+    /** Writes string&lt;NUL&gt;; one that holds a zero byte would end early, and be read as something else. */
+    static void putNulText(ByteBuf out, String text) {
+        if (text.indexOf('\0') >= 0) {
+            throw new IllegalArgumentException("a zero byte in a string that ends with one");
+        }
+        ByteBufUtil.writeUtf8(out, text);
+        out.writeByte(0);
+    }
+
+    /** string&lt;EOF&gt;: all that is left, in UTF-8. */
+    static String rest(ByteBuf in) {
+        String text = in.toString(StandardCharsets.UTF_8);
+        in.skipBytes(in.readableBytes());
+        return text;
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/mysql/Gatherer.java
@@ -0,0 +1,58 @@
+package kitemux.mysql;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+
+import kitemux.mysql.PacketDecoder.Part;
+
+/** Puts the parts of a payload together that must be read as a whole, up to a bound. */
+final class Gatherer implements AutoCloseable {
+    private final ByteBufAllocator allocator;
+    private final int most;
+    private ByteBuf payload;
+
+    /**
+     * One that holds nothing.
+     *
+     * @param most bytes of a payload that are taken; guards memory against one that never ends
+     */
+    Gatherer(ByteBufAllocator allocator, int most) {
+        this.allocator = allocator;
+        this.most = most;
+    }
+
+    /**
+     * Takes a part over.
+     *
+     * @return the whole payload, which the caller owns, or null if more is to come
+     * @throws Fault if it is longer than what is taken; what was held is let go
+     */
+    ByteBuf add(Part part) {
+        try {
+            if (payload == null) {
+                payload = allocator.buffer(Math.min(most, part.bytes().readableBytes()));
+            }
+            if (payload.readableBytes() + part.bytes().readableBytes() > most) {
+                close();
+                throw new Fault(Fault.Kind.TOO_LARGE, "a packet has more than " + most + " bytes");
+            }
+            payload.writeBytes(part.bytes());
+        } finally {
+            part.bytes().release();
+        }
+        if (!part.last()) {
+            return null;
+        }
+        ByteBuf whole = payload;
+        payload = null;
+        return whole;
+    }
+
+    @Override
+    public void close() {
+        if (payload != null) {
+            payload.release();
+            payload = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/mysql/Packets.java
@@ -0,0 +1,31 @@
+package kitemux.mysql;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+
+/** Puts payloads into packets. */
+final class Packets {
+    private Packets() { }
+
+    /**
+     * Writes a payload as one packet, or as several where it is longer than 16 MiB - 1.
+     *
+     * @param payload released here
+     * @param sequence number of the first
+     * @return the packets in one buffer, which the caller owns
+     */
+    static ByteBuf write(ByteBufAllocator allocator, ByteBuf payload, int sequence) {
+        try {
+            int count = payload.readableBytes() / PacketDecoder.MOST_PAYLOAD + 1;
+            ByteBuf out = allocator.buffer(payload.readableBytes() + count * PacketDecoder.HEADER);
+            for (int i = 0; i < count; i++) {
+                // The last may be empty: one that is full says that another follows.
+                int length = Math.min(payload.readableBytes(), PacketDecoder.MOST_PAYLOAD);
+                out.writeMediumLE(length).writeByte(sequence + i).writeBytes(payload, length);
+            }
+            return out;
+        } finally {
+            payload.release();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/mysql/ServerGreeting.java
@@ -0,0 +1,71 @@
+package kitemux.mysql;
+
+import java.util.Arrays;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * What a server says first (Protocol::HandshakeV10).
+ *
+ * @param version the server's, for people
+ * @param connectionId its number for the connection
+ * @param nonce 20 bytes that the client's proof is for
+ * @param capabilities what it can do
+ * @param charset its default collation
+ * @param status SERVER_STATUS flags
+ * @param plugin how it would have clients prove who they are
+ */
+record ServerGreeting(String version, long connectionId, byte[] nonce, long capabilities, int charset,
+        int status, String plugin) {
+    static final int PROTOCOL = 10;
+    private static final int FIRST_NONCE = 8;
+    private static final int RESERVED = 10;
+
+    /**
+     * Reads a payload.
+     *
+     * @throws Fault if it is something else, also a greeting of a protocol that is not 10 or without what
+     *     this program needs (protocol 4.1, plugins)
+     */
+    static ServerGreeting read(ByteBuf in) {
+        int protocol = Fields.int1(in, "the greeting");
+        if (protocol == ErrPacket.HEADER) {
+            ErrPacket error = ErrPacket.read(in);
+            throw new Fault(Fault.Kind.MALFORMED, "the server turns the connection away: " + error.code() + " "
+                    + error.message());
+        }
+        if (protocol != PROTOCOL) {
+            throw new Fault(Fault.Kind.MALFORMED, "protocol " + protocol + " is not known");
+        }
+        String version = Fields.nulText(in, "the server's version");
+        long id = Fields.int4(in, "the connection's id");
+        byte[] first = Fields.bytes(in, FIRST_NONCE, "the nonce");
+        Fields.int1(in, "the filler");
+        long capabilities = Fields.int2(in, "the capabilities");
+        int charset = Fields.int1(in, "the character set");
+        int status = Fields.int2(in, "the status");
+        capabilities |= (long) Fields.int2(in, "the capabilities") << 16;
+        int nonceLength = Fields.int1(in, "the nonce's length");
+        Fields.bytes(in, RESERVED, "what is reserved");
+        if (!Capabilities.has(capabilities, Capabilities.PROTOCOL_41)
+                || !Capabilities.has(capabilities, Capabilities.PLUGIN_AUTH)
+                || nonceLength != Scramble.NONCE + 1) {
+            throw new Fault(Fault.Kind.MALFORMED, "the server knows no protocol 4.1 or no plugins");
+        }
+        byte[] rest = Fields.bytes(in, nonceLength - FIRST_NONCE, "the nonce");
+        byte[] nonce = Arrays.copyOf(first, Scramble.NONCE);
+        System.arraycopy(rest, 0, nonce, FIRST_NONCE, Scramble.NONCE - FIRST_NONCE);
+        return new ServerGreeting(version, id, nonce, capabilities, charset, status,
+                Fields.nulText(in, "the plugin's name"));
+    }
+
+    void write(ByteBuf out) {
+        out.writeByte(PROTOCOL);
+        Fields.putNulText(out, version);
+        out.writeIntLE((int) connectionId).writeBytes(nonce, 0, FIRST_NONCE).writeByte(0)
+                .writeShortLE((int) capabilities).writeByte(charset).writeShortLE(status)
+                .writeShortLE((int) (capabilities >> 16)).writeByte(Scramble.NONCE + 1).writeZero(RESERVED)
+                .writeBytes(nonce, FIRST_NONCE, Scramble.NONCE - FIRST_NONCE).writeByte(0);
+        Fields.putNulText(out, plugin);
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/mysql/Statement.java
@@ -0,0 +1,251 @@
+package kitemux.mysql;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+/**
+ * What can be said of a statement by its text alone. It errs towards what must never run twice: a statement
+ * is a read only if nothing in it could be anything else. It knows no schema, so that a function it does not
+ * know may write, and it does no input or output.
+ *
+ * @param read whether it surely changes nothing, so that it may run again
+ * @param traits what it does to its session
+ */
+public record Statement(boolean read, Set<Trait> traits) {
+    /** What a statement does to its session, or needs of it. */
+    public enum Trait {
+        /** A transaction may be open behind it. */
+        BEGINS,
+        /** No transaction is open behind it, unless it chains one. */
+        ENDS,
+        /** Its effect on the session lasts and cannot be replayed elsewhere. */
+        PINS,
+        /** It sets variables of the session, which can be replayed. */
+        SETS,
+        /** It asks for what the statement before left in the session. */
+        LOOKS_BACK
+    }
+
+    /** A bracket that follows a word at once, and any other. */
+    private static final String BRACKET = "(";
+    private static final String APART = " (";
+
+    /** Longer texts are not looked at, and are no reads: it guards the loop's time. */
+    static final int MOST_LOOKED_AT = 1 << 16;
+
+    /** Words that call nothing where a bracket follows. */
+    private static final Set<String> KEYWORDS = Set.of(
+            "ALL", "AND", "ANY", "AS", "BETWEEN", "BY", "CASE", "DISTINCT", "DIV", "ELSE", "EXCEPT", "EXISTS",
+            "FROM", "HAVING", "IN", "INTERSECT", "INTERVAL", "JOIN", "LIKE", "NOT", "ON", "OR", "OVER",
+            "SELECT", "SOME", "THEN", "UNION", "USING", "VALUES", "WHEN", "WHERE", "WITH", "XOR", "REGEXP",
+            "INDEX", "KEY", "LATERAL", "ROW", "EXPLAIN", "IS");
+    /** Functions that change nothing. Not with blanks before the bracket, which calls one of theirs instead. */
+    private static final Set<String> FUNCTIONS = Set.of(
+            "ABS", "AVG", "CAST", "CEIL", "CEILING", "CHAR", "CHAR_LENGTH", "COALESCE", "CONCAT", "CONCAT_WS",
+            "CONVERT", "COUNT", "CRC32", "CURDATE", "CURRENT_DATE", "CURRENT_TIMESTAMP", "DATE", "DATE_ADD",
+            "DATE_FORMAT", "DATE_SUB", "DATEDIFF", "DAY", "DENSE_RANK", "EXTRACT", "FIELD", "FIND_IN_SET",
+            "FLOOR", "FORMAT", "FROM_UNIXTIME", "GREATEST", "GROUP_CONCAT", "HEX", "HOUR", "IF", "IFNULL",
+            "INSTR", "ISNULL", "JSON_ARRAY", "JSON_ARRAYAGG", "JSON_CONTAINS", "JSON_EXTRACT", "JSON_OBJECT",
+            "JSON_OBJECTAGG", "JSON_UNQUOTE", "JSON_VALUE", "LAG", "LEAD", "LEAST", "LEFT", "LENGTH",
+            "LOCATE", "LOWER", "LPAD", "LTRIM", "MAX", "MD5", "MIN", "MINUTE", "MOD", "MONTH", "NOW",
+            "NULLIF", "PI", "POSITION", "POW", "POWER", "RANK", "REPEAT", "REPLACE", "REVERSE", "RIGHT",
+            "ROUND", "ROW_NUMBER", "RPAD", "RTRIM", "SECOND", "SHA1", "SHA2", "SIGN", "SQRT", "STDDEV",
+            "STR_TO_DATE", "SUBSTR", "SUBSTRING", "SUBSTRING_INDEX", "SUM", "TIME", "TIMESTAMP",
+            "TIMESTAMPDIFF", "TRIM", "TRUNCATE", "UNHEX", "UNIX_TIMESTAMP", "UPPER", "UTC_TIMESTAMP",
+            "VARIANCE", "VERSION", "DATABASE", "SCHEMA", "USER", "CURRENT_USER", "WEEK", "YEAR");
+    /** What tells of the statement before, or of the connection. */
+    private static final Set<String> LOOKING_BACK = Set.of("FOUND_ROWS", "ROW_COUNT", "LAST_INSERT_ID",
+            "CONNECTION_ID");
+    /** Words anywhere in a statement that keep it from being surely a read. */
+    private static final Set<String> NEVER_IN_A_READ = Set.of("INTO", "INSERT", "UPDATE", "DELETE", "LOCK",
+            "SHARE", "ANALYZE", "PROCEDURE", "CALL", "SET", "SQL_CALC_FOUND_ROWS", "NEXTVAL", "NEXT");
+    private static final Set<String> READS = Set.of("SELECT", "WITH", "SHOW", "DESCRIBE", "DESC", "EXPLAIN",
+            "VALUES", "TABLE", BRACKET, APART);
+    private static final Set<String> ENDS_IMPLICITLY = Set.of("ALTER", "CREATE", "DROP", "RENAME", "TRUNCATE",
+            "GRANT", "REVOKE", "ANALYZE", "OPTIMIZE", "REPAIR", "FLUSH", "RESET", "INSTALL", "UNINSTALL");
+
+    /** Reads a statement, or several in one text. */
+    public static Statement of(String sql) {
+        List<String> words = sql.length() > MOST_LOOKED_AT ? null : words(sql);
+        if (words == null) {
+            // Not understood: it may be anything, a transaction's begin and a lock among them.
+            return new Statement(false, EnumSet.of(Trait.PINS));
+        }
+        Set<Trait> traits = EnumSet.noneOf(Trait.class);
+        boolean read = !words.isEmpty();
+        int from = 0;
+        int statements = 0;
+        for (int i = 0; i <= words.size(); i++) {
+            if (i == words.size() || words.get(i).equals(";")) {
+                if (i > from) {
+                    read &= one(words.subList(from, i), traits);
+                    statements++;
+                }
+                from = i + 1;
+            }
+        }
+        return new Statement(read && statements == 1, traits);
+    }
+
+    /** Whether one statement is surely a read; its traits are added. */
+    private static boolean one(List<String> words, Set<Trait> traits) {
+        String verb = words.get(0);
+        String second = words.size() > 1 ? words.get(1) : "";
+        switch (verb) {
+            case "BEGIN" -> traits.add(Trait.BEGINS);
+            case "START" -> traits.add(second.equals("TRANSACTION") ? Trait.BEGINS : Trait.PINS);
+            case "COMMIT" -> traits.add(Trait.ENDS);
+            // To a savepoint it goes on, and so it does where a new one is chained.
+            case "ROLLBACK" -> traits.add(words.contains("TO") ? Trait.BEGINS : Trait.ENDS);
+            case "SET" -> traits.add(isReplayable(words) ? Trait.SETS : Trait.PINS);
+            case "USE" -> traits.add(Trait.SETS);
+            case "LOCK", "UNLOCK", "PREPARE", "EXECUTE", "DEALLOCATE", "HANDLER", "XA", "SAVEPOINT",
+                "CALL", "DO", "LOAD" -> traits.add(Trait.PINS);
+            default -> {
+                if (ENDS_IMPLICITLY.contains(verb)) {
+                    traits.add(words.contains("TEMPORARY") ? Trait.PINS : Trait.ENDS);
+                }
+            }
+        }
+        if (words.contains("CHAIN") && (verb.equals("COMMIT") || verb.equals("ROLLBACK"))) {
+            traits.add(Trait.BEGINS);
+        }
+        boolean read = READS.contains(verb);
+        for (int i = 0; i < words.size(); i++) {
+            String word = words.get(i);
+            if (word.startsWith("@") && !word.startsWith("@@")) {
+                // What another statement put there is only in this session.
+                traits.add(Trait.PINS);
+                read = false;
+            }
+            if (word.equals("SQL_CALC_FOUND_ROWS")) {
+                traits.add(Trait.PINS);
+            }
+            String next = i + 1 < words.size() ? words.get(i + 1) : "";
+            boolean called = next.equals(BRACKET) || next.equals(APART);
+            if (called && LOOKING_BACK.contains(word)) {
+                traits.add(Trait.LOOKS_BACK);
+                read = false;
+            } else if (called && isName(word) && !isHarmless(words, i, next)) {
+                // It may be a function of theirs, which may do anything; a lock among it lasts.
+                read = false;
+                if (word.endsWith("_LOCK") || word.endsWith("_LOCKS")) {
+                    traits.add(Trait.PINS);
+                }
+            }
+            read &= !NEVER_IN_A_READ.contains(word) && !word.equals(":=")
+                    && !(word.equals("FOR") && !verb.equals("SHOW"));
+        }
+        return read;
+    }
+
+    /** Whether a word with a bracket behind it calls nothing, or what changes nothing. */
+    private static boolean isHarmless(List<String> words, int at, String bracket) {
+        // Behind a schema's name it is one of theirs, whatever it is called.
+        return (at == 0 || !words.get(at - 1).equals("."))
+                && (KEYWORDS.contains(words.get(at)) || bracket.equals(BRACKET)
+                        && FUNCTIONS.contains(words.get(at)));
+    }
+
+    /** Plain settings of the session; user variables, passwords and what is global are not. */
+    private static boolean isReplayable(List<String> words) {
+        return words.stream().noneMatch(word -> word.startsWith("@") && !word.startsWith("@@")
+                || word.equals("GLOBAL") || word.equals("PERSIST") || word.equals("PERSIST_ONLY")
+                || word.equals("PASSWORD") || word.equals("TRANSACTION") || word.equals("AUTOCOMMIT")
+                || word.startsWith("@@GLOBAL") || word.startsWith("@@PERSIST")
+                || word.equals("@@AUTOCOMMIT") || word.equals("@@SESSION.AUTOCOMMIT"));
+    }
+
+    private static boolean isName(String word) {
+        return Character.isLetterOrDigit(word.charAt(0)) || word.charAt(0) == '_' || word.charAt(0) == '`';
+    }
+
+    // ---------------------------------------------------------------- words
+
+    /**
+     * Words in upper case, quoted names with their first quote in front, signs one by one; literals are left
+     * out. Null if the text ends within a quote or a comment, or holds a comment that is executed.
+     */
+    private static List<String> words(String sql) {
+        List<String> words = new ArrayList<>();
+        int at = 0;
+        while (at < sql.length()) {
+            char c = sql.charAt(at);
+            if (Character.isWhitespace(c)) {
+                at++;
+            } else if (c == '#' || c == '-' && sql.startsWith("--", at)
+                    && (at + 2 == sql.length() || sql.charAt(at + 2) <= ' ')) {
+                int end = sql.indexOf('\n', at);
+                at = end < 0 ? sql.length() : end + 1;
+            } else if (sql.startsWith("/*", at)) {
+                int end = sql.indexOf("*/", at + 2);
+                if (end < 0 || sql.startsWith("/*!", at) || sql.startsWith("/*M!", at)) {
+                    return null;
+                }
+                at = end + 2;
+            } else if (c == '\'' || c == '"' || c == '`') {
+                int end = endOfQuote(sql, at);
+                if (end < 0) {
+                    return null;
+                }
+                if (c == '`') {
+                    words.add("`" + sql.substring(at + 1, end).toUpperCase(Locale.ROOT));
+                } else if (c == '"') {
+                    // A text, or in some modes a name: one that is called must not pass for a text.
+                    words.add("`\"");
+                }
+                at = end + 1;
+            } else if (isWordPart(c) || c == '@') {
+                int end = at + 1;
+                while (end < sql.length() && (isWordPart(sql.charAt(end)) || sql.charAt(end) == '@'
+                        || sql.charAt(end) == '.' && c == '@')) {
+                    end++;
+                }
+                // Names may begin with digits, too; plain numbers are left out.
+                if (!sql.substring(at, end).chars().allMatch(Character::isDigit)) {
+                    words.add(sql.substring(at, end).toUpperCase(Locale.ROOT));
+                }
+                at = end;
+            } else if (sql.startsWith(":=", at)) {
+                words.add(":=");
+                at += 2;
+            } else {
+                boolean apart = c == '(' && (at == 0 || !isWordPart(sql.charAt(at - 1))
+                        && sql.charAt(at - 1) != '`');
+                words.add(apart ? APART : String.valueOf(c));
+                at++;
+            }
+        }
+        return words;
+    }
+
+    private static boolean isWordPart(char c) {
+        return Character.isLetterOrDigit(c) || c == '_' || c == '$';
+    }
+
+    /** Where the quote that begins here ends, or -1. */
+    private static int endOfQuote(String sql, int from) {
+        char quote = sql.charAt(from);
+        for (int at = from + 1; at < sql.length(); at++) {
+            char c = sql.charAt(at);
+            if (c == '\\' && quote != '`') {
+                // Whether a backslash escapes is a mode of the server's. Where it stands before a quote the
+                // two readings differ, so nothing is said of such a text.
+                if (at + 1 < sql.length() && sql.charAt(at + 1) == quote) {
+                    return -1;
+                }
+                at++;
+            } else if (c == quote) {
+                if (at + 1 < sql.length() && sql.charAt(at + 1) == quote) {
+                    at++;
+                } else {
+                    return at;
+                }
+            }
+        }
+        return -1;
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/mysql/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The MySQL client/server protocol, as its public documentation has it ("MySQL Internals Manual, Client/Server
+ * Protocol"): packets, greetings, digests of passwords and what can be said of a statement by its text.
+ */
+package kitemux.mysql;
--- a/src/test/java/kitemux/ArchitectureTest.java
+++ b/src/test/java/kitemux/ArchitectureTest.java
@@ -33,6 +33,7 @@
             Map.entry("engine", Set.of("")),
             Map.entry("net", Set.of("", "engine", "config")),
             Map.entry("http", Set.of("", "engine", "net")),
+            Map.entry("mysql", Set.of("", "engine", "net")),
             Map.entry("discovery", Set.of("", "engine", "net", "config")),
             Map.entry("adapter", Set.of("", "config")),
             Map.entry("orders", Set.of("", "engine", "config")),
