--- a/src/main/java/kitemux/mysql/ErrPacket.java
+++ b/src/main/java/kitemux/mysql/ErrPacket.java
@@ -8,7 +8,7 @@
  * ERR_Packet, in the form of protocol 4.1.
  *
  * @param code error number, 0 to 65,535
- * @param sqlState five letters and digits; "HY000" where the packet has none, as before the greetings are over
+ * @param sqlState five letters and digits; "HY000" where the packet has none, as before the login
  * @param message for people
  */
 public record ErrPacket(int code, String sqlState, String message) {
--- a/src/main/java/kitemux/mysql/Fields.java
+++ b/src/main/java/kitemux/mysql/Fields.java
@@ -121,7 +121,7 @@
         return text;
     }
 
-    /** Writes string&lt;NUL&gt;; one that holds a zero byte would end early, and be read as something else. */
+    /** Writes string&lt;NUL&gt;; one that holds a zero byte would end early. */
     static void putNulText(ByteBuf out, String text) {
         if (text.indexOf('\0') >= 0) {
             throw new IllegalArgumentException("a zero byte in a string that ends with one");
--- a/src/main/java/kitemux/mysql/ServerGreeting.java
+++ b/src/main/java/kitemux/mysql/ServerGreeting.java
@@ -31,8 +31,8 @@
         int protocol = Fields.int1(in, "the greeting");
         if (protocol == ErrPacket.HEADER) {
             ErrPacket error = ErrPacket.read(in);
-            throw new Fault(Fault.Kind.MALFORMED, "the server turns the connection away: " + error.code() + " "
-                    + error.message());
+            throw new Fault(Fault.Kind.MALFORMED, "the server turns the connection away: "
+                    + error.code() + " " + error.message());
         }
         if (protocol != PROTOCOL) {
             throw new Fault(Fault.Kind.MALFORMED, "protocol " + protocol + " is not known");
--- a/src/main/java/kitemux/mysql/Statement.java
+++ b/src/main/java/kitemux/mysql/Statement.java
@@ -42,7 +42,7 @@
             "FROM", "HAVING", "IN", "INTERSECT", "INTERVAL", "JOIN", "LIKE", "NOT", "ON", "OR", "OVER",
             "SELECT", "SOME", "THEN", "UNION", "USING", "VALUES", "WHEN", "WHERE", "WITH", "XOR", "REGEXP",
             "INDEX", "KEY", "LATERAL", "ROW", "EXPLAIN", "IS");
-    /** Functions that change nothing. Not with blanks before the bracket, which calls one of theirs instead. */
+    /** Functions that change nothing. With a blank before the bracket it is one of theirs that is called. */
     private static final Set<String> FUNCTIONS = Set.of(
             "ABS", "AVG", "CAST", "CEIL", "CEILING", "CHAR", "CHAR_LENGTH", "COALESCE", "CONCAT", "CONCAT_WS",
             "CONVERT", "COUNT", "CRC32", "CURDATE", "CURRENT_DATE", "CURRENT_TIMESTAMP", "DATE", "DATE_ADD",
--- a/src/main/java/kitemux/mysql/package-info.java
+++ b/src/main/java/kitemux/mysql/package-info.java
@@ -1,5 +1,6 @@
 /**
- * The MySQL client/server protocol, as its public documentation has it ("MySQL Internals Manual, Client/Server
- * Protocol"): packets, greetings, digests of passwords and what can be said of a statement by its text.
+ * The MySQL client/server protocol, as its public documentation has it ("MySQL Source Code
+ * Documentation", "Client/Server Protocol"): packets, greetings, digests of passwords and
+ * what can be said of a statement by its text.
  */
 package kitemux.mysql;
--- a/src/test/java/kitemux/http/RequestReaderTest.java
+++ b/src/test/java/kitemux/http/RequestReaderTest.java
@@ -17,7 +17,8 @@
 class RequestReaderTest {
     private static ClientRequest read(long agoUs) throws BadRequestException {
         Settings settings = new Settings();
-        settings.classes.add(new RequestClass("page", 100_000, 0, 500_000, 1, 0, Repeat.SAFE, null, 0, false));
+        settings.classes.add(new RequestClass("page", 100_000, 0, 500_000, 1, 0, Repeat.SAFE, null, 0,
+                false));
         HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/x");
         request.headers().set("X-Txn", "t").set("X-Lane", "page").set("X-Remaining", "300m");
         return new RequestReader(settings).read(request, new byte[0], agoUs);
--- a/src/test/java/kitemux/mysql/CodecTest.java
+++ b/src/test/java/kitemux/mysql/CodecTest.java
@@ -165,7 +165,8 @@
 
     @Property(seed = SEED)
     void greetingsComeBack(@ForAll @AlphaChars String version, @ForAll @Size(20) byte[] nonce,
-            @ForAll int id, @ForAll @IntRange(max = 255) int charset, @ForAll @IntRange(max = 65_535) int status,
+            @ForAll int id, @ForAll @IntRange(max = 255) int charset,
+            @ForAll @IntRange(max = 65_535) int status,
             @ForAll @AlphaChars String plugin) {
         ServerGreeting greeting = new ServerGreeting(version, id & 0xffffffffL, nonce, ALL, charset, status,
                 plugin);
--- a/src/test/java/kitemux/mysql/StatementTest.java
+++ b/src/test/java/kitemux/mysql/StatementTest.java
@@ -38,11 +38,13 @@
 
     @ParameterizedTest
     @ValueSource(strings = {
-        "INSERT INTO orders VALUES (1)", "update orders set a = 1", "DELETE FROM orders", "REPLACE INTO t SET a=1",
+        "INSERT INTO orders VALUES (1)", "update orders set a = 1", "DELETE FROM orders",
+        "REPLACE INTO t SET a=1",
         "SELECT * FROM orders FOR UPDATE", "SELECT * FROM orders LOCK IN SHARE MODE", "SELECT 1 INTO @x",
         "SELECT a FROM t INTO OUTFILE '/x'", "SELECT place_order(1)", "SELECT shop.count(1)",
         "SELECT shop . `count` (1)", "SELECT count (1)", "SELECT `count`(1)", "SELECT 1place(2)",
-        "SELECT \"f\"(1)", "SELECT NEXTVAL(s)", "SELECT NEXT VALUE FOR s", "SELECT 1; INSERT INTO t VALUES (1)",
+        "SELECT \"f\"(1)", "SELECT NEXTVAL(s)", "SELECT NEXT VALUE FOR s",
+        "SELECT 1; INSERT INTO t VALUES (1)",
         "SELECT 1; SELECT 2", "WITH x AS (SELECT 1) DELETE FROM t", "EXPLAIN ANALYZE SELECT 1",
         "/*!50000 INSERT INTO t VALUES (1) */", "SELECT 1 /*! INTO OUTFILE '/x' */", "/*M! DROP TABLE t */",
         "CALL p()", "DO f()", "SELECT 'open", "SELECT 1 /* open", "SELECT 'a\\' , f(1), 'b'", "", ";",
@@ -54,7 +56,8 @@
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "BEGIN | BEGINS", "START TRANSACTION READ ONLY | BEGINS", "START REPLICA | PINS", "COMMIT | ENDS",
-        "ROLLBACK | ENDS", "ROLLBACK TO SAVEPOINT a | BEGINS", "SAVEPOINT a | PINS", "CREATE TABLE t (a INT) | ENDS",
+        "ROLLBACK | ENDS", "ROLLBACK TO SAVEPOINT a | BEGINS", "SAVEPOINT a | PINS",
+        "CREATE TABLE t (a INT) | ENDS",
         "CREATE TEMPORARY TABLE t (a INT) | PINS", "SET NAMES utf8mb4 | SETS", "USE shop | SETS",
         "SET autocommit = 0 | PINS", "SET @@session.autocommit=0 | PINS", "SET @a = 1 | PINS",
         "SET TRANSACTION ISOLATION LEVEL READ COMMITTED | PINS", "SET GLOBAL a = 1 | PINS",
@@ -78,6 +81,7 @@
     @ParameterizedTest
     @ValueSource(ints = {Statement.MOST_LOOKED_AT - 20, Statement.MOST_LOOKED_AT})
     void aTextThatIsTooLongToLookAtIsNoRead(int length) {
-        assertEquals(length < Statement.MOST_LOOKED_AT, Statement.of("SELECT 1 " + " ".repeat(length)).read());
+        Statement statement = Statement.of("SELECT 1 " + " ".repeat(length));
+        assertEquals(length < Statement.MOST_LOOKED_AT, statement.read());
     }
 }
