--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -66,6 +66,8 @@
         private final List<Engine<Q, A>.Attempt> attempts = new ArrayList<>(1);
         private int outstanding;
         private boolean ended;
+        /** The attempt whose answer has begun, or null. */
+        private Engine<Q, A>.Attempt answering;
 
         private Held(long id, Q request, Client<A> client, long deadlineUs) {
             this.id = id;
@@ -274,10 +276,30 @@
         }
 
         @Override
-        public void ended(Result how, A answer) {
+        public boolean begun(A answer) {
+            if (over) {
+                return false;
+            }
+            if (of.ended || of.answering != null) {
+                // Called off, whatever came of it.
+                ended(Result.CANCELLED, null);
+                return false;
+            }
+            of.answering = this;
+            expiry.cancel();
+            of.client.begun(answer);
+            tell(of, () -> balancer.onFirstByte(time.nowUs(), of.id, number));
+            return true;
+        }
+
+        @Override
+        public void ended(Result told, A answer) {
             if (over) {
                 return;
             }
+            // Another's answer is on its way to the client: this one is not served, but may have run.
+            Result how = told == Result.OK && of.answering != null && of.answering != this ? Result.CANCELLED
+                    : told;
             over = true;
             result = how;
             if (expiry != null) {
--- a/src/main/java/kitemux/engine/Transport.java
+++ b/src/main/java/kitemux/engine/Transport.java
@@ -23,7 +23,19 @@
         /** When it is given up, in microseconds of the engine's clock. */
         long untilUs();
 
-        /** Its one end; the answer is the server's where the result is OK, else null. */
+        /**
+         * An answer has begun to come that nobody holds whole: the rest of it comes through the answer
+         * itself, and the end is told as ever. No deadline holds from here on, and nothing is tried again:
+         * what has been passed on cannot be taken back.
+         *
+         * @return false if nobody wants it: the client has left, or has another attempt's answer. The
+         *     transport is to break it off, and tells no end
+         */
+        default boolean begun(A answer) {
+            return false;
+        }
+
+        /** Its one end; the answer is the server's where the result is OK and none has begun, else null. */
         void ended(Result result, A answer);
     }
 
--- a/src/main/java/kitemux/mysql/PacketDecoder.java
+++ b/src/main/java/kitemux/mysql/PacketDecoder.java
@@ -21,15 +21,19 @@
      *
      * @param first whether they are its first
      * @param last whether they are its last
+     * @param wire where they are the first of a packet on the wire, its length; else -1
+     * @param sequence that packet's number
      * @param bytes owned by whoever gets the part; may be none
      */
-    record Part(boolean first, boolean last, ByteBuf bytes) { }
+    record Part(boolean first, boolean last, int wire, int sequence, ByteBuf bytes) { }
 
     private int expected;
     private int left;
     private boolean inPacket;
     private boolean goesOn;
     private boolean first = true;
+    private int wire = -1;
+    private int sequence;
 
     /** The next packet is the first of an exchange, or numbered so. */
     void expect(int sequence) {
@@ -48,7 +52,8 @@
                 return;
             }
             left = in.readUnsignedMediumLE();
-            int sequence = in.readUnsignedByte();
+            wire = left;
+            sequence = in.readUnsignedByte();
             if (sequence != expected) {
                 throw new Fault(Fault.Kind.OUT_OF_ORDER, "packet " + sequence + " came where " + expected
                         + " was due");
@@ -64,7 +69,8 @@
         left -= now;
         inPacket = left > 0;
         boolean last = !inPacket && !goesOn;
-        out.add(new Part(first, last, in.readRetainedSlice(now)));
+        out.add(new Part(first, last, wire, sequence, in.readRetainedSlice(now)));
         first = last;
+        wire = -1;
     }
 }
--- a/src/main/java/kitemux/mysql/Packets.java
+++ b/src/main/java/kitemux/mysql/Packets.java
@@ -7,6 +7,11 @@
 final class Packets {
     private Packets() { }
 
+    /** How many packets a payload of so many bytes takes. */
+    static int count(int bytes) {
+        return bytes / PacketDecoder.MOST_PAYLOAD + 1;
+    }
+
     /**
      * Writes a payload as one packet, or as several where it is longer than 16 MiB - 1.
      *
@@ -16,7 +21,7 @@
      */
     static ByteBuf write(ByteBufAllocator allocator, ByteBuf payload, int sequence) {
         try {
-            int count = payload.readableBytes() / PacketDecoder.MOST_PAYLOAD + 1;
+            int count = count(payload.readableBytes());
             ByteBuf out = allocator.buffer(payload.readableBytes() + count * PacketDecoder.HEADER);
             for (int i = 0; i < count; i++) {
                 // The last may be empty: one that is full says that another follows.
--- a/src/test/java/kitemux/engine/EngineTest.java
+++ b/src/test/java/kitemux/engine/EngineTest.java
@@ -1,21 +1,31 @@
 package kitemux.engine;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.reflect.Proxy;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import org.junit.jupiter.api.Test;
 
 import kitemux.Balancer;
+import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Outcome;
+import kitemux.Balancer.Repeat;
 import kitemux.Balancer.Request;
+import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Result;
+import kitemux.Balancer.ServerEntry;
+import kitemux.Balancer.ServerState;
+import kitemux.Balancer.Settings;
+import kitemux.ServiceQBalancer;
 
 /** What the engine does at its gate and at deadlines. */
 class EngineTest {
@@ -103,6 +113,10 @@
     private final List<Outcome> told = new ArrayList<>();
     private final List<String> answers = new ArrayList<>();
     private Transport.Exchange<Ask, String> exchange;
+    private final List<Transport.Exchange<Ask, String>> exchanges = new ArrayList<>();
+    private final List<String> heard = new ArrayList<>();
+    /** Attempts that the module begins at once. */
+    private int sends = 1;
     /** What waits at the gate; a test that puts nothing here has one that is open. */
     private List<Consumer<Boolean>> atGate;
 
@@ -127,6 +141,7 @@
         @Override
         public void start(String serverId, Exchange<Ask, String> started) {
             exchange = started;
+            exchanges.add(started);
         }
 
         @Override
@@ -151,6 +166,11 @@
     };
 
     private final Client<String> client = new Client<>() {
+        @Override
+        public void begun(String answer) {
+            answers.add("begun " + answer);
+        }
+
         @Override
         public void served(String answer) {
             answers.add(answer);
@@ -178,11 +198,15 @@
                 new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
                     if (method.getName().equals("onRequest")) {
                         assertEquals(AGO_US, ((Request) args[1]).agoUs(), "as the protocol has it");
-                        actions.send(((Request) args[1]).id(), "s", 0);
+                        for (int i = 0; i < sends; i++) {
+                            actions.send(((Request) args[1]).id(), "s", 0);
+                        }
+                    } else if (method.getName().equals("onFirstByte")) {
+                        heard.add("first byte " + args[2]);
                     } else if (method.getName().equals("onOutcome")) {
                         Outcome outcome = (Outcome) args[1];
                         told.add(outcome);
-                        if (!outcome.requestEnded()) {
+                        if (!outcome.requestEnded() && outcome.result() != Result.CANCELLED) {
                             actions.fail(outcome.requestId());
                         }
                     }
@@ -190,9 +214,8 @@
                 });
     }
 
-    private void ask(long leftUs) {
-        Engine<Ask, String> engine = new Engine<>(3, time, transport, () -> { }, Observer.NONE, gate,
-                new Log() {
+    private Engine<Ask, String> engine(Function<Balancer.Actions, Balancer> module) {
+        return new Engine<>(3, time, transport, () -> { }, Observer.NONE, gate, new Log() {
             @Override
             public void line(String text) {
                 throw new AssertionError(text);
@@ -202,7 +225,11 @@
             public void error(String what, Throwable cause) {
                 throw new AssertionError(what, cause);
             }
-        }, this::module);
+        }, module);
+    }
+
+    private void ask(long leftUs) {
+        Engine<Ask, String> engine = engine(this::module);
         engine.ask(engine.take(client, new Ask(leftUs)));
     }
 
@@ -215,6 +242,87 @@
         assertEquals(Result.TIMEOUT, told.get(0).result());
     }
 
+    @Test
+    void anAnswerThatHasBegunIsServedAtItsEndAndHasNoDeadline() {
+        ask(LEFT_US);
+        assertTrue(exchange.begun("rows"));
+        assertEquals(List.of("first byte 0"), heard);
+        time.nowUs += 10 * LEFT_US;
+        time.runDue();
+        assertEquals(List.of("begun rows"), answers);
+        exchange.ended(Result.OK, null);
+        assertEquals(Arrays.asList("begun rows", null), answers);
+        assertTrue(told.get(0).requestEnded());
+    }
+
+    @Test
+    void anAnswerThatBreaksOffHasOneEndAndBeginsNoSecondTime() {
+        ask(LEFT_US);
+        Transport.Exchange<Ask, String> first = exchange;
+        assertTrue(first.begun("rows"));
+        first.ended(Result.RESET, null);
+        assertEquals(List.of("begun rows", "failed"), answers);
+        assertEquals(Result.RESET, told.get(0).result());
+        assertFalse(first.begun("more"));
+        first.ended(Result.OK, "late");
+        assertEquals(List.of("begun rows", "failed"), answers);
+        assertEquals(1, told.size());
+    }
+
+    @Test
+    void ofTwoAttemptsTheOneThatBeganFirstAnswers() {
+        sends = 2;
+        ask(LEFT_US);
+        assertEquals(2, exchanges.size());
+        assertTrue(exchanges.get(1).begun("rows"));
+        assertFalse(exchanges.get(0).begun("other rows"), "told to break it off");
+        assertEquals(Result.CANCELLED, told.get(0).result());
+        exchanges.get(1).ended(Result.OK, null);
+        assertEquals(Arrays.asList("begun rows", null), answers);
+    }
+
+    @Test
+    void aWholeAnswerBesideOneThatHasBegunIsNotServed() {
+        sends = 2;
+        ask(LEFT_US);
+        assertTrue(exchanges.get(0).begun("rows"));
+        exchanges.get(1).ended(Result.OK, "whole");
+        assertEquals(Result.CANCELLED, told.get(0).result(), "it may have run");
+        assertEquals(List.of("begun rows"), answers);
+        exchanges.get(0).ended(Result.OK, null);
+        assertEquals(Arrays.asList("begun rows", null), answers);
+    }
+
+    @Test
+    void anAnswerThatBeginsAfterItsClientHasLeftIsNotWanted() {
+        Engine<Ask, String> engine = engine(this::module);
+        Engine.Held<Ask, String> held = engine.take(client, new Ask(LEFT_US));
+        engine.ask(held);
+        engine.left(held);
+        assertFalse(exchange.begun("rows"));
+        assertEquals(List.of(), answers);
+        assertEquals(0, engine.heldCount());
+    }
+
+    @Test
+    void theDecisionModuleTriesNothingAgainOnceAnAnswerHasBegun() {
+        Settings settings = new Settings();
+        settings.zones.add("z");
+        settings.classes.add(new RequestClass("select", 200_000, 0, 1_000_000, 1, 0, Repeat.SAFE, null, 0,
+                true));
+        Engine<Ask, String> engine = engine(actions -> new ServiceQBalancer(settings, 1, actions));
+        engine.listed(ListKind.FULL, List.of(new ServerEntry("a", 0, 0, ServerState.READY, 1, 0),
+                new ServerEntry("b", 0, 0, ServerState.READY, 1, 0)), () -> { });
+        engine.ask(engine.take(client, new Ask(LEFT_US)));
+        assertTrue(exchange.begun("rows"));
+        exchange.ended(Result.RESET, null);
+        assertEquals(1, exchanges.size(), "a safe one is tried again only while nothing has come of it");
+        assertEquals(List.of("begun rows", "refused 0"), answers);
+        engine.ask(engine.take(client, new Ask(LEFT_US)));
+        exchange.ended(Result.RESET, null);
+        assertEquals(3, exchanges.size(), "without a begin it passes on");
+    }
+
     @Test
     void nothingIsSentBeforeTheGateOpens() {
         atGate = new ArrayList<>();
