Let MySQL clients log in, and hold the login against two drivers, floods and garbage

A client is greeted and shows a proof for either plugin, or is asked to switch to one that its user has; only digests that make no proof are kept here. A user who is not there is checked like one who is.

Guards: 128 KiB are held for one who has shown no password; a login that takes too long is ended; the error is written and may be read before the connection ends (closed with bytes unread, the system would reset it and lose the error).

Not loaded by a node.

--- /dev/null
+++ b/src/main/java/kitemux/mysql/Users.java
@@ -0,0 +1,45 @@
+package kitemux.mysql;
+
+import java.util.Map;
+
+/**
+ * Who may log in here. Of a password only digests are kept, by which a proof can be checked and none made.
+ *
+ * @param byName users by their names
+ */
+public record Users(Map<String, User> byName) {
+    /** Stands for one that is not there, so that it takes as long to find out. */
+    private static final User NOBODY = User.of("", "\0");
+
+    /**
+     * A user.
+     *
+     * @param name as clients give it
+     * @param digests of the password, one for each plugin that the user may log in with
+     */
+    public record User(String name, Map<Scramble, byte[]> digests) {
+        /** Throws IllegalArgumentException if there is no digest: nobody could ever log in. */
+        public User {
+            if (digests.isEmpty()) {
+                throw new IllegalArgumentException(name + " has no digest of a password");
+            }
+        }
+
+        /** One whose password is known here, for both plugins. */
+        public static User of(String name, String password) {
+            return new User(name, Map.of(Scramble.NATIVE, Scramble.NATIVE.digest(password),
+                    Scramble.CACHING_SHA2, Scramble.CACHING_SHA2.digest(password)));
+        }
+    }
+
+    /** The user of this name, or one that nobody can log in as. */
+    User of(String name) {
+        return byName.getOrDefault(name, NOBODY);
+    }
+
+    /** Whether this proof shows that somebody is the user. */
+    boolean isProof(User user, Scramble scramble, byte[] proof, byte[] nonce) {
+        byte[] digest = user.digests().get(scramble);
+        return digest != null && scramble.isProof(proof, digest, nonce) && user != NOBODY;
+    }
+}
--- /dev/null
+++ b/src/test/java/kitemux/mysql/FrontLoginTest.java
@@ -0,0 +1,230 @@
+package kitemux.mysql;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.sql.Connection;
+import java.sql.DriverManager;
+import java.sql.ResultSet;
+import java.sql.SQLException;
+import java.sql.Statement;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import kitemux.Balancer.Result;
+import kitemux.mysql.AnswerTracker.Form;
+import kitemux.mysql.PacketDecoder.Part;
+import kitemux.standin.OrderDatabase;
+
+/** Clients that log in here, real drivers among them, and their commands at a stand-in of a server. */
+class FrontLoginTest {
+    private static final Users USERS = new Users(Map.of(
+            "both", Users.User.of("both", "secret"),
+            "old", new Users.User("old", Map.of(Scramble.NATIVE, Scramble.NATIVE.digest("secret"))),
+            "new", new Users.User("new", Map.of(Scramble.CACHING_SHA2,
+                    Scramble.CACHING_SHA2.digest("secret"))),
+            "open", Users.User.of("open", "")));
+
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<String> letIn = new CopyOnWriteArrayList<>();
+    private OrderDatabase database;
+
+    @AfterEach
+    void end() throws Exception {
+        loops.shutdownGracefully(0, 20, TimeUnit.SECONDS).sync();
+        if (database != null) {
+            database.close();
+        }
+    }
+
+    /** Carries each command of a client to a server over a connection of its own, and its answer back. */
+    private final class Relay extends ChannelInboundHandlerAdapter {
+        private final Channel client;
+        private final PacketDecoder decoder;
+        private final BackConnection server;
+        private final Gatherer gatherer;
+
+        Relay(Channel client, PacketDecoder decoder, BackConnection server) {
+            this.client = client;
+            this.decoder = decoder;
+            this.server = server;
+            gatherer = new Gatherer(client.alloc(), 1 << 20);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            ByteBuf command = gatherer.add((Part) message);
+            if (command == null) {
+                return;
+            }
+            decoder.expect(0);
+            if (command.getByte(0) == 1) {
+                command.release();
+                client.close();
+                return;
+            }
+            server.carry(command, Form.RESULTS, new BackConnection.Heard() {
+                @Override
+                public boolean begun() {
+                    return true;
+                }
+
+                @Override
+                public void more(ByteBuf packets) {
+                    client.writeAndFlush(packets);
+                }
+
+                @Override
+                public void ended(Result result, ErrPacket error) {
+                    if (result != Result.OK) {
+                        ByteBuf out = client.alloc().buffer();
+                        error.write(out);
+                        client.writeAndFlush(Packets.write(client.alloc(), out, 1));
+                    }
+                }
+            });
+        }
+    }
+
+    private void connectBack(Channel client, PacketDecoder decoder) {
+        client.config().setAutoRead(false);
+        Bootstrap dialer = new Bootstrap().group(client.eventLoop()).channel(NioSocketChannel.class);
+        dialer.handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                PacketDecoder back = new PacketDecoder();
+                channel.pipeline().addLast(back, new BackConnection(new BackConnection.Account(
+                        OrderDatabase.USER, OrderDatabase.PASSWORD, ""), back,
+                        new BackConnection.LoginHeard() {
+                            @Override
+                            public void loggedIn(BackConnection server) {
+                                client.pipeline().addLast(new Relay(client, decoder, server));
+                                client.config().setAutoRead(true);
+                            }
+
+                            @Override
+                            public void refused(String why, ErrPacket error) {
+                                client.close();
+                            }
+                        }));
+            }
+        }).connect(database.address());
+    }
+
+    private InetSocketAddress listen(Scramble greeted, long loginMs) throws Exception {
+        database = OrderDatabase.start("caching_sha2_password", null);
+        return (InetSocketAddress) new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        PacketDecoder decoder = new PacketDecoder();
+                        channel.pipeline().addLast(decoder, new FrontLogin(USERS, 5, greeted, loginMs,
+                                decoder, (client, packets, greeting) -> {
+                                    letIn.add(greeting.user());
+                                    connectBack(client, packets);
+                                }));
+                    }
+                }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel().localAddress();
+    }
+
+    private static Connection connect(String driver, InetSocketAddress at, String user, String password)
+            throws SQLException {
+        return DriverManager.getConnection("jdbc:" + driver + "://127.0.0.1:" + at.getPort() + "/?"
+                + (driver.equals("mysql") ? "sslMode=DISABLED" : "sslMode=disable"), user, password);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"mysql, both, NATIVE", "mysql, both, CACHING_SHA2", "mysql, old, CACHING_SHA2",
+        "mysql, new, NATIVE", "mysql, open, NATIVE", "mariadb, both, NATIVE", "mariadb, both, CACHING_SHA2",
+        "mariadb, old, CACHING_SHA2", "mariadb, new, NATIVE", "mariadb, open, CACHING_SHA2"})
+    void driversLogInAndTheirCommandsAreCarried(String driver, String user, Scramble greeted)
+            throws Exception {
+        InetSocketAddress at = listen(greeted, 20_000);
+        try (Connection connection = connect(driver, at, user, user.equals("open") ? "" : "secret");
+                Statement statement = connection.createStatement()) {
+            assertEquals(1, statement.executeUpdate("INSERT INTO orders (id, school) VALUES ('o', 's')"));
+            try (ResultSet found = statement.executeQuery("SELECT id, school FROM orders")) {
+                assertTrue(found.next());
+                assertEquals("s", found.getString(2));
+                assertFalse(found.next());
+            }
+            SQLException unknown = assertThrows(SQLException.class,
+                    () -> statement.executeUpdate("INSERT INTO nowhere VALUES (1)"));
+            assertEquals("42000", unknown.getSQLState());
+            assertTrue(connection.isValid(20));
+        }
+        assertEquals(List.of(user), letIn);
+        assertEquals(1, database.inserts("o"));
+        for (String[] other : new String[][] {{user, "wrong"}, {"nobody", "secret"}, {"nobody", ""}}) {
+            SQLException denied = assertThrows(SQLException.class,
+                    () -> connect(driver, at, other[0], other[1]));
+            assertEquals(1045, denied.getErrorCode(), denied.toString());
+        }
+        assertEquals(List.of(user), letIn, "nobody else");
+    }
+
+    private static String answered(Socket client) throws Exception {
+        client.setSoTimeout(20_000);
+        InputStream in = client.getInputStream();
+        return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
+    @Test
+    void aLoginThatIsNeverOverEndsWithAnErrorAndFreesItsConnection() throws Exception {
+        InetSocketAddress at = listen(Scramble.CACHING_SHA2, 30);
+        List<Socket> flood = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            flood.add(new Socket(at.getAddress(), at.getPort()));
+        }
+        for (Socket client : flood) {
+            assertTrue(answered(client).contains("#08S01the login took too long"));
+            client.close();
+        }
+        assertEquals(List.of(), letIn);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\5\0\0\1hello", "\5\0\0\0hello", "GET / HTTP/1.1\r\n\r\n", "\377\377\377\1"})
+    void whatIsNoLoginIsAnsweredWithAnErrorAndTheEnd(String sent) throws Exception {
+        InetSocketAddress at = listen(Scramble.NATIVE, 20_000);
+        try (Socket client = new Socket(at.getAddress(), at.getPort())) {
+            byte[] bytes = sent.getBytes(StandardCharsets.ISO_8859_1);
+            client.getOutputStream().write(bytes);
+            if (sent.startsWith("\377")) {
+                // A packet of 16 MiB from somebody who has shown no password; no more of it is held.
+                client.getOutputStream().write(new byte[4 * FrontLogin.MOST_PAYLOAD]);
+            }
+            String answer = answered(client);
+            assertTrue(answer.contains("#HY000") || answer.contains("#08S01"), answer);
+        }
+    }
+}
