Lift the pool of connections to servers out of HTTP, for any protocol

It is now net.ServerPool, of no protocol; HTTP's part is HttpServers with its links. The steps of HTTP stand in the same order.

--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -29,12 +29,13 @@
 import kitemux.engine.Transport;
 import kitemux.http.ClientRequest;
 import kitemux.http.ClientServer;
+import kitemux.http.HttpServers;
 import kitemux.http.RequestReader;
-import kitemux.http.ServerPool;
 import kitemux.net.HostList;
 import kitemux.net.LoopTime;
 import kitemux.net.Network;
 import kitemux.net.NioNetwork;
+import kitemux.net.ServerPool;
 import kitemux.net.Sockets;
 import kitemux.orders.OrderKeeper;
 import kitemux.orders.Orders;
@@ -50,7 +51,7 @@
     private final NodeConfig config;
     private final EventLoop loop;
     private final Sockets sockets;
-    private final ServerPool pool;
+    private final ServerPool<ClientRequest, byte[]> pool;
     private final ClientServer clients;
     private final Discovery discovery;
     private final Engine<ClientRequest, byte[]> engine;
@@ -100,8 +101,9 @@
         this.loop = loop;
         Log log = parts.log();
         sockets = new Sockets(config.sockets());
-        pool = new ServerPool(loop, parts.network(), sockets, parts.time(), config.settings(),
-                config.connIdleUs(), log);
+        pool = new ServerPool<>(loop, parts.network(), sockets, parts.time(),
+                config.settings().connectTimeoutUs, config.connIdleUs(), new HttpServers(parts.time(),
+                        config.settings(), parts.network().allocator(), log));
         discovery = new Discovery(loop, parts.network(), config.discovery(), config.settings().zones,
                 config.known().rev(), Discovery.MOST_SILENCE_US, new Discovery.Listener() {
                     @Override
