Take servers out by hand, send clients away, hand over to a second process, tell figures

The platform names a second address for them and replaces the process while it serves; the program knew neither: the second process could not bind and ended with 2, and no call was heard.

kitemux.ops: the calls over HTTP/1.1, one a connection; ServersByHand, which lays what operators say over discovery's list and does no I/O; SharedFolder, which leaves a successor in TMPDIR what is out and who serves; Figures. Where a second address is given the listener shares its address (SO_REUSEPORT), and a process that has a successor closes its listener at once and lets clients come once more. Off where no address is given. Rejected: one file for all that is out (two processes that overlap would take each other's changes back); a count of calls (two out take one back).

--- a/src/main/java/kitemux/Balancer.java
+++ b/src/main/java/kitemux/Balancer.java
@@ -41,6 +41,11 @@
     /** The time asked for with {@link Actions#wakeAt} has come. */
     void onWake(long nowUs);
 
+    /** How many servers of the list it sends nothing to of its own choice, but for trials. */
+    default int avoided() {
+        return 0;
+    }
+
     /** What the module asks of its node. Calls take effect in order, at the time of the event. */
     interface Actions {
         /** Start the next attempt of a request (numbered 0, 1, 2 ...), to be given up at {@code untilUs}. */
--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -373,9 +373,7 @@
     private void chooseServers() {
         Server[] before = ready;
         ready = inUse(listed.stream().filter(s -> s.state == ServerState.READY).toArray(Server[]::new));
-        for (Server server : before) {
-            server.inUse = false;
-        }
+        Arrays.stream(before).forEach(server -> server.inUse = false);
         for (int i = 0; i < ready.length; i++) {
             ready[i].position = i;
             ready[i].inUse = true;
@@ -386,9 +384,7 @@
                 ready[i].nextColdSendAt = now + (long) (random.nextDouble() * coldGap(ready[i]));
             }
         }
-        for (Server server : before) {
-            closeIfUnused(server);
-        }
+        Arrays.stream(before).forEach(this::closeIfUnused);
         everywhere = new Pool(ready, set.warmKeys);
         nearby = set.crossZonePrice == 0 ? everywhere : new Pool(
                 Arrays.stream(ready).filter(s -> s.zone == set.myZone).toArray(Server[]::new), false);
@@ -779,6 +775,11 @@
         }
     }
 
+    @Override
+    public int avoided() {
+        return (int) ejected.stream().filter(s -> s.overall.ejected).count();
+    }
+
     private static boolean isCounted(Server server) {
         return server.inUse && !server.overall.ejected;
     }
--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -185,6 +185,11 @@
         });
     }
 
+    /** How many servers of the list the module avoids of its own choice. */
+    public int avoided() {
+        return balancer.avoided();
+    }
+
     /** Tells the module nothing more by itself; the transport is to be closed before. */
     public void close() {
         closed = true;
--- a/src/main/java/kitemux/engine/Observer.java
+++ b/src/main/java/kitemux/engine/Observer.java
@@ -11,6 +11,42 @@
     /** Told of nothing. */
     Observer NONE = new Observer() { };
 
+    /** Tells both, this one first. */
+    default Observer and(Observer other) {
+        Observer first = this;
+        return new Observer() {
+            @Override
+            public void taken(long id, Asked request) {
+                first.taken(id, request);
+                other.taken(id, request);
+            }
+
+            @Override
+            public void sent(long id, int attempt, String serverId, long untilUs) {
+                first.sent(id, attempt, serverId, untilUs);
+                other.sent(id, attempt, serverId, untilUs);
+            }
+
+            @Override
+            public void ended(long id, int attempt, Result result) {
+                first.ended(id, attempt, result);
+                other.ended(id, attempt, result);
+            }
+
+            @Override
+            public void answered(long id, Answer answer) {
+                first.answered(id, answer);
+                other.answered(id, answer);
+            }
+
+            @Override
+            public void forgotten(long id) {
+                first.forgotten(id);
+                other.forgotten(id);
+            }
+        };
+    }
+
     /** How a request was answered. */
     enum Answer { SERVED, REFUSED, FAILED, BROKEN, LEFT }
 
--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -224,12 +224,13 @@
         try {
             String path = RequestReader.path(next.head.uri());
             if (path.equals("/up")) {
-                answer(server.isDraining() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
+                answer(server.isUp() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
                         NO_BODY, 0);
             } else if (RequestReader.isRequestPath(path)) {
                 ClientRequest request = reader.read(next.head, next.body, time.nowUs() - next.cameUs);
                 if (turnedAway) {
                     // Never sent anywhere, so that trying again does no harm.
+                    server.turnedAway(request);
                     refused(reader.retryAfterUs());
                 } else {
                     ask(request);
@@ -296,7 +297,7 @@
         if (retryAfterUs > 0) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterUs / 1e6);
         }
-        if (!keepAlive || crowded || server.isDraining()) {
+        if (!keepAlive || crowded || server.endsConnections()) {
             keepAlive = false;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -1,12 +1,14 @@
 package kitemux.http;
 
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -16,6 +18,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 
@@ -37,6 +40,7 @@
     private final Sockets sockets;
     private final Engine<ClientRequest, byte[]> engine;
     private final LoopTime time;
+    private final IntConsumer turnedAway;
     private final Log log;
     /** Connections that have had no whole request yet, the oldest first. */
     private final Set<ClientConnection> fresh = new LinkedHashSet<>();
@@ -53,6 +57,10 @@
     /** How many connections were ever taken in. */
     private long taken;
     private boolean draining;
+    /** A process that takes this one's place listens too: what the front is told is of both. */
+    private boolean replaced;
+    /** Since when clients are sent away by hand, on the loop's clock; without end if they are not. */
+    private long awaySinceUs = Long.MAX_VALUE;
     private boolean closed;
     private Runnable whenEmpty = () -> { };
 
@@ -70,9 +78,14 @@
         }
     };
 
-    /** Serves nobody yet; requests go to the engine, which lives on the same loop. */
+    /**
+     * Serves nobody yet; requests go to the engine, which lives on the same loop.
+     *
+     * @param turnedAway told the class of each request that is refused before the engine has it
+     */
     public ClientServer(EventLoopGroup loop, Network network, RequestReader reader, Sockets sockets,
-            Engine<ClientRequest, byte[]> engine, LoopTime time, Log log) {
+            Engine<ClientRequest, byte[]> engine, LoopTime time, IntConsumer turnedAway, Log log) {
+        this.turnedAway = turnedAway;
         this.loop = loop;
         this.network = network;
         this.reader = reader;
@@ -82,9 +95,17 @@
         this.log = log;
     }
 
-    /** Listens; the future is done once clients can connect. */
-    public ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture opening = new ServerBootstrap().group(loop).channelFactory(() -> network.listener(gate))
+    /**
+     * Listens; the future is done once clients can connect.
+     *
+     * @param shared whether another process may listen at the same address
+     */
+    public ChannelFuture listen(InetSocketAddress address, boolean shared) {
+        ServerBootstrap listener = new ServerBootstrap();
+        if (shared) {
+            listener.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        }
+        ChannelFuture opening = listener.group(loop).channelFactory(() -> network.listener(gate))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.ALLOCATOR, network.allocator())
@@ -231,6 +252,10 @@
         tellIfEmpty();
     }
 
+    void turnedAway(ClientRequest request) {
+        turnedAway.accept(request.classIndex());
+    }
+
     private List<ClientConnection> all() {
         List<ClientConnection> all = new ArrayList<>(fresh);
         all.addAll(busy);
@@ -241,22 +266,44 @@
     /** Ends what has taken too long on the clients' part. */
     public void closeOld() {
         all().forEach(ClientConnection::closeIfLate);
+        if (awaySinceUs != Long.MAX_VALUE && time.nowUs() - awaySinceUs >= Limits.LEAVING_MS * 1_000) {
+            closeUnused(Limits.UNUSED_MS);
+        }
     }
 
-    boolean isDraining() {
-        return draining;
+    /** Whether each answer ends its connection. */
+    boolean endsConnections() {
+        return draining || awaySinceUs != Long.MAX_VALUE;
+    }
+
+    /** Whether the front may deal out clients to this address. */
+    public boolean isUp() {
+        return awaySinceUs == Long.MAX_VALUE && (!draining || replaced);
+    }
+
+    /**
+     * Sends clients away, or no more: the front is told no, each answer ends its connection, and what stays
+     * idle is closed. The listener stays open, as some still come, and all may come back.
+     */
+    public void sendAway(boolean away) {
+        if (away != (awaySinceUs != Long.MAX_VALUE)) {
+            awaySinceUs = away ? time.nowUs() : Long.MAX_VALUE;
+        }
     }
 
     /**
      * No longer ready: new connections are served while the front may still deal them out, every answer
      * ends its connection, and then all that is idle is closed.
      *
+     * @param byAnother another process listens at the same address: new connections are its own from now on,
+     *     and those that are open may be used for a while
      * @param whenDone called once no connection is left and none can come
      */
-    public void drain(Runnable whenDone) {
+    public void drain(boolean byAnother, Runnable whenDone) {
         draining = true;
+        replaced = byAnother;
         whenEmpty = whenDone;
-        loop.schedule(() -> closeOnceNoneComes(-1), Limits.ARRIVING_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> closeOnceNoneComes(-1), replaced ? 0 : Limits.ARRIVING_MS, TimeUnit.MILLISECONDS);
     }
 
     /** The system resets connections that wait to be taken as the listener closes, and requests with
@@ -269,15 +316,23 @@
         }
         listening.close().addListener(done -> {
             closed = true;
-            List<ClientConnection> unused = all();
-            unused.removeAll(busy);
-            // What has come is served, and its answer ends the connection.
-            unused.removeIf(client -> !client.isQuiet());
-            unused.forEach(ClientConnection::close);
-            tellIfEmpty();
+            // A request that crosses the end of its connection is asked again, and each costs its client time:
+            // with a successor there is time for clients to come once more and hear that this is the end.
+            loop.schedule(() -> {
+                closeUnused(0);
+                tellIfEmpty();
+            }, replaced ? Limits.LEAVING_MS : 0, TimeUnit.MILLISECONDS);
         });
     }
 
+    /** What has come is served, and its answer ends the connection; all else is closed. */
+    private void closeUnused(long unusedMs) {
+        List<ClientConnection> unused = all();
+        unused.removeAll(busy);
+        unused.removeIf(client -> !client.isQuiet() || unusedMs > 0 && !client.isOlderThan(unusedMs));
+        unused.forEach(ClientConnection::close);
+    }
+
     /** Ends everything at once. */
     public void close() {
         listening.close();
--- a/src/main/java/kitemux/http/Limits.java
+++ b/src/main/java/kitemux/http/Limits.java
@@ -26,5 +26,11 @@
     /** After SIGTERM connections arrive for 0.4 s more; a tenth is room for those under way. */
     public static final long ARRIVING_MS = 500;
 
+    /** Once clients are sent away, for their next request to come by itself: each is answered, and with its
+     * answer the connection ends. What is still idle then is closed. */
+    public static final long LEAVING_MS = 1_500;
+    /** Unused for so long, a connection of a client that is sent away holds no request on its way. */
+    public static final long UNUSED_MS = 300;
+
     private Limits() { }
 }
--- a/src/main/java/kitemux/net/ServerPool.java
+++ b/src/main/java/kitemux/net/ServerPool.java
@@ -38,6 +38,8 @@
     private final Time clock;
     private final Protocol<Q, A> protocol;
     private final Map<String, Upstream<Q, A>> upstreams = new HashMap<>();
+    /** Requests written whole to servers, probes aside. */
+    private long written;
     /** The connections that carry an exchange. */
     private final Map<Exchange<Q, A>, Link<Q, A>> carriers = new HashMap<>();
 
@@ -250,6 +252,11 @@
         }
     }
 
+    /** Requests written whole to servers so far, probes aside. */
+    public long writtenCount() {
+        return written;
+    }
+
     /** Closes what is idle; what awaits a connection has ended, what is on one ends with its loop. */
     public void close() {
         List.copyOf(upstreams.keySet()).forEach(this::remove);
@@ -369,6 +376,7 @@
             pool.carriers.put(next, this);
             channel.writeAndFlush(message).addListener(done -> {
                 if (done.isSuccess()) {
+                    pool.written += next.request() == pool.protocol.probe() ? 0 : 1;
                     written |= exchange == next;
                 } else {
                     close();
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -1,6 +1,7 @@
 package kitemux.node;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -37,6 +38,7 @@
 import kitemux.net.NioNetwork;
 import kitemux.net.ServerPool;
 import kitemux.net.Sockets;
+import kitemux.ops.Operations;
 import kitemux.orders.OrderKeeper;
 import kitemux.orders.Orders;
 
@@ -56,6 +58,9 @@
     private final Discovery discovery;
     private final Engine<ClientRequest, byte[]> engine;
     private final LoopTime time;
+    /** What operators may do while it runs; null where no address is given for it. */
+    private final Operations operations;
+    private boolean listening;
     private Future<?> housekeeping;
     private Future<?> beating;
 
@@ -100,7 +105,9 @@
         this.config = config;
         this.loop = loop;
         Log log = parts.log();
+        time = parts.time();
         sockets = new Sockets(config.sockets());
+        operations = config.operators() == null ? null : operations(parts);
         pool = new ServerPool<>(loop, parts.network(), sockets, parts.time(),
                 config.settings().connectTimeoutUs, config.connIdleUs(), new HttpServers(parts.time(),
                         config.settings(), parts.network().allocator(), log));
@@ -118,10 +125,49 @@
                     }
                 }, log);
         engine = new Engine<>(config.settings().maxAttempts, parts.time(), parts.transport().apply(pool),
-                discovery, parts.observer(), parts.gate(), log, parts.module());
+                discovery, operations == null ? parts.observer() : parts.observer().and(operations.observer()),
+                parts.gate(), log, parts.module());
         clients = new ClientServer(loop, parts.network(), new RequestReader(config.settings()), sockets,
-                engine, parts.time(), log);
-        time = parts.time();
+                engine, parts.time(), ofClass -> {
+                    if (operations != null) {
+                        operations.turnedAway(ofClass);
+                    }
+                }, log);
+    }
+
+    private Operations operations(Parts parts) {
+        Operations.Served served = new Operations.Served() {
+            @Override
+            public void changed(List<HostList.Host> hosts) {
+                put(new HostList(0, false, hosts), ListKind.CHANGES);
+            }
+
+            @Override
+            public void sendAway(boolean away) {
+                clients.sendAway(away);
+            }
+
+            @Override
+            public boolean takesClients() {
+                return listening && clients.isUp();
+            }
+
+            @Override
+            public long dispatches() {
+                return pool.writtenCount();
+            }
+
+            @Override
+            public int avoided() {
+                return engine.avoided();
+            }
+        };
+        try {
+            return new Operations(served, loop, loop, time, sockets, config.settings().classes,
+                    config.folder(), config.listen(), parts.log());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 
     // ---------------------------------------------------------------- start and end
@@ -154,20 +200,27 @@
                 System.exit(2);
             }
         }
-        Node node = new Node(config, loop, Parts.real(loop, log, module(config)).with(time,
-                orders == null ? null : orders.keeper(operator.orders(), config.settings(), time)));
+        Node node;
+        try {
+            node = new Node(config, loop, Parts.real(loop, log, module(config)).with(time,
+                    orders == null ? null : orders.keeper(operator.orders(), config.settings(), time)));
+        } catch (UncheckedIOException e) {
+            System.err.println("kitemux: TMPDIR cannot be used: " + e.getMessage());
+            System.exit(2);
+            return;
+        }
         Reload.onHangUp(env, node, log);
+        if (config.operators() != null) {
+            // Before it warms up, so that who asks hears that it takes no clients yet.
+            orEnd("mgmt " + config.operators(), node.listenForOperators());
+        }
         log.line("warming up");
         Rehearsal.play(config, loop, log);
-        ChannelFuture listening = node.start().awaitUninterruptibly();
-        if (!listening.isSuccess()) {
-            System.err.println("kitemux: listen " + config.listen() + ": " + listening.cause().getMessage());
-            System.exit(2);
-        }
+        orEnd("listen " + config.listen(), node.start());
         Orders journal = orders;
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             CountDownLatch empty = new CountDownLatch(1);
-            node.drain(empty::countDown);
+            node.drain(node.operations != null && node.operations.isReplaced(), empty::countDown);
             try {
                 empty.await();
                 if (journal != null) {
@@ -184,6 +237,14 @@
         log.line("listening on " + config.listen());
     }
 
+    /** Waits until an address is listened at; where it cannot be, the program ends. */
+    private static void orEnd(String what, ChannelFuture opening) {
+        if (!opening.awaitUninterruptibly().isSuccess()) {
+            System.err.println("kitemux: " + what + ": " + opening.cause().getMessage());
+            System.exit(2);
+        }
+    }
+
     /** To be called once clients can connect: the start that was slow by it is over. */
     private static void tellOfUnusedArchive(Log log) {
         try {
@@ -199,6 +260,11 @@
         return (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     }
 
+    /** Listens for operators, where an address is given for them; the future is done once they can call. */
+    ChannelFuture listenForOperators() {
+        return operations.listen(config.operators());
+    }
+
     /** Begins to serve; the future is done once clients can connect. */
     public ChannelFuture start() {
         loop.execute(() -> list(config.known(), ListKind.CACHED));
@@ -207,17 +273,40 @@
             clients.closeOld();
         }, HOUSEKEEPING_MS, HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
         beating = loop.scheduleWithFixedDelay(time::beat, 0, LoopTime.BEAT_MS, TimeUnit.MILLISECONDS);
-        return clients.listen(config.listen());
+        return clients.listen(config.listen(), operations != null).addListener(opened -> {
+            listening = opened.isSuccess();
+            if (listening && operations != null) {
+                operations.serves();
+            }
+        });
     }
 
     /** Takes over what may change while a node runs, which is where discovery is. */
     public void reload(NodeConfig changed) {
-        loop.execute(() -> discovery.moveTo(changed.discovery()));
+        loop.execute(() -> {
+            discovery.moveTo(changed.discovery());
+            tellOfReload(true);
+        });
     }
 
-    /** Says no to the front, serves what still comes, and calls back once nothing is held. */
-    public void drain(Runnable whenEmpty) {
-        loop.execute(() -> clients.drain(whenEmpty));
+    /** The configuration cannot be read: what holds stays. */
+    void reloadFailed() {
+        loop.execute(() -> tellOfReload(false));
+    }
+
+    private void tellOfReload(boolean taken) {
+        if (operations != null) {
+            operations.reloaded(taken);
+        }
+    }
+
+    /**
+     * Says no to the front, serves what still comes, and calls back once nothing is held.
+     *
+     * @param replaced whether another process takes clients at the same address
+     */
+    public void drain(boolean replaced, Runnable whenEmpty) {
+        loop.execute(() -> clients.drain(replaced, whenEmpty));
     }
 
     /** Lets go of all sockets and timers at once. */
@@ -229,10 +318,17 @@
             pool.close();
             discovery.close();
             engine.close();
+            if (operations != null) {
+                operations.close();
+            }
         });
     }
 
     private void list(HostList list, ListKind kind) {
+        put(operations == null ? list : operations.told(list), kind);
+    }
+
+    private void put(HostList list, ListKind kind) {
         engine.listed(kind, list.entries(), () -> pool.update(list));
     }
 
--- a/src/main/java/kitemux/node/NodeConfig.java
+++ b/src/main/java/kitemux/node/NodeConfig.java
@@ -21,15 +21,17 @@
  * What a node is told at its start, by the environment and the configuration file.
  *
  * @param listen where clients connect
+ * @param operators where operators call, or null
  * @param discovery where the server list is had
  * @param seed for random numbers, new with each start
  * @param sockets how many descriptors the process may hold
  * @param connIdleUs after so long servers close idle connections
+ * @param folder where a process of the node leaves word for the next one, {@code $TMPDIR}
  * @param known the server list as this node last had it
  * @param settings the module's
  */
-public record NodeConfig(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        long connIdleUs, HostList known, Settings settings) {
+public record NodeConfig(InetSocketAddress listen, InetSocketAddress operators, InetSocketAddress discovery,
+        long seed, int sockets, long connIdleUs, Path folder, HostList known, Settings settings) {
 
     private static final int LEAST_SOCKETS = 64;
     private static final long DEFAULT_CONN_IDLE_US = 15_000_000;
@@ -66,9 +68,12 @@
         }
         String listen = env.getOrDefault("PROXY_LISTEN", json.path("listen").text());
         String discovery = env.getOrDefault("PROXY_DISCOVERY", json.path("discovery").text());
-        return new NodeConfig(Addresses.read("listen", listen), Addresses.read("discovery", discovery),
-                seed(json.path("seed").text()), (int) sockets, idle, known(json, settings.zones),
-                settings);
+        String operators = env.getOrDefault("PROXY_MGMT", json.path("mgmt").text());
+        return new NodeConfig(Addresses.read("listen", listen),
+                operators.isEmpty() ? null : Addresses.read("mgmt", operators),
+                Addresses.read("discovery", discovery), seed(json.path("seed").text()), (int) sockets, idle,
+                Path.of(env.getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"))),
+                known(json, settings.zones), settings);
     }
 
     /** As the file has it now: where discovery is, it says since the start, and no longer the environment. */
@@ -123,8 +128,8 @@
         apart.tenants.addAll(settings.tenants);
         apart.maxAttempts = settings.maxAttempts;
         apart.cancel = settings.cancel;
-        return new NodeConfig(new InetSocketAddress(listen.getAddress(), 0), discovery, seed, sockets,
-                connIdleUs, servers, apart);
+        return new NodeConfig(new InetSocketAddress(listen.getAddress(), 0), null, discovery, seed, sockets,
+                connIdleUs, folder, servers, apart);
     }
 
     private static HostList known(Json json, List<String> zones) throws ConfigException {
--- a/src/main/java/kitemux/node/Reload.java
+++ b/src/main/java/kitemux/node/Reload.java
@@ -44,6 +44,7 @@
         try {
             node.reload(NodeConfig.reread(env));
         } catch (ConfigException e) {
+            node.reloadFailed();
             log.line("reload: " + e.getMessage() + "; the configuration stays as it was");
         }
     }
--- /dev/null
+++ b/src/main/java/kitemux/ops/ServersByHand.java
@@ -0,0 +1,98 @@
+package kitemux.ops;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import kitemux.Balancer.ServerEntry;
+import kitemux.Balancer.ServerState;
+import kitemux.net.HostList;
+
+/**
+ * Which servers operators have taken out by hand, laid over what discovery says of them: one that is out
+ * drains, whatever the list says. It does no input or output and has no clock; one thread calls it.
+ */
+final class ServersByHand {
+    /** What discovery last told of each server that it lists. */
+    private final Map<String, HostList.Host> listed = new HashMap<>();
+    private final Set<String> out = new HashSet<>();
+    /** When those that were out came back, in microseconds of Unix time; forgotten as they leave the list. */
+    private final Map<String, Long> backAtUs = new HashMap<>();
+
+    /** The list that holds, given one of discovery's, in its order. */
+    HostList told(HostList list) {
+        if (list.all()) {
+            listed.clear();
+        }
+        for (HostList.Host host : list.hosts()) {
+            String id = host.entry().id();
+            if (host.entry().state() == ServerState.GONE) {
+                listed.remove(id);
+                backAtUs.remove(id);
+            } else {
+                listed.put(id, host);
+            }
+        }
+        if (list.all()) {
+            backAtUs.keySet().retainAll(listed.keySet());
+        }
+        return out.isEmpty() && backAtUs.isEmpty() ? list
+                : new HostList(list.rev(), list.all(), list.hosts().stream().map(this::holds).toList());
+    }
+
+    /**
+     * Takes out just these servers; those that were out before and are not among them come back.
+     *
+     * @return what changes by it for servers on the list
+     */
+    List<HostList.Host> takeOut(Set<String> ids, long nowUs) {
+        Set<String> changed = new HashSet<>(out);
+        changed.removeAll(ids);
+        // Operators restart what they take out. Discovery may tell of the start seconds later, or not at all
+        // where only the machine was worked on, so who comes back is taken for cold: full load would push it
+        // over. Harm: one that was not restarted has less than its share for as long as a cold one.
+        changed.forEach(id -> backAtUs.put(id, nowUs));
+        for (String id : ids) {
+            if (!out.contains(id)) {
+                changed.add(id);
+            }
+        }
+        out.clear();
+        out.addAll(ids);
+        backAtUs.keySet().retainAll(listed.keySet());
+        List<HostList.Host> changes = new ArrayList<>();
+        for (String id : changed) {
+            if (listed.containsKey(id)) {
+                changes.add(holds(listed.get(id)));
+            }
+        }
+        return changes;
+    }
+
+    private HostList.Host holds(HostList.Host host) {
+        ServerEntry entry = host.entry();
+        boolean drains = entry.state() == ServerState.READY && out.contains(entry.id());
+        long startedAtUs = Math.max(entry.startedAtUs(), backAtUs.getOrDefault(entry.id(), 0L));
+        return new HostList.Host(new ServerEntry(entry.id(), entry.zone(), entry.cell(),
+                drains ? ServerState.DRAINING : entry.state(), entry.weight(), startedAtUs), host.endpoint());
+    }
+
+    /** Whether discovery lists it, or operators have taken it out. */
+    boolean isKnown(String id) {
+        return listed.containsKey(id) || out.contains(id);
+    }
+
+    /** How many servers the list holds. */
+    int listed() {
+        return listed.size();
+    }
+
+    /** How many of these take nothing new, by hand or by discovery's word. */
+    int drained() {
+        return (int) listed.values().stream().filter(h -> holds(h).entry().state() != ServerState.READY)
+                .count();
+    }
+}
--- a/src/main/java/kitemux/world/NodeHost.java
+++ b/src/main/java/kitemux/world/NodeHost.java
@@ -1,5 +1,6 @@
 package kitemux.world;
 
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -115,8 +116,8 @@
     }
 
     private NodeConfig config(HostList list) {
-        return new NodeConfig(machine.address, listServer.machine.address, random.nextLong(), sockets,
-                settings.connectTimeoutUs * 1_200, list, settings);
+        return new NodeConfig(machine.address, null, listServer.machine.address, random.nextLong(), sockets,
+                settings.connectTimeoutUs * 1_200, Path.of(""), list, settings);
     }
 
     /** It is killed. */
@@ -147,7 +148,7 @@
         world.nodeNote(this, "is told to end");
         draining = true;
         int of = process;
-        node.drain(() -> world.time.afterUs(1, () -> {
+        node.drain(false, () -> world.time.afterUs(1, () -> {
             if (of == process) {
                 world.nodeNote(this, "has ended");
                 end();
--- a/src/test/java/kitemux/node/BacklogTest.java
+++ b/src/test/java/kitemux/node/BacklogTest.java
@@ -193,7 +193,7 @@
             site.sockets = 1_024;
             site.start(server);
             CountDownLatch drained = new CountDownLatch(1);
-            site.node.drain(drained::countDown);
+            site.node.drain(false, drained::countDown);
             // Past the time at which the listener closes; more come meanwhile than are taken in one turn.
             stall(site.loop, 900);
             List<Socket> clients = new ArrayList<>();
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -150,7 +150,7 @@
             Site.write(client, Http.page("/api/x", "t", "5000m"));
             FarServer.next(server.requests);
             CountDownLatch done = new CountDownLatch(1);
-            site.node.drain(done::countDown);
+            site.node.drain(false, done::countDown);
             Http.Message up = site.ask("GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
             assertEquals(503, up.status());
             assertEquals("close", up.headers().get("connection"));
--- /dev/null
+++ b/src/test/java/kitemux/node/OperatorsTest.java
@@ -0,0 +1,274 @@
+package kitemux.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What operators do to a node over its second address. */
+class OperatorsTest {
+    private static final String UP = "GET /up HTTP/1.1\r\nHost: h\r\n\r\n";
+
+    @TempDir
+    Path folder;
+
+    private Site site() throws IOException {
+        Site site = Site.quiet();
+        site.operators = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        site.folder = folder;
+        return site;
+    }
+
+    private static Map<String, Long> figures(Site site) throws IOException {
+        Map<String, Long> figures = new HashMap<>();
+        for (String line : site.call("GET", "/ops/stats").body().split("\n")) {
+            assertNull(figures.put(line.substring(0, line.indexOf('=')),
+                    Long.parseLong(line.substring(line.indexOf('=') + 1))), line);
+        }
+        return figures;
+    }
+
+    // ---------------------------------------------------------------- servers out by hand
+
+    @Test
+    void aServerThatIsOutGetsNothingNewUntilItIsCalledBack() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = site().start(server)) {
+            assertEquals(200, site.ask(Http.page("before")).status());
+            assertEquals(200, site.call("POST", "/ops/servers/down/s0").status());
+            assertEquals(200, site.call("POST", "/ops/servers/down/s0").status());
+            assertEquals(503, site.ask(Http.page("out")).status());
+            assertEquals(1, server.requests.size());
+            assertEquals(1, figures(site).get("node.targets_disabled"));
+            assertEquals(200, site.call("POST", "/ops/servers/up/s0").status());
+            assertEquals(0, figures(site).get("node.targets_disabled"));
+            // Taken for cold, it has its turn a little later.
+            assertEquals(200, site.ask(Http.page("/api/back", "back", "4000m")).status());
+            assertEquals(2, server.requests.size());
+        }
+    }
+
+    @Test
+    void whatAwaitsAConnectionToAServerThatIsTakenOutGoesElsewhere() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (FarServer first = FarServer.servingFrom(answer, "late");
+                FarServer second = FarServer.serving("other"); Site site = site().start(first, second)) {
+            assertEquals(200, site.call("POST", "/ops/servers/down/s1").status());
+            Socket client = site.connect();
+            Site.write(client, Http.page("/api/held", "held", "4000m"));
+            FarServer.next(first.requests);
+            assertEquals(200, site.call("POST", "/ops/servers/down/s0").status());
+            answer.countDown();
+            // What it has is still answered: out means that nothing new goes there.
+            assertEquals("late", Http.read(client.getInputStream()).body());
+            assertEquals(200, site.call("POST", "/ops/servers/up/s1").status());
+            assertEquals("other", site.ask(Http.page("/api/new", "new", "4000m")).body());
+        }
+    }
+
+    @Test
+    void aServerStaysOutForTheNextProcess() throws Exception {
+        try (FarServer out = FarServer.serving("out"); FarServer in = FarServer.serving("in")) {
+            try (Site first = site().start(out, in)) {
+                assertEquals(200, first.call("POST", "/ops/servers/down/s0").status());
+                first.node.close();
+            }
+            try (Site second = site()) {
+                second.start(out, in);
+                for (int i = 0; i < 20; i++) {
+                    assertEquals("in", second.ask(Http.page("t" + i)).body());
+                }
+                second.node.close();
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"POST,/ops/servers/down/nobody,404", "POST,/ops/servers/up/nobody,404",
+        "POST,/ops/servers/down/%zz,400", "GET,/ops/servers/down/s0,405", "POST,/ops/stats,405",
+        "GET,/ops,404", "POST,/ops/drain/pause,404", "GET,/up,404"})
+    void whatCannotBeDoneIsOwedANo(String method, String path, int status) throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = site().start(server)) {
+            assertEquals(status, site.call(method, path).status());
+            assertEquals(200, site.ask(Http.page("t")).status(), "and changes nothing");
+        }
+    }
+
+    // ---------------------------------------------------------------- clients sent away
+
+    @Test
+    void clientsAreSentAwayAndComeBack() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (FarServer server = FarServer.servingFrom(answer, "late"); Site site = site().start(server)) {
+            Socket held = site.connect();
+            Site.write(held, Http.page("/api/held", "held", "5000m"));
+            FarServer.next(server.requests);
+            Socket idle = site.connect();
+            assertEquals(200, Site.ask(idle, UP).status());
+            Socket silent = site.connect();
+            assertEquals(200, site.call("GET", "/ops/readiness").status());
+            assertEquals(200, site.call("POST", "/ops/drain/start").status());
+            assertEquals(503, site.call("GET", "/ops/readiness").status());
+            Http.Message up = site.ask(UP);
+            assertEquals(503, up.status());
+            assertEquals("close", up.headers().get("connection"));
+            assertEquals(-1, idle.getInputStream().read(), "what is idle ends");
+            assertEquals(-1, silent.getInputStream().read(), "also where nothing was ever asked");
+            answer.countDown();
+            Http.Message last = Http.read(held.getInputStream());
+            assertEquals("late", last.body());
+            assertEquals("close", last.headers().get("connection"));
+            // Whoever still comes is served.
+            assertEquals("late", site.ask(Http.page("stray")).body());
+            assertEquals(200, site.call("POST", "/ops/drain/stop").status());
+            Socket client = site.connect();
+            Http.Message back = Site.ask(client, UP);
+            assertEquals(200, back.status());
+            assertFalse(back.headers().containsKey("connection"));
+            assertEquals("late", Site.ask(client, Http.page("after")).body());
+        }
+    }
+
+    // ---------------------------------------------------------------- figures
+
+    @Test
+    void figuresTellOfRequestsByClassAndOutcome() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (FarServer server = new FarServer((request, peer) -> {
+            if (request.path().contains("held")) {
+                try {
+                    answer.await();
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+            }
+            peer.write(request.path().contains("order") ? Http.answer("500 No", "", "") : Http.ok("x"));
+        }); Site site = site().start(server)) {
+            assertEquals(200, site.ask(Http.page("a")).status());
+            assertEquals(200, site.ask(Http.page("b")).status());
+            assertEquals(502, site.ask(Http.order("c", "4000m")).status());
+            Socket held = site.connect();
+            Site.write(held, Http.page("/api/held", "d", "5000m"));
+            for (int i = 0; i < 4; i++) {
+                FarServer.next(server.requests);
+            }
+            Map<String, Long> figures = figures(site);
+            assertEquals(2, figures.get("node.replies.page.success"));
+            assertEquals(0, figures.get("node.replies.page.overload"));
+            assertEquals(1, figures.get("node.replies.order.error"));
+            assertEquals(0, figures.get("node.replies.photo.success"));
+            assertEquals(4, figures.get("node.dispatches"));
+            assertEquals(1, figures.get("node.concurrent"));
+            assertEquals(1, figures.get("node.targets"));
+            assertEquals(0, figures.get("node.targets_disabled"));
+            answer.countDown();
+            assertEquals("x", Http.read(held.getInputStream()).body());
+            assertEquals(200, site.call("POST", "/ops/servers/down/s0").status());
+            assertEquals(503, site.ask(Http.page("e")).status());
+            figures = figures(site);
+            assertEquals(1, figures.get("node.replies.page.overload"));
+            assertEquals(3, figures.get("node.replies.page.success"));
+            assertEquals(0, figures.get("node.concurrent"));
+        }
+    }
+
+    @Test
+    void whoIsTurnedAwayForWantOfDescriptorsCountsAsRefused() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (FarServer server = FarServer.servingFrom(answer, "x"); Site site = site()) {
+            site.sockets = 128;
+            site.start(server);
+            List<Socket> clients = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                clients.add(site.connect());
+                Site.write(clients.get(i), Http.page("/api/p", "t" + i, "5000m"));
+            }
+            answer.countDown();
+            long refused = 0;
+            for (Socket client : clients) {
+                refused += Http.read(client.getInputStream()).status() == 503 ? 1 : 0;
+            }
+            assertTrue(refused > 0, "no room for all");
+            assertEquals(refused, figures(site).get("node.replies.page.overload"));
+        }
+    }
+
+    // ---------------------------------------------------------------- callers
+
+    @Test
+    void callersThatCompleteNoCallKeepNobodyOut() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = site().start(server)) {
+            List<Socket> silent = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                silent.add(site.callers());
+                Site.write(silent.get(i), "POST /ops/drain/start HTTP/1.1\r\nHost: ops\r\n");
+            }
+            assertEquals(200, site.call("GET", "/ops/readiness").status());
+            assertEquals(-1, silent.get(0).getInputStream().read(), "the oldest makes room");
+            assertEquals(200, site.ask(UP).status(), "what is not complete is not done");
+        }
+    }
+
+    @Test
+    void aCallComesInPiecesOrWithABodyAndGetsOneAnswer() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = site().start(server)) {
+            Socket caller = site.callers();
+            for (String piece : List.of("PO", "ST /ops/dra", "in/start?x=1 HTTP/1.1\r", "\nHost: o\r\n",
+                    "Content-Length: 3\r\n\r\n", "ab")) {
+                Site.write(caller, piece);
+            }
+            assertEquals(200, site.ask(UP).status(), "not before its last byte");
+            Site.write(caller, "cPOST /ops/drain/stop HTTP/1.1\r\nHost: o\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(200, Http.read(caller.getInputStream()).status());
+            assertEquals(-1, caller.getInputStream().read(), "one call a connection");
+            assertEquals(503, site.ask(UP).status());
+        }
+    }
+
+    @Test
+    void whatIsNoHttpIsOwedANo() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = site().start(server)) {
+            Socket caller = site.callers();
+            Site.write(caller, "\u0000\u0001 what\r\n\r\n");
+            assertEquals(400, Http.read(caller.getInputStream()).status());
+            assertTrue(site.call("GET", "/ops/stats").body().contains("node.targets=1\n"));
+        }
+    }
+
+    @Test
+    void aLoopThatStandsStillAnswersOnceItRuns() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = site().start(server)) {
+            CountDownLatch go = new CountDownLatch(1);
+            CountDownLatch stands = new CountDownLatch(1);
+            site.loop.execute(() -> {
+                stands.countDown();
+                try {
+                    go.await(20, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            assertTrue(stands.await(20, TimeUnit.SECONDS));
+            Socket caller = site.callers();
+            Site.write(caller, "POST /ops/servers/down/s0 HTTP/1.1\r\nHost: o\r\nContent-Length: 0\r\n\r\n");
+            go.countDown();
+            assertEquals(200, Http.read(caller.getInputStream()).status());
+        }
+    }
+}
--- a/src/test/java/kitemux/node/Site.java
+++ b/src/test/java/kitemux/node/Site.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,6 +34,10 @@
     final EventLoop loop = Node.newLoop();
     int sockets = 256;
     long connIdleUs = 60_000_000;
+    /** Where a process of the node leaves word for the next one. */
+    Path folder = Path.of("");
+    /** Where operators call; null for nowhere. */
+    InetSocketAddress operators;
     /** The decision module; a test may put a faulty one in its place. */
     Function<Balancer.Actions, Balancer> module;
     Node node;
@@ -85,8 +90,8 @@
     }
 
     NodeConfig config(String known) throws Exception {
-        return new NodeConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                Addresses.read("discovery", discovery.endpoint()), 7, sockets, connIdleUs,
+        return new NodeConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), operators,
+                Addresses.read("discovery", discovery.endpoint()), 7, sockets, connIdleUs, folder,
                 HostListReader.read(Json.read(known.getBytes(StandardCharsets.UTF_8)), settings.zones, ""),
                 settings);
     }
@@ -102,6 +107,9 @@
 
     Site startKnowing(String known) throws Exception {
         node = new Node(config(known), loop, Node.Parts.real(loop, new StderrLog(), module));
+        if (operators != null) {
+            operators = (InetSocketAddress) node.listenForOperators().sync().channel().localAddress();
+        }
         address = (InetSocketAddress) node.start().sync().channel().localAddress();
         return this;
     }
@@ -132,6 +140,19 @@
         client.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** A call of an operator's, on a connection of its own. */
+    Http.Message call(String method, String path) throws IOException {
+        return ask(callers(), method + " " + path + " HTTP/1.1\r\nHost: ops\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    /** A connection to where operators call. */
+    Socket callers() throws IOException {
+        Socket caller = new Socket(operators.getAddress(), operators.getPort());
+        caller.setSoTimeout(20_000);
+        clients.add(caller);
+        return caller;
+    }
+
     /** One request on a connection of its own. */
     Http.Message ask(String request) throws IOException {
         return ask(connect(), request);
