Take the start that discovery tells of a server which operators put back

Need: a server that operators put back counted as started in that moment even where discovery had told of its start while it was out.

Files of what is out say since when; a start that discovery tells of after that is the one that operators made.

--- a/src/main/java/kitemux/ops/Operations.java
+++ b/src/main/java/kitemux/ops/Operations.java
@@ -5,7 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import java.util.concurrent.Executor;
 
 import io.netty.channel.ChannelFuture;
@@ -89,9 +89,9 @@
         return servers.told(list);
     }
 
-    private void takeOut(Set<String> ids) {
+    private void takeOut(Map<String, Long> ids) {
         List<HostList.Host> changes = servers.takeOut(ids, time.nowUs());
-        log.line("out by hand: " + ids);
+        log.line("out by hand: " + ids.keySet());
         if (!changes.isEmpty()) {
             node.changed(changes);
         }
--- a/src/main/java/kitemux/ops/ServersByHand.java
+++ b/src/main/java/kitemux/ops/ServersByHand.java
@@ -18,9 +18,13 @@
 final class ServersByHand {
     /** What discovery last told of each server that it lists. */
     private final Map<String, HostList.Host> listed = new HashMap<>();
-    private final Set<String> out = new HashSet<>();
-    /** When those that were out came back, in microseconds of Unix time; forgotten as they leave the list. */
-    private final Map<String, Long> backAtUs = new HashMap<>();
+    /** Since when each is out, in microseconds of Unix time. */
+    private final Map<String, Long> out = new HashMap<>();
+    /** What is known of those that were out and came back; forgotten as they leave the list. */
+    private final Map<String, Away> back = new HashMap<>();
+
+    /** A time without work, in microseconds of Unix time. */
+    private record Away(long sinceUs, long untilUs) { }
 
     /** The list that holds, given one of discovery's, in its order. */
     HostList told(HostList list) {
@@ -31,38 +35,36 @@
             String id = host.entry().id();
             if (host.entry().state() == ServerState.GONE) {
                 listed.remove(id);
-                backAtUs.remove(id);
+                back.remove(id);
             } else {
                 listed.put(id, host);
             }
         }
         if (list.all()) {
-            backAtUs.keySet().retainAll(listed.keySet());
+            back.keySet().retainAll(listed.keySet());
         }
-        return out.isEmpty() && backAtUs.isEmpty() ? list
+        return out.isEmpty() && back.isEmpty() ? list
                 : new HostList(list.rev(), list.all(), list.hosts().stream().map(this::holds).toList());
     }
 
     /**
      * Takes out just these servers; those that were out before and are not among them come back.
      *
+     * @param ids each with the time since when it is out, in microseconds of Unix time
      * @return what changes by it for servers on the list
      */
-    List<HostList.Host> takeOut(Set<String> ids, long nowUs) {
-        Set<String> changed = new HashSet<>(out);
-        changed.removeAll(ids);
-        // Operators restart what they take out. Discovery may tell of the start seconds later, or not at all
-        // where only the machine was worked on, so who comes back is taken for cold: full load would push it
-        // over. Harm: one that was not restarted has less than its share for as long as a cold one.
-        changed.forEach(id -> backAtUs.put(id, nowUs));
-        for (String id : ids) {
-            if (!out.contains(id)) {
+    List<HostList.Host> takeOut(Map<String, Long> ids, long nowUs) {
+        Set<String> changed = new HashSet<>(out.keySet());
+        changed.removeAll(ids.keySet());
+        changed.forEach(id -> back.put(id, new Away(out.get(id), nowUs)));
+        for (String id : ids.keySet()) {
+            if (!out.containsKey(id)) {
                 changed.add(id);
             }
         }
         out.clear();
-        out.addAll(ids);
-        backAtUs.keySet().retainAll(listed.keySet());
+        out.putAll(ids);
+        back.keySet().retainAll(listed.keySet());
         List<HostList.Host> changes = new ArrayList<>();
         for (String id : changed) {
             if (listed.containsKey(id)) {
@@ -74,15 +76,22 @@
 
     private HostList.Host holds(HostList.Host host) {
         ServerEntry entry = host.entry();
-        boolean drains = entry.state() == ServerState.READY && out.contains(entry.id());
-        long startedAtUs = Math.max(entry.startedAtUs(), backAtUs.getOrDefault(entry.id(), 0L));
+        boolean drains = entry.state() == ServerState.READY && out.containsKey(entry.id());
+        long startedAtUs = entry.startedAtUs();
+        Away away = back.get(entry.id());
+        if (away != null && startedAtUs < away.sinceUs) {
+            // Operators restart what they take out, and discovery may tell of it seconds later, or never where
+            // only the machine was worked on. Until it does, who comes back is taken for just started: full load
+            // would push it over. Harm: one that was not restarted has less than its share for a while.
+            startedAtUs = away.untilUs;
+        }
         return new HostList.Host(new ServerEntry(entry.id(), entry.zone(), entry.cell(),
                 drains ? ServerState.DRAINING : entry.state(), entry.weight(), startedAtUs), host.endpoint());
     }
 
     /** Whether discovery lists it, or operators have taken it out. */
     boolean isKnown(String id) {
-        return listed.containsKey(id) || out.contains(id);
+        return listed.containsKey(id) || out.containsKey(id);
     }
 
     /** How many servers the list holds. */
--- a/src/main/java/kitemux/ops/SharedFolder.java
+++ b/src/main/java/kitemux/ops/SharedFolder.java
@@ -1,23 +1,22 @@
 package kitemux.ops;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryIteratorException;
+import java.nio.file.DirectoryStream;
 import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.Base64;
-import java.util.Set;
-import java.util.TreeSet;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.UUID;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 /**
  * What one process of a node leaves its successor: which servers are out by hand, a file for each, so that two
@@ -36,23 +35,25 @@
     private static final String SERVING = "serving";
 
     private final Path folder;
-    private final Consumer<Set<String>> listener;
+    private final Consumer<Map<String, Long>> listener;
     private final String self = UUID.randomUUID().toString();
     private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread named = new Thread(task, "operators' folder");
         named.setDaemon(true);
         return named;
     });
-    private Set<String> told;
+    /** Each server that is out, with the time since when, in microseconds of Unix time. */
+    private Map<String, Long> told;
 
     /**
      * The folder of the node that listens there, made if it is not there yet.
      *
      * @param tmp the node's folder for what it needs while it runs
-     * @param listener told on the folder's thread of all servers that are out, whenever that changes
+     * @param listener told on the folder's thread, whenever that changes, of all servers that are out, each
+     *     with the time since when, in microseconds of Unix time
      * @throws IOException if it cannot be made or read
      */
-    SharedFolder(Path tmp, InetSocketAddress listen, Consumer<Set<String>> listener) throws IOException {
+    SharedFolder(Path tmp, InetSocketAddress listen, Consumer<Map<String, Long>> listener) throws IOException {
         folder = Files.createDirectories(tmp.resolve("kitemux-" + listen.getAddress().getHostAddress()
                 .replace(':', '_') + "-" + listen.getPort()));
         this.listener = listener;
@@ -60,7 +61,7 @@
     }
 
     /** What was out as it was opened; to be asked before {@link #watch}. */
-    Set<String> atFirst() {
+    Map<String, Long> atFirst() {
         return told;
     }
 
@@ -102,10 +103,10 @@
     }
 
     private void look() {
-        Set<String> now;
+        Map<String, Long> now;
         try {
             now = read();
-        } catch (IOException | UncheckedIOException | IllegalArgumentException e) {
+        } catch (IOException | IllegalArgumentException e) {
             // What was known last stands; the next look may succeed.
             return;
         }
@@ -115,13 +116,18 @@
         }
     }
 
-    private Set<String> read() throws IOException {
-        try (Stream<Path> files = Files.list(folder)) {
-            return files.map(file -> file.getFileName().toString()).filter(name -> name.startsWith(OUT))
-                    .map(name -> new String(Base64.getUrlDecoder().decode(name.substring(OUT.length())),
-                            StandardCharsets.UTF_8))
-                    .collect(Collectors.toCollection(TreeSet::new));
+    private Map<String, Long> read() throws IOException {
+        Map<String, Long> out = new TreeMap<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, OUT + "*")) {
+            for (Path file : files) {
+                String id = new String(Base64.getUrlDecoder().decode(
+                        file.getFileName().toString().substring(OUT.length())), StandardCharsets.UTF_8);
+                out.put(id, Files.getLastModifiedTime(file).to(TimeUnit.MICROSECONDS));
+            }
+        } catch (DirectoryIteratorException e) {
+            throw e.getCause();
         }
+        return out;
     }
 
     /** This process serves clients now; what keeps that from being written is told on the folder's thread. */
