Send to servers that are cold as a node starts: the gap ran from 1970, none got any

Cause, seen by printing the module's view each second: a process that starts beside cold servers spaces its first send to each by the time since its last answer, and before the first request that ran from the clock's zero. On a real clock that is decades; these servers got nothing until they were warm (23 s).

Now there is no gap before the first send. The new test plays both epochs and fails without the change (0 sent in 3 s).

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -1287,12 +1287,12 @@
      * share of its capacity that a cold server has at least. All nodes together may send so many units as
      * the rule's multiple; each spends half of that, spaced so that no burst spends it at once. Its limit
      * keeps a server that is slow besides below even that. Arrivals would not do as the measure: in a
-     * jam, clients' retries multiply them.
+     * jam, clients' retries multiply them. Before the first send there is no gap: no clock begins at 0.
      */
     private long coldGap(Server server) {
         double age = Math.max(0, now - server.startedAt) / (double) set.coldUs;
         double share = set.coldFrom + (1 - set.coldFrom) * Math.min(1, age);
-        double gap = Math.max(servedGapUs, MEAN_GAIN * (now - lastServedAt));
+        double gap = Math.max(servedGapUs, lastServedAt == 0 ? 0 : MEAN_GAIN * (now - lastServedAt));
         double units = Math.max(1, set.fallMultiple / 2) / (set.warmKeys ? UNKNOWN_KEY_COST : 1);
         return (long) (gap * Math.max(1, ready.length) / (share * units));
     }
--- a/src/test/java/kitemux/ColdServerTest.java
+++ b/src/test/java/kitemux/ColdServerTest.java
@@ -76,6 +76,22 @@
         assertTrue(sentToCold.get(0) > 1, "sent to the cold server in three seconds: " + sentToCold.get(0));
     }
 
+    @Test
+    void aNodeThatStartsBesideColdServersSendsToThemWhereverTheClockBegins() {
+        // A restarted node met servers that had started seconds before: before its first request the gap was
+        // counted from 1970, and it sent them nothing until they were warm, at 67% of requests refused.
+        for (long epoch : new long[] {1_000_000, 1_700_000_000_000_000L}) {
+            Node node = new Node();
+            node.now = epoch;
+            node.list(ListKind.CACHED, List.of(Node.server("warm"), started("cold", epoch - 500_000)));
+            for (int i = 0; i < 300; i++) {
+                node.serve(Node.SAFE, Result.OK, 10_000);
+            }
+            long toCold = node.sentTo("cold");
+            assertTrue(toCold >= 5, "sent to the cold server in three seconds: " + toCold);
+        }
+    }
+
     @Test
     void aColdServersLimitDoesNotGrowPastTheOthersWhileOnlySlowStartHoldsItBack() {
         // Quick answers to single requests raised limits that choked servers once warm.
