Tell the module of servers without this node's own delay in it

Need: what the module is told must be true. An answer that lay unread while the loop was behind counted as slow, a request that was over by the node's own lateness as a full or silent server: limits fell though servers had room.

An answer that may have lain unread counts from the middle of that time; full and silent are told as never sent and called off where the request lay unread here for longer than the server then had.

--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -267,6 +267,22 @@
             }
         }
 
+        /**
+         * What the module is to know of the server. Where a request lay unread here for longer than the server
+         * then had for it, that it was over there tells of this node: counted as full or silent, servers with
+         * room would lose their share.
+         */
+        private Result known(Result how) {
+            if (of.request.agoUs() <= untilUs - sentAtUs) {
+                return how;
+            }
+            return switch (how) {
+                case FULL -> Result.MOOT;
+                case TIMEOUT -> Result.CANCELLED;
+                default -> how;
+            };
+        }
+
         private boolean mayHaveRun() {
             return sent && (result == null || !result.neverRan);
         }
@@ -342,12 +358,24 @@
                     return;
                 }
                 // How long a long answer takes to pass is the client's affair as much as the server's.
-                long latencyUs = (begunAtUs > 0 ? begunAtUs : time.nowUs()) - sentAtUs;
-                balancer.onOutcome(time.nowUs(), new Outcome(of.id, number, how, latencyUs, of.ended, null));
+                long latencyUs = begunAtUs > 0 ? begunAtUs - sentAtUs : latencyUs(how, sentAtUs);
+                balancer.onOutcome(time.nowUs(), new Outcome(of.id, number, known(how), latencyUs,
+                        of.ended, null));
             });
         }
     }
 
+    /**
+     * How long a server took for what ends now. An answer that a loop which is behind comes to read may have
+     * lain there since it last looked or have come just now: the middle of the two, as all of it would make
+     * servers slow that are not, and none of it quicker than any server is.
+     */
+    private long latencyUs(Result result, long sentAtUs) {
+        long sinceUs = time.nowUs() - sentAtUs;
+        boolean isRead = result == Result.OK || result == Result.ERROR || result == Result.FULL;
+        return isRead ? sinceUs - Math.min(sinceUs, time.unreadUs()) / 2 : sinceUs;
+    }
+
     private void forgetIfOver(Held<Q, A> request) {
         if (request.ended && request.outstanding == 0) {
             held.remove(request.id);
--- a/src/main/java/kitemux/engine/Time.java
+++ b/src/main/java/kitemux/engine/Time.java
@@ -11,6 +11,14 @@
     /** Unix time in microseconds that never goes back. */
     long nowUs();
 
+    /**
+     * How long what is read from a socket now may have lain there unread, at most, in microseconds: 0 while
+     * the loop keeps up. True of what comes from sockets, and not inside timers.
+     */
+    default long unreadUs() {
+        return 0;
+    }
+
     /** Runs a task on the loop so many microseconds from now or soon after, never from inside this call. */
     Timer after(long us, Runnable task);
 }
--- a/src/main/java/kitemux/net/LoopTime.java
+++ b/src/main/java/kitemux/net/LoopTime.java
@@ -58,6 +58,7 @@
      * request's time runs from when it came: a node that was a tenth of a second behind would else answer a
      * tenth of a second after the client's time was over.
      */
+    @Override
     public long unreadUs() {
         return Math.max(0, (ticker.nanoTime() - beatNanos) / 1_000 - BEAT_MS * 1_000);
     }
--- a/src/test/java/kitemux/engine/EngineTest.java
+++ b/src/test/java/kitemux/engine/EngineTest.java
@@ -33,11 +33,13 @@
 
     private static final long LEFT_US = 100_000;
 
+    /** What the module is to hear of the request that is asked. */
+    private long agoUs = AGO_US;
+
     /** Asked for by a test: what it cannot say stands still. */
-    private record Ask(long leftUs) implements Asked {
-        @Override
-        public long agoUs() {
-            return AGO_US;
+    private record Ask(long leftUs, long agoUs) implements Asked {
+        Ask(long leftUs) {
+            this(leftUs, AGO_US);
         }
 
         @Override
@@ -92,12 +94,18 @@
 
         private final List<Due> due = new ArrayList<>();
         private long nowUs = 1_000_000;
+        private long unreadUs;
 
         @Override
         public long nowUs() {
             return nowUs;
         }
 
+        @Override
+        public long unreadUs() {
+            return unreadUs;
+        }
+
         @Override
         public Timer after(long us, Runnable task) {
             Due timer = new Due(nowUs + us, task);
@@ -202,7 +210,7 @@
         return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
                 new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
                     if (method.getName().equals("onRequest")) {
-                        assertEquals(AGO_US, ((Request) args[1]).agoUs(), "as the protocol has it");
+                        assertEquals(agoUs, ((Request) args[1]).agoUs(), "as the protocol has it");
                         for (int i = 0; i < sends; i++) {
                             actions.send(((Request) args[1]).id(), "s", 0);
                         }
@@ -234,10 +242,73 @@
     }
 
     private void ask(long leftUs) {
+        ask(new Ask(leftUs));
+    }
+
+    private void ask(Ask asked) {
+        agoUs = asked.agoUs();
         Engine<Ask, String> engine = engine(this::module);
-        engine.ask(engine.take(client, new Ask(leftUs)));
+        engine.ask(engine.take(client, asked));
+    }
+
+    // ---------------------------------------------------------------- a node that is late itself
+
+    @Test
+    void anAnswerThatMayHaveLainUnreadCountsFromTheMiddleOfThatTime() {
+        ask(LEFT_US);
+        time.nowUs += 50_000;
+        time.unreadUs = 40_000;
+        exchange.ended(Result.OK, "yes");
+        assertEquals(30_000, told.get(0).latencyUs());
+    }
+
+    @Test
+    void noAnswerCountsAsReadBeforeItWasAskedFor() {
+        ask(LEFT_US);
+        time.nowUs += 10_000;
+        time.unreadUs = 40_000;
+        exchange.ended(Result.OK, "yes");
+        assertEquals(5_000, told.get(0).latencyUs());
     }
 
+    @Test
+    void aLoopThatKeepsUpTakesNothingOffAndNeitherDoesWhatWasNeverRead() {
+        ask(LEFT_US);
+        time.nowUs += 50_000;
+        exchange.ended(Result.OK, "yes");
+        assertEquals(50_000, told.get(0).latencyUs());
+        ask(LEFT_US);
+        time.nowUs += 50_000;
+        time.unreadUs = 40_000;
+        exchange.ended(Result.RESET, null);
+        assertEquals(50_000, told.get(1).latencyUs());
+    }
+
+    @Test
+    void aServerThatWasLeftTooLittleTimeByThisNodeIsNeitherFullNorSilent() {
+        ask(new Ask(5_000, 80_000));
+        time.nowUs += 1_000;
+        exchange.ended(Result.FULL, null);
+        assertEquals(Result.MOOT, told.get(0).result());
+        ask(new Ask(5_000, 80_000));
+        time.nowUs += 5_000;
+        time.runDue();
+        assertEquals(Result.CANCELLED, told.get(1).result());
+    }
+
+    @Test
+    void aServerThatHadMoreOfTheTimeThanThisNodeIsFullAndAnErrorIsAlwaysOne() {
+        ask(new Ask(LEFT_US, 80_000));
+        time.nowUs += 1_000;
+        exchange.ended(Result.FULL, null);
+        assertEquals(Result.FULL, told.get(0).result());
+        ask(new Ask(5_000, 80_000));
+        exchange.ended(Result.ERROR, null);
+        assertEquals(Result.ERROR, told.get(1).result());
+    }
+
+    // ---------------------------------------------------------------- gate and deadlines
+
     @Test
     void aLoopThatKeepsUpGivesUpAtOnce() {
         ask(LEFT_US);
