Carry MySQL commands through engine, module and pool to servers that are logged in

Need: MySQL's connections to servers stood apart from the engine: no choice, retry or refusal of the module reached them.

MysqlServers is that protocol's part of the pool: a login before a link carries, one command at a time, answers passed on as they come (the answer that flows moves from http to net, for both). An ERR about a statement is its answer, so that it is tried nowhere else and blames no server; one about the server (shutdown, read only, limits, 11 numbers) is a failure. Behind rows an ERR passes on as one more packet.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -33,6 +33,7 @@
 import kitemux.engine.Client;
 import kitemux.engine.Engine;
 import kitemux.engine.Log;
+import kitemux.net.Answer;
 import kitemux.net.LoopTime;
 import kitemux.net.QuietChannel;
 
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -24,6 +24,7 @@
 
 import kitemux.engine.Engine;
 import kitemux.engine.Log;
+import kitemux.net.Answer;
 import kitemux.net.LoopTime;
 import kitemux.net.Network;
 import kitemux.net.QuietChannel;
--- a/src/main/java/kitemux/http/HttpServers.java
+++ b/src/main/java/kitemux/http/HttpServers.java
@@ -27,6 +27,7 @@
 import kitemux.engine.Log;
 import kitemux.engine.Time;
 import kitemux.engine.Transport.Exchange;
+import kitemux.net.Answer;
 import kitemux.net.ServerPool;
 
 /** HTTP/1.1 towards servers: how an exchange is written, and what their answers say. */
--- a/src/main/java/kitemux/mysql/BackConnection.java
+++ b/src/main/java/kitemux/mysql/BackConnection.java
@@ -105,11 +105,12 @@
     // ---------------------------------------------------------------- commands
 
     /**
-     * Sends a command, when idle.
+     * Takes a command up, when idle; what it returns is to be written at once.
      *
      * @param command its payload; released here
+     * @return its packets, which the caller owns
      */
-    void carry(ByteBuf command, Form form, Heard by) {
+    ByteBuf take(ByteBuf command, Form form, Heard by) {
         if (phase != Phase.IDLE) {
             command.release();
             throw new IllegalStateException("not idle but " + phase);
@@ -120,7 +121,16 @@
         written = false;
         begun = false;
         decoder.expect(Packets.count(command.readableBytes()));
-        channel.writeAndFlush(Packets.write(channel.alloc(), command, 0)).addListener(done -> {
+        return Packets.write(channel.alloc(), command, 0);
+    }
+
+    /**
+     * Sends a command, when idle.
+     *
+     * @param command its payload; released here
+     */
+    void carry(ByteBuf command, Form form, Heard by) {
+        channel.writeAndFlush(take(command, form, by)).addListener(done -> {
             if (done.isSuccess()) {
                 written |= heard == by;
             } else {
@@ -205,8 +215,9 @@
         try {
             tracker.seen(payload.duplicate());
             status = tracker.status();
-            if (tracker.end() != End.ERROR && !pass(Packets.write(channel.alloc(), payload.retain(),
-                    firstSequence))) {
+            // Behind rows an error is one more packet, and the answer's end; alone it is told as such.
+            if ((begun || tracker.end() != End.ERROR)
+                    && !pass(Packets.write(channel.alloc(), payload.retain(), firstSequence))) {
                 return;
             }
         } finally {
@@ -341,6 +352,7 @@
         phase = Phase.CLOSED;
         // What was not written whole has not run: servers run nothing before they have all of it.
         end(written ? Result.RESET : Result.CONNECT_FAILED, null);
+        context.fireChannelInactive();
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/kitemux/mysql/Command.java
@@ -0,0 +1,49 @@
+package kitemux.mysql;
+
+import java.util.List;
+
+import kitemux.engine.Asked;
+import kitemux.mysql.AnswerTracker.Form;
+
+/**
+ * A client's command that wants an answer, as the engine carries it.
+ *
+ * @param txn its id, of which none is open twice
+ * @param classIndex by the settings
+ * @param tenant by the settings, or -1
+ * @param leftUs how long it may take from now on, in microseconds
+ * @param form of its answer
+ * @param payload the command's byte and what follows; not to be changed
+ */
+record Command(String txn, int classIndex, int tenant, long leftUs, Form form, byte[] payload)
+        implements Asked {
+    private static final byte PING_BYTE = 0x0e;
+
+    /** COM_PING: what checks a server, where the settings allow probes. */
+    static final Command PING = new Command(null, -1, -1, 0, Form.PLAIN, new byte[] {PING_BYTE});
+
+    @Override
+    public long workUs() {
+        return 0;
+    }
+
+    @Override
+    public boolean retry() {
+        return false;
+    }
+
+    @Override
+    public String key() {
+        return null;
+    }
+
+    @Override
+    public String idempotencyKey() {
+        return null;
+    }
+
+    @Override
+    public List<byte[]> body() {
+        return List.of(payload);
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/mysql/MysqlServers.java
@@ -0,0 +1,139 @@
+package kitemux.mysql;
+
+import java.util.Set;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+
+import kitemux.Balancer.Result;
+import kitemux.engine.Log;
+import kitemux.engine.Transport.Exchange;
+import kitemux.net.Answer;
+import kitemux.net.ServerPool;
+
+/**
+ * MySQL's protocol towards servers: connections that are logged in before they carry anything, one command
+ * at a time on each. An error about a statement is that statement's answer; one about the server is a failure.
+ */
+public final class MysqlServers implements ServerPool.Protocol<Command, Answer> {
+    /**
+     * Errors that say the server cannot serve, whatever it is asked (server error message reference): too
+     * many connections, disk full, out of memory, shutdown, user's limit, read only, offline mode, and a
+     * transaction that a group's change of members ended.
+     */
+    private static final Set<Integer> OF_THE_SERVER = Set.of(1040, 1021, 1037, 1041, 1053, 1203, 1226, 1290,
+            1836, 3032, 3101);
+
+    private final BackConnection.Account account;
+    private final Log log;
+
+    /** Logs in at servers with this account. */
+    MysqlServers(BackConnection.Account account, Log log) {
+        this.account = account;
+        this.log = log;
+    }
+
+    @Override
+    public void prepare(ChannelPipeline pipeline) {
+        // Servers speak first: nothing is read before there is somebody to hear it.
+        pipeline.channel().config().setAutoRead(false);
+    }
+
+    @Override
+    public ServerPool.Link<Command, Answer> link() {
+        return new Connection();
+    }
+
+    @Override
+    public Command probe() {
+        return Command.PING;
+    }
+
+    private final class Connection extends ServerPool.Link<Command, Answer>
+            implements BackConnection.LoginHeard, BackConnection.Heard {
+        private final PacketDecoder decoder = new PacketDecoder();
+        private final BackConnection back = new BackConnection(account, decoder, this);
+        /** What is passed on, or null. */
+        private Answer passing;
+        private boolean free;
+
+        @Override
+        protected void opened() {
+            channel().pipeline().addFirst(decoder, back);
+            channel().config().setAutoRead(true);
+        }
+
+        @Override
+        public void loggedIn(BackConnection connection) {
+            free = true;
+        }
+
+        @Override
+        public void refused(String why, ErrPacket error) {
+            log.line("server " + serverId() + " lets nobody in: " + why);
+        }
+
+        @Override
+        protected Object message(Exchange<Command, Answer> next) {
+            Command command = next.request();
+            return back.take(Unpooled.wrappedBuffer(command.payload()), command.form(), this);
+        }
+
+        // ------------------------------------------------------------ answers
+
+        @Override
+        public boolean begun() {
+            Answer begins = Answer.beginning(-1, back::setReading);
+            if (exchange() == null || !begin(begins)) {
+                return false;
+            }
+            passing = begins;
+            return true;
+        }
+
+        @Override
+        public void more(ByteBuf packets) {
+            passing.more(packets);
+        }
+
+        @Override
+        public void ended(Result result, ErrPacket error) {
+            boolean begun = passing != null;
+            passing = null;
+            if (result == Result.RESET || result == Result.CONNECT_FAILED) {
+                end(isWritten() ? Result.RESET : Result.CONNECT_FAILED, null);
+                return;
+            }
+            // Not before all that came is read: what came behind the answer must not answer the next.
+            free = true;
+            if (begun || result == Result.OK) {
+                end(Result.OK, null);
+            } else if (OF_THE_SERVER.contains(error.code())) {
+                end(Result.ERROR, null);
+            } else {
+                ByteBuf payload = channel().alloc().buffer();
+                error.write(payload);
+                ByteBuf packet = Packets.write(channel().alloc(), payload, 1);
+                end(Result.OK, Answer.of(ByteBufUtil.getBytes(packet)));
+                packet.release();
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (free) {
+                free = false;
+                free();
+            }
+        }
+
+        @Override
+        protected void letGo() {
+            free = false;
+            passing = null;
+        }
+    }
+}
--- a/src/main/java/kitemux/http/Answer.java
+++ b/src/main/java/kitemux/net/Answer.java
@@ -1,7 +1,6 @@
-package kitemux.http;
+package kitemux.net;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 
 /**
  * What a server answered: whole, or as it comes where it is long. One that comes is passed from the server's
@@ -10,13 +9,13 @@
  */
 public final class Answer {
     /** Takes what comes; its buffers are its own from then on. */
-    interface Sink {
+    public interface Sink {
         /** The next bytes of the body. */
         void more(ByteBuf bytes);
     }
 
     /** Where it comes from. */
-    interface Source {
+    public interface Source {
         /** Whether to go on reading. */
         void setReading(boolean on);
     }
@@ -42,7 +41,7 @@
      *
      * @param length of its body in bytes, or -1 where only its end will tell
      */
-    static Answer beginning(long length, Source source) {
+    public static Answer beginning(long length, Source source) {
         return new Answer(null, length, source);
     }
 
@@ -52,26 +51,22 @@
     }
 
     /** Of its body in bytes, or -1 where only its end will tell. */
-    long length() {
+    public long length() {
         return length;
     }
 
     /** Whoever takes it does so from now on. */
-    void passTo(Sink taker) {
+    public void passTo(Sink taker) {
         sink = taker;
     }
 
     /** More has come. */
-    void more(ByteBuf bytes) {
+    public void more(ByteBuf bytes) {
         sink.more(bytes);
     }
 
-    /** To be called by whoever takes it. */
-    void setReading(boolean on) {
+    /** Whether to go on reading; to be called by whoever takes it. */
+    public void setReading(boolean on) {
         source.setReading(on);
     }
-
-    ByteBuf buffer() {
-        return Unpooled.wrappedBuffer(whole);
-    }
 }
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -28,7 +28,7 @@
 import kitemux.engine.Observer;
 import kitemux.engine.SendGate;
 import kitemux.engine.Transport;
-import kitemux.http.Answer;
+import kitemux.net.Answer;
 import kitemux.http.ClientRequest;
 import kitemux.http.ClientServer;
 import kitemux.http.HttpServers;
--- a/src/main/java/kitemux/world/Defect.java
+++ b/src/main/java/kitemux/world/Defect.java
@@ -6,7 +6,7 @@
 
 import kitemux.Balancer;
 import kitemux.engine.Transport;
-import kitemux.http.Answer;
+import kitemux.net.Answer;
 import kitemux.http.ClientRequest;
 
 /** Puts unsound parts in the place of sound ones, to see that they are found. All of these leave things
--- a/src/test/java/kitemux/world/Mutant.java
+++ b/src/test/java/kitemux/world/Mutant.java
@@ -23,7 +23,7 @@
 import kitemux.Balancer.Result;
 import kitemux.Balancer.ServerEntry;
 import kitemux.engine.Transport;
-import kitemux.http.Answer;
+import kitemux.net.Answer;
 import kitemux.http.ClientRequest;
 
 /** Deliberate defects, each with the rule that it breaks and the kind of world that it is looked for in. */
