--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -268,9 +268,9 @@
         }
 
         /**
-         * What the module is to know of the server. Where a request lay unread here for longer than the server
-         * then had for it, that it was over there tells of this node: counted as full or silent, servers with
-         * room would lose their share.
+         * What the module is to know of the server. Where a request lay unread here for longer than the
+         * server then had for it, that it was over there tells of this node: counted as full or silent,
+         * servers with room would lose their share.
          */
         private Result known(Result how) {
             if (of.request.agoUs() <= untilUs - sentAtUs) {
--- a/src/main/java/kitemux/mysql/MysqlServers.java
+++ b/src/main/java/kitemux/mysql/MysqlServers.java
@@ -16,7 +16,8 @@
 
 /**
  * MySQL's protocol towards servers: connections that are logged in before they carry anything, one command
- * at a time on each. An error about a statement is that statement's answer; one about the server is a failure.
+ * at a time on each. An error about a statement is that statement's answer; one about the server is a
+ * failure.
  */
 public final class MysqlServers implements ServerPool.Protocol<Command, Answer> {
     /**
--- a/src/main/java/kitemux/ops/ServersByHand.java
+++ b/src/main/java/kitemux/ops/ServersByHand.java
@@ -80,9 +80,9 @@
         long startedAtUs = entry.startedAtUs();
         Away away = back.get(entry.id());
         if (away != null && startedAtUs < away.sinceUs) {
-            // Operators restart what they take out, and discovery may tell of it seconds later, or never where
-            // only the machine was worked on. Until it does, who comes back is taken for just started: full load
-            // would push it over. Harm: one that was not restarted has less than its share for a while.
+            // Operators restart what they take out, and discovery may tell of it seconds later, or never
+            // where only the machine was worked on. Until it does, who comes back is taken for just started:
+            // full load would push it over. Harm: one that was not restarted has less than its share.
             startedAtUs = away.untilUs;
         }
         return new HostList.Host(new ServerEntry(entry.id(), entry.zone(), entry.cell(),
--- a/src/main/java/kitemux/ops/SharedFolder.java
+++ b/src/main/java/kitemux/ops/SharedFolder.java
@@ -19,9 +19,9 @@
 import java.util.function.Consumer;
 
 /**
- * What one process of a node leaves its successor: which servers are out by hand, a file for each, so that two
- * that overlap take nothing of each other's back; and which process serves clients. The folder lives as long
- * as the node's {@code $TMPDIR}; nothing is synced, as it need not outlive the machine.
+ * What one process of a node leaves its successor: which servers are out by hand, a file for each, so that
+ * two that overlap take nothing of each other's back; and which process serves clients. The folder lives as
+ * long as the node's {@code $TMPDIR}; nothing is synced, as it need not outlive the machine.
  *
  * <p>One thread of its own does all reading and writing and tells what stands in the order of its doing. What
  * waits for it is bounded by the operators' connections, one call each.
@@ -53,7 +53,8 @@
      *     with the time since when, in microseconds of Unix time
      * @throws IOException if it cannot be made or read
      */
-    SharedFolder(Path tmp, InetSocketAddress listen, Consumer<Map<String, Long>> listener) throws IOException {
+    SharedFolder(Path tmp, InetSocketAddress listen, Consumer<Map<String, Long>> listener)
+            throws IOException {
         folder = Files.createDirectories(tmp.resolve("kitemux-" + listen.getAddress().getHostAddress()
                 .replace(':', '_') + "-" + listen.getPort()));
         this.listener = listener;
