--- a/src/test/java/kitemux/node/NodeConfigTest.java
+++ b/src/test/java/kitemux/node/NodeConfigTest.java
@@ -84,6 +84,18 @@
         assertEquals(82, config.discovery().getPort());
     }
 
+    @Test
+    void operatorsCallWhereTheFileSaysOrTheEnvironmentAndElseNowhere() throws Exception {
+        assertEquals(null, read(CONFIG, Map.of()).operators());
+        String named = CONFIG.replace("\"listen\"", "\"mgmt\":\"127.0.0.1:9100\",\"listen\"");
+        assertEquals(9100, read(named, Map.of()).operators().getPort());
+        assertEquals(9200, read(named, Map.of("PROXY_MGMT", "127.0.0.1:9200")).operators().getPort());
+        ConfigException e = assertThrows(ConfigException.class,
+                () -> read(CONFIG, Map.of("PROXY_MGMT", "here")));
+        assertTrue(e.getMessage().startsWith("mgmt "), e.getMessage());
+        assertEquals(folder, read(CONFIG, Map.of("TMPDIR", folder.toString())).folder());
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "127.0.0.1:8000 | nowhere | listen",
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -5,13 +5,20 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
+import java.io.IOException;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -265,4 +272,77 @@
             }
         }
     }
+
+    // ---------------------------------------------------------------- a second process in place of the first
+
+    /** Holds a port that processes are to share, without listening at it. */
+    private static SocketChannel shared() throws Exception {
+        SocketChannel holder = SocketChannel.open();
+        return holder.setOption(StandardSocketOptions.SO_REUSEADDR, true)
+                .setOption(StandardSocketOptions.SO_REUSEPORT, true)
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    private static int port(SocketChannel holder) throws Exception {
+        return ((InetSocketAddress) holder.getLocalAddress()).getPort();
+    }
+
+    private static Http.Message ask(int port, String request) throws Exception {
+        try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            client.setSoTimeout(20_000);
+            return Site.ask(client, request);
+        }
+    }
+
+    private static String call(String method, String path) {
+        return method + " " + path + " HTTP/1.1\r\nHost: ops\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    @Test
+    void aSecondProcessTakesOverWithoutARequestLostAndKnowsWhatIsOut(@TempDir Path folder) throws Exception {
+        try (FarServer in = FarServer.serving("in"); FarServer out = FarServer.serving("out");
+                SocketChannel clients = shared(); SocketChannel first = shared();
+                SocketChannel second = shared()) {
+            Path config = configure(folder, "127.0.0.1:9");
+            Files.writeString(config, Files.readString(config).replace("\"seed\"", "\"known\":"
+                    + Site.list(1, true, "s0=" + in.endpoint() + "=Ready", "s1=" + out.endpoint() + "=Ready")
+                            .replace("\"here\"", "\"\"") + ",\"seed\""));
+            Map<String, String> env = Map.of("PROXY_LISTEN", "127.0.0.1:" + port(clients), "TMPDIR",
+                    Files.createDirectory(folder.resolve("tmp")).toString());
+            List<Process> processes = new ArrayList<>();
+            try {
+                Map<String, String> one = new HashMap<>(env);
+                one.put("PROXY_MGMT", "127.0.0.1:" + port(first));
+                processes.add(start(config, one));
+                awaitLine(processes.get(0).inputReader(), "listening on ");
+                assertEquals(200, ask(port(first), call("POST", "/ops/servers/down/s1")).status());
+                Map<String, String> two = new HashMap<>(env);
+                two.put("PROXY_MGMT", "127.0.0.1:" + port(second));
+                processes.add(start(config, two));
+                awaitLine(processes.get(1).inputReader(), "listening on ");
+                assertEquals(200, ask(port(second), call("GET", "/ops/readiness")).status());
+                Socket kept = new Socket(InetAddress.getLoopbackAddress(), port(clients));
+                processes.get(0).destroy();
+                int asked = 0;
+                int crossed = 0;
+                while (processes.get(0).isAlive() || asked < 50) {
+                    try {
+                        assertEquals(200, ask(port(clients), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status());
+                        assertEquals("in", ask(port(clients), Http.page("t" + asked++)).body());
+                    } catch (IOException e) {
+                        // The system resets what waits at a listener that closes: a client asks once more.
+                        crossed++;
+                    }
+                }
+                assertTrue(crossed <= 2, crossed + " requests crossed the end of the old listener");
+                kept.close();
+                assertEquals(143, processes.get(0).exitValue(), "ended in good order");
+                assertEquals(200, ask(port(second), call("POST", "/ops/servers/up/s1")).status());
+                assertEquals(200, ask(port(second), call("GET", "/ops/readiness")).status());
+            } finally {
+                processes.forEach(Process::destroyForcibly);
+            }
+            assertEquals(0, out.requests.size(), "out for both");
+        }
+    }
 }
