--- a/src/main/java/kitemux/orders/OrderKeeper.java
+++ b/src/main/java/kitemux/orders/OrderKeeper.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -27,11 +28,20 @@
  * @param <Q> requests of the protocol
  */
 public final class OrderKeeper<Q extends Asked> implements Observer, SendGate<Q> {
+    /**
+     * Bytes of bodies that wait for the writer to digest them, but for one that waits alone. A request may be
+     * over long before a disk that is late has its entry, and its body would fill the memory meanwhile. Harm:
+     * beyond it the loop stands still for a digest, some 2 ms for each MiB.
+     */
+    static final long MOST_WAITING = 8 << 20;
+
     private final Settings settings;
     private final Time time;
     private final OrderLog orders;
     private final OrderSettings how;
     private final Map<Long, Long> numbers = new HashMap<>();
+    /** Also changed by the writer. */
+    private final AtomicLong waiting = new AtomicLong();
     private long next;
 
     /**
@@ -67,9 +77,47 @@
         String idempotencyKey = request.idempotencyKey() == null ? "" : request.idempotencyKey();
         String txn = request.txn();
         List<byte[]> body = request.body();
+        int length = body.stream().mapToInt(part -> part.length).sum();
+        long before = waiting.get();
+        if (before > 0 && before + length > MOST_WAITING) {
+            Digest digest = Digest.of(body);
+            orders.note(() -> new Taken(number, now, txn, of.name(), tenant, key, idempotencyKey, length,
+                    digest));
+            return;
+        }
         // The digest is the writer's work: of a long body it would hold the loop up.
-        orders.note(() -> new Taken(number, now, txn, of.name(), tenant, key, idempotencyKey,
-                body.stream().mapToInt(part -> part.length).sum(), Digest.of(body)));
+        waiting.addAndGet(length);
+        LateDigest digest = new LateDigest(body, () -> waiting.addAndGet(-length));
+        if (!orders.note(() -> new Taken(number, now, txn, of.name(), tenant, key, idempotencyKey, length,
+                digest.get()))) {
+            waiting.addAndGet(-length);
+        }
+    }
+
+    /** Made when it is first asked for, by the writer alone, which asks again where a write has failed. */
+    private static final class LateDigest {
+        private final Runnable whenMade;
+        private List<byte[]> body;
+        private Digest digest;
+
+        LateDigest(List<byte[]> body, Runnable whenMade) {
+            this.body = body;
+            this.whenMade = whenMade;
+        }
+
+        Digest get() {
+            if (digest == null) {
+                digest = Digest.of(body);
+                body = null;
+                whenMade.run();
+            }
+            return digest;
+        }
+    }
+
+    /** Bytes of bodies that wait for the writer. */
+    long waitingBytes() {
+        return waiting.get();
     }
 
     @Override
--- a/src/main/java/kitemux/orders/OrderLog.java
+++ b/src/main/java/kitemux/orders/OrderLog.java
@@ -107,13 +107,14 @@
         offer(new Item(entry, told));
     }
 
-    /** Notes something that has happened; nobody waits for it. */
-    void note(Supplier<Entry> entry) {
+    /** Notes something that has happened; nobody waits for it. False if there is no room: it is lost. */
+    boolean note(Supplier<Entry> entry) {
         if (queued.get() >= MOST_QUEUED) {
             lost.incrementAndGet();
-            return;
+            return false;
         }
         offer(new Item(entry, null));
+        return true;
     }
 
     private void offer(Item item) {
--- a/src/test/java/kitemux/orders/OrderKeeperTest.java
+++ b/src/test/java/kitemux/orders/OrderKeeperTest.java
@@ -10,6 +10,7 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -27,10 +28,9 @@
 /** Which requests a journal holds, and what becomes of a send whose record is late. */
 class OrderKeeperTest {
     /** Asked for by a test. */
-    private record Ask(int classIndex) implements Asked {
-        @Override
-        public String txn() {
-            return "t" + classIndex;
+    private record Ask(int classIndex, String txn, List<byte[]> body) implements Asked {
+        Ask(int classIndex) {
+            this(classIndex, "t" + classIndex, List.of(new byte[] {4}, new byte[] {5}));
         }
 
         @Override
@@ -62,11 +62,6 @@
         public String idempotencyKey() {
             return classIndex == 1 ? "k" : null;
         }
-
-        @Override
-        public List<byte[]> body() {
-            return List.of(new byte[] {4}, new byte[] {5});
-        }
     }
 
     private final Settings settings = new Settings();
@@ -123,6 +118,33 @@
         keeper.forgotten(id);
     }
 
+    @Test
+    void bodiesThatWaitForALateWriterAreBoundedAndNoneIsLostForIt() throws Exception {
+        OrderKeeper<Ask> keeper = keeper(Set.of());
+        CountDownLatch stands = new CountDownLatch(1);
+        log.note(() -> {
+            try {
+                stands.await();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+            return new Entry.Taken(0, 50, "first", "UNSAFE", "", "", "", 0, Digest.of(new byte[0]));
+        });
+        byte[] alone = new byte[(int) OrderKeeper.MOST_WAITING + 1];
+        keeper.taken(1, new Ask(2, "alone", List.of(alone)));
+        assertEquals(alone.length, keeper.waitingBytes(), "one by itself is never the loop's work");
+        for (int i = 0; i < 5; i++) {
+            keeper.taken(2 + i, new Ask(2, "more" + i, List.of(new byte[1 << 20])));
+            assertEquals(alone.length, keeper.waitingBytes(), "beyond it only digests are held");
+        }
+        stands.countDown();
+        List<String> kept = kept();
+        for (String order : List.of("alone", "more0", "more1", "more2", "more3", "more4")) {
+            assertTrue(kept.stream().anyMatch(story -> story.startsWith(order + " ")), order + " of " + kept);
+        }
+        assertEquals(0, keeper.waitingBytes());
+    }
+
     @Test
     void onlyWhatMustNeverRunTwiceIsKept() throws Exception {
         OrderKeeper<Ask> keeper = keeper(Set.of());
