Emulate whole fleets with the engine and module that serve, and plan capacity on top

Need: operators guess how many servers to switch on, what breaks first, and what a lost rack or a release costs. Change: kitemux.sim (virtual time, moved out of the world; a heap that knows where each event stands), kitemux.fleet (servers as queues, cold and choked, connections, nodes with the real Engine and ServiceQBalancer, clients, front, list, faults, the four rules), kitemux.plan (formulas, a pure search with common random numbers and Student's t, causes found by taking bounds out of the way, HCL by hcl4j with all faults told at once), the command plan, an example. Not proved yet: that predictions hold on sockets.

--- /dev/null
+++ b/src/main/java/kitemux/fleet/Population.java
@@ -0,0 +1,196 @@
+package kitemux.fleet;
+
+import java.util.List;
+
+import kitemux.Balancer.Repeat;
+import kitemux.Balancer.RequestClass;
+import kitemux.sim.Scheduler;
+
+/**
+ * Clients and the front that deals them out: they ask at times drawn ahead of any answer, give a try up after
+ * their time, and ask again as far as that does no harm.
+ */
+final class Population {
+    /** How much later than its time an answer may come before it counts as none: what is measured on sockets
+     * allows as much. */
+    private static final long GRACE_US = 50_000;
+
+    private final Fleet fleet;
+    private final Scheduler time;
+    private final List<Proxy> nodes;
+    private final Rules rules;
+    private final Tally tally;
+    private final Draws arrivals;
+    private final Draws work;
+    private final Draws patience;
+    private final Draws front;
+    private final double[] classesUpTo;
+    private final double[] tenantsUpTo;
+    private final double most;
+    /** Until when the front still deals clients out to a node that has died, and from when not yet again. */
+    private final long[] noticedAtUs;
+    private long tries;
+
+    Population(Fleet fleet, Scheduler time, List<Proxy> nodes, Rules rules, Tally tally, long seed) {
+        this.fleet = fleet;
+        this.time = time;
+        this.nodes = nodes;
+        this.rules = rules;
+        this.tally = tally;
+        arrivals = new Draws(seed, Draws.Cause.ARRIVALS);
+        work = new Draws(seed, Draws.Cause.WORK);
+        patience = new Draws(seed, Draws.Cause.CLIENTS);
+        front = new Draws(seed, Draws.Cause.FRONT);
+        classesUpTo = sums(fleet.classes().stream().mapToDouble(Fleet.Work::share).toArray());
+        tenantsUpTo = sums(fleet.tenants().stream().mapToDouble(t -> t.share() * t.usage()).toArray());
+        most = fleet.load().most();
+        noticedAtUs = new long[nodes.size()];
+    }
+
+    private static double[] sums(double[] of) {
+        for (int i = 1; i < of.length; i++) {
+            of[i] += of[i - 1];
+        }
+        return of;
+    }
+
+    /** The front deals out to a node until it notices that it has died. */
+    void died(int node) {
+        noticedAtUs[node] = time.nowUs() + fleet.nodes().noticeUs();
+    }
+
+    void begin() {
+        next();
+    }
+
+    /** Times are those of the highest rate, of which as many are passed over as the rate is lower: the same
+     * clients come whatever the fleet is. */
+    private void next() {
+        time.afterUs((long) arrivals.exponential(1e6 / (fleet.load().ratePerS() * most)), () -> {
+            long now = time.nowUs();
+            if (now >= fleet.load().lengthUs()) {
+                return;
+            }
+            boolean comes = arrivals.share() * most < fleet.load().at(now);
+            int of = work.by(classesUpTo);
+            Fleet.Work drawn = fleet.classes().get(of);
+            double workUs = switch (drawn.spread()) {
+                case FIXED -> drawn.meanUs();
+                case EXPONENTIAL -> work.exponential(drawn.meanUs());
+                case LOGNORMAL -> work.lognormal(drawn.meanUs(), drawn.cv());
+            };
+            int tenant = tenantsUpTo.length == 0 ? -1 : work.by(tenantsUpTo);
+            if (comes) {
+                new Wish(of, drawn.of(), tenant, Math.max(1, workUs)).ask();
+            }
+            next();
+        });
+    }
+
+    /** What a client wants. */
+    private final class Wish implements Try.Intention {
+        private final int classIndex;
+        private final RequestClass of;
+        private final int tenant;
+        private final double workUs;
+        private final long cameUs = time.nowUs();
+        private final double worth;
+        private int asked;
+        private Scheduler.Event patienceEnds;
+
+        Wish(int classIndex, RequestClass of, int tenant, double workUs) {
+            this.classIndex = classIndex;
+            this.of = of;
+            this.tenant = tenant;
+            this.workUs = workUs;
+            worth = tally.offered(cameUs, classIndex, tenant);
+        }
+
+        private long leftUs() {
+            return cameUs + of.deadlineUs() - time.nowUs();
+        }
+
+        void ask() {
+            asked++;
+            tries++;
+            tally.tries++;
+            Fleet.Clients how = fleet.clients();
+            double share = how.tryFrom() + (how.tryTo() - how.tryFrom()) * patience.share();
+            long forUs = Math.min(leftUs(), (long) (share * of.deadlineUs()));
+            Proxy at = choose();
+            Rules.Asked mine = new Rules.Asked(of, tries);
+            Try one = new Try(this, mine, forUs, at, asked > 1);
+            time.afterUs(how.oneWayUs(), () -> {
+                if (at.isUp()) {
+                    at.take(one);
+                } else {
+                    one.broken();
+                }
+            });
+            patienceEnds = time.afterUs(forUs + GRACE_US, () -> {
+                if (!one.isOver()) {
+                    one.giveUp();
+                    rules.unanswered(mine);
+                    at.left(one);
+                    over(Try.End.FAILED, 0);
+                }
+            });
+        }
+
+        private Proxy choose() {
+            long now = time.nowUs();
+            int first = front.below(nodes.size());
+            for (int i = 0; i < nodes.size(); i++) {
+                int node = (first + i) % nodes.size();
+                if (nodes.get(node).isUp() || now < noticedAtUs[node]) {
+                    return nodes.get(node);
+                }
+            }
+            return nodes.get(first);
+        }
+
+        @Override
+        public int classIndex() {
+            return classIndex;
+        }
+
+        @Override
+        public int tenant() {
+            return tenant;
+        }
+
+        @Override
+        public double workUs() {
+            return workUs;
+        }
+
+        @Override
+        public void ended(Try which, Try.End how, long retryAfterUs) {
+            if (how != Try.End.BROKEN) {
+                rules.answered(which.asked(), how == Try.End.REFUSED);
+            }
+            time.afterUs(fleet.clients().oneWayUs(), () -> {
+                patienceEnds.cancel();
+                over(how, retryAfterUs);
+            });
+        }
+
+        private void over(Try.End how, long retryAfterUs) {
+            if (how == Try.End.SERVED) {
+                tally.served(cameUs, classIndex, tenant, worth, time.nowUs() - cameUs, of.aimUs());
+                return;
+            }
+            Fleet.Clients clients = fleet.clients();
+            boolean harmless = how == Try.End.REFUSED || of.repeat() != Repeat.UNSAFE;
+            long waitUs = (long) (clients.backoffUs() * (1L << (asked - 1)) * (0.5 + patience.share()));
+            if (how == Try.End.REFUSED && patience.share() < clients.honour()) {
+                waitUs = Math.max(waitUs, retryAfterUs);
+            }
+            if (harmless && asked <= clients.retries() && waitUs < leftUs()) {
+                time.afterUs(waitUs, this::ask);
+                return;
+            }
+            tally.unserved(classIndex, how == Try.End.REFUSED);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/fleet/Proxy.java
@@ -0,0 +1,344 @@
+package kitemux.fleet;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import kitemux.Balancer;
+import kitemux.Balancer.ListKind;
+import kitemux.Balancer.Result;
+import kitemux.Balancer.ServerEntry;
+import kitemux.Balancer.ServerState;
+import kitemux.Balancer.Settings;
+import kitemux.ServiceQBalancer;
+import kitemux.engine.Engine;
+import kitemux.engine.Log;
+import kitemux.engine.Observer;
+import kitemux.engine.SendGate;
+import kitemux.engine.Time;
+import kitemux.engine.Transport;
+import kitemux.sim.Scheduler;
+
+/**
+ * A node: the engine and the decision module that serve in earnest, over connections to emulated servers. Its
+ * processor is a queue of its own: what comes while it is busy is handled later.
+ */
+final class Proxy implements Transport<Try, Boolean> {
+    private final int number;
+    private final Fleet fleet;
+    private final Scheduler time;
+    private final Map<String, Box> boxes;
+    private final Rules rules;
+    private final Draws network;
+    private final Settings settings;
+    private final Draws seeds;
+    private final long unixUs;
+
+    private Engine<Try, Boolean> engine;
+    private Balancer module;
+    private final Map<String, Link> links = new HashMap<>();
+    /** The list as it was told, for who starts anew, and when it was told of drains. */
+    private final Map<String, ServerEntry> told = new HashMap<>();
+    private final Map<String, Long> drainToldUs = new HashMap<>();
+    private final Map<Try, Engine.Held<Try, Boolean>> open = new HashMap<>();
+    private int life;
+    private boolean up;
+    private double freeAtUs;
+    double usedUs;
+    double mostLateUs;
+    long attempts;
+    long dials;
+
+    /** Connections to one server that are not in use: to which of its processes, and since when. */
+    private static final class Link {
+        final ArrayDeque<long[]> idle = new ArrayDeque<>();
+        final Map<Exchange<Try, Boolean>, Sent> out = new HashMap<>();
+    }
+
+    /** An exchange that is out, over a connection to a process of its server; not yet written where -1. */
+    private final class Sent implements Box.Reply {
+        final Box box;
+        final Exchange<Try, Boolean> exchange;
+        final int ofLife = life;
+        int process = -1;
+        boolean written;
+        boolean over;
+
+        Sent(Box box, Exchange<Try, Boolean> exchange) {
+            this.box = box;
+            this.exchange = exchange;
+        }
+
+        @Override
+        public void came(Result result) {
+            time.afterUs(oneWayUs(), () -> handle(ofLife, () -> end(result)));
+        }
+
+        @Override
+        public boolean isWanted() {
+            return !over;
+        }
+
+        void end(Result result) {
+            if (over) {
+                return;
+            }
+            over = true;
+            Link link = links.get(box.id);
+            link.out.remove(exchange);
+            if (process == box.process() && result != Result.RESET && result != Result.CONNECT_FAILED) {
+                link.idle.push(new long[] {process, time.nowUs()});
+            } else if (process >= 0) {
+                box.disconnected(process);
+            }
+            exchange.ended(result, result == Result.OK ? Boolean.TRUE : null);
+        }
+    }
+
+    Proxy(int number, Fleet fleet, Scheduler time, Map<String, Box> boxes, Rules rules, Settings settings,
+            Draws network, Draws seeds, long unixUs) {
+        this.number = number;
+        this.fleet = fleet;
+        this.time = time;
+        this.boxes = boxes;
+        this.rules = rules;
+        this.settings = settings;
+        this.network = network;
+        this.seeds = seeds;
+        this.unixUs = unixUs;
+    }
+
+    // ---------------------------------------------------------------- its life
+
+    boolean isUp() {
+        return up;
+    }
+
+    /** Begins to serve, with the list as it was last told. */
+    void start() {
+        up = true;
+        life++;
+        freeAtUs = time.nowUs();
+        int mine = life;
+        Time clock = new Time() {
+            @Override
+            public long nowUs() {
+                return unixUs + time.nowUs();
+            }
+
+            @Override
+            public Timer after(long us, Runnable task) {
+                Scheduler.Event event = time.afterUs(us, () -> {
+                    if (mine == life) {
+                        task.run();
+                    }
+                });
+                return event::cancel;
+            }
+        };
+        engine = new Engine<>(settings.maxAttempts, clock, this, () -> { }, Observer.NONE, SendGate.open(),
+                new Log() {
+                    @Override
+                    public void line(String text) { }
+
+                    @Override
+                    public void error(String what, Throwable cause) {
+                        throw new IllegalStateException("node " + number + ": " + what, cause);
+                    }
+                }, actions -> {
+                    module = new ServiceQBalancer(settings, seeds.any(), actions);
+                    return module;
+                });
+        engine.listed(ListKind.CACHED, new ArrayList<>(told.values()), () -> { });
+    }
+
+    /** It is killed: what it held is gone, and its clients' connections break. */
+    void die() {
+        up = false;
+        life++;
+        engine.close();
+        for (Map.Entry<String, Link> link : links.entrySet()) {
+            Box box = boxes.get(link.getKey());
+            link.getValue().idle.forEach(idle -> box.disconnected((int) idle[0]));
+            link.getValue().out.values().forEach(sent -> {
+                sent.over = true;
+                if (sent.process >= 0) {
+                    box.disconnected(sent.process);
+                }
+            });
+        }
+        links.clear();
+        List<Try> lost = new ArrayList<>(open.keySet());
+        lost.sort((a, b) -> Long.compare(a.asked().number, b.asked().number));
+        open.clear();
+        lost.forEach(Try::broken);
+    }
+
+    /** Discovery tells of servers. */
+    void listed(List<ServerEntry> entries) {
+        for (ServerEntry entry : entries) {
+            if (entry.state() == ServerState.GONE) {
+                told.remove(entry.id());
+            } else {
+                told.put(entry.id(), entry);
+            }
+            if (entry.state() == ServerState.READY) {
+                drainToldUs.remove(entry.id());
+            } else {
+                drainToldUs.putIfAbsent(entry.id(), time.nowUs());
+            }
+        }
+        if (up) {
+            handle(life, () -> engine.listed(ListKind.CHANGES, entries, () -> { }));
+        }
+    }
+
+    // ---------------------------------------------------------------- its processor
+
+    /** Runs what an event asks for, once the processor is free, unless the process has ended by then. */
+    private void handle(int ofLife, Runnable what) {
+        if (ofLife != life) {
+            return;
+        }
+        double cost = fleet.nodes().eventUs() / fleet.nodes().cores();
+        double now = time.nowUs();
+        double lateUs = Math.max(0, freeAtUs - now);
+        freeAtUs = now + lateUs + cost;
+        usedUs += cost;
+        mostLateUs = Math.max(mostLateUs, lateUs);
+        if (lateUs < 1) {
+            what.run();
+        } else {
+            time.afterUs((long) lateUs, () -> {
+                if (ofLife == life) {
+                    what.run();
+                }
+            });
+        }
+    }
+
+    // ---------------------------------------------------------------- clients
+
+    /** A try has come. */
+    void take(Try asked) {
+        int mine = life;
+        open.put(asked, null);
+        handle(mine, () -> {
+            if (asked.isOver()) {
+                open.remove(asked);
+                return;
+            }
+            Engine.Held<Try, Boolean> held = engine.take(asked, asked);
+            open.put(asked, held);
+            engine.ask(held);
+        });
+    }
+
+    /** It has its answer. */
+    void answered(Try asked) {
+        open.remove(asked);
+    }
+
+    /** Its client has left. */
+    void left(Try asked) {
+        handle(life, () -> {
+            Engine.Held<Try, Boolean> held = open.remove(asked);
+            if (held != null) {
+                engine.left(held);
+            }
+        });
+    }
+
+    // ---------------------------------------------------------------- servers
+
+    private long oneWayUs() {
+        return Math.max(1, (long) network.lognormal(fleet.links().oneWayUs(), fleet.links().jitter()));
+    }
+
+    @Override
+    public void start(String serverId, Exchange<Try, Boolean> exchange) {
+        Box box = boxes.get(serverId);
+        Link link = links.computeIfAbsent(serverId, id -> new Link());
+        Sent sent = new Sent(box, exchange);
+        link.out.put(exchange, sent);
+        Long drain = drainToldUs.get(serverId);
+        if (drain != null && time.nowUs() > drain + fleet.list().graceUs()) {
+            rules.sentWhileDraining(box);
+        }
+        long oldest = time.nowUs() - fleet.links().idleUs();
+        while (!link.idle.isEmpty() && (link.idle.peekLast()[1] <= oldest
+                || link.idle.peekLast()[0] != box.process())) {
+            box.disconnected((int) link.idle.pollLast()[0]);
+        }
+        if (!link.idle.isEmpty() && box.isUp()) {
+            sent.process = (int) link.idle.pop()[0];
+            write(sent, 0);
+        } else {
+            dial(sent);
+        }
+    }
+
+    private void dial(Sent sent) {
+        dials++;
+        long rttUs = 2 * oneWayUs();
+        if (sent.box.isSilent() || !sent.box.isUp() || !sent.box.connect()) {
+            long knownUs = sent.box.isSilent() ? fleet.links().connectUs() : rttUs;
+            time.afterUs(knownUs, () -> handle(sent.ofLife, () -> sent.end(Result.CONNECT_FAILED)));
+            return;
+        }
+        sent.process = sent.box.process();
+        time.afterUs(rttUs * fleet.links().handshakeRtts(), () -> {
+            if (!sent.over && sent.ofLife == life) {
+                if (sent.process == sent.box.process()) {
+                    write(sent, fleet.links().handshakeUs());
+                } else {
+                    handle(sent.ofLife, () -> sent.end(Result.CONNECT_FAILED));
+                }
+            }
+        });
+    }
+
+    private void write(Sent sent, long extraUs) {
+        attempts++;
+        sent.written = true;
+        Try asked = sent.exchange.request();
+        time.afterUs(oneWayUs(), () -> sent.box.take(new Box.Job(asked.asked(), asked.trueWorkUs() + extraUs,
+                sent)));
+    }
+
+    @Override
+    public boolean giveUp(String serverId, Exchange<Try, Boolean> exchange) {
+        Link link = links.get(serverId);
+        Sent sent = link == null ? null : link.out.remove(exchange);
+        if (sent == null) {
+            return false;
+        }
+        sent.over = true;
+        if (sent.process >= 0) {
+            // Only the end of its connection calls an exchange off.
+            sent.box.disconnected(sent.process);
+        }
+        return sent.written;
+    }
+
+    @Override
+    public Try probe() {
+        throw new IllegalStateException("the module asks for no probes");
+    }
+
+    @Override
+    public String endpoint(String serverId) {
+        return serverId;
+    }
+
+    @Override
+    public void closeIdle(String serverId) {
+        Link link = links.get(serverId);
+        if (link != null) {
+            link.idle.forEach(idle -> boxes.get(serverId).disconnected((int) idle[0]));
+            link.idle.clear();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/fleet/Try.java
@@ -0,0 +1,134 @@
+package kitemux.fleet;
+
+import java.util.List;
+
+import kitemux.engine.Asked;
+import kitemux.engine.Client;
+
+/** One try of a client's request at one node: what the engine is asked, and who is told the answer. */
+final class Try implements Asked, Client<Boolean> {
+    private final Intention of;
+    private final Rules.Asked asked;
+    private final long leftUs;
+    private final Proxy at;
+    private final boolean again;
+    private boolean over;
+
+    /** What a client wants, over all its tries. */
+    interface Intention {
+        int classIndex();
+
+        int tenant();
+
+        /** Its work on a core of speed 1, in microseconds. */
+        double workUs();
+
+        /** How a try has ended: told once, as its node says so or its connection breaks. */
+        void ended(Try which, End how, long retryAfterUs);
+    }
+
+    /** How a try ends. */
+    enum End { SERVED, REFUSED, FAILED, BROKEN }
+
+    Try(Intention of, Rules.Asked asked, long leftUs, Proxy at, boolean again) {
+        this.of = of;
+        this.asked = asked;
+        this.leftUs = leftUs;
+        this.at = at;
+        this.again = again;
+    }
+
+    Rules.Asked asked() {
+        return asked;
+    }
+
+    Proxy at() {
+        return at;
+    }
+
+    double trueWorkUs() {
+        return of.workUs();
+    }
+
+    boolean isOver() {
+        return over;
+    }
+
+    /** Its client waits no more. */
+    void giveUp() {
+        over = true;
+    }
+
+    private void end(End how, long retryAfterUs) {
+        if (!over) {
+            over = true;
+            at.answered(this);
+            of.ended(this, how, retryAfterUs);
+        }
+    }
+
+    @Override
+    public void served(Boolean answer) {
+        end(End.SERVED, 0);
+    }
+
+    @Override
+    public void refused(long retryAfterUs) {
+        end(End.REFUSED, retryAfterUs);
+    }
+
+    @Override
+    public void failed() {
+        end(End.FAILED, 0);
+    }
+
+    @Override
+    public void broken() {
+        end(End.BROKEN, 0);
+    }
+
+    @Override
+    public String txn() {
+        return Long.toString(asked.number);
+    }
+
+    @Override
+    public int classIndex() {
+        return of.classIndex();
+    }
+
+    @Override
+    public int tenant() {
+        return of.tenant();
+    }
+
+    @Override
+    public long leftUs() {
+        return leftUs;
+    }
+
+    @Override
+    public long workUs() {
+        return 0;
+    }
+
+    @Override
+    public boolean retry() {
+        return again;
+    }
+
+    @Override
+    public String key() {
+        return null;
+    }
+
+    @Override
+    public String idempotencyKey() {
+        return null;
+    }
+
+    @Override
+    public List<byte[]> body() {
+        return List.of();
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/plan/FleetFile.java
@@ -0,0 +1,153 @@
+package kitemux.plan;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import com.bertramlabs.plugins.hcl4j.HCLParser;
+import com.bertramlabs.plugins.hcl4j.HCLParserException;
+
+import kitemux.Balancer.Group;
+import kitemux.Balancer.Repeat;
+import kitemux.Balancer.RequestClass;
+import kitemux.fleet.Fleet;
+
+/**
+ * Reads a fleet, its load and what goes wrong from a description in HCL; {@code docs/operate/plan.md} has all
+ * fields.
+ */
+public final class FleetFile {
+    private FleetFile() { }
+
+    private enum MayRepeat { SAFE, KEYED, NEVER_TWICE }
+
+    private enum Drops { ALL, RACK }
+
+    /**
+     * @param text the description
+     * @param faults gets all that is wrong, one line each with field and reason
+     * @return the fleet; not to be played if there are faults
+     */
+    public static Fleet read(String text, List<String> faults) {
+        Map<String, Object> parsed;
+        try {
+            parsed = new HCLParser().parse(text);
+        } catch (HCLParserException | IOException | RuntimeException e) {
+            faults.add("this is not HCL: " + String.valueOf(e.getMessage()).replace('\n', ' '));
+            return null;
+        }
+        Section all = new Section("", parsed, faults);
+        List<Fleet.Kind> kinds = new ArrayList<>();
+        all.labelled("boxes", true).forEach((name, box) -> kinds.add(kind(name, box)));
+        List<Fleet.Work> classes = new ArrayList<>();
+        all.labelled("class", true).forEach((name, of) -> classes.add(work(name, of)));
+        List<Fleet.Share> tenants = new ArrayList<>();
+        all.labelled("tenant", false).forEach((name, of) -> {
+            tenants.add(new Fleet.Share(name, of.number("share", Double.NaN), of.number("usage", 1)));
+            of.end();
+        });
+        Fleet.Nodes nodes = nodes(all.block("nodes", true));
+        Fleet.Choke choke = choke(all.block("choke", false));
+        Fleet.Links links = links(all.block("links", true));
+        Fleet.Listing list = list(all.block("list", false), faults);
+        Fleet.Clients clients = clients(all.block("clients", true));
+        Fleet.Load load = load(all.block("load", true));
+        List<Fleet.Fault> wrong = new ArrayList<>();
+        for (Section fault : all.repeated("fault")) {
+            wrong.add(new Fleet.Fault(fault.word("trouble", Fleet.Trouble.class, null),
+                    fault.word("among", Fleet.Among.class, Fleet.Among.ANY), fault.whole("which", 0),
+                    fault.whole("count", 0), fault.time("at", -1), fault.time("for", -1),
+                    fault.number("size", 1)));
+            fault.end();
+        }
+        Fleet fleet = new Fleet(kinds, all.whole("racks", 1), nodes, choke, links, list, clients, classes,
+                tenants, load, wrong);
+        all.end();
+        if (faults.isEmpty()) {
+            faults.addAll(fleet.faultsFound());
+        }
+        return fleet;
+    }
+
+    private static Fleet.Kind kind(String name, Section box) {
+        Fleet.Kind kind = new Fleet.Kind(name, box.whole("count", Double.NaN), box.whole("cores", 1),
+                box.number("speed", 1), box.number("speed_cv", 0), box.whole("queue", 1_000),
+                box.number("cold_from", 1), box.time("cold", 0), box.yes("warms_by_work", false),
+                box.number("cost", 1));
+        box.end();
+        return kind;
+    }
+
+    private static Fleet.Work work(String name, Section of) {
+        MayRepeat repeat = of.word("repeat", MayRepeat.class, null);
+        Drops group = of.word("group", Drops.class, Drops.ALL);
+        RequestClass cls = new RequestClass(name, of.time("aim", -1), 0, of.time("deadline", -1),
+                of.number("worth", 1), of.number("late_worth", 0), switch (repeat) {
+                    case SAFE -> Repeat.SAFE;
+                    case KEYED -> Repeat.KEYED;
+                    case NEVER_TWICE -> Repeat.UNSAFE;
+                }, group == Drops.ALL ? Group.ALL : Group.CELL, of.time("window", 0), false);
+        Fleet.Work work = new Fleet.Work(cls, of.number("share", Double.NaN), of.time("work", -1),
+                of.word("spread", Fleet.Spread.class, Fleet.Spread.EXPONENTIAL), of.number("cv", 1));
+        of.end();
+        return work;
+    }
+
+    private static Fleet.Nodes nodes(Section of) {
+        Fleet.Nodes nodes = new Fleet.Nodes(of.whole("count", Double.NaN), of.time("event", 60),
+                of.number("cores", 1), of.time("start", 1_500_000), of.time("notice", 2_000_000));
+        of.end();
+        return nodes;
+    }
+
+    private static Fleet.Choke choke(Section of) {
+        if (of == null) {
+            return null;
+        }
+        Fleet.Choke choke = new Fleet.Choke(of.number("at", Double.NaN), of.time("over", -1),
+                of.number("slower", Double.NaN), of.number("below", 0.3), of.time("rest", -1),
+                of.time("most", -1));
+        of.end();
+        return choke;
+    }
+
+    private static Fleet.Links links(Section of) {
+        Fleet.Links links = new Fleet.Links(of.time("way", 200), of.number("jitter", 0.2),
+                of.whole("handshakes", 2), of.time("handshake", 0), of.whole("most_per_core", 1_000),
+                of.time("idle", 60_000_000), of.time("connect", 250_000));
+        of.end();
+        return links;
+    }
+
+    private static Fleet.Listing list(Section given, List<String> faults) {
+        Section of = given == null ? new Section("list", Map.of(), faults) : given;
+        Fleet.Listing list = new Fleet.Listing(
+                new Fleet.Range(of.time("gone_from", 560_000), of.time("gone_to", 5_000_000)),
+                new Fleet.Range(of.time("silent_from", 5_000_000), of.time("silent_to", 13_000_000)),
+                new Fleet.Range(of.time("back_from", 230_000), of.time("back_to", 2_100_000)),
+                of.time("grace", 500_000));
+        of.end();
+        return list;
+    }
+
+    private static Fleet.Clients clients(Section of) {
+        Fleet.Clients clients = new Fleet.Clients(of.time("way", 700), of.whole("retries", 2),
+                of.number("try_from", 0.4), of.number("try_to", 0.8), of.time("backoff", 20_000),
+                of.number("honour", 0.85), of.time("most_retry_after", 1_000_000));
+        of.end();
+        return clients;
+    }
+
+    private static Fleet.Load load(Section of) {
+        List<Fleet.Point> shape = new ArrayList<>();
+        for (Section point : of.repeated("point")) {
+            shape.add(new Fleet.Point(point.time("at", 0), point.number("times", Double.NaN)));
+            point.end();
+        }
+        Fleet.Load load = new Fleet.Load(of.number("rate", Double.NaN), of.time("length", 40_000_000), shape,
+                of.number("quota", 0), of.number("over_share_worth", 0.1));
+        of.end();
+        return load;
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/sim/package-info.java
@@ -0,0 +1,2 @@
+/** What all virtual worlds share: their time. */
+package kitemux.sim;
--- a/src/main/java/kitemux/world/DiskGate.java
+++ b/src/main/java/kitemux/world/DiskGate.java
@@ -11,6 +11,7 @@
 import kitemux.Balancer.Settings;
 import kitemux.engine.SendGate;
 import kitemux.http.ClientRequest;
+import kitemux.sim.Scheduler;
 
 /**
  * The gate of a journal of orders on a disk that goes wrong as a seed says: one world in four keeps none, the
--- a/src/main/java/kitemux/world/Fabric.java
+++ b/src/main/java/kitemux/world/Fabric.java
@@ -8,6 +8,7 @@
 
 import kitemux.config.ConfigException;
 import kitemux.net.Addresses;
+import kitemux.sim.Scheduler;
 
 /** The network between the machines: ways that take time, and what may go wrong on them. */
 final class Fabric {
--- a/src/main/java/kitemux/world/Judge.java
+++ b/src/main/java/kitemux/world/Judge.java
@@ -11,6 +11,7 @@
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Settings;
+import kitemux.sim.Scheduler;
 
 /**
  * Holds what servers, clients and discovery saw against the rules. It shares no code with the node: it knows
--- a/src/main/java/kitemux/world/NodeHost.java
+++ b/src/main/java/kitemux/world/NodeHost.java
@@ -19,6 +19,7 @@
 import kitemux.net.LoopTime;
 import kitemux.node.Node;
 import kitemux.node.NodeConfig;
+import kitemux.sim.Scheduler;
 
 /**
  * A machine that a node runs on: it starts and ends the process, gives its loop its turns, lets it stand
--- a/src/main/java/kitemux/world/Tape.java
+++ b/src/main/java/kitemux/world/Tape.java
@@ -3,6 +3,8 @@
 import java.io.PrintWriter;
 import java.util.Locale;
 
+import kitemux.sim.Scheduler;
+
 /** What happened, as a digest always and as lines on request. Both tell two runs apart in the same places. */
 final class Tape {
     private final Scheduler time;
--- a/src/main/java/kitemux/world/World.java
+++ b/src/main/java/kitemux/world/World.java
@@ -12,6 +12,7 @@
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Settings;
 import kitemux.Balancer.Tenant;
+import kitemux.sim.Scheduler;
 
 /**
  * One world: machines, the network between them, nodes with the real network code, and what goes wrong, all
--- a/src/main/java/kitemux/world/WorldLoop.java
+++ b/src/main/java/kitemux/world/WorldLoop.java
@@ -15,6 +15,8 @@
 import io.netty.channel.ManualIoEventLoop;
 import io.netty.util.concurrent.Ticker;
 
+import kitemux.sim.Scheduler;
+
 /**
  * A node's event loop on virtual time. A turn is what it is on real sockets: all that is ready is read, in no
  * order that can be relied upon, then tasks and timers run. The world says when the next turn is.
--- a/src/test/java/kitemux/ArchitectureTest.java
+++ b/src/test/java/kitemux/ArchitectureTest.java
@@ -39,10 +39,14 @@
             Map.entry("orders", Set.of("", "engine", "config")),
             Map.entry("ops", Set.of("", "engine", "net")),
             Map.entry("node", Set.of("", "engine", "net", "http", "discovery", "config", "orders", "ops")),
-            Map.entry("world", Set.of("", "engine", "net", "http", "node", "config")),
+            Map.entry("sim", Set.of()),
+            Map.entry("world", Set.of("", "engine", "net", "http", "node", "config", "sim")),
+            Map.entry("fleet", Set.of("", "engine", "sim")),
+            Map.entry("plan", Set.of("", "fleet")),
             Map.entry("standin", Set.of()),
-            Map.entry("bench", Set.of("", "engine", "standin", "config", "orders")),
-            Map.entry("cli", Set.of("adapter", "node", "world", "bench", "standin", "orders")));
+            Map.entry("bench", Set.of("", "engine", "standin", "config", "orders", "fleet", "sim")),
+            Map.entry("cli", Set.of("adapter", "node", "world", "bench", "standin", "orders",
+                    "fleet", "plan")));
 
     private static String room(JavaClass c) {
         String[] parts = c.getPackageName().split("\\.");
--- a/src/test/java/kitemux/ColdServerTest.java
+++ b/src/test/java/kitemux/ColdServerTest.java
@@ -55,7 +55,9 @@
         assertTrue(toCold <= 2, "sent to the cold server in 0.2 s: " + toCold);
     }
 
-    /** Sent in four seconds to a server that has just started beside four, when each of these answers so fast. */
+    /**
+     * Sent in four seconds to a server that has just started beside four, when each of these answers so fast.
+     */
     private static long sentWhileOthersTake(long us) {
         Node node = new Node().with(4);
         for (int i = 0; i < 400; i++) {
@@ -77,7 +79,8 @@
 
     @Test
     void aJamThatLeavesLittleAnsweredTakesOnlyAPartOfTheirPartFromColdServers() {
-        // On a day of releases half of the servers were cold and others slow: as little was answered, cold ones
+        // On a day of releases half of the servers were cold and others slow: as little was answered, cold
+        // ones
         // got little, so that less was answered still, for as long as the release went on.
         long swift = sentWhileOthersTake(40_000);
         long jammed = sentWhileOthersTake(320_000);
--- /dev/null
+++ b/src/test/java/kitemux/fleet/BoxTest.java
@@ -0,0 +1,170 @@
+package kitemux.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.DoubleSupplier;
+
+import kitemux.Balancer.Repeat;
+import kitemux.Balancer.Result;
+import kitemux.plan.Estimate;
+import kitemux.plan.Queues;
+import kitemux.sim.Scheduler;
+
+import org.junit.jupiter.api.Test;
+
+/** A server by itself, held against what queueing theory says exactly. */
+class BoxTest {
+    private static final double WORK_US = 10_000;
+    private static final int SEEDS = 30;
+
+    private final Scheduler time = new Scheduler();
+    private final Rules rules = new Rules(time, new Rules.Limits(4, 2_000_000));
+
+    private static Fleet fleet(Fleet.Kind kind, Fleet.Choke choke) {
+        return Fleets.yearbook(1, 0, 1, 0.5, 10).withKinds(List.of(kind)).with(choke);
+    }
+
+    private Box box(int cores, int room, Fleet.Choke choke) {
+        return new Box("b", 0, 0, fleet(new Fleet.Kind("b", 1, cores, 1, 0, room, 0.2, 10_000_000, false, 1),
+                choke), 1, time, rules, new Draws(1, Draws.Cause.BOXES));
+    }
+
+    /** Mean time in the queue and served in units of work, or the share that was turned away. */
+    private static double measured(int cores, double load, int room, long seed, boolean fixed, boolean lost) {
+        BoxTest world = new BoxTest();
+        Box box = world.box(cores, room, null);
+        Draws arrivals = new Draws(seed, Draws.Cause.ARRIVALS);
+        Draws work = new Draws(seed, Draws.Cause.WORK);
+        DoubleSupplier workUs = () -> fixed ? WORK_US : work.exponential(WORK_US);
+        double[] sum = new double[2];
+        long[] counts = new long[2];
+        long warmUs = 20_000_000;
+        long endUs = 400_000_000;
+        Runnable[] next = new Runnable[1];
+        next[0] = () -> {
+            long came = world.time.nowUs();
+            if (came > endUs) {
+                return;
+            }
+            box.take(new Box.Job(new Rules.Asked(Fleets.of("c", 1, 2, 1, Repeat.SAFE), 1),
+                    workUs.getAsDouble(),
+                    new Box.Reply() {
+                        @Override
+                        public void came(Result result) {
+                            if (came > warmUs) {
+                                counts[result == Result.OK ? 0 : 1]++;
+                                sum[0] += world.time.nowUs() - came;
+                            }
+                        }
+
+                        @Override
+                        public boolean isWanted() {
+                            return true;
+                        }
+                    }));
+            world.time.afterUs(Math.round(arrivals.exponential(WORK_US / load)), next[0]);
+        };
+        next[0].run();
+        while (world.time.step(endUs * 1_100)) {
+            assertTrue(counts[0] >= 0);
+        }
+        return lost ? (double) counts[1] / (counts[0] + counts[1]) : sum[0] / counts[0] / WORK_US;
+    }
+
+    private static void agrees(String what, double theory, int cores, double load, int room, boolean fixed,
+            boolean lost) {
+        List<Double> values = new ArrayList<>();
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            values.add(measured(cores, load, room, seed, fixed, lost));
+        }
+        Estimate seen = Estimate.of(values);
+        assertTrue(seen.low() <= theory && theory <= seen.high(), what + ": " + theory + " on paper, seen "
+                + seen);
+        assertTrue(seen.half() < 0.1 * theory, what + ": the interval says little: " + seen);
+    }
+
+    @Test
+    void timesAndLossesAreThoseOfTheory() {
+        agrees("M/M/1", Queues.timeInMmc(1, 0.7), 1, 0.7, 1 << 20, false, false);
+        agrees("M/M/4", Queues.timeInMmc(4, 3.2), 4, 3.2, 1 << 20, false, false);
+        agrees("M/D/1", Queues.timeInMg1(0.7, 0), 1, 0.7, 1 << 20, true, false);
+        agrees("Erlang's loss", Queues.lost(4, 3), 4, 3, 0, false, true);
+    }
+
+    private void send(Box box, int count, double workUs) {
+        for (int i = 0; i < count; i++) {
+            box.take(new Box.Job(new Rules.Asked(Fleets.of("c", 1, 2, 1, Repeat.SAFE), i), workUs,
+                    new Box.Reply() {
+                        @Override
+                        public void came(Result result) { }
+
+                        @Override
+                        public boolean isWanted() {
+                            return false;
+                        }
+                    }));
+        }
+    }
+
+    @Test
+    void aColdServerThatIsPushedFallsAndStaysDownAndTheRuleIsBroken() {
+        Box box = box(1, 1_000, null);
+        box.die(false);
+        box.start();
+        assertEquals(0.2, box.warmth(), 1e-9);
+        // 4 times a fifth of two seconds' work is its budget, with 15% and one request for chance.
+        send(box, 150, 10_000);
+        assertTrue(box.isUp());
+        send(box, 50, 10_000);
+        assertFalse(box.isUp());
+        assertEquals(1, rules.breaks());
+        box.start();
+        assertFalse(box.isUp());
+    }
+
+    @Test
+    void aCrowdedServerTurnsSlowAndIsItselfAgainOnceItHasRested() {
+        Box box = box(1, 1_000, new Fleet.Choke(5, 1_000_000, 3, 0.3, 2_000_000, 60_000_000));
+        // A second and a half with more than six waiting.
+        send(box, 200, 10_000);
+        time.step(0);
+        while (time.nowUs() < 1_500_000 && time.step(1_500_000_000L)) {
+            assertFalse(box.hasFallen());
+        }
+        assertTrue(box.hasChoked());
+        // All is worked off, three times slower; then it rests, and single requests are quick again.
+        long restedUs = 10_000_000;
+        while (time.step(restedUs * 1_000)) {
+            assertTrue(box.isUp());
+        }
+        send(box, 1, 10_000);
+        send(box, 1, 10_000);
+        long before = time.nowUs();
+        double busyBefore = box.busyUs;
+        while (time.step((before + 100_000) * 1_000)) {
+            assertTrue(box.isUp());
+        }
+        assertEquals(20_000, box.busyUs - busyBefore, 10_100, "the second one at least is quick");
+    }
+
+    @Test
+    void whatMayRunOnceAndRunsTwiceIsTold() {
+        Rules.Asked unsafe = new Rules.Asked(Fleets.of("order", 1, 2, 1, Repeat.UNSAFE), 7);
+        Box box = box(1, 10, null);
+        rules.runs(unsafe, box);
+        assertEquals(0, rules.breaks());
+        rules.runs(unsafe, box);
+        assertEquals(1, rules.breaks());
+        rules.answered(unsafe, true);
+        assertEquals(2, rules.breaks(), "a refusal of what has run");
+        rules.answered(unsafe, false);
+        assertEquals(3, rules.breaks(), "a second answer");
+        rules.unanswered(new Rules.Asked(Fleets.of("page", 1, 2, 1, Repeat.SAFE), 8));
+        assertEquals(4, rules.breaks());
+        assertTrue(rules.told().get(0).contains("request 7 of order runs again"), rules.told().toString());
+    }
+}
--- /dev/null
+++ b/src/test/java/kitemux/fleet/EmulationTest.java
@@ -0,0 +1,100 @@
+package kitemux.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.LongStream;
+
+import kitemux.fleet.Fleet.Among;
+import kitemux.fleet.Fleet.Fault;
+import kitemux.fleet.Fleet.Trouble;
+
+import org.junit.jupiter.api.Test;
+
+class EmulationTest {
+
+    private static Fault fault(Trouble trouble, Among among, int count, long forS, double size) {
+        return new Fault(trouble, among, 0, count, 8_000_000, forS * 1_000_000, size);
+    }
+
+    @Test
+    void theSameSeedGivesTheSameResultOnOneProcessorAndOnMany() {
+        Fleet fleet = Fleets.yearbook(3, 3, 2, 0.7, 15)
+                .withFaults(List.of(fault(Trouble.DIE, Among.RACK, 0, 3, 0)));
+        List<String> one = LongStream.range(0, 16).mapToObj(seed -> Emulation.play(fleet, seed).toString())
+                .toList();
+        List<String> many = LongStream.range(0, 16).parallel()
+                .mapToObj(seed -> Emulation.play(fleet, seed).toString()).toList();
+        assertEquals(List.of(), one.stream().filter(result -> !many.contains(result)).toList());
+        assertTrue(!one.get(0).equals(one.get(1)), "another seed is another day");
+    }
+
+    @Test
+    void twoVariantsMeetTheSameClientsWithTheSameWork() {
+        Fleet fleet = Fleets.yearbook(3, 3, 2, 0.7, 15);
+        Result few = Emulation.play(fleet, 5);
+        Result more = Emulation.play(Fleets.yearbook(6, 6, 3, 0.7, 15).with(fleet.load()), 5);
+        assertEquals(few.classes().stream().map(Result.OfClass::offered).toList(),
+                more.classes().stream().map(Result.OfClass::offered).toList());
+    }
+
+    @Test
+    void eachWishEndsOnceWhateverGoesWrong() {
+        for (Trouble trouble : Trouble.values()) {
+            double size = trouble == Trouble.FAIL ? 0.8 : trouble == Trouble.SLOW ? 3 : 1;
+            Fleet fleet = Fleets.yearbook(3, 3, 2, 0.8, 20)
+                    .withFaults(List.of(fault(trouble, Among.ANY, 2, 4, size)));
+            for (long seed = 1; seed <= 5; seed++) {
+                Result result = Emulation.play(fleet, seed);
+                for (Result.OfClass of : result.classes()) {
+                    assertEquals(of.offered(), of.inTime() + of.late() + of.refused() + of.failed(),
+                            trouble + ", seed " + seed + ": " + of);
+                }
+                assertEquals(List.of(), result.told(), trouble + ", seed " + seed);
+            }
+        }
+    }
+
+    @Test
+    void whatIsBeyondTheFleetIsRefusedAndWhatIsNotIsServed() {
+        Result calm = Emulation.play(Fleets.yearbook(5, 5, 2, 0.4, 20), 1);
+        Result over = Emulation.play(Fleets.yearbook(5, 5, 2, 1.6, 20), 1);
+        assertTrue(calm.inTime() > 0.97, "calm: " + calm.inTime());
+        assertTrue(over.inTime() < 0.95, "over: " + over.inTime());
+        assertTrue(over.triesPerWish() > calm.triesPerWish(), "clients ask again");
+        double busy = over.kinds().stream().mapToDouble(Result.OfKind::busy).min().orElse(0);
+        assertTrue(busy > 0.9, "servers are used: " + busy);
+    }
+
+    @Test
+    void aLostRackShowsAndIsOverOnceItIsBackAndWarm() {
+        Fleet fleet = Fleets.yearbook(5, 5, 2, 0.75, 60);
+        Result whole = Emulation.play(fleet, 3);
+        Result lost = Emulation.play(fleet.withFaults(List.of(fault(Trouble.DIE, Among.RACK, 0, 10, 0))), 3);
+        assertTrue(lost.worstWindow() < whole.worstWindow() - 0.1, lost.worstWindow() + " "
+                + whole.worstWindow());
+        int back = lost.backAfterS(8, 0.95);
+        assertTrue(back >= 8 && back <= 45, "back after " + back + " s");
+        assertEquals(0, whole.backAfterS(8, 0.9));
+    }
+
+    @Test
+    void clientsThatFindTheirNodeDeadAskAgainAndOrdersAreNotDoubled() {
+        Fleet fleet = Fleets.yearbook(4, 4, 2, 0.5, 20)
+                .withFaults(List.of(fault(Trouble.NODES_RESTART, Among.ANY, 0, 1, 1)));
+        Result result = Emulation.play(fleet, 9);
+        assertTrue(result.triesPerWish() > 1.001, "tries: " + result.triesPerWish());
+        assertTrue(result.worstWindow() < 0.99);
+        assertEquals(List.of(), result.told());
+    }
+
+    @Test
+    void whatCannotBePlayedIsNamedAllAtOnce() {
+        Fleet fleet = Fleets.yearbook(0, 0, 1, 0.5, 10).with(new Fleet.Nodes(0, -1, 0, 0, 0));
+        List<String> found = fleet.faultsFound();
+        assertTrue(found.size() >= 3, found.toString());
+        assertThrows(IllegalArgumentException.class, () -> Emulation.play(fleet, 1));
+    }
+}
