Name the network library's logger, so that a node loads none that other commands bring

Cause: the description reader brings a logging interface into the jar, and the network library looks for it at each start.

--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -16,6 +16,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.Future;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 
 import kitemux.Balancer;
 import kitemux.Balancer.ListKind;
@@ -176,6 +178,8 @@
 
     /** Runs a node until SIGTERM; a bad configuration ends it with one line and exit code 2. */
     public static void run(Map<String, String> env) {
+        // Else the network library looks for loggers that only other commands bring, and loads them.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         NodeConfig config;
         try {
             config = NodeConfig.read(env);
