Plan's answers as JSON; a keyed repeat after its window breaks a rule in the emulator

Need: answers that other tools read; the emulator's judge let a keyed request run again after its rack had forgotten it.

--- a/src/main/java/kitemux/fleet/Box.java
+++ b/src/main/java/kitemux/fleet/Box.java
@@ -63,8 +63,9 @@
      *
      * @param told the end of it, if the server tells one
      * @param workUs on a core of speed 1, the handshake's included
+     * @param sentUs when its node wrote it
      */
-    record Job(Rules.Asked asked, double workUs, Reply told) { }
+    record Job(Rules.Asked asked, double workUs, long sentUs, Reply told) { }
 
     /** Where a server's answer goes. */
     interface Reply {
@@ -221,7 +222,7 @@
 
     private void begin(Job job) {
         running++;
-        rules.runs(job.asked, this);
+        rules.runs(job.asked, this, job.sentUs);
         int mine = process;
         double takesUs = job.workUs / pace();
         time.afterUs(Math.max(1, Math.round(takesUs)), () -> {
--- a/src/main/java/kitemux/fleet/Proxy.java
+++ b/src/main/java/kitemux/fleet/Proxy.java
@@ -304,8 +304,9 @@
         attempts++;
         sent.written = true;
         Try asked = sent.exchange.request();
+        long now = time.nowUs();
         time.afterUs(oneWayUs(), () -> sent.box.take(new Box.Job(asked.asked(), asked.trueWorkUs() + extraUs,
-                sent)));
+                now, sent)));
     }
 
     @Override
--- a/src/main/java/kitemux/fleet/Rules.java
+++ b/src/main/java/kitemux/fleet/Rules.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 
+import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
 import kitemux.sim.Scheduler;
@@ -32,7 +33,7 @@
         final RequestClass of;
         final long number;
         private int runs;
-        private long firstRunUs;
+        private long firstSentUs;
         private int rack;
         private boolean answered;
 
@@ -51,19 +52,18 @@
         return limits;
     }
 
-    /** A server begins work on it. */
-    void runs(Asked asked, Box box) {
+    /** A server begins work on it, which was sent at this time. */
+    void runs(Asked asked, Box box, long sentUs) {
         if (asked.runs++ == 0) {
-            asked.firstRunUs = time.nowUs();
+            asked.firstSentUs = sentUs;
             asked.rack = box.rack;
             return;
         }
         boolean lawful = switch (asked.of.repeat()) {
             case SAFE -> true;
-            case KEYED -> switch (asked.of.group()) {
-                case ALL, ZONE -> true;
-                case CELL -> asked.rack == box.rack;
-            };
+            // Of two copies the one that was sent last may begin first: the rack remembers either.
+            case KEYED -> sentUs <= asked.firstSentUs + asked.of.windowUs()
+                    && (asked.of.group() != Group.CELL || asked.rack == box.rack);
             case UNSAFE -> false;
         };
         if (!lawful) {
--- a/src/test/java/kitemux/cli/PlanCommandTest.java
+++ b/src/test/java/kitemux/cli/PlanCommandTest.java
@@ -6,10 +6,13 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 
+import kitemux.config.Json;
+
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -52,6 +55,18 @@
         assertTrue(out.toString().matches("(?s).*std: \\d+ hold the goal.*"), out.toString());
     }
 
+    @Test
+    void theAnswersAsJsonSayWhatTheTextSays() throws IOException {
+        String shorter = Files.readString(EXAMPLE).replace("length = \"40s\"", "length = \"8s\"");
+        assertEquals(0, run("--fleet", file(shorter).toString(), "--ask", "holds,breaks", "--json"),
+                err.toString());
+        Json read = Json.read(out.toString().getBytes(StandardCharsets.UTF_8));
+        assertTrue(read.path("today").path("holds").flag());
+        assertTrue(read.path("today").path("inTime").path("mean").decimal(0) > 0.95);
+        assertTrue(read.path("breaks").path("breaksAt").decimal(0) > 1);
+        assertEquals(List.of(), read.path("fewest").values());
+    }
+
     @Test
     void allThatIsWrongIsToldAtOnceALineEach() throws IOException {
         String wrong = Files.readString(EXAMPLE).replace("way           = \"200us\"", "way = 5")
--- a/src/test/java/kitemux/fleet/BoxTest.java
+++ b/src/test/java/kitemux/fleet/BoxTest.java
@@ -51,7 +51,7 @@
                 return;
             }
             box.take(new Box.Job(new Rules.Asked(Fleets.of("c", 1, 2, 1, Repeat.SAFE), 1),
-                    workUs.getAsDouble(),
+                    workUs.getAsDouble(), came,
                     new Box.Reply() {
                         @Override
                         public void came(Result result) {
@@ -97,7 +97,7 @@
 
     private void send(Box box, int count, double workUs) {
         for (int i = 0; i < count; i++) {
-            box.take(new Box.Job(new Rules.Asked(Fleets.of("c", 1, 2, 1, Repeat.SAFE), i), workUs,
+            box.take(new Box.Job(new Rules.Asked(Fleets.of("c", 1, 2, 1, Repeat.SAFE), i), workUs, 0,
                     new Box.Reply() {
                         @Override
                         public void came(Result result) { }
@@ -155,9 +155,9 @@
     void whatMayRunOnceAndRunsTwiceIsTold() {
         Rules.Asked unsafe = new Rules.Asked(Fleets.of("order", 1, 2, 1, Repeat.UNSAFE), 7);
         Box box = box(1, 10, null);
-        rules.runs(unsafe, box);
+        rules.runs(unsafe, box, 0);
         assertEquals(0, rules.breaks());
-        rules.runs(unsafe, box);
+        rules.runs(unsafe, box, 0);
         assertEquals(1, rules.breaks());
         rules.answered(unsafe, true);
         assertEquals(2, rules.breaks(), "a refusal of what has run");
@@ -167,4 +167,19 @@
         assertEquals(4, rules.breaks());
         assertTrue(rules.told().get(0).contains("request 7 of order runs again"), rules.told().toString());
     }
+
+    @Test
+    void aKeyedRequestRunsAgainOnlyInItsRackAndWhileThatRemembersIt() {
+        Box here = box(1, 10, null);
+        Box elsewhere = new Box("e", 0, 1, fleet(here.of, null), 1, time, rules,
+                new Draws(1, Draws.Cause.BOXES));
+        Rules.Asked keyed = new Rules.Asked(Fleets.of("photo", 1, 2, 1, Repeat.KEYED), 7);
+        rules.runs(keyed, here, 1_000);
+        rules.runs(keyed, here, 1_000 + keyed.of.windowUs());
+        assertEquals(0, rules.breaks());
+        rules.runs(keyed, elsewhere, 2_000);
+        assertEquals(1, rules.breaks(), "another rack");
+        rules.runs(keyed, here, 1_001 + keyed.of.windowUs());
+        assertEquals(2, rules.breaks(), "forgotten by then");
+    }
 }
