Tell in the emulator of orders that run after a refusal; say once what requests need not have

Need: the emulator's judge saw a refusal of what had run, not a run of what had been refused. Change: Rules tells of both, with a test that counts it. What most protocols' requests do not carry (a guess at their work, a key, a body) has its default in Asked, so that MySQL's command and the emulator's try no longer say it each.

--- a/src/main/java/kitemux/engine/Asked.java
+++ b/src/main/java/kitemux/engine/Asked.java
@@ -27,17 +27,27 @@
     }
 
     /** A guess at the work in microseconds on a standard core, or 0. */
-    long workUs();
+    default long workUs() {
+        return 0;
+    }
 
     /** Whether the client marks it as a repeat. */
-    boolean retry();
+    default boolean retry() {
+        return false;
+    }
 
     /** What it is about, or null. */
-    String key();
+    default String key() {
+        return null;
+    }
 
     /** The client's own key for its effect, or null. */
-    String idempotencyKey();
+    default String idempotencyKey() {
+        return null;
+    }
 
     /** What it carries, in parts; not to be changed. */
-    List<byte[]> body();
+    default List<byte[]> body() {
+        return List.of();
+    }
 }
--- a/src/main/java/kitemux/fleet/Rules.java
+++ b/src/main/java/kitemux/fleet/Rules.java
@@ -36,6 +36,7 @@
         private long firstSentUs;
         private int rack;
         private boolean answered;
+        private boolean refused;
 
         Asked(RequestClass of, long number) {
             this.of = of;
@@ -54,6 +55,10 @@
 
     /** A server begins work on it, which was sent at this time. */
     void runs(Asked asked, Box box, long sentUs) {
+        if (asked.refused && asked.of.repeat() == Repeat.UNSAFE) {
+            breakOf("no effect twice: request " + asked.number + " of " + asked.of.name()
+                    + " runs though it was refused as harmless");
+        }
         if (asked.runs++ == 0) {
             asked.firstSentUs = sentUs;
             asked.rack = box.rack;
@@ -78,6 +83,7 @@
             breakOf("no request lost: request " + asked.number + " has a second answer");
         }
         asked.answered = true;
+        asked.refused |= refused;
         if (refused && asked.runs > 0 && asked.of.repeat() == Repeat.UNSAFE) {
             breakOf("no effect twice: request " + asked.number + " of " + asked.of.name()
                     + " has run and is refused as harmless");
--- a/src/main/java/kitemux/fleet/Try.java
+++ b/src/main/java/kitemux/fleet/Try.java
@@ -1,7 +1,5 @@
 package kitemux.fleet;
 
-import java.util.List;
-
 import kitemux.engine.Asked;
 import kitemux.engine.Client;
 
@@ -107,28 +105,8 @@
         return leftUs;
     }
 
-    @Override
-    public long workUs() {
-        return 0;
-    }
-
     @Override
     public boolean retry() {
         return again;
     }
-
-    @Override
-    public String key() {
-        return null;
-    }
-
-    @Override
-    public String idempotencyKey() {
-        return null;
-    }
-
-    @Override
-    public List<byte[]> body() {
-        return List.of();
-    }
 }
--- a/src/main/java/kitemux/mysql/Command.java
+++ b/src/main/java/kitemux/mysql/Command.java
@@ -22,26 +22,6 @@
     /** COM_PING: what checks a server, where the settings allow probes. */
     static final Command PING = new Command(null, -1, -1, 0, Form.PLAIN, new byte[] {PING_BYTE});
 
-    @Override
-    public long workUs() {
-        return 0;
-    }
-
-    @Override
-    public boolean retry() {
-        return false;
-    }
-
-    @Override
-    public String key() {
-        return null;
-    }
-
-    @Override
-    public String idempotencyKey() {
-        return null;
-    }
-
     @Override
     public List<byte[]> body() {
         return List.of(payload);
--- a/src/test/java/kitemux/fleet/BoxTest.java
+++ b/src/test/java/kitemux/fleet/BoxTest.java
@@ -165,6 +165,11 @@
         assertEquals(3, rules.breaks(), "a second answer");
         rules.unanswered(new Rules.Asked(Fleets.of("page", 1, 2, 1, Repeat.SAFE), 8));
         assertEquals(4, rules.breaks());
+        Rules.Asked refused = new Rules.Asked(Fleets.of("order", 1, 2, 1, Repeat.UNSAFE), 9);
+        rules.answered(refused, true);
+        assertEquals(4, rules.breaks());
+        rules.runs(refused, box, 0);
+        assertEquals(5, rules.breaks(), "it runs after it was refused");
         assertTrue(rules.told().get(0).contains("request 7 of order runs again"), rules.told().toString());
     }
 
