--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -1,5 +1,6 @@
 package kitemux;
 
+import java.math.BigInteger;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -119,9 +120,13 @@
     /** First wait before a failed list call is made again; doubled each time. */
     private static final long LIST_BACKOFF_US = 250_000;
 
-    /** Nodes that share a server in a large fleet: enough to even out what single nodes send, few against the
-     * connections that a server accepts; as each hears only of its own attempts, fewer also learn more. */
+    /** Most nodes that share a server in a large fleet, against the connections that a server accepts. */
     private static final int SHARERS = 24;
+    /** Nodes that suffice for that, as long as each then has {@link #ENOUGH_IN_USE} servers: what a node sees
+     * is its own attempts alone, so with fewer sharers its requests in flight tell more of a server. With 14
+     * nodes at each of 60 servers they told nothing: half of the pages came too late at 0.58 of capacity. */
+    private static final int FEW_SHARERS = 3;
+    private static final int ENOUGH_IN_USE = 8;
     /** Nodes that share a server from which on a node counts as sparse: its first part of a place is then a
      * fifth at most. With fewer, being sparse lost more than it gained. */
     private static final double SPARSE_FROM = 20;
@@ -403,7 +408,7 @@
     }
 
     /**
-     * Exception, subsets: acts when more than {@link #SHARERS} nodes would share each server. Connections
+     * Exception, subsets: acts when more than {@link #FEW_SHARERS} nodes would share each server. Connections
      * are capped, cost work and are priced, and what a node sees is spread thinner with each server it uses:
      * every node then keeps to a part of the servers, near ones first where crossing zones costs.
      */
@@ -435,21 +440,23 @@
     private static int partOf(int servers, double nodes, int atLeast) {
         // In a fleet that has shrunk, the least of all nodes would meet the cap on connections.
         int least = (int) Math.max(atLeast, Math.min(LEAST_IN_USE, 2 * SHARERS * servers / nodes));
-        return Math.min(servers, Math.max(least, (int) Math.ceil(SHARERS * servers / nodes)));
+        double enough = Math.max(ENOUGH_IN_USE, FEW_SHARERS * servers / nodes);
+        int part = (int) Math.ceil(Math.min(enough, SHARERS * servers / nodes));
+        return Math.min(servers, Math.max(least, part));
     }
 
     /**
      * This node's part of the servers. As in Maglev hashing, the servers take turns in claiming places from a
      * table of rows, each in an order of its own, and node i has row i modulo their number: all get equally
      * many, every node finds the same table from the same list, and a change of the list moves few places.
-     * A row for each node took too much CPU as a large fleet grew.
+     * A row for each node took too much CPU as a large fleet grew; few nodes would share rows unevenly.
      */
     private List<Server> subset(Server[] from, int size) {
         if (size == from.length) {
             return Arrays.asList(from);
         }
-        int rows = 1;
-        while (2 * rows <= set.nodes && rows * size < ROW_PLACES * from.length) {
+        int rows = set.nodes * size > 2 * ROW_PLACES * from.length ? 1 : set.nodes;
+        while (rows < set.nodes && rows * size < ROW_PLACES * from.length) {
             rows *= 2;
         }
         Server[] table = table(from, nextPrime(rows * size), size);
@@ -498,15 +505,7 @@
     }
 
     private static int nextPrime(int from) {
-        for (int n = from | 1; ; n += 2) {
-            boolean prime = true;
-            for (int d = 3; prime && d * d <= n; d += 2) {
-                prime = n % d != 0;
-            }
-            if (prime) {
-                return n;
-            }
-        }
+        return BigInteger.valueOf(from - 1).nextProbablePrime().intValue();
     }
 
     @Override
