--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -26,13 +26,12 @@
  */
 public final class ServiceQBalancer implements Balancer {
 
-    /** How many times a drawn server that may not be sent to is drawn again before the request waits: to look
-     * through all took more CPU than a node of a large fleet has when most are full. */
+    /** Further draws for one that may not be sent to: to look through a large fleet took too much CPU. */
     private static final int REDRAWS = 15;
     /** Draws by key, some of which the weights turn down: with three a burst waited in vain, with sixteen it
      * spread over servers that did not know the key. */
     private static final int KEY_DRAWS = 8;
-    /** Shortest sweep over waiting requests; long against the cost of a sweep, short against any aim. */
+    /** Shortest sweep over waiting requests: long against its cost, short against any aim. */
     private static final long MIN_SWEEP_US = 5_000;
     /** Share of a new value in a running mean, and in the share of timely answers, which follows a jam. */
     private static final double MEAN_GAIN = 1.0 / 32;
@@ -41,8 +40,7 @@
      * a part without which it would learn of no recovery. */
     private static final double THROTTLED_AT = 0.7;
     private static final double LEAST_ADMITTED = 0.05;
-    /** What a request costs a server that has just started and knows no keys, against the mean of requests at
-     * servers that do: how much memory saves is not told, so this is on the careful side. */
+    /** What a request costs a server that knows no keys yet, against the mean of others: a careful guess. */
     private static final double UNKNOWN_KEY_COST = 3;
     /** Gap between answers that a node assumes before it has seen any: careful with cold servers. */
     private static final double FIRST_GAP_US = 50_000;
@@ -53,8 +51,9 @@
     /** Answers slower than this share of the aim say that a server is crowded: the rest is for chance, and a
      * server that is crowded up to its aim may already have turned slower. */
     private static final double CROWDED_AT = 0.35;
-    /** The same share at a sparse node: what many nodes send evens out badly, so even servers with much
-     * room answer some requests slowly. */
+    /** The same share at a node of many, and at a sparse one: what many nodes send evens out badly, so even
+     * servers with much room answer some requests slowly. */
+    private static final double MANY_CROWDED_AT = 0.6;
     private static final double SPARSE_CROWDED_AT = 0.7;
     /** Part of that growth that stays while half of the answers come late: some must, or none comes back. */
     private static final double LEAST_GROWTH = 0.1;
@@ -64,27 +63,24 @@
     private static final double LIMIT_CUT = 0.1;
     /** Answers that take this many times the least mean of their class say so too, however far the aim is. */
     private static final double CROWDED_BY = 3;
-    /** Answers that take this share of the mean of their class at this node are slower than most: times are
-     * skewed, their median lies under their mean. */
+    /** Share of the mean of their class here over which answers are slower than most, as times are skewed. */
     private static final double SLOW_BY = 0.8;
+    /** So many times that tell of a slow server, and not of chance. */
+    private static final double FAR_SLOWER = 2;
     /** Most errors that slow answers add up to: a server that is slower still has its limit. */
     private static final int MOST_SLOW = 8;
     /** Growth of that least mean with each answer, so that it follows a change of work: by half in 4,000. */
     private static final double LEAST_DRIFT = 1.0001;
-    /** Longest time between two requests to a server whose limit is under one: at one second the nodes of a
-     * large fleet still held three requests each choked server and kept it so. */
+    /** Longest time between two requests to a server whose limit is under one: 1 s kept them choked. */
     private static final long MOST_REST_US = 2_000_000;
-    /** Requests that a node of many may send ahead of the rest of a server whose limit is under one: arrivals
-     * come in bunches, and what one node sends more at one time others send less. */
+    /** Requests that a sparse node may send ahead of a server's rest, as arrivals come in bunches. */
     private static final double BURST = 2;
-    /** Power of the number of nodes with which step and cut grow: at 0 a node of many learns too slowly, at a
-     * half chance rules and limits swing into jams. */
+    /** Power of the nodes with which step and cut grow: at 0 many learn slowly, at a half chance rules. */
     private static final double LEARN_BY_NODES = 0.25;
     /** Cut of a limit for a request turned away or not answered in time, which is more than slow. */
     private static final double LIMIT_HARD_CUT = 0.3;
-    /** A waiting request with fewer of its class's usual latencies left to its aim is too late, since in
-     * overload all that is served has waited up to this mark; but at most with a share of the aim left: while
-     * all servers are slow, some may still wait. */
+    /** A waiting request with fewer of its class's usual latencies left to its aim is too late: in overload
+     * all that is served has waited so long. But at most with this share left: some may wait in a jam. */
     private static final double TOO_LATE_AT = 2;
     private static final double MOST_LATE_AT = 0.8;
     /** Failures among a server's last {@link #REMEMBERED} answers from which on it is ejected, beside so many
@@ -95,7 +91,7 @@
     private static final int REMEMBERED = 16;
     /** Successes in a row that restore a server: one may be luck, three hardly if most fail. */
     private static final int TRIALS = 3;
-    /** First time without requests for an ejected server, doubled with each failed trial, and the longest. */
+    /** First time without requests for an ejected server, doubled with each failed trial; the longest. */
     private static final long EJECT_US = 250_000;
     private static final long MOST_EJECT_US = 4_000_000;
     /** Trials with unsafe requests are this much further apart: each that fails is lost. */
@@ -105,7 +101,7 @@
     private static final double SILENT_BY = 4;
     /** A node whose wake-up comes this much too late was paused itself. */
     private static final long PAUSED_US = 50_000;
-    /** Retry budget of hedges: this share of first tries, and so many at once. */
+    /** Budget of hedges: a share of first tries, and so many at once. */
     private static final double HEDGE_SHARE = 0.2;
     private static final double MOST_HEDGES = 20;
     /** Own requests in flight from which on a local server is compared with those of other zones. */
@@ -122,10 +118,11 @@
 
     /** Most nodes that share a server in a large fleet, against the connections that a server accepts. */
     private static final int SHARERS = 24;
-    /** Nodes that suffice for that, as long as each then has {@link #ENOUGH_IN_USE} servers: what a node sees
-     * is its own attempts alone, so with fewer sharers its requests in flight tell more of a server. With 14
-     * nodes at each of 60 servers they told nothing: half of the pages came too late at 0.58 of capacity. */
-    private static final int FEW_SHARERS = 3;
+    /** How many suffice where there are many nodes, if each has {@link #ENOUGH_IN_USE} servers: it sees its
+     * own attempts alone, so with fewer sharers its requests in flight tell more of a server. With 14 at each
+     * of 60 servers they told nothing: half of the pages came too late at 0.58 of capacity. */
+    private static final int MANY_NODES = 4;
+    private static final int FEW_SHARERS = 2;
     private static final int ENOUGH_IN_USE = 8;
     /** Nodes that share a server from which on a node counts as sparse: its first part of a place is then a
      * fifth at most. With fewer, being sparse lost more than it gained. */
@@ -137,8 +134,7 @@
     /** Places for each server in the table that keys draw from, at least: parts then differ by some percent.
      * Their number changes only as the fleet doubles, since with it all keys move. */
     private static final int KEY_PLACES = 16;
-    /** Waiting requests with a key that are drawn for in vain at each event and at each sweep: to draw for
-     * all of a long queue took more CPU than a node has. */
+    /** Waiting requests with a key that are tried in vain at each event and at each sweep: CPU is scarce. */
     private static final int KEYS_TRIED = 4;
     private static final int KEYS_SWEPT = 64;
 
@@ -152,6 +148,7 @@
     private double limitCut;
     /** Whether so many nodes share a server that own requests in flight tell little of its load. */
     private boolean sparse;
+    private final boolean many;
     private double timely = 0.75;
     private double failing;
 
@@ -314,6 +311,7 @@
         out = actions;
         random = new SplittableRandom(seed);
         sweepUs = Math.max(MIN_SWEEP_US, 2 * settings.tickUs);
+        many = set.nodes >= MANY_NODES;
         shareAmong(set.nodes);
         latencyUs = new double[set.classes.size()];
         leastLatencyUs = new double[set.classes.size()];
@@ -389,7 +387,7 @@
             ready[i].limit = ready[i].limit == 0 ? firstLimit() : ready[i].limit;
             if (isCold(ready[i]) && ready[i].nextColdSendAt == 0) {
                 // All nodes hear of a start at once: their first sends together would be a burst.
-                ready[i].nextColdSendAt = now + (long) (random.nextDouble() * coldGap(ready[i]));
+                ready[i].nextColdSendAt = now + (long) (random.nextDouble() * coldGap(ready[i], -1));
             }
         }
         Arrays.stream(before).forEach(this::closeIfUnused);
@@ -408,7 +406,7 @@
     }
 
     /**
-     * Exception, subsets: acts when more than {@link #FEW_SHARERS} nodes would share each server. Connections
+     * Exception, subsets: acts from {@link #MANY_NODES} nodes at a server on, and keeps to fewer. Connections
      * are capped, cost work and are priced, and what a node sees is spread thinner with each server it uses:
      * every node then keeps to a part of the servers, near ones first where crossing zones costs.
      */
@@ -442,14 +440,14 @@
         int least = (int) Math.max(atLeast, Math.min(LEAST_IN_USE, 2 * SHARERS * servers / nodes));
         double enough = Math.max(ENOUGH_IN_USE, FEW_SHARERS * servers / nodes);
         int part = (int) Math.ceil(Math.min(enough, SHARERS * servers / nodes));
-        return Math.min(servers, Math.max(least, part));
+        return nodes < MANY_NODES ? servers : Math.min(servers, Math.max(least, part));
     }
 
     /**
      * This node's part of the servers. As in Maglev hashing, the servers take turns in claiming places from a
      * table of rows, each in an order of its own, and node i has row i modulo their number: all get equally
      * many, every node finds the same table from the same list, and a change of the list moves few places.
-     * A row for each node took too much CPU as a large fleet grew; few nodes would share rows unevenly.
+     * A row for each node takes much CPU in a large fleet; few nodes would share rows unevenly.
      */
     private List<Server> subset(Server[] from, int size) {
         if (size == from.length) {
@@ -572,8 +570,8 @@
         closeIfUnused(server);
         Health ofClass = server.byClass[call.request.classIndex()];
         if (result == Result.OK) {
-            succeeded(server, ofClass,
-                    sparse && outcome.latencyUs() > SLOW_BY * latencyUs[call.request.classIndex()]);
+            succeeded(server, ofClass, outcome.latencyUs() > (sparse ? 1 : FAR_SLOWER) * SLOW_BY
+                    * latencyUs[call.request.classIndex()]);
         } else if (result != Result.CANCELLED && result != Result.MOOT && !call.silent[attempt]) {
             // A time-out of a server that has answered since tells of crowding, not of silence, as being
             // full does: the limit heeds it.
@@ -692,9 +690,9 @@
             }
         }
         if (!server.overall.ejected) {
-            // Exception, slow answers: at a sparse node an answer slower than most of its class adds an error
-            // and any other takes one off, so the weights settle where all servers are about equally quick.
-            int errors = !sparse ? 0 : slow ? Math.max(server.errors, Math.min(MOST_SLOW, server.errors + 1))
+            // Exception, slow answers: at a node of many a slow answer adds an error and any other takes one
+            // off, so the weights settle where all servers are about equally quick.
+            int errors = !many ? 0 : slow ? Math.max(server.errors, Math.min(MOST_SLOW, server.errors + 1))
                     : Math.max(0, server.errors - 1);
             weightsStale |= errors != server.errors;
             server.errors = errors;
@@ -1107,8 +1105,9 @@
         if (outcome.result() == Result.OK || left) {
             double aim = call.aimAt - call.arrivedAt;
             boolean patient = set.warmKeys || sparse && leastLatencyUs[c] < Double.MAX_VALUE;
-            double crowded = Math.min((patient ? SPARSE_CROWDED_AT : CROWDED_AT) * aim, set.warmKeys
-                    ? Double.MAX_VALUE : (sparse ? 2 : 1) * CROWDED_BY * leastLatencyUs[c]);
+            double crowdedAt = patient ? SPARSE_CROWDED_AT : many ? MANY_CROWDED_AT : CROWDED_AT;
+            double crowded = Math.min(crowdedAt * aim, set.warmKeys ? Double.MAX_VALUE
+                    : (sparse ? 2 : 1) * CROWDED_BY * leastLatencyUs[c]);
             double rank = sparse ? rank(call) : 1;
             if (outcome.latencyUs() > crowded) {
                 cutLimit(call, attempt, limitCut * rank);
@@ -1161,19 +1160,15 @@
         // that bursts inside a share find room; it does not raise limits either. Not where keys are warm,
         // since limits are no measure of room there.
         double part = call.overShare ? OVER_SHARE_PART : 1;
-        if (isAtLimit(server, part, ease * ahead)
-                || inFlight > ease * (1 + ahead) && inFlight + 1 > part * limits) {
+        boolean atLimit = server.inFlight + 1 > part * server.limit && (server.inFlight > ease * ahead
+                || now < server.restUntil - ease * ahead * server.restUs);
+        if (atLimit || inFlight > ease * (1 + ahead) && inFlight + 1 > part * limits) {
             server.wantedAt = call.overShare ? server.wantedAt : now;
             return true;
         }
         return false;
     }
 
-    private boolean isAtLimit(Server server, double part, double ahead) {
-        return server.inFlight + 1 > part * server.limit
-                && (server.inFlight > ahead || now < server.restUntil - ahead * server.restUs);
-    }
-
     /**
      * Exception, throttling: the chance with which a sparse node takes up a request; it falls as its answers
      * come late, first for what is worth little. All nodes hold back alike, so that servers that have
@@ -1209,7 +1204,8 @@
         // Gaps are counted from the first request on, not from the start of the clock.
         lastServedAt = lastServedAt == 0 ? now : lastServedAt;
         if (isCold(server)) {
-            server.nextColdSendAt = Math.max(now, server.nextColdSendAt) + coldGap(server);
+            server.nextColdSendAt = Math.max(now, server.nextColdSendAt)
+                    + coldGap(server, call.request.classIndex());
         }
         out.send(call.request.id(), server.id, call.deadlineAt);
     }
@@ -1286,12 +1282,17 @@
      * the rule's multiple; each spends half of that, spaced so that no burst spends it at once. Its limit
      * keeps a server that is slow besides below even that. Arrivals would not do as the measure, as clients'
      * retries multiply them in a jam, nor what is answered now alone, which would hold the jam: it counts by
-     * half, and the best that was, which may have been more than servers can do now, by the other half.
+     * half, and the best that was, which may have been more than servers can do now, by the other half. At a
+     * node of many it is no less than one core does of such work: half of a fleet may be replaced at once.
      */
-    private long coldGap(Server server) {
+    private long coldGap(Server server, int classIndex) {
         double age = Math.max(0, now - server.startedAt) / (double) set.coldUs;
         double share = set.coldFrom + (1 - set.coldFrom) * Math.min(1, age);
         double units = Math.max(1, set.fallMultiple / 2) / (set.warmKeys ? UNKNOWN_KEY_COST : 1);
-        return (long) (Math.sqrt(Math.min(leastGapUs, evenGapUs) * evenGapUs) / (share * units));
+        double unitUs = Math.sqrt(Math.min(leastGapUs, evenGapUs) * evenGapUs);
+        if (many && !set.warmKeys && classIndex >= 0 && isUsualKnown(classIndex)) {
+            unitUs = Math.min(unitUs, leastLatencyUs[classIndex] * sharers);
+        }
+        return (long) (unitUs / (share * units));
     }
 }
--- a/src/test/java/kitemux/ColdServerTest.java
+++ b/src/test/java/kitemux/ColdServerTest.java
@@ -87,6 +87,30 @@
         assertTrue(jammed * 7 >= swift * 2, "sent to the cold server: " + swift + ", in a jam " + jammed);
     }
 
+    /** While servers were replaced twice a second little was answered, and cold ones got little for it. */
+    @Test
+    void atANodeOfManyAColdServerGetsWhatItCanWorkOffHoweverLittleIsAnswered() {
+        long[] toCold = new long[2];
+        for (int run = 0; run < 40; run++) {
+            Balancer.Settings set = Node.settings();
+            set.nodes = run % 2 == 1 ? 8 : 3;
+            Node node = new Node(set, run).with(4);
+            for (int i = 0; i < 100; i++) {
+                node.serve(Node.SAFE, Result.OK, 10_000);
+                node.advance(190_000);
+            }
+            node.list(ListKind.CHANGES, List.of(started("cold", node.now)));
+            // Five a second for three seconds: an even part is one a second, of which it got two fifths.
+            for (int i = 0; i < 15; i++) {
+                node.serve(Node.SAFE, Result.OK, 10_000);
+                node.advance(190_000);
+            }
+            toCold[run % 2] += node.sentTo("cold");
+        }
+        assertTrue(5 * toCold[1] > 6 * toCold[0] && toCold[1] <= 20 * 4, "sent to the cold server by nodes of "
+                + "eight: " + toCold[1] + ", by nodes of three: " + toCold[0]);
+    }
+
     @Test
     void slowStartDoesNotDependOnWhereTheClockBegins() {
         // Guards against a first gap between answers that was counted from the start of the clock.
