--- a/src/test/java/kitemux/fleet/EmulationTest.java
+++ b/src/test/java/kitemux/fleet/EmulationTest.java
@@ -57,6 +57,16 @@
         }
     }
 
+    /** With every node at every server none knew what a server held: pages came late with nothing wrong. */
+    @Test
+    void fourteenNodesServeSixtyServersAboutAsWellAsTwoServeTen() {
+        Result few = Emulation.play(Fleets.yearbook(5, 5, 2, 0.6, 20), 1);
+        Result many = Emulation.play(Fleets.yearbook(30, 30, 14, 0.6, 20), 1);
+        assertTrue(many.inTime() > few.inTime() - 0.02 && many.worstClass() > few.worstClass() - 0.05,
+                "in time, and of the worst class: " + many.inTime() + ", " + many.worstClass()
+                        + "; two for ten: " + few.inTime() + ", " + few.worstClass());
+    }
+
     @Test
     void whatIsBeyondTheFleetIsRefusedAndWhatIsNotIsServed() {
         Result calm = Emulation.play(Fleets.yearbook(5, 5, 2, 0.4, 20), 1);
