--- a/src/test/java/kitemux/fleet/EmulationTest.java
+++ b/src/test/java/kitemux/fleet/EmulationTest.java
@@ -67,6 +67,19 @@
                         + "; two for ten: " + few.inTime() + ", " + few.worstClass());
     }
 
+    /** Most nodes killed at once, a rack silent and back cold, six servers in ten dead and back cold. */
+    @Test
+    void aLargeFleetKeepsTheRulesAndComesBackFromItsWorstHours() {
+        for (Fault worst : List.of(fault(Trouble.NODES_RESTART, Among.ANY, 12, 4, 12),
+                fault(Trouble.VANISH, Among.RACK, 0, 4, 0), fault(Trouble.DIE, Among.ANY, 36, 4, 0))) {
+            Fleet fleet = Fleets.yearbook(30, 30, 14, 0.45, 40).withFaults(List.of(worst));
+            Result result = Emulation.play(fleet, 1);
+            int back = result.backAfterS(8, 0.95);
+            assertTrue(back >= 0 && back <= 10, worst + ": 95% in time again after " + back + " s");
+            assertEquals(List.of(), result.told(), worst.toString());
+        }
+    }
+
     @Test
     void whatIsBeyondTheFleetIsRefusedAndWhatIsNotIsServed() {
         Result calm = Emulation.play(Fleets.yearbook(5, 5, 2, 0.4, 20), 1);
