--- a/src/test/java/kitemux/ColdServerTest.java
+++ b/src/test/java/kitemux/ColdServerTest.java
@@ -108,7 +108,7 @@
             toCold[run % 2] += node.sentTo("cold");
         }
         assertTrue(5 * toCold[1] > 6 * toCold[0] && toCold[1] <= 20 * 4,
-                "sent to the cold server by nodes of eight: " + toCold[1] + ", by nodes of three: " + toCold[0]);
+                "sent to the cold server by nodes of eight: " + toCold[1] + ", by three: " + toCold[0]);
     }
 
     @Test
