Play several node processes with faults between them and judge what was seen: drill

Processes, servers and clients are the lab's, through one seam (Between). No node outlives a drill that is killed.

--- /dev/null
+++ b/src/main/java/kitemux/drill/Drill.java
@@ -0,0 +1,500 @@
+package kitemux.drill;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+import kitemux.Balancer.RequestClass;
+import kitemux.Balancer.Result;
+import kitemux.Balancer.ServerEntry;
+import kitemux.drill.Fault.Way;
+import kitemux.fleet.Fleet;
+import kitemux.fleet.Try;
+import kitemux.lab.Between;
+import kitemux.lab.Loopback;
+import kitemux.sim.Scheduler;
+
+/**
+ * Plays a drill: processes of real nodes, servers, discovery and clients on loopback, a way between any two
+ * of
+ * them that talk, and faults of ways and processes at their times. Judges nothing: what was done and seen
+ * goes
+ * to a time-line.
+ */
+public final class Drill {
+    /** Ways listen beside those that they lead to: at these ports and the number of the node. */
+    private static final int TO_BOX = 24_000;
+    private static final int TO_LIST = 25_000;
+    private static final int TO_NODE = 26_000;
+    /** The machines from which ways dial, so that whoever is dialled sees which node it is. */
+    private static final int FROM = 253;
+    private static final int CLIENTS_FROM = 100;
+    private static final long MOST_OPEN_S = 20;
+
+    private final Scenario scenario;
+    private final Parties parties;
+    private final int place;
+    private final EventLoop loop;
+    private final Path file;
+    private final Map<Way, Link> links = new LinkedHashMap<>();
+    private final Map<Way, List<Link.State>> befalls = new HashMap<>();
+    private final AtomicReference<Throwable> failure = new AtomicReference<>();
+    private final List<Boolean> nodeUp = new ArrayList<>();
+    private final Set<String> silentBoxes = new HashSet<>();
+    private Timeline timeline;
+    private Loopback.Live live;
+
+    private Drill(Scenario scenario, int place, EventLoop loop, Path file) {
+        this.scenario = scenario;
+        this.place = place;
+        this.loop = loop;
+        this.file = file;
+        parties = new Parties(scenario.fleet());
+        for (int n = 0; n < scenario.fleet().nodes().count(); n++) {
+            nodeUp.add(true);
+        }
+    }
+
+    /**
+     * Plays one; takes as long as its clients ask, and some seconds more.
+     *
+     * @param launcher starts the nodes
+     * @param timeline the file that is written
+     * @throws IOException if a node cannot be started, a socket not be opened or the file not be written
+     */
+    public static void play(Scenario scenario, Loopback.Launcher launcher, Path timeline)
+            throws IOException, InterruptedException {
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        Drill[] drill = new Drill[1];
+        try {
+            Loopback.play(scenario.fleet(), scenario.seed(), () -> guarded(launcher.node()), place -> {
+                drill[0] = new Drill(scenario, place, (EventLoop) group.next(), timeline);
+                return drill[0].new Ways();
+            }, null);
+            drill[0].end();
+        } finally {
+            if (drill[0] != null) {
+                drill[0].close();
+            }
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(MOST_OPEN_S, TimeUnit.SECONDS);
+        }
+    }
+
+    /** A node's process that does not outlive this one, however it ends: then its input does. */
+    private static ProcessBuilder guarded(ProcessBuilder node) {
+        List<String> command = new ArrayList<>(List.of("sh", "-c",
+                "\"$@\" & node=$!; read -r end; kill -9 $node; wait $node 2>&-", "sh"));
+        command.addAll(node.command());
+        return node.command(command);
+    }
+
+    private void close() throws IOException {
+        links.values().forEach(link -> loop.submit(link::close).syncUninterruptibly());
+        if (timeline != null) {
+            timeline.close();
+        }
+    }
+
+    private void end() throws IOException {
+        timeline.event("end", json -> json.writeNumberField("late", live.mostLateUs()));
+        if (failure.get() != null) {
+            throw new IOException("the drill failed: " + failure.get(), failure.get());
+        }
+    }
+
+    // ---------------------------------------------------------------- ways
+
+    private InetSocketAddress link(Way way, int node, InetSocketAddress listens, int port) {
+        int from = way.from().equals(Parties.CLIENTS) ? CLIENTS_FROM : 0;
+        InetSocketAddress near = new InetSocketAddress(listens.getAddress(), port + node);
+        InetSocketAddress dialsFrom = new InetSocketAddress("127." + place + "." + FROM + "."
+                + (1 + from + node), 0);
+        Link link = new Link(loop, near, listens, dialsFrom, scenario.seed() * 31 + links.size(),
+                e -> failure.compareAndSet(null, e));
+        links.put(way, link);
+        loop.execute(link::open);
+        return near;
+    }
+
+    /** Done on the ways' loop, before anything else happens in the run. */
+    private void at(Way way, Consumer<Link> what) {
+        Link link = links.get(way);
+        loop.submit(() -> what.accept(link)).syncUninterruptibly();
+    }
+
+    private void awaitOpen() {
+        for (Link link : links.values()) {
+            try {
+                link.opened().get(MOST_OPEN_S, TimeUnit.SECONDS);
+            } catch (InterruptedException | ExecutionException | TimeoutException e) {
+                failure.compareAndSet(null, e);
+            }
+        }
+    }
+
+    private void befalls(List<Way> ways, Link.State state, boolean begins) {
+        for (Way way : ways) {
+            List<Link.State> all = befalls.computeIfAbsent(way, of -> new ArrayList<>());
+            if (begins) {
+                all.add(state);
+            } else {
+                all.remove(state);
+            }
+            Link.State now = all.stream().reduce(Link.State.WELL, Link.State::and);
+            at(way, link -> link.set(now));
+        }
+    }
+
+    // ---------------------------------------------------------------- faults
+
+    private void begin(Fault fault) {
+        tell(fault, "fault");
+        Link.State cut = new Link.State(fault.there(), fault.back(), 0, 0, 0);
+        switch (fault.what()) {
+            case CUT -> befalls(fault.links(), cut, true);
+            case SLOW -> befalls(fault.links(), slow(fault), true);
+            case FLAP -> flap(fault, cut, live.time().nowUs() + fault.forUs());
+            case RESET -> fault.links().forEach(way -> at(way, Link::reset));
+            case KILL -> fault.nodes().forEach(node -> live.fleet().killNode(node));
+            case STOP -> fault.nodes().forEach(node -> {
+                live.signal(node, "STOP");
+                unseen(node, true);
+            });
+            case CRASH -> fault.nodes().forEach(node -> {
+                befalls(parties.of(node), Link.State.WELL.and(GONE), true);
+                live.vanish(node);
+                unseen(node, true);
+            });
+        }
+        if (fault.what() != Fault.What.RESET) {
+            live.time().afterUs(fault.forUs(), () -> end(fault));
+        }
+    }
+
+    private static final Link.State GONE = new Link.State(true, true, 0, 0, 0);
+
+    private static Link.State slow(Fault fault) {
+        return new Link.State(false, false, fault.delayUs(), fault.spreadUs(), fault.bytesPerS());
+    }
+
+    private void end(Fault fault) {
+        switch (fault.what()) {
+            case CUT -> befalls(fault.links(), new Link.State(fault.there(), fault.back(), 0, 0, 0), false);
+            case SLOW -> befalls(fault.links(), slow(fault), false);
+            case KILL -> fault.nodes().forEach(node -> live.fleet().startNode(node));
+            case STOP -> fault.nodes().forEach(node -> {
+                live.signal(node, "CONT");
+                unseen(node, false);
+            });
+            case CRASH -> fault.nodes().forEach(node -> {
+                // Whoever held a connection to it hears now that nobody is there.
+                parties.of(node).forEach(way -> at(way, Link::reset));
+                befalls(parties.of(node), GONE, false);
+                live.dealt(node, false);
+                live.fleet().startNode(node);
+            });
+            default -> {
+                // What flaps ends by its own clock, and what resets is over at once.
+            }
+        }
+        tell(fault, "mended");
+    }
+
+    private void flap(Fault fault, Link.State cut, long untilUs) {
+        befalls(fault.links(), cut, true);
+        Scheduler time = live.time();
+        time.afterUs(fault.everyUs() / 2, () -> {
+            befalls(fault.links(), cut, false);
+            if (time.nowUs() + fault.everyUs() / 2 < untilUs) {
+                time.afterUs(fault.everyUs() / 2, () -> flap(fault, cut, untilUs));
+            }
+        });
+    }
+
+    /** The front notices late that nobody answers there, and at once that somebody does. */
+    private void unseen(int node, boolean is) {
+        nodeUp.set(node, !is);
+        if (!is) {
+            live.dealt(node, true);
+            return;
+        }
+        live.time().afterUs(scenario.fleet().nodes().noticeUs(), () -> {
+            if (!nodeUp.get(node)) {
+                live.dealt(node, false);
+            }
+        });
+    }
+
+    private void tell(Fault fault, String kind) {
+        timeline.event(kind, json -> {
+            json.writeStringField("name", fault.name());
+            json.writeStringField("what", fault.what().name().toLowerCase(Locale.ROOT));
+            json.writeArrayFieldStart("ways");
+            List<Way> hit = new ArrayList<>(fault.links());
+            if (fault.what() == Fault.What.CRASH) {
+                fault.nodes().forEach(node -> hit.addAll(parties.of(node)));
+            }
+            for (Way way : hit) {
+                json.writeString(way.toString());
+            }
+            json.writeEndArray();
+            json.writeArrayFieldStart("nodes");
+            for (int node : fault.nodes()) {
+                json.writeNumber(node);
+            }
+            json.writeEndArray();
+            json.writeNumberField("delay", fault.delayUs() + fault.spreadUs());
+        });
+    }
+
+    // ---------------------------------------------------------------- what is seen
+
+    private void describe(JsonGenerator json) throws IOException {
+        Fleet fleet = scenario.fleet();
+        json.writeNumberField("seed", scenario.seed());
+        json.writeNumberField("nodes", fleet.nodes().count());
+        json.writeNumberField("length", fleet.load().lengthUs());
+        json.writeNumberField("grace", fleet.list().graceUs());
+        json.writeNumberField("repeatGrace", scenario.repeatUs());
+        json.writeNumberField("meanWork", Math.round(fleet.meanWorkUs()));
+        json.writeArrayFieldStart("boxes");
+        for (Fleet.Kind kind : fleet.kinds()) {
+            for (int i = 0; i < kind.count(); i++) {
+                json.writeStartObject();
+                json.writeStringField("id", kind.name() + "-" + i);
+                json.writeNumberField("rack", parties.rack(kind.name() + "-" + i));
+                json.writeNumberField("cores", kind.cores());
+                json.writeNumberField("speed", kind.speed());
+                json.writeNumberField("coldFrom", kind.coldFrom());
+                json.writeNumberField("cold", kind.coldUs());
+                json.writeEndObject();
+            }
+        }
+        json.writeEndArray();
+        json.writeArrayFieldStart("classes");
+        for (Fleet.Work work : fleet.classes()) {
+            RequestClass of = work.of();
+            json.writeStartObject();
+            json.writeStringField("name", of.name());
+            json.writeStringField("repeat", of.repeat().name());
+            json.writeStringField("group", of.group().name());
+            json.writeNumberField("aim", of.aimUs());
+            json.writeNumberField("window", of.windowUs());
+            json.writeNumberField("worth", of.worth());
+            json.writeEndObject();
+        }
+        json.writeEndArray();
+        json.writeArrayFieldStart("phases");
+        for (Scenario.Phase phase : scenario.phases()) {
+            json.writeStartObject();
+            json.writeStringField("name", phase.name());
+            json.writeNumberField("from", phase.fromUs());
+            json.writeNumberField("to", phase.toUs());
+            json.writeEndObject();
+        }
+        json.writeEndArray();
+        json.writeObjectFieldStart("bounds");
+        json.writeNumberField("attempts", scenario.bounds().attempts());
+        json.writeNumberField("dials", scenario.bounds().dials());
+        json.writeNumberField("calls", scenario.bounds().calls());
+        json.writeEndObject();
+    }
+
+    private static int nodeOf(InetSocketAddress from) {
+        return (from.getAddress().getAddress()[3] & 0xff) - 1;
+    }
+
+    private final class Ways implements Between {
+        @Override
+        public InetSocketAddress toNode(int node, InetSocketAddress listens) {
+            return link(new Way(Parties.CLIENTS, Parties.node(node)), node, listens, TO_NODE);
+        }
+
+        @Override
+        public InetSocketAddress toBox(int node, String box, InetSocketAddress listens) {
+            return link(new Way(Parties.node(node), box), node, listens, TO_BOX);
+        }
+
+        @Override
+        public InetSocketAddress toList(int node, InetSocketAddress listens) {
+            return link(new Way(Parties.node(node), Parties.LIST), node, listens, TO_LIST);
+        }
+
+        @Override
+        public void begins(Loopback.Live run) {
+            live = run;
+            awaitOpen();
+            try {
+                timeline = new Timeline(file, () -> run.time().nowUs());
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            timeline.event("begin", Drill.this::describe);
+            for (Fault fault : scenario.faults()) {
+                run.time().afterUs(fault.atUs(), () -> Drill.this.begin(fault));
+            }
+        }
+
+        private boolean began() {
+            return timeline != null;
+        }
+
+        @Override
+        public void up(int node) {
+            at(new Way(Parties.CLIENTS, Parties.node(node)), link -> link.targetListens(true));
+            timeline.event("up", json -> json.writeNumberField("node", node));
+        }
+
+        @Override
+        public void down(int node) {
+            at(new Way(Parties.CLIENTS, Parties.node(node)), link -> link.targetListens(false));
+            timeline.event("down", json -> json.writeNumberField("node", node));
+        }
+
+        @Override
+        public void said(int node, String line) {
+            if (began()) {
+                timeline.event("said", json -> {
+                    json.writeNumberField("node", node);
+                    json.writeStringField("line", line);
+                });
+            }
+        }
+
+        @Override
+        public void asked(int node, Try one) {
+            timeline.event("ask", json -> {
+                json.writeStringField("txn", one.txn());
+                json.writeNumberField("wish", one.wish());
+                json.writeNumberField("class", one.classIndex());
+                json.writeNumberField("node", node);
+                json.writeNumberField("left", one.leftUs());
+            });
+        }
+
+        private void of(String kind, Try one) {
+            timeline.event(kind, json -> json.writeStringField("txn", one.txn()));
+        }
+
+        @Override
+        public void written(Try one, boolean usedBefore) {
+            of("written", one);
+        }
+
+        @Override
+        public void broken(Try one, boolean usedBefore) {
+            timeline.event("broken", json -> {
+                json.writeStringField("txn", one.txn());
+                json.writeBooleanField("again", usedBefore);
+            });
+        }
+
+        @Override
+        public void answered(Try one, int status, long retryAfterUs) {
+            timeline.event("answer", json -> {
+                json.writeStringField("txn", one.txn());
+                json.writeNumberField("status", status);
+                json.writeNumberField("after", retryAfterUs);
+            });
+        }
+
+        @Override
+        public void left(Try one) {
+            of("left", one);
+        }
+
+        @Override
+        public void connected(String box, InetSocketAddress from) {
+            timeline.event("dial", json -> {
+                json.writeStringField("box", box);
+                json.writeNumberField("node", nodeOf(from));
+            });
+        }
+
+        @Override
+        public void came(String box, InetSocketAddress from, Try one, boolean runs) {
+            timeline.event("try", json -> {
+                json.writeStringField("box", box);
+                json.writeNumberField("node", nodeOf(from));
+                json.writeStringField("txn", one.txn());
+                json.writeBooleanField("runs", runs);
+            });
+        }
+
+        @Override
+        public void told(String box, Try one, Result result) {
+            timeline.event("told", json -> {
+                json.writeStringField("box", box);
+                json.writeStringField("txn", one.txn());
+                json.writeStringField("result", result.name());
+            });
+        }
+
+        @Override
+        public void box(String box, boolean up, boolean silent) {
+            if (!began()) {
+                return;
+            }
+            List<Way> ways = new ArrayList<>();
+            for (int node = 0; node < scenario.fleet().nodes().count(); node++) {
+                ways.add(new Way(Parties.node(node), box));
+            }
+            if (silent && silentBoxes.add(box)) {
+                befalls(ways, GONE, true);
+            } else if (!silent) {
+                ways.forEach(way -> at(way, link -> link.targetListens(up)));
+                if (silentBoxes.remove(box)) {
+                    // Whoever still holds a connection hears that nobody knows of it.
+                    ways.forEach(way -> at(way, Link::reset));
+                    befalls(ways, GONE, false);
+                }
+            }
+            timeline.event("box", json -> {
+                json.writeStringField("box", box);
+                json.writeStringField("state", up ? "up" : silent ? "silent" : "down");
+            });
+        }
+
+        @Override
+        public void listed(int node, List<ServerEntry> entries) {
+            timeline.event("list", json -> {
+                json.writeNumberField("node", node);
+                json.writeObjectFieldStart("states");
+                for (ServerEntry entry : entries) {
+                    json.writeStringField(entry.id(), entry.state().name());
+                }
+                json.writeEndObject();
+            });
+        }
+
+        @Override
+        public void called(int node, boolean watch) {
+            if (began()) {
+                timeline.event("call", json -> {
+                    json.writeNumberField("node", node);
+                    json.writeBooleanField("watch", watch);
+                });
+            }
+        }
+    }
+}
--- a/src/main/java/kitemux/fleet/Emulation.java
+++ b/src/main/java/kitemux/fleet/Emulation.java
@@ -230,6 +230,17 @@
         restartNodes(new Fleet.Fault(Fleet.Trouble.NODES_RESTART, Fleet.Among.ANY, 0, 1, 0, 0, 1));
     }
 
+    /** A node is killed; the front deals out to it until it notices. */
+    public void killNode(int node) {
+        clients.died(node);
+        nodes.get(node).die();
+    }
+
+    /** A node that was killed starts anew. */
+    public void startNode(int node) {
+        nodes.get(node).start();
+    }
+
     /** One tenant asks so much more for so long. */
     public void flood(int tenant, double ratePerS, long forUs) {
         clients.flood(tenant, ratePerS, time.nowUs() + forUs);
@@ -319,9 +330,8 @@
         for (int n = 0; n < all; n++) {
             int node = of.get(n);
             time.afterUs(n / atOnce * (fault.forUs() + fleet.nodes().startUs()), () -> {
-                clients.died(node);
-                nodes.get(node).die();
-                time.afterUs(fault.forUs() + fleet.nodes().startUs(), () -> nodes.get(node).start());
+                killNode(node);
+                time.afterUs(fault.forUs() + fleet.nodes().startUs(), () -> startNode(node));
             });
         }
     }
--- a/src/main/java/kitemux/fleet/Population.java
+++ b/src/main/java/kitemux/fleet/Population.java
@@ -35,6 +35,7 @@
     /** Until when the front still deals clients out to a node that has died, and from when not yet again. */
     private final long[] noticedAtUs;
     private long tries;
+    private long wishes;
 
     Population(Fleet fleet, Scheduler time, List<FleetNode> nodes, Rules rules, Tally tally, long seed) {
         this.fleet = fleet;
@@ -128,6 +129,7 @@
         private final double workUs;
         private final long cameUs = time.nowUs();
         private final double worth;
+        private final long number = ++wishes;
         private int asked;
         private Scheduler.Event patienceEnds;
 
@@ -182,6 +184,11 @@
             return nodes.get(first);
         }
 
+        @Override
+        public long number() {
+            return number;
+        }
+
         @Override
         public int classIndex() {
             return classIndex;
--- a/src/main/java/kitemux/fleet/Try.java
+++ b/src/main/java/kitemux/fleet/Try.java
@@ -14,6 +14,9 @@
 
     /** What a client wants, over all its tries. */
     interface Intention {
+        /** Counts what clients want, over all tries, from 1. */
+        long number();
+
         int classIndex();
 
         int tenant();
@@ -48,6 +51,11 @@
         return of.workUs();
     }
 
+    /** Counts what clients want: all tries for one thing have its number. */
+    public long wish() {
+        return of.number();
+    }
+
     /** Whether it has ended for its client. */
     public boolean isOver() {
         return over;
--- /dev/null
+++ b/src/main/java/kitemux/lab/Between.java
@@ -0,0 +1,79 @@
+package kitemux.lab;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+
+import kitemux.Balancer.Result;
+import kitemux.Balancer.ServerEntry;
+import kitemux.fleet.Try;
+
+/**
+ * Who stands between the parties of a run over sockets, and looks on: where each party is told that another
+ * one listens, and what they do. All is called on the run's thread, at the run's time; what is not of
+ * interest
+ * is left as it is.
+ */
+public interface Between {
+    /** Nobody: parties meet as they listen. */
+    Between NOBODY = new Between() { };
+
+    /** Where clients reach a node. */
+    default InetSocketAddress toNode(int node, InetSocketAddress listens) {
+        return listens;
+    }
+
+    /** Where a node reaches a server. */
+    default InetSocketAddress toBox(int node, String box, InetSocketAddress listens) {
+        return listens;
+    }
+
+    /** Where a node reaches discovery. */
+    default InetSocketAddress toList(int node, InetSocketAddress listens) {
+        return listens;
+    }
+
+    /** The run begins: clients come from now on. */
+    default void begins(Loopback.Live live) { }
+
+    /** A node's process takes clients, or takes them again. */
+    default void up(int node) { }
+
+    /** A node's process was ended. */
+    default void down(int node) { }
+
+    /** A node's process wrote a line, at some time not long ago. */
+    default void said(int node, String line) { }
+
+    /** A client's try is on its way to a node. */
+    default void asked(int node, Try one) { }
+
+    /** A client has written a try to a connection, one that was used before or a new one. */
+    default void written(Try one, boolean usedBefore) { }
+
+    /** A connection ended under a try, with no byte of an answer. */
+    default void broken(Try one, boolean usedBefore) { }
+
+    /** An answer has come whole. */
+    default void answered(Try one, int status, long retryAfterUs) { }
+
+    /** A client waits no more for a try, and closes its connection. */
+    default void left(Try one) { }
+
+    /** A connection to a server has come up. */
+    default void connected(String box, InetSocketAddress from) { }
+
+    /** A request has come whole to a server that runs, or to one that says nothing. */
+    default void came(String box, InetSocketAddress from, Try one, boolean runs) { }
+
+    /** A server says how a request ended there. */
+    default void told(String box, Try one, Result result) { }
+
+    /** A server's process has begun, or ended, or gone on without a word. */
+    default void box(String box, boolean up, boolean silent) { }
+
+    /** Discovery writes a change to a node. */
+    default void listed(int node, List<ServerEntry> entries) { }
+
+    /** A node calls discovery, or watches it from now on. */
+    default void called(int node, boolean watch) { }
+}
--- a/src/main/java/kitemux/lab/BoxSocket.java
+++ b/src/main/java/kitemux/lab/BoxSocket.java
@@ -46,6 +46,7 @@
     private final RealTime time;
     private final Map<String, Try> asked;
     private final double handshakeUs;
+    private final Between between;
     private final ServerBootstrap listener;
     private final Set<Channel> open = new LinkedHashSet<>();
     private ChannelFuture listening;
@@ -57,8 +58,9 @@
      * @param handshakeUs work that a new connection costs, on a core of speed 1
      */
     BoxSocket(Box box, InetSocketAddress address, EventLoop loop, RealTime time, Map<String, Try> asked,
-            double handshakeUs) {
+            double handshakeUs, Between between) {
         this.box = box;
+        this.between = between;
         this.address = address;
         this.time = time;
         this.asked = asked;
@@ -84,6 +86,7 @@
 
     /** Its process has ended or begun. */
     private void follow() {
+        between.box(box.id(), box.isUp(), box.isSilent());
         if (box.isSilent()) {
             return;
         }
@@ -123,6 +126,7 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             time.happens(() -> {
+                between.connected(box.id(), (InetSocketAddress) context.channel().remoteAddress());
                 open.add(context.channel());
                 if (box.isUp() && !box.connect()) {
                     reset(context.channel());
@@ -142,7 +146,9 @@
             }
             double extraUs = fresh ? handshakeUs : 0;
             fresh = false;
+            InetSocketAddress from = (InetSocketAddress) context.channel().remoteAddress();
             time.happens(() -> {
+                between.came(box.id(), from, of, box.isUp());
                 if (!box.isUp()) {
                     return;
                 }
@@ -150,6 +156,7 @@
                 box.take(of, extraUs, time.scheduler().nowUs(), new Box.Reply() {
                     @Override
                     public void came(Result result) {
+                        between.told(box.id(), of, result);
                         tell(context.channel(), result);
                     }
 
--- a/src/main/java/kitemux/lab/ListDesk.java
+++ b/src/main/java/kitemux/lab/ListDesk.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -49,14 +50,18 @@
     private final Set<Channel> watches = new LinkedHashSet<>();
     private final ChannelFuture listening;
     private final EventLoop loop;
+    private final Consumer<Boolean> called;
     private long rev = 1;
 
     /**
      * Listens from now on; has no server yet.
      *
      * @param addresses where servers listen, by their ids
+     * @param called told of each call, and whether it is a watch
      */
-    ListDesk(InetSocketAddress address, EventLoop loop, Map<String, InetSocketAddress> addresses) {
+    ListDesk(InetSocketAddress address, EventLoop loop, Map<String, InetSocketAddress> addresses,
+            Consumer<Boolean> called) {
+        this.called = called;
         this.addresses = addresses;
         this.loop = loop;
         listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
@@ -112,7 +117,9 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             String list = text(true, entries.values());
-            if (!new QueryStringDecoder(request.uri()).parameters().containsKey("watch")) {
+            boolean watch = new QueryStringDecoder(request.uri()).parameters().containsKey("watch");
+            called.accept(watch);
+            if (!watch) {
                 FullHttpResponse whole = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                         HttpResponseStatus.OK,
                         Unpooled.copiedBuffer(list, StandardCharsets.UTF_8));
--- a/src/main/java/kitemux/lab/Loopback.java
+++ b/src/main/java/kitemux/lab/Loopback.java
@@ -36,6 +36,7 @@
 import kitemux.fleet.Fleet;
 import kitemux.fleet.Result;
 import kitemux.fleet.Try;
+import kitemux.sim.Scheduler;
 
 /**
  * Plays a described fleet in real time: processes of the node that serves, over loopback sockets, among
@@ -70,7 +71,9 @@
     private final List<BoxSocket> sockets = new ArrayList<>();
     private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
     private final Map<String, Try> asked = new HashMap<>();
-    private ListDesk desk;
+    /** One a node, as each may be told other ways to the same servers. */
+    private final List<ListDesk> desks = new ArrayList<>();
+    private final Between between;
 
     /**
      * What came of it.
@@ -86,13 +89,39 @@
         ProcessBuilder node() throws IOException;
     }
 
-    private Loopback(Fleet fleet, long seed, Launcher launcher, ServerSocket held) {
+    /** A run as it goes on, for whoever does things to it; on the run's thread. */
+    public interface Live {
+        /** The run's time. */
+        Scheduler time();
+
+        /** Clients, servers and their troubles. */
+        Emulation fleet();
+
+        /** A node's process gets a signal by its name, such as STOP. */
+        void signal(int node, String name);
+
+        /** A node's machine goes without a word; its ways are the caller's to cut. */
+        void vanish(int node);
+
+        /** Whether the front deals clients out to a node, whatever becomes of its process. */
+        void dealt(int node, boolean to);
+
+        /** The longest that the run was behind the clock so far, in microseconds. */
+        long mostLateUs();
+    }
+
+    private Loopback(Fleet fleet, long seed, Launcher launcher, ServerSocket held, Between between) {
+        this.between = between;
         // A node's process takes as long to start as it takes.
         Fleet.Nodes n = fleet.nodes();
         this.fleet = fleet.with(new Fleet.Nodes(n.count(), n.eventUs(), n.cores(), 0, n.noticeUs()));
         this.seed = seed;
         this.launcher = launcher;
-        place = held.getInetAddress().getAddress()[1] & 0xff;
+        place = placeOf(held);
+    }
+
+    private static int placeOf(ServerSocket held) {
+        return held.getInetAddress().getAddress()[1] & 0xff;
     }
 
     /**
@@ -104,7 +133,7 @@
      */
     public static Played play(Fleet fleet, long seed, Launcher launcher)
             throws IOException, InterruptedException {
-        return play(fleet, seed, launcher, null);
+        return play(fleet, seed, launcher, (Watcher) null);
     }
 
     /** Looks on as a run is played, and may do things to it; on the run's thread. */
@@ -121,10 +150,22 @@
     /** The same, which a watcher looks on, and may end early; null for none. */
     public static Played play(Fleet fleet, long seed, Launcher launcher, Watcher watcher)
             throws IOException, InterruptedException {
+        return play(fleet, seed, launcher, place -> Between.NOBODY, watcher);
+    }
+
+    /** Who stands between the parties of a run that has the addresses 127.PLACE.x.y to itself. */
+    public interface Standing {
+        /** Called once, before anybody listens. */
+        Between at(int place) throws IOException;
+    }
+
+    /** The same, with somebody between its parties. */
+    public static Played play(Fleet fleet, long seed, Launcher launcher, Standing standing, Watcher watcher)
+            throws IOException, InterruptedException {
         ServerSocket held = hold();
         Path folder = Files.createTempDirectory("kitemux-lab");
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        Loopback run = new Loopback(fleet, seed, launcher, held);
+        Loopback run = new Loopback(fleet, seed, launcher, held, standing.at(placeOf(held)));
         Thread cleaner = new Thread(run::endProcesses, "lab end");
         Runtime.getRuntime().addShutdownHook(cleaner);
         try {
@@ -175,7 +216,7 @@
             });
             List<ChannelFuture> opening = on(loop, () -> {
                 List<ChannelFuture> all = new ArrayList<>(sockets.stream().map(BoxSocket::opening).toList());
-                all.add(desk.opening());
+                desks.forEach(desk -> all.add(desk.opening()));
                 return all;
             });
             for (ChannelFuture one : opening) {
@@ -190,7 +231,10 @@
                 time.begin();
                 // Servers that start later are cold since then by the nodes' clock, which is the system's.
                 long unixUs = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
-                time.happens(() -> emulation[0].begin(unixUs));
+                time.happens(() -> {
+                    between.begins(live(emulation[0], time));
+                    emulation[0].begin(unixUs);
+                });
                 return null;
             });
             long longestUs = fleet.classes().stream().mapToLong(work -> work.of().deadlineUs()).max()
@@ -213,9 +257,7 @@
             on(loop, () -> {
                 time.stop();
                 sockets.forEach(BoxSocket::close);
-                if (desk != null) {
-                    desk.close();
-                }
+                desks.forEach(ListDesk::close);
                 return null;
             });
         }
@@ -240,10 +282,15 @@
             for (Box box : of.boxes()) {
                 InetSocketAddress at = address(boxes++, BOX_PORT);
                 addresses.put(box.id(), at);
-                sockets.add(new BoxSocket(box, at, loop, time, asked, fleet.links().handshakeUs()));
+                sockets.add(new BoxSocket(box, at, loop, time, asked, fleet.links().handshakeUs(), between));
             }
-            desk = new ListDesk(address(0, LIST_PORT), loop, addresses);
         }
+        Map<String, InetSocketAddress> seen = new LinkedHashMap<>();
+        addresses.forEach((box, listens) -> seen.put(box, between.toBox(number, box, listens)));
+        InetSocketAddress listAt = address(number, LIST_PORT);
+        ListDesk desk = new ListDesk(listAt, loop, seen,
+                watch -> time.happens(() -> between.called(number, watch)));
+        desks.add(desk);
         List<ServerEntry> all = of.boxes().stream().map(box -> new ServerEntry(box.id(), 0, box.rack(),
                 ServerState.READY, 1, 0)).toList();
         InetSocketAddress at = address(number, NODE_PORT);
@@ -252,17 +299,59 @@
         // A list that is pushed comes from an agent, of which there is none here.
         set.listOnRequest = true;
         ConfigText.Node node = new ConfigText.Node("n" + number, NetUtil.toSocketAddressString(at),
-                NetUtil.toSocketAddressString(address(0, LIST_PORT)), Long.toHexString(seed * 31 + number),
+                NetUtil.toSocketAddressString(between.toList(number, listAt)), Long.toHexString(seed * 31
+                + number),
                 SOCKETS, 0, fleet.links().idleUs());
         try {
-            Files.writeString(config, ConfigText.node(node, set, ListDesk.placed(all, addresses)));
-            return new NodeProcess(at, fleet, time, loop, asked,
-                    number == 0 ? entries -> desk.tell(entries) : entries -> { }, launcher.node(), config);
+            Files.writeString(config, ConfigText.node(node, set, ListDesk.placed(all, seen)));
+            return new NodeProcess(number, between.toNode(number, at), between, fleet, time, loop, asked,
+                    entries -> {
+                        between.listed(number, entries);
+                        desk.tell(entries);
+                    }, launcher.node(), config);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
+    private Live live(Emulation emulation, RealTime time) {
+        return new Live() {
+            @Override
+            public Scheduler time() {
+                return time.scheduler();
+            }
+
+            @Override
+            public Emulation fleet() {
+                return emulation;
+            }
+
+            @Override
+            public void signal(int node, String name) {
+                try {
+                    nodes.get(node).signal(name);
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }
+
+            @Override
+            public void vanish(int node) {
+                nodes.get(node).vanish();
+            }
+
+            @Override
+            public void dealt(int node, boolean to) {
+                nodes.get(node).dealt(to);
+            }
+
+            @Override
+            public long mostLateUs() {
+                return time.mostLateUs();
+            }
+        };
+    }
+
     private static <T> T on(EventLoop loop, Callable<T> what)
             throws InterruptedException, IOException {
         try {
--- a/src/main/java/kitemux/lab/NodeProcess.java
+++ b/src/main/java/kitemux/lab/NodeProcess.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
@@ -51,7 +52,9 @@
     /** A connection unused for so long may be closed by its node just now. */
     private static final long FRESH_NANOS = 2_000_000_000L;
 
+    private final int number;
     private final InetSocketAddress address;
+    private final Between between;
     private final Fleet fleet;
     private final RealTime time;
     private final EventLoop loop;
@@ -69,14 +72,18 @@
     /**
      * Starts nothing yet.
      *
+     * @param address where clients dial
      * @param asked gets each try by its id before it is sent
-     * @param listed told of servers in this node's place; only one node of a run is to pass it on
+     * @param listed what discovery has to tell this node
      * @param command starts a node; is told the rest by the environment
      * @param config what the process is told, as a file
      */
-    NodeProcess(InetSocketAddress address, Fleet fleet, RealTime time, EventLoop loop, Map<String, Try> asked,
-            Consumer<List<ServerEntry>> listed, ProcessBuilder command, Path config) throws IOException {
+    NodeProcess(int number, InetSocketAddress address, Between between, Fleet fleet, RealTime time,
+            EventLoop loop, Map<String, Try> asked, Consumer<List<ServerEntry>> listed,
+            ProcessBuilder command, Path config) throws IOException {
+        this.number = number;
         this.address = address;
+        this.between = between;
         this.fleet = fleet;
         this.time = time;
         this.loop = loop;
@@ -108,6 +115,8 @@
                 BufferedReader lines = started.inputReader();
                 String line;
                 while ((line = lines.readLine()) != null) {
+                    String told = line;
+                    tell(told);
                     if (!ready.isDone()) {
                         said.append(line).append('\n');
                         if (line.contains("listening on")) {
@@ -125,6 +134,15 @@
         return ready;
     }
 
+    /** A line that it wrote; once the run is over nobody listens any more. */
+    private void tell(String line) {
+        try {
+            loop.execute(() -> time.happens(() -> between.said(number, line)));
+        } catch (RejectedExecutionException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /**
      * Starts it before the run begins; returns once it takes clients.
      *
@@ -150,6 +168,7 @@
     public void start() {
         if (process != null) {
             up = true;
+            between.up(number);
             return;
         }
         int life = ++lives;
@@ -157,8 +176,9 @@
             if (started != null && life == lives) {
                 process = started;
                 up = true;
+                time.happens(() -> between.up(number));
             } else if (started != null) {
-                started.destroyForcibly();
+                end(started);
             }
         }));
     }
@@ -169,13 +189,42 @@
         lives++;
         if (process != null) {
             usedUs += cpuUs();
-            process.destroyForcibly();
+            end(process);
             process = null;
+            between.down(number);
+        }
+    }
+
+    /** Its process is killed, and clients go on dialling it: its machine has gone, and says nothing. */
+    void vanish() {
+        die();
+        up = true;
+    }
+
+    /** Whether the front deals clients out to it, whatever its process does. */
+    void dealt(boolean to) {
+        up = to;
+    }
+
+    /** Its process gets a signal by its name; nothing happens where there is none. */
+    void signal(String name) throws IOException {
+        if (process != null) {
+            new ProcessBuilder("kill", "-" + name, Long.toString(itself(process).pid())).start();
         }
     }
 
+    /** The process of the node, which whoever started it may stand before. */
+    private static ProcessHandle itself(Process started) {
+        return started.children().findFirst().orElse(started.toHandle());
+    }
+
+    private static void end(Process started) {
+        started.children().forEach(ProcessHandle::destroyForcibly);
+        started.destroyForcibly();
+    }
+
     private double cpuUs() {
-        return process.info().totalCpuDuration().orElse(Duration.ZERO).toNanos() / 1e3;
+        return itself(process).info().totalCpuDuration().orElse(Duration.ZERO).toNanos() / 1e3;
     }
 
     @Override
@@ -192,6 +241,7 @@
 
     @Override
     public void take(Try one) {
+        between.asked(number, one);
         asked.put(one.txn(), one);
         Client free = idle.poll();
         while (free != null && !free.isUsable()) {
@@ -209,7 +259,7 @@
         dialer.connect(address).addListener(done -> {
             Channel channel = ((ChannelFuture) done).channel();
             if (!done.isSuccess()) {
-                time.happens(one::broken);
+                time.happens(() -> brokenUnder(one, false));
             } else if (one.isOver()) {
                 channel.close();
             } else {
@@ -226,6 +276,7 @@
     /** Its client closes the connection, as nothing else calls a request off. */
     @Override
     public void left(Try one) {
+        between.left(one);
         Client client = busy.remove(one);
         if (client != null) {
             client.asks = null;
@@ -233,6 +284,13 @@
         }
     }
 
+    private void brokenUnder(Try one, boolean usedBefore) {
+        if (!one.isOver()) {
+            between.broken(one, usedBefore);
+        }
+        one.broken();
+    }
+
     private FullHttpRequest message(Try one) {
         RequestClass of = fleet.classes().get(one.classIndex()).of();
         boolean reads = of.repeat() == Repeat.SAFE;
@@ -274,6 +332,7 @@
         void ask(Try one) {
             asks = one;
             busy.put(one, this);
+            between.written(one, reused);
             channel.writeAndFlush(message(one));
         }
 
@@ -296,10 +355,14 @@
             int status = answer.status().code();
             String after = answer.headers().get(HttpHeaderNames.RETRY_AFTER);
             time.happens(() -> {
+                long afterUs = after == null ? 0 : (long) (Double.parseDouble(after) * 1e6);
+                if (!one.isOver()) {
+                    between.answered(one, status, afterUs);
+                }
                 if (status == 200) {
                     one.served(Boolean.TRUE);
                 } else if (status == 429 || status == 503) {
-                    one.refused(after == null ? 0 : (long) (Double.parseDouble(after) * 1e6));
+                    one.refused(afterUs);
                 } else {
                     one.failed();
                 }
@@ -317,9 +380,10 @@
             busy.remove(one);
             if (reused && up) {
                 // It crossed the end of an unused connection: asked once more, on a new one.
+                time.happens(() -> between.broken(one, true));
                 dial(one);
             } else {
-                time.happens(one::broken);
+                time.happens(() -> brokenUnder(one, reused));
             }
         }
 
@@ -340,7 +404,7 @@
         lives++;
         up = false;
         if (process != null) {
-            process.destroyForcibly();
+            end(process);
             try {
                 process.waitFor();
             } catch (InterruptedException e) {
--- a/src/main/java/kitemux/lab/RealTime.java
+++ b/src/main/java/kitemux/lab/RealTime.java
@@ -16,6 +16,7 @@
     private final Scheduler time = new Scheduler();
     private final EventLoop loop;
     private long beganNanos;
+    private boolean began;
     private boolean passing;
     private Future<?> armed;
     private long armedAt;
@@ -33,6 +34,7 @@
     /** The run's time is 0 now. */
     void begin() {
         beganNanos = System.nanoTime();
+        began = true;
     }
 
     /** The longest that something due was late by, in microseconds: what a run says is as good as this. */
@@ -42,8 +44,8 @@
 
     /** Something comes from outside: what was due before it happens first. */
     void happens(Runnable what) {
-        if (passing) {
-            // It came of what is happening now, whose time is the run's.
+        if (passing || !began) {
+            // It came of what is happening now, whose time is the run's; or before its time began.
             what.run();
             return;
         }
--- a/src/test/java/kitemux/ArchitectureTest.java
+++ b/src/test/java/kitemux/ArchitectureTest.java
@@ -51,10 +51,11 @@
             Map.entry("plan", Set.of("", "fleet", "load", "hcl")),
             Map.entry("standin", Set.of()),
             Map.entry("lab", Set.of("", "fleet", "plan", "sim", "standin", "hcl", "config")),
+            Map.entry("drill", Set.of("", "fleet", "plan", "sim", "hcl", "lab")),
             Map.entry("bench", Set.of("", "engine", "standin", "config", "orders", "fleet", "sim",
                     "load")),
             Map.entry("cli", Set.of("adapter", "node", "world", "bench", "standin", "orders",
-                    "fleet", "plan", "lab", "load", "hcl", "app", "sidecar")));
+                    "fleet", "plan", "lab", "load", "hcl", "app", "sidecar", "drill")));
 
     private static String room(JavaClass c) {
         String[] parts = c.getPackageName().split("\\.");
