--- a/src/main/java/kitemux/drill/Drill.java
+++ b/src/main/java/kitemux/drill/Drill.java
@@ -359,6 +359,11 @@
             return timeline != null;
         }
 
+        @Override
+        public void late(long byUs) {
+            timeline.event("late", json -> json.writeNumberField("by", byUs));
+        }
+
         @Override
         public void up(int node) {
             at(new Way(Parties.CLIENTS, Parties.node(node)), link -> link.targetListens(true));
--- a/src/main/java/kitemux/lab/Between.java
+++ b/src/main/java/kitemux/lab/Between.java
@@ -35,6 +35,9 @@
     /** The run begins: clients come from now on. */
     default void begins(Loopback.Live live) { }
 
+    /** The run was behind its clock by so much, until now: what came meanwhile was seen late. */
+    default void late(long byUs) { }
+
     /** A node's process takes clients, or takes them again. */
     default void up(int node) { }
 
--- a/src/test/java/kitemux/drill/JudgeTest.java
+++ b/src/test/java/kitemux/drill/JudgeTest.java
@@ -223,6 +223,13 @@
         assertTrue(tooLate.lines().get(tooLate.lines().size() - 1).startsWith("NOT JUDGED"));
     }
 
+    @Test
+    void whatAClientMissedWhileThePlayerWasLateIsNotLost() throws IOException {
+        assertKept(ask(1, 1, 0), event(530, "late", "'by':40000"), event(552, "left", "'txn':'1'"));
+        assertBroken("no request lost", ask(1, 1, 0), event(300, "late", "'by':40000"),
+                event(552, "left", "'txn':'1'"));
+    }
+
     @Test
     void aLineThatIsNoEventIsToldByItsNumber() throws IOException {
         Path file = Files.writeString(folder.resolve("t.jsonl"), HEAD + "\n{\"t\":1}\n");
