Let what is worth most wait longer at a node of many; hung requests hold back no others

In the time-lines photos were refused after 41 to 46 ms in their node without an attempt, with 155 ms left to their aim: "too late" is two usual latencies (80 to 90 ms there), a rule for what waits in overload as a whole; what goes first seldom waits. Nodes that share servers with many others sent 1 to 5 requests in the first second of a silence of three servers (36 before): three or four requests hung there, and the sum of a node's limits is some four.

A request found silent no longer counts in the sum.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.Stream;
@@ -82,8 +83,10 @@
     /** Cut of a limit for a request turned away or not answered in time, which is more than slow. */
     private static final double LIMIT_HARD_CUT = 0.3;
     /** A waiting request with fewer of its class's usual latencies left to its aim is too late: in overload
-     * all that is served has waited so long. But at most with this share left: some may wait in a jam. */
+     * all that is served has waited so long; but at most with this share left. At a node of many it is one
+     * less for what is worth most, which goes first, unless a quarter of its class waits in vain. */
     private static final double TOO_LATE_AT = 2;
+    private static final double IN_VAIN_BY = 4;
     private static final double MOST_LATE_AT = 0.8;
     /** Failures among a server's last {@link #REMEMBERED} answers from which on it is ejected, beside so many
      * times what all servers fail in common: connections that break anywhere are no server's fault. */
@@ -185,6 +188,8 @@
     private final double[] latencyUs;
     private final double[] leastLatencyUs;
     private final int[] answers;
+    /** By class, the share that ended without an attempt. */
+    private final double[] inVain;
     private final double[] shareLeft;
     private final long[] shareSeenAt;
     private int inFlight;
@@ -204,6 +209,8 @@
         int position;
         int errors;
         int inFlight;
+        /** Those of them that were found silent: they say nothing of the room at other servers. */
+        int hung;
         double limit;
         long limitCutAt;
         long restUntil;
@@ -322,6 +329,7 @@
         latencyUs = new double[set.classes.size()];
         leastLatencyUs = new double[set.classes.size()];
         answers = new int[set.classes.size()];
+        inVain = new double[set.classes.size()];
         shareLeft = new double[set.tenants.size()];
         shareSeenAt = new long[set.tenants.size()];
         set.classes.forEach(c -> watched.add(new ArrayDeque<>()));
@@ -367,13 +375,11 @@
         chooseServers();
         // Servers come and go as long as a node runs: what is gone and holds nothing is forgotten.
         byId.values().removeIf(server -> server.state == ServerState.GONE && server.inFlight == 0);
-        if (set.listOnRequest) {
-            if (kind == ListKind.CACHED) {
-                askForList();
-            } else {
-                askListAt = Long.MAX_VALUE;
-                listBackoffUs = LIST_BACKOFF_US;
-            }
+        if (set.listOnRequest && kind == ListKind.CACHED) {
+            askForList();
+        } else {
+            askListAt = Long.MAX_VALUE;
+            listBackoffUs = LIST_BACKOFF_US;
         }
         serveWaiting(KEYS_TRIED);
         scheduleWake();
@@ -468,14 +474,8 @@
             rows *= 2;
         }
         Server[] table = table(from, nextPrime(rows * size), size);
-        List<Server> mine = new ArrayList<>();
         int first = set.me % rows * size;
-        for (int j = first; j < first + size; j++) {
-            if (table[j] != null) {
-                mine.add(table[j]);
-            }
-        }
-        return mine;
+        return Arrays.stream(table, first, first + size).filter(Objects::nonNull).toList();
     }
 
     /** The servers take turns in claiming places, each in an order of its own, none twice in a row. */
@@ -574,7 +574,8 @@
         call.results[attempt] = result;
         call.outstanding--;
         server.inFlight--;
-        inFlight -= isCounted(server) ? 1 : 0;
+        inFlight -= isCounted(server) && !call.silent[attempt] ? 1 : 0;
+        server.hung -= call.silent[attempt] ? 1 : 0;
         closeIfUnused(server);
         Health ofClass = server.byClass[call.request.classIndex()];
         if (result == Result.OK) {
@@ -770,7 +771,7 @@
         for (Server server : ready) {
             if (isCounted(server)) {
                 limits += server.limit;
-                inFlight += server.inFlight;
+                inFlight += server.inFlight - server.hung;
             }
             if (server.overall.ejected || Arrays.stream(server.byClass).anyMatch(h -> h.ejected)) {
                 ejected.add(server);
@@ -796,21 +797,15 @@
 
     // ---------------------------------------------------------------- draws
 
-    /** Two draws by weight; the one with fewer own requests in flight, ties at random. */
+    /** Two draws by weight; the one with fewer own requests in flight, ties at random. Trials go first. */
     private Server drawForFirstTry(Call call) {
-        Server due = ejected.isEmpty() ? null : trial(call);
-        return due != null ? due : drawByZone(call);
-    }
-
-    private Server drawByZone(Call call) {
-        Server server = drawTwo(call, call.keySeed != 0 ? everywhere : nearby);
+        Server due = trial(call);
+        Server server = due != null ? due : drawTwo(call, call.keySeed != 0 ? everywhere : nearby);
         int spillAt = set.crossZonePrice == 0 ? 1 : SPILL_AT;
-        if (nearby == everywhere || call.keySeed != 0) {
-            return server;
-        }
         // Exception, zones and halves: both draws are of those that come first, and two more from all win
         // only if that choice is busy or fails: if it has one more in flight, two where crossing costs.
-        if (server != null && server.inFlight < spillAt && server.errors == 0) {
+        if (due != null || nearby == everywhere || call.keySeed != 0
+                || server != null && server.inFlight < spillAt && server.errors == 0) {
             return server;
         }
         Server other = drawTwo(call, everywhere);
@@ -903,16 +898,14 @@
 
     /** A failed request goes to the next server in list order, or waits, or has its final answer. */
     private void passOn(Call call, Server failed) {
-        if (!mayTryAgain(call)) {
-            giveUp(call);
-            return;
-        }
-        Server next = nextInTurn(call, failed);
+        Server next = mayTryAgain(call) ? nextInTurn(call, failed) : null;
         if (next != null) {
             send(call, next);
-            return;
+        } else if (mayTryAgain(call)) {
+            defer(call);
+        } else {
+            giveUp(call);
         }
-        defer(call);
     }
 
     private Server nextInTurn(Call call, Server failed) {
@@ -971,6 +964,8 @@
         Health ofClass = server.byClass[call.request.classIndex()];
         if (ofClass.answeredAt < call.sentAt[attempt]) {
             call.silent[attempt] = true;
+            server.hung++;
+            inFlight -= isCounted(server) ? 1 : 0;
             failed(server, ofClass, true);
         }
         if (set.secondCopies && !call.waiting && hedgesLeft >= 1 && mayTryAgain(call)
@@ -1044,8 +1039,10 @@
     }
 
     private boolean isTooLate(Call call) {
+        int c = call.request.classIndex();
+        double first = many ? rank(call) * Math.max(0, 1 - IN_VAIN_BY * inVain[c]) : 0;
         return call.aimAt - now < Math.min(MOST_LATE_AT * (call.aimAt - call.arrivedAt),
-                TOO_LATE_AT * latencyUs[call.request.classIndex()]);
+                (TOO_LATE_AT - first) * latencyUs[c]);
     }
 
     /**
@@ -1223,6 +1220,8 @@
     }
 
     private void end(Call call) {
+        int c = call.request.classIndex();
+        inVain[c] += TIMELY_GAIN * ((call.attempts == 0 ? 1 : 0) - inVain[c]);
         call.ended = true;
         call.waiting = false;
         for (int i = 0; i < call.attempts && call.outstanding > 0 && set.cancel; i++) {
