--- a/src/test/java/kitemux/drill/DrillTest.java
+++ b/src/test/java/kitemux/drill/DrillTest.java
@@ -101,6 +101,49 @@
         assertTrue(DrillPage.of("t", folder.resolve("t.jsonl"), verdict).contains("is stopped"));
     }
 
+    /**
+     * More than the servers can do, while nodes and ways break: much is refused, nothing lost or done
+     * twice.
+     */
+    @Test
+    void aStormWithNodesAtFaultAndAPartitionBreaksNoRule() throws Exception {
+        Verdict verdict = judged("""
+                fleet  = "storm-fleet.hcl"
+                nodes  = 5
+                length = "13s"
+                phase "storm" {
+                  from = "8s"
+                  to   = "13s"
+                }
+                fault "dies" {
+                  what = "kill"
+                  at   = "9s"
+                  for  = "500ms"
+                  on   = ["node-0"]
+                }
+                fault "is stopped" {
+                  what = "stop"
+                  at   = "9500ms"
+                  for  = "800ms"
+                  on   = ["node-1"]
+                }
+                fault "partition" {
+                  what = "cut"
+                  at   = "10500ms"
+                  for  = "1s"
+                  from = ["node-2", "node-3"]
+                  to   = ["rack-1", "list"]
+                }
+                """);
+        assertEquals(List.of(), verdict.broken());
+        assertTrue(verdict.isKept(), verdict.lines().toString());
+        Verdict.Share storm = verdict.shares().get(1);
+        assertTrue(storm.refused() > 100, verdict.lines().toString());
+        // Orders and photos are three tenths of what is asked, and more than that is served.
+        assertTrue(storm.byClass().get(1).inTime() > storm.byClass().get(0).inTime(), verdict.lines()
+                .toString());
+    }
+
     @Test
     void noNodeOutlivesADrillThatIsKilled() throws Exception {
         Path timeline = folder.resolve("k.jsonl");
