Read a fleet that another description names in one place: lab and drill had it each

The drill's description wrote again how the lab's finds, reads and tells the faults of the fleet that it names.

What is told of a fleet that is missing or wrong is the same, word for word.

--- a/src/main/java/kitemux/drill/ScenarioFile.java
+++ b/src/main/java/kitemux/drill/ScenarioFile.java
@@ -32,19 +32,14 @@
 
     private ScenarioFile() { }
 
-    /** Where the fleet that a drill names is described. */
-    public interface Texts {
-        /** The text of a file, by its path from the drill's folder. */
-        String read(String path) throws IOException;
-    }
-
     /**
      * @param file what faults call the description
      * @param seed in place of the description's own; null for that
      * @param faults gets all that is wrong, of the fleet too, one line each with place, field and reason
      * @return the drill; not to be played if there are faults
      */
-    public static Scenario read(String file, String text, Long seed, Texts texts, List<String> faults) {
+    public static Scenario read(String file, String text, Long seed, FleetFile.Texts texts,
+            List<String> faults) {
         Map<String, Object> parsed;
         try {
             parsed = new HCLParser().parse(text);
@@ -60,9 +55,9 @@
         return read;
     }
 
-    private static Scenario scenario(Section all, Long given, Texts texts, List<String> own,
+    private static Scenario scenario(Section all, Long given, FleetFile.Texts texts, List<String> own,
             List<String> ofFleet) {
-        Fleet fleet = fleet(all.text("fleet"), texts, own, ofFleet);
+        Fleet fleet = FleetFile.named(all.text("fleet"), texts, own, ofFleet);
         long seed = given == null ? all.whole("seed", 1) : given;
         if (given != null) {
             all.whole("seed", 1);
@@ -109,22 +104,6 @@
         return new Scenario(fleet, seed, faults, phases, repeat, bounds);
     }
 
-    private static Fleet fleet(String path, Texts texts, List<String> own, List<String> ofFleet) {
-        if (path.isEmpty()) {
-            return null;
-        }
-        try {
-            String text = texts.read(path);
-            List<String> found = new ArrayList<>();
-            Fleet fleet = FleetFile.read(text, found);
-            ofFleet.addAll(Places.placed(path, text, found));
-            return ofFleet.isEmpty() ? fleet : null;
-        } catch (IOException e) {
-            own.add("fleet: " + path + " cannot be read: " + e.getMessage());
-            return null;
-        }
-    }
-
     private static void check(Fleet fleet, List<String> own) {
         require(own, fleet.nodes().count() >= 1 && fleet.nodes().count() <= MOST_NODES,
                 "nodes: is not from 1 to " + MOST_NODES);
--- a/src/main/java/kitemux/lab/ExperimentFile.java
+++ b/src/main/java/kitemux/lab/ExperimentFile.java
@@ -27,19 +27,13 @@
 
     private ExperimentFile() { }
 
-    /** Where the fleet that an experiment names is described. */
-    public interface Texts {
-        /** The text of a file, by its path from the experiment's folder. */
-        String read(String path) throws IOException;
-    }
-
     /**
      * @param file what faults call the description
      * @param text the description
      * @param faults gets all that is wrong, of the fleet too, one line each with place, field and reason
      * @return the experiment; not to be played if there are faults
      */
-    public static Experiment read(String file, String text, Texts texts, List<String> faults) {
+    public static Experiment read(String file, String text, FleetFile.Texts texts, List<String> faults) {
         Map<String, Object> parsed;
         try {
             parsed = new HCLParser().parse(text);
@@ -55,8 +49,8 @@
         return experiment;
     }
 
-    private static Experiment experiment(Map<String, Object> parsed, Texts texts, List<String> faults,
-            List<String> ofFleet) {
+    private static Experiment experiment(Map<String, Object> parsed, FleetFile.Texts texts,
+            List<String> faults, List<String> ofFleet) {
         Section all = new Section("", parsed, faults);
         String path = all.text("fleet");
         double goal = all.number("goal", 0.95);
@@ -70,7 +64,7 @@
                 faults.add("where: must hold emulator, loopback or both, not \"" + word + "\"");
             }
         }
-        Fleet base = fleet(path, texts, faults, ofFleet);
+        Fleet base = FleetFile.named(path, texts, faults, ofFleet);
         require(faults, goal > 0 && goal < 1, "goal: is not above 0 and under 1");
         require(faults, seeds >= 1 && seeds <= MOST_SEEDS, "seeds: is not from 1 to " + MOST_SEEDS);
         require(faults, length >= 2_000_000 && length <= MOST_LENGTH_US, "length: is not from 2s to 10m");
@@ -87,22 +81,6 @@
         return new Experiment(goal, seeds, where, variants);
     }
 
-    private static Fleet fleet(String path, Texts texts, List<String> faults, List<String> ofFleet) {
-        if (path.isEmpty()) {
-            return null;
-        }
-        try {
-            String text = texts.read(path);
-            List<String> inFleet = new ArrayList<>();
-            Fleet fleet = FleetFile.read(text, inFleet);
-            ofFleet.addAll(Places.placed(path, text, inFleet));
-            return ofFleet.isEmpty() ? fleet : null;
-        } catch (IOException e) {
-            faults.add("fleet: " + path + " cannot be read: " + e.getMessage());
-            return null;
-        }
-    }
-
     private static void scenario(String name, Section of, Fleet base, List<Experiment.Variant> variants,
             List<String> faults) {
         double load = of.number("load", 1);
--- a/src/main/java/kitemux/plan/FleetFile.java
+++ b/src/main/java/kitemux/plan/FleetFile.java
@@ -12,6 +12,7 @@
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
 import kitemux.fleet.Fleet;
+import kitemux.hcl.Places;
 import kitemux.hcl.Section;
 
 /**
@@ -21,10 +22,40 @@
 public final class FleetFile {
     private FleetFile() { }
 
+    /** Where descriptions are that others name. */
+    public interface Texts {
+        /** The text of a file, by its path from the folder of whoever names it. */
+        String read(String path) throws IOException;
+    }
+
     private enum MayRepeat { SAFE, KEYED, NEVER_TWICE }
 
     private enum Drops { ALL, RACK }
 
+    /**
+     * Reads a fleet that another description names.
+     *
+     * @param path as it is named; empty where it is not
+     * @param namers gets what is wrong with the name, as faults of its field {@code fleet}
+     * @param own gets what is wrong in the fleet's description, with its places
+     * @return the fleet; null if there are faults
+     */
+    public static Fleet named(String path, Texts texts, List<String> namers, List<String> own) {
+        if (path.isEmpty()) {
+            return null;
+        }
+        try {
+            String text = texts.read(path);
+            List<String> found = new ArrayList<>();
+            Fleet fleet = read(text, found);
+            own.addAll(Places.placed(path, text, found));
+            return own.isEmpty() ? fleet : null;
+        } catch (IOException e) {
+            namers.add("fleet: " + path + " cannot be read: " + e.getMessage());
+            return null;
+        }
+    }
+
     /**
      * @param text the description
      * @param faults gets all that is wrong, one line each with field and reason
