Take back what was never sent of a request that is over, whatever the settings forbid

Seen: with cancelling not allowed the module calls nothing off, so an attempt that waits for its connection is sent when that comes up, however long ago its client left. Probe: a server whose backlog is full, a client that asks and leaves; a second later the server gets its request ("expected: <stays> but was: <left>"). To blame: ServiceQBalancer.end cancels only where set.cancel, and Engine ended the request without a look at what it had not sent. That nothing is sent after the final answer is the engine's own promise, so it is kept there: what stands at the gate, or waits for a connection (Transport.withdraw), ends as never sent. No decision moves.

Also: an answer that is passed on lost its deadline as it began. One that never ends, a drop at a time, gave its client no end at all; one that stopped ended after 10 s. It now breaks off with the client's time; streams keep theirs. To blame: expiry.cancel() in Attempt.begun.

Also: a defect in an event that concerns no request left the node half told. After one in a wake-up nothing woke the module again, and who waited had no answer (read timed out after 4 s); a list taken in by half stood. Now the module is woken once more, and the whole list is asked for anew.

Ruled out: a gate that opens after its request is over sends nothing (Attempt.passed looks at over), and where cancelling is allowed the module's own cancel takes a waiting attempt back (the same test, cancel=true, passes on the code before).

--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -30,6 +30,8 @@
     /** A timer that is so late tells of a loop that stood still, or of one that has much to read: what it
      * waited for may have come. */
     private static final long LATE_US = 50_000;
+    /** For one that met a defect to be woken once more: far apart, as it may meet it again. */
+    private static final long WAKE_AFTER_DEFECT_US = 100_000;
 
     private final int maxAttempts;
     private final Time time;
@@ -52,8 +54,9 @@
     private long wakeAtUs;
     private boolean closed;
 
-    /** Something to tell the module, and the request that it is about, or null. */
-    private record Event<Q extends Asked, A>(Held<Q, A> about, Runnable call) { }
+    /** Something to tell the module, the request that it is about, or null, and what is to be done where the
+     * module does not get through with it. */
+    private record Event<Q extends Asked, A>(Held<Q, A> about, Runnable call, Runnable onDefect) { }
 
     /**
      * A client's request from its coming until its last attempt has ended.
@@ -102,7 +105,11 @@
     // ---------------------------------------------------------------- events for the module
 
     private void tell(Held<Q, A> about, Runnable call) {
-        events.add(new Event<>(about, call));
+        tell(about, call, () -> { });
+    }
+
+    private void tell(Held<Q, A> about, Runnable call, Runnable onDefect) {
+        events.add(new Event<>(about, call, onDefect));
         if (telling) {
             return;
         }
@@ -127,8 +134,14 @@
             if (about != null && !about.ended) {
                 end(about, Observer.Answer.BROKEN);
                 about.client.broken();
+                withdraw(about);
                 forgetIfOver(about);
-                events.add(new Event<>(null, () -> balancer.onClientGone(time.nowUs(), about.id)));
+                tell(null, () -> balancer.onClientGone(time.nowUs(), about.id));
+            }
+            event.onDefect.run();
+            if (wake == null) {
+                // It was about to say when it wants to be woken: whoever waits would wait for good.
+                wakeAt(time.nowUs() + WAKE_AFTER_DEFECT_US);
             }
         }
     }
@@ -144,7 +157,8 @@
         tell(null, () -> {
             before.run();
             balancer.onServers(time.nowUs(), kind, entries);
-        });
+            // Taken in by half it would be neither the old list nor the new: all of it has to come again.
+        }, lists::unusable);
     }
 
     /** The list could not be had; the old one stands. */
@@ -188,10 +202,21 @@
                 gone.answering.cancel();
             }
             balancer.onClientGone(time.nowUs(), gone.id);
+            withdraw(gone);
             forgetIfOver(gone);
         });
     }
 
+    /**
+     * Takes back what was never sent of a request that is over: what stands at the gate, and what a connection
+     * is being opened for. The settings may forbid to call off what a server has; it has none of this.
+     */
+    private void withdraw(Held<Q, A> over) {
+        for (Attempt attempt : List.copyOf(over.attempts)) {
+            attempt.withdraw();
+        }
+    }
+
     /** How many servers of the list the module avoids of its own choice. */
     public int avoided() {
         return balancer.avoided();
@@ -267,6 +292,7 @@
                     // Nothing of it has been sent anywhere: trying again is harmless, and at once.
                     end(of, Observer.Answer.REFUSED);
                     of.client.refused(gate.retryAfterUs());
+                    Engine.this.withdraw(of);
                 }
                 ended(Result.MOOT, null);
             }
@@ -307,6 +333,13 @@
             }
         }
 
+        /** Takes it back if it was not sent; what was sent goes on. */
+        void withdraw() {
+            if (!over && (!sent || transport.withdraw(serverId, this))) {
+                ended(Result.MOOT, null);
+            }
+        }
+
         /** What still waits at the gate has not run, and says nothing of its server. */
         private void giveUp(Result ifSent) {
             ended(sent ? ifSent : Result.MOOT, null);
@@ -325,6 +358,14 @@
             of.answering = this;
             begunAtUs = time.nowUs();
             expiry.cancel();
+            if (!of.request.isStreamed()) {
+                // Its time is that of its last byte. Longer nobody waits for it, and one without an end would
+                // hold its client, who is owed a final answer, for as long.
+                expiry = time.after(of.deadlineUs - begunAtUs, () -> {
+                    transport.giveUp(serverId, this);
+                    ended(Result.TIMEOUT, null);
+                });
+            }
             of.client.begun(answer);
             if (of.request.isStreamed()) {
                 tell(of, () -> balancer.onFirstByte(time.nowUs(), of.id, number));
@@ -370,6 +411,9 @@
                 balancer.onOutcome(time.nowUs(), new Outcome(of.id, number, known(how), latencyUs,
                         of.ended, null));
             });
+            if (of.ended) {
+                Engine.this.withdraw(of);
+            }
         }
     }
 
@@ -423,6 +467,7 @@
         if (request != null && !request.ended) {
             end(request, Observer.Answer.REFUSED);
             request.client.refused(retryAfterUs);
+            withdraw(request);
             forgetIfOver(request);
         }
     }
@@ -433,6 +478,7 @@
         if (request != null && !request.ended) {
             end(request, Observer.Answer.FAILED);
             request.client.failed();
+            withdraw(request);
             forgetIfOver(request);
         }
     }
--- a/src/main/java/kitemux/engine/Lists.java
+++ b/src/main/java/kitemux/engine/Lists.java
@@ -4,4 +4,7 @@
 public interface Lists {
     /** Asks for all changes from now on; lists and failures come to the engine as events. */
     void subscribe();
+
+    /** A list that was told could not be taken in: all of it is to be told once more. */
+    default void unusable() { }
 }
--- a/src/main/java/kitemux/engine/Transport.java
+++ b/src/main/java/kitemux/engine/Transport.java
@@ -25,8 +25,8 @@
 
         /**
          * An answer has begun to come that nobody holds whole: the rest of it comes through the answer
-         * itself, and the end is told as ever. No deadline holds from here on, and nothing is tried again:
-         * what has been passed on cannot be taken back.
+         * itself, and the end is told as ever. Nothing is tried again: what has been passed on cannot be
+         * taken back. The client's time still holds, but for streams.
          *
          * @return false if nobody wants it: the client has left, or has another attempt's answer. The
          *     transport is to break it off, and tells no end
@@ -45,6 +45,10 @@
     /** Gives an exchange up without telling its end. True if its request may have been written whole. */
     boolean giveUp(String serverId, Exchange<Q, A> exchange);
 
+    /** Takes back an exchange of which nothing has been written, without telling its end. False if any of it
+     * may have been. */
+    boolean withdraw(String serverId, Exchange<Q, A> exchange);
+
     /** What checks a server, where the settings allow probes. */
     Q probe();
 
--- a/src/main/java/kitemux/fleet/Proxy.java
+++ b/src/main/java/kitemux/fleet/Proxy.java
@@ -328,6 +328,13 @@
         }
     }
 
+    @Override
+    public boolean withdraw(String serverId, Exchange<Try, Boolean> exchange) {
+        Link link = links.get(serverId);
+        Sent sent = link == null ? null : link.out.get(exchange);
+        return sent != null && !sent.written && !giveUp(serverId, exchange);
+    }
+
     @Override
     public boolean giveUp(String serverId, Exchange<Try, Boolean> exchange) {
         Link link = links.get(serverId);
--- a/src/main/java/kitemux/net/ServerPool.java
+++ b/src/main/java/kitemux/net/ServerPool.java
@@ -202,6 +202,12 @@
         return link.written;
     }
 
+    @Override
+    public boolean withdraw(String serverId, Exchange<Q, A> exchange) {
+        Upstream<Q, A> upstream = upstreams.get(serverId);
+        return upstream != null && upstream.awaiting.remove(exchange);
+    }
+
     @Override
     public Q probe() {
         return protocol.probe();
--- a/src/test/java/kitemux/engine/EngineTest.java
+++ b/src/test/java/kitemux/engine/EngineTest.java
@@ -128,6 +128,9 @@
     private Transport.Exchange<Ask, String> exchange;
     private final List<Transport.Exchange<Ask, String>> exchanges = new ArrayList<>();
     private final List<String> heard = new ArrayList<>();
+    /** Whether the server's connection is still coming up, and what was taken back meanwhile. */
+    private boolean dialing;
+    private final List<Transport.Exchange<Ask, String>> withdrawn = new ArrayList<>();
     /** Attempts that the module begins at once. */
     private int sends = 1;
     /** What waits at the gate; a test that puts nothing here has one that is open. */
@@ -162,6 +165,11 @@
             return given == exchange;
         }
 
+        @Override
+        public boolean withdraw(String serverId, Exchange<Ask, String> unsent) {
+            return dialing && withdrawn.add(unsent);
+        }
+
         @Override
         public Ask probe() {
             throw new AssertionError("nobody asked for a probe");
--- a/src/test/java/kitemux/world/Mutant.java
+++ b/src/test/java/kitemux/world/Mutant.java
@@ -423,6 +423,11 @@
             return sound.giveUp(serverId, exchange);
         }
 
+        @Override
+        public boolean withdraw(String serverId, Exchange<ClientRequest, Answer> exchange) {
+            return sound.withdraw(serverId, exchange);
+        }
+
         @Override
         public ClientRequest probe() {
             return sound.probe();
