See that a client has left behind what it sent ahead; a last answer outlives unread bytes

Seen: while a request sent ahead waits, the connection was not read, so neither an end nor a reset behind it was seen. A client that asks, sends 1, 3, 16, 20 or 300 requests more and goes left its open request on its way for as long as its time lasted ("its attempt is given up ==> expected: not <null>" after 2 s). To blame: setAutoRead(false) in ClientConnection.take. What comes is now read and kept as it is, up to 64 KiB a connection and within the room for all bodies, and taken apart 512 bytes at a time when its turn comes, so that what may wait is bounded as before. Beyond that room it stays with the system, and a leaving behind it too.

Also: a connection that ends with its answer was closed at once, also where bytes of the client lay unread: the close resets it, and what of the answer is still with this side is dropped (60 KB with a small receive buffer: "Connection reset"). Such a connection now stays for a second with its output shut and is not read.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -43,6 +43,8 @@
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter implements Client<Answer> {
     private static final byte[] NO_BODY = {};
+    /** Bytes of what was kept that are taken apart at once: fewer requests than may be sent ahead. */
+    private static final int KEPT_PART = 512;
 
     private final ClientServer server;
     private final RequestReader reader;
@@ -56,6 +58,17 @@
     private boolean readBefore;
     /** What came whole and waits for its turn. */
     private final ArrayDeque<Incoming> waiting = new ArrayDeque<>();
+    /** Requests wait: what comes meanwhile is read, so that the client's leaving is seen, and kept as it is. */
+    private boolean paused;
+    /** What is kept so, or null; since when, and how much is set aside for it. */
+    private ByteBuf ahead;
+    private long aheadSinceUs;
+    private long aheadBytes;
+    /** Bytes that came after the last that is read. */
+    private long dropped;
+    /** Since when what is taken apart now was kept; without end where it has just come. */
+    private long keptSinceUs = Long.MAX_VALUE;
+    private ChannelHandlerContext gateContext;
 
     private HttpRequest head;
     private Body body;
@@ -111,17 +124,20 @@
     /** What stands before the decoder: bad clients send much, and what is not read is not taken apart. */
     ChannelInboundHandler gate() {
         return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void handlerAdded(ChannelHandlerContext context) {
+                gateContext = context;
+            }
+
             @Override
             public void channelRead(ChannelHandlerContext context, Object bytes) {
                 if (deaf) {
-                    ReferenceCountUtil.release(bytes);
-                    return;
-                }
-                if (!reading) {
-                    reading = true;
-                    sinceNanos = everAsked && !busy ? ticker.nanoTime() : sinceNanos;
+                    drop((ByteBuf) bytes);
+                } else if (paused) {
+                    keep((ByteBuf) bytes);
+                } else {
+                    take((ByteBuf) bytes);
                 }
-                context.fireChannelRead(bytes);
             }
 
             @Override
@@ -134,6 +150,70 @@
         };
     }
 
+    private void take(ByteBuf bytes) {
+        if (!reading) {
+            reading = true;
+            sinceNanos = everAsked && !busy ? ticker.nanoTime() : sinceNanos;
+        }
+        gateContext.fireChannelRead(bytes);
+    }
+
+    /** A client that has sent what cannot be used may still leave before its turn comes: that is seen only
+     * where reading goes on. One that sends without end is left to wait. */
+    private void drop(ByteBuf bytes) {
+        dropped += bytes.readableBytes();
+        bytes.release();
+        if (dropped > Limits.MOST_DROPPED && (busy || !waiting.isEmpty())) {
+            channel.config().setAutoRead(false);
+        }
+    }
+
+    /** Beyond what there is room for, the rest stays with the system, and a client's leaving behind it. */
+    private void keep(ByteBuf bytes) {
+        if (ahead == null) {
+            ahead = channel.alloc().heapBuffer(bytes.readableBytes());
+            aheadSinceUs = cameUs();
+        }
+        long more = bytes.readableBytes();
+        ahead.discardReadBytes().writeBytes(bytes);
+        bytes.release();
+        boolean room = server.setAside(more);
+        aheadBytes += room ? more : 0;
+        if (!room || ahead.readableBytes() >= Limits.MOST_AHEAD_BYTES) {
+            channel.config().setAutoRead(false);
+        }
+    }
+
+    /** Nothing waits any more: what was kept is taken apart bit by bit, up to where something has to wait. */
+    private void resume() {
+        paused = false;
+        if (ahead != null) {
+            keptSinceUs = aheadSinceUs;
+            while (!paused && !deaf && ahead.isReadable()) {
+                take(ahead.readBytes(Math.min(KEPT_PART, ahead.readableBytes())));
+            }
+            keptSinceUs = Long.MAX_VALUE;
+            gateContext.fireChannelReadComplete();
+            if (deaf || !ahead.isReadable()) {
+                forgetAhead();
+            } else {
+                long more = Math.max(0, aheadBytes - ahead.readableBytes());
+                server.setAside(-more);
+                aheadBytes -= more;
+            }
+        }
+        channel.config().setAutoRead(ahead == null || ahead.readableBytes() < Limits.MOST_AHEAD_BYTES);
+    }
+
+    private void forgetAhead() {
+        if (ahead != null) {
+            ahead.release();
+            ahead = null;
+            server.setAside(-aheadBytes);
+            aheadBytes = 0;
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
@@ -191,7 +271,7 @@
 
     /** The earliest that what is read now may have come. */
     private long cameUs() {
-        long sinceLook = time.nowUs() - time.unreadUs();
+        long sinceLook = Math.min(keptSinceUs, time.nowUs() - time.unreadUs());
         return readBefore ? sinceLook : Math.min(sinceLook, openedUs);
     }
 
@@ -242,8 +322,9 @@
             channel.eventLoop().execute(this::serveNext);
             return;
         }
-        // Sent ahead of the answer: read on only once it is its turn, so that what waits is bounded.
-        channel.config().setAutoRead(false);
+        // Sent ahead of the answer: what comes is taken apart only once it is its turn, so that what waits is
+        // bounded.
+        paused = true;
         if (waiting.size() > (busy ? 0 : 1) + Limits.MOST_AHEAD && !deaf) {
             waiting.removeLast();
             turnDown(HttpResponseStatus.BAD_REQUEST);
@@ -420,6 +501,12 @@
             close();
         } else if (!keepAlive) {
             channel.shutdownOutput();
+            if (lingerMs == 0 && !isQuiet()) {
+                // A close on what is unread resets the connection, and drops what of the answer is not with the
+                // client yet. It stays unread: the client is to send it again elsewhere.
+                lingerMs = Limits.LINGER_MS;
+                channel.config().setAutoRead(false);
+            }
             lingering = channel.eventLoop().schedule(this::close, lingerMs, TimeUnit.MILLISECONDS);
         } else if (!waiting.isEmpty()) {
             channel.eventLoop().execute(this::serveNext);
@@ -432,8 +519,8 @@
         if (next != null) {
             serve(next);
         }
-        if (waiting.isEmpty()) {
-            channel.config().setAutoRead(true);
+        if (waiting.isEmpty() && channel.isActive()) {
+            resume();
         }
     }
 
@@ -486,6 +573,7 @@
         waiting.clear();
         forgetPart();
         giveBackBodies();
+        forgetAhead();
         if (passing != null) {
             passing.setReading(true);
         }
