Open a silent watch anew in time; read indented lists; serve none before the agent's list

To blame: MOST_SILENCE_US, three beats and a half. Two beats and a quarter leave 1.5 s for the wait and the call. Ruled out: unread beats are not taken for silence, as the loop reads before that timer runs (its test passed before as well).

--- a/src/main/java/kitemux/discovery/Discovery.java
+++ b/src/main/java/kitemux/discovery/Discovery.java
@@ -1,10 +1,10 @@
 package kitemux.discovery;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
@@ -28,6 +28,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 
+import kitemux.Balancer.ServerState;
 import kitemux.config.ConfigException;
 import kitemux.config.Json;
 import kitemux.engine.Lists;
@@ -44,16 +45,25 @@
 
         /** The watch is over, or could not begin; it is not opened again by itself. */
         void failed(String reason);
+
+        /** Discovery is elsewhere from now on, and a watch opens there: what failed before tells nothing of
+         * that place. */
+        default void moved() { }
     }
 
-    /** Discovery writes every 2 s. Three beats missed: a watch that is silent for so long is broken. */
-    public static final long MOST_SILENCE_US = 7_000_000;
+    /** Discovery writes every 2 s. Two beats missed, and a quarter of one for its way: a watch that is silent
+     * for so long is broken. What it misses counts as told 6 s after it fell silent, by when another has to be
+     * open: what is left is for the wait before it and for a call among many. Harm: where beats come late by
+     * more than half a second, twice running, discovery is called once for nothing. */
+    public static final long MOST_SILENCE_US = 4_500_000;
     /** For discovery to catch up with what it told before it was down. Harm: a place whose versions have
      * begun anew is not believed for so long. */
     static final long MOST_OLD_US = 10_000_000;
-    private static final int CONNECT_TIMEOUT_MS = 2_000;
-    /** No list is so long; a line without an end must not fill the memory. */
-    private static final int MOST_LINE = 4 << 20;
+    /** A place that is new counts as heard 4 s after it was told: there is time for a dial that fails, a wait
+     * and two more. */
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+
+    private static final String UNUSABLE = "what it told could not be used";
 
     private final EventLoop loop;
     private final List<String> zones;
@@ -68,6 +78,8 @@
     /** The version that this place told this process last; -1 before. What a node began with may be from
      * another place. */
     private long heardRev = -1;
+    /** When each server that is listed started, by what was heard last. */
+    private final Map<String, Long> startedAtUs = new HashMap<>();
     private boolean wanted;
     private Watch current;
 
@@ -135,11 +147,23 @@
             revIsOfHere = false;
             heardRev = -1;
             if (wanted) {
+                listener.moved();
                 subscribe();
             }
         }
     }
 
+    /** All of it is asked for once more, as after a watch that broke. */
+    @Override
+    public void unusable() {
+        revIsOfHere = false;
+        if (current != null) {
+            current.broken(UNUSABLE);
+        } else {
+            listener.failed(UNUSABLE);
+        }
+    }
+
     /** Ends the watch without a word. */
     public void close() {
         wanted = false;
@@ -150,7 +174,7 @@
     }
 
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final ListLines lines = new ListLines();
         private Channel channel;
         private Future<?> silence;
         private boolean over;
@@ -162,6 +186,7 @@
             if (silence != null) {
                 silence.cancel(false);
             }
+            // What came while the loop stood still is read in the turn that this would run in, before it.
             silence = loop.schedule(() -> broken("silent"), mostSilenceUs, TimeUnit.MICROSECONDS);
         }
 
@@ -188,7 +213,6 @@
             if (over) {
                 return;
             }
-            expectMore();
             if (message.decoderResult().isFailure()) {
                 broken("answer cannot be read");
             } else if (message instanceof HttpResponse response && response.status().code() != 200) {
@@ -201,57 +225,57 @@
             }
         }
 
+        /** Only what is whole is a sign of life: bytes that never make a list tell nothing. */
         private void read(ByteBuf bytes) {
-            while (bytes.isReadable() && !over) {
-                int length = bytes.bytesBefore((byte) '\n');
-                byte[] part = new byte[length < 0 ? bytes.readableBytes() : length];
-                bytes.readBytes(part);
-                line.writeBytes(part);
-                if (line.size() > MOST_LINE) {
-                    broken("line without an end");
-                } else if (length >= 0) {
-                    bytes.skipBytes(1);
-                    byte[] whole = line.toByteArray();
-                    line.reset();
-                    readLine(whole);
+            ListLines.What what;
+            while (!over && (what = lines.next(bytes)) != ListLines.What.NOTHING) {
+                expectMore();
+                switch (what) {
+                    case LIST -> readList(lines.list());
+                    // A beat. As the first word it says that nothing has changed: the call has its answer.
+                    case BEAT -> heard(told || !revIsOfHere ? null : new HostList(rev, false, List.of()));
+                    default -> broken("bad line: " + lines.spoilt());
                 }
             }
         }
 
-        private void readLine(byte[] whole) {
-            HostList list;
+        private void readList(byte[] whole) {
             try {
-                if (new String(whole, StandardCharsets.US_ASCII).isBlank()) {
-                    // A beat. As the first word it says that nothing has changed: the call has its answer.
-                    list = told || !revIsOfHere ? null : new HostList(rev, false, List.of());
-                } else {
-                    list = HostListReader.read(Json.read(whole), zones, "");
-                }
+                heard(HostListReader.read(Json.read(whole), zones, ""));
             } catch (IOException | ConfigException e) {
                 broken("bad line: " + e.getMessage());
-                return;
             }
+        }
+
+        private void heard(HostList list) {
+            HostList news = list;
             if (list != null && list.rev() < heardRev) {
-                list = older();
-            } else if (list != null && lasting != null) {
-                lasting.cancel(false);
-                lasting = null;
+                news = older(list);
+            } else if (list != null) {
+                note(list);
+                if (lasting != null) {
+                    lasting.cancel(false);
+                    lasting = null;
+                }
             }
-            if (list != null) {
+            if (news != null) {
                 told = true;
-                rev = list.rev();
+                rev = news.rev();
                 revIsOfHere = true;
                 heardRev = rev;
-                listener.listed(list);
+                listener.listed(news);
             }
         }
 
         /**
          * This place knew more once: after it was down it may have come back with an old list. What it said
-         * since, of servers that drain above all, stands; what it tells on this watch counts again once it
-         * has caught up. If it does not, its versions have begun anew, and the whole list is asked for.
+         * since stands; what it tells on this watch counts again once it has caught up, but for this: a server
+         * that it says drains or has gone, and that has not started since, gets nothing more. Word of a drain
+         * holds from when it comes, and may be new here whatever its version. Harm: a server that it brought
+         * back since is left alone until it has caught up. If it does not, its versions have begun anew, and
+         * the whole list is asked for.
          */
-        private HostList older() {
+        private HostList older(HostList list) {
             if (lasting == null) {
                 log.line("discovery: its list is older than the one that it told; waiting for it to catch "
                         + "up");
@@ -261,7 +285,26 @@
                     subscribe();
                 }, MOST_OLD_US, TimeUnit.MICROSECONDS);
             }
-            return told ? null : new HostList(rev, false, List.of());
+            List<HostList.Host> leaving = list.hosts().stream().filter(this::leaves).toList();
+            return told && leaving.isEmpty() ? null : new HostList(rev, false, leaving);
+        }
+
+        private boolean leaves(HostList.Host host) {
+            return host.entry().state() != ServerState.READY && startedAtUs
+                    .getOrDefault(host.entry().id(), Long.MAX_VALUE) <= host.entry().startedAtUs();
+        }
+
+        private void note(HostList list) {
+            if (list.all()) {
+                startedAtUs.clear();
+            }
+            for (HostList.Host host : list.hosts()) {
+                if (host.entry().state() == ServerState.GONE) {
+                    startedAtUs.remove(host.entry().id());
+                } else {
+                    startedAtUs.put(host.entry().id(), host.entry().startedAtUs());
+                }
+            }
         }
 
         @Override
--- /dev/null
+++ b/src/main/java/kitemux/discovery/ListLines.java
@@ -0,0 +1,86 @@
+package kitemux.discovery;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * Cuts what comes on a watch into lists and beats, however it is split and whatever way it is indented: an
+ * object ends with its last brace, an empty line between two of them is a beat. What cannot be a list is
+ * found as soon as that is certain, and no later than with the next beat: an empty line within an object says
+ * that the rest of it is not going to come.
+ */
+final class ListLines {
+    /** No list is so long; an object without an end must not fill the memory. */
+    static final int MOST_BYTES = 4 << 20;
+
+    private final ByteArrayOutputStream object = new ByteArrayOutputStream();
+    private int depth;
+    private boolean inText;
+    private boolean escaped;
+    /** Whether anything but blanks stands on the line that is read. */
+    private boolean lineUsed;
+
+    /** What has come. */
+    enum What { NOTHING, BEAT, LIST, SPOILT }
+
+    /** Reads up to and with the next thing that is whole; {@link What#NOTHING} once all is read. */
+    What next(ByteBuf bytes) {
+        while (bytes.isReadable()) {
+            What what = take(bytes.readByte());
+            if (what != What.NOTHING) {
+                return what;
+            }
+        }
+        return What.NOTHING;
+    }
+
+    /** The list that was found last, as it came. */
+    byte[] list() {
+        byte[] whole = object.toByteArray();
+        object.reset();
+        return whole;
+    }
+
+    /** What is spoilt, as far as it came, for the operators: 40 characters at most. */
+    String spoilt() {
+        String text = object.toString(StandardCharsets.US_ASCII);
+        return text.length() <= 40 ? text : text.substring(0, 40) + " ...";
+    }
+
+    private What take(byte b) {
+        if (b == '\n') {
+            boolean empty = !lineUsed;
+            lineUsed = false;
+            if (depth == 0) {
+                return empty ? What.BEAT : What.NOTHING;
+            }
+            object.write(b);
+            return empty || inText ? What.SPOILT : What.NOTHING;
+        }
+        if (b == ' ' || b == '\r' || b == '\t') {
+            if (depth > 0) {
+                object.write(b);
+            }
+            return What.NOTHING;
+        }
+        lineUsed = true;
+        object.write(b);
+        if (depth == 0 && b != '{' || object.size() > MOST_BYTES) {
+            return What.SPOILT;
+        }
+        if (inText) {
+            inText = escaped || b != '"';
+            escaped = !escaped && b == '\\';
+            return What.NOTHING;
+        }
+        switch (b) {
+            case '"' -> inText = true;
+            case '{', '[' -> depth++;
+            case '}', ']' -> depth--;
+            default -> { }
+        }
+        return depth == 0 ? What.LIST : What.NOTHING;
+    }
+}
--- a/src/main/java/kitemux/discovery/PushedList.java
+++ b/src/main/java/kitemux/discovery/PushedList.java
@@ -11,8 +11,10 @@
  * the agent costs nobody anything. The waits between two tries grow and are drawn, since it may be starting.
  */
 public final class PushedList {
-    private static final long FIRST_US = 100_000;
-    private static final long MOST_US = 2_000_000;
+    private static final long FIRST_US = 50_000;
+    /** What the agent hears counts as told at once, whether or not a watch is open: half as much more, drawn,
+     * is well within what drains allow. Seven calls a second that are refused cost one machine nothing. */
+    private static final long MOST_US = 150_000;
 
     private final Time time;
     private final Runnable watch;
@@ -37,9 +39,13 @@
         watch.run();
     }
 
-    /** The agent has said something. */
+    /** The agent has said something, or another has taken its place and is called by now. */
     public void heard() {
         waitUs = FIRST_US;
+        if (next != null) {
+            next.cancel();
+            next = null;
+        }
     }
 
     /** The watch has ended, or did not come up. */
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -60,6 +60,8 @@
     /** A loop that was held up for so long is told of: half of the time after which an answer that was due
      * meanwhile counts as none. */
     private static final long HELD_UP_US = 250_000;
+    /** For an agent to tell what it has, which it does at once unless discovery is down. */
+    private static final long FIRST_LIST_MS = 1_000;
 
     private final NodeConfig config;
     private final EventLoop loop;
@@ -75,6 +77,9 @@
     /** What operators may do while it runs; null where no address is given for it. */
     private final Operations operations;
     private boolean listening;
+    /** Open until discovery has told something. */
+    private final CountDownLatch firstList = new CountDownLatch(1);
+    private boolean begun;
     private Future<?> housekeeping;
     private Future<?> beating;
 
@@ -139,6 +144,17 @@
                             pushed.heard();
                         }
                         list(list, list.all() ? ListKind.FULL : ListKind.CHANGES);
+                        firstList.countDown();
+                    }
+
+                    @Override
+                    public void moved() {
+                        if (pushed != null) {
+                            pushed.heard();
+                        }
+                        // The module waits longer with each call that fails, and these were to another place:
+                        // that nothing has changed is what lets it begin anew.
+                        engine.listed(ListKind.CHANGES, List.of(), () -> { });
                     }
 
                     @Override
@@ -267,15 +283,20 @@
             orEnd("mgmt " + config.operators(), node.listenForOperators());
         }
         log.line("warming up");
+        node.begin();
         Rehearsal.play(config, loop, log);
-        orEnd("listen " + config.listen(), node.start());
+        node.awaitFirstList();
         Orders journal = orders;
         Runnable captureEnds = endOfCapture;
+        // Before clients can connect: one that comes before it stands would be left without an answer.
+        Opening opening = new Opening(node::start);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            CountDownLatch empty = new CountDownLatch(1);
-            node.drain(node.operations != null && node.operations.isReplaced(), empty::countDown);
             try {
-                empty.await();
+                if (opening.end()) {
+                    CountDownLatch empty = new CountDownLatch(1);
+                    node.drain(node.operations != null && node.operations.isReplaced(), empty::countDown);
+                    empty.await();
+                }
                 captureEnds.run();
                 if (journal != null) {
                     // What the last answers told is still on its way to the disk.
@@ -287,8 +308,12 @@
                 Thread.currentThread().interrupt();
             }
         }, "drain"));
-        tellOfUnusedArchive(log);
-        log.line("listening on " + config.listen());
+        ChannelFuture listens = opening.open();
+        if (listens != null) {
+            orEnd("listen " + config.listen(), listens);
+            tellOfUnusedArchive(log);
+            log.line("listening on " + config.listen());
+        }
         return reload;
     }
 
@@ -327,16 +352,38 @@
         return operations.listen(config.operators());
     }
 
-    /** Begins to serve; the future is done once clients can connect. */
-    public ChannelFuture start() {
+    /** Follows the list from now on, without serving yet. */
+    private void begin() {
+        begun = true;
         loop.execute(() -> {
-            // What it did before it serves, such as its rehearsal, held nobody up.
-            time.beat();
             list(config.known(), ListKind.CACHED);
             if (pushed != null) {
                 pushed.begin();
             }
         });
+    }
+
+    /**
+     * Where lists are pushed, what the agent has counts as told from the first moment of this process: it waits
+     * for that, but not for an agent that has nothing to say.
+     */
+    private void awaitFirstList() {
+        if (pushed != null) {
+            try {
+                firstList.await(FIRST_LIST_MS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    /** Begins to serve; the future is done once clients can connect. */
+    public ChannelFuture start() {
+        if (!begun) {
+            begin();
+        }
+        // What it did before it serves, such as its rehearsal, held nobody up.
+        loop.execute(time::beat);
         housekeeping = loop.scheduleAtFixedRate(() -> {
             pool.closeOld();
             clients.closeOld();
--- /dev/null
+++ b/src/main/java/kitemux/node/Opening.java
@@ -0,0 +1,39 @@
+package kitemux.node;
+
+import java.util.function.Supplier;
+
+import io.netty.channel.ChannelFuture;
+
+/**
+ * Whether a process takes clients or ends, of which two threads decide: the one that starts it, and the one
+ * that runs as it is told to end. Once it ends it opens no more, and whoever ends it knows whether there may be
+ * clients to serve.
+ */
+final class Opening {
+    private final Supplier<ChannelFuture> start;
+    private ChannelFuture opened;
+    private boolean ended;
+
+    /** Nothing is open yet; {@code start} opens it, at most once. */
+    Opening(Supplier<ChannelFuture> start) {
+        this.start = start;
+    }
+
+    /** Opens, and gives when that is done; null if it has been told to end before. */
+    synchronized ChannelFuture open() {
+        if (!ended) {
+            opened = start.get();
+        }
+        return opened;
+    }
+
+    /** Opens no more from now on; waits for what was begun. True if clients can connect. */
+    boolean end() {
+        ChannelFuture begun;
+        synchronized (this) {
+            ended = true;
+            begun = opened;
+        }
+        return begun != null && begun.awaitUninterruptibly().isSuccess();
+    }
+}
--- a/src/main/java/kitemux/node/Rehearsal.java
+++ b/src/main/java/kitemux/node/Rehearsal.java
@@ -137,10 +137,17 @@
             come.release();
             come = Unpooled.EMPTY_BUFFER;
         }
+
+        /** The node closes on what is under way, which resets it. Left to the network library that cost the
+         * node's first turn 300 ms: it loads what writes logs, and writes 22 lines. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
     }
 
     /** Answers all that it is asked. */
-    private static final class FarServer extends Far {
+    static final class FarServer extends Far {
         private static final byte[] ANSWER = ("HTTP/1.1 200 OK\r\nContent-Length: " + BODY + "\r\n\r\n"
                 + "r".repeat(BODY)).getBytes(StandardCharsets.US_ASCII);
 
