Judge that whoever has left is not sent on: fault runs and drill, each with one that does

Rule GONE in the fault runs' judge, apart from what it judges: by when the client closed, the first byte of each attempt after, and the time that the node stood still. The drill's judge holds the same over processes ("no one who left sent on"), with the ways and processes that were at fault left out.

Also tests over a process: told twice to end it serves what it has; where lists are pushed none is served by the list that it began with (its agent holds its word back until one is served, or half a second).

--- a/src/main/java/kitemux/drill/Judge.java
+++ b/src/main/java/kitemux/drill/Judge.java
@@ -31,6 +31,8 @@
     private static final double FALL_MULTIPLE = 4;
     private static final long FALL_US = 2_000_000;
     private static final long SUM_US = 100_000;
+    /** In which a node has to see that a client has left: what waited is not sent on after it. */
+    private static final long LEFT_US = 300_000;
     private static final int MOST_TOLD = 30;
     private static final String PLAYER = "player";
 
@@ -75,6 +77,8 @@
         private final Event asked;
         private final Wish wish;
         private long writtenUs = -1;
+        /** When its client left without an answer; -1 if it did not. */
+        private long leftUs = -1;
         /** The first attempt that may have run. */
         private Attempt first;
         private int attemptsSinceWritten;
@@ -229,6 +233,7 @@
             case "left" -> {
                 Request of = requests.get(event.text("txn"));
                 of.wish.failed++;
+                of.leftUs = event.atUs();
                 // Its client leaves by its own clock: an answer that came then may have stood unread.
                 if (!isExcused(of, event.atUs()) && !wrong.touches(PLAYER, event.atUs() - SUM_US,
                         event.atUs(),
@@ -337,6 +342,11 @@
         Attempt mine = new Attempt(now, box, way(node, box));
         target.open.put(of.txn, mine);
         again(of, mine);
+        if (of.leftUs >= 0 && now - of.leftUs > LEFT_US + slackUs && !isExcused(of, now)
+                && !wrong.touches(mine.way, of.leftUs, now, HEALED_US)) {
+            tell(now, "no one who left sent on", of, "is sent to " + box + " " + (now - of.leftUs) / 1_000
+                    + " ms after its client left");
+        }
         Long unwanted = target.unwantedUs.get(node);
         if (unwanted != null && now > unwanted + facts.head.number("grace") + slackUs
                 && !wrong.touches(mine.way, unwanted, now, HEALED_US)) {
--- a/src/main/java/kitemux/world/Ask.java
+++ b/src/main/java/kitemux/world/Ask.java
@@ -27,6 +27,8 @@
     boolean behind;
     /** Its client has gone, or its node was ended with it: nothing is owed. */
     boolean over;
+    /** When its client left without an answer; -1 if it did not. */
+    long leftAt = -1;
     /** The status of its final answer; 0 before. */
     int status;
     /** When the node wrote the last of that, and when it was there. */
--- a/src/main/java/kitemux/world/Clients.java
+++ b/src/main/java/kitemux/world/Clients.java
@@ -28,7 +28,6 @@
     private final Settings settings;
     private final SplittableRandom random;
     final Machine machine;
-    private final long moreGraceNanos;
     private final Map<NodeHost, ArrayDeque<Line>> idle = new HashMap<>();
     private final List<NodeHost> inFront = new ArrayList<>();
     private long asked;
@@ -42,8 +41,6 @@
         this.settings = settings;
         this.random = random;
         this.machine = machine;
-        boolean slow = plan.faults().stream().anyMatch(fault -> fault.kind() == Fault.Kind.NODE_SLOW);
-        moreGraceNanos = slow ? Judge.MORE_GRACE_WHERE_SLOW_US * 1_000 : 0;
     }
 
     /** What somebody wants, over all tries. */
@@ -315,7 +312,7 @@
             }
             long deadline = ask.sentAt + ask.remainingUs * 1_000;
             long had = world.time.now() - deadline - node.stalledBetween(deadline, world.time.now());
-            long more = Judge.dueAt(ask) - deadline - had + moreGraceNanos;
+            long more = Judge.dueAt(ask) - deadline - had + world.judge.moreGraceNanos;
             if (more > 0) {
                 world.time.at(world.time.now() + more, () -> look(ask));
                 return;
@@ -347,7 +344,10 @@
         /** The client closes: nothing is owed to it. */
         private void close() {
             if (!gone) {
-                waiting.forEach(s -> s.ask.over = true);
+                waiting.forEach(s -> {
+                    s.ask.over = true;
+                    s.ask.leftAt = world.time.now();
+                });
                 waiting.clear();
                 if (random.nextInt(4) == 0) {
                     end.abort();
--- a/src/main/java/kitemux/world/Judge.java
+++ b/src/main/java/kitemux/world/Judge.java
@@ -26,7 +26,9 @@
      * So much more where a node is so short of its processor that time passes within its turns: the
      * operators'
      * fleet test counts an answer as lost from half a second after its time. */
-    static final long MORE_GRACE_WHERE_SLOW_US = 500_000 - GRACE_TO_ANSWER_US;
+    private static final long MORE_GRACE_WHERE_SLOW_US = 500_000 - GRACE_TO_ANSWER_US;
+    /** In which a node has to see that a client has left: what waited is not sent on after it. */
+    private static final long LEFT_US = 300_000;
     /** What a cold server stands beyond its budget, as a share of it: chance. */
     private static final double COLD_SLACK = 0.15;
     /** Share of the work that must have come from nodes that knew of the start, for it to be their fault. */
@@ -36,6 +38,8 @@
     private final Scheduler time;
     private final Tape tape;
     private final Settings settings;
+    /** By how much more a node of this world may be late. */
+    final long moreGraceNanos;
     private final List<Breach> breaches = new ArrayList<>();
     private final Map<String, Ask> asks = new HashMap<>();
     /** Attempts that are with servers and whose answer is not at the node's machine yet. */
@@ -44,8 +48,10 @@
     int refused;
     int failed;
 
-    Judge(Scheduler time, Tape tape, Settings settings) {
+    Judge(Scheduler time, Tape tape, Settings settings, Plan plan) {
         this.time = time;
+        boolean slow = plan.faults().stream().anyMatch(fault -> fault.kind() == Fault.Kind.NODE_SLOW);
+        moreGraceNanos = slow ? MORE_GRACE_WHERE_SLOW_US * 1_000 : 0;
         this.tape = tape;
         this.settings = settings;
     }
@@ -153,6 +159,11 @@
         if (ask.isAnswered() && run.sentAt > ask.answeredAt) {
             breach(Rule.ANSWERED, ask + " was sent to " + run.box + " after its final answer");
         }
+        if (ask.leftAt >= 0 && run.sentAt - ask.leftAt - from.stalledBetween(ask.leftAt, run.sentAt)
+                > (LEFT_US + LONGER_US) * 1_000 + moreGraceNanos) {
+            breach(Rule.GONE, ask + " was sent to " + run.box + " " + (run.sentAt - ask.leftAt) / 1_000_000
+                    + " ms after its client had left");
+        }
         if (ask.status == 429 || ask.status == 503) {
             checkRefusal(ask, run);
         }
--- a/src/main/java/kitemux/world/World.java
+++ b/src/main/java/kitemux/world/World.java
@@ -82,7 +82,7 @@
         fabric = new Fabric(time, tape, random("ways"));
         told = terms.told();
         settings = terms.truth();
-        judge = new Judge(time, tape, settings);
+        judge = new Judge(time, tape, settings, plan);
         chance = random("faults");
         SplittableRandom fleet = random("fleet");
         for (int i = 0; i < plan.boxes(); i++) {
--- a/src/test/java/kitemux/drill/JudgeTest.java
+++ b/src/test/java/kitemux/drill/JudgeTest.java
@@ -153,6 +153,22 @@
                 200));
     }
 
+    /** That it is lost as well is told by itself; here its node was stopped before, and is no excuse any more. */
+    @Test
+    void whoeverHasLeftIsNotSentOn() throws IOException {
+        String[] kept = {ask(2_000, 1, 0), event(2_552, "left", "'txn':'1'"), attempt(2_890, 1, "a")};
+        assertEquals(List.of(), judged(0, kept).broken().stream().filter(b -> b.contains("sent on")).toList());
+        String[] sentOn = {kept[0], kept[1], attempt(2_910, 1, "a")};
+        assertEquals(1, judged(0, sentOn).broken().stream().filter(b -> b.contains("no one who left sent on")
+                && b.contains("358 ms after its client left")).count());
+        // What a cut way held may come as late as it does, and so may what a stopped process does next.
+        assertEquals(List.of(), judged(0, fault(2_100, "fault", "cut", "'node-0>a'", ""), kept[0], kept[1],
+                fault(2_900, "mended", "cut", "'node-0>a'", ""), sentOn[2]).broken().stream()
+                .filter(b -> b.contains("sent on")).toList());
+        assertKept(fault(2_100, "fault", "stop", "", "0"), kept[0], kept[1],
+                fault(2_900, "mended", "stop", "", "0"), sentOn[2]);
+    }
+
     @Test
     void aServerThatDrainsGetsNothingAfterTheGrace() throws IOException {
         String told = event(10, "list", "'node':0,'states':{'a':'DRAINING'}");
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -21,6 +21,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -146,6 +147,85 @@
         }
     }
 
+    /** A second word that it is to end changes nothing: who is served is served to the end. */
+    @Test
+    void aNodeThatIsToldTwiceToEndServesWhatItHas(@TempDir Path folder) throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (FarServer server = FarServer.servingFrom(answer, "late")) {
+            Path config = knowing(folder, "s0=" + server.endpoint() + "=Ready", "on_request", "5000000");
+            Process process = start(config, Map.of("PROXY_DISCOVERY", "127.0.0.1:9"));
+            try {
+                BufferedReader lines = process.inputReader();
+                Socket client = new Socket(InetAddress.getLoopbackAddress(), listeningPort(process, lines));
+                client.setSoTimeout(20_000);
+                Site.write(client, Http.page("/api/p", "t", "5000m"));
+                FarServer.next(server.requests);
+                process.destroy();
+                int status = 200;
+                for (int i = 0; i < 5_000 && status == 200; i++) {
+                    status = ask(client.getPort(), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status();
+                }
+                assertEquals(503, status, "it has heard the first time");
+                new ProcessBuilder("kill", "-TERM", Long.toString(process.pid())).start().waitFor();
+                answer.countDown();
+                assertEquals("late", Http.read(client.getInputStream()).body());
+                assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+                assertEquals(143, process.exitValue());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    /** What the agent has counts as told from the first moment of a process: none is served before that. */
+    @Test
+    void whereListsArePushedNoneIsServedByTheListThatAProcessBeganWith(@TempDir Path folder)
+            throws Exception {
+        CountDownLatch served = new CountDownLatch(1);
+        try (FarServer drains = FarServer.serving("drains"); FarServer ready = FarServer.serving("ready");
+                FarServer agent = new FarServer((request, peer) -> {
+                    peer.write(Site.watchHead());
+                    try {
+                        // A node that serves before it has heard is given the time to do so.
+                        served.await(500, TimeUnit.MILLISECONDS);
+                    } catch (InterruptedException e) {
+                        throw new IOException(e);
+                    }
+                    peer.write(Site.chunk(Site.list(2, true, "s0=" + drains.endpoint() + "=Terminating",
+                            "s1=" + ready.endpoint() + "=Ready").replace("\"here\"", "\"\"") + "\n"));
+                })) {
+            Path config = knowing(folder, "s0=" + drains.endpoint() + "=Ready", "pushed", "500000");
+            Process process = start(config, Map.of("PROXY_DISCOVERY", agent.endpoint()));
+            try {
+                // The agent is called as the process warms up, which takes longer than that on some machines.
+                int port = listeningPort(process, process.inputReader());
+                assertEquals("ready", ask(port, Http.page("t")).body());
+                served.countDown();
+                assertEquals(0, drains.requests.size());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static int listeningPort(Process process, BufferedReader lines) throws Exception {
+        String line = lines.readLine();
+        while (!line.contains("listening on ")) {
+            line = lines.readLine();
+        }
+        return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).strip());
+    }
+
+    private static Path knowing(Path folder, String entry, String mode, String giveUpUs) throws Exception {
+        Path config = configure(folder, "127.0.0.1:9");
+        try (SocketChannel holder = shared()) {
+            return Files.writeString(config, Files.readString(config)
+                    .replace("127.0.0.1:0", "127.0.0.1:" + port(holder)).replace("on_request", mode)
+                    .replace("500000,", giveUpUs + ",").replace("\"seed\"", "\"known\":"
+                            + Site.list(1, true, entry).replace("\"here\"", "\"\"") + ",\"seed\""));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"warming up", "listening on "})
     void aReloadHoldsHoweverSoonItComes(String when, @TempDir Path folder) throws Exception {
--- a/src/test/java/kitemux/world/Mutant.java
+++ b/src/test/java/kitemux/world/Mutant.java
@@ -256,6 +256,28 @@
             };
         }
     },
+    SENT_ON_FOR_ONE_THAT_LEFT(Rule.GONE, "random") {
+        @Override
+        public Transport<ClientRequest, Answer> transport(Transport<ClientRequest, Answer> sound) {
+            return new Carried(sound) {
+                private final List<Exchange<ClientRequest, Answer>> givenUp = new ArrayList<>();
+
+                @Override
+                public void start(String serverId, Exchange<ClientRequest, Answer> exchange) {
+                    super.start(serverId, exchange);
+                    if (givenUp.size() > 5) {
+                        super.start(serverId, new Unheard(givenUp.remove(0)));
+                    }
+                }
+
+                @Override
+                public boolean giveUp(String serverId, Exchange<ClientRequest, Answer> exchange) {
+                    givenUp.add(exchange);
+                    return super.giveUp(serverId, exchange);
+                }
+            };
+        }
+    },
     ANSWER_CHANGED(Rule.ANSWERED, "calm") {
         @Override
         public void opened(Channel channel, boolean accepted) {
