--- a/src/main/java/kitemux/discovery/Discovery.java
+++ b/src/main/java/kitemux/discovery/Discovery.java
@@ -52,9 +52,9 @@
     }
 
     /** Discovery writes every 2 s. Two beats missed, and a quarter of one for its way: a watch that is silent
-     * for so long is broken. What it misses counts as told 6 s after it fell silent, by when another has to be
-     * open: what is left is for the wait before it and for a call among many. Harm: where beats come late by
-     * more than half a second, twice running, discovery is called once for nothing. */
+     * for so long is broken. What it misses counts as told 6 s after it fell silent, by when another has to
+     * be open: what is left is for the wait before it and for a call among many. Harm: where beats come late
+     * by more than half a second, twice running, discovery is called once for nothing. */
     public static final long MOST_SILENCE_US = 4_500_000;
     /** For discovery to catch up with what it told before it was down. Harm: a place whose versions have
      * begun anew is not believed for so long. */
@@ -269,11 +269,11 @@
 
         /**
          * This place knew more once: after it was down it may have come back with an old list. What it said
-         * since stands; what it tells on this watch counts again once it has caught up, but for this: a server
-         * that it says drains or has gone, and that has not started since, gets nothing more. Word of a drain
-         * holds from when it comes, and may be new here whatever its version. Harm: a server that it brought
-         * back since is left alone until it has caught up. If it does not, its versions have begun anew, and
-         * the whole list is asked for.
+         * since stands; what it tells on this watch counts again once it has caught up, but for this: a
+         * server that it says drains or has gone, and that has not started since, gets nothing more. Word of
+         * a drain holds from when it comes, and may be new here whatever its version. Harm: a server that it
+         * brought back since is left alone until it has caught up. If it does not, its versions have begun
+         * anew, and the whole list is asked for.
          */
         private HostList older(HostList list) {
             if (lasting == null) {
--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -208,8 +208,9 @@
     }
 
     /**
-     * Takes back what was never sent of a request that is over: what stands at the gate, and what a connection
-     * is being opened for. The settings may forbid to call off what a server has; it has none of this.
+     * Takes back what was never sent of a request that is over: what stands at the gate, and what a
+     * connection is being opened for. The settings may forbid to call off what a server has; it has none of
+     * this.
      */
     private void withdraw(Held<Q, A> over) {
         for (Attempt attempt : List.copyOf(over.attempts)) {
--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -58,7 +58,7 @@
     private boolean readBefore;
     /** What came whole and waits for its turn. */
     private final ArrayDeque<Incoming> waiting = new ArrayDeque<>();
-    /** Requests wait: what comes meanwhile is read, so that the client's leaving is seen, and kept as it is. */
+    /** Requests wait: what comes meanwhile is read, so that the client's leaving is seen, and kept. */
     private boolean paused;
     /** What is kept so, or null; since when, and how much is set aside for it. */
     private ByteBuf ahead;
@@ -502,8 +502,8 @@
         } else if (!keepAlive) {
             channel.shutdownOutput();
             if (lingerMs == 0 && !isQuiet()) {
-                // A close on what is unread resets the connection, and drops what of the answer is not with the
-                // client yet. It stays unread: the client is to send it again elsewhere.
+                // A close on what is unread resets the connection, and drops what of the answer is not with
+                // the client yet. It stays unread: the client is to send it again elsewhere.
                 lingerMs = Limits.LINGER_MS;
                 channel.config().setAutoRead(false);
             }
--- a/src/main/java/kitemux/http/Limits.java
+++ b/src/main/java/kitemux/http/Limits.java
@@ -26,8 +26,8 @@
     /** What is kept as it comes behind requests that wait: room for one with the longest body of the usual
      * ones. Reading goes on up to there, so that a client that leaves behind it is seen to. */
     public static final int MOST_AHEAD_BYTES = 64 << 10;
-    /** What is read and dropped of a client that has sent what cannot be used and waits to be told so, for the
-     * same end: a flood must not use up the processor. */
+    /** What is read and dropped of a client that has sent what cannot be used and waits to be told so, for
+     * the same end: a flood must not use up the processor. */
     public static final long MOST_DROPPED = 1 << 20;
     /** From the first byte of a request's head to its last, and from connecting to the first request: whoever
      * does not get on holds a socket and memory for nothing. Slow clients take 2 s for a head. */
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -364,8 +364,8 @@
     }
 
     /**
-     * Where lists are pushed, what the agent has counts as told from the first moment of this process: it waits
-     * for that, but not for an agent that has nothing to say.
+     * Where lists are pushed, what the agent has counts as told from the first moment of this process: it
+     * waits for that, but not for an agent that has nothing to say.
      */
     private void awaitFirstList() {
         if (pushed != null) {
--- a/src/main/java/kitemux/node/Opening.java
+++ b/src/main/java/kitemux/node/Opening.java
@@ -6,8 +6,8 @@
 
 /**
  * Whether a process takes clients or ends, of which two threads decide: the one that starts it, and the one
- * that runs as it is told to end. Once it ends it opens no more, and whoever ends it knows whether there may be
- * clients to serve.
+ * that runs as it is told to end. Once it ends it opens no more, and whoever ends it knows whether there may
+ * be clients to serve.
  */
 final class Opening {
     private final Supplier<ChannelFuture> start;
--- a/src/test/java/kitemux/drill/JudgeTest.java
+++ b/src/test/java/kitemux/drill/JudgeTest.java
@@ -153,11 +153,12 @@
                 200));
     }
 
-    /** That it is lost as well is told by itself; here its node was stopped before, and is no excuse any more. */
+    /** That it is lost as well is told by itself. */
     @Test
     void whoeverHasLeftIsNotSentOn() throws IOException {
         String[] kept = {ask(2_000, 1, 0), event(2_552, "left", "'txn':'1'"), attempt(2_890, 1, "a")};
-        assertEquals(List.of(), judged(0, kept).broken().stream().filter(b -> b.contains("sent on")).toList());
+        assertEquals(List.of(), judged(0, kept).broken().stream().filter(b -> b.contains("sent on"))
+                .toList());
         String[] sentOn = {kept[0], kept[1], attempt(2_910, 1, "a")};
         assertEquals(1, judged(0, sentOn).broken().stream().filter(b -> b.contains("no one who left sent on")
                 && b.contains("358 ms after its client left")).count());
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -193,7 +193,8 @@
     void listsMayComeIndentedAndSplitAnywhere() throws Exception {
         String line = Site.list(43, true, ENTRY, "s1=10.0.0.2:80=Terminating")
                 .replace("\"s1\"", "\"s}{\\\"[1\"");
-        String indented = line.replace(",", ",\r\n    ").replace("[{", "[\n  {\n").replace("}]}", "\n}\n]\n}");
+        String indented = line.replace(",", ",\r\n    ").replace("[{", "[\n  {\n")
+                .replace("}]}", "\n}\n]\n}");
         try (Site site = Site.quiet()) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
             watch(site, Discovery.MOST_SILENCE_US, told);
