Spread in time what nodes whose watches fall silent together ask of discovery

Ruled out: a loop held up (no such line), a watch that broke late (all at 4.5 s). To blame: one constant for all. Each watch now draws its patience between 2.5 s, one beat missed and half a second for its way, and 4 s.

--- a/src/main/java/kitemux/discovery/Discovery.java
+++ b/src/main/java/kitemux/discovery/Discovery.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
@@ -51,11 +52,14 @@
         default void moved() { }
     }
 
-    /** Discovery writes every 2 s. Two beats missed, and a quarter of one for its way: a watch that is silent
-     * for so long is broken. What it misses counts as told 6 s after it fell silent, by when another has to
-     * be open: what is left is for the wait before it and for a call among many. Harm: where beats come late
-     * by more than half a second, twice running, discovery is called once for nothing. */
-    public static final long MOST_SILENCE_US = 4_500_000;
+    /** Discovery writes every 2 s. A watch that is silent for so long is broken: what it misses counts as
+     * told 6 s after it fell silent, by when another has to be open, and what is left is for the wait before
+     * it and for a call among many. */
+    public static final long MOST_SILENCE_US = 4_000_000;
+    /** Watches fall silent at all nodes at once, and discovery takes calls in turn: each watch has a patience
+     * of its own, drawn between this part of the most and the most. That is one beat missed and a quarter of
+     * one for its way. Harm: where a beat comes half a second late, some nodes call for nothing. */
+    static final double LEAST_PART = 0.625;
     /** For discovery to catch up with what it told before it was down. Harm: a place whose versions have
      * begun anew is not believed for so long. */
     static final long MOST_OLD_US = 10_000_000;
@@ -71,6 +75,7 @@
     private final Listener listener;
     private final Log log;
     private final Bootstrap dialer;
+    private final SplittableRandom random;
     private InetSocketAddress address;
     private long rev;
     /** Whether the version is one of this place's, so that a watch can go on from it. */
@@ -87,14 +92,17 @@
      * Asks nothing yet.
      *
      * @param knownRev the version of the list that the node began with
-     * @param mostSilenceUs a watch on which nothing comes for so many microseconds is broken
+     * @param mostSilenceUs a watch on which nothing comes for so many microseconds is broken, or for somewhat
+     *     less
+     * @param seed for how much less
      */
     public Discovery(EventLoop loop, Network network, InetSocketAddress at, List<String> zones, long knownRev,
-            long mostSilenceUs, Listener listener, Log log) {
+            long mostSilenceUs, long seed, Listener listener, Log log) {
         this.loop = loop;
         this.log = log;
         this.zones = zones;
         this.mostSilenceUs = mostSilenceUs;
+        random = new SplittableRandom(seed);
         this.listener = listener;
         address = at;
         rev = knownRev;
@@ -173,7 +181,12 @@
         }
     }
 
+    static long patienceUs(long mostUs, SplittableRandom random) {
+        return (long) (mostUs * (LEAST_PART + (1 - LEAST_PART) * random.nextDouble()));
+    }
+
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
+        private final long patienceUs = patienceUs(mostSilenceUs, random);
         private final ListLines lines = new ListLines();
         private Channel channel;
         private Future<?> silence;
@@ -187,7 +200,7 @@
                 silence.cancel(false);
             }
             // What came while the loop stood still is read in the turn that this would run in, before it.
-            silence = loop.schedule(() -> broken("silent"), mostSilenceUs, TimeUnit.MICROSECONDS);
+            silence = loop.schedule(() -> broken("silent"), patienceUs, TimeUnit.MICROSECONDS);
         }
 
         /** Ends without a word. */
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -137,7 +137,7 @@
                 config.settings().connectTimeoutUs, config.connIdleUs(), new HttpServers(parts.time(),
                         config.settings(), parts.network().allocator(), log));
         discovery = new Discovery(loop, parts.network(), config.discovery(), config.settings().zones,
-                config.known().rev(), Discovery.MOST_SILENCE_US, new Discovery.Listener() {
+                config.known().rev(), Discovery.MOST_SILENCE_US, config.seed(), new Discovery.Listener() {
                     @Override
                     public void listed(HostList list) {
                         if (pushed != null) {
