--- a/src/test/java/kitemux/discovery/PatienceTest.java
+++ b/src/test/java/kitemux/discovery/PatienceTest.java
@@ -9,7 +9,7 @@
 /** How long a watch may be silent. */
 class PatienceTest {
 
-    /** Discovery takes calls in turn: of nodes whose watches fall silent at once, few call in the same tenth. */
+    /** Discovery takes calls in turn: of nodes whose watches fall silent at once few call together. */
     @Test
     void nodesDoNotLosePatienceTogether() {
         int[] inTenth = new int[100];
