--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -137,7 +137,7 @@
                 config.settings().connectTimeoutUs, config.connIdleUs(), new HttpServers(parts.time(),
                         config.settings(), parts.network().allocator(), log));
         discovery = new Discovery(loop, parts.network(), config.discovery(), config.settings().zones,
-                config.known().rev(), Discovery.MOST_SILENCE_US, new Discovery.Listener() {
+                config.known().rev(), Discovery.MOST_SILENCE_US, config.seed(), new Discovery.Listener() {
                     @Override
                     public void listed(HostList list) {
                         if (pushed != null) {
@@ -364,8 +364,8 @@
     }
 
     /**
-     * Where lists are pushed, what the agent has counts as told from the first moment of this process: it waits
-     * for that, but not for an agent that has nothing to say.
+     * Where lists are pushed, what the agent has counts as told from the first moment of this process: it
+     * waits for that, but not for an agent that has nothing to say.
      */
     private void awaitFirstList() {
         if (pushed != null) {
