Read nothing more behind a last answer that was given in its own turn

Seen on reading: where the last answer comes from inside serveNext, as a refusal does, the end of that call turned reading on again that the answer had just turned off, so that what lay unread was taken from its client unanswered. To blame: the call to resume() whatever became of the connection. Now only where it goes on, or drops what comes.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -519,7 +519,8 @@
         if (next != null) {
             serve(next);
         }
-        if (waiting.isEmpty() && channel.isActive()) {
+        // Behind its last answer nothing more is read, but for the rest of what was turned down.
+        if (waiting.isEmpty() && channel.isActive() && (keepAlive || deaf)) {
             resume();
         }
     }
