Hold in the engine's own tests that what was never sent is taken back

At the gate, while a connection comes up, and beside an attempt that is served; the module of these tests calls nothing off, as where the settings forbid it. Without Engine.withdraw the first two are told nothing and the third is left out.

--- a/src/test/java/kitemux/engine/EngineTest.java
+++ b/src/test/java/kitemux/engine/EngineTest.java
@@ -417,6 +417,44 @@
         assertEquals(List.of("yes"), answers);
     }
 
+    private Engine.Held<Ask, String> askAndLeave() {
+        agoUs = AGO_US;
+        Engine<Ask, String> engine = engine(this::module);
+        Engine.Held<Ask, String> held = engine.take(client, new Ask(LEFT_US));
+        engine.ask(held);
+        engine.left(held);
+        assertEquals(0, engine.heldCount());
+        return held;
+    }
+
+    /** The module calls nothing off here, as where the settings forbid it. */
+    @Test
+    void whatStandsAtTheGateIsTakenBackOnceItsClientHasLeft() {
+        atGate = new ArrayList<>();
+        askAndLeave();
+        assertEquals(List.of(Result.MOOT), told.stream().map(Outcome::result).toList());
+        atGate.get(0).accept(true);
+        assertEquals(0, exchanges.size());
+    }
+
+    @Test
+    void whatWaitsForAConnectionIsTakenBackOnceItsClientHasLeft() {
+        dialing = true;
+        askAndLeave();
+        assertEquals(exchanges, withdrawn);
+        assertEquals(List.of(Result.MOOT), told.stream().map(Outcome::result).toList());
+    }
+
+    @Test
+    void theOtherAttemptIsTakenBackWhereItWasNotSentWhenOneIsServed() {
+        sends = 2;
+        ask(LEFT_US);
+        dialing = true;
+        exchanges.get(0).ended(Result.OK, "yes");
+        assertEquals(List.of(Result.OK, Result.MOOT), told.stream().map(Outcome::result).toList());
+        assertEquals(List.of("yes"), answers);
+    }
+
     @Test
     void whatTheGateTurnsAwayIsRefusedAtOnceAndWasNeverSent() {
         atGate = new ArrayList<>();
