Pass long answers on for as long as their server gives, past the client's time

Beyond 64 KiB the first bytes are timed.

By reading: ServerPool.update and makeRoom touch idle connections alone.

The deadline ends with an answer's first bytes. One that stops within its client's time ends 0.2 to 0.4 s after it, as the final answer is due by half a second after; one that went on past it, 1.75 to 1.95 s after its last byte, before it passes for withheld (2 s; it was 10 s and more); one without end after 1 GiB or 600 s. A loop that stood still takes nobody for stopped. After SIGTERM the connection ends with an answer that had begun before: it stayed open for 5 s more. Where only the close ends an answer (HTTP/1.0 clients) a kill resets it; no test holds that yet.

Rows of MySQL, which no node serves yet, have the same begin and no bound of their own for a server that stops.

--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -268,6 +268,11 @@
             return untilUs;
         }
 
+        @Override
+        public long deadlineUs() {
+            return of.deadlineUs;
+        }
+
         void begin() {
             of.outstanding++;
             observer.sent(of.id, number, serverId, untilUs);
@@ -358,15 +363,9 @@
             }
             of.answering = this;
             begunAtUs = time.nowUs();
+            // What is timed of a long answer is its first bytes. A server that goes on giving is heard to the
+            // last, past the client's time; one that stops or has no end is broken off by the transport.
             expiry.cancel();
-            if (!of.request.isStreamed()) {
-                // Its time is that of its last byte. Longer nobody waits for it, and one without an end would
-                // hold its client, who is owed a final answer, for as long.
-                expiry = time.after(of.deadlineUs - begunAtUs, () -> {
-                    transport.giveUp(serverId, this);
-                    ended(Result.TIMEOUT, null);
-                });
-            }
             of.client.begun(answer);
             if (of.request.isStreamed()) {
                 tell(of, () -> balancer.onFirstByte(time.nowUs(), of.id, number));
--- a/src/main/java/kitemux/engine/Transport.java
+++ b/src/main/java/kitemux/engine/Transport.java
@@ -23,10 +23,16 @@
         /** When it is given up, in microseconds of the engine's clock. */
         long untilUs();
 
+        /** When its client's time is over, on the same clock: then or later than it is given up. */
+        default long deadlineUs() {
+            return untilUs();
+        }
+
         /**
          * An answer has begun to come that nobody holds whole: the rest of it comes through the answer
          * itself, and the end is told as ever. Nothing is tried again: what has been passed on cannot be
-         * taken back. The client's time still holds, but for streams.
+         * taken back. The client's time holds no longer: what keeps coming is passed on to its end. What
+         * stops or has no end the transport breaks off, as {@link Result#RESET}.
          *
          * @return false if nobody wants it: the client has left, or has another attempt's answer. The
          *     transport is to break it off, and tells no end
--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -389,6 +389,9 @@
             begins.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.length());
         } else if (protocol.equals(HttpVersion.HTTP_1_0)) {
             keepAlive = false;
+            // Nothing but the end of the connection is its end, also that by which a process is killed: that
+            // is to be a reset up to the last byte.
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
         } else {
             begins.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
@@ -417,6 +420,10 @@
         }
         held = null;
         passing = null;
+        // Its head said nothing of it where the node was told to end meanwhile: left open it would carry
+        // further requests, up to where the process is killed under one.
+        keepAlive &= !server.endsConnections();
+        channel.config().setOption(ChannelOption.SO_LINGER, -1);
         channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(
                 written -> answered(written.isSuccess()));
     }
--- a/src/main/java/kitemux/http/HttpServers.java
+++ b/src/main/java/kitemux/http/HttpServers.java
@@ -92,8 +92,9 @@
         private Answer passing;
         private boolean reading = true;
         private long readAtUs;
-        /** Bytes of an answer that have been passed on. */
+        /** Bytes of an answer that have been passed on, and when the first were. */
         private long passed;
+        private long passingSinceUs;
         private boolean answered;
         /** The other side broke it off: its end is not that of an answer. */
         private boolean broken;
@@ -183,6 +184,7 @@
                 return false;
             }
             passing = begins;
+            passingSinceUs = clock.nowUs();
             answersBytes -= body.readableBytes();
             ByteBuf first = body;
             body = null;
@@ -201,7 +203,15 @@
 
         @Override
         protected boolean isStalled() {
-            return passing != null && reading && clock.nowUs() - readAtUs > Limits.STALLED_US;
+            if (passing == null) {
+                return false;
+            }
+            // What has come since the loop last looked may lie unread: a loop that stood still stalls nobody.
+            long lookedUs = clock.nowUs() - clock.unreadUs();
+            long deadlineUs = exchange().deadlineUs();
+            boolean silent = lookedUs - readAtUs > Limits.STALLED_US
+                    || readAtUs <= deadlineUs && lookedUs - deadlineUs > Limits.LAST_WORD_US;
+            return reading && silent || lookedUs - passingSinceUs > Limits.MOST_PASSING_US;
         }
 
         /** Whether nothing but the end of the connection ends the body (RFC 9112, 6.3). */
--- a/src/main/java/kitemux/http/Limits.java
+++ b/src/main/java/kitemux/http/Limits.java
@@ -11,12 +11,23 @@
     /** How much of an answer is gathered, so that another server can be asked where it breaks off; what is
      * longer is passed on as it comes. */
     public static final int MOST_GATHERED = 64 << 10;
-    /** An answer's body, also one that is passed on: one without end would hold two connections for good. */
+    /** An answer's body, also one that is passed on: one without end would hold two connections for as long
+     * as {@link #MOST_PASSING_US}. */
     public static final long MOST_ANSWER = 1L << 30;
     /** An error's body, which is dropped: one without end would hold the connection. */
     public static final int MOST_ERROR = 1 << 20;
-    /** For a server to go on with an answer that is passed on: one that has vanished says nothing more. */
-    public static final long STALLED_US = 10_000_000;
+    /** For a server to go on with an answer that is passed on: one that has vanished says nothing more.
+     * Clients take what is withheld for 2 s for lost: a node that waits longer cannot be told from one that
+     * withholds, and one that waits much less cuts off a server that only pauses. Looked at every 200 ms,
+     * this tells the client just before. */
+    public static final long STALLED_US = 1_750_000;
+    /** For a server that was last heard within its client's time to be heard after it. One that gives on is
+     * heard to the last; one that has stopped would keep its client from the final answer, which is due by
+     * half a second after its time: a check every 200 ms and a loop that is late have to fit in. */
+    public static final long LAST_WORD_US = 200_000;
+    /** For an answer that is passed on, from its first bytes to its last: the longest, of 32 MiB, takes 512 s
+     * at the slowest that peers write, 64 kB a second. One that drips for good would hold two connections. */
+    public static final long MOST_PASSING_US = 600_000_000;
     /** All answers together that are on their way from servers: a quarter of the heap. */
     public static final int MOST_ANSWERS = 16 << 20;
     /** Room that an answer is given before it comes, whatever length it says it has. */
