Force SIGTERM into the moments in which a process begins to listen

Change: `SignalAtOpeningTest` runs the program under a debugger (JDI), which stops one thread at a point of its code while the others run on, so that nothing in the program is there for the test and nothing sleeps. Three orders: between hook and listener; in the bind, when the system already has clients wait and the process does not know that it listens; after the opening, before the starting thread has done anything else.

Failed tries: stopping at the first `addShutdownHook` caught the logging library's, whose lock then held up the end; a stop set after the thread before was let go came too late.

--- /dev/null
+++ b/src/test/java/kitemux/node/SignalAtOpeningTest.java
@@ -0,0 +1,134 @@
+package kitemux.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import kitemux.cli.Main;
+
+/** SIGTERM in each of the moments in which a process begins to listen, forced by a debugger. */
+class SignalAtOpeningTest {
+    private static final int MOST_MS = 20_000;
+
+    @TempDir
+    private Path folder;
+
+    /** A node that knows one server, and the port that it is to listen on. */
+    private Debuggee node(FarServer server, SocketChannel holder) throws Exception {
+        Path config = Files.writeString(folder.resolve("config.json"), """
+                {"listen":"127.0.0.1:%d","discovery":"127.0.0.1:9","seed":"1","limits":{"sockets":256},
+                 "known":%s,
+                 "settings":{"membershipMode":"on_request","limits":{"attemptsCap":1},
+                  "classes":[{"name":"page","onTimeUs":1000000,"giveUpUs":20000000,"repeat":"safe"}]}}
+                """.formatted(port(holder), Site.list(1, true, "s0=" + server.endpoint() + "=Ready")
+                        .replace("\"here\"", "\"\"")));
+        return Debuggee.start(List.of(ProcessHandle.current().info().command().orElseThrow(),
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                Main.class.getName(), "node"), Map.of("PROXY_CONFIG", config.toString()));
+    }
+
+    /** Keeps a port for a process that is yet to listen. */
+    private static SocketChannel holder() throws IOException {
+        return SocketChannel.open().setOption(StandardSocketOptions.SO_REUSEADDR, true)
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    private static int port(SocketChannel holder) throws IOException {
+        return ((InetSocketAddress) holder.getLocalAddress()).getPort();
+    }
+
+    private static Socket connect(SocketChannel holder) throws IOException {
+        Socket client = new Socket(InetAddress.getLoopbackAddress(), port(holder));
+        client.setSoTimeout(MOST_MS);
+        return client;
+    }
+
+    /** The same, once it listens. */
+    private static Socket connectOnceItListens(SocketChannel holder) throws IOException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MOST_MS);
+        while (true) {
+            try {
+                return connect(holder);
+            } catch (ConnectException e) {
+                assertTrue(System.nanoTime() < until, "it never listens");
+            }
+        }
+    }
+
+    private static void assertEnds(Debuggee node) throws InterruptedException {
+        assertTrue(node.process.waitFor(MOST_MS, TimeUnit.MILLISECONDS), "it does not end");
+        assertEquals(143, node.process.exitValue(), "ended by SIGTERM in good order");
+    }
+
+    @Test
+    void betweenTheHookAndTheListenerItEndsAndNeverListens() throws Exception {
+        try (FarServer server = FarServer.serving("x"); SocketChannel holder = holder();
+                Debuggee node = node(server, holder)) {
+            node.stopAtEnd("java.lang.Runtime", "addShutdownHook");
+            node.awaitStop(Node.class.getName());
+            node.process.toHandle().destroy();
+            assertEnds(node);
+            assertThrows(ConnectException.class, () -> connect(holder));
+            assertTrue(node.process.inputReader().lines().noneMatch(line -> line.contains("listening on")));
+        }
+    }
+
+    /** The system has its clients wait by then, and the process does not know yet that it listens. */
+    @Test
+    void asTheListenerOpensWhoConnectsIsServed() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (FarServer server = FarServer.servingFrom(answer, "late"); SocketChannel holder = holder();
+                Debuggee node = node(server, holder)) {
+            node.stopAtBegin(Opening.class.getName(), "open");
+            Debuggee.Stop opens = node.awaitStop(Node.class.getName());
+            node.stopAtEnd("sun.nio.ch.ServerSocketChannelImpl", "bind");
+            opens.goOn();
+            Debuggee.Stop bound = node.awaitStop("io.netty.channel.socket.nio.NioServerSocketChannel");
+            Socket client = connect(holder);
+            Site.write(client, Http.page("/api/p", "t", "15000m"));
+            node.process.toHandle().destroy();
+            node.awaitWaiting("drain");
+            bound.goOn();
+            FarServer.next(server.requests);
+            answer.countDown();
+            assertEquals("late", Http.read(client.getInputStream()).body());
+            assertEnds(node);
+        }
+    }
+
+    /** Clients are served by then, and the thread that starts the process has done nothing since. */
+    @Test
+    void onceItListensAndHasDoneNothingElseWhoIsTakenIsServed() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (FarServer server = FarServer.servingFrom(answer, "late"); SocketChannel holder = holder();
+                Debuggee node = node(server, holder)) {
+            node.stopAtEnd(Opening.class.getName(), "open");
+            node.stepOut(node.awaitStop(Node.class.getName()));
+            Socket client = connectOnceItListens(holder);
+            Site.write(client, Http.page("/api/p", "t", "15000m"));
+            FarServer.next(server.requests);
+            node.process.toHandle().destroy();
+            node.awaitWaiting("drain");
+            answer.countDown();
+            assertEquals("late", Http.read(client.getInputStream()).body());
+            assertEnds(node);
+        }
+    }
+}
