--- a/src/main/java/kitemux/world/Ask.java
+++ b/src/main/java/kitemux/world/Ask.java
@@ -53,6 +53,10 @@
         boolean answerHeard;
         /** Whether the box broke its answer off. */
         boolean cut;
+        /** Whether the box has begun a long answer and goes on giving it. */
+        boolean giving;
+        /** When the box stopped amid a long answer, for good; -1 if it did not. */
+        long stoppedAt = -1;
 
         Run(Box box, End end, long sentAt, long arrivedAt) {
             this.box = box;
@@ -80,6 +84,11 @@
         this.remainingUs = remainingUs;
     }
 
+    /** The attempt whose long answer goes on, on a connection that no fault broke; null if there is none. */
+    Run given() {
+        return runs.stream().filter(run -> run.giving && !run.end.cut).findFirst().orElse(null);
+    }
+
     boolean isAnswered() {
         return status != 0;
     }
--- a/src/main/java/kitemux/world/Box.java
+++ b/src/main/java/kitemux/world/Box.java
@@ -1,6 +1,8 @@
 package kitemux.world;
 
 import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 import kitemux.Balancer.Settings;
@@ -15,6 +17,10 @@
     /** How crowded it must be, and for how long it is then slow, in requests that wait. */
     private static final int CROWDED = 12;
     private static final int IDLE = 1;
+    /** The first piece of a long answer, which is passed on from there, and the most that follows. */
+    private static final int LONG = 70_000;
+    /** Between two pieces: by any measure it has not stopped. */
+    private static final int MOST_PAUSE_US = 120_000;
 
     private final World world;
     private final Settings settings;
@@ -44,6 +50,9 @@
     /** Share of requests that it fails quickly, and of answers that it spoils. */
     double failing;
     double spoiling;
+    /** Share of answers that are long and come bit by bit. */
+    double givingLong;
+    private final Set<Ask.Run> giving = new HashSet<>();
     /** Share of requests on whose coming it resets their connection, before any answer; it serves them
      * still. */
     double resetting;
@@ -98,6 +107,8 @@
         waiting.clear();
         running = null;
         connections = 0;
+        giving.forEach(run -> run.giving = false);
+        giving.clear();
     }
 
     /** A new process, cold. */
@@ -268,6 +279,17 @@
     }
 
     private void serve(Job job) {
+        if (givingLong > 0 && random.nextDouble() < givingLong) {
+            byte[] body = body(job.ask, LONG + random.nextInt(LONG));
+            job.ask.made.add(body);
+            world.tape.note(Tape.What.REPLY, job.ask.number, body.length);
+            int pieces = 3 + random.nextInt(30);
+            job.run.giving = true;
+            giving.add(job.run);
+            give(job, Messages.write("HTTP/1.1 200 OK", "", body), 0, pieces,
+                    random.nextInt(5) == 0 ? 1 + random.nextInt(pieces - 1) : 0);
+            return;
+        }
         byte[] body = body(job.ask);
         if (spoiling > 0 && random.nextDouble() < spoiling) {
             spoil(job, body);
@@ -277,6 +299,26 @@
         }
     }
 
+    /** The next piece of a long answer, of which so many are left; it ends there where as many are kept. */
+    private void give(Job job, byte[] whole, int from, int left, int kept) {
+        if (left == kept) {
+            giving.remove(job.run);
+            job.run.giving = false;
+            job.run.stoppedAt = world.time.now();
+            return;
+        }
+        int to = from == 0 ? LONG : from + (whole.length - from) / left;
+        byte[] piece = java.util.Arrays.copyOfRange(whole, from, to);
+        if (to == whole.length) {
+            giving.remove(job.run);
+            job.run.giving = false;
+            job.line.write(piece, job);
+            return;
+        }
+        job.line.end.write(piece);
+        afterwards(random.nextInt(MOST_PAUSE_US), () -> give(job, whole, to, left - 1, kept));
+    }
+
     private void answer(Job job, String start, byte[] body) {
         world.tape.note(Tape.What.REPLY, job.ask.number, body.length);
         job.line.write(Messages.write(start, "", body), job);
@@ -284,7 +326,10 @@
 
     /** Tells whose it is and where it was made, so that no other answer passes for it. */
     private byte[] body(Ask ask) {
-        int size = random.nextInt(40) == 0 ? random.nextInt(100_000) : random.nextInt(600);
+        return body(ask, random.nextInt(40) == 0 ? random.nextInt(100_000) : random.nextInt(600));
+    }
+
+    private byte[] body(Ask ask, int size) {
         byte[] text = Messages.bytes(ask.txn + " at " + uid + " " + ask.made.size() + " ");
         byte[] body = java.util.Arrays.copyOf(text, text.length + size);
         java.util.Arrays.fill(body, text.length, body.length, (byte) ('a' + ask.number % 26));
--- a/src/main/java/kitemux/world/Clients.java
+++ b/src/main/java/kitemux/world/Clients.java
@@ -235,6 +235,8 @@
         private final ArrayDeque<byte[]> unsent = new ArrayDeque<>();
         private final ArrayDeque<Sent> waiting = new ArrayDeque<>();
         private long offset;
+        /** When anything last came. */
+        private long heardAt;
         private boolean last;
         private boolean gone;
         private boolean mute;
@@ -317,6 +319,10 @@
                 world.time.at(world.time.now() + more, () -> look(ask));
                 return;
             }
+            if (isLongAmid() && waiting.peek().ask == ask) {
+                lookAtLong(ask);
+                return;
+            }
             if (isTaken(ask)) {
                 world.judge.lost(ask, "has no answer " + ask.remainingUs / 1_000
                         + " ms and more after it was sent, on #" + end.connection);
@@ -325,6 +331,28 @@
             close();
         }
 
+        /** Its first bytes were in time: how it goes on is looked at until it ends. */
+        private void lookAtLong(Ask ask) {
+            if (ask.isAnswered() || ask.over || gone) {
+                return;
+            }
+            long due = world.judge.longAnswerDueAt(ask, heardAt) + world.judge.moreGraceNanos;
+            due += node.stalledBetween(Math.min(heardAt, ask.sentAt + ask.remainingUs * 1_000), due);
+            if (world.time.now() < due) {
+                world.time.at(due, () -> lookAtLong(ask));
+                return;
+            }
+            if (isTaken(ask)) {
+                world.judge.stands(ask, heardAt);
+            }
+            ask.over = true;
+            close();
+        }
+
+        private boolean isLongAmid() {
+            return reader.lengthAmid() > Limits.MOST_GATHERED;
+        }
+
         /** Whether the node's machine had its last byte on a connection that the process had not let go
          * of. */
         private boolean isTaken(Ask ask) {
@@ -384,6 +412,7 @@
             }
             End.Segment segment;
             while (!gone && (segment = end.read()) != null) {
+                heardAt = world.time.now();
                 try {
                     reader.take(segment, this::got);
                 } catch (IllegalArgumentException e) {
@@ -443,8 +472,7 @@
          * it fails with it.
          */
         private boolean isBrokenOff(Ask ask) {
-            return reader.lengthAmid() > Limits.MOST_GATHERED
-                    && ask.runs.stream().anyMatch(run -> run.cut || !run.answerHeard);
+            return isLongAmid() && ask.runs.stream().anyMatch(run -> run.cut || !run.answerHeard);
         }
 
         private void ended(Sent sent, boolean killed, boolean brokenOff) {
--- a/src/main/java/kitemux/world/Fault.java
+++ b/src/main/java/kitemux/world/Fault.java
@@ -55,7 +55,9 @@
          * A node has no processor for a while, and little of one from then on: time passes within its
          * turns.
          */
-        NODE_SLOW
+        NODE_SLOW,
+        /** A share gives long answers in pieces, often past their clients' time, and some stop amid them. */
+        BOXES_GIVE_LONG
     }
 
     @Override
--- a/src/main/java/kitemux/world/Judge.java
+++ b/src/main/java/kitemux/world/Judge.java
@@ -29,6 +29,10 @@
     private static final long MORE_GRACE_WHERE_SLOW_US = 500_000 - GRACE_TO_ANSWER_US;
     /** In which a node has to see that a client has left: what waited is not sent on after it. */
     private static final long LEFT_US = 300_000;
+    /** In which a node has to pass on what a server gives of a long answer, by the operators' page. */
+    private static final long WITHHELD_US = 2_000_000;
+    /** After a request's time its final answer is not lost for so long, by the same. */
+    private static final long LAST_ANSWER_US = 500_000;
     /** What a cold server stands beyond its budget, as a share of it: chance. */
     private static final double COLD_SLACK = 0.15;
     /** Share of the work that must have come from nodes that knew of the start, for it to be their fault. */
@@ -117,12 +121,38 @@
     /** An answer that a node had begun to pass on has ended before it was whole. */
     void brokenOff(Ask ask) {
         failed++;
+        Ask.Run given = ask.given();
+        if (given != null) {
+            breach(Rule.LONG_ANSWERS, ask + " was cut off though " + given.box + " was still giving");
+        }
         tape.note(Tape.What.ANSWER, ask.number, 0);
         if (tape.isOn()) {
             tape.line(Tape.What.ANSWER, ask + " broken off");
         }
     }
 
+    /**
+     * Until when a long answer that comes may stand as it does, in nanoseconds, but for the time that its
+     * node stands still: what is given may be withheld for so long, and what has stopped has its end by so
+     * long after that, or after its client's time.
+     *
+     * @param heardAt when its client last had any of it
+     */
+    long longAnswerDueAt(Ask ask, long heardAt) {
+        if (ask.given() != null) {
+            return heardAt + (WITHHELD_US + LONGER_US) * 1_000;
+        }
+        long stoppedAt = ask.runs.stream().mapToLong(run -> run.stoppedAt).max().orElse(-1);
+        return Math.max(ask.sentAt + (ask.remainingUs + LAST_ANSWER_US) * 1_000,
+                (stoppedAt < 0 ? heardAt : stoppedAt) + WITHHELD_US * 1_000) + LONGER_US * 1_000;
+    }
+
+    /** A long answer has stood for longer than it may. */
+    void stands(Ask ask, long heardAt) {
+        breach(Rule.LONG_ANSWERS, ask + (ask.given() != null ? " is withheld since " : " has no end since ")
+                + (time.now() - heardAt) / 1_000_000 + " ms");
+    }
+
     private void checkRefusal(Ask ask, Ask.Run run) {
         RequestClass cls = ask.cls;
         boolean harmless = cls.repeat() == Repeat.SAFE
--- a/src/main/java/kitemux/world/Plan.java
+++ b/src/main/java/kitemux/world/Plan.java
@@ -49,7 +49,8 @@
             Map.entry(Kind.NET_HANGS, new long[] {1_000, 8_000}),
             Map.entry(Kind.NET_SLOW, new long[] {1_000, 8_000}),
             Map.entry(Kind.BURST, new long[] {500, 4_000}),
-            Map.entry(Kind.NODE_SLOW, new long[] {500, 1_500})));
+            Map.entry(Kind.NODE_SLOW, new long[] {500, 1_500}),
+            Map.entry(Kind.BOXES_GIVE_LONG, new long[] {2_000, 10_000})));
 
     /** The greatest share that each kind befalls, or how bad it is at most. */
     private static double mostShare(Kind kind) {
@@ -74,9 +75,9 @@
         List<Fault> faults = new ArrayList<>();
         int count = 1 + random.nextInt(6);
         Kind[] kinds = Kind.values();
-        // The last kind is not drawn: seeds that have found something would be other worlds.
+        // The last kinds are not drawn: seeds that have found something would be other worlds.
         for (int i = 0; i < count; i++) {
-            faults.add(fault(kinds[random.nextInt(kinds.length - 1)], lengthMs, random));
+            faults.add(fault(kinds[random.nextInt(Kind.NODE_SLOW.ordinal())], lengthMs, random));
         }
         return new Plan(seed, boxes, 1 + random.nextInt(3), 1 + random.nextInt(3), lengthMs, requests, load,
                 random.nextInt(3) == 0 ? 0.3 * random.nextDouble() : 0,
--- a/src/main/java/kitemux/world/Scenario.java
+++ b/src/main/java/kitemux/world/Scenario.java
@@ -180,6 +180,24 @@
             return plan.with(List.of(new Fault(Kind.NODE_STALLS, 200, plan.lengthMs(), 0.5, 0)));
         }
     },
+    /** Servers give long answers for longer than their clients' time, or stop amid them, while a node stands
+     * still for moments or is told to end. */
+    LONG_ANSWERS {
+        @Override
+        Plan plan(long seed) {
+            Plan plan = Plan.draw(seed);
+            SplittableRandom random = random(seed);
+            List<Fault> faults = new ArrayList<>();
+            faults.add(new Fault(Kind.BOXES_GIVE_LONG, 200, plan.lengthMs(), 0.6, random.nextDouble()));
+            if (random.nextBoolean()) {
+                faults.add(new Fault(Kind.NODE_STALLS, 300, plan.lengthMs(), random.nextDouble() / 2, 0));
+            }
+            if (random.nextBoolean()) {
+                faults.add(new Fault(Kind.NODE_TERMINATED, plan.lengthMs() / 3, 500, 1, random.nextDouble()));
+            }
+            return plan.with(faults);
+        }
+    },
     /** One node has all clients, some of them twice as often as before, no processor for a while and little
      * of one after that. */
     SLOW_NODE {
--- a/src/main/java/kitemux/world/World.java
+++ b/src/main/java/kitemux/world/World.java
@@ -253,6 +253,10 @@
                 box.resetting = 0.1 + 0.8 * fault.pick();
                 until(fault, () -> box.resetting = 0);
             });
+            case BOXES_GIVE_LONG -> some(fault).forEach(box -> {
+                box.givingLong = 0.05 + 0.25 * fault.pick();
+                until(fault, () -> box.givingLong = 0);
+            });
             case BOXES_SLOW -> some(fault).forEach(box -> {
                 box.slowed = 2 + 1.5 * fault.pick();
                 until(fault, () -> box.slowed = 1);
