Hold long answers as a rule of the drill too, with servers that give them bit by bit

The drill's servers answered "served" and nothing else, so that its judge could not see what a node does to an answer that it passes on; its clients left at their time, whatever was coming.

Change. long_answers in a drill's description: a share of the answers is 70 KB and more and comes in pieces, a share of these stops for good. A client to whom one has begun to come waits for its end. The time-line gets gives, gave, begun and cut-off; the rule "long answers passed on" is broken by one that is cut off while its server gives it, that is kept back for 2 s, or that has no end by 2 s after its server stopped or half a second after the client's time. Faults of ways and processes excuse, as for the other rules.

JudgeTest: a time-line for each case.

--- a/src/main/java/kitemux/drill/Drill.java
+++ b/src/main/java/kitemux/drill/Drill.java
@@ -12,6 +12,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -31,6 +32,7 @@
 import kitemux.fleet.Fleet;
 import kitemux.fleet.Try;
 import kitemux.lab.Between;
+import kitemux.lab.LongAnswer;
 import kitemux.lab.Loopback;
 import kitemux.sim.Scheduler;
 
@@ -50,6 +52,8 @@
     private static final int FROM = 253;
     private static final int CLIENTS_FROM = 100;
     private static final long MOST_OPEN_S = 20;
+    /** Between two pieces of a long answer: by any measure its server has not stopped. */
+    private static final long PAUSE_US = 50_000;
 
     private final Scenario scenario;
     private final Parties parties;
@@ -397,6 +401,47 @@
             });
         }
 
+        @Override
+        public LongAnswer longAnswer(String box, Try one) {
+            Scenario.LongAnswers of = scenario.longAnswers();
+            // By the try and the server, so that it does not hang on what came before.
+            SplittableRandom draws = new SplittableRandom(scenario.seed() * 31 + one.txn().hashCode()
+                    + 31L * box.hashCode());
+            if (draws.nextDouble() >= of.share()) {
+                return null;
+            }
+            int pieces = (int) Math.max(1, of.lastsUs() / PAUSE_US);
+            return new LongAnswer(pieces, PAUSE_US, draws.nextDouble() < of.stops() ? draws.nextInt(pieces)
+                    : pieces);
+        }
+
+        @Override
+        public void gives(String box, Try one) {
+            timeline.event("gives", json -> {
+                json.writeStringField("box", box);
+                json.writeStringField("txn", one.txn());
+            });
+        }
+
+        @Override
+        public void gave(String box, Try one, LongAnswer.End how) {
+            timeline.event("gave", json -> {
+                json.writeStringField("box", box);
+                json.writeStringField("txn", one.txn());
+                json.writeStringField("how", how.name());
+            });
+        }
+
+        @Override
+        public void begun(Try one) {
+            of("begun", one);
+        }
+
+        @Override
+        public void cutOff(Try one) {
+            of("cut-off", one);
+        }
+
         private void of(String kind, Try one) {
             timeline.event(kind, json -> json.writeStringField("txn", one.txn()));
         }
--- a/src/main/java/kitemux/drill/Judge.java
+++ b/src/main/java/kitemux/drill/Judge.java
@@ -33,6 +33,11 @@
     private static final long SUM_US = 100_000;
     /** In which a node has to see that a client has left: what waited is not sent on after it. */
     private static final long LEFT_US = 300_000;
+    /** In which a node has to pass on what a server gives of a long answer, or tell that it stopped. */
+    private static final long WITHHELD_US = 2_000_000;
+    /** After a request's time its final answer is not lost for so long. */
+    private static final long LAST_ANSWER_US = 500_000;
+    private static final String LONG_ANSWERS = "long answers passed on";
     private static final int MOST_TOLD = 30;
     private static final String PLAYER = "player";
 
@@ -83,6 +88,10 @@
         private Attempt first;
         private int attemptsSinceWritten;
         private boolean refused;
+        /** A long answer has begun to come to its client, and neither its last byte nor an end. */
+        private boolean amid;
+        /** By server: how it stands with the long answer that it gives. */
+        private final Map<String, Given> given = new LinkedHashMap<>();
 
         Request(Event asked, Wish wish) {
             this.asked = asked;
@@ -107,6 +116,12 @@
         }
     }
 
+    /** A long answer that a server gives: until when it did, -1 while it does, and how that ended. */
+    private static final class Given {
+        private long untilUs = -1;
+        private String how = "";
+    }
+
     /** A server, as it is seen from outside. */
     private static final class Target {
         private final Window attempts = new Window(SUM_US);
@@ -242,6 +257,16 @@
                             + of.asked.number("left") / 1_000 + " ms");
                 }
             }
+            case "gives" -> requests.get(event.text("txn")).given.put(event.text("box"), new Given());
+            case "gave" -> {
+                Given given = requests.get(event.text("txn")).given.get(event.text("box"));
+                given.untilUs = event.atUs();
+                given.how = event.text("how");
+            }
+            case "begun" -> requests.get(event.text("txn")).amid = true;
+            case "cut-off" -> cutOff(event);
+            case "end" -> requests.values().stream().filter(of -> of.amid)
+                    .forEach(of -> stood(of, event.atUs()));
             case "try" -> came(event);
             case "told" -> {
                 if (event.text("result").equals("FULL")) {
@@ -305,8 +330,48 @@
         }
     }
 
+    /** A long answer is not cut off while its server gives it, nor as the node closes on what it gives. */
+    private void cutOff(Event event) {
+        Request of = requests.get(event.text("txn"));
+        of.wish.failed++;
+        long now = event.atUs();
+        of.given.forEach((box, given) -> {
+            boolean goesOn = given.untilUs < 0 || given.how.equals("CLOSED") && now - given.untilUs < slackUs;
+            if (goesOn && !isExcused(of, box, now)) {
+                tell(now, LONG_ANSWERS, of, "was cut off though " + box + " was still giving");
+            }
+        });
+        stood(of, now);
+        of.amid = false;
+    }
+
+    /** What has been given, or has stopped, does not stand for longer than it may. */
+    private void stood(Request of, long now) {
+        of.given.forEach((box, given) -> {
+            boolean stopped = given.how.equals("STOPPED");
+            long due = given.untilUs + WITHHELD_US + slackUs;
+            due = stopped ? Math.max(due, of.writtenUs + of.asked.number("left") + LAST_ANSWER_US + slackUs)
+                    : due;
+            if ((stopped || given.how.equals("WHOLE")) && now > due && !isExcused(of, box, now)) {
+                tell(now, LONG_ANSWERS, of, (stopped ? "had no end " : "was kept back ")
+                        + (now - given.untilUs) / 1_000 + " ms after " + box + (stopped ? " had stopped"
+                        : " had given its last"));
+            }
+        });
+    }
+
+    private boolean isExcused(Request of, String box, long untilUs) {
+        return isExcused(of, untilUs)
+                || wrong.touches(way(of.node(), box), of.asked.atUs(), untilUs, HEALED_US)
+                || wrong.touches(PLAYER, untilUs - SUM_US, untilUs, SUM_US);
+    }
+
     private void answered(Event event) {
         Request of = requests.get(event.text("txn"));
+        if (of.amid) {
+            stood(of, event.atUs());
+            of.amid = false;
+        }
         long status = event.number("status");
         if (status == 200) {
             of.wish.servedUs = of.wish.servedUs < 0 ? event.atUs() : of.wish.servedUs;
--- a/src/main/java/kitemux/drill/ScenarioFile.java
+++ b/src/main/java/kitemux/drill/ScenarioFile.java
@@ -25,6 +25,7 @@
     private static final int MOST_BOXES = 200;
     private static final long MOST_LENGTH_US = 900_000_000L;
     private static final long MOST_DELAY_US = 10_000_000;
+    private static final long MOST_LASTS_US = 60_000_000;
     /** Ways of one fault; all nodes to all servers of the largest drill. */
     private static final int MOST_LINKS = MOST_NODES * MOST_BOXES;
 
@@ -71,6 +72,14 @@
         limits.end();
         require(own, bounds.attempts() >= 0 && bounds.dials() >= 0 && bounds.calls() >= 0,
                 "bounds: must not be under 0");
+        Section answers = all.part("long_answers");
+        Scenario.LongAnswers longAnswers = new Scenario.LongAnswers(answers.number("share", 0),
+                answers.time("lasts", 1_000_000), answers.number("stops", 0));
+        answers.end();
+        require(own, isShare(longAnswers.share()) && isShare(longAnswers.stops()),
+                "long_answers: share or stops is not from 0 to 1");
+        require(own, longAnswers.lastsUs() >= 100_000 && longAnswers.lastsUs() <= MOST_LASTS_US,
+                "long_answers.lasts: is not from 100ms to 60s");
         if (fleet == null) {
             return null;
         }
@@ -101,7 +110,11 @@
         if (own.isEmpty()) {
             all.end();
         }
-        return new Scenario(fleet, seed, faults, phases, repeat, bounds);
+        return new Scenario(fleet, seed, faults, phases, repeat, bounds, longAnswers);
+    }
+
+    private static boolean isShare(double number) {
+        return number >= 0 && number <= 1;
     }
 
     private static void check(Fleet fleet, List<String> own) {
--- a/src/main/java/kitemux/lab/Between.java
+++ b/src/main/java/kitemux/lab/Between.java
@@ -71,6 +71,23 @@
     /** A server says how a request ended there. */
     default void told(String box, Try one, Result result) { }
 
+    /** The answer that a server gives to a try that it serves, where it is a long one; else null. */
+    default LongAnswer longAnswer(String box, Try one) {
+        return null;
+    }
+
+    /** A server begins to give a long answer. */
+    default void gives(String box, Try one) { }
+
+    /** It gives no more of it. */
+    default void gave(String box, Try one, LongAnswer.End how) { }
+
+    /** A long answer begins to come to a client, which waits for the rest from now on, whatever its time. */
+    default void begun(Try one) { }
+
+    /** A connection ended amid a long answer that had begun to come. */
+    default void cutOff(Try one) { }
+
     /** A server's process has begun, or ended, or gone on without a word. */
     default void box(String box, boolean up, boolean silent) { }
 
--- a/src/main/java/kitemux/lab/BoxSocket.java
+++ b/src/main/java/kitemux/lab/BoxSocket.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -18,13 +19,17 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 
 import kitemux.Balancer.Result;
 import kitemux.fleet.Box;
@@ -120,6 +125,8 @@
 
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
         private int process;
+        /** Whose long answer it gives, or null. */
+        private Try givenTo;
         private boolean counted;
         private boolean fresh = true;
 
@@ -157,7 +164,7 @@
                     @Override
                     public void came(Result result) {
                         between.told(box.id(), of, result);
-                        tell(context.channel(), result);
+                        tell(context.channel(), of, result);
                     }
 
                     @Override
@@ -168,9 +175,52 @@
             });
         }
 
-        private void tell(Channel channel, Result result) {
+        private void served(Channel channel, Try of) {
+            LongAnswer answer = between.longAnswer(box.id(), of);
+            if (answer == null) {
+                answer(channel, HttpResponseStatus.OK, false);
+                return;
+            }
+            givenTo = of;
+            between.gives(box.id(), of);
+            HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.length());
+            channel.write(head);
+            give(channel, LongAnswer.FIRST);
+            later(channel, answer, 0);
+        }
+
+        private void give(Channel channel, int bytes) {
+            channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[bytes])));
+        }
+
+        private void later(Channel channel, LongAnswer answer, int given) {
+            if (given == answer.given()) {
+                boolean whole = given == answer.pieces();
+                if (whole) {
+                    channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+                }
+                gave(whole ? LongAnswer.End.WHOLE : LongAnswer.End.STOPPED);
+                return;
+            }
+            channel.eventLoop().schedule(() -> time.happens(() -> {
+                if (givenTo != null) {
+                    give(channel, LongAnswer.PIECE);
+                    later(channel, answer, given + 1);
+                }
+            }), answer.everyUs(), TimeUnit.MICROSECONDS);
+        }
+
+        private void gave(LongAnswer.End how) {
+            if (givenTo != null) {
+                between.gave(box.id(), givenTo, how);
+                givenTo = null;
+            }
+        }
+
+        private void tell(Channel channel, Try of, Result result) {
             switch (result) {
-                case OK -> answer(channel, HttpResponseStatus.OK, false);
+                case OK -> served(channel, of);
                 case ERROR -> answer(channel, HttpResponseStatus.INTERNAL_SERVER_ERROR, false);
                 case FULL -> answer(channel, HttpResponseStatus.SERVICE_UNAVAILABLE, true);
                 default -> reset(channel);
@@ -190,6 +240,8 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             open.remove(context.channel());
+            time.happens(() -> gave(box.isUp() && process == box.process() ? LongAnswer.End.CLOSED
+                    : LongAnswer.End.DIED));
             if (counted) {
                 counted = false;
                 time.happens(() -> box.disconnected(process));
--- /dev/null
+++ b/src/main/java/kitemux/lab/LongAnswer.java
@@ -0,0 +1,31 @@
+package kitemux.lab;
+
+/**
+ * An answer that a server gives bit by bit: 70,000 bytes at once, more than a node holds, and then pieces of
+ * 1,000 bytes.
+ *
+ * @param pieces that follow the first bytes; 1 or more
+ * @param everyUs between two of them, in microseconds
+ * @param given how many of them are given before it stops for good, its connection open; all of them where it
+ *     does not stop
+ */
+public record LongAnswer(int pieces, long everyUs, int given) {
+    static final int FIRST = 70_000;
+    static final int PIECE = 1_000;
+
+    /** How the giving of one ends. */
+    public enum End {
+        /** With its last byte. */
+        WHOLE,
+        /** The server stops amid it and keeps the connection. */
+        STOPPED,
+        /** The server's process ends. */
+        DIED,
+        /** The node closes the connection. */
+        CLOSED
+    }
+
+    int length() {
+        return FIRST + pieces * PIECE;
+    }
+}
--- a/src/main/java/kitemux/lab/NodeProcess.java
+++ b/src/main/java/kitemux/lab/NodeProcess.java
@@ -21,6 +21,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -33,6 +35,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 
@@ -99,8 +102,9 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(1 << 20),
-                                new Client());
+                        Client client = new Client();
+                        channel.pipeline().addLast(new HttpClientCodec(), client.heads(),
+                                new HttpObjectAggregator(1 << 20), client);
                     }
                 });
     }
@@ -276,6 +280,10 @@
     /** Its client closes the connection, as nothing else calls a request off. */
     @Override
     public void left(Try one) {
+        if (busy.containsKey(one) && busy.get(one).amid) {
+            // What began to come in time is waited for to its end.
+            return;
+        }
         between.left(one);
         Client client = busy.remove(one);
         if (client != null) {
@@ -318,6 +326,8 @@
         private Channel channel;
         private Try asks;
         private boolean reused;
+        /** A long answer has begun to come. */
+        private boolean amid;
         private long idleSinceNanos;
 
         @Override
@@ -325,6 +335,22 @@
             channel = context.channel();
         }
 
+        /** Stands before what makes answers whole. */
+        ChannelInboundHandler heads() {
+            return new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelRead(ChannelHandlerContext context, Object part) {
+                    if (part instanceof HttpResponse head && asks != null
+                            && HttpUtil.getContentLength(head, 0L) >= LongAnswer.FIRST) {
+                        Try one = asks;
+                        amid = true;
+                        time.happens(() -> between.begun(one));
+                    }
+                    context.fireChannelRead(part);
+                }
+            };
+        }
+
         boolean isUsable() {
             return channel.isActive() && System.nanoTime() - idleSinceNanos < FRESH_NANOS;
         }
@@ -352,11 +378,13 @@
             } else {
                 channel.close();
             }
+            boolean waitedFor = amid;
+            amid = false;
             int status = answer.status().code();
             String after = answer.headers().get(HttpHeaderNames.RETRY_AFTER);
             time.happens(() -> {
                 long afterUs = after == null ? 0 : (long) (Double.parseDouble(after) * 1e6);
-                if (!one.isOver()) {
+                if (!one.isOver() || waitedFor) {
                     between.answered(one, status, afterUs);
                 }
                 if (status == 200) {
@@ -378,6 +406,13 @@
                 return;
             }
             busy.remove(one);
+            if (amid) {
+                time.happens(() -> {
+                    between.cutOff(one);
+                    one.broken();
+                });
+                return;
+            }
             if (reused && up) {
                 // It crossed the end of an unused connection: asked once more, on a new one.
                 time.happens(() -> between.broken(one, true));
--- a/src/test/java/kitemux/drill/JudgeTest.java
+++ b/src/test/java/kitemux/drill/JudgeTest.java
@@ -170,6 +170,33 @@
                 fault(2_900, "mended", "stop", "", "0"), sentOn[2]);
     }
 
+    private static String gave(long ms, String box, String how) {
+        return event(ms, "gave", "'box':'" + box + "','txn':'1','how':'" + how + "'");
+    }
+
+    /** Past the client's time, which is over at 501 ms. */
+    @Test
+    void aLongAnswerIsNeitherCutOffNorKeptBackNorLeftHanging() throws IOException {
+        String begins = ask(1, 1, 0) + "\n" + attempt(2, 1, "a") + "\n"
+                + event(10, "gives", "'box':'a','txn':'1'") + "\n" + event(11, "begun", "'txn':'1'");
+        String cutOff = "'txn':'1'";
+        assertKept(begins, gave(1_000, "a", "WHOLE"), answer(2_900, 1, 200));
+        assertBroken("kept back 2100 ms after a had given its last", begins, gave(1_000, "a", "WHOLE"),
+                answer(3_100, 1, 200));
+        assertBroken("cut off though a was still giving", begins, event(505, "cut-off", cutOff));
+        assertBroken("cut off though a was still giving", begins, gave(504, "a", "CLOSED"),
+                event(505, "cut-off", cutOff));
+        assertKept(begins, gave(300, "a", "STOPPED"), event(1_000, "cut-off", cutOff));
+        assertKept(begins, gave(300, "a", "DIED"), event(301, "cut-off", cutOff));
+        assertBroken("had no end 2100 ms after a had stopped", begins, gave(300, "a", "STOPPED"),
+                event(2_400, "cut-off", cutOff));
+        assertBroken("had no end 9700 ms after a had stopped", begins, gave(300, "a", "STOPPED"));
+        // What a cut way or an ended process held is not the node's doing.
+        assertKept(fault(1, "fault", "cut", "'node-0>a'", ""), begins, event(505, "cut-off", cutOff),
+                fault(900, "mended", "cut", "'node-0>a'", ""));
+        assertKept(begins, event(504, "down", "'node':0"), event(505, "cut-off", cutOff));
+    }
+
     @Test
     void aServerThatDrainsGetsNothingAfterTheGrace() throws IOException {
         String told = event(10, "list", "'node':0,'states':{'a':'DRAINING'}");
