Test what a kill finds of an answer that is passed on: a reset, also of HTTP/1.0

LongAnswersTest.whatAKillFindsIsSeenToBeCut: a real process, SIGTERM amid an answer without end, bytes that go on coming, then SIGKILL, for clients of either protocol. Without the line in ClientConnection.begun it fails for HTTP/1.0 ("it ends like a whole one").

--- a/src/test/java/kitemux/node/LongAnswersTest.java
+++ b/src/test/java/kitemux/node/LongAnswersTest.java
@@ -6,13 +6,18 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -21,12 +26,14 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import io.netty.buffer.UnpooledByteBufAllocator;
 
+import kitemux.cli.Main;
 import kitemux.net.NioNetwork;
 
 /**
@@ -336,6 +343,59 @@
         }
     }
 
+    /** A node that is told to end and then killed amid one leaves nobody to take a part for the whole. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.0", "HTTP/1.1"})
+    void whatAKillFindsIsSeenToBeCut(String protocol, @TempDir Path folder) throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        try (FarServer server = giving(Framing.CLOSE, FIRST, 0, (peer, how) -> drip(peer, how, 3_000, 10))) {
+            Path config = Files.writeString(folder.resolve("config.json"), """
+                    {"listen":"127.0.0.1:%d","discovery":"127.0.0.1:9","seed":"1","limits":{"sockets":256},
+                     "known":%s,"settings":{"membershipMode":"on_request","limits":{"attemptsCap":1},
+                      "classes":[{"name":"page","onTimeUs":100000,"giveUpUs":5000000,"repeat":"safe"}]}}
+                    """.formatted(port, Site.list(1, true, "s0=" + server.endpoint() + "=Ready")
+                    .replace("\"here\"", "\"\"")));
+            ProcessBuilder builder = new ProcessBuilder(ProcessHandle.current().info().command()
+                    .orElseThrow(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                    Main.class.getName(), "node").redirectErrorStream(true);
+            builder.environment().put("PROXY_CONFIG", config.toString());
+            Process process = builder.start();
+            try (BufferedReader lines = process.inputReader(); Socket client = new Socket()) {
+                String line = lines.readLine();
+                while (line != null && !line.contains("listening on ")) {
+                    line = lines.readLine();
+                }
+                client.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+                client.setSoTimeout(20_000);
+                Site.write(client, Http.page("/api/long", "t", "5000m").replace("HTTP/1.1", protocol));
+                InputStream in = client.getInputStream();
+                assertEquals(FIRST, in.readNBytes(FIRST).length);
+                process.destroy();
+                // Nothing is taken any more, and what was begun still comes.
+                assertThrows(IOException.class, () -> {
+                    while (true) {
+                        new Socket(InetAddress.getLoopbackAddress(), port).close();
+                    }
+                });
+                assertEquals(10 * PIECE, in.readNBytes(10 * PIECE).length);
+                process.destroyForcibly();
+                String rest;
+                try {
+                    rest = new String(in.readAllBytes(), StandardCharsets.US_ASCII);
+                } catch (IOException e) {
+                    return;
+                }
+                assertEquals("HTTP/1.1", protocol, "it ends like a whole one");
+                assertFalse(rest.endsWith("0\r\n\r\n"), "a last chunk would say that it is whole");
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     // ---------------------------------------------------------------- many at once
 
     /** Whoever does not read holds its server back, and costs no more than a few reads. */
