See a client leave behind 960 KiB that it sent ahead, where 64 KiB hid it

Open since the endings were listed: behind more than 64 KiB sent ahead nothing is read, so that the end of the connection is not seen and the open request goes on for a client that has left.

Seen. 60 and 150 requests of 5 KB sent ahead, then a close: "its attempt is given up ==> expected: not <null>" after 2 s. 6,000 of the usual size pass before too: a read holds more than 16 of them, which is turned down, and what is turned down is read on up to 1 MiB.

MOST_AHEAD_BYTES is 960 KiB a connection, of the room for bodies as before (34 MiB for all), which is what is dropped of a client that is turned down. Beyond that it stays open; endings.md says what was weighed: the standard library tells the end of a connection by reading alone.

Two cases of aClientThatSendsAheadAndLeavesIsGone fail without it. whatIsSentAheadWithoutEndIsBounded holds the bound: under 3 MiB for one that sends without end; without a bound it failed.

--- a/src/main/java/kitemux/http/Limits.java
+++ b/src/main/java/kitemux/http/Limits.java
@@ -34,9 +34,10 @@
     public static final int FIRST_ROOM = 16 << 10;
     /** Requests that a client may send ahead of the answer: each takes memory, and clients send one. */
     public static final int MOST_AHEAD = 16;
-    /** What is kept as it comes behind requests that wait: room for one with the longest body of the usual
-     * ones. Reading goes on up to there, so that a client that leaves behind it is seen to. */
-    public static final int MOST_AHEAD_BYTES = 64 << 10;
+    /** What is kept as it comes behind requests that wait, within {@link #MOST_BODIES}: a client that leaves
+     * behind it is seen to only where reading goes on, as nothing but reading tells a socket's end here. Like
+     * what is dropped: with a read more its buffer has 1 MiB. */
+    public static final int MOST_AHEAD_BYTES = 960 << 10;
     /** What is read and dropped of a client that has sent what cannot be used and waits to be told so, for
      * the same end: a flood must not use up the processor. */
     public static final long MOST_DROPPED = 1 << 20;
--- a/src/test/java/kitemux/node/EndingsTest.java
+++ b/src/test/java/kitemux/node/EndingsTest.java
@@ -15,16 +15,19 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.DefaultChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 
 import kitemux.ServiceQBalancer;
+import kitemux.net.NioNetwork;
 
 /** What is still owed in the instant in which something ends (docs/design/endings.md). */
 class EndingsTest {
@@ -94,10 +97,14 @@
         }
     }
 
+    private static String padded(String request, int by) {
+        return request.replace("\r\n\r\n", "\r\nX-Pad: " + "p".repeat(by) + "\r\n\r\n");
+    }
+
     /** Requests sent ahead must not hide that their client has left. */
     @ParameterizedTest
-    @CsvSource({"1", "3", "16", "20", "300"})
-    void aClientThatSendsAheadAndLeavesIsGone(int ahead) throws Exception {
+    @CsvSource({"1, 0", "3, 0", "16, 0", "20, 0", "300, 0", "6000, 0", "60, 5000", "150, 5000"})
+    void aClientThatSendsAheadAndLeavesIsGone(int ahead, int padding) throws Exception {
         try (FarServer server = new FarServer((request, peer) -> { });
                 Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
@@ -105,7 +112,7 @@
             FarServer.next(server.requests);
             StringBuilder more = new StringBuilder();
             for (int i = 0; i < ahead; i++) {
-                more.append(Http.page("/api/p", "ahead" + i, "5000m"));
+                more.append(padded(Http.page("/api/p", "ahead" + i, "5000m"), padding));
             }
             Site.write(client, more.toString());
             client.close();
@@ -115,6 +122,43 @@
         }
     }
 
+    /** Beyond what is kept of one client nothing is read of it: it waits with the system. */
+    @Test
+    void whatIsSentAheadWithoutEndIsBounded() throws Exception {
+        try (FarServer server = new FarServer((request, peer) -> { });
+                Site site = Site.quiet().start(server)) {
+            UnpooledByteBufAllocator allocator = (UnpooledByteBufAllocator) NioNetwork.SYSTEM.allocator();
+            Socket client = site.connect();
+            Site.write(client, Http.page("/api/p", "open", "20000m"));
+            FarServer.next(server.requests);
+            long before = allocator.metric().usedHeapMemory();
+            AtomicLong sent = new AtomicLong();
+            Thread flood = new Thread(() -> {
+                byte[] more = padded(Http.page("/api/p", "ahead", "5000m"), 5_000).repeat(10).getBytes();
+                try {
+                    while (sent.get() < 1L << 30) {
+                        client.getOutputStream().write(more);
+                        sent.addAndGet(more.length);
+                    }
+                } catch (IOException e) {
+                    // The test is over.
+                }
+            });
+            flood.setDaemon(true);
+            flood.start();
+            long most = 0;
+            long was = -1;
+            // Until it is held back: nothing more goes out while the node goes on serving.
+            for (int still = 0; still < 200; still = sent.get() == was ? still + 1 : 0) {
+                was = sent.get();
+                assertEquals(200, site.ask(up()).status());
+                most = Math.max(most, allocator.metric().usedHeapMemory() - before);
+            }
+            assertTrue(sent.get() < 1L << 30, "it is held back");
+            assertTrue(most < 3L << 20, "kept " + most + " bytes");
+        }
+    }
+
     /** What is kept while requests wait is served in its turn, whatever it is cut into. */
     @Test
     void allThatIsSentAheadIsServedInItsTurn() throws Exception {
@@ -127,11 +171,9 @@
             Site.write(client, Http.page("/api/p", "t0", "5000m"));
             FarServer.next(server.requests);
             // More than is kept at once, and the last of it in the middle of a request.
-            String padded = Http.page("/api/p", "t1", "5000m").replace("\r\n\r\n",
-                    "\r\nX-Pad: " + "p".repeat(4_000) + "\r\n\r\n");
             StringBuilder more = new StringBuilder();
             for (int i = 1; i <= 24; i++) {
-                more.append(padded.replace("X-Txn: t1", "X-Txn: t" + i));
+                more.append(padded(Http.page("/api/p", "t" + i, "5000m"), 4_000));
             }
             for (int at = 0; at < more.length(); at += 5_000) {
                 Site.write(client, more.substring(at, Math.min(more.length(), at + 5_000)));
