Hold in the engine's own test that a long answer has no deadline once it has begun

EngineTest asked for streams alone, so that the deadline on what is passed on for other classes was held by no test of the engine.

Change. aLongAnswerIsServedAtItsEndAndHasNoDeadline.

--- a/src/test/java/kitemux/engine/EngineTest.java
+++ b/src/test/java/kitemux/engine/EngineTest.java
@@ -37,7 +37,11 @@
     private long agoUs = AGO_US;
 
     /** Asked for by a test: what it cannot say stands still. */
-    private record Ask(long leftUs, long agoUs) implements Asked {
+    private record Ask(long leftUs, long agoUs, boolean isStreamed) implements Asked {
+        Ask(long leftUs, long agoUs) {
+            this(leftUs, agoUs, true);
+        }
+
         Ask(long leftUs) {
             this(leftUs, AGO_US);
         }
@@ -77,11 +81,6 @@
             return null;
         }
 
-        @Override
-        public boolean isStreamed() {
-            return true;
-        }
-
         @Override
         public List<byte[]> body() {
             return List.of();
@@ -339,6 +338,22 @@
         assertTrue(told.get(0).requestEnded());
     }
 
+    /** The module is told its end as it begins; who carries it tells where it stops. */
+    @Test
+    void aLongAnswerIsServedAtItsEndAndHasNoDeadline() {
+        ask(new Ask(LEFT_US, AGO_US, false));
+        assertEquals(1_000_000 + LEFT_US, exchange.deadlineUs());
+        assertTrue(exchange.begun("long"));
+        assertEquals(Result.OK, told.get(0).result());
+        assertTrue(told.get(0).requestEnded());
+        time.nowUs += 10 * LEFT_US;
+        time.runDue();
+        assertEquals(List.of("begun long"), answers);
+        exchange.ended(Result.OK, null);
+        assertEquals(Arrays.asList("begun long", null), answers);
+        assertEquals(1, told.size());
+    }
+
     @Test
     void anAnswerThatBreaksOffHasOneEndAndBeginsNoSecondTime() {
         ask(LEFT_US);
