Read the watch at discovery's old place on until the new one has spoken

So a node may move while its call stands in turn. Discovery.moveTo ended that call unread before it dialled the new place, whose answer came 0.8 to 1.0 s later. What the old place wrote in that instant counts as told, and nobody read it: drained servers got requests until then.

Change: a watch that another takes the place of is read on until that one has spoken, 4 s at most. Versions belong to a place. News of the former is no answer of the current one: where that has failed the module goes on asking.

Tests, each seen to fail without its part: - whatTheOldPlaceTellsBeforeTheNewOneHasSpokenIsHeard, on the code before: expected: <42 all 1> but was: <failed> - anOldPlaceIsNotReadForLongWhereTheNewOneSaysNothing, without the bound: it is read on without an end ==> expected: not <null> - aNodeThatHearsOfTheOldPlaceGoesOnAskingTheNewOne, where its news counts as the call's answer: it asks no more ==> expected: not <null>

--- a/src/main/java/kitemux/discovery/Discovery.java
+++ b/src/main/java/kitemux/discovery/Discovery.java
@@ -37,7 +37,19 @@
 import kitemux.net.HostList;
 import kitemux.net.Network;
 
-/** The watch on discovery's list. When it breaks it says so; asking again is the module's word. */
+/**
+ * The watch on discovery's list. When it breaks it says so; asking again is the module's word.
+ *
+ * <p>What is written to this process counts as told, whether or not it is read. A watch that another takes
+ * the place of is therefore read on until that one has spoken: at a move its answer may be on its way, and
+ * the new place's comes up to a second later.
+ *
+ * <p>What it has at its return counts as told 6 s later. The longest chain up to its word: a call that it was
+ * down for is over after 4 s at most ({@link #MOST_SILENCE_US}; a dial that hangs after 1 s), the module then
+ * waits for 1 s at most, and 1 s is left for the next call's turn. A call that failed in the last instant
+ * before leaves 5 s. Open: where calls stand in turn for longer, as those of many nodes after a return may,
+ * that is too late.
+ */
 public final class Discovery implements Lists {
     /** What the watch tells. */
     public interface Listener {
@@ -63,6 +75,9 @@
     /** For discovery to catch up with what it told before it was down. Harm: a place whose versions have
      * begun anew is not believed for so long. */
     static final long MOST_OLD_US = 10_000_000;
+    /** For a place that is new to speak, by when what it knows counts as told, and the old one is read no
+     * more. Harm: for so long the word of a place that was left because it was wrong still holds. */
+    static final long MOST_LEAVING_US = 4_000_000;
     /** A place that is new counts as heard 4 s after it was told: there is time for a dial that fails, a wait
      * and two more. */
     private static final int CONNECT_TIMEOUT_MS = 1_000;
@@ -76,17 +91,13 @@
     private final Log log;
     private final Bootstrap dialer;
     private final SplittableRandom random;
-    private InetSocketAddress address;
-    private long rev;
-    /** Whether the version is one of this place's, so that a watch can go on from it. */
-    private boolean revIsOfHere = true;
-    /** The version that this place told this process last; -1 before. What a node began with may be from
-     * another place. */
-    private long heardRev = -1;
+    private Place place;
     /** When each server that is listed started, by what was heard last. */
     private final Map<String, Long> startedAtUs = new HashMap<>();
     private boolean wanted;
     private Watch current;
+    /** The one before it, until the current one has spoken; or null. */
+    private Watch former;
 
     /**
      * Asks nothing yet.
@@ -104,8 +115,7 @@
         this.mostSilenceUs = mostSilenceUs;
         random = new SplittableRandom(seed);
         this.listener = listener;
-        address = at;
-        rev = knownRev;
+        place = new Place(at, knownRev, true);
         dialer = new Bootstrap().group(loop).channelFactory(network::dialer)
                 // Addresses only: no name is ever looked up, and no resolver kept for the loop.
                 .disableResolver()
@@ -119,16 +129,39 @@
                 });
     }
 
+    /** Where lists come from, and what is known of its versions. */
+    private static final class Place {
+        final InetSocketAddress address;
+        long rev;
+        /** Whether the version is one of this place's, so that a watch can go on from it. */
+        boolean revIsOfHere;
+        /** The version that this place told this process last; -1 before. What a node began with may be from
+         * another place. */
+        long heardRev = -1;
+
+        Place(InetSocketAddress address, long rev, boolean revIsOfHere) {
+            this.address = address;
+            this.rev = rev;
+            this.revIsOfHere = revIsOfHere;
+        }
+
+        /** The next watch asks for all there is. */
+        void forgetVersions() {
+            revIsOfHere = false;
+            heardRev = -1;
+        }
+    }
+
     /** Opens a watch for all that changed since the last list; it takes the place of an earlier one. */
     @Override
     public void subscribe() {
         wanted = true;
         if (current != null) {
-            current.end();
+            current.leave();
         }
-        Watch watch = new Watch();
+        Watch watch = new Watch(place);
         current = watch;
-        ChannelFuture opening = dialer.connect(address);
+        ChannelFuture opening = dialer.connect(place.address);
         watch.channel = opening.channel();
         watch.expectMore();
         opening.addListener(done -> {
@@ -138,22 +171,20 @@
             }
             watch.channel.pipeline().addLast(watch);
             FullHttpRequest ask = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/discovery/hosts?watch=1" + (revIsOfHere ? "&after=" + rev : ""));
+                    "/discovery/hosts?watch=1" + (place.revIsOfHere ? "&after=" + place.rev : ""));
             ask.headers().set(HttpHeaderNames.HOST, "discovery");
             watch.channel.writeAndFlush(ask);
         });
     }
 
     /**
-     * Discovery is elsewhere from now on. The watch goes there at once; no failure is told of the old one.
+     * Discovery is elsewhere from now on. A watch opens there at once; no failure is told of the old one.
      * Nothing says that versions mean the same at both places, so the whole list is asked for.
      */
     public void moveTo(InetSocketAddress to) {
-        if (!to.equals(address)) {
+        if (!to.equals(place.address)) {
             log.line("discovery is at " + to + " now");
-            address = to;
-            revIsOfHere = false;
-            heardRev = -1;
+            place = new Place(to, 0, false);
             if (wanted) {
                 listener.moved();
                 subscribe();
@@ -164,7 +195,10 @@
     /** All of it is asked for once more, as after a watch that broke. */
     @Override
     public void unusable() {
-        revIsOfHere = false;
+        place.revIsOfHere = false;
+        if (former != null) {
+            former.end();
+        }
         if (current != null) {
             current.broken(UNUSABLE);
         } else {
@@ -177,7 +211,9 @@
         wanted = false;
         if (current != null) {
             current.end();
-            current = null;
+        }
+        if (former != null) {
+            former.end();
         }
     }
 
@@ -188,12 +224,31 @@
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
         private final long patienceUs = patienceUs(mostSilenceUs, random);
         private final ListLines lines = new ListLines();
+        private final Place place;
         private Channel channel;
         private Future<?> silence;
         private boolean over;
         private boolean told;
         /** Runs while all that it tells is older than what is known. */
         private Future<?> lasting;
+        /** Runs while it is the former one. */
+        private Future<?> stay;
+
+        Watch(Place place) {
+            this.place = place;
+        }
+
+        /** Another takes its place, and it is read on until that one has spoken. Of two that have not been
+         * followed yet the first is kept: it has the earlier turn. */
+        void leave() {
+            if (former != null) {
+                end();
+                return;
+            }
+            former = this;
+            current = null;
+            stay = loop.schedule(this::end, MOST_LEAVING_US, TimeUnit.MICROSECONDS);
+        }
 
         private void expectMore() {
             if (silence != null) {
@@ -207,17 +262,23 @@
         void end() {
             over = true;
             silence.cancel(false);
-            if (lasting != null) {
-                lasting.cancel(false);
+            for (Future<?> timer : new Future<?>[] {lasting, stay}) {
+                if (timer != null) {
+                    timer.cancel(false);
+                }
             }
+            current = current == this ? null : current;
+            former = former == this ? null : former;
             channel.close();
         }
 
         private void broken(String reason) {
+            boolean told = this == current;
             if (!over) {
                 end();
-                current = null;
-                listener.failed(reason);
+                if (told) {
+                    listener.failed(reason);
+                }
             }
         }
 
@@ -246,7 +307,8 @@
                 switch (what) {
                     case LIST -> readList(lines.list());
                     // A beat. As the first word it says that nothing has changed: the call has its answer.
-                    case BEAT -> heard(told || !revIsOfHere ? null : new HostList(rev, false, List.of()));
+                    case BEAT -> heard(told || !place.revIsOfHere ? null
+                            : new HostList(place.rev, false, List.of()));
                     default -> broken("bad line: " + lines.spoilt());
                 }
             }
@@ -262,7 +324,7 @@
 
         private void heard(HostList list) {
             HostList news = list;
-            if (list != null && list.rev() < heardRev) {
+            if (list != null && list.rev() < place.heardRev) {
                 news = older(list);
             } else if (list != null) {
                 note(list);
@@ -273,10 +335,17 @@
             }
             if (news != null) {
                 told = true;
-                rev = news.rev();
-                revIsOfHere = true;
-                heardRev = rev;
+                place.rev = news.rev();
+                place.revIsOfHere = true;
+                place.heardRev = place.rev;
+                if (this == current && former != null) {
+                    former.end();
+                }
                 listener.listed(news);
+                if (current == null && wanted) {
+                    // It was the former's, and no watch follows it yet: one is still to be asked for.
+                    listener.failed("no watch yet in the place of the one that told this");
+                }
             }
         }
 
@@ -293,13 +362,15 @@
                 log.line("discovery: its list is older than the one that it told; waiting for it to catch "
                         + "up");
                 lasting = loop.schedule(() -> {
-                    revIsOfHere = false;
-                    heardRev = -1;
-                    subscribe();
+                    if (this == current) {
+                        place.forgetVersions();
+                        end();
+                        subscribe();
+                    }
                 }, MOST_OLD_US, TimeUnit.MICROSECONDS);
             }
             List<HostList.Host> leaving = list.hosts().stream().filter(this::leaves).toList();
-            return told && leaving.isEmpty() ? null : new HostList(rev, false, leaving);
+            return told && leaving.isEmpty() ? null : new HostList(place.rev, false, leaving);
         }
 
         private boolean leaves(HostList.Host host) {
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -291,4 +291,63 @@
             assertEquals(1, site.discovery.connections.get());
         }
     }
+
+    /** What is written to a node counts as told, whether or not it is read. */
+    @Test
+    void whatTheOldPlaceTellsBeforeTheNewOneHasSpokenIsHeard() throws Exception {
+        try (Site site = Site.quiet();
+                FarServer there = new FarServer((request, peer) -> peer.write(Site.watchHead()))) {
+            BlockingQueue<String> told = new LinkedBlockingQueue<>();
+            Discovery discovery = watch(site, Discovery.MOST_SILENCE_US, told);
+            FarServer.Peer before = FarServer.next(site.discovery.peers);
+            InetSocketAddress to = Addresses.read("discovery", there.endpoint());
+            site.loop.execute(() -> discovery.moveTo(to));
+            FarServer.Peer after = FarServer.next(there.peers);
+            before.write(Site.chunk(Site.list(42, true, "s0=10.0.0.1:80=Terminating") + "\n"));
+            assertEquals("42 all 1", told.poll(5, TimeUnit.SECONDS), "the answer to a call that was in turn");
+            after.write(Site.chunk("\n" + Site.list(7, true, ENTRY) + "\n"));
+            assertEquals("7 all 1", FarServer.next(told), "versions of another place tell nothing here");
+            FarServer.next(site.discovery.ended);
+            site.loop.execute(discovery::subscribe);
+            assertEquals("/discovery/hosts?watch=1", FarServer.next(there.requests).path());
+            assertEquals("/discovery/hosts?watch=1&after=7", FarServer.next(there.requests).path());
+        }
+    }
+
+    @Test
+    void anOldPlaceIsNotReadForLongWhereTheNewOneSaysNothing() throws Exception {
+        try (Site site = Site.quiet();
+                FarServer there = new FarServer((request, peer) -> peer.write(Site.watchHead()))) {
+            BlockingQueue<String> told = new LinkedBlockingQueue<>();
+            Discovery discovery = watch(site, 60_000_000, told);
+            FarServer.next(site.discovery.peers);
+            InetSocketAddress to = Addresses.read("discovery", there.endpoint());
+            site.loop.execute(() -> discovery.moveTo(to));
+            FarServer.next(there.peers);
+            assertNotNull(site.discovery.ended.poll(10, TimeUnit.SECONDS), "it is read on without an end");
+            assertTrue(told.isEmpty(), "its end is no failure: " + told);
+        }
+    }
+
+    /** The old place's list is no answer of the new one's. */
+    @Test
+    void aNodeThatHearsOfTheOldPlaceGoesOnAskingTheNewOne() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (FarServer after = new FarServer((request, peer) -> peer.write(
+                        calls.getAndIncrement() == 0 ? Http.answer("503 Busy", "", "")
+                            : Site.watchHead()));
+                Site site = Site.quiet()) {
+            String known = Site.list(1, true);
+            site.startKnowing(known);
+            FarServer.Peer before = FarServer.next(site.discovery.peers);
+            NodeConfig old = site.config(known);
+            site.node.reload(new NodeConfig(old.listen(), old.operators(),
+                    Addresses.read("discovery", after.endpoint()), old.seed(), old.sockets(),
+                    old.connIdleUs(), old.folder(), old.known(), old.settings()));
+            FarServer.next(after.ended);
+            before.write(Site.chunk(Site.list(2, true, ENTRY) + "\n"));
+            FarServer.next(after.requests);
+            assertNotNull(after.requests.poll(5, TimeUnit.SECONDS), "it asks no more");
+        }
+    }
 }
