Ask again within a second after a list call that failed, however often

Need: a change counts as told 6 s after discovery had it and could be reached. The wait behind it doubled up to a mean of a quarter of the settings' time for asking, 2.5 s, which is drawn up to 3.75 s: 4 + 3.75 s and the next call's turn are more than 6 s. A node that asked at 8.45 s of its log, some 0.3 s before discovery was back, heard at 13.4 s after its third failure; with a fifth it would have been too late.

Change: the mean wait is 0.66 s at most, drawn up to 1 s: 4 s for the call, 1 s for the wait, 1 s for the next call's turn. A turn that takes longer is still too late, and stays open. Cost: where calls are refused at once, up to 1.5 a second and node instead of 0.4 while discovery is down. The class says the sum.

Test: howeverOftenCallsHaveFailedTheNextIsMadeWithinASecond, on the code before: seed 1, failure 4 ==> expected: <5> but was: <4>.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -118,8 +118,10 @@
      * requests: at a node of many its part is a few requests a second, which come in bunches. */
     private static final double SHARE_BURST_S = 1;
     private static final double LEAST_SHARE_BURST = 8;
-    /** First wait before a failed list call is made again; doubled each time. */
+    /** Wait before a failed list call is made again, at first and at most, drawn from half to half as much
+     * more: a call that discovery is down for lasts 4 s, and what it has at its return counts after 6 s. */
     private static final long LIST_BACKOFF_US = 250_000;
+    private static final long MOST_LIST_BACKOFF_US = 660_000;
 
     /** Most nodes that share a server in a large fleet, against the connections that a server accepts. */
     private static final int SHARERS = 24;
@@ -517,13 +519,12 @@
     @Override
     public void onListFailed(long nowUs) {
         now = nowUs;
-        if (!set.listOnRequest) {
-            return;
+        if (set.listOnRequest) {
+            // Jittered backoff: nodes that failed together must not ask together again.
+            askListAt = now + listBackoffUs / 2 + random.nextLong(listBackoffUs);
+            listBackoffUs = Math.min(2 * listBackoffUs, MOST_LIST_BACKOFF_US);
+            scheduleWake();
         }
-        // Jittered backoff: nodes that failed together must not ask together again.
-        askListAt = now + listBackoffUs / 2 + random.nextLong(listBackoffUs);
-        listBackoffUs = Math.min(2 * listBackoffUs, Math.max(1, set.askWithinUs / 4));
-        scheduleWake();
     }
 
     private void askForList() {
@@ -620,9 +621,7 @@
 
     /** Nothing is decided on probes; none is ever asked for. */
     @Override
-    public void onProbe(long nowUs, String serverId, Result result, long latencyUs, double[] report) {
-        now = nowUs;
-    }
+    public void onProbe(long nowUs, String serverId, Result result, long latencyUs, double[] report) { }
 
     @Override
     public void onWake(long nowUs) {
--- a/src/test/java/kitemux/RulesTest.java
+++ b/src/test/java/kitemux/RulesTest.java
@@ -179,6 +179,22 @@
         assertEquals(7, node.subscriptions);
     }
 
+    /** What discovery has at its return counts as told 6 s later, and a call that it was down for may last
+     * 4 s: however long it was down, the wait and the next call's turn have 2 s. */
+    @Test
+    void howeverOftenCallsHaveFailedTheNextIsMadeWithinASecond() {
+        for (int seed = 1; seed <= 100; seed++) {
+            Settings set = Node.settings();
+            set.listOnRequest = true;
+            Node node = new Node(set, seed).with(1);
+            for (int failures = 1; failures <= 10; failures++) {
+                node.balancer.onListFailed(node.now);
+                node.advance(1_000_000);
+                assertEquals(failures + 1, node.subscriptions, "seed " + seed + ", failure " + failures);
+            }
+        }
+    }
+
     @Test
     void aCallThatIsNeverAnsweredIsMadeAgainInsideTheTimeAllowed() {
         Settings set = Node.settings();
