Tell what cannot be played of long answers in a drill: three cases with their place

The new part of a drill's description had no test of what is wrong in it.

ScenarioFileTest: a share over 1, a length over 60 s, a field that is not known.

--- a/src/test/java/kitemux/drill/ScenarioFileTest.java
+++ b/src/test/java/kitemux/drill/ScenarioFileTest.java
@@ -88,6 +88,9 @@
         "[\"node-1\"] | [\"web-1\"] | there is no way between",
         "at   = \"1s\" | at   = \"99s\" | fault \"f\".at: is not within the drill's length",
         "small-fleet | no-fleet | d.hcl:1:1: fleet: no-fleet.hcl cannot be read",
+        "nodes = 3 | long_answers { share = 2 } | long_answers: share or stops is not from 0 to 1",
+        "nodes = 3 | long_answers { lasts = \"9m\" } | long_answers.lasts: is not from 100ms to 60s",
+        "nodes = 3 | long_answers { last = \"1s\" } | long_answers.last: is not known here",
         "nodes = 3 | nodse = 3 | d.hcl:2:1: nodse: is not known here"})
     void whatCannotBePlayedIsToldWithItsPlace(String good, String bad, String told) {
         List<String> faults = new ArrayList<>();
