Give the crowded process of CrowdTest no descriptors to spare

Need: the test's process got one descriptor for each jar of the tests' class path, some 45, of which it opens those that it loads from; the rest was room that a deployment has not. Its path now holds just the jars that it loads from.

--- a/src/test/java/kitemux/node/CrowdTest.java
+++ b/src/test/java/kitemux/node/CrowdTest.java
@@ -19,6 +19,8 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -26,11 +28,12 @@
 import kitemux.cli.Main;
 
 /**
- * Clients that hold connections and ask nothing fill the descriptors of a process that the system gives no more,
- * while discovery is down: there is room for what the node itself opens, and for one more client.
+ * Clients that hold connections and ask nothing fill the descriptors of a process that the system gives no
+ * more, while discovery is down: there is room for what the node itself opens, and for one more client.
  */
 class CrowdTest {
     private static final int SOCKETS = 256;
+    private static final Pattern LOADED = Pattern.compile("[/\\\\](netty|jackson|picocli)-[^/\\\\]*$");
     /** More than the limit by far: some that have asked once and stay, and some that never ask. */
     private static final int STAYING = 300;
     private static final int SILENT = 600;
@@ -56,7 +59,7 @@
                     heard.add(peer);
                 }
             });
-            // Bound for as long as the process runs, so that no other test is given it; the node may share it.
+            // Bound for as long as the process runs, so that nobody else is given it; the node may share it.
             held.setOption(StandardSocketOptions.SO_REUSEADDR, true)
                     .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             port = ((InetSocketAddress) held.getLocalAddress()).getPort();
@@ -67,14 +70,16 @@
                       "classes":[{"name":"page","onTimeUs":1000000,"giveUpUs":5000000,"repeat":"safe"}]}}
                     """.formatted(port, discovery.endpoint(), SOCKETS,
                     Site.list(1, true, "s0=" + server.endpoint() + "=Ready")));
-            String path = System.getProperty("java.class.path");
-            // The deployment has one jar, and its descriptor is among those that the node reserves.
-            int jars = (int) List.of(path.split(File.pathSeparator)).stream()
-                    .filter(part -> part.endsWith(".jar")).count();
+            // The deployment has one jar, and its descriptor is among those that the node reserves: here it
+            // is given one for each jar that it loads from, and no others on its path.
+            List<String> path = Stream.of(System.getProperty("java.class.path").split(File.pathSeparator))
+                    .filter(part -> !part.endsWith(".jar") || LOADED.matcher(part).find()).toList();
+            long jars = path.stream().filter(part -> part.endsWith(".jar")).count();
             ProcessBuilder builder = new ProcessBuilder("sh", "-c",
                     "ulimit -n " + (SOCKETS + jars - 1) + " && exec \"$0\" \"$@\"",
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-XX:TieredStopAtLevel=1", "-cp", path, Main.class.getName(), "node");
+                    "-XX:TieredStopAtLevel=1", "-cp", String.join(File.pathSeparator, path),
+                    Main.class.getName(), "node");
             builder.environment().put("PROXY_CONFIG", config.toString());
             builder.environment().put("PROXY_DISCOVERY", discovery.endpoint());
             process = builder.redirectErrorStream(true).start();
