--- a/src/main/java/kitemux/drill/Drill.java
+++ b/src/main/java/kitemux/drill/Drill.java
@@ -443,6 +443,7 @@
                 json.writeNumberField("node", nodeOf(from));
                 json.writeStringField("txn", one.txn());
                 json.writeBooleanField("runs", runs);
+                json.writeNumberField("work", Math.round(one.trueWorkUs()));
             });
         }
 
--- a/src/main/java/kitemux/fleet/Box.java
+++ b/src/main/java/kitemux/fleet/Box.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 
 import kitemux.Balancer.Result;
+import kitemux.sim.ColdWork;
 import kitemux.sim.Scheduler;
 
 /**
@@ -10,8 +11,6 @@
  * is cold after a start, turns slow when crowded, falls over when pushed while cold, and counts what it did.
  */
 public final class Box {
-    /** Chance of what it is sent while cold: rule 4 speaks of a mean, and single requests are drawn. */
-    private static final double COLD_SLACK = 1.15;
     /** A failure that is no work takes so long. */
     private static final long FAILS_AFTER_US = 500;
 
@@ -50,8 +49,7 @@
     private double busy;
     private long meanAtUs;
 
-    private final ArrayDeque<double[]> coldWork = new ArrayDeque<>();
-    private double coldWorkUs;
+    private final ColdWork coldWork;
     private Runnable changed = () -> { };
 
     private int connections;
@@ -77,6 +75,11 @@
 
         /** Whether anybody waits for it. */
         boolean isWanted();
+
+        /** Whether the node that sent it had been told of the server's start. */
+        default boolean isFromTold() {
+            return true;
+        }
     }
 
     Box(String id, int kind, int rack, Fleet fleet, double speed, Scheduler time, Rules rules, Draws draws) {
@@ -89,6 +92,7 @@
         this.time = time;
         this.rules = rules;
         this.draws = draws;
+        coldWork = new ColdWork(fleet.meanWorkUs(), rules.limits().fallUs());
         mostConnections = fleet.links().most() * of.cores();
         crowded = fleet.choke() == null ? Double.MAX_VALUE
                 : of.cores() + fleet.choke().at() * Math.sqrt(of.cores());
@@ -179,8 +183,7 @@
         wasStarted = true;
         startedUs = time.nowUs();
         workDoneUs = 0;
-        coldWork.clear();
-        coldWorkUs = 0;
+        coldWork.begins();
         changed.run();
     }
 
@@ -253,7 +256,7 @@
             }
             return;
         }
-        watchCold(job.workUs);
+        watchCold(job);
         if (!up) {
             return;
         }
@@ -346,23 +349,25 @@
     }
 
     /** Rule 4: what comes to it while cold, in any stretch of time, against what it can do then. */
-    private void watchCold(double workUs) {
+    private void watchCold(Job job) {
         double warmth = warmth();
         if (warmth >= 1) {
             return;
         }
         Rules.Limits limits = rules.limits();
-        long now = time.nowUs();
-        coldWork.add(new double[] {now, workUs});
-        coldWorkUs += workUs;
-        while (!coldWork.isEmpty() && coldWork.peek()[0] <= now - limits.fallUs()) {
-            coldWorkUs -= coldWork.poll()[1];
-        }
-        double canDo = limits.fallMultiple() * of.cores() * speed * warmth * limits.fallUs();
-        if (coldWorkUs > COLD_SLACK * canDo + fleet.meanWorkUs()) {
+        ColdWork.Verdict verdict = coldWork.came(time.nowUs(), job.workUs, job.told.isFromTold(),
+                limits.fallMultiple() * of.cores() * speed * warmth * limits.fallUs());
+        if (verdict != ColdWork.Verdict.STANDS) {
             fallen = true;
-            rules.pushedOver(this);
+            if (verdict == ColdWork.Verdict.PUSHED_OVER) {
+                rules.pushedOver(this);
+            }
             die(false);
         }
     }
+
+    /** The most that came from all nodes together while it was cold, as a part of what it stands. */
+    double coldPeak() {
+        return coldWork.highest();
+    }
 }
--- a/src/main/java/kitemux/fleet/Emulation.java
+++ b/src/main/java/kitemux/fleet/Emulation.java
@@ -81,16 +81,20 @@
      * @throws IllegalArgumentException if it cannot be played; {@link Fleet#faultsFound} says why
      */
     public static Result play(Fleet fleet, long seed) {
+        return played(fleet, seed, Proxy.ModuleMaker.SOUND).result();
+    }
+
+    /** The same with other decision modules; its servers tell what they met. */
+    static Emulation played(Fleet fleet, long seed, Proxy.ModuleMaker modules) {
         Draws seeds = new Draws(seed, Draws.Cause.MODULES);
         Emulation run = new Emulation(fleet, seed, new Scheduler(), (n, of) -> new Proxy(n, fleet,
                 of.time, of.byId, of.rules, of.cuts, of.settings(n), new Draws(seed, Draws.Cause.NETWORK, n),
-                        seeds,
-                UNIX_US));
+                seeds, UNIX_US, modules));
         run.begin(UNIX_US);
         while (run.time.step(run.endsUs() * 1_000)) {
             // Each step is one event.
         }
-        return run.result();
+        return run;
     }
 
     /**
--- a/src/main/java/kitemux/fleet/Proxy.java
+++ b/src/main/java/kitemux/fleet/Proxy.java
@@ -36,6 +36,16 @@
     private final Settings settings;
     private final Draws seeds;
     private final long unixUs;
+    private final ModuleMaker modules;
+
+    /** Makes the decision module of a process. */
+    interface ModuleMaker {
+        /** The one that serves in earnest, but where a test puts an unsound one in its place. */
+        ModuleMaker SOUND = ServiceQBalancer::new;
+
+        /** A module that knows no servers yet. */
+        Balancer make(Settings settings, long seed, Balancer.Actions actions);
+    }
 
     private Engine<Try, Boolean> engine;
     private Balancer module;
@@ -84,6 +94,12 @@
             return !over;
         }
 
+        @Override
+        public boolean isFromTold() {
+            ServerEntry entry = told.get(box.id);
+            return entry != null && entry.startedAtUs() >= unixUs + box.startedUs();
+        }
+
         void end(Result result) {
             if (over) {
                 return;
@@ -101,7 +117,7 @@
     }
 
     Proxy(int number, Fleet fleet, Scheduler time, Map<String, Box> boxes, Rules rules, Cuts cuts,
-            Settings settings, Draws network, Draws seeds, long unixUs) {
+            Settings settings, Draws network, Draws seeds, long unixUs, ModuleMaker modules) {
         this.number = number;
         this.fleet = fleet;
         this.time = time;
@@ -112,6 +128,7 @@
         this.network = network;
         this.seeds = seeds;
         this.unixUs = unixUs;
+        this.modules = modules;
     }
 
     // ---------------------------------------------------------------- its life
@@ -153,7 +170,7 @@
                         throw new IllegalStateException("node " + number + ": " + what, cause);
                     }
                 }, actions -> {
-                    module = new ServiceQBalancer(settings, seeds.any(), actions);
+                    module = modules.make(settings, seeds.any(), actions);
                     return module;
                 });
         engine.listed(ListKind.CACHED, new ArrayList<>(told.values()), () -> { });
--- a/src/main/java/kitemux/fleet/Try.java
+++ b/src/main/java/kitemux/fleet/Try.java
@@ -47,7 +47,8 @@
         return at;
     }
 
-    double trueWorkUs() {
+    /** Its work on a core of speed 1, in microseconds; no node knows it. */
+    public double trueWorkUs() {
         return of.workUs();
     }
 
--- /dev/null
+++ b/src/test/java/kitemux/sim/ColdWorkTest.java
@@ -0,0 +1,73 @@
+package kitemux.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import kitemux.sim.ColdWork.Verdict;
+
+/** The rule on cold servers, by itself. */
+class ColdWorkTest {
+    private static final double MEAN_US = 20_000;
+    private static final long WITHIN_US = 2_000_000;
+    /** What the settings allow: 36 requests, so that 36 + 2 x 6 + 2 = 50 are stood. */
+    private static final double ALLOWED_US = 36 * MEAN_US;
+
+    private final ColdWork cold = new ColdWork(MEAN_US, WITHIN_US);
+
+    private Verdict come(int count, long atUs, boolean told) {
+        Verdict last = Verdict.STANDS;
+        for (int i = 0; i < count; i++) {
+            last = cold.came(atUs, MEAN_US, told, ALLOWED_US);
+        }
+        return last;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 2", "1, 5", "36, 50", "100, 122", "400, 442"})
+    void chanceIsTwiceTheRootAndTwo(double n, double most) {
+        assertEquals(most, ColdWork.most(n));
+    }
+
+    @Test
+    void itStandsUpToTheLastThatIsChanceAndFallsWithTheNext() {
+        assertEquals(Verdict.STANDS, come(50, 1, true));
+        assertEquals(Verdict.PUSHED_OVER, come(1, 2, true));
+        assertEquals(51, cold.requests(), 1e-9);
+        assertEquals(51 / 50.0, cold.highest(), 1e-9);
+    }
+
+    /** Whoever sends: it is the sum that counts, in requests of mean work. */
+    @Test
+    void workCountsAndNotNumber() {
+        assertEquals(Verdict.STANDS, cold.came(1, 49.9 * MEAN_US, true, ALLOWED_US));
+        assertEquals(Verdict.PUSHED_OVER, cold.came(1, 0.2 * MEAN_US, true, ALLOWED_US));
+    }
+
+    @Test
+    void onlyWhatCameWithinTheTimeCounts() {
+        assertEquals(Verdict.STANDS, come(40, 0, true));
+        assertEquals(Verdict.STANDS, come(10, WITHIN_US - 1, true));
+        assertEquals(Verdict.STANDS, come(40, WITHIN_US, true));
+        assertEquals(50, cold.requests(), 1e-9);
+        assertEquals(Verdict.PUSHED_OVER, come(1, WITHIN_US, true));
+    }
+
+    @Test
+    void theNodesAreToBlameWhereOverTwoThirdsCameFromWhoKnew() {
+        come(17, 1, false);
+        assertEquals(Verdict.FALLS, come(34, 1, true), "two thirds are not over two thirds");
+        cold.begins();
+        come(16, 2, false);
+        assertEquals(Verdict.PUSHED_OVER, come(35, 2, true));
+    }
+
+    @Test
+    void aNewProcessBeginsAnew() {
+        come(50, 1, true);
+        cold.begins();
+        assertEquals(Verdict.STANDS, come(50, 2, true));
+    }
+}
