--- a/src/main/java/kitemux/drill/Drill.java
+++ b/src/main/java/kitemux/drill/Drill.java
@@ -277,6 +277,7 @@
         json.writeNumberField("grace", fleet.list().graceUs());
         json.writeNumberField("repeatGrace", scenario.repeatUs());
         json.writeNumberField("meanWork", Math.round(fleet.meanWorkUs()));
+        json.writeNumberField("handshake", fleet.links().handshakeUs());
         json.writeArrayFieldStart("boxes");
         for (Fleet.Kind kind : fleet.kinds()) {
             for (int i = 0; i < kind.count(); i++) {
--- a/src/main/java/kitemux/drill/Judge.java
+++ b/src/main/java/kitemux/drill/Judge.java
@@ -258,6 +258,8 @@
             }
             case "dial" -> {
                 int in = target(event.text("box")).dials.came(event.atUs());
+                // The handshake is work for its server as much as a request is.
+                cold(event, facts.head.real("handshake"));
                 bound(event.atUs(), "dials", in, event.text("box"));
             }
             case "call" -> bound(event.atUs(), "calls", calls.came(event.atUs()), "discovery");
@@ -360,7 +362,8 @@
                     + " ms after node-" + node + " was told that it drains");
         }
         if (event.flag("runs")) {
-            cold(event, target, of, box, node);
+            // Time-lines of before say nothing of work.
+            cold(event, event.real("work") > 0 ? event.real("work") : facts.head.real("meanWork"));
         }
     }
 
@@ -415,7 +418,9 @@
     }
 
     /** What comes to a server that has just started, against what it can do then; the first fall counts. */
-    private void cold(Event came, Target target, Request of, String box, int node) {
+    private void cold(Event came, double workUs) {
+        String box = came.text("box");
+        Target target = target(box);
         Event facts = this.facts.boxes.get(box);
         long now = came.atUs();
         if (target.startedUs < 0 || now >= target.startedUs + facts.number("cold")) {
@@ -424,16 +429,14 @@
         double warmth = facts.real("coldFrom") + (1 - facts.real("coldFrom")) * (now - target.startedUs)
                 / facts.number("cold");
         double allowedUs = FALL_MULTIPLE * facts.number("cores") * facts.real("speed") * warmth * FALL_US;
-        double meanUs = this.facts.head.number("meanWork");
-        // Time-lines of before say nothing of work.
-        double workUs = came.real("work") > 0 ? came.real("work") : meanUs;
         ColdWork.Verdict verdict = target.cold.came(now, workUs,
-                target.toldOfStart.getOrDefault(node, false), allowedUs);
+                target.toldOfStart.getOrDefault((int) came.number("node"), false), allowedUs);
         if (verdict != ColdWork.Verdict.STANDS && !target.fell) {
             target.fell = true;
             if (verdict == ColdWork.Verdict.PUSHED_OVER) {
-                tell(now, "no cold server pushed over", of, "is one of " + Math.round(target.cold.requests())
-                        + " within 2 s at " + box + ", which may get " + Math.round(allowedUs / meanUs));
+                tell(now, "no cold server pushed over: " + box + " is sent "
+                        + Math.round(target.cold.requests()) + " within 2 s and may get "
+                        + Math.round(allowedUs / this.facts.head.real("meanWork")));
             }
         }
     }
@@ -468,7 +471,7 @@
         return new Verdict(broken, breaks, lateUs, lateUs <= MOST_LATE_US, shares, new Verdict.Sums(
                 targets.values().stream().mapToInt(t -> t.attempts.most()).max().orElse(0),
                 targets.values().stream().mapToInt(t -> t.dials.most()).max().orElse(0), calls.most(),
-                crossings));
+                crossings, targets.values().stream().mapToDouble(t -> t.cold.highest()).max().orElse(0)));
     }
 
     private Verdict.Share share(String phase, long fromUs, long toUs) {
