--- a/src/main/java/kitemux/drill/Drill.java
+++ b/src/main/java/kitemux/drill/Drill.java
@@ -281,6 +281,7 @@
         json.writeNumberField("grace", fleet.list().graceUs());
         json.writeNumberField("repeatGrace", scenario.repeatUs());
         json.writeNumberField("meanWork", Math.round(fleet.meanWorkUs()));
+        json.writeNumberField("handshake", fleet.links().handshakeUs());
         json.writeArrayFieldStart("boxes");
         for (Fleet.Kind kind : fleet.kinds()) {
             for (int i = 0; i < kind.count(); i++) {
@@ -488,6 +489,7 @@
                 json.writeNumberField("node", nodeOf(from));
                 json.writeStringField("txn", one.txn());
                 json.writeBooleanField("runs", runs);
+                json.writeNumberField("work", Math.round(one.trueWorkUs()));
             });
         }
 
