Let other runs use the lab's addresses, its discovery and the drill's guard of processes

Need: runs of another kind are to stand on the same parts. What they need moves out: Place, the addresses 127.R.x.y that a run has to itself; ListDesk, public, with zones by name, the whole list made once for each version, bytes counted, and all watches ended on demand; BoxServer at an address that is given; Guard, the shell that stands before a node's process.

--- a/src/main/java/kitemux/drill/Drill.java
+++ b/src/main/java/kitemux/drill/Drill.java
@@ -31,6 +31,7 @@
 import kitemux.fleet.Fleet;
 import kitemux.fleet.Try;
 import kitemux.lab.Between;
+import kitemux.lab.Guard;
 import kitemux.lab.Loopback;
 import kitemux.sim.Scheduler;
 
@@ -87,7 +88,7 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Drill[] drill = new Drill[1];
         try {
-            Loopback.play(scenario.fleet(), scenario.seed(), () -> guarded(launcher.node()), place -> {
+            Loopback.play(scenario.fleet(), scenario.seed(), () -> Guard.before(launcher.node()), place -> {
                 drill[0] = new Drill(scenario, place, (EventLoop) group.next(), timeline);
                 return drill[0].new Ways();
             }, null);
@@ -100,14 +101,6 @@
         }
     }
 
-    /** A node's process that does not outlive this one, however it ends: then its input does. */
-    private static ProcessBuilder guarded(ProcessBuilder node) {
-        List<String> command = new ArrayList<>(List.of("sh", "-c",
-                "\"$@\" & node=$!; read -r end; kill -9 $node; wait $node 2>&-", "sh"));
-        command.addAll(node.command());
-        return node.command(command);
-    }
-
     private void close() throws IOException {
         links.values().forEach(link -> loop.submit(link::close).syncUninterruptibly());
         if (timeline != null) {
--- a/src/main/java/kitemux/lab/ListDesk.java
+++ b/src/main/java/kitemux/lab/ListDesk.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -39,28 +40,38 @@
 import kitemux.Balancer.ServerState;
 import kitemux.config.ConfigText;
 
-/** A discovery on loopback: the whole list, and a watch that tells changes as they are told here. */
-final class ListDesk {
-    private static final List<String> ZONES = List.of("zone-0");
+/**
+ * A discovery on loopback: the whole list, and a watch that tells changes as they are told here. All but
+ * {@link #opening} and the figures is called on its loop.
+ */
+public final class ListDesk {
+    private static final byte[] EMPTY_LINE = {'\n'};
     /** While nothing changes a watch has an empty line so often. */
     private static final long EMPTY_LINE_MS = 2_000;
 
+    private final List<String> zones;
     private final Map<String, InetSocketAddress> addresses;
     private final Map<String, ServerEntry> entries = new LinkedHashMap<>();
     private final Set<Channel> watches = new LinkedHashSet<>();
     private final ChannelFuture listening;
     private final EventLoop loop;
     private final Consumer<Boolean> called;
+    private final AtomicLong written = new AtomicLong();
+    private volatile int watching;
     private long rev = 1;
+    /** The whole list of this version as it is written; null where it is to be made anew. */
+    private byte[] whole;
 
     /**
      * Listens from now on; has no server yet.
      *
+     * @param zones their names, by which entries are written
      * @param addresses where servers listen, by their ids
      * @param called told of each call, and whether it is a watch
      */
-    ListDesk(InetSocketAddress address, EventLoop loop, Map<String, InetSocketAddress> addresses,
-            Consumer<Boolean> called) {
+    public ListDesk(InetSocketAddress address, EventLoop loop, List<String> zones,
+            Map<String, InetSocketAddress> addresses, Consumer<Boolean> called) {
+        this.zones = zones;
         this.called = called;
         this.addresses = addresses;
         this.loop = loop;
@@ -75,13 +86,14 @@
     }
 
     /** Done once it listens, or cannot. */
-    ChannelFuture opening() {
+    public ChannelFuture opening() {
         return listening;
     }
 
     /** Servers have changed, as all who watch hear at once. */
-    void tell(List<ServerEntry> changed) {
+    public void tell(List<ServerEntry> changed) {
         rev++;
+        whole = null;
         for (ServerEntry entry : changed) {
             if (entry.state() == ServerState.GONE) {
                 entries.remove(entry.id());
@@ -89,40 +101,66 @@
                 entries.put(entry.id(), entry);
             }
         }
-        String line = text(false, changed);
+        byte[] line = text(false, changed);
         watches.forEach(watch -> write(watch, line));
     }
 
-    void close() {
-        listening.channel().close();
+    /** Ends all watches, as discovery does when it goes down; it answers whoever calls again. */
+    public void endWatches() {
         Set.copyOf(watches).forEach(Channel::close);
     }
 
-    private static void write(Channel watch, String line) {
-        watch.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(line, StandardCharsets.UTF_8)));
+    /** The version of the list. */
+    public long rev() {
+        return rev;
+    }
+
+    /** How many watch; from any thread. */
+    public int watching() {
+        return watching;
+    }
+
+    /** Bytes of lists and empty lines that were written so far, without what HTTP adds; from any thread. */
+    public long writtenBytes() {
+        return written.get();
+    }
+
+    /** Listens no more, and ends all watches. */
+    public void close() {
+        listening.channel().close();
+        endWatches();
+    }
+
+    private void write(Channel watch, byte[] line) {
+        written.addAndGet(line.length);
+        watch.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(line)));
     }
 
     /** Servers with their addresses. */
-    static List<ConfigText.Server> placed(Collection<ServerEntry> entries,
+    public static List<ConfigText.Server> placed(Collection<ServerEntry> entries,
             Map<String, InetSocketAddress> addresses) {
         return entries.stream().map(entry -> new ConfigText.Server(entry,
                 NetUtil.toSocketAddressString(addresses.get(entry.id())))).toList();
     }
 
-    private String text(boolean all, Collection<ServerEntry> servers) {
-        return ConfigText.list(rev, all, ZONES, placed(servers, addresses)) + "\n";
+    private byte[] text(boolean all, Collection<ServerEntry> servers) {
+        return (ConfigText.list(rev, all, zones, placed(servers, addresses)) + "\n")
+                .getBytes(StandardCharsets.UTF_8);
     }
 
     private final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            String list = text(true, entries.values());
+            if (whole == null) {
+                whole = text(true, entries.values());
+            }
+            byte[] list = whole;
             boolean watch = new QueryStringDecoder(request.uri()).parameters().containsKey("watch");
             called.accept(watch);
             if (!watch) {
                 FullHttpResponse whole = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                         HttpResponseStatus.OK,
-                        Unpooled.copiedBuffer(list, StandardCharsets.UTF_8));
+                        Unpooled.wrappedBuffer(list));
                 whole.headers().set(HttpHeaderNames.CONTENT_LENGTH, whole.content().readableBytes());
                 context.writeAndFlush(whole);
                 return;
@@ -132,13 +170,14 @@
             context.write(begun);
             write(context.channel(), list);
             watches.add(context.channel());
+            watching = watches.size();
             emptyLine(context.channel());
         }
 
         private void emptyLine(Channel watch) {
             loop.schedule(() -> {
                 if (watch.isActive()) {
-                    write(watch, "\n");
+                    write(watch, EMPTY_LINE);
                     emptyLine(watch);
                 }
             }, EMPTY_LINE_MS, TimeUnit.MILLISECONDS);
@@ -147,6 +186,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             watches.remove(context.channel());
+            watching = watches.size();
         }
 
         @Override
--- a/src/main/java/kitemux/lab/Loopback.java
+++ b/src/main/java/kitemux/lab/Loopback.java
@@ -2,9 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.BindException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
@@ -45,13 +43,8 @@
  * of the same seed is what the emulator makes of the node and the network.
  */
 public final class Loopback {
-    /**
-     * Runs that are played at the same time on a machine have addresses of their own, 127.R.x.y. Which R
-     * is free
-     * is told by a socket that each holds. */
-    private static final int FIRST = 64;
-    private static final int RUNS = 128;
-    private static final int HOLD_PORT = 20_999;
+    /** Servers are all told as of one zone. */
+    private static final String ZONE = "zone-0";
     private static final int NODE_PORT = 21_000;
     private static final int BOX_PORT = 22_000;
     private static final int LIST_PORT = 23_000;
@@ -66,7 +59,7 @@
     private final Fleet fleet;
     private final long seed;
     private final Launcher launcher;
-    private final int place;
+    private final Place place;
     private final List<NodeProcess> nodes = new ArrayList<>();
     private final List<BoxSocket> sockets = new ArrayList<>();
     private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
@@ -110,18 +103,14 @@
         long mostLateUs();
     }
 
-    private Loopback(Fleet fleet, long seed, Launcher launcher, ServerSocket held, Between between) {
+    private Loopback(Fleet fleet, long seed, Launcher launcher, Place place, Between between) {
         this.between = between;
         // A node's process takes as long to start as it takes.
         Fleet.Nodes n = fleet.nodes();
         this.fleet = fleet.with(new Fleet.Nodes(n.count(), n.eventUs(), n.cores(), 0, n.noticeUs()));
         this.seed = seed;
         this.launcher = launcher;
-        place = placeOf(held);
-    }
-
-    private static int placeOf(ServerSocket held) {
-        return held.getInetAddress().getAddress()[1] & 0xff;
+        this.place = place;
     }
 
     /**
@@ -162,10 +151,10 @@
     /** The same, with somebody between its parties. */
     public static Played play(Fleet fleet, long seed, Launcher launcher, Standing standing, Watcher watcher)
             throws IOException, InterruptedException {
-        ServerSocket held = hold();
+        Place held = Place.take();
         Path folder = Files.createTempDirectory("kitemux-lab");
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        Loopback run = new Loopback(fleet, seed, launcher, held, standing.at(placeOf(held)));
+        Loopback run = new Loopback(fleet, seed, launcher, held, standing.at(held.number()));
         Thread cleaner = new Thread(run::endProcesses, "lab end");
         Runtime.getRuntime().addShutdownHook(cleaner);
         try {
@@ -183,24 +172,6 @@
         }
     }
 
-    private static ServerSocket hold() throws IOException {
-        for (int i = 0; i < RUNS; i++) {
-            ServerSocket socket = new ServerSocket();
-            try {
-                socket.bind(new InetSocketAddress("127." + (FIRST + i) + ".255.254", HOLD_PORT));
-                return socket;
-            } catch (BindException e) {
-                socket.close();
-            }
-        }
-        throw new IOException("no room for a run: " + RUNS + " are played on this machine");
-    }
-
-    private InetSocketAddress address(int number, int port) {
-        return new InetSocketAddress("127." + place + "." + (number + 1) / 250 + "."
-                + (1 + (number + 1) % 250), port);
-    }
-
     private Played run(EventLoop loop, Path folder, Watcher watcher)
             throws InterruptedException, IOException {
         RealTime time = new RealTime(loop, between::late);
@@ -280,20 +251,20 @@
         if (number == 0) {
             int boxes = 0;
             for (Box box : of.boxes()) {
-                InetSocketAddress at = address(boxes++, BOX_PORT);
+                InetSocketAddress at = place.address(boxes++, BOX_PORT);
                 addresses.put(box.id(), at);
                 sockets.add(new BoxSocket(box, at, loop, time, asked, fleet.links().handshakeUs(), between));
             }
         }
         Map<String, InetSocketAddress> seen = new LinkedHashMap<>();
         addresses.forEach((box, listens) -> seen.put(box, between.toBox(number, box, listens)));
-        InetSocketAddress listAt = address(number, LIST_PORT);
-        ListDesk desk = new ListDesk(listAt, loop, seen,
+        InetSocketAddress listAt = place.address(number, LIST_PORT);
+        ListDesk desk = new ListDesk(listAt, loop, List.of(ZONE), seen,
                 watch -> time.happens(() -> between.called(number, watch)));
         desks.add(desk);
         List<ServerEntry> all = of.boxes().stream().map(box -> new ServerEntry(box.id(), 0, box.rack(),
                 ServerState.READY, 1, 0)).toList();
-        InetSocketAddress at = address(number, NODE_PORT);
+        InetSocketAddress at = place.address(number, NODE_PORT);
         Path config = folder.resolve("n" + number + ".json");
         Settings set = of.settings(number);
         // A list that is pushed comes from an agent, of which there is none here.
--- a/src/main/java/kitemux/standin/BoxServer.java
+++ b/src/main/java/kitemux/standin/BoxServer.java
@@ -33,6 +33,11 @@
 
     /** Starts one on these loops; its answers have so many bytes. */
     public static BoxServer start(EventLoopGroup loops, int answerBytes) {
+        return start(loops, answerBytes, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    /** The same at this address. */
+    public static BoxServer start(EventLoopGroup loops, int answerBytes, InetSocketAddress at) {
         byte[] body = new byte[answerBytes];
         return new BoxServer(new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024)
@@ -43,8 +48,7 @@
                         channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
                                 new Answers(body));
                     }
-                }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(),
-                        0)).syncUninterruptibly().channel());
+                }).bind(at).syncUninterruptibly().channel());
     }
 
     /** Where it listens. */
