Measure what control costs nodes, by servers, nodes, tenants and changes: kitemux scale

Need: figures to plan with at 420 nodes before 4,800 servers, and pages that cannot drift from what was measured.

kitemux.scale runs stages described in HCL: list, nodes, tenants, p99, changes, events. Hollow nodes, many to a process, are the program's own watch, list reader, engine, module, pool and beliefs of other nodes on a loop and a thread of their own, with no request path; real ones are the jar as it is deployed. Discovery is the lab's, servers are stand-ins that answer at once. All processes end with the run, also when it is killed.

--- a/src/main/java/kitemux/cli/Main.java
+++ b/src/main/java/kitemux/cli/Main.java
@@ -44,7 +44,8 @@
             description = "A load-balancing proxy node and what belongs to it.",
             subcommands = {NodeCommand.class, AdapterCommand.class, FaultsCommand.class, BenchCommand.class,
                 OrdersCommand.class, PlanCommand.class, LabCommand.class, LoadCommand.class,
-                ConfigCommand.class, SidecarCommand.class, TryCommand.class, DrillCommand.class})
+                ConfigCommand.class, SidecarCommand.class, TryCommand.class, DrillCommand.class,
+                ScaleCommand.class})
     static final class Kitemux implements Callable<Integer> {
         @Override
         public Integer call() {
--- a/src/test/java/kitemux/ArchitectureTest.java
+++ b/src/test/java/kitemux/ArchitectureTest.java
@@ -53,10 +53,12 @@
             Map.entry("lab", Set.of("", "fleet", "plan", "sim", "standin", "hcl", "config")),
             Map.entry("peers", Set.of()),
             Map.entry("drill", Set.of("", "fleet", "plan", "sim", "hcl", "lab")),
+            Map.entry("scale", Set.of("", "engine", "net", "discovery", "config", "peers", "hcl", "standin",
+                    "lab")),
             Map.entry("bench", Set.of("", "engine", "standin", "config", "orders", "fleet", "sim",
                     "load")),
             Map.entry("cli", Set.of("adapter", "node", "world", "bench", "standin", "orders",
-                    "fleet", "plan", "lab", "load", "hcl", "app", "sidecar", "drill")));
+                    "fleet", "plan", "lab", "load", "hcl", "app", "sidecar", "drill", "scale")));
 
     private static String room(JavaClass c) {
         String[] parts = c.getPackageName().split("\\.");
