End CrowdTest's process also where its crowd cannot be made

Need: on mutants on which the crowd itself fails, two processes of the test were left behind: what fails in the constructor was never closed.

--- a/src/test/java/kitemux/node/CrowdTest.java
+++ b/src/test/java/kitemux/node/CrowdTest.java
@@ -83,7 +83,18 @@
             builder.environment().put("PROXY_CONFIG", config.toString());
             builder.environment().put("PROXY_DISCOVERY", discovery.endpoint());
             process = builder.redirectErrorStream(true).start();
-            BufferedReader out = process.inputReader();
+            boolean isReady = false;
+            try {
+                fill(process.inputReader());
+                isReady = true;
+            } finally {
+                if (!isReady) {
+                    process.destroyForcibly();
+                }
+            }
+        }
+
+        private void fill(BufferedReader out) throws IOException {
             String line = out.readLine();
             while (line != null && !line.contains("listening on ")) {
                 line = out.readLine();
