Ask for the list within a tenth of a second after a watch that ended

Cause: discovery may end all watches instead of telling, and answers calls in turn. Each node waited for 125 to 375 ms before it called, while discovery stood idle.

Change: the first wait is drawn from 25 to 75 ms (50 ms in the mean, as with an agent) and doubles up to the same most as before.

Tests: afterAWatchThatEndedTheNextCallIsMadeWithinATenthOfASecond, on the code before: seed 1 ==> expected: <2> but was: <1>. afterAMoveTheWaitsBeginAnew allowed 800 ms for a wait that now is 75 ms at most at a new place, and 330 ms at least at the old one: 300 ms now, so that it tells the two apart as it did; with the wait not begun anew it failed in three runs of three. 50 runs of each of both: none failed.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -119,8 +119,9 @@
     private static final double SHARE_BURST_S = 1;
     private static final double LEAST_SHARE_BURST = 8;
     /** Wait before a failed list call is made again, at first and at most, drawn from half to half as much
-     * more: a call that discovery is down for lasts 4 s, and what it has at its return counts after 6 s. */
-    private static final long LIST_BACKOFF_US = 250_000;
+     * more. Calls are taken in turn, and a turn comes no later for having asked early. At most: a call that
+     * discovery is down for lasts 4 s, and what it has at its return counts after 6 s. */
+    private static final long LIST_BACKOFF_US = 50_000;
     private static final long MOST_LIST_BACKOFF_US = 660_000;
 
     /** Most nodes that share a server in a large fleet, against the connections that a server accepts. */
--- a/src/test/java/kitemux/RulesTest.java
+++ b/src/test/java/kitemux/RulesTest.java
@@ -179,6 +179,23 @@
         assertEquals(7, node.subscriptions);
     }
 
+    /** Watches of all nodes may end at once, and calls are taken in turn: the last has to hear in time. */
+    @Test
+    void afterAWatchThatEndedTheNextCallIsMadeWithinATenthOfASecond() {
+        for (int seed = 1; seed <= 100; seed++) {
+            Settings set = Node.settings();
+            set.listOnRequest = true;
+            Node node = new Node(set, seed).with(1);
+            for (int watches = 1; watches <= 3; watches++) {
+                node.list(ListKind.CHANGES, List.of());
+                node.balancer.onListFailed(node.now);
+                assertEquals(watches, node.subscriptions, "nodes would ask together");
+                node.advance(100_000);
+                assertEquals(watches + 1, node.subscriptions, "seed " + seed);
+            }
+        }
+    }
+
     /** What discovery has at its return counts as told 6 s later, and a call that it was down for may last
      * 4 s: however long it was down, the wait and the next call's turn have 2 s. */
     @Test
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -243,7 +243,8 @@
                     Addresses.read("discovery", after.endpoint()), old.seed(), old.sockets(),
                     old.connIdleUs(), old.folder(), old.known(), old.settings()));
             FarServer.next(after.requests);
-            assertNotNull(after.requests.poll(800, TimeUnit.MILLISECONDS), "it waits as for the other place");
+            // After five failures it would wait for 330 ms at least, after the first 75 at most.
+            assertNotNull(after.requests.poll(300, TimeUnit.MILLISECONDS), "it waits as for the other place");
         }
     }
 
