Pass over threads that end while a process is looked at in scale runs

Cause: the stage for 210 nodes ended with 'kitemux: /proc/PID/task/TID/stat', as a thread had ended between the listing and the look (read off the message; 60 nodes went through before it). Change: what is not there any more is passed over; what is there and cannot be read is a fault still.

--- a/src/main/java/kitemux/scale/ProcessFigures.java
+++ b/src/main/java/kitemux/scale/ProcessFigures.java
@@ -25,17 +25,11 @@
      */
     static ProcessFigures of(long pid) throws IOException {
         Path process = Path.of("/proc", Long.toString(pid));
-        long loop = 0;
         List<Path> tasks;
         try (Stream<Path> all = Files.list(process.resolve("task"))) {
             tasks = all.toList();
         }
-        for (Path task : tasks) {
-            String stat = stat(task);
-            if (stat.contains("(" + LOOP)) {
-                loop = Math.max(loop, ticks(stat));
-            }
-        }
+        long loop = loopTicks(tasks);
         long resident = 0;
         for (String line : Files.readAllLines(process.resolve("status"))) {
             if (line.startsWith("VmRSS:")) {
@@ -45,6 +39,24 @@
         return new ProcessFigures(ticks(stat(process)) * MS_IN_TICK, loop * MS_IN_TICK, resident);
     }
 
+    /** Of the busiest loop's thread among these; one that has ended since they were listed is passed over. */
+    static long loopTicks(List<Path> tasks) throws IOException {
+        long loop = 0;
+        for (Path task : tasks) {
+            try {
+                String stat = stat(task);
+                if (stat.contains("(" + LOOP)) {
+                    loop = Math.max(loop, ticks(stat));
+                }
+            } catch (IOException e) {
+                if (Files.exists(task)) {
+                    throw e;
+                }
+            }
+        }
+        return loop;
+    }
+
     private static String stat(Path of) throws IOException {
         return Files.readString(of.resolve("stat"));
     }
