--- a/src/main/java/kitemux/cli/ScaleCommand.java
+++ b/src/main/java/kitemux/cli/ScaleCommand.java
@@ -15,6 +15,7 @@
 import kitemux.scale.CapacityPage;
 import kitemux.scale.Commands;
 import kitemux.scale.Hollow;
+import kitemux.scale.Plan;
 import kitemux.scale.PlanFile;
 import kitemux.scale.ScaleRun;
 import kitemux.scale.Tables;
@@ -93,7 +94,7 @@
             if (jar != null && !Files.isRegularFile(jar)) {
                 faults.add("--jar: " + jar + " is no file");
             }
-            var plan = PlanFile.read(file.toString(), Files.readString(file), faults);
+            Plan plan = PlanFile.read(file.toString(), Files.readString(file), faults);
             if (!faults.isEmpty()) {
                 return unusable(faults);
             }
--- a/src/main/java/kitemux/scale/CapacityPage.java
+++ b/src/main/java/kitemux/scale/CapacityPage.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -95,7 +96,7 @@
     }
 
     private static int compare(String page, Pattern pattern, int group, Made made, List<String> faults,
-            java.util.function.Consumer<Matcher> each) throws IOException {
+            Consumer<Matcher> each) throws IOException {
         Matcher found = pattern.matcher(page);
         int count = 0;
         while (found.find()) {
--- a/src/main/java/kitemux/scale/PlanFile.java
+++ b/src/main/java/kitemux/scale/PlanFile.java
@@ -37,7 +37,7 @@
             return null;
         }
         List<String> own = new ArrayList<>();
-        Plan plan = new PlanFile.Reader(own).plan(new Section("", parsed, own));
+        Plan plan = new Reader(own).plan(new Section("", parsed, own));
         faults.addAll(Places.placed(file, text, own));
         return plan;
     }
--- a/src/main/java/kitemux/scale/ScaleRun.java
+++ b/src/main/java/kitemux/scale/ScaleRun.java
@@ -9,7 +9,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
+import java.util.function.ToDoubleFunction;
+
+import kitemux.Balancer.ServerEntry;
 
 /** Runs the stages of a plan one after another, and keeps what each measured. */
 public final class ScaleRun {
@@ -287,7 +289,7 @@
     }
 
     private static double grown(HollowNodes.Figures before, HollowNodes.Figures after,
-            java.util.function.ToDoubleFunction<HollowNode.Figures> of) {
+            ToDoubleFunction<HollowNode.Figures> of) {
         return after.sum(of) - before.sum(of);
     }
 
@@ -393,7 +395,7 @@
         for (int rate : of.rates()) {
             Asker.Slice direct = all.get(rate + "_direct");
             for (String way : all.keySet().stream().filter(key -> key.startsWith(rate + "_"))
-                    .filter(key -> !key.endsWith("_direct")).collect(Collectors.toList())) {
+                    .filter(key -> !key.endsWith("_direct")).toList()) {
                 Asker.Slice slice = all.get(way);
                 double of99 = slice.times().getValueAtPercentile(99) / 1e3;
                 double direct99 = direct.times().getValueAtPercentile(99) / 1e3;
@@ -528,7 +530,7 @@
         if (event.endsWatches()) {
             return new Befell(wholeAgain(stand), 1);
         }
-        var lines = back ? stand.returns(event) : stand.goes(event);
+        List<List<ServerEntry>> lines = back ? stand.returns(event) : stand.goes(event);
         return new Befell(stand.tellAll(lines), lines.size());
     }
 
