--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -291,8 +291,8 @@
                 return;
             }
             if (open && time.unreadUs() > 0) {
-                // A loop that is behind has not read all that has come: that its client has left may be there.
-                // It is read in this turn, and told in the next.
+                // A loop that is behind has not read all that has come: that its client has left may lie
+                // there. It is read in this turn, and told in the next.
                 time.after(0, () -> time.after(0, this::start));
             } else if (open) {
                 start();
--- a/src/main/java/kitemux/net/ServerPool.java
+++ b/src/main/java/kitemux/net/ServerPool.java
@@ -219,9 +219,9 @@
         InetSocketAddress to = upstream.endpoint;
         ChannelFuture opening = dialer.connect(to);
         opening.channel().closeFuture().addListener(closed -> sockets.closed());
-        // Also a dial that fails on the spot is heard of from the loop, never from inside this call. And behind
-        // the ends of connections that were read in the same turn, which are told by tasks of the loop as well:
-        // whoever waits for this one may have left.
+        // Also a dial that fails on the spot is heard of from the loop, never from inside this call. And
+        // behind the ends of connections that were read in the same turn, which are told by tasks of the loop
+        // as well: whoever waits for this one may have left.
         opening.addListener(done -> loop.execute(() -> loop.execute(() -> dialed(upstream, to, opening))));
     }
 
