Let waits between list calls grow fourfold, as 418 calls of 100 nodes were too many

The test stands as it is.

Change. 50, 200 and 660 ms in the mean in place of 50, 100, 200, 400 and 660: the first wait, which is what lets the sixth node in turn hear in time after watches that ended, and the most, by which six seconds hold, are as before.

CrowdedDiscoveryTest, RulesTest, DiscoveryTest, TermsTest and ManyNodesTest pass.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -523,7 +523,7 @@
         if (set.listOnRequest) {
             // Jittered backoff: nodes that failed together must not ask together again.
             askListAt = now + listBackoffUs / 2 + random.nextLong(listBackoffUs);
-            listBackoffUs = Math.min(2 * listBackoffUs, MOST_LIST_BACKOFF_US);
+            listBackoffUs = Math.min(4 * listBackoffUs, MOST_LIST_BACKOFF_US);
             scheduleWake();
         }
     }
