Count unread time from the last poll of the sockets, not from a beat that may have waited

Cause, proven now: Netty's loop polls, reads, takes the timers that are due behind the tasks that wait, and runs them all. A beat that is due as a task holds the loop up therefore runs behind it and before the next poll, and unreadUs counted from the beat.

Change: PollingLoop tells when the sockets were polled last. SelectorLoop, a node's loop, notes it behind the selector's wait and before anything is read, which is where the network library asks whether the time spent reading is to be reported; while it reads the value is that of the turn before. The loop of the virtual clock does the same at a turn's beginning. LoopTime counts from there; its beat still bounds the wait of a loop that keeps up, and tells how long one was held up. Weighed: the beat before last (10 ms less exact, and for a beat after a hold-up what just came passes for old); a timer set by each beat (a turn more each, and the same); the time before the selector's wait (two waits would pass for unread).

A node loads two classes more (PollingLoop, SelectorLoop; with the latter its group's): deploy/classes.lst is to be made anew.

--- a/src/main/java/kitemux/net/LoopTime.java
+++ b/src/main/java/kitemux/net/LoopTime.java
@@ -4,7 +4,6 @@
 import java.time.temporal.ChronoUnit;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Ticker;
 
@@ -25,7 +24,7 @@
     /** Later than any process lives, and early enough to be added to any reading of the clock. */
     private static final long NEVER_NANOS = Long.MAX_VALUE / 4;
 
-    private final EventLoop loop;
+    private final PollingLoop loop;
     private final Ticker ticker;
     private final long originUs;
     private final long originNanos;
@@ -35,7 +34,7 @@
     private long armedNanos;
     private long beatNanos;
 
-    private LoopTime(EventLoop loop, long originUs) {
+    private LoopTime(PollingLoop loop, long originUs) {
         this.loop = loop;
         this.originUs = originUs;
         ticker = loop.ticker();
@@ -44,12 +43,12 @@
     }
 
     /** From the system's wall clock on. */
-    public static LoopTime of(EventLoop loop) {
+    public static LoopTime of(PollingLoop loop) {
         return startingAt(loop, ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()));
     }
 
     /** From this Unix time in microseconds on, which is the loop's now. */
-    public static LoopTime startingAt(EventLoop loop, long nowUs) {
+    public static LoopTime startingAt(PollingLoop loop, long nowUs) {
         return new LoopTime(loop, nowUs);
     }
 
@@ -64,20 +63,26 @@
      * @return how much later than that it comes, in microseconds: for so long the loop was held up
      */
     public long beat() {
-        long lateUs = unreadUs();
-        beatNanos = ticker.nanoTime();
+        long now = ticker.nanoTime();
+        long lateUs = laterThanBeatUs(now - beatNanos);
+        beatNanos = now;
         return lateUs;
     }
 
     /**
-     * How long what is read from a socket now may have lain there unread, at most, in microseconds. A loop
-     * that is behind reads before its timers run, so the last beat tells since when it may not have looked. A
-     * request's time runs from when it came: a node that was a tenth of a second behind would else answer a
-     * tenth of a second after the client's time was over.
+     * How long what is read from a socket now may have lain there unread, at most, in microseconds. Only a
+     * poll of the sockets tells since when the loop has not looked: a beat does not, which may have waited,
+     * as any timer that is due, behind the very task that held the loop up. The beats bound how long a loop
+     * that keeps up goes without a poll. A request's time runs from when it came: a node that was a tenth of
+     * a second behind would else answer a tenth of a second after the client's time was over.
      */
     @Override
     public long unreadUs() {
-        return Math.max(0, (ticker.nanoTime() - beatNanos) / 1_000 - BEAT_MS * 1_000);
+        return laterThanBeatUs(ticker.nanoTime() - loop.polledNanos());
+    }
+
+    private static long laterThanBeatUs(long nanos) {
+        return Math.max(0, nanos / 1_000 - BEAT_MS * 1_000);
     }
 
     /** Runs from the loop's timers, behind what there is to be read; see {@link #runOverdue}. */
--- a/src/main/java/kitemux/net/WholeMillis.java
+++ b/src/main/java/kitemux/net/WholeMillis.java
@@ -6,17 +6,23 @@
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.IoRegistration;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Ticker;
 
 /**
  * The selector of a node's loop, which waits for timers in whole milliseconds, rounded up. Selectors know no
  * finer time; the network library rounds to the nearest, so with less than half a millisecond to go it looks
  * again and again until the timer is due. With a timer every few milliseconds that was most of what a node
- * used of its processor. Harm: timers are up to a millisecond later.
+ * used of its processor. Harm: timers are up to a millisecond later. It also notes when it has polled the
+ * sockets, for {@link PollingLoop}.
  */
 public final class WholeMillis implements IoHandler {
     private static final long MILLI = 1_000_000;
 
     private final IoHandler selector;
+    private final Ticker ticker = Ticker.systemTicker();
+    /** When the selector last said what there is to be read. */
+    private long saidNanos = ticker.nanoTime();
+    private long polledNanos = saidNanos;
 
     private WholeMillis(IoHandler selector) {
         this.selector = selector;
@@ -31,8 +37,19 @@
         return executor -> new WholeMillis(selectors.newHandler(executor));
     }
 
+    /** As {@link PollingLoop#polledNanos}. */
+    long polledNanos() {
+        return polledNanos;
+    }
+
     /** What the loop tells of its timers, rounded. */
-    private record Rounded(IoHandlerContext loop) implements IoHandlerContext {
+    private final class Rounded implements IoHandlerContext {
+        private final IoHandlerContext loop;
+
+        Rounded(IoHandlerContext loop) {
+            this.loop = loop;
+        }
+
         @Override
         public boolean canBlock() {
             return loop.canBlock();
@@ -55,8 +72,10 @@
             loop.reportActiveIoTime(activeNanos);
         }
 
+        /** Asked once a turn, behind the wait and before anything is read. */
         @Override
         public boolean shouldReportActiveIoTime() {
+            saidNanos = ticker.nanoTime();
             return loop.shouldReportActiveIoTime();
         }
     }
@@ -68,7 +87,9 @@
 
     @Override
     public int run(IoHandlerContext context) {
-        return selector.run(new Rounded(context));
+        int handled = selector.run(new Rounded(context));
+        polledNanos = saidNanos;
+        return handled;
     }
 
     @Override
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -15,7 +15,6 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.util.concurrent.Future;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
@@ -43,9 +42,10 @@
 import kitemux.net.LoopTime;
 import kitemux.net.Network;
 import kitemux.net.NioNetwork;
+import kitemux.net.PollingLoop;
+import kitemux.net.SelectorLoop;
 import kitemux.net.ServerPool;
 import kitemux.net.Sockets;
-import kitemux.net.WholeMillis;
 import kitemux.ops.Operations;
 import kitemux.orders.OrderKeeper;
 import kitemux.orders.Orders;
@@ -99,7 +99,7 @@
             UnaryOperator<Transport<ClientRequest, Answer>> transport) {
 
         /** The system's sockets and clock, and nothing in between. */
-        static Parts real(EventLoop loop, Log log, Function<Balancer.Actions, Balancer> module) {
+        static Parts real(PollingLoop loop, Log log, Function<Balancer.Actions, Balancer> module) {
             return new Parts(NioNetwork.SYSTEM, LoopTime.of(loop), log, Observer.NONE, SendGate.open(),
                     module, UnaryOperator.identity());
         }
@@ -117,7 +117,7 @@
         }
     }
 
-    Node(NodeConfig config, EventLoop loop, Log log) {
+    Node(NodeConfig config, PollingLoop loop, Log log) {
         this(config, loop, Parts.real(loop, log, module(config)));
     }
 
@@ -244,7 +244,7 @@
             faults.forEach(fault -> System.err.println("kitemux: " + fault));
             System.exit(2);
         }
-        EventLoop loop = newLoop();
+        PollingLoop loop = newLoop();
         LoopTime time = LoopTime.of(loop);
         Orders orders = null;
         if (operator.orders() != null) {
@@ -343,8 +343,8 @@
         }
     }
 
-    static EventLoop newLoop() {
-        return (EventLoop) new MultiThreadIoEventLoopGroup(1, WholeMillis.factory()).next();
+    static PollingLoop newLoop() {
+        return SelectorLoop.open();
     }
 
     /** Listens for operators, where an address is given for them; the future is done once they can call. */
--- a/src/main/java/kitemux/node/Rehearsal.java
+++ b/src/main/java/kitemux/node/Rehearsal.java
@@ -15,7 +15,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -27,6 +26,7 @@
 import kitemux.engine.Log;
 import kitemux.net.HostList;
 import kitemux.net.NioNetwork;
+import kitemux.net.PollingLoop;
 
 /**
  * Warms a starting process before it listens: a node apart serves requests between a client and a server of
@@ -48,14 +48,14 @@
      * 500 ms were over after 60 requests. Harm: a restart takes so much longer. */
     private static final long MOST_MS = 2_000;
 
-    private final EventLoop loop;
+    private final PollingLoop loop;
     private final List<RequestClass> classes;
     private final CountDownLatch left = new CountDownLatch(REQUESTS);
 
     private long asked;
     private volatile boolean turnedDown;
 
-    private Rehearsal(EventLoop loop, List<RequestClass> classes) {
+    private Rehearsal(PollingLoop loop, List<RequestClass> classes) {
         this.loop = loop;
         this.classes = classes;
     }
@@ -65,7 +65,7 @@
      *
      * @return how many were served; 0 if any was turned down, as then it was something else that got warm
      */
-    static long play(NodeConfig config, EventLoop loop, Log log) {
+    static long play(NodeConfig config, PollingLoop loop, Log log) {
         return new Rehearsal(loop, config.settings().classes).play(config, log);
     }
 
--- a/src/main/java/kitemux/scale/HollowNode.java
+++ b/src/main/java/kitemux/scale/HollowNode.java
@@ -17,8 +17,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
@@ -38,9 +36,9 @@
 import kitemux.net.Network;
 import kitemux.net.NioNetwork;
 import kitemux.net.QuietChannel;
+import kitemux.net.SelectorLoop;
 import kitemux.net.ServerPool;
 import kitemux.net.Sockets;
-import kitemux.net.WholeMillis;
 import kitemux.peers.Belief;
 import kitemux.peers.Datagram;
 import kitemux.peers.Members;
@@ -59,8 +57,7 @@
     private static final int FLEET = 0x5ca1e;
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
-    private final MultiThreadIoEventLoopGroup group;
-    private final EventLoop loop;
+    private final SelectorLoop loop;
     private final LoopTime time;
     private final ServerPool<Asked, Object> pool;
     private final Discovery discovery;
@@ -108,8 +105,7 @@
         this.me = me;
         this.peers = peers;
         this.seed = seed;
-        group = new MultiThreadIoEventLoopGroup(1, WholeMillis.factory());
-        loop = (EventLoop) group.next();
+        loop = SelectorLoop.open();
         time = LoopTime.of(loop);
         Network network = new Counted();
         pool = new ServerPool<>(loop, network, new Sockets(SOCKETS), time, settings.connectTimeoutUs,
@@ -234,7 +230,7 @@
                 datagrams.close();
             }
         });
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
     /** The system's sockets, with all that comes and goes counted and timed. */
--- a/src/main/java/kitemux/world/WorldLoop.java
+++ b/src/main/java/kitemux/world/WorldLoop.java
@@ -15,13 +15,14 @@
 import io.netty.channel.ManualIoEventLoop;
 import io.netty.util.concurrent.Ticker;
 
+import kitemux.net.PollingLoop;
 import kitemux.sim.Scheduler;
 
 /**
  * A node's event loop on virtual time. A turn is what it is on real sockets: all that is ready is read, in no
  * order that can be relied upon, then tasks and timers run. The world says when the next turn is.
  */
-final class WorldLoop extends ManualIoEventLoop {
+final class WorldLoop extends ManualIoEventLoop implements PollingLoop {
     private final Readiness readiness;
 
     /** A channel that the loop asks, in each turn in which something has happened to it. */
@@ -31,11 +32,15 @@
     }
 
     WorldLoop(Scheduler time, Machine machine, Random order) {
-        this(time, machine, new Readiness(machine, order));
+        this(new VirtualTicker(time, machine), machine, order);
     }
 
-    private WorldLoop(Scheduler time, Machine machine, Readiness readiness) {
-        super(null, Thread.currentThread(), executor -> readiness, new VirtualTicker(time, machine));
+    private WorldLoop(VirtualTicker ticker, Machine machine, Random order) {
+        this(ticker, new Readiness(ticker, machine, order));
+    }
+
+    private WorldLoop(VirtualTicker ticker, Readiness readiness) {
+        super(null, Thread.currentThread(), executor -> readiness, ticker);
         this.readiness = readiness;
     }
 
@@ -47,6 +52,11 @@
         return !readiness.changed.isEmpty();
     }
 
+    @Override
+    public long polledNanos() {
+        return readiness.polledNanos;
+    }
+
     /** Nanoseconds until the next timer; negative if there is none. */
     long untilTimer() {
         return nextScheduledTaskNano();
@@ -54,17 +64,27 @@
 
     /** Stands in for a selector. */
     private static final class Readiness implements IoHandler {
+        private final Ticker ticker;
         private final Machine machine;
         private final Random order;
         private final Set<Ready> changed = new LinkedHashSet<>();
+        private long polledNanos;
 
-        Readiness(Machine machine, Random order) {
+        Readiness(Ticker ticker, Machine machine, Random order) {
+            this.ticker = ticker;
             this.machine = machine;
             this.order = order;
         }
 
         @Override
         public int run(IoHandlerContext context) {
+            long saidNanos = ticker.nanoTime();
+            int handled = process();
+            polledNanos = saidNanos;
+            return handled;
+        }
+
+        private int process() {
             if (changed.isEmpty()) {
                 return 0;
             }
--- a/src/test/java/kitemux/mysql/MysqlServersTest.java
+++ b/src/test/java/kitemux/mysql/MysqlServersTest.java
@@ -11,10 +11,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -37,6 +33,7 @@
 import kitemux.net.HostList;
 import kitemux.net.LoopTime;
 import kitemux.net.NioNetwork;
+import kitemux.net.SelectorLoop;
 import kitemux.net.ServerPool;
 import kitemux.net.Sockets;
 import kitemux.standin.OrderDatabase;
@@ -51,8 +48,7 @@
     /** So many that each of two servers gets some of them, whatever the seed. */
     private static final int ASKED = 12;
 
-    private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
-            .next();
+    private final SelectorLoop loop = SelectorLoop.open();
     private final List<OrderDatabase> databases = new ArrayList<>();
     private final List<String> lines = new ArrayList<>();
     private Engine<Command, Answer> engine;
--- a/src/test/java/kitemux/node/BacklogTest.java
+++ b/src/test/java/kitemux/node/BacklogTest.java
@@ -5,6 +5,8 @@
 
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,7 +24,12 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
 
 import kitemux.Balancer;
 import kitemux.ServiceQBalancer;
@@ -39,16 +46,20 @@
         CountDownLatch release = new CountDownLatch(1);
         loop.execute(() -> {
             standing.countDown();
-            try {
-                release.await(20, TimeUnit.SECONDS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+            awaitRelease(release);
         });
         standing.await();
         return release;
     }
 
+    private static void awaitRelease(CountDownLatch release) {
+        try {
+            release.await(20, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** A module; before it is told of a request, on the loop, something is done. */
     private static Balancer after(Balancer sound, Callable<?> before) {
         return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
@@ -162,17 +173,87 @@
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
             Socket kept = site.connect();
             assertEquals(200, Site.ask(kept, Http.page("before")).status());
-            CountDownLatch release = holdUp(site.loop);
-            Site.write(kept, Http.page("/api/p", "on a connection that was there", "400m"));
-            Socket fresh = site.connect();
-            Site.write(fresh, Http.page("/api/p", "on a new one", "400m"));
-            // From here on, however long the writing took.
-            parkFor(500);
-            release.countDown();
-            assertEquals(503, Http.read(kept.getInputStream()).status());
-            assertEquals(503, Http.read(fresh.getInputStream()).status());
-            assertEquals(1, server.requests.size(), "nobody waits for the answers any more");
-            assertEquals(200, Site.ask(kept, Http.page("after")).status());
+            whatLiesUnreadRunsOutOfTime(site, server, kept, holdUp(site.loop));
+        }
+    }
+
+    private static void whatLiesUnreadRunsOutOfTime(Site site, FarServer server, Socket kept,
+            CountDownLatch release) throws Exception {
+        Site.write(kept, Http.page("/api/p", "on a connection that was there", "400m"));
+        Socket fresh = site.connect();
+        Site.write(fresh, Http.page("/api/p", "on a new one", "400m"));
+        // From here on, however long the writing took.
+        parkFor(500);
+        release.countDown();
+        assertEquals(503, Http.read(kept.getInputStream()).status());
+        assertEquals(503, Http.read(fresh.getInputStream()).status());
+        assertEquals(1, server.requests.size(), "nobody waits for the answers any more");
+        assertEquals(200, Site.ask(kept, Http.page("after")).status());
+    }
+
+    /**
+     * Holds the loop up as {@link #holdUp} does, with its beat due and waiting behind that in the same turn:
+     * the loop reads for longer than a beat, and what it reads has a task run.
+     */
+    private static CountDownLatch holdUpBeforeTheBeat(EventLoop loop) throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        CountDownLatch standing = new CountDownLatch(1);
+        try (ServerSocket far = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                    .handler(new ChannelInboundHandlerAdapter() {
+                        @Override
+                        public void channelRead(ChannelHandlerContext context, Object bytes) {
+                            ((ByteBuf) bytes).release();
+                            parkFor(2 * LoopTime.BEAT_MS);
+                            loop.execute(() -> {
+                                standing.countDown();
+                                awaitRelease(release);
+                            });
+                            context.close();
+                        }
+                    }).connect(far.getLocalSocketAddress());
+            try (Socket peer = far.accept()) {
+                peer.getOutputStream().write(0);
+                standing.await();
+            }
+        }
+        return release;
+    }
+
+    /** Timers run behind the tasks that are there before them, and before the sockets are looked at again. */
+    @Test
+    void aBeatThatWaitedBehindWhatHeldTheLoopUpIsNoLookAtTheSockets() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+            Socket kept = site.connect();
+            assertEquals(200, Site.ask(kept, Http.page("before")).status());
+            whatLiesUnreadRunsOutOfTime(site, server, kept, holdUpBeforeTheBeat(site.loop));
+        }
+    }
+
+    /** The loop reads one thing for long: the same must not be missed in what it reads in its next turn. */
+    @Test
+    void aRequestsTimeRunsWhileTheLoopReadsAnother() throws Exception {
+        CountDownLatch standing = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server);
+                ServerSocket far = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Socket kept = site.connect();
+            assertEquals(200, Site.ask(kept, Http.page("before")).status());
+            new Bootstrap().group(site.loop).channel(NioSocketChannel.class)
+                    .handler(new ChannelInboundHandlerAdapter() {
+                        @Override
+                        public void channelRead(ChannelHandlerContext context, Object bytes) {
+                            ((ByteBuf) bytes).release();
+                            standing.countDown();
+                            awaitRelease(release);
+                            context.close();
+                        }
+                    }).connect(far.getLocalSocketAddress());
+            try (Socket peer = far.accept()) {
+                peer.getOutputStream().write(0);
+                standing.await();
+                whatLiesUnreadRunsOutOfTime(site, server, kept, release);
+            }
         }
     }
 
--- a/src/test/java/kitemux/node/Site.java
+++ b/src/test/java/kitemux/node/Site.java
@@ -14,8 +14,6 @@
 import java.util.List;
 import java.util.function.Function;
 
-import io.netty.channel.EventLoop;
-
 import kitemux.Balancer;
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
@@ -27,12 +25,13 @@
 import kitemux.discovery.HostListReader;
 import kitemux.engine.Log;
 import kitemux.net.Addresses;
+import kitemux.net.PollingLoop;
 
 /** A node on loopback sockets with the servers that its list names and a discovery that a test plays. */
 final class Site implements AutoCloseable {
     final Settings settings = new Settings();
     final FarServer discovery;
-    final EventLoop loop = Node.newLoop();
+    final PollingLoop loop = Node.newLoop();
     int sockets = 256;
     long connIdleUs = 60_000_000;
     /** Where a process of the node leaves word for the next one. */
--- a/src/test/java/kitemux/node/UnsoundNode.java
+++ b/src/test/java/kitemux/node/UnsoundNode.java
@@ -22,6 +22,7 @@
 import kitemux.http.ClientRequest;
 import kitemux.net.LoopTime;
 import kitemux.net.NioNetwork;
+import kitemux.net.PollingLoop;
 
 /** A process of a node with a deliberate defect, which the drill's judge has to find. */
 public final class UnsoundNode {
@@ -45,7 +46,7 @@
      */
     public static void main(String[] args) throws Exception {
         NodeConfig config = NodeConfig.read(System.getenv());
-        EventLoop loop = Node.newLoop();
+        PollingLoop loop = Node.newLoop();
         Node.Parts sound = Node.Parts.real(loop, new StderrLog(), actions ->
                 new ServiceQBalancer(config.settings(), config.seed(), actions));
         Node.Parts parts = switch (Defect.valueOf(args[0])) {
