Move ListLines to net, and Disk with its folder to a package of its own

What tells configuration to nodes needs both: the form of the watch, an object a line with beats, and a folder whose records are safe once synced. Neither package that held them may be known by it.

ListLines goes from discovery to net; Disk and FolderDisk go from orders to kitemux.disk, and the tests' MemoryDisk with them. Nothing changes in what they do.

--- a/src/main/java/kitemux/discovery/Discovery.java
+++ b/src/main/java/kitemux/discovery/Discovery.java
@@ -35,6 +35,7 @@
 import kitemux.engine.Lists;
 import kitemux.engine.Log;
 import kitemux.net.HostList;
+import kitemux.net.ListLines;
 import kitemux.net.Network;
 
 /**
--- a/src/main/java/kitemux/orders/Disk.java
+++ b/src/main/java/kitemux/disk/Disk.java
@@ -1,13 +1,13 @@
-package kitemux.orders;
+package kitemux.disk;
 
 import java.io.IOException;
 import java.util.List;
 
 /**
- * The folder that a journal is in, and the few things that it needs of one. What is written is safe once
- * {@link Out#sync} has returned, a file's being there once {@link #syncFolder} has.
+ * A folder that lasting records are kept in, and the few things that they need of one. What is written is
+ * safe once {@link Out#sync} has returned, a file's being there once {@link #syncFolder} has.
  */
-interface Disk {
+public interface Disk {
     /** A file that is written to at its end. */
     interface Out extends AutoCloseable {
         /** Writes all of it, or fails with any part of it written. */
--- a/src/main/java/kitemux/orders/FolderDisk.java
+++ b/src/main/java/kitemux/disk/FolderDisk.java
@@ -1,4 +1,4 @@
-package kitemux.orders;
+package kitemux.disk;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -13,7 +13,7 @@
 import java.util.stream.Stream;
 
 /** A folder of the system's; writers hold its lock. */
-final class FolderDisk implements Disk, AutoCloseable {
+public final class FolderDisk implements Disk, AutoCloseable {
     private static final String LOCK = "lock";
 
     private final Path folder;
@@ -25,7 +25,7 @@
     }
 
     /** To read only; nothing is made or locked. */
-    static FolderDisk toRead(Path folder) {
+    public static FolderDisk toRead(Path folder) {
         return new FolderDisk(folder, null);
     }
 
@@ -34,7 +34,7 @@
      *
      * @throws IOException if another process, or another part of this one, writes to it
      */
-    static FolderDisk toWrite(Path folder) throws IOException {
+    public static FolderDisk toWrite(Path folder) throws IOException {
         Files.createDirectories(folder);
         FileChannel file = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE,
                 StandardOpenOption.WRITE);
@@ -55,7 +55,7 @@
     }
 
     /** Whether somebody writes to this folder now. */
-    static boolean isWrittenTo(Path folder) throws IOException {
+    public static boolean isWrittenTo(Path folder) throws IOException {
         Path file = folder.resolve(LOCK);
         if (!Files.exists(file)) {
             return false;
--- a/src/main/java/kitemux/discovery/ListLines.java
+++ b/src/main/java/kitemux/net/ListLines.java
@@ -1,4 +1,4 @@
-package kitemux.discovery;
+package kitemux.net;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -11,9 +11,9 @@
  * found as soon as that is certain, and no later than with the next beat: an empty line within an object says
  * that the rest of it is not going to come.
  */
-final class ListLines {
+public final class ListLines {
     /** No list is so long; an object without an end must not fill the memory. */
-    static final int MOST_BYTES = 4 << 20;
+    public static final int MOST_BYTES = 4 << 20;
 
     private final ByteArrayOutputStream object = new ByteArrayOutputStream();
     private int depth;
@@ -23,10 +23,10 @@
     private boolean lineUsed;
 
     /** What has come. */
-    enum What { NOTHING, BEAT, LIST, SPOILT }
+    public enum What { NOTHING, BEAT, LIST, SPOILT }
 
     /** Reads up to and with the next thing that is whole; {@link What#NOTHING} once all is read. */
-    What next(ByteBuf bytes) {
+    public What next(ByteBuf bytes) {
         while (bytes.isReadable()) {
             What what = take(bytes.readByte());
             if (what != What.NOTHING) {
@@ -37,14 +37,14 @@
     }
 
     /** The list that was found last, as it came. */
-    byte[] list() {
+    public byte[] list() {
         byte[] whole = object.toByteArray();
         object.reset();
         return whole;
     }
 
     /** What is spoilt, as far as it came, for the operators: 40 characters at most. */
-    String spoilt() {
+    public String spoilt() {
         String text = object.toString(StandardCharsets.US_ASCII);
         return text.length() <= 40 ? text : text.substring(0, 40) + " ...";
     }
--- a/src/main/java/kitemux/orders/Journal.java
+++ b/src/main/java/kitemux/orders/Journal.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
+import kitemux.disk.Disk;
 import kitemux.orders.Entry.Checkpoint;
 import kitemux.orders.Entry.LeftOpen;
 import kitemux.orders.Segment.Content;
--- a/src/main/java/kitemux/orders/JournalReader.java
+++ b/src/main/java/kitemux/orders/JournalReader.java
@@ -12,6 +12,7 @@
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
+import kitemux.disk.Disk;
 import kitemux.orders.Entry.Checkpoint;
 import kitemux.orders.Entry.Taken;
 import kitemux.orders.Segment.Content;
--- a/src/main/java/kitemux/orders/Orders.java
+++ b/src/main/java/kitemux/orders/Orders.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 
 import kitemux.Balancer.Settings;
+import kitemux.disk.FolderDisk;
 import kitemux.engine.Asked;
 import kitemux.engine.Time;
 
--- a/src/test/java/kitemux/orders/MemoryDisk.java
+++ b/src/test/java/kitemux/disk/MemoryDisk.java
@@ -1,4 +1,4 @@
-package kitemux.orders;
+package kitemux.disk;
 
 import java.io.ByteArrayOutputStream;
 import java.io.FileNotFoundException;
@@ -13,17 +13,17 @@
  * A disk that keeps each change apart until it is synced, so that a test can cut the power at any of them:
  * all that was synced is there then, and of the rest as much as the test chooses.
  */
-final class MemoryDisk implements Disk {
+public final class MemoryDisk implements Disk {
     /** What the machine sees. */
     private final Map<String, ByteArrayOutputStream> files = new LinkedHashMap<>();
     /** What is on the platter: names as of the last sync of the folder, bytes as of the file's. */
     private final Map<String, ByteArrayOutputStream> safeNames = new LinkedHashMap<>();
     private final Map<ByteArrayOutputStream, byte[]> safeBytes = new LinkedHashMap<>();
     /** Operations until all fail; negative for never. */
-    int failAfter = -1;
-    int operations;
+    public int failAfter = -1;
+    public int operations;
     /** Segments read. */
-    int reads;
+    public int reads;
 
     private void step() throws IOException {
         operations++;
@@ -39,7 +39,7 @@
      * @param unsynced how many bytes of what was written to each file behind its last sync are there all the
      *     same; a name that was not synced is there if any are asked for
      */
-    MemoryDisk afterPowerCut(int unsynced) {
+    public MemoryDisk afterPowerCut(int unsynced) {
         MemoryDisk found = new MemoryDisk();
         Map<String, ByteArrayOutputStream> names = unsynced > 0 ? files : safeNames;
         names.forEach((name, file) -> {
@@ -56,12 +56,12 @@
     }
 
     /** What the machine sees, to be changed. */
-    Map<String, ByteArrayOutputStream> files() {
+    public Map<String, ByteArrayOutputStream> files() {
         return files;
     }
 
     /** A file that is there and safe. */
-    void put(String name, byte[] bytes) {
+    public void put(String name, byte[] bytes) {
         ByteArrayOutputStream file = new ByteArrayOutputStream();
         file.writeBytes(bytes);
         files.put(name, file);
--- a/src/test/java/kitemux/orders/JournalOnDisk.java
+++ b/src/test/java/kitemux/orders/JournalOnDisk.java
@@ -4,6 +4,8 @@
 import java.nio.file.Path;
 import java.util.List;
 
+import kitemux.disk.FolderDisk;
+
 /** Journals in folders, for tests of other packages. */
 public final class JournalOnDisk {
     private JournalOnDisk() { }
--- a/src/test/java/kitemux/orders/JournalTest.java
+++ b/src/test/java/kitemux/orders/JournalTest.java
@@ -15,6 +15,8 @@
 
 import org.junit.jupiter.api.Test;
 
+import kitemux.disk.Disk;
+import kitemux.disk.MemoryDisk;
 import kitemux.orders.Entry.Answer;
 import kitemux.orders.Entry.Answered;
 import kitemux.orders.Entry.Ended;
--- a/src/test/java/kitemux/orders/OrderKeeperTest.java
+++ b/src/test/java/kitemux/orders/OrderKeeperTest.java
@@ -21,6 +21,7 @@
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Result;
 import kitemux.Balancer.Settings;
+import kitemux.disk.MemoryDisk;
 import kitemux.engine.Asked;
 import kitemux.engine.Observer;
 import kitemux.engine.Time;
--- a/src/test/java/kitemux/orders/OrderLogTest.java
+++ b/src/test/java/kitemux/orders/OrderLogTest.java
@@ -21,6 +21,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
+import kitemux.disk.Disk;
+import kitemux.disk.MemoryDisk;
 import kitemux.orders.Entry.Answer;
 import kitemux.orders.Entry.Answered;
 import kitemux.orders.Entry.Intent;
