Hold the loop of the draining test until all have come, and give its class a long aim

Need: BacklogTest.whoComesBeforeTheListenerClosesIsServedHoweverFarBehindTheLoopIs failed on a busy machine (expected 200 but was 503; 3 of 16).

Cause: the test's. The loop stood still for 900 ms, half of which counts as the requests' age, so each of 150 at one server had some 0.55 s until the module refuses what is too late for its aim; on a busy machine the last ones waited longer. No connection was reset and nothing was left in the backlog, which is what the test is about. Its 900 ms also had to do for 150 clients to connect, by the clock.

Change: the class's aim is 20 s, as are the requests' times; the loop is held up until all 150 are connected and have written, and the listener's time to close is past by 400 ms. What it asks for is the same: 200 for each, and the drain ends.

--- a/src/test/java/kitemux/node/BacklogTest.java
+++ b/src/test/java/kitemux/node/BacklogTest.java
@@ -32,8 +32,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 
 import kitemux.Balancer;
+import kitemux.Balancer.RequestClass;
 import kitemux.ServiceQBalancer;
 import kitemux.engine.Log;
+import kitemux.http.Limits;
 import kitemux.net.LoopTime;
 import kitemux.net.Sockets;
 
@@ -285,17 +287,26 @@
     void whoComesBeforeTheListenerClosesIsServedHoweverFarBehindTheLoopIs() throws Exception {
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
             site.sockets = 1_024;
+            // Else what has lain unread for longer than the class's aim is refused at once, and rightly.
+            RequestClass page = site.settings.classes.get(0);
+            site.settings.classes.set(0, new RequestClass(page.name(), 20_000_000, 0, 20_000_000,
+                    page.worth(), page.lateWorth(), page.repeat(), page.group(), page.windowUs(),
+                    page.stream()));
             site.start(server);
             CountDownLatch drained = new CountDownLatch(1);
             site.node.drain(false, drained::countDown);
-            // Past the time at which the listener closes; more come meanwhile than are taken in one turn.
-            stall(site.loop, 900);
+            long drainedNanos = System.nanoTime();
+            CountDownLatch release = holdUp(site.loop);
             List<Socket> clients = new ArrayList<>();
+            // More than are taken in one turn.
             for (int i = 0; i < 150; i++) {
                 Socket client = site.connect();
-                Site.write(client, Http.page("/api/p", "t" + i, "5000m"));
+                Site.write(client, Http.page("/api/p", "t" + i, "20000m"));
                 clients.add(client);
             }
+            // Past the time at which the listener closes, however long that took.
+            parkFor(Limits.ARRIVING_MS + 400 - (System.nanoTime() - drainedNanos) / 1_000_000);
+            release.countDown();
             for (Socket client : clients) {
                 assertEquals(200, Http.read(client.getInputStream()).status());
             }
