Keep what a broken-off scale run has, and measure what hid the figures

No defect of `kitemux.peers`: small fleets send 2.0 datagrams of 43 bytes once lives are told. Beliefs have a stage of their own now (`peers`, examples/scale/peers.hcl); other stages run nodes without, as `run` does. - p99: slices of 5 s in three turns in a drawn order, pooled, with the spread by turn and the part of requests that were over 2.1 ms more; discovery's stand-in has a loop to itself, as half of the servers waited behind its whole lists. - Longest turn: of all that a turn read (it was of one buffer), told once that turn is over, and forgotten before the next is told (a short turn was missed at times).

Tests of kitemux.scale pass.

--- a/examples/scale/planned.hcl
+++ b/examples/scale/planned.hcl
@@ -1,6 +1,8 @@
-# The size to plan for. Each stage takes under three minutes: run them one by one with --only.
+# The size to plan for. Each stage takes under six minutes, most of them under two: run them one by one with
+# --only. What nodes tell one another takes longer: peers.hcl.
 seed   = 49
 settle = "2s"
+limit  = "345s"
 
 full {
   nodes            = 420
@@ -41,8 +43,8 @@
 p99 {
   rates   = [117, 351]
   servers = 4800
-  turns   = 2
-  slice   = "2s"
+  turns   = 3
+  slice   = "5s"
 }
 
 changes {
--- a/examples/scale/small.hcl
+++ b/examples/scale/small.hcl
@@ -28,10 +28,18 @@
   every      = "10ms"
 }
 
+peers {
+  counts     = [2, 4, 6]
+  servers    = 10
+  in_process = 3
+  most       = "10s"
+  quiet      = "2s"
+}
+
 p99 {
   rates   = [100]
   servers = 40
-  turns   = 1
+  turns   = 2
   slice   = "500ms"
 }
 
--- a/src/main/java/kitemux/scale/Hollow.java
+++ b/src/main/java/kitemux/scale/Hollow.java
@@ -13,6 +13,8 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 
+import io.netty.util.concurrent.Future;
+
 import kitemux.config.ConfigException;
 import kitemux.config.Json;
 import kitemux.engine.Log;
@@ -83,7 +85,9 @@
                 switch (line) {
                     case "figures" -> out.println(figures(nodes));
                     case "forget" -> {
-                        nodes.forEach(HollowNode::forgetLongest);
+                        // Whoever asked tells nodes something next, and its turn must not be forgotten too.
+                        nodes.stream().map(HollowNode::forgetLongest).toList()
+                                .forEach(Future::syncUninterruptibly);
                         out.println("{}");
                     }
                     default -> throw new IOException("not known: " + line);
@@ -138,8 +142,8 @@
                 HollowNode.Figures of = node.figures();
                 json.writeStartArray();
                 for (long figure : new long[] {of.cpuNanos(), of.longestNanos(), of.readBytes(),
-                    of.writtenBytes(), of.datagrams(), of.datagramBytes(), of.rev(), of.heardAtUs(),
-                    of.calls(), of.alive()}) {
+                    of.writtenBytes(), of.datagrams(), of.datagramBytes(), of.heardDatagrams(), of.rev(),
+                    of.heardAtUs(), of.calls(), of.alive()}) {
                     json.writeNumber(figure);
                 }
                 json.writeEndArray();
@@ -155,7 +159,7 @@
         for (Json node : Json.read(line.getBytes(StandardCharsets.UTF_8))) {
             long[] of = node.values().stream().mapToLong(figure -> figure.whole(0)).toArray();
             all.add(new HollowNode.Figures(of[0], of[1], of[2], of[3], of[4], of[5], of[6], of[7],
-                    (int) of[8], (int) of[9]));
+                    of[8], (int) of[9], (int) of[10]));
         }
         return all;
     }
--- a/src/main/java/kitemux/scale/HollowNode.java
+++ b/src/main/java/kitemux/scale/HollowNode.java
@@ -23,6 +23,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.concurrent.Future;
 
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Settings;
@@ -81,6 +82,9 @@
     private volatile long writtenBytes;
     private volatile long datagramBytes;
     private volatile long datagramCount;
+    private volatile long heardDatagrams;
+    private long turnNanos;
+    private long readRev;
     private volatile long longestNanos;
     private volatile int alive;
 
@@ -88,14 +92,17 @@
      * What a node has used and heard so far.
      *
      * @param cpuNanos processor time of its thread
-     * @param longestNanos the most processor time that it took what came on its watch at once, since the last
-     *     {@link HollowNode#forgetLongest}
+     * @param longestNanos the most processor time that what came on its watch took in one turn of its loop,
+     *     since the last {@link HollowNode#forgetLongest}
+     * @param datagrams that it sent to other nodes
+     * @param datagramBytes in those, without what UDP and IP add
+     * @param heardDatagrams that it had from other nodes
      * @param heardAtUs when the newest version was heard, in Unix time
      * @param calls calls of discovery
      * @param alive nodes that it believes to be there, itself among them; 0 where it has no peers
      */
     record Figures(long cpuNanos, long longestNanos, long readBytes, long writtenBytes, long datagrams,
-            long datagramBytes, long rev, long heardAtUs, int calls, int alive) { }
+            long datagramBytes, long heardDatagrams, long rev, long heardAtUs, int calls, int alive) { }
 
     /**
      * Starts nothing yet.
@@ -119,7 +126,7 @@
                     @Override
                     public void listed(HostList told) {
                         put(told, told.all() ? ListKind.FULL : ListKind.CHANGES);
-                        rev = told.rev();
+                        readRev = told.rev();
                         heardAtUs = time.nowUs();
                     }
 
@@ -176,8 +183,7 @@
     }
 
     private void heard(byte[] bytes) {
-        datagramCount++;
-        datagramBytes += bytes.length;
+        heardDatagrams++;
         Datagram.Read read = Datagram.read(bytes, FLEET);
         if (members != null && read.message() != null) {
             members.receive(time.nowUs(), read.message());
@@ -216,12 +222,13 @@
     /** All so far; from any thread. */
     Figures figures() {
         return new Figures(threadId == 0 ? 0 : Math.max(0, THREADS.getThreadCpuTime(threadId)), longestNanos,
-                readBytes, writtenBytes, datagramCount, datagramBytes, rev, heardAtUs, calls, alive);
+                readBytes, writtenBytes, datagramCount, datagramBytes, heardDatagrams, rev, heardAtUs, calls,
+                alive);
     }
 
-    /** The longest is looked for anew. */
-    void forgetLongest() {
-        loop.execute(() -> longestNanos = 0);
+    /** The longest is looked for anew, once what this returns is done. */
+    Future<?> forgetLongest() {
+        return loop.submit(() -> longestNanos = 0);
     }
 
     /** Ends its sockets and its thread. */
@@ -266,7 +273,18 @@
             }
             long before = THREADS.getCurrentThreadCpuTime();
             super.channelRead(context, message);
-            longestNanos = Math.max(longestNanos, THREADS.getCurrentThreadCpuTime() - before);
+            turnNanos += THREADS.getCurrentThreadCpuTime() - before;
+        }
+
+        /** The loop goes on to other things: what one turn brought may have come in several buffers. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+            long before = THREADS.getCurrentThreadCpuTime();
+            super.channelReadComplete(context);
+            longestNanos = Math.max(longestNanos, turnNanos + THREADS.getCurrentThreadCpuTime() - before);
+            turnNanos = 0;
+            // Whoever sees the version sees what its turn took.
+            rev = readRev;
         }
 
         @Override
--- a/src/main/java/kitemux/scale/HollowNodes.java
+++ b/src/main/java/kitemux/scale/HollowNodes.java
@@ -6,12 +6,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
 
 /** The processes of hollow nodes that a run has started. They end with their input, so with this process. */
 final class HollowNodes implements AutoCloseable {
-    private final List<Child> children = new ArrayList<>();
+    /** Whoever ends a run that takes too long kills them from a thread of its own. */
+    private final List<Child> children = new CopyOnWriteArrayList<>();
 
     private record Child(Process process, BufferedReader answers, PrintStream asks, long pid) { }
 
@@ -21,6 +23,10 @@
             return nodes.stream().mapToDouble(of).sum();
         }
 
+        double least(ToDoubleFunction<HollowNode.Figures> of) {
+            return nodes.stream().mapToDouble(of).min().orElse(0);
+        }
+
         double most(ToDoubleFunction<HollowNode.Figures> of) {
             return nodes.stream().mapToDouble(of).max().orElse(0);
         }
@@ -35,26 +41,18 @@
      *
      * @param told what one process is told; the numbers of its nodes are filled in here
      */
-    static HollowNodes start(Commands commands, Hollow.Told told, int nodes, int inProcess)
-            throws IOException {
-        HollowNodes all = new HollowNodes();
-        try {
-            int processes = (nodes + inProcess - 1) / inProcess;
-            for (int first = 0; first < nodes; first += inProcess) {
-                Process process = commands.hollow(processes).redirectError(ProcessBuilder.Redirect.INHERIT)
-                        .start();
-                PrintStream asks = new PrintStream(process.getOutputStream(), true, StandardCharsets.UTF_8);
-                all.children.add(new Child(process, process.inputReader(), asks, process.pid()));
-                asks.println(new Hollow.Told(first, Math.min(inProcess, nodes - first), told.size(),
-                        told.list(), told.place(), told.peers(), told.seed()).line());
-            }
-            for (Child child : all.children) {
-                answer(child);
-            }
-            return all;
-        } catch (IOException | RuntimeException e) {
-            all.close();
-            throw e;
+    void start(Commands commands, Hollow.Told told, int nodes, int inProcess) throws IOException {
+        int processes = (nodes + inProcess - 1) / inProcess;
+        for (int first = 0; first < nodes; first += inProcess) {
+            Process process = commands.hollow(processes).redirectError(ProcessBuilder.Redirect.INHERIT)
+                    .start();
+            PrintStream asks = new PrintStream(process.getOutputStream(), true, StandardCharsets.UTF_8);
+            children.add(new Child(process, process.inputReader(), asks, process.pid()));
+            asks.println(new Hollow.Told(first, Math.min(inProcess, nodes - first), told.size(),
+                    told.list(), told.place(), told.peers(), told.seed()).line());
+        }
+        for (Child child : children) {
+            answer(child);
         }
     }
 
@@ -84,6 +82,11 @@
         }
     }
 
+    /** Kills all, from any thread: whoever waits for an answer of one is told that it has ended. */
+    void kill() {
+        children.forEach(child -> child.process.destroyForcibly());
+    }
+
     /** Ends all, and waits until they have. */
     @Override
     public void close() {
--- a/src/main/java/kitemux/scale/Plan.java
+++ b/src/main/java/kitemux/scale/Plan.java
@@ -7,11 +7,12 @@
  *
  * @param seed of all that is drawn
  * @param settleUs left alone behind a start, for what that leaves to be done
+ * @param limitUs a stage that takes longer, with all starts, is broken off
  * @param full the size to plan for
  * @param told events, in order
  */
-public record Plan(long seed, long settleUs, Full full, Lists list, Nodes nodes, Tenants tenants,
-        Changes changes, Paired p99, Events events, List<Event> told) {
+public record Plan(long seed, long settleUs, long limitUs, Full full, Lists list, Nodes nodes, Peers peers,
+        Tenants tenants, Changes changes, Paired p99, Events events, List<Event> told) {
 
     /** The size to plan for, and what it is held against. */
     record Full(int nodes, int servers, int services, int zones, int tenants, int changesAMinute) { }
@@ -30,6 +31,14 @@
     /** What many hollow nodes cost, and those whom they ask. */
     record Nodes(List<Integer> nodes, int servers, int inProcess, long quietUs, int changes, long everyUs) { }
 
+    /**
+     * What hollow nodes tell one another of the fleet.
+     *
+     * @param mostUs how long it is waited for until what they had to tell at their start is told
+     * @param quietUs how long they are watched then
+     */
+    record Peers(List<Integer> nodes, int servers, int inProcess, long mostUs, long quietUs) { }
+
     /** A real node's cost by tenants, which ask it at this rate. */
     record Tenants(List<Integer> tenants, int servers, long quietUs, int changes, long everyUs,
             double rate) { }
@@ -40,7 +49,7 @@
     /** What a real node adds to a request's time, at these rates, in slices of this length. */
     record Paired(List<Integer> rates, int servers, int turns, long sliceUs) { }
 
-    /** What events cost a hollow node among so many, and a real one. */
+    /** What events cost a real node, a hollow one that has the machine to itself, and one among so many. */
     record Events(int nodes, int servers, int inProcess, long quietUs, int times) { }
 
     /**
--- a/src/main/java/kitemux/scale/PlanFile.java
+++ b/src/main/java/kitemux/scale/PlanFile.java
@@ -19,6 +19,9 @@
     /** Half of what the machine may hold of processes for this; each takes a JVM. */
     private static final int MOST_PROCESSES = 100;
     private static final long MOST_STAGE_US = 300_000_000L;
+    /** News of a large fleet takes minutes to be told; nothing else is measured meanwhile. */
+    private static final long MOST_PEERS_US = 600_000_000L;
+    private static final long MOST_LIMIT_US = 900_000_000L;
 
     private PlanFile() { }
 
@@ -69,9 +72,10 @@
                 }
                 event.end();
             });
-            Plan plan = new Plan(seed, time(all, "settle", 3_000_000), full, list(all), nodes(all),
-                    tenants(all, full), changes(all, full),
-                    paired(all, full), events(all, full), told);
+            Plan plan = new Plan(seed, time(all, "settle", 3_000_000),
+                    time(all, "limit", 600_000_000, MOST_LIMIT_US), full, list(all), nodes(all),
+                    peers(all), tenants(all, full), changes(all, full),
+                    paired(all, full, told.size()), events(all, full), told);
             all.end();
             return plan;
         }
@@ -103,11 +107,15 @@
         }
 
         private long time(Section of, String field, long otherwise) {
+            return time(of, field, otherwise, MOST_STAGE_US);
+        }
+
+        private long time(Section of, String field, long otherwise, long most) {
             long us = of.time(field, otherwise);
-            if (us < 1_000 || us > MOST_STAGE_US) {
+            if (us < 1_000 || us > most) {
                 if (us != 1) {
                     // That is what stands for one that could not be read, of which is told already.
-                    faults.add(of.at(field) + ": is not from 1ms to " + MOST_STAGE_US / 1_000_000 + "s");
+                    faults.add(of.at(field) + ": is not from 1ms to " + most / 1_000_000 + "s");
                 }
                 return 1_000;
             }
@@ -116,9 +124,13 @@
 
         /** A stage must end: what it takes at least, without the starts of processes, is bounded. */
         private void bounded(Section of, double us) {
-            if (us > MOST_STAGE_US) {
+            bounded(of, us, MOST_STAGE_US);
+        }
+
+        private void bounded(Section of, double us, long most) {
+            if (us > most) {
                 faults.add(of.at("").replaceAll("\\.$", "") + ": takes " + Math.round(us / 1e6)
-                        + " s, more than " + MOST_STAGE_US / 1_000_000);
+                        + " s, more than " + most / 1_000_000);
             }
         }
 
@@ -158,6 +170,20 @@
             return stage;
         }
 
+        private Plan.Peers peers(Section all) {
+            Section of = all.block("peers", false);
+            if (of == null) {
+                return null;
+            }
+            List<Integer> nodes = numbers(of, "counts", MOST_NODES);
+            Plan.Peers stage = new Plan.Peers(nodes, number(of, "servers", 60, MOST_SERVERS),
+                    inProcess(of, nodes.get(nodes.size() - 1)), time(of, "most", 200_000_000),
+                    time(of, "quiet", 10_000_000));
+            of.end();
+            bounded(of, nodes.size() * (double) (stage.mostUs() + stage.quietUs()), MOST_PEERS_US);
+            return stage;
+        }
+
         private Plan.Tenants tenants(Section all, Plan.Full full) {
             Section of = all.block("tenants", false);
             if (of == null) {
@@ -185,7 +211,7 @@
             return stage;
         }
 
-        private Plan.Paired paired(Section all, Plan.Full full) {
+        private Plan.Paired paired(Section all, Plan.Full full, int events) {
             Section of = all.block("p99", false);
             if (of == null) {
                 return null;
@@ -194,7 +220,7 @@
                     full.servers(), MOST_SERVERS), number(of, "turns", 4, 100),
                     time(of, "slice", 4_000_000));
             of.end();
-            bounded(of, stage.rates().size() * 2.0 * stage.turns() * stage.sliceUs());
+            bounded(of, stage.rates().size() * (2.0 + events) * stage.turns() * stage.sliceUs());
             return stage;
         }
 
--- a/src/main/java/kitemux/scale/Results.java
+++ b/src/main/java/kitemux/scale/Results.java
@@ -32,6 +32,9 @@
     /** The fact that says that the run itself was late, so that its figures say little. */
     static final String LATE = "late";
 
+    /** The fact that holds why a run broke off, so that its last rows are missing. */
+    static final String BROKE_OFF = "broke_off";
+
     static Results of(String stage) {
         return new Results(stage, new LinkedHashMap<>(), new LinkedHashMap<>());
     }
@@ -51,12 +54,24 @@
         return "true".equals(facts.get(LATE));
     }
 
+    /** Why the run broke off; null where it did not. */
+    String brokeOff() {
+        return facts.get(BROKE_OFF);
+    }
+
     private static Path file(Path folder, String stage) {
         return folder.resolve(stage + ".json");
     }
 
-    /** Keeps them in a folder, in the place of earlier ones of the stage; whole or not at all. */
-    void keep(Path folder) throws IOException {
+    /**
+     * Keeps them in a folder, in the place of earlier ones of the stage; whole or not at all. Those of a run
+     * that broke off never take the place of a whole one: they are kept beside it.
+     *
+     * @return the file
+     */
+    Path keep(Path folder) throws IOException {
+        Results before = brokeOff() == null ? null : read(folder, stage);
+        Path file = file(folder, before != null && before.brokeOff() == null ? stage + ".broke-off" : stage);
         StringWriter text = new StringWriter();
         try (JsonGenerator json = JSON.createGenerator(text)) {
             json.setPrettyPrinter(new DefaultPrettyPrinter()
@@ -82,7 +97,7 @@
         Files.createDirectories(folder);
         Path part = file(folder, stage + ".part");
         Files.writeString(part, text + "\n");
-        Files.move(part, file(folder, stage), StandardCopyOption.ATOMIC_MOVE);
+        return Files.move(part, file, StandardCopyOption.ATOMIC_MOVE);
     }
 
     /**
--- a/src/main/java/kitemux/scale/ScaleRun.java
+++ b/src/main/java/kitemux/scale/ScaleRun.java
@@ -4,9 +4,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
@@ -18,6 +20,12 @@
     /** A node whose loop used no more than this in that time has nothing left to do. */
     private static final long STILL_MS = 400;
     private static final long STILL_CPU_MS = 20;
+    /** News has been told where a datagram holds its sender alone, 43 bytes, but for one in five or less. */
+    private static final double TOLD_OUT_BYTES = 46;
+    private static final long LOOK_US = 2_000_000;
+    /** Requests a second by which a node is brought to where it has compiled what requests need. */
+    private static final int WARMING_RATE = 1_000;
+    private static final int WARMING_CHANGES = 200;
     private static final double MEGA = 1024 * 1024;
 
     private final Plan plan;
@@ -27,6 +35,8 @@
     private final Set<String> only;
     private final Consumer<String> out;
     private final Lateness lateness = new Lateness();
+    /** What stands now, for whoever ends a stage that takes too long. */
+    private volatile Stand standing;
 
     /**
      * Runs nothing yet.
@@ -51,16 +61,19 @@
     }
 
     /**
-     * Runs them all.
+     * Runs them all. One that breaks off, or takes longer than the plan allows, keeps what it has, and the
+     * others run all the same.
      *
      * @return whether the run itself was late in none
-     * @throws IOException if anything cannot be started or kept; what was measured before is kept
+     * @throws IOException if any stage broke off, once all have run; the message says which and why
      */
     public boolean run() throws IOException, InterruptedException {
         boolean punctual = true;
+        List<String> broken = new ArrayList<>();
         Map<String, Stage> stages = new LinkedHashMap<>();
         stages.put("list", plan.list() == null ? null : this::list);
         stages.put("nodes", plan.nodes() == null ? null : this::nodes);
+        stages.put("peers", plan.peers() == null ? null : this::peers);
         stages.put("tenants", plan.tenants() == null ? null : this::tenants);
         stages.put("p99", plan.p99() == null ? null : this::paired);
         stages.put("changes", plan.changes() == null ? null : this::changes);
@@ -71,19 +84,60 @@
                     Results into = Results.of(stage.getKey());
                     facts(into.facts());
                     lateness.begin();
-                    stage.getValue().measure(into);
+                    long began = System.nanoTime();
+                    String failure = measured(stage.getValue(), into);
+                    into.facts().put("took_s", Long.toString((System.nanoTime() - began) / 1_000_000_000));
                     into.facts().put("most_late_ms", Long.toString(lateness.mostUs() / 1_000));
                     into.facts().put(Results.LATE, Boolean.toString(lateness.isLate()));
-                    into.keep(to);
                     punctual &= !lateness.isLate();
-                    out.accept(stage.getKey() + ": kept" + (lateness.isLate() ? ", but the run was late by "
-                            + lateness.mostUs() / 1_000 + " ms" : ""));
+                    if (failure != null) {
+                        into.facts().put(Results.BROKE_OFF, failure);
+                        broken.add(stage.getKey() + ": " + failure);
+                    }
+                    String kept = failure != null && into.rows().isEmpty() ? "nothing to keep"
+                            : "kept as " + into.keep(to).getFileName();
+                    out.accept(stage.getKey() + ": " + kept
+                            + (lateness.isLate() ? ", but the run was late by " + lateness.mostUs() / 1_000
+                            + " ms" : "") + (failure == null ? "" : ", and broke off: " + failure));
                 }
             }
         }
+        if (!broken.isEmpty()) {
+            throw new IOException(String.join("; ", broken));
+        }
         return punctual;
     }
 
+    /** Measures a stage; why it broke off, or null. */
+    private String measured(Stage stage, Results into) throws InterruptedException {
+        try (StageLimit limit = new StageLimit(plan.limitUs(), this::endStanding)) {
+            try {
+                stage.measure(into);
+                return null;
+            } catch (IOException | RuntimeException | InterruptedException e) {
+                if (limit.reached()) {
+                    return "it took longer than " + plan.limitUs() / 1_000_000.0 + " s";
+                }
+                if (e instanceof InterruptedException interrupted) {
+                    throw interrupted;
+                }
+                return String.valueOf(e.getMessage());
+            }
+        }
+    }
+
+    private void endStanding() {
+        Stand now = standing;
+        if (now != null) {
+            now.kill();
+        }
+    }
+
+    private Stand stand(Sized size) throws IOException, InterruptedException {
+        standing = new Stand(commands, size, plan.seed());
+        return standing;
+    }
+
     private void facts(Map<String, String> facts) throws IOException {
         facts.put("commit", commit);
         facts.put("seed", Long.toString(plan.seed()));
@@ -191,7 +245,7 @@
         into.facts().put("changes", Integer.toString(of.changes()));
         for (int servers : of.servers()) {
             String row = Integer.toString(servers);
-            try (Stand stand = new Stand(commands, sized(plan.full().nodes(), servers, 11), plan.seed())) {
+            try (Stand stand = stand(sized(plan.full().nodes(), servers, 11))) {
                 RealNode node = stand.real();
                 into.put(row, "start_s", node.startS());
                 settle(into);
@@ -238,8 +292,8 @@
         into.facts().put("nodes_in_a_process", Integer.toString(of.inProcess()));
         for (int nodes : of.nodes()) {
             String row = Integer.toString(nodes);
-            try (Stand stand = new Stand(commands, sized(nodes, of.servers(), 11), plan.seed())) {
-                HollowNodes hollow = stand.hollow(nodes, of.inProcess());
+            try (Stand stand = stand(sized(nodes, of.servers(), 11))) {
+                HollowNodes hollow = stand.hollow(nodes, of.inProcess(), false);
                 settle(into);
                 HollowNodes.Figures before = hollow.figures();
                 sleepUs(of.quietUs());
@@ -247,10 +301,6 @@
                 double seconds = of.quietUs() / 1e6;
                 double quietMs = grown(before, after, f -> f.cpuNanos() / 1e6) / nodes / seconds;
                 into.put(row, "quiet_percent", quietMs / 10);
-                into.put(row, "peer_datagrams", grown(before, after, HollowNode.Figures::datagrams) / nodes
-                        / seconds);
-                into.put(row, "peer_bytes", grown(before, after, HollowNode.Figures::datagramBytes) / nodes
-                        / seconds);
                 told(into, row);
                 hollow.forgetLongest();
                 before = hollow.figures();
@@ -274,6 +324,7 @@
                 into.put(row, "stall_ms", after.most(f -> f.longestNanos() / 1e6));
                 into.put(row, "desk_change_ms", (stand.deskMs() - desk) / of.changes());
                 into.put(row, "desk_bytes", (stand.desk().writtenBytes() - written) / (double) of.changes());
+                hollow.forgetLongest();
                 before = hollow.figures();
                 written = stand.desk().writtenBytes();
                 long beganUs = System.currentTimeMillis() * 1_000;
@@ -281,6 +332,7 @@
                 after = hollow.figures();
                 into.put(row, "return_mb", (stand.desk().writtenBytes() - written) / MEGA);
                 into.put(row, "return_calls", grown(before, after, HollowNode.Figures::calls));
+                into.put(row, "return_stall_ms", after.most(f -> f.longestNanos() / 1e6));
                 into.put(row, "node_mb", after.processes().stream().mapToLong(ProcessFigures::residentKb)
                         .sum() / 1024.0 / nodes);
             }
@@ -288,6 +340,55 @@
         }
     }
 
+    /** What nodes tell one another of the fleet: first of the lives of all, then that they are there. */
+    private void peers(Results into) throws IOException, InterruptedException {
+        Plan.Peers of = plan.peers();
+        into.facts().put("servers", Integer.toString(of.servers()));
+        into.facts().put("nodes_in_a_process", Integer.toString(of.inProcess()));
+        for (int nodes : of.nodes()) {
+            String row = Integer.toString(nodes);
+            try (Stand stand = stand(sized(nodes, of.servers(), 11))) {
+                HollowNodes hollow = stand.hollow(nodes, of.inProcess(), true);
+                out.accept(into.stage() + ": nodes are up");
+                long began = System.nanoTime();
+                Told first = Told.of(hollow, LOOK_US);
+                into.put(row, "first_datagrams", first.datagrams);
+                into.put(row, "first_bytes", first.bytes);
+                Told now = first;
+                while (now.bytes > TOLD_OUT_BYTES * now.datagrams
+                        && (System.nanoTime() - began) / 1_000 < of.mostUs()) {
+                    now = Told.of(hollow, LOOK_US);
+                }
+                if (now.bytes <= TOLD_OUT_BYTES * now.datagrams) {
+                    into.put(row, "news_s", (System.nanoTime() - began) / 1e9);
+                }
+                now = Told.of(hollow, of.quietUs());
+                into.put(row, "datagrams", now.datagrams);
+                into.put(row, "bytes", now.bytes);
+                into.put(row, "heard_percent", now.heardPercent);
+                into.put(row, "quiet_percent", now.cpuPercent);
+                into.put(row, "missing", nodes - hollow.figures().least(HollowNode.Figures::alive));
+            }
+            told(into, row);
+        }
+    }
+
+    /** What a node sent others a second, of all on average, and what it used for that and all else. */
+    private record Told(double datagrams, double bytes, double heardPercent, double cpuPercent) {
+        static Told of(HollowNodes hollow, long us) throws IOException, InterruptedException {
+            HollowNodes.Figures before = hollow.figures();
+            long began = System.nanoTime();
+            sleepUs(us);
+            HollowNodes.Figures after = hollow.figures();
+            double nodeSeconds = (System.nanoTime() - began) / 1e9 * after.nodes().size();
+            double sent = grown(before, after, HollowNode.Figures::datagrams);
+            return new Told(sent / nodeSeconds,
+                    grown(before, after, HollowNode.Figures::datagramBytes) / nodeSeconds,
+                    sent == 0 ? 0 : 100 * grown(before, after, HollowNode.Figures::heardDatagrams) / sent,
+                    grown(before, after, HollowNode.Figures::cpuNanos) / 1e7 / nodeSeconds);
+        }
+    }
+
     private static double grown(HollowNodes.Figures before, HollowNodes.Figures after,
             ToDoubleFunction<HollowNode.Figures> of) {
         return after.sum(of) - before.sum(of);
@@ -310,8 +411,8 @@
         into.facts().put("requests_a_second", Integer.toString((int) of.rate()));
         for (int tenants : of.tenants()) {
             String row = Integer.toString(tenants);
-            try (Stand stand = new Stand(commands, sized(plan.full().nodes(), of.servers(), tenants),
-                    plan.seed()); Asker asker = new Asker(tenants, plan.seed())) {
+            try (Stand stand = stand(sized(plan.full().nodes(), of.servers(), tenants));
+                    Asker asker = new Asker(tenants, plan.seed())) {
                 RealNode node = stand.real();
                 into.put(row, "start_s", node.startS());
                 settle(into);
@@ -336,11 +437,11 @@
         Plan.Changes of = plan.changes();
         into.facts().put("servers", Integer.toString(of.servers()));
         into.facts().put("seconds", Long.toString(of.lengthUs() / 1_000_000));
-        try (Stand stand = new Stand(commands, sized(plan.full().nodes(), of.servers(), 11), plan.seed())) {
+        try (Stand stand = stand(sized(plan.full().nodes(), of.servers(), 11))) {
             RealNode node = stand.real();
             settle(into);
             // As a node that has run for a day.
-            Cost.ofChanges(stand, node, new Quiet(0, 0), 0, 200, 20_000);
+            Cost.ofChanges(stand, node, new Quiet(0, 0), 0, WARMING_CHANGES, 20_000);
             for (int aMinute : of.aMinute()) {
                 String row = Integer.toString(aMinute);
                 long everyUs = 60_000_000 / aMinute;
@@ -370,52 +471,40 @@
         into.facts().put("servers", Integer.toString(of.servers()));
         into.facts().put("turns", Integer.toString(of.turns()));
         into.facts().put("slice_s", Double.toString(of.sliceUs() / 1e6));
-        Map<String, Asker.Slice> all = new LinkedHashMap<>();
-        try (Stand stand = new Stand(commands, sized(plan.full().nodes(), of.servers(), 11), plan.seed());
+        try (Stand stand = stand(sized(plan.full().nodes(), of.servers(), 11));
                 Asker asker = new Asker(11, plan.seed())) {
             RealNode node = stand.real();
             settle(into);
             // As a node that has run for a day: what its loop does is compiled.
-            asker.ask(node.address(), 500, of.sliceUs());
-            asker.ask(stand.server(), 500, of.sliceUs());
-            Cost.ofChanges(stand, node, new Quiet(0, 0), 0, 200, 10_000);
-            List<String> ways = new ArrayList<>(List.of("direct", "quiet"));
+            asker.ask(node.address(), WARMING_RATE, of.sliceUs());
+            asker.ask(stand.server(), WARMING_RATE, of.sliceUs());
+            Cost.ofChanges(stand, node, new Quiet(0, 0), 0, WARMING_CHANGES, 10_000);
+            List<String> ways = new ArrayList<>(List.of(PairedTimes.DIRECT, "quiet"));
             plan.told().forEach(event -> ways.add(event.name()));
+            Random order = new Random(plan.seed());
+            Map<Integer, PairedTimes> times = new LinkedHashMap<>();
+            of.rates().forEach(rate -> times.put(rate, new PairedTimes()));
             for (int turn = 0; turn < of.turns(); turn++) {
                 for (int rate : of.rates()) {
-                    for (int i = 0; i < ways.size(); i++) {
-                        String way = ways.get((i + turn) % ways.size());
+                    Collections.shuffle(ways, order);
+                    for (String way : ways) {
                         Asker.Slice slice = slice(stand, node, asker, way, rate, of.sliceUs());
                         lateness.was(slice.lateUs());
-                        all.merge(rate + "_" + way, slice, Asker.Slice::and);
+                        times.get(rate).add(way, slice);
                     }
+                    times.get(rate).put(into, rate + "_");
+                    out.accept(into.stage() + " " + rate + " a second, turn " + (turn + 1) + " of "
+                            + of.turns());
                 }
             }
         }
-        for (int rate : of.rates()) {
-            Asker.Slice direct = all.get(rate + "_direct");
-            for (String way : all.keySet().stream().filter(key -> key.startsWith(rate + "_"))
-                    .filter(key -> !key.endsWith("_direct")).toList()) {
-                Asker.Slice slice = all.get(way);
-                double of99 = slice.times().getValueAtPercentile(99) / 1e3;
-                double direct99 = direct.times().getValueAtPercentile(99) / 1e3;
-                into.put(way, "direct_ms", direct99);
-                into.put(way, "node_ms", of99);
-                into.put(way, "added_ms", of99 - direct99);
-                into.put(way, "added_median_ms", (slice.times().getValueAtPercentile(50)
-                        - direct.times().getValueAtPercentile(50)) / 1e3);
-                into.put(way, "most_ms", slice.times().getMaxValue() / 1e3);
-                into.put(way, "answers", slice.times().getTotalCount());
-                into.put(way, "others", slice.others());
-                told(into, way);
-            }
-        }
+        into.rows().keySet().forEach(row -> told(into, row));
     }
 
     /** Asks for one slice, while what it is named for happens: a quarter in it goes, and later it returns. */
     private Asker.Slice slice(Stand stand, RealNode node, Asker asker, String way, int rate, long us)
             throws IOException, InterruptedException {
-        if (way.equals("direct")) {
+        if (way.equals(PairedTimes.DIRECT)) {
             return asker.ask(stand.server(), rate, us);
         }
         Plan.Event event = plan.told().stream().filter(one -> one.name().equals(way)).findFirst()
@@ -477,49 +566,91 @@
         into.facts().put("servers", Integer.toString(of.servers()));
         into.facts().put("hollow_nodes", Integer.toString(of.nodes()));
         into.facts().put("times", Integer.toString(of.times()));
-        try (Stand stand = new Stand(commands, sized(plan.full().nodes(), of.servers(), 11), plan.seed())) {
+        eventsAlone(into, of);
+        eventsReal(into, of);
+        eventsAll(into, of);
+    }
+
+    /** What befalls, in order: each event goes, and where it does not end watches, it returns. */
+    private interface Befalling {
+        void befalls(Plan.Event event, boolean back) throws IOException, InterruptedException;
+    }
+
+    private void eachEvent(Plan.Events of, Befalling what) throws IOException, InterruptedException {
+        for (Plan.Event event : plan.told()) {
+            for (int time = 0; time < of.times(); time++) {
+                what.befalls(event, false);
+                if (!event.endsWatches()) {
+                    what.befalls(event, true);
+                }
+            }
+        }
+    }
+
+    private static String row(Plan.Event event, boolean back) {
+        return event.name() + (back ? "_return" : "");
+    }
+
+    /** The longest turns of a loop that no other node's keeps from a processor. */
+    private void eventsAlone(Results into, Plan.Events of) throws IOException, InterruptedException {
+        try (Stand stand = stand(sized(plan.full().nodes(), of.servers(), 11))) {
+            HollowNodes one = stand.hollow(1, 1, false);
+            settle(into);
+            for (int i = 0; i < WARMING_CHANGES; i++) {
+                heard(one, 0, stand.change(i));
+            }
+            eachEvent(of, (event, back) -> {
+                one.forgetLongest();
+                heard(one, 0, befall(stand, event, back).rev());
+                worst(into, row(event, back), "alone_stall_ms",
+                        one.figures().most(f -> f.longestNanos() / 1e6));
+            });
+        }
+    }
+
+    private static void worst(Results into, String row, String column, double value) {
+        Map<String, Double> cells = into.rows().getOrDefault(row, Map.of());
+        into.put(row, column, Math.max(cells.getOrDefault(column, 0.0), value));
+    }
+
+    private void eventsReal(Results into, Plan.Events of) throws IOException, InterruptedException {
+        try (Stand stand = stand(sized(plan.full().nodes(), of.servers(), 11))) {
             RealNode node = stand.real();
             settle(into);
             Quiet quiet = Quiet.of(node, of.quietUs());
             into.put("quiet-minute", "real_ms", quiet.all * 60e6);
-            Cost.ofChanges(stand, node, quiet, 0, 200, 10_000);
-            for (Plan.Event event : plan.told()) {
-                for (int time = 0; time < of.times(); time++) {
-                    for (boolean back : event.endsWatches() ? new boolean[] {false}
-                            : new boolean[] {false, true}) {
-                        ProcessFigures before = node.figures();
-                        long began = System.nanoTime();
-                        long written = stand.desk().writtenBytes();
-                        int lines = befall(stand, event, back).lines();
-                        still(node);
-                        String row = event.name() + (back ? "_return" : "");
-                        into.put(row, "lines", lines);
-                        into.put(row, "bytes", stand.desk().writtenBytes() - written);
-                        into.put(row, "byte_s", (stand.desk().writtenBytes() - written) / 8_192.0);
-                        into.put(row, "real_ms", Cost.of(node, before, began, quiet, 1).all);
-                        told(into, row);
-                    }
-                }
-            }
+            Cost.ofChanges(stand, node, quiet, 0, WARMING_CHANGES, 10_000);
+            eachEvent(of, (event, back) -> {
+                ProcessFigures before = node.figures();
+                long began = System.nanoTime();
+                long written = stand.desk().writtenBytes();
+                int lines = befall(stand, event, back).lines();
+                still(node);
+                String row = row(event, back);
+                into.put(row, "lines", lines);
+                into.put(row, "bytes", stand.desk().writtenBytes() - written);
+                into.put(row, "byte_s", (stand.desk().writtenBytes() - written) / 8_192.0);
+                into.put(row, "real_ms", Cost.of(node, before, began, quiet, 1).all);
+                into.put(row, "real_mb", node.figures().residentKb() / 1024.0);
+                told(into, row);
+            });
         }
-        try (Stand stand = new Stand(commands, sized(of.nodes(), of.servers(), 11), plan.seed())) {
-            HollowNodes hollow = stand.hollow(of.nodes(), of.inProcess());
+    }
+
+    private void eventsAll(Results into, Plan.Events of) throws IOException, InterruptedException {
+        try (Stand stand = stand(sized(of.nodes(), of.servers(), 11))) {
+            HollowNodes hollow = stand.hollow(of.nodes(), of.inProcess(), false);
             settle(into);
             HollowNodes.Figures before = hollow.figures();
             sleepUs(of.quietUs());
             double quietMs = grown(before, hollow.figures(), f -> f.cpuNanos() / 1e6) / of.nodes()
                     / (of.quietUs() / 1e6);
             into.put("quiet-minute", "node_ms", quietMs * 60);
-            for (Plan.Event event : plan.told()) {
+            eachEvent(of, (event, back) -> {
                 if (event.hollow()) {
-                    for (int time = 0; time < of.times(); time++) {
-                        for (boolean back : event.endsWatches() ? new boolean[] {false}
-                                : new boolean[] {false, true}) {
-                            hollowEvent(into, stand, hollow, event, back, quietMs);
-                        }
-                    }
+                    hollowEvent(into, stand, hollow, event, back, quietMs);
                 }
-            }
+            });
         }
     }
 
@@ -537,7 +668,7 @@
     /** The worst of all times stands for what nodes heard late, and the last for what it cost. */
     private void hollowEvent(Results into, Stand stand, HollowNodes hollow, Plan.Event event, boolean back,
             double quietMs) throws IOException, InterruptedException {
-        String row = event.name() + (back ? "_return" : "");
+        String row = row(event, back);
         hollow.forgetLongest();
         HollowNodes.Figures before = hollow.figures();
         double desk = stand.deskMs();
@@ -549,10 +680,8 @@
         HollowNodes.Figures after = hollow.figures();
         into.put(row, "node_ms", Math.max(0, grown(before, after, f -> f.cpuNanos() / 1e6)
                 / after.nodes().size() - quietMs * tookS));
-        Map<String, Double> cells = into.rows().get(row);
-        into.put(row, "stall_ms", Math.max(cells.getOrDefault("stall_ms", 0.0),
-                after.most(f -> f.longestNanos() / 1e6)));
-        into.put(row, "heard_ms", Math.max(cells.getOrDefault("heard_ms", 0.0), heardMs));
+        worst(into, row, "stall_ms", after.most(f -> f.longestNanos() / 1e6));
+        worst(into, row, "heard_ms", heardMs);
         into.put(row, "desk_ms", stand.deskMs() - desk);
         told(into, row);
     }
--- a/src/main/java/kitemux/scale/Stand.java
+++ b/src/main/java/kitemux/scale/Stand.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -48,10 +49,12 @@
     private final Place place;
     private final Path folder;
     private final MultiThreadIoEventLoopGroup group;
+    private final MultiThreadIoEventLoopGroup answering;
     private final EventLoop loop;
     private final long loopThread;
     private final List<BoxServer> servers = new ArrayList<>();
-    private final List<AutoCloseable> nodes = new ArrayList<>();
+    /** A run that takes too long ends them from a thread of its own. */
+    private final List<AutoCloseable> nodes = new CopyOnWriteArrayList<>();
     private final Map<String, InetSocketAddress> addresses;
     private final ListDesk desk;
     private final AtomicLong calls = new AtomicLong();
@@ -65,11 +68,13 @@
         this.seed = seed;
         place = Place.take();
         folder = Files.createTempDirectory("kitemux-scale");
-        group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = (EventLoop) group.next();
+        // Discovery has a loop to itself: a server that waits behind a list would be taken for the node.
+        answering = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
         List<InetSocketAddress> listening = new ArrayList<>();
         for (int i = 0; i < LISTENING; i++) {
-            servers.add(BoxServer.start(group.next(), ANSWER_BYTES, place.address(i, SERVER_PORT)));
+            servers.add(BoxServer.start(answering.next(), ANSWER_BYTES, place.address(i, SERVER_PORT)));
             listening.add(servers.get(i).address());
         }
         addresses = size.addresses(listening);
@@ -127,11 +132,16 @@
         return node;
     }
 
-    /** Starts hollow nodes, and waits until all have the list. */
-    HollowNodes hollow(int count, int inProcess) throws IOException, InterruptedException {
-        HollowNodes all = HollowNodes.start(commands, new Hollow.Told(0, 0, size,
-                NetUtil.toSocketAddressString(list), place.number(), true, seed), count, inProcess);
+    /**
+     * Starts hollow nodes, and waits until all have the list.
+     *
+     * @param peers whether they tell one another what they believe of the fleet
+     */
+    HollowNodes hollow(int count, int inProcess, boolean peers) throws IOException, InterruptedException {
+        HollowNodes all = new HollowNodes();
         nodes.add(all);
+        all.start(commands, new Hollow.Told(0, 0, size, NetUtil.toSocketAddressString(list), place.number(),
+                peers, seed), count, inProcess);
         long rev = on(desk::rev);
         until(() -> all.figures().haveAll(rev), "hollow nodes do not hear");
         return all;
@@ -223,6 +233,15 @@
         });
     }
 
+    /** Kills the hollow nodes, from any thread, so that whoever waits for them waits no longer. */
+    void kill() {
+        nodes.forEach(node -> {
+            if (node instanceof HollowNodes hollow) {
+                hollow.kill();
+            }
+        });
+    }
+
     /** Ends all that it started, whatever becomes of any of it. */
     @Override
     public void close() throws IOException {
@@ -236,7 +255,10 @@
         }
         loop.submit(desk::close).awaitUninterruptibly();
         servers.forEach(BoxServer::close);
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(MOST_WAIT_S, TimeUnit.SECONDS);
+        for (MultiThreadIoEventLoopGroup loops : List.of(group, answering)) {
+            loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(MOST_WAIT_S,
+                    TimeUnit.SECONDS);
+        }
         place.close();
         try (Stream<Path> files = Files.walk(folder)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
--- a/src/main/java/kitemux/scale/Tables.java
+++ b/src/main/java/kitemux/scale/Tables.java
@@ -42,9 +42,7 @@
                 new Column("start_s", "start, s", 2),
                 new Column("resident_mb", "memory, MB", 1))));
         FORMS.put("nodes", new Form("nodes", List.of(
-                new Column("quiet_percent", "a quiet minute, % of a core for a node", 3),
-                new Column("peer_datagrams", "datagrams of beliefs a second for a node", 2),
-                new Column("peer_bytes", "their bytes a second", 0),
+                new Column("quiet_percent", "a quiet minute, loop, % of a core for a node", 3),
                 new Column("change_ms", "a change, loop of a node, ms", 2),
                 new Column("heard_ms", "until the last node heard of a change, ms (worst)", 0),
                 new Column("stall_ms", "longest turn of a loop at a change, ms", 1),
@@ -53,7 +51,17 @@
                 new Column("return_s", "all at once: until the last has the whole list, s", 2),
                 new Column("return_mb", "MB written for that", 1),
                 new Column("return_calls", "calls for that", 0),
+                new Column("return_stall_ms", "longest turn of a loop at that, ms", 0),
                 new Column("node_mb", "memory for a node, MB", 1))));
+        FORMS.put("peers", new Form("nodes", List.of(
+                new Column("first_datagrams", "at first: datagrams sent a second by a node", 2),
+                new Column("first_bytes", "their bytes a second", 0),
+                new Column("news_s", "until each life is told, s", 0),
+                new Column("datagrams", "then: datagrams sent a second by a node", 2),
+                new Column("bytes", "their bytes a second", 0),
+                new Column("heard_percent", "of what was sent, came, %", 1),
+                new Column("quiet_percent", "loop, % of a core for a node", 3),
+                new Column("missing", "nodes that one takes for gone, at most", 0))));
         FORMS.put("tenants", new Form("tenants", List.of(
                 new Column("quiet_percent", "a quiet minute, % of a core", 2),
                 new Column("asked_percent", "asked by all tenants, % of a core", 1),
@@ -69,19 +77,24 @@
                 new Column("direct_ms", "p99 without a node, ms", 2),
                 new Column("node_ms", "p99 through a node, ms", 2),
                 new Column("added_ms", "added at p99, ms", 2),
+                new Column("added_least_ms", "the same by turn, least", 2),
+                new Column("added_most_ms", "and most", 2),
                 new Column("added_median_ms", "added at the median, ms", 2),
+                new Column("over_percent", "over p99 without a node and 2.1 ms, %", 2),
                 new Column("most_ms", "longest, ms", 1),
                 new Column("answers", "answers", 0),
                 new Column("others", "no answer, or not 200", 0))));
         FORMS.put("events", new Form("event", List.of(
                 new Column("lines", "lines told", 0),
                 new Column("node_ms", "loop of a node, ms", 1),
-                new Column("stall_ms", "longest turn of a loop, ms (worst)", 1),
+                new Column("alone_stall_ms", "longest turn of its loop, alone on the machine, ms", 1),
+                new Column("stall_ms", "the same among all nodes, worst, ms", 1),
                 new Column("bytes", "bytes to a node", 0),
                 new Column("byte_s", "s at 8 KB/s", 1),
                 new Column("heard_ms", "until the last of all knew, ms (worst)", 0),
                 new Column("desk_ms", "discovery's stand-in, ms", 0),
-                new Column("real_ms", "a real node's process, ms", 0))));
+                new Column("real_ms", "a real node's process, ms", 0),
+                new Column("real_mb", "and its memory then, MB", 1))));
     }
 
     private static final List<Column> FIT_COLUMNS = List.of(
@@ -117,7 +130,10 @@
                     "changes_a_minute", 8_192),
             new Figure("heard", "until the last node heard, ms", "nodes", "heard_ms", "nodes", 4_000),
             new Figure("desk", "a change, discovery's stand-in, ms", "nodes", "desk_change_ms", "nodes", 0),
-            new Figure("peers", "bytes a second of beliefs, by nodes", "nodes", "peer_bytes", "nodes", 8_192),
+            new Figure("peers", "bytes of beliefs sent a second, by nodes", "peers", "bytes", "nodes", 8_192),
+            new Figure("peers_first", "the same while lives are told", "peers", "first_bytes", "nodes",
+                    8_192),
+            new Figure("news", "until each life is told, s", "peers", "news_s", "nodes", 0),
             new Figure("return", "all at once, s", "nodes", "return_s", "nodes", 4));
 
     private Tables() { }
@@ -164,12 +180,16 @@
         form.columns.forEach(column -> headings.add(column.heading));
         StringBuilder below = new StringBuilder("Measured");
         kept.facts().forEach((fact, is) -> {
-            if (!fact.equals(Results.LATE)) {
+            if (!fact.equals(Results.LATE) && !fact.equals(Results.BROKE_OFF)) {
                 below.append(below.length() == "Measured".length() ? ": " : "; ")
                         .append(fact.replace('_', ' ')).append(' ').append(is);
             }
         });
         below.append(kept.isLate() ? ". The run itself was late: its figures say little." : ".");
+        if (kept.brokeOff() != null) {
+            below.append(" It broke off, and what was not reached is missing: ").append(kept.brokeOff())
+                    .append('.');
+        }
         return new Shown(headings, cells, rows, below.toString());
     }
 
--- a/src/test/java/kitemux/scale/PlanFileTest.java
+++ b/src/test/java/kitemux/scale/PlanFileTest.java
@@ -22,13 +22,17 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"planned", "small"})
+    @ValueSource(strings = {"planned", "small", "peers"})
     void theExamplesAreSound(String name) throws IOException {
         List<String> faults = new ArrayList<>();
         Plan plan = PlanFile.read(name, Files.readString(Path.of("examples", "scale", name + ".hcl")),
                 faults);
         assertEquals(List.of(), faults);
-        assertEquals(plan.full().servers(), plan.list().servers().get(plan.list().servers().size() - 1));
+        if (name.equals("peers")) {
+            assertEquals(3, plan.peers().nodes().size());
+        } else {
+            assertEquals(plan.full().servers(), plan.list().servers().get(plan.list().servers().size() - 1));
+        }
     }
 
     @Test
@@ -86,6 +90,11 @@
         "changes { a_minute = [6001] } | changes.a_minute: must hold whole numbers from 1 to 6000",
         "p99 { rates = [2001] } | p99.rates: must hold whole numbers from 1 to 2000",
         "p99 {~ rates = [1]~ turns = 100~ slice = \"60s\"~} | p99: takes 12000 s, more than 300",
+        "p99 {~ rates = [1]~ turns = 10~ slice = \"11s\"~}~event \"a\" {~ servers = 1~} "
+            + "| p99: takes 330 s, more than 300",
+        "peers {~ counts = [1, 2, 3]~ most = \"200s\"~} | peers: takes 630 s, more than 600",
+        "peers {~ counts = [1001]~} | peers.counts: must hold whole numbers from 1 to 1000",
+        "limit = \"901s\" | limit: is not from 1ms to 900s",
         "settle = \"301s\" | settle: is not from 1ms to 300s",
         "event \"none\" { in_line = 1 } | event \"none\".servers: must be given",
         "this is = { not } | f.hcl: this is not HCL"})
--- a/src/test/java/kitemux/scale/ScaleRunTest.java
+++ b/src/test/java/kitemux/scale/ScaleRunTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -63,13 +64,22 @@
         });
         assertTrue(nodes.get("6").get("desk_bytes") > 2 * nodes.get("2").get("desk_bytes"),
                 "each is told: " + nodes);
+        Map<String, Map<String, Double>> peers = rows("peers");
+        assertEquals(Set.of("2", "4", "6"), peers.keySet());
+        peers.forEach((count, row) -> {
+            // A ping a second and an answer to one, 43 bytes each where there is nothing else to tell.
+            assertTrue(row.get("datagrams") > 0.5 && row.get("datagrams") < 3, "counted once: " + peers);
+            assertTrue(row.get("first_bytes") > row.get("bytes"), "lives are told first: " + peers);
+            assertTrue(row.get("bytes") >= 43 * row.get("datagrams") - 1, peers.toString());
+        });
         Map<String, Map<String, Double>> p99 = rows("p99");
         assertEquals(Set.of("100_quiet", "100_zone"), p99.keySet());
         p99.forEach((way, row) -> {
             assertTrue(row.get("answers") > 10, "some are served: " + p99);
             assertEquals(0, row.get("others"), "and all of them: " + p99);
+            assertTrue(row.get("added_least_ms") <= row.get("added_most_ms"), "two turns: " + p99);
         });
-        for (String name : List.of("list", "nodes", "p99", "fit")) {
+        for (String name : List.of("list", "nodes", "peers", "p99", "fit")) {
             assertNotNull(Tables.markdown(name, folder), name);
         }
     }
@@ -109,6 +119,44 @@
         assertFalse(rows.get("zone").containsKey("node_ms"), "hollow nodes did not hear of it");
         assertTrue(rows.get("end").get("bytes") > 4_000, "the whole list is told: " + rows);
         assertTrue(rows.get("end").get("heard_ms") > 0, rows.toString());
+        rows.forEach((event, row) -> assertTrue(event.equals("quiet-minute") || row.get("alone_stall_ms") > 0,
+                "a node alone hears of all: " + rows));
+    }
+
+    /** What a stage that takes too long has measured is kept, and the stages behind it run. */
+    @Test
+    void aStageThatTakesTooLongIsBrokenOffAndTheOthersRun() throws Exception {
+        String text = """
+                settle = "1ms"
+                limit  = "9s"
+                full { zones = 4 }
+                peers {
+                  counts     = [2, 3]
+                  servers    = 10
+                  in_process = 2
+                  most       = "1ms"
+                  quiet      = "%s"
+                }
+                changes {
+                  a_minute = [6000]
+                  servers  = 40
+                  length   = "200ms"
+                }
+                """;
+        IOException broken = assertThrows(IOException.class, () -> run(text.formatted("60s")));
+        assertEquals("peers: it took longer than 9.0 s", broken.getMessage());
+        assertEquals(Set.of("2"), rows("peers").keySet(), "what was reached is kept");
+        assertEquals("it took longer than 9.0 s", Results.read(folder, "peers").brokeOff());
+        assertEquals(Set.of("6000"), rows("changes").keySet(), "the next one ran");
+        String table = Tables.markdown("peers", folder);
+        assertTrue(table.endsWith("what was not reached is missing: it took longer than 9.0 s.\n"), table);
+        // Where there is a whole one, one that broke off does not take its place.
+        Results whole = Results.of("peers");
+        whole.put("2", "datagrams", 2);
+        whole.keep(folder);
+        assertThrows(IOException.class, () -> run(text.formatted("60s")));
+        assertEquals(whole.rows(), Results.read(folder, "peers").rows());
+        assertTrue(Files.exists(folder.resolve("peers.broke-off.json")));
     }
 
     @Test
