Let the stand-in database close only once nobody is accepted any more

Need: MysqlServersTest.whereNobodyListensNothingRanAndTheRefusalSaysSo failed 3 times of 60 beside other work (expected refused, was served). Cause: the stand-in's. Change: close waits for that thread; whom it accepted last is broken with the others.

--- a/src/main/java/kitemux/standin/OrderDatabase.java
+++ b/src/main/java/kitemux/standin/OrderDatabase.java
@@ -4,6 +4,7 @@
 import java.io.BufferedOutputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -66,6 +67,7 @@
     }
 
     private final ServerSocket listening;
+    private Thread accepting;
     private final String plugin;
     private final String switchTo;
     private final OrderTable table = new OrderTable();
@@ -88,14 +90,15 @@
     public static OrderDatabase start(String plugin, String switchTo) throws IOException {
         OrderDatabase database = new OrderDatabase(
                 new ServerSocket(0, 256, InetAddress.getLoopbackAddress()), plugin, switchTo);
-        daemon(database::accept);
+        database.accepting = daemon(database::accept);
         return database;
     }
 
-    private static void daemon(Runnable task) {
+    private static Thread daemon(Runnable task) {
         Thread thread = new Thread(task, "order-database");
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     /** Where it listens. */
@@ -130,9 +133,15 @@
         }
     }
 
+    /** Nobody comes up to it any more: the system takes connections until its thread is back from accepting. */
     @Override
     public void close() throws IOException {
         listening.close();
+        try {
+            accepting.join();
+        } catch (InterruptedException e) {
+            throw new InterruptedIOException();
+        }
         breakAll();
     }
 
@@ -140,6 +149,7 @@
         while (!listening.isClosed()) {
             try {
                 Socket peer = listening.accept();
+                open.add(peer);
                 daemon(() -> serve(peer));
             } catch (IOException e) {
                 return;
@@ -148,7 +158,6 @@
     }
 
     private void serve(Socket peer) {
-        open.add(peer);
         try (peer) {
             peer.setTcpNoDelay(true);
             new Connection(peer).serve();
