--- a/src/main/java/kitemux/scale/PairedTimes.java
+++ b/src/main/java/kitemux/scale/PairedTimes.java
@@ -21,9 +21,18 @@
 
     private final Map<String, List<Asker.Slice>> slices = new LinkedHashMap<>();
 
+    /**
+     * Has no slice yet.
+     *
+     * @param ways in the order of their rows; slices come in any order
+     */
+    PairedTimes(List<String> ways) {
+        ways.forEach(way -> slices.put(way, new ArrayList<>()));
+    }
+
     /** The next slice of a way; each turn adds one to all ways. */
     void add(String way, Asker.Slice slice) {
-        slices.computeIfAbsent(way, none -> new ArrayList<>()).add(slice);
+        slices.get(way).add(slice);
     }
 
     /** Puts a row for each way through a node, as far as it was measured. */
@@ -31,7 +40,7 @@
         List<Asker.Slice> direct = slices.get(DIRECT);
         Asker.Slice without = sum(direct);
         slices.forEach((way, through) -> {
-            if (!way.equals(DIRECT)) {
+            if (!way.equals(DIRECT) && !through.isEmpty()) {
                 row(into, prefix + way, direct, without, through);
             }
         });
--- a/src/main/java/kitemux/scale/ScaleRun.java
+++ b/src/main/java/kitemux/scale/ScaleRun.java
@@ -483,7 +483,7 @@
             plan.told().forEach(event -> ways.add(event.name()));
             Random order = new Random(plan.seed());
             Map<Integer, PairedTimes> times = new LinkedHashMap<>();
-            of.rates().forEach(rate -> times.put(rate, new PairedTimes()));
+            of.rates().forEach(rate -> times.put(rate, new PairedTimes(ways)));
             for (int turn = 0; turn < of.turns(); turn++) {
                 for (int rate : of.rates()) {
                     Collections.shuffle(ways, order);
