Begin kitemux.rollout: the records and machines of told configuration

Need: configuration told to all and known to be in force is what the size lacks first (docs/CAPACITY.md); its design stands in docs/design/capacity.md.

Json tells a string from other plain values, so that a value is written back as it was read. The room may know config alone.

--- a/src/main/java/kitemux/config/Json.java
+++ b/src/main/java/kitemux/config/Json.java
@@ -23,7 +23,7 @@
     /** Deeper than any configuration; else a line of brackets could use up a thread's stack. */
     static final int MOST_NESTED = 64;
     /** What was not there, and null. */
-    private static final Json MISSING = new Json("", false);
+    private static final Json MISSING = new Json("", false, false);
     private static final JsonFactory FACTORY = JsonFactory.builder()
             .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MOST_NESTED).build())
             .build();
@@ -31,10 +31,12 @@
     /** A map, a list or the text of a plain value. */
     private final Object value;
     private final boolean isWhole;
+    private final boolean isString;
 
-    private Json(Object value, boolean isWhole) {
+    private Json(Object value, boolean isWhole, boolean isString) {
         this.value = value;
         this.isWhole = isWhole;
+        this.isString = isString;
     }
 
     /**
@@ -65,19 +67,20 @@
                     parser.nextToken();
                     fields.put(name, value(parser));
                 }
-                yield new Json(fields, false);
+                yield new Json(fields, false, false);
             }
             case START_ARRAY -> {
                 List<Json> values = new ArrayList<>();
                 while (parser.nextToken() != JsonToken.END_ARRAY) {
                     values.add(value(parser));
                 }
-                yield new Json(values, false);
+                yield new Json(values, false, false);
             }
             case VALUE_NULL -> MISSING;
             case VALUE_NUMBER_INT -> new Json(parser.getText(),
-                    parser.getNumberType() != JsonParser.NumberType.BIG_INTEGER);
-            default -> new Json(parser.getText(), false);
+                    parser.getNumberType() != JsonParser.NumberType.BIG_INTEGER, false);
+            case VALUE_STRING -> new Json(parser.getText(), false, true);
+            default -> new Json(parser.getText(), false, false);
         };
     }
 
@@ -123,6 +126,11 @@
         return isWhole;
     }
 
+    /** Whether it is a string; other plain values are numbers, true and false. */
+    public boolean isString() {
+        return isString;
+    }
+
     /** A plain value as it is written; empty for all others. */
     public String text() {
         return value instanceof String text ? text : "";
--- /dev/null
+++ b/src/main/java/kitemux/rollout/Subscriber.java
@@ -0,0 +1,413 @@
+package kitemux.rollout;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.SortedSet;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * A node's part: watches one keeper, takes versions in whole, and reports what is in force. Whatever keepers
+ * do, the last good version stays in force.
+ */
+public final class Subscriber {
+    /** How it stands to keepers. */
+    public enum State { DIALING, CATCHING_UP, CURRENT, ALONE }
+
+    private final Terms terms;
+    private final Rules rules;
+    private final int node;
+    private final long life;
+    private final int keepers;
+    private final SplittableRandom draws;
+    /** What the process has started with. */
+    private final SortedMap<String, String> first;
+    private State state = State.DIALING;
+    private List<Effect> out = new ArrayList<>();
+    private long nowUs;
+
+    /** In force, and what was told to be put in force. */
+    private long rev;
+    private SortedMap<String, String> values;
+    private long putRev;
+
+    /** The copy on the side, with what was refused in it; its version is what the watch is at. */
+    private long sideRev;
+    private SortedMap<String, String> side;
+    private final List<Report.Refusal> refused = new ArrayList<>();
+    /** Parts of a whole: of which version, and the last that came. */
+    private long wholeRev;
+    private int lastPart;
+    private SortedMap<String, String> whole;
+
+    private long watches;
+    /** The watch, or its dial; 0 where there is none. */
+    private long watch;
+    private int keeper = -1;
+    private boolean connected;
+    private long silentAtUs = Long.MAX_VALUE;
+    private long dialAtUs;
+    private long reportAtUs = Long.MAX_VALUE;
+    /** While ALONE: another keeper that is tried; the watch stays until that says that it is not alone. */
+    private long trial;
+    private int trialKeeper;
+    private boolean trialConnected;
+    private long trialEndsAtUs = Long.MAX_VALUE;
+    private long trialAtUs = Long.MAX_VALUE;
+    private final Set<Integer> tried = new HashSet<>();
+    private long waitUs;
+    private long badLines;
+    private long redials;
+
+    /**
+     * Begins with what the node's own file says.
+     *
+     * @param node its number
+     * @param life when its process started, in milliseconds since 1970
+     * @param keepers how many there are
+     * @param rev the version of {@code values}, 0 where the file tells none
+     * @param seed of what it draws
+     */
+    public Subscriber(Terms terms, Rules rules, int node, long life, int keepers, long rev,
+            SortedMap<String, String> values, long seed, long nowUs) {
+        this.terms = terms;
+        this.rules = rules;
+        this.node = node;
+        this.life = life;
+        this.keepers = keepers;
+        this.rev = rev;
+        this.putRev = rev;
+        this.values = values;
+        this.first = values;
+        this.draws = new SplittableRandom(seed);
+        this.dialAtUs = nowUs;
+        sideRev = rev;
+        side = values;
+        waitUs = terms.mostWaitUs();
+    }
+
+    /** How it stands to keepers. */
+    public State state() {
+        return state;
+    }
+
+    /** The version in force. */
+    public long rev() {
+        return rev;
+    }
+
+    /** What is in force. */
+    public SortedMap<String, String> values() {
+        return values;
+    }
+
+    /** Lines that could not be, since its start. */
+    public long badLines() {
+        return badLines;
+    }
+
+    /** Watches that it gave up or lost, since its start. */
+    public long redials() {
+        return redials;
+    }
+
+    /** When {@link #tick} is to be called, in microseconds. */
+    public long nextAtUs() {
+        return Math.min(Math.min(Math.min(silentAtUs, dialAtUs), reportAtUs),
+                Math.min(trialEndsAtUs, trialAtUs));
+    }
+
+    private List<Effect> events(long now, Runnable event) {
+        nowUs = now;
+        out = new ArrayList<>();
+        event.run();
+        List<Effect> done = out;
+        out = new ArrayList<>();
+        return done;
+    }
+
+    /** Time has passed. */
+    public List<Effect> tick(long now) {
+        return events(now, () -> {
+            if (now >= dialAtUs) {
+                dial();
+            }
+            if (now >= silentAtUs) {
+                lost(true);
+            }
+            if (now >= trialEndsAtUs) {
+                trialFailed(true);
+            }
+            if (now >= trialAtUs) {
+                tryAnother();
+            }
+            if (now >= reportAtUs) {
+                report();
+            }
+        });
+    }
+
+    private int draw(Integer but) {
+        List<Integer> left = new ArrayList<>();
+        for (int k = 0; k < keepers; k++) {
+            if (!tried.contains(k) && !Integer.valueOf(k).equals(but)) {
+                left.add(k);
+            }
+        }
+        if (left.isEmpty()) {
+            tried.clear();
+            if (keepers == 1 || but == null) {
+                return draws.nextInt(keepers);
+            }
+            return (but + 1 + draws.nextInt(keepers - 1)) % keepers;
+        }
+        return left.get(draws.nextInt(left.size()));
+    }
+
+    private void dial() {
+        dialAtUs = Long.MAX_VALUE;
+        keeper = draw(null);
+        tried.add(keeper);
+        watch = ++watches;
+        connected = false;
+        silentAtUs = nowUs + terms.dialUs();
+        out.add(new Effect.Dial(watch, keeper, rev));
+    }
+
+    private long patienceUs() {
+        return nowUs + draws.nextLong(terms.leastPatienceUs(), terms.mostPatienceUs());
+    }
+
+    /** A dial was answered: lines may follow. */
+    public List<Effect> connected(long now, long on) {
+        return events(now, () -> {
+            if (on == watch && !connected) {
+                begin();
+            } else if (on == trial && !trialConnected) {
+                trialConnected = true;
+                trialEndsAtUs = patienceUs();
+            }
+        });
+    }
+
+    private void begin() {
+        connected = true;
+        state = State.CATCHING_UP;
+        silentAtUs = patienceUs();
+        reportAtUs = nowUs;
+        sideRev = rev;
+        side = values;
+        whole = null;
+        refused.clear();
+    }
+
+    /** A dial has failed or was refused, or a watch has ended. */
+    public List<Effect> ended(long now, long on) {
+        return events(now, () -> {
+            if (on == watch) {
+                lost(false);
+            } else if (on == trial) {
+                trialFailed(false);
+            }
+        });
+    }
+
+    private void lost(boolean hangUp) {
+        if (hangUp) {
+            out.add(new Effect.HangUp(watch));
+        }
+        boolean wasConnected = connected;
+        redials++;
+        watch = 0;
+        connected = false;
+        whole = null;
+        silentAtUs = Long.MAX_VALUE;
+        state = State.DIALING;
+        if (trial != 0) {
+            takeTrial();
+            return;
+        }
+        trialAtUs = Long.MAX_VALUE;
+        if (wasConnected) {
+            tried.clear();
+            tried.add(keeper);
+            waitUs = terms.mostWaitUs();
+        } else if (tried.size() >= keepers) {
+            waitUs = Math.min(2 * waitUs, terms.longestWaitUs());
+            tried.clear();
+        }
+        dialAtUs = nowUs + draws.nextLong(terms.leastWaitUs(), waitUs + 1);
+    }
+
+    /** The keeper that is tried is the one that it watches from now on, or dials. */
+    private void takeTrial() {
+        watch = trial;
+        keeper = trialKeeper;
+        silentAtUs = trialEndsAtUs;
+        boolean was = trialConnected;
+        dropTrial();
+        trialAtUs = Long.MAX_VALUE;
+        if (was) {
+            begin();
+        } else {
+            state = State.DIALING;
+        }
+    }
+
+    private void dropTrial() {
+        trial = 0;
+        trialConnected = false;
+        trialEndsAtUs = Long.MAX_VALUE;
+    }
+
+    private void tryAnother() {
+        trialAtUs = Long.MAX_VALUE;
+        trialKeeper = draw(keeper);
+        tried.add(trialKeeper);
+        trial = ++watches;
+        trialConnected = false;
+        trialEndsAtUs = nowUs + terms.dialUs();
+        out.add(new Effect.Dial(trial, trialKeeper, rev));
+    }
+
+    private void trialFailed(boolean hangUp) {
+        if (hangUp) {
+            out.add(new Effect.HangUp(trial));
+        }
+        dropTrial();
+        trialAtUs = nowUs + terms.aloneTryUs();
+    }
+
+    /** A line of a watch. */
+    public List<Effect> line(long now, long on, Line line) {
+        return events(now, () -> {
+            if (on == trial && trialConnected) {
+                if (line instanceof Line.Alone) {
+                    trialFailed(true);
+                    return;
+                }
+                out.add(new Effect.HangUp(watch));
+                takeTrial();
+            }
+            if (on == watch && connected) {
+                take(line);
+            }
+        });
+    }
+
+    /** A line of a watch that could not be read. */
+    public List<Effect> badLine(long now, long on) {
+        return events(now, () -> {
+            if (on == watch && connected) {
+                bad();
+            } else if (on == trial && trialConnected) {
+                badLines++;
+                trialFailed(true);
+            }
+        });
+    }
+
+    private void bad() {
+        badLines++;
+        lost(true);
+    }
+
+    private void take(Line line) {
+        silentAtUs = patienceUs();
+        if (line instanceof Line.Alone) {
+            if (state != State.ALONE) {
+                state = State.ALONE;
+                tried.clear();
+                tried.add(keeper);
+                trialAtUs = nowUs;
+            }
+            return;
+        }
+        if (state == State.ALONE && trial != 0) {
+            out.add(new Effect.HangUp(trial));
+            dropTrial();
+        }
+        trialAtUs = Long.MAX_VALUE;
+        if (line instanceof Line.Part part) {
+            state = State.CATCHING_UP;
+            part(part);
+        } else if (line instanceof Line.Next next) {
+            next(next);
+        } else {
+            state = State.CURRENT;
+        }
+    }
+
+    private void part(Line.Part part) {
+        boolean isFirst = part.part() == 1 && part.rev() > sideRev;
+        boolean isNext = whole != null && part.rev() == wholeRev && part.part() == lastPart + 1;
+        if (!isFirst && !isNext) {
+            bad();
+            return;
+        }
+        if (isFirst) {
+            whole = new TreeMap<>();
+        }
+        wholeRev = part.rev();
+        lastPart = part.part();
+        whole.putAll(part.set());
+        if (part.part() == part.of()) {
+            state = State.CURRENT;
+            side = whole;
+            whole = null;
+            sideRev = part.rev();
+            judge();
+        }
+    }
+
+    private void next(Line.Next next) {
+        if (next.rev() != sideRev + 1 || whole != null) {
+            bad();
+            return;
+        }
+        state = State.CURRENT;
+        sideRev = next.rev();
+        side = new Change("", 0, next.set(), next.drop()).appliedTo(side);
+        judge();
+    }
+
+    /** The copy on the side is in force if it is sound as a whole; else it waits for what mends it. */
+    private void judge() {
+        List<Fault> faults = rules.faults(side);
+        refused.clear();
+        if (faults.isEmpty()) {
+            putRev = sideRev;
+            out.add(new Effect.PutInForce(sideRev, side));
+        } else {
+            faults.stream().limit(Terms.MOST_TOLD).forEach(fault ->
+                    refused.add(new Report.Refusal(sideRev, fault.path(), fault.reason())));
+            report();
+        }
+    }
+
+    /** What was to be put in force is so: all that was asked for up to this version. */
+    public List<Effect> inForce(long now, long nowRev, SortedMap<String, String> nowValues) {
+        return events(now, () -> {
+            if (nowRev > rev) {
+                rev = nowRev;
+                values = nowValues;
+                report();
+            }
+        });
+    }
+
+    private void report() {
+        reportAtUs = nowUs + terms.reportUs();
+        if (connected) {
+            SortedSet<String> waits = new TreeSet<>(rules.waitRestart(first, values));
+            while (waits.size() > Terms.MOST_TOLD) {
+                waits.remove(waits.last());
+            }
+            out.add(new Effect.SendReport(keeper, new Report(node, life, rev, waits, List.copyOf(refused))));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/rollout/Watch.java
@@ -0,0 +1,83 @@
+package kitemux.rollout;
+
+import java.util.List;
+
+/** A node's watch at its keeper: how far it was told, and what may go next. */
+final class Watch {
+    /** Lines of the whole that goes, with {@code at} to go next; null where versions go one by one. */
+    private List<Line.Part> whole;
+    private int at;
+    /** Told up to this version; the whole that goes counts as told. */
+    private long told;
+    private final Pace pace;
+    private long lastUs;
+
+    Watch(long nowUs, Terms terms, long after) {
+        told = after;
+        pace = new Pace(nowUs, terms.paceBytes(), terms.paceAtOnce(), terms.paceFirst());
+        lastUs = nowUs;
+    }
+
+    /** The next line that is no beat, or null where it is told all. */
+    private Line next(History history, Wholes wholes) {
+        if (whole != null && at < whole.size()) {
+            return whole.get(at);
+        }
+        whole = null;
+        if (told >= history.rev()) {
+            return null;
+        }
+        if (!history.reaches(told)) {
+            whole = wholes.of(history);
+            at = 0;
+            return whole.get(0);
+        }
+        Version version = history.version(told + 1);
+        return new Line.Next(version.rev(), version.change().set(), version.change().drop());
+    }
+
+    /** Sends what may go now; when something may go again, in microseconds. */
+    long send(long nowUs, long id, Terms terms, History history, Wholes wholes, boolean isAlone,
+            List<Effect> out) {
+        while (true) {
+            Line line = next(history, wholes);
+            int bytes = line == null ? 0 : RolloutText.write(line).length;
+            long ready = line == null ? Long.MAX_VALUE : pace.readyAtUs(nowUs, bytes);
+            if (ready <= nowUs) {
+                if (line instanceof Line.Part part) {
+                    at++;
+                    told = part.rev();
+                } else {
+                    told++;
+                }
+            } else if (nowUs >= lastUs + terms.beatUs()) {
+                line = isAlone ? new Line.Alone(history.rev()) : new Line.Beat();
+                bytes = RolloutText.write(line).length;
+            } else {
+                return Math.min(ready, lastUs + terms.beatUs());
+            }
+            pace.sent(nowUs, bytes);
+            lastUs = nowUs;
+            out.add(new Effect.Tell(id, line));
+        }
+    }
+
+    /** The newest whole in parts, made once for all watches that need it. */
+    static final class Wholes {
+        private final int partBytes;
+        private long rev = -1;
+        private List<Line.Part> parts;
+
+        Wholes(int partBytes) {
+            this.partBytes = partBytes;
+        }
+
+        List<Line.Part> of(History history) {
+            if (rev != history.rev()) {
+                rev = history.rev();
+                parts = RolloutText.parts(rev, history.values(), partBytes);
+            }
+            return parts;
+        }
+    }
+}
--- a/src/test/java/kitemux/ArchitectureTest.java
+++ b/src/test/java/kitemux/ArchitectureTest.java
@@ -52,6 +52,7 @@
             Map.entry("standin", Set.of()),
             Map.entry("lab", Set.of("", "fleet", "plan", "sim", "standin", "hcl", "config")),
             Map.entry("peers", Set.of()),
+            Map.entry("rollout", Set.of("config")),
             Map.entry("drill", Set.of("", "fleet", "plan", "sim", "hcl", "lab")),
             Map.entry("scale", Set.of("", "engine", "net", "discovery", "config", "peers", "hcl", "standin",
                     "lab")),
