--- a/src/main/java/kitemux/node/StderrLog.java
+++ b/src/main/java/kitemux/node/StderrLog.java
@@ -3,7 +3,7 @@
 import kitemux.engine.Log;
 
 /** Lines for the operators on standard error: few, so that a flood of failures cannot stall the loop. */
-final class StderrLog implements Log {
+public final class StderrLog implements Log {
     private static final int MOST_PER_S = 20;
 
     private long second;
--- a/src/test/java/kitemux/ArchitectureTest.java
+++ b/src/test/java/kitemux/ArchitectureTest.java
@@ -55,12 +55,13 @@
             Map.entry("peers", Set.of()),
             Map.entry("rollout", Set.of("config")),
             Map.entry("drill", Set.of("", "fleet", "plan", "sim", "hcl", "lab")),
+            Map.entry("keeper", Set.of("", "rollout", "net", "config", "engine", "disk", "hcl")),
             Map.entry("scale", Set.of("", "engine", "net", "discovery", "config", "peers", "hcl", "standin",
                     "lab")),
             Map.entry("bench", Set.of("", "engine", "standin", "config", "orders", "fleet", "sim",
                     "load")),
             Map.entry("cli", Set.of("adapter", "node", "world", "bench", "standin", "orders",
-                    "fleet", "plan", "lab", "load", "hcl", "app", "sidecar", "drill", "scale")));
+                    "fleet", "plan", "lab", "load", "hcl", "app", "sidecar", "drill", "scale", "keeper")));
 
     private static String room(JavaClass c) {
         String[] parts = c.getPackageName().split("\\.");
--- /dev/null
+++ b/src/test/java/kitemux/keeper/Lines.java
@@ -0,0 +1,51 @@
+package kitemux.keeper;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import kitemux.engine.Log;
+
+/** What was told to operators, to be waited for. */
+final class Lines implements Log {
+    private static final long MOST_MS = 30_000;
+
+    private final List<String> lines = new ArrayList<>();
+
+    @Override
+    public synchronized void line(String text) {
+        lines.add(text);
+        notifyAll();
+    }
+
+    @Override
+    public void error(String what, Throwable cause) {
+        cause.printStackTrace();
+        line("ERROR " + what + ": " + cause);
+    }
+
+    synchronized int count() {
+        return lines.size();
+    }
+
+    /** Waits for a line that holds this, from one on; how many lines there are up to it. */
+    synchronized int await(int from, String part) throws InterruptedException {
+        long until = System.nanoTime() + MOST_MS * 1_000_000;
+        int next = from;
+        while (true) {
+            for (; next < lines.size(); next++) {
+                if (lines.get(next).contains(part)) {
+                    return next + 1;
+                }
+            }
+            long leftMs = (until - System.nanoTime()) / 1_000_000;
+            if (leftMs <= 0) {
+                throw new AssertionError("no line has \"" + part + "\": " + lines);
+            }
+            wait(leftMs);
+        }
+    }
+
+    synchronized List<String> all() {
+        return List.copyOf(lines);
+    }
+}
--- /dev/null
+++ b/src/test/java/kitemux/keeper/RolloutWatchTest.java
@@ -0,0 +1,223 @@
+package kitemux.keeper;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+import kitemux.net.LoopTime;
+import kitemux.net.NioNetwork;
+import kitemux.net.Sockets;
+import kitemux.rollout.Subscriber;
+import kitemux.rollout.Terms;
+
+/** A node's watch before a keeper that says what a test writes. */
+@Timeout(60)
+class RolloutWatchTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Lines said = new Lines();
+    private final LinkedBlockingQueue<Long> revs = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<String> reports = new LinkedBlockingQueue<>();
+    /** Watches that were asked for, each with its path read. */
+    private final LinkedBlockingQueue<Asked> asked = new LinkedBlockingQueue<>();
+    private volatile SortedMap<String, String> values = new TreeMap<>();
+    private final Sockets sockets = new Sockets(1_024);
+    private ServerSocket listening;
+    private RolloutWatch watch;
+
+    private record Asked(String path, Socket socket) {
+        void say(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        /** Lines as chunks; each has its end. */
+        void lines(String... lines) throws IOException {
+            for (String line : lines) {
+                say(Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+            }
+        }
+
+        /** Waits until the node has gone. */
+        void awaitEnd() throws IOException {
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+
+    @BeforeEach
+    void begin() throws IOException {
+        listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread accepts = new Thread(this::accept, "keeper");
+        accepts.setDaemon(true);
+        accepts.start();
+        LoopTime time = LoopTime.of(loop);
+        watch = new RolloutWatch(loop, NioNetwork.SYSTEM, time, List.of((InetSocketAddress) listening
+                .getLocalSocketAddress()), new Subscriber(Terms.usual(), new ConfigRules(), 17, 5, 1, 0,
+                        new TreeMap<>(), 1, time.nowUs()), 17, 5, sockets, (rev, all) -> {
+                            values = all;
+                            revs.add(rev);
+                        }, said);
+        watch.begin();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        loop.submit(watch::close).sync();
+        assertEquals(0, loop.submit(sockets::openCount).get(), "all that was counted is closed");
+        listening.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listening.accept();
+                BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                        StandardCharsets.UTF_8));
+                String first = in.readLine();
+                int length = 0;
+                for (String line = in.readLine(); !line.isEmpty(); line = in.readLine()) {
+                    length = line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")
+                            ? Integer.parseInt(line.substring(15).strip()) : length;
+                }
+                if (first.startsWith("GET ")) {
+                    asked.add(new Asked(first.split(" ")[1], socket));
+                    continue;
+                }
+                char[] body = new char[length];
+                for (int at = 0; at < length;) {
+                    at += in.read(body, at, length - at);
+                }
+                reports.add(first.split(" ")[1] + " " + new String(body));
+                socket.getOutputStream().write("HTTP/1.1 204 No Content\r\n\r\n".getBytes(
+                        StandardCharsets.US_ASCII));
+                socket.close();
+            }
+        } catch (IOException e) {
+            // The test is over.
+        }
+    }
+
+    private Asked next() throws InterruptedException {
+        Asked next = asked.poll(30, TimeUnit.SECONDS);
+        assertNotNull(next, "no further watch: " + said.all());
+        return next;
+    }
+
+    private static String version(long rev, String path, String quota) {
+        return "{\"rev\":" + rev + ",\"set\":{\"" + path + "\":{\"quotaPerS\":" + quota + "}},\"drop\":[]}";
+    }
+
+    private static String part(int part, int of, String path) {
+        return "{\"rev\":5,\"part\":" + part + ",\"of\":" + of + ",\"set\":{\"" + path
+                + "\":{\"quotaPerS\":1}}}";
+    }
+
+    private long badLines() throws Exception {
+        return loop.submit(() -> watch.machine().badLines()).get();
+    }
+
+    @Test
+    void whatCannotBeLeavesTheLastGoodVersionInForce() throws Exception {
+        Asked first = next();
+        assertEquals("/rollout/watch?after=0&node=17&life=5", first.path);
+        first.say(OK);
+        // An empty line is a beat, and lines may come in any pieces.
+        first.lines("", version(1, "realms/a", "1"));
+        assertEquals(1, revs.take());
+        // One that is not the next is never taken in.
+        first.lines(version(3, "realms/a", "3"));
+        first.awaitEnd();
+        Asked second = next();
+        assertEquals("/rollout/watch?after=1&node=17&life=5", second.path);
+        second.say(OK);
+        second.lines("what is this");
+        second.awaitEnd();
+        Asked third = next();
+        third.say(OK);
+        third.lines("{\"rev\":2,\"set\":{},\"more\":1,\"drop\":[]}");
+        third.awaitEnd();
+        assertEquals(3, badLines());
+        Asked fourth = next();
+        fourth.say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        fourth.awaitEnd();
+        // Part of a whole, and the watch ends: nothing of it is in force.
+        Asked fifth = next();
+        fifth.say(OK);
+        fifth.lines(part(1, 2, "realms/x"));
+        fifth.say("0\r\n\r\n");
+        fifth.awaitEnd();
+        Asked sixth = next();
+        assertEquals("/rollout/watch?after=1&node=17&life=5", sixth.path);
+        assertEquals("[realms/a]", values.keySet().toString());
+        assertTrue(revs.isEmpty());
+        sixth.say(OK);
+        sixth.lines(part(1, 2, "realms/x"), part(2, 2, "realms/y"));
+        assertEquals(5, revs.take());
+        assertEquals("[realms/x, realms/y]", values.keySet().toString());
+        assertTrue(said.all().stream().anyMatch(line -> line.contains("bad line: what is this")
+                || line.contains("bad line: w")), said.all().toString());
+    }
+
+    @Test
+    void whatIsRefusedIsReportedAndMendedByTheNextVersion() throws Exception {
+        Asked only = next();
+        only.say(OK);
+        only.lines("", version(1, "realms/a", "1"));
+        assertEquals(1, revs.take());
+        awaitReport("\"rev\":1,\"waits_restart\":[],\"refused\":[]}");
+        only.lines(version(2, "realms/a", "-2"));
+        awaitReport("\"rev\":1,\"waits_restart\":[],\"refused\":[{\"rev\":2,\"path\":\"realms/a\","
+                + "\"reason\":\"quotaPerS is negative\"}]}");
+        assertEquals("{realms/a={\"quotaPerS\":1}}", values.toString());
+        only.lines(version(3, "realms/a", "3"));
+        assertEquals(3, revs.take());
+        awaitReport("\"rev\":3,\"waits_restart\":[],\"refused\":[]}");
+        only.lines(version(4, "limits/attemptsCap", "1").replace("{\"quotaPerS\":1}", "2"));
+        awaitReport("\"rev\":4,\"waits_restart\":[\"limits/attemptsCap\"],\"refused\":[]}");
+    }
+
+    private void awaitReport(String end) throws InterruptedException {
+        String report = "";
+        while (!report.endsWith(end)) {
+            report = reports.poll(30, TimeUnit.SECONDS);
+            assertNotNull(report, "no report ends with " + end);
+            assertTrue(report.startsWith("/rollout/report {\"node\":17,\"life\":5,"), report);
+        }
+    }
+
+    @Test
+    void aKeeperThatIsAloneIsToldOfAndLeftForNone() throws Exception {
+        Asked first = next();
+        first.say(OK);
+        first.lines("{\"rev\":0,\"alone\":true}");
+        said.await(0, "its keeper hears no majority");
+        first.lines("");
+        said.await(0, "told all");
+    }
+}
--- /dev/null
+++ b/src/test/java/kitemux/keeper/Switch.java
@@ -0,0 +1,111 @@
+package kitemux.keeper;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
+
+/** A way to somewhere that can be cut: connections stay, come up, and nothing passes any more. */
+final class Switch {
+    private final EventLoopGroup loop;
+    private final Channel listening;
+    private final Set<Channel> near = ConcurrentHashMap.newKeySet();
+    private volatile InetSocketAddress to;
+    private volatile boolean cut;
+
+    Switch(EventLoopGroup loop) {
+        this.loop = loop;
+        listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        near.add(channel);
+                        channel.closeFuture().addListener(done -> near.remove(channel));
+                        dial(channel);
+                    }
+                }).bind(InetAddress.getLoopbackAddress(), 0).syncUninterruptibly().channel();
+    }
+
+    private void dial(Channel channel) {
+        InetSocketAddress target = to;
+        if (cut || target == null) {
+            return;
+        }
+        Bootstrap dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .handler(new To(channel));
+        dialer.connect(target).addListener(done -> {
+            if (!done.isSuccess()) {
+                channel.close();
+            }
+        });
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listening.localAddress();
+    }
+
+    void to(InetSocketAddress target) {
+        to = target;
+    }
+
+    /** From now on nothing passes, and nobody is told. */
+    void cut() {
+        cut = true;
+    }
+
+    /** What hung ends, and further connections pass. */
+    void join() {
+        cut = false;
+        near.forEach(Channel::close);
+    }
+
+    private final class To extends ChannelInboundHandlerAdapter {
+        private final Channel other;
+
+        To(Channel other) {
+            this.other = other;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            if (!other.config().isAutoRead()) {
+                other.pipeline().addLast(new To(context.channel()));
+                other.config().setAutoRead(true);
+            }
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object bytes) {
+            if (cut) {
+                ReferenceCountUtil.release(bytes);
+            } else {
+                other.writeAndFlush(bytes);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (!cut) {
+                other.close();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
