Have a node follow keepers where the operator's file names them

`run` takes "rollout":{"keepers":[...]} from the operator's file. With it the node watches a keeper once it listens, puts new records into its module's settings between two events of the loop, and reports: quotas of tenants, aim, deadline, worth and late worth of classes, overShareWorth, where discovery is. What a version does not name stays as the node's own file has it. A class or tenant that the file does not have is reported as waiting for a restart and never as in force: the module counts by places that it took from the file, and its arrays do not grow yet.

Descriptors of the watch and of reports, six at most, are counted among the node's.

Not there: figures of a node, a descriptor budget of their own for watches on keepers, growth of tenants.

--- /dev/null
+++ b/src/main/java/kitemux/node/LiveSettings.java
@@ -0,0 +1,130 @@
+package kitemux.node;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+import kitemux.Balancer.RequestClass;
+import kitemux.Balancer.Settings;
+import kitemux.Balancer.Tenant;
+import kitemux.config.Json;
+import kitemux.keeper.ConfigRules;
+import kitemux.rollout.Fault;
+import kitemux.rollout.History;
+import kitemux.rollout.Rules;
+
+/**
+ * What a node takes of a configuration that it is told while it runs. What that does not name stays as the
+ * node's own file has it. The module and the reader of requests look at settings for each request, so a new
+ * record in its place is in force with the next one. On the loop alone.
+ *
+ * <p>Live are a tenant's quota, a class's aim, deadline, worth and late worth, {@code overShareWorth}, and
+ * where discovery is. A class or tenant that the file does not have waits for a restart with a file that has
+ * it: the module counts by their places, which it took from the file.
+ */
+final class LiveSettings implements Rules {
+    private final ConfigRules rules = new ConfigRules();
+    private final Settings settings;
+    private final Consumer<String> discovery;
+    /** As the file has them. */
+    private final List<RequestClass> classes;
+    private final List<Tenant> tenants;
+    private final double overShareWorth;
+    private final Set<String> live = new TreeSet<>();
+    private String told;
+
+    /**
+     * @param settings the module's, as the file has them; changed in place
+     * @param discovery told where it is from now on, where a configuration says so
+     */
+    LiveSettings(Settings settings, Consumer<String> discovery) {
+        this.settings = settings;
+        this.discovery = discovery;
+        classes = List.copyOf(settings.classes);
+        tenants = List.copyOf(settings.tenants);
+        overShareWorth = settings.overShareWorth;
+        classes.forEach(one -> live.add("classes/" + one.name()));
+        tenants.forEach(one -> live.add("realms/" + one.name()));
+        live.addAll(List.of("overShareWorth", "discovery", History.VOTERS));
+    }
+
+    @Override
+    public List<Fault> faults(Map<String, String> whole) {
+        return rules.faults(whole);
+    }
+
+    /** By what the file says: the first is what the node started with besides, which is nothing. */
+    @Override
+    public Set<String> waitRestart(Map<String, String> first, Map<String, String> next) {
+        Set<String> waits = new TreeSet<>();
+        next.forEach((path, value) -> {
+            if (!live.contains(path) || path.startsWith("classes/") && !isLive(path, read(value))) {
+                waits.add(path);
+            }
+        });
+        return waits;
+    }
+
+    /** Whether all that a class has beside its live fields is as the file has it. */
+    private boolean isLive(String path, Json value) {
+        String name = path.substring("classes/".length());
+        RequestClass of = classes.stream().filter(one -> one.name().equals(name)).findFirst().orElseThrow();
+        return of.aimStretch() == value.path("aimStretch").decimal(0)
+                && of.repeat().name().equalsIgnoreCase(value.path("repeat").text())
+                && of.group().name().equalsIgnoreCase(value.path("group").isMissing() ? "all"
+                        : value.path("group").text())
+                && of.windowUs() == value.path("windowUs").whole(0)
+                && of.stream() == value.path("stream").flag();
+    }
+
+    /** These are in force from now on. */
+    void put(Map<String, String> values) {
+        Map<String, Json> now = new HashMap<>();
+        values.forEach((path, value) -> {
+            if (live.contains(path)) {
+                now.put(path, read(value));
+            }
+        });
+        List<RequestClass> nextClasses = new ArrayList<>();
+        for (RequestClass of : classes) {
+            Json value = now.get("classes/" + of.name());
+            nextClasses.add(value == null ? of : new RequestClass(of.name(), value.path("onTimeUs").whole(0),
+                    of.aimStretch(), value.path("giveUpUs").whole(0), value.path("importance").decimal(1),
+                    value.path("lateWorth").decimal(0), of.repeat(), of.group(), of.windowUs(), of.stream()));
+        }
+        List<Tenant> nextTenants = new ArrayList<>();
+        for (Tenant of : tenants) {
+            Json value = now.get("realms/" + of.name());
+            nextTenants.add(value == null ? of : new Tenant(of.name(), value.path("quotaPerS").decimal(0)));
+        }
+        for (int i = 0; i < nextClasses.size(); i++) {
+            settings.classes.set(i, nextClasses.get(i));
+        }
+        for (int i = 0; i < nextTenants.size(); i++) {
+            settings.tenants.set(i, nextTenants.get(i));
+        }
+        settings.overShareWorth = now.containsKey("overShareWorth") ? now.get("overShareWorth").decimal(1)
+                : overShareWorth;
+        String at = now.containsKey("discovery") ? now.get("discovery").text() : null;
+        if (at != null && !at.equals(told)) {
+            discovery.accept(at);
+        }
+        told = at;
+    }
+
+    /** What {@link #faults} found nothing wrong with. */
+    private static Json read(String value) {
+        try {
+            return Json.read(value.getBytes(StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
@@ -314,6 +315,10 @@
             tellOfUnusedArchive(log);
             log.line("listening on " + config.listen());
         }
+        if (operator.rollout() != null) {
+            RolloutLink.begin(operator.rollout().keepers(), config, loop, time, node.sockets,
+                    node::discoveryIs, log);
+        }
         return reload;
     }
 
@@ -420,6 +425,13 @@
         });
     }
 
+    /** Discovery is elsewhere from now on, unless the file names all servers; on the loop. */
+    private void discoveryIs(InetSocketAddress at) {
+        if (!config.namesAllServers()) {
+            discovery.moveTo(at);
+        }
+    }
+
     /** The configuration cannot be read: what holds stays. */
     void reloadFailed() {
         loop.execute(() -> tellOfReload(false));
--- a/src/main/java/kitemux/node/OperatorSettings.java
+++ b/src/main/java/kitemux/node/OperatorSettings.java
@@ -18,8 +18,9 @@
  *
  * @param orders how a journal of orders is kept; null for none
  * @param load how load is captured; null for not at all
+ * @param rollout which keepers tell it of its configuration; null for none
  */
-record OperatorSettings(OrderSettings orders, LoadSettings load) {
+record OperatorSettings(OrderSettings orders, LoadSettings load, RolloutSettings rollout) {
     /** Names the file. */
     static final String VARIABLE = "KITEMUX_SETTINGS";
 
@@ -32,18 +33,19 @@
     static OperatorSettings read(Map<String, String> env, Settings settings, List<String> faults) {
         String path = env.getOrDefault(VARIABLE, "");
         if (path.isEmpty()) {
-            return new OperatorSettings(null, null);
+            return new OperatorSettings(null, null, null);
         }
         try {
             Json json = Json.read(Files.readAllBytes(Path.of(path)));
             List<String> unknown = new ArrayList<>(json.fields().keySet());
-            unknown.removeAll(List.of("orders", "load"));
-            unknown.forEach(name -> faults.add(name + " is not known; known are load, orders"));
+            unknown.removeAll(List.of("orders", "load", "rollout"));
+            unknown.forEach(name -> faults.add(name + " is not known; known are load, orders, rollout"));
             return new OperatorSettings(OrderSettings.read(json.path("orders"), settings.classes, faults),
-                    LoadSettings.read(json.path("load"), faults));
+                    LoadSettings.read(json.path("load"), faults),
+                    RolloutSettings.read(json.path("rollout"), faults));
         } catch (IOException | InvalidPathException e) {
             faults.add(VARIABLE + " names a file that cannot be read: " + e.getMessage());
-            return new OperatorSettings(null, null);
+            return new OperatorSettings(null, null, null);
         }
     }
 }
--- a/src/test/java/kitemux/ArchitectureTest.java
+++ b/src/test/java/kitemux/ArchitectureTest.java
@@ -41,7 +41,7 @@
             Map.entry("ops", Set.of("", "engine", "net")),
             Map.entry("load", Set.of("", "engine", "config")),
             Map.entry("node", Set.of("", "engine", "net", "http", "discovery", "config", "orders", "ops",
-                    "load")),
+                    "load", "keeper", "rollout")),
             Map.entry("sim", Set.of()),
             Map.entry("world", Set.of("", "engine", "net", "http", "node", "config", "sim")),
             Map.entry("fleet", Set.of("", "engine", "sim")),
--- /dev/null
+++ b/src/test/java/kitemux/node/LiveSettingsTest.java
@@ -0,0 +1,81 @@
+package kitemux.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import kitemux.Balancer.Group;
+import kitemux.Balancer.Repeat;
+import kitemux.Balancer.RequestClass;
+import kitemux.Balancer.Settings;
+import kitemux.Balancer.Tenant;
+
+class LiveSettingsTest {
+    private static final RequestClass PAGE = new RequestClass("page", 100, 0, 500, 1, 0, Repeat.SAFE,
+            Group.ALL, 0, false);
+    private static final RequestClass ORDER = new RequestClass("order", 100, 0, 500, 4, 0.5, Repeat.UNSAFE,
+            Group.CELL, 7, true);
+    private static final String FAST = "{\"onTimeUs\":50,\"giveUpUs\":300,\"importance\":2,"
+            + "\"lateWorth\":0.25,\"repeat\":\"safe\"}";
+
+    private final Settings settings = new Settings();
+    private final List<String> moved = new ArrayList<>();
+    private final LiveSettings live;
+
+    LiveSettingsTest() {
+        settings.classes.addAll(List.of(PAGE, ORDER));
+        settings.tenants.addAll(List.of(new Tenant("a", 1), new Tenant("b", 2)));
+        settings.overShareWorth = 0.5;
+        live = new LiveSettings(settings, moved::add);
+    }
+
+    @Test
+    void whatIsLiveIsInForceAndTheRestStaysAsTheFileHasIt() {
+        live.put(Map.of("realms/b", "{\"quotaPerS\":9.5}", "classes/page", FAST, "overShareWorth", "0.75",
+                "realms/new", "{\"quotaPerS\":1}", "limits/attemptsCap", "9", "classes/new", FAST));
+        assertEquals(List.of(new Tenant("a", 1), new Tenant("b", 9.5)), settings.tenants);
+        assertEquals(List.of(new RequestClass("page", 50, 0, 300, 2, 0.25, Repeat.SAFE, Group.ALL, 0, false),
+                ORDER), settings.classes);
+        assertSame(ORDER, settings.classes.get(1));
+        assertEquals(0.75, settings.overShareWorth);
+        assertEquals(3, settings.maxAttempts);
+        // What a later version does not name any more is as the file has it again.
+        live.put(Map.of());
+        assertEquals(List.of(new Tenant("a", 1), new Tenant("b", 2)), settings.tenants);
+        assertEquals(List.of(PAGE, ORDER), settings.classes);
+        assertEquals(0.5, settings.overShareWorth);
+    }
+
+    @Test
+    void whatIsNotLiveIsSaidToWait() {
+        assertEquals(Set.of(), live.waitRestart(Map.of(), Map.of("realms/a", "{\"quotaPerS\":9}",
+                "classes/page", FAST, "overShareWorth", "1", "discovery", "\"127.0.0.1:1\"",
+                "keepers/voters", "[]")));
+        assertEquals(Set.of("realms/new", "classes/new", "limits/attemptsCap"), live.waitRestart(Map.of(),
+                Map.of("realms/new", "{}", "classes/new", FAST, "limits/attemptsCap", "9")));
+        String order = "{\"repeat\":\"unsafe\",\"group\":\"cell\",\"windowUs\":7,\"stream\":true}";
+        assertEquals(Set.of(), live.waitRestart(Map.of(), Map.of("classes/order", order)));
+        for (String other : List.of(order.replace("unsafe", "safe"), order.replace("cell", "all"),
+                order.replace("7", "8"), order.replace("true", "false"),
+                order.replace("\"repeat\"", "\"aimStretch\":1,\"repeat\""), order.replace(
+                        "\"group\":\"cell\",", ""))) {
+            assertEquals(Set.of("classes/order"), live.waitRestart(Map.of(), Map.of("classes/order", other)),
+                    other);
+        }
+    }
+
+    @Test
+    void discoveryMovesOnceForEachPlaceThatIsNamed() {
+        live.put(Map.of("discovery", "\"127.0.0.1:1\""));
+        live.put(Map.of("discovery", "\"127.0.0.1:1\"", "overShareWorth", "1"));
+        live.put(Map.of("discovery", "\"127.0.0.1:2\""));
+        live.put(Map.of());
+        assertEquals(List.of("127.0.0.1:1", "127.0.0.1:2"), moved);
+    }
+}
