Let a test's keeper outlast a dial that is given up

A connection that ended before its head came ended the thread that accepts with a null, after the last assertion in the runs seen; a further dial would have hung.

--- a/src/test/java/kitemux/keeper/RolloutWatchTest.java
+++ b/src/test/java/kitemux/keeper/RolloutWatchTest.java
@@ -101,10 +101,15 @@
                         StandardCharsets.UTF_8));
                 String first = in.readLine();
                 int length = 0;
-                for (String line = in.readLine(); !line.isEmpty(); line = in.readLine()) {
+                for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
                     length = line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")
                             ? Integer.parseInt(line.substring(15).strip()) : length;
                 }
+                if (first == null) {
+                    // Given up before it asked.
+                    socket.close();
+                    continue;
+                }
                 if (first.startsWith("GET ")) {
                     asked.add(new Asked(first.split(" ")[1], socket));
                     continue;
