--- a/src/main/java/kitemux/rollout/Ballot.java
+++ b/src/main/java/kitemux/rollout/Ballot.java
@@ -17,6 +17,11 @@
                 : Integer.compare(keeper, other.keeper);
     }
 
+    @Override
+    public String toString() {
+        return round + "." + keeper;
+    }
+
     /** Whether it counts for more than another. */
     public boolean isAbove(Ballot other) {
         return compareTo(other) > 0;
--- a/src/main/java/kitemux/rollout/KeeperMachine.java
+++ b/src/main/java/kitemux/rollout/KeeperMachine.java
@@ -34,6 +34,8 @@
     private long pulseAtUs;
     private long finishAtUs = Long.MAX_VALUE;
     private long refusedWatches;
+    private long deafUntilUs;
+    private long staleReports;
     private List<Effect> out = new ArrayList<>();
     private long nowUs;
 
@@ -72,6 +74,15 @@
         settle();
     }
 
+    /** Its part in decisions, whole but for times and draws. */
+    @Override
+    public String toString() {
+        Vote vote = acceptor.vote();
+        return history.after(0, Terms.HISTORY).stream().map(v -> v.change().id()).toList() + " "
+                + vote.rev() + " " + vote.promised() + " " + vote.acceptedAt() + " "
+                + (vote.accepted() == null ? "" : vote.accepted().id()) + " " + proposer;
+    }
+
     /** What is known; to be read only. */
     public History history() {
         return history;
@@ -126,8 +137,19 @@
         return next;
     }
 
-    private List<Effect> events(long now, Runnable event) {
+    /**
+     * Whoever stood still finds reports that lay unread; how long nobody knows. They are let pass for a
+     * while: nodes report again.
+     */
+    private void arrives(long now) {
+        if (now - nowUs > 2 * terms.pulseUs()) {
+            deafUntilUs = now + terms.pulseUs();
+        }
         nowUs = now;
+    }
+
+    private List<Effect> events(long now, Runnable event) {
+        arrives(now);
         out = new ArrayList<>();
         event.run();
         settle();
@@ -292,7 +314,17 @@
 
     /** A node's report. */
     public void reported(long now, Report report) {
-        inventory.reported(now, report);
+        arrives(now);
+        if (now < deafUntilUs) {
+            staleReports++;
+        } else {
+            inventory.reported(now, report);
+        }
+    }
+
+    /** Reports that were let pass, since it stood still before. */
+    public long staleReports() {
+        return staleReports;
     }
 
     private long send(long watch) {
--- a/src/main/java/kitemux/rollout/Proposer.java
+++ b/src/main/java/kitemux/rollout/Proposer.java
@@ -68,6 +68,15 @@
         this.chosen = chosen;
     }
 
+    /** Its state, whole but for times and draws: two that say the same go on alike. */
+    @Override
+    public String toString() {
+        return state + " " + rev + " " + ballot + " " + agreed + " " + highest + " "
+                + (value == null ? "" : value.id()) + " " + highestRound + " " + waiting.size()
+                + (isIdle() ? "" : (attempt.own == null ? "" : attempt.own.change.id()) + " "
+                + attempt.ownSent + " " + attempt.tries);
+    }
+
     /** Whether nothing is under way. */
     public boolean isIdle() {
         return state == State.IDLE;
@@ -174,7 +183,10 @@
         } else if (answer instanceof Answer.Refused a) {
             highestRound = Math.max(highestRound, a.promised().round());
             if (isMine(state, a.rev(), a.ballot())) {
-                prepare(nowUs, out);
+                // Not at once, and the longer the more often it was tried: two that hinder each other would
+                // spend their tries within milliseconds. Until then the others may still agree.
+                untilUs = Math.min(untilUs, nowUs + terms.leastWaitUs()
+                        + draws.nextLong(attempt.tries * terms.leastPhaseUs() / 2));
             }
         }
         next(nowUs, out);
--- a/src/main/java/kitemux/rollout/RolloutText.java
+++ b/src/main/java/kitemux/rollout/RolloutText.java
@@ -577,6 +577,9 @@
                 Source from = new Source(json, "", faults, "kind", "after", "known", "versions");
                 List<Version> versions = new ArrayList<>();
                 from.list("versions").forEach(each -> versions.add(version(each, "versions", faults)));
+                if (versions.size() > Terms.MOST_VERSIONS) {
+                    from.fault("versions", "has more than " + Terms.MOST_VERSIONS);
+                }
                 yield new Answer.Known(from.rev("after", 0), from.rev("known", 0), List.copyOf(versions));
             }
             case "whole" -> {
--- a/src/main/java/kitemux/rollout/Subscriber.java
+++ b/src/main/java/kitemux/rollout/Subscriber.java
@@ -30,12 +30,15 @@
     private List<Effect> out = new ArrayList<>();
     private long nowUs;
 
-    /** In force, and what was told to be put in force. */
+    /** In force. */
     private long rev;
     private SortedMap<String, String> values;
-    private long putRev;
 
-    /** The copy on the side, with what was refused in it; its version is what the watch is at. */
+    /**
+     * The copy on the side, with what was refused in it, and what is about to be in force; its version is
+     * what the watch is at. It stays when a watch ends: else a node that refuses something would be told all
+     * since again.
+     */
     private long sideRev;
     private SortedMap<String, String> side;
     private final List<Report.Refusal> refused = new ArrayList<>();
@@ -80,7 +83,6 @@
         this.life = life;
         this.keepers = keepers;
         this.rev = rev;
-        this.putRev = rev;
         this.values = values;
         this.first = values;
         this.draws = new SplittableRandom(seed);
@@ -175,7 +177,7 @@
         watch = ++watches;
         connected = false;
         silentAtUs = nowUs + terms.dialUs();
-        out.add(new Effect.Dial(watch, keeper, rev));
+        out.add(new Effect.Dial(watch, keeper, sideRev));
     }
 
     private long patienceUs() {
@@ -199,10 +201,7 @@
         state = State.CATCHING_UP;
         silentAtUs = patienceUs();
         reportAtUs = nowUs;
-        sideRev = rev;
-        side = values;
         whole = null;
-        refused.clear();
     }
 
     /** A dial has failed or was refused, or a watch has ended. */
@@ -232,15 +231,18 @@
             return;
         }
         trialAtUs = Long.MAX_VALUE;
+        long mostUs = terms.mostWaitUs();
         if (wasConnected) {
             tried.clear();
             tried.add(keeper);
             waitUs = terms.mostWaitUs();
         } else if (tried.size() >= keepers) {
+            // Only between two rounds: one of those that are back is found soon.
             waitUs = Math.min(2 * waitUs, terms.longestWaitUs());
+            mostUs = waitUs;
             tried.clear();
         }
-        dialAtUs = nowUs + draws.nextLong(terms.leastWaitUs(), waitUs + 1);
+        dialAtUs = nowUs + draws.nextLong(terms.leastWaitUs(), mostUs + 1);
     }
 
     /** The keeper that is tried is the one that it watches from now on, or dials. */
@@ -271,7 +273,7 @@
         trial = ++watches;
         trialConnected = false;
         trialEndsAtUs = nowUs + terms.dialUs();
-        out.add(new Effect.Dial(trial, trialKeeper, rev));
+        out.add(new Effect.Dial(trial, trialKeeper, sideRev));
     }
 
     private void trialFailed(boolean hangUp) {
@@ -279,7 +281,8 @@
             out.add(new Effect.HangUp(trial));
         }
         dropTrial();
-        trialAtUs = nowUs + terms.aloneTryUs();
+        trialAtUs = nowUs + (tried.size() < keepers
+                ? draws.nextLong(terms.leastWaitUs(), terms.mostWaitUs()) : terms.aloneTryUs());
     }
 
     /** A line of a watch. */
@@ -380,7 +383,6 @@
         List<Fault> faults = rules.faults(side);
         refused.clear();
         if (faults.isEmpty()) {
-            putRev = sideRev;
             out.add(new Effect.PutInForce(sideRev, side));
         } else {
             faults.stream().limit(Terms.MOST_TOLD).forEach(fault ->
--- a/src/main/java/kitemux/rollout/Terms.java
+++ b/src/main/java/kitemux/rollout/Terms.java
@@ -45,6 +45,8 @@
     public static final int MOST_BYTES = 2 << 20;
     /** Of a path, in characters: a section, a slash and a name. Beyond: refused, 400. */
     public static final int MOST_PATH_CHARS = 128;
+    /** A line's end and what HTTP puts round a chunk, counted with each line of a watch. */
+    public static final int LINE_BYTES = 9;
     /** Versions that are kept one by one: four days of 240. Who is older is sent the whole. */
     public static final int HISTORY = 1_024;
     /**
--- a/src/main/java/kitemux/rollout/Watch.java
+++ b/src/main/java/kitemux/rollout/Watch.java
@@ -15,7 +15,8 @@
     Watch(long nowUs, Terms terms, long after) {
         told = after;
         pace = new Pace(nowUs, terms.paceBytes(), terms.paceAtOnce(), terms.paceFirst());
-        lastUs = nowUs;
+        // Whoever comes hears at once that the keeper is there, and whether it hears a majority.
+        lastUs = nowUs - terms.beatUs();
     }
 
     /** The next line that is no beat, or null where it is told all. */
@@ -36,12 +37,16 @@
         return new Line.Next(version.rev(), version.change().set(), version.change().drop());
     }
 
+    private static int bytes(Line line) {
+        return RolloutText.write(line).length + Terms.LINE_BYTES;
+    }
+
     /** Sends what may go now; when something may go again, in microseconds. */
     long send(long nowUs, long id, Terms terms, History history, Wholes wholes, boolean isAlone,
             List<Effect> out) {
         while (true) {
             Line line = next(history, wholes);
-            int bytes = line == null ? 0 : RolloutText.write(line).length;
+            int bytes = line == null ? 0 : bytes(line);
             long ready = line == null ? Long.MAX_VALUE : pace.readyAtUs(nowUs, bytes);
             if (ready <= nowUs) {
                 if (line instanceof Line.Part part) {
@@ -52,7 +57,7 @@
                 }
             } else if (nowUs >= lastUs + terms.beatUs()) {
                 line = isAlone ? new Line.Alone(history.rev()) : new Line.Beat();
-                bytes = RolloutText.write(line).length;
+                bytes = bytes(line);
             } else {
                 return Math.min(ready, lastUs + terms.beatUs());
             }
