Test two proposers at once over real sockets

Of two keepers that are called with a change of one path at once, one caller is told 200, the other 409; with two paths both are taken, one behind the other, and all keepers hold one history.

--- a/src/test/java/kitemux/keeper/KeeperTest.java
+++ b/src/test/java/kitemux/keeper/KeeperTest.java
@@ -16,7 +16,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
+import java.util.SortedSet;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -81,6 +83,40 @@
         }
     }
 
+    @Test
+    void twoProposersAtOnceMakeOneHistory() throws Exception {
+        try (Keepers keepers = keepers(3, 3, 2)) {
+            Keepers.Node node = keepers.node(0, 0, 1, 2);
+            // Of two that set one path, one is told that the other came first.
+            List<CompletableFuture<HttpResponse<String>>> same = List.of(
+                    keepers.change(0, id(1), 0, ACME),
+                    keepers.change(1, id(2), 0, "{\"realms/acme\":{\"quotaPerS\":13.0}}"));
+            SortedSet<String> told = new TreeSet<>();
+            for (CompletableFuture<HttpResponse<String>> one : same) {
+                told.add(Keepers.of(one).statusCode() + " " + Keepers.of(one).body());
+            }
+            assertEquals("[200 {\"rev\":1}, 409 {\"path\":\"realms/acme\",\"rev\":1}]", told.toString());
+            // Of two that set two, both are taken, one behind the other.
+            List<CompletableFuture<HttpResponse<String>>> two = List.of(
+                    keepers.change(0, id(3), 1, "{\"realms/b\":{\"quotaPerS\":1}}"),
+                    keepers.change(2, id(4), 1, "{\"realms/c\":{\"quotaPerS\":2}}"));
+            told.clear();
+            for (CompletableFuture<HttpResponse<String>> one : two) {
+                told.add(Keepers.of(one).statusCode() + " " + Keepers.of(one).body());
+            }
+            assertEquals("[200 {\"rev\":2}, 200 {\"rev\":3}]", told.toString());
+            node.awaitInForce(3);
+            assertEquals("[realms/acme, realms/b, realms/c]", node.values.keySet().toString());
+            for (int keeper = 0; keeper < 3; keeper++) {
+                try (Socket watch = keepers.watch(keeper, 0, 1)) {
+                    List<String> lines = lines(watch, 3);
+                    assertTrue(lines.get(0).startsWith("{\"rev\":1,"), lines.get(0));
+                    assertTrue(lines.get(2).startsWith("{\"rev\":3,"), lines.get(2));
+                }
+            }
+        }
+    }
+
     /** Objects of a watch, without beats and the framing of chunks. */
     private static List<String> lines(Socket watch, int many) throws IOException {
         BufferedReader in = new BufferedReader(new InputStreamReader(watch.getInputStream(),
