--- a/src/test/java/kitemux/ArchitectureTest.java
+++ b/src/test/java/kitemux/ArchitectureTest.java
@@ -148,6 +148,22 @@
                 c -> !c.getSimpleName().equals("Datagram"))));
     }
 
+    /** JSON's text is all that it may know of what is outside, and only where records become bytes. */
+    @Test
+    void whoPassesConfigurationOnReachesNothingOutside() {
+        pure("kitemux.rollout").check(PROGRAM.that(DescribedPredicate.describe("decide",
+                c -> !c.getName().startsWith("kitemux.rollout.RolloutText"))));
+    }
+
+    /** Until its carrier is wired, and then from node and cli alone. */
+    @Test
+    void noNodeKnowsOfConfigurationThatIsPassedOn() {
+        noClasses().that().resideOutsideOfPackages("kitemux.rollout..", "kitemux.keeper..")
+                .should().dependOnClassesThat().resideInAPackage("kitemux.rollout..").check(PROGRAM);
+        assertThrows(AssertionError.class, () -> noClasses().that().resideInAPackage("kitemux.node..")
+                .should().dependOnClassesThat().resideInAPackage("kitemux.engine..").check(PROGRAM));
+    }
+
     @Test
     void aReachOutsideIsFound() {
         assertThrows(AssertionError.class, () -> pure("kitemux.node").check(PROGRAM));
