--- a/src/main/java/kitemux/keeper/KeeperProcess.java
+++ b/src/main/java/kitemux/keeper/KeeperProcess.java
@@ -5,8 +5,6 @@
 import java.security.SecureRandom;
 
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 
@@ -14,7 +12,8 @@
 import kitemux.engine.Log;
 import kitemux.net.LoopTime;
 import kitemux.net.NioNetwork;
-import kitemux.net.WholeMillis;
+import kitemux.net.PollingLoop;
+import kitemux.net.SelectorLoop;
 import kitemux.rollout.Terms;
 
 /** A process that is a keeper: the folder's lock, the loop, and the end. */
@@ -51,7 +50,7 @@
      */
     public static void start(KeeperSettings settings, Log log) throws IOException {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, WholeMillis.factory()).next();
+        PollingLoop loop = SelectorLoop.open();
         Keeper keeper;
         try {
             keeper = Keeper.open(settings, Terms.usual(), new ConfigRules(),
--- a/src/main/java/kitemux/standin/OrderDatabase.java
+++ b/src/main/java/kitemux/standin/OrderDatabase.java
@@ -133,7 +133,7 @@
         }
     }
 
-    /** Nobody comes up to it any more: the system takes connections until its thread is back from accepting. */
+    /** Nobody comes up to it any more: the system takes connections until its thread is back from accept. */
     @Override
     public void close() throws IOException {
         listening.close();
