--- a/src/test/java/kitemux/rollout/Fleet.java
+++ b/src/test/java/kitemux/rollout/Fleet.java
@@ -212,7 +212,11 @@
         void goOn() {
             still = false;
             while (!held.isEmpty() && !still) {
-                held.poll().run();
+                Runnable what = held.poll();
+                // It may have been ended while it stood still, or by what came before.
+                if (isUp()) {
+                    what.run();
+                }
             }
             if (isUp()) {
                 arm();
