--- a/src/test/java/kitemux/standin/OrderDatabaseTest.java
+++ b/src/test/java/kitemux/standin/OrderDatabaseTest.java
@@ -1,32 +1,189 @@
 package kitemux.standin;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.DataInputStream;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.sql.Connection;
+import java.sql.DriverManager;
+import java.sql.PreparedStatement;
+import java.sql.ResultSet;
+import java.sql.SQLException;
+import java.sql.Statement;
+import java.util.Arrays;
 
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
+import kitemux.standin.OrderDatabase.Fault;
+
+/** The stand-in of a database, as real drivers see it. */
 class OrderDatabaseTest {
-    private static final int TIMES = 200;
+    private static final String NATIVE = "mysql_native_password";
+    private static final String SHA2 = "caching_sha2_password";
 
-    /** A thread that stands in accept holds the listening socket open for a moment longer than its close. */
-    @Test
-    void nobodyComesUpToOneThatWasClosed() throws IOException {
-        for (int i = 0; i < TIMES; i++) {
-            OrderDatabase database = OrderDatabase.start("mysql_native_password", null);
-            InetSocketAddress at = database.address();
-            try (Socket before = new Socket(at.getAddress(), at.getPort())) {
-                assertTrue(before.getInputStream().read() >= 0, "it greets");
+    private OrderDatabase database;
+
+    private Connection connect(String driver, String options) throws SQLException {
+        return DriverManager.getConnection("jdbc:" + driver + "://127.0.0.1:" + database.address().getPort()
+                + "/shop?" + options, OrderDatabase.USER, OrderDatabase.PASSWORD);
+    }
+
+    /** Options that each driver has under a name of its own. */
+    private static String options(String driver, boolean prepared) {
+        return driver.equals("mysql")
+                ? "sslMode=DISABLED&allowPublicKeyRetrieval=true&useServerPrepStmts=" + prepared
+                : "sslMode=disable&useServerPrepStmts=" + prepared;
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        database.close();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"mysql, " + NATIVE + ",", "mysql, " + SHA2 + ",", "mariadb, " + NATIVE + ",",
+        "mariadb, " + SHA2 + ",", "mysql, " + NATIVE + ", " + SHA2, "mysql, " + SHA2 + ", " + NATIVE,
+        "mariadb, " + NATIVE + ", " + SHA2, "mariadb, " + SHA2 + ", " + NATIVE})
+    void driversLogInWithEachPluginAlsoWhereItIsSwitched(String driver, String plugin, String switchTo)
+            throws Exception {
+        database = OrderDatabase.start(plugin, switchTo);
+        try (Connection connection = connect(driver, options(driver, false))) {
+            assertTrue(connection.isValid(20));
+        }
+        assertEquals(1, database.logins());
+        SQLException denied = assertThrows(SQLException.class, () -> DriverManager.getConnection("jdbc:"
+                + driver + "://127.0.0.1:" + database.address().getPort() + "/shop?" + options(driver, false),
+                OrderDatabase.USER, "wrong"));
+        assertEquals("28000", denied.getSQLState());
+        assertEquals(1, database.logins());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"mysql, false", "mysql, true", "mariadb, false", "mariadb, true"})
+    void ordersAreInsertedSelectedAndRolledBack(String driver, boolean prepared) throws Exception {
+        database = OrderDatabase.start(NATIVE, null);
+        try (Connection connection = connect(driver, options(driver, prepared));
+                PreparedStatement insert = connection.prepareStatement(
+                        "INSERT INTO orders (id, school) VALUES (?, ?)");
+                PreparedStatement select = connection.prepareStatement(
+                        "SELECT id, school FROM orders WHERE id = ?")) {
+            insert.setString(1, "o1");
+            insert.setString(2, "school-a");
+            assertEquals(1, insert.executeUpdate());
+            connection.setAutoCommit(false);
+            insert.setString(1, "o2");
+            insert.executeUpdate();
+            connection.rollback();
+            insert.setString(1, "o3");
+            insert.executeUpdate();
+            assertEquals(0, database.inserts("o3"), "not before its commit");
+            connection.commit();
+            select.setString(1, "o1");
+            try (ResultSet found = select.executeQuery()) {
+                assertTrue(found.next());
+                assertEquals("school-a", found.getString("school"));
+                assertFalse(found.next());
             }
-            database.close();
-            assertThrows(IOException.class, () -> {
-                try (Socket after = new Socket(at.getAddress(), at.getPort())) {
-                    after.getInputStream().read();
+            assertEquals(java.util.Map.of("o1", 1, "o3", 1), database.inserts());
+            SQLException unknown = assertThrows(SQLException.class,
+                    () -> connection.createStatement().execute("DROP TABLE orders"));
+            assertEquals("42000", unknown.getSQLState());
+            assertTrue(connection.isValid(20), "an error ends no connection");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"mysql", "mariadb"})
+    void rowsByTheThousandComeWhole(String driver) throws Exception {
+        database = OrderDatabase.start(NATIVE, null);
+        try (Connection connection = connect(driver, options(driver, false));
+                Statement statement = connection.createStatement()) {
+            statement.setFetchSize(driver.equals("mysql") ? Integer.MIN_VALUE : 10);
+            try (ResultSet rows = statement.executeQuery("SELECT 20000 ROWS")) {
+                int count = 0;
+                while (rows.next()) {
+                    assertEquals(count++, rows.getInt(1));
                 }
-            }, "after " + i + " others");
+                assertEquals(20_000, count);
+            }
         }
     }
+
+    private void insertAndFail(Fault fault, int inserted) throws Exception {
+        try (Connection connection = connect("mysql", options("mysql", false));
+                Statement statement = connection.createStatement()) {
+            database.script(sql -> sql.startsWith("INSERT") ? fault : new Fault.None());
+            assertThrows(SQLException.class,
+                    () -> statement.executeUpdate("INSERT INTO orders (id, school) VALUES ('o', 's')"));
+            assertEquals(inserted, database.inserts("o"));
+        }
+        database.script(sql -> new Fault.None());
+    }
+
+    @Test
+    void whatTheScriptSaysGoesWrongBeforeOrBehindTheEffect() throws Exception {
+        database = OrderDatabase.start(NATIVE, null);
+        insertAndFail(new Fault.Drop(), 0);
+        insertAndFail(new Fault.Error(1205, "HY000", "Lock wait timeout exceeded"), 0);
+        insertAndFail(new Fault.BreakOff(0, Long.MAX_VALUE), 1);
+        insertAndFail(new Fault.BreakOff(Long.MAX_VALUE, 3), 2);
+    }
+
+    @Test
+    void packetsAreMisnumberedWhichTheseDriversPassOver() throws Exception {
+        database = OrderDatabase.start(NATIVE, null);
+        database.script(sql -> sql.equals("ping") ? new Fault.Misnumber() : new Fault.None());
+        try (Connection connection = connect("mysql", options("mysql", false))) {
+            assertTrue(connection.isValid(20));
+        }
+        try (Socket socket = new Socket(database.address().getAddress(), database.address().getPort())) {
+            SqlPackets packets = new SqlPackets(new DataInputStream(socket.getInputStream()),
+                    socket.getOutputStream());
+            SqlPackets.Fields greeting = new SqlPackets.Fields(packets.read());
+            greeting.num(1);
+            greeting.zeroed();
+            greeting.num(4);
+            byte[] nonce = Arrays.copyOf(greeting.raw(8), 20);
+            greeting.raw(1 + 2 + 1 + 2 + 2 + 1 + 10);
+            System.arraycopy(greeting.raw(12), 0, nonce, 8, 12);
+            byte[] proof = OrderDatabase.proof(NATIVE, nonce);
+            packets.write(new SqlPackets.Payload().num(1 << 9 | 1 << 15 | 1 << 19, 4).num(1 << 24, 4)
+                    .num(45, 1).raw(new byte[23]).zeroed(OrderDatabase.USER).num(proof.length, 1).raw(proof)
+                    .zeroed(NATIVE).done());
+            assertEquals(0, packets.read()[0], "logged in");
+            packets.begin();
+            packets.write(new byte[] {0x0e});
+            IOException off = assertThrows(IOException.class, packets::read);
+            assertEquals("packet 6 came where 1 was due", off.getMessage());
+        }
+    }
+
+    @Test
+    void anAnswerBreaksOffInTheMiddleOfItsRows() throws Exception {
+        database = OrderDatabase.start(NATIVE, null);
+        database.script(sql -> sql.startsWith("SELECT 9") ? new Fault.BreakOff(6, Long.MAX_VALUE)
+                : new Fault.None());
+        int[] seen = new int[1];
+        // Closing a statement whose rows broke off says so once more.
+        assertThrows(SQLException.class, () -> {
+            try (Connection connection = connect("mysql", options("mysql", false));
+                    Statement statement = connection.createStatement()) {
+                statement.setFetchSize(Integer.MIN_VALUE);
+                try (ResultSet rows = statement.executeQuery("SELECT 9 ROWS")) {
+                    while (rows.next()) {
+                        assertEquals(seen[0]++, rows.getInt(1));
+                    }
+                }
+            }
+        });
+        assertTrue(seen[0] > 0 && seen[0] < 9, seen[0] + " rows were out");
+    }
 }
