Trace requests, attempts and the reason of each close, where operators turn it on

Change: CloseReason names why each client connection ends, ConnectionObserver is told of it, and RequestTrace writes both that and what engine.Observer tells to a file, through a bounded queue and a thread of its own. It is off unless the operator's file has a section "trace"; no class of it is loaded then.

Its cost while on was not measured.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -47,6 +47,8 @@
     private static final int KEPT_PART = 512;
 
     private final ClientServer server;
+    /** Its place in the order in which connections were accepted, from 1. */
+    private final long number;
     private final RequestReader reader;
     private final Engine<ClientRequest, Answer> engine;
     private final Log log;
@@ -90,6 +92,8 @@
     private boolean everAsked;
     private boolean crowded;
     private boolean turnedAway;
+    /** Why this side closed it; null while it has not. */
+    private CloseReason closeReason;
     /** The request that is open, as the engine knows it. */
     private Engine.Held<ClientRequest, Answer> held;
     /** What is passed on to the client as it comes, or null. */
@@ -98,10 +102,11 @@
     /** A request, or the status that what came instead of one is owed. */
     private record Incoming(HttpRequest head, List<byte[]> body, long cameUs, HttpResponseStatus error) { }
 
-    ClientConnection(ClientServer server, RequestReader reader, Engine<ClientRequest, Answer> engine,
+    ClientConnection(ClientServer server, long number, RequestReader reader, Engine<ClientRequest, Answer> engine,
             LoopTime time,
             Log log, QuietChannel channel, long openedUs) {
         this.server = server;
+        this.number = number;
         this.reader = reader;
         this.engine = engine;
         this.time = time;
@@ -377,6 +382,7 @@
             throw new BadRequestException("X-Txn is that of an open request");
         }
         held = taken;
+        server.requested(this, request);
         engine.ask(taken);
     }
 
@@ -437,7 +443,7 @@
         held = null;
         passing = null;
         channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        close();
+        close(CloseReason.ANSWER_BROKEN_OFF);
         return true;
     }
 
@@ -506,7 +512,7 @@
             server.rested(this);
         }
         if (!written) {
-            close();
+            close(CloseReason.WRITE_FAILED);
         } else if (!keepAlive) {
             channel.shutdownOutput();
             if (lingerMs == 0 && !isQuiet()) {
@@ -515,7 +521,8 @@
                 lingerMs = Limits.LINGER_MS;
                 channel.config().setAutoRead(false);
             }
-            lingering = channel.eventLoop().schedule(this::close, lingerMs, TimeUnit.MILLISECONDS);
+            lingering = channel.eventLoop().schedule(() -> close(CloseReason.LAST_ANSWER), lingerMs,
+                    TimeUnit.MILLISECONDS);
         } else if (!waiting.isEmpty()) {
             channel.eventLoop().execute(this::serveNext);
         }
@@ -545,22 +552,26 @@
             return;
         }
         if (busy) {
-            closeIfOlderThan(Limits.WRITING_MS);
+            closeIfOlderThan(Limits.WRITING_MS, CloseReason.ANSWER_NOT_TAKEN);
         } else if (!reading) {
             if (isQuiet()) {
-                closeIfOlderThan(everAsked ? Limits.IDLE_MS : Limits.READING_MS);
+                closeIfOlderThan(everAsked ? Limits.IDLE_MS : Limits.READING_MS, CloseReason.IDLE);
             }
         } else if (isOlderThan(Limits.READING_MS + (body == null ? 0 : body.size() / Limits.LEAST_PACE))) {
             turnDown(HttpResponseStatus.REQUEST_TIMEOUT);
         }
     }
 
-    private void closeIfOlderThan(long ms) {
+    private void closeIfOlderThan(long ms, CloseReason reason) {
         if (isOlderThan(ms)) {
-            close();
+            close(reason);
         }
     }
 
+    long number() {
+        return number;
+    }
+
     /** Whether a request has come in part. */
     boolean isReading() {
         return reading;
@@ -571,7 +582,11 @@
         return channel.isQuiet();
     }
 
-    void close() {
+    /** Closes it for this reason, unless it is being closed for another. */
+    void close(CloseReason reason) {
+        if (closeReason == null) {
+            closeReason = reason;
+        }
         channel.close();
     }
 
@@ -589,7 +604,7 @@
         if (lingering != null) {
             lingering.cancel(false);
         }
-        server.ended(this);
+        server.ended(this, closeReason == null ? CloseReason.BY_CLIENT : closeReason);
         if (held != null) {
             engine.left(held);
         }
@@ -600,6 +615,6 @@
         if (!(cause instanceof IOException)) {
             log.error("connection to a client", cause);
         }
-        close();
+        close(CloseReason.ERROR);
     }
 }
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -42,6 +42,7 @@
     private final Engine<ClientRequest, Answer> engine;
     private final LoopTime time;
     private final IntConsumer turnedAway;
+    private final ConnectionObserver observer;
     private final Log log;
     /** Connections that have had no whole request yet, the oldest first. */
     private final Set<ClientConnection> fresh = new LinkedHashSet<>();
@@ -85,10 +86,13 @@
      * Serves nobody yet; requests go to the engine, which lives on the same loop.
      *
      * @param turnedAway told the class of each request that is refused before the engine has it
+     * @param observer told what becomes of connections
      */
     public ClientServer(EventLoopGroup loop, Network network, RequestReader reader, Sockets sockets,
-            Engine<ClientRequest, Answer> engine, LoopTime time, IntConsumer turnedAway, Log log) {
+            Engine<ClientRequest, Answer> engine, LoopTime time, IntConsumer turnedAway,
+            ConnectionObserver observer, Log log) {
         this.turnedAway = turnedAway;
+        this.observer = observer;
         this.loop = loop;
         this.network = network;
         this.reader = reader;
@@ -136,8 +140,9 @@
             sockets.clientClosed();
             acceptIfRoom();
         });
-        ClientConnection client = new ClientConnection(this, reader, engine, time, log, channel,
+        ClientConnection client = new ClientConnection(this, taken, reader, engine, time, log, channel,
                 earliestUs());
+        observer.accepted(taken, channel.remoteAddress());
         if (!sockets.hasRoomForClient() && !makeRoom()) {
             // Every connection has a request open. This one may have brought one too, which is owed an
             // answer: it is served, or where even that takes too many turned away, and let go. Harm:
@@ -225,7 +230,7 @@
             ClientConnection client = each.next();
             if (client.isQuiet() && !(client.isReading() && clients == idle)) {
                 each.remove();
-                client.close();
+                client.close(CloseReason.NO_ROOM);
                 return true;
             }
         }
@@ -249,7 +254,12 @@
         }
     }
 
-    void ended(ClientConnection client) {
+    void requested(ClientConnection client, ClientRequest request) {
+        observer.requested(client.number(), request.txn());
+    }
+
+    void ended(ClientConnection client, CloseReason reason) {
+        observer.closed(client.number(), reason);
         fresh.remove(client);
         busy.remove(client);
         idle.remove(client);
@@ -284,7 +294,7 @@
     public void closeOld() {
         all().forEach(ClientConnection::closeIfLate);
         if (awaySinceUs != Long.MAX_VALUE && time.nowUs() - awaySinceUs >= Limits.LEAVING_MS * 1_000) {
-            closeUnused(Limits.UNUSED_MS);
+            closeUnused(Limits.UNUSED_MS, CloseReason.SENT_AWAY);
         }
     }
 
@@ -336,25 +346,25 @@
             // A request that crosses the end of its connection is asked again, and each costs its client
             // time: with a successor there is time for clients to come once more and hear of the end.
             loop.schedule(() -> {
-                closeUnused(0);
+                closeUnused(0, CloseReason.SHUTDOWN);
                 tellIfEmpty();
             }, replaced ? Limits.LEAVING_MS : 0, TimeUnit.MILLISECONDS);
         });
     }
 
     /** What has come is served, and its answer ends the connection; all else is closed. */
-    private void closeUnused(long unusedMs) {
+    private void closeUnused(long unusedMs, CloseReason reason) {
         List<ClientConnection> unused = all();
         unused.removeAll(busy);
         unused.removeIf(client -> client.isReading() || !client.isQuiet()
                 || unusedMs > 0 && !client.isOlderThan(unusedMs));
-        unused.forEach(ClientConnection::close);
+        unused.forEach(client -> client.close(reason));
     }
 
     /** Ends everything at once. */
     public void close() {
         listening.close();
-        all().forEach(ClientConnection::close);
+        all().forEach(client -> client.close(CloseReason.NODE_CLOSED));
     }
 
     private void tellIfEmpty() {
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -37,6 +37,7 @@
 import kitemux.net.Answer;
 import kitemux.http.ClientRequest;
 import kitemux.http.ClientServer;
+import kitemux.http.ConnectionObserver;
 import kitemux.http.HttpServers;
 import kitemux.http.RequestReader;
 import kitemux.net.HostList;
@@ -50,6 +51,8 @@
 import kitemux.ops.Operations;
 import kitemux.orders.OrderKeeper;
 import kitemux.orders.Orders;
+import kitemux.telemetry.RequestTrace;
+import kitemux.telemetry.TraceSettings;
 
 /**
  * A real node: clients' and servers' connections, the watch on the list, the engine between them and its
@@ -91,30 +94,37 @@
      * @param time the loop's
      * @param log for the operators
      * @param observer told what becomes of requests
+     * @param connections told what becomes of clients' connections
      * @param gate stands before each attempt
      * @param module makes the decision module
      * @param transport stands before the servers' connections, or is those themselves
      */
     public record Parts(Network network, LoopTime time, Log log, Observer observer,
-            SendGate<ClientRequest> gate, Function<Balancer.Actions, Balancer> module,
+            ConnectionObserver connections, SendGate<ClientRequest> gate, Function<Balancer.Actions, Balancer> module,
             UnaryOperator<Transport<ClientRequest, Answer>> transport) {
 
         /** The system's sockets and clock, and nothing in between. */
         static Parts real(PollingLoop loop, Log log, Function<Balancer.Actions, Balancer> module) {
-            return new Parts(NioNetwork.SYSTEM, LoopTime.of(loop), log, Observer.NONE, SendGate.open(),
-                    module, UnaryOperator.identity());
+            return new Parts(NioNetwork.SYSTEM, LoopTime.of(loop), log, Observer.NONE,
+                    ConnectionObserver.NONE, SendGate.open(), module, UnaryOperator.identity());
         }
 
         /** The same with a keeper of orders, or with none where that is null. */
         Parts with(LoopTime keepersTime, OrderKeeper<ClientRequest> keeper) {
             return keeper == null ? this
-                    : new Parts(network, keepersTime, log, keeper, keeper, module, transport);
+                    : new Parts(network, keepersTime, log, keeper, connections, keeper, module, transport);
         }
 
         /** The same with one more who is told of requests, or with none where that is null. */
         Parts observed(Observer also) {
             return also == null ? this
-                    : new Parts(network, time, log, observer.and(also), gate, module, transport);
+                    : new Parts(network, time, log, observer.and(also), connections, gate, module, transport);
+        }
+
+        /** The same with a trace of requests and connections, or with none where that is null. */
+        Parts traced(RequestTrace trace) {
+            return trace == null ? this
+                    : new Parts(network, time, log, observer.and(trace), trace, gate, module, transport);
         }
     }
 
@@ -178,7 +188,7 @@
                     if (operations != null) {
                         operations.turnedAway(ofClass);
                     }
-                }, log);
+                }, parts.connections(), log);
     }
 
     private Operations operations(Parts parts) {
@@ -268,11 +278,12 @@
                 System.exit(2);
             }
         }
+        RequestTrace trace = operator.trace() == null ? null : trace(operator.trace(), config, time, log);
         Node node;
         try {
             node = new Node(config, loop, Parts.real(loop, log, module(config)).with(time,
                     orders == null ? null : orders.keeper(operator.orders(), config.settings(), time))
-                    .observed(recorder));
+                    .observed(recorder).traced(trace));
         } catch (UncheckedIOException e) {
             System.err.println("kitemux: TMPDIR cannot be used: " + e.getMessage());
             System.exit(2);
@@ -299,6 +310,9 @@
                     empty.await();
                 }
                 captureEnds.run();
+                if (trace != null) {
+                    trace.close();
+                }
                 if (journal != null) {
                     // What the last answers told is still on its way to the disk.
                     journal.close();
@@ -322,6 +336,17 @@
         return reload;
     }
 
+    /** Begins the trace; where its folder cannot be used the program ends. */
+    private static RequestTrace trace(TraceSettings settings, NodeConfig config, LoopTime time, Log log) {
+        try {
+            return RequestTrace.open(settings, "node-" + config.listen().getPort(), time, log::line);
+        } catch (IOException e) {
+            System.err.println("kitemux: trace.folder cannot be used: " + e.getMessage());
+            System.exit(2);
+            throw new IllegalStateException("the process has ended", e);
+        }
+    }
+
     private static Capture capture(LoadSettings settings, NodeConfig config, Log log) throws IOException {
         return new Capture(settings, config.listen().getHostString() + ":" + config.listen().getPort(),
                 config.settings().classes.stream().map(Balancer.RequestClass::name).toList(),
--- a/src/main/java/kitemux/world/NodeHost.java
+++ b/src/main/java/kitemux/world/NodeHost.java
@@ -15,6 +15,7 @@
 import kitemux.ServiceQBalancer;
 import kitemux.engine.Log;
 import kitemux.engine.Observer;
+import kitemux.http.ConnectionObserver;
 import kitemux.net.HostList;
 import kitemux.net.LoopTime;
 import kitemux.node.Node;
@@ -102,7 +103,7 @@
         loop = new WorldLoop(world.time, machine, new Random(random.nextLong()));
         network = new WorldNetwork(world.fabric, machine, loop, this::soon, world.defect);
         Node.Parts parts = new Node.Parts(network, LoopTime.startingAt(loop, world.unixUs()),
-                new TapeLog(), Observer.NONE,
+                new TapeLog(), Observer.NONE, ConnectionObserver.NONE,
                 new DiskGate(loop, world.time, settings, world.plan.seed()),
                 actions -> {
                     checked = new Checked(world.judge, world.tape, actions,
--- a/src/test/java/kitemux/node/UnsoundNode.java
+++ b/src/test/java/kitemux/node/UnsoundNode.java
@@ -20,6 +20,7 @@
 import kitemux.engine.Transport;
 import kitemux.fleet.BudgetsByNode;
 import kitemux.http.ClientRequest;
+import kitemux.http.ConnectionObserver;
 import kitemux.net.LoopTime;
 import kitemux.net.NioNetwork;
 import kitemux.net.PollingLoop;
@@ -55,7 +56,7 @@
             case SENDS_ON_LATE -> new LateSender(loop, true).in(sound);
             case NEVER_ANSWERS -> new LateSender(loop, false).in(sound);
             case BUDGETS_BY_NODE -> new Node.Parts(NioNetwork.SYSTEM, LoopTime.of(loop), sound.log(),
-                    Observer.NONE, SendGate.open(), actions -> BudgetsByNode.module(config.settings(),
+                    Observer.NONE, ConnectionObserver.NONE, SendGate.open(), actions -> BudgetsByNode.module(config.settings(),
                             config.seed(), actions, Double.parseDouble(args[1])), sound.transport());
         };
         new Node(config, loop, parts).start().sync();
@@ -77,7 +78,8 @@
         }
 
         Node.Parts in(Node.Parts sound) {
-            return new Node.Parts(sound.network(), sound.time(), sound.log(), this, sound.gate(),
+            return new Node.Parts(sound.network(), sound.time(), sound.log(), this, sound.connections(),
+                    sound.gate(),
                     actions -> around(sound.module().apply(actions)), to -> {
                         transport = to;
                         return to;
--- a/src/test/java/kitemux/world/CrowdedDiscoveryTest.java
+++ b/src/test/java/kitemux/world/CrowdedDiscoveryTest.java
@@ -30,6 +30,7 @@
 import kitemux.engine.Log;
 import kitemux.engine.Observer;
 import kitemux.engine.SendGate;
+import kitemux.http.ConnectionObserver;
 import kitemux.net.HostList;
 import kitemux.net.LoopTime;
 import kitemux.node.Node;
@@ -154,7 +155,7 @@
                     256, 1_000_000, Path.of(""), known, settings);
             Node.Parts parts = new Node.Parts(
                     new WorldNetwork(fabric, machine, loop, this::soon, Defect.NONE),
-                    LoopTime.startingAt(loop, UNIX_US + time.nowUs()), SILENT, Observer.NONE,
+                    LoopTime.startingAt(loop, UNIX_US + time.nowUs()), SILENT, Observer.NONE, ConnectionObserver.NONE,
                     SendGate.open(), actions -> noting(as.apply(
                             new ServiceQBalancer(settings, config.seed(), actions), actions)),
                     UnaryOperator.identity());
