--- /dev/null
+++ b/src/test/java/kitemux/node/NodeProcess.java
@@ -0,0 +1,136 @@
+package kitemux.node;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+import kitemux.cli.Main;
+
+/** A process that runs {@code kitemux node}, with a trace of its requests and an address for operators. */
+final class NodeProcess implements AutoCloseable {
+    private static final int MOST_S = 25;
+
+    final Process process;
+    final Queue<String> lines = new ConcurrentLinkedQueue<>();
+    private final InetSocketAddress clients;
+    private final InetSocketAddress operators;
+    private final CountDownLatch listening = new CountDownLatch(1);
+    private final Path traces;
+
+    private NodeProcess(Process process, InetSocketAddress clients, InetSocketAddress operators,
+            Path traces) {
+        this.process = process;
+        this.clients = clients;
+        this.operators = operators;
+        this.traces = traces;
+        Thread reader = new Thread(this::read, "lines of " + process.pid());
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    /** Keeps a port for processes that are yet to listen on it. */
+    static SocketChannel holder() throws IOException {
+        return SocketChannel.open().setOption(StandardSocketOptions.SO_REUSEADDR, true)
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    /**
+     * Starts a process; it does not listen yet.
+     *
+     * @param folder shared by all processes of one node
+     * @param deadlineMs the longest deadline of any class
+     * @param servers the servers that it knows, s0, s1, ...
+     */
+    static NodeProcess start(Path folder, SocketChannel clientsAt, SocketChannel operatorsAt, long deadlineMs,
+            FarServer... servers) throws IOException {
+        InetSocketAddress clients = (InetSocketAddress) clientsAt.getLocalAddress();
+        InetSocketAddress operators = (InetSocketAddress) operatorsAt.getLocalAddress();
+        String[] entries = new String[servers.length];
+        for (int i = 0; i < servers.length; i++) {
+            entries[i] = "s" + i + "=" + servers[i].endpoint() + "=Ready";
+        }
+        Path config = Files.writeString(folder.resolve("config-" + operators.getPort() + ".json"), """
+                {"listen":"127.0.0.1:%d","mgmt":"127.0.0.1:%d","discovery":"127.0.0.1:9","seed":"1",
+                 "limits":{"sockets":1024},"known":%s,
+                 "settings":{"membershipMode":"on_request","limits":{"attemptsCap":2},
+                  "classes":[{"name":"page","onTimeUs":%d,"giveUpUs":%d,"repeat":"safe"}]}}
+                """.formatted(clients.getPort(), operators.getPort(),
+                Site.list(1, true, entries).replace("\"here\"", "\"\""), deadlineMs * 500,
+                deadlineMs * 1_000));
+        Path traces = folder.resolve("traces");
+        Path settings = Files.writeString(folder.resolve("settings.json"),
+                "{\"trace\":{\"folder\":\"%s\"}}".formatted(traces));
+        ProcessBuilder builder = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(),
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                Main.class.getName(), "node");
+        builder.environment().put("PROXY_CONFIG", config.toString());
+        builder.environment().put("KITEMUX_SETTINGS", settings.toString());
+        builder.environment().put("TMPDIR", folder.toString());
+        return new NodeProcess(builder.redirectErrorStream(true).start(), clients, operators, traces);
+    }
+
+    private void read() {
+        try (BufferedReader from = process.inputReader()) {
+            from.lines().forEach(line -> {
+                lines.add(line);
+                if (line.contains("listening on ")) {
+                    listening.countDown();
+                }
+            });
+        } catch (IOException | UncheckedIOException e) {
+            lines.add("its output broke: " + e);
+        }
+    }
+
+    NodeProcess awaitListening() throws InterruptedException {
+        assertTrue(listening.await(MOST_S, TimeUnit.SECONDS), () -> "it never listens: " + lines);
+        return this;
+    }
+
+    /** Returns once operators are told that it takes clients. */
+    void awaitReady() throws IOException {
+        int status;
+        do {
+            try (Socket caller = new Socket(operators.getAddress(), operators.getPort())) {
+                Site.write(caller, "GET /ops/readiness HTTP/1.1\r\nHost: ops\r\n\r\n");
+                status = Http.read(caller.getInputStream()).status();
+            }
+        } while (status != 200);
+    }
+
+    Socket connect() throws IOException {
+        Socket client = new Socket(clients.getAddress(), clients.getPort());
+        client.setTcpNoDelay(true);
+        client.setSoTimeout((int) TimeUnit.SECONDS.toMillis(MOST_S));
+        return client;
+    }
+
+    /** What this process has traced so far. */
+    List<String> trace() throws IOException {
+        try (Stream<Path> files = Files.list(traces)) {
+            Path file = files.filter(each -> each.toString().endsWith("-" + process.pid() + ".trace"))
+                    .findFirst().orElseThrow();
+            return Files.readAllLines(file);
+        }
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly().onExit().orTimeout(MOST_S, TimeUnit.SECONDS).join();
+    }
+}
