Close the clients' listener so that no completed connection is reset with it

Cause, two faults of one path (ClientServer.closeOnceNoneComes and Netty's close of a registered NIO channel). The JDK closes the socket of a channel that is registered with a selector only at the selector's next look: until then the system completes connections that nobody accepts, and resets them. And the listener waited for 10 ms without a new connection: with a steady stream it never closed, up to SIGKILL.

ClientServerTest's stream of connections found the old listener open after 5 s.

Change: the listener leaves the selector first, then accepts all that waits and closes the socket in one go; nothing is waited for but room. The same contract in the virtual world's listener. What can still be reset is what comes up in the microseconds between the last accept and the close.

--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -330,15 +330,13 @@
         draining = true;
         replaced = byAnother;
         whenEmpty = whenDone;
-        loop.schedule(() -> closeOnceNoneComes(-1), replaced ? 0 : Limits.ARRIVING_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::closeListener, replaced ? 0 : Limits.ARRIVING_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** The system resets connections that wait to be taken as the listener closes, and requests with
-     * them: a loop that is behind takes them first. */
-    private void closeOnceNoneComes(long takenBefore) {
-        if (taken != takenBefore || !listening.config().isAutoRead()) {
-            long now = taken;
-            loop.schedule(() -> closeOnceNoneComes(now), LoopTime.BEAT_MS, TimeUnit.MILLISECONDS);
+    /** What waits for room would be reset with the listener: that has to be taken first. */
+    private void closeListener() {
+        if (!listening.config().isAutoRead()) {
+            loop.schedule(this::closeListener, LoopTime.BEAT_MS, TimeUnit.MILLISECONDS);
             return;
         }
         listening.close().addListener(done -> {
--- a/src/main/java/kitemux/net/ClientListener.java
+++ b/src/main/java/kitemux/net/ClientListener.java
@@ -2,14 +2,21 @@
 
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 
 /** Listens for clients, whose connections can be asked whether anything has come that was not read yet. */
 final class ClientListener extends NioServerSocketChannel {
+    /** For the loop to look at its sockets once more. */
+    private static final long TURN_MS = 1;
+
     private final Network.Gate gate;
 
     ClientListener(Network.Gate gate) {
@@ -27,6 +34,42 @@
         return 1;
     }
 
+    @Override
+    public ChannelFuture close() {
+        return close(newPromise());
+    }
+
+    /**
+     * Closes once the selector has let go of the socket, in one of the loop's next turns. What is still
+     * registered is closed by the selector's next look only: until then connections come up, and are reset.
+     */
+    @Override
+    public ChannelFuture close(ChannelPromise promise) {
+        if (isRegistered()) {
+            deregister().addListener(done -> closeOnceReleased(promise));
+            return promise;
+        }
+        return super.close(promise);
+    }
+
+    private void closeOnceReleased(ChannelPromise promise) {
+        if (javaChannel().isRegistered()) {
+            eventLoop().schedule(() -> closeOnceReleased(promise), TURN_MS, TimeUnit.MILLISECONDS);
+        } else {
+            super.close(promise);
+        }
+    }
+
+    /** Accepts what waits, as far as the gate allows, and closes: the system resets the rest. */
+    @Override
+    protected void doClose() throws Exception {
+        List<Object> accepted = new ArrayList<>(1);
+        while (isActive() && doReadMessages(accepted) > 0) {
+            pipeline().fireChannelRead(accepted.remove(0));
+        }
+        super.doClose();
+    }
+
     /** A client's socket. */
     static final class Accepted extends NioSocketChannel implements QuietChannel {
 
--- a/src/main/java/kitemux/net/Network.java
+++ b/src/main/java/kitemux/net/Network.java
@@ -15,7 +15,10 @@
         void taken();
     }
 
-    /** A channel that listens; those that it takes in are {@link QuietChannel}s. */
+    /**
+     * A channel that listens; those that it takes in are {@link QuietChannel}s. As it closes it first takes in
+     * what waits, as far as the gate allows.
+     */
     ServerChannel listener(Gate gate);
 
     /** A channel to a server or to discovery, not yet connected. */
--- a/src/main/java/kitemux/world/WorldListener.java
+++ b/src/main/java/kitemux/world/WorldListener.java
@@ -66,10 +66,14 @@
         };
     }
 
-    /** What the machine took in and the process did not is reset with the listener. */
+    /** What the machine took in and the gate keeps out is reset with the listener. */
     @Override
     protected void doClose() {
         if (open) {
+            while (bound && !backlog.isEmpty() && gate.mayTake()) {
+                gate.taken();
+                pipeline().fireChannelRead(network.accept(this, backlog.poll()));
+            }
             open = false;
             network.closed(this);
             network.machine().acceptor = null;
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
@@ -184,6 +185,28 @@
         }
     }
 
+    /** Guards against a listener that stays open for as long as new connections keep coming. */
+    @Test
+    void aReplacedNodeClosesItsListenerHoweverManyConnectionsCome() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+            site.sockets = 1_024;
+            site.start(server);
+            CountDownLatch done = new CountDownLatch(1);
+            site.node.drain(true, done::countDown);
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+            boolean listens = true;
+            while (listens) {
+                assertTrue(System.nanoTime() < until, "it still listens");
+                try (Socket client = site.connect()) {
+                    assertEquals(200, Site.ask(client, "GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status());
+                } catch (ConnectException e) {
+                    listens = false;
+                }
+            }
+            assertTrue(done.await(20, TimeUnit.SECONDS));
+        }
+    }
+
     @Test
     void aDrainingNodeSaysSoServesWhatItHasAndEnds() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
