Take no connection for older than the listener that it came to

What callers saw: the first request after a start refused with 503 as too old, where the loop was held up before it listened. Seen once in seven runs of BacklogTest.aLoopThatWasHeldUpSaysSoAndOneThatKeepsUpDoesNot.

Cause: ClientServer.earliestUs takes the time since the poll before this one for what a connection may have waited. In the first turn of a listener that poll lies before the listener, so that a hold-up of 2 s in between made the request 2 s old.

Change: earliestUs begins at the listener's opening. The new test forces the order (held up for 1 s, then listening, connecting and writing in one turn); it failed with 503 before and BacklogTest passes since, four times of four.

--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -51,6 +51,8 @@
     /** All others, the longest unused first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
     private Channel listening;
+    /** No connection can have come up before. */
+    private long listeningSinceUs;
     /** Since when some that have come up may wait to be taken in; without end if all were taken. */
     private long waitingSinceUs = Long.MAX_VALUE;
     private int takenInTurn;
@@ -108,6 +110,7 @@
      * @param shared whether another process may listen at the same address
      */
     public ChannelFuture listen(InetSocketAddress address, boolean shared) {
+        listeningSinceUs = time.nowUs();
         ServerBootstrap listener = new ServerBootstrap();
         if (shared) {
             listener.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
@@ -167,7 +170,7 @@
 
     /** The earliest that a connection that is taken in now may have come up. */
     private long earliestUs() {
-        long earliest = Math.min(waitingSinceUs, time.nowUs() - time.unreadUs());
+        long earliest = Math.max(listeningSinceUs, Math.min(waitingSinceUs, time.nowUs() - time.unreadUs()));
         if (takenInTurn++ == 0) {
             // In the same turn, behind all that is taken in in it.
             loop.execute(() -> {
--- a/src/test/java/kitemux/node/BacklogTest.java
+++ b/src/test/java/kitemux/node/BacklogTest.java
@@ -7,6 +7,7 @@
 import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,6 +15,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -28,6 +30,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 
@@ -372,6 +375,26 @@
         return line.startsWith("loop held up for ") ? Long.parseLong(line.split(" ")[4]) : -1;
     }
 
+    /** Guards against first requests that are refused as old since the loop was held up before it listened. */
+    @Test
+    void whatComesToANewListenerIsNoOlderThanTheListener() throws Exception {
+        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+            NodeConfig config = site.config(Site.list(1, true, "s0=" + server.endpoint() + "=Ready"));
+            CompletableFuture<Socket> client = new CompletableFuture<>();
+            site.loop.execute(() -> {
+                parkFor(1_000);
+                Node node = new Node(config, site.loop, Node.Parts.real(site.loop, site.log, site.module));
+                node.start().addListener(opened -> {
+                    InetSocketAddress at = (InetSocketAddress) ((ChannelFuture) opened).channel().localAddress();
+                    Socket first = new Socket(at.getAddress(), at.getPort());
+                    Site.write(first, Http.page("first"));
+                    client.complete(first);
+                });
+            });
+            assertEquals(200, Http.read(client.get().getInputStream()).status());
+        }
+    }
+
     @Test
     void aLoopThatWasHeldUpSaysSoAndOneThatKeepsUpDoesNot() throws Exception {
         BlockingQueue<String> lines = new LinkedBlockingQueue<>();
