Count a listener's age from its bind on the loop, not from the call that asks for it

Change: the time is taken as the bind is done, on the loop. The test now holds the loop up between the call and the bind, which is the order that failed.

--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -110,7 +110,6 @@
      * @param shared whether another process may listen at the same address
      */
     public ChannelFuture listen(InetSocketAddress address, boolean shared) {
-        listeningSinceUs = time.nowUs();
         ServerBootstrap listener = new ServerBootstrap();
         if (shared) {
             listener.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
@@ -133,6 +132,7 @@
                     }
                 }).bind(address);
         listening = opening.channel();
+        opening.addListener(opened -> listeningSinceUs = time.nowUs());
         return opening;
     }
 
--- a/src/test/java/kitemux/node/BacklogTest.java
+++ b/src/test/java/kitemux/node/BacklogTest.java
@@ -381,16 +381,16 @@
         try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
             NodeConfig config = site.config(Site.list(1, true, "s0=" + server.endpoint() + "=Ready"));
             CompletableFuture<Socket> client = new CompletableFuture<>();
-            site.loop.execute(() -> {
-                parkFor(1_000);
-                Node node = new Node(config, site.loop, Node.Parts.real(site.loop, site.log, site.module));
-                node.start().addListener(opened -> {
-                    InetSocketAddress at = (InetSocketAddress) ((ChannelFuture) opened).channel().localAddress();
-                    Socket first = new Socket(at.getAddress(), at.getPort());
-                    Site.write(first, Http.page("first"));
-                    client.complete(first);
-                });
+            CountDownLatch release = holdUp(site.loop);
+            Node node = new Node(config, site.loop, Node.Parts.real(site.loop, site.log, site.module));
+            node.start().addListener(opened -> {
+                InetSocketAddress at = (InetSocketAddress) ((ChannelFuture) opened).channel().localAddress();
+                Socket first = new Socket(at.getAddress(), at.getPort());
+                Site.write(first, Http.page("first"));
+                client.complete(first);
             });
+            parkFor(1_000);
+            release.countDown();
             assertEquals(200, Http.read(client.get().getInputStream()).status());
         }
     }
