End every request that a process holds before the earliest SIGKILL

Cause: the end of the process was in no deadline. After SIGTERM ClientServer.drain kept unused connections open for Limits.LEAVING_MS = 1.5 s, and Engine.take gave each request its client's whole time, also where SIGKILL comes earlier: the longest deadline + 0.7 s after SIGTERM. With a longest deadline of 1 s that is 0.2 s behind the close of unused connections. Class of bug: a deadline that is local to each part, where the process has one for all.

Change: ShutdownSchedule, one record, has the three instants that all parts read: SIGKILL at the earliest, less 0.15 s for a late signal and 0.15 s for a late loop, is when all is answered; unused connections close 0.4 s before that, or 1.5 s after SIGTERM, whichever is earlier. Engine.answerAllBy caps each deadline with it, and answers what is left then: refused if nothing was sent, failed if an attempt may have run. What is read later is refused, what came in part is told so. ShutdownPhase is the state machine, its transitions a table.

Why this works: no answer depends on a server, a client or a crowd any more, only on the loop being at most 0.15 s late. What it costs: requests that come in the last 0.4 s + their time before SIGKILL may fail where a server answers late.

Failed try: with the old wait for a quiet listener NodeTest's second process was refused by a listener that never closed.

--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -53,6 +53,8 @@
     private Time.Timer wake;
     private long wakeAtUs;
     private boolean closed;
+    /** Every request has its final answer by then: the process ends. Without end while it serves. */
+    private long answerByUs = Long.MAX_VALUE;
 
     /** Something to tell the module, the request that it is about, or null, and what is to be done where the
      * module does not get through with it. */
@@ -176,7 +178,8 @@
         if (!openTxns.add(request.txn())) {
             return null;
         }
-        Held<Q, A> taken = new Held<>(++lastId, request, client, time.nowUs() + request.leftUs());
+        long deadlineUs = Math.min(time.nowUs() + request.leftUs(), answerByUs);
+        Held<Q, A> taken = new Held<>(++lastId, request, client, deadlineUs);
         held.put(taken.id, taken);
         observer.taken(taken.id, request);
         return taken;
@@ -207,6 +210,33 @@
         });
     }
 
+    /**
+     * Every request that is held then, and every one that is taken from now on, has its final answer by this
+     * time; an answer that has begun to be passed on goes on.
+     */
+    public void answerAllBy(long atUs) {
+        answerByUs = atUs;
+        time.after(Math.max(0, atUs - time.nowUs()), () -> List.copyOf(held.values()).forEach(this::answerNow));
+    }
+
+    private void answerNow(Held<Q, A> request) {
+        tell(request, () -> {
+            if (request.ended || request.answering != null) {
+                return;
+            }
+            if (request.attempts.stream().anyMatch(Attempt::mayHaveRun)) {
+                end(request, Observer.Answer.FAILED);
+                request.client.failed();
+            } else {
+                end(request, Observer.Answer.REFUSED);
+                request.client.refused(0);
+            }
+            balancer.onClientGone(time.nowUs(), request.id);
+            withdraw(request);
+            forgetIfOver(request);
+        });
+    }
+
     /**
      * Takes back what was never sent of a request that is over: what stands at the gate, and what a
      * connection is being opened for. The settings may forbid to call off what a server has; it has none of
--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -354,7 +354,7 @@
                         NO_BODY, 0);
             } else if (RequestReader.isRequestPath(path)) {
                 ClientRequest request = reader.read(next.head, next.body, time.nowUs() - next.cameUs);
-                if (turnedAway) {
+                if (turnedAway || server.isAnsweringRest()) {
                     // Never sent anywhere, so that trying again does no harm.
                     server.turnedAway(request);
                     refused(reader.retryAfterUs());
@@ -568,6 +568,13 @@
         }
     }
 
+    /** What has come in part is refused: its rest would come too late. */
+    void refusePartial() {
+        if (reading && !busy && waiting.isEmpty() && !deaf) {
+            turnDown(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
+    }
+
     long number() {
         return number;
     }
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -62,12 +62,11 @@
     private boolean leftInTurn;
     /** How many connections were ever taken in. */
     private long taken;
-    private boolean draining;
+    private ShutdownPhase phase = ShutdownPhase.SERVING;
     /** A process that takes this one's place listens too: what the front is told is of both. */
     private boolean replaced;
     /** Since when clients are sent away by hand, on the loop's clock; without end if they are not. */
     private long awaySinceUs = Long.MAX_VALUE;
-    private boolean closed;
     private Runnable whenEmpty = () -> { };
 
     private final Network.Gate gate = new Network.Gate() {
@@ -296,19 +295,22 @@
     /** Ends what has taken too long on the clients' part. */
     public void closeOld() {
         all().forEach(ClientConnection::closeIfLate);
-        if (awaySinceUs != Long.MAX_VALUE && time.nowUs() - awaySinceUs >= Limits.LEAVING_MS * 1_000) {
+        if (phase.compareTo(ShutdownPhase.CLOSING_IDLE) >= 0) {
+            closeUnused(Limits.FRESH_MS, CloseReason.SHUTDOWN);
+        } else if (awaySinceUs != Long.MAX_VALUE
+                && time.nowUs() - awaySinceUs >= Limits.LEAVING_MS * 1_000) {
             closeUnused(Limits.UNUSED_MS, CloseReason.SENT_AWAY);
         }
     }
 
     /** Whether each answer ends its connection. */
     boolean endsConnections() {
-        return draining || awaySinceUs != Long.MAX_VALUE;
+        return phase != ShutdownPhase.SERVING || awaySinceUs != Long.MAX_VALUE;
     }
 
     /** Whether the front may deal out clients to this address. */
     public boolean isUp() {
-        return awaySinceUs == Long.MAX_VALUE && (!draining || replaced);
+        return awaySinceUs == Long.MAX_VALUE && (phase == ShutdownPhase.SERVING || replaced);
     }
 
     /**
@@ -322,35 +324,63 @@
     }
 
     /**
-     * No longer ready: new connections are served while the front may still deal them out, every answer
-     * ends its connection, and then all that is idle is closed.
+     * Ends the clients' side by this schedule: every answer ends its connection from now on, the listener and
+     * then all unused connections are closed, and what is held at the end is answered.
      *
-     * @param byAnother another process listens at the same address: new connections are its own from now on,
-     *     and those that are open may be used for a while
+     * @param byAnother another process listens at the same address, and the front is to be told yes
      * @param whenDone called once no connection is left and none can come
      */
-    public void drain(boolean byAnother, Runnable whenDone) {
-        draining = true;
+    public void shutDown(ShutdownSchedule schedule, boolean byAnother, Runnable whenDone) {
         replaced = byAnother;
         whenEmpty = whenDone;
-        loop.schedule(this::closeListener, replaced ? 0 : Limits.ARRIVING_MS, TimeUnit.MILLISECONDS);
+        enter(ShutdownPhase.LAME_DUCK);
+        at(schedule.listenUntilUs(), this::closeListener);
+        at(schedule.idleUntilUs(), this::closeIdle);
+        at(schedule.answerByUs(), this::answerRest);
+        engine.answerAllBy(schedule.answerByUs());
     }
 
-    /** What waits for room would be reset with the listener: that has to be taken first. */
+    private void at(long us, Runnable task) {
+        loop.schedule(task, Math.max(0, us - time.nowUs()), TimeUnit.MICROSECONDS);
+    }
+
+    private void enter(ShutdownPhase next) {
+        if (!phase.next().contains(next)) {
+            throw new IllegalStateException("shutdown from " + phase + " to " + next);
+        }
+        phase = next;
+        observer.shutdown(next);
+    }
+
+    /** What waits for room would be reset with the listener: that has to be taken first, while there is time. */
     private void closeListener() {
-        if (!listening.config().isAutoRead()) {
+        if (!listening.config().isAutoRead() && phase.compareTo(ShutdownPhase.ANSWERING_REST) < 0) {
             loop.schedule(this::closeListener, LoopTime.BEAT_MS, TimeUnit.MILLISECONDS);
             return;
         }
-        listening.close().addListener(done -> {
-            closed = true;
-            // A request that crosses the end of its connection is asked again, and each costs its client
-            // time: with a successor there is time for clients to come once more and hear of the end.
-            loop.schedule(() -> {
-                closeUnused(0, CloseReason.SHUTDOWN);
-                tellIfEmpty();
-            }, replaced ? Limits.LEAVING_MS : 0, TimeUnit.MILLISECONDS);
-        });
+        // Those that it accepted at the last are known behind this.
+        listening.close().addListener(done -> loop.execute(this::tellIfEmpty));
+    }
+
+    private void closeIdle() {
+        enter(ShutdownPhase.CLOSING_IDLE);
+        closeUnused(0, CloseReason.SHUTDOWN);
+        tellIfEmpty();
+    }
+
+    /** The engine answers what it holds in this turn; what is still to be read is refused from now on. */
+    private void answerRest() {
+        if (phase != ShutdownPhase.CLOSED) {
+            enter(ShutdownPhase.ANSWERING_REST);
+            closeUnused(0, CloseReason.SHUTDOWN);
+            all().forEach(ClientConnection::refusePartial);
+            tellIfEmpty();
+        }
+    }
+
+    /** Whether requests are refused as no answer could come in time any more. */
+    boolean isAnsweringRest() {
+        return phase == ShutdownPhase.ANSWERING_REST;
     }
 
     /** What has come is served, and its answer ends the connection; all else is closed. */
@@ -369,7 +399,9 @@
     }
 
     private void tellIfEmpty() {
-        if (closed && all().isEmpty()) {
+        boolean mayEnd = phase == ShutdownPhase.CLOSING_IDLE || phase == ShutdownPhase.ANSWERING_REST;
+        if (mayEnd && !listening.isOpen() && all().isEmpty()) {
+            enter(ShutdownPhase.CLOSED);
             whenEmpty.run();
         }
     }
--- a/src/main/java/kitemux/http/ConnectionObserver.java
+++ b/src/main/java/kitemux/http/ConnectionObserver.java
@@ -16,6 +16,9 @@
     /** A request with this id was read whole and is served from now on. */
     default void requested(long connection, String txn) { }
 
+    /** A phase of the shutdown begins. */
+    default void shutdown(ShutdownPhase phase) { }
+
     /** A connection has ended. */
     default void closed(long connection, CloseReason reason) { }
 }
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -40,6 +40,7 @@
 import kitemux.http.ConnectionObserver;
 import kitemux.http.HttpServers;
 import kitemux.http.RequestReader;
+import kitemux.http.ShutdownSchedule;
 import kitemux.net.HostList;
 import kitemux.net.LoopTime;
 import kitemux.net.Network;
@@ -304,9 +305,11 @@
         Opening opening = new Opening(node::start);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
+                long signalUs = time.nowUs();
                 if (opening.end()) {
                     CountDownLatch empty = new CountDownLatch(1);
-                    node.drain(node.operations != null && node.operations.isReplaced(), empty::countDown);
+                    node.drain(signalUs, node.operations != null && node.operations.isReplaced(),
+                            empty::countDown);
                     empty.await();
                 }
                 captureEnds.run();
@@ -474,7 +477,19 @@
      * @param replaced whether another process takes clients at the same address
      */
     public void drain(boolean replaced, Runnable whenEmpty) {
-        loop.execute(() -> clients.drain(replaced, whenEmpty));
+        drain(time.nowUs(), replaced, whenEmpty);
+    }
+
+    /**
+     * The same.
+     *
+     * @param signalUs when the process learned that it has to end
+     */
+    private void drain(long signalUs, boolean replaced, Runnable whenEmpty) {
+        long longestUs = config.settings().classes.stream().mapToLong(Balancer.RequestClass::deadlineUs)
+                .max().orElse(0);
+        ShutdownSchedule schedule = ShutdownSchedule.of(signalUs, longestUs, replaced);
+        loop.execute(() -> clients.shutDown(schedule, replaced, whenEmpty));
     }
 
     /** Lets go of all sockets and timers at once. */
--- a/src/main/java/kitemux/telemetry/RequestTrace.java
+++ b/src/main/java/kitemux/telemetry/RequestTrace.java
@@ -14,6 +14,7 @@
 import kitemux.engine.Time;
 import kitemux.http.CloseReason;
 import kitemux.http.ConnectionObserver;
+import kitemux.http.ShutdownPhase;
 
 /**
  * Writes a line for each step of each request and connection: accepted, requested, attempts with their servers
@@ -69,6 +70,11 @@
         line("connection " + connection + " closed " + reason);
     }
 
+    @Override
+    public void shutdown(ShutdownPhase phase) {
+        line("shutdown " + phase);
+    }
+
     @Override
     public void taken(long id, Asked request) {
         txns.put(id, request.txn());
