Answer all that was sent ahead before a shutdown ends its connection

What callers saw: of requests sent one behind another on a connection, all but the first closed without an answer where the process was told to end.

Cause: ClientConnection.sayIfLast marked the first answer as the connection's last whatever had been read behind it; served() already knew better for long answers.

Change: the answer that ends the connection is the last of those that are owed. The engine's end of shutdown bounds it, as for any other request.

ClientServerTest.aNodeThatIsToldToEndAnswersAllThatWasSentAhead failed before (Connection: close on the first of three); ClientServerTest, EndingsTest and OperatorsTest pass. Connections taken beyond the room (crowded) still end with their first answer, as stated there.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -495,7 +495,9 @@
     }
 
     private void sayIfLast(HttpResponse response) {
-        if (!keepAlive || crowded || server.endsConnections()) {
+        // What was sent ahead is owed its answer, too.
+        boolean more = !waiting.isEmpty() || ahead != null;
+        if (!keepAlive || crowded || server.endsConnections() && !more) {
             keepAlive = false;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -185,6 +185,29 @@
         }
     }
 
+    /** Guards against requests sent ahead that are read and dropped as the first answer ends the connection. */
+    @Test
+    void aNodeThatIsToldToEndAnswersAllThatWasSentAhead() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (FarServer server = FarServer.servingFrom(answer, "late"); Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            Site.write(client, Http.page("/api/x", "t0", "3000m") + Http.page("/api/x", "t1", "3000m")
+                    + Http.page("/api/x", "t2", "3000m"));
+            FarServer.next(server.requests);
+            CountDownLatch done = new CountDownLatch(1);
+            site.node.drain(true, done::countDown);
+            site.awaitNoneTaken();
+            answer.countDown();
+            for (int i = 0; i < 3; i++) {
+                Http.Message message = Http.read(client.getInputStream());
+                assertEquals("late", message.body());
+                assertEquals(i == 2 ? "close" : null, message.headers().get("connection"));
+            }
+            assertEquals(-1, client.getInputStream().read());
+            assertTrue(done.await(20, TimeUnit.SECONDS));
+        }
+    }
+
     /** Guards against a listener that stays open for as long as new connections keep coming. */
     @Test
     void aReplacedNodeClosesItsListenerHoweverManyConnectionsCome() throws Exception {
