Go on accepting within 10 ms where the system cannot hand a connection over

Each failure printed a stack trace by the network library's default handler, and its acceptor then stopped for 1 s.

Change: ClientListener counts a failed call to its gate, pauses for 10 ms (the selector would tell of it again at once) and goes on. ClientServer writes one line a second at most, with the count since the last.

Operators' listener has the library's handler still.

--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -1,5 +1,6 @@
 package kitemux.http;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.util.ArrayList;
@@ -34,6 +35,8 @@
 public final class ClientServer {
     /** Reads from one connection in a turn of the loop, Netty's usual number: then others have their turn. */
     private static final int READS = 16;
+    /** Between two lines that tell of connections that could not be accepted. */
+    private static final long ACCEPT_FAILURE_LINE_US = 1_000_000;
 
     private final EventLoopGroup loop;
     private final Network network;
@@ -56,6 +59,9 @@
     /** Since when some that have come up may wait to be taken in; without end if all were taken. */
     private long waitingSinceUs = Long.MAX_VALUE;
     private int takenInTurn;
+    /** Calls that could not accept a connection and that no line has told of. */
+    private long acceptFailures;
+    private long acceptFailureToldUs;
     /** What long bodies of requests take that have had no answer. */
     private long bodiesBytes;
     /** Whether some were left waiting in this turn for want of room. */
@@ -81,6 +87,16 @@
         public void taken() {
             sockets.clientTaken();
         }
+
+        @Override
+        public void failed(IOException cause) {
+            acceptFailures++;
+            if (time.nowUs() - acceptFailureToldUs >= ACCEPT_FAILURE_LINE_US) {
+                log.line("accept failed " + acceptFailures + " times: " + cause.getMessage());
+                acceptFailures = 0;
+                acceptFailureToldUs = time.nowUs();
+            }
+        }
     };
 
     /**
--- a/src/main/java/kitemux/net/ClientListener.java
+++ b/src/main/java/kitemux/net/ClientListener.java
@@ -13,11 +13,15 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 
 /** Listens for clients, whose connections can be asked whether anything has come that was not read yet. */
-final class ClientListener extends NioServerSocketChannel {
+class ClientListener extends NioServerSocketChannel {
     /** For the loop to look at its sockets once more. */
     private static final long TURN_MS = 1;
 
+    /** Between an accept that failed and the next. */
+    private static final long PAUSE_MS = 10;
+
     private final Network.Gate gate;
+    private boolean pausing;
 
     ClientListener(Network.Gate gate) {
         this.gate = gate;
@@ -25,7 +29,7 @@
 
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
-        SocketChannel socket = gate.mayTake() ? javaChannel().accept() : null;
+        SocketChannel socket = gate.mayTake() ? acceptOrPause() : null;
         if (socket == null) {
             return 0;
         }
@@ -34,6 +38,38 @@
         return 1;
     }
 
+    /** The system call; null if none waits. */
+    SocketChannel accept() throws IOException {
+        return javaChannel().accept();
+    }
+
+    /** A call that fails may do so for a while, and the selector would tell of it again at once. */
+    private SocketChannel acceptOrPause() {
+        try {
+            return accept();
+        } catch (IOException e) {
+            gate.failed(e);
+            pausing = true;
+            eventLoop().schedule(this::goOn, PAUSE_MS, TimeUnit.MILLISECONDS);
+            clearReadPending();
+            return null;
+        }
+    }
+
+    private void goOn() {
+        pausing = false;
+        if (isOpen() && config().isAutoRead()) {
+            read();
+        }
+    }
+
+    @Override
+    protected void doBeginRead() throws Exception {
+        if (!pausing) {
+            super.doBeginRead();
+        }
+    }
+
     @Override
     public ChannelFuture close() {
         return close(newPromise());
--- a/src/main/java/kitemux/net/Network.java
+++ b/src/main/java/kitemux/net/Network.java
@@ -1,5 +1,7 @@
 package kitemux.net;
 
+import java.io.IOException;
+
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.ServerChannel;
 
@@ -13,6 +15,9 @@
 
         /** One was taken; it will be heard of as a channel in the same turn of the loop. */
         void taken();
+
+        /** The system could not hand one over; the listener tries again within tens of milliseconds. */
+        void failed(IOException cause);
     }
 
     /**
--- a/src/test/java/kitemux/net/ClientListenerTest.java
+++ b/src/test/java/kitemux/net/ClientListenerTest.java
@@ -2,7 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -12,16 +14,26 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ServerChannel;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** The end of a listener, in the moment in which connections come up. */
 class ClientListenerTest {
+    /** Calls of accept that fail on end. */
+    private static final int FAILURES = 5;
+
+    /** Half of how long a listener stops that leaves it to the network library. */
+    private static final long STOPPED_NANOS = 500_000_000;
+
     private final SelectorLoop loop = SelectorLoop.open();
     private final Queue<SocketAddress> accepted = new ConcurrentLinkedQueue<>();
 
@@ -33,10 +45,13 @@
 
         @Override
         public void taken() { }
+
+        @Override
+        public void failed(IOException cause) { }
     };
 
-    private Channel listen() {
-        return new ServerBootstrap().group(loop).channelFactory(() -> NioNetwork.SYSTEM.listener(OPEN))
+    private Channel listen(ChannelFactory<ServerChannel> listener) {
+        return new ServerBootstrap().group(loop).channelFactory(listener)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -51,10 +66,50 @@
         loop.parent().shutdownGracefully(0, 5, TimeUnit.SECONDS).sync();
     }
 
+    /** Guards against a listener that stops for a second at each accept that fails. */
+    @Test
+    void anAcceptThatFailsForAWhileIsTriedAgainWithinTensOfMilliseconds() throws Exception {
+        AtomicInteger failures = new AtomicInteger();
+        CompletableFuture<Long> acceptedAtNanos = new CompletableFuture<>();
+        AtomicLong lastFailureNanos = new AtomicLong();
+        Network.Gate counting = new Network.Gate() {
+            @Override
+            public boolean mayTake() {
+                return true;
+            }
+
+            @Override
+            public void taken() {
+                acceptedAtNanos.complete(System.nanoTime());
+            }
+
+            @Override
+            public void failed(IOException cause) {
+                failures.incrementAndGet();
+                lastFailureNanos.set(System.nanoTime());
+            }
+        };
+        Channel listener = listen(() -> new ClientListener(counting) {
+            @Override
+            SocketChannel accept() throws IOException {
+                if (failures.get() < FAILURES) {
+                    throw new IOException("Too many open files in system");
+                }
+                return super.accept();
+            }
+        });
+        try (SocketChannel client = SocketChannel.open(listener.localAddress())) {
+            long pauseNanos = acceptedAtNanos.get(5, TimeUnit.SECONDS) - lastFailureNanos.get();
+            assertEquals(FAILURES, failures.get());
+            assertTrue(client.isConnected());
+            assertTrue(pauseNanos < STOPPED_NANOS, "accepted only after " + pauseNanos);
+        }
+    }
+
     /** Guards against connections that the system has completed and resets as their listener closes. */
     @Test
     void whatWaitsIsAcceptedAndNothingComesUpOnceTheListenerIsClosed() throws Exception {
-        Channel listener = listen();
+        Channel listener = listen(() -> NioNetwork.SYSTEM.listener(OPEN));
         SocketAddress at = listener.localAddress();
         try (SocketChannel waits = SocketChannel.open()) {
             CompletableFuture<Void> closed = new CompletableFuture<>();
