End a process whose start fails, instead of leaving it alive and deaf

Cause: Node.run let exceptions of the warm-up or the listener end the main thread; the loop's thread is no daemon. The network library throws checked exceptions (BindException) that no signature names, so catching RuntimeException alone did not do (tried first; the test still failed).

Also reproduced by hand with 10 and 11 descriptors (ulimit): "Failed to open a socket", alive after 4 s.

FailedStartTest (an address that the machine does not have) failed before: alive after 25 s. It and ReadinessTest pass. The start does not try again.

--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -67,6 +67,8 @@
     private static final long HELD_UP_US = 250_000;
     /** For an agent to tell what it has, which it does at once unless discovery is down. */
     private static final long FIRST_LIST_MS = 1_000;
+    /** The exit code of a process that could not start for another reason than its configuration. */
+    private static final int START_FAILED = 1;
 
     private final NodeConfig config;
     private final EventLoop loop;
@@ -240,6 +242,18 @@
 
     /** The same; lines for the operators go to this log once the configuration has been read. */
     public static Runnable run(Map<String, String> env, Log log) {
+        try {
+            return begin(env, log);
+        } catch (Exception | LinkageError e) {
+            // The loop's thread would keep a process alive that never listens. The network library throws
+            // what its futures fail with, also checked exceptions.
+            System.err.println("kitemux: the start failed: " + e);
+            System.exit(START_FAILED);
+            throw new IllegalStateException("the process has ended", e);
+        }
+    }
+
+    private static Runnable begin(Map<String, String> env, Log log) {
         // Else the network library looks for loggers that only other commands bring, and loads them.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         NodeConfig config;
