Add kitemux soak: seeded lives of a node's processes, with their own judge

Change: kitemux.soak plays real processes on loopback, behind a guard: upgrades (readiness, SIGTERM, SIGKILL the longest deadline + 0.7 s after it), restarts, kills, SIGTERM while a second process starts; SIGTERM twice, SIGHUPs around it; a longest deadline of 0.25 to 3.5 s; one or two of three servers hang from SIGTERM on. Of 40 clients 30 rest for up to 4.5 s and send together at a drawn instant; some leave while they wait. The judge knows clients, servers and traces only: lost, run twice, deadline told beyond what is left + 0.15 s, sent on after a leaving. Each finding has seed, command and the request's time-line.

A mode of drill was weighed: its clients and processes are built on one loop and one process a node, and have no second process at one address.

Not there yet: HCL, long bodies, sending ahead, discovery's faults, mutants.

--- a/src/main/java/kitemux/cli/Main.java
+++ b/src/main/java/kitemux/cli/Main.java
@@ -45,7 +45,7 @@
             subcommands = {NodeCommand.class, AdapterCommand.class, FaultsCommand.class, BenchCommand.class,
                 OrdersCommand.class, PlanCommand.class, LabCommand.class, LoadCommand.class,
                 ConfigCommand.class, SidecarCommand.class, TryCommand.class, DrillCommand.class,
-                ScaleCommand.class, KeepCommand.class})
+                ScaleCommand.class, KeepCommand.class, SoakCommand.class})
     static final class Kitemux implements Callable<Integer> {
         @Override
         public Integer call() {
--- /dev/null
+++ b/src/main/java/kitemux/cli/SoakCommand.java
@@ -0,0 +1,86 @@
+package kitemux.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.net.URISyntaxException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+
+import kitemux.soak.Soak;
+import kitemux.standin.Builds;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Plays upgrades, restarts and kills of a node's processes, and judges what clients and servers saw. */
+@Command(name = "soak", mixinStandardHelpOptions = true, description = {
+    "Plays the lives of a node's processes on loopback and judges that no request is lost, none is run twice,",
+    "no deadline is told too long and none is sent on after its client has left.",
+    "Exit code 0: nothing found; 1: something was, or the player was late; 2: the call cannot be used."})
+final class SoakCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--seed", defaultValue = "1", description = "first seed; default ${DEFAULT-VALUE}")
+    private long seed;
+
+    @Option(names = "--seeds", defaultValue = "1", description = "how many seeds; default ${DEFAULT-VALUE}")
+    private int seeds;
+
+    @Option(names = "--changes", defaultValue = "3",
+            description = "changes of processes in each seed; default ${DEFAULT-VALUE}")
+    private int changes;
+
+    @Option(names = "--upgrades", description = "upgrades alone; all kinds where it is not given")
+    private boolean upgrades;
+
+    @Option(names = "--jar", description = "the build whose node is played; this one where it is not given")
+    private Path jar;
+
+    @Option(names = "--no-trace", description = "the node of that build knows no trace: a request counts as read "
+            + "only where a server had it")
+    private boolean untraced;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        PrintWriter out = spec.commandLine().getOut();
+        boolean clean = true;
+        for (long one = seed; one < seed + seeds; one++) {
+            Path folder = Files.createTempDirectory("kitemux-soak");
+            Soak.Result result = Soak.play(() -> Builds.java(List.of(), played(), "node"),
+                    !untraced, one, upgrades, changes, folder);
+            print(out, result);
+            clean &= result.findings().isEmpty() && result.isPunctual();
+        }
+        return clean ? Main.DONE : Main.FOUND;
+    }
+
+    private void print(PrintWriter out, Soak.Result result) {
+        out.printf("seed %d: deadline %d ms, %d requests, %d SIGKILLs after SIGTERM, %d turned back unheard, "
+                + "player late by %d ms%s, %d findings%n", result.seed(), result.deadlineMs(), result.requests(),
+                result.sigkills(), result.turnedBack(), result.lateMs(),
+                result.isPunctual() ? "" : " (too late to rely on)",
+                result.findings().stream().filter(line -> !line.startsWith(" ")).count());
+        if (!result.findings().isEmpty()) {
+            out.printf("  kitemux soak --seed %d --changes %d%s%n", result.seed(), changes,
+                    upgrades ? " --upgrades" : "");
+            result.findings().forEach(line -> out.println("  " + line));
+        }
+        out.flush();
+    }
+
+    private Path played() {
+        if (jar != null) {
+            return jar;
+        }
+        try {
+            return Path.of(SoakCommand.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+        } catch (URISyntaxException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/soak/Message.java
@@ -0,0 +1,55 @@
+package kitemux.soak;
+
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * An HTTP/1.1 message with a length.
+ *
+ * @param start its first line
+ * @param headers by names in small letters
+ */
+record Message(String start, Map<String, String> headers) {
+
+    /** Reads one whole; its body is dropped. */
+    static Message read(InputStream in) throws IOException {
+        String start = line(in);
+        Map<String, String> headers = new TreeMap<>();
+        for (String line = line(in); !line.isEmpty(); line = line(in)) {
+            int colon = line.indexOf(':');
+            headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        if (in.readNBytes(length).length < length) {
+            throw new EOFException("message cut short");
+        }
+        return new Message(start, headers);
+    }
+
+    private static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int next = in.read(); next != '\n'; next = in.read()) {
+            if (next < 0) {
+                throw new EOFException("connection ended");
+            }
+            line.write(next);
+        }
+        return line.toString(StandardCharsets.UTF_8).stripTrailing();
+    }
+
+    /** The status of an answer. */
+    int status() {
+        return Integer.parseInt(start.split(" ")[1]);
+    }
+
+    /** Whether the sender ends the connection behind it. */
+    boolean isLast() {
+        return "close".equalsIgnoreCase(headers.get("connection"));
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/soak/SoakJudge.java
@@ -0,0 +1,87 @@
+package kitemux.soak;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Holds what clients, servers and traces saw against the platform's rules. It knows nothing of the node's code. */
+final class SoakJudge {
+    /** An attempt may tell its server so much more than is left to the client. */
+    private static final long DEADLINE_SLACK_US = 150_000;
+    /** An attempt may begin so long after its client has gone. */
+    private static final long GONE_SLACK_US = 100_000;
+
+    /** A process that was killed with no signal before: what it held is left to the client. Unix microseconds. */
+    record Killed(long atUs) { }
+
+    /** A rule that was broken, the request and what is known of it. */
+    record Finding(String rule, Request request, List<String> timeline) { }
+
+    private SoakJudge() { }
+
+    /**
+     * All that is broken.
+     *
+     * @param traces lines of all processes' traces
+     * @param killed processes that were killed with no SIGTERM before
+     */
+    static List<Finding> judge(Collection<Request> requests, Collection<SoakServer.Arrival> arrivals,
+            List<String> traces, List<Killed> killed) {
+        Map<String, List<SoakServer.Arrival>> byTxn = new HashMap<>();
+        arrivals.forEach(one -> byTxn.computeIfAbsent(one.txn(), txn -> new ArrayList<>()).add(one));
+        Set<String> read = new HashSet<>(byTxn.keySet());
+        Map<String, List<String>> lines = new HashMap<>();
+        for (String line : traces) {
+            String[] words = line.split(" ");
+            if (words.length > 2 && words[1].equals("request")) {
+                read.add(words[2]);
+                lines.computeIfAbsent(words[2], txn -> new ArrayList<>()).add(line);
+            }
+        }
+        List<Finding> found = new ArrayList<>();
+        for (Request request : requests) {
+            List<SoakServer.Arrival> attempts = byTxn.getOrDefault(request.txn(), List.of());
+            List<String> timeline = lines.getOrDefault(request.txn(), List.of());
+            String rule = broken(request, attempts, timeline, read.contains(request.txn()), killed);
+            if (rule != null) {
+                found.add(new Finding(rule, request, timeline));
+            }
+        }
+        return found;
+    }
+
+    private static String broken(Request request, List<SoakServer.Arrival> attempts, List<String> timeline,
+            boolean read, List<Killed> killed) {
+        boolean unanswered = request.outcome() == Request.Outcome.SILENT
+                || request.outcome() == Request.Outcome.BROKEN && read;
+        if (unanswered && killed.stream().noneMatch(kill -> request.sentUs() <= kill.atUs
+                && kill.atUs <= request.endedUs())) {
+            return "lost";
+        }
+        if (request.classIndex() == Request.UNSAFE && attempts.size() > 1) {
+            return "run twice";
+        }
+        if (attempts.stream().anyMatch(attempt -> attempt.remainingUs()
+                > request.sentUs() + request.remainingUs() - attempt.atUs() + DEADLINE_SLACK_US)) {
+            return "deadline told too long";
+        }
+        if (request.outcome() == Request.Outcome.LEFT && timeline.stream()
+                .filter(line -> line.contains(" attempt ") && line.contains(" us left"))
+                .anyMatch(line -> Long.parseLong(line.split(" ")[0]) > request.endedUs() + GONE_SLACK_US)) {
+            return "sent on after its client had left";
+        }
+        return null;
+    }
+
+    /** Requests whose connection ended before the node had read them: priced, and no rule. */
+    static long turnedBackUnheard(Collection<Request> requests, List<Finding> found) {
+        Set<String> lost = new HashSet<>();
+        found.forEach(finding -> lost.add(finding.request().txn()));
+        return requests.stream().filter(request -> request.outcome() == Request.Outcome.BROKEN)
+                .filter(request -> !lost.contains(request.txn())).count();
+    }
+}
--- /dev/null
+++ b/src/main/java/kitemux/soak/SoakNode.java
@@ -0,0 +1,128 @@
+package kitemux.soak;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import kitemux.lab.Guard;
+
+/** One process of the node that is played, behind a guard by which it does not outlive the soak. */
+final class SoakNode implements AutoCloseable {
+    /** SIGKILL comes so long after SIGTERM and the longest deadline, at the earliest. */
+    static final long KILL_AFTER_DEADLINE_MS = 700;
+    /** A longest deadline above this counts as this. */
+    static final long MOST_DEADLINE_MS = 3_000;
+    private static final long START_S = 30;
+
+    private final Process guard;
+    private final int operatorsPort;
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private final Queue<String> lines = new ConcurrentLinkedQueue<>();
+
+    private SoakNode(Process guard, int operatorsPort) {
+        this.guard = guard;
+        this.operatorsPort = operatorsPort;
+        Soak.daemon("lines of a node", this::read);
+    }
+
+    /**
+     * Starts a process.
+     *
+     * @param launcher the command of a node
+     * @param folder shared by all processes of the node
+     * @param traced whether it writes a trace to {@code traces} in the folder
+     */
+    static SoakNode start(ProcessBuilder launcher, Path folder, int clientsPort, int operatorsPort,
+            long deadlineMs, List<SoakServer> servers, boolean traced) throws IOException {
+        Path config = Files.writeString(folder.resolve("config-" + operatorsPort + ".json"),
+                config(clientsPort, operatorsPort, deadlineMs, servers));
+        launcher.environment().put("PROXY_CONFIG", config.toString());
+        launcher.environment().put("TMPDIR", folder.toString());
+        if (traced) {
+            Path settings = Files.writeString(folder.resolve("settings.json"),
+                    "{\"trace\":{\"folder\":\"%s\"}}".formatted(folder.resolve("traces")));
+            launcher.environment().put("KITEMUX_SETTINGS", settings.toString());
+        }
+        return new SoakNode(Guard.before(launcher).redirectErrorStream(true).start(), operatorsPort);
+    }
+
+    private static String config(int clientsPort, int operatorsPort, long deadlineMs, List<SoakServer> servers) {
+        String targets = IntStream.range(0, servers.size()).mapToObj(i -> ("{\"uid\":\"s%d\",\"endpoint\":"
+                + "\"127.0.0.1:%d\",\"az\":\"\",\"pod_group\":0,\"state\":\"Ready\",\"capacity_hint\":1.0,"
+                + "\"boot_ms\":0}").formatted(i, servers.get(i).address().getPort()))
+                .collect(Collectors.joining(","));
+        String classes = IntStream.range(0, Request.CLASSES.size()).mapToObj(i -> ("{\"name\":\"%s\","
+                + "\"onTimeUs\":%d,\"giveUpUs\":%d,\"repeat\":\"%s\",\"group\":\"all\",\"windowUs\":1200000}")
+                .formatted(Request.CLASSES.get(i), deadlineMs * 500, deadlineMs * 1_000,
+                        Request.REPEATS.get(i))).collect(Collectors.joining(","));
+        return """
+                {"listen":"127.0.0.1:%d","mgmt":"127.0.0.1:%d","discovery":"127.0.0.1:9","seed":"1",
+                 "limits":{"sockets":1024},"known":{"rev":1,"all":true,"targets":[%s]},
+                 "settings":{"membershipMode":"on_request","limits":{"attemptsCap":4,"cancelling":true,
+                  "parallelTries":true},"classes":[%s]}}
+                """.formatted(clientsPort, operatorsPort, targets, classes);
+    }
+
+    private void read() {
+        try (BufferedReader from = guard.inputReader()) {
+            from.lines().forEach(lines::add);
+        } catch (IOException | UncheckedIOException e) {
+            lines.add("its output broke: " + e);
+        }
+        ended.countDown();
+    }
+
+    /** Returns once operators are told that it takes clients. */
+    void awaitReady() throws IOException, InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_S);
+        while (!isReady()) {
+            if (System.nanoTime() > until || ended.await(10, TimeUnit.MILLISECONDS)) {
+                throw new IOException("a node did not start: " + lines);
+            }
+        }
+    }
+
+    private boolean isReady() {
+        try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), operatorsPort)) {
+            caller.setSoTimeout(1_000);
+            caller.getOutputStream().write("GET /ops/readiness HTTP/1.1\r\nHost: ops\r\n\r\n"
+                    .getBytes(StandardCharsets.US_ASCII));
+            return Message.read(caller.getInputStream()).status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Sends a signal by its name; nothing happens where the process has ended. */
+    void signal(String name) throws IOException, InterruptedException {
+        ProcessHandle node = guard.children().findFirst().orElse(null);
+        if (node != null) {
+            new ProcessBuilder("kill", "-" + name, Long.toString(node.pid())).redirectErrorStream(true).start()
+                    .waitFor();
+        }
+    }
+
+    /** Waits for its end; false if it has not ended by then. */
+    boolean awaitEnd(long ms) throws InterruptedException {
+        return ended.await(Math.max(0, ms), TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        guard.children().forEach(ProcessHandle::destroyForcibly);
+        guard.destroyForcibly();
+        guard.onExit().join();
+    }
+}
--- a/src/test/java/kitemux/ArchitectureTest.java
+++ b/src/test/java/kitemux/ArchitectureTest.java
@@ -55,6 +55,7 @@
             Map.entry("lab", Set.of("", "fleet", "plan", "sim", "standin", "hcl", "config")),
             Map.entry("peers", Set.of()),
             Map.entry("rollout", Set.of("config")),
+            Map.entry("soak", Set.of("lab")),
             Map.entry("drill", Set.of("", "fleet", "plan", "sim", "hcl", "lab")),
             Map.entry("keeper", Set.of("", "rollout", "net", "config", "engine", "disk", "hcl")),
             Map.entry("scale", Set.of("", "engine", "net", "discovery", "config", "peers", "hcl", "standin",
@@ -62,7 +63,8 @@
             Map.entry("bench", Set.of("", "engine", "standin", "config", "orders", "fleet", "sim",
                     "load")),
             Map.entry("cli", Set.of("adapter", "node", "world", "bench", "standin", "orders",
-                    "fleet", "plan", "lab", "load", "hcl", "app", "sidecar", "drill", "scale", "keeper")));
+                    "fleet", "plan", "lab", "load", "hcl", "app", "sidecar", "drill", "scale", "keeper",
+                    "soak")));
 
     private static String room(JavaClass c) {
         String[] parts = c.getPackageName().split("\\.");
