--- a/src/main/java/kitemux/soak/SoakClient.java
+++ b/src/main/java/kitemux/soak/SoakClient.java
@@ -60,6 +60,7 @@
     }
 
     private void ask() {
+        hangUpIfClosed();
         if (connection == null && !dial()) {
             LockSupport.parkNanos(DIAL_AGAIN_NANOS);
             return;
@@ -74,6 +75,22 @@
         requests.add(new Request(txn, of, sentUs, remainingMs * 1_000, usedBefore, outcome, Soak.nowUs()));
     }
 
+    /** A client does not use a connection whose end it has seen. */
+    private void hangUpIfClosed() {
+        if (connection == null) {
+            return;
+        }
+        try {
+            connection.setSoTimeout(1);
+            connection.getInputStream().read();
+            hangUp();
+        } catch (SocketTimeoutException e) {
+            // Still open, and nothing has come.
+        } catch (IOException e) {
+            hangUp();
+        }
+    }
+
     private boolean dial() {
         try {
             connection = new Socket(InetAddress.getLoopbackAddress(), port);
