--- a/src/main/java/kitemux/Balancer.java
+++ b/src/main/java/kitemux/Balancer.java
@@ -87,7 +87,11 @@
     }
 
     /** The life of a server as its list tells it. */
-    enum ServerState { READY, DRAINING, GONE }
+    enum ServerState {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /**
      * One line of a server list.
@@ -99,7 +103,7 @@
      * @param weight the list's figure for its size, compared with other servers' only
      * @param startedAtUs when it last started; 0 means long ago
      */
-    record ServerEntry(String id, int zone, int cell, ServerState state, double weight, long startedAtUs) { }
+    record ServerEntry(String id, int zone, int cell, ServerState state, double weight, long startedAtUs) {}
 
     /**
      * A client's request.
@@ -114,12 +118,11 @@
      * @param agoUs how long ago it came, as far as the node can tell: its aim runs from then. 0 where the
      *     node keeps up
      */
-    record Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry,
-            String key, long agoUs) {
+    record Request(
+            long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry, String key, long agoUs) {
 
         /** One that has come just now. */
-        public Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry,
-                String key) {
+        public Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry, String key) {
             this(id, classIndex, tenant, leftUs, workUs, retry, key, 0);
         }
     }
@@ -162,8 +165,7 @@
      *     still owed
      * @param report the server's load report in the order of {@link Settings#reportFields}, or null
      */
-    record Outcome(long requestId, int attempt, Result result, long latencyUs, boolean requestEnded,
-            double[] report) { }
+    record Outcome(long requestId, int attempt, Result result, long latencyUs, boolean requestEnded, double[] report) {}
 
     /** Whether a request may run again. */
     enum Repeat {
@@ -176,10 +178,22 @@
     }
 
     /** The servers among which the repeats of a keyed request are dropped. */
-    enum Group { ALL, ZONE, CELL }
+    enum Group {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** What a server may tell of its load. */
-    enum ReportField { IN_FLIGHT, QUEUED, UTILISATION, LATENCY_MS, SERVED_PER_S, ERRORS_PER_S, OTHER }
+    enum ReportField {
+        IN_FLIGHT,
+        QUEUED,
+        UTILISATION,
+        LATENCY_MS,
+        SERVED_PER_S,
+        ERRORS_PER_S,
+        OTHER
+    }
 
     /**
      * A class of requests.
@@ -194,15 +208,24 @@
      * @param windowUs keyed classes: for how long, from the first attempt that may have run
      * @param stream whether answers are streamed
      */
-    record RequestClass(String name, long aimUs, double aimStretch, long deadlineUs, double worth,
-            double lateWorth, Repeat repeat, Group group, long windowUs, boolean stream) { }
+    record RequestClass(
+            String name,
+            long aimUs,
+            double aimStretch,
+            long deadlineUs,
+            double worth,
+            double lateWorth,
+            Repeat repeat,
+            Group group,
+            long windowUs,
+            boolean stream) {}
 
     /**
      * A tenant.
      *
      * @param quotaPerS requests a second, over all nodes, inside its share; 0 means without limit
      */
-    record Tenant(String name, double quotaPerS) { }
+    record Tenant(String name, double quotaPerS) {}
 
     /** The settings of one node. Fields left alone keep the defaults given here. */
     final class Settings {
@@ -267,16 +290,23 @@
             require(me >= 0 && me < nodes, "me is not among nodes");
             require(maxAttempts >= 1, "maxAttempts is under 1");
             require(myZone >= 0 && myZone < Math.max(1, zones.size()), "myZone is not among zones");
-            require(tickUs >= 0 && coldUs >= 0 && fallUs >= 0 && drainGraceUs >= 0 && connectTimeoutUs >= 0
-                    && askWithinUs >= 0 && maxRetryAfterUs >= 0, "a length of time is negative");
+            require(
+                    tickUs >= 0
+                            && coldUs >= 0
+                            && fallUs >= 0
+                            && drainGraceUs >= 0
+                            && connectTimeoutUs >= 0
+                            && askWithinUs >= 0
+                            && maxRetryAfterUs >= 0,
+                    "a length of time is negative");
             require(coldFrom > 0 && coldFrom <= 1, "coldFrom is not in (0, 1]");
             require(fallMultiple > 0, "fallMultiple is not above 0");
             for (RequestClass c : classes) {
-                require(c.aimUs() >= 0 && c.deadlineUs() > 0 && c.windowUs() >= 0 && c.aimStretch() >= 0,
+                require(
+                        c.aimUs() >= 0 && c.deadlineUs() > 0 && c.windowUs() >= 0 && c.aimStretch() >= 0,
                         "class " + c.name() + " has a length of time out of range");
                 require(c.worth() >= 0 && c.lateWorth() >= 0, "class " + c.name() + " has a negative worth");
-                require(c.repeat() != Repeat.KEYED || c.group() != null,
-                        "class " + c.name() + " has no group");
+                require(c.repeat() != Repeat.KEYED || c.group() != null, "class " + c.name() + " has no group");
             }
         }
 
--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -38,10 +38,12 @@
     private static final long MIN_SWEEP_US = 5_000;
     /** Share of a new value in a running mean, and in the share of timely answers, which follows a jam. */
     private static final double MEAN_GAIN = 1.0 / 32;
+
     private static final double TIMELY_GAIN = 1.0 / 8;
     /** Share of timely answers under which a sparse node throttles what it takes up, by the square, but for
      * a part without which it would learn of no recovery. */
     private static final double THROTTLED_AT = 0.7;
+
     private static final double LEAST_ADMITTED = 0.05;
     /** What a request costs a server that knows no keys yet, against the mean of others: a careful guess. */
     private static final double UNKNOWN_KEY_COST = 3;
@@ -57,12 +59,14 @@
     /** The same share at a node of many, and at a sparse one: what many nodes send evens out badly, so even
      * servers with much room answer some requests slowly. */
     private static final double MANY_CROWDED_AT = 0.6;
+
     private static final double SPARSE_CROWDED_AT = 0.7;
     /** Part of that growth that stays while half of the answers come late: some must, or none comes back. */
     private static final double LEAST_GROWTH = 0.1;
     /** Growth of a server's limit over all nodes for an answer in good time, and its cut for a slow one: at a
      * limit of four, one slow answer in four holds the balance. */
     private static final double LIMIT_STEP = 0.15;
+
     private static final double LIMIT_CUT = 0.1;
     /** Answers that take this many times the least mean of their class say so too, however far the aim is. */
     private static final double CROWDED_BY = 3;
@@ -86,11 +90,13 @@
      * all that is served has waited so long; but at most with this share left. At a node of many it is one
      * less for what is worth most, which goes first, unless a quarter of its class waits in vain. */
     private static final double TOO_LATE_AT = 2;
+
     private static final double IN_VAIN_BY = 4;
     private static final double MOST_LATE_AT = 0.8;
     /** Failures among a server's last {@link #REMEMBERED} answers from which on it is ejected, beside so many
      * times what all servers fail in common: connections that break anywhere are no server's fault. */
     private static final int EJECT_AT = 4;
+
     private static final double IN_COMMON = 2;
     private static final double COMMON_GAIN = 1.0 / 256;
     private static final int REMEMBERED = 16;
@@ -98,6 +104,7 @@
     private static final int TRIALS = 3;
     /** First time without requests for an ejected server, doubled with each failed trial; the longest. */
     private static final long EJECT_US = 250_000;
+
     private static final long MOST_EJECT_US = 4_000_000;
     /** Trials with unsafe requests are this much further apart: each that fails is lost. */
     private static final int UNSAFE_TRIALS = 4;
@@ -108,20 +115,24 @@
     private static final long PAUSED_US = 50_000;
     /** Budget of hedges: a share of first tries, and so many at once. */
     private static final double HEDGE_SHARE = 0.2;
+
     private static final double MOST_HEDGES = 20;
     /** Own requests in flight from which on a local server is compared with those of other zones. */
     private static final int SPILL_AT = 2;
+
     private static final long LOG_EVERY_US = 1_000_000;
     /** Part of the limits for requests beyond their tenant's share. */
     private static final double OVER_SHARE_PART = 0.5;
     /** A tenant may use up this much of its share at once before it counts as beyond it, and so many
      * requests: at a node of many its part is a few requests a second, which come in bunches. */
     private static final double SHARE_BURST_S = 1;
+
     private static final double LEAST_SHARE_BURST = 8;
     /** Wait before a failed list call is made again, at first and at most, drawn from half to half as much
      * more. Calls are taken in turn, and a turn comes no later for having asked early. At most: a call that
      * discovery is down for lasts 4 s, and what it has at its return counts after 6 s. */
     private static final long LIST_BACKOFF_US = 50_000;
+
     private static final long MOST_LIST_BACKOFF_US = 660_000;
 
     /** Most nodes that share a server in a large fleet, against the connections that a server accepts. */
@@ -130,6 +141,7 @@
      * own attempts alone, so with fewer sharers its requests in flight tell more of a server. With 14 at each
      * of 60 servers they told nothing: half of the pages came too late at 0.58 of capacity. */
     private static final int MANY_NODES = 4;
+
     private static final int FEW_SHARERS = 2;
     private static final int ENOUGH_IN_USE = 8;
     /** Nodes that share a server from which on a node counts as sparse: its first part of a place is then a
@@ -144,6 +156,7 @@
     private static final int KEY_PLACES = 16;
     /** Waiting requests with a key that are tried in vain at each event and at each sweep: CPU is scarce. */
     private static final int KEYS_TRIED = 4;
+
     private static final int KEYS_SWEPT = 64;
 
     private static final Comparator<Call> BY_VALUE = Comparator.comparingDouble(call -> -call.value);
@@ -156,6 +169,7 @@
     private double limitCut;
     /** Whether so many nodes share a server that own requests in flight tell little of its load. */
     private boolean sparse;
+
     private final boolean many;
     private double timely = 0.75;
     private double failing;
@@ -164,10 +178,12 @@
     private final Set<Server> listed = new LinkedHashSet<>();
     /** The servers in use: all that are ready, or this node's part of them in a large fleet. */
     private Server[] ready = new Server[0];
+
     private double sharers;
     private double firstLimit;
     /** Nodes that may send to a server: {@link #sharers} counts those that rarely do for less. */
     private double senders;
+
     private int nearSize;
     private Pool everywhere = new Pool(ready, false);
     private Pool nearby = everywhere;
@@ -177,6 +193,7 @@
     private long logFreeAt;
     /** Attempts by class, in the order sent, until they are known or found silent. */
     private final List<ArrayDeque<Try>> watched = new ArrayList<>();
+
     private double hedgesLeft = MOST_HEDGES;
 
     private final Map<Long, Call> calls = new HashMap<>();
@@ -187,12 +204,14 @@
     private long lastServedAt;
     /** Time between answers of one server, at an even part of what this node gets: now, and at the best. */
     private double evenGapUs;
+
     private double leastGapUs = Double.MAX_VALUE;
     private final double[] latencyUs;
     private final double[] leastLatencyUs;
     private final int[] answers;
     /** By class, the share that ended without an attempt. */
     private final double[] inVain;
+
     private final double[] shareLeft;
     private final long[] shareSeenAt;
     private int inFlight;
@@ -205,6 +224,7 @@
         final long hash;
         /** Whether it is one of those that come first. */
         boolean first;
+
         int zone;
         int cell;
         ServerState state;
@@ -214,6 +234,7 @@
         int inFlight;
         /** Those of them that were found silent: they say nothing of the room at other servers. */
         int hung;
+
         double limit;
         long limitCutAt;
         long restUntil;
@@ -222,6 +243,7 @@
         boolean inUse;
         /** What all its answers say, and those of each class: it may fail one class and serve the others. */
         final Health overall = new Health();
+
         final Health[] byClass;
         long nextColdSendAt;
 
@@ -252,7 +274,7 @@
     }
 
     /** An attempt that is watched for silence. */
-    private record Try(Call call, int attempt) { }
+    private record Try(Call call, int attempt) {}
 
     /** What is drawn from: servers with their weights summed up to each, and the places that keys draw. */
     private static final class Pool {
@@ -263,7 +285,8 @@
         Pool(Server[] servers, boolean forKeys) {
             this.servers = servers;
             weightsUpTo = new long[servers.length];
-            places = !forKeys || servers.length == 0 ? new Server[0]
+            places = !forKeys || servers.length == 0
+                    ? new Server[0]
                     : table(servers, nextPrime(KEY_PLACES * Integer.highestOneBit(servers.length)), 1);
         }
     }
@@ -281,6 +304,7 @@
         final boolean[] silent;
         /** Fixes the draws by the request's key; 0 without one. */
         final long keySeed;
+
         double value;
         boolean overShare;
         boolean late;
@@ -405,7 +429,8 @@
         }
         Arrays.stream(before).forEach(this::closeIfUnused);
         everywhere = new Pool(ready, set.warmKeys);
-        nearby = set.crossZonePrice == 0 && Arrays.stream(ready).allMatch(s -> s.first) ? everywhere
+        nearby = set.crossZonePrice == 0 && Arrays.stream(ready).allMatch(s -> s.first)
+                ? everywhere
                 : new Pool(Arrays.stream(ready).filter(s -> s.first).toArray(Server[]::new), false);
         weightsStale = true;
         countReady();
@@ -428,8 +453,7 @@
         List<Server> part = part(all);
         boolean halved = set.crossZonePrice == 0 && part.size() < all.length;
         List<Server> first = halved ? part.subList(0, (part.size() + 1) / 2) : part;
-        part.forEach(s -> s.first = halved ? first.contains(s)
-                : set.crossZonePrice == 0 || s.zone == set.myZone);
+        part.forEach(s -> s.first = halved ? first.contains(s) : set.crossZonePrice == 0 || s.zone == set.myZone);
         senders = Math.max(1, (double) set.nodes * part.size() / Math.max(1, all.length));
         shareAmong(Math.max(1, senders * Math.sqrt((double) first.size() / Math.max(1, part.size()))));
         Set<Server> used = new HashSet<>(part);
@@ -440,8 +464,10 @@
     private List<Server> part(Server[] all) {
         int zones = set.crossZonePrice == 0 ? 1 : Math.max(1, set.zones.size());
         boolean whole = zones == 1;
-        Server[] near = Arrays.stream(all).filter(s -> whole || s.zone == set.myZone).toArray(Server[]::new);
-        Server[] far = Arrays.stream(all).filter(s -> !whole && s.zone != set.myZone).toArray(Server[]::new);
+        Server[] near =
+                Arrays.stream(all).filter(s -> whole || s.zone == set.myZone).toArray(Server[]::new);
+        Server[] far =
+                Arrays.stream(all).filter(s -> !whole && s.zone != set.myZone).toArray(Server[]::new);
         int nearUsed = partOf(near.length, (double) set.nodes / zones, zones == 1 ? 2 : 1);
         int farUsed = partOf(far.length, set.nodes, 1);
         if (nearUsed == near.length && farUsed == far.length) {
@@ -478,7 +504,9 @@
         }
         Server[] table = table(from, nextPrime(rows * size), size);
         int first = set.me % rows * size;
-        return Arrays.stream(table, first, first + size).filter(Objects::nonNull).toList();
+        return Arrays.stream(table, first, first + size)
+                .filter(Objects::nonNull)
+                .toList();
     }
 
     /** The servers take turns in claiming places, each in an order of its own, none twice in a row. */
@@ -498,8 +526,7 @@
         int idle = 0;
         for (int i = 0; left > 0 && idle < turns.length; i = (i + 1) % turns.length) {
             int skip = 1 + (int) Math.floorMod(turns[i].hash >> 32, places - 1L);
-            while (tries[i] < places && (table[at[i]] != null
-                    || row > 1 && claimed.get(i * rows + at[i] / row))) {
+            while (tries[i] < places && (table[at[i]] != null || row > 1 && claimed.get(i * rows + at[i] / row))) {
                 at[i] = (at[i] + skip) % places;
                 tries[i]++;
             }
@@ -538,8 +565,10 @@
     @Override
     public void onRequest(long nowUs, Request request) {
         now = nowUs;
-        if (request.classIndex() < 0 || request.classIndex() >= set.classes.size()
-                || request.tenant() >= set.tenants.size() || calls.containsKey(request.id())) {
+        if (request.classIndex() < 0
+                || request.classIndex() >= set.classes.size()
+                || request.tenant() >= set.tenants.size()
+                || calls.containsKey(request.id())) {
             throw new IllegalArgumentException("unknown class or tenant, or an id that is held: " + request);
         }
         Call call = new Call(request, set, now);
@@ -581,13 +610,17 @@
         closeIfUnused(server);
         Health ofClass = server.byClass[call.request.classIndex()];
         if (result == Result.OK) {
-            succeeded(server, ofClass, outcome.latencyUs() > (sparse ? 1 : FAR_SLOWER) * SLOW_BY
-                    * latencyUs[call.request.classIndex()]);
+            succeeded(
+                    server,
+                    ofClass,
+                    outcome.latencyUs() > (sparse ? 1 : FAR_SLOWER) * SLOW_BY * latencyUs[call.request.classIndex()]);
         } else if (result != Result.CANCELLED && result != Result.MOOT && !call.silent[attempt]) {
             // A time-out of a server that has answered since tells of crowding, not of silence, as being
             // full does: the limit heeds it.
-            failed(server, ofClass, result != Result.FULL
-                    && (result != Result.TIMEOUT || ofClass.answeredAt < call.sentAt[attempt]));
+            failed(
+                    server,
+                    ofClass,
+                    result != Result.FULL && (result != Result.TIMEOUT || ofClass.answeredAt < call.sentAt[attempt]));
         }
         ofClass.answeredAt = result == Result.OK || result == Result.ERROR ? now : ofClass.answeredAt;
         adaptLimit(call, attempt, outcome);
@@ -622,7 +655,7 @@
 
     /** Nothing is decided on probes; none is ever asked for. */
     @Override
-    public void onProbe(long nowUs, String serverId, Result result, long latencyUs, double[] report) { }
+    public void onProbe(long nowUs, String serverId, Result result, long latencyUs, double[] report) {}
 
     @Override
     public void onWake(long nowUs) {
@@ -643,8 +676,9 @@
         long at = waiting.isEmpty() ? askListAt : Math.min(askListAt, now + sweepUs);
         for (int c = 0; c < watched.size(); c++) {
             Try first = watched.get(c).peek();
-            at = first == null ? at : Math.min(at, Math.max(now + sweepUs,
-                    first.call.sentAt[first.attempt] + silentAfter(c)));
+            at = first == null
+                    ? at
+                    : Math.min(at, Math.max(now + sweepUs, first.call.sentAt[first.attempt] + silentAfter(c)));
         }
         if (at < wakePending) {
             wakePending = Math.max(at, now + 1);
@@ -662,8 +696,9 @@
         for (Health health : ill ? new Health[] {server.overall, ofClass} : new Health[0]) {
             health.history = health.history << 1 | 1;
             health.trialsWon = 0;
-            if (health.ejected || health.recentFailures() >= EJECT_AT + IN_COMMON * REMEMBERED * failing
-                    && (health == ofClass || !servesOthers(server, ofClass))) {
+            if (health.ejected
+                    || health.recentFailures() >= EJECT_AT + IN_COMMON * REMEMBERED * failing
+                            && (health == ofClass || !servesOthers(server, ofClass))) {
                 eject(server, health);
             }
         }
@@ -699,8 +734,11 @@
         if (!server.overall.ejected) {
             // Exception, slow answers: at a node of many a slow answer adds an error and any other takes one
             // off, so the weights settle where all servers are about equally quick.
-            int errors = !many ? 0 : slow ? Math.max(server.errors, Math.min(MOST_SLOW, server.errors + 1))
-                    : Math.max(0, server.errors - 1);
+            int errors = !many
+                    ? 0
+                    : slow
+                            ? Math.max(server.errors, Math.min(MOST_SLOW, server.errors + 1))
+                            : Math.max(0, server.errors - 1);
             weightsStale |= errors != server.errors;
             server.errors = errors;
         }
@@ -717,7 +755,9 @@
     private void eject(Server server, Health health) {
         if (!health.ejected) {
             int c = Arrays.asList(server.byClass).indexOf(health);
-            long out = ejected.stream().filter(s -> c < 0 ? s.overall.ejected : s.byClass[c].ejected).count();
+            long out = ejected.stream()
+                    .filter(s -> c < 0 ? s.overall.ejected : s.byClass[c].ejected)
+                    .count();
             if (2 * (out + 1) > ready.length) {
                 return;
             }
@@ -751,7 +791,8 @@
             Health ofClass = server.byClass[call.request.classIndex()];
             // Unsafe requests are risked only where no other could tell: for a class of their own.
             boolean due = call.cls.repeat() == Repeat.UNSAFE
-                    ? !server.overall.ejected && ofClass.ejected
+                    ? !server.overall.ejected
+                            && ofClass.ejected
                             && now >= ofClass.trialAt + UNSAFE_TRIALS * ofClass.ejectedForUs
                     : server.overall.ejected && now >= server.overall.trialAt
                             || ofClass.ejected && now >= ofClass.trialAt;
@@ -804,13 +845,18 @@
         int spillAt = set.crossZonePrice == 0 ? 1 : SPILL_AT;
         // Exception, zones and halves: both draws are of those that come first, and two more from all win
         // only if that choice is busy or fails: if it has one more in flight, two where crossing costs.
-        if (due != null || nearby == everywhere || call.keySeed != 0
+        if (due != null
+                || nearby == everywhere
+                || call.keySeed != 0
                 || server != null && server.inFlight < spillAt && server.errors == 0) {
             return server;
         }
         Server other = drawTwo(call, everywhere);
-        return server == null || other != null && (other.inFlight + spillAt <= server.inFlight
-                || other.errors < server.errors) ? other : server;
+        return server == null
+                        || other != null
+                                && (other.inFlight + spillAt <= server.inFlight || other.errors < server.errors)
+                ? other
+                : server;
     }
 
     private Server drawTwo(Call call, Pool from) {
@@ -950,7 +996,8 @@
     }
 
     private long silentAfter(int classIndex) {
-        return !isUsualKnown(classIndex) ? Long.MAX_VALUE / 4
+        return !isUsualKnown(classIndex)
+                ? Long.MAX_VALUE / 4
                 : (long) (SILENT_BY * latencyUs[classIndex]) + 2 * set.tickUs;
     }
 
@@ -968,8 +1015,7 @@
             inFlight -= isCounted(server) ? 1 : 0;
             failed(server, ofClass, true);
         }
-        if (set.secondCopies && !call.waiting && hedgesLeft >= 1 && mayTryAgain(call)
-                && call.outstanding == 1) {
+        if (set.secondCopies && !call.waiting && hedgesLeft >= 1 && mayTryAgain(call) && call.outstanding == 1) {
             Server next = nextInTurn(call, server);
             if (next != null) {
                 hedgesLeft--;
@@ -1003,7 +1049,8 @@
                 continue;
             }
             boolean late = isTooLate(call);
-            if (call.deadlineAt - now <= sweepUs + set.tickUs || late && call.cls.lateWorth() == 0
+            if (call.deadlineAt - now <= sweepUs + set.tickUs
+                    || late && call.cls.lateWorth() == 0
                     || !mayTryAgain(call)) {
                 giveUp(call);
                 continue;
@@ -1025,8 +1072,7 @@
                 // What has not been sent may go anywhere, but for unsafe requests and ejected servers: if it
                 // finds no server, nor does the next one. With a key it may go to few.
                 fullForOver |= call.overShare;
-                boolean last = !call.overShare && call.attempts == 0
-                        && (call.keySeed == 0 || --keysToTry <= 0);
+                boolean last = !call.overShare && call.attempts == 0 && (call.keySeed == 0 || --keysToTry <= 0);
                 fullForUnsafe |= last;
                 full |= last && (!unsafe || call.keySeed != 0);
                 waiting.set(kept++, call);
@@ -1041,8 +1087,8 @@
     private boolean isTooLate(Call call) {
         int c = call.request.classIndex();
         double first = many ? rank(call) * Math.max(0, 1 - IN_VAIN_BY * inVain[c]) : 0;
-        return call.aimAt - now < Math.min(MOST_LATE_AT * (call.aimAt - call.arrivedAt),
-                (TOO_LATE_AT - first) * latencyUs[c]);
+        return call.aimAt - now
+                < Math.min(MOST_LATE_AT * (call.aimAt - call.arrivedAt), (TOO_LATE_AT - first) * latencyUs[c]);
     }
 
     /**
@@ -1088,16 +1134,15 @@
         int c = call.request.classIndex();
         // A client that leaves hides how long its answer would have taken, so that only quick ones stay in
         // sight: after more than the usual time, what it has waited counts like an answer no quicker.
-        boolean left = result == Result.CANCELLED && call.left
-                && outcome.latencyUs() > SLOW_BY * latencyUs[c];
+        boolean left = result == Result.CANCELLED && call.left && outcome.latencyUs() > SLOW_BY * latencyUs[c];
         if (result == Result.OK || result == Result.TIMEOUT || result == Result.FULL || left) {
             timely += TIMELY_GAIN * ((result == Result.OK && now <= call.aimAt ? 1 : 0) - timely);
         }
         if (result == Result.OK) {
             latencyUs[c] += Math.max(MEAN_GAIN, 1.0 / ++answers[c]) * (outcome.latencyUs() - latencyUs[c]);
             // The first answers' mean is chance; until then the aim alone tells.
-            leastLatencyUs[c] = !isUsualKnown(c) ? Double.MAX_VALUE
-                    : Math.min(leastLatencyUs[c] * LEAST_DRIFT, latencyUs[c]);
+            leastLatencyUs[c] =
+                    !isUsualKnown(c) ? Double.MAX_VALUE : Math.min(leastLatencyUs[c] * LEAST_DRIFT, latencyUs[c]);
             evenGapUs += MEAN_GAIN * ((now - lastServedAt) * Math.max(1, ready.length) - evenGapUs);
             leastGapUs = Math.min(leastGapUs * LEAST_DRIFT, evenGapUs);
             lastServedAt = now;
@@ -1106,8 +1151,9 @@
             double aim = call.aimAt - call.arrivedAt;
             boolean patient = set.warmKeys || sparse && leastLatencyUs[c] < Double.MAX_VALUE;
             double crowdedAt = patient ? SPARSE_CROWDED_AT : many ? MANY_CROWDED_AT : CROWDED_AT;
-            double crowded = Math.min(crowdedAt * aim, set.warmKeys ? Double.MAX_VALUE
-                    : (sparse ? 2 : 1) * CROWDED_BY * leastLatencyUs[c]);
+            double crowded = Math.min(
+                    crowdedAt * aim,
+                    set.warmKeys ? Double.MAX_VALUE : (sparse ? 2 : 1) * CROWDED_BY * leastLatencyUs[c]);
             double rank = sparse ? rank(call) : 1;
             if (outcome.latencyUs() > crowded) {
                 cutLimit(call, attempt, limitCut * rank);
@@ -1117,8 +1163,9 @@
                 // While answers come late everywhere, one in time says little: growth would hold the jam.
                 double ease = set.warmKeys ? 1 : Math.max(LEAST_GROWTH, 2 * timely - 1);
                 server.limit += server.wantedAt >= call.sentAt[attempt]
-                        && (!isCold(server) || server.limit * ready.length < limits)
-                        ? limitStep * rank * ease : 0;
+                                && (!isCold(server) || server.limit * ready.length < limits)
+                        ? limitStep * rank * ease
+                        : 0;
             }
         } else if (result == Result.TIMEOUT || result == Result.FULL) {
             // Where keys are warm a full server is cut to what it held: less would send its keys elsewhere.
@@ -1155,8 +1202,8 @@
         // that bursts inside a share find room; it does not raise limits either. Not where keys are warm,
         // since limits are no measure of room there.
         double part = call.overShare ? OVER_SHARE_PART : 1;
-        boolean atLimit = server.inFlight + 1 > part * server.limit && (server.inFlight > ease * ahead
-                || now < server.restUntil - ease * ahead * server.restUs);
+        boolean atLimit = server.inFlight + 1 > part * server.limit
+                && (server.inFlight > ease * ahead || now < server.restUntil - ease * ahead * server.restUs);
         if (atLimit || inFlight > ease * (1 + ahead) && inFlight + 1 > part * limits) {
             server.wantedAt = call.overShare ? server.wantedAt : now;
             return true;
@@ -1199,8 +1246,7 @@
         // Gaps are counted from the first request on, not from the start of the clock.
         lastServedAt = lastServedAt == 0 ? now : lastServedAt;
         if (isCold(server)) {
-            server.nextColdSendAt = Math.max(now, server.nextColdSendAt)
-                    + coldGap(server, call.request.classIndex());
+            server.nextColdSendAt = Math.max(now, server.nextColdSendAt) + coldGap(server, call.request.classIndex());
         }
         out.send(call.request.id(), server.id, call.deadlineAt);
     }
@@ -1209,7 +1255,8 @@
 
     /** Rule 1: the one final answer, a refusal wherever that is known to be harmless. */
     private void giveUp(Call call) {
-        boolean harmless = call.binding() < 0 || call.cls.repeat() == Repeat.SAFE
+        boolean harmless = call.binding() < 0
+                || call.cls.repeat() == Repeat.SAFE
                 || call.cls.repeat() == Repeat.KEYED && call.cls.group() == Group.ALL;
         if (harmless) {
             out.refuse(call.request.id(), set.maxRetryAfterUs);
@@ -1244,17 +1291,17 @@
             return false;
         }
         int binding = call.binding();
-        return binding < 0 || switch (call.cls.repeat()) {
-            case SAFE -> true;
-            case KEYED -> now <= call.sentAt[binding] + call.cls.windowUs();
-            case UNSAFE -> false;
-        };
+        return binding < 0
+                || switch (call.cls.repeat()) {
+                    case SAFE -> true;
+                    case KEYED -> now <= call.sentAt[binding] + call.cls.windowUs();
+                    case UNSAFE -> false;
+                };
     }
 
     /** Rules 2 to 4 for one server: the keyed group, the list's word, and a cold server's budget. */
     private boolean maySend(Call call, Server server) {
-        return !server.isEjectedFor(call.request.classIndex()) && !isCrowded(call, server)
-                && isAllowed(call, server);
+        return !server.isEjectedFor(call.request.classIndex()) && !isCrowded(call, server) && isAllowed(call, server);
     }
 
     private boolean isAllowed(Call call, Server server) {
@@ -1262,11 +1309,12 @@
             return false;
         }
         int binding = call.cls.repeat() == Repeat.KEYED ? call.binding() : -1;
-        return binding < 0 || switch (call.cls.group()) {
-            case ALL -> true;
-            case ZONE -> server.zone == call.servers[binding].zone;
-            case CELL -> server.cell == call.servers[binding].cell;
-        };
+        return binding < 0
+                || switch (call.cls.group()) {
+                    case ALL -> true;
+                    case ZONE -> server.zone == call.servers[binding].zone;
+                    case CELL -> server.cell == call.servers[binding].cell;
+                };
     }
 
     private boolean isCold(Server server) {
--- a/src/main/java/kitemux/adapter/Line.java
+++ b/src/main/java/kitemux/adapter/Line.java
@@ -185,12 +185,12 @@
 
     boolean flag(String key) throws WireException {
         int field = find(key);
-        if (field < 0 || matches(valueStart[field], valueEnd[field], "0")
+        if (field < 0
+                || matches(valueStart[field], valueEnd[field], "0")
                 || matches(valueStart[field], valueEnd[field], "false")) {
             return false;
         }
-        if (matches(valueStart[field], valueEnd[field], "1")
-                || matches(valueStart[field], valueEnd[field], "true")) {
+        if (matches(valueStart[field], valueEnd[field], "1") || matches(valueStart[field], valueEnd[field], "true")) {
             return true;
         }
         throw bad(key, "is neither 1 nor 0: " + value(field));
--- a/src/main/java/kitemux/adapter/Link.java
+++ b/src/main/java/kitemux/adapter/Link.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-
 import kitemux.Balancer;
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Outcome;
@@ -16,20 +15,22 @@
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.Balancer.Settings;
-import kitemux.config.SettingsReader;
 import kitemux.ServiceQBalancer;
+import kitemux.config.SettingsReader;
 
 /** Carries events from the wire to the instances and their actions back. It decides nothing. */
 final class Link {
     private static final int MOST_ROSTERS = 16;
 
     /** One node's module with what is needed to translate for it. */
-    private record Instance(Balancer balancer, Map<String, Integer> classes, Map<String, Integer> tenants,
-            Map<String, Integer> zones) { }
+    private record Instance(
+            Balancer balancer,
+            Map<String, Integer> classes,
+            Map<String, Integer> tenants,
+            Map<String, Integer> zones) {}
 
     /** A roster's line; its zone is still a name, since instances number zones by their own settings. */
-    private record RosterLine(String id, String zone, int cell, ServerState state, double weight,
-            long startedAt) { }
+    private record RosterLine(String id, String zone, int cell, ServerState state, double weight, long startedAt) {}
 
     private final Line line;
     private final Reply reply;
@@ -102,16 +103,26 @@
         Balancer balancer = to.balancer;
         long at = now;
         if (line.is("resolved")) {
-            Outcome outcome = new Outcome(line.id("handle"), (int) line.whole("seqNo"), result(),
-                    line.whole("latencyUs", 0), line.flag("ended"), line.row("metrics"));
+            Outcome outcome = new Outcome(
+                    line.id("handle"),
+                    (int) line.whole("seqNo"),
+                    result(),
+                    line.whole("latencyUs", 0),
+                    line.flag("ended"),
+                    line.row("metrics"));
             return () -> balancer.onOutcome(at, outcome);
         }
         if (line.is("work_item")) {
             String tenant = line.textOrNull("realm");
             boolean anyTenant = tenant != null && !tenant.equals("0");
-            Request request = new Request(line.id("handle"), index(to.classes, "lane", line.text("lane")),
-                    anyTenant ? index(to.tenants, "realm", tenant) : -1, line.whole("patienceLeftUs"),
-                    line.whole("workUs", 0), line.flag("resent"), line.textOrNull("routeKey"));
+            Request request = new Request(
+                    line.id("handle"),
+                    index(to.classes, "lane", line.text("lane")),
+                    anyTenant ? index(to.tenants, "realm", tenant) : -1,
+                    line.whole("patienceLeftUs"),
+                    line.whole("workUs", 0),
+                    line.flag("resent"),
+                    line.textOrNull("routeKey"));
             return () -> balancer.onRequest(at, request);
         }
         if (line.is("bell")) {
@@ -137,7 +148,7 @@
             return () -> balancer.onProbe(at, server, result, latency, report);
         }
         if (line.is("memo")) {
-            return () -> { };
+            return () -> {};
         }
         throw line.bad("unknown event " + line.name());
     }
@@ -181,14 +192,18 @@
                 throw line.bad("a roster's line must be server, not " + line.name());
             }
             String state = line.text("lifecycle");
-            entries.add(new RosterLine(line.text("server"), line.textOrNull("site"),
+            entries.add(new RosterLine(
+                    line.text("server"),
+                    line.textOrNull("site"),
                     (int) line.whole("block", 0),
                     switch (state) {
                         case "Running" -> ServerState.READY;
                         case "Stopping" -> ServerState.DRAINING;
                         case "Deleted" -> ServerState.GONE;
                         default -> throw line.bad("lifecycle", "is unknown: " + state);
-                    }, line.decimal("scale", 1), line.whole("sinceUs", 0)));
+                    },
+                    line.decimal("scale", 1),
+                    line.whole("sinceUs", 0)));
         }
         rosters.set(number, entries);
     }
@@ -207,20 +222,26 @@
         if (kind.equals("broken")) {
             return () -> to.balancer.onListFailed(at);
         }
-        ListKind listKind = switch (kind) {
-            case "patch" -> ListKind.CHANGES;
-            case "whole" -> ListKind.FULL;
-            case "stale_copy" -> ListKind.CACHED;
-            default -> throw line.bad("kind", "is unknown: " + kind);
-        };
+        ListKind listKind =
+                switch (kind) {
+                    case "patch" -> ListKind.CHANGES;
+                    case "whole" -> ListKind.FULL;
+                    case "stale_copy" -> ListKind.CACHED;
+                    default -> throw line.bad("kind", "is unknown: " + kind);
+                };
         List<RosterLine> roster = rosters.get(rosterNumber());
         if (roster == null) {
             throw line.bad("setId", "names a roster that was never given");
         }
         List<ServerEntry> entries = new ArrayList<>(roster.size());
         for (RosterLine entry : roster) {
-            entries.add(new ServerEntry(entry.id, to.zones.getOrDefault(entry.zone, -1), entry.cell,
-                    entry.state, entry.weight, entry.startedAt));
+            entries.add(new ServerEntry(
+                    entry.id,
+                    to.zones.getOrDefault(entry.zone, -1),
+                    entry.cell,
+                    entry.state,
+                    entry.weight,
+                    entry.startedAt));
         }
         return () -> to.balancer.onServers(at, listKind, entries);
     }
--- a/src/main/java/kitemux/adapter/Main.java
+++ b/src/main/java/kitemux/adapter/Main.java
@@ -1,12 +1,12 @@
 package kitemux.adapter;
 
-import java.io.FileOutputStream;
 import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.IOException;
 
 /** Hosts instances of the module for the bench: the wire on standard input and output. */
 public final class Main {
-    private Main() { }
+    private Main() {}
 
     /**
      * Runs until the input ends; a malformed input ends it with one line on standard error and exit
--- a/src/main/java/kitemux/adapter/Reply.java
+++ b/src/main/java/kitemux/adapter/Reply.java
@@ -4,7 +4,6 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-
 import kitemux.Balancer;
 
 /** Writes the actions of the instance whose event is being handled; a reply goes out whole or not at all. */
--- a/src/main/java/kitemux/app/App.java
+++ b/src/main/java/kitemux/app/App.java
@@ -1,7 +1,6 @@
 package kitemux.app;
 
 import java.util.List;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 
@@ -17,21 +16,40 @@
  * @param health null where servers are not checked
  * @param beyond numbers that lie beyond their ranges, as they were read: where there is one it is not sound
  */
-public record App(String name, String listen, String operators, String discovery, List<String> networks,
+public record App(
+        String name,
+        String listen,
+        String operators,
+        String discovery,
+        List<String> networks,
         List<String> neverTwice,
-        boolean journaled, List<Server> servers, List<Pool> pools, List<Work> classes, List<Tenant> tenants,
-        double quotaPerS, Keys keys, Members members, Health health, Limits limits, Rules rules,
-                Journal orders,
-        Logs logs, List<Finding> beyond) {
+        boolean journaled,
+        List<Server> servers,
+        List<Pool> pools,
+        List<Work> classes,
+        List<Tenant> tenants,
+        double quotaPerS,
+        Keys keys,
+        Members members,
+        Health health,
+        Limits limits,
+        Rules rules,
+        Journal orders,
+        Logs logs,
+        List<Finding> beyond) {
 
     /** What a server is up to. */
-    public enum State { READY, DRAINING, GONE }
+    public enum State {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** A server, in a group that drops keyed repeats elsewhere. */
-    public record Server(String name, String address, int rack, State state) { }
+    public record Server(String name, String address, int rack, State state) {}
 
     /** Servers that serve the same classes. */
-    public record Pool(String name, List<String> servers) { }
+    public record Pool(String name, List<String> servers) {}
 
     /**
      * A class of requests.
@@ -40,11 +58,21 @@
      * @param windowUs within which a keyed one may be sent again
      * @param attempts at most; 0 for as many as the limits allow
      */
-    public record Work(String name, Repeat again, Group group, long windowUs, long aimUs, long deadlineUs,
-            double worth, double lateWorth, String pool, int attempts, boolean secondCopies) { }
+    public record Work(
+            String name,
+            Repeat again,
+            Group group,
+            long windowUs,
+            long aimUs,
+            long deadlineUs,
+            double worth,
+            double lateWorth,
+            String pool,
+            int attempts,
+            boolean secondCopies) {}
 
     /** Who asks, and its part of the quota. */
-    public record Tenant(String name, double share) { }
+    public record Tenant(String name, double share) {}
 
     /**
      * What servers know of keys.
@@ -52,7 +80,7 @@
      * @param keptUs how long they remember one
      * @param shared by which servers it is known
      */
-    public record Keys(long keptUs, Group shared) { }
+    public record Keys(long keptUs, Group shared) {}
 
     /**
      * Where servers come from, besides those that are described.
@@ -65,21 +93,26 @@
      * @param sureUs what is doubted counts once it has been told for so long
      * @param state folder for what the next process may begin with; empty for none
      */
-    public record Members(String file, String list, long refreshUs, long backOffUs, double mostLost,
-            long sureUs,
-            String state) { }
+    public record Members(
+            String file, String list, long refreshUs, long backOffUs, double mostLost, long sureUs, String state) {}
 
     /** How servers are checked; {@link kitemux.members.MemberSettings.Health} has the decisions' part. */
-    public record Health(String path, long everyUs, long timeoutUs, int fall, int rise, double mostOut,
+    public record Health(
+            String path,
+            long everyUs,
+            long timeoutUs,
+            int fall,
+            int rise,
+            double mostOut,
             long holdUs,
-            long mostHoldUs) { }
+            long mostHoldUs) {}
 
     /**
      * What a sidecar says.
      *
      * @param queue lines that wait to be written, at most
      */
-    public record Logs(boolean json, int queue) { }
+    public record Logs(boolean json, int queue) {}
 
     /**
      * Whether a server may have this address: one that can be read, lies within networks and is not this
@@ -95,12 +128,18 @@
     }
 
     /** Bounds of a process. */
-    public record Limits(int attempts, boolean secondCopies, long connectUs, long idleUs, long retryAfterUs,
-            int sockets, int memoryMiB) { }
+    public record Limits(
+            int attempts,
+            boolean secondCopies,
+            long connectUs,
+            long idleUs,
+            long retryAfterUs,
+            int sockets,
+            int memoryMiB) {}
 
     /** What servers need of those who send to them. */
-    public record Rules(long drainUs, double coldFrom, long coldUs, double overload, long fallUs) { }
+    public record Rules(long drainUs, double coldFrom, long coldUs, double overload, long fallUs) {}
 
     /** Where orders are journaled; an empty folder for nowhere. */
-    public record Journal(String folder, long lateUs) { }
+    public record Journal(String folder, long lateUs) {}
 }
--- a/src/main/java/kitemux/app/AppFile.java
+++ b/src/main/java/kitemux/app/AppFile.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.function.BiFunction;
 import java.util.function.Function;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.hcl.Places;
@@ -20,13 +19,23 @@
     /** Fields of these names hold secrets, wherever they stand. */
     private static final String SECRETS = "(?i).*(password|passwd|secret|token|api_?key|private_?key).*";
 
-    private AppFile() { }
+    private AppFile() {}
 
-    private enum Again { SAFE, KEYED, NEVER_TWICE }
+    private enum Again {
+        SAFE,
+        KEYED,
+        NEVER_TWICE
+    }
 
-    private enum Shared { ALL, RACK }
+    private enum Shared {
+        ALL,
+        RACK
+    }
 
-    private enum Form { TEXT, JSON }
+    private enum Form {
+        TEXT,
+        JSON
+    }
 
     /**
      * What was read and what is wrong.
@@ -34,7 +43,7 @@
      * @param app null where the text is no HCL at all
      * @param places where things stand in the text
      */
-    public record Reading(App app, List<Finding> findings, Places places) { }
+    public record Reading(App app, List<Finding> findings, Places places) {}
 
     /** Reads a description and holds it against all rules: shape first, then meaning. */
     public static Reading read(String given) {
@@ -42,8 +51,10 @@
         Places places = Places.of(text);
         List<Finding> findings = new ArrayList<>();
         if (text.length() > MOST_BYTES) {
-            findings.add(new Finding(Rule.SHAPE, "", "the file has " + text.length() + " characters; at most "
-                    + MOST_BYTES + " are read"));
+            findings.add(new Finding(
+                    Rule.SHAPE,
+                    "",
+                    "the file has " + text.length() + " characters; at most " + MOST_BYTES + " are read"));
             return new Reading(null, findings, places);
         }
         for (String fault : places.faults()) {
@@ -64,8 +75,7 @@
             int colon = fault.indexOf(": ");
             findings.add(new Finding(Rule.SHAPE, fault.substring(0, colon), fault.substring(colon + 2)));
         }
-        secrets("", parsed).forEach(at -> findings.add(new Finding(Rule.SECRET, at,
-                "whoever reads the file has it")));
+        secrets("", parsed).forEach(at -> findings.add(new Finding(Rule.SECRET, at, "whoever reads the file has it")));
         if (findings.isEmpty()) {
             findings.addAll(Checks.of(app));
         }
@@ -81,32 +91,48 @@
         List<String> networks = top.texts("networks");
         List<String> neverTwice = top.texts("never_twice");
         boolean journaled = top.yes("journaled");
-        List<App.Server> servers = labelled(all, "server", beyond, (id, of) -> new App.Server(id,
-                of.text("address"),
-                of.whole("rack"), of.word("state", App.State.class)));
-        List<App.Pool> pools = labelled(all, "pool", beyond, (id, of) -> new App.Pool(id,
-                of.texts("servers")));
+        List<App.Server> servers = labelled(
+                all,
+                "server",
+                beyond,
+                (id, of) ->
+                        new App.Server(id, of.text("address"), of.whole("rack"), of.word("state", App.State.class)));
+        List<App.Pool> pools = labelled(all, "pool", beyond, (id, of) -> new App.Pool(id, of.texts("servers")));
         List<App.Work> classes = labelled(all, "class", beyond, AppFile::work);
-        List<App.Tenant> tenants = labelled(all, "tenant", beyond, (id, of) -> new App.Tenant(id,
-                of.number("share")));
+        List<App.Tenant> tenants = labelled(all, "tenant", beyond, (id, of) -> new App.Tenant(id, of.number("share")));
         double quota = top.number("quota");
         App.Health health = all.has("health") ? part(all, "health", beyond, AppFile::health) : null;
-        App app = new App(name, listen, operators, discovery, networks, neverTwice, journaled, servers, pools,
-                classes, tenants, quota,
-                part(all, "keys", beyond, of -> new App.Keys(of.time("kept"),
-                        group(of.word("shared", Shared.class)))),
-                part(all, "members", beyond, AppFile::members), health,
-                part(all, "limits", beyond, AppFile::limits), part(all, "rules", beyond, AppFile::rules),
+        App app = new App(
+                name,
+                listen,
+                operators,
+                discovery,
+                networks,
+                neverTwice,
+                journaled,
+                servers,
+                pools,
+                classes,
+                tenants,
+                quota,
+                part(all, "keys", beyond, of -> new App.Keys(of.time("kept"), group(of.word("shared", Shared.class)))),
+                part(all, "members", beyond, AppFile::members),
+                health,
+                part(all, "limits", beyond, AppFile::limits),
+                part(all, "rules", beyond, AppFile::rules),
                 part(all, "orders", beyond, of -> new App.Journal(of.text("folder"), of.time("late"))),
-                part(all, "logs", beyond, of -> new App.Logs(of.word("form", Form.class) == Form.JSON,
-                        of.whole("queue"))),
+                part(
+                        all,
+                        "logs",
+                        beyond,
+                        of -> new App.Logs(of.word("form", Form.class) == Form.JSON, of.whole("queue"))),
                 beyond);
         top.end();
         return app;
     }
 
-    private static <T> List<T> labelled(Section all, String type, List<Finding> beyond,
-            BiFunction<String, Block, T> read) {
+    private static <T> List<T> labelled(
+            Section all, String type, List<Finding> beyond, BiFunction<String, Block, T> read) {
         List<T> found = new ArrayList<>();
         all.labelled(type, type.equals("class")).forEach((label, of) -> {
             Block block = new Block(type, of, beyond);
@@ -124,12 +150,21 @@
     }
 
     private static App.Work work(String name, Block of) {
-        return new App.Work(name, switch (of.word("again", Again.class)) {
-            case SAFE -> Repeat.SAFE;
-            case KEYED -> Repeat.KEYED;
-            case NEVER_TWICE -> Repeat.UNSAFE;
-        }, group(of.word("group", Shared.class)), of.time("window"), of.time("aim"), of.time("deadline"),
-                of.number("worth"), of.number("late_worth"), of.text("pool"), of.whole("attempts"),
+        return new App.Work(
+                name,
+                switch (of.word("again", Again.class)) {
+                    case SAFE -> Repeat.SAFE;
+                    case KEYED -> Repeat.KEYED;
+                    case NEVER_TWICE -> Repeat.UNSAFE;
+                },
+                group(of.word("group", Shared.class)),
+                of.time("window"),
+                of.time("aim"),
+                of.time("deadline"),
+                of.number("worth"),
+                of.number("late_worth"),
+                of.text("pool"),
+                of.whole("attempts"),
                 of.yes("second_copies"));
     }
 
@@ -138,24 +173,42 @@
     }
 
     private static App.Members members(Block of) {
-        return new App.Members(of.text("file"), of.text("list"), of.time("refresh"), of.time("back_off"),
-                of.number("most_lost"), of.time("sure"), of.text("state"));
+        return new App.Members(
+                of.text("file"),
+                of.text("list"),
+                of.time("refresh"),
+                of.time("back_off"),
+                of.number("most_lost"),
+                of.time("sure"),
+                of.text("state"));
     }
 
     private static App.Health health(Block of) {
-        return new App.Health(of.text("path"), of.time("every"), of.time("timeout"), of.whole("fall"),
-                of.whole("rise"), of.number("most_out"), of.time("hold"), of.time("most_hold"));
+        return new App.Health(
+                of.text("path"),
+                of.time("every"),
+                of.time("timeout"),
+                of.whole("fall"),
+                of.whole("rise"),
+                of.number("most_out"),
+                of.time("hold"),
+                of.time("most_hold"));
     }
 
     private static App.Limits limits(Block of) {
-        return new App.Limits(of.whole("attempts"), of.yes("second_copies"), of.time("connect"),
+        return new App.Limits(
+                of.whole("attempts"),
+                of.yes("second_copies"),
+                of.time("connect"),
                 of.time("idle"),
-                of.time("retry_after"), of.whole("sockets"), of.whole("memory_mib"));
+                of.time("retry_after"),
+                of.whole("sockets"),
+                of.whole("memory_mib"));
     }
 
     private static App.Rules rules(Block of) {
-        return new App.Rules(of.time("drain"), of.number("cold_from"), of.time("cold"), of.number("overload"),
-                of.time("fall"));
+        return new App.Rules(
+                of.time("drain"), of.number("cold_from"), of.time("cold"), of.number("overload"), of.time("fall"));
     }
 
     private static List<String> secrets(String path, Map<?, ?> fields) {
--- a/src/main/java/kitemux/app/Begin.java
+++ b/src/main/java/kitemux/app/Begin.java
@@ -64,7 +64,7 @@
             }
             """;
 
-    private Begin() { }
+    private Begin() {}
 
     /**
      * @param kind one of {@link #KINDS}
@@ -73,8 +73,9 @@
     public static String text(String kind, String name) {
         return switch (kind) {
             case "web" -> String.format(HEAD, "An application whose requests may all run again.", name, "");
-            case "orders" -> String.format(HEAD, "An application that takes orders.", name,
-                    "never_twice = [\"place-order\"]\n") + ORDERS;
+            case "orders" ->
+                String.format(HEAD, "An application that takes orders.", name, "never_twice = [\"place-order\"]\n")
+                        + ORDERS;
             default -> throw new IllegalArgumentException("there is no kind " + kind);
         };
     }
--- a/src/main/java/kitemux/app/Block.java
+++ b/src/main/java/kitemux/app/Block.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Locale;
-
 import kitemux.hcl.Section;
 
 /**
@@ -32,8 +31,7 @@
         Field field = field(name);
         // Not a number where the table's least is smaller than any: written so that it is told as well.
         if (!(value >= field.least() && value <= field.most())) {
-            beyond.add(new Finding(field.beyond(), section.at(name), "is not " + field.range() + ": "
-                    + field.why()));
+            beyond.add(new Finding(field.beyond(), section.at(name), "is not " + field.range() + ": " + field.why()));
         }
         return value;
     }
@@ -54,12 +52,12 @@
 
     double number(String name) {
         String otherwise = field(name).otherwise();
-        return within(name, section.number(name, otherwise == null ? Double.NaN
-                : Double.parseDouble(otherwise)));
+        return within(name, section.number(name, otherwise == null ? Double.NaN : Double.parseDouble(otherwise)));
     }
 
     int whole(String name) {
-        return (int) within(name, section.whole(name, Double.parseDouble(field(name).otherwise())));
+        return (int)
+                within(name, section.whole(name, Double.parseDouble(field(name).otherwise())));
     }
 
     /** Microseconds. */
@@ -70,8 +68,12 @@
 
     <E extends Enum<E>> E word(String name, Class<E> of) {
         String otherwise = field(name).otherwise();
-        return section.word(name, of, otherwise == null ? null
-                : Enum.valueOf(of, otherwise.toUpperCase(Locale.ROOT).replace('-', '_')));
+        return section.word(
+                name,
+                of,
+                otherwise == null
+                        ? null
+                        : Enum.valueOf(of, otherwise.toUpperCase(Locale.ROOT).replace('-', '_')));
     }
 
     /** To be called once all is read. */
--- a/src/main/java/kitemux/app/Checks.java
+++ b/src/main/java/kitemux/app/Checks.java
@@ -1,5 +1,7 @@
 package kitemux.app;
 
+import inet.ipaddr.IPAddress;
+import inet.ipaddr.IPAddressString;
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.util.ArrayList;
@@ -8,10 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-
-import inet.ipaddr.IPAddress;
-import inet.ipaddr.IPAddressString;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 
@@ -19,6 +17,7 @@
 final class Checks {
     /** Buffers of a connection that is in use, and as much again for what it carries. */
     private static final int KIB_A_SOCKET = 32;
+
     private static final double EPSILON = 1e-9;
 
     private final App app;
@@ -65,9 +64,11 @@
             String at = at("class", work.name());
             orders |= work.again() == Repeat.UNSAFE;
             if (app.neverTwice().contains(work.name()) && work.again() != Repeat.UNSAFE) {
-                tell(Rule.NEVER_TWICE, at + ".again",
+                tell(
+                        Rule.NEVER_TWICE,
+                        at + ".again",
                         "never_twice names it, and here it may be sent again after a"
-                        + " failure: its effect could happen twice");
+                                + " failure: its effect could happen twice");
             }
             if (work.again() == Repeat.UNSAFE) {
                 unsafe(work, at);
@@ -84,35 +85,40 @@
 
     private void unsafe(App.Work work, String at) {
         if (work.attempts() > 1) {
-            tell(Rule.NEVER_TWICE, at + ".attempts", work.attempts()
-                    + " attempts let it be sent again where the"
-                    + " first may have run");
+            tell(
+                    Rule.NEVER_TWICE,
+                    at + ".attempts",
+                    work.attempts() + " attempts let it be sent again where the" + " first may have run");
         }
         if (work.secondCopies()) {
             tell(Rule.COPIES, at + ".second_copies", "two servers could each take the order");
         }
         if (work.windowUs() > 0) {
-            tell(Rule.NEVER_TWICE, at + ".window",
-                    "a window says how long it may be sent again, and it may never");
+            tell(Rule.NEVER_TWICE, at + ".window", "a window says how long it may be sent again, and it may never");
         }
     }
 
     private void keyed(App.Work work, String at) {
         if (work.windowUs() == 0) {
-            tell(Rule.WINDOW, at + ".window",
-                    "it is keyed and has no window: nothing says how long its key is good"
-                    + " for");
+            tell(
+                    Rule.WINDOW,
+                    at + ".window",
+                    "it is keyed and has no window: nothing says how long its key is good" + " for");
         } else if (work.windowUs() > app.keys().keptUs()) {
-            tell(Rule.WINDOW, at + ".window", app.keys().keptUs() == 0
-                    ? "nothing says that servers remember keys at all: keys.kept is not given"
-                    : "it is sent again for " + work.windowUs() / 1_000
-                            + " ms, and servers forget its key after "
-                    + app.keys().keptUs() / 1_000 + " ms: what comes later runs a second time");
+            tell(
+                    Rule.WINDOW,
+                    at + ".window",
+                    app.keys().keptUs() == 0
+                            ? "nothing says that servers remember keys at all: keys.kept is not given"
+                            : "it is sent again for " + work.windowUs() / 1_000
+                                    + " ms, and servers forget its key after "
+                                    + app.keys().keptUs() / 1_000 + " ms: what comes later runs a second time");
         }
         if (work.group() == Group.ALL && app.keys().shared() == Group.CELL) {
-            tell(Rule.GROUP, at + ".group",
-                    "a repeat may go to another rack, where its key is not known: it would run"
-                    + " a second time");
+            tell(
+                    Rule.GROUP,
+                    at + ".group",
+                    "a repeat may go to another rack, where its key is not known: it would run" + " a second time");
         }
     }
 
@@ -121,23 +127,25 @@
             tell(Rule.TIMES, at + ".aim", "its aim lies beyond its deadline: nothing could be in time");
         }
         if (app.limits().connectUs() >= work.deadlineUs()) {
-            tell(Rule.ATTEMPTS, at + ".deadline",
-                    "opening one connection may take as long: a server that is gone"
-                    + " would use up all of it");
+            tell(
+                    Rule.ATTEMPTS,
+                    at + ".deadline",
+                    "opening one connection may take as long: a server that is gone" + " would use up all of it");
         }
-        if (work.attempts() > 0 && work.attempts() < app.limits().attempts()
-                && work.again() != Repeat.UNSAFE) {
-            tell(Rule.NOT_YET, at + ".attempts",
-                    "attempts are bounded for all classes together, by limits.attempts");
+        if (work.attempts() > 0 && work.attempts() < app.limits().attempts() && work.again() != Repeat.UNSAFE) {
+            tell(Rule.NOT_YET, at + ".attempts", "attempts are bounded for all classes together, by limits.attempts");
         }
         if (work.secondCopies() && !app.limits().secondCopies() && work.again() != Repeat.UNSAFE) {
-            tell(Rule.NOT_YET, at + ".second_copies",
-                    "copies are turned on for all classes that may have them, by"
-                    + " limits.second_copies");
+            tell(
+                    Rule.NOT_YET,
+                    at + ".second_copies",
+                    "copies are turned on for all classes that may have them, by" + " limits.second_copies");
         }
         if (work.attempts() > app.limits().attempts()) {
-            tell(Rule.LIMITS, at + ".attempts", "is beyond limits.attempts, "
-                    + app.limits().attempts());
+            tell(
+                    Rule.LIMITS,
+                    at + ".attempts",
+                    "is beyond limits.attempts, " + app.limits().attempts());
         }
     }
 
@@ -149,19 +157,16 @@
             String at = at("server", server.name());
             String other = byAddress.putIfAbsent(server.address(), server.name());
             if (other != null) {
-                tell(Rule.TWICE, at + ".address", "\"" + other
-                        + "\" has it too: it would get twice its share");
+                tell(Rule.TWICE, at + ".address", "\"" + other + "\" has it too: it would get twice its share");
             }
             if (server.address().equals(app.listen())) {
-                tell(Rule.TWICE, at + ".address",
-                        "the program listens there itself: requests would go round");
+                tell(Rule.TWICE, at + ".address", "the program listens there itself: requests would go round");
             }
         }
         boolean toldElsewhere = !app.discovery().isEmpty() || !app.source().isEmpty();
         if (app.servers().isEmpty() && !toldElsewhere) {
             tell(Rule.EMPTY, "discovery", "no server is described, and nothing says where their list is");
-        } else if (!app.servers().isEmpty() && app.servers().stream().noneMatch(Checks::isReady)
-                && !toldElsewhere) {
+        } else if (!app.servers().isEmpty() && app.servers().stream().noneMatch(Checks::isReady) && !toldElsewhere) {
             tell(Rule.EMPTY, "server", "every server drains or is gone: all requests would be refused");
         }
     }
@@ -175,31 +180,36 @@
         told.addAll(app.servers().isEmpty() || told.isEmpty() ? List.of() : List.of("server"));
         // Servers beside the platform's discovery are what a node begins with.
         if (told.size() > 1 && !told.equals(List.of("discovery", "server"))) {
-            tell(Rule.SOURCES, told.get(1), "servers come from " + String.join(" and ", told)
-                    + ": when these differ nobody can say where requests go");
+            tell(
+                    Rule.SOURCES,
+                    told.get(1),
+                    "servers come from " + String.join(" and ", told)
+                            + ": when these differ nobody can say where requests go");
         }
         if (!app.source().isEmpty() && !app.pools().isEmpty()) {
-            tell(Rule.NOT_YET, "pool", "a pool names servers, and which there are is told by "
-                    + app.source());
+            tell(Rule.NOT_YET, "pool", "a pool names servers, and which there are is told by " + app.source());
         }
         if (!members.list().isEmpty()) {
             try {
                 URI list = new URI(members.list());
                 if (!"http".equals(list.getScheme()) || list.getHost() == null || list.getPort() < 1) {
-                    tell(Rule.ADDRESS, "members.list", "\"" + members.list() + "\" is not like"
-                            + " http://10.0.0.9:8500/servers");
+                    tell(
+                            Rule.ADDRESS,
+                            "members.list",
+                            "\"" + members.list() + "\" is not like" + " http://10.0.0.9:8500/servers");
                 } else {
                     address("members.list", list.getHost() + ":" + list.getPort(), List.of());
                 }
             } catch (URISyntaxException e) {
-                tell(Rule.ADDRESS, "members.list", "\"" + members.list() + "\" cannot be read: "
-                        + e.getReason());
+                tell(Rule.ADDRESS, "members.list", "\"" + members.list() + "\" cannot be read: " + e.getReason());
             }
         }
         if (members.backOffUs() < members.refreshUs()) {
-            tell(Rule.TIMES, "members.back_off",
+            tell(
+                    Rule.TIMES,
+                    "members.back_off",
                     "is shorter than members.refresh: a list that fails would be asked"
-                    + " for more often than one that answers");
+                            + " for more often than one that answers");
         }
     }
 
@@ -209,13 +219,13 @@
             return;
         }
         if (!app.discovery().isEmpty()) {
-            tell(Rule.NOT_YET, "health",
-                    "the node watches discovery by itself, and nobody checks what that tells");
+            tell(Rule.NOT_YET, "health", "the node watches discovery by itself, and nobody checks what that tells");
         }
         if (health.timeoutUs() > health.everyUs()) {
-            tell(Rule.TIMES, "health.timeout",
-                    "is longer than health.every: checks of a server that hangs would pile"
-                    + " up at it");
+            tell(
+                    Rule.TIMES,
+                    "health.timeout",
+                    "is longer than health.every: checks of a server that hangs would pile" + " up at it");
         }
         if (health.mostHoldUs() < health.holdUs()) {
             tell(Rule.TIMES, "health.most_hold", "is shorter than health.hold");
@@ -243,9 +253,12 @@
                 if (server == null) {
                     tell(Rule.UNKNOWN, at, "there is no server \"" + name + "\"");
                 } else if (!isReady(server)) {
-                    tell(Rule.DRAINED, at, "\"" + name + "\" is "
-                            + (server.state() == App.State.DRAINING ? "draining" : "gone")
-                            + " and would be sent new work");
+                    tell(
+                            Rule.DRAINED,
+                            at,
+                            "\"" + name + "\" is "
+                                    + (server.state() == App.State.DRAINING ? "draining" : "gone")
+                                    + " and would be sent new work");
                 }
                 if (!named.add(name)) {
                     tell(Rule.TWICE, at, "\"" + name + "\" is there twice: it would get twice its share");
@@ -292,33 +305,40 @@
                 tell(Rule.TWICE, "discovery", "the program listens there itself");
             }
         }
-        app.servers().forEach(server -> address(at("server", server.name()) + ".address", server.address(),
-                networks));
+        app.servers().forEach(server -> address(at("server", server.name()) + ".address", server.address(), networks));
     }
 
     /**
      * Whether a server may have this address: one that can be read and lies in the networks that there are.
-     * 
+     *
      */
     static boolean isAllowed(String address, List<String> networks) {
         Checks none = new Checks(null);
-        none.address("", address, networks.stream().map(one -> new IPAddressString(one).getAddress()
-                .toPrefixBlock())
-                .toList());
+        none.address(
+                "",
+                address,
+                networks.stream()
+                        .map(one -> new IPAddressString(one).getAddress().toPrefixBlock())
+                        .toList());
         return none.found.isEmpty();
     }
 
     private void address(String at, String text, List<IPAddress> networks) {
         int colon = text.lastIndexOf(':');
         IPAddress host = colon <= 0 ? null : new IPAddressString(text.substring(0, colon)).getAddress();
-        boolean port = colon > 0 && text.substring(colon + 1).matches("[1-9]\\d{0,4}")
+        boolean port = colon > 0
+                && text.substring(colon + 1).matches("[1-9]\\d{0,4}")
                 && Integer.parseInt(text.substring(colon + 1)) <= 65_535;
         // The library reads 127.1 and 0x7f.0.0.1 as well, which other readers take for something else.
-        if (host == null || !host.isIPv4() || host.isMultiple() || !port
+        if (host == null
+                || !host.isIPv4()
+                || host.isMultiple()
+                || !port
                 || !host.toCanonicalString().equals(text.substring(0, colon))) {
-            tell(Rule.ADDRESS, at, "\"" + text
-                    + "\" is no IPv4 address with a port from 1 to 65535; names are not"
-                    + " looked up");
+            tell(
+                    Rule.ADDRESS,
+                    at,
+                    "\"" + text + "\" is no IPv4 address with a port from 1 to 65535; names are not" + " looked up");
         } else if (!networks.isEmpty() && networks.stream().noneMatch(network -> network.contains(host))) {
             tell(Rule.ADDRESS, at, "\"" + text + "\" lies in none of networks");
         }
@@ -342,9 +362,11 @@
     private void limits() {
         App.Limits limits = app.limits();
         if ((long) limits.sockets() * KIB_A_SOCKET > (long) limits.memoryMiB() << 9) {
-            tell(Rule.LIMITS, "limits.sockets",
-                    "with all of them in use their buffers alone take more than half of "
-                    + limits.memoryMiB() + " MiB");
+            tell(
+                    Rule.LIMITS,
+                    "limits.sockets",
+                    "with all of them in use their buffers alone take more than half of " + limits.memoryMiB()
+                            + " MiB");
         }
         App.Rules rules = app.rules();
         if (rules.coldFrom() < 1 && rules.coldUs() == 0) {
--- a/src/main/java/kitemux/app/ConfigWriter.java
+++ b/src/main/java/kitemux/app/ConfigWriter.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
@@ -15,7 +14,7 @@
 public final class ConfigWriter {
     private static final String ZONE = "here";
 
-    private ConfigWriter() { }
+    private ConfigWriter() {}
 
     /**
      * A configuration in the platform's form. The same description gives the same bytes.
@@ -38,9 +37,17 @@
         }
         // Without a list elsewhere nobody asks for one: the node is its own discovery, and does not call it.
         String discovery = app.discovery().isEmpty() ? app.listen() : app.discovery();
-        return ConfigText.node(new ConfigText.Node(app.name(), app.listen(), discovery, seed,
-                app.limits().sockets(), app.limits().memoryMiB(), app.limits().idleUs()), settings(app),
-                        servers);
+        return ConfigText.node(
+                new ConfigText.Node(
+                        app.name(),
+                        app.listen(),
+                        discovery,
+                        seed,
+                        app.limits().sockets(),
+                        app.limits().memoryMiB(),
+                        app.limits().idleUs()),
+                settings(app),
+                servers);
     }
 
     /** Those that are described and get anything at all, as a node is told of them. */
@@ -52,10 +59,11 @@
     public static List<Member> members(App app) {
         List<Member> members = new ArrayList<>();
         for (App.Server server : app.servers()) {
-            boolean inPool = app.pools().isEmpty() || app.pools().get(0).servers().contains(server.name());
+            boolean inPool =
+                    app.pools().isEmpty() || app.pools().get(0).servers().contains(server.name());
             if (server.state() != App.State.GONE && inPool) {
-                members.add(new Member(server.name(), server.address(), server.rack(),
-                        server.state() != App.State.READY));
+                members.add(
+                        new Member(server.name(), server.address(), server.rack(), server.state() != App.State.READY));
             }
         }
         return members;
@@ -68,8 +76,10 @@
      * @param startedUs Unix time in microseconds; 0 for long ago
      */
     public static ConfigText.Server server(Member one, boolean draining, long startedUs) {
-        return new ConfigText.Server(new ServerEntry(one.name(), 0, one.rack(),
-                draining ? ServerState.DRAINING : ServerState.READY, 1, startedUs), one.address());
+        return new ConfigText.Server(
+                new ServerEntry(
+                        one.name(), 0, one.rack(), draining ? ServerState.DRAINING : ServerState.READY, 1, startedUs),
+                one.address());
     }
 
     /** What the decision module is told. */
@@ -87,12 +97,19 @@
         set.coldUs = app.rules().coldFrom() < 1 ? app.rules().coldUs() : 0;
         set.fallMultiple = app.rules().overload();
         set.fallUs = app.rules().fallUs();
-        app.tenants().forEach(tenant -> set.tenants.add(new Tenant(tenant.name(),
-                app.quotaPerS() * tenant.share())));
-        app.classes().forEach(work -> set.classes.add(new RequestClass(work.name(), work.aimUs(), 0,
-                work.deadlineUs(), work.worth(), work.lateWorth(), work.again(), work.group(),
+        app.tenants().forEach(tenant -> set.tenants.add(new Tenant(tenant.name(), app.quotaPerS() * tenant.share())));
+        app.classes()
+                .forEach(work -> set.classes.add(new RequestClass(
+                        work.name(),
+                        work.aimUs(),
+                        0,
+                        work.deadlineUs(),
+                        work.worth(),
+                        work.lateWorth(),
+                        work.again(),
+                        work.group(),
                         work.windowUs(),
-                false)));
+                        false)));
         return set;
     }
 }
--- a/src/main/java/kitemux/app/Differences.java
+++ b/src/main/java/kitemux/app/Differences.java
@@ -7,14 +7,13 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.Function;
-
 import kitemux.Balancer.Repeat;
 
 /** What one description says otherwise than another, in words: whose traffic, and how. */
 public final class Differences {
     private final List<String> lines = new ArrayList<>();
 
-    private Differences() { }
+    private Differences() {}
 
     /** One line for each difference; empty where both mean the same. */
     public static List<String> between(App before, App next) {
@@ -31,11 +30,20 @@
         all.plain("orders must be journaled:", before.journaled(), next.journaled());
         all.each("class", before.classes(), next.classes(), App.Work::name, all::work);
         all.each("server", before.servers(), next.servers(), App.Server::name, all::server);
-        all.each("pool", before.pools(), next.pools(), App.Pool::name, (was, now) -> all.lines.add("pool "
-                + now.name() + ": served by " + now.servers() + ", before by " + was.servers()));
-        all.each("tenant", before.tenants(), next.tenants(), App.Tenant::name, (was,
-                now) -> all.lines.add("tenant "
-                + now.name() + ": " + now.share() + " of the quota, before " + was.share()));
+        all.each(
+                "pool",
+                before.pools(),
+                next.pools(),
+                App.Pool::name,
+                (was, now) -> all.lines.add(
+                        "pool " + now.name() + ": served by " + now.servers() + ", before by " + was.servers()));
+        all.each(
+                "tenant",
+                before.tenants(),
+                next.tenants(),
+                App.Tenant::name,
+                (was, now) -> all.lines.add(
+                        "tenant " + now.name() + ": " + now.share() + " of the quota, before " + was.share()));
         all.plain("requests a second of all tenants", before.quotaPerS(), next.quotaPerS());
         all.plain("what servers know of keys", before.keys(), next.keys());
         all.plain("limits", before.limits(), next.limits());
@@ -78,10 +86,10 @@
         if (before.state() != next.state()) {
             lines.add(of + " is " + word(next.state()) + ", before " + word(before.state())
                     + switch (next.state()) {
-                case READY -> ": it gets its part of all that comes";
-                case DRAINING -> ": it gets nothing new and finishes what it has";
-                case GONE -> ": it gets nothing";
-            });
+                        case READY -> ": it gets its part of all that comes";
+                        case DRAINING -> ": it gets nothing new and finishes what it has";
+                        case GONE -> ": it gets nothing";
+                    });
         }
         plain(of + " is at", before.address(), next.address());
         plain(of + " is in rack", before.rack(), next.rack());
@@ -91,9 +99,9 @@
         String of = "class " + next.name();
         if (before.again() != next.again()) {
             lines.add(of + " is " + word(next.again()) + ", before " + word(before.again())
-                    + (before.again() == Repeat.UNSAFE ? ": it MAY BE SENT AGAIN after a failure from now on"
-                            : next.again() == Repeat.UNSAFE ? ": it fails where it was sent again before"
-                                    : ""));
+                    + (before.again() == Repeat.UNSAFE
+                            ? ": it MAY BE SENT AGAIN after a failure from now on"
+                            : next.again() == Repeat.UNSAFE ? ": it fails where it was sent again before" : ""));
         }
         plain(of + ": a repeat may reach", before.group(), next.group());
         micros(of + ": it may be sent again for", before.windowUs(), next.windowUs());
@@ -113,6 +121,8 @@
     }
 
     private static String word(Enum<?> of) {
-        return of == Repeat.UNSAFE ? "never-twice" : of.name().toLowerCase(Locale.ROOT).replace('_', '-');
+        return of == Repeat.UNSAFE
+                ? "never-twice"
+                : of.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 }
--- a/src/main/java/kitemux/app/Field.java
+++ b/src/main/java/kitemux/app/Field.java
@@ -13,8 +13,15 @@
  * @param words that it may be, where its kind is a word
  * @param why what it is for and, where that is no matter of course, why it is bounded
  */
-public record Field(String block, String name, Kind kind, String otherwise, double least, double most,
-        List<String> words, String why) {
+public record Field(
+        String block,
+        String name,
+        Kind kind,
+        String otherwise,
+        double least,
+        double most,
+        List<String> words,
+        String why) {
 
     /** What a field holds. */
     public enum Kind {
@@ -60,11 +67,12 @@
         if (Double.isInfinite(least)) {
             return "";
         }
-        String from = least == Double.MIN_NORMAL ? "above 0" : Double.isInfinite(most) ? shown(least)
-                + " or more"
-                : "from " + shown(least);
-        return Double.isInfinite(most) ? from : from + (least == Double.MIN_NORMAL ? " and up to " : " to ")
-                + shown(most);
+        String from = least == Double.MIN_NORMAL
+                ? "above 0"
+                : Double.isInfinite(most) ? shown(least) + " or more" : "from " + shown(least);
+        return Double.isInfinite(most)
+                ? from
+                : from + (least == Double.MIN_NORMAL ? " and up to " : " to ") + shown(most);
     }
 
     /** The rule that is broken where it lies beyond its range. */
--- a/src/main/java/kitemux/app/Fields.java
+++ b/src/main/java/kitemux/app/Fields.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-
 import kitemux.app.Field.Kind;
 
 /** All fields of a description, in the order of the reference. Nothing of them is written anywhere else. */
@@ -17,16 +16,15 @@
     private static final Map<String, Field> ALL = new LinkedHashMap<>();
     /** Blocks, with what each is; those of {@link #LABELLED} have a name and may be there several times. */
     private static final Map<String, String> BLOCKS = new LinkedHashMap<>();
+
     private static final List<String> LABELLED = List.of("server", "pool", "class", "tenant");
 
     static {
         block("", "the application itself");
         text("", "name", null, "what it is called; what a sidecar leaves for the next one is found by it");
         add("", "listen", Kind.ADDRESS, null, "where its clients connect");
-        add("", "operators", Kind.ADDRESS, "",
-                "where operators call (operations.md); nowhere where it is not given");
-        add("", "discovery", Kind.ADDRESS, "",
-                "where the platform's list of servers is, watched by the node itself");
+        add("", "operators", Kind.ADDRESS, "", "where operators call (operations.md); nowhere where it is not given");
+        add("", "discovery", Kind.ADDRESS, "", "where the platform's list of servers is, watched by the node itself");
         texts("", "networks", "in which servers must lie; any where it is not given");
         texts("", "never_twice", "classes that must never run twice, whatever else is said of them");
         yes("", "journaled", false, "whether never-twice work must be journaled before it is sent");
@@ -35,25 +33,45 @@
         block("server", "a server");
         add("server", "address", Kind.ADDRESS, null, "where it listens");
         whole("server", "rack", "0", 0, 1_000_000, "the group of servers that knows the same keys");
-        words("server", "state", "ready",
-                "what it is up to: ready takes its part, draining finishes what it has,"
-                + " gone is left out", "ready", "draining", "gone");
+        words(
+                "server",
+                "state",
+                "ready",
+                "what it is up to: ready takes its part, draining finishes what it has," + " gone is left out",
+                "ready",
+                "draining",
+                "gone");
 
         block("pool", "servers that serve the same classes; without one all do");
         texts("pool", "servers", "by their names");
 
         block("class", "a class of requests");
-        words("class", "again", null,
+        words(
+                "class",
+                "again",
+                null,
                 "whether it may run again: as often as wanted, within a window where servers drop"
-                + " repeats by a key, or never", "safe", "keyed", "never-twice");
+                        + " repeats by a key, or never",
+                "safe",
+                "keyed",
+                "never-twice");
         words("class", "group", "all", "which servers drop repeats of a keyed one", "all", "rack");
         time("class", "window", "0ms", 0, H, "how long a keyed one may be sent again");
-        time("class", "aim", null, MS, H,
+        time(
+                "class",
+                "aim",
+                null,
+                MS,
+                H,
                 "answers within it are in time; under 1 ms it is over before a request is read");
         time("class", "deadline", null, MS, H, "after it a request is given up");
-        number("class", "worth", "1", Double.MIN_NORMAL, ANY,
-                "what one is worth against others, where not all can be"
-                + " served");
+        number(
+                "class",
+                "worth",
+                "1",
+                Double.MIN_NORMAL,
+                ANY,
+                "what one is worth against others, where not all can be" + " served");
         number("class", "late_worth", "0", 0, 1, "share of it for an answer after the aim");
         text("class", "pool", "", "that serves it; not needed where there is one");
         whole("class", "attempts", "0", 0, 16, "attempts at most; 0 for limits.attempts");
@@ -69,13 +87,21 @@
         block("members", "where servers come from, besides those described here");
         text("members", "file", "", "a file of servers as JSON, looked at as the description is");
         text("members", "list", "", "the same by HTTP, such as http://10.0.0.9:8500/servers");
-        time("members", "refresh", "5s", S / 10, H,
+        time(
+                "members",
+                "refresh",
+                "5s",
+                S / 10,
+                H,
                 "between two looks at the list; more often is a load on who keeps it");
-        time("members", "back_off", "60s", S / 10, H,
-                "longest pause after it has failed several times in a row");
-        number("members", "most_lost", "0.5", 0, 1,
-                "share of the servers that may be missing from it at once; more is"
-                + " doubted");
+        time("members", "back_off", "60s", S / 10, H, "longest pause after it has failed several times in a row");
+        number(
+                "members",
+                "most_lost",
+                "0.5",
+                0,
+                1,
+                "share of the servers that may be missing from it at once; more is" + " doubted");
         time("members", "sure", "30s", 0, H, "what is doubted counts once it has been told for so long");
         text("members", "state", "", "a folder in which the sidecar leaves what it knows for the next one");
 
@@ -86,27 +112,31 @@
         whole("health", "fall", "3", 1, 100, "failures in a row that take a server out");
         whole("health", "rise", "2", 1, 100, "passes in a row that bring it back");
         number("health", "most_out", "0.5", 0, 0.9, "share of the servers that checks may take out together");
-        time("health", "hold", "5s", 0, H,
-                "out for so long at least; doubled each time that it is taken out again");
+        time("health", "hold", "5s", 0, H, "out for so long at least; doubled each time that it is taken out again");
         time("health", "most_hold", "5m", 0, 24 * H, "but no longer than this");
 
         block("limits", "bounds of the process");
         whole("limits", "attempts", "4", 1, 16, "of one request; more would feed a storm");
-        yes("limits", "second_copies", true,
+        yes(
+                "limits",
+                "second_copies",
+                true,
                 "whether a request may have two attempts out at once, where its class may");
-        time("limits", "connect", "250ms", MS, 60 * S,
-                "for a connection to come up; none does in under 1 ms");
-        time("limits", "idle", "15s", S / 10, 24 * H,
-                "after which servers close idle connections; under 100 ms nearly"
-                + " each request needs a new one");
+        time("limits", "connect", "250ms", MS, 60 * S, "for a connection to come up; none does in under 1 ms");
+        time(
+                "limits",
+                "idle",
+                "15s",
+                S / 10,
+                24 * H,
+                "after which servers close idle connections; under 100 ms nearly" + " each request needs a new one");
         time("limits", "retry_after", "1s", 0, H, "longest advice to a client on when to come back");
         whole("limits", "sockets", "1024", 64, 65_535, "descriptors that the process may hold");
         whole("limits", "memory_mib", "128", 64, 1 << 20, "of the process");
 
         block("rules", "what servers need of those who send to them");
         time("rules", "drain", "500ms", 0, H, "nothing new reaches a server that drains after this");
-        number("rules", "cold_from", "1", Double.MIN_NORMAL, 1,
-                "share of its capacity with which a server starts");
+        number("rules", "cold_from", "1", Double.MIN_NORMAL, 1, "share of its capacity with which a server starts");
         time("rules", "cold", "0ms", 0, 24 * H, "after which it is warm");
         number("rules", "overload", "4", 1, 1_000, "times what it can do while cold that a server bears");
         time("rules", "fall", "2s", MS, H, "for so long");
@@ -116,14 +146,18 @@
         time("orders", "late", "100ms", MS, 60 * S, "a send waits for its record no longer");
 
         block("logs", "what the sidecar says");
-        words("logs", "form", "text", "a line of text, or of JSON with time, level and who says it", "text",
-                "json");
-        whole("logs", "queue", "4096", 16, 1 << 20,
+        words("logs", "form", "text", "a line of text, or of JSON with time, level and who says it", "text", "json");
+        whole(
+                "logs",
+                "queue",
+                "4096",
+                16,
+                1 << 20,
                 "lines that wait to be written; further ones are counted and left"
-                + " out, as nobody may wait for them");
+                        + " out, as nobody may wait for them");
     }
 
-    private Fields() { }
+    private Fields() {}
 
     private static void block(String name, String about) {
         BLOCKS.put(name, about);
@@ -149,18 +183,15 @@
         add(block, name, Kind.YES, Boolean.toString(otherwise), why);
     }
 
-    private static void time(String block, String name, String otherwise, double least, double most,
-            String why) {
+    private static void time(String block, String name, String otherwise, double least, double most, String why) {
         put(new Field(block, name, Kind.TIME, otherwise, least, most, List.of(), why));
     }
 
-    private static void number(String block, String name, String otherwise, double least, double most,
-            String why) {
+    private static void number(String block, String name, String otherwise, double least, double most, String why) {
         put(new Field(block, name, Kind.NUMBER, otherwise, least, most, List.of(), why));
     }
 
-    private static void whole(String block, String name, String otherwise, double least, double most,
-            String why) {
+    private static void whole(String block, String name, String otherwise, double least, double most, String why) {
         put(new Field(block, name, Kind.WHOLE, otherwise, least, most, List.of(), why));
     }
 
@@ -185,7 +216,9 @@
 
     /** The fields of a block, in order. */
     public static List<Field> of(String block) {
-        return ALL.values().stream().filter(field -> field.block().equals(block)).toList();
+        return ALL.values().stream()
+                .filter(field -> field.block().equals(block))
+                .toList();
     }
 
     /**
--- a/src/main/java/kitemux/app/Migrate.java
+++ b/src/main/java/kitemux/app/Migrate.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-
 import kitemux.config.Json;
 
 /**
@@ -24,7 +23,7 @@
      * @param text a description, to be checked as any other
      * @param left what was not carried over, a line each
      */
-    public record Result(String text, List<String> left) { }
+    public record Result(String text, List<String> left) {}
 
     /**
      * Reads a configuration.
@@ -44,7 +43,11 @@
     private void all() {
         Json set = json.path("settings");
         line("# From a node's configuration.");
-        text("name", json.path("name").text().isEmpty() ? "migrated" : json.path("name").text());
+        text(
+                "name",
+                json.path("name").text().isEmpty()
+                        ? "migrated"
+                        : json.path("name").text());
         text("listen", json.path("listen").text());
         if (!json.path("mgmt").text().isEmpty()) {
             text("operators", json.path("mgmt").text());
@@ -87,7 +90,8 @@
     }
 
     private static String shown(double value) {
-        return value == Math.rint(value) && Math.abs(value) < 1e15 ? Long.toString((long) value)
+        return value == Math.rint(value) && Math.abs(value) < 1e15
+                ? Long.toString((long) value)
                 : Double.toString(value);
     }
 
@@ -110,8 +114,8 @@
                 time("window", of, "windowUs");
             }
             if (group.equals("zone")) {
-                left.add("class " + of.path("name").text()
-                        + ": its group is a zone; a description knows racks and all");
+                left.add(
+                        "class " + of.path("name").text() + ": its group is a zone; a description knows racks and all");
             }
             time("aim", of, "onTimeUs");
             time("deadline", of, "giveUpUs");
@@ -176,8 +180,12 @@
         line("  second_copies = " + limits.path("parallelTries").flag());
         time("connect", limits, "dialTimeoutUs");
         time("idle", limits, "connIdleUs");
-        text("  retry_after", time(limits.path("retryAfter").flag() ? limits.path("maxRetryAfterUs").whole(0)
-                : 0));
+        text(
+                "  retry_after",
+                time(
+                        limits.path("retryAfter").flag()
+                                ? limits.path("maxRetryAfterUs").whole(0)
+                                : 0));
         number("sockets", json.path("limits"), "sockets");
         number("memory_mib", json.path("limits"), "memory_mb");
         line("}");
--- a/src/main/java/kitemux/app/Reference.java
+++ b/src/main/java/kitemux/app/Reference.java
@@ -1,29 +1,28 @@
 package kitemux.app;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.util.DefaultIndenter;
+import com.fasterxml.jackson.core.util.DefaultPrettyPrinter;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Map;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-import com.fasterxml.jackson.core.util.DefaultIndenter;
-import com.fasterxml.jackson.core.util.DefaultPrettyPrinter;
-
 /** The table of fields as people and editors read it: a page, and a JSON schema of descriptions. */
 public final class Reference {
     private static final String TIME = "^\\d+(\\.\\d+)?(us|ms|s|m|h)$";
     private static final String ADDRESS = "^\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}$";
 
-    private Reference() { }
+    private Reference() {}
 
     /** One field in a line, as {@code explain} tells it. */
     public static String line(Field field) {
         String range = field.range();
         return field.key() + ": " + field.kind().shown() + (range.isEmpty() ? "" : ", " + range) + ", "
                 + (field.otherwise() == null ? "must be given" : "default " + otherwise(field)) + ". "
-                        + field.why();
+                + field.why();
     }
 
     private static String otherwise(Field field) {
@@ -36,18 +35,27 @@
                 + "reference` from the"
                 + " table that descriptions are read by. Times carry a unit: `us`, `ms`, `s`, `m`, `h`.\n");
         Fields.blocks().forEach((block, about) -> {
-            page.append("\n## ").append(block.isEmpty() ? "Top" : Fields.isLabelled(block) ? "`" + block
-                    + " \"NAME\"`"
-                    : "`" + block + "`").append("\n\n").append(Character.toUpperCase(about.charAt(0)))
+            page.append("\n## ")
+                    .append(
+                            block.isEmpty()
+                                    ? "Top"
+                                    : Fields.isLabelled(block) ? "`" + block + " \"NAME\"`" : "`" + block + "`")
+                    .append("\n\n")
+                    .append(Character.toUpperCase(about.charAt(0)))
                     .append(about.substring(1))
-                            .append(".\n\n| field | kind | range | default | |\n| --- | --- | --- |"
-                            + " --- | --- |\n");
+                    .append(".\n\n| field | kind | range | default | |\n| --- | --- | --- |" + " --- | --- |\n");
             for (Field field : Fields.of(block)) {
-                page.append("| `").append(field.name()).append("` | ").append(field.kind().shown())
+                page.append("| `")
+                        .append(field.name())
+                        .append("` | ")
+                        .append(field.kind().shown())
+                        .append(" | ")
+                        .append(field.range())
+                        .append(" | ")
+                        .append(field.otherwise() == null ? "must be given" : otherwise(field))
                         .append(" | ")
-                        .append(field.range()).append(" | ").append(field.otherwise() == null
-                                ? "must be given"
-                                : otherwise(field)).append(" | ").append(field.why()).append(" |\n");
+                        .append(field.why())
+                        .append(" |\n");
             }
         });
         return page.toString();
@@ -57,7 +65,8 @@
     public static String schema() {
         StringWriter text = new StringWriter();
         try (JsonGenerator to = new JsonFactory().createGenerator(text)) {
-            to.setPrettyPrinter(new DefaultPrettyPrinter().withObjectIndenter(new DefaultIndenter("  ", "\n"))
+            to.setPrettyPrinter(new DefaultPrettyPrinter()
+                    .withObjectIndenter(new DefaultIndenter("  ", "\n"))
                     .withArrayIndenter(new DefaultIndenter("  ", "\n")));
             to.writeStartObject();
             to.writeStringField("$schema", "https://json-schema.org/draft/2020-12/schema");
--- a/src/main/java/kitemux/app/Report.java
+++ b/src/main/java/kitemux/app/Report.java
@@ -1,5 +1,7 @@
 package kitemux.app;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
@@ -7,9 +9,6 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-
 /**
  * What was found in descriptions, for programs: as JSON, or as SARIF 2.1.0, which code hosts and editors
  * show.
@@ -22,20 +21,26 @@
      *
      * @param line and {@code column}: from 1; 0 where they are not known
      */
-    public record Found(String file, int line, int column, Finding finding) { }
+    public record Found(String file, int line, int column, Finding finding) {}
 
-    private Report() { }
+    private Report() {}
 
     /** What was found in a file, with the places that are known. */
     public static List<Found> of(String file, AppFile.Reading reading) {
-        return reading.findings().stream().map(finding -> {
-            String line = finding.at().matches("\\d+:\\d+") ? file + ":" + finding.line()
-                    : reading.places().with(file, finding.line());
-            Matcher place = PLACE.matcher(line);
-            boolean known = place.matches() && place.group(1).equals(file);
-            return new Found(file, known ? Integer.parseInt(place.group(2)) : 0,
-                    known ? Integer.parseInt(place.group(3)) : 0, finding);
-        }).toList();
+        return reading.findings().stream()
+                .map(finding -> {
+                    String line = finding.at().matches("\\d+:\\d+")
+                            ? file + ":" + finding.line()
+                            : reading.places().with(file, finding.line());
+                    Matcher place = PLACE.matcher(line);
+                    boolean known = place.matches() && place.group(1).equals(file);
+                    return new Found(
+                            file,
+                            known ? Integer.parseInt(place.group(2)) : 0,
+                            known ? Integer.parseInt(place.group(3)) : 0,
+                            finding);
+                })
+                .toList();
     }
 
     private interface Body {
@@ -118,8 +123,11 @@
         to.writeStringField("ruleId", finding.rule().code());
         to.writeNumberField("ruleIndex", finding.rule().ordinal());
         to.writeStringField("level", "error");
-        message(to, "message", (finding.at().isEmpty() ? "" : finding.at() + ": ") + finding.what() + "; "
-                + finding.rule().cure());
+        message(
+                to,
+                "message",
+                (finding.at().isEmpty() ? "" : finding.at() + ": ") + finding.what() + "; "
+                        + finding.rule().cure());
         to.writeArrayFieldStart("locations");
         to.writeStartObject();
         to.writeObjectFieldStart("physicalLocation");
--- a/src/main/java/kitemux/app/Watch.java
+++ b/src/main/java/kitemux/app/Watch.java
@@ -59,8 +59,10 @@
         App next = reading.app();
         List<String> fixed = needsANewProcess(holds, next);
         if (!fixed.isEmpty()) {
-            return new Decision(null, List.of("the description has changed in " + String.join(", ", fixed)
-                    + ", which needs a new process; all of what it said before holds"));
+            return new Decision(
+                    null,
+                    List.of("the description has changed in " + String.join(", ", fixed)
+                            + ", which needs a new process; all of what it said before holds"));
         }
         if (next.equals(holds)) {
             return new Decision(null, List.of("the description reads differently and means the same"));
--- a/src/main/java/kitemux/bench/CaptureBench.java
+++ b/src/main/java/kitemux/bench/CaptureBench.java
@@ -7,7 +7,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
-
 import kitemux.Balancer.Result;
 import kitemux.engine.Asked;
 import kitemux.engine.Observer;
@@ -42,23 +41,25 @@
             LoadSettings settings = new LoadSettings(folder, 65_536, 4 << 20, 512 << 20);
             for (int round = 0; round < ROUNDS; round++) {
                 off[round] = nanosEach(Observer.NONE, clock, 0);
-                try (Capture capture = new Capture(settings, "n", List.of("page"), List.of(), clock::nowUs,
-                        out::println)) {
+                try (Capture capture =
+                        new Capture(settings, "n", List.of("page"), List.of(), clock::nowUs, out::println)) {
                     on[round] = nanosEach(capture.recorder(clock), clock, 0);
                 }
             }
             Arrays.sort(off);
             Arrays.sort(on);
-            out.printf("ns a request, %d rounds of %d: observer that does nothing %.0f (%.0f to %.0f), "
-                    + "capture %.0f (%.0f to %.0f)%n", ROUNDS, REQUESTS, off[ROUNDS / 2], off[0],
-                    off[ROUNDS - 1], on[ROUNDS / 2], on[0], on[ROUNDS - 1]);
+            out.printf(
+                    "ns a request, %d rounds of %d: observer that does nothing %.0f (%.0f to %.0f), "
+                            + "capture %.0f (%.0f to %.0f)%n",
+                    ROUNDS, REQUESTS, off[ROUNDS / 2], off[0], off[ROUNDS - 1], on[ROUNDS / 2], on[0], on[ROUNDS - 1]);
             LoadSettings standing = new LoadSettings(folder, 8_192, 4 << 20, 512 << 20);
             for (int rate : RATES) {
-                try (Capture capture = new Capture(standing, "n", List.of("page"), List.of(), clock::nowUs,
-                        out::println)) {
+                try (Capture capture =
+                        new Capture(standing, "n", List.of("page"), List.of(), clock::nowUs, out::println)) {
                     nanosEach(capture.recorder(clock), clock, 1_000_000_000 / rate);
-                    out.printf("at %d a second, ring of %d: %d of %d were left out%n", rate, standing.ring(),
-                            capture.ringFull(), REQUESTS / 10);
+                    out.printf(
+                            "at %d a second, ring of %d: %d of %d were left out%n",
+                            rate, standing.ring(), capture.ringFull(), REQUESTS / 10);
                 }
             }
         } finally {
--- a/src/main/java/kitemux/bench/EmulatorBench.java
+++ b/src/main/java/kitemux/bench/EmulatorBench.java
@@ -6,7 +6,6 @@
 import java.util.Locale;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
-
 import kitemux.fleet.Emulation;
 import kitemux.fleet.Fleet;
 import kitemux.fleet.Result;
@@ -45,12 +44,24 @@
 
     private void size(int boxes, int nodes) {
         Fleet.Kind kind = like.kinds().get(0);
-        Fleet sized = like.withKinds(List.of(new Fleet.Kind(kind.name(), boxes, kind.cores(), kind.speed(),
-                kind.speedCv(), kind.room(), kind.coldFrom(), kind.coldUs(), kind.warmsByWork(),
+        Fleet sized = like.withKinds(List.of(new Fleet.Kind(
+                        kind.name(),
+                        boxes,
+                        kind.cores(),
+                        kind.speed(),
+                        kind.speedCv(),
+                        kind.room(),
+                        kind.coldFrom(),
+                        kind.coldUs(),
+                        kind.warmsByWork(),
                         kind.cost())))
-                .with(new Fleet.Nodes(nodes, like.nodes().eventUs(), like.nodes().cores(), like.nodes()
-                        .startUs(),
-                        like.nodes().noticeUs())).withoutShares();
+                .with(new Fleet.Nodes(
+                        nodes,
+                        like.nodes().eventUs(),
+                        like.nodes().cores(),
+                        like.nodes().startUs(),
+                        like.nodes().noticeUs()))
+                .withoutShares();
         double ratePerS = 0.6 * sized.capacity() * 1e6 / sized.meanWorkUs();
         long lengthUs = Math.max(2_000_000, (long) (WISHES / ratePerS * 1e6));
         Fleet played = sized.with(new Fleet.Load(ratePerS, lengthUs, List.of(), 0, 1));
@@ -66,8 +77,15 @@
         double[] warm = Arrays.copyOfRange(perS, 1, perS.length);
         Arrays.sort(warm);
         Runtime runtime = Runtime.getRuntime();
-        out.printf(Locale.ROOT, "%5d  %5d  %7.0f  %7.0f (%.0f to %.0f)  %8.0f  %d%n", boxes, nodes, first,
-                warm[ROUNDS / 2], warm[0], warm[ROUNDS - 1],
+        out.printf(
+                Locale.ROOT,
+                "%5d  %5d  %7.0f  %7.0f (%.0f to %.0f)  %8.0f  %d%n",
+                boxes,
+                nodes,
+                first,
+                warm[ROUNDS / 2],
+                warm[0],
+                warm[ROUNDS - 1],
                 warm[ROUNDS / 2] * result.events() / result.wishes(),
                 runtime.totalMemory() - runtime.freeMemory() >> 20);
     }
@@ -85,8 +103,15 @@
             }
         }
         Arrays.sort(ratios);
-        out.printf(Locale.ROOT, "%7d  %7.0f  %8.0f  %.2f (%.2f to %.2f)%n", pending, ours, plain,
-                ratios[ROUNDS / 2], ratios[0], ratios[ROUNDS - 1]);
+        out.printf(
+                Locale.ROOT,
+                "%7d  %7.0f  %8.0f  %.2f (%.2f to %.2f)%n",
+                pending,
+                ours,
+                plain,
+                ratios[ROUNDS / 2],
+                ratios[0],
+                ratios[ROUNDS - 1]);
     }
 
     private static double ours(int pending) {
@@ -94,7 +119,7 @@
         Scheduler time = new Scheduler();
         Scheduler.Event[] set = new Scheduler.Event[pending];
         for (int i = 0; i < pending; i++) {
-            set[i] = time.at(random.nextInt(1_000_000), () -> { });
+            set[i] = time.at(random.nextInt(1_000_000), () -> {});
         }
         long began = System.nanoTime();
         for (int i = 0; i < EVENTS; i++) {
@@ -104,7 +129,7 @@
             } else {
                 time.step(Long.MAX_VALUE);
             }
-            set[which] = time.at(time.now() + random.nextInt(1_000_000), () -> { });
+            set[which] = time.at(time.now() + random.nextInt(1_000_000), () -> {});
         }
         return (System.nanoTime() - began) / (double) EVENTS;
     }
--- a/src/main/java/kitemux/bench/JournalBench.java
+++ b/src/main/java/kitemux/bench/JournalBench.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.stream.Stream;
-
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Result;
@@ -27,6 +26,7 @@
 public final class JournalBench {
     /** Orders that are under way at a time; the last of them stay open. */
     private static final int AT_A_TIME = 500;
+
     private static final long PATIENCE_MS = 60_000;
 
     private final int orders;
@@ -85,10 +85,14 @@
         Path folder = Files.createTempDirectory("kitemux-journal");
         try {
             Path journal = folder.resolve("orders");
-            OrderSettings how = new OrderSettings(journal, OrderLog.Sync.NEVER, 1, PATIENCE_MS, 4 << 20, 24,
-                    0, 0, Set.of());
-            out.printf(Locale.ROOT, "%d orders, Java %s, heap of at most %d MB%n", orders,
-                    System.getProperty("java.version"), Runtime.getRuntime().maxMemory() >> 20);
+            OrderSettings how =
+                    new OrderSettings(journal, OrderLog.Sync.NEVER, 1, PATIENCE_MS, 4 << 20, 24, 0, 0, Set.of());
+            out.printf(
+                    Locale.ROOT,
+                    "%d orders, Java %s, heap of at most %d MB%n",
+                    orders,
+                    System.getProperty("java.version"),
+                    Runtime.getRuntime().maxMemory() >> 20);
             timed("written, four entries each, no sync", () -> fill(how));
             long bytes = 0;
             try (Stream<Path> files = Files.list(journal)) {
@@ -97,8 +101,10 @@
                 }
             }
             out.printf(Locale.ROOT, "%-44s %9.1f MB%n", "on disk", bytes / 1e6);
-            timed("taken up after a crash", () -> Orders.open(how, new WallTime(), Runnable::run,
-                    line -> out.println("  " + line)).close());
+            timed(
+                    "taken up after a crash",
+                    () -> Orders.open(how, new WallTime(), Runnable::run, line -> out.println("  " + line))
+                            .close());
             JournalReader reader = Orders.reader(journal);
             String one = "order-" + orders / 2;
             timed("asked for one by its id", () -> {
@@ -131,7 +137,7 @@
         settings.classes.add(new RequestClass("order", 1, 0, 2, 1, 0, Repeat.UNSAFE, null, 0, false));
         WallTime time = new WallTime();
         // What is told is told on the writer's thread: it only counts, and nothing here has a loop.
-        Orders open = Orders.open(how, time, Runnable::run, line -> { });
+        Orders open = Orders.open(how, time, Runnable::run, line -> {});
         OrderKeeper<Order> keeper = open.keeper(how, settings, time);
         for (int at = 0; at < orders; at += AT_A_TIME) {
             int until = Math.min(orders, at + AT_A_TIME);
@@ -140,8 +146,8 @@
                 byte[] body = ("body " + i).getBytes(StandardCharsets.US_ASCII);
                 Order order = new Order("order-" + i, List.of(body));
                 keeper.taken(i, order);
-                keeper.before(i, order, 0, "box-1", () -> "127.0.0.1:8080", time.nowUs(),
-                        durable -> written.countDown());
+                keeper.before(
+                        i, order, 0, "box-1", () -> "127.0.0.1:8080", time.nowUs(), durable -> written.countDown());
             }
             written.await();
             for (int i = at; i < until; i++) {
--- a/src/main/java/kitemux/bench/KillRuns.java
+++ b/src/main/java/kitemux/bench/KillRuns.java
@@ -16,7 +16,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-
 import kitemux.orders.JournalReader.Verdict;
 import kitemux.orders.Orders;
 import kitemux.orders.Story;
@@ -96,8 +95,7 @@
         }
     }
 
-    private void round(int number, boolean last, InetSocketAddress listen)
-            throws IOException, InterruptedException {
+    private void round(int number, boolean last, InetSocketAddress listen) throws IOException, InterruptedException {
         configure(listen);
         Process process = node.redirectErrorStream(true).start();
         try {
@@ -150,19 +148,25 @@
     private void configure(InetSocketAddress listen) throws IOException {
         StringBuilder targets = new StringBuilder();
         for (int i = 0; i < BOXES; i++) {
-            targets.append(i == 0 ? "" : ",").append("{\"uid\":\"b").append(i)
-                    .append("\",\"endpoint\":\"127.0.0.1:").append(boxes.get(i).address().getPort())
+            targets.append(i == 0 ? "" : ",")
+                    .append("{\"uid\":\"b")
+                    .append(i)
+                    .append("\",\"endpoint\":\"127.0.0.1:")
+                    .append(boxes.get(i).address().getPort())
                     .append("\",\"az\":\"z\",\"pod_group\":0,\"state\":\"Ready\",\"boot_ms\":0}");
         }
-        Path config = Files.writeString(folder.resolve("config.json"), "{\"listen\":\"127.0.0.1:"
-                + listen.getPort() + "\",\"discovery\":\"127.0.0.1:"
-                + listen.getPort() + "\",\"seed\":\"1\","
-                + "\"limits\":{\"sockets\":256},\"known\":{\"rev\":1,\"all\":true,\"targets\":[" + targets
-                + "]},\"settings\":{\"zones\":[\"z\"],\"myZone\":\"z\",\"membershipMode\":\"pushed\","
-                + "\"limits\":{\"attemptsCap\":3,\"cancelling\":true},"
-                + "\"classes\":[{\"name\":\"place-order\",\"onTimeUs\":200000,\"giveUpUs\":1000000,"
-                + "\"repeat\":\"unsafe\"}]}}");
-        Path operator = Files.writeString(folder.resolve("operator.json"),
+        Path config = Files.writeString(
+                folder.resolve("config.json"),
+                "{\"listen\":\"127.0.0.1:"
+                        + listen.getPort() + "\",\"discovery\":\"127.0.0.1:"
+                        + listen.getPort() + "\",\"seed\":\"1\","
+                        + "\"limits\":{\"sockets\":256},\"known\":{\"rev\":1,\"all\":true,\"targets\":[" + targets
+                        + "]},\"settings\":{\"zones\":[\"z\"],\"myZone\":\"z\",\"membershipMode\":\"pushed\","
+                        + "\"limits\":{\"attemptsCap\":3,\"cancelling\":true},"
+                        + "\"classes\":[{\"name\":\"place-order\",\"onTimeUs\":200000,\"giveUpUs\":1000000,"
+                        + "\"repeat\":\"unsafe\"}]}}");
+        Path operator = Files.writeString(
+                folder.resolve("operator.json"),
                 "{\"orders\":{\"folder\":\"" + journal() + "\",\"lateMs\":500,\"segmentKiB\":64}}");
         node.environment().put("PROXY_CONFIG", config.toString());
         node.environment().put("KITEMUX_SETTINGS", operator.toString());
@@ -175,10 +179,12 @@
             try (Socket socket = new Socket(listen.getAddress(), listen.getPort())) {
                 told.put(id, 0);
                 socket.setSoTimeout(5_000);
-                socket.getOutputStream().write(("POST /api/carts/" + id
-                        + " HTTP/1.1\r\nHost: h\r\nX-Txn: " + id
-                        + "\r\nX-Lane: place-order\r\nX-Remaining: 900m\r\nContent-Length: 4\r\n"
-                        + "Connection: close\r\n\r\nbody").getBytes(StandardCharsets.US_ASCII));
+                socket.getOutputStream()
+                        .write(("POST /api/carts/" + id
+                                        + " HTTP/1.1\r\nHost: h\r\nX-Txn: " + id
+                                        + "\r\nX-Lane: place-order\r\nX-Remaining: 900m\r\nContent-Length: 4\r\n"
+                                        + "Connection: close\r\n\r\nbody")
+                                .getBytes(StandardCharsets.US_ASCII));
                 InputStream in = socket.getInputStream();
                 String answer = new String(in.readAllBytes(), StandardCharsets.US_ASCII);
                 if (answer.startsWith("HTTP/1.1 ") && answer.contains("\r\n\r\n")) {
@@ -215,8 +221,9 @@
             for (String id : boxes.get(i).did().keySet()) {
                 received++;
                 Story story = stories.get(id);
-                if (story == null || story.attempts().stream()
-                        .noneMatch(a -> a.intent().server().equals(uid))) {
+                if (story == null
+                        || story.attempts().stream()
+                                .noneMatch(a -> a.intent().server().equals(uid))) {
                     wrong.add(id + " came to " + uid + " with no intent on disk");
                 }
                 if (boxes.get(i).times(id) > 1) {
@@ -229,8 +236,8 @@
                 wrong.add(id + " was answered " + status + " and is not recorded");
             }
         });
-        out.println(kills + " kills, " + told.size() + " orders placed, " + received
-                + " came to boxes, journal: " + states + ", " + wrong.size() + " wrong");
+        out.println(kills + " kills, " + told.size() + " orders placed, " + received + " came to boxes, journal: "
+                + states + ", " + wrong.size() + " wrong");
     }
 
     private void hold(String id, Story story, List<String> wrong) {
@@ -242,7 +249,8 @@
             did = here == null ? did : here;
         }
         State state = story.state(false);
-        boolean served = state == State.ANSWERED && story.telling().ended().mayHaveRun()
+        boolean served = state == State.ANSWERED
+                && story.telling().ended().mayHaveRun()
                 && story.telling().ended().result().name().equals("OK");
         if (reached > 1) {
             wrong.add(id + " came to boxes " + reached + " times");
@@ -251,8 +259,7 @@
             wrong.add(id + " is said to be " + state + ", and came to a box");
         }
         if (state == State.ANSWERED && did != (served ? Did.SERVED : Did.FAILED)) {
-            wrong.add(id + " is said to be answered " + (served ? "200" : "with an error") + ", and the box "
-                    + did);
+            wrong.add(id + " is said to be answered " + (served ? "200" : "with an error") + ", and the box " + did);
         }
         int status = told.getOrDefault(id, 0);
         if (status == 200 && state != State.UNKNOWN && !served) {
--- a/src/main/java/kitemux/bench/Load.java
+++ b/src/main/java/kitemux/bench/Load.java
@@ -1,12 +1,5 @@
 package kitemux.bench;
 
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -16,6 +9,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Clients on so many connections, each of which asks again as soon as it has its answer. One loop drives
@@ -36,6 +35,7 @@
     private final boolean orders;
     /** Between two requests of a connection, at least; 0 to ask as soon as the answer is there. */
     private final long gapNanos;
+
     private long asked;
     private int count;
     private int failed;
@@ -49,7 +49,7 @@
      * @param p99Us latency that all but one in a hundred met
      * @param failed answers other than 200, and connections that broke
      */
-    record Figures(double perS, double p50Us, double p99Us, int failed) { }
+    record Figures(double perS, double p50Us, double p99Us, int failed) {}
 
     private Load(int connections, long fromNanos, long untilNanos, long most, boolean orders, double perS) {
         gapNanos = perS == 0 ? 0 : (long) (connections * 1e9 / perS);
@@ -65,8 +65,15 @@
      *
      * @param perS so many a second on all connections together, at most; 0 for as many as are answered
      */
-    static Figures run(EventLoopGroup loops, InetSocketAddress target, int connections, double warmS,
-            double s, boolean orders, double perS) throws InterruptedException {
+    static Figures run(
+            EventLoopGroup loops,
+            InetSocketAddress target,
+            int connections,
+            double warmS,
+            double s,
+            boolean orders,
+            double perS)
+            throws InterruptedException {
         long from = System.nanoTime() + (long) (warmS * 1e9);
         Load load = new Load(connections, from, from + (long) (s * 1e9), Long.MAX_VALUE, orders, perS);
         load.ask(loops, target, connections, warmS + s);
@@ -97,9 +104,13 @@
             throws InterruptedException {
         EventLoop loop = loops.next();
         for (int i = 0; i < connections; i++) {
-            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
-                    .handler(new Client()).connect(target).addListener(done -> {
+                    .handler(new Client())
+                    .connect(target)
+                    .addListener(done -> {
                         if (!done.isSuccess()) {
                             failed++;
                             left.countDown();
@@ -135,8 +146,7 @@
             String request = (orders ? "POST" : "GET")
                     + " /api/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: backend.local\r\nX-Txn: "
                     + Long.toHexString(LAST_TXN.incrementAndGet()) + "\r\nX-Remaining: 1000m\r\nX-Lane: "
-                    + (orders ? "order\r\nContent-Length: " + ORDER.length() + "\r\n\r\n" + ORDER
-                            : "page\r\n\r\n");
+                    + (orders ? "order\r\nContent-Length: " + ORDER.length() + "\r\n\r\n" + ORDER : "page\r\n\r\n");
             context.writeAndFlush(Unpooled.wrappedBuffer(request.getBytes(StandardCharsets.US_ASCII)));
         }
 
@@ -168,7 +178,8 @@
             String head = answer.substring(0, headEnd).toLowerCase(java.util.Locale.ROOT);
             int at = head.indexOf("content-length:");
             int end = head.indexOf('\r', at);
-            return Integer.parseInt(head.substring(at + 15, end < 0 ? head.length() : end).strip());
+            return Integer.parseInt(
+                    head.substring(at + 15, end < 0 ? head.length() : end).strip());
         }
 
         @Override
--- a/src/main/java/kitemux/bench/LoadBench.java
+++ b/src/main/java/kitemux/bench/LoadBench.java
@@ -1,5 +1,8 @@
 package kitemux.bench;
 
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
@@ -15,11 +18,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
-
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-
 import kitemux.standin.BoxServer;
 
 /**
@@ -32,6 +30,7 @@
 
     /** Connections of those who ask for pages, and of the flood beside them. */
     private static final int PAGES = 4;
+
     private static final int FLOOD = 16;
     /** Orders a second of that flood: more than twice what the busiest hour has been, and no full load, in
      * which pages wait for the processor and not for the journal. */
@@ -60,8 +59,15 @@
      * @param orders whether orders are placed, at the first build with no journal and with each way to sync
      *     one, in place of pages that are asked for at all builds
      */
-    public LoadBench(List<Path> jars, int[] connections, double warmS, double seconds, int rounds, String pin,
-            boolean orders, PrintStream out) {
+    public LoadBench(
+            List<Path> jars,
+            int[] connections,
+            double warmS,
+            double seconds,
+            int rounds,
+            String pin,
+            boolean orders,
+            PrintStream out) {
         this.orders = orders;
         this.jars = jars;
         this.connections = connections;
@@ -74,7 +80,7 @@
     }
 
     /** Something to ask, and the process behind it, or null. */
-    private record Target(String name, InetSocketAddress address, Process process) { }
+    private record Target(String name, InetSocketAddress address, Process process) {}
 
     /** Measures and prints a table; ends all that it started. */
     public void run() throws IOException, InterruptedException {
@@ -89,25 +95,35 @@
             }
             targets.add(new Target("box", boxes.get(0).address(), null));
             InetSocketAddress relay = hold(held);
-            targets.add(new Target("a relay of bytes", relay,
+            targets.add(new Target(
+                    "a relay of bytes",
+                    relay,
                     processes.relay(relay, boxes.get(0).address())));
             for (Path jar : orders ? jars.subList(0, 1) : jars) {
                 InetSocketAddress listen = hold(held);
-                targets.add(new Target("node " + Processes.name(jar), listen,
-                        processes.node(jar, listen, boxes, folder)));
+                targets.add(
+                        new Target("node " + Processes.name(jar), listen, processes.node(jar, listen, boxes, folder)));
             }
             for (String sync : orders ? List.of("each", "timed", "never") : List.<String>of()) {
                 InetSocketAddress listen = hold(held);
-                targets.add(new Target("node, journal synced " + sync, listen,
+                targets.add(new Target(
+                        "node, journal synced " + sync,
+                        listen,
                         processes.journaling(jars.get(0), listen, boxes, folder, sync)));
             }
             if (orders) {
                 printSyncs(folder);
             }
-            out.printf(Locale.ROOT,
-                    "%d boxes, %d rounds of %.0f s after %.0f s, %s, Java %s, %d processors%n", BOXES,
-                    rounds, seconds, warmS, pin.isEmpty() ? "not pinned" : "pinned to " + pin,
-                    System.getProperty("java.version"), Runtime.getRuntime().availableProcessors());
+            out.printf(
+                    Locale.ROOT,
+                    "%d boxes, %d rounds of %.0f s after %.0f s, %s, Java %s, %d processors%n",
+                    BOXES,
+                    rounds,
+                    seconds,
+                    warmS,
+                    pin.isEmpty() ? "not pinned" : "pinned to " + pin,
+                    System.getProperty("java.version"),
+                    Runtime.getRuntime().availableProcessors());
             for (int n : connections) {
                 measure(loops, targets, n);
             }
@@ -152,8 +168,13 @@
         }
         long[] sorted = Arrays.copyOf(took, count);
         Arrays.sort(sorted);
-        out.printf(Locale.ROOT, "bare fdatasync of %d bytes: %.0f a second, p50 %.1f us, p99 %.1f us%n",
-                ORDER_BYTES, count / seconds, Load.at(sorted, 0.5), Load.at(sorted, 0.99));
+        out.printf(
+                Locale.ROOT,
+                "bare fdatasync of %d bytes: %.0f a second, p50 %.1f us, p99 %.1f us%n",
+                ORDER_BYTES,
+                count / seconds,
+                Load.at(sorted, 0.5),
+                Load.at(sorted, 0.99));
     }
 
     private void measure(EventLoopGroup loops, List<Target> targets, int n) throws InterruptedException {
@@ -164,28 +185,44 @@
                 figures.get(target).add(Load.run(loops, target.address, n, warmS, seconds, orders, 0));
             }
         }
-        out.printf("%n%d connections%n%-28s %9s %17s %9s %9s %7s %14s%n", n, "", "requests", "", "", "", "",
-                "pair by pair");
-        out.printf("%-28s %9s %17s %9s %9s %7s %14s%n", "through", "a second", "least to most", "p50 us",
-                "p99 us",
-                "failed", "with the first");
+        out.printf(
+                "%n%d connections%n%-28s %9s %17s %9s %9s %7s %14s%n",
+                n, "", "requests", "", "", "", "", "pair by pair");
+        out.printf(
+                "%-28s %9s %17s %9s %9s %7s %14s%n",
+                "through", "a second", "least to most", "p50 us", "p99 us", "failed", "with the first");
         Target first = targets.size() > 2 ? targets.get(2) : null;
         figures.forEach((target, all) -> {
-            double[] perS = all.stream().mapToDouble(Load.Figures::perS).sorted().toArray();
-            out.printf(Locale.ROOT, "%-28s %9.0f %8.0f %8.0f %9.1f %9.1f %7d %s%n", target.name,
-                    median(perS), perS[0], perS[perS.length - 1], median(all, Load.Figures::p50Us),
+            double[] perS =
+                    all.stream().mapToDouble(Load.Figures::perS).sorted().toArray();
+            out.printf(
+                    Locale.ROOT,
+                    "%-28s %9.0f %8.0f %8.0f %9.1f %9.1f %7d %s%n",
+                    target.name,
+                    median(perS),
+                    perS[0],
+                    perS[perS.length - 1],
+                    median(all, Load.Figures::p50Us),
                     median(all, Load.Figures::p99Us),
                     all.stream().mapToInt(Load.Figures::failed).sum(),
-                    first == null || target == first || !target.name.startsWith("node") ? ""
+                    first == null || target == first || !target.name.startsWith("node")
+                            ? ""
                             : ratio(all, figures.get(first)));
         });
     }
 
     /** Pages that a few clients ask for, by themselves and beside a flood of orders. */
     private void measurePages(EventLoopGroup loops, List<Target> nodes) throws InterruptedException {
-        out.printf("%npages on %d connections%n%-28s %24s %30s%n%-28s %11s %12s %17s %12s%n", PAGES, "",
-                "by themselves", String.format(Locale.ROOT, "beside %.0f orders a second", FLOOD_PER_S),
-                "through", "p50 us", "p99 us", "p50 us",
+        out.printf(
+                "%npages on %d connections%n%-28s %24s %30s%n%-28s %11s %12s %17s %12s%n",
+                PAGES,
+                "",
+                "by themselves",
+                String.format(Locale.ROOT, "beside %.0f orders a second", FLOOD_PER_S),
+                "through",
+                "p50 us",
+                "p99 us",
+                "p50 us",
                 "p99 us");
         Map<Target, List<Load.Figures>> alone = new LinkedHashMap<>();
         Map<Target, List<Load.Figures>> beside = new LinkedHashMap<>();
@@ -200,8 +237,12 @@
                 flood.join();
             }
         }
-        alone.forEach((node, figures) -> out.printf(Locale.ROOT, "%-28s %11.1f %12.1f %17.1f %12.1f%n",
-                node.name, median(figures, Load.Figures::p50Us), median(figures, Load.Figures::p99Us),
+        alone.forEach((node, figures) -> out.printf(
+                Locale.ROOT,
+                "%-28s %11.1f %12.1f %17.1f %12.1f%n",
+                node.name,
+                median(figures, Load.Figures::p50Us),
+                median(figures, Load.Figures::p99Us),
                 median(beside.get(node), Load.Figures::p50Us),
                 median(beside.get(node), Load.Figures::p99Us)));
     }
@@ -224,8 +265,8 @@
             ratios[i] = these.get(i).perS() / those.get(i).perS();
         }
         Arrays.sort(ratios);
-        return String.format(Locale.ROOT, "%14.3f (%.3f to %.3f)", median(ratios), ratios[0],
-                ratios[ratios.length - 1]);
+        return String.format(
+                Locale.ROOT, "%14.3f (%.3f to %.3f)", median(ratios), ratios[0], ratios[ratios.length - 1]);
     }
 
     static double median(double[] values) {
--- a/src/main/java/kitemux/bench/Processes.java
+++ b/src/main/java/kitemux/bench/Processes.java
@@ -8,7 +8,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
-
 import kitemux.standin.BoxServer;
 import kitemux.standin.Builds;
 
@@ -24,7 +23,10 @@
     /** A build's file with the two folders above it, by which builds are told apart. */
     static String name(Path jar) {
         int names = jar.toAbsolutePath().normalize().getNameCount();
-        return jar.toAbsolutePath().normalize().subpath(Math.max(0, names - 3), names).toString();
+        return jar.toAbsolutePath()
+                .normalize()
+                .subpath(Math.max(0, names - 3), names)
+                .toString();
     }
 
     private static String text(InetSocketAddress address) {
@@ -43,7 +45,11 @@
 
     /** A relay of bytes, up. */
     Process relay(InetSocketAddress listen, InetSocketAddress box) throws IOException {
-        Path own = Path.of(LoadBench.class.getProtectionDomain().getCodeSource().getLocation().getPath());
+        Path own = Path.of(LoadBench.class
+                .getProtectionDomain()
+                .getCodeSource()
+                .getLocation()
+                .getPath());
         return started(java(own, "bench", "--as-relay", text(listen), text(box)), "relaying");
     }
 
@@ -56,9 +62,14 @@
     Process journaling(Path jar, InetSocketAddress listen, List<BoxServer> boxes, Path folder, String sync)
             throws IOException {
         ProcessBuilder builder = nodeBuilder(jar, listen, boxes, folder);
-        builder.environment().put("KITEMUX_SETTINGS", Files.writeString(folder.resolve(sync + ".json"),
-                "{\"orders\":{\"folder\":\"" + folder.resolve(sync) + "\",\"sync\":\"" + sync
-                + "\",\"lateMs\":1000}}").toString());
+        builder.environment()
+                .put(
+                        "KITEMUX_SETTINGS",
+                        Files.writeString(
+                                        folder.resolve(sync + ".json"),
+                                        "{\"orders\":{\"folder\":\"" + folder.resolve(sync) + "\",\"sync\":\"" + sync
+                                                + "\",\"lateMs\":1000}}")
+                                .toString());
         return started(builder, "listening");
     }
 
@@ -67,20 +78,25 @@
             throws IOException {
         StringBuilder targets = new StringBuilder();
         for (int i = 0; i < boxes.size(); i++) {
-            targets.append(i == 0 ? "" : ",").append("{\"uid\":\"b").append(i).append("\",\"endpoint\":\"")
+            targets.append(i == 0 ? "" : ",")
+                    .append("{\"uid\":\"b")
+                    .append(i)
+                    .append("\",\"endpoint\":\"")
                     .append(text(boxes.get(i).address()))
                     .append("\",\"az\":\"z\",\"pod_group\":0,\"state\":\"Ready\",\"boot_ms\":0}");
         }
         Path config = Files.createTempFile(folder, "node", ".json");
-        Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"" + text(listen)
-                + "\",\"discovery\":\"" + text(listen) + "\",\"seed\":\"1\",\"limits\":{\"sockets\":1024},"
-                + "\"known\":{\"rev\":1,"
-                + "\"all\":true,\"targets\":[" + targets
+        Files.writeString(
+                config,
+                "{\"name\":\"n0\",\"listen\":\"" + text(listen)
+                        + "\",\"discovery\":\"" + text(listen) + "\",\"seed\":\"1\",\"limits\":{\"sockets\":1024},"
+                        + "\"known\":{\"rev\":1,"
+                        + "\"all\":true,\"targets\":[" + targets
                         + "]},\"settings\":{\"zones\":[\"z\"],\"myZone\":\"z\","
-                + "\"membershipMode\":\"pushed\",\"limits\":{\"attemptsCap\":4,\"cancelling\":true},"
-                + "\"classes\":[{\"name\":\"page\",\"onTimeUs\":500000,\"giveUpUs\":1000000,"
-                + "\"repeat\":\"safe\"},{\"name\":\"order\",\"onTimeUs\":500000,\"giveUpUs\":1000000,"
-                + "\"repeat\":\"unsafe\"}]}}");
+                        + "\"membershipMode\":\"pushed\",\"limits\":{\"attemptsCap\":4,\"cancelling\":true},"
+                        + "\"classes\":[{\"name\":\"page\",\"onTimeUs\":500000,\"giveUpUs\":1000000,"
+                        + "\"repeat\":\"safe\"},{\"name\":\"order\",\"onTimeUs\":500000,\"giveUpUs\":1000000,"
+                        + "\"repeat\":\"unsafe\"}]}}");
         ProcessBuilder builder = java(jar, "node");
         builder.environment().put("PROXY_CONFIG", config.toString());
         return builder;
@@ -94,7 +110,7 @@
         while ((line = lines.readLine()) != null) {
             all.append(line).append('\n');
             if (line.contains(said)) {
-                Thread drain = new Thread(() -> lines.lines().forEach(l -> { }), "drain");
+                Thread drain = new Thread(() -> lines.lines().forEach(l -> {}), "drain");
                 drain.setDaemon(true);
                 drain.start();
                 return process;
--- a/src/main/java/kitemux/bench/StartBench.java
+++ b/src/main/java/kitemux/bench/StartBench.java
@@ -1,5 +1,8 @@
 package kitemux.bench;
 
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
@@ -17,11 +20,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-
 import kitemux.config.ClassArchive;
 import kitemux.standin.BoxServer;
 
@@ -62,7 +60,7 @@
     }
 
     /** One start. */
-    private record Start(double cpuS, double wallS, double inTime, double p50Us, double p99Us) { }
+    private record Start(double cpuS, double wallS, double inTime, double p50Us, double p99Us) {}
     /** Measures and prints a table; ends all that it started. */
     public void run() throws IOException, InterruptedException {
         EventLoopGroup loops = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
@@ -97,17 +95,25 @@
         }
     }
 
-    private Start start(Processes processes, Path jar, List<BoxServer> boxes, Path folder,
-            EventLoopGroup loops) throws IOException, InterruptedException {
+    private Start start(Processes processes, Path jar, List<BoxServer> boxes, Path folder, EventLoopGroup loops)
+            throws IOException, InterruptedException {
         try (HeldAddress held = new HeldAddress()) {
             return start(processes, jar, held.address(), boxes, folder, loops);
         }
     }
 
-    private Start start(Processes processes, Path jar, InetSocketAddress listen, List<BoxServer> boxes,
-            Path folder, EventLoopGroup loops) throws IOException, InterruptedException {
-        ProcessBuilder builder = processes.nodeBuilder(jar, listen, boxes, folder)
-                .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD);
+    private Start start(
+            Processes processes,
+            Path jar,
+            InetSocketAddress listen,
+            List<BoxServer> boxes,
+            Path folder,
+            EventLoopGroup loops)
+            throws IOException, InterruptedException {
+        ProcessBuilder builder = processes
+                .nodeBuilder(jar, listen, boxes, folder)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD);
         long began = System.nanoTime();
         Process process = builder.start();
         try {
@@ -122,9 +128,10 @@
             Path proc = Path.of("/proc", Long.toString(process.pid()));
             ClassArchive.unused(proc).ifPresent(slowed::add);
             long[] first = Load.first(loops, listen, CONNECTIONS, FIRST_REQUESTS);
-            long inTime = Arrays.stream(first).filter(nanos -> nanos <= IN_TIME_US * 1e3).count();
-            return new Start(cpuS, wallS, (double) inTime / FIRST_REQUESTS, Load.at(first, 0.5),
-                    Load.at(first, 0.99));
+            long inTime = Arrays.stream(first)
+                    .filter(nanos -> nanos <= IN_TIME_US * 1e3)
+                    .count();
+            return new Start(cpuS, wallS, (double) inTime / FIRST_REQUESTS, Load.at(first, 0.5), Load.at(first, 0.99));
         } finally {
             process.destroyForcibly().waitFor();
         }
@@ -132,8 +139,9 @@
 
     private static boolean isUp(InetSocketAddress listen) {
         try (Socket socket = new Socket(listen.getAddress(), listen.getPort())) {
-            socket.getOutputStream().write("GET /up HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
-                    .getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream()
+                    .write("GET /up HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
             InputStream in = socket.getInputStream();
             return new String(in.readAllBytes(), StandardCharsets.US_ASCII).startsWith("HTTP/1.1 200");
         } catch (IOException e) {
@@ -150,11 +158,12 @@
 
     private void print(Map<Path, List<Start>> all) {
         slowed.forEach(archive -> out.println("not in use, so that its build is held back: " + archive));
-        out.printf("%d starts of each in turn, %s, %s; median and worst%n", starts,
-                pin.isEmpty() ? "not pinned" : "pinned to " + pin, half ? "half a core" : "the core alone");
-        out.printf("%-28s %15s %15s %15s %19s %19s %s%n", "", "CPU s", "wall s", "in time", "p50 us",
-                "p99 us",
-                "CPU, pair by pair");
+        out.printf(
+                "%d starts of each in turn, %s, %s; median and worst%n",
+                starts, pin.isEmpty() ? "not pinned" : "pinned to " + pin, half ? "half a core" : "the core alone");
+        out.printf(
+                "%-28s %15s %15s %15s %19s %19s %s%n",
+                "", "CPU s", "wall s", "in time", "p50 us", "p99 us", "CPU, pair by pair");
         List<Start> first = all.values().iterator().next();
         all.forEach((jar, list) -> {
             double[] ratios = new double[list.size()];
@@ -162,13 +171,28 @@
                 ratios[i] = list.get(i).cpuS / first.get(i).cpuS;
             }
             Arrays.sort(ratios);
-            out.printf(Locale.ROOT, "%-28s %7.2f %7.2f %7.2f %7.2f %7.3f %7.3f %9.0f %9.0f %9.0f %9.0f %s%n",
-                    Processes.name(jar), median(list, Start::cpuS), most(list, Start::cpuS),
-                    median(list, Start::wallS), most(list, Start::wallS), median(list, Start::inTime),
-                    -most(list, s -> -s.inTime()), median(list, Start::p50Us), most(list, Start::p50Us),
-                    median(list, Start::p99Us), most(list, Start::p99Us), list == first ? ""
-                    : String.format(Locale.ROOT, "%.3f (%.3f to %.3f)", LoadBench.median(ratios), ratios[0],
-                            ratios[ratios.length - 1]));
+            out.printf(
+                    Locale.ROOT,
+                    "%-28s %7.2f %7.2f %7.2f %7.2f %7.3f %7.3f %9.0f %9.0f %9.0f %9.0f %s%n",
+                    Processes.name(jar),
+                    median(list, Start::cpuS),
+                    most(list, Start::cpuS),
+                    median(list, Start::wallS),
+                    most(list, Start::wallS),
+                    median(list, Start::inTime),
+                    -most(list, s -> -s.inTime()),
+                    median(list, Start::p50Us),
+                    most(list, Start::p50Us),
+                    median(list, Start::p99Us),
+                    most(list, Start::p99Us),
+                    list == first
+                            ? ""
+                            : String.format(
+                                    Locale.ROOT,
+                                    "%.3f (%.3f to %.3f)",
+                                    LoadBench.median(ratios),
+                                    ratios[0],
+                                    ratios[ratios.length - 1]));
         });
     }
 
--- a/src/main/java/kitemux/bench/WallTime.java
+++ b/src/main/java/kitemux/bench/WallTime.java
@@ -2,7 +2,6 @@
 
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
-
 import kitemux.engine.Time;
 
 /** The system's time, read as cheaply as a node's loop reads it, and no timers: nothing here is ever late. */
@@ -17,6 +16,6 @@
 
     @Override
     public Timer after(long us, Runnable task) {
-        return () -> { };
+        return () -> {};
     }
 }
--- a/src/main/java/kitemux/cli/BenchCommand.java
+++ b/src/main/java/kitemux/cli/BenchCommand.java
@@ -1,35 +1,38 @@
 package kitemux.cli;
 
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
-
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-
 import kitemux.bench.CaptureBench;
 import kitemux.bench.JournalBench;
 import kitemux.bench.LoadBench;
 import kitemux.bench.StartBench;
 import kitemux.standin.Relay;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
 /** Measures what a node costs under load. */
-@Command(name = "bench", mixinStandardHelpOptions = true, description = {
-    "Measures requests a second and latencies on loopback, straight to a stand-in box, through a relay of "
-            + "bytes and "
-        + "through nodes, in turn; it stops by itself."})
+@Command(
+        name = "bench",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Measures requests a second and latencies on loopback, straight to a stand-in box, through a relay of "
+                    + "bytes and "
+                    + "through nodes, in turn; it stops by itself."
+        })
 final class BenchCommand implements Callable<Integer> {
     private static final int MOST_CONNECTIONS = 400;
     /** Some 2.5 GB on disk. */
     private static final int MOST_ORDERS = 10_000_000;
 
-    @Option(names = "--jar", paramLabel = "FILE",
+    @Option(
+            names = "--jar",
+            paramLabel = "FILE",
             description = "a build whose node is measured; may be given again; target/kitemux.jar by default")
     private List<Path> jars = List.of(Path.of("target", "kitemux.jar"));
 
@@ -45,38 +48,42 @@
     @Option(names = "--warm", paramLabel = "S", description = "before each, not counted; 1 by default")
     private double warm = 1;
 
-    @Option(names = "--pin", paramLabel = "CPU",
-            description = "processor of the nodes, for taskset; none by default")
+    @Option(names = "--pin", paramLabel = "CPU", description = "processor of the nodes, for taskset; none by default")
     private String pin = "";
 
-    @Option(names = "--starts", paramLabel = "N",
+    @Option(
+            names = "--starts",
+            paramLabel = "N",
             description = "measures starts, so many of each build, in place of load")
     private int starts;
 
-    @Option(names = "--half",
-            description = "with --starts: a busy process takes half of the processor; needs --pin")
+    @Option(names = "--half", description = "with --starts: a busy process takes half of the processor; needs --pin")
     private boolean half;
 
-    @Option(names = "--orders",
+    @Option(
+            names = "--orders",
             description = "orders in place of pages, at the first build: without a journal of orders and "
-                + "with each way to sync one")
+                    + "with each way to sync one")
     private boolean orders;
 
-    @Option(names = "--journal", paramLabel = "N",
+    @Option(
+            names = "--journal",
+            paramLabel = "N",
             description = "a journal of so many orders in place of load: written, taken up, asked, checked")
     private int journal;
 
     @Option(names = "--capture", description = "what capturing load costs a node's loop, in place of load")
     private boolean capture;
 
-    @Option(names = "--as-relay", arity = "2", hidden = true,
-            description = "relays from one address to another")
+    @Option(names = "--as-relay", arity = "2", hidden = true, description = "relays from one address to another")
     private List<String> relay = List.of();
 
     @Override
     public Integer call() throws IOException, InterruptedException {
         if (!relay.isEmpty()) {
-            Relay.start(new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()), address(relay.get(0)),
+            Relay.start(
+                    new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()),
+                    address(relay.get(0)),
                     address(relay.get(1)));
             System.err.println("relaying");
             Thread.currentThread().join();
@@ -109,12 +116,19 @@
             return Main.DONE;
         }
         if (starts > 0) {
-            new StartBench(jars.stream().map(Path::toAbsolutePath).toList(), starts, pin, half,
-                    System.out).run();
+            new StartBench(jars.stream().map(Path::toAbsolutePath).toList(), starts, pin, half, System.out).run();
             return Main.DONE;
         }
-        new LoadBench(jars.stream().map(Path::toAbsolutePath).toList(), connections, warm, seconds, rounds,
-                pin, orders, System.out).run();
+        new LoadBench(
+                        jars.stream().map(Path::toAbsolutePath).toList(),
+                        connections,
+                        warm,
+                        seconds,
+                        rounds,
+                        pin,
+                        orders,
+                        System.out)
+                .run();
         return Main.DONE;
     }
 
--- a/src/main/java/kitemux/cli/ConfigCommand.java
+++ b/src/main/java/kitemux/cli/ConfigCommand.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.function.Consumer;
-
 import kitemux.app.AppFile;
 import kitemux.app.Begin;
 import kitemux.app.ConfigWriter;
@@ -24,7 +23,6 @@
 import kitemux.app.Reference;
 import kitemux.app.Report;
 import kitemux.app.Rule;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -32,9 +30,13 @@
 import picocli.CommandLine.Spec;
 
 /** Configurations: described in HCL, held against rules, written as a node reads them. */
-@Command(name = "config", mixinStandardHelpOptions = true, description = {
-    "Checks an application's description and writes a node's configuration from it.",
-    "Exit code 0: no fault; 1: faults, each on a line; 2: the call or a file cannot be used."})
+@Command(
+        name = "config",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Checks an application's description and writes a node's configuration from it.",
+            "Exit code 0: no fault; 1: faults, each on a line; 2: the call or a file cannot be used."
+        })
 final class ConfigCommand {
     @Spec
     private CommandSpec spec;
@@ -68,19 +70,25 @@
     static boolean tell(Path file, AppFile.Reading reading, Consumer<String> say) {
         for (Finding finding : reading.findings()) {
             boolean isPlace = finding.at().matches("\\d+:\\d+");
-            say.accept(finding.at().isEmpty() ? file + finding.line() : isPlace ? file + ":"
-                    + finding.line()
-                    : reading.places().with(file.toString(), finding.line()));
+            say.accept(
+                    finding.at().isEmpty()
+                            ? file + finding.line()
+                            : isPlace
+                                    ? file + ":" + finding.line()
+                                    : reading.places().with(file.toString(), finding.line()));
         }
         return reading.findings().isEmpty();
     }
 
-    @Command(name = "check", mixinStandardHelpOptions = true,
-            description = "Holds descriptions against all rules.")
-    int check(@Parameters(paramLabel = "FILE", arity = "1..*") List<Path> files,
-            @Option(names = "--as", paramLabel = "FORM", defaultValue = "text",
-                    description = "text, to standard error; json or sarif, to standard output; "
-                            + "text") Form form) {
+    @Command(name = "check", mixinStandardHelpOptions = true, description = "Holds descriptions against all rules.")
+    int check(
+            @Parameters(paramLabel = "FILE", arity = "1..*") List<Path> files,
+            @Option(
+                            names = "--as",
+                            paramLabel = "FORM",
+                            defaultValue = "text",
+                            description = "text, to standard error; json or sarif, to standard output; " + "text")
+                    Form form) {
         List<Report.Found> all = new ArrayList<>();
         boolean sound = true;
         for (Path file : files) {
@@ -104,7 +112,11 @@
     }
 
     /** How findings are told; picocli takes the names as they are written here. */
-    enum Form { text, json, sarif }
+    enum Form {
+        text,
+        json,
+        sarif
+    }
 
     private int unusable(String why) {
         err().println("kitemux: " + why);
@@ -112,12 +124,23 @@
         return Main.UNUSABLE;
     }
 
-    @Command(name = "init", mixinStandardHelpOptions = true,
+    @Command(
+            name = "init",
+            mixinStandardHelpOptions = true,
             description = "Writes a description to begin with; never over a file that is there.")
-    int init(@Option(names = "--kind", paramLabel = "KIND", required = true,
-                    description = "web: all may run again; orders: some must never run twice") String kind,
-            @Option(names = "--name", paramLabel = "NAME", defaultValue = "my-application",
-                    description = "of the application; my-application") String name,
+    int init(
+            @Option(
+                            names = "--kind",
+                            paramLabel = "KIND",
+                            required = true,
+                            description = "web: all may run again; orders: some must never run twice")
+                    String kind,
+            @Option(
+                            names = "--name",
+                            paramLabel = "NAME",
+                            defaultValue = "my-application",
+                            description = "of the application; my-application")
+                    String name,
             @Parameters(paramLabel = "FILE", description = "where it goes") Path file) {
         if (!Begin.KINDS.contains(kind)) {
             return unusable("--kind is none of " + String.join(", ", Begin.KINDS) + ": " + kind);
@@ -126,8 +149,7 @@
             return unusable("--name is not 1 to 60 letters, digits, dots, dashes and underscores");
         }
         try {
-            Files.writeString(file, Begin.text(kind, name), StandardOpenOption.CREATE_NEW,
-                    StandardOpenOption.WRITE);
+            Files.writeString(file, Begin.text(kind, name), StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
             out().println(file + " is sound as it is; put your servers in, then: config check " + file);
             out().flush();
             return Main.DONE;
@@ -138,7 +160,9 @@
         }
     }
 
-    @Command(name = "migrate", mixinStandardHelpOptions = true,
+    @Command(
+            name = "migrate",
+            mixinStandardHelpOptions = true,
             description = "A description of a node's configuration; what it has no words for is told.")
     int migrate(@Parameters(paramLabel = "NODE.json") Path file) {
         try {
@@ -154,7 +178,9 @@
         }
     }
 
-    @Command(name = "reference", mixinStandardHelpOptions = true,
+    @Command(
+            name = "reference",
+            mixinStandardHelpOptions = true,
             description = "All fields of a description, with ranges and defaults, as a page.")
     int reference() {
         out().print(Reference.page());
@@ -162,7 +188,9 @@
         return Main.DONE;
     }
 
-    @Command(name = "schema", mixinStandardHelpOptions = true,
+    @Command(
+            name = "schema",
+            mixinStandardHelpOptions = true,
             description = "A JSON schema of descriptions, for editors.")
     int schema() {
         out().print(Reference.schema());
@@ -170,13 +198,19 @@
         return Main.DONE;
     }
 
-    @Command(name = "write", mixinStandardHelpOptions = true,
+    @Command(
+            name = "write",
+            mixinStandardHelpOptions = true,
             description = "Writes a node's configuration; nothing where a rule is broken.")
-    int write(@Parameters(paramLabel = "FILE") Path file,
-            @Option(names = "--to", paramLabel = "FILE", required = true,
-                    description = "where it goes") Path to,
-            @Option(names = "--seed", paramLabel = "HEX", defaultValue = "1",
-                    description = "for random numbers, 1 to 16 hex digits; 1") String seed) {
+    int write(
+            @Parameters(paramLabel = "FILE") Path file,
+            @Option(names = "--to", paramLabel = "FILE", required = true, description = "where it goes") Path to,
+            @Option(
+                            names = "--seed",
+                            paramLabel = "HEX",
+                            defaultValue = "1",
+                            description = "for random numbers, 1 to 16 hex digits; 1")
+                    String seed) {
         if (!seed.matches("[0-9a-fA-F]{1,16}")) {
             return unusable("--seed is not 1 to 16 hex digits");
         }
@@ -186,19 +220,21 @@
                 return Main.FOUND;
             }
             // Whoever reads it meanwhile has the old one or the new one, never a part.
-            Path whole = Files.writeString(to.resolveSibling(to.getFileName() + ".new"),
-                    ConfigWriter.json(reading.app(), seed));
-            Files.move(whole, to, StandardCopyOption.REPLACE_EXISTING,
-                    StandardCopyOption.ATOMIC_MOVE);
+            Path whole = Files.writeString(
+                    to.resolveSibling(to.getFileName() + ".new"), ConfigWriter.json(reading.app(), seed));
+            Files.move(whole, to, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
             return Main.DONE;
         } catch (IOException e) {
             return unusable(e.getMessage());
         }
     }
 
-    @Command(name = "diff", mixinStandardHelpOptions = true,
+    @Command(
+            name = "diff",
+            mixinStandardHelpOptions = true,
             description = "What a description says otherwise than an older one: whose traffic, and how.")
-    int diff(@Parameters(paramLabel = "OLD", index = "0") Path old,
+    int diff(
+            @Parameters(paramLabel = "OLD", index = "0") Path old,
             @Parameters(paramLabel = "NEW", index = "1") Path next) {
         try {
             AppFile.Reading before = AppFile.read(read(old));
@@ -216,9 +252,11 @@
         }
     }
 
-    @Command(name = "explain", mixinStandardHelpOptions = true,
-            description = "What a code or a field is about, such as KX102, limits.attempts or limits; "
-                    + "or all codes.")
+    @Command(
+            name = "explain",
+            mixinStandardHelpOptions = true,
+            description =
+                    "What a code or a field is about, such as KX102, limits.attempts or limits; " + "or all codes.")
     int explain(@Parameters(paramLabel = "KEY", arity = "0..1") String code) {
         List<Field> fields = code == null ? List.of() : Fields.like(code);
         fields.forEach(field -> out().println(Reference.line(field)));
--- a/src/main/java/kitemux/cli/DrillCommand.java
+++ b/src/main/java/kitemux/cli/DrillCommand.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
-
 import kitemux.drill.Drill;
 import kitemux.drill.DrillPage;
 import kitemux.drill.Judge;
@@ -19,7 +18,6 @@
 import kitemux.drill.Verdict;
 import kitemux.lab.Loopback;
 import kitemux.standin.Builds;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -27,10 +25,14 @@
 import picocli.CommandLine.Spec;
 
 /** Several processes of real nodes, faults between them, and judges who were not there. */
-@Command(name = "drill", mixinStandardHelpOptions = true, description = {
-    "Plays several node processes with faults between them and their servers, and judges what was seen.",
-    "Exit code 0: no rule broken; 1: one was, or the player was too late to tell; 2: the call or a file "
-        + "cannot be used."})
+@Command(
+        name = "drill",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Plays several node processes with faults between them and their servers, and judges what was seen.",
+            "Exit code 0: no rule broken; 1: one was, or the player was too late to tell; 2: the call or a file "
+                    + "cannot be used."
+        })
 final class DrillCommand {
     private static final String SCENARIO = "drill.hcl";
     private static final String FLEET = "fleet.hcl";
@@ -40,6 +42,7 @@
 
     @Spec
     private CommandSpec spec;
+
     private final Loopback.Launcher own;
 
     /** Its nodes are of this build unless another is named. */
@@ -53,7 +56,11 @@
 
     private static Path ownJar() {
         try {
-            return Path.of(DrillCommand.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            return Path.of(DrillCommand.class
+                    .getProtectionDomain()
+                    .getCodeSource()
+                    .getLocation()
+                    .toURI());
         } catch (URISyntaxException e) {
             throw new IllegalStateException(e);
         }
@@ -83,24 +90,34 @@
             throws IOException {
         String text = Files.readString(file);
         kept.put(SCENARIO, text);
-        return ScenarioFile.read(file.toString(), text, seed, path -> {
-            String fleet = Files.readString(file.resolveSibling(path));
-            kept.put(FLEET, fleet);
-            return fleet;
-        }, faults);
+        return ScenarioFile.read(
+                file.toString(),
+                text,
+                seed,
+                path -> {
+                    String fleet = Files.readString(file.resolveSibling(path));
+                    kept.put(FLEET, fleet);
+                    return fleet;
+                },
+                faults);
     }
 
-    @Command(name = "run", mixinStandardHelpOptions = true,
+    @Command(
+            name = "run",
+            mixinStandardHelpOptions = true,
             description = "Plays and judges a drill; keeps its time-line, a verdict and a page.")
-    int run(@Parameters(paramLabel = "FILE", description = "the drill, in HCL") Path file,
-            @Option(names = "--to", paramLabel = "FOLDER", required = true,
-                    description = "where the time-line, the verdict and the page are kept")
-            Path to,
-            @Option(names = "--seed", paramLabel = "N", description = "in place of the description's own")
-            Long seed,
-            @Option(names = "--jar", paramLabel = "JAR",
-            description = "the build whose nodes serve; this one")
-            Path jar) throws Exception {
+    int run(
+            @Parameters(paramLabel = "FILE", description = "the drill, in HCL") Path file,
+            @Option(
+                            names = "--to",
+                            paramLabel = "FOLDER",
+                            required = true,
+                            description = "where the time-line, the verdict and the page are kept")
+                    Path to,
+            @Option(names = "--seed", paramLabel = "N", description = "in place of the description's own") Long seed,
+            @Option(names = "--jar", paramLabel = "JAR", description = "the build whose nodes serve; this one")
+                    Path jar)
+            throws Exception {
         return orUnusable(() -> {
             List<String> faults = new ArrayList<>();
             if (jar != null && !Files.isRegularFile(jar)) {
@@ -115,13 +132,14 @@
             for (Map.Entry<String, String> text : kept.entrySet()) {
                 Files.writeString(to.resolve(text.getKey()), text.getValue());
             }
-            Drill.play(scenario, jar == null ? own : () -> Builds.java(List.of(), jar, "node"),
-                    to.resolve(TIMELINE));
+            Drill.play(scenario, jar == null ? own : () -> Builds.java(List.of(), jar, "node"), to.resolve(TIMELINE));
             return judged(to);
         });
     }
 
-    @Command(name = "check", mixinStandardHelpOptions = true,
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
             description = "Tells all faults of a drill's description, and plays nothing.")
     int check(@Parameters(paramLabel = "FILE") Path file) throws Exception {
         return orUnusable(() -> {
@@ -130,15 +148,17 @@
             if (!faults.isEmpty()) {
                 return unusable(faults);
             }
-            out().println(file + ": " + scenario.fleet().nodes().count() + " nodes, " + scenario.fleet()
-                    .boxes()
+            out().println(file + ": " + scenario.fleet().nodes().count() + " nodes, "
+                    + scenario.fleet().boxes()
                     + " servers, " + scenario.faults().size() + " faults, "
                     + scenario.fleet().load().lengthUs() / 1_000_000 + " s");
             return Main.DONE;
         });
     }
 
-    @Command(name = "judge", mixinStandardHelpOptions = true,
+    @Command(
+            name = "judge",
+            mixinStandardHelpOptions = true,
             description = "Judges the time-line that a folder keeps once more, and writes its page anew.")
     int judge(@Parameters(paramLabel = "FOLDER") Path folder) throws Exception {
         return orUnusable(() -> judged(folder));
@@ -148,8 +168,12 @@
         Verdict verdict = Judge.of(folder.resolve(TIMELINE));
         verdict.lines().forEach(out()::println);
         Files.write(folder.resolve(VERDICT), verdict.lines());
-        Files.writeString(folder.resolve(PAGE), DrillPage.of(folder.toAbsolutePath().normalize().getFileName()
-                .toString(), folder.resolve(TIMELINE), verdict));
+        Files.writeString(
+                folder.resolve(PAGE),
+                DrillPage.of(
+                        folder.toAbsolutePath().normalize().getFileName().toString(),
+                        folder.resolve(TIMELINE),
+                        verdict));
         return verdict.isKept() ? Main.DONE : Main.FOUND;
     }
 }
--- a/src/main/java/kitemux/cli/FaultsCommand.java
+++ b/src/main/java/kitemux/cli/FaultsCommand.java
@@ -4,47 +4,47 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
-
 import kitemux.world.Defect;
 import kitemux.world.FaultRuns;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
 /** Plays worlds on a virtual clock and says which broke a rule. */
-@Command(name = "faults", mixinStandardHelpOptions = true, description = {
-    "Plays nodes, with their real network code, on a virtual clock among servers, clients and a discovery "
-            + "that go "
-        + "wrong as a seed says, and holds what they do against the rules.",
-    "Exit code 0: no rule was broken; 1: one was; 2: the call cannot be used."})
+@Command(
+        name = "faults",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Plays nodes, with their real network code, on a virtual clock among servers, clients and a discovery "
+                    + "that go "
+                    + "wrong as a seed says, and holds what they do against the rules.",
+            "Exit code 0: no rule was broken; 1: one was; 2: the call cannot be used."
+        })
 final class FaultsCommand implements Callable<Integer> {
     private static final int MOST_JOBS = 256;
 
-    @Option(names = "--seeds", paramLabel = "FROM-TO",
-            description = "which seeds are played; 1-1000 by default")
+    @Option(names = "--seeds", paramLabel = "FROM-TO", description = "which seeds are played; 1-1000 by default")
     private String seeds = "1-1000";
 
-    @Option(names = "--jobs", paramLabel = "N",
-            description = "how many at once; by default one for each core")
+    @Option(names = "--jobs", paramLabel = "N", description = "how many at once; by default one for each core")
     private int jobs = Runtime.getRuntime().availableProcessors();
 
-    @Option(names = "--only", paramLabel = "KIND",
-            description = "what is played; 'list' tells which kinds there are")
+    @Option(names = "--only", paramLabel = "KIND", description = "what is played; 'list' tells which kinds there are")
     private String only = "random";
 
-    @Option(names = "--seed", paramLabel = "N",
-            description = "one seed alone, with all that it broke")
+    @Option(names = "--seed", paramLabel = "N", description = "one seed alone, with all that it broke")
     private Long seed;
 
-    @Option(names = "--without", paramLabel = "I", split = ",",
+    @Option(
+            names = "--without",
+            paramLabel = "I",
+            split = ",",
             description = "with --seed: the faults of these numbers are left out")
     private List<Integer> without = List.of();
 
     @Option(names = "--trace", paramLabel = "FILE", description = "with --seed: what happened, line by line")
     private Path trace;
 
-    @Option(names = "--shrink",
-            description = "with --seed: leaves out what is not needed to break the same rule")
+    @Option(names = "--shrink", description = "with --seed: leaves out what is not needed to break the same rule")
     private boolean shrink;
 
     @Override
--- a/src/main/java/kitemux/cli/KeepCommand.java
+++ b/src/main/java/kitemux/cli/KeepCommand.java
@@ -5,12 +5,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-
 import kitemux.keeper.KeeperFile;
 import kitemux.keeper.KeeperProcess;
 import kitemux.keeper.KeeperSettings;
 import kitemux.node.StderrLog;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -18,10 +16,14 @@
 import picocli.CommandLine.Spec;
 
 /** A keeper of configurations: one of the machines that decide and tell which version is in force. */
-@Command(name = "keep", mixinStandardHelpOptions = true, description = {
-    "Keeps configurations and tells nodes of them.",
-    "Exit code 0: done; 1: the folder cannot be written any more; 2: the call, a file or a folder cannot "
-        + "be used."})
+@Command(
+        name = "keep",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Keeps configurations and tells nodes of them.",
+            "Exit code 0: done; 1: the folder cannot be written any more; 2: the call, a file or a folder cannot "
+                    + "be used."
+        })
 final class KeepCommand {
     private static final int MOST_NUMBER = 999;
 
@@ -48,7 +50,9 @@
         }
     }
 
-    @Command(name = "check", mixinStandardHelpOptions = true,
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
             description = "Tells all faults of a keeper's settings, and starts nothing.")
     int check(@Parameters(paramLabel = "FILE") Path file) {
         List<String> faults = new ArrayList<>();
@@ -60,11 +64,20 @@
         return Main.DONE;
     }
 
-    @Command(name = "make", mixinStandardHelpOptions = true, description = {
-        "Makes a keeper's folder where there is none, and prints the voter as settings name it.",
-        "A folder that is there stays as it is."})
-    int make(@Option(names = "--keeper", paramLabel = "N", required = true,
-                    description = "the keeper's number, 0 to 999") int number,
+    @Command(
+            name = "make",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Makes a keeper's folder where there is none, and prints the voter as settings name it.",
+                "A folder that is there stays as it is."
+            })
+    int make(
+            @Option(
+                            names = "--keeper",
+                            paramLabel = "N",
+                            required = true,
+                            description = "the keeper's number, 0 to 999")
+                    int number,
             @Parameters(paramLabel = "FOLDER") Path folder) {
         if (number < 0 || number > MOST_NUMBER) {
             return unusable(List.of("--keeper is not from 0 to " + MOST_NUMBER));
--- a/src/main/java/kitemux/cli/LabCommand.java
+++ b/src/main/java/kitemux/cli/LabCommand.java
@@ -11,7 +11,6 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.atomic.AtomicInteger;
-
 import kitemux.lab.Comparison;
 import kitemux.lab.Experiment;
 import kitemux.lab.ExperimentFile;
@@ -21,7 +20,6 @@
 import kitemux.lab.ResultsFolder;
 import kitemux.lab.Row;
 import kitemux.standin.Builds;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -29,10 +27,14 @@
 import picocli.CommandLine.Spec;
 
 /** Experiments: predicted by the emulator, played over sockets, kept as tables and charts. */
-@Command(name = "lab", mixinStandardHelpOptions = true, description = {
-    "Plays experiments with described fleets, emulated and with real nodes over loopback, and keeps results.",
-    "Exit code 0: done; 1: a rule was broken in a run; 2: the call, a description or a folder cannot be "
-        + "used."})
+@Command(
+        name = "lab",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Plays experiments with described fleets, emulated and with real nodes over loopback, and keeps results.",
+            "Exit code 0: done; 1: a rule was broken in a run; 2: the call, a description or a folder cannot be "
+                    + "used."
+        })
 final class LabCommand {
     private static final int MOST_AT_ONCE = 128;
     private static final String EXPERIMENT = "experiment.hcl";
@@ -68,25 +70,38 @@
 
     private static Path ownJar() {
         try {
-            return Path.of(LabCommand.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            return Path.of(LabCommand.class
+                    .getProtectionDomain()
+                    .getCodeSource()
+                    .getLocation()
+                    .toURI());
         } catch (URISyntaxException e) {
             throw new IllegalStateException(e);
         }
     }
 
-    @Command(name = "run", mixinStandardHelpOptions = true,
+    @Command(
+            name = "run",
+            mixinStandardHelpOptions = true,
             description = "Plays what a results folder lacks of an experiment; may be stopped and resumed.")
-    int run(@Parameters(paramLabel = "FILE", description = "the experiment, in HCL") Path file,
-            @Option(names = "--to", paramLabel = "FOLDER", required = true,
-                    description = "where results are kept")
-            Path to,
-            @Option(names = "--jar", paramLabel = "JAR",
-                    description = "the build whose nodes serve; this one")
-            Path jar,
-            @Option(names = "--jobs", paramLabel = "N", defaultValue = "0",
-                    description = "emulated runs at once; one for each core") int jobs,
-            @Option(names = "--at-once", paramLabel = "N", defaultValue = "1",
-                    description = "runs over sockets at once; 1, as they share the machine") int atOnce)
+    int run(
+            @Parameters(paramLabel = "FILE", description = "the experiment, in HCL") Path file,
+            @Option(names = "--to", paramLabel = "FOLDER", required = true, description = "where results are kept")
+                    Path to,
+            @Option(names = "--jar", paramLabel = "JAR", description = "the build whose nodes serve; this one")
+                    Path jar,
+            @Option(
+                            names = "--jobs",
+                            paramLabel = "N",
+                            defaultValue = "0",
+                            description = "emulated runs at once; one for each core")
+                    int jobs,
+            @Option(
+                            names = "--at-once",
+                            paramLabel = "N",
+                            defaultValue = "1",
+                            description = "runs over sockets at once; 1, as they share the machine")
+                    int atOnce)
             throws Exception {
         List<String> faults = new ArrayList<>();
         if (jobs < 0 || jobs > MOST_AT_ONCE) {
@@ -103,28 +118,36 @@
             String text = Files.readString(file);
             Map<String, String> kept = new LinkedHashMap<>();
             kept.put(EXPERIMENT, text);
-            Experiment experiment = ExperimentFile.read(file.toString(), text, path -> {
-                String fleet = Files.readString(file.resolveSibling(path));
-                kept.put(FLEET, fleet);
-                return fleet;
-            }, faults);
+            Experiment experiment = ExperimentFile.read(
+                    file.toString(),
+                    text,
+                    path -> {
+                        String fleet = Files.readString(file.resolveSibling(path));
+                        kept.put(FLEET, fleet);
+                        return fleet;
+                    },
+                    faults);
             if (!faults.isEmpty()) {
                 return unusable(faults);
             }
-            return play(experiment, ResultsFolder.of(to, kept), new Lab(() -> Builds.java(List.of(), build,
-                    "node"),
-                    jobs == 0 ? Runtime.getRuntime().availableProcessors() : jobs, atOnce));
+            return play(
+                    experiment,
+                    ResultsFolder.of(to, kept),
+                    new Lab(
+                            () -> Builds.java(List.of(), build, "node"),
+                            jobs == 0 ? Runtime.getRuntime().availableProcessors() : jobs,
+                            atOnce));
         });
     }
 
-    private int play(Experiment experiment, ResultsFolder folder, Lab lab) throws IOException,
-            InterruptedException {
+    private int play(Experiment experiment, ResultsFolder folder, Lab lab) throws IOException, InterruptedException {
         int all = experiment.runs().size();
         AtomicInteger over = new AtomicInteger(folder.rows().size());
         lab.play(experiment, folder, row -> {
             synchronized (this) {
-                err().printf("%d of %d: %s, %s, seed %d: %.3f in time%n", over.incrementAndGet(), all,
-                        row.variant(), row.where(), row.seed(), row.inTime());
+                err().printf(
+                                "%d of %d: %s, %s, seed %d: %.3f in time%n",
+                                over.incrementAndGet(), all, row.variant(), row.where(), row.seed(), row.inTime());
                 err().flush();
             }
         });
@@ -140,16 +163,17 @@
 
     private static Experiment kept(ResultsFolder folder) throws IOException {
         List<String> faults = new ArrayList<>();
-        Experiment experiment = ExperimentFile.read(EXPERIMENT, folder.text(EXPERIMENT),
-                path -> folder.text(FLEET),
-                faults);
+        Experiment experiment =
+                ExperimentFile.read(EXPERIMENT, folder.text(EXPERIMENT), path -> folder.text(FLEET), faults);
         if (!faults.isEmpty()) {
             throw new IOException("the experiment that was kept cannot be read: " + faults.get(0));
         }
         return experiment;
     }
 
-    @Command(name = "table", mixinStandardHelpOptions = true,
+    @Command(
+            name = "table",
+            mixinStandardHelpOptions = true,
             description = "What was predicted and what happened, by scenario.")
     int table(@Parameters(paramLabel = "FOLDER") Path from) throws Exception {
         return orUnusable(() -> {
@@ -158,25 +182,32 @@
         });
     }
 
-    @Command(name = "chart", mixinStandardHelpOptions = true,
+    @Command(
+            name = "chart",
+            mixinStandardHelpOptions = true,
             description = "Writes results.html beside the results: one page that opens without a network.")
     int chart(@Parameters(paramLabel = "FOLDER") Path from) throws Exception {
         return orUnusable(() -> {
             ResultsFolder folder = ResultsFolder.open(from);
-            Path file = folder.write("results.html", Page.of(from.toAbsolutePath().normalize().getFileName()
-                    .toString(), kept(folder), folder.rows()));
+            Path file = folder.write(
+                    "results.html",
+                    Page.of(from.toAbsolutePath().normalize().getFileName().toString(), kept(folder), folder.rows()));
             out().println(file);
             return Main.DONE;
         });
     }
 
-    @Command(name = "compare", mixinStandardHelpOptions = true,
+    @Command(
+            name = "compare",
+            mixinStandardHelpOptions = true,
             description = "What a second folder's runs gave against a first one's, pair by pair.")
-    int compare(@Parameters(paramLabel = "FIRST", index = "0") Path first,
-            @Parameters(paramLabel = "SECOND", index = "1") Path second) throws Exception {
+    int compare(
+            @Parameters(paramLabel = "FIRST", index = "0") Path first,
+            @Parameters(paramLabel = "SECOND", index = "1") Path second)
+            throws Exception {
         return orUnusable(() -> {
-            List<Comparison.Difference> differences = Comparison.of(ResultsFolder.open(first).rows(),
-                    ResultsFolder.open(second).rows());
+            List<Comparison.Difference> differences = Comparison.of(
+                    ResultsFolder.open(first).rows(), ResultsFolder.open(second).rows());
             if (differences.isEmpty()) {
                 throw new IOException(first + " and " + second + " have no run in common");
             }
--- a/src/main/java/kitemux/cli/LoadCommand.java
+++ b/src/main/java/kitemux/cli/LoadCommand.java
@@ -3,17 +3,15 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Path;
-import java.util.LinkedHashMap;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.BiConsumer;
-
 import kitemux.load.Captured;
 import kitemux.load.Speeds;
 import kitemux.load.Summary;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -21,25 +19,35 @@
 import picocli.CommandLine.Spec;
 
 /** What captured load says. */
-@Command(name = "load", mixinStandardHelpOptions = true, description = {
-    "Tells what captured load says: what was wanted, what came of it, and how long servers took.",
-    "Exit code 0: done; 2: the call or a file cannot be used."})
+@Command(
+        name = "load",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Tells what captured load says: what was wanted, what came of it, and how long servers took.",
+            "Exit code 0: done; 2: the call or a file cannot be used."
+        })
 final class LoadCommand {
     private static final double MOST_BIN_S = 86_400;
 
     @Spec
     private CommandSpec spec;
 
-    @Command(name = "summary", mixinStandardHelpOptions = true,
-            description = "Adds up the files of one or more nodes.")
-    int summary(@Parameters(paramLabel = "FILE", arity = "1..*") List<Path> files,
-            @Option(names = "--step", paramLabel = "SECONDS", defaultValue = "1",
-                    description = "width of the steps in which rates are told; 1") double step,
-            @Option(names = "--shift", paramLabel = "NODE=SECONDS",
-                    description = "added to a node's times, where its clock is off") Map<String,
-                            Double> shift,
-            @Option(names = "--fleet",
-                    description = "as the blocks of a fleet's description, for plan") boolean fleet) {
+    @Command(name = "summary", mixinStandardHelpOptions = true, description = "Adds up the files of one or more nodes.")
+    int summary(
+            @Parameters(paramLabel = "FILE", arity = "1..*") List<Path> files,
+            @Option(
+                            names = "--step",
+                            paramLabel = "SECONDS",
+                            defaultValue = "1",
+                            description = "width of the steps in which rates are told; 1")
+                    double step,
+            @Option(
+                            names = "--shift",
+                            paramLabel = "NODE=SECONDS",
+                            description = "added to a node's times, where its clock is off")
+                    Map<String, Double> shift,
+            @Option(names = "--fleet", description = "as the blocks of a fleet's description, for plan")
+                    boolean fleet) {
         PrintWriter out = spec.commandLine().getOut();
         List<String> faults = new ArrayList<>();
         if (!(step > 0 && step <= MOST_BIN_S)) {
@@ -61,26 +69,55 @@
         return Main.DONE;
     }
 
-    @Command(name = "servers", mixinStandardHelpOptions = true,
+    @Command(
+            name = "servers",
+            mixinStandardHelpOptions = true,
             description = "How quick servers are against one another, by their answers.")
-    int servers(@Parameters(paramLabel = "FILE", arity = "1..*") List<Path> files,
-            @Option(names = "--shift", paramLabel = "NODE=SECONDS",
-                    description = "added to a node's times, where its clock is off") Map<String,
-                            Double> shift) {
-        return tell(files, shift, (speeds, out) -> speeds.estimate().forEach(of -> line(out,
-                "%s: speed %.2f (%.2f to %.2f), %d answers", of.server(), of.speed(), of.low(), of.high(),
-                of.answers())));
+    int servers(
+            @Parameters(paramLabel = "FILE", arity = "1..*") List<Path> files,
+            @Option(
+                            names = "--shift",
+                            paramLabel = "NODE=SECONDS",
+                            description = "added to a node's times, where its clock is off")
+                    Map<String, Double> shift) {
+        return tell(
+                files,
+                shift,
+                (speeds, out) -> speeds.estimate()
+                        .forEach(of -> line(
+                                out,
+                                "%s: speed %.2f (%.2f to %.2f), %d answers",
+                                of.server(),
+                                of.speed(),
+                                of.low(),
+                                of.high(),
+                                of.answers())));
     }
 
-    @Command(name = "work", mixinStandardHelpOptions = true,
+    @Command(
+            name = "work",
+            mixinStandardHelpOptions = true,
             description = "How much work requests of each class are, on a server of mean speed.")
-    int work(@Parameters(paramLabel = "FILE", arity = "1..*") List<Path> files,
-            @Option(names = "--shift", paramLabel = "NODE=SECONDS",
-                    description = "added to a node's times, where its clock is off") Map<String,
-                            Double> shift) {
-        return tell(files, shift, (speeds, out) -> speeds.work().forEach(of -> line(out,
-                "%s: work %.2f ms (%.2f to %.2f), cv %.2f, %d answers", of.name(), of.meanUs() / 1e3,
-                of.low() / 1e3, of.high() / 1e3, of.cv(), of.answers())));
+    int work(
+            @Parameters(paramLabel = "FILE", arity = "1..*") List<Path> files,
+            @Option(
+                            names = "--shift",
+                            paramLabel = "NODE=SECONDS",
+                            description = "added to a node's times, where its clock is off")
+                    Map<String, Double> shift) {
+        return tell(
+                files,
+                shift,
+                (speeds, out) -> speeds.work()
+                        .forEach(of -> line(
+                                out,
+                                "%s: work %.2f ms (%.2f to %.2f), cv %.2f, %d answers",
+                                of.name(),
+                                of.meanUs() / 1e3,
+                                of.low() / 1e3,
+                                of.high() / 1e3,
+                                of.cv(),
+                                of.answers())));
     }
 
     private int tell(List<Path> files, Map<String, Double> shift, BiConsumer<Speeds, PrintWriter> what) {
@@ -149,33 +186,62 @@
     }
 
     private static void text(Summary all, PrintWriter out) {
-        line(out, "%d wanted in %.1f s, %.1f a second, by %d nodes; burstiness %.2f", all.wanted(),
+        line(
+                out,
+                "%d wanted in %.1f s, %.1f a second, by %d nodes; burstiness %.2f",
+                all.wanted(),
                 all.seconds(),
-                all.seconds() == 0 ? 0 : all.wanted() / all.seconds(), all.nodes().size(), all.burstiness());
-        all.classes().forEach((name, of) -> line(out,
-                "%s: %d wanted, %d repeats; %d served, %d refused, %d failed,"
-                + " %d left; %d sent; a server's answer p50 %.1f ms, p99 %.1f ms; a client's p50 %.1f ms,"
-                + " p99 %.1f ms",
-                name, of.wanted(), of.repeats(), of.served(), of.refused(), of.failed(), of.left(),
+                all.seconds() == 0 ? 0 : all.wanted() / all.seconds(),
+                all.nodes().size(),
+                all.burstiness());
+        all.classes()
+                .forEach((name, of) -> line(
+                        out,
+                        "%s: %d wanted, %d repeats; %d served, %d refused, %d failed,"
+                                + " %d left; %d sent; a server's answer p50 %.1f ms, p99 %.1f ms; a client's p50 %.1f ms,"
+                                + " p99 %.1f ms",
+                        name,
+                        of.wanted(),
+                        of.repeats(),
+                        of.served(),
+                        of.refused(),
+                        of.failed(),
+                        of.left(),
                         of.attempts(),
-                of.serviceUs(50) / 1e3, of.serviceUs(99) / 1e3, of.tookUs(50) / 1e3, of.tookUs(99) / 1e3));
-        all.wantedByTenant().forEach((name, wanted) -> line(out, "%s: %.3f of what was wanted", name,
-                (double) wanted / Math.max(1, all.wanted())));
-        all.steps().forEach(step -> line(out, "%8.1f s  %8.1f wanted  %8.1f repeats a second", step.atS(),
-                step.wantedPerS(), step.repeatsPerS()));
+                        of.serviceUs(50) / 1e3,
+                        of.serviceUs(99) / 1e3,
+                        of.tookUs(50) / 1e3,
+                        of.tookUs(99) / 1e3));
+        all.wantedByTenant()
+                .forEach((name, wanted) ->
+                        line(out, "%s: %.3f of what was wanted", name, (double) wanted / Math.max(1, all.wanted())));
+        all.steps()
+                .forEach(step -> line(
+                        out,
+                        "%8.1f s  %8.1f wanted  %8.1f repeats a second",
+                        step.atS(),
+                        step.wantedPerS(),
+                        step.repeatsPerS()));
     }
 
     /** What of a description a capture tells; the rest, above all the work of a request, it does not. */
     private static void description(Summary all, PrintWriter out) {
         double rate = all.seconds() == 0 ? 0 : all.wanted() / all.seconds();
-        all.classes().forEach((name, of) -> line(out, "# class \"%s\": share = %.4f", name,
-                (double) of.wanted() / Math.max(1, all.wanted())));
-        all.wantedByTenant().forEach((name, wanted) -> line(out,
-                "# tenant \"%s\": usage = %.4f of what was wanted",
-                name, (double) wanted / Math.max(1, all.wanted())));
+        all.classes()
+                .forEach((name, of) -> line(
+                        out, "# class \"%s\": share = %.4f", name, (double) of.wanted() / Math.max(1, all.wanted())));
+        all.wantedByTenant()
+                .forEach((name, wanted) -> line(
+                        out,
+                        "# tenant \"%s\": usage = %.4f of what was wanted",
+                        name,
+                        (double) wanted / Math.max(1, all.wanted())));
         line(out, "load {%n  rate   = %.2f%n  length = \"%ds\"", rate, (long) Math.ceil(all.seconds()));
         for (Summary.Step step : all.steps()) {
-            line(out, "  point {%n    at    = \"%dms\"%n    times = %.4f%n  }", Math.round(step.atS() * 1e3),
+            line(
+                    out,
+                    "  point {%n    at    = \"%dms\"%n    times = %.4f%n  }",
+                    Math.round(step.atS() * 1e3),
                     rate == 0 ? 0 : step.wantedPerS() / rate);
         }
         line(out, "}");
