--- a/src/main/java/kitemux/cli/Main.java
+++ b/src/main/java/kitemux/cli/Main.java
@@ -2,9 +2,7 @@
 
 import java.util.Map;
 import java.util.concurrent.Callable;
-
 import kitemux.node.Node;
-
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -15,10 +13,11 @@
 public final class Main {
     /** What all commands mean by their exit codes: done, something was found, the call cannot be used. */
     static final int DONE = 0;
+
     static final int FOUND = 1;
     static final int UNUSABLE = 2;
 
-    private Main() { }
+    private Main() {}
 
     /** Starts the command that the arguments name. */
     public static void main(String[] args) {
@@ -40,12 +39,28 @@
     }
 
     /** The program. */
-    @Command(name = "kitemux", mixinStandardHelpOptions = true, version = "kitemux " + Version.TEXT,
+    @Command(
+            name = "kitemux",
+            mixinStandardHelpOptions = true,
+            version = "kitemux " + Version.TEXT,
             description = "A load-balancing proxy node and what belongs to it.",
-            subcommands = {NodeCommand.class, AdapterCommand.class, FaultsCommand.class, BenchCommand.class,
-                OrdersCommand.class, PlanCommand.class, LabCommand.class, LoadCommand.class,
-                ConfigCommand.class, SidecarCommand.class, TryCommand.class, DrillCommand.class,
-                ScaleCommand.class, KeepCommand.class, SoakCommand.class})
+            subcommands = {
+                NodeCommand.class,
+                AdapterCommand.class,
+                FaultsCommand.class,
+                BenchCommand.class,
+                OrdersCommand.class,
+                PlanCommand.class,
+                LabCommand.class,
+                LoadCommand.class,
+                ConfigCommand.class,
+                SidecarCommand.class,
+                TryCommand.class,
+                DrillCommand.class,
+                ScaleCommand.class,
+                KeepCommand.class,
+                SoakCommand.class
+            })
     static final class Kitemux implements Callable<Integer> {
         @Override
         public Integer call() {
@@ -55,9 +70,13 @@
     }
 
     /** Named for the help; {@link #main} starts it unless it is given arguments. */
-    @Command(name = "node", mixinStandardHelpOptions = true,
-            description = {"Runs a node until SIGTERM; SIGHUP reads its configuration again.",
-                "The environment tells it what it needs: PROXY_CONFIG, PROXY_LISTEN, PROXY_DISCOVERY."})
+    @Command(
+            name = "node",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Runs a node until SIGTERM; SIGHUP reads its configuration again.",
+                "The environment tells it what it needs: PROXY_CONFIG, PROXY_LISTEN, PROXY_DISCOVERY."
+            })
     static final class NodeCommand implements Callable<Integer> {
         @Override
         public Integer call() {
@@ -68,7 +87,9 @@
     }
 
     /** Named for the help, as above. */
-    @Command(name = "adapter", mixinStandardHelpOptions = true,
+    @Command(
+            name = "adapter",
+            mixinStandardHelpOptions = true,
             description = "Hosts instances of the decision module on standard input and output.")
     static final class AdapterCommand implements Callable<Integer> {
         @Override
--- a/src/main/java/kitemux/cli/OrdersCommand.java
+++ b/src/main/java/kitemux/cli/OrdersCommand.java
@@ -9,13 +9,12 @@
 import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Callable;
 import java.util.Set;
+import java.util.concurrent.Callable;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
-
 import kitemux.bench.KillRuns;
 import kitemux.orders.Entry.Taken;
 import kitemux.orders.JournalReader;
@@ -25,16 +24,22 @@
 import kitemux.orders.Story;
 import kitemux.orders.Story.State;
 import kitemux.orders.StoryText;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
 /** Asks a journal what became of orders; on a live node's folder or a dead one's, and changes nothing. */
-@Command(name = "orders", mixinStandardHelpOptions = true,
+@Command(
+        name = "orders",
+        mixinStandardHelpOptions = true,
         description = "Reads the journal of orders that a node keeps: was one sent, and where?",
-        subcommands = {OrdersCommand.Ask.class, OrdersCommand.Verify.class, OrdersCommand.Export.class,
-            OrdersCommand.Index.class, OrdersCommand.Kills.class})
+        subcommands = {
+            OrdersCommand.Ask.class,
+            OrdersCommand.Verify.class,
+            OrdersCommand.Export.class,
+            OrdersCommand.Index.class,
+            OrdersCommand.Kills.class
+        })
 final class OrdersCommand implements Callable<Integer> {
     /** An order that was sent, and nobody knows what became of it; or the node still has it. */
     static final int UNKNOWN = 3;
@@ -50,21 +55,23 @@
     }
 
     private static long time(String since) throws DateTimeParseException {
-        return since == null ? Long.MIN_VALUE
-                : ChronoUnit.MICROS.between(Instant.EPOCH, Instant.parse(since));
+        return since == null ? Long.MIN_VALUE : ChronoUnit.MICROS.between(Instant.EPOCH, Instant.parse(since));
     }
 
     /** One question. */
-    @Command(name = "ask", mixinStandardHelpOptions = true, description = {
-        "Says what became of orders, one a line, the latest last.",
-        "Exit code 0: what became of each is known; 1: none was ever taken; 2: the call cannot be used; "
-            + "3: of one at least it is not known whether it ran, or the node still has it."})
+    @Command(
+            name = "ask",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Says what became of orders, one a line, the latest last.",
+                "Exit code 0: what became of each is known; 1: none was ever taken; 2: the call cannot be used; "
+                        + "3: of one at least it is not known whether it ran, or the node still has it."
+            })
     static final class Ask implements Callable<Integer> {
         /** Of so many orders kin is looked for; a question that finds more is not about one. */
         private static final int MOST_ASKED = 100;
 
-        @Option(names = "--journal", required = true, paramLabel = "DIR",
-                description = "the journal's folder")
+        @Option(names = "--journal", required = true, paramLabel = "DIR", description = "the journal's folder")
         private Path journal;
 
         @Option(names = "--order", paramLabel = "ID", description = "the client's id for it (X-Txn)")
@@ -73,11 +80,15 @@
         @Option(names = "--key", paramLabel = "KEY", description = "the last part of its path")
         private String key;
 
-        @Option(names = "--since", paramLabel = "TIME",
+        @Option(
+                names = "--since",
+                paramLabel = "TIME",
                 description = "taken then or later, such as 2026-12-01T08:00:00Z")
         private String since;
 
-        @Option(names = "--state", paramLabel = "STATE",
+        @Option(
+                names = "--state",
+                paramLabel = "STATE",
                 description = "only those of this state: ${COMPLETION-CANDIDATES}")
         private State state;
 
@@ -92,7 +103,8 @@
             try {
                 long sinceUs = time(since);
                 Predicate<Taken> about = taken -> (order == null || order.equals(taken.order()))
-                        && (key == null || key.equals(taken.key())) && taken.atUs() >= sinceUs;
+                        && (key == null || key.equals(taken.key()))
+                        && taken.atUs() >= sinceUs;
                 boolean live = Orders.isLive(journal);
                 int[] found = new int[2];
                 List<Taken> asked = new ArrayList<>();
@@ -112,8 +124,13 @@
                     Orders.reader(journal).stories(about, print);
                 } else {
                     // By one of the two is enough to find it by; the other is looked at in what is found.
-                    Orders.reader(journal).storiesOf(order == null ? Set.of() : Set.of(order),
-                            order != null ? Set.of() : Set.of(key), Set.of(), about, print);
+                    Orders.reader(journal)
+                            .storiesOf(
+                                    order == null ? Set.of() : Set.of(order),
+                                    order != null ? Set.of() : Set.of(key),
+                                    Set.of(),
+                                    about,
+                                    print);
                     tellOfKin(asked, about, live);
                 }
                 if (found[0] == 0) {
@@ -132,13 +149,19 @@
 
         /** A client that tried again under a new id made another order here: the desk should know of both. */
         private void tellOfKin(List<Taken> asked, Predicate<Taken> about, boolean live) throws IOException {
-            Orders.reader(journal).storiesOf(Set.of(), texts(asked, Taken::key),
-                    texts(asked, Taken::idempotencyKey),
-                    taken -> !about.test(taken) && kin(asked, taken) != Kin.NONE, story -> {
-                        Kin kin = kin(asked, story.taken());
-                        System.out.println(json ? StoryText.json(story, live, kin)
-                                : kin.words() + ": " + StoryText.sentence(story, live));
-                    });
+            Orders.reader(journal)
+                    .storiesOf(
+                            Set.of(),
+                            texts(asked, Taken::key),
+                            texts(asked, Taken::idempotencyKey),
+                            taken -> !about.test(taken) && kin(asked, taken) != Kin.NONE,
+                            story -> {
+                                Kin kin = kin(asked, story.taken());
+                                System.out.println(
+                                        json
+                                                ? StoryText.json(story, live, kin)
+                                                : kin.words() + ": " + StoryText.sentence(story, live));
+                            });
         }
 
         private static Set<String> texts(List<Taken> asked, Function<Taken, String> of) {
@@ -146,18 +169,24 @@
         }
 
         private static Kin kin(List<Taken> asked, Taken other) {
-            return asked.stream().map(one -> Kin.of(one, other)).filter(kin -> kin != Kin.NONE).findFirst()
+            return asked.stream()
+                    .map(one -> Kin.of(one, other))
+                    .filter(kin -> kin != Kin.NONE)
+                    .findFirst()
                     .orElse(Kin.NONE);
         }
     }
 
     /** A check of every byte. */
-    @Command(name = "verify", mixinStandardHelpOptions = true, description = {
-        "Checks every byte of a journal.",
-        "Exit code 0: all is sound; 1: something is not, with file and offset; 2: the call cannot be used."})
+    @Command(
+            name = "verify",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Checks every byte of a journal.",
+                "Exit code 0: all is sound; 1: something is not, with file and offset; 2: the call cannot be used."
+            })
     static final class Verify implements Callable<Integer> {
-        @Parameters(paramLabel = "DIR",
-                description = "the journal's folder")
+        @Parameters(paramLabel = "DIR", description = "the journal's folder")
         private Path journal;
 
         @Override
@@ -167,8 +196,10 @@
                 verdict.faults().forEach(System.out::println);
                 System.out.println(verdict.entries() + " entries in " + verdict.segments() + " segments, "
                         + verdict.faults().size() + " faults"
-                        + (verdict.tornBytes() == 0 ? "" : "; the last " + verdict.tornBytes()
-                        + " bytes are an entry that was being written, which is no fault"));
+                        + (verdict.tornBytes() == 0
+                                ? ""
+                                : "; the last " + verdict.tornBytes()
+                                        + " bytes are an entry that was being written, which is no fault"));
                 return verdict.faults().isEmpty() ? Main.DONE : Main.FOUND;
             } catch (IOException e) {
                 return unusable("the journal cannot be read: " + e);
@@ -177,11 +208,12 @@
     }
 
     /** All of it, for the desk. */
-    @Command(name = "export", mixinStandardHelpOptions = true,
+    @Command(
+            name = "export",
+            mixinStandardHelpOptions = true,
             description = "Writes all orders as CSV, or as lines of JSON, to standard output.")
     static final class Export implements Callable<Integer> {
-        @Option(names = "--journal", required = true, paramLabel = "DIR",
-                description = "the journal's folder")
+        @Option(names = "--journal", required = true, paramLabel = "DIR", description = "the journal's folder")
         private Path journal;
 
         @Option(names = "--since", paramLabel = "TIME", description = "taken then or later")
@@ -199,8 +231,9 @@
                 if (!json) {
                     System.out.println(StoryText.CSV_HEAD);
                 }
-                reader.stories(taken -> taken.atUs() >= sinceUs, story -> System.out.println(
-                        json ? StoryText.json(story, live) : StoryText.csv(story, live)));
+                reader.stories(
+                        taken -> taken.atUs() >= sinceUs,
+                        story -> System.out.println(json ? StoryText.json(story, live) : StoryText.csv(story, live)));
                 return Main.DONE;
             } catch (DateTimeParseException e) {
                 return unusable("--since is no time: " + since);
@@ -211,9 +244,13 @@
     }
 
     /** What makes questions quick. */
-    @Command(name = "index", mixinStandardHelpOptions = true, description = {
-        "Makes the indexes of ended segments anew that are missing or unsound; all else is left as it is.",
-        "Exit code 0: they are there; 2: the call cannot be used, or they cannot be written."})
+    @Command(
+            name = "index",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Makes the indexes of ended segments anew that are missing or unsound; all else is left as it is.",
+                "Exit code 0: they are there; 2: the call cannot be used, or they cannot be written."
+            })
     static final class Index implements Callable<Integer> {
         @Parameters(paramLabel = "DIR", description = "the journal's folder")
         private Path journal;
@@ -230,10 +267,14 @@
     }
 
     /** Proof by killing. */
-    @Command(name = "kills", mixinStandardHelpOptions = true, description = {
-        "Kills a node at random moments while orders are placed through it, on one journal, and holds what "
-            + "that says against what stand-in boxes and clients saw.",
-        "Exit code 0: it told the truth; 1: it did not; 2: the call cannot be used."})
+    @Command(
+            name = "kills",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Kills a node at random moments while orders are placed through it, on one journal, and holds what "
+                        + "that says against what stand-in boxes and clients saw.",
+                "Exit code 0: it told the truth; 1: it did not; 2: the call cannot be used."
+            })
     static final class Kills implements Callable<Integer> {
         private static final int MOST_KILLS = 100_000;
 
@@ -243,7 +284,9 @@
         @Option(names = "--seed", paramLabel = "N", description = "which moments; 1 by default")
         private long seed = 1;
 
-        @Option(names = "--jar", paramLabel = "FILE",
+        @Option(
+                names = "--jar",
+                paramLabel = "FILE",
                 description = "the build whose node is killed; target/kitemux.jar by default")
         private Path jar = Path.of("target", "kitemux.jar");
 
--- a/src/main/java/kitemux/cli/PlanAnswers.java
+++ b/src/main/java/kitemux/cli/PlanAnswers.java
@@ -1,5 +1,7 @@
 package kitemux.cli;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
@@ -8,10 +10,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-
 import kitemux.fleet.Fleet;
 import kitemux.fleet.Result;
 import kitemux.lab.Template;
@@ -24,8 +22,14 @@
  *
  * @param broken null where it was not asked
  */
-record PlanAnswers(Fleet fleet, double goal, Queues.Storm storm, Planner.Verdict today, Planner.Break broken,
-        List<Planner.Fewest> fewest, List<Planner.Loss> losses) {
+record PlanAnswers(
+        Fleet fleet,
+        double goal,
+        Queues.Storm storm,
+        Planner.Verdict today,
+        Planner.Break broken,
+        List<Planner.Fewest> fewest,
+        List<Planner.Loss> losses) {
 
     /** On paper so much of what clients gave up is worked off all the same: a cancel halts no work. */
     private static final double WASTED = 0.5;
@@ -36,39 +40,63 @@
             losses.addAll(planner.losses(fleet));
             losses.add(planner.pulse(fleet));
         }
-        return new PlanAnswers(fleet, goal, Queues.storm(fleet.offered() * fleet.load().most(),
-                fleet.clients().retries(), WASTED), planner.holds(fleet),
+        return new PlanAnswers(
+                fleet,
+                goal,
+                Queues.storm(
+                        fleet.offered() * fleet.load().most(), fleet.clients().retries(), WASTED),
+                planner.holds(fleet),
                 questions.contains("breaks") ? planner.breaksAt(fleet) : null,
-                questions.contains("boxes") ? planner.fewest(fleet) : List.of(), losses);
+                questions.contains("boxes") ? planner.fewest(fleet) : List.of(),
+                losses);
     }
 
     // ---------------------------------------------------------------- text
 
     void text(PrintWriter out) {
-        line(out, "%d servers on %d racks, %d nodes; %.0f first tries a second are %.2f of what all can do",
-                fleet.boxes(), fleet.racks(), fleet.nodes().count(), fleet.load().ratePerS(),
+        line(
+                out,
+                "%d servers on %d racks, %d nodes; %.0f first tries a second are %.2f of what all can do",
+                fleet.boxes(),
+                fleet.racks(),
+                fleet.nodes().count(),
+                fleet.load().ratePerS(),
                 fleet.offered());
         if (storm.feedsItself()) {
-            line(out, "on paper a storm of repeats feeds itself: %.2f tries for each first one",
-                    storm.stormy());
+            line(out, "on paper a storm of repeats feeds itself: %.2f tries for each first one", storm.stormy());
         }
-        line(out, "goal %.3f: %s%s; in time %s, in the worst 10 s %s", goal,
-                today.holds() ? "holds" : "does not hold", today.surely() ? "" : " (a close call)",
-                today.inTime(), today.worstWindow());
+        line(
+                out,
+                "goal %.3f: %s%s; in time %s, in the worst 10 s %s",
+                goal,
+                today.holds() ? "holds" : "does not hold",
+                today.surely() ? "" : " (a close call)",
+                today.inTime(),
+                today.worstWindow());
         if (today.breaks() > 0) {
             line(out, "RULES BROKEN %d times, first: %s", today.breaks(), firstBreak());
         }
         Result one = today.runs().get(0);
-        one.kinds().forEach(kind -> line(out,
-                "  %s: busy %.2f, the busiest %.2f, at most %d connections, %d slow",
-                kind.name(), kind.busy(), kind.busiest(), kind.mostConnections(), kind.choked()));
-        line(out, "  nodes: busy %.2f, at most %.1f ms behind; %.2f tries a request; p50 %.1f, p99 %.1f ms",
-                one.nodeBusy(), one.nodeMostLateUs() / 1e3, one.triesPerWish(), one.p50Us() / 1e3,
+        one.kinds()
+                .forEach(kind -> line(
+                        out,
+                        "  %s: busy %.2f, the busiest %.2f, at most %d connections, %d slow",
+                        kind.name(),
+                        kind.busy(),
+                        kind.busiest(),
+                        kind.mostConnections(),
+                        kind.choked()));
+        line(
+                out,
+                "  nodes: busy %.2f, at most %.1f ms behind; %.2f tries a request; p50 %.1f, p99 %.1f ms",
+                one.nodeBusy(),
+                one.nodeMostLateUs() / 1e3,
+                one.triesPerWish(),
+                one.p50Us() / 1e3,
                 one.p99Us() / 1e3);
         if (broken != null) {
             line(out, "breaks between %.2f and %.2f of this load, by:", broken.holdsAt(), broken.breaksAt());
-            broken.by().forEach(cause -> line(out, "  %s: %.1f of what is missing", cause.what(),
-                    cause.gains()));
+            broken.by().forEach(cause -> line(out, "  %s: %.1f of what is missing", cause.what(), cause.gains()));
         }
         fewest.forEach(few -> {
             if (few.count() < 0) {
@@ -77,23 +105,31 @@
                 line(out, "%s: %d hold the goal, cost %.1f", few.kind(), few.count(), few.cost());
             }
         });
-        losses.forEach(loss -> line(out,
+        losses.forEach(loss -> line(
+                out,
                 "%s: in time %s, in the worst 10 s %.3f, the worst tenant %.3f, %s%s",
-                loss.what(), loss.inTime(), loss.worstWindow().mean(), loss.worstTenant().mean(), back(loss),
+                loss.what(),
+                loss.inTime(),
+                loss.worstWindow().mean(),
+                loss.worstTenant().mean(),
+                back(loss),
                 loss.breaks() == 0 ? "" : ", RULES BROKEN " + loss.breaks() + " times"));
     }
 
     private String firstBreak() {
-        return today.runs().stream().filter(run -> !run.told().isEmpty()).findFirst()
-                .map(run -> run.told().get(0)).orElse("");
+        return today.runs().stream()
+                .filter(run -> !run.told().isEmpty())
+                .findFirst()
+                .map(run -> run.told().get(0))
+                .orElse("");
     }
 
     private static String back(Planner.Loss loss) {
         if (loss.never() == 1) {
             return "does not come back";
         }
-        return String.format(Locale.ROOT, "back after %.1f s", loss.backAfterS()) + (loss.never() == 0 ? ""
-                : String.format(Locale.ROOT, ", %.0f%% of runs never", 100 * loss.never()));
+        return String.format(Locale.ROOT, "back after %.1f s", loss.backAfterS())
+                + (loss.never() == 0 ? "" : String.format(Locale.ROOT, ", %.0f%% of runs never", 100 * loss.never()));
     }
 
     private static void line(PrintWriter out, String format, Object... of) {
@@ -118,8 +154,15 @@
             to.writeEndArray();
             to.writeEndObject();
         }
-        return Template.fill("/kitemux/cli/plan.html", Map.of("TITLE", Template.escaped(title),
-                "ANSWERS", Template.escaped(answers.toString()), "DATA", data.toString()));
+        return Template.fill(
+                "/kitemux/cli/plan.html",
+                Map.of(
+                        "TITLE",
+                        Template.escaped(title),
+                        "ANSWERS",
+                        Template.escaped(answers.toString()),
+                        "DATA",
+                        data.toString()));
     }
 
     private static void seconds(JsonGenerator to, String what, List<Double> values) throws IOException {
--- a/src/main/java/kitemux/cli/PlanCommand.java
+++ b/src/main/java/kitemux/cli/PlanCommand.java
@@ -13,27 +13,29 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-
 import kitemux.bench.EmulatorBench;
 import kitemux.fleet.Emulation;
 import kitemux.fleet.Fleet;
 import kitemux.fleet.Result;
+import kitemux.hcl.Places;
 import kitemux.plan.FleetFile;
 import kitemux.plan.FromCapture;
-import kitemux.hcl.Places;
 import kitemux.plan.Planner;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
 
 /** Tells from a described fleet and load what holds, what breaks first, how many servers it needs. */
-@Command(name = "plan", mixinStandardHelpOptions = true, description = {
-    "Plays a described fleet with the decision module that serves in earnest, on virtual time, and tells "
-        + "whether it holds a goal, at which load it breaks and by what, how many servers it needs, and "
-        + "what losses cost.",
-    "Exit code 0: today's fleet holds; 1: it does not; 2: the call or the description cannot be used."})
+@Command(
+        name = "plan",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Plays a described fleet with the decision module that serves in earnest, on virtual time, and tells "
+                    + "whether it holds a goal, at which load it breaks and by what, how many servers it needs, and "
+                    + "what losses cost.",
+            "Exit code 0: today's fleet holds; 1: it does not; 2: the call or the description cannot be used."
+        })
 final class PlanCommand implements Callable<Integer> {
     private static final int MOST_JOBS = 256;
     private static final Set<String> QUESTIONS = Set.of("holds", "breaks", "boxes", "losses");
@@ -44,29 +46,38 @@
     @Option(names = "--fleet", paramLabel = "FILE", required = true, description = "the description, in HCL")
     private Path file;
 
-    @Option(names = "--goal", paramLabel = "SHARE",
+    @Option(
+            names = "--goal",
+            paramLabel = "SHARE",
             description = "share of the worth asked for that is to be answered in time; 0.95 by default")
     private double goal = 0.95;
 
-    @Option(names = "--ask", paramLabel = "WHAT", split = ",",
+    @Option(
+            names = "--ask",
+            paramLabel = "WHAT",
+            split = ",",
             description = "holds, breaks, boxes, losses; all by default")
     private List<String> questions = List.of("holds", "breaks", "boxes", "losses");
 
     @Option(names = "--jobs", paramLabel = "N", description = "how many runs at once; one for each core")
     private int jobs = Runtime.getRuntime().availableProcessors();
 
-    @Option(names = "--load", paramLabel = "FILE", arity = "1..*",
+    @Option(
+            names = "--load",
+            paramLabel = "FILE",
+            arity = "1..*",
             description = "captured load, in place of the described one")
     private List<Path> captured = List.of();
 
-    @Option(names = "--work",
-            description = "with --load: the work of each class from the captured answers too")
+    @Option(names = "--work", description = "with --load: the work of each class from the captured answers too")
     private boolean work;
 
     @Option(names = "--json", description = "the answers as JSON")
     private boolean json;
 
-    @Option(names = "--html", paramLabel = "FILE",
+    @Option(
+            names = "--html",
+            paramLabel = "FILE",
             description = "the answers as a page with charts as well, which opens without a network")
     private Path page;
 
@@ -84,8 +95,9 @@
         if (jobs < 1 || jobs > MOST_JOBS) {
             faults.add("--jobs is not from 1 to " + MOST_JOBS);
         }
-        questions.stream().filter(q -> !QUESTIONS.contains(q)).forEach(q -> faults.add("--ask: " + q
-                + " is none of holds, breaks, boxes, losses"));
+        questions.stream()
+                .filter(q -> !QUESTIONS.contains(q))
+                .forEach(q -> faults.add("--ask: " + q + " is none of holds, breaks, boxes, losses"));
         if (work && captured.isEmpty()) {
             faults.add("--work needs --load");
         }
@@ -101,7 +113,8 @@
         if (faults.isEmpty() && !captured.isEmpty()) {
             fleet = FromCapture.load(fleet, LoadCommand.summary(captured, 1, Map.of(), faults), faults);
             if (work) {
-                fleet = FromCapture.work(fleet, LoadCommand.speeds(captured, Map.of(), faults).work());
+                fleet = FromCapture.work(
+                        fleet, LoadCommand.speeds(captured, Map.of(), faults).work());
             }
             faults.addAll(fleet.faultsFound());
         }
@@ -137,7 +150,8 @@
     }
 
     private static List<Result> play(ExecutorService pool, Fleet fleet, List<Long> seeds) {
-        List<Future<Result>> runs = seeds.stream().map(seed -> pool.submit(() -> Emulation.play(fleet, seed)))
+        List<Future<Result>> runs = seeds.stream()
+                .map(seed -> pool.submit(() -> Emulation.play(fleet, seed)))
                 .toList();
         List<Result> results = new ArrayList<>();
         for (Future<Result> run : runs) {
--- a/src/main/java/kitemux/cli/ScaleCommand.java
+++ b/src/main/java/kitemux/cli/ScaleCommand.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.Callable;
-
 import kitemux.scale.CapacityPage;
 import kitemux.scale.Commands;
 import kitemux.scale.Hollow;
@@ -19,7 +18,6 @@
 import kitemux.scale.PlanFile;
 import kitemux.scale.ScaleRun;
 import kitemux.scale.Tables;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -27,13 +25,18 @@
 import picocli.CommandLine.Spec;
 
 /** What nodes cost at the size to plan for: measured, kept, and told as tables. */
-@Command(name = "scale", mixinStandardHelpOptions = true, description = {
-    "Measures what control costs nodes, by servers, nodes, tenants and changes, and keeps results.",
-    "Exit code 0: done; 1: the run itself was late, or a page differs from results; 2: the call, a "
-        + "description or a folder cannot be used."})
+@Command(
+        name = "scale",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Measures what control costs nodes, by servers, nodes, tenants and changes, and keeps results.",
+            "Exit code 0: done; 1: the run itself was late, or a page differs from results; 2: the call, a "
+                    + "description or a folder cannot be used."
+        })
 final class ScaleCommand {
     @Spec
     private CommandSpec spec;
+
     private final Commands own;
 
     /** Its processes are of this build unless another is named. */
@@ -47,7 +50,11 @@
 
     private static Path ownJar() {
         try {
-            return Path.of(ScaleCommand.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            return Path.of(ScaleCommand.class
+                    .getProtectionDomain()
+                    .getCodeSource()
+                    .getLocation()
+                    .toURI());
         } catch (URISyntaxException e) {
             throw new IllegalStateException(e);
         }
@@ -72,24 +79,33 @@
         }
     }
 
-    @Command(name = "run", mixinStandardHelpOptions = true,
+    @Command(
+            name = "run",
+            mixinStandardHelpOptions = true,
             description = "Measures what a description names; keeps a file of results for each stage.")
-    int run(@Parameters(paramLabel = "FILE", description = "what to measure, in HCL") Path file,
-            @Option(names = "--to", paramLabel = "FOLDER", required = true,
-                    description = "where results are kept")
-            Path to,
-            @Option(names = "--only", paramLabel = "STAGE", split = ",",
-                    description = "stages to run; all that are described")
-            List<String> only,
-            @Option(names = "--commit", paramLabel = "NAME", defaultValue = "not told",
-                    description = "of the program that is measured, as results tell it")
-            String commit,
-            @Option(names = "--jar", paramLabel = "JAR", description = "the build that is measured; this one")
-            Path jar) throws Exception {
+    int run(
+            @Parameters(paramLabel = "FILE", description = "what to measure, in HCL") Path file,
+            @Option(names = "--to", paramLabel = "FOLDER", required = true, description = "where results are kept")
+                    Path to,
+            @Option(
+                            names = "--only",
+                            paramLabel = "STAGE",
+                            split = ",",
+                            description = "stages to run; all that are described")
+                    List<String> only,
+            @Option(
+                            names = "--commit",
+                            paramLabel = "NAME",
+                            defaultValue = "not told",
+                            description = "of the program that is measured, as results tell it")
+                    String commit,
+            @Option(names = "--jar", paramLabel = "JAR", description = "the build that is measured; this one") Path jar)
+            throws Exception {
         return orUnusable(() -> {
             List<String> faults = new ArrayList<>();
             Set<String> stages = only == null ? Set.of() : new TreeSet<>(only);
-            stages.stream().filter(stage -> !Tables.names().contains(stage))
+            stages.stream()
+                    .filter(stage -> !Tables.names().contains(stage))
                     .forEach(stage -> faults.add("--only: there is no stage " + stage));
             if (jar != null && !Files.isRegularFile(jar)) {
                 faults.add("--jar: " + jar + " is no file");
@@ -103,7 +119,9 @@
         });
     }
 
-    @Command(name = "check", mixinStandardHelpOptions = true,
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
             description = "Tells all faults of a description, and measures nothing.")
     int check(@Parameters(paramLabel = "FILE") Path file) throws Exception {
         return orUnusable(() -> {
@@ -117,16 +135,19 @@
         });
     }
 
-    @Command(name = "table", mixinStandardHelpOptions = true,
+    @Command(
+            name = "table",
+            mixinStandardHelpOptions = true,
             description = "Prints a table from the results that a folder keeps.")
     int table(@Parameters(paramLabel = "NAME") String name, @Parameters(paramLabel = "FOLDER") Path folder)
             throws Exception {
         return orUnusable(() -> {
             String table = Tables.markdown(name, folder);
             if (table == null) {
-                return unusable(List.of(Tables.names().contains(name)
-                        ? folder + " holds no results for " + name
-                        : "there is no table " + name + "; there are " + String.join(", ", Tables.names())));
+                return unusable(List.of(
+                        Tables.names().contains(name)
+                                ? folder + " holds no results for " + name
+                                : "there is no table " + name + "; there are " + String.join(", ", Tables.names())));
             }
             spec.commandLine().getOut().print(table);
             spec.commandLine().getOut().flush();
@@ -134,9 +155,13 @@
         });
     }
 
-    @Command(name = "page", mixinStandardHelpOptions = true,
+    @Command(
+            name = "page",
+            mixinStandardHelpOptions = true,
             description = "Holds a page's tables and figures against the results that a folder keeps.")
-    int page(@Parameters(paramLabel = "PAGE") Path page, @Parameters(paramLabel = "FOLDER") Path folder,
+    int page(
+            @Parameters(paramLabel = "PAGE") Path page,
+            @Parameters(paramLabel = "FOLDER") Path folder,
             @Option(names = "--write", description = "first writes them anew in the page") boolean write)
             throws Exception {
         return orUnusable(() -> {
--- a/src/main/java/kitemux/cli/SoakCommand.java
+++ b/src/main/java/kitemux/cli/SoakCommand.java
@@ -7,20 +7,22 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
-
 import kitemux.soak.Soak;
 import kitemux.standin.Builds;
-
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
 
 /** Plays upgrades, restarts and kills of a node's processes, and judges what clients and servers saw. */
-@Command(name = "soak", mixinStandardHelpOptions = true, description = {
-    "Plays the lives of a node's processes on loopback and judges that no request is lost, none is run twice,",
-    "no deadline is told too long and none is sent on after its client has left.",
-    "Exit code 0: nothing found; 1: something was, or the player was late; 2: the call cannot be used."})
+@Command(
+        name = "soak",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Plays the lives of a node's processes on loopback and judges that no request is lost, none is run twice,",
+            "no deadline is told too long and none is sent on after its client has left.",
+            "Exit code 0: nothing found; 1: something was, or the player was late; 2: the call cannot be used."
+        })
 final class SoakCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -31,7 +33,9 @@
     @Option(names = "--seeds", defaultValue = "1", description = "how many seeds; default ${DEFAULT-VALUE}")
     private int seeds;
 
-    @Option(names = "--changes", defaultValue = "3",
+    @Option(
+            names = "--changes",
+            defaultValue = "3",
             description = "changes of processes in each seed; default ${DEFAULT-VALUE}")
     private int changes;
 
@@ -41,8 +45,10 @@
     @Option(names = "--jar", description = "the build whose node is played; this one where it is not given")
     private Path jar;
 
-    @Option(names = "--no-trace", description = "the node of that build knows no trace: a request counts as read "
-            + "only where a server had it")
+    @Option(
+            names = "--no-trace",
+            description =
+                    "the node of that build knows no trace: a request counts as read " + "only where a server had it")
     private boolean untraced;
 
     @Override
@@ -51,8 +57,8 @@
         boolean clean = true;
         for (long one = seed; one < seed + seeds; one++) {
             Path folder = Files.createTempDirectory("kitemux-soak");
-            Soak.Result result = Soak.play(() -> Builds.java(List.of(), played(), "node"),
-                    !untraced, one, upgrades, changes, folder);
+            Soak.Result result = Soak.play(
+                    () -> Builds.java(List.of(), played(), "node"), !untraced, one, upgrades, changes, folder);
             print(out, result);
             clean &= result.findings().isEmpty() && result.isPunctual();
         }
@@ -60,14 +66,20 @@
     }
 
     private void print(PrintWriter out, Soak.Result result) {
-        out.printf("seed %d: deadline %d ms, %d requests, %d SIGKILLs after SIGTERM, %d turned back unheard, "
-                + "player late by %d ms%s, %d findings%n", result.seed(), result.deadlineMs(), result.requests(),
-                result.sigkills(), result.turnedBack(), result.lateMs(),
+        out.printf(
+                "seed %d: deadline %d ms, %d requests, %d SIGKILLs after SIGTERM, %d turned back unheard, "
+                        + "player late by %d ms%s, %d findings%n",
+                result.seed(),
+                result.deadlineMs(),
+                result.requests(),
+                result.sigkills(),
+                result.turnedBack(),
+                result.lateMs(),
                 result.isPunctual() ? "" : " (too late to rely on)",
                 result.findings().stream().filter(line -> !line.startsWith(" ")).count());
         if (!result.findings().isEmpty()) {
-            out.printf("  kitemux soak --seed %d --changes %d%s%n", result.seed(), changes,
-                    upgrades ? " --upgrades" : "");
+            out.printf(
+                    "  kitemux soak --seed %d --changes %d%s%n", result.seed(), changes, upgrades ? " --upgrades" : "");
             result.findings().forEach(line -> out.println("  " + line));
         }
         out.flush();
@@ -78,7 +90,11 @@
             return jar;
         }
         try {
-            return Path.of(SoakCommand.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            return Path.of(SoakCommand.class
+                    .getProtectionDomain()
+                    .getCodeSource()
+                    .getLocation()
+                    .toURI());
         } catch (URISyntaxException e) {
             throw new IllegalStateException(e);
         }
--- a/src/main/java/kitemux/cli/TryCommand.java
+++ b/src/main/java/kitemux/cli/TryCommand.java
@@ -15,15 +15,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentLinkedQueue;
-
-import org.jline.terminal.Attributes;
-import org.jline.terminal.Size;
-import org.jline.terminal.Terminal;
-import org.jline.terminal.TerminalBuilder;
-import org.jline.utils.AttributedString;
-import org.jline.utils.Display;
-import org.jline.utils.NonBlockingReader;
-
 import kitemux.fleet.Emulation;
 import kitemux.fleet.Fleet;
 import kitemux.fleet.Result;
@@ -31,7 +22,13 @@
 import kitemux.lab.Loopback;
 import kitemux.plan.FleetFile;
 import kitemux.standin.Builds;
-
+import org.jline.terminal.Attributes;
+import org.jline.terminal.Size;
+import org.jline.terminal.Terminal;
+import org.jline.terminal.TerminalBuilder;
+import org.jline.utils.AttributedString;
+import org.jline.utils.Display;
+import org.jline.utils.NonBlockingReader;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -41,13 +38,17 @@
  * The first thing to run: a node, servers of two speeds and some traffic on this machine, to be broken by
  * hand.
  */
-@Command(name = "try", mixinStandardHelpOptions = true, description = {
-    "Plays a node process among stand-in servers of two speeds over loopback, with a little traffic of "
-            + "three classes,",
-    "and shows what becomes of it. Keys: a server's number, then k kill, s silence, l slow, f fail, d "
-            + "drain, b back;",
-    "r restarts the node, t has a tenant ask ten times as much, q ends. Ends by itself.",
-    "Exit code 0: the rules were kept; 1: one was broken; 2: the call or a file cannot be used."})
+@Command(
+        name = "try",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Plays a node process among stand-in servers of two speeds over loopback, with a little traffic of "
+                    + "three classes,",
+            "and shows what becomes of it. Keys: a server's number, then k kill, s silence, l slow, f fail, d "
+                    + "drain, b back;",
+            "r restarts the node, t has a tenant ask ten times as much, q ends. Ends by itself.",
+            "Exit code 0: the rules were kept; 1: one was broken; 2: the call or a file cannot be used."
+        })
 final class TryCommand implements Callable<Integer> {
     private static final String FLEET = "/kitemux/cli/try.hcl";
     private static final double MOST_S = 3_600;
@@ -56,19 +57,21 @@
     private static final Size USUAL = Size.of(30, 120);
     /** Between two plain lines where there is no terminal. */
     private static final long LINE_US = 1_000_000;
-    private static final List<String> RULES = List.of("no request lost", "no effect twice", "drains kept",
-            "no cold server pushed over");
+
+    private static final List<String> RULES =
+            List.of("no request lost", "no effect twice", "drains kept", "no cold server pushed over");
 
     @Spec
     private CommandSpec spec;
 
-    @Option(names = "--for", paramLabel = "TIME", defaultValue = "120s",
-            description = "how long, such as 20s; 120s")
+    @Option(names = "--for", paramLabel = "TIME", defaultValue = "120s", description = "how long, such as 20s; 120s")
     private String length;
 
-    @Option(names = "--script", paramLabel = "FILE",
-            description = "what is done, a line each, such as: 3s kill old-1; without a terminal this "
-                    + "is the only way")
+    @Option(
+            names = "--script",
+            paramLabel = "FILE",
+            description =
+                    "what is done, a line each, such as: 3s kill old-1; without a terminal this " + "is the only way")
     private Path script;
 
     private final Loopback.Launcher launcher;
@@ -91,7 +94,11 @@
 
     private static Path ownJar() {
         try {
-            return Path.of(TryCommand.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            return Path.of(TryCommand.class
+                    .getProtectionDomain()
+                    .getCodeSource()
+                    .getLocation()
+                    .toURI());
         } catch (URISyntaxException e) {
             throw new IllegalStateException(e);
         }
@@ -141,16 +148,14 @@
 
     private static Fleet fleet(double seconds) throws IOException {
         List<String> faults = new ArrayList<>();
-        String text = new String(TryCommand.class.getResourceAsStream(FLEET).readAllBytes(),
-                StandardCharsets.UTF_8);
+        String text = new String(TryCommand.class.getResourceAsStream(FLEET).readAllBytes(), StandardCharsets.UTF_8);
         Fleet read = FleetFile.read(text, faults);
         if (!faults.isEmpty()) {
             throw new IllegalStateException(faults.toString());
         }
         Fleet.Load load = read.load();
-        return read.with(new Fleet.Load(load.ratePerS(), (long) (seconds * 1e6), load.shape(),
-                load.quotaPerS(),
-                load.overShareWorth()));
+        return read.with(new Fleet.Load(
+                load.ratePerS(), (long) (seconds * 1e6), load.shape(), load.quotaPerS(), load.overShareWorth()));
     }
 
     private interface Shown {
@@ -159,20 +164,21 @@
 
     private Result play(Shown shown) throws IOException, InterruptedException {
         return Loopback.play(fleet, 1, launcher, (live, nowUs) -> {
-            while (!deeds.isEmpty() && deeds.peek().atUs() <= nowUs) {
-                Deeds.Timed next = deeds.poll();
-                act(next.deed(), next.to(), live, nowUs);
-            }
-            boolean goesOn = heed(live, nowUs);
-            shown.show(live, nowUs);
-            return goesOn;
-        }).result();
+                    while (!deeds.isEmpty() && deeds.peek().atUs() <= nowUs) {
+                        Deeds.Timed next = deeds.poll();
+                        act(next.deed(), next.to(), live, nowUs);
+                    }
+                    boolean goesOn = heed(live, nowUs);
+                    shown.show(live, nowUs);
+                    return goesOn;
+                })
+                .result();
     }
 
     private void act(Deeds.Deed deed, String to, Emulation live, long nowUs) {
         Deeds.act(deed, to, fleet, live);
-        done.add(String.format(Locale.ROOT, "%.1f s  %s %s", nowUs / 1e6, deed.name()
-                .toLowerCase(Locale.ROOT), to));
+        done.add(String.format(
+                Locale.ROOT, "%.1f s  %s %s", nowUs / 1e6, deed.name().toLowerCase(Locale.ROOT), to));
     }
 
     // ---------------------------------------------------------------- keys
@@ -190,8 +196,17 @@
             }
             for (Deeds.Deed deed : Deeds.Deed.values()) {
                 if (deed.key().charAt(0) == key) {
-                    act(deed, deed.isToBox() ? boxes.get(chosen).id() : deed == Deeds.Deed.FLOOD
-                            ? fleet.tenants().get(fleet.tenants().size() - 1).name() : "", live, nowUs);
+                    act(
+                            deed,
+                            deed.isToBox()
+                                    ? boxes.get(chosen).id()
+                                    : deed == Deeds.Deed.FLOOD
+                                            ? fleet.tenants()
+                                                    .get(fleet.tenants().size() - 1)
+                                                    .name()
+                                            : "",
+                            live,
+                            nowUs);
                 }
             }
         }
@@ -202,16 +217,18 @@
         try (Terminal terminal = TerminalBuilder.builder().system(true).build()) {
             Attributes before = terminal.enterRawMode();
             NonBlockingReader reader = terminal.reader();
-            Thread typed = new Thread(() -> {
-                try {
-                    int key;
-                    while ((key = reader.read()) >= 0) {
-                        keys.add(key);
-                    }
-                } catch (IOException e) {
-                    // The terminal has gone: nothing more is typed.
-                }
-            }, "keys");
+            Thread typed = new Thread(
+                    () -> {
+                        try {
+                            int key;
+                            while ((key = reader.read()) >= 0) {
+                                keys.add(key);
+                            }
+                        } catch (IOException e) {
+                            // The terminal has gone: nothing more is typed.
+                        }
+                    },
+                    "keys");
             typed.setDaemon(true);
             typed.start();
             display = new Display(terminal, false);
@@ -219,7 +236,11 @@
                 return play((live, nowUs) -> {
                     Size size = terminal.getSize();
                     display.resize(size.getRows() > 0 && size.getColumns() > 0 ? size : USUAL);
-                    display.update(picture(live, nowUs).stream().map(AttributedString::new).toList(), 0);
+                    display.update(
+                            picture(live, nowUs).stream()
+                                    .map(AttributedString::new)
+                                    .toList(),
+                            0);
                 });
             } finally {
                 terminal.setAttributes(before);
@@ -238,15 +259,21 @@
         List<Emulation.BoxNow> boxes = live.boxesNow();
         for (int i = 0; i < boxes.size(); i++) {
             Emulation.BoxNow box = boxes.get(i);
-            lines.add(String.format(Locale.ROOT, "%s%d %-8s %-9s %3d%% warm  %-" + BAR
-                    + "s %3d held, %3d connections,"
-                    + " %d done", i == chosen ? ">" : " ", i + 1, box.id(), box.state(),
-                            Math.round(100 * box.warmth()),
-                    "#".repeat(Math.min(BAR, box.held())), box.held(), box.connections(), box.done()));
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "%s%d %-8s %-9s %3d%% warm  %-" + BAR + "s %3d held, %3d connections," + " %d done",
+                    i == chosen ? ">" : " ",
+                    i + 1,
+                    box.id(),
+                    box.state(),
+                    Math.round(100 * box.warmth()),
+                    "#".repeat(Math.min(BAR, box.held())),
+                    box.held(),
+                    box.connections(),
+                    box.done()));
         }
         lines.add("");
-        lines.add("number: server; k kill s silence l slow f fail d drain b back; r restart node; t "
-                + "flood; q end");
+        lines.add("number: server; k kill s silence l slow f fail d drain b back; r restart node; t " + "flood; q end");
         done.stream().skip(Math.max(0, done.size() - 5)).forEach(deed -> lines.add("  " + deed));
         return lines;
     }
@@ -257,11 +284,19 @@
         long failed = now.classes().stream().mapToLong(Result.OfClass::failed).sum();
         List<Double> seconds = now.bySecond();
         int second = (int) Math.min(seconds.size(), nowUs / 1_000_000) - 1;
-        return String.format(Locale.ROOT,
+        return String.format(
+                Locale.ROOT,
                 "%5.1f s  %d asked, %.3f in time, %.3f in the last second, %d refused, %d"
-                + " failed; node %s; servers %s; rules broken %d", nowUs / 1e6, now.wishes(), now.inTime(),
-                second < 0 ? 1 : seconds.get(second), refused, failed, live.nodesUp().get(0) ? "up" : "down",
-                states(live), now.breaks());
+                        + " failed; node %s; servers %s; rules broken %d",
+                nowUs / 1e6,
+                now.wishes(),
+                now.inTime(),
+                second < 0 ? 1 : seconds.get(second),
+                refused,
+                failed,
+                live.nodesUp().get(0) ? "up" : "down",
+                states(live),
+                now.breaks());
     }
 
     /** How many are in each state, the usual one last. */
@@ -276,17 +311,26 @@
     private void summary(Result result, PrintWriter out) {
         out.println();
         done.forEach(deed -> out.println("  " + deed));
-        result.classes().forEach(of -> out.printf(Locale.ROOT,
-                "%s: %d asked, %d in time, %d late, %d refused, %d failed%n", of.name(), of.offered(),
+        result.classes()
+                .forEach(of -> out.printf(
+                        Locale.ROOT,
+                        "%s: %d asked, %d in time, %d late, %d refused, %d failed%n",
+                        of.name(),
+                        of.offered(),
                         of.inTime(),
-                of.late(), of.refused(), of.failed()));
+                        of.late(),
+                        of.refused(),
+                        of.failed()));
         for (int t = 0; t < result.byTenant().size(); t++) {
-            out.printf(Locale.ROOT, "%s: %.3f in time, of what is within its share%n", fleet.tenants().get(t)
-                    .name(),
+            out.printf(
+                    Locale.ROOT,
+                    "%s: %.3f in time, of what is within its share%n",
+                    fleet.tenants().get(t).name(),
                     result.byTenant().get(t));
         }
         for (String rule : RULES) {
-            long told = result.told().stream().filter(line -> line.contains(rule)).count();
+            long told =
+                    result.told().stream().filter(line -> line.contains(rule)).count();
             out.println(rule + ": " + (told == 0 ? "kept" : "BROKEN, " + told + " told of"));
         }
         result.told().forEach(line -> out.println("  " + line));
--- a/src/main/java/kitemux/cli/Version.java
+++ b/src/main/java/kitemux/cli/Version.java
@@ -5,5 +5,5 @@
     /** As in the build file. */
     static final String TEXT = "0.2.0";
 
-    private Version() { }
+    private Version() {}
 }
--- a/src/main/java/kitemux/config/ClassArchive.java
+++ b/src/main/java/kitemux/config/ClassArchive.java
@@ -13,7 +13,7 @@
 public final class ClassArchive {
     private static final String FLAG = "-XX:SharedArchiveFile=";
 
-    private ClassArchive() { }
+    private ClassArchive() {}
 
     /**
      * The archive that a process was told of and does not use; empty if it uses it or was told of none.
--- a/src/main/java/kitemux/config/ConfigText.java
+++ b/src/main/java/kitemux/config/ConfigText.java
@@ -1,16 +1,14 @@
 package kitemux.config;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.util.DefaultIndenter;
+import com.fasterxml.jackson.core.util.DefaultPrettyPrinter;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Locale;
-
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-import com.fasterxml.jackson.core.util.DefaultIndenter;
-import com.fasterxml.jackson.core.util.DefaultPrettyPrinter;
-
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.ServerEntry;
@@ -25,7 +23,7 @@
 public final class ConfigText {
     private static final JsonFactory JSON = new JsonFactory();
 
-    private ConfigText() { }
+    private ConfigText() {}
 
     /**
      * A node, besides its settings.
@@ -36,19 +34,18 @@
      * @param memoryMiB of its process; 0 for no word of it
      * @param connIdleUs after which servers close idle connections
      */
-    public record Node(String name, String listen, String discovery, String seed, int sockets, int memoryMiB,
-            long connIdleUs) { }
+    public record Node(
+            String name, String listen, String discovery, String seed, int sockets, int memoryMiB, long connIdleUs) {}
 
     /** A server and where it listens. */
-    public record Server(ServerEntry entry, String endpoint) { }
+    public record Server(ServerEntry entry, String endpoint) {}
 
     /** A configuration of a node that begins with these servers. */
     public static String node(Node node, Settings set, List<Server> known) {
         StringWriter text = new StringWriter();
         try (JsonGenerator json = JSON.createGenerator(text)) {
             // Else lines would end as the system's do, and bytes differ.
-            json.setPrettyPrinter(new DefaultPrettyPrinter()
-                    .withObjectIndenter(new DefaultIndenter("  ", "\n")));
+            json.setPrettyPrinter(new DefaultPrettyPrinter().withObjectIndenter(new DefaultIndenter("  ", "\n")));
             json.writeStartObject();
             json.writeStringField("name", node.name);
             json.writeStringField("listen", node.listen);
@@ -83,8 +80,7 @@
         return text.toString();
     }
 
-    private static void list(JsonGenerator json, long rev, boolean all, List<String> zones,
-            List<Server> servers)
+    private static void list(JsonGenerator json, long rev, boolean all, List<String> zones, List<Server> servers)
             throws IOException {
         json.writeStartObject();
         json.writeNumberField("rev", rev);
@@ -98,11 +94,13 @@
             json.writeStringField("az", zones.get(entry.zone()));
             json.writeStringField("model", "described");
             json.writeNumberField("pod_group", entry.cell());
-            json.writeStringField("state", switch (entry.state()) {
-                case READY -> "Ready";
-                case DRAINING -> "Terminating";
-                case GONE -> "Gone";
-            });
+            json.writeStringField(
+                    "state",
+                    switch (entry.state()) {
+                        case READY -> "Ready";
+                        case DRAINING -> "Terminating";
+                        case GONE -> "Gone";
+                    });
             json.writeNumberField("capacity_hint", entry.weight());
             json.writeNumberField("boot_ms", entry.startedAtUs() / 1_000);
             json.writeEndObject();
--- a/src/main/java/kitemux/config/FileSection.java
+++ b/src/main/java/kitemux/config/FileSection.java
@@ -24,7 +24,9 @@
 
     /** All fields besides these are faults. */
     public void onlyKnown(Collection<String> known) {
-        json.fields().keySet().stream().filter(field -> !known.contains(field)).sorted()
+        json.fields().keySet().stream()
+                .filter(field -> !known.contains(field))
+                .sorted()
                 .forEach(field -> faults.add(name + "." + field + " is not known; known are "
                         + String.join(", ", known.stream().sorted().toList())));
     }
--- a/src/main/java/kitemux/config/Json.java
+++ b/src/main/java/kitemux/config/Json.java
@@ -1,18 +1,17 @@
 package kitemux.config;
 
-import java.io.IOException;
-import java.util.ArrayList;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 
 /**
  * A JSON value (RFC 8259) as it was read. What is asked of a value that has no such thing is missing, and so
@@ -24,12 +23,15 @@
     static final int MOST_NESTED = 64;
     /** What was not there, and null. */
     private static final Json MISSING = new Json("", false, false);
+
     private static final JsonFactory FACTORY = JsonFactory.builder()
-            .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MOST_NESTED).build())
+            .streamReadConstraints(
+                    StreamReadConstraints.builder().maxNestingDepth(MOST_NESTED).build())
             .build();
 
     /** A map, a list or the text of a plain value. */
     private final Object value;
+
     private final boolean isWhole;
     private final boolean isString;
 
@@ -53,8 +55,10 @@
         } catch (JsonProcessingException e) {
             // What is too much of a thing is told without its place.
             JsonLocation at = e.getLocation();
-            throw new IOException(e.getOriginalMessage() + (at == null ? ""
-                    : " at line " + at.getLineNr() + ", column " + at.getColumnNr()), e);
+            throw new IOException(
+                    e.getOriginalMessage()
+                            + (at == null ? "" : " at line " + at.getLineNr() + ", column " + at.getColumnNr()),
+                    e);
         }
     }
 
@@ -77,8 +81,8 @@
                 yield new Json(values, false, false);
             }
             case VALUE_NULL -> MISSING;
-            case VALUE_NUMBER_INT -> new Json(parser.getText(),
-                    parser.getNumberType() != JsonParser.NumberType.BIG_INTEGER, false);
+            case VALUE_NUMBER_INT ->
+                new Json(parser.getText(), parser.getNumberType() != JsonParser.NumberType.BIG_INTEGER, false);
             case VALUE_STRING -> new Json(parser.getText(), false, true);
             default -> new Json(parser.getText(), false, false);
         };
--- a/src/main/java/kitemux/config/SettingsReader.java
+++ b/src/main/java/kitemux/config/SettingsReader.java
@@ -1,7 +1,6 @@
 package kitemux.config;
 
 import java.util.Map;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.ReportField;
@@ -77,15 +76,16 @@
         set.crossZonePrice = decimal("costs.crossZone", set.crossZonePrice);
         set.warmKeys = flag("extra.warmKeys");
         for (String field : list("report.fields")) {
-            set.reportFields.add(switch (field) {
-                case "concurrent" -> ReportField.IN_FLIGHT;
-                case "depth" -> ReportField.QUEUED;
-                case "load_share" -> ReportField.UTILISATION;
-                case "mean_ms" -> ReportField.LATENCY_MS;
-                case "tps" -> ReportField.SERVED_PER_S;
-                case "err_ps" -> ReportField.ERRORS_PER_S;
-                default -> ReportField.OTHER;
-            });
+            set.reportFields.add(
+                    switch (field) {
+                        case "concurrent" -> ReportField.IN_FLIGHT;
+                        case "depth" -> ReportField.QUEUED;
+                        case "load_share" -> ReportField.UTILISATION;
+                        case "mean_ms" -> ReportField.LATENCY_MS;
+                        case "tps" -> ReportField.SERVED_PER_S;
+                        case "err_ps" -> ReportField.ERRORS_PER_S;
+                        default -> ReportField.OTHER;
+                    });
         }
         return set;
     }
@@ -93,9 +93,13 @@
     private RequestClass requestClass(String prefix) throws BadSettingException {
         String repeat = need(prefix + "repeat");
         String group = values.getOrDefault(prefix + "group", "all");
-        return new RequestClass(need(prefix + "name"), whole(prefix + "onTimeUs"),
-                decimal(prefix + "aimStretch", 0), whole(prefix + "giveUpUs"),
-                decimal(prefix + "importance", 1), decimal(prefix + "lateWorth", 0),
+        return new RequestClass(
+                need(prefix + "name"),
+                whole(prefix + "onTimeUs"),
+                decimal(prefix + "aimStretch", 0),
+                whole(prefix + "giveUpUs"),
+                decimal(prefix + "importance", 1),
+                decimal(prefix + "lateWorth", 0),
                 switch (repeat) {
                     case "safe" -> Repeat.SAFE;
                     case "keyed" -> Repeat.KEYED;
@@ -108,7 +112,8 @@
                     case "cell" -> Group.CELL;
                     default -> throw new BadSettingException(prefix + "group", "is unknown: " + group);
                 },
-                whole(prefix + "windowUs", 0), flag(prefix + "stream"));
+                whole(prefix + "windowUs", 0),
+                flag(prefix + "stream"));
     }
 
     private String need(String path) throws BadSettingException {
--- a/src/main/java/kitemux/discovery/Discovery.java
+++ b/src/main/java/kitemux/discovery/Discovery.java
@@ -1,13 +1,5 @@
 package kitemux.discovery;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -28,7 +20,13 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
-
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import kitemux.Balancer.ServerState;
 import kitemux.config.ConfigException;
 import kitemux.config.Json;
@@ -62,7 +60,7 @@
 
         /** Discovery is elsewhere from now on, and a watch opens there: what failed before tells nothing of
          * that place. */
-        default void moved() { }
+        default void moved() {}
     }
 
     /** Discovery writes every 2 s. A watch that is silent for so long is broken: what it misses counts as
@@ -95,6 +93,7 @@
     private Place place;
     /** When each server that is listed started, by what was heard last. */
     private final Map<String, Long> startedAtUs = new HashMap<>();
+
     private boolean wanted;
     private Watch current;
     /** The one before it, until the current one has spoken; or null. */
@@ -108,8 +107,16 @@
      *     less
      * @param seed for how much less
      */
-    public Discovery(EventLoop loop, Network network, InetSocketAddress at, List<String> zones, long knownRev,
-            long mostSilenceUs, long seed, Listener listener, Log log) {
+    public Discovery(
+            EventLoop loop,
+            Network network,
+            InetSocketAddress at,
+            List<String> zones,
+            long knownRev,
+            long mostSilenceUs,
+            long seed,
+            Listener listener,
+            Log log) {
         this.loop = loop;
         this.log = log;
         this.zones = zones;
@@ -117,7 +124,9 @@
         random = new SplittableRandom(seed);
         this.listener = listener;
         place = new Place(at, knownRev, true);
-        dialer = new Bootstrap().group(loop).channelFactory(network::dialer)
+        dialer = new Bootstrap()
+                .group(loop)
+                .channelFactory(network::dialer)
                 // Addresses only: no name is ever looked up, and no resolver kept for the loop.
                 .disableResolver()
                 .option(ChannelOption.ALLOCATOR, network.allocator())
@@ -171,7 +180,9 @@
                 return;
             }
             watch.channel.pipeline().addLast(watch);
-            FullHttpRequest ask = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+            FullHttpRequest ask = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    HttpMethod.GET,
                     "/discovery/hosts?watch=1" + (place.revIsOfHere ? "&after=" + place.rev : ""));
             ask.headers().set(HttpHeaderNames.HOST, "discovery");
             watch.channel.writeAndFlush(ask);
@@ -290,7 +301,8 @@
             }
             if (message.decoderResult().isFailure()) {
                 broken("answer cannot be read");
-            } else if (message instanceof HttpResponse response && response.status().code() != 200) {
+            } else if (message instanceof HttpResponse response
+                    && response.status().code() != 200) {
                 broken("status " + response.status().code());
             } else if (message instanceof HttpContent content) {
                 read(content.content());
@@ -308,8 +320,7 @@
                 switch (what) {
                     case LIST -> readList(lines.list());
                     // A beat. As the first word it says that nothing has changed: the call has its answer.
-                    case BEAT -> heard(told || !place.revIsOfHere ? null
-                            : new HostList(place.rev, false, List.of()));
+                    case BEAT -> heard(told || !place.revIsOfHere ? null : new HostList(place.rev, false, List.of()));
                     default -> broken("bad line: " + lines.spoilt());
                 }
             }
@@ -360,23 +371,27 @@
          */
         private HostList older(HostList list) {
             if (lasting == null) {
-                log.line("discovery: its list is older than the one that it told; waiting for it to catch "
-                        + "up");
-                lasting = loop.schedule(() -> {
-                    if (this == current) {
-                        place.forgetVersions();
-                        end();
-                        subscribe();
-                    }
-                }, MOST_OLD_US, TimeUnit.MICROSECONDS);
+                log.line("discovery: its list is older than the one that it told; waiting for it to catch " + "up");
+                lasting = loop.schedule(
+                        () -> {
+                            if (this == current) {
+                                place.forgetVersions();
+                                end();
+                                subscribe();
+                            }
+                        },
+                        MOST_OLD_US,
+                        TimeUnit.MICROSECONDS);
             }
-            List<HostList.Host> leaving = list.hosts().stream().filter(this::leaves).toList();
+            List<HostList.Host> leaving =
+                    list.hosts().stream().filter(this::leaves).toList();
             return told && leaving.isEmpty() ? null : new HostList(place.rev, false, leaving);
         }
 
         private boolean leaves(HostList.Host host) {
-            return host.entry().state() != ServerState.READY && startedAtUs
-                    .getOrDefault(host.entry().id(), Long.MAX_VALUE) <= host.entry().startedAtUs();
+            return host.entry().state() != ServerState.READY
+                    && startedAtUs.getOrDefault(host.entry().id(), Long.MAX_VALUE)
+                            <= host.entry().startedAtUs();
         }
 
         private void note(HostList list) {
--- a/src/main/java/kitemux/discovery/HostListReader.java
+++ b/src/main/java/kitemux/discovery/HostListReader.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.config.ConfigException;
@@ -13,7 +12,7 @@
 
 /** Reads server lists in discovery's form. */
 public final class HostListReader {
-    private HostListReader() { }
+    private HostListReader() {}
 
     /**
      * Decodes a list; zones are named as in the settings.
@@ -41,18 +40,24 @@
         if (id.isEmpty()) {
             throw new ConfigException(at + "uid", "is missing");
         }
-        ServerState state = switch (target.path("state").text()) {
-            case "Ready" -> ServerState.READY;
-            case "Terminating" -> ServerState.DRAINING;
-            case "Gone" -> ServerState.GONE;
-            default -> throw new ConfigException(at + "state", "is unknown");
-        };
+        ServerState state =
+                switch (target.path("state").text()) {
+                    case "Ready" -> ServerState.READY;
+                    case "Terminating" -> ServerState.DRAINING;
+                    case "Gone" -> ServerState.GONE;
+                    default -> throw new ConfigException(at + "state", "is unknown");
+                };
         // A server that has gone needs no address; word of it must not be lost for want of one.
-        InetSocketAddress endpoint = state == ServerState.GONE ? null
+        InetSocketAddress endpoint = state == ServerState.GONE
+                ? null
                 : Addresses.read(at + "endpoint", target.path("endpoint").text());
         // Boot times may lie some milliseconds off ours; the module's clock is Unix time too.
-        ServerEntry entry = new ServerEntry(id, zones.indexOf(target.path("az").text()),
-                (int) target.path("pod_group").whole(0), state, target.path("capacity_hint").decimal(1),
+        ServerEntry entry = new ServerEntry(
+                id,
+                zones.indexOf(target.path("az").text()),
+                (int) target.path("pod_group").whole(0),
+                state,
+                target.path("capacity_hint").decimal(1),
                 target.path("boot_ms").whole(0) * 1_000);
         return new HostList.Host(entry, endpoint);
     }
--- a/src/main/java/kitemux/discovery/PushedList.java
+++ b/src/main/java/kitemux/discovery/PushedList.java
@@ -1,7 +1,6 @@
 package kitemux.discovery;
 
 import java.util.SplittableRandom;
-
 import kitemux.engine.Time;
 
 /**
--- a/src/main/java/kitemux/disk/FolderDisk.java
+++ b/src/main/java/kitemux/disk/FolderDisk.java
@@ -36,8 +36,7 @@
      */
     public static FolderDisk toWrite(Path folder) throws IOException {
         Files.createDirectories(folder);
-        FileChannel file = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE,
-                StandardOpenOption.WRITE);
+        FileChannel file = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         FileLock lock = null;
         try {
             lock = file.tryLock();
@@ -87,8 +86,8 @@
 
     @Override
     public Out create(String name) throws IOException {
-        return new ChannelOut(FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE_NEW,
-                StandardOpenOption.WRITE));
+        return new ChannelOut(
+                FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE));
     }
 
     @Override
--- a/src/main/java/kitemux/drill/Drill.java
+++ b/src/main/java/kitemux/drill/Drill.java
@@ -1,13 +1,17 @@
 package kitemux.drill;
 
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -18,13 +22,6 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
-
-import com.fasterxml.jackson.core.JsonGenerator;
-
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Result;
 import kitemux.Balancer.ServerEntry;
@@ -48,10 +45,12 @@
 public final class Drill {
     /** Ways listen beside those that they lead to: at these ports and the number of the node. */
     private static final int TO_BOX = 24_000;
+
     private static final int TO_LIST = 25_000;
     private static final int TO_NODE = 26_000;
     /** The machines from which ways dial, so that whoever is dialled sees which node it is. */
     private static final int FROM = 253;
+
     private static final int CLIENTS_FROM = 100;
     private static final long MOST_OPEN_S = 20;
     /** Between two pieces of a long answer: by any measure its server has not stopped. */
@@ -95,10 +94,15 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Drill[] drill = new Drill[1];
         try {
-            Loopback.play(scenario.fleet(), scenario.seed(), () -> Guard.before(launcher.node()), place -> {
-                drill[0] = new Drill(scenario, place, (EventLoop) group.next(), timeline);
-                return drill[0].new Ways();
-            }, null);
+            Loopback.play(
+                    scenario.fleet(),
+                    scenario.seed(),
+                    () -> Guard.before(launcher.node()),
+                    place -> {
+                        drill[0] = new Drill(scenario, place, (EventLoop) group.next(), timeline);
+                        return drill[0].new Ways();
+                    },
+                    null);
             drill[0].end();
         } finally {
             if (drill[0] != null) {
@@ -110,9 +114,10 @@
 
     private void close() throws IOException {
         loop.submit(() -> {
-            beat.stop();
-            links.values().forEach(Link::close);
-        }).syncUninterruptibly();
+                    beat.stop();
+                    links.values().forEach(Link::close);
+                })
+                .syncUninterruptibly();
         if (timeline != null) {
             timeline.close();
         }
@@ -130,9 +135,13 @@
     private InetSocketAddress link(Way way, int node, InetSocketAddress listens, int port) {
         int from = way.from().equals(Parties.CLIENTS) ? CLIENTS_FROM : 0;
         InetSocketAddress near = new InetSocketAddress(listens.getAddress(), port + node);
-        InetSocketAddress dialsFrom = new InetSocketAddress("127." + place + "." + FROM + "."
-                + (1 + from + node), 0);
-        Link link = new Link(loop, near, listens, dialsFrom, scenario.seed() * 31 + links.size(),
+        InetSocketAddress dialsFrom = new InetSocketAddress("127." + place + "." + FROM + "." + (1 + from + node), 0);
+        Link link = new Link(
+                loop,
+                near,
+                listens,
+                dialsFrom,
+                scenario.seed() * 31 + links.size(),
                 e -> failure.compareAndSet(null, e));
         links.put(way, link);
         loop.execute(link::open);
@@ -186,15 +195,17 @@
             case FLAP -> flap(fault, cut, live.time().nowUs() + fault.forUs());
             case RESET -> reset(fault.links());
             case KILL -> fault.nodes().forEach(node -> live.fleet().killNode(node));
-            case STOP -> fault.nodes().forEach(node -> {
-                live.signal(node, "STOP");
-                unseen(node, true);
-            });
-            case CRASH -> fault.nodes().forEach(node -> {
-                befalls(parties.of(node), Link.State.WELL.and(GONE), true);
-                live.vanish(node);
-                unseen(node, true);
-            });
+            case STOP ->
+                fault.nodes().forEach(node -> {
+                    live.signal(node, "STOP");
+                    unseen(node, true);
+                });
+            case CRASH ->
+                fault.nodes().forEach(node -> {
+                    befalls(parties.of(node), Link.State.WELL.and(GONE), true);
+                    live.vanish(node);
+                    unseen(node, true);
+                });
         }
         if (fault.what() != Fault.What.RESET) {
             live.time().afterUs(fault.forUs(), () -> end(fault));
@@ -212,17 +223,19 @@
             case CUT -> befalls(fault.links(), new Link.State(fault.there(), fault.back(), 0, 0, 0), false);
             case SLOW -> befalls(fault.links(), slow(fault), false);
             case KILL -> fault.nodes().forEach(node -> live.fleet().startNode(node));
-            case STOP -> fault.nodes().forEach(node -> {
-                live.signal(node, "CONT");
-                unseen(node, false);
-            });
-            case CRASH -> fault.nodes().forEach(node -> {
-                // Whoever held a connection to it hears now that nobody is there.
-                reset(parties.of(node));
-                befalls(parties.of(node), GONE, false);
-                live.dealt(node, false);
-                live.fleet().startNode(node);
-            });
+            case STOP ->
+                fault.nodes().forEach(node -> {
+                    live.signal(node, "CONT");
+                    unseen(node, false);
+                });
+            case CRASH ->
+                fault.nodes().forEach(node -> {
+                    // Whoever held a connection to it hears now that nobody is there.
+                    reset(parties.of(node));
+                    befalls(parties.of(node), GONE, false);
+                    live.dealt(node, false);
+                    live.fleet().startNode(node);
+                });
             default -> {
                 // What flaps ends by its own clock, and what resets is over at once.
             }
@@ -423,14 +436,13 @@
         public LongAnswer longAnswer(String box, Try one) {
             Scenario.LongAnswers of = scenario.longAnswers();
             // By the try and the server, so that it does not hang on what came before.
-            SplittableRandom draws = new SplittableRandom(scenario.seed() * 31 + one.txn().hashCode()
-                    + 31L * box.hashCode());
+            SplittableRandom draws =
+                    new SplittableRandom(scenario.seed() * 31 + one.txn().hashCode() + 31L * box.hashCode());
             if (draws.nextDouble() >= of.share()) {
                 return null;
             }
             int pieces = (int) Math.max(1, of.lastsUs() / PAUSE_US);
-            return new LongAnswer(pieces, PAUSE_US, draws.nextDouble() < of.stops() ? draws.nextInt(pieces)
-                    : pieces);
+            return new LongAnswer(pieces, PAUSE_US, draws.nextDouble() < of.stops() ? draws.nextInt(pieces) : pieces);
         }
 
         @Override
--- a/src/main/java/kitemux/drill/DrillPage.java
+++ b/src/main/java/kitemux/drill/DrillPage.java
@@ -1,5 +1,7 @@
 package kitemux.drill;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.nio.file.Files;
@@ -11,10 +13,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Stream;
-
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-
 import kitemux.lab.Template;
 
 /**
@@ -25,6 +23,7 @@
     private static final JsonFactory JSON = new JsonFactory();
     /** Of what is told by time. */
     private static final long STEP_US = 250_000;
+
     private static final long SUM_US = 100_000;
 
     private final TreeMap<Long, double[]> steps = new TreeMap<>();
@@ -36,9 +35,9 @@
     private Event head;
     private long endUs;
 
-    private record Bar(String name, long fromUs, long toUs) { }
+    private record Bar(String name, long fromUs, long toUs) {}
 
-    private DrillPage() { }
+    private DrillPage() {}
 
     /**
      * A page of a time-line and its verdict.
@@ -54,8 +53,9 @@
         }
         StringBuilder said = new StringBuilder();
         verdict.lines().forEach(line -> said.append(Template.escaped(line)).append('\n'));
-        return Template.fill("/kitemux/drill/page.html", Map.of("TITLE", Template.escaped(title),
-                "VERDICT", said.toString(), "DATA", page.data()));
+        return Template.fill(
+                "/kitemux/drill/page.html",
+                Map.of("TITLE", Template.escaped(title), "VERDICT", said.toString(), "DATA", page.data()));
     }
 
     private void take(Event event) {
@@ -72,7 +72,8 @@
                 }
             }
             case "try" -> {
-                int in = boxes.computeIfAbsent(event.text("box"), b -> new Window(SUM_US)).came(event.atUs());
+                int in = boxes.computeIfAbsent(event.text("box"), b -> new Window(SUM_US))
+                        .came(event.atUs());
                 double[] step = step(event.atUs());
                 step[2] = Math.max(step[2], in);
             }
@@ -103,7 +104,8 @@
             step[0] += of.real("worth");
             Long at = servedUs.get(wish);
             step[1] += at != null && at - first.atUs() <= of.number("aim") + head.number("repeatGrace")
-                    ? of.real("worth") : 0;
+                    ? of.real("worth")
+                    : 0;
         });
         StringWriter text = new StringWriter();
         try (JsonGenerator json = JSON.createGenerator(text)) {
--- a/src/main/java/kitemux/drill/Event.java
+++ b/src/main/java/kitemux/drill/Event.java
@@ -1,16 +1,15 @@
 package kitemux.drill;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParseException;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParseException;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
-
 /** A line of a time-line as it was read: fields by their names. */
 record Event(Map<String, Object> fields) {
     private static final JsonFactory JSON = new JsonFactory();
@@ -120,7 +119,9 @@
     }
 
     List<Long> numbers(String field) {
-        return list(field).stream().filter(Number.class::isInstance).map(n -> ((Number) n).longValue())
+        return list(field).stream()
+                .filter(Number.class::isInstance)
+                .map(n -> ((Number) n).longValue())
                 .toList();
     }
 }
--- a/src/main/java/kitemux/drill/Fault.java
+++ b/src/main/java/kitemux/drill/Fault.java
@@ -16,8 +16,19 @@
  * @param bytesPerS SLOW: what goes through in a second; 0 for no limit
  * @param everyUs FLAP: one cut and one pause together take so long
  */
-record Fault(String name, What what, long atUs, long forUs, List<Way> links, List<Integer> nodes,
-        boolean there, boolean back, long delayUs, long spreadUs, double bytesPerS, long everyUs) {
+record Fault(
+        String name,
+        What what,
+        long atUs,
+        long forUs,
+        List<Way> links,
+        List<Integer> nodes,
+        boolean there,
+        boolean back,
+        long delayUs,
+        long spreadUs,
+        double bytesPerS,
+        long everyUs) {
 
     /** The kinds. */
     enum What {
--- a/src/main/java/kitemux/drill/Judge.java
+++ b/src/main/java/kitemux/drill/Judge.java
@@ -1,5 +1,6 @@
 package kitemux.drill;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -10,9 +11,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-
-import com.fasterxml.jackson.core.JsonProcessingException;
-
 import kitemux.sim.ColdWork;
 
 /**
@@ -30,6 +28,7 @@
     private static final long AWAKE_US = 1_000_000;
     /** A way that was cut gives up what it held, and systems dial again, within so long. */
     private static final long HEALED_US = 4_000_000;
+
     private static final double FALL_MULTIPLE = 4;
     private static final long FALL_US = 2_000_000;
     private static final long SUM_US = 100_000;
@@ -39,6 +38,7 @@
     private static final long WITHHELD_US = 2_000_000;
     /** After a request's time its final answer is not lost for so long; its client closes only then. */
     private static final long LAST_ANSWER_US = 500_000;
+
     private static final String LONG_ANSWERS = "long answers passed on";
     private static final int MOST_TOLD = 30;
     private static final String PLAYER = "player";
@@ -89,6 +89,7 @@
         private long leftUs = -1;
         /** The first attempt that may have run. */
         private Attempt first;
+
         private int attemptsSinceWritten;
         private boolean refused;
         /** A long answer has begun to come to its client, and neither its last byte nor an end. */
@@ -132,9 +133,11 @@
         private final ColdWork cold;
         /** When its process last began, in the run; -1 for before it. */
         private long startedUs = -1;
+
         private boolean fell;
         /** By node: when it was told that nothing new is wanted; and whether it was told of this process. */
         private final Map<Integer, Long> unwantedUs = new HashMap<>();
+
         private final Map<Integer, Boolean> toldOfStart = new HashMap<>();
         /** By request: its attempts here whose end is not known. */
         private final Map<String, Attempt> open = new HashMap<>();
@@ -144,7 +147,7 @@
         }
     }
 
-    private Judge() { }
+    private Judge() {}
 
     /**
      * Judges a time-line.
@@ -172,8 +175,7 @@
                 try {
                     events.add(Event.read(line));
                 } catch (JsonProcessingException e) {
-                    throw new IOException(file + ", line " + (events.size() + 1) + ": "
-                            + e.getOriginalMessage(), e);
+                    throw new IOException(file + ", line " + (events.size() + 1) + ": " + e.getOriginalMessage(), e);
                 }
             }
         }
@@ -239,8 +241,8 @@
     private void hold(Event event) {
         switch (event.kind()) {
             case "ask" -> {
-                Wish wish = wishes.computeIfAbsent(event.number("wish"),
-                        w -> new Wish(event.atUs(), (int) event.number("class")));
+                Wish wish = wishes.computeIfAbsent(
+                        event.number("wish"), w -> new Wish(event.atUs(), (int) event.number("class")));
                 wish.tries++;
                 requests.put(event.text("txn"), new Request(event, wish));
             }
@@ -257,8 +259,12 @@
                 of.leftUs = event.atUs();
                 // A late player is no excuse: it has counted what it took itself, and read what had come.
                 if (!isExcused(of, event.atUs())) {
-                    tell(event.atUs(), "no request lost", of, "had no answer in its time of "
-                            + of.asked.number("left") / 1_000 + " ms, nor half a second later");
+                    tell(
+                            event.atUs(),
+                            "no request lost",
+                            of,
+                            "had no answer in its time of " + of.asked.number("left") / 1_000
+                                    + " ms, nor half a second later");
                 }
             }
             case "gives" -> requests.get(event.text("txn")).given.put(event.text("box"), new Given());
@@ -269,8 +275,7 @@
             }
             case "begun" -> requests.get(event.text("txn")).amid = true;
             case "cut-off" -> cutOff(event);
-            case "end" -> requests.values().stream().filter(of -> of.amid)
-                    .forEach(of -> stood(of, event.atUs()));
+            case "end" -> requests.values().stream().filter(of -> of.amid).forEach(of -> stood(of, event.atUs()));
             case "try" -> came(event);
             case "told" -> {
                 if (event.text("result").equals("FULL")) {
@@ -297,10 +302,14 @@
                     target.open.clear();
                 }
             }
-            case "list" -> event.fields("states").forEach((box, state) ->
-                    listed(event.atUs(), (int) event.number("node"), box, String.valueOf(state)));
-            case "up" -> targets.values().forEach(target -> target.unwantedUs.computeIfPresent(
-                    (int) event.number("node"), (node, since) -> Math.max(since, event.atUs() + TOLD_US)));
+            case "list" ->
+                event.fields("states")
+                        .forEach((box, state) ->
+                                listed(event.atUs(), (int) event.number("node"), box, String.valueOf(state)));
+            case "up" ->
+                targets.values()
+                        .forEach(target -> target.unwantedUs.computeIfPresent(
+                                (int) event.number("node"), (node, since) -> Math.max(since, event.atUs() + TOLD_US)));
             default -> {
                 // Learned before, or told for people.
             }
@@ -330,8 +339,11 @@
         } else if (of.attemptsSinceWritten > 0) {
             tell(event.atUs(), "no request lost", of, "its connection ended after it was sent to a server");
         } else if (event.atUs() - of.writtenUs > slackUs) {
-            tell(event.atUs(), "no request lost", of, "its connection ended "
-                    + (event.atUs() - of.writtenUs) / 1_000 + " ms after it was written");
+            tell(
+                    event.atUs(),
+                    "no request lost",
+                    of,
+                    "its connection ended " + (event.atUs() - of.writtenUs) / 1_000 + " ms after it was written");
         } else {
             crossings++;
         }
@@ -357,12 +369,15 @@
         of.given.forEach((box, given) -> {
             boolean stopped = given.how.equals("STOPPED");
             long due = given.untilUs + WITHHELD_US + slackUs;
-            due = stopped ? Math.max(due, of.writtenUs + of.asked.number("left") + LAST_ANSWER_US + slackUs)
-                    : due;
+            due = stopped ? Math.max(due, of.writtenUs + of.asked.number("left") + LAST_ANSWER_US + slackUs) : due;
             if ((stopped || given.how.equals("WHOLE")) && now > due && !isExcused(of, box, now)) {
-                tell(now, LONG_ANSWERS, of, (stopped ? "had no end " : "was kept back ")
-                        + (now - given.untilUs) / 1_000 + " ms after " + box + (stopped ? " had stopped"
-                        : " had given its last"));
+                tell(
+                        now,
+                        LONG_ANSWERS,
+                        of,
+                        (stopped ? "had no end " : "was kept back ")
+                                + (now - given.untilUs) / 1_000 + " ms after " + box
+                                + (stopped ? " had stopped" : " had given its last"));
             }
         });
     }
@@ -389,8 +404,11 @@
             of.wish.refused++;
             of.refused = true;
             if (of.first != null && repeat(of).equals("UNSAFE")) {
-                tell(event.atUs(), "no effect twice", of, "is refused as harmless after it was sent to "
-                        + of.first.box);
+                tell(
+                        event.atUs(),
+                        "no effect twice",
+                        of,
+                        "is refused as harmless after it was sent to " + of.first.box);
             }
         } else {
             of.wish.failed++;
@@ -417,16 +435,26 @@
         Attempt mine = new Attempt(now, box, way(node, box));
         target.open.put(of.txn, mine);
         again(of, mine);
-        if (of.leftUs >= 0 && now - of.leftUs > LEFT_US + slackUs && !isExcused(of, now)
+        if (of.leftUs >= 0
+                && now - of.leftUs > LEFT_US + slackUs
+                && !isExcused(of, now)
                 && !wrong.touches(mine.way, of.leftUs, now, HEALED_US)) {
-            tell(now, "no one who left sent on", of, "is sent to " + box + " " + (now - of.leftUs) / 1_000
-                    + " ms after its client left");
+            tell(
+                    now,
+                    "no one who left sent on",
+                    of,
+                    "is sent to " + box + " " + (now - of.leftUs) / 1_000 + " ms after its client left");
         }
         Long unwanted = target.unwantedUs.get(node);
-        if (unwanted != null && now > unwanted + facts.head.number("grace") + slackUs
+        if (unwanted != null
+                && now > unwanted + facts.head.number("grace") + slackUs
                 && !wrong.touches(mine.way, unwanted, now, HEALED_US)) {
-            tell(now, "drains kept", of, "is sent to " + box + " " + (now - unwanted) / 1_000
-                    + " ms after node-" + node + " was told that it drains");
+            tell(
+                    now,
+                    "drains kept",
+                    of,
+                    "is sent to " + box + " " + (now - unwanted) / 1_000 + " ms after node-" + node
+                            + " was told that it drains");
         }
         if (event.flag("runs")) {
             // Time-lines of before say nothing of work.
@@ -436,8 +464,7 @@
 
     private void again(Request of, Attempt mine) {
         if (of.refused && repeat(of).equals("UNSAFE")) {
-            tell(mine.atUs, "no effect twice", of, "comes to " + mine.box
-                    + " though it was refused as harmless");
+            tell(mine.atUs, "no effect twice", of, "comes to " + mine.box + " though it was refused as harmless");
         }
         if (of.first == null) {
             of.first = mine;
@@ -448,12 +475,20 @@
                 && !wrong.touches(of.first.way, of.first.atUs, mine.atUs, HEALED_US);
         boolean elsewhere = classOf(of).text("group").equals("CELL") && rack(mine.box) != rack(of.first.box);
         switch (repeat(of)) {
-            case "UNSAFE" -> tell(mine.atUs, "no effect twice", of, "comes to " + mine.box
-                    + " though it may have run at " + of.first.box);
+            case "UNSAFE" ->
+                tell(
+                        mine.atUs,
+                        "no effect twice",
+                        of,
+                        "comes to " + mine.box + " though it may have run at " + of.first.box);
             case "KEYED" -> {
                 if (late || elsewhere) {
-                    tell(mine.atUs, "no effect twice", of, "comes to " + mine.box + (late ? " too late" : "")
-                            + (elsewhere ? " in another rack" : "") + " after " + of.first.box);
+                    tell(
+                            mine.atUs,
+                            "no effect twice",
+                            of,
+                            "comes to " + mine.box + (late ? " too late" : "") + (elsewhere ? " in another rack" : "")
+                                    + " after " + of.first.box);
                 }
             }
             default -> {
@@ -493,17 +528,19 @@
         if (target.startedUs < 0 || now >= target.startedUs + facts.number("cold")) {
             return;
         }
-        double warmth = facts.real("coldFrom") + (1 - facts.real("coldFrom")) * (now - target.startedUs)
-                / facts.number("cold");
+        double warmth =
+                facts.real("coldFrom") + (1 - facts.real("coldFrom")) * (now - target.startedUs) / facts.number("cold");
         double allowedUs = FALL_MULTIPLE * facts.number("cores") * facts.real("speed") * warmth * FALL_US;
-        ColdWork.Verdict verdict = target.cold.came(now, workUs,
-                target.toldOfStart.getOrDefault((int) came.number("node"), false), allowedUs);
+        ColdWork.Verdict verdict = target.cold.came(
+                now, workUs, target.toldOfStart.getOrDefault((int) came.number("node"), false), allowedUs);
         if (verdict != ColdWork.Verdict.STANDS && !target.fell) {
             target.fell = true;
             if (verdict == ColdWork.Verdict.PUSHED_OVER) {
-                tell(now, "no cold server pushed over: " + box + " is sent "
-                        + Math.round(target.cold.requests()) + " within 2 s and may get "
-                        + Math.round(allowedUs / this.facts.head.real("meanWork")));
+                tell(
+                        now,
+                        "no cold server pushed over: " + box + " is sent "
+                                + Math.round(target.cold.requests()) + " within 2 s and may get "
+                                + Math.round(allowedUs / this.facts.head.real("meanWork")));
             }
         }
     }
@@ -516,9 +553,7 @@
     }
 
     private void tell(long now, String rule, Request of, String what) {
-        tell(now, rule + ": request " + of.txn + " (" + classOf(of).text("name") + ", node-" + of.node()
-                + ") "
-                + what);
+        tell(now, rule + ": request " + of.txn + " (" + classOf(of).text("name") + ", node-" + of.node() + ") " + what);
     }
 
     private void tell(long now, String what) {
@@ -535,11 +570,28 @@
         for (Event phase : facts.head.events("phases")) {
             shares.add(share(phase.text("name"), phase.number("from"), phase.number("to")));
         }
-        return new Verdict(broken, breaks, lateUs, lateUs <= MOST_LATE_US, shares, new Verdict.Sums(
-                targets.values().stream().mapToInt(t -> t.attempts.most()).max().orElse(0),
-                targets.values().stream().mapToInt(t -> t.dials.most()).max().orElse(0), calls.most(),
-                crossings, overdue,
-                targets.values().stream().mapToDouble(t -> t.cold.highest()).max().orElse(0)));
+        return new Verdict(
+                broken,
+                breaks,
+                lateUs,
+                lateUs <= MOST_LATE_US,
+                shares,
+                new Verdict.Sums(
+                        targets.values().stream()
+                                .mapToInt(t -> t.attempts.most())
+                                .max()
+                                .orElse(0),
+                        targets.values().stream()
+                                .mapToInt(t -> t.dials.most())
+                                .max()
+                                .orElse(0),
+                        calls.most(),
+                        crossings,
+                        overdue,
+                        targets.values().stream()
+                                .mapToDouble(t -> t.cold.highest())
+                                .max()
+                                .orElse(0)));
     }
 
     private Verdict.Share share(String phase, long fromUs, long toUs) {
@@ -566,20 +618,20 @@
         double worth = 0;
         double got = 0;
         for (int c = 0; c < classes; c++) {
-            by.add(new Verdict.OfClass(facts.classes.get(c).text("name"), asked[c],
-                    asked[c] == 0 ? 1 : (double) good[c] / asked[c]));
+            by.add(new Verdict.OfClass(
+                    facts.classes.get(c).text("name"), asked[c], asked[c] == 0 ? 1 : (double) good[c] / asked[c]));
             wanted += asked[c];
             worth += asked[c] * facts.classes.get(c).real("worth");
             got += good[c] * facts.classes.get(c).real("worth");
         }
         double each = Math.max(1, wanted);
-        return new Verdict.Share(phase, wanted, worth == 0 ? 1 : got / worth, by, tries / each,
-                attempts / each, refused, failed);
+        return new Verdict.Share(
+                phase, wanted, worth == 0 ? 1 : got / worth, by, tries / each, attempts / each, refused, failed);
     }
 
     private boolean isInTime(Wish wish) {
-        long within = facts.classes.get(wish.of).number("aim")
-                + (wish.tries > 1 ? facts.head.number("repeatGrace") : 0);
+        long within =
+                facts.classes.get(wish.of).number("aim") + (wish.tries > 1 ? facts.head.number("repeatGrace") : 0);
         return wish.servedUs >= 0 && wish.servedUs - wish.cameUs <= within;
     }
 }
--- a/src/main/java/kitemux/drill/Link.java
+++ b/src/main/java/kitemux/drill/Link.java
@@ -1,20 +1,5 @@
 package kitemux.drill;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
-import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.SocketChannel;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -31,6 +16,20 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * The way from one party to another: listens where the one is told that the other does, and passes on what
@@ -45,6 +44,7 @@
     private static final int MOST_HELD = 256 * 1024;
     /** Connections that fill a listener's queue, so that the system drops what dials it. */
     private static final int FILL = 3;
+
     private static final int BACKLOG = 1_024;
     private static final long MOST_REBIND_NANOS = 2_000_000_000L;
 
@@ -62,10 +62,15 @@
 
         /** Both at once. */
         State and(State other) {
-            double rate = bytesPerS == 0 ? other.bytesPerS : other.bytesPerS == 0 ? bytesPerS
-                    : Math.min(bytesPerS, other.bytesPerS);
-            return new State(cutThere || other.cutThere, cutBack || other.cutBack, delayUs + other.delayUs,
-                    spreadUs + other.spreadUs, rate);
+            double rate = bytesPerS == 0
+                    ? other.bytesPerS
+                    : other.bytesPerS == 0 ? bytesPerS : Math.min(bytesPerS, other.bytesPerS);
+            return new State(
+                    cutThere || other.cutThere,
+                    cutBack || other.cutBack,
+                    delayUs + other.delayUs,
+                    spreadUs + other.spreadUs,
+                    rate);
         }
     }
 
@@ -92,16 +97,24 @@
      * @param dialsFrom the address that the far party sees; its port is the system's choice
      * @param seed of how late each piece is
      */
-    Link(EventLoop loop, InetSocketAddress listen, InetSocketAddress target, InetSocketAddress dialsFrom,
-            long seed, Consumer<Throwable> failed) {
+    Link(
+            EventLoop loop,
+            InetSocketAddress listen,
+            InetSocketAddress target,
+            InetSocketAddress dialsFrom,
+            long seed,
+            Consumer<Throwable> failed) {
         this.failed = failed;
         this.loop = loop;
         this.listen = listen;
         this.target = target;
         this.dialsFrom = dialsFrom;
         draws = new SplittableRandom(seed);
-        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+        listener = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childOption(ChannelOption.AUTO_READ, false)
@@ -139,7 +152,11 @@
         new ArrayList<>(pairs).forEach(Pair::reset);
     }
 
-    private enum Mode { OPEN, DEAF, SHUT }
+    private enum Mode {
+        OPEN,
+        DEAF,
+        SHUT
+    }
 
     private void listen() {
         Mode wanted = state.isCut() ? Mode.DEAF : targetListens ? Mode.OPEN : Mode.SHUT;
@@ -189,8 +206,7 @@
     private void again(Mode wanted, long untilNanos, Throwable cause) {
         if (System.nanoTime() > untilNanos) {
             opened.completeExceptionally(cause);
-            failed.accept(new IOException("a way cannot listen at " + listen + ": " + cause.getMessage(),
-                    cause));
+            failed.accept(new IOException("a way cannot listen at " + listen + ": " + cause.getMessage(), cause));
             return;
         }
         loop.schedule(() -> listen(wanted, untilNanos), 1, TimeUnit.MILLISECONDS);
@@ -261,8 +277,8 @@
         /** Takes a piece: bytes, or the end of what its sender says, or a reset. */
         void take(Piece piece) {
             long now = System.nanoTime();
-            long late = state.delayUs() * 1_000
-                    + (state.spreadUs() == 0 ? 0 : draws.nextLong(state.spreadUs() * 1_000));
+            long late =
+                    state.delayUs() * 1_000 + (state.spreadUs() == 0 ? 0 : draws.nextLong(state.spreadUs() * 1_000));
             long takes = state.bytesPerS() == 0 ? 0 : (long) (piece.size() * 1e9 / state.bytesPerS());
             piece.dueNanos = Math.max(now + late, held.isEmpty() ? now : lastDueNanos) + takes;
             lastDueNanos = piece.dueNanos;
@@ -285,10 +301,13 @@
                 long in = held.peek().dueNanos - System.nanoTime();
                 if (in > 0) {
                     armed = true;
-                    loop.schedule(() -> {
-                        armed = false;
-                        go();
-                    }, in, TimeUnit.NANOSECONDS);
+                    loop.schedule(
+                            () -> {
+                                armed = false;
+                                go();
+                            },
+                            in,
+                            TimeUnit.NANOSECONDS);
                     break;
                 }
                 Piece next = held.poll();
@@ -355,9 +374,14 @@
         }
 
         void dial() {
-            new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                    .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                    .handler(new Side(this, back)).connect(target, dialsFrom).addListener(done -> {
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                    .handler(new Side(this, back))
+                    .connect(target, dialsFrom)
+                    .addListener(done -> {
                         Channel channel = ((ChannelFuture) done).channel();
                         if (!done.isSuccess() || !pairs.contains(this)) {
                             channel.close();
--- a/src/main/java/kitemux/drill/Parties.java
+++ b/src/main/java/kitemux/drill/Parties.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
-
 import kitemux.drill.Fault.Way;
 import kitemux.fleet.Fleet;
 
@@ -70,8 +69,10 @@
         }
         for (Fleet.Kind kind : fleet.kinds()) {
             if (kind.name().equals(name)) {
-                return boxes.stream().filter(box -> box.startsWith(name + "-")
-                        && box.substring(name.length() + 1).matches("\\d+")).toList();
+                return boxes.stream()
+                        .filter(box -> box.startsWith(name + "-")
+                                && box.substring(name.length() + 1).matches("\\d+"))
+                        .toList();
             }
         }
         return null;
--- a/src/main/java/kitemux/drill/Scenario.java
+++ b/src/main/java/kitemux/drill/Scenario.java
@@ -1,7 +1,6 @@
 package kitemux.drill;
 
 import java.util.List;
-
 import kitemux.fleet.Fleet;
 
 /**
@@ -14,8 +13,14 @@
  * @param bounds what must not be exceeded; of the sums over all nodes
  * @param longAnswers which answers are long
  */
-public record Scenario(Fleet fleet, long seed, List<Fault> faults, List<Phase> phases, long repeatUs,
-        Bounds bounds, LongAnswers longAnswers) {
+public record Scenario(
+        Fleet fleet,
+        long seed,
+        List<Fault> faults,
+        List<Phase> phases,
+        long repeatUs,
+        Bounds bounds,
+        LongAnswers longAnswers) {
 
     /**
      * Answers that servers give bit by bit.
@@ -24,10 +29,10 @@
      * @param lastsUs from its first byte to its last
      * @param stops share of these that stop amid it for good, in [0, 1]
      */
-    record LongAnswers(double share, long lastsUs, double stops) { }
+    record LongAnswers(double share, long lastsUs, double stops) {}
 
     /** A stretch of the run, from a time on until another. */
-    record Phase(String name, long fromUs, long toUs) { }
+    record Phase(String name, long fromUs, long toUs) {}
 
     /**
      * Sums over all nodes, within any 100 ms; 0 where nothing is said.
@@ -36,5 +41,5 @@
      * @param dials connections that come up at one server
      * @param calls calls of discovery
      */
-    record Bounds(int attempts, int dials, int calls) { }
+    record Bounds(int attempts, int dials, int calls) {}
 }
--- a/src/main/java/kitemux/drill/ScenarioFile.java
+++ b/src/main/java/kitemux/drill/ScenarioFile.java
@@ -1,5 +1,7 @@
 package kitemux.drill;
 
+import com.bertramlabs.plugins.hcl4j.HCLParser;
+import com.bertramlabs.plugins.hcl4j.HCLParserException;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -8,10 +10,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-
-import com.bertramlabs.plugins.hcl4j.HCLParser;
-import com.bertramlabs.plugins.hcl4j.HCLParserException;
-
 import kitemux.drill.Fault.Way;
 import kitemux.drill.Fault.What;
 import kitemux.fleet.Fleet;
@@ -29,9 +27,13 @@
     /** Ways of one fault; all nodes to all servers of the largest drill. */
     private static final int MOST_LINKS = MOST_NODES * MOST_BOXES;
 
-    private enum Direction { BOTH, THERE, BACK }
+    private enum Direction {
+        BOTH,
+        THERE,
+        BACK
+    }
 
-    private ScenarioFile() { }
+    private ScenarioFile() {}
 
     /**
      * @param file what faults call the description
@@ -39,13 +41,13 @@
      * @param faults gets all that is wrong, of the fleet too, one line each with place, field and reason
      * @return the drill; not to be played if there are faults
      */
-    public static Scenario read(String file, String text, Long seed, FleetFile.Texts texts,
-            List<String> faults) {
+    public static Scenario read(String file, String text, Long seed, FleetFile.Texts texts, List<String> faults) {
         Map<String, Object> parsed;
         try {
             parsed = new HCLParser().parse(text);
         } catch (HCLParserException | IOException | RuntimeException e) {
-            faults.add(file + ": this is not HCL: " + String.valueOf(e.getMessage()).replace('\n', ' '));
+            faults.add(file + ": this is not HCL: "
+                    + String.valueOf(e.getMessage()).replace('\n', ' '));
             return null;
         }
         List<String> own = new ArrayList<>();
@@ -56,8 +58,8 @@
         return read;
     }
 
-    private static Scenario scenario(Section all, Long given, FleetFile.Texts texts, List<String> own,
-            List<String> ofFleet) {
+    private static Scenario scenario(
+            Section all, Long given, FleetFile.Texts texts, List<String> own, List<String> ofFleet) {
         Fleet fleet = FleetFile.named(all.text("fleet"), texts, own, ofFleet);
         long seed = given == null ? all.whole("seed", 1) : given;
         if (given != null) {
@@ -67,44 +69,54 @@
         long length = all.time("length", 0);
         long repeat = all.time("repeat_grace", 400_000);
         Section limits = all.part("bounds");
-        Scenario.Bounds bounds = new Scenario.Bounds(limits.whole("attempts", 0), limits.whole("dials", 0),
-                limits.whole("calls", 0));
+        Scenario.Bounds bounds =
+                new Scenario.Bounds(limits.whole("attempts", 0), limits.whole("dials", 0), limits.whole("calls", 0));
         limits.end();
-        require(own, bounds.attempts() >= 0 && bounds.dials() >= 0 && bounds.calls() >= 0,
+        require(
+                own,
+                bounds.attempts() >= 0 && bounds.dials() >= 0 && bounds.calls() >= 0,
                 "bounds: must not be under 0");
         Section answers = all.part("long_answers");
-        Scenario.LongAnswers longAnswers = new Scenario.LongAnswers(answers.number("share", 0),
-                answers.time("lasts", 1_000_000), answers.number("stops", 0));
+        Scenario.LongAnswers longAnswers = new Scenario.LongAnswers(
+                answers.number("share", 0), answers.time("lasts", 1_000_000), answers.number("stops", 0));
         answers.end();
-        require(own, isShare(longAnswers.share()) && isShare(longAnswers.stops()),
+        require(
+                own,
+                isShare(longAnswers.share()) && isShare(longAnswers.stops()),
                 "long_answers: share or stops is not from 0 to 1");
-        require(own, longAnswers.lastsUs() >= 100_000 && longAnswers.lastsUs() <= MOST_LASTS_US,
+        require(
+                own,
+                longAnswers.lastsUs() >= 100_000 && longAnswers.lastsUs() <= MOST_LASTS_US,
                 "long_answers.lasts: is not from 100ms to 60s");
         if (fleet == null) {
             return null;
         }
         Fleet.Load load = fleet.load();
         Fleet.Nodes of = fleet.nodes();
-        fleet = fleet.with(new Fleet.Load(load.ratePerS(), length == 0 ? load.lengthUs() : length,
-                load.shape(), load.quotaPerS(), load.overShareWorth()))
-                .with(new Fleet.Nodes(nodes == 0 ? of.count() : nodes, of.eventUs(), of.cores(), of.startUs(),
-                        of.noticeUs()));
+        fleet = fleet.with(new Fleet.Load(
+                        load.ratePerS(),
+                        length == 0 ? load.lengthUs() : length,
+                        load.shape(),
+                        load.quotaPerS(),
+                        load.overShareWorth()))
+                .with(new Fleet.Nodes(
+                        nodes == 0 ? of.count() : nodes, of.eventUs(), of.cores(), of.startUs(), of.noticeUs()));
         check(fleet, own);
         long lengthUs = fleet.load().lengthUs();
         List<Fault> faults = new ArrayList<>();
         if (own.isEmpty()) {
             Parties parties = new Parties(fleet);
             SplittableRandom draws = new SplittableRandom(seed);
-            all.labelled("fault", false).forEach((name, section) ->
-                    faults.add(fault(name, section, parties, draws.split(), lengthUs, own)));
+            all.labelled("fault", false)
+                    .forEach(
+                            (name, section) -> faults.add(fault(name, section, parties, draws.split(), lengthUs, own)));
             faults.sort(Comparator.comparingLong(Fault::atUs));
         }
         List<Scenario.Phase> phases = new ArrayList<>();
         all.labelled("phase", false).forEach((name, section) -> {
             Scenario.Phase phase = new Scenario.Phase(name, section.time("from", -1), section.time("to", -1));
             section.end();
-            require(own, phase.fromUs() < phase.toUs(),
-                    "phase \"" + name + "\".to: is not after from");
+            require(own, phase.fromUs() < phase.toUs(), "phase \"" + name + "\".to: is not after from");
             phases.add(phase);
         });
         if (own.isEmpty()) {
@@ -118,22 +130,29 @@
     }
 
     private static void check(Fleet fleet, List<String> own) {
-        require(own, fleet.nodes().count() >= 1 && fleet.nodes().count() <= MOST_NODES,
+        require(
+                own,
+                fleet.nodes().count() >= 1 && fleet.nodes().count() <= MOST_NODES,
                 "nodes: is not from 1 to " + MOST_NODES);
         require(own, fleet.boxes() <= MOST_BOXES, "fleet: has more than " + MOST_BOXES + " servers");
-        require(own, fleet.load().lengthUs() >= 1_000_000 && fleet.load().lengthUs() <= MOST_LENGTH_US,
+        require(
+                own,
+                fleet.load().lengthUs() >= 1_000_000 && fleet.load().lengthUs() <= MOST_LENGTH_US,
                 "length: is not from 1s to 15m");
-        require(own, fleet.zones().acrossUs() == 0,
+        require(
+                own,
+                fleet.zones().acrossUs() == 0,
                 "fleet: its zones are apart; take faults of the drill that slow the ways between parties");
-        require(own, fleet.faults().stream().noneMatch(f -> f.trouble() == Fleet.Trouble.CUT
-                || f.trouble() == Fleet.Trouble.NODES_RESTART),
+        require(
+                own,
+                fleet.faults().stream()
+                        .noneMatch(f -> f.trouble() == Fleet.Trouble.CUT || f.trouble() == Fleet.Trouble.NODES_RESTART),
                 "fleet: cuts and nodes that restart are faults of the drill, not of its fleet");
         fleet.faultsFound().forEach(fault -> own.add("fleet: " + fault));
     }
 
-    private static Fault fault(String name, Section of, Parties parties, SplittableRandom draws,
-            long lengthUs,
-            List<String> own) {
+    private static Fault fault(
+            String name, Section of, Parties parties, SplittableRandom draws, long lengthUs, List<String> own) {
         String path = "fault \"" + name + "\".";
         What what = of.word("what", What.class, null);
         long at = of.time("at", -1);
@@ -155,38 +174,58 @@
                 }
             }
             // What goes there is meant from the first party on, which may be the one that is dialled.
-            boolean turned = !links.isEmpty() && !from.contains(links.iterator().next().from());
+            boolean turned =
+                    !links.isEmpty() && !from.contains(links.iterator().next().from());
             direction = turned && direction != Direction.BOTH
-                    ? direction == Direction.THERE ? Direction.BACK : Direction.THERE : direction;
-            require(own, !links.isEmpty() || from.isEmpty() || to.isEmpty(), path
-                    + "to: there is no way between " + from + " and " + to
-                    + "; there are ways between nodes and"
-                    + " clients, boxes or list");
+                    ? direction == Direction.THERE ? Direction.BACK : Direction.THERE
+                    : direction;
+            require(
+                    own,
+                    !links.isEmpty() || from.isEmpty() || to.isEmpty(),
+                    path
+                            + "to: there is no way between " + from + " and " + to
+                            + "; there are ways between nodes and"
+                            + " clients, boxes or list");
             require(own, links.size() <= MOST_LINKS, path + "to: befalls more than " + MOST_LINKS + " ways");
         } else {
             for (String party : drawn(parties(of, path, "on", parties, own), count, draws)) {
-                require(own, Parties.number(party) >= 0, path + "on: " + party + " is no node; what befalls"
-                        + " servers is a fault of the fleet");
+                require(
+                        own,
+                        Parties.number(party) >= 0,
+                        path + "on: " + party + " is no node; what befalls" + " servers is a fault of the fleet");
                 nodes.add(Parties.number(party));
             }
         }
         boolean slow = what == What.SLOW;
-        Fault read = new Fault(name, what, at, lasts, List.copyOf(links), nodes, direction != Direction.BACK,
-                direction != Direction.THERE, slow ? of.time("delay", 0) : 0, slow ? of.time("spread", 0) : 0,
-                slow ? of.number("bytes_per_s", 0) : 0, what == What.FLAP ? of.time("every", -1) : 0);
+        Fault read = new Fault(
+                name,
+                what,
+                at,
+                lasts,
+                List.copyOf(links),
+                nodes,
+                direction != Direction.BACK,
+                direction != Direction.THERE,
+                slow ? of.time("delay", 0) : 0,
+                slow ? of.time("spread", 0) : 0,
+                slow ? of.number("bytes_per_s", 0) : 0,
+                what == What.FLAP ? of.time("every", -1) : 0);
         of.end();
         require(own, at < lengthUs, path + "at: is not within the drill's length");
-        require(own, read.delayUs() <= MOST_DELAY_US && read.spreadUs() <= MOST_DELAY_US, path
-                + "delay: is over 10s, as is spread, or one of them");
+        require(
+                own,
+                read.delayUs() <= MOST_DELAY_US && read.spreadUs() <= MOST_DELAY_US,
+                path + "delay: is over 10s, as is spread, or one of them");
         require(own, read.bytesPerS() >= 0, path + "bytes_per_s: is under 0");
-        require(own, !slow || read.delayUs() + read.spreadUs() > 0 || read.bytesPerS() > 0, path
-                + "delay: must be given, or spread or bytes_per_s");
+        require(
+                own,
+                !slow || read.delayUs() + read.spreadUs() > 0 || read.bytesPerS() > 0,
+                path + "delay: must be given, or spread or bytes_per_s");
         require(own, what != What.FLAP || read.everyUs() >= 20_000, path + "every: is under 20ms");
         return read;
     }
 
-    private static List<String> parties(Section of, String path, String field, Parties parties,
-            List<String> own) {
+    private static List<String> parties(Section of, String path, String field, Parties parties, List<String> own) {
         Set<String> found = new LinkedHashSet<>();
         List<String> names = of.texts(field, List.of());
         require(own, !names.isEmpty(), path + field + ": must name parties; there are " + parties.known());
--- a/src/main/java/kitemux/drill/Spans.java
+++ b/src/main/java/kitemux/drill/Spans.java
@@ -29,8 +29,8 @@
 
     /** Whether it was the case at any time from one to another, or ended so little before. */
     boolean touches(String what, long fromUs, long toUs, long afterUs) {
-        return of.getOrDefault(what, List.of()).stream().anyMatch(span -> span[0] <= toUs
-                && (span[1] == Long.MAX_VALUE || span[1] + afterUs >= fromUs));
+        return of.getOrDefault(what, List.of()).stream()
+                .anyMatch(span -> span[0] <= toUs && (span[1] == Long.MAX_VALUE || span[1] + afterUs >= fromUs));
     }
 
     /** When the stretch that holds this time ends; the time itself where none does. */
--- a/src/main/java/kitemux/drill/Timeline.java
+++ b/src/main/java/kitemux/drill/Timeline.java
@@ -1,5 +1,8 @@
 package kitemux.drill;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.util.MinimalPrettyPrinter;
 import java.io.BufferedWriter;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -7,10 +10,6 @@
 import java.nio.file.Path;
 import java.util.function.LongSupplier;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-import com.fasterxml.jackson.core.util.MinimalPrettyPrinter;
-
 /**
  * What was done and seen in a drill: an event a line, as JSON, in order of time. {@code t} is in microseconds
  * of the run's time, {@code e} says what happened; {@code docs/operate/drill.md} has all. One thread writes.
--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
-
 import kitemux.Balancer;
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Outcome;
@@ -45,9 +44,11 @@
     private final Map<Long, Held<Q, A>> held = new HashMap<>();
     /** The ids of those that are owed an answer. A second one of the same id could have its effect twice. */
     private final Set<String> openTxns = new HashSet<>();
+
     private long lastId;
     /** What the module is still to be told: nothing is fed back into it from inside one of its events. */
     private final ArrayDeque<Event<Q, A>> events = new ArrayDeque<>();
+
     private boolean telling;
     private int probing;
     private Time.Timer wake;
@@ -58,7 +59,7 @@
 
     /** Something to tell the module, the request that it is about, or null, and what is to be done where the
      * module does not get through with it. */
-    private record Event<Q extends Asked, A>(Held<Q, A> about, Runnable call, Runnable onDefect) { }
+    private record Event<Q extends Asked, A>(Held<Q, A> about, Runnable call, Runnable onDefect) {}
 
     /**
      * A client's request from its coming until its last attempt has ended.
@@ -92,8 +93,15 @@
      * @param gate stands before each attempt
      * @param module makes the decision module, which is to call the actions that it is given
      */
-    public Engine(int maxAttempts, Time time, Transport<Q, A> transport, Lists lists, Observer observer,
-            SendGate<Q> gate, Log log, Function<Balancer.Actions, Balancer> module) {
+    public Engine(
+            int maxAttempts,
+            Time time,
+            Transport<Q, A> transport,
+            Lists lists,
+            Observer observer,
+            SendGate<Q> gate,
+            Log log,
+            Function<Balancer.Actions, Balancer> module) {
         this.gate = gate;
         this.maxAttempts = maxAttempts;
         this.time = time;
@@ -107,7 +115,7 @@
     // ---------------------------------------------------------------- events for the module
 
     private void tell(Held<Q, A> about, Runnable call) {
-        tell(about, call, () -> { });
+        tell(about, call, () -> {});
     }
 
     private void tell(Held<Q, A> about, Runnable call, Runnable onDefect) {
@@ -156,11 +164,14 @@
      *     is told after the list: the module would else send it there again
      */
     public void listed(ListKind kind, List<ServerEntry> entries, Runnable before) {
-        tell(null, () -> {
-            before.run();
-            balancer.onServers(time.nowUs(), kind, entries);
-            // Taken in by half it would be neither the old list nor the new: all of it has to come again.
-        }, lists::unusable);
+        tell(
+                null,
+                () -> {
+                    before.run();
+                    balancer.onServers(time.nowUs(), kind, entries);
+                    // Taken in by half it would be neither the old list nor the new: all of it has to come again.
+                },
+                lists::unusable);
     }
 
     /** The list could not be had; the old one stands. */
@@ -190,9 +201,17 @@
         Q request = taken.request;
         tell(taken, () -> {
             long now = time.nowUs();
-            balancer.onRequest(now, new Request(taken.id, request.classIndex(), request.tenant(),
-                    Math.max(0, taken.deadlineUs - now), request.workUs(), request.retry(), request.key(),
-                    request.agoUs()));
+            balancer.onRequest(
+                    now,
+                    new Request(
+                            taken.id,
+                            request.classIndex(),
+                            request.tenant(),
+                            Math.max(0, taken.deadlineUs - now),
+                            request.workUs(),
+                            request.retry(),
+                            request.key(),
+                            request.agoUs()));
         });
     }
 
@@ -216,7 +235,9 @@
      */
     public void answerAllBy(long atUs) {
         answerByUs = atUs;
-        time.after(Math.max(0, atUs - time.nowUs()), () -> List.copyOf(held.values()).forEach(this::answerNow));
+        time.after(
+                Math.max(0, atUs - time.nowUs()),
+                () -> List.copyOf(held.values()).forEach(this::answerNow));
     }
 
     private void answerNow(Held<Q, A> request) {
@@ -275,6 +296,7 @@
         private long begunAtUs;
         /** Whether the module was told of its end as its answer began. */
         private boolean told;
+
         private boolean over;
         private Result result;
         private boolean sent;
@@ -311,8 +333,7 @@
                 return;
             }
             expiry = time.after(untilUs - sentAtUs, this::expire);
-            gate.before(of.id, of.request, number, serverId, () -> transport.endpoint(serverId), untilUs,
-                    this::passed);
+            gate.before(of.id, of.request, number, serverId, () -> transport.endpoint(serverId), untilUs, this::passed);
         }
 
         /** The gate has opened, or is not going to. */
@@ -414,8 +435,10 @@
             // For whoever decides it is served: nothing can be decided any more, and a server that only has
             // to pass on what it made has its place free. Harm: who breaks off long answers is not blamed.
             told = true;
-            tell(of, () -> balancer.onOutcome(time.nowUs(), new Outcome(of.id, number, Result.OK,
-                    begunAtUs - sentAtUs, true, null)));
+            tell(
+                    of,
+                    () -> balancer.onOutcome(
+                            time.nowUs(), new Outcome(of.id, number, Result.OK, begunAtUs - sentAtUs, true, null)));
             return true;
         }
 
@@ -425,8 +448,7 @@
                 return;
             }
             // Another's answer is on its way to the client: this one is not served, but may have run.
-            Result how = ended == Result.OK && of.answering != null && of.answering != this ? Result.CANCELLED
-                    : ended;
+            Result how = ended == Result.OK && of.answering != null && of.answering != this ? Result.CANCELLED : ended;
             over = true;
             result = how;
             if (expiry != null) {
@@ -448,8 +470,7 @@
                 }
                 // How long a long answer takes to pass is the client's affair as much as the server's.
                 long latencyUs = begunAtUs > 0 ? begunAtUs - sentAtUs : latencyUs(how, sentAtUs);
-                balancer.onOutcome(time.nowUs(), new Outcome(of.id, number, known(how), latencyUs,
-                        of.ended, null));
+                balancer.onOutcome(time.nowUs(), new Outcome(of.id, number, known(how), latencyUs, of.ended, null));
             });
             if (of.ended) {
                 Engine.this.withdraw(of);
--- a/src/main/java/kitemux/engine/Lists.java
+++ b/src/main/java/kitemux/engine/Lists.java
@@ -6,5 +6,5 @@
     void subscribe();
 
     /** A list that was told could not be taken in: all of it is to be told once more. */
-    default void unusable() { }
+    default void unusable() {}
 }
--- a/src/main/java/kitemux/engine/Observer.java
+++ b/src/main/java/kitemux/engine/Observer.java
@@ -9,7 +9,7 @@
  */
 public interface Observer {
     /** Told of nothing. */
-    Observer NONE = new Observer() { };
+    Observer NONE = new Observer() {};
 
     /** Tells both, this one first. */
     default Observer and(Observer other) {
@@ -48,20 +48,26 @@
     }
 
     /** How a request was answered. */
-    enum Answer { SERVED, REFUSED, FAILED, BROKEN, LEFT }
+    enum Answer {
+        SERVED,
+        REFUSED,
+        FAILED,
+        BROKEN,
+        LEFT
+    }
 
     /** A request is held from now on. */
-    default void taken(long id, Asked request) { }
+    default void taken(long id, Asked request) {}
 
     /** An attempt begins, given up at this time; its request may not have been written yet. */
-    default void sent(long id, int attempt, String serverId, long untilUs) { }
+    default void sent(long id, int attempt, String serverId, long untilUs) {}
 
     /** An attempt has ended; told once for each that was {@link #sent}. */
-    default void ended(long id, int attempt, Result result) { }
+    default void ended(long id, int attempt, Result result) {}
 
     /** The request has its one answer, or its client has left. */
-    default void answered(long id, Answer answer) { }
+    default void answered(long id, Answer answer) {}
 
     /** Nothing more will be told of a request: it is answered, and no attempt is out. */
-    default void forgotten(long id) { }
+    default void forgotten(long id) {}
 }
--- a/src/main/java/kitemux/engine/SendGate.java
+++ b/src/main/java/kitemux/engine/SendGate.java
@@ -20,7 +20,13 @@
      * @param then to be told once, on the loop, from inside this call or later: true to send it; false if it
      *     cannot be sent in time, which turns the request away as harmless to try again
      */
-    void before(long id, Q request, int attempt, String serverId, Supplier<String> endpoint, long untilUs,
+    void before(
+            long id,
+            Q request,
+            int attempt,
+            String serverId,
+            Supplier<String> endpoint,
+            long untilUs,
             Consumer<Boolean> then);
 
     /** When to come back for a client that was turned away, in microseconds; 0 for none. */
@@ -30,8 +36,14 @@
     static <Q> SendGate<Q> open() {
         return new SendGate<>() {
             @Override
-            public void before(long id, Q request, int attempt, String serverId,
-                    Supplier<String> endpoint, long untilUs, Consumer<Boolean> then) {
+            public void before(
+                    long id,
+                    Q request,
+                    int attempt,
+                    String serverId,
+                    Supplier<String> endpoint,
+                    long untilUs,
+                    Consumer<Boolean> then) {
                 then.accept(true);
             }
 
--- a/src/main/java/kitemux/fleet/Box.java
+++ b/src/main/java/kitemux/fleet/Box.java
@@ -1,7 +1,6 @@
 package kitemux.fleet;
 
 import java.util.ArrayDeque;
-
 import kitemux.Balancer.Result;
 import kitemux.sim.ColdWork;
 import kitemux.sim.Scheduler;
@@ -50,7 +49,7 @@
     private long meanAtUs;
 
     private final ColdWork coldWork;
-    private Runnable changed = () -> { };
+    private Runnable changed = () -> {};
 
     private int connections;
     int mostConnectionsSeen;
@@ -66,7 +65,7 @@
      * @param workUs on a core of speed 1, the handshake's included
      * @param sentUs when its node wrote it
      */
-    record Job(Rules.Asked asked, double workUs, long sentUs, Reply told) { }
+    record Job(Rules.Asked asked, double workUs, long sentUs, Reply told) {}
 
     /** Where a server's answer goes. */
     public interface Reply {
@@ -94,7 +93,8 @@
         this.draws = draws;
         coldWork = new ColdWork(fleet.meanWorkUs(), rules.limits().fallUs());
         mostConnections = fleet.links().most() * of.cores();
-        crowded = fleet.choke() == null ? Double.MAX_VALUE
+        crowded = fleet.choke() == null
+                ? Double.MAX_VALUE
                 : of.cores() + fleet.choke().at() * Math.sqrt(of.cores());
     }
 
@@ -203,8 +203,17 @@
 
     /** As it is now, for whoever looks on. */
     Emulation.BoxNow now() {
-        String state = fallen ? "fallen" : silent ? "silent" : !up ? "dead" : draining ? "draining"
-                : failing > 0 ? "failing" : slow || slowed > 1 ? "slow" : warmth() < 1 ? "cold" : "up";
+        String state = fallen
+                ? "fallen"
+                : silent
+                        ? "silent"
+                        : !up
+                                ? "dead"
+                                : draining
+                                        ? "draining"
+                                        : failing > 0
+                                                ? "failing"
+                                                : slow || slowed > 1 ? "slow" : warmth() < 1 ? "cold" : "up";
         return new Emulation.BoxNow(id, state, running + waiting.size(), connections, done, warmth());
     }
 
@@ -339,11 +348,13 @@
         if (busy >= choke.below()) {
             restingSinceUs = -1;
         } else if (restingSinceUs < 0) {
-            restingSinceUs = now - (long) past + (before <= choke.below() ? 0
-                    : (long) (meanOverUs * Math.log((before - inUse) / (choke.below() - inUse))));
+            restingSinceUs = now
+                    - (long) past
+                    + (before <= choke.below()
+                            ? 0
+                            : (long) (meanOverUs * Math.log((before - inUse) / (choke.below() - inUse))));
         }
-        if (now - slowSinceUs >= choke.mostUs()
-                || restingSinceUs >= 0 && now - restingSinceUs >= choke.restUs() / 2) {
+        if (now - slowSinceUs >= choke.mostUs() || restingSinceUs >= 0 && now - restingSinceUs >= choke.restUs() / 2) {
             slow = false;
         }
     }
@@ -355,7 +366,10 @@
             return;
         }
         Rules.Limits limits = rules.limits();
-        ColdWork.Verdict verdict = coldWork.came(time.nowUs(), job.workUs, job.told.isFromTold(),
+        ColdWork.Verdict verdict = coldWork.came(
+                time.nowUs(),
+                job.workUs,
+                job.told.isFromTold(),
                 limits.fallMultiple() * of.cores() * speed * warmth * limits.fallUs());
         if (verdict != ColdWork.Verdict.STANDS) {
             fallen = true;
--- a/src/main/java/kitemux/fleet/Cuts.java
+++ b/src/main/java/kitemux/fleet/Cuts.java
@@ -7,9 +7,10 @@
 final class Cuts {
     /** How many cuts of each zone last: two of one zone may overlap. */
     private final int[] cut;
+
     private final List<Waiting> waiting = new ArrayList<>();
 
-    private record Waiting(int a, int b, Runnable what) { }
+    private record Waiting(int a, int b, Runnable what) {}
 
     Cuts(int zones) {
         cut = new int[zones];
--- a/src/main/java/kitemux/fleet/Draws.java
+++ b/src/main/java/kitemux/fleet/Draws.java
@@ -14,7 +14,18 @@
     private final ZigguratSampler.NormalizedGaussian gaussian;
 
     /** What is drawn for. */
-    enum Cause { ARRIVALS, WORK, CLIENTS, NETWORK, BOXES, FRONT, LISTS, FAULTS, MODULES, SKEW }
+    enum Cause {
+        ARRIVALS,
+        WORK,
+        CLIENTS,
+        NETWORK,
+        BOXES,
+        FRONT,
+        LISTS,
+        FAULTS,
+        MODULES,
+        SKEW
+    }
 
     Draws(long seed, Cause cause) {
         this(seed, cause, 0);
@@ -22,8 +33,9 @@
 
     /** The stream of the so many-th one of a cause. */
     Draws(long seed, Cause cause, int number) {
-        random = RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {mix(seed + 0x9E3779B97F4A7C15L),
-            mix(seed ^ mix(cause.ordinal() + 31L * number + 1))});
+        random = RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {
+            mix(seed + 0x9E3779B97F4A7C15L), mix(seed ^ mix(cause.ordinal() + 31L * number + 1))
+        });
         exponential = ZigguratSampler.Exponential.of(random);
         gaussian = ZigguratSampler.NormalizedGaussian.of(random);
     }
--- a/src/main/java/kitemux/fleet/Emulation.java
+++ b/src/main/java/kitemux/fleet/Emulation.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
-
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.Balancer.Settings;
@@ -21,6 +20,7 @@
     private static final long UNIX_US = 1_767_225_600_000_000L;
     /** After the last client has come all is answered within this. */
     private static final long RUN_OUT_US = 15_000_000;
+
     private static final double FALL_MULTIPLE = 4;
     private static final long FALL_US = 2_000_000;
 
@@ -62,9 +62,15 @@
             Fleet.Kind kind = fleet.kinds().get(k);
             for (int i = 0; i < kind.count(); i++) {
                 String id = kind.name() + "-" + i;
-                Box box = new Box(id, k, boxes.size() % fleet.racks(), fleet,
+                Box box = new Box(
+                        id,
+                        k,
+                        boxes.size() % fleet.racks(),
+                        fleet,
                         kind.speedCv() == 0 ? kind.speed() : speeds.lognormal(kind.speed(), kind.speedCv()),
-                        time, rules, new Draws(seed, Draws.Cause.BOXES, 1 + boxes.size()));
+                        time,
+                        rules,
+                        new Draws(seed, Draws.Cause.BOXES, 1 + boxes.size()));
                 boxes.add(box);
                 byId.put(id, box);
             }
@@ -87,9 +93,22 @@
     /** The same with other decision modules; its servers tell what they met. */
     static Emulation played(Fleet fleet, long seed, Proxy.ModuleMaker modules) {
         Draws seeds = new Draws(seed, Draws.Cause.MODULES);
-        Emulation run = new Emulation(fleet, seed, new Scheduler(), (n, of) -> new Proxy(n, fleet,
-                of.time, of.byId, of.rules, of.cuts, of.settings(n), new Draws(seed, Draws.Cause.NETWORK, n),
-                seeds, UNIX_US, modules));
+        Emulation run = new Emulation(
+                fleet,
+                seed,
+                new Scheduler(),
+                (n, of) -> new Proxy(
+                        n,
+                        fleet,
+                        of.time,
+                        of.byId,
+                        of.rules,
+                        of.cuts,
+                        of.settings(n),
+                        new Draws(seed, Draws.Cause.NETWORK, n),
+                        seeds,
+                        UNIX_US,
+                        modules));
         run.begin(UNIX_US);
         while (run.time.step(run.endsUs() * 1_000)) {
             // Each step is one event.
@@ -129,8 +148,8 @@
         set.crossZonePrice = fleet.zones().price();
         fleet.classes().forEach(work -> set.classes.add(work.of()));
         double shares = fleet.tenants().stream().mapToDouble(Fleet.Share::share).sum();
-        fleet.tenants().forEach(t -> set.tenants.add(new Tenant(t.name(),
-                fleet.load().quotaPerS() * t.share() / shares)));
+        fleet.tenants()
+                .forEach(t -> set.tenants.add(new Tenant(t.name(), fleet.load().quotaPerS() * t.share() / shares)));
         set.overShareWorth = fleet.load().overShareWorth();
         set.maxAttempts = 4;
         set.secondCopies = true;
@@ -138,7 +157,8 @@
         set.maxRetryAfterUs = fleet.clients().mostRetryAfterUs();
         set.connectTimeoutUs = fleet.links().connectUs();
         set.drainGraceUs = fleet.list().graceUs();
-        set.coldFrom = fleet.kinds().stream().mapToDouble(Fleet.Kind::coldFrom).min().orElse(1);
+        set.coldFrom =
+                fleet.kinds().stream().mapToDouble(Fleet.Kind::coldFrom).min().orElse(1);
         set.coldUs = fleet.kinds().stream().mapToLong(Fleet.Kind::coldUs).max().orElse(0);
         set.fallMultiple = FALL_MULTIPLE;
         set.fallUs = FALL_US;
@@ -152,7 +172,8 @@
      */
     public void begin(long nowUnixUs) {
         unixUs = nowUnixUs;
-        List<ServerEntry> all = boxes.stream().map(box -> entry(box, ServerState.READY)).toList();
+        List<ServerEntry> all =
+                boxes.stream().map(box -> entry(box, ServerState.READY)).toList();
         for (FleetNode node : nodes) {
             node.listed(all);
             node.start();
@@ -169,7 +190,8 @@
             int kind = k;
             List<Box> of = boxes.stream().filter(box -> box.kind == kind).toList();
             double all = seconds * 1e6 * fleet.kinds().get(k).cores();
-            kinds.add(new Result.OfKind(fleet.kinds().get(k).name(),
+            kinds.add(new Result.OfKind(
+                    fleet.kinds().get(k).name(),
                     of.stream().mapToDouble(box -> box.busyUs / all).average().orElse(0),
                     of.stream().mapToDouble(box -> box.busyUs / all).max().orElse(0),
                     of.stream().mapToInt(box -> box.mostConnectionsSeen).max().orElse(0),
@@ -179,18 +201,33 @@
         double busyUs = boxes.stream().mapToDouble(box -> box.busyUs).sum();
         List<Result.OfClass> classes = tally.classes();
         long wishes = classes.stream().mapToLong(Result.OfClass::offered).sum();
-        return new Result(seed, tally.share(0, Integer.MAX_VALUE), tally.worstWindow(), tally.byTenant(),
-                tally.sharesBySecond(), classes, tally.latencyUs(50), tally.latencyUs(99),
-                wishes == 0 ? 0 : (double) tally.tries / wishes, kinds,
-                did.stream().mapToDouble(d -> d.usedUs() / (seconds * 1e6)).average().orElse(0),
+        return new Result(
+                seed,
+                tally.share(0, Integer.MAX_VALUE),
+                tally.worstWindow(),
+                tally.byTenant(),
+                tally.sharesBySecond(),
+                classes,
+                tally.latencyUs(50),
+                tally.latencyUs(99),
+                wishes == 0 ? 0 : (double) tally.tries / wishes,
+                kinds,
+                did.stream()
+                        .mapToDouble(d -> d.usedUs() / (seconds * 1e6))
+                        .average()
+                        .orElse(0),
                 did.stream().mapToDouble(FleetNode.Figures::mostLateUs).max().orElse(0),
                 (int) boxes.stream().filter(Box::hasChoked).count(),
                 boxes.stream().mapToLong(box -> box.turnedAway).sum(),
                 boxes.stream().mapToLong(box -> box.refusedConnections).sum(),
                 did.stream().mapToLong(FleetNode.Figures::attempts).sum(),
                 did.stream().mapToLong(FleetNode.Figures::dials).sum(),
-                busyUs == 0 ? 0 : boxes.stream().mapToDouble(box -> box.wastedUs).sum() / busyUs,
-                rules.breaks(), rules.told(), time.steps());
+                busyUs == 0
+                        ? 0
+                        : boxes.stream().mapToDouble(box -> box.wastedUs).sum() / busyUs,
+                rules.breaks(),
+                rules.told(),
+                time.steps());
     }
 
     // ---------------------------------------------------------------- for whoever plays it by hand
@@ -202,7 +239,7 @@
      * @param held requests that run or wait
      * @param done since the beginning
      */
-    public record BoxNow(String id, String state, int held, int connections, long done, double warmth) { }
+    public record BoxNow(String id, String state, int held, int connections, long done, double warmth) {}
 
     /** All servers, in order. */
     public List<BoxNow> boxesNow() {
@@ -265,7 +302,10 @@
             case DIE, VANISH -> {
                 boolean silently = fault.trouble() == Fleet.Trouble.VANISH;
                 hit.forEach(box -> box.die(silently));
-                tell(hit, ServerState.GONE, silently ? fleet.list().silentUs() : fleet.list().goneUs());
+                tell(
+                        hit,
+                        ServerState.GONE,
+                        silently ? fleet.list().silentUs() : fleet.list().goneUs());
                 time.afterUs(fault.forUs(), () -> comeBack(hit));
             }
             case FAIL -> {
@@ -286,12 +326,14 @@
     }
 
     private List<Box> chosen(Fleet.Fault fault) {
-        List<Box> from = new ArrayList<>(boxes.stream().filter(box -> switch (fault.among()) {
-            case ANY -> true;
-            case RACK -> box.rack == fault.which();
-            case ZONE -> box.zone() == fault.which();
-            case KIND -> box.kind == fault.which();
-        }).toList());
+        List<Box> from = new ArrayList<>(boxes.stream()
+                .filter(box -> switch (fault.among()) {
+                    case ANY -> true;
+                    case RACK -> box.rack == fault.which();
+                    case ZONE -> box.zone() == fault.which();
+                    case KIND -> box.kind == fault.which();
+                })
+                .toList());
         if (fault.count() == 0 || fault.count() >= from.size()) {
             return from;
         }
@@ -304,7 +346,10 @@
 
     private void comeBack(List<Box> hit) {
         hit.forEach(Box::start);
-        tell(hit.stream().filter(Box::isUp).toList(), ServerState.READY, fleet.list().backUs());
+        tell(
+                hit.stream().filter(Box::isUp).toList(),
+                ServerState.READY,
+                fleet.list().backUs());
     }
 
     /** A batch drains, is gone, and comes back cold; the next one follows once it is listed. */
@@ -327,9 +372,10 @@
 
     private void restartNodes(Fleet.Fault fault) {
         int atOnce = Math.max(1, (int) fault.size());
-        List<Integer> of = IntStream.range(0, nodes.size()).boxed().filter(n ->
-                fault.among() != Fleet.Among.ZONE
-                || fleet.zones().of(n) == fault.which()).toList();
+        List<Integer> of = IntStream.range(0, nodes.size())
+                .boxed()
+                .filter(n -> fault.among() != Fleet.Among.ZONE || fleet.zones().of(n) == fault.which())
+                .toList();
         int all = fault.count() == 0 ? of.size() : Math.min(fault.count(), of.size());
         for (int n = 0; n < all; n++) {
             int node = of.get(n);
@@ -341,8 +387,8 @@
     }
 
     private ServerEntry entry(Box box, ServerState state) {
-        return new ServerEntry(box.id, box.zone(), box.rack, state, 1,
-                box.startedUs() == 0 ? 0 : unixUs + box.startedUs());
+        return new ServerEntry(
+                box.id, box.zone(), box.rack, state, 1, box.startedUs() == 0 ? 0 : unixUs + box.startedUs());
     }
 
     /** Discovery tells all nodes at once, late; of several changes the last one holds. It has its place in
@@ -354,8 +400,9 @@
         }
         List<ServerEntry> entries = of.stream().map(box -> entry(box, state)).toList();
         time.afterUs(lists.between(late), () -> {
-            List<ServerEntry> stands = entries.stream().filter(e -> state != ServerState.GONE
-                    || !byId.get(e.id()).isUp()).toList();
+            List<ServerEntry> stands = entries.stream()
+                    .filter(e -> state != ServerState.GONE || !byId.get(e.id()).isUp())
+                    .toList();
             for (int n = 0; n < nodes.size(); n++) {
                 FleetNode node = nodes.get(n);
                 cuts.whenWhole(0, fleet.zones().of(n), () -> node.listed(stands));
--- a/src/main/java/kitemux/fleet/Fleet.java
+++ b/src/main/java/kitemux/fleet/Fleet.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
 
@@ -23,9 +22,19 @@
  * @param load how much is asked
  * @param faults what goes wrong
  */
-public record Fleet(List<Kind> kinds, int racks, Zones zones, Nodes nodes, Choke choke, Links links,
+public record Fleet(
+        List<Kind> kinds,
+        int racks,
+        Zones zones,
+        Nodes nodes,
+        Choke choke,
+        Links links,
         Listing list,
-        Clients clients, List<Work> classes, List<Share> tenants, Load load, List<Fault> faults) {
+        Clients clients,
+        List<Work> classes,
+        List<Share> tenants,
+        Load load,
+        List<Fault> faults) {
 
     private static final int MOST_BOXES = 20_000;
     private static final int MOST_NODES = 2_000;
@@ -41,8 +50,17 @@
      * @param warmsByWork whether work done warms it as well: half the time's full work suffices
      * @param cost what one costs, in any unit
      */
-    public record Kind(String name, int count, int cores, double speed, double speedCv, int room,
-            double coldFrom, long coldUs, boolean warmsByWork, double cost) { }
+    public record Kind(
+            String name,
+            int count,
+            int cores,
+            double speed,
+            double speedCv,
+            int room,
+            double coldFrom,
+            long coldUs,
+            boolean warmsByWork,
+            double cost) {}
 
     /**
      * @param count how many
@@ -51,7 +69,7 @@
      * @param startUs from a node's start until it takes clients
      * @param noticeUs how long the front goes on sending to one that has died
      */
-    public record Nodes(int count, double eventUs, double cores, long startUs, long noticeUs) { }
+    public record Nodes(int count, double eventUs, double cores, long startUs, long noticeUs) {}
 
     /**
      * A server turns slow when, in the mean over some time, more requests run or wait than its cores and so
@@ -64,7 +82,7 @@
      * @param restUs how long it must rest
      * @param mostUs after which it is itself again all the same
      */
-    public record Choke(double at, long overUs, double slower, double below, long restUs, long mostUs) { }
+    public record Choke(double at, long overUs, double slower, double below, long restUs, long mostUs) {}
 
     /**
      * @param oneWayUs between two machines
@@ -75,8 +93,8 @@
      * @param idleUs after which an unused one is closed
      * @param connectUs how long a node waits for one
      */
-    public record Links(long oneWayUs, double jitter, int handshakeRtts, long handshakeUs, int most,
-            long idleUs, long connectUs) { }
+    public record Links(
+            long oneWayUs, double jitter, int handshakeRtts, long handshakeUs, int most, long idleUs, long connectUs) {}
 
     /**
      * @param goneUs how late nodes hear that a server has died, from and to
@@ -84,7 +102,7 @@
      * @param backUs the same of one that has come
      * @param graceUs after which nothing new may go to one that drains
      */
-    public record Listing(Range goneUs, Range silentUs, Range backUs, long graceUs) { }
+    public record Listing(Range goneUs, Range silentUs, Range backUs, long graceUs) {}
 
     /**
      * Parts of the site that are lost or cut off as a whole.
@@ -104,7 +122,7 @@
     }
 
     /** Drawn evenly between the two, the lower one included. */
-    public record Range(long from, long to) { }
+    public record Range(long from, long to) {}
 
     /**
      * @param oneWayUs between clients and nodes
@@ -115,11 +133,22 @@
      * @param mostRetryAfterUs longest such advice
      * @param skew how unevenly the front deals them out to nodes: deviation over mean of what a node gets
      */
-    public record Clients(long oneWayUs, int retries, double tryFrom, double tryTo, long backoffUs,
-            double honour, long mostRetryAfterUs, double skew) { }
+    public record Clients(
+            long oneWayUs,
+            int retries,
+            double tryFrom,
+            double tryTo,
+            long backoffUs,
+            double honour,
+            long mostRetryAfterUs,
+            double skew) {}
 
     /** How the work of a class is spread about its mean. */
-    public enum Spread { FIXED, EXPONENTIAL, LOGNORMAL }
+    public enum Spread {
+        FIXED,
+        EXPONENTIAL,
+        LOGNORMAL
+    }
 
     /**
      * A class of requests and the work of one.
@@ -128,7 +157,7 @@
      * @param meanUs of its work, on a core of speed 1
      * @param cv spread of a lognormal one: standard deviation over mean
      */
-    public record Work(RequestClass of, double share, double meanUs, Spread spread, double cv) { }
+    public record Work(RequestClass of, double share, double meanUs, Spread spread, double cv) {}
 
     /**
      * A tenant.
@@ -136,7 +165,7 @@
      * @param share what it is entitled to, of what all are
      * @param usage what it asks, against its share
      */
-    public record Share(String name, double share, double usage) { }
+    public record Share(String name, double share, double usage) {}
 
     /**
      * @param ratePerS first tries a second, where {@code shape} is 1
@@ -145,8 +174,7 @@
      * @param quotaPerS what all tenants together are entitled to; 0 means without limit
      * @param overShareWorth worth of what goes beyond, as a part
      */
-    public record Load(double ratePerS, long lengthUs, List<Point> shape, double quotaPerS,
-            double overShareWorth) {
+    public record Load(double ratePerS, long lengthUs, List<Point> shape, double quotaPerS, double overShareWorth) {
 
         /** How much is asked at a time, against {@link #ratePerS}. */
         public double at(long us) {
@@ -156,9 +184,9 @@
             Point before = shape.get(0);
             for (Point point : shape) {
                 if (point.us > us) {
-                    return point == before ? point.times
-                            : before.times + (point.times - before.times) * (us - before.us)
-                                    / (point.us - before.us);
+                    return point == before
+                            ? point.times
+                            : before.times + (point.times - before.times) * (us - before.us) / (point.us - before.us);
                 }
                 before = point;
             }
@@ -177,7 +205,7 @@
     }
 
     /** A time and how much is asked then. */
-    public record Point(long us, double times) { }
+    public record Point(long us, double times) {}
 
     /** What goes wrong. */
     public enum Trouble {
@@ -198,7 +226,12 @@
     }
 
     /** Whom it befalls: a rack, a zone, a kind, or any; drawn where not all of these are meant. */
-    public enum Among { ANY, RACK, ZONE, KIND }
+    public enum Among {
+        ANY,
+        RACK,
+        ZONE,
+        KIND
+    }
 
     /**
      * @param among of which
@@ -207,8 +240,7 @@
      * @param size for FAIL the share that fails, for SLOW how many times slower, for RELEASE and
      *     NODES_RESTART how many at once
      */
-    public record Fault(Trouble trouble, Among among, int which, int count, long atUs, long forUs,
-            double size) { }
+    public record Fault(Trouble trouble, Among among, int which, int count, long atUs, long forUs, double size) {}
 
     /** How many servers there are. */
     public int boxes() {
@@ -233,60 +265,51 @@
 
     /** The same with another load. */
     public Fleet with(Load other) {
-        return new Fleet(kinds, racks, zones, nodes, choke, links, list, clients, classes, tenants, other,
-                faults);
+        return new Fleet(kinds, racks, zones, nodes, choke, links, list, clients, classes, tenants, other, faults);
     }
 
     /** The same with other servers. */
     public Fleet withKinds(List<Kind> others) {
-        return new Fleet(List.copyOf(others), racks, zones, nodes, choke, links, list, clients, classes,
-                tenants,
-                load,
-                faults);
+        return new Fleet(
+                List.copyOf(others), racks, zones, nodes, choke, links, list, clients, classes, tenants, load, faults);
     }
 
     /** The same with other things that go wrong. */
     public Fleet withFaults(List<Fault> others) {
-        return new Fleet(kinds, racks, zones, nodes, choke, links, list, clients, classes, tenants, load,
-                List.copyOf(others));
+        return new Fleet(
+                kinds, racks, zones, nodes, choke, links, list, clients, classes, tenants, load, List.copyOf(others));
     }
 
     /** The same with other nodes. */
     public Fleet with(Nodes others) {
-        return new Fleet(kinds, racks, zones, others, choke, links, list, clients, classes, tenants, load,
-                faults);
+        return new Fleet(kinds, racks, zones, others, choke, links, list, clients, classes, tenants, load, faults);
     }
 
     /** The same, whose servers turn slow otherwise, or not where null. */
     public Fleet with(Choke other) {
-        return new Fleet(kinds, racks, zones, nodes, other, links, list, clients, classes, tenants, load,
-                faults);
+        return new Fleet(kinds, racks, zones, nodes, other, links, list, clients, classes, tenants, load, faults);
     }
 
     /** The same with other connections. */
     public Fleet with(Links others) {
-        return new Fleet(kinds, racks, zones, nodes, choke, others, list, clients, classes, tenants, load,
-                faults);
+        return new Fleet(kinds, racks, zones, nodes, choke, others, list, clients, classes, tenants, load, faults);
     }
 
     /** The same with other clients. */
     public Fleet with(Clients others) {
-        return new Fleet(kinds, racks, zones, nodes, choke, links, list, others, classes, tenants, load,
-                faults);
+        return new Fleet(kinds, racks, zones, nodes, choke, links, list, others, classes, tenants, load, faults);
     }
 
     /** The same whose classes are others, or other work. */
     public Fleet withClasses(List<Work> others) {
-        return new Fleet(kinds, racks, zones, nodes, choke, links, list, clients, List.copyOf(others),
-                tenants,
-                load, faults);
+        return new Fleet(
+                kinds, racks, zones, nodes, choke, links, list, clients, List.copyOf(others), tenants, load, faults);
     }
 
     /** The same whose tenants are others, or ask otherwise. */
     public Fleet withTenants(List<Share> others) {
-        return new Fleet(kinds, racks, zones, nodes, choke, links, list, clients, classes,
-                List.copyOf(others),
-                load, faults);
+        return new Fleet(
+                kinds, racks, zones, nodes, choke, links, list, clients, classes, List.copyOf(others), load, faults);
     }
 
     /** The same without tenants' shares. */
@@ -298,8 +321,10 @@
     public List<String> faultsFound() {
         List<String> found = new ArrayList<>();
         require(found, !kinds.isEmpty(), "boxes: at least one kind must be given");
-        require(found, boxes() >= 1 && boxes() <= MOST_BOXES, "boxes: from 1 to " + MOST_BOXES
-                + " in all, not " + boxes());
+        require(
+                found,
+                boxes() >= 1 && boxes() <= MOST_BOXES,
+                "boxes: from 1 to " + MOST_BOXES + " in all, not " + boxes());
         for (Kind kind : kinds) {
             String at = "boxes \"" + kind.name + "\": ";
             require(found, kind.count >= 0, at + "count is under 0");
@@ -311,46 +336,61 @@
             require(found, kind.coldUs >= 0, at + "cold is under 0");
         }
         require(found, racks >= 1, "racks is under 1");
-        require(found, zones.count >= 1 && zones.count <= racks && zones.count <= nodes.count,
+        require(
+                found,
+                zones.count >= 1 && zones.count <= racks && zones.count <= nodes.count,
                 "zones: count is not from 1 to the number of racks and of nodes");
         require(found, zones.acrossUs >= 0 && zones.price >= 0, "zones: across or price is under 0");
-        require(found, nodes.count >= 1 && nodes.count <= MOST_NODES, "nodes: count is not from 1 to "
-                + MOST_NODES);
-        require(found, nodes.eventUs >= 0 && nodes.cores > 0,
-                "nodes: event is under 0, or cores not above 0");
+        require(found, nodes.count >= 1 && nodes.count <= MOST_NODES, "nodes: count is not from 1 to " + MOST_NODES);
+        require(found, nodes.eventUs >= 0 && nodes.cores > 0, "nodes: event is under 0, or cores not above 0");
         require(found, !classes.isEmpty(), "class: at least one must be given");
         for (Work work : classes) {
             String at = "class \"" + work.of.name() + "\": ";
             require(found, work.share > 0, at + "share is not above 0");
             require(found, work.meanUs > 0, at + "work is not above 0");
             require(found, work.cv >= 0, at + "cv is under 0");
-            require(found, work.of.aimUs() > 0 && work.of.deadlineUs() >= work.of.aimUs(),
+            require(
+                    found,
+                    work.of.aimUs() > 0 && work.of.deadlineUs() >= work.of.aimUs(),
                     at + "aim is not above 0, or beyond the deadline");
-            require(found, work.of.repeat() != Repeat.KEYED || work.of.windowUs() > 0,
+            require(
+                    found,
+                    work.of.repeat() != Repeat.KEYED || work.of.windowUs() > 0,
                     at + "a keyed class needs a window above 0");
         }
         require(found, load.ratePerS > 0, "load: rate is not above 0");
         require(found, load.lengthUs >= 1_000_000, "load: length is under 1s");
         for (int i = 1; i < load.shape.size(); i++) {
-            require(found, load.shape.get(i).us > load.shape.get(i - 1).us,
-                    "load: shape is not in order of time");
+            require(found, load.shape.get(i).us > load.shape.get(i - 1).us, "load: shape is not in order of time");
         }
-        require(found, clients.tryFrom > 0 && clients.tryFrom <= clients.tryTo && clients.tryTo <= 1,
+        require(
+                found,
+                clients.tryFrom > 0 && clients.tryFrom <= clients.tryTo && clients.tryTo <= 1,
                 "clients: try_from and try_to are not in order within (0, 1]");
         require(found, clients.skew >= 0 && clients.skew <= 3, "clients: skew is not from 0 to 3");
         require(found, clients.retries >= 0 && clients.retries <= 10, "clients: retries is not from 0 to 10");
         for (Fault fault : faults) {
             String at = "fault " + fault.trouble + ": ";
             require(found, fault.atUs >= 0 && fault.forUs >= 0, at + "at or for is under 0");
-            require(found, fault.among != Among.RACK || fault.which >= 0 && fault.which < racks,
+            require(
+                    found,
+                    fault.among != Among.RACK || fault.which >= 0 && fault.which < racks,
                     at + "there is no rack " + fault.which);
-            require(found, fault.among != Among.ZONE || fault.which >= 0 && fault.which < zones.count,
+            require(
+                    found,
+                    fault.among != Among.ZONE || fault.which >= 0 && fault.which < zones.count,
                     at + "there is no zone " + fault.which);
-            require(found, fault.trouble != Trouble.CUT || fault.among == Among.ZONE && zones.count > 1,
+            require(
+                    found,
+                    fault.trouble != Trouble.CUT || fault.among == Among.ZONE && zones.count > 1,
                     at + "must be among zones, of which there must be two");
-            require(found, fault.among != Among.KIND || fault.which >= 0 && fault.which < kinds.size(),
+            require(
+                    found,
+                    fault.among != Among.KIND || fault.which >= 0 && fault.which < kinds.size(),
                     at + "there is no such kind");
-            require(found, fault.trouble != Trouble.FAIL || fault.size > 0 && fault.size <= 1,
+            require(
+                    found,
+                    fault.trouble != Trouble.FAIL || fault.size > 0 && fault.size <= 1,
                     at + "size is not in (0, 1]");
             require(found, fault.trouble != Trouble.SLOW || fault.size >= 1, at + "size is under 1");
         }
--- a/src/main/java/kitemux/fleet/FleetNode.java
+++ b/src/main/java/kitemux/fleet/FleetNode.java
@@ -1,7 +1,6 @@
 package kitemux.fleet;
 
 import java.util.List;
-
 import kitemux.Balancer.ServerEntry;
 
 /**
@@ -51,5 +50,5 @@
      * @param attempts requests sent to servers
      * @param dials connections opened to servers
      */
-    record Figures(double usedUs, double mostLateUs, long attempts, long dials) { }
+    record Figures(double usedUs, double mostLateUs, long attempts, long dials) {}
 }
--- a/src/main/java/kitemux/fleet/Population.java
+++ b/src/main/java/kitemux/fleet/Population.java
@@ -1,7 +1,6 @@
 package kitemux.fleet;
 
 import java.util.List;
-
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
 import kitemux.sim.Scheduler;
@@ -34,6 +33,7 @@
     private final double[] nodesUpTo;
     /** Until when the front still deals clients out to a node that has died, and from when not yet again. */
     private final long[] noticedAtUs;
+
     private long tries;
     private long wishes;
 
@@ -47,8 +47,10 @@
         work = new Draws(seed, Draws.Cause.WORK);
         patience = new Draws(seed, Draws.Cause.CLIENTS);
         front = new Draws(seed, Draws.Cause.FRONT);
-        classesUpTo = sums(fleet.classes().stream().mapToDouble(Fleet.Work::share).toArray());
-        tenantsUpTo = sums(fleet.tenants().stream().mapToDouble(t -> t.share() * t.usage()).toArray());
+        classesUpTo =
+                sums(fleet.classes().stream().mapToDouble(Fleet.Work::share).toArray());
+        tenantsUpTo = sums(
+                fleet.tenants().stream().mapToDouble(t -> t.share() * t.usage()).toArray());
         most = fleet.load().most();
         noticedAtUs = new long[nodes.size()];
         nodesUpTo = fleet.clients().skew() == 0 ? null : weights(seed);
@@ -95,16 +97,17 @@
 
     /**
      * Something is wanted, or not: the same is drawn for either, so that other rates meet the same clients.
-     * 
+     *
      */
     private void draw(boolean comes, int by) {
         int of = work.by(classesUpTo);
         Fleet.Work drawn = fleet.classes().get(of);
-        double workUs = switch (drawn.spread()) {
-            case FIXED -> drawn.meanUs();
-            case EXPONENTIAL -> work.exponential(drawn.meanUs());
-            case LOGNORMAL -> work.lognormal(drawn.meanUs(), drawn.cv());
-        };
+        double workUs =
+                switch (drawn.spread()) {
+                    case FIXED -> drawn.meanUs();
+                    case EXPONENTIAL -> work.exponential(drawn.meanUs());
+                    case LOGNORMAL -> work.lognormal(drawn.meanUs(), drawn.cv());
+                };
         int tenant = by != NOBODY ? by : tenantsUpTo.length == 0 ? NOBODY : work.by(tenantsUpTo);
         if (comes) {
             new Wish(of, drawn.of(), tenant, Math.max(1, workUs)).ask();
@@ -163,14 +166,16 @@
                 }
             });
             long patientUs = forUs + GRACE_US;
-            patienceEnds = time.afterUs(patientUs, () -> at.timeOver(one, patientUs, () -> {
-                if (!one.isOver()) {
-                    one.giveUp();
-                    rules.unanswered(mine);
-                    at.left(one);
-                    over(Try.End.FAILED, 0);
-                }
-            }));
+            patienceEnds = time.afterUs(
+                    patientUs,
+                    () -> at.timeOver(one, patientUs, () -> {
+                        if (!one.isOver()) {
+                            one.giveUp();
+                            rules.unanswered(mine);
+                            at.left(one);
+                            over(Try.End.FAILED, 0);
+                        }
+                    }));
         }
 
         private FleetNode choose() {
--- a/src/main/java/kitemux/fleet/Proxy.java
+++ b/src/main/java/kitemux/fleet/Proxy.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-
 import kitemux.Balancer;
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Result;
@@ -52,6 +51,7 @@
     private final Map<String, Link> links = new HashMap<>();
     /** The list as it was told, for who starts anew, and when it was told of drains. */
     private final Map<String, ServerEntry> told = new HashMap<>();
+
     private final Map<String, Long> drainToldUs = new HashMap<>();
     private final Map<Try, Engine.Held<Try, Boolean>> open = new HashMap<>();
     private int life;
@@ -116,8 +116,18 @@
         }
     }
 
-    Proxy(int number, Fleet fleet, Scheduler time, Map<String, Box> boxes, Rules rules, Cuts cuts,
-            Settings settings, Draws network, Draws seeds, long unixUs, ModuleMaker modules) {
+    Proxy(
+            int number,
+            Fleet fleet,
+            Scheduler time,
+            Map<String, Box> boxes,
+            Rules rules,
+            Cuts cuts,
+            Settings settings,
+            Draws network,
+            Draws seeds,
+            long unixUs,
+            ModuleMaker modules) {
         this.number = number;
         this.fleet = fleet;
         this.time = time;
@@ -160,20 +170,27 @@
                 return event::cancel;
             }
         };
-        engine = new Engine<>(settings.maxAttempts, clock, this, () -> { }, Observer.NONE, SendGate.open(),
+        engine = new Engine<>(
+                settings.maxAttempts,
+                clock,
+                this,
+                () -> {},
+                Observer.NONE,
+                SendGate.open(),
                 new Log() {
                     @Override
-                    public void line(String text) { }
+                    public void line(String text) {}
 
                     @Override
                     public void error(String what, Throwable cause) {
                         throw new IllegalStateException("node " + number + ": " + what, cause);
                     }
-                }, actions -> {
+                },
+                actions -> {
                     module = modules.make(settings, seeds.any(), actions);
                     return module;
                 });
-        engine.listed(ListKind.CACHED, new ArrayList<>(told.values()), () -> { });
+        engine.listed(ListKind.CACHED, new ArrayList<>(told.values()), () -> {});
     }
 
     @Override
@@ -213,7 +230,7 @@
             }
         }
         if (up) {
-            handle(life, () -> engine.listed(ListKind.CHANGES, entries, () -> { }));
+            handle(life, () -> engine.listed(ListKind.CHANGES, entries, () -> {}));
         }
     }
 
@@ -282,8 +299,9 @@
 
     private long oneWayUs(Box box) {
         long acrossUs = box.zone() == settings.myZone ? 0 : fleet.zones().acrossUs();
-        return Math.max(1, (long) network.lognormal(fleet.links().oneWayUs(), fleet.links().jitter())
-                + acrossUs);
+        return Math.max(
+                1,
+                (long) network.lognormal(fleet.links().oneWayUs(), fleet.links().jitter()) + acrossUs);
     }
 
     /** What is sent now does not arrive, either way. */
@@ -302,8 +320,8 @@
             rules.sentWhileDraining(box);
         }
         long oldest = time.nowUs() - fleet.links().idleUs();
-        while (!link.idle.isEmpty() && (link.idle.peekLast()[1] <= oldest
-                || link.idle.peekLast()[0] != box.process())) {
+        while (!link.idle.isEmpty()
+                && (link.idle.peekLast()[1] <= oldest || link.idle.peekLast()[0] != box.process())) {
             box.disconnected((int) link.idle.pollLast()[0]);
         }
         if (!link.idle.isEmpty() && box.isUp()) {
--- a/src/main/java/kitemux/fleet/Result.java
+++ b/src/main/java/kitemux/fleet/Result.java
@@ -22,15 +22,31 @@
  * @param told the first of these, a line each
  * @param events that were played
  */
-public record Result(long seed, double inTime, double worstWindow, List<Double> byTenant,
+public record Result(
+        long seed,
+        double inTime,
+        double worstWindow,
+        List<Double> byTenant,
         List<Double> bySecond,
-        List<OfClass> classes, long p50Us, long p99Us, double triesPerWish, List<OfKind> kinds,
-        double nodeBusy, double nodeMostLateUs, int choked, long turnedAway, long connectionsRefused,
-                long attempts,
-        long dials, double wasted, long breaks, List<String> told, long events) {
+        List<OfClass> classes,
+        long p50Us,
+        long p99Us,
+        double triesPerWish,
+        List<OfKind> kinds,
+        double nodeBusy,
+        double nodeMostLateUs,
+        int choked,
+        long turnedAway,
+        long connectionsRefused,
+        long attempts,
+        long dials,
+        double wasted,
+        long breaks,
+        List<String> told,
+        long events) {
 
     /** What became of a class's wishes. */
-    public record OfClass(String name, long offered, long inTime, long late, long refused, long failed) { }
+    public record OfClass(String name, long offered, long inTime, long late, long refused, long failed) {}
 
     /**
      * What became of a kind's servers.
@@ -39,11 +55,13 @@
      * @param busiest the same of the busiest one
      * @param mostConnections that one had at a time
      */
-    public record OfKind(String name, double busy, double busiest, int mostConnections, int choked) { }
+    public record OfKind(String name, double busy, double busiest, int mostConnections, int choked) {}
 
     /** Share of the wishes of the class that was served worst which were answered in time. */
     public double worstClass() {
-        return classes.stream().filter(c -> c.offered > 0).mapToDouble(c -> (double) c.inTime / c.offered)
+        return classes.stream()
+                .filter(c -> c.offered > 0)
+                .mapToDouble(c -> (double) c.inTime / c.offered)
                 .min()
                 .orElse(1);
     }
--- a/src/main/java/kitemux/fleet/Rules.java
+++ b/src/main/java/kitemux/fleet/Rules.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
@@ -26,7 +25,7 @@
      * @param fallMultiple a cold server falls over beyond so many times what it can do
      * @param fallUs within any stretch so long
      */
-    record Limits(double fallMultiple, long fallUs) { }
+    record Limits(double fallMultiple, long fallUs) {}
 
     /** One try of a client, as servers see it. */
     static final class Asked {
@@ -64,16 +63,17 @@
             asked.rack = box.rack;
             return;
         }
-        boolean lawful = switch (asked.of.repeat()) {
-            case SAFE -> true;
-            // Of two copies the one that was sent last may begin first: the rack remembers either.
-            case KEYED -> sentUs <= asked.firstSentUs + asked.of.windowUs()
-                    && (asked.of.group() != Group.CELL || asked.rack == box.rack);
-            case UNSAFE -> false;
-        };
+        boolean lawful =
+                switch (asked.of.repeat()) {
+                    case SAFE -> true;
+                    // Of two copies the one that was sent last may begin first: the rack remembers either.
+                    case KEYED ->
+                        sentUs <= asked.firstSentUs + asked.of.windowUs()
+                                && (asked.of.group() != Group.CELL || asked.rack == box.rack);
+                    case UNSAFE -> false;
+                };
         if (!lawful) {
-            breakOf("no effect twice: request " + asked.number + " of " + asked.of.name() + " runs again at "
-                    + box.id);
+            breakOf("no effect twice: request " + asked.number + " of " + asked.of.name() + " runs again at " + box.id);
         }
     }
 
--- a/src/main/java/kitemux/fleet/Tally.java
+++ b/src/main/java/kitemux/fleet/Tally.java
@@ -2,10 +2,8 @@
 
 import java.util.List;
 import java.util.stream.IntStream;
-
-import org.HdrHistogram.Histogram;
-
 import kitemux.Balancer.RequestClass;
+import org.HdrHistogram.Histogram;
 
 /** Counts what became of clients' wishes, by second, class and tenant. A client's tries are one wish. */
 final class Tally {
@@ -26,7 +24,13 @@
     long tries;
 
     /** Places in what is counted for a class. */
-    private enum Of { OFFERED, IN_TIME, LATE, REFUSED, FAILED }
+    private enum Of {
+        OFFERED,
+        IN_TIME,
+        LATE,
+        REFUSED,
+        FAILED
+    }
 
     Tally(Fleet fleet) {
         this.fleet = fleet;
@@ -106,19 +110,27 @@
     }
 
     List<Double> byTenant() {
-        return IntStream.range(0, tenantOffered.length).mapToObj(t ->
-                tenantOffered[t] == 0 ? 1 : tenantInTime[t] / tenantOffered[t]).toList();
+        return IntStream.range(0, tenantOffered.length)
+                .mapToObj(t -> tenantOffered[t] == 0 ? 1 : tenantInTime[t] / tenantOffered[t])
+                .toList();
     }
 
     List<Double> sharesBySecond() {
-        return IntStream.range(0, offered.length - 1).mapToObj(s -> share(s, s + 1)).toList();
+        return IntStream.range(0, offered.length - 1)
+                .mapToObj(s -> share(s, s + 1))
+                .toList();
     }
 
     List<Result.OfClass> classes() {
-        return IntStream.range(0, byClass.length).mapToObj(c -> new Result.OfClass(
-                fleet.classes().get(c).of().name(), byClass[c][0], byClass[c][1], byClass[c][2],
+        return IntStream.range(0, byClass.length)
+                .mapToObj(c -> new Result.OfClass(
+                        fleet.classes().get(c).of().name(),
+                        byClass[c][0],
+                        byClass[c][1],
+                        byClass[c][2],
                         byClass[c][3],
-                byClass[c][4])).toList();
+                        byClass[c][4]))
+                .toList();
     }
 
     long latencyUs(double percentile) {
--- a/src/main/java/kitemux/fleet/Try.java
+++ b/src/main/java/kitemux/fleet/Try.java
@@ -29,7 +29,12 @@
     }
 
     /** How a try ends. */
-    enum End { SERVED, REFUSED, FAILED, BROKEN }
+    enum End {
+        SERVED,
+        REFUSED,
+        FAILED,
+        BROKEN
+    }
 
     Try(Intention of, Rules.Asked asked, long leftUs, FleetNode at, boolean again) {
         this.of = of;
--- a/src/main/java/kitemux/hcl/Places.java
+++ b/src/main/java/kitemux/hcl/Places.java
@@ -23,6 +23,7 @@
     private final List<Labelled> labelled = new ArrayList<>();
     /** Where the statement began that is being read. */
     private int statement;
+
     private final Set<String> once = new HashSet<>();
     private int at;
     private int line = 1;
@@ -37,7 +38,7 @@
      *
      * @param from and {@code to}: where it stands in the text, the latter behind its bracket
      */
-    record Labelled(int from, int to) { }
+    record Labelled(int from, int to) {}
 
     /** Blocks at the top that have a label, in order; those that are never closed are not among them. */
     List<Labelled> labelled() {
@@ -87,8 +88,8 @@
         int length = -1;
         for (Map.Entry<String, int[]> place : places.entrySet()) {
             String path = place.getKey();
-            boolean begins = fault.startsWith(path) && (fault.length() == path.length()
-                    || ":.[ ".indexOf(fault.charAt(path.length())) >= 0);
+            boolean begins = fault.startsWith(path)
+                    && (fault.length() == path.length() || ":.[ ".indexOf(fault.charAt(path.length())) >= 0);
             if (begins && path.length() > length) {
                 best = place.getValue();
                 length = path.length();
@@ -102,8 +103,7 @@
     /**
      * @param from where a labelled block at the top begins; -1 for all others
      */
-    private record Open(char bracket, String path, int line, int column, Map<String, Integer> counts,
-            int from) { }
+    private record Open(char bracket, String path, int line, int column, Map<String, Integer> counts, int from) {}
 
     private void scan() {
         Deque<Open> open = new ArrayDeque<>();
--- a/src/main/java/kitemux/hcl/Section.java
+++ b/src/main/java/kitemux/hcl/Section.java
@@ -6,8 +6,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeSet;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -91,13 +91,14 @@
         if (!read.matches()) {
             return -1;
         }
-        double unit = switch (read.group(2)) {
-            case "us" -> 1;
-            case "ms" -> 1e3;
-            case "s" -> 1e6;
-            case "m" -> 60e6;
-            default -> 3_600e6;
-        };
+        double unit =
+                switch (read.group(2)) {
+                    case "us" -> 1;
+                    case "ms" -> 1e3;
+                    case "s" -> 1e6;
+                    case "m" -> 60e6;
+                    default -> 3_600e6;
+                };
         return Math.round(Double.parseDouble(read.group(1)) * unit);
     }
 
@@ -151,7 +152,9 @@
 
     /** A list of texts. */
     public List<String> texts(String field, List<String> otherwise) {
-        return values(field).map(all -> all.stream().map(String::valueOf).toList()).orElse(otherwise);
+        return values(field)
+                .map(all -> all.stream().map(String::valueOf).toList())
+                .orElse(otherwise);
     }
 
     /** A list of numbers; empty where it is not given. */
--- a/src/main/java/kitemux/hcl/Text.java
+++ b/src/main/java/kitemux/hcl/Text.java
@@ -1,13 +1,12 @@
 package kitemux.hcl;
 
+import com.bertramlabs.plugins.hcl4j.HCLParser;
+import com.bertramlabs.plugins.hcl4j.HCLParserException;
 import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
-import com.bertramlabs.plugins.hcl4j.HCLParser;
-import com.bertramlabs.plugins.hcl4j.HCLParserException;
-
 /**
  * Reads descriptions in HCL. The library's time grows with the square of a text's length: 35 s for 10,000
  * servers. So
@@ -17,7 +16,7 @@
     /** Blocks that are read at a time. */
     private static final int AT_A_TIME = 50;
 
-    private Text() { }
+    private Text() {}
 
     /**
      * What a text says, by names.
--- a/src/main/java/kitemux/http/Body.java
+++ b/src/main/java/kitemux/http/Body.java
@@ -1,11 +1,10 @@
 package kitemux.http;
 
+import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 
-import io.netty.buffer.ByteBuf;
-
 /** A request's body as it comes, in parts: no long one is copied whole, nor needs its room at a stretch. */
 final class Body {
     private static final int FIRST = 256;
