--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -1,11 +1,5 @@
 package kitemux.http;
 
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.List;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -29,7 +23,11 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Ticker;
-
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import kitemux.engine.Client;
 import kitemux.engine.Engine;
 import kitemux.engine.Log;
@@ -49,6 +47,7 @@
     private final ClientServer server;
     /** Its place in the order in which connections were accepted, from 1. */
     private final long number;
+
     private final RequestReader reader;
     private final Engine<ClientRequest, Answer> engine;
     private final Log log;
@@ -57,6 +56,7 @@
     private final LoopTime time;
     /** The earliest that it may have come up: what is read at first may have come with it. */
     private final long openedUs;
+
     private boolean readBefore;
     /** What came whole and waits for its turn. */
     private final ArrayDeque<Incoming> waiting = new ArrayDeque<>();
@@ -64,18 +64,21 @@
     private boolean paused;
     /** What is kept so, or null; since when, and how much is set aside for it. */
     private ByteBuf ahead;
+
     private long aheadSinceUs;
     private long aheadBytes;
     /** Bytes that came after the last that is read. */
     private long dropped;
     /** Since when what is taken apart now was kept; without end where it has just come. */
     private long keptSinceUs = Long.MAX_VALUE;
+
     private ChannelHandlerContext gateContext;
 
     private HttpRequest head;
     private Body body;
     /** What is set aside for the body that comes, and for those that came and have had no answer. */
     private long comingBytes;
+
     private long heldBytes;
     /** Whether something came since the last whole request. */
     private boolean reading;
@@ -83,12 +86,14 @@
     private boolean deaf;
     /** From a request's turn until its answer is written. */
     private boolean busy;
+
     private boolean keepAlive = true;
     private HttpVersion protocol = HttpVersion.HTTP_1_1;
     private long lingerMs;
     private Future<?> lingering;
     /** When the client's part began: to ask, to go on asking, or to take its answer. */
     private long sinceNanos;
+
     private boolean everAsked;
     private boolean crowded;
     private boolean turnedAway;
@@ -100,11 +105,17 @@
     private Answer passing;
 
     /** A request, or the status that what came instead of one is owed. */
-    private record Incoming(HttpRequest head, List<byte[]> body, long cameUs, HttpResponseStatus error) { }
+    private record Incoming(HttpRequest head, List<byte[]> body, long cameUs, HttpResponseStatus error) {}
 
-    ClientConnection(ClientServer server, long number, RequestReader reader, Engine<ClientRequest, Answer> engine,
+    ClientConnection(
+            ClientServer server,
+            long number,
+            RequestReader reader,
+            Engine<ClientRequest, Answer> engine,
             LoopTime time,
-            Log log, QuietChannel channel, long openedUs) {
+            Log log,
+            QuietChannel channel,
+            long openedUs) {
         this.server = server;
         this.number = number;
         this.reader = reader;
@@ -249,8 +260,8 @@
                 return;
             }
             if (HttpUtil.is100ContinueExpected(begun) && !busy && waiting.isEmpty()) {
-                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+                channel.writeAndFlush(new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
         }
         if (part instanceof HttpContent content) {
@@ -341,8 +352,10 @@
     private void serve(Incoming next) {
         busy = true;
         if (next.error != null) {
-            refuse(next.error, NO_BODY, next.error == HttpResponseStatus.SERVICE_UNAVAILABLE
-                    ? reader.retryAfterUs() : 0);
+            refuse(
+                    next.error,
+                    NO_BODY,
+                    next.error == HttpResponseStatus.SERVICE_UNAVAILABLE ? reader.retryAfterUs() : 0);
             return;
         }
         keepAlive = HttpUtil.isKeepAlive(next.head);
@@ -350,8 +363,7 @@
         try {
             String path = RequestReader.path(next.head.uri());
             if (path.equals("/up")) {
-                answer(server.isUp() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                        NO_BODY, 0);
+                answer(server.isUp() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, NO_BODY, 0);
             } else if (RequestReader.isRequestPath(path)) {
                 ClientRequest request = reader.read(next.head, next.body, time.nowUs() - next.cameUs);
                 if (turnedAway || server.isAnsweringRest()) {
@@ -404,8 +416,7 @@
         sayIfLast(begins);
         channel.write(begins);
         answer.passTo(bytes -> {
-            channel.writeAndFlush(new DefaultHttpContent(bytes)).addListener(
-                    written -> sinceNanos = ticker.nanoTime());
+            channel.writeAndFlush(new DefaultHttpContent(bytes)).addListener(written -> sinceNanos = ticker.nanoTime());
             // One that has left takes no more: what cannot be called off is read to its end.
             answer.setReading(channel.isWritable() || !channel.isActive());
         });
@@ -431,8 +442,7 @@
         // answer, which says that it is the last.
         keepAlive &= !waiting.isEmpty() || ahead != null || !server.endsConnections();
         channel.config().setOption(ChannelOption.SO_LINGER, -1);
-        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(
-                written -> answered(written.isSuccess()));
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(written -> answered(written.isSuccess()));
     }
 
     /** What was begun cannot be taken back: that it is not whole is told by a reset, whatever its framing. */
@@ -484,8 +494,8 @@
     private void answer(HttpResponseStatus status, byte[] content, long retryAfterUs) {
         held = null;
         sinceNanos = ticker.nanoTime();
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                Unpooled.wrappedBuffer(content));
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(content));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
         if (retryAfterUs > 0) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterUs / 1e6);
@@ -523,8 +533,8 @@
                 lingerMs = Limits.LINGER_MS;
                 channel.config().setAutoRead(false);
             }
-            lingering = channel.eventLoop().schedule(() -> close(CloseReason.LAST_ANSWER), lingerMs,
-                    TimeUnit.MILLISECONDS);
+            lingering =
+                    channel.eventLoop().schedule(() -> close(CloseReason.LAST_ANSWER), lingerMs, TimeUnit.MILLISECONDS);
         } else if (!waiting.isEmpty()) {
             channel.eventLoop().execute(this::serveNext);
         }
--- a/src/main/java/kitemux/http/ClientRequest.java
+++ b/src/main/java/kitemux/http/ClientRequest.java
@@ -1,9 +1,7 @@
 package kitemux.http;
 
-import java.util.List;
-
 import io.netty.handler.codec.http.HttpMethod;
-
+import java.util.List;
 import kitemux.engine.Asked;
 
 /**
@@ -22,12 +20,23 @@
  * @param agoUs how long ago it came, as far as that can be told
  * @param isStreamed whether answers of its class are streams
  */
-public record ClientRequest(HttpMethod method, String uri, String txn, String idempotencyKey,
-        List<byte[]> body, int classIndex, int tenant, long leftUs, long workUs, boolean retry, String key,
-        long agoUs, boolean isStreamed)
+public record ClientRequest(
+        HttpMethod method,
+        String uri,
+        String txn,
+        String idempotencyKey,
+        List<byte[]> body,
+        int classIndex,
+        int tenant,
+        long leftUs,
+        long workUs,
+        boolean retry,
+        String key,
+        long agoUs,
+        boolean isStreamed)
         implements Asked {
 
     /** What checks a server, where the settings allow probes. */
-    static final ClientRequest PROBE = new ClientRequest(HttpMethod.GET, "/alive", null, null, List.of(),
-            -1, -1, 0, 0, false, null, 0, false);
+    static final ClientRequest PROBE =
+            new ClientRequest(HttpMethod.GET, "/alive", null, null, List.of(), -1, -1, 0, 0, false, null, 0, false);
 }
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -1,16 +1,5 @@
 package kitemux.http;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
-import java.util.ArrayList;
-import java.util.Iterator;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import java.util.function.IntConsumer;
-
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
@@ -22,7 +11,16 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
-
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 import kitemux.engine.Engine;
 import kitemux.engine.Log;
 import kitemux.net.Answer;
@@ -53,14 +51,17 @@
     private final Set<ClientConnection> busy = new LinkedHashSet<>();
     /** All others, the longest unused first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
+
     private Channel listening;
     /** No connection can have come up before. */
     private long listeningSinceUs;
     /** Since when some that have come up may wait to be taken in; without end if all were taken. */
     private long waitingSinceUs = Long.MAX_VALUE;
+
     private int takenInTurn;
     /** Calls that could not accept a connection and that no line has told of. */
     private long acceptFailures;
+
     private long acceptFailureToldUs;
     /** What long bodies of requests take that have had no answer. */
     private long bodiesBytes;
@@ -68,12 +69,14 @@
     private boolean leftInTurn;
     /** How many connections were ever taken in. */
     private long taken;
+
     private ShutdownPhase phase = ShutdownPhase.SERVING;
     /** A process that takes this one's place listens too: what the front is told is of both. */
     private boolean replaced;
     /** Since when clients are sent away by hand, on the loop's clock; without end if they are not. */
     private long awaySinceUs = Long.MAX_VALUE;
-    private Runnable whenEmpty = () -> { };
+
+    private Runnable whenEmpty = () -> {};
 
     private final Network.Gate gate = new Network.Gate() {
         @Override
@@ -105,9 +108,16 @@
      * @param turnedAway told the class of each request that is refused before the engine has it
      * @param observer told what becomes of connections
      */
-    public ClientServer(EventLoopGroup loop, Network network, RequestReader reader, Sockets sockets,
-            Engine<ClientRequest, Answer> engine, LoopTime time, IntConsumer turnedAway,
-            ConnectionObserver observer, Log log) {
+    public ClientServer(
+            EventLoopGroup loop,
+            Network network,
+            RequestReader reader,
+            Sockets sockets,
+            Engine<ClientRequest, Answer> engine,
+            LoopTime time,
+            IntConsumer turnedAway,
+            ConnectionObserver observer,
+            Log log) {
         this.turnedAway = turnedAway;
         this.observer = observer;
         this.loop = loop;
@@ -129,15 +139,19 @@
         if (shared) {
             listener.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
         }
-        ChannelFuture opening = listener.group(loop).channelFactory(() -> network.listener(gate))
+        ChannelFuture opening = listener.group(loop)
+                .channelFactory(() -> network.listener(gate))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.ALLOCATOR, network.allocator())
-                .option(ChannelOption.RECVBUF_ALLOCATOR,
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(Sockets.MOST_ACCEPTED))
                 // Each is read until nothing more has come, its end included: whoever has left is not served.
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false)
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator()
+                                .respectMaybeMoreData(false)
                                 .maxMessagesPerRead(READS))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -145,7 +159,8 @@
                     protected void initChannel(Channel channel) {
                         accepted((QuietChannel) channel);
                     }
-                }).bind(address);
+                })
+                .bind(address);
         listening = opening.channel();
         opening.addListener(opened -> listeningSinceUs = time.nowUs());
         return opening;
@@ -158,8 +173,7 @@
             sockets.clientClosed();
             acceptIfRoom();
         });
-        ClientConnection client = new ClientConnection(this, taken, reader, engine, time, log, channel,
-                earliestUs());
+        ClientConnection client = new ClientConnection(this, taken, reader, engine, time, log, channel, earliestUs());
         observer.accepted(taken, channel.remoteAddress());
         if (!sockets.hasRoomForClient() && !makeRoom()) {
             // Every connection has a request open. This one may have brought one too, which is owed an
@@ -178,8 +192,11 @@
             }
         }
         fresh.add(client);
-        channel.pipeline().addLast(client.gate(),
-                new HttpServerCodec(new HttpDecoderConfig().setMaxChunkSize(Limits.SMALL_BODY)), client);
+        channel.pipeline()
+                .addLast(
+                        client.gate(),
+                        new HttpServerCodec(new HttpDecoderConfig().setMaxChunkSize(Limits.SMALL_BODY)),
+                        client);
         time.runOverdue();
     }
 
@@ -189,7 +206,8 @@
         if (takenInTurn++ == 0) {
             // In the same turn, behind all that is taken in in it.
             loop.execute(() -> {
-                boolean left = leftInTurn || takenInTurn >= Sockets.MOST_ACCEPTED
+                boolean left = leftInTurn
+                        || takenInTurn >= Sockets.MOST_ACCEPTED
                         || !listening.config().isAutoRead();
                 waitingSinceUs = left ? earliest : Long.MAX_VALUE;
                 takenInTurn = 0;
@@ -204,13 +222,16 @@
 
     /** Where none was taken since, all were: the listener has been looked at in between. */
     private void forgetOnceAllAreTaken(long takenBefore) {
-        loop.schedule(() -> {
-            if (taken == takenBefore && listening.config().isAutoRead()) {
-                waitingSinceUs = Long.MAX_VALUE;
-            } else if (waitingSinceUs != Long.MAX_VALUE && listening.isOpen()) {
-                forgetOnceAllAreTaken(taken);
-            }
-        }, LoopTime.BEAT_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> {
+                    if (taken == takenBefore && listening.config().isAutoRead()) {
+                        waitingSinceUs = Long.MAX_VALUE;
+                    } else if (waitingSinceUs != Long.MAX_VALUE && listening.isOpen()) {
+                        forgetOnceAllAreTaken(taken);
+                    }
+                },
+                LoopTime.BEAT_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     private void acceptIfRoom() {
@@ -244,7 +265,7 @@
      * @return false if there is none
      */
     private boolean closeFirst(Set<ClientConnection> clients) {
-        for (Iterator<ClientConnection> each = clients.iterator(); each.hasNext();) {
+        for (Iterator<ClientConnection> each = clients.iterator(); each.hasNext(); ) {
             ClientConnection client = each.next();
             if (client.isQuiet() && !(client.isReading() && clients == idle)) {
                 each.remove();
@@ -313,8 +334,7 @@
         all().forEach(ClientConnection::closeIfLate);
         if (phase.compareTo(ShutdownPhase.CLOSING_IDLE) >= 0) {
             closeUnused(Limits.FRESH_MS, CloseReason.SHUTDOWN);
-        } else if (awaySinceUs != Long.MAX_VALUE
-                && time.nowUs() - awaySinceUs >= Limits.LEAVING_MS * 1_000) {
+        } else if (awaySinceUs != Long.MAX_VALUE && time.nowUs() - awaySinceUs >= Limits.LEAVING_MS * 1_000) {
             closeUnused(Limits.UNUSED_MS, CloseReason.SENT_AWAY);
         }
     }
@@ -403,8 +423,8 @@
     private void closeUnused(long unusedMs, CloseReason reason) {
         List<ClientConnection> unused = all();
         unused.removeAll(busy);
-        unused.removeIf(client -> client.isReading() || !client.isQuiet()
-                || unusedMs > 0 && !client.isOlderThan(unusedMs));
+        unused.removeIf(
+                client -> client.isReading() || !client.isQuiet() || unusedMs > 0 && !client.isOlderThan(unusedMs));
         unused.forEach(client -> client.close(reason));
     }
 
--- a/src/main/java/kitemux/http/ConnectionObserver.java
+++ b/src/main/java/kitemux/http/ConnectionObserver.java
@@ -8,17 +8,17 @@
  */
 public interface ConnectionObserver {
     /** Told of nothing. */
-    ConnectionObserver NONE = new ConnectionObserver() { };
+    ConnectionObserver NONE = new ConnectionObserver() {};
 
     /** A connection was accepted from this client. */
-    default void accepted(long connection, SocketAddress client) { }
+    default void accepted(long connection, SocketAddress client) {}
 
     /** A request with this id was read whole and is served from now on. */
-    default void requested(long connection, String txn) { }
+    default void requested(long connection, String txn) {}
 
     /** A phase of the shutdown begins. */
-    default void shutdown(ShutdownPhase phase) { }
+    default void shutdown(ShutdownPhase phase) {}
 
     /** A connection has ended. */
-    default void closed(long connection, CloseReason reason) { }
+    default void closed(long connection, CloseReason reason) {}
 }
--- a/src/main/java/kitemux/http/HttpServers.java
+++ b/src/main/java/kitemux/http/HttpServers.java
@@ -1,7 +1,5 @@
 package kitemux.http;
 
-import java.io.IOException;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
@@ -21,7 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-
+import java.io.IOException;
 import kitemux.Balancer.Result;
 import kitemux.Balancer.Settings;
 import kitemux.engine.Log;
@@ -65,11 +63,15 @@
     /** As late as a connection is there to carry it: it says how long the node will wait. */
     private FullHttpRequest message(Exchange<ClientRequest, Answer> exchange) {
         ClientRequest request = exchange.request();
-        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
-                request.uri(), Unpooled.wrappedBuffer(request.body().toArray(byte[][]::new)));
+        FullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method(),
+                request.uri(),
+                Unpooled.wrappedBuffer(request.body().toArray(byte[][]::new)));
         message.headers().set(HttpHeaderNames.HOST, "backend.local");
         if (request.txn() != null) {
-            message.headers().set("X-Txn", request.txn())
+            message.headers()
+                    .set("X-Txn", request.txn())
                     .set("X-Lane", settings.classes.get(request.classIndex()).name())
                     .set("X-Remaining", Math.max(1, exchange.untilUs() - clock.nowUs()) + "u");
         }
@@ -77,7 +79,8 @@
             message.headers().set("Idempotency-Key", request.idempotencyKey());
         }
         if (!request.method().equals(HttpMethod.GET)) {
-            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
+            message.headers()
+                    .set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
         }
         return message;
     }
@@ -90,10 +93,12 @@
         private ByteBuf body;
         /** An answer that is passed on as it comes, or null. */
         private Answer passing;
+
         private boolean reading = true;
         private long readAtUs;
         /** Bytes of an answer that have been passed on, and when the first were. */
         private long passed;
+
         private long passingSinceUs;
         private boolean answered;
         /** The other side broke it off: its end is not that of an answer. */
@@ -133,14 +138,12 @@
                     fail();
                     return;
                 }
-                body = allocator.buffer((int) Math.min(HttpUtil.getContentLength(response, 256L),
-                        Limits.FIRST_ROOM));
+                body = allocator.buffer((int) Math.min(HttpUtil.getContentLength(response, 256L), Limits.FIRST_ROOM));
             }
             if (message instanceof HttpContent content && !gather(content.content())) {
                 return;
             }
-            if (message instanceof LastHttpContent
-                    && head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+            if (message instanceof LastHttpContent && head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
                 if ((broken || isClosedHere()) && isEndedByClose()) {
                     // The decoder takes any end of the connection for the answer's.
                     fail();
@@ -162,15 +165,16 @@
                 return exchange() != null;
             }
             int bytes = more.readableBytes();
-            if (head.status().code() != 200 ? body.readableBytes() + bytes > Limits.MOST_ERROR
+            if (head.status().code() != 200
+                    ? body.readableBytes() + bytes > Limits.MOST_ERROR
                     : answersBytes + bytes > Limits.MOST_ANSWERS) {
                 fail();
                 return false;
             }
             answersBytes += bytes;
             body.writeBytes(more);
-            if (head.status().code() == 200 && Math.max(body.readableBytes(),
-                    HttpUtil.getContentLength(head, 0L)) > Limits.MOST_GATHERED) {
+            if (head.status().code() == 200
+                    && Math.max(body.readableBytes(), HttpUtil.getContentLength(head, 0L)) > Limits.MOST_GATHERED) {
                 return passOn();
             }
             return true;
@@ -222,9 +226,12 @@
         private void answered() {
             byte[] bytes = passing != null ? null : ByteBufUtil.getBytes(body);
             int status = head.status().code();
-            Result result = status == 200 ? Result.OK
-                    : (status == 503 || status == 504) && "1".equals(head.headers().get("X-Turned-Away"))
-                    ? Result.FULL : Result.ERROR;
+            Result result = status == 200
+                    ? Result.OK
+                    : (status == 503 || status == 504)
+                                    && "1".equals(head.headers().get("X-Turned-Away"))
+                            ? Result.FULL
+                            : Result.ERROR;
             answered = isWritten() && HttpUtil.isKeepAlive(head) && !isEndedByClose();
             if (!answered) {
                 channel().close();
--- a/src/main/java/kitemux/http/Limits.java
+++ b/src/main/java/kitemux/http/Limits.java
@@ -63,5 +63,5 @@
     /** Unused for so long, a connection of a client that is sent away holds no request on its way. */
     public static final long UNUSED_MS = 300;
 
-    private Limits() { }
+    private Limits() {}
 }
--- a/src/main/java/kitemux/http/RequestReader.java
+++ b/src/main/java/kitemux/http/RequestReader.java
@@ -1,15 +1,13 @@
 package kitemux.http;
 
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.Settings;
 
@@ -20,6 +18,7 @@
     private static final long WAY_US = 1_000;
     /** In which requests that hold connections now are mostly answered. */
     private static final long CROWDED_US = 500_000;
+
     private static final double MOST_LEFT_US = 3.6e9;
     /** Of a number, so that none costs more to read than it is worth. */
     private static final int MOST_DIGITS = 20;
@@ -54,7 +53,8 @@
             return HttpResponseStatus.BAD_REQUEST;
         }
         return HttpUtil.getContentLength(head, 0L) > Limits.MOST_BODY
-                ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : null;
+                ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
+                : null;
     }
 
     /** When to come back for a client that was turned away for want of descriptors, in microseconds; 0
@@ -85,12 +85,20 @@
         String tenant = one(message, "X-Org");
         String path = path(message.uri());
         String key = path.substring(path.lastIndexOf('/') + 1);
-        return new ClientRequest(message.method(), message.uri(), txn, idempotencyKey,
-                body, classIndex,
+        return new ClientRequest(
+                message.method(),
+                message.uri(),
+                txn,
+                idempotencyKey,
+                body,
+                classIndex,
                 tenant == null ? -1 : tenants.getOrDefault(tenant, -1),
                 Math.max(0, left(need(message, "X-Remaining")) - agoUs),
-                work(one(message, "X-Estimate")), "1".equals(one(message, "X-Resent")),
-                key.isEmpty() ? null : key, agoUs / 2, settings.classes.get(classIndex).stream());
+                work(one(message, "X-Estimate")),
+                "1".equals(one(message, "X-Resent")),
+                key.isEmpty() ? null : key,
+                agoUs / 2,
+                settings.classes.get(classIndex).stream());
     }
 
     private static String need(HttpRequest message, String name) throws BadRequestException {
--- a/src/main/java/kitemux/keeper/ConfigRules.java
+++ b/src/main/java/kitemux/keeper/ConfigRules.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
-
 import kitemux.config.ConfigException;
 import kitemux.config.Json;
 import kitemux.config.SettingsReader;
@@ -23,14 +22,13 @@
  * reader. Each value stands for itself, so what was sound is not looked at again. For one thread.
  */
 public final class ConfigRules implements Rules {
-    private static final List<String> LIVE_OF_CLASS = List.of("onTimeUs", "giveUpUs", "importance",
-            "lateWorth");
-    private static final List<String> OF_CLASS = List.of("onTimeUs", "giveUpUs", "importance", "lateWorth",
-            "aimStretch", "repeat", "group", "windowUs", "stream");
-    private static final List<String> LIMITS = List.of("attemptsCap", "parallelTries", "cancelling", "probes",
-            "retryAfter", "maxRetryAfterUs", "dialTimeoutUs");
-    private static final String KNOWN = "known are realms/NAME, classes/NAME, limits/NAME, overShareWorth, "
-            + "discovery, " + History.VOTERS;
+    private static final List<String> LIVE_OF_CLASS = List.of("onTimeUs", "giveUpUs", "importance", "lateWorth");
+    private static final List<String> OF_CLASS = List.of(
+            "onTimeUs", "giveUpUs", "importance", "lateWorth", "aimStretch", "repeat", "group", "windowUs", "stream");
+    private static final List<String> LIMITS = List.of(
+            "attemptsCap", "parallelTries", "cancelling", "probes", "retryAfter", "maxRetryAfterUs", "dialTimeoutUs");
+    private static final String KNOWN =
+            "known are realms/NAME, classes/NAME, limits/NAME, overShareWorth, " + "discovery, " + History.VOTERS;
 
     /** Values that were sound, by path. */
     private final Map<String, String> sound = new HashMap<>();
@@ -132,9 +130,21 @@
             faults.add(new Fault(path, "is no plain value"));
         } else {
             try {
-                SettingsReader.read(Map.of("limits." + name, json.text(), "limits.retryAfter", "true",
-                        "classes.count", "1", "classes.0.name", "any", "classes.0.onTimeUs", "1",
-                        "classes.0.giveUpUs", "1", "classes.0.repeat", "safe"))
+                SettingsReader.read(Map.of(
+                                "limits." + name,
+                                json.text(),
+                                "limits.retryAfter",
+                                "true",
+                                "classes.count",
+                                "1",
+                                "classes.0.name",
+                                "any",
+                                "classes.0.onTimeUs",
+                                "1",
+                                "classes.0.giveUpUs",
+                                "1",
+                                "classes.0.repeat",
+                                "safe"))
                         .validate();
             } catch (SettingsReader.BadSettingException e) {
                 faults.add(new Fault(path, e.reason));
--- a/src/main/java/kitemux/keeper/Keeper.java
+++ b/src/main/java/kitemux/keeper/Keeper.java
@@ -1,5 +1,7 @@
 package kitemux.keeper;
 
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -12,10 +14,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.EventLoop;
-
 import kitemux.disk.Disk;
 import kitemux.engine.Log;
 import kitemux.engine.Time;
@@ -60,6 +58,7 @@
     private final Map<Long, Consumer<Answer>> asked = new HashMap<>();
     /** Operators that wait for what becomes of a change. */
     private final Map<Long, KeeperServer.Call> changes = new HashMap<>();
+
     private final ArrayDeque<Effect> effects = new ArrayDeque<>();
     private boolean carrying;
     private long lastCall;
@@ -71,18 +70,24 @@
     private String stood = "";
 
     /** What a keeper stands on: one event loop, its channels, its time, and lines for operators. */
-    public record Parts(EventLoop loop, Network network, Time time, Log log) { }
-
-    private Keeper(KeeperSettings settings, Terms terms, Rules rules, Parts on, KeeperFolder folder,
-            long seed, Consumer<Exception> failed) {
+    public record Parts(EventLoop loop, Network network, Time time, Log log) {}
+
+    private Keeper(
+            KeeperSettings settings,
+            Terms terms,
+            Rules rules,
+            Parts on,
+            KeeperFolder folder,
+            long seed,
+            Consumer<Exception> failed) {
         this.settings = settings;
         this.terms = terms;
         loop = on.loop();
         time = on.time();
         log = on.log();
         me = new Voter(settings.number(), folder.identity());
-        machine = new KeeperMachine(terms, me, settings.keepers().size(), settings.voters(), rules,
-                folder.found(), seed, time.nowUs());
+        machine = new KeeperMachine(
+                terms, me, settings.keepers().size(), settings.voters(), rules, folder.found(), seed, time.nowUs());
         this.failed = failed;
         writer = new RecordWriter(folder, loop, failed);
         server = new KeeperServer(loop, this::call);
@@ -102,8 +107,15 @@
      *     cannot be written any more: the process has to end
      * @throws IOException if the folder cannot be read or written, or is another keeper's
      */
-    public static Keeper open(KeeperSettings settings, Terms terms, Rules rules, Parts on, Disk disk,
-            LongSupplier random, Consumer<Exception> failed) throws IOException {
+    public static Keeper open(
+            KeeperSettings settings,
+            Terms terms,
+            Rules rules,
+            Parts on,
+            Disk disk,
+            LongSupplier random,
+            Consumer<Exception> failed)
+            throws IOException {
         KeeperFolder folder = KeeperFolder.open(disk, settings.number(), random, on.log()::line);
         return new Keeper(settings, terms, rules, on, folder, random.getAsLong(), failed);
     }
@@ -206,8 +218,7 @@
             writer.write(write.kept(), () -> happened(write::then));
         } else if (effect instanceof Effect.Conclude conclude) {
             faultyCalls += conclude.outcome() instanceof Outcome.Faulty ? 1 : 0;
-            changes.remove(conclude.call()).answer(status(conclude.outcome()),
-                    RolloutText.write(conclude.outcome()));
+            changes.remove(conclude.call()).answer(status(conclude.outcome()), RolloutText.write(conclude.outcome()));
         } else if (effect instanceof Effect.Tell tell) {
             watches.tell(tell.watch(), tell.line());
         } else if (!(effect instanceof Effect.RefuseWatch)) {
@@ -217,10 +228,13 @@
     }
 
     private static int status(Outcome outcome) {
-        return outcome instanceof Outcome.Taken ? 200
-                : outcome instanceof Outcome.Faulty ? 400
-                : outcome instanceof Outcome.Conflict ? 409
-                : outcome instanceof Outcome.Unavailable ? 503 : 504;
+        return outcome instanceof Outcome.Taken
+                ? 200
+                : outcome instanceof Outcome.Faulty
+                        ? 400
+                        : outcome instanceof Outcome.Conflict
+                                ? 409
+                                : outcome instanceof Outcome.Unavailable ? 503 : 504;
     }
 
     private void send(int to, Request request) {
@@ -233,22 +247,22 @@
                 return;
             }
             RolloutText.Read<Answer> answer = RolloutText.readAnswer(body);
-            if (answer.value() instanceof Answer.Known known
-                    && known.versions().size() > Terms.MOST_VERSIONS) {
+            if (answer.value() instanceof Answer.Known known && known.versions().size() > Terms.MOST_VERSIONS) {
                 log.line("keeper " + to + ": its answer has " + known.versions().size() + " versions; "
                         + Terms.MOST_VERSIONS + " are allowed");
             } else if (answer.faults().isEmpty()) {
                 answered(to, answer.value());
             } else {
-                log.line("keeper " + to + ": its answer cannot be read: " + answer.faults().get(0));
+                log.line("keeper " + to + ": its answer cannot be read: "
+                        + answer.faults().get(0));
             }
         });
     }
 
     private static String kind(Request request) {
-        return request instanceof Request.Prepare ? "prepare"
-                : request instanceof Request.Accept ? "accept"
-                : request instanceof Request.Chosen ? "chosen" : "ask";
+        return request instanceof Request.Prepare
+                ? "prepare"
+                : request instanceof Request.Accept ? "accept" : request instanceof Request.Chosen ? "chosen" : "ask";
     }
 
     /** What comes while the disk is behind is as lost: each answer may be written, and room is bounded. */
@@ -296,12 +310,13 @@
 
     /** A line for operators when it changes whether it serves. */
     private void tellWhereItStands() {
-        String stands = !machine.isCaughtUp() ? "serves nobody until it has heard a majority of the voters"
-                : machine.isAlone() ? "hears no majority of the voters: no change can be made here"
-                : "serves";
+        String stands = !machine.isCaughtUp()
+                ? "serves nobody until it has heard a majority of the voters"
+                : machine.isAlone() ? "hears no majority of the voters: no change can be made here" : "serves";
         if (!stands.equals(stood)) {
             stood = stands;
-            log.line("keeper " + me + " " + stands + "; version " + machine.history().rev());
+            log.line("keeper " + me + " " + stands + "; version "
+                    + machine.history().rev());
         }
     }
 
@@ -312,16 +327,22 @@
             return;
         }
         String path = call.path();
-        String method = switch (path) {
-            case "/rollout/watch", "/rollout/status", "/rollout/inventory" -> "GET";
-            case "/rollout/change", "/rollout/report", "/rollout/prepare", "/rollout/accept",
-                    "/rollout/chosen", "/rollout/ask" -> "POST";
-            default -> "";
-        };
+        String method =
+                switch (path) {
+                    case "/rollout/watch", "/rollout/status", "/rollout/inventory" -> "GET";
+                    case "/rollout/change",
+                            "/rollout/report",
+                            "/rollout/prepare",
+                            "/rollout/accept",
+                            "/rollout/chosen",
+                            "/rollout/ask" -> "POST";
+                    default -> "";
+                };
         if (!call.method().equals(method)) {
             faultyCalls++;
-            call.answer(method.isEmpty() ? 404 : 405, StatusText.fault(path, method.isEmpty()
-                    ? "is not known here" : "is called by " + method));
+            call.answer(
+                    method.isEmpty() ? 404 : 405,
+                    StatusText.fault(path, method.isEmpty() ? "is not known here" : "is called by " + method));
             return;
         }
         switch (path) {
@@ -384,8 +405,11 @@
 
         Query(KeeperServer.Call call, List<String> known) {
             given = call.query();
-            given.keySet().stream().filter(name -> !known.contains(name)).sorted().forEach(name ->
-                    faults.add(new Fault(name, "is not known; known are " + String.join(", ", known))));
+            given.keySet().stream()
+                    .filter(name -> !known.contains(name))
+                    .sorted()
+                    .forEach(
+                            name -> faults.add(new Fault(name, "is not known; known are " + String.join(", ", known))));
         }
 
         long whole(String name, long otherwise, long most) {
@@ -421,8 +445,9 @@
         long watch = ++lastCall;
         List<Effect> told = machine.watch(time.nowUs(), watch, after);
         if (told.stream().anyMatch(effect -> effect instanceof Effect.RefuseWatch r && r.watch() == watch)) {
-            told.stream().filter(effect -> effect instanceof Effect.RefuseWatch).forEach(effect ->
-                    call.answer(503, StatusText.reason(((Effect.RefuseWatch) effect).reason())));
+            told.stream()
+                    .filter(effect -> effect instanceof Effect.RefuseWatch)
+                    .forEach(effect -> call.answer(503, StatusText.reason(((Effect.RefuseWatch) effect).reason())));
         } else {
             watches.begin(watch, (int) node, call, time.nowUs());
         }
@@ -468,8 +493,7 @@
         }
     }
 
-    private void tellStatus(KeeperServer.Call call, long rev, Map<Integer, Row> rows,
-            List<Integer> notHeard) {
+    private void tellStatus(KeeperServer.Call call, long rev, Map<Integer, Row> rows, List<Integer> notHeard) {
         SortedMap<String, Long> figures = new TreeMap<>();
         figures.put("watches", (long) machine.watches());
         figures.put("watches_refused", machine.refusedWatches());
@@ -482,9 +506,20 @@
         figures.put("calls_disk_behind", diskBehind);
         figures.put("connections", (long) server.connections());
         figures.put("connections_turned_away", server.turnedAway());
-        call.answer(200, StatusText.status(rev, Inventory.status(terms, rows, settings.nodes(), rev), rows,
-                new StatusText.Keeper(me.keeper(), me.identity(), machine.history().rev(),
-                        machine.history().voters().contains(me), machine.isCaughtUp(), machine.isAlone(),
-                        notHeard.stream().sorted().toList(), figures)));
+        call.answer(
+                200,
+                StatusText.status(
+                        rev,
+                        Inventory.status(terms, rows, settings.nodes(), rev),
+                        rows,
+                        new StatusText.Keeper(
+                                me.keeper(),
+                                me.identity(),
+                                machine.history().rev(),
+                                machine.history().voters().contains(me),
+                                machine.isCaughtUp(),
+                                machine.isAlone(),
+                                notHeard.stream().sorted().toList(),
+                                figures)));
     }
 }
--- a/src/main/java/kitemux/keeper/KeeperCalls.java
+++ b/src/main/java/kitemux/keeper/KeeperCalls.java
@@ -1,14 +1,5 @@
 package kitemux.keeper;
 
-import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -29,7 +20,14 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
-
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import kitemux.net.Network;
 
 /**
@@ -66,14 +64,16 @@
     KeeperCalls(EventLoop loop, Network network, List<InetSocketAddress> keepers) {
         this.loop = loop;
         keepers.forEach(at -> peers.add(new Peer(at)));
-        dialer = new Bootstrap().group(loop).channelFactory(network::dialer).disableResolver()
+        dialer = new Bootstrap()
+                .group(loop)
+                .channelFactory(network::dialer)
+                .disableResolver()
                 .option(ChannelOption.ALLOCATOR, network.allocator())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CALL_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(),
-                                new HttpObjectAggregator(MOST_ANSWER));
+                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_ANSWER));
                     }
                 });
     }
@@ -99,10 +99,9 @@
             return;
         }
         peer.calls++;
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
-                Unpooled.wrappedBuffer(body));
-        request.headers().set(HttpHeaderNames.HOST, "keeper")
-                .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body));
+        request.headers().set(HttpHeaderNames.HOST, "keeper").set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         Connection connection = peer.idle.pollLast();
         if (connection == null) {
             connection = new Connection(peer);
@@ -126,6 +125,7 @@
         private Channel channel;
         /** Who waits for the answer; null while none is called for. */
         private Consumer<byte[]> waiting;
+
         private Future<?> patience;
 
         Connection(Peer peer) {
--- a/src/main/java/kitemux/keeper/KeeperFile.java
+++ b/src/main/java/kitemux/keeper/KeeperFile.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-
 import kitemux.config.ConfigException;
 import kitemux.hcl.Places;
 import kitemux.hcl.Section;
@@ -23,7 +22,7 @@
     /** Numbers of keepers have three digits at most; eight machines are planned for. */
     static final int MOST_KEEPERS = 32;
 
-    private KeeperFile() { }
+    private KeeperFile() {}
 
     /**
      * @param file what faults call the file
@@ -56,9 +55,9 @@
         }
         InetSocketAddress at = listen.isEmpty() ? null : address("listen", listen, own);
         faults.addAll(Places.placed(file, text, own));
-        return !faults.isEmpty() ? null
-                : new KeeperSettings(number, keepers, at == null ? keepers.get(number) : at, folder, voters,
-                        nodes);
+        return !faults.isEmpty()
+                ? null
+                : new KeeperSettings(number, keepers, at == null ? keepers.get(number) : at, folder, voters, nodes);
     }
 
     private static List<InetSocketAddress> keepers(Section all, List<String> faults) {
--- a/src/main/java/kitemux/keeper/KeeperFolder.java
+++ b/src/main/java/kitemux/keeper/KeeperFolder.java
@@ -9,7 +9,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.zip.CRC32C;
-
 import kitemux.config.Json;
 import kitemux.disk.Disk;
 import kitemux.rollout.Kept;
@@ -29,6 +28,7 @@
     static final String FILE = "records";
     /** A file that is longer is written anew; whole and history have 7 MB at most. */
     static final long MOST_BYTES = 16 << 20;
+
     private static final String NEW = FILE + ".new";
     private static final String FORM = "kitemux keeper";
     private static final int VERSION = 1;
@@ -56,22 +56,21 @@
      * @param log told of what was found spoilt, with its place
      * @throws IOException if it cannot be read or written, or is another keeper's
      */
-    static KeeperFolder open(Disk disk, int keeper, LongSupplier identities, Consumer<String> log)
-            throws IOException {
+    static KeeperFolder open(Disk disk, int keeper, LongSupplier identities, Consumer<String> log) throws IOException {
         if (!disk.list().contains(FILE)) {
             return begun(disk, keeper, identities, List.of());
         }
         Reading reading = new Reading(disk.read(FILE));
         if (reading.identity != null && reading.keeper != keeper) {
-            throw new IOException(FILE + " is of keeper " + reading.keeper + ", and this is keeper "
-                    + keeper);
+            throw new IOException(FILE + " is of keeper " + reading.keeper + ", and this is keeper " + keeper);
         }
         if (reading.fault != null) {
             // Never deleted: whoever looks for what was chosen may find more in it than this program does.
             String aside = aside(disk);
             log.accept("folder: " + FILE + ", offset " + reading.soundUpTo + ": " + reading.fault
                     + "; it is set aside as " + aside + ", and this keeper begins anew without a vote");
-            List<Kept> versions = reading.kept.stream().filter(kept -> !(kept instanceof Kept.Voted))
+            List<Kept> versions = reading.kept.stream()
+                    .filter(kept -> !(kept instanceof Kept.Voted))
                     .toList();
             disk.rename(FILE, aside);
             return begun(disk, keeper, identities, versions);
@@ -143,7 +142,8 @@
         Disk.Out before = out;
         out = disk.create(NEW);
         byte[] head = line(("{\"form\":\"" + FORM + "\",\"version\":" + VERSION + ",\"keeper\":" + keeper
-                + ",\"identity\":\"" + identity + "\"}").getBytes(StandardCharsets.UTF_8));
+                        + ",\"identity\":\"" + identity + "\"}")
+                .getBytes(StandardCharsets.UTF_8));
         out.write(head);
         length = head.length;
         write(records);
@@ -206,8 +206,10 @@
         /** Takes a line in; null, or why it is none. */
         private String line(byte[] file, int from, int end) {
             int text = from + CHECKSUM + 1;
-            if (text > end || end == file.length || file[text - 1] != ' ' || !checksum(file, text, end)
-                    .equals(new String(file, from, CHECKSUM, StandardCharsets.US_ASCII))) {
+            if (text > end
+                    || end == file.length
+                    || file[text - 1] != ' '
+                    || !checksum(file, text, end).equals(new String(file, from, CHECKSUM, StandardCharsets.US_ASCII))) {
                 return (end - from) + " bytes are no record: their checksum differs";
             }
             byte[] record = Arrays.copyOfRange(file, text, end);
@@ -225,7 +227,8 @@
         private String head(byte[] record) {
             try {
                 Json head = Json.read(record);
-                if (!head.path("form").text().equals(FORM) || head.path("version").whole(0) != VERSION
+                if (!head.path("form").text().equals(FORM)
+                        || head.path("version").whole(0) != VERSION
                         || head.path("identity").text().isEmpty()) {
                     return "is no first line of " + FORM + ", version " + VERSION;
                 }
--- a/src/main/java/kitemux/keeper/KeeperProcess.java
+++ b/src/main/java/kitemux/keeper/KeeperProcess.java
@@ -1,13 +1,11 @@
 package kitemux.keeper;
 
-import java.io.IOException;
-import java.nio.file.Path;
-import java.security.SecureRandom;
-
 import io.netty.channel.ChannelFuture;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
-
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
 import kitemux.disk.FolderDisk;
 import kitemux.engine.Log;
 import kitemux.net.LoopTime;
@@ -21,7 +19,7 @@
     /** Of a process that cannot write to its folder any more. */
     private static final int CANNOT_WRITE = 1;
 
-    private KeeperProcess() { }
+    private KeeperProcess() {}
 
     /** Who writes to a folder holds its lock. */
     private static FolderDisk folder(Path folder) throws IOException {
@@ -53,9 +51,14 @@
         PollingLoop loop = SelectorLoop.open();
         Keeper keeper;
         try {
-            keeper = Keeper.open(settings, Terms.usual(), new ConfigRules(),
+            keeper = Keeper.open(
+                    settings,
+                    Terms.usual(),
+                    new ConfigRules(),
                     new Keeper.Parts(loop, NioNetwork.SYSTEM, LoopTime.of(loop), log),
-                    folder(settings.folder()), new SecureRandom()::nextLong, failed -> {
+                    folder(settings.folder()),
+                    new SecureRandom()::nextLong,
+                    failed -> {
                         // Whoever cannot write must not answer: no hook may hold the end up.
                         log.line("folder: cannot be written: " + failed + "; this keeper ends");
                         Runtime.getRuntime().halt(CANNOT_WRITE);
@@ -69,15 +72,20 @@
         }
         ChannelFuture listens = keeper.listen().awaitUninterruptibly();
         if (!listens.isSuccess()) {
-            throw new IOException("listen " + settings.listen() + ": " + listens.cause().getMessage());
+            throw new IOException(
+                    "listen " + settings.listen() + ": " + listens.cause().getMessage());
         }
-        log.line("keeper " + keeper.voter() + " is called at " + listens.channel().localAddress());
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
-                keeper.close();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "end"));
+        log.line("keeper " + keeper.voter() + " is called at "
+                + listens.channel().localAddress());
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            try {
+                                keeper.close();
+                            } catch (InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            }
+                        },
+                        "end"));
     }
 }
--- a/src/main/java/kitemux/keeper/KeeperServer.java
+++ b/src/main/java/kitemux/keeper/KeeperServer.java
@@ -1,14 +1,5 @@
 package kitemux.keeper;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -37,7 +28,14 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.concurrent.Future;
-
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import kitemux.net.NioNetwork;
 import kitemux.rollout.Terms;
 
@@ -76,18 +74,22 @@
 
     /** Listens; the future is done once it can be called. */
     ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture opening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture opening = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOCATOR, NioNetwork.SYSTEM.allocator())
                 .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER)
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK,
+                .childOption(
+                        ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(Terms.MOST_UNWRITTEN / 2, Terms.MOST_UNWRITTEN))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         accepted(channel);
                     }
-                }).bind(address);
+                })
+                .bind(address);
         listening = opening.channel();
         return opening;
     }
@@ -127,10 +129,11 @@
     }
 
     private static FullHttpResponse response(int status, byte[] body, boolean keepAlive) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
         if (status != HttpResponseStatus.NO_CONTENT.code()) {
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length)
+            response.headers()
+                    .set(HttpHeaderNames.CONTENT_LENGTH, body.length)
                     .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
         }
         if (!keepAlive) {
@@ -201,7 +204,8 @@
         /** Begins an answer without an end; what follows is written to this connection as it comes. */
         Channel stream() {
             HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-            head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+            head.headers()
+                    .set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
                     .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
             channel.writeAndFlush(head);
             return channel;
@@ -233,8 +237,9 @@
             patience = null;
             if (request.decoderResult().isFailure()) {
                 unreadable++;
-                byte[] why = StatusText.fault("call", "cannot be read: " + request.decoderResult().cause()
-                        .getMessage());
+                byte[] why = StatusText.fault(
+                        "call",
+                        "cannot be read: " + request.decoderResult().cause().getMessage());
                 context.writeAndFlush(response(400, why, false)).addListener(ChannelFutureListener.CLOSE);
                 return;
             }
--- a/src/main/java/kitemux/keeper/KeeperSettings.java
+++ b/src/main/java/kitemux/keeper/KeeperSettings.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
-
 import kitemux.rollout.Voter;
 
 /**
@@ -16,5 +15,10 @@
  * @param voters the first voters, the same at all keepers
  * @param nodes how many nodes there are, numbered from 0
  */
-public record KeeperSettings(int number, List<InetSocketAddress> keepers, InetSocketAddress listen,
-        Path folder, List<Voter> voters, int nodes) { }
+public record KeeperSettings(
+        int number,
+        List<InetSocketAddress> keepers,
+        InetSocketAddress listen,
+        Path folder,
+        List<Voter> voters,
+        int nodes) {}
--- a/src/main/java/kitemux/keeper/RecordWriter.java
+++ b/src/main/java/kitemux/keeper/RecordWriter.java
@@ -7,10 +7,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
-
-import org.jctools.queues.MpscArrayQueue;
-
 import kitemux.rollout.Kept;
+import org.jctools.queues.MpscArrayQueue;
 
 /**
  * Writes a keeper's records on a thread of its own, what has come together in one go, and says on the loop
@@ -28,7 +26,7 @@
      * A record and what follows once it is safe; or, where {@code anew} is not null, all that the file is to
      * hold.
      */
-    private record Item(Kept kept, Runnable then, List<Kept> anew) { }
+    private record Item(Kept kept, Runnable then, List<Kept> anew) {}
 
     private final KeeperFolder folder;
     private final Executor loop;
@@ -74,14 +72,13 @@
 
     /** Puts these in the place of all that was written or waits. */
     void renew(List<Kept> all) {
-        offer(new Item(null, () -> { }, all));
+        offer(new Item(null, () -> {}, all));
     }
 
     private void offer(Item item) {
         queued.incrementAndGet();
         if (!queue.offer(item)) {
-            failed.accept(new IllegalStateException("more than " + MOST_QUEUED
-                    + " records wait to be written"));
+            failed.accept(new IllegalStateException("more than " + MOST_QUEUED + " records wait to be written"));
         }
         LockSupport.unpark(thread);
     }
--- a/src/main/java/kitemux/keeper/RolloutWatch.java
+++ b/src/main/java/kitemux/keeper/RolloutWatch.java
@@ -1,15 +1,5 @@
 package kitemux.keeper;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.SortedMap;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -31,7 +21,15 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.concurrent.TimeUnit;
 import kitemux.engine.Log;
 import kitemux.engine.Time;
 import kitemux.net.ListLines;
@@ -64,6 +62,7 @@
     private final Bootstrap dialer;
     /** Dials and watches that the machine knows, by its numbers. */
     private final Map<Long, Watch> watches = new HashMap<>();
+
     private final Set<Channel> reports = new HashSet<>();
     private long reportsNotSent;
     private Time.Timer timer;
@@ -84,8 +83,17 @@
      * @param life as the machine was told
      * @param sockets counts those that are open: two watches and {@link #MOST_REPORTS} at most
      */
-    public RolloutWatch(EventLoop loop, Network network, Time time, List<InetSocketAddress> keepers,
-            Subscriber machine, int node, long life, Sockets sockets, InForce inForce, Log log) {
+    public RolloutWatch(
+            EventLoop loop,
+            Network network,
+            Time time,
+            List<InetSocketAddress> keepers,
+            Subscriber machine,
+            int node,
+            long life,
+            Sockets sockets,
+            InForce inForce,
+            Log log) {
         this.loop = loop;
         this.sockets = sockets;
         this.time = time;
@@ -94,7 +102,10 @@
         who = "&node=" + node + "&life=" + life;
         this.inForce = inForce;
         this.log = log;
-        dialer = new Bootstrap().group(loop).channelFactory(network::dialer).disableResolver()
+        dialer = new Bootstrap()
+                .group(loop)
+                .channelFactory(network::dialer)
+                .disableResolver()
                 .option(ChannelOption.ALLOCATOR, network.allocator())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) REPORT_MS)
                 .handler(new ChannelInitializer<Channel>() {
@@ -158,13 +169,13 @@
         }
         if (machine.state() != stood) {
             stood = machine.state();
-            log.line("rollout: " + switch (stood) {
-                case DIALING -> "no keeper is watched; version " + machine.rev() + " stays in force";
-                case CATCHING_UP -> "catching up from version " + machine.rev();
-                case CURRENT -> "told all that its keeper knows";
-                case ALONE -> "its keeper hears no majority: there may be versions later than "
-                        + machine.rev();
-            });
+            log.line("rollout: "
+                    + switch (stood) {
+                        case DIALING -> "no keeper is watched; version " + machine.rev() + " stays in force";
+                        case CATCHING_UP -> "catching up from version " + machine.rev();
+                        case CURRENT -> "told all that its keeper knows";
+                        case ALONE -> "its keeper hears no majority: there may be versions later than " + machine.rev();
+                    });
         }
         if (timer != null) {
             timer.cancel();
@@ -191,8 +202,8 @@
                 return;
             }
             watch.channel.pipeline().addLast(watch);
-            watch.channel.writeAndFlush(request(HttpMethod.GET, "/rollout/watch?after=" + dial.after() + who,
-                    new byte[0]));
+            watch.channel.writeAndFlush(
+                    request(HttpMethod.GET, "/rollout/watch?after=" + dial.after() + who, new byte[0]));
         });
     }
 
@@ -203,11 +214,12 @@
     }
 
     private static FullHttpRequest request(HttpMethod method, String path, byte[] body) {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
-                Unpooled.wrappedBuffer(body));
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body));
         request.headers().set(HttpHeaderNames.HOST, "keeper");
         if (body.length > 0) {
-            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length)
+            request.headers()
+                    .set(HttpHeaderNames.CONTENT_LENGTH, body.length)
                     .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         return request;
@@ -277,7 +289,8 @@
             }
             if (part.decoderResult().isFailure()) {
                 ended();
-            } else if (part instanceof HttpResponse response && response.status().code() != 200) {
+            } else if (part instanceof HttpResponse response
+                    && response.status().code() != 200) {
                 ended();
             } else if (part instanceof HttpResponse) {
                 carry(machine.connected(time.nowUs(), number));
--- a/src/main/java/kitemux/keeper/StatusText.java
+++ b/src/main/java/kitemux/keeper/StatusText.java
@@ -1,15 +1,13 @@
 package kitemux.keeper;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
-
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-
 import kitemux.rollout.Fault;
 import kitemux.rollout.Inventory;
 import kitemux.rollout.Inventory.Standing;
@@ -19,7 +17,7 @@
 final class StatusText {
     private static final JsonFactory JSON = new JsonFactory();
 
-    private StatusText() { }
+    private StatusText() {}
 
     /** Writes the fields of an object. */
     private interface Fields {
@@ -73,12 +71,19 @@
      * @param notHeard numbers of keepers whose inventories did not come: what only they know is missing
      * @param figures counters by name
      */
-    record Keeper(int number, String identity, long newest, boolean votes, boolean caughtUp, boolean alone,
-            List<Integer> notHeard, SortedMap<String, Long> figures) { }
+    record Keeper(
+            int number,
+            String identity,
+            long newest,
+            boolean votes,
+            boolean caughtUp,
+            boolean alone,
+            List<Integer> notHeard,
+            SortedMap<String, Long> figures) {}
 
     /** How nodes stand to a version. */
-    static byte[] status(long rev, Map<Standing, List<Integer>> standing, Map<Integer, Inventory.Row> rows,
-            Keeper keeper) {
+    static byte[] status(
+            long rev, Map<Standing, List<Integer>> standing, Map<Integer, Inventory.Row> rows, Keeper keeper) {
         return object(json -> {
             json.writeNumberField("rev", rev);
             json.writeNumberField("newest", keeper.newest);
--- a/src/main/java/kitemux/keeper/Watches.java
+++ b/src/main/java/kitemux/keeper/Watches.java
@@ -1,14 +1,12 @@
 package kitemux.keeper;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongConsumer;
-
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
-import io.netty.handler.codec.http.DefaultHttpContent;
-
 import kitemux.rollout.Line;
 import kitemux.rollout.RolloutText;
 
--- a/src/main/java/kitemux/lab/Between.java
+++ b/src/main/java/kitemux/lab/Between.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
-
 import kitemux.Balancer.Result;
 import kitemux.Balancer.ServerEntry;
 import kitemux.fleet.Try;
@@ -15,7 +14,7 @@
  */
 public interface Between {
     /** Nobody: parties meet as they listen. */
-    Between NOBODY = new Between() { };
+    Between NOBODY = new Between() {};
 
     /** Where clients reach a node. */
     default InetSocketAddress toNode(int node, InetSocketAddress listens) {
@@ -33,10 +32,10 @@
     }
 
     /** The run begins: clients come from now on. */
-    default void begins(Loopback.Live live) { }
+    default void begins(Loopback.Live live) {}
 
     /** The run was behind its clock by so much, until now: what came meanwhile was seen late. */
-    default void late(long byUs) { }
+    default void late(long byUs) {}
 
     /**
      * Does something once all that has come to a way by now was passed on, on any thread.
@@ -51,37 +50,37 @@
     }
 
     /** A node's process takes clients, or takes them again. */
-    default void up(int node) { }
+    default void up(int node) {}
 
     /** A node's process was ended. */
-    default void down(int node) { }
+    default void down(int node) {}
 
     /** A node's process wrote a line, at some time not long ago. */
-    default void said(int node, String line) { }
+    default void said(int node, String line) {}
 
     /** A client's try is on its way to a node. */
-    default void asked(int node, Try one) { }
+    default void asked(int node, Try one) {}
 
     /** A client has written a try to a connection, one that was used before or a new one. */
-    default void written(Try one, boolean usedBefore) { }
+    default void written(Try one, boolean usedBefore) {}
 
     /** A connection ended under a try, with no byte of an answer. */
-    default void broken(Try one, boolean usedBefore) { }
+    default void broken(Try one, boolean usedBefore) {}
 
     /** An answer has come whole. */
-    default void answered(Try one, int status, long retryAfterUs) { }
+    default void answered(Try one, int status, long retryAfterUs) {}
 
     /** A client waits no more for a try, and closes its connection. */
-    default void left(Try one) { }
+    default void left(Try one) {}
 
     /** A connection to a server has come up. */
-    default void connected(String box, InetSocketAddress from) { }
+    default void connected(String box, InetSocketAddress from) {}
 
     /** A request has come whole to a server that runs, or to one that says nothing. */
-    default void came(String box, InetSocketAddress from, Try one, boolean runs) { }
+    default void came(String box, InetSocketAddress from, Try one, boolean runs) {}
 
     /** A server says how a request ended there. */
-    default void told(String box, Try one, Result result) { }
+    default void told(String box, Try one, Result result) {}
 
     /** The answer that a server gives to a try that it serves, where it is a long one; else null. */
     default LongAnswer longAnswer(String box, Try one) {
@@ -89,23 +88,23 @@
     }
 
     /** A server begins to give a long answer. */
-    default void gives(String box, Try one) { }
+    default void gives(String box, Try one) {}
 
     /** It gives no more of it. */
-    default void gave(String box, Try one, LongAnswer.End how) { }
+    default void gave(String box, Try one, LongAnswer.End how) {}
 
     /** A long answer begins to come to a client, which waits for the rest from now on, whatever its time. */
-    default void begun(Try one) { }
+    default void begun(Try one) {}
 
     /** A connection ended amid a long answer that had begun to come. */
-    default void cutOff(Try one) { }
+    default void cutOff(Try one) {}
 
     /** A server's process has begun, or ended, or gone on without a word. */
-    default void box(String box, boolean up, boolean silent) { }
+    default void box(String box, boolean up, boolean silent) {}
 
     /** Discovery writes a change to a node. */
-    default void listed(int node, List<ServerEntry> entries) { }
+    default void listed(int node, List<ServerEntry> entries) {}
 
     /** A node calls discovery, or watches it from now on. */
-    default void called(int node, boolean watch) { }
+    default void called(int node, boolean watch) {}
 }
--- a/src/main/java/kitemux/lab/BoxSocket.java
+++ b/src/main/java/kitemux/lab/BoxSocket.java
@@ -1,13 +1,5 @@
 package kitemux.lab;
 
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.LinkedHashSet;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -30,7 +22,13 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import kitemux.Balancer.Result;
 import kitemux.fleet.Box;
 import kitemux.fleet.Try;
@@ -44,6 +42,7 @@
     private static final int MOST_BODY = 1 << 16;
     /** What is on its way may come this much after a drain has run out. */
     private static final long DRAIN_SLACK_US = 50_000;
+
     private static final byte[] BODY = "served".getBytes(StandardCharsets.US_ASCII);
 
     private final Box box;
@@ -62,22 +61,31 @@
      * @param asked the tries that clients have sent, by their ids
      * @param handshakeUs work that a new connection costs, on a core of speed 1
      */
-    BoxSocket(Box box, InetSocketAddress address, EventLoop loop, RealTime time, Map<String, Try> asked,
-            double handshakeUs, Between between) {
+    BoxSocket(
+            Box box,
+            InetSocketAddress address,
+            EventLoop loop,
+            RealTime time,
+            Map<String, Try> asked,
+            double handshakeUs,
+            Between between) {
         this.box = box;
         this.between = between;
         this.address = address;
         this.time = time;
         this.asked = asked;
         this.handshakeUs = handshakeUs;
-        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1_024).option(ChannelOption.SO_REUSEADDR, true)
+        listener = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1_024)
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
-                                new Connection());
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY), new Connection());
                     }
                 });
         box.onChange(this::follow);
@@ -127,13 +135,15 @@
         private int process;
         /** Whose long answer it gives, or null. */
         private Try givenTo;
+
         private boolean counted;
         private boolean fresh = true;
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
             time.happens(() -> {
-                between.connected(box.id(), (InetSocketAddress) context.channel().remoteAddress());
+                between.connected(
+                        box.id(), (InetSocketAddress) context.channel().remoteAddress());
                 open.add(context.channel());
                 if (box.isUp() && !box.connect()) {
                     reset(context.channel());
@@ -203,12 +213,16 @@
                 gave(whole ? LongAnswer.End.WHOLE : LongAnswer.End.STOPPED);
                 return;
             }
-            channel.eventLoop().schedule(() -> time.happens(() -> {
-                if (givenTo != null) {
-                    give(channel, LongAnswer.PIECE);
-                    later(channel, answer, given + 1);
-                }
-            }), answer.everyUs(), TimeUnit.MICROSECONDS);
+            channel.eventLoop()
+                    .schedule(
+                            () -> time.happens(() -> {
+                                if (givenTo != null) {
+                                    give(channel, LongAnswer.PIECE);
+                                    later(channel, answer, given + 1);
+                                }
+                            }),
+                            answer.everyUs(),
+                            TimeUnit.MICROSECONDS);
         }
 
         private void gave(LongAnswer.End how) {
@@ -228,8 +242,8 @@
         }
 
         private void answer(Channel channel, HttpResponseStatus status, boolean turnedAway) {
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                    Unpooled.wrappedBuffer(BODY));
+            FullHttpResponse response =
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(BODY));
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, BODY.length);
             if (turnedAway) {
                 response.headers().set("X-Turned-Away", "1");
@@ -240,8 +254,8 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             open.remove(context.channel());
-            time.happens(() -> gave(box.isUp() && process == box.process() ? LongAnswer.End.CLOSED
-                    : LongAnswer.End.DIED));
+            time.happens(
+                    () -> gave(box.isUp() && process == box.process() ? LongAnswer.End.CLOSED : LongAnswer.End.DIED));
             if (counted) {
                 counted = false;
                 time.happens(() -> box.disconnected(process));
--- a/src/main/java/kitemux/lab/Comparison.java
+++ b/src/main/java/kitemux/lab/Comparison.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -19,14 +18,13 @@
     private static final int DRAWS = 10_000;
     private static final long SEED = 20_261_201L;
 
-    private Comparison() { }
+    private Comparison() {}
 
     /**
      * @param pairs runs that both have
      * @param mean of the second less the first
      */
-    public record Difference(String variant, Experiment.Where where, int pairs, double mean, double low,
-            double high) {
+    public record Difference(String variant, Experiment.Where where, int pairs, double mean, double low, double high) {
         /** Whether the interval lies on one side of 0; one pair alone tells nothing. */
         public boolean isTold() {
             return pairs > 1 && (low > 0 || high < 0);
@@ -41,16 +39,18 @@
         Map<String, List<Double>> pairs = new LinkedHashMap<>();
         Map<String, Row> names = new LinkedHashMap<>();
         for (Row a : first) {
-            second.stream().filter(b -> b.variant().equals(a.variant()) && b.where() == a.where()
-                    && b.seed() == a.seed()).findFirst().ifPresent(b -> {
+            second.stream()
+                    .filter(b -> b.variant().equals(a.variant()) && b.where() == a.where() && b.seed() == a.seed())
+                    .findFirst()
+                    .ifPresent(b -> {
                         String key = a.variant() + "\t" + a.where();
                         names.putIfAbsent(key, a);
                         pairs.computeIfAbsent(key, k -> new ArrayList<>()).add(b.inTime() - a.inTime());
                     });
         }
         List<Difference> found = new ArrayList<>();
-        pairs.forEach((key, of) -> found.add(difference(names.get(key).variant(), names.get(key).where(),
-                of)));
+        pairs.forEach((key, of) ->
+                found.add(difference(names.get(key).variant(), names.get(key).where(), of)));
         for (Experiment.Where where : Experiment.Where.values()) {
             List<Double> all = new ArrayList<>();
             pairs.forEach((key, of) -> {
@@ -76,8 +76,13 @@
             means[i] = sum / of.size();
         }
         Arrays.sort(means);
-        return new Difference(variant, where, of.size(), of.stream().mapToDouble(d -> d).average().orElse(0),
-                means[(int) (0.025 * DRAWS)], means[(int) (0.975 * DRAWS)]);
+        return new Difference(
+                variant,
+                where,
+                of.size(),
+                of.stream().mapToDouble(d -> d).average().orElse(0),
+                means[(int) (0.025 * DRAWS)],
+                means[(int) (0.975 * DRAWS)]);
     }
 
     /** As lines. */
@@ -86,8 +91,15 @@
         out.add("| scenario | where | pairs | second less first | |");
         out.add("| --- | --- | --- | --- | --- |");
         for (Difference d : differences) {
-            out.add(String.format(Locale.ROOT, "| %s | %s | %d | %+.4f (%+.4f to %+.4f) | %s |", d.variant(),
-                    d.where().name().toLowerCase(Locale.ROOT), d.pairs(), d.mean(), d.low(), d.high(),
+            out.add(String.format(
+                    Locale.ROOT,
+                    "| %s | %s | %d | %+.4f (%+.4f to %+.4f) | %s |",
+                    d.variant(),
+                    d.where().name().toLowerCase(Locale.ROOT),
+                    d.pairs(),
+                    d.mean(),
+                    d.low(),
+                    d.high(),
                     d.isTold() ? d.mean() > 0 ? "more" : "less" : "not to be told apart"));
         }
         return out;
--- a/src/main/java/kitemux/lab/Deeds.java
+++ b/src/main/java/kitemux/lab/Deeds.java
@@ -6,7 +6,6 @@
 import java.util.Locale;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-
 import kitemux.fleet.Emulation;
 import kitemux.fleet.Fleet;
 
@@ -20,12 +19,13 @@
     private static final Pattern LINE = Pattern.compile("(\\d+(?:\\.\\d+)?)s\\s+(\\w+)(?:\\s+(\\S+))?");
     /** A trouble that is not ended by hand ends by itself, so that nothing stays as it is by oversight. */
     private static final long FOR_US = 600_000_000;
+
     private static final double SLOWER = 5;
     private static final double FAILING = 0.9;
     private static final double FLOOD = 10;
     private static final long FLOOD_US = 5_000_000;
 
-    private Deeds() { }
+    private Deeds() {}
 
     /** What may be done. */
     public enum Deed {
@@ -68,7 +68,7 @@
      *
      * @param to a server's id or a tenant's name; empty where it needs none
      */
-    public record Timed(long atUs, Deed deed, String to) { }
+    public record Timed(long atUs, Deed deed, String to) {}
 
     /**
      * Reads a script; empty lines and those that begin with # say nothing.
@@ -127,11 +127,13 @@
             case BACK -> live.wellAgain(to);
             case RESTART -> live.restartNode();
             case FLOOD -> {
-                int tenant = fleet.tenants().stream().map(Fleet.Share::name).toList().indexOf(to);
+                int tenant =
+                        fleet.tenants().stream().map(Fleet.Share::name).toList().indexOf(to);
                 Fleet.Share of = fleet.tenants().get(tenant);
-                double all = fleet.tenants().stream().mapToDouble(t -> t.share() * t.usage()).sum();
-                live.flood(tenant, (FLOOD - 1) * fleet.load().ratePerS() * of.share() * of.usage() / all,
-                        FLOOD_US);
+                double all = fleet.tenants().stream()
+                        .mapToDouble(t -> t.share() * t.usage())
+                        .sum();
+                live.flood(tenant, (FLOOD - 1) * fleet.load().ratePerS() * of.share() * of.usage() / all, FLOOD_US);
             }
         }
     }
--- a/src/main/java/kitemux/lab/Experiment.java
+++ b/src/main/java/kitemux/lab/Experiment.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.LongStream;
-
 import kitemux.fleet.Fleet;
 
 /**
@@ -17,7 +16,10 @@
 public record Experiment(double goal, int seeds, List<Where> where, List<Variant> variants) {
 
     /** Where a run is played. */
-    public enum Where { EMULATOR, LOOPBACK }
+    public enum Where {
+        EMULATOR,
+        LOOPBACK
+    }
 
     /**
      * One fleet of an experiment.
@@ -27,10 +29,10 @@
      * @param at where on that series it lies
      * @param more whether more of the series makes the goal easier, as servers do and load does not
      */
-    public record Variant(String name, String sweep, double at, boolean more, Fleet fleet) { }
+    public record Variant(String name, String sweep, double at, boolean more, Fleet fleet) {}
 
     /** One run. */
-    public record Run(Variant variant, Where where, long seed) { }
+    public record Run(Variant variant, Where where, long seed) {}
 
     /** All runs, in the order in which they are best played: what is predicted first. */
     public List<Run> runs() {
--- a/src/main/java/kitemux/lab/ExperimentFile.java
+++ b/src/main/java/kitemux/lab/ExperimentFile.java
@@ -1,5 +1,7 @@
 package kitemux.lab;
 
+import com.bertramlabs.plugins.hcl4j.HCLParser;
+import com.bertramlabs.plugins.hcl4j.HCLParserException;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -7,14 +9,10 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-
-import com.bertramlabs.plugins.hcl4j.HCLParser;
-import com.bertramlabs.plugins.hcl4j.HCLParserException;
-
 import kitemux.fleet.Fleet;
-import kitemux.plan.FleetFile;
 import kitemux.hcl.Places;
 import kitemux.hcl.Section;
+import kitemux.plan.FleetFile;
 
 /** Reads an experiment from its description in HCL; {@code docs/operate/lab.md} has all fields. */
 public final class ExperimentFile {
@@ -22,10 +20,11 @@
     private static final int MOST_VARIANTS = 1_000;
     /** A run over sockets takes as long as it lasts. */
     private static final long MOST_LENGTH_US = 600_000_000L;
+
     private static final int MOST_NODES = 16;
     private static final int MOST_BOXES = 200;
 
-    private ExperimentFile() { }
+    private ExperimentFile() {}
 
     /**
      * @param file what faults call the description
@@ -38,7 +37,8 @@
         try {
             parsed = new HCLParser().parse(text);
         } catch (HCLParserException | IOException | RuntimeException e) {
-            faults.add(file + ": this is not HCL: " + String.valueOf(e.getMessage()).replace('\n', ' '));
+            faults.add(file + ": this is not HCL: "
+                    + String.valueOf(e.getMessage()).replace('\n', ' '));
             return null;
         }
         List<String> own = new ArrayList<>();
@@ -49,8 +49,8 @@
         return experiment;
     }
 
-    private static Experiment experiment(Map<String, Object> parsed, FleetFile.Texts texts,
-            List<String> faults, List<String> ofFleet) {
+    private static Experiment experiment(
+            Map<String, Object> parsed, FleetFile.Texts texts, List<String> faults, List<String> ofFleet) {
         Section all = new Section("", parsed, faults);
         String path = all.text("fleet");
         double goal = all.number("goal", 0.95);
@@ -72,8 +72,8 @@
         Map<String, Section> scenarios = all.labelled("scenario", true);
         if (base != null) {
             Fleet.Load load = base.load();
-            Fleet lasting = base.with(new Fleet.Load(load.ratePerS(), length, load.shape(), load.quotaPerS(),
-                    load.overShareWorth()));
+            Fleet lasting = base.with(
+                    new Fleet.Load(load.ratePerS(), length, load.shape(), load.quotaPerS(), load.overShareWorth()));
             scenarios.forEach((name, of) -> scenario(name, of, lasting, variants, faults));
             all.end();
             check(variants, where, faults);
@@ -81,8 +81,8 @@
         return new Experiment(goal, seeds, where, variants);
     }
 
-    private static void scenario(String name, Section of, Fleet base, List<Experiment.Variant> variants,
-            List<String> faults) {
+    private static void scenario(
+            String name, Section of, Fleet base, List<Experiment.Variant> variants, List<String> faults) {
         double load = of.number("load", 1);
         Fleet fleet = base.with(shaped(base.load().times(load), of));
         Section counts = of.block("counts", false);
@@ -96,13 +96,18 @@
             fleet = fleet.with((Fleet.Choke) null);
         }
         Fleet.Clients clients = fleet.clients();
-        fleet = fleet.with(new Fleet.Clients(clients.oneWayUs(), of.whole("retries", clients.retries()),
-                clients.tryFrom(), clients.tryTo(), clients.backoffUs(), of.number("honour",
-                        clients.honour()),
-                clients.mostRetryAfterUs(), clients.skew()));
+        fleet = fleet.with(new Fleet.Clients(
+                clients.oneWayUs(),
+                of.whole("retries", clients.retries()),
+                clients.tryFrom(),
+                clients.tryTo(),
+                clients.backoffUs(),
+                of.number("honour", clients.honour()),
+                clients.mostRetryAfterUs(),
+                clients.skew()));
         Fleet.Nodes nodes = fleet.nodes();
-        fleet = fleet.with(new Fleet.Nodes(of.whole("nodes", nodes.count()), nodes.eventUs(), nodes.cores(),
-                nodes.startUs(), nodes.noticeUs()));
+        fleet = fleet.with(new Fleet.Nodes(
+                of.whole("nodes", nodes.count()), nodes.eventUs(), nodes.cores(), nodes.startUs(), nodes.noticeUs()));
         List<Fleet.Fault> wrong = new ArrayList<>(fleet.faults());
         of.repeated("fault").forEach(fault -> wrong.add(FleetFile.fault(fault)));
         fleet = fleet.withFaults(wrong);
@@ -114,7 +119,11 @@
             variants.add(new Experiment.Variant(name, "", 0, false, fleet));
         }
         for (double times : loads) {
-            variants.add(new Experiment.Variant(name + ", load " + times, name, times, false,
+            variants.add(new Experiment.Variant(
+                    name + ", load " + times,
+                    name,
+                    times,
+                    false,
                     fleet.with(fleet.load().times(times))));
         }
         if (!kind.isEmpty() && fleet.kinds().stream().noneMatch(k -> k.name().equals(kind))) {
@@ -122,9 +131,13 @@
         }
         for (double count : boxes) {
             Fleet all = fleet;
-            variants.add(new Experiment.Variant(name + ", " + kind + " " + (int) count, name, count, true,
-                    all.withKinds(all.kinds().stream().map(k -> k.name().equals(kind) ? counted(k,
-                            (int) count) : k)
+            variants.add(new Experiment.Variant(
+                    name + ", " + kind + " " + (int) count,
+                    name,
+                    count,
+                    true,
+                    all.withKinds(all.kinds().stream()
+                            .map(k -> k.name().equals(kind) ? counted(k, (int) count) : k)
                             .toList())));
         }
     }
@@ -135,40 +148,58 @@
             shape.add(new Fleet.Point(point.time("at", 0), point.number("times", Double.NaN)));
             point.end();
         }
-        return shape.isEmpty() ? load : new Fleet.Load(load.ratePerS(), load.lengthUs(), shape,
-                load.quotaPerS(),
-                load.overShareWorth());
+        return shape.isEmpty()
+                ? load
+                : new Fleet.Load(load.ratePerS(), load.lengthUs(), shape, load.quotaPerS(), load.overShareWorth());
     }
 
     private static Fleet.Kind counted(Fleet.Kind k, int count) {
-        return new Fleet.Kind(k.name(), count, k.cores(), k.speed(), k.speedCv(), k.room(), k.coldFrom(),
+        return new Fleet.Kind(
+                k.name(),
+                count,
+                k.cores(),
+                k.speed(),
+                k.speedCv(),
+                k.room(),
+                k.coldFrom(),
                 k.coldUs(),
-                k.warmsByWork(), k.cost());
+                k.warmsByWork(),
+                k.cost());
     }
 
-    private static void check(List<Experiment.Variant> variants, List<Experiment.Where> where,
-            List<String> faults) {
-        require(faults, !variants.isEmpty() && variants.size() <= MOST_VARIANTS,
+    private static void check(List<Experiment.Variant> variants, List<Experiment.Where> where, List<String> faults) {
+        require(
+                faults,
+                !variants.isEmpty() && variants.size() <= MOST_VARIANTS,
                 "scenario: from 1 to " + MOST_VARIANTS + " runs must come of all, not " + variants.size());
         Set<String> names = new HashSet<>();
         for (Experiment.Variant variant : variants) {
             String at = "scenario \"" + variant.name() + "\": ";
             require(faults, names.add(variant.name()), at + "is there twice");
-            require(faults, variant.name().indexOf('\t') < 0 && variant.name().indexOf('\n') < 0,
+            require(
+                    faults,
+                    variant.name().indexOf('\t') < 0 && variant.name().indexOf('\n') < 0,
                     at + "its name holds a tab or a line's end");
             variant.fleet().faultsFound().forEach(fault -> faults.add(at + fault));
             if (where.contains(Experiment.Where.LOOPBACK)) {
-                require(faults, variant.fleet().nodes().count() <= MOST_NODES, at + "over sockets at most "
-                        + MOST_NODES + " nodes are started");
-                require(faults, variant.fleet().boxes() <= MOST_BOXES, at + "over sockets at most "
-                        + MOST_BOXES
-                        + " servers are started");
-                require(faults, variant.fleet().faults().stream().noneMatch(fault ->
-                        fault.trouble() == Fleet.Trouble.VANISH || fault.trouble() == Fleet.Trouble.CUT),
+                require(
+                        faults,
+                        variant.fleet().nodes().count() <= MOST_NODES,
+                        at + "over sockets at most " + MOST_NODES + " nodes are started");
+                require(
+                        faults,
+                        variant.fleet().boxes() <= MOST_BOXES,
+                        at + "over sockets at most " + MOST_BOXES + " servers are started");
+                require(
+                        faults,
+                        variant.fleet().faults().stream()
+                                .noneMatch(fault -> fault.trouble() == Fleet.Trouble.VANISH
+                                        || fault.trouble() == Fleet.Trouble.CUT),
                         at + "what vanishes without a word cannot be played over loopback;"
-                        + " take where = [\"emulator\"]");
-                require(faults, variant.fleet().zones()
-                        .acrossUs() == 0,
+                                + " take where = [\"emulator\"]");
+                require(
+                        faults,
+                        variant.fleet().zones().acrossUs() == 0,
                         at + "all zones are as near as others over loopback: across must be 0");
             }
         }
--- a/src/main/java/kitemux/lab/Findings.java
+++ b/src/main/java/kitemux/lab/Findings.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.function.Function;
 import java.util.function.Predicate;
-
 import kitemux.plan.Estimate;
 
 /** What the runs of an experiment say: for each variant what was predicted and what happened over sockets. */
@@ -16,7 +15,7 @@
     /** A player that was behind its clock for longer measured itself. */
     private static final long MOST_BEHIND_US = 50_000;
 
-    private Findings() { }
+    private Findings() {}
 
     /**
      * A variant's.
@@ -29,8 +28,7 @@
     public record Line(String variant, Estimate predicted, Estimate happened, long broken, long behind) {
         /** How far the prediction is off, as a part of what happened; NaN where one of the two is missing. */
         public double error() {
-            return predicted == null || happened == null ? Double.NaN
-                    : predicted.mean() / happened.mean() - 1;
+            return predicted == null || happened == null ? Double.NaN : predicted.mean() / happened.mean() - 1;
         }
     }
 
@@ -38,8 +36,12 @@
     public static List<Line> lines(Experiment experiment, List<Row> rows) {
         List<Line> lines = new ArrayList<>();
         for (Experiment.Variant variant : experiment.variants()) {
-            List<Row> of = rows.stream().filter(row -> row.variant().equals(variant.name())).toList();
-            lines.add(new Line(variant.name(), inTime(of, row -> row.where() == Experiment.Where.EMULATOR),
+            List<Row> of = rows.stream()
+                    .filter(row -> row.variant().equals(variant.name()))
+                    .toList();
+            lines.add(new Line(
+                    variant.name(),
+                    inTime(of, row -> row.where() == Experiment.Where.EMULATOR),
                     inTime(of, row -> row.where() == Experiment.Where.LOOPBACK),
                     of.stream().mapToLong(Row::breaks).sum(),
                     of.stream().filter(row -> row.behindUs() > MOST_BEHIND_US).count()));
@@ -75,16 +77,21 @@
         for (String sweep : sweeps) {
             List<Experiment.Variant> series = experiment.variants().stream()
                     .filter(v -> v.sweep().equals(sweep))
-                    .sorted((a, b) -> Double.compare(a.at(), b.at())).toList();
-            found.add(new Crossing(sweep, series.get(0).more(),
-                    crossing(experiment.goal(), series, v -> byName.get(v.name()).predicted()),
-                    crossing(experiment.goal(), series, v -> byName.get(v.name()).happened())));
+                    .sorted((a, b) -> Double.compare(a.at(), b.at()))
+                    .toList();
+            found.add(new Crossing(
+                    sweep,
+                    series.get(0).more(),
+                    crossing(
+                            experiment.goal(), series, v -> byName.get(v.name()).predicted()),
+                    crossing(
+                            experiment.goal(), series, v -> byName.get(v.name()).happened())));
         }
         return found;
     }
 
-    private static double crossing(double goal, List<Experiment.Variant> series,
-            Function<Experiment.Variant, Estimate> of) {
+    private static double crossing(
+            double goal, List<Experiment.Variant> series, Function<Experiment.Variant, Estimate> of) {
         for (int i = 0; i < series.size(); i++) {
             Estimate here = of.apply(series.get(i));
             if (here == null) {
@@ -102,7 +109,8 @@
             }
             Estimate before = of.apply(series.get(i - 1));
             double part = (before.mean() - goal) / (before.mean() - here.mean());
-            return series.get(i - 1).at() + part * (series.get(i).at() - series.get(i - 1).at());
+            return series.get(i - 1).at()
+                    + part * (series.get(i).at() - series.get(i - 1).at());
         }
         return Double.NaN;
     }
@@ -114,20 +122,31 @@
         out.add("| scenario | predicted in time | happened | off by | rules broken | player behind |");
         out.add("| --- | --- | --- | --- | --- | --- |");
         for (Line line : lines) {
-            out.add(String.format(Locale.ROOT, "| %s | %s | %s | %s | %d | %d |", line.variant(),
-                    text(line.predicted()), text(line.happened()), percent(line.error()), line.broken(),
+            out.add(String.format(
+                    Locale.ROOT,
+                    "| %s | %s | %s | %s | %d | %d |",
+                    line.variant(),
+                    text(line.predicted()),
+                    text(line.happened()),
+                    percent(line.error()),
+                    line.broken(),
                     line.behind()));
         }
         List<Crossing> crossings = crossings(experiment, lines);
         if (!crossings.isEmpty()) {
             out.add("");
-            out.add(String.format(Locale.ROOT, "| series | goal %.2f predicted at | happened at | off by |",
-                    experiment.goal()));
+            out.add(String.format(
+                    Locale.ROOT, "| series | goal %.2f predicted at | happened at | off by |", experiment.goal()));
             out.add("| --- | --- | --- | --- |");
         }
         for (Crossing crossing : crossings) {
-            out.add(String.format(Locale.ROOT, "| %s | %s | %s | %s |", crossing.sweep(),
-                    number(crossing.predicted()), number(crossing.happened()), crossing.more()
+            out.add(String.format(
+                    Locale.ROOT,
+                    "| %s | %s | %s | %s |",
+                    crossing.sweep(),
+                    number(crossing.predicted()),
+                    number(crossing.happened()),
+                    crossing.more()
                             ? number(crossing.predicted() - crossing.happened()) + " servers"
                             : percent(crossing.error())));
         }
@@ -136,8 +155,11 @@
 
     /** As it stands in tables. */
     static String text(Estimate of) {
-        return of == null ? "-" : of.seeds() < 2 ? String.format(Locale.ROOT, "%.3f", of.mean())
-                : String.format(Locale.ROOT, "%.3f ± %.3f", of.mean(), of.half());
+        return of == null
+                ? "-"
+                : of.seeds() < 2
+                        ? String.format(Locale.ROOT, "%.3f", of.mean())
+                        : String.format(Locale.ROOT, "%.3f ± %.3f", of.mean(), of.half());
     }
 
     /** As it stands in tables. */
--- a/src/main/java/kitemux/lab/Guard.java
+++ b/src/main/java/kitemux/lab/Guard.java
@@ -9,10 +9,10 @@
      * The shell holds the end of a pipe, which closes with whoever started it; it must not hold the process's
      * output: that of a process that does not start would never end, and who waits for its word not either.
      */
-    private static final String SCRIPT = "\"$@\" & process=$!; exec >/dev/null 2>&1; read -r end; "
-            + "kill -9 $process; wait $process";
+    private static final String SCRIPT =
+            "\"$@\" & process=$!; exec >/dev/null 2>&1; read -r end; " + "kill -9 $process; wait $process";
 
-    private Guard() { }
+    private Guard() {}
 
     /** The same command behind a guard, whose one child it is. */
     public static ProcessBuilder before(ProcessBuilder process) {
--- a/src/main/java/kitemux/lab/Lab.java
+++ b/src/main/java/kitemux/lab/Lab.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
-
 import kitemux.fleet.Emulation;
 
 /** Plays the runs of an experiment that its folder lacks: emulated ones first, then those over sockets. */
@@ -38,9 +37,14 @@
             throws IOException, InterruptedException {
         List<Row> there = folder.rows();
         List<Experiment.Run> missing = experiment.runs().stream()
-                .filter(run -> there.stream().noneMatch(row -> row.isOf(run))).toList();
-        playAll(of(missing, Experiment.Where.EMULATOR), jobs, folder, played, run ->
-                Row.of(run, Emulation.play(run.variant().fleet(), run.seed()), 0));
+                .filter(run -> there.stream().noneMatch(row -> row.isOf(run)))
+                .toList();
+        playAll(
+                of(missing, Experiment.Where.EMULATOR),
+                jobs,
+                folder,
+                played,
+                run -> Row.of(run, Emulation.play(run.variant().fleet(), run.seed()), 0));
         playAll(of(missing, Experiment.Where.LOOPBACK), atOnce, folder, played, run -> {
             Loopback.Played over = Loopback.play(run.variant().fleet(), run.seed(), launcher);
             return Row.of(run, over.result(), over.mostLateUs());
@@ -56,8 +60,9 @@
         Row play(Experiment.Run run) throws IOException, InterruptedException;
     }
 
-    private static void playAll(List<Experiment.Run> runs, int threads, ResultsFolder folder,
-            Consumer<Row> played, Player player) throws IOException, InterruptedException {
+    private static void playAll(
+            List<Experiment.Run> runs, int threads, ResultsFolder folder, Consumer<Row> played, Player player)
+            throws IOException, InterruptedException {
         ExecutorService pool = Executors.newFixedThreadPool(threads);
         try {
             List<Future<?>> all = new ArrayList<>();
@@ -73,7 +78,8 @@
                 one.get();
             }
         } catch (ExecutionException e) {
-            throw e.getCause() instanceof IOException io ? io
+            throw e.getCause() instanceof IOException io
+                    ? io
                     : new IOException("a run broke off: " + e.getCause(), e.getCause());
         } finally {
             pool.shutdownNow();
--- a/src/main/java/kitemux/lab/ListDesk.java
+++ b/src/main/java/kitemux/lab/ListDesk.java
@@ -1,17 +1,5 @@
 package kitemux.lab;
 
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.Collection;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
-
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -35,7 +23,17 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.NetUtil;
-
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.config.ConfigText;
@@ -69,20 +67,27 @@
      * @param addresses where servers listen, by their ids
      * @param called told of each call, and whether it is a watch
      */
-    public ListDesk(InetSocketAddress address, EventLoop loop, List<String> zones,
-            Map<String, InetSocketAddress> addresses, Consumer<Boolean> called) {
+    public ListDesk(
+            InetSocketAddress address,
+            EventLoop loop,
+            List<String> zones,
+            Map<String, InetSocketAddress> addresses,
+            Consumer<Boolean> called) {
         this.zones = zones;
         this.called = called;
         this.addresses = addresses;
         this.loop = loop;
-        listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        listening = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16),
-                                new Calls());
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16), new Calls());
                     }
-                }).bind(address);
+                })
+                .bind(address);
     }
 
     /** Done once it listens, or cannot. */
@@ -137,15 +142,15 @@
     }
 
     /** Servers with their addresses. */
-    public static List<ConfigText.Server> placed(Collection<ServerEntry> entries,
-            Map<String, InetSocketAddress> addresses) {
-        return entries.stream().map(entry -> new ConfigText.Server(entry,
-                NetUtil.toSocketAddressString(addresses.get(entry.id())))).toList();
+    public static List<ConfigText.Server> placed(
+            Collection<ServerEntry> entries, Map<String, InetSocketAddress> addresses) {
+        return entries.stream()
+                .map(entry -> new ConfigText.Server(entry, NetUtil.toSocketAddressString(addresses.get(entry.id()))))
+                .toList();
     }
 
     private byte[] text(boolean all, Collection<ServerEntry> servers) {
-        return (ConfigText.list(rev, all, zones, placed(servers, addresses)) + "\n")
-                .getBytes(StandardCharsets.UTF_8);
+        return (ConfigText.list(rev, all, zones, placed(servers, addresses)) + "\n").getBytes(StandardCharsets.UTF_8);
     }
 
     private final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
@@ -158,10 +163,10 @@
             boolean watch = new QueryStringDecoder(request.uri()).parameters().containsKey("watch");
             called.accept(watch);
             if (!watch) {
-                FullHttpResponse whole = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.OK,
-                        Unpooled.wrappedBuffer(list));
-                whole.headers().set(HttpHeaderNames.CONTENT_LENGTH, whole.content().readableBytes());
+                FullHttpResponse whole = new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(list));
+                whole.headers()
+                        .set(HttpHeaderNames.CONTENT_LENGTH, whole.content().readableBytes());
                 context.writeAndFlush(whole);
                 return;
             }
@@ -175,12 +180,15 @@
         }
 
         private void emptyLine(Channel watch) {
-            loop.schedule(() -> {
-                if (watch.isActive()) {
-                    write(watch, EMPTY_LINE);
-                    emptyLine(watch);
-                }
-            }, EMPTY_LINE_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        if (watch.isActive()) {
+                            write(watch, EMPTY_LINE);
+                            emptyLine(watch);
+                        }
+                    },
+                    EMPTY_LINE_MS,
+                    TimeUnit.MILLISECONDS);
         }
 
         @Override
--- a/src/main/java/kitemux/lab/LoopBeat.java
+++ b/src/main/java/kitemux/lab/LoopBeat.java
@@ -1,10 +1,9 @@
 package kitemux.lab;
 
+import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 
-import io.netty.channel.EventLoop;
-
 /**
  * Measures for how long an event loop has not looked at its sockets, by a timer that comes with each of its
  * turns: a turn that takes long, or a thread that has no processor, is a beat that comes late. Called on the
@@ -46,17 +45,20 @@
 
     private void next() {
         long due = System.nanoTime() + EVERY_NANOS;
-        loop.schedule(() -> {
-            long by = System.nanoTime() - due;
-            if (stopped) {
-                return;
-            }
-            if (by > TELL_NANOS) {
-                heldUpNanos += by;
-                late.accept(by);
-            }
-            next();
-        }, EVERY_NANOS, TimeUnit.NANOSECONDS);
+        loop.schedule(
+                () -> {
+                    long by = System.nanoTime() - due;
+                    if (stopped) {
+                        return;
+                    }
+                    if (by > TELL_NANOS) {
+                        heldUpNanos += by;
+                        late.accept(by);
+                    }
+                    next();
+                },
+                EVERY_NANOS,
+                TimeUnit.NANOSECONDS);
     }
 
     /**
--- a/src/main/java/kitemux/lab/Loopback.java
+++ b/src/main/java/kitemux/lab/Loopback.java
@@ -1,5 +1,10 @@
 package kitemux.lab;
 
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -19,13 +24,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
-
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.NetUtil;
-
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.Balancer.Settings;
@@ -46,6 +44,7 @@
 public final class Loopback {
     /** Servers are all told as of one zone. */
     private static final String ZONE = "zone-0";
+
     private static final int NODE_PORT = 21_000;
     private static final int BOX_PORT = 22_000;
     private static final int LIST_PORT = 23_000;
@@ -53,6 +52,7 @@
     private static final int SOCKETS = 1_024;
     /** After the last client's time is over, for what is still on its way. */
     private static final long RUN_OUT_US = 1_000_000;
+
     private static final long MOST_START_S = 60;
     /** Between two looks of a watcher. */
     private static final long LOOK_MS = 100;
@@ -67,6 +67,7 @@
     private final Map<String, Try> asked = new HashMap<>();
     /** One a node, as each may be told other ways to the same servers. */
     private final List<ListDesk> desks = new ArrayList<>();
+
     private final Between between;
 
     /**
@@ -75,7 +76,7 @@
      * @param mostLateUs the longest that this process was behind its own clock; a run with much of it says
      *     little of the nodes
      */
-    public record Played(Result result, long mostLateUs) { }
+    public record Played(Result result, long mostLateUs) {}
 
     /** How a node's process is started. */
     public interface Launcher {
@@ -124,8 +125,7 @@
      * @throws IllegalArgumentException if it cannot be played
      * @throws IOException if a node cannot be started or a socket not be opened
      */
-    public static Played play(Fleet fleet, long seed, Launcher launcher)
-            throws IOException, InterruptedException {
+    public static Played play(Fleet fleet, long seed, Launcher launcher) throws IOException, InterruptedException {
         return play(fleet, seed, launcher, (Watcher) null);
     }
 
@@ -176,8 +176,7 @@
         }
     }
 
-    private Played run(EventLoop loop, Path folder, Watcher watcher)
-            throws InterruptedException, IOException {
+    private Played run(EventLoop loop, Path folder, Watcher watcher) throws InterruptedException, IOException {
         RealTime time = new RealTime(loop, between::late);
         LoopBeat beat = new LoopBeat(loop, by -> time.happens(() -> time.wasLate(by)));
         Emulation[] emulation = new Emulation[1];
@@ -191,13 +190,15 @@
                 return null;
             });
             List<ChannelFuture> opening = on(loop, () -> {
-                List<ChannelFuture> all = new ArrayList<>(sockets.stream().map(BoxSocket::opening).toList());
+                List<ChannelFuture> all =
+                        new ArrayList<>(sockets.stream().map(BoxSocket::opening).toList());
                 desks.forEach(desk -> all.add(desk.opening()));
                 return all;
             });
             for (ChannelFuture one : opening) {
                 if (!one.await().isSuccess()) {
-                    throw new IOException("a server or the list cannot listen: " + one.cause().getMessage());
+                    throw new IOException(
+                            "a server or the list cannot listen: " + one.cause().getMessage());
                 }
             }
             for (NodeProcess node : nodes) {
@@ -214,13 +215,19 @@
                 });
                 return null;
             });
-            long longestUs = fleet.classes().stream().mapToLong(work -> work.of().deadlineUs()).max()
+            long longestUs = fleet.classes().stream()
+                    .mapToLong(work -> work.of().deadlineUs())
+                    .max()
                     .orElse(0);
             long endsUs = fleet.load().lengthUs() + longestUs + RUN_OUT_US;
             if (watcher == null) {
                 TimeUnit.MICROSECONDS.sleep(endsUs);
             } else {
-                watched(loop, time, () -> watcher.look(emulation[0], time.scheduler().nowUs()), endsUs);
+                watched(
+                        loop,
+                        time,
+                        () -> watcher.look(emulation[0], time.scheduler().nowUs()),
+                        endsUs);
             }
             return on(loop, () -> {
                 Result result = emulation[0].result();
@@ -260,33 +267,48 @@
             for (Box box : of.boxes()) {
                 InetSocketAddress at = place.address(boxes++, BOX_PORT);
                 addresses.put(box.id(), at);
-                sockets.add(new BoxSocket(box, at, loop, time, asked, fleet.links().handshakeUs(), between));
+                sockets.add(
+                        new BoxSocket(box, at, loop, time, asked, fleet.links().handshakeUs(), between));
             }
         }
         Map<String, InetSocketAddress> seen = new LinkedHashMap<>();
         addresses.forEach((box, listens) -> seen.put(box, between.toBox(number, box, listens)));
         InetSocketAddress listAt = place.address(number, LIST_PORT);
-        ListDesk desk = new ListDesk(listAt, loop, List.of(ZONE), seen,
-                watch -> time.happens(() -> between.called(number, watch)));
+        ListDesk desk = new ListDesk(
+                listAt, loop, List.of(ZONE), seen, watch -> time.happens(() -> between.called(number, watch)));
         desks.add(desk);
-        List<ServerEntry> all = of.boxes().stream().map(box -> new ServerEntry(box.id(), 0, box.rack(),
-                ServerState.READY, 1, 0)).toList();
+        List<ServerEntry> all = of.boxes().stream()
+                .map(box -> new ServerEntry(box.id(), 0, box.rack(), ServerState.READY, 1, 0))
+                .toList();
         InetSocketAddress at = place.address(number, NODE_PORT);
         Path config = folder.resolve("n" + number + ".json");
         Settings set = of.settings(number);
         // A list that is pushed comes from an agent, of which there is none here.
         set.listOnRequest = true;
-        ConfigText.Node node = new ConfigText.Node("n" + number, NetUtil.toSocketAddressString(at),
-                NetUtil.toSocketAddressString(between.toList(number, listAt)), Long.toHexString(seed * 31
-                + number),
-                SOCKETS, 0, fleet.links().idleUs());
+        ConfigText.Node node = new ConfigText.Node(
+                "n" + number,
+                NetUtil.toSocketAddressString(at),
+                NetUtil.toSocketAddressString(between.toList(number, listAt)),
+                Long.toHexString(seed * 31 + number),
+                SOCKETS,
+                0,
+                fleet.links().idleUs());
         try {
             Files.writeString(config, ConfigText.node(node, set, ListDesk.placed(all, seen)));
-            return new NodeProcess(number, between.toNode(number, at), between, fleet, time, loop, asked,
+            return new NodeProcess(
+                    number,
+                    between.toNode(number, at),
+                    between,
+                    fleet,
+                    time,
+                    loop,
+                    asked,
                     entries -> {
                         between.listed(number, entries);
                         desk.tell(entries);
-                    }, launcher.node(), config);
+                    },
+                    launcher.node(),
+                    config);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -339,8 +361,7 @@
         };
     }
 
-    private static <T> T on(EventLoop loop, Callable<T> what)
-            throws InterruptedException, IOException {
+    private static <T> T on(EventLoop loop, Callable<T> what) throws InterruptedException, IOException {
         try {
             return loop.submit(what).get();
         } catch (ExecutionException e) {
--- a/src/main/java/kitemux/lab/NodeProcess.java
+++ b/src/main/java/kitemux/lab/NodeProcess.java
@@ -1,22 +1,5 @@
 package kitemux.lab;
 
-import java.io.BufferedReader;
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -39,7 +22,22 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.ServerEntry;
@@ -82,7 +80,7 @@
      * @param nanos when it was written, or, until then, dialled for
      * @param heldUpNanos how long the ways had been held up by then
      */
-    private record Since(long nanos, long heldUpNanos) { }
+    private record Since(long nanos, long heldUpNanos) {}
 
     /**
      * Starts nothing yet.
@@ -93,9 +91,18 @@
      * @param command starts a node; is told the rest by the environment
      * @param config what the process is told, as a file
      */
-    NodeProcess(int number, InetSocketAddress address, Between between, Fleet fleet, RealTime time,
-            EventLoop loop, Map<String, Try> asked, Consumer<List<ServerEntry>> listed,
-            ProcessBuilder command, Path config) throws IOException {
+    NodeProcess(
+            int number,
+            InetSocketAddress address,
+            Between between,
+            Fleet fleet,
+            RealTime time,
+            EventLoop loop,
+            Map<String, Try> asked,
+            Consumer<List<ServerEntry>> listed,
+            ProcessBuilder command,
+            Path config)
+            throws IOException {
         this.number = number;
         this.address = address;
         this.between = between;
@@ -109,14 +116,21 @@
         Path temporary = config.resolveSibling(config.getFileName() + ".tmp");
         Files.createDirectories(temporary);
         command.environment().put("TMPDIR", temporary.toString());
-        dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000)
+        dialer = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         Client client = new Client();
-                        channel.pipeline().addLast(new HttpClientCodec(), client.heads(),
-                                new HttpObjectAggregator(1 << 20), client);
+                        channel.pipeline()
+                                .addLast(
+                                        new HttpClientCodec(),
+                                        client.heads(),
+                                        new HttpObjectAggregator(1 << 20),
+                                        client);
                     }
                 });
     }
@@ -124,27 +138,29 @@
     /** Starts the process from any thread; done, with the process, once it takes clients. */
     private CompletableFuture<Process> launched() {
         CompletableFuture<Process> ready = new CompletableFuture<>();
-        Thread reader = new Thread(() -> {
-            StringBuilder said = new StringBuilder();
-            try {
-                Process started = command.start();
-                BufferedReader lines = started.inputReader();
-                String line;
-                while ((line = lines.readLine()) != null) {
-                    String told = line;
-                    tell(told);
-                    if (!ready.isDone()) {
-                        said.append(line).append('\n');
-                        if (line.contains("listening on")) {
-                            ready.complete(started);
+        Thread reader = new Thread(
+                () -> {
+                    StringBuilder said = new StringBuilder();
+                    try {
+                        Process started = command.start();
+                        BufferedReader lines = started.inputReader();
+                        String line;
+                        while ((line = lines.readLine()) != null) {
+                            String told = line;
+                            tell(told);
+                            if (!ready.isDone()) {
+                                said.append(line).append('\n');
+                                if (line.contains("listening on")) {
+                                    ready.complete(started);
+                                }
+                            }
                         }
+                        ready.completeExceptionally(new IOException("a node did not start: " + said));
+                    } catch (IOException e) {
+                        ready.completeExceptionally(e);
                     }
-                }
-                ready.completeExceptionally(new IOException("a node did not start: " + said));
-            } catch (IOException e) {
-                ready.completeExceptionally(e);
-            }
-        }, "node " + address);
+                },
+                "node " + address);
         reader.setDaemon(true);
         reader.start();
         return ready;
@@ -188,15 +204,16 @@
             return;
         }
         int life = ++lives;
-        launched().whenComplete((started, failed) -> loop.execute(() -> {
-            if (started != null && life == lives) {
-                process = started;
-                up = true;
-                time.happens(() -> between.up(number));
-            } else if (started != null) {
-                end(started);
-            }
-        }));
+        launched()
+                .whenComplete((started, failed) -> loop.execute(() -> {
+                    if (started != null && life == lives) {
+                        process = started;
+                        up = true;
+                        time.happens(() -> between.up(number));
+                    } else if (started != null) {
+                        end(started);
+                    }
+                }));
     }
 
     @Override
@@ -306,11 +323,9 @@
             leaves.run();
             return;
         }
-        long waits = from.nanos + afterUs * 1_000 + between.heldUpNanos() - from.heldUpNanos
-                - System.nanoTime();
+        long waits = from.nanos + afterUs * 1_000 + between.heldUpNanos() - from.heldUpNanos - System.nanoTime();
         if (waits > 0) {
-            loop.schedule(() -> time.happens(() -> timeOver(one, afterUs, leaves)), waits,
-                    TimeUnit.NANOSECONDS);
+            loop.schedule(() -> time.happens(() -> timeOver(one, afterUs, leaves)), waits, TimeUnit.NANOSECONDS);
         } else {
             between.passedOn(() -> LoopBeat.afterALook(loop, () -> time.happens(leaves)));
         }
@@ -328,14 +343,17 @@
             between.left(one);
         } else if (!client.amid) {
             // What began to come in time is waited for to its end.
-            loop.schedule(() -> time.happens(() -> {
-                if (client.asks == one && !client.amid) {
-                    client.asks = null;
-                    busy.remove(one);
-                    between.left(one);
-                    client.channel.close();
-                }
-            }), LAST_ANSWER_NANOS, TimeUnit.NANOSECONDS);
+            loop.schedule(
+                    () -> time.happens(() -> {
+                        if (client.asks == one && !client.amid) {
+                            client.asks = null;
+                            busy.remove(one);
+                            between.left(one);
+                            client.channel.close();
+                        }
+                    }),
+                    LAST_ANSWER_NANOS,
+                    TimeUnit.NANOSECONDS);
         }
     }
 
@@ -349,10 +367,16 @@
     private FullHttpRequest message(Try one) {
         RequestClass of = fleet.classes().get(one.classIndex()).of();
         boolean reads = of.repeat() == Repeat.SAFE;
-        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                reads ? HttpMethod.GET : HttpMethod.POST, "/api/k" + one.txn(), Unpooled.EMPTY_BUFFER);
-        message.headers().set(HttpHeaderNames.HOST, "backend.local").set("X-Txn", one.txn())
-                .set("X-Lane", of.name()).set("X-Remaining", one.leftUs() + "u");
+        FullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                reads ? HttpMethod.GET : HttpMethod.POST,
+                "/api/k" + one.txn(),
+                Unpooled.EMPTY_BUFFER);
+        message.headers()
+                .set(HttpHeaderNames.HOST, "backend.local")
+                .set("X-Txn", one.txn())
+                .set("X-Lane", of.name())
+                .set("X-Remaining", one.leftUs() + "u");
         if (one.tenant() >= 0) {
             message.headers().set("X-Org", fleet.tenants().get(one.tenant()).name());
         }
@@ -375,6 +399,7 @@
         private boolean reused;
         /** A long answer has begun to come. */
         private boolean amid;
+
         private long idleSinceNanos;
 
         @Override
@@ -387,7 +412,8 @@
             return new ChannelInboundHandlerAdapter() {
                 @Override
                 public void channelRead(ChannelHandlerContext context, Object part) {
-                    if (part instanceof HttpResponse head && asks != null
+                    if (part instanceof HttpResponse head
+                            && asks != null
                             && HttpUtil.getContentLength(head, 0L) >= LongAnswer.FIRST) {
                         Try one = asks;
                         amid = true;
--- a/src/main/java/kitemux/lab/Page.java
+++ b/src/main/java/kitemux/lab/Page.java
@@ -1,15 +1,13 @@
 package kitemux.lab;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-
 import kitemux.plan.Estimate;
 
 /** Results as one page with charts, which holds all that it needs and opens without a network. */
@@ -18,7 +16,7 @@
     /** Beyond this part a prediction is marked: what the operators asked for. */
     private static final double MOST_OFF = 0.1;
 
-    private Page() { }
+    private Page() {}
 
     /**
      * A page of an experiment's results.
@@ -30,16 +28,29 @@
         StringBuilder table = new StringBuilder();
         for (Findings.Line line : lines) {
             boolean off = Math.abs(line.error()) > MOST_OFF;
-            table.append("<tr><td>").append(Template.escaped(line.variant())).append("</td><td>")
-                    .append(Findings.text(line.predicted())).append("</td><td>")
+            table.append("<tr><td>")
+                    .append(Template.escaped(line.variant()))
+                    .append("</td><td>")
+                    .append(Findings.text(line.predicted()))
+                    .append("</td><td>")
                     .append(Findings.text(line.happened()))
                     .append(off ? "</td><td class=\"off\">" : "</td><td>")
                     .append(Findings.percent(line.error()))
-                    .append("</td><td>").append(line.broken()).append("</td></tr>\n");
+                    .append("</td><td>")
+                    .append(line.broken())
+                    .append("</td></tr>\n");
         }
-        return Template.fill("/kitemux/lab/page.html", Map.of("TITLE", Template.escaped(title),
-                "ABOUT", String.format(Locale.ROOT, "Goal %.2f, %d runs.", experiment.goal(), rows.size()),
-                "ROWS", table.toString(), "DATA", data(lines, experiment.goal())));
+        return Template.fill(
+                "/kitemux/lab/page.html",
+                Map.of(
+                        "TITLE",
+                        Template.escaped(title),
+                        "ABOUT",
+                        String.format(Locale.ROOT, "Goal %.2f, %d runs.", experiment.goal(), rows.size()),
+                        "ROWS",
+                        table.toString(),
+                        "DATA",
+                        data(lines, experiment.goal())));
     }
 
     private static String data(List<Findings.Line> lines, double goal) {
--- a/src/main/java/kitemux/lab/Place.java
+++ b/src/main/java/kitemux/lab/Place.java
@@ -45,8 +45,8 @@
 
     /** An address of this run; numbers go from 0 to some 60,000. */
     public InetSocketAddress address(int number, int port) {
-        return new InetSocketAddress("127." + number() + "." + (number + 1) / 250 + "."
-                + (1 + (number + 1) % 250), port);
+        return new InetSocketAddress(
+                "127." + number() + "." + (number + 1) / 250 + "." + (1 + (number + 1) % 250), port);
     }
 
     @Override
--- a/src/main/java/kitemux/lab/RealTime.java
+++ b/src/main/java/kitemux/lab/RealTime.java
@@ -1,11 +1,9 @@
 package kitemux.lab;
 
-import java.util.concurrent.TimeUnit;
-import java.util.function.LongConsumer;
-
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
-
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import kitemux.sim.Scheduler;
 
 /**
@@ -116,11 +114,14 @@
         }
         if (next != Long.MAX_VALUE) {
             armedAt = next;
-            armed = loop.schedule(() -> {
-                armed = null;
-                pass();
-                arm();
-            }, Math.max(0, next - (System.nanoTime() - beganNanos)), TimeUnit.NANOSECONDS);
+            armed = loop.schedule(
+                    () -> {
+                        armed = null;
+                        pass();
+                        arm();
+                    },
+                    Math.max(0, next - (System.nanoTime() - beganNanos)),
+                    TimeUnit.NANOSECONDS);
         }
     }
 
--- a/src/main/java/kitemux/lab/ResultsFolder.java
+++ b/src/main/java/kitemux/lab/ResultsFolder.java
@@ -1,8 +1,8 @@
 package kitemux.lab;
 
 import java.io.IOException;
-import java.nio.channels.FileChannel;
 import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/main/java/kitemux/lab/Template.java
+++ b/src/main/java/kitemux/lab/Template.java
@@ -17,7 +17,7 @@
     private static final String CHARTS = "/META-INF/resources/webjars/uplot/1.6.30/dist/uPlot.";
     private static final Pattern PLACE = Pattern.compile("@([A-Z]+)@");
 
-    private Template() { }
+    private Template() {}
 
     /**
      * A page, filled in. {@code STYLE} and {@code CHARTS} are the chart library's. What is put in is not
@@ -34,8 +34,7 @@
         return PLACE.matcher(resource(path)).replaceAll(place -> {
             String text = all.get(place.group(1));
             if (text == null) {
-                throw new IllegalArgumentException(path + " has a place " + place.group()
-                        + " that is not filled");
+                throw new IllegalArgumentException(path + " has a place " + place.group() + " that is not filled");
             }
             return Matcher.quoteReplacement(text);
         });
@@ -43,7 +42,10 @@
 
     /** Text as it may stand in a page. */
     public static String escaped(String text) {
-        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+        return text.replace("&", "&amp;")
+                .replace("<", "&lt;")
+                .replace(">", "&gt;")
+                .replace("\"", "&quot;");
     }
 
     private static String resource(String path) {
--- a/src/main/java/kitemux/load/Capture.java
+++ b/src/main/java/kitemux/load/Capture.java
@@ -15,11 +15,9 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
-
-import org.jctools.queues.SpscArrayQueue;
-
 import kitemux.engine.Observer;
 import kitemux.engine.Time;
+import org.jctools.queues.SpscArrayQueue;
 
 /**
  * Writes what a node sees to files, on a thread of its own. Between the loop and it stands a ring of fixed
@@ -30,6 +28,7 @@
 public final class Capture implements Recorder.Sink, AutoCloseable {
     /** The end of a captured file's name. */
     public static final String SUFFIX = ".kmload";
+
     private static final long BATCH_NANOS = 200_000_000L;
     private static final int MOST_IN_BATCH = 4_096;
     /** After the disk has failed, until it is tried again. */
@@ -47,6 +46,7 @@
     private final Thread writer;
     /** The writer is woken after so many, a quarter of the ring; its own pause is for when fewer come. */
     private final int wakeEach;
+
     private volatile boolean closing;
 
     private FileChannel file;
@@ -64,8 +64,14 @@
      * @param say lines for the operators, from any thread
      * @throws IOException if the folder cannot be made or written to
      */
-    public Capture(LoadSettings settings, String node, List<String> classes, List<String> tenants,
-            LongSupplier nowUs, Consumer<String> say) throws IOException {
+    public Capture(
+            LoadSettings settings,
+            String node,
+            List<String> classes,
+            List<String> tenants,
+            LongSupplier nowUs,
+            Consumer<String> say)
+            throws IOException {
         this.settings = settings;
         this.node = node;
         this.classes = classes;
@@ -142,8 +148,7 @@
         } catch (IOException e) {
             leftOut = before + batch.size();
             if (!failed) {
-                say.accept("load: what comes is left out and counted, as it cannot be written: "
-                        + e.getMessage());
+                say.accept("load: what comes is left out and counted, as it cannot be written: " + e.getMessage());
             }
             failed = true;
             // What was written of the batch is a frame cut off, behind which nothing could be read.
@@ -185,7 +190,8 @@
         List<Path> files;
         try (Stream<Path> all = Files.list(settings.folder())) {
             files = all.filter(path -> path.getFileName().toString().endsWith(SUFFIX))
-                    .sorted(Comparator.comparing(Path::getFileName)).toList();
+                    .sorted(Comparator.comparing(Path::getFileName))
+                    .toList();
         }
         long bytes = 0;
         for (Path path : files) {
--- a/src/main/java/kitemux/load/Captured.java
+++ b/src/main/java/kitemux/load/Captured.java
@@ -16,8 +16,15 @@
  * @param leftOut requests that it says are missing
  * @param fault what ended it before its end, or empty
  */
-public record Captured(long id, String node, long beganUs, List<String> classes, List<String> tenants,
-        List<Seen> seen, long leftOut, String fault) {
+public record Captured(
+        long id,
+        String node,
+        long beganUs,
+        List<String> classes,
+        List<String> tenants,
+        List<Seen> seen,
+        long leftOut,
+        String fault) {
 
     /**
      * Reads a file.
@@ -52,8 +59,7 @@
         } catch (IOException e) {
             fault = e.getMessage();
         }
-        return new Captured(head.id(), head.node(), head.beganUs(), head.classes(), head.tenants(), seen,
-                leftOut,
-                fault);
+        return new Captured(
+                head.id(), head.node(), head.beganUs(), head.classes(), head.tenants(), seen, leftOut, fault);
     }
 }
--- a/src/main/java/kitemux/load/LoadFormat.java
+++ b/src/main/java/kitemux/load/LoadFormat.java
@@ -1,5 +1,8 @@
 package kitemux.load;
 
+import io.airlift.compress.MalformedInputException;
+import io.airlift.compress.lz4.Lz4Compressor;
+import io.airlift.compress.lz4.Lz4Decompressor;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.BufferUnderflowException;
@@ -11,11 +14,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.zip.CRC32C;
-
-import io.airlift.compress.MalformedInputException;
-import io.airlift.compress.lz4.Lz4Compressor;
-import io.airlift.compress.lz4.Lz4Decompressor;
-
 import kitemux.Balancer.Result;
 import kitemux.engine.Observer;
 
@@ -31,11 +29,12 @@
     static final int FRAME_HEAD = 12;
     /** Of a frame as it is: a damaged length must not ask for all memory. */
     static final int MOST_FRAME = 4 << 20;
+
     private static final int MOST_TEXT = 4_096;
     private static final Observer.Answer[] ANSWERS = Observer.Answer.values();
     private static final Result[] RESULTS = Result.values();
 
-    private LoadFormat() { }
+    private LoadFormat() {}
 
     /**
      * What a file says of itself.
@@ -44,14 +43,14 @@
      * @param node whose it is
      * @param beganUs Unix time in microseconds, by the node's clock
      */
-    record Head(long id, String node, long beganUs, List<String> classes, List<String> tenants) { }
+    record Head(long id, String node, long beganUs, List<String> classes, List<String> tenants) {}
 
     /**
      * A batch of requests.
      *
      * @param leftOut how many were left out before it, as the ring was full or the disk failed
      */
-    record Batch(long leftOut, List<Seen> seen) { }
+    record Batch(long leftOut, List<Seen> seen) {}
 
     // ---------------------------------------------------------------- writing
 
--- a/src/main/java/kitemux/load/LoadSettings.java
+++ b/src/main/java/kitemux/load/LoadSettings.java
@@ -3,7 +3,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
-
 import kitemux.config.FileSection;
 import kitemux.config.Json;
 
@@ -19,6 +18,7 @@
     private static final Set<String> FIELDS = Set.of("folder", "ring", "fileKiB", "keepMiB");
     /** Each takes some 200 bytes of a heap of 64 MiB. */
     private static final long MOST_RING = 1 << 16;
+
     private static final long MOST_KEPT_MIB = 1 << 20;
 
     /**
--- a/src/main/java/kitemux/load/Recorder.java
+++ b/src/main/java/kitemux/load/Recorder.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-
 import kitemux.Balancer.Result;
 import kitemux.engine.Asked;
 import kitemux.engine.Observer;
@@ -101,10 +100,17 @@
         }
         List<Seen.Attempt> attempts = new ArrayList<>(of.sent.size());
         for (Sent one : of.sent) {
-            attempts.add(new Seen.Attempt(one.server, Math.max(0, one.atUs - of.cameUs),
-                    Math.max(0, one.endedUs - one.atUs), one.result));
+            attempts.add(new Seen.Attempt(
+                    one.server, Math.max(0, one.atUs - of.cameUs), Math.max(0, one.endedUs - one.atUs), one.result));
         }
-        sink.offer(new Seen(of.cameUs, of.classIndex, of.tenant, of.repeat, of.leftUs, attempts, of.answer,
+        sink.offer(new Seen(
+                of.cameUs,
+                of.classIndex,
+                of.tenant,
+                of.repeat,
+                of.leftUs,
+                attempts,
+                of.answer,
                 Math.max(0, of.answeredUs - of.cameUs)));
     }
 
--- a/src/main/java/kitemux/load/Seen.java
+++ b/src/main/java/kitemux/load/Seen.java
@@ -1,7 +1,6 @@
 package kitemux.load;
 
 import java.util.List;
-
 import kitemux.Balancer.Result;
 import kitemux.engine.Observer;
 
@@ -18,9 +17,15 @@
  * @param end how it was answered
  * @param tookUs from its coming to that answer
  */
-public record Seen(long cameUs, int classIndex, int tenant, boolean repeat, long leftUs,
+public record Seen(
+        long cameUs,
+        int classIndex,
+        int tenant,
+        boolean repeat,
+        long leftUs,
         List<Attempt> attempts,
-        Observer.Answer end, long tookUs) {
+        Observer.Answer end,
+        long tookUs) {
 
     /**
      * One that was sent to a server.
@@ -30,5 +35,5 @@
      * @param tookUs until its end was known
      * @param result how it ended
      */
-    public record Attempt(String server, long afterUs, long tookUs, Result result) { }
+    public record Attempt(String server, long afterUs, long tookUs, Result result) {}
 }
--- a/src/main/java/kitemux/load/Speeds.java
+++ b/src/main/java/kitemux/load/Speeds.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-
 import kitemux.Balancer.Result;
 
 /**
@@ -26,6 +25,7 @@
     private static final int LEAST = 40;
     /** What was called off or not waited for any more may go on at its server for so long. */
     private static final long GOES_ON_US = 1_000_000;
+
     private static final int DRAWS = 400;
     private static final long SEED = 11;
 
@@ -34,7 +34,7 @@
     private final Map<String, List<Out>> attempts = new TreeMap<>();
 
     /** One attempt, out from one time to another. */
-    private record Out(long fromUs, long toUs, String of, boolean answered) { }
+    private record Out(long fromUs, long toUs, String of, boolean answered) {}
 
     /**
      * Nothing yet.
@@ -51,7 +51,7 @@
      * @param low and {@code high}: within which it lies by chance, 95%, by drawing its times again
      * @param answers it rests on so many
      */
-    public record Speed(String server, double speed, double low, double high, int answers) { }
+    public record Speed(String server, double speed, double low, double high, int answers) {}
 
     /** Adds a file. */
     public void add(Captured file) {
@@ -60,8 +60,8 @@
             String of = file.classes().get(seen.classIndex());
             for (Seen.Attempt attempt : seen.attempts()) {
                 long from = seen.cameUs() + shift + attempt.afterUs();
-                attempts.computeIfAbsent(attempt.server(), id -> new ArrayList<>()).add(new Out(from,
-                        from + attempt.tookUs(), of, attempt.result() == Result.OK));
+                attempts.computeIfAbsent(attempt.server(), id -> new ArrayList<>())
+                        .add(new Out(from, from + attempt.tookUs(), of, attempt.result() == Result.OK));
             }
         }
     }
@@ -74,8 +74,7 @@
         long free = Long.MIN_VALUE;
         for (Out one : inOrder) {
             if (one.fromUs >= free && one.answered) {
-                times.computeIfAbsent(one.of,
-                        name -> new ArrayList<>()).add((double) (one.toUs - one.fromUs));
+                times.computeIfAbsent(one.of, name -> new ArrayList<>()).add((double) (one.toUs - one.fromUs));
             }
             free = Math.max(free, one.answered ? one.toUs : one.toUs + GOES_ON_US);
         }
@@ -91,7 +90,7 @@
      * @param cv standard deviation over mean
      * @param answers it rests on so many
      */
-    public record Work(String name, double meanUs, double low, double high, double cv, int answers) { }
+    public record Work(String name, double meanUs, double low, double high, double cv, int answers) {}
 
     /** The work of each class of which a server had times enough, in order of their names. */
     public List<Work> work() {
@@ -105,8 +104,8 @@
         List<Work> found = new ArrayList<>();
         byClass.forEach((name, all) -> {
             double half = 1.96 * all.deviation() / Math.sqrt(all.count);
-            found.add(new Work(name, all.mean(), all.mean() - half, all.mean() + half,
-                    all.deviation() / all.mean(), all.count));
+            found.add(new Work(
+                    name, all.mean(), all.mean() - half, all.mean() + half, all.deviation() / all.mean(), all.count));
         });
         return found;
     }
@@ -136,8 +135,8 @@
         Map<String, Map<String, double[]>> enough = new TreeMap<>();
         attempts.forEach((server, all) -> alone(all).forEach((name, times) -> {
             if (times.size() >= LEAST) {
-                enough.computeIfAbsent(server, id -> new TreeMap<>()).put(name,
-                        times.stream().mapToDouble(t -> t).toArray());
+                enough.computeIfAbsent(server, id -> new TreeMap<>())
+                        .put(name, times.stream().mapToDouble(t -> t).toArray());
             }
         }));
         return enough;
@@ -158,24 +157,30 @@
         told.forEach((server, log) -> {
             double[] sorted = drawn.get(server);
             Arrays.sort(sorted);
-            found.add(new Speed(server, Math.exp(log), Math.exp(sorted[(int) (0.025 * DRAWS)]),
+            found.add(new Speed(
+                    server,
+                    Math.exp(log),
+                    Math.exp(sorted[(int) (0.025 * DRAWS)]),
                     Math.exp(sorted[(int) (0.975 * DRAWS)]),
-                    enough.get(server).values().stream().mapToInt(all -> all.length).sum()));
+                    enough.get(server).values().stream()
+                            .mapToInt(all -> all.length)
+                            .sum()));
         });
         return found;
     }
 
     /** Logarithm of the mean of each server and class, of its times or of as many drawn from them. */
-    private static Map<String, Map<String, double[]>> means(Map<String, Map<String, double[]>> from,
-            SplittableRandom random) {
+    private static Map<String, Map<String, double[]>> means(
+            Map<String, Map<String, double[]>> from, SplittableRandom random) {
         Map<String, Map<String, double[]>> found = new TreeMap<>();
         from.forEach((server, classes) -> classes.forEach((name, all) -> {
             double sum = 0;
             for (int i = 0; i < all.length; i++) {
                 sum += random == null ? all[i] : all[random.nextInt(all.length)];
             }
-            found.computeIfAbsent(server, id -> new TreeMap<>()).put(name,
-                    new double[] {Math.log(Math.max(1, sum / all.length)), all.length});
+            found.computeIfAbsent(server, id -> new TreeMap<>()).put(name, new double[] {
+                Math.log(Math.max(1, sum / all.length)), all.length
+            });
         }));
         return found;
     }
--- a/src/main/java/kitemux/load/Summary.java
+++ b/src/main/java/kitemux/load/Summary.java
@@ -8,11 +8,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-
-import org.HdrHistogram.Histogram;
-
 import kitemux.Balancer.Result;
 import kitemux.engine.Observer;
+import org.HdrHistogram.Histogram;
 
 /**
  * What captured files of one or more nodes say together: how much was wanted, and what came of it. What was
@@ -22,6 +20,7 @@
 public final class Summary {
     /** Service times are told up to this. */
     private static final long MOST_US = 600_000_000L;
+
     private static final int DIGITS = 2;
     /** Of what was refused, so much must be asked again for repeats to be marked by all clients. */
     private static final double MARKED = 0.05;
@@ -141,8 +140,7 @@
             bin[0]++;
         }
         if (seen.tenant() >= 0) {
-            tenants.computeIfAbsent(file.tenants().get(seen.tenant()), name -> new long[2])
-                    [seen.repeat() ? 1 : 0]++;
+            tenants.computeIfAbsent(file.tenants().get(seen.tenant()), name -> new long[2])[seen.repeat() ? 1 : 0]++;
         }
         switch (seen.end()) {
             case SERVED -> of.served++;
@@ -171,7 +169,8 @@
     /** First tries by tenant, the heaviest first. */
     public Map<String, Long> wantedByTenant() {
         Map<String, Long> sorted = new LinkedHashMap<>();
-        tenants.entrySet().stream().sorted((a, b) -> Long.compare(b.getValue()[0], a.getValue()[0]))
+        tenants.entrySet().stream()
+                .sorted((a, b) -> Long.compare(b.getValue()[0], a.getValue()[0]))
                 .forEach(e -> sorted.put(e.getKey(), e.getValue()[0]));
         return sorted;
     }
@@ -198,7 +197,7 @@
      * @param wantedPerS first tries a second
      * @param repeatsPerS repeats a second
      */
-    public record Step(double atS, double wantedPerS, double repeatsPerS) { }
+    public record Step(double atS, double wantedPerS, double repeatsPerS) {}
 
     /** Rates over time; steps in which nothing came are there too. */
     public List<Step> steps() {
@@ -206,8 +205,7 @@
         if (!bins.isEmpty()) {
             for (long at = bins.firstKey(); at <= bins.lastKey(); at++) {
                 long[] bin = bins.getOrDefault(at, new long[2]);
-                steps.add(new Step((at - bins.firstKey()) * binUs / 1e6, bin[0] * 1e6 / binUs,
-                        bin[1] * 1e6 / binUs));
+                steps.add(new Step((at - bins.firstKey()) * binUs / 1e6, bin[0] * 1e6 / binUs, bin[1] * 1e6 / binUs));
             }
         }
         return steps;
@@ -221,10 +219,11 @@
             return Double.NaN;
         }
         double[] counts = whole.subList(1, whole.size() - 1).stream()
-                .mapToDouble(step -> step.wantedPerS() * binUs / 1e6).toArray();
+                .mapToDouble(step -> step.wantedPerS() * binUs / 1e6)
+                .toArray();
         double mean = Arrays.stream(counts).average().orElse(0);
-        double variance = Arrays.stream(counts).map(c -> (c - mean) * (c - mean)).sum()
-                / (counts.length - 1);
+        double variance =
+                Arrays.stream(counts).map(c -> (c - mean) * (c - mean)).sum() / (counts.length - 1);
         return mean == 0 ? Double.NaN : variance / mean;
     }
 
--- a/src/main/java/kitemux/members/Belief.java
+++ b/src/main/java/kitemux/members/Belief.java
@@ -57,15 +57,18 @@
         }
         doubted.keySet().removeIf(named::contains);
         List<String> missing = new ArrayList<>();
-        members.values().stream().filter(member -> !named.contains(member.name())
-                && !doubted.containsKey(member.name())).forEach(member -> missing.add(member.name()));
+        members.values().stream()
+                .filter(member -> !named.contains(member.name()) && !doubted.containsKey(member.name()))
+                .forEach(member -> missing.add(member.name()));
         if (missing.isEmpty()) {
             return;
         }
         lostAtUs.removeIf(at -> at <= nowUs - sureUs);
         // Those that drain were to go: that they have is no surprise.
-        long surprising = missing.stream().filter(name -> !members.get(name).draining()).count();
-        long ready = members.values().stream().filter(member -> !member.draining()).count();
+        long surprising =
+                missing.stream().filter(name -> !members.get(name).draining()).count();
+        long ready =
+                members.values().stream().filter(member -> !member.draining()).count();
         if (surprising + lostAtUs.size() + doubted.size() > mostLost * (ready + lostAtUs.size())) {
             for (String name : missing) {
                 if (members.get(name).draining()) {
@@ -107,12 +110,16 @@
 
     /** When {@link #settle} has something to do next; the clock's end if it has not. */
     long nextUs() {
-        return doubted.values().stream().mapToLong(sinceUs -> sinceUs + sureUs).min().orElse(Long.MAX_VALUE);
+        return doubted.values().stream()
+                .mapToLong(sinceUs -> sinceUs + sureUs)
+                .min()
+                .orElse(Long.MAX_VALUE);
     }
 
     /** Names for a line, a few of many. */
     static String shown(List<String> names) {
-        return names.size() <= 5 ? String.join(", ", names)
+        return names.size() <= 5
+                ? String.join(", ", names)
                 : String.join(", ", names.subList(0, 5)) + " and " + (names.size() - 5) + " more";
     }
 }
--- a/src/main/java/kitemux/members/Health.java
+++ b/src/main/java/kitemux/members/Health.java
@@ -12,6 +12,7 @@
     private int inARow;
     /** How often it was taken out since it was last well for long. */
     private int downs;
+
     private long changedUs;
     /** When it was last seen to begin, for whoever sends cold servers less; 0 for long ago. */
     private long startedUs;
--- a/src/main/java/kitemux/members/Member.java
+++ b/src/main/java/kitemux/members/Member.java
@@ -8,4 +8,4 @@
  * @param rack group that drops keyed repeats
  * @param draining whether it is to get nothing new
  */
-public record Member(String name, String address, int rack, boolean draining) { }
+public record Member(String name, String address, int rack, boolean draining) {}
--- a/src/main/java/kitemux/members/MemberSettings.java
+++ b/src/main/java/kitemux/members/MemberSettings.java
@@ -23,5 +23,5 @@
      *     out again
      * @param mostHoldUs but no longer than this; one that was well for so long begins anew
      */
-    public record Health(int fall, int rise, double mostOut, long holdUs, long mostHoldUs) { }
+    public record Health(int fall, int rise, double mostOut, long holdUs, long mostHoldUs) {}
 }
--- a/src/main/java/kitemux/members/MemberText.java
+++ b/src/main/java/kitemux/members/MemberText.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
-
 import kitemux.config.Json;
 
 /**
@@ -21,7 +20,7 @@
     /** Told of one list; the rest is counted. */
     private static final int MOST_FAULTS = 20;
 
-    private MemberText() { }
+    private MemberText() {}
 
     /**
      * @param allowed whether an address may be used: IPv4 and port, and within the networks that there are
@@ -42,8 +41,7 @@
             return List.of();
         }
         if (servers.values().size() > MOST_SERVERS) {
-            faults.add("servers: has " + servers.values().size() + "; at most " + MOST_SERVERS
-                    + " are taken");
+            faults.add("servers: has " + servers.values().size() + "; at most " + MOST_SERVERS + " are taken");
             return List.of();
         }
         List<Member> read = new ArrayList<>();
@@ -52,7 +50,9 @@
         Set<String> addresses = new HashSet<>();
         for (Json one : servers) {
             String at = "servers[" + read.size() + "].";
-            Member member = new Member(one.path("name").text(), one.path("address").text(),
+            Member member = new Member(
+                    one.path("name").text(),
+                    one.path("address").text(),
                     (int) Math.max(-1, Math.min(MOST_RACK, one.path("rack").whole(0))),
                     one.path("state").text().equals("draining"));
             read.add(member);
@@ -62,8 +62,7 @@
                 found.add(at + "name: \"" + member.name() + "\" is there twice");
             }
             if (!allowed.test(member.address())) {
-                found.add(at + "address: \"" + member.address()
-                        + "\" is no IPv4 address and port, or not allowed");
+                found.add(at + "address: \"" + member.address() + "\" is no IPv4 address and port, or not allowed");
             } else if (!addresses.add(member.address())) {
                 found.add(at + "address: \"" + member.address() + "\" is there twice");
             }
@@ -71,7 +70,8 @@
                 found.add(at + "rack: is under 0");
             }
             if (!List.of("", "ready", "draining").contains(one.path("state").text())) {
-                found.add(at + "state: is neither ready nor draining: \"" + one.path("state").text() + "\"");
+                found.add(at + "state: is neither ready nor draining: \""
+                        + one.path("state").text() + "\"");
             }
         }
         faults.addAll(found.size() <= MOST_FAULTS ? found : found.subList(0, MOST_FAULTS));
--- a/src/main/java/kitemux/members/Members.java
+++ b/src/main/java/kitemux/members/Members.java
@@ -19,11 +19,12 @@
     private final Map<String, Health> health = new LinkedHashMap<>();
     /** When those came that were not there from the beginning, or came to another address. */
     private final Map<String, Joined> joined = new LinkedHashMap<>();
+
     private List<Serving> holds = List.of();
     private boolean begun;
     private boolean open;
 
-    private record Joined(String address, long atUs) { }
+    private record Joined(String address, long atUs) {}
 
     /**
      * A server as the node is to be told of it.
@@ -31,7 +32,7 @@
      * @param draining whether it gets nothing new: because it drains, or because checks have taken it out
      * @param startedUs when it was last seen to begin; 0 for long ago
      */
-    public record Serving(Member member, boolean draining, long startedUs) { }
+    public record Serving(Member member, boolean draining, long startedUs) {}
 
     /**
      * What came of an event.
@@ -39,7 +40,7 @@
      * @param serving all servers, or null where nothing has changed
      * @param say lines for the operators
      */
-    public record Decision(List<Serving> serving, List<String> say) { }
+    public record Decision(List<Serving> serving, List<String> say) {}
 
     /** Knows nobody yet. */
     public Members(MemberSettings settings) {
@@ -50,12 +51,19 @@
     /** Begins with what an earlier process of the same application knew, before anything else is told. */
     public Decision begin(long nowUs, SavedMembers saved) {
         belief.set(saved.members().stream().map(SavedMembers.Saved::member).toList());
-        saved.members().forEach(one -> joined.put(one.member().name(), new Joined(one.member().address(),
-                Math.min(nowUs, one.startedUs()))));
+        saved.members()
+                .forEach(one -> joined.put(
+                        one.member().name(), new Joined(one.member().address(), Math.min(nowUs, one.startedUs()))));
         if (settings.health() != null) {
-            saved.members().forEach(one -> health.put(one.member().name(), new Health(settings.health(),
-                    one.down(),
-                    one.downs(), Math.min(nowUs, one.changedUs()), Math.min(nowUs, one.startedUs()))));
+            saved.members()
+                    .forEach(one -> health.put(
+                            one.member().name(),
+                            new Health(
+                                    settings.health(),
+                                    one.down(),
+                                    one.downs(),
+                                    Math.min(nowUs, one.changedUs()),
+                                    Math.min(nowUs, one.startedUs()))));
         }
         begun = !saved.members().isEmpty();
         return decide(nowUs, new ArrayList<>());
@@ -83,8 +91,8 @@
         Health of = health.get(name);
         List<String> say = new ArrayList<>();
         if (of != null && of.checked(nowUs, passed)) {
-            say.add("server " + name + (of.isOut() ? " fails its checks: it gets nothing new"
-                    : " passes its checks: it gets its part"));
+            say.add("server " + name
+                    + (of.isOut() ? " fails its checks: it gets nothing new" : " passes its checks: it gets its part"));
         }
         return decide(nowUs, say);
     }
@@ -113,18 +121,25 @@
 
     /** Servers that are to be checked: all that have not been told to drain. */
     public List<Member> toCheck() {
-        return settings.health() == null ? List.of()
+        return settings.health() == null
+                ? List.of()
                 : belief.members().stream().filter(member -> !member.draining()).toList();
     }
 
     /** What the next process of this application may begin with. */
     public SavedMembers save(String app, long nowUs) {
-        return new SavedMembers(app, nowUs, belief.members().stream().map(member -> {
-            Health of = health.get(member.name());
-            return of == null ? new SavedMembers.Saved(member, false, 0, 0, startedUs(member))
-                    : new SavedMembers.Saved(member, of.isDown(), of.downs(), of.changedUs(),
-                            startedUs(member));
-        }).toList());
+        return new SavedMembers(
+                app,
+                nowUs,
+                belief.members().stream()
+                        .map(member -> {
+                            Health of = health.get(member.name());
+                            return of == null
+                                    ? new SavedMembers.Saved(member, false, 0, 0, startedUs(member))
+                                    : new SavedMembers.Saved(
+                                            member, of.isDown(), of.downs(), of.changedUs(), startedUs(member));
+                        })
+                        .toList());
     }
 
     // ---------------------------------------------------------------- what follows
@@ -149,8 +164,7 @@
         List<String> out = out(members, say);
         List<Serving> serving = new ArrayList<>();
         for (Member member : members) {
-            serving.add(new Serving(member, member.draining() || out.contains(member.name()),
-                    startedUs(member)));
+            serving.add(new Serving(member, member.draining() || out.contains(member.name()), startedUs(member)));
         }
         if (serving.equals(holds)) {
             return new Decision(null, say);
@@ -169,18 +183,27 @@
         if (settings.health() == null) {
             return List.of();
         }
-        List<String> ready = members.stream().filter(member -> !member.draining()).map(Member::name).toList();
-        List<String> failing = ready.stream().filter(name -> health.get(name).isOut())
-                .sorted(Comparator.comparingLong((String name) -> health.get(name).changedUs())).toList();
+        List<String> ready = members.stream()
+                .filter(member -> !member.draining())
+                .map(Member::name)
+                .toList();
+        List<String> failing = ready.stream()
+                .filter(name -> health.get(name).isOut())
+                .sorted(Comparator.comparingLong(
+                        (String name) -> health.get(name).changedUs()))
+                .toList();
         int most = (int) Math.floor(settings.health().mostOut() * ready.size());
         boolean tooMany = failing.size() > most;
         if (tooMany != open) {
             open = tooMany;
-            say.add(tooMany ? failing.size() + " of " + ready.size()
-                    + " servers fail their checks: no more than " + most
-                    + " are taken out, as the checks may be wrong" : "checks are believed again: "
-                            + failing.size()
-                    + " of " + ready.size() + " servers fail theirs");
+            say.add(
+                    tooMany
+                            ? failing.size() + " of " + ready.size()
+                                    + " servers fail their checks: no more than " + most
+                                    + " are taken out, as the checks may be wrong"
+                            : "checks are believed again: "
+                                    + failing.size()
+                                    + " of " + ready.size() + " servers fail theirs");
         }
         return tooMany ? failing.subList(0, most) : failing;
     }
--- a/src/main/java/kitemux/members/Refresh.java
+++ b/src/main/java/kitemux/members/Refresh.java
@@ -35,7 +35,7 @@
 
     /**
      * It has not; the pause until it is asked again, between half and all of what has been doubled so far.
-     * 
+     *
      */
     public long failed() {
         double pause = Math.min(mostUs, everyUs * Math.pow(2, Math.min(30, failures++)));
--- a/src/main/java/kitemux/members/SavedMembers.java
+++ b/src/main/java/kitemux/members/SavedMembers.java
@@ -1,5 +1,7 @@
 package kitemux.members;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
@@ -7,10 +9,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.CRC32C;
-
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-
 import kitemux.config.Json;
 
 /**
@@ -29,7 +27,7 @@
     private static final JsonFactory JSON = new JsonFactory();
 
     /** A server and what its checks had told; see {@link Health}. */
-    public record Saved(Member member, boolean down, int downs, long changedUs, long startedUs) { }
+    public record Saved(Member member, boolean down, int downs, long changedUs, long startedUs) {}
 
     /** A text that is not to be used; the message says why. */
     public static final class UnusableException extends Exception {
@@ -83,8 +81,7 @@
      */
     public static SavedMembers read(byte[] bytes, String app) throws UnusableException {
         if (bytes.length > MOST_BYTES) {
-            throw new UnusableException("has " + bytes.length + " bytes; at most " + MOST_BYTES
-                    + " are read");
+            throw new UnusableException("has " + bytes.length + " bytes; at most " + MOST_BYTES + " are read");
         }
         String text = new String(bytes, StandardCharsets.UTF_8);
         int end = text.indexOf('\n');
@@ -95,21 +92,28 @@
         if (!head[2].equals(Integer.toString(VERSION))) {
             throw new UnusableException("is of version " + head[2] + ", and this build reads " + VERSION);
         }
-        if (!text.endsWith("\n") || text.length() < end + 2
+        if (!text.endsWith("\n")
+                || text.length() < end + 2
                 || !checksum(text.substring(end + 1, text.length() - 1)).equals(head[3])) {
             throw new UnusableException("is damaged or not whole");
         }
         try {
             Json json = Json.read(text.substring(end + 1).getBytes(StandardCharsets.UTF_8));
             if (!json.path("app").text().equals(app)) {
-                throw new UnusableException("is of application \"" + json.path("app").text() + "\"");
+                throw new UnusableException(
+                        "is of application \"" + json.path("app").text() + "\"");
             }
             List<Saved> members = new ArrayList<>();
             for (Json one : json.path("members")) {
-                members.add(new Saved(new Member(one.path("name").text(), one.path("address").text(),
-                        (int) one.path("rack").whole(0), one.path("draining").flag()), one.path("down")
-                                .flag(),
-                        (int) one.path("downs").whole(0), one.path("changedUs").whole(0),
+                members.add(new Saved(
+                        new Member(
+                                one.path("name").text(),
+                                one.path("address").text(),
+                                (int) one.path("rack").whole(0),
+                                one.path("draining").flag()),
+                        one.path("down").flag(),
+                        (int) one.path("downs").whole(0),
+                        one.path("changedUs").whole(0),
                         one.path("startedUs").whole(0)));
             }
             return new SavedMembers(app, json.path("savedUs").whole(0), members);
--- a/src/main/java/kitemux/mysql/AnswerTracker.java
+++ b/src/main/java/kitemux/mysql/AnswerTracker.java
@@ -20,7 +20,10 @@
     }
 
     /** How it ended. */
-    enum End { OK, ERROR }
+    enum End {
+        OK,
+        ERROR
+    }
 
     /** Longest payload that is looked at whole: an OK with its session's state, an ERR, a count. */
     static final int MOST_SEEN = 1 << 16;
@@ -29,7 +32,15 @@
     /** An EOF_Packet has five bytes; a row that begins with the same has a field of 16 MiB. */
     private static final int EOF_BOUND = 9;
 
-    private enum State { FIRST, COLUMNS, BEHIND_COLUMNS, ROWS, PARAMETERS, BEHIND_PARAMETERS, OVER }
+    private enum State {
+        FIRST,
+        COLUMNS,
+        BEHIND_COLUMNS,
+        ROWS,
+        PARAMETERS,
+        BEHIND_PARAMETERS,
+        OVER
+    }
 
     private final Form form;
     private final long capabilities;
@@ -73,8 +84,9 @@
             case FIRST -> true;
             case COLUMNS, PARAMETERS -> firstByte == ErrPacket.HEADER;
             case BEHIND_COLUMNS, BEHIND_PARAMETERS -> true;
-            case ROWS -> firstByte == ErrPacket.HEADER || firstByte == OkPacket.END_HEADER
-                    && length < (hasEofs() ? EOF_BOUND : OkPacket.END_BOUND);
+            case ROWS ->
+                firstByte == ErrPacket.HEADER
+                        || firstByte == OkPacket.END_HEADER && length < (hasEofs() ? EOF_BOUND : OkPacket.END_BOUND);
             case OVER -> throw new IllegalStateException();
         };
     }
--- a/src/main/java/kitemux/mysql/BackConnection.java
+++ b/src/main/java/kitemux/mysql/BackConnection.java
@@ -1,14 +1,12 @@
 package kitemux.mysql;
 
-import java.io.IOException;
-import java.util.Map;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-
+import java.io.IOException;
+import java.util.Map;
 import kitemux.Balancer.Result;
 import kitemux.mysql.AnswerTracker.End;
 import kitemux.mysql.AnswerTracker.Form;
@@ -21,10 +19,17 @@
  */
 final class BackConnection extends ChannelInboundHandlerAdapter {
     /** What this program can do towards servers, and what both sides then keep to. */
-    static final long WANTED = Capabilities.LONG_PASSWORD | Capabilities.LONG_FLAG | Capabilities.PROTOCOL_41
-            | Capabilities.TRANSACTIONS | Capabilities.SECURE_CONNECTION | Capabilities.MULTI_RESULTS
-            | Capabilities.PS_MULTI_RESULTS | Capabilities.PLUGIN_AUTH | Capabilities.PLUGIN_AUTH_LENENC_DATA
+    static final long WANTED = Capabilities.LONG_PASSWORD
+            | Capabilities.LONG_FLAG
+            | Capabilities.PROTOCOL_41
+            | Capabilities.TRANSACTIONS
+            | Capabilities.SECURE_CONNECTION
+            | Capabilities.MULTI_RESULTS
+            | Capabilities.PS_MULTI_RESULTS
+            | Capabilities.PLUGIN_AUTH
+            | Capabilities.PLUGIN_AUTH_LENENC_DATA
             | Capabilities.DEPRECATE_EOF;
+
     private static final int MOST_PACKET = 1 << 30;
     private static final int UTF8MB4 = 45;
     private static final int AUTH_SWITCH = 0xfe;
@@ -32,7 +37,7 @@
     private static final int FAST_PATH = 3;
 
     /** Who logs in, and where it begins; an empty database is none. */
-    record Account(String user, String password, String database) { }
+    record Account(String user, String password, String database) {}
 
     /** Told of a connection's login: one of these, once. */
     interface LoginHeard {
@@ -54,7 +59,13 @@
         void ended(Result result, ErrPacket error);
     }
 
-    private enum Phase { GREETING, LOGIN, IDLE, BUSY, CLOSED }
+    private enum Phase {
+        GREETING,
+        LOGIN,
+        IDLE,
+        BUSY,
+        CLOSED
+    }
 
     private final Account account;
     private final LoginHeard login;
@@ -72,6 +83,7 @@
     private boolean begun;
     /** Whether the payload that comes now is gathered, to be seen. */
     private boolean gathers;
+
     private int firstSequence;
 
     /** A connection that is not open yet; the decoder stands in front of it. */
@@ -193,8 +205,11 @@
         if (part.first()) {
             firstSequence = part.sequence();
             try {
-                gathers = tracker.begins(part.bytes().isReadable()
-                        ? part.bytes().getUnsignedByte(part.bytes().readerIndex()) : -1, part.wire());
+                gathers = tracker.begins(
+                        part.bytes().isReadable()
+                                ? part.bytes().getUnsignedByte(part.bytes().readerIndex())
+                                : -1,
+                        part.wire());
             } catch (Fault fault) {
                 part.bytes().release();
                 throw fault;
@@ -231,7 +246,9 @@
         if (part.wire() < 0) {
             return pass(bytes);
         }
-        ByteBuf header = channel.alloc().buffer(PacketDecoder.HEADER).writeMediumLE(part.wire())
+        ByteBuf header = channel.alloc()
+                .buffer(PacketDecoder.HEADER)
+                .writeMediumLE(part.wire())
                 .writeByte(part.sequence());
         return pass(Unpooled.wrappedBuffer(header, bytes));
     }
@@ -283,8 +300,16 @@
         ByteBuf out = channel.alloc().buffer();
         // A plugin that is not known is answered with one that is: the server then asks to switch.
         Scramble used = scramble == null ? Scramble.CACHING_SHA2 : scramble;
-        new ClientGreeting(capabilities, MOST_PACKET, UTF8MB4, account.user(),
-                used.proof(account.password(), nonce), account.database(), used.plugin, Map.of()).write(out);
+        new ClientGreeting(
+                        capabilities,
+                        MOST_PACKET,
+                        UTF8MB4,
+                        account.user(),
+                        used.proof(account.password(), nonce),
+                        account.database(),
+                        used.plugin,
+                        Map.of())
+                .write(out);
         send(out);
     }
 
@@ -327,8 +352,7 @@
             case AUTH_MORE -> {
                 if (Fields.int1(payload, "the login's answer") != FAST_PATH) {
                     // It wants the password itself, which goes over no plain connection.
-                    refused("the server does not know the password's digest yet: log in there once over TLS",
-                            null);
+                    refused("the server does not know the password's digest yet: log in there once over TLS", null);
                 }
             }
             default -> throw new Fault(Fault.Kind.MALFORMED, "a login's answer begins with " + first);
--- a/src/main/java/kitemux/mysql/Capabilities.java
+++ b/src/main/java/kitemux/mysql/Capabilities.java
@@ -20,7 +20,7 @@
     static final long SESSION_TRACK = 1 << 23;
     static final long DEPRECATE_EOF = 1 << 24;
 
-    private Capabilities() { }
+    private Capabilities() {}
 
     static boolean has(long flags, long flag) {
         return (flags & flag) != 0;
--- a/src/main/java/kitemux/mysql/ClientGreeting.java
+++ b/src/main/java/kitemux/mysql/ClientGreeting.java
@@ -1,10 +1,9 @@
 package kitemux.mysql;
 
+import io.netty.buffer.ByteBuf;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-import io.netty.buffer.ByteBuf;
-
 /**
  * What a client answers (Protocol::HandshakeResponse41), or, with {@code CLIENT_SSL} and no user yet, its
  * wish for TLS (Protocol::SSLRequest).
@@ -18,8 +17,15 @@
  * @param plugin how it proves who it is; empty if it does not say
  * @param attributes what it says of itself
  */
-record ClientGreeting(long capabilities, long mostPacket, int charset, String user, byte[] proof,
-        String database, String plugin, Map<String, String> attributes) {
+record ClientGreeting(
+        long capabilities,
+        long mostPacket,
+        int charset,
+        String user,
+        byte[] proof,
+        String database,
+        String plugin,
+        Map<String, String> attributes) {
     private static final int FILLER = 23;
     /** Attributes beyond this are a fault: servers take 64 KiB in all. */
     private static final int MOST_ATTRIBUTES = 1 << 16;
@@ -48,13 +54,15 @@
                 ? Fields.lenencBytes(in, "the proof")
                 : Fields.bytes(in, Fields.int1(in, "the proof"), "the proof");
         String database = Capabilities.has(capabilities, Capabilities.CONNECT_WITH_DB) && in.isReadable()
-                ? Fields.nulText(in, "the database") : "";
+                ? Fields.nulText(in, "the database")
+                : "";
         String plugin = Capabilities.has(capabilities, Capabilities.PLUGIN_AUTH) && in.isReadable()
-                ? Fields.nulText(in, "the plugin's name") : "";
-        Map<String, String> attributes = Capabilities.has(capabilities, Capabilities.CONNECT_ATTRS)
-                && in.isReadable() ? attributes(in) : Map.of();
-        return new ClientGreeting(capabilities, mostPacket, charset, user, proof, database, plugin,
-                attributes);
+                ? Fields.nulText(in, "the plugin's name")
+                : "";
+        Map<String, String> attributes = Capabilities.has(capabilities, Capabilities.CONNECT_ATTRS) && in.isReadable()
+                ? attributes(in)
+                : Map.of();
+        return new ClientGreeting(capabilities, mostPacket, charset, user, proof, database, plugin, attributes);
     }
 
     private static Map<String, String> attributes(ByteBuf in) {
@@ -72,7 +80,10 @@
     }
 
     void write(ByteBuf out) {
-        out.writeIntLE((int) capabilities).writeIntLE((int) mostPacket).writeByte(charset).writeZero(FILLER);
+        out.writeIntLE((int) capabilities)
+                .writeIntLE((int) mostPacket)
+                .writeByte(charset)
+                .writeZero(FILLER);
         if (user == null) {
             return;
         }
--- a/src/main/java/kitemux/mysql/Command.java
+++ b/src/main/java/kitemux/mysql/Command.java
@@ -1,7 +1,6 @@
 package kitemux.mysql;
 
 import java.util.List;
-
 import kitemux.engine.Asked;
 import kitemux.mysql.AnswerTracker.Form;
 
@@ -15,8 +14,7 @@
  * @param form of its answer
  * @param payload the command's byte and what follows; not to be changed
  */
-record Command(String txn, int classIndex, int tenant, long leftUs, Form form, byte[] payload)
-        implements Asked {
+record Command(String txn, int classIndex, int tenant, long leftUs, Form form, byte[] payload) implements Asked {
     private static final byte PING_BYTE = 0x0e;
 
     /** COM_PING: what checks a server, where the settings allow probes. */
--- a/src/main/java/kitemux/mysql/ErrPacket.java
+++ b/src/main/java/kitemux/mysql/ErrPacket.java
@@ -1,8 +1,7 @@
 package kitemux.mysql;
 
-import java.nio.charset.StandardCharsets;
-
 import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
 
 /**
  * ERR_Packet, in the form of protocol 4.1.
--- a/src/main/java/kitemux/mysql/Fields.java
+++ b/src/main/java/kitemux/mysql/Fields.java
@@ -1,9 +1,8 @@
 package kitemux.mysql;
 
-import java.nio.charset.StandardCharsets;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import java.nio.charset.StandardCharsets;
 
 /**
  * Fields of packets: whole numbers, strings and byte strings in the protocol's forms. Each reading method
@@ -16,7 +15,7 @@
     /** Stands for NULL in rows of text, and begins no number. */
     static final int NULL = 0xfb;
 
-    private Fields() { }
+    private Fields() {}
 
     private static Fault early(String what) {
         return new Fault(Fault.Kind.MALFORMED, "the packet ends within " + what);
--- a/src/main/java/kitemux/mysql/FrontLogin.java
+++ b/src/main/java/kitemux/mysql/FrontLogin.java
@@ -1,9 +1,5 @@
 package kitemux.mysql;
 
-import java.io.IOException;
-import java.security.SecureRandom;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -11,7 +7,9 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.util.concurrent.Future;
-
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.concurrent.TimeUnit;
 import kitemux.mysql.PacketDecoder.Part;
 
 /**
@@ -21,14 +19,18 @@
  */
 final class FrontLogin extends ChannelInboundHandlerAdapter {
     /** What this program can do towards clients. */
-    static final long OFFERED = BackConnection.WANTED | Capabilities.CONNECT_WITH_DB
-            | Capabilities.CONNECT_ATTRS | Capabilities.MULTI_STATEMENTS;
+    static final long OFFERED = BackConnection.WANTED
+            | Capabilities.CONNECT_WITH_DB
+            | Capabilities.CONNECT_ATTRS
+            | Capabilities.MULTI_STATEMENTS;
     /** Longest payload of a client that has not logged in: a name, a proof and 64 KiB of attributes. It
      * guards memory against those who need not know any password. */
     static final int MOST_PAYLOAD = 1 << 17;
+
     static final String VERSION = "8.4.0-kitemux";
     /** How long one that was not let in may take to read why. */
     private static final long LINGER_MS = 1_000;
+
     private static final int UTF8MB4 = 45;
     private static final SecureRandom RANDOM = new SecureRandom();
 
@@ -60,8 +62,8 @@
      * @param loginMs a login that takes longer is ended; guards descriptors against those that never end it
      * @param decoder stands in front of it
      */
-    FrontLogin(Users users, long connectionId, Scramble greeted, long loginMs, PacketDecoder decoder,
-            Entrance entrance) {
+    FrontLogin(
+            Users users, long connectionId, Scramble greeted, long loginMs, PacketDecoder decoder, Entrance entrance) {
         this.users = users;
         this.connectionId = connectionId;
         this.greeted = greeted;
@@ -83,13 +85,16 @@
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
         gatherer = new Gatherer(channel.alloc(), MOST_PAYLOAD);
-        patience = channel.eventLoop().schedule(() -> refuse(new ErrPacket(1159, "08S01",
-                "the login took too long")), loginMs, TimeUnit.MILLISECONDS);
+        patience = channel.eventLoop()
+                .schedule(
+                        () -> refuse(new ErrPacket(1159, "08S01", "the login took too long")),
+                        loginMs,
+                        TimeUnit.MILLISECONDS);
         scramble = greeted;
         nonce = newNonce();
         ByteBuf out = channel.alloc().buffer();
-        new ServerGreeting(VERSION, connectionId, nonce, OFFERED, UTF8MB4, OkPacket.AUTOCOMMIT,
-                greeted.plugin).write(out);
+        new ServerGreeting(VERSION, connectionId, nonce, OFFERED, UTF8MB4, OkPacket.AUTOCOMMIT, greeted.plugin)
+                .write(out);
         send(out);
     }
 
@@ -137,8 +142,11 @@
 
     private void check(byte[] proof) {
         if (!users.isProof(users.of(greeting.user()), scramble, proof, nonce)) {
-            refuse(new ErrPacket(1045, "28000", "Access denied for user '" + greeting.user()
-                    + "' (using password: " + (proof.length > 0 ? "YES" : "NO") + ")"));
+            refuse(new ErrPacket(
+                    1045,
+                    "28000",
+                    "Access denied for user '" + greeting.user() + "' (using password: "
+                            + (proof.length > 0 ? "YES" : "NO") + ")"));
             return;
         }
         over = true;
@@ -147,8 +155,7 @@
             send(Unpooled.wrappedBuffer(new byte[] {1, 3}));
         }
         ByteBuf ok = channel.alloc().buffer();
-        new OkPacket(0, 0, OkPacket.AUTOCOMMIT, 0, "", null).write(ok, OkPacket.HEADER,
-                greeting.capabilities());
+        new OkPacket(0, 0, OkPacket.AUTOCOMMIT, 0, "", null).write(ok, OkPacket.HEADER, greeting.capabilities());
         send(ok);
         decoder.expect(0);
         channel.pipeline().remove(this);
--- a/src/main/java/kitemux/mysql/Gatherer.java
+++ b/src/main/java/kitemux/mysql/Gatherer.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
-
 import kitemux.mysql.PacketDecoder.Part;
 
 /** Puts the parts of a payload together that must be read as a whole, up to a bound. */
--- a/src/main/java/kitemux/mysql/MysqlServers.java
+++ b/src/main/java/kitemux/mysql/MysqlServers.java
@@ -1,13 +1,11 @@
 package kitemux.mysql;
 
-import java.util.Set;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
-
+import java.util.Set;
 import kitemux.Balancer.Result;
 import kitemux.engine.Log;
 import kitemux.engine.Transport.Exchange;
@@ -25,8 +23,8 @@
      * many connections, disk full, out of memory, shutdown, user's limit, read only, offline mode, and a
      * transaction that a group's change of members ended.
      */
-    private static final Set<Integer> OF_THE_SERVER = Set.of(1040, 1021, 1037, 1041, 1053, 1203, 1226, 1290,
-            1836, 3032, 3101);
+    private static final Set<Integer> OF_THE_SERVER =
+            Set.of(1040, 1021, 1037, 1041, 1053, 1203, 1226, 1290, 1836, 3032, 3101);
 
     private final BackConnection.Account account;
     private final Log log;
@@ -59,6 +57,7 @@
         private final BackConnection back = new BackConnection(account, decoder, this);
         /** What is passed on, or null. */
         private Answer passing;
+
         private boolean free;
 
         @Override
--- a/src/main/java/kitemux/mysql/OkPacket.java
+++ b/src/main/java/kitemux/mysql/OkPacket.java
@@ -12,8 +12,7 @@
  * @param info for people
  * @param sessionState changes of the session's state as the server wrote them, or null where it wrote none
  */
-record OkPacket(long affectedRows, long lastInsertId, int status, int warnings, String info,
-        byte[] sessionState) {
+record OkPacket(long affectedRows, long lastInsertId, int status, int warnings, String info, byte[] sessionState) {
     static final int HEADER = 0x00;
     /** Of one that ends rows, and of an EOF_Packet. */
     static final int END_HEADER = 0xfe;
@@ -36,8 +35,7 @@
         }
         // Servers leave both out where there is nothing to say.
         String info = in.isReadable() ? Fields.lenencText(in, "the info") : "";
-        byte[] state = (status & SESSION_STATE_CHANGED) == 0 ? null
-                : Fields.lenencBytes(in, "the session's state");
+        byte[] state = (status & SESSION_STATE_CHANGED) == 0 ? null : Fields.lenencBytes(in, "the session's state");
         return new OkPacket(rows, id, status, warnings, info, state);
     }
 
--- a/src/main/java/kitemux/mysql/PacketDecoder.java
+++ b/src/main/java/kitemux/mysql/PacketDecoder.java
@@ -1,10 +1,9 @@
 package kitemux.mysql;
 
-import java.util.List;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
+import java.util.List;
 
 /**
  * Cuts what is read into parts of packets ("MySQL Packets"), as they come: a packet of any length passes in
@@ -25,7 +24,7 @@
      * @param sequence that packet's number
      * @param bytes owned by whoever gets the part; may be none
      */
-    record Part(boolean first, boolean last, int wire, int sequence, ByteBuf bytes) { }
+    record Part(boolean first, boolean last, int wire, int sequence, ByteBuf bytes) {}
 
     private int expected;
     private int left;
@@ -55,8 +54,7 @@
             wire = left;
             sequence = in.readUnsignedByte();
             if (sequence != expected) {
-                throw new Fault(Fault.Kind.OUT_OF_ORDER, "packet " + sequence + " came where " + expected
-                        + " was due");
+                throw new Fault(Fault.Kind.OUT_OF_ORDER, "packet " + sequence + " came where " + expected + " was due");
             }
             expected = sequence + 1 & 0xff;
             goesOn = left == MOST_PAYLOAD;
--- a/src/main/java/kitemux/mysql/Packets.java
+++ b/src/main/java/kitemux/mysql/Packets.java
@@ -5,7 +5,7 @@
 
 /** Puts payloads into packets. */
 final class Packets {
-    private Packets() { }
+    private Packets() {}
 
     /** How many packets a payload of so many bytes takes. */
     static int count(int bytes) {
--- a/src/main/java/kitemux/mysql/Scramble.java
+++ b/src/main/java/kitemux/mysql/Scramble.java
@@ -31,6 +31,7 @@
 
     /** The plugin's name in the protocol. */
     public final String plugin;
+
     private final String algorithm;
 
     Scramble(String plugin, String algorithm) {
@@ -70,10 +71,9 @@
     /** Whether a proof is one for the password of this digest, and for this nonce. */
     public boolean isProof(byte[] proof, byte[] digest, byte[] nonce) {
         if (proof.length == 0) {
-            return MessageDigest.isEqual(digest("") , digest);
+            return MessageDigest.isEqual(digest(""), digest);
         }
-        return proof.length == digest.length
-                && MessageDigest.isEqual(hash(xor(proof, mask(digest, nonce))), digest);
+        return proof.length == digest.length && MessageDigest.isEqual(hash(xor(proof, mask(digest, nonce))), digest);
     }
 
     private static byte[] xor(byte[] a, byte[] b) {
--- a/src/main/java/kitemux/mysql/ServerGreeting.java
+++ b/src/main/java/kitemux/mysql/ServerGreeting.java
@@ -1,8 +1,7 @@
 package kitemux.mysql;
 
-import java.util.Arrays;
-
 import io.netty.buffer.ByteBuf;
+import java.util.Arrays;
 
 /**
  * What a server says first (Protocol::HandshakeV10).
@@ -15,8 +14,8 @@
  * @param status SERVER_STATUS flags
  * @param plugin how it would have clients prove who they are
  */
-record ServerGreeting(String version, long connectionId, byte[] nonce, long capabilities, int charset,
-        int status, String plugin) {
+record ServerGreeting(
+        String version, long connectionId, byte[] nonce, long capabilities, int charset, int status, String plugin) {
     static final int PROTOCOL = 10;
     private static final int FIRST_NONCE = 8;
     private static final int RESERVED = 10;
@@ -31,8 +30,9 @@
         int protocol = Fields.int1(in, "the greeting");
         if (protocol == ErrPacket.HEADER) {
             ErrPacket error = ErrPacket.read(in);
-            throw new Fault(Fault.Kind.MALFORMED, "the server turns the connection away: "
-                    + error.code() + " " + error.message());
+            throw new Fault(
+                    Fault.Kind.MALFORMED,
+                    "the server turns the connection away: " + error.code() + " " + error.message());
         }
         if (protocol != PROTOCOL) {
             throw new Fault(Fault.Kind.MALFORMED, "protocol " + protocol + " is not known");
@@ -55,17 +55,24 @@
         byte[] rest = Fields.bytes(in, nonceLength - FIRST_NONCE, "the nonce");
         byte[] nonce = Arrays.copyOf(first, Scramble.NONCE);
         System.arraycopy(rest, 0, nonce, FIRST_NONCE, Scramble.NONCE - FIRST_NONCE);
-        return new ServerGreeting(version, id, nonce, capabilities, charset, status,
-                Fields.nulText(in, "the plugin's name"));
+        return new ServerGreeting(
+                version, id, nonce, capabilities, charset, status, Fields.nulText(in, "the plugin's name"));
     }
 
     void write(ByteBuf out) {
         out.writeByte(PROTOCOL);
         Fields.putNulText(out, version);
-        out.writeIntLE((int) connectionId).writeBytes(nonce, 0, FIRST_NONCE).writeByte(0)
-                .writeShortLE((int) capabilities).writeByte(charset).writeShortLE(status)
-                .writeShortLE((int) (capabilities >> 16)).writeByte(Scramble.NONCE + 1).writeZero(RESERVED)
-                .writeBytes(nonce, FIRST_NONCE, Scramble.NONCE - FIRST_NONCE).writeByte(0);
+        out.writeIntLE((int) connectionId)
+                .writeBytes(nonce, 0, FIRST_NONCE)
+                .writeByte(0)
+                .writeShortLE((int) capabilities)
+                .writeByte(charset)
+                .writeShortLE(status)
+                .writeShortLE((int) (capabilities >> 16))
+                .writeByte(Scramble.NONCE + 1)
+                .writeZero(RESERVED)
+                .writeBytes(nonce, FIRST_NONCE, Scramble.NONCE - FIRST_NONCE)
+                .writeByte(0);
         Fields.putNulText(out, plugin);
     }
 }
