--- a/src/main/java/kitemux/mysql/Statement.java
+++ b/src/main/java/kitemux/mysql/Statement.java
@@ -31,6 +31,7 @@
 
     /** A bracket that follows a word at once, and any other. */
     private static final String BRACKET = "(";
+
     private static final String APART = " (";
 
     /** Longer texts are not looked at, and are no reads: it guards the loop's time. */
@@ -38,34 +39,187 @@
 
     /** Words that call nothing where a bracket follows. */
     private static final Set<String> KEYWORDS = Set.of(
-            "ALL", "AND", "ANY", "AS", "BETWEEN", "BY", "CASE", "DISTINCT", "DIV", "ELSE", "EXCEPT", "EXISTS",
-            "FROM", "HAVING", "IN", "INTERSECT", "INTERVAL", "JOIN", "LIKE", "NOT", "ON", "OR", "OVER",
-            "SELECT", "SOME", "THEN", "UNION", "USING", "VALUES", "WHEN", "WHERE", "WITH", "XOR", "REGEXP",
-            "INDEX", "KEY", "LATERAL", "ROW", "EXPLAIN", "IS");
+            "ALL",
+            "AND",
+            "ANY",
+            "AS",
+            "BETWEEN",
+            "BY",
+            "CASE",
+            "DISTINCT",
+            "DIV",
+            "ELSE",
+            "EXCEPT",
+            "EXISTS",
+            "FROM",
+            "HAVING",
+            "IN",
+            "INTERSECT",
+            "INTERVAL",
+            "JOIN",
+            "LIKE",
+            "NOT",
+            "ON",
+            "OR",
+            "OVER",
+            "SELECT",
+            "SOME",
+            "THEN",
+            "UNION",
+            "USING",
+            "VALUES",
+            "WHEN",
+            "WHERE",
+            "WITH",
+            "XOR",
+            "REGEXP",
+            "INDEX",
+            "KEY",
+            "LATERAL",
+            "ROW",
+            "EXPLAIN",
+            "IS");
     /** Functions that change nothing. With a blank before the bracket it is one of theirs that is called. */
     private static final Set<String> FUNCTIONS = Set.of(
-            "ABS", "AVG", "CAST", "CEIL", "CEILING", "CHAR", "CHAR_LENGTH", "COALESCE", "CONCAT", "CONCAT_WS",
-            "CONVERT", "COUNT", "CRC32", "CURDATE", "CURRENT_DATE", "CURRENT_TIMESTAMP", "DATE", "DATE_ADD",
-            "DATE_FORMAT", "DATE_SUB", "DATEDIFF", "DAY", "DENSE_RANK", "EXTRACT", "FIELD", "FIND_IN_SET",
-            "FLOOR", "FORMAT", "FROM_UNIXTIME", "GREATEST", "GROUP_CONCAT", "HEX", "HOUR", "IF", "IFNULL",
-            "INSTR", "ISNULL", "JSON_ARRAY", "JSON_ARRAYAGG", "JSON_CONTAINS", "JSON_EXTRACT", "JSON_OBJECT",
-            "JSON_OBJECTAGG", "JSON_UNQUOTE", "JSON_VALUE", "LAG", "LEAD", "LEAST", "LEFT", "LENGTH",
-            "LOCATE", "LOWER", "LPAD", "LTRIM", "MAX", "MD5", "MIN", "MINUTE", "MOD", "MONTH", "NOW",
-            "NULLIF", "PI", "POSITION", "POW", "POWER", "RANK", "REPEAT", "REPLACE", "REVERSE", "RIGHT",
-            "ROUND", "ROW_NUMBER", "RPAD", "RTRIM", "SECOND", "SHA1", "SHA2", "SIGN", "SQRT", "STDDEV",
-            "STR_TO_DATE", "SUBSTR", "SUBSTRING", "SUBSTRING_INDEX", "SUM", "TIME", "TIMESTAMP",
-            "TIMESTAMPDIFF", "TRIM", "TRUNCATE", "UNHEX", "UNIX_TIMESTAMP", "UPPER", "UTC_TIMESTAMP",
-            "VARIANCE", "VERSION", "DATABASE", "SCHEMA", "USER", "CURRENT_USER", "WEEK", "YEAR");
+            "ABS",
+            "AVG",
+            "CAST",
+            "CEIL",
+            "CEILING",
+            "CHAR",
+            "CHAR_LENGTH",
+            "COALESCE",
+            "CONCAT",
+            "CONCAT_WS",
+            "CONVERT",
+            "COUNT",
+            "CRC32",
+            "CURDATE",
+            "CURRENT_DATE",
+            "CURRENT_TIMESTAMP",
+            "DATE",
+            "DATE_ADD",
+            "DATE_FORMAT",
+            "DATE_SUB",
+            "DATEDIFF",
+            "DAY",
+            "DENSE_RANK",
+            "EXTRACT",
+            "FIELD",
+            "FIND_IN_SET",
+            "FLOOR",
+            "FORMAT",
+            "FROM_UNIXTIME",
+            "GREATEST",
+            "GROUP_CONCAT",
+            "HEX",
+            "HOUR",
+            "IF",
+            "IFNULL",
+            "INSTR",
+            "ISNULL",
+            "JSON_ARRAY",
+            "JSON_ARRAYAGG",
+            "JSON_CONTAINS",
+            "JSON_EXTRACT",
+            "JSON_OBJECT",
+            "JSON_OBJECTAGG",
+            "JSON_UNQUOTE",
+            "JSON_VALUE",
+            "LAG",
+            "LEAD",
+            "LEAST",
+            "LEFT",
+            "LENGTH",
+            "LOCATE",
+            "LOWER",
+            "LPAD",
+            "LTRIM",
+            "MAX",
+            "MD5",
+            "MIN",
+            "MINUTE",
+            "MOD",
+            "MONTH",
+            "NOW",
+            "NULLIF",
+            "PI",
+            "POSITION",
+            "POW",
+            "POWER",
+            "RANK",
+            "REPEAT",
+            "REPLACE",
+            "REVERSE",
+            "RIGHT",
+            "ROUND",
+            "ROW_NUMBER",
+            "RPAD",
+            "RTRIM",
+            "SECOND",
+            "SHA1",
+            "SHA2",
+            "SIGN",
+            "SQRT",
+            "STDDEV",
+            "STR_TO_DATE",
+            "SUBSTR",
+            "SUBSTRING",
+            "SUBSTRING_INDEX",
+            "SUM",
+            "TIME",
+            "TIMESTAMP",
+            "TIMESTAMPDIFF",
+            "TRIM",
+            "TRUNCATE",
+            "UNHEX",
+            "UNIX_TIMESTAMP",
+            "UPPER",
+            "UTC_TIMESTAMP",
+            "VARIANCE",
+            "VERSION",
+            "DATABASE",
+            "SCHEMA",
+            "USER",
+            "CURRENT_USER",
+            "WEEK",
+            "YEAR");
     /** What tells of the statement before, or of the connection. */
-    private static final Set<String> LOOKING_BACK = Set.of("FOUND_ROWS", "ROW_COUNT", "LAST_INSERT_ID",
-            "CONNECTION_ID");
+    private static final Set<String> LOOKING_BACK =
+            Set.of("FOUND_ROWS", "ROW_COUNT", "LAST_INSERT_ID", "CONNECTION_ID");
     /** Words anywhere in a statement that keep it from being surely a read. */
-    private static final Set<String> NEVER_IN_A_READ = Set.of("INTO", "INSERT", "UPDATE", "DELETE", "LOCK",
-            "SHARE", "ANALYZE", "PROCEDURE", "CALL", "SET", "SQL_CALC_FOUND_ROWS", "NEXTVAL", "NEXT");
-    private static final Set<String> READS = Set.of("SELECT", "WITH", "SHOW", "DESCRIBE", "DESC", "EXPLAIN",
-            "VALUES", "TABLE", BRACKET, APART);
-    private static final Set<String> ENDS_IMPLICITLY = Set.of("ALTER", "CREATE", "DROP", "RENAME", "TRUNCATE",
-            "GRANT", "REVOKE", "ANALYZE", "OPTIMIZE", "REPAIR", "FLUSH", "RESET", "INSTALL", "UNINSTALL");
+    private static final Set<String> NEVER_IN_A_READ = Set.of(
+            "INTO",
+            "INSERT",
+            "UPDATE",
+            "DELETE",
+            "LOCK",
+            "SHARE",
+            "ANALYZE",
+            "PROCEDURE",
+            "CALL",
+            "SET",
+            "SQL_CALC_FOUND_ROWS",
+            "NEXTVAL",
+            "NEXT");
+
+    private static final Set<String> READS =
+            Set.of("SELECT", "WITH", "SHOW", "DESCRIBE", "DESC", "EXPLAIN", "VALUES", "TABLE", BRACKET, APART);
+    private static final Set<String> ENDS_IMPLICITLY = Set.of(
+            "ALTER",
+            "CREATE",
+            "DROP",
+            "RENAME",
+            "TRUNCATE",
+            "GRANT",
+            "REVOKE",
+            "ANALYZE",
+            "OPTIMIZE",
+            "REPAIR",
+            "FLUSH",
+            "RESET",
+            "INSTALL",
+            "UNINSTALL");
 
     /** Reads a statement, or several in one text. */
     public static Statement of(String sql) {
@@ -102,8 +256,17 @@
             case "ROLLBACK" -> traits.add(words.contains("TO") ? Trait.BEGINS : Trait.ENDS);
             case "SET" -> traits.add(isReplayable(words) ? Trait.SETS : Trait.PINS);
             case "USE" -> traits.add(Trait.SETS);
-            case "LOCK", "UNLOCK", "PREPARE", "EXECUTE", "DEALLOCATE", "HANDLER", "XA", "SAVEPOINT",
-                "CALL", "DO", "LOAD" -> traits.add(Trait.PINS);
+            case "LOCK",
+                    "UNLOCK",
+                    "PREPARE",
+                    "EXECUTE",
+                    "DEALLOCATE",
+                    "HANDLER",
+                    "XA",
+                    "SAVEPOINT",
+                    "CALL",
+                    "DO",
+                    "LOAD" -> traits.add(Trait.PINS);
             default -> {
                 if (ENDS_IMPLICITLY.contains(verb)) {
                     traits.add(words.contains("TEMPORARY") ? Trait.PINS : Trait.ENDS);
@@ -136,7 +299,8 @@
                     traits.add(Trait.PINS);
                 }
             }
-            read &= !NEVER_IN_A_READ.contains(word) && !word.equals(":=")
+            read &= !NEVER_IN_A_READ.contains(word)
+                    && !word.equals(":=")
                     && !(word.equals("FOR") && !verb.equals("SHOW"));
         }
         return read;
@@ -146,17 +310,23 @@
     private static boolean isHarmless(List<String> words, int at, String bracket) {
         // Behind a schema's name it is one of theirs, whatever it is called.
         return (at == 0 || !words.get(at - 1).equals("."))
-                && (KEYWORDS.contains(words.get(at)) || bracket.equals(BRACKET)
-                        && FUNCTIONS.contains(words.get(at)));
+                && (KEYWORDS.contains(words.get(at)) || bracket.equals(BRACKET) && FUNCTIONS.contains(words.get(at)));
     }
 
     /** Plain settings of the session; user variables, passwords and what is global are not. */
     private static boolean isReplayable(List<String> words) {
-        return words.stream().noneMatch(word -> word.startsWith("@") && !word.startsWith("@@")
-                || word.equals("GLOBAL") || word.equals("PERSIST") || word.equals("PERSIST_ONLY")
-                || word.equals("PASSWORD") || word.equals("TRANSACTION") || word.equals("AUTOCOMMIT")
-                || word.startsWith("@@GLOBAL") || word.startsWith("@@PERSIST")
-                || word.equals("@@AUTOCOMMIT") || word.equals("@@SESSION.AUTOCOMMIT"));
+        return words.stream()
+                .noneMatch(word -> word.startsWith("@") && !word.startsWith("@@")
+                        || word.equals("GLOBAL")
+                        || word.equals("PERSIST")
+                        || word.equals("PERSIST_ONLY")
+                        || word.equals("PASSWORD")
+                        || word.equals("TRANSACTION")
+                        || word.equals("AUTOCOMMIT")
+                        || word.startsWith("@@GLOBAL")
+                        || word.startsWith("@@PERSIST")
+                        || word.equals("@@AUTOCOMMIT")
+                        || word.equals("@@SESSION.AUTOCOMMIT"));
     }
 
     private static boolean isName(String word) {
@@ -176,8 +346,8 @@
             char c = sql.charAt(at);
             if (Character.isWhitespace(c)) {
                 at++;
-            } else if (c == '#' || c == '-' && sql.startsWith("--", at)
-                    && (at + 2 == sql.length() || sql.charAt(at + 2) <= ' ')) {
+            } else if (c == '#'
+                    || c == '-' && sql.startsWith("--", at) && (at + 2 == sql.length() || sql.charAt(at + 2) <= ' ')) {
                 int end = sql.indexOf('\n', at);
                 at = end < 0 ? sql.length() : end + 1;
             } else if (sql.startsWith("/*", at)) {
@@ -200,8 +370,10 @@
                 at = end + 1;
             } else if (isWordPart(c) || c == '@') {
                 int end = at + 1;
-                while (end < sql.length() && (isWordPart(sql.charAt(end)) || sql.charAt(end) == '@'
-                        || sql.charAt(end) == '.' && c == '@')) {
+                while (end < sql.length()
+                        && (isWordPart(sql.charAt(end))
+                                || sql.charAt(end) == '@'
+                                || sql.charAt(end) == '.' && c == '@')) {
                     end++;
                 }
                 // Names may begin with digits, too; plain numbers are left out.
@@ -213,8 +385,7 @@
                 words.add(":=");
                 at += 2;
             } else {
-                boolean apart = c == '(' && (at == 0 || !isWordPart(sql.charAt(at - 1))
-                        && sql.charAt(at - 1) != '`');
+                boolean apart = c == '(' && (at == 0 || !isWordPart(sql.charAt(at - 1)) && sql.charAt(at - 1) != '`');
                 words.add(apart ? APART : String.valueOf(c));
                 at++;
             }
--- a/src/main/java/kitemux/mysql/Users.java
+++ b/src/main/java/kitemux/mysql/Users.java
@@ -27,8 +27,13 @@
 
         /** One whose password is known here, for both plugins. */
         public static User of(String name, String password) {
-            return new User(name, Map.of(Scramble.NATIVE, Scramble.NATIVE.digest(password),
-                    Scramble.CACHING_SHA2, Scramble.CACHING_SHA2.digest(password)));
+            return new User(
+                    name,
+                    Map.of(
+                            Scramble.NATIVE,
+                            Scramble.NATIVE.digest(password),
+                            Scramble.CACHING_SHA2,
+                            Scramble.CACHING_SHA2.digest(password)));
         }
     }
 
--- a/src/main/java/kitemux/net/Addresses.java
+++ b/src/main/java/kitemux/net/Addresses.java
@@ -1,16 +1,14 @@
 package kitemux.net;
 
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-
-import io.netty.util.NetUtil;
-
 import kitemux.config.ConfigException;
 
 /** Addresses as configuration and lists write them. */
 public final class Addresses {
-    private Addresses() { }
+    private Addresses() {}
 
     /**
      * An IP address with a port. There are no host names: looking one up would block.
@@ -23,8 +21,7 @@
         byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
         try {
             if (ip != null) {
-                return new InetSocketAddress(InetAddress.getByAddress(ip),
-                        Integer.parseInt(text.substring(colon + 1)));
+                return new InetSocketAddress(InetAddress.getByAddress(ip), Integer.parseInt(text.substring(colon + 1)));
             }
         } catch (IOException | IllegalArgumentException e) {
             // Named below.
--- a/src/main/java/kitemux/net/ClientListener.java
+++ b/src/main/java/kitemux/net/ClientListener.java
@@ -1,16 +1,15 @@
 package kitemux.net;
 
-import java.io.IOException;
-import java.nio.channels.SocketChannel;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /** Listens for clients, whose connections can be asked whether anything has come that was not read yet. */
 class ClientListener extends NioServerSocketChannel {
--- a/src/main/java/kitemux/net/DialedChannel.java
+++ b/src/main/java/kitemux/net/DialedChannel.java
@@ -1,10 +1,9 @@
 package kitemux.net;
 
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 
-import io.netty.channel.socket.nio.NioSocketChannel;
-
 /** A socket that this node opens; it can be asked whether anything has come that was not read yet. */
 final class DialedChannel extends NioSocketChannel implements QuietChannel {
     private final ByteBuffer one = ByteBuffer.allocate(1);
--- a/src/main/java/kitemux/net/DueTimers.java
+++ b/src/main/java/kitemux/net/DueTimers.java
@@ -1,7 +1,6 @@
 package kitemux.net;
 
 import java.util.PriorityQueue;
-
 import kitemux.engine.Time;
 
 /**
@@ -91,8 +90,7 @@
         running = true;
         long upTo = lastNumber;
         try {
-            while (!queue.isEmpty() && queue.peek().atNanos - dueByNanos <= 0
-                    && queue.peek().number <= upTo) {
+            while (!queue.isEmpty() && queue.peek().atNanos - dueByNanos <= 0 && queue.peek().number <= upTo) {
                 Set due = queue.poll();
                 Runnable task = due.task;
                 due.task = null;
--- a/src/main/java/kitemux/net/HostList.java
+++ b/src/main/java/kitemux/net/HostList.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
-
 import kitemux.Balancer.ServerEntry;
 
 /**
@@ -20,7 +19,7 @@
      * @param entry what the module is told
      * @param endpoint the address, which it is not told; null for a server that has gone
      */
-    public record Host(ServerEntry entry, InetSocketAddress endpoint) { }
+    public record Host(ServerEntry entry, InetSocketAddress endpoint) {}
 
     /** What the module is told. */
     public List<ServerEntry> entries() {
--- a/src/main/java/kitemux/net/ListLines.java
+++ b/src/main/java/kitemux/net/ListLines.java
@@ -1,10 +1,9 @@
 package kitemux.net;
 
+import io.netty.buffer.ByteBuf;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 
-import io.netty.buffer.ByteBuf;
-
 /**
  * Cuts what comes on a watch into lists and beats, however it is split and whatever way it is indented: an
  * object ends with its last brace, an empty line between two of them is a beat. What cannot be a list is
@@ -23,7 +22,12 @@
     private boolean lineUsed;
 
     /** What has come. */
-    public enum What { NOTHING, BEAT, LIST, SPOILT }
+    public enum What {
+        NOTHING,
+        BEAT,
+        LIST,
+        SPOILT
+    }
 
     /** Reads up to and with the next thing that is whole; {@link What#NOTHING} once all is read. */
     public What next(ByteBuf bytes) {
@@ -79,7 +83,7 @@
             case '"' -> inText = true;
             case '{', '[' -> depth++;
             case '}', ']' -> depth--;
-            default -> { }
+            default -> {}
         }
         return depth == 0 ? What.LIST : What.NOTHING;
     }
--- a/src/main/java/kitemux/net/LoopTime.java
+++ b/src/main/java/kitemux/net/LoopTime.java
@@ -1,12 +1,10 @@
 package kitemux.net;
 
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Ticker;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.concurrent.TimeUnit;
-
-import io.netty.util.concurrent.Future;
-import io.netty.util.concurrent.Ticker;
-
 import kitemux.engine.Time;
 
 /**
@@ -31,6 +29,7 @@
     private final DueTimers timers = new DueTimers();
     /** The loop's timer for the first of them, and when it runs; null if none is set. */
     private Future<?> armed;
+
     private long armedNanos;
     private long beatNanos;
 
@@ -120,14 +119,17 @@
             disarm();
         }
         armedNanos = timers.firstNanos();
-        armed = loop.schedule(() -> {
-            armed = null;
-            try {
-                timers.run(ticker.nanoTime());
-            } finally {
-                arm();
-            }
-        }, Math.max(0, armedNanos - ticker.nanoTime()), TimeUnit.NANOSECONDS);
+        armed = loop.schedule(
+                () -> {
+                    armed = null;
+                    try {
+                        timers.run(ticker.nanoTime());
+                    } finally {
+                        arm();
+                    }
+                },
+                Math.max(0, armedNanos - ticker.nanoTime()),
+                TimeUnit.NANOSECONDS);
     }
 
     private void disarm() {
--- a/src/main/java/kitemux/net/Network.java
+++ b/src/main/java/kitemux/net/Network.java
@@ -1,9 +1,8 @@
 package kitemux.net;
 
-import java.io.IOException;
-
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.ServerChannel;
+import java.io.IOException;
 
 /** Where a node's channels come from: the system's sockets, or a world that plays them. */
 public interface Network {
--- a/src/main/java/kitemux/net/NioNetwork.java
+++ b/src/main/java/kitemux/net/NioNetwork.java
@@ -12,7 +12,7 @@
     /** Buffers of just the size needed, on the heap: memory is short, and loads are small. */
     private static final ByteBufAllocator ALLOCATOR = new UnpooledByteBufAllocator(false, true);
 
-    private NioNetwork() { }
+    private NioNetwork() {}
 
     @Override
     public ServerChannel listener(Gate gate) {
--- a/src/main/java/kitemux/net/SelectorLoop.java
+++ b/src/main/java/kitemux/net/SelectorLoop.java
@@ -1,12 +1,11 @@
 package kitemux.net;
 
-import java.util.concurrent.Executor;
-
 import io.netty.channel.IoEventLoop;
 import io.netty.channel.IoEventLoopGroup;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SingleThreadIoEventLoop;
+import java.util.concurrent.Executor;
 
 /** The event loop of a node: one thread over the system's selector. */
 public final class SelectorLoop extends SingleThreadIoEventLoop implements PollingLoop {
@@ -17,12 +16,13 @@
 
     /** A new one, the only one of its group; its thread begins with its first task. */
     public static SelectorLoop open() {
-        return (SelectorLoop) new MultiThreadIoEventLoopGroup(1, WholeMillis.factory()) {
-            @Override
-            protected IoEventLoop newChild(Executor executor, IoHandlerFactory selectors, Object... more) {
-                return new SelectorLoop(this, executor, selectors);
-            }
-        }.next();
+        return (SelectorLoop)
+                new MultiThreadIoEventLoopGroup(1, WholeMillis.factory()) {
+                    @Override
+                    protected IoEventLoop newChild(Executor executor, IoHandlerFactory selectors, Object... more) {
+                        return new SelectorLoop(this, executor, selectors);
+                    }
+                }.next();
     }
 
     @Override
--- a/src/main/java/kitemux/net/ServerPool.java
+++ b/src/main/java/kitemux/net/ServerPool.java
@@ -1,12 +1,5 @@
 package kitemux.net;
 
-import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -16,7 +9,12 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
-
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import kitemux.Balancer.Result;
 import kitemux.Balancer.ServerState;
 import kitemux.engine.Time;
@@ -66,20 +64,27 @@
      * @param connectTimeoutUs time allowed to open a connection
      * @param connIdleUs after so many microseconds servers close idle connections
      */
-    public ServerPool(EventLoop loop, Network network, Sockets sockets, Time clock, long connectTimeoutUs,
-            long connIdleUs, Protocol<Q, A> protocol) {
+    public ServerPool(
+            EventLoop loop,
+            Network network,
+            Sockets sockets,
+            Time clock,
+            long connectTimeoutUs,
+            long connIdleUs,
+            Protocol<Q, A> protocol) {
         this.loop = loop;
         this.protocol = protocol;
         this.sockets = sockets;
         this.clock = clock;
         this.connIdleUs = connIdleUs;
-        dialer = new Bootstrap().group(loop).channelFactory(network::dialer)
+        dialer = new Bootstrap()
+                .group(loop)
+                .channelFactory(network::dialer)
                 // Addresses only: no name is ever looked up, and no resolver kept for the loop.
                 .disableResolver()
                 .option(ChannelOption.ALLOCATOR, network.allocator())
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        (int) Math.max(1, connectTimeoutUs / 1_000))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1_000))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -95,6 +100,7 @@
         final ArrayDeque<Link<Q, A>> idle = new ArrayDeque<>();
         /** Exchanges for which a connection is being opened; they take the first that is free. */
         final ArrayDeque<Exchange<Q, A>> awaiting = new ArrayDeque<>();
+
         InetSocketAddress endpoint;
         long startedAtUs;
         boolean ready;
@@ -123,13 +129,15 @@
             Upstream<Q, A> upstream = upstreams.computeIfAbsent(id, Upstream::new);
             // What was opened to another address, or to a process that has ended, is of no more use: a
             // request written to it would end as a reset, which may not be repeated.
-            boolean moved = !host.endpoint().equals(upstream.endpoint)
-                    || host.entry().startedAtUs() > upstream.startedAtUs;
+            boolean moved =
+                    !host.endpoint().equals(upstream.endpoint) || host.entry().startedAtUs() > upstream.startedAtUs;
             upstream.endpoint = host.endpoint();
             upstream.startedAtUs = host.entry().startedAtUs();
             upstream.ready = host.entry().state() == ServerState.READY;
             if (moved || !upstream.ready) {
-                List.copyOf(upstream.idle).stream().filter(link -> !link.isUsable()).forEach(Link::close);
+                List.copyOf(upstream.idle).stream()
+                        .filter(link -> !link.isUsable())
+                        .forEach(Link::close);
             }
             if (!upstream.ready) {
                 turnAway(upstream);
@@ -247,7 +255,8 @@
     @Override
     public String endpoint(String serverId) {
         Upstream<Q, A> upstream = upstreams.get(serverId);
-        return upstream == null || upstream.endpoint == null ? ""
+        return upstream == null || upstream.endpoint == null
+                ? ""
                 : upstream.endpoint.getHostString() + ":" + upstream.endpoint.getPort();
     }
 
@@ -317,8 +326,7 @@
         private boolean closedHere;
         private long idleSinceUs;
 
-        private void join(ServerPool<Q, A> to, Upstream<Q, A> server, InetSocketAddress at,
-                QuietChannel connected) {
+        private void join(ServerPool<Q, A> to, Upstream<Q, A> server, InetSocketAddress at, QuietChannel connected) {
             pool = to;
             upstream = server;
             endpoint = at;
@@ -379,7 +387,9 @@
         }
 
         private boolean isUsable() {
-            return channel.isActive() && upstream.ready && endpoint.equals(upstream.endpoint)
+            return channel.isActive()
+                    && upstream.ready
+                    && endpoint.equals(upstream.endpoint)
                     && openedAtUs >= upstream.startedAtUs;
         }
 
--- a/src/main/java/kitemux/net/Unclaimed.java
+++ b/src/main/java/kitemux/net/Unclaimed.java
@@ -1,9 +1,8 @@
 package kitemux.net;
 
-import java.io.IOException;
-
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.io.IOException;
 
 /**
  * Stands at the end of a connection that comes up until somebody takes it over. One that is reset in between,
--- a/src/main/java/kitemux/net/WholeMillis.java
+++ b/src/main/java/kitemux/net/WholeMillis.java
@@ -22,6 +22,7 @@
     private final Ticker ticker = Ticker.systemTicker();
     /** When the selector last said what there is to be read. */
     private long saidNanos = ticker.nanoTime();
+
     private long polledNanos = saidNanos;
 
     private WholeMillis(IoHandler selector) {
--- a/src/main/java/kitemux/node/LiveSettings.java
+++ b/src/main/java/kitemux/node/LiveSettings.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
-
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Settings;
 import kitemux.Balancer.Tenant;
@@ -36,11 +35,13 @@
     private final Consumer<String> discovery;
     /** As the file has them. */
     private final List<RequestClass> classes;
+
     private final List<Tenant> tenants;
     private final double overShareWorth;
     private final Set<String> live = new HashSet<>();
     /** Live values as they were read, by path: of thousands a version changes a few. */
     private final Map<String, Known> known = new HashMap<>();
+
     private String told;
 
     /**
@@ -78,16 +79,23 @@
     /** Whether all that a class has beside its live fields is as the file has it. */
     private boolean isLive(String path, Json value) {
         String name = path.substring("classes/".length());
-        RequestClass of = classes.stream().filter(one -> one.name().equals(name)).findFirst().orElseThrow();
+        RequestClass of = classes.stream()
+                .filter(one -> one.name().equals(name))
+                .findFirst()
+                .orElseThrow();
         return of.aimStretch() == value.path("aimStretch").decimal(0)
                 && of.repeat().name().equalsIgnoreCase(value.path("repeat").text())
-                && of.group().name().equalsIgnoreCase(value.path("group").isMissing() ? "all"
-                        : value.path("group").text())
+                && of.group()
+                        .name()
+                        .equalsIgnoreCase(
+                                value.path("group").isMissing()
+                                        ? "all"
+                                        : value.path("group").text())
                 && of.windowUs() == value.path("windowUs").whole(0)
                 && of.stream() == value.path("stream").flag();
     }
 
-    private record Known(String text, Json json) { }
+    private record Known(String text, Json json) {}
 
     /** These are in force from now on. */
     void put(Map<String, String> values) {
@@ -95,8 +103,7 @@
         values.forEach((path, value) -> {
             if (live.contains(path)) {
                 Known before = known.get(path);
-                Known one = before != null && before.text.equals(value) ? before
-                        : new Known(value, read(value));
+                Known one = before != null && before.text.equals(value) ? before : new Known(value, read(value));
                 known.put(path, one);
                 now.put(path, one.json);
             }
@@ -104,14 +111,28 @@
         List<RequestClass> nextClasses = new ArrayList<>();
         for (RequestClass of : classes) {
             Json value = now.get("classes/" + of.name());
-            nextClasses.add(value == null ? of : new RequestClass(of.name(), value.path("onTimeUs").whole(0),
-                    of.aimStretch(), value.path("giveUpUs").whole(0), value.path("importance").decimal(1),
-                    value.path("lateWorth").decimal(0), of.repeat(), of.group(), of.windowUs(), of.stream()));
+            nextClasses.add(
+                    value == null
+                            ? of
+                            : new RequestClass(
+                                    of.name(),
+                                    value.path("onTimeUs").whole(0),
+                                    of.aimStretch(),
+                                    value.path("giveUpUs").whole(0),
+                                    value.path("importance").decimal(1),
+                                    value.path("lateWorth").decimal(0),
+                                    of.repeat(),
+                                    of.group(),
+                                    of.windowUs(),
+                                    of.stream()));
         }
         List<Tenant> nextTenants = new ArrayList<>();
         for (Tenant of : tenants) {
             Json value = now.get("realms/" + of.name());
-            nextTenants.add(value == null ? of : new Tenant(of.name(), value.path("quotaPerS").decimal(0)));
+            nextTenants.add(
+                    value == null
+                            ? of
+                            : new Tenant(of.name(), value.path("quotaPerS").decimal(0)));
         }
         for (int i = 0; i < nextClasses.size(); i++) {
             settings.classes.set(i, nextClasses.get(i));
@@ -119,8 +140,8 @@
         for (int i = 0; i < nextTenants.size(); i++) {
             settings.tenants.set(i, nextTenants.get(i));
         }
-        settings.overShareWorth = now.containsKey("overShareWorth") ? now.get("overShareWorth").decimal(1)
-                : overShareWorth;
+        settings.overShareWorth =
+                now.containsKey("overShareWorth") ? now.get("overShareWorth").decimal(1) : overShareWorth;
         String at = now.containsKey("discovery") ? now.get("discovery").text() : null;
         if (at != null && !at.equals(told)) {
             discovery.accept(at);
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -1,5 +1,10 @@
 package kitemux.node;
 
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -13,13 +18,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
-
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.Future;
-import io.netty.util.internal.logging.InternalLoggerFactory;
-import io.netty.util.internal.logging.JdkLoggerFactory;
-
 import kitemux.Balancer;
 import kitemux.Balancer.ListKind;
 import kitemux.ServiceQBalancer;
@@ -32,15 +30,15 @@
 import kitemux.engine.Observer;
 import kitemux.engine.SendGate;
 import kitemux.engine.Transport;
-import kitemux.load.Capture;
-import kitemux.load.LoadSettings;
-import kitemux.net.Answer;
 import kitemux.http.ClientRequest;
 import kitemux.http.ClientServer;
 import kitemux.http.ConnectionObserver;
 import kitemux.http.HttpServers;
 import kitemux.http.RequestReader;
 import kitemux.http.ShutdownSchedule;
+import kitemux.load.Capture;
+import kitemux.load.LoadSettings;
+import kitemux.net.Answer;
 import kitemux.net.HostList;
 import kitemux.net.LoopTime;
 import kitemux.net.Network;
@@ -78,14 +76,17 @@
     private final Discovery discovery;
     /** Where lists are pushed; null where the module asks for them, or the file names all servers. */
     private final PushedList pushed;
+
     private final Engine<ClientRequest, Answer> engine;
     private final LoopTime time;
     private final Log log;
     /** What operators may do while it runs; null where no address is given for it. */
     private final Operations operations;
+
     private boolean listening;
     /** Open until discovery has told something. */
     private final CountDownLatch firstList = new CountDownLatch(1);
+
     private boolean begun;
     private Future<?> housekeeping;
     private Future<?> beating;
@@ -102,31 +103,47 @@
      * @param module makes the decision module
      * @param transport stands before the servers' connections, or is those themselves
      */
-    public record Parts(Network network, LoopTime time, Log log, Observer observer,
-            ConnectionObserver connections, SendGate<ClientRequest> gate, Function<Balancer.Actions, Balancer> module,
+    public record Parts(
+            Network network,
+            LoopTime time,
+            Log log,
+            Observer observer,
+            ConnectionObserver connections,
+            SendGate<ClientRequest> gate,
+            Function<Balancer.Actions, Balancer> module,
             UnaryOperator<Transport<ClientRequest, Answer>> transport) {
 
         /** The system's sockets and clock, and nothing in between. */
         static Parts real(PollingLoop loop, Log log, Function<Balancer.Actions, Balancer> module) {
-            return new Parts(NioNetwork.SYSTEM, LoopTime.of(loop), log, Observer.NONE,
-                    ConnectionObserver.NONE, SendGate.open(), module, UnaryOperator.identity());
+            return new Parts(
+                    NioNetwork.SYSTEM,
+                    LoopTime.of(loop),
+                    log,
+                    Observer.NONE,
+                    ConnectionObserver.NONE,
+                    SendGate.open(),
+                    module,
+                    UnaryOperator.identity());
         }
 
         /** The same with a keeper of orders, or with none where that is null. */
         Parts with(LoopTime keepersTime, OrderKeeper<ClientRequest> keeper) {
-            return keeper == null ? this
+            return keeper == null
+                    ? this
                     : new Parts(network, keepersTime, log, keeper, connections, keeper, module, transport);
         }
 
         /** The same with one more who is told of requests, or with none where that is null. */
         Parts observed(Observer also) {
-            return also == null ? this
+            return also == null
+                    ? this
                     : new Parts(network, time, log, observer.and(also), connections, gate, module, transport);
         }
 
         /** The same with a trace of requests and connections, or with none where that is null. */
         Parts traced(RequestTrace trace) {
-            return trace == null ? this
+            return trace == null
+                    ? this
                     : new Parts(network, time, log, observer.and(trace), trace, gate, module, transport);
         }
     }
@@ -147,11 +164,23 @@
         time = parts.time();
         sockets = new Sockets(config.sockets());
         operations = config.operators() == null ? null : operations(parts);
-        pool = new ServerPool<>(loop, parts.network(), sockets, parts.time(),
-                config.settings().connectTimeoutUs, config.connIdleUs(), new HttpServers(parts.time(),
-                        config.settings(), parts.network().allocator(), log));
-        discovery = new Discovery(loop, parts.network(), config.discovery(), config.settings().zones,
-                config.known().rev(), Discovery.MOST_SILENCE_US, config.seed(), new Discovery.Listener() {
+        pool = new ServerPool<>(
+                loop,
+                parts.network(),
+                sockets,
+                parts.time(),
+                config.settings().connectTimeoutUs,
+                config.connIdleUs(),
+                new HttpServers(parts.time(), config.settings(), parts.network().allocator(), log));
+        discovery = new Discovery(
+                loop,
+                parts.network(),
+                config.discovery(),
+                config.settings().zones,
+                config.known().rev(),
+                Discovery.MOST_SILENCE_US,
+                config.seed(),
+                new Discovery.Listener() {
                     @Override
                     public void listed(HostList list) {
                         if (pushed != null) {
@@ -168,7 +197,7 @@
                         }
                         // The module waits longer with each call that fails, and these were to another place:
                         // that nothing has changed is what lets it begin anew.
-                        engine.listed(ListKind.CHANGES, List.of(), () -> { });
+                        engine.listed(ListKind.CHANGES, List.of(), () -> {});
                     }
 
                     @Override
@@ -179,19 +208,34 @@
                             pushed.failed();
                         }
                     }
-                }, log);
-        pushed = config.settings().listOnRequest || config.namesAllServers() ? null
+                },
+                log);
+        pushed = config.settings().listOnRequest || config.namesAllServers()
+                ? null
                 : new PushedList(time, discovery::subscribe, config.seed());
-        engine = new Engine<>(config.settings().maxAttempts, parts.time(), parts.transport().apply(pool),
+        engine = new Engine<>(
+                config.settings().maxAttempts,
+                parts.time(),
+                parts.transport().apply(pool),
                 discovery,
                 operations == null ? parts.observer() : parts.observer().and(operations.observer()),
-                parts.gate(), log, parts.module());
-        clients = new ClientServer(loop, parts.network(), new RequestReader(config.settings()), sockets,
-                engine, parts.time(), ofClass -> {
+                parts.gate(),
+                log,
+                parts.module());
+        clients = new ClientServer(
+                loop,
+                parts.network(),
+                new RequestReader(config.settings()),
+                sockets,
+                engine,
+                parts.time(),
+                ofClass -> {
                     if (operations != null) {
                         operations.turnedAway(ofClass);
                     }
-                }, parts.connections(), log);
+                },
+                parts.connections(),
+                log);
     }
 
     private Operations operations(Parts parts) {
@@ -222,8 +266,16 @@
             }
         };
         try {
-            return new Operations(served, loop, loop, time, sockets, config.settings().classes,
-                    config.folder(), config.listen(), parts.log());
+            return new Operations(
+                    served,
+                    loop,
+                    loop,
+                    time,
+                    sockets,
+                    config.settings().classes,
+                    config.folder(),
+                    config.listen(),
+                    parts.log());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -282,7 +334,7 @@
             }
         }
         Observer recorder = null;
-        Runnable endOfCapture = () -> { };
+        Runnable endOfCapture = () -> {};
         if (operator.load() != null) {
             try {
                 Capture capture = capture(operator.load(), config, log);
@@ -296,9 +348,15 @@
         RequestTrace trace = operator.trace() == null ? null : trace(operator.trace(), config, time, log);
         Node node;
         try {
-            node = new Node(config, loop, Parts.real(loop, log, module(config)).with(time,
-                    orders == null ? null : orders.keeper(operator.orders(), config.settings(), time))
-                    .observed(recorder).traced(trace));
+            node = new Node(
+                    config,
+                    loop,
+                    Parts.real(loop, log, module(config))
+                            .with(
+                                    time,
+                                    orders == null ? null : orders.keeper(operator.orders(), config.settings(), time))
+                            .observed(recorder)
+                            .traced(trace));
         } catch (UncheckedIOException e) {
             System.err.println("kitemux: TMPDIR cannot be used: " + e.getMessage());
             System.exit(2);
@@ -317,29 +375,34 @@
         Runnable captureEnds = endOfCapture;
         // Before clients can connect: one that comes before it stands would be left without an answer.
         Opening opening = new Opening(node::start);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
-                long signalUs = time.nowUs();
-                if (opening.end()) {
-                    CountDownLatch empty = new CountDownLatch(1);
-                    node.drain(signalUs, node.operations != null && node.operations.isReplaced(),
-                            empty::countDown);
-                    empty.await();
-                }
-                captureEnds.run();
-                if (trace != null) {
-                    trace.close();
-                }
-                if (journal != null) {
-                    // What the last answers told is still on its way to the disk.
-                    journal.close();
-                }
-            } catch (IOException e) {
-                log.line("orders: the journal could not be closed: " + e);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "drain"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            try {
+                                long signalUs = time.nowUs();
+                                if (opening.end()) {
+                                    CountDownLatch empty = new CountDownLatch(1);
+                                    node.drain(
+                                            signalUs,
+                                            node.operations != null && node.operations.isReplaced(),
+                                            empty::countDown);
+                                    empty.await();
+                                }
+                                captureEnds.run();
+                                if (trace != null) {
+                                    trace.close();
+                                }
+                                if (journal != null) {
+                                    // What the last answers told is still on its way to the disk.
+                                    journal.close();
+                                }
+                            } catch (IOException e) {
+                                log.line("orders: the journal could not be closed: " + e);
+                            } catch (InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            }
+                        },
+                        "drain"));
         ChannelFuture listens = opening.open();
         if (listens != null) {
             orEnd("listen " + config.listen(), listens);
@@ -347,8 +410,7 @@
             log.line("listening on " + config.listen());
         }
         if (operator.rollout() != null) {
-            RolloutLink.begin(operator.rollout().keepers(), config, loop, time, node.sockets,
-                    node::discoveryIs, log);
+            RolloutLink.begin(operator.rollout().keepers(), config, loop, time, node.sockets, node::discoveryIs, log);
         }
         return reload;
     }
@@ -365,10 +427,15 @@
     }
 
     private static Capture capture(LoadSettings settings, NodeConfig config, Log log) throws IOException {
-        return new Capture(settings, config.listen().getHostString() + ":" + config.listen().getPort(),
-                config.settings().classes.stream().map(Balancer.RequestClass::name).toList(),
+        return new Capture(
+                settings,
+                config.listen().getHostString() + ":" + config.listen().getPort(),
+                config.settings().classes.stream()
+                        .map(Balancer.RequestClass::name)
+                        .toList(),
                 config.settings().tenants.stream().map(Balancer.Tenant::name).toList(),
-                () -> ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()), log::line);
+                () -> ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()),
+                log::line);
     }
 
     /** Waits until an address is listened at; where it cannot be, the program ends. */
@@ -382,9 +449,10 @@
     /** To be called once clients can connect: the start that was slow by it is over. */
     private static void tellOfUnusedArchive(Log log) {
         try {
-            ClassArchive.unused(Path.of("/proc/self")).ifPresent(archive -> log.line("the class archive "
-                    + archive + " is missing, or was made from another jar or by another JVM: starts take "
-                    + "more than need be until it is made anew"));
+            ClassArchive.unused(Path.of("/proc/self"))
+                    .ifPresent(archive -> log.line("the class archive "
+                            + archive + " is missing, or was made from another jar or by another JVM: starts take "
+                            + "more than need be until it is made anew"));
         } catch (IOException e) {
             // Not on this system: nothing is known of it, and nothing but the word is lost.
         }
@@ -431,10 +499,14 @@
         }
         // What it did before it serves, such as its rehearsal, held nobody up.
         loop.execute(time::beat);
-        housekeeping = loop.scheduleAtFixedRate(() -> {
-            pool.closeOld();
-            clients.closeOld();
-        }, HOUSEKEEPING_MS, HOUSEKEEPING_MS, TimeUnit.MILLISECONDS);
+        housekeeping = loop.scheduleAtFixedRate(
+                () -> {
+                    pool.closeOld();
+                    clients.closeOld();
+                },
+                HOUSEKEEPING_MS,
+                HOUSEKEEPING_MS,
+                TimeUnit.MILLISECONDS);
         beating = loop.scheduleWithFixedDelay(this::beat, 0, LoopTime.BEAT_MS, TimeUnit.MILLISECONDS);
         return clients.listen(config.listen(), operations != null).addListener(opened -> {
             listening = opened.isSuccess();
@@ -500,8 +572,10 @@
      * @param signalUs when the process learned that it has to end
      */
     private void drain(long signalUs, boolean replaced, Runnable whenEmpty) {
-        long longestUs = config.settings().classes.stream().mapToLong(Balancer.RequestClass::deadlineUs)
-                .max().orElse(0);
+        long longestUs = config.settings().classes.stream()
+                .mapToLong(Balancer.RequestClass::deadlineUs)
+                .max()
+                .orElse(0);
         ShutdownSchedule schedule = ShutdownSchedule.of(signalUs, longestUs, replaced);
         loop.execute(() -> clients.shutDown(schedule, replaced, whenEmpty));
     }
--- a/src/main/java/kitemux/node/NodeConfig.java
+++ b/src/main/java/kitemux/node/NodeConfig.java
@@ -8,7 +8,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-
 import kitemux.Balancer.Settings;
 import kitemux.config.ConfigException;
 import kitemux.config.Json;
@@ -30,8 +29,16 @@
  * @param known the server list as this node last had it
  * @param settings the module's
  */
-public record NodeConfig(InetSocketAddress listen, InetSocketAddress operators, InetSocketAddress discovery,
-        long seed, int sockets, long connIdleUs, Path folder, HostList known, Settings settings) {
+public record NodeConfig(
+        InetSocketAddress listen,
+        InetSocketAddress operators,
+        InetSocketAddress discovery,
+        long seed,
+        int sockets,
+        long connIdleUs,
+        Path folder,
+        HostList known,
+        Settings settings) {
 
     private static final int LEAST_SOCKETS = 64;
     private static final long DEFAULT_CONN_IDLE_US = 15_000_000;
@@ -67,13 +74,19 @@
             throw new ConfigException("settings.limits.connIdleUs", "is not above 0");
         }
         String listen = env.getOrDefault("PROXY_LISTEN", json.path("listen").text());
-        String discovery = env.getOrDefault("PROXY_DISCOVERY", json.path("discovery").text());
+        String discovery =
+                env.getOrDefault("PROXY_DISCOVERY", json.path("discovery").text());
         String operators = env.getOrDefault("PROXY_MGMT", json.path("mgmt").text());
-        return new NodeConfig(Addresses.read("listen", listen),
+        return new NodeConfig(
+                Addresses.read("listen", listen),
                 operators.isEmpty() ? null : Addresses.read("mgmt", operators),
-                Addresses.read("discovery", discovery), seed(json.path("seed").text()), (int) sockets, idle,
+                Addresses.read("discovery", discovery),
+                seed(json.path("seed").text()),
+                (int) sockets,
+                idle,
                 Path.of(env.getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"))),
-                known(json, settings.zones), settings);
+                known(json, settings.zones),
+                settings);
     }
 
     /** Whether discovery is this node itself: its servers are those that the file names, and no others. */
@@ -109,7 +122,9 @@
             for (Map.Entry<String, Json> field : json.fields().entrySet()) {
                 flatten(prefix + field.getKey(), field.getValue(), flat);
             }
-        } else if (json.isList() && !json.values().isEmpty() && json.values().get(0).isObject()) {
+        } else if (json.isList()
+                && !json.values().isEmpty()
+                && json.values().get(0).isObject()) {
             flat.put(prefix + "count", Integer.toString(json.values().size()));
             for (int i = 0; i < json.values().size(); i++) {
                 flatten(prefix + i, json.values().get(i), flat);
@@ -140,8 +155,7 @@
 
     private static HostList known(Json json, List<String> zones) throws ConfigException {
         Json known = json.path("known");
-        return known.isMissing() ? new HostList(0, true, List.of())
-                : HostListReader.read(known, zones, "known.");
+        return known.isMissing() ? new HostList(0, true, List.of()) : HostListReader.read(known, zones, "known.");
     }
 
     private static long seed(String text) throws ConfigException {
--- a/src/main/java/kitemux/node/Opening.java
+++ b/src/main/java/kitemux/node/Opening.java
@@ -1,8 +1,7 @@
 package kitemux.node;
 
-import java.util.function.Supplier;
-
 import io.netty.channel.ChannelFuture;
+import java.util.function.Supplier;
 
 /**
  * Whether a process takes clients or ends, of which two threads decide: the one that starts it, and the one
--- a/src/main/java/kitemux/node/OperatorSettings.java
+++ b/src/main/java/kitemux/node/OperatorSettings.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-
 import kitemux.Balancer.Settings;
 import kitemux.config.Json;
 import kitemux.load.LoadSettings;
@@ -22,8 +21,7 @@
  * @param rollout which keepers tell it of its configuration; null for none
  * @param trace where connections, requests and attempts are traced; null for not at all
  */
-record OperatorSettings(OrderSettings orders, LoadSettings load, RolloutSettings rollout,
-        TraceSettings trace) {
+record OperatorSettings(OrderSettings orders, LoadSettings load, RolloutSettings rollout, TraceSettings trace) {
     /** Names the file. */
     static final String VARIABLE = "KITEMUX_SETTINGS";
 
@@ -43,7 +41,8 @@
             List<String> unknown = new ArrayList<>(json.fields().keySet());
             unknown.removeAll(List.of("orders", "load", "rollout", "trace"));
             unknown.forEach(name -> faults.add(name + " is not known; known are load, orders, rollout, trace"));
-            return new OperatorSettings(OrderSettings.read(json.path("orders"), settings.classes, faults),
+            return new OperatorSettings(
+                    OrderSettings.read(json.path("orders"), settings.classes, faults),
                     LoadSettings.read(json.path("load"), faults),
                     RolloutSettings.read(json.path("rollout"), faults),
                     TraceSettings.read(json.path("trace"), faults));
--- a/src/main/java/kitemux/node/Rehearsal.java
+++ b/src/main/java/kitemux/node/Rehearsal.java
@@ -1,11 +1,5 @@
 package kitemux.node;
 
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -18,7 +12,11 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.ServerEntry;
@@ -40,9 +38,11 @@
      * turns last 100 ms and more, and clients that give up and ask again make it more work. With 64 a node
      * was ready sooner by a tenth of its CPU, the compiler still behind, and lost more than that by it. */
     static final int REQUESTS = 128;
+
     private static final int CLIENTS = 4;
     /** Bytes of each body, and where a status begins in an answer. */
     private static final int BODY = 64;
+
     private static final int STATUS_AT = "HTTP/1.1 ".length();
     /** A start must not wait for longer, however little CPU there is. On half a core that another node shares
      * 500 ms were over after 60 requests. Harm: a restart takes so much longer. */
@@ -70,15 +70,21 @@
     }
 
     private long play(NodeConfig config, Log log) {
-        Channel server = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        Channel server = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.ALLOCATOR, NioNetwork.SYSTEM.allocator())
                 .childHandler(pipeline(true))
-                .bind(new InetSocketAddress(config.listen().getAddress(), 0)).syncUninterruptibly().channel();
-        HostList.Host host = new HostList.Host(new ServerEntry("rehearsal", 0, 0, ServerState.READY, 1, 0),
-                (InetSocketAddress) server.localAddress());
+                .bind(new InetSocketAddress(config.listen().getAddress(), 0))
+                .syncUninterruptibly()
+                .channel();
+        HostList.Host host = new HostList.Host(
+                new ServerEntry("rehearsal", 0, 0, ServerState.READY, 1, 0), (InetSocketAddress) server.localAddress());
         Node node = new Node(config.apart(new HostList(0, true, List.of(host))), loop, log);
         Channel listening = node.start().syncUninterruptibly().channel();
-        Bootstrap client = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        Bootstrap client = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, NioNetwork.SYSTEM.allocator())
                 .handler(pipeline(false));
         for (int i = 0; i < CLIENTS; i++) {
@@ -123,8 +129,7 @@
 
         /** Whether a blank line ends here. Only there is it looked for: cold code searches slowly. */
         private boolean endsHead(int at) {
-            return at >= come.readerIndex() + 4 && come.getByte(at - 1) == '\n'
-                    && come.getByte(at - 3) == '\n';
+            return at >= come.readerIndex() + 4 && come.getByte(at - 1) == '\n' && come.getByte(at - 3) == '\n';
         }
 
         /** Of a message of which the first bytes have come. */
@@ -149,7 +154,8 @@
     /** Answers all that it is asked. */
     static final class FarServer extends Far {
         private static final byte[] ANSWER = ("HTTP/1.1 200 OK\r\nContent-Length: " + BODY + "\r\n\r\n"
-                + "r".repeat(BODY)).getBytes(StandardCharsets.US_ASCII);
+                        + "r".repeat(BODY))
+                .getBytes(StandardCharsets.US_ASCII);
 
         @Override
         int bodyLength(ByteBuf request) {
@@ -175,8 +181,7 @@
         }
 
         private boolean isServed(ByteBuf answer) {
-            return answer.readableBytes() > STATUS_AT
-                    && answer.getByte(answer.readerIndex() + STATUS_AT) == '2';
+            return answer.readableBytes() > STATUS_AT && answer.getByte(answer.readerIndex() + STATUS_AT) == '2';
         }
 
         @Override
--- a/src/main/java/kitemux/node/Reload.java
+++ b/src/main/java/kitemux/node/Reload.java
@@ -1,7 +1,6 @@
 package kitemux.node;
 
 import java.util.Map;
-
 import kitemux.config.ConfigException;
 import kitemux.engine.Log;
 
--- a/src/main/java/kitemux/node/RolloutLink.java
+++ b/src/main/java/kitemux/node/RolloutLink.java
@@ -1,12 +1,10 @@
 package kitemux.node;
 
+import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-
-import io.netty.channel.EventLoop;
-
 import kitemux.config.ConfigException;
 import kitemux.engine.Log;
 import kitemux.engine.Time;
@@ -19,7 +17,7 @@
 
 /** A node's tie to keepers; the only class of the node that names what carries configuration. */
 final class RolloutLink {
-    private RolloutLink() { }
+    private RolloutLink() {}
 
     /**
      * Watches keepers from now on.
@@ -28,8 +26,14 @@
      * @param sockets counts those that are open
      * @param discovery told, on the loop, where discovery is from now on
      */
-    static void begin(List<InetSocketAddress> keepers, NodeConfig config, EventLoop loop, Time time,
-            Sockets sockets, Consumer<InetSocketAddress> discovery, Log log) {
+    static void begin(
+            List<InetSocketAddress> keepers,
+            NodeConfig config,
+            EventLoop loop,
+            Time time,
+            Sockets sockets,
+            Consumer<InetSocketAddress> discovery,
+            Log log) {
         LiveSettings live = new LiveSettings(config.settings(), at -> {
             try {
                 discovery.accept(Addresses.read("discovery", at));
@@ -39,12 +43,22 @@
         });
         int node = config.settings().me;
         long life = time.nowUs() / 1_000;
-        Subscriber subscriber = new Subscriber(Terms.usual(), live, node, life, keepers.size(), 0,
-                new TreeMap<>(), config.seed(), time.nowUs());
-        new RolloutWatch(loop, NioNetwork.SYSTEM, time, keepers, subscriber, node, life, sockets,
-                (rev, values) -> {
-                    live.put(values);
-                    log.line("rollout: version " + rev + " is taken in");
-                }, log).begin();
+        Subscriber subscriber = new Subscriber(
+                Terms.usual(), live, node, life, keepers.size(), 0, new TreeMap<>(), config.seed(), time.nowUs());
+        new RolloutWatch(
+                        loop,
+                        NioNetwork.SYSTEM,
+                        time,
+                        keepers,
+                        subscriber,
+                        node,
+                        life,
+                        sockets,
+                        (rev, values) -> {
+                            live.put(values);
+                            log.line("rollout: version " + rev + " is taken in");
+                        },
+                        log)
+                .begin();
     }
 }
--- a/src/main/java/kitemux/node/RolloutSettings.java
+++ b/src/main/java/kitemux/node/RolloutSettings.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-
 import kitemux.config.ConfigException;
 import kitemux.config.FileSection;
 import kitemux.config.Json;
--- a/src/main/java/kitemux/node/Signals.java
+++ b/src/main/java/kitemux/node/Signals.java
@@ -1,14 +1,13 @@
 package kitemux.node;
 
 import java.lang.reflect.Proxy;
-
 import kitemux.engine.Log;
 
 /** Signals to this process. By name, as the compiler's warning about sun.misc.Signal, which is the only way
  * to have
  * them, cannot be turned off for one class. */
 public final class Signals {
-    private Signals() { }
+    private Signals() {}
 
     /**
      * Does something whenever a signal comes, on a thread of its own, in place of what the JVM would do.
@@ -19,8 +18,8 @@
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object told = Proxy.newProxyInstance(Signals.class.getClassLoader(), new Class<?>[] {handler},
-                    (proxy, method, args) -> {
+            Object told = Proxy.newProxyInstance(
+                    Signals.class.getClassLoader(), new Class<?>[] {handler}, (proxy, method, args) -> {
                         what.run();
                         return null;
                     });
--- a/src/main/java/kitemux/ops/Figures.java
+++ b/src/main/java/kitemux/ops/Figures.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-
 import kitemux.Balancer.RequestClass;
 import kitemux.engine.Asked;
 import kitemux.engine.Observer;
@@ -19,6 +18,7 @@
     private final long[][] replies;
     /** The class of each request that has had no answer yet. */
     private final Map<Long, Integer> open = new HashMap<>();
+
     private long reloads;
     private long failedReloads;
 
@@ -39,7 +39,7 @@
             case SERVED -> replies[of][SUCCESS]++;
             case REFUSED -> replies[of][OVERLOAD]++;
             case FAILED, BROKEN -> replies[of][ERROR]++;
-            case LEFT -> { }
+            case LEFT -> {}
         }
     }
 
@@ -68,8 +68,7 @@
         StringBuilder text = new StringBuilder();
         for (int c = 0; c < replies.length; c++) {
             for (int outcome = 0; outcome < OUTCOMES.size(); outcome++) {
-                line(text, "replies." + classes.get(c).name() + "." + OUTCOMES.get(outcome),
-                        replies[c][outcome]);
+                line(text, "replies." + classes.get(c).name() + "." + OUTCOMES.get(outcome), replies[c][outcome]);
             }
         }
         line(text, "dispatches", dispatches);
--- a/src/main/java/kitemux/ops/Operations.java
+++ b/src/main/java/kitemux/ops/Operations.java
@@ -1,5 +1,8 @@
 package kitemux.ops;
 
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -7,11 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
-
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.EventLoopGroup;
-import io.netty.handler.codec.http.QueryStringDecoder;
-
 import kitemux.Balancer.RequestClass;
 import kitemux.engine.Log;
 import kitemux.engine.Observer;
@@ -61,8 +59,17 @@
      * @param tmp where one process of the node leaves another which servers are out
      * @throws IOException if that cannot be used
      */
-    public Operations(Served node, EventLoopGroup loop, Executor onLoop, Time time, Sockets sockets,
-            List<RequestClass> classes, Path tmp, InetSocketAddress clientsAt, Log log) throws IOException {
+    public Operations(
+            Served node,
+            EventLoopGroup loop,
+            Executor onLoop,
+            Time time,
+            Sockets sockets,
+            List<RequestClass> classes,
+            Path tmp,
+            InetSocketAddress clientsAt,
+            Log log)
+            throws IOException {
         this.node = node;
         this.onLoop = onLoop;
         this.time = time;
@@ -128,8 +135,10 @@
     @Override
     public void call(String method, String path, OperatorServer.Answer answer) {
         boolean reads = path.equals(PREFIX + "readiness") || path.equals(PREFIX + "stats");
-        boolean acts = path.equals(PREFIX + "drain/start") || path.equals(PREFIX + "drain/stop")
-                || path.startsWith(DOWN) || path.startsWith(UP);
+        boolean acts = path.equals(PREFIX + "drain/start")
+                || path.equals(PREFIX + "drain/stop")
+                || path.startsWith(DOWN)
+                || path.startsWith(UP);
         if (!reads && !acts) {
             answer.give(404, "no such call\n");
         } else if (!method.equals(reads ? "GET" : "POST")) {
@@ -138,8 +147,7 @@
             boolean ready = node.takesClients();
             answer.give(ready ? 200 : 503, ready ? "takes clients\n" : "takes no clients\n");
         } else if (path.endsWith("/stats")) {
-            answer.give(200, figures.text(node.dispatches(), servers.listed(),
-                    servers.drained() + node.avoided()));
+            answer.give(200, figures.text(node.dispatches(), servers.listed(), servers.drained() + node.avoided()));
         } else if (path.startsWith(DOWN) || path.startsWith(UP)) {
             boolean down = path.startsWith(DOWN);
             set(path.substring((down ? DOWN : UP).length()), down, answer);
@@ -164,14 +172,17 @@
         } else if (id.getBytes(StandardCharsets.UTF_8).length > SharedFolder.MOST_ID) {
             answer.give(400, "the id has more than " + SharedFolder.MOST_ID + " bytes\n");
         } else {
-            folder.set(id, out, fault -> onLoop.execute(() -> {
-                if (fault == null) {
-                    answer.give(200, out ? "out\n" : "back\n");
-                } else {
-                    log.line("what operators asked of server " + id + " cannot be kept: " + fault);
-                    answer.give(500, "cannot be kept, nothing has changed: " + fault + "\n");
-                }
-            }));
+            folder.set(
+                    id,
+                    out,
+                    fault -> onLoop.execute(() -> {
+                        if (fault == null) {
+                            answer.give(200, out ? "out\n" : "back\n");
+                        } else {
+                            log.line("what operators asked of server " + id + " cannot be kept: " + fault);
+                            answer.give(500, "cannot be kept, nothing has changed: " + fault + "\n");
+                        }
+                    }));
         }
     }
 }
--- a/src/main/java/kitemux/ops/OperatorServer.java
+++ b/src/main/java/kitemux/ops/OperatorServer.java
@@ -1,11 +1,5 @@
 package kitemux.ops;
 
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashSet;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -27,7 +21,11 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import kitemux.net.NioNetwork;
 import kitemux.net.Sockets;
 
@@ -46,6 +44,7 @@
     private final Calls calls;
     /** Those that are open, the oldest first. */
     private final Set<Channel> callers = new LinkedHashSet<>();
+
     private Channel listening;
 
     /** What can be called. */
@@ -68,7 +67,9 @@
 
     /** Listens; the future is done once operators can call. */
     ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture opening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture opening = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOCATOR, NioNetwork.SYSTEM.allocator())
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -76,7 +77,8 @@
                     protected void initChannel(Channel channel) {
                         accepted(channel);
                     }
-                }).bind(address);
+                })
+                .bind(address);
         listening = opening.channel();
         return opening;
     }
@@ -121,7 +123,9 @@
             }
             if (part instanceof LastHttpContent) {
                 int end = head.uri().indexOf('?');
-                calls.call(head.method().name(), end < 0 ? head.uri() : head.uri().substring(0, end),
+                calls.call(
+                        head.method().name(),
+                        end < 0 ? head.uri() : head.uri().substring(0, end),
                         (status, text) -> answer(context, status, text));
             }
         }
@@ -132,9 +136,10 @@
             }
             answered = true;
             byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length)
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
+            response.headers()
+                    .set(HttpHeaderNames.CONTENT_LENGTH, bytes.length)
                     .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
                     .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
--- a/src/main/java/kitemux/ops/ServersByHand.java
+++ b/src/main/java/kitemux/ops/ServersByHand.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.net.HostList;
@@ -24,7 +23,7 @@
     private final Map<String, Away> back = new HashMap<>();
 
     /** A time without work, in microseconds of Unix time. */
-    private record Away(long sinceUs, long untilUs) { }
+    private record Away(long sinceUs, long untilUs) {}
 
     /** The list that holds, given one of discovery's, in its order. */
     HostList told(HostList list) {
@@ -43,8 +42,12 @@
         if (list.all()) {
             back.keySet().retainAll(listed.keySet());
         }
-        return out.isEmpty() && back.isEmpty() ? list
-                : new HostList(list.rev(), list.all(), list.hosts().stream().map(this::holds).toList());
+        return out.isEmpty() && back.isEmpty()
+                ? list
+                : new HostList(
+                        list.rev(),
+                        list.all(),
+                        list.hosts().stream().map(this::holds).toList());
     }
 
     /**
@@ -85,8 +88,15 @@
             // full load would push it over. Harm: one that was not restarted has less than its share.
             startedAtUs = away.untilUs;
         }
-        return new HostList.Host(new ServerEntry(entry.id(), entry.zone(), entry.cell(),
-                drains ? ServerState.DRAINING : entry.state(), entry.weight(), startedAtUs), host.endpoint());
+        return new HostList.Host(
+                new ServerEntry(
+                        entry.id(),
+                        entry.zone(),
+                        entry.cell(),
+                        drains ? ServerState.DRAINING : entry.state(),
+                        entry.weight(),
+                        startedAtUs),
+                host.endpoint());
     }
 
     /** Whether discovery lists it, or operators have taken it out. */
@@ -101,7 +111,8 @@
 
     /** How many of these take nothing new, by hand or by discovery's word. */
     int drained() {
-        return (int) listed.values().stream().filter(h -> holds(h).entry().state() != ServerState.READY)
+        return (int) listed.values().stream()
+                .filter(h -> holds(h).entry().state() != ServerState.READY)
                 .count();
     }
 }
--- a/src/main/java/kitemux/ops/SharedFolder.java
+++ b/src/main/java/kitemux/ops/SharedFolder.java
@@ -31,6 +31,7 @@
     static final int MOST_ID = 180;
     /** Between two looks at what another process has changed. Operators are owed a change within 1 s. */
     private static final long LOOK_MS = 250;
+
     private static final String OUT = "out-";
     private static final String SERVING = "serving";
 
@@ -53,10 +54,9 @@
      *     with the time since when, in microseconds of Unix time
      * @throws IOException if it cannot be made or read
      */
-    SharedFolder(Path tmp, InetSocketAddress listen, Consumer<Map<String, Long>> listener)
-            throws IOException {
-        folder = Files.createDirectories(tmp.resolve("kitemux-" + listen.getAddress().getHostAddress()
-                .replace(':', '_') + "-" + listen.getPort()));
+    SharedFolder(Path tmp, InetSocketAddress listen, Consumer<Map<String, Long>> listener) throws IOException {
+        folder = Files.createDirectories(tmp.resolve(
+                "kitemux-" + listen.getAddress().getHostAddress().replace(':', '_') + "-" + listen.getPort()));
         this.listener = listener;
         told = read();
     }
@@ -78,8 +78,8 @@
      */
     void set(String id, boolean out, Consumer<String> done) {
         thread.execute(() -> {
-            Path file = folder.resolve(OUT + Base64.getUrlEncoder().withoutPadding()
-                    .encodeToString(id.getBytes(StandardCharsets.UTF_8)));
+            Path file = folder.resolve(
+                    OUT + Base64.getUrlEncoder().withoutPadding().encodeToString(id.getBytes(StandardCharsets.UTF_8)));
             try {
                 if (out) {
                     create(file);
@@ -121,8 +121,10 @@
         Map<String, Long> out = new TreeMap<>();
         try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, OUT + "*")) {
             for (Path file : files) {
-                String id = new String(Base64.getUrlDecoder().decode(
-                        file.getFileName().toString().substring(OUT.length())), StandardCharsets.UTF_8);
+                String id = new String(
+                        Base64.getUrlDecoder()
+                                .decode(file.getFileName().toString().substring(OUT.length())),
+                        StandardCharsets.UTF_8);
                 out.put(id, Files.getLastModifiedTime(file).to(TimeUnit.MICROSECONDS));
             }
         } catch (DirectoryIteratorException e) {
@@ -137,7 +139,10 @@
             try {
                 Path next = folder.resolve(SERVING + "-" + self);
                 Files.writeString(next, self);
-                Files.move(next, folder.resolve(SERVING), StandardCopyOption.REPLACE_EXISTING,
+                Files.move(
+                        next,
+                        folder.resolve(SERVING),
+                        StandardCopyOption.REPLACE_EXISTING,
                         StandardCopyOption.ATOMIC_MOVE);
             } catch (IOException e) {
                 failed.accept(e);
--- a/src/main/java/kitemux/orders/Entry.java
+++ b/src/main/java/kitemux/orders/Entry.java
@@ -25,8 +25,17 @@
      * @param bodyBytes length of its body
      * @param digest SHA-256 of its body, {@link #DIGEST} bytes
      */
-    record Taken(long number, long atUs, String order, String requestClass, String tenant, String key,
-            String idempotencyKey, int bodyBytes, Digest digest) implements Entry { }
+    record Taken(
+            long number,
+            long atUs,
+            String order,
+            String requestClass,
+            String tenant,
+            String key,
+            String idempotencyKey,
+            int bodyBytes,
+            Digest digest)
+            implements Entry {}
 
     /**
      * An attempt is about to be sent. Nothing of it is written to a server before this is durable.
@@ -36,17 +45,16 @@
      * @param endpoint the address that discovery gave for it; empty if that is not known
      * @param untilUs when the attempt is given up
      */
-    record Intent(long number, long atUs, int attempt, String server, String endpoint, long untilUs)
-            implements Entry { }
+    record Intent(long number, long atUs, int attempt, String server, String endpoint, long untilUs) implements Entry {}
 
     /** How an attempt ended; where it may have run nobody can say that it did not. */
-    record Ended(long number, long atUs, int attempt, Result result, boolean mayHaveRun) implements Entry { }
+    record Ended(long number, long atUs, int attempt, Result result, boolean mayHaveRun) implements Entry {}
 
     /** The client has its final answer. */
-    record Answered(long number, long atUs, Answer answer) implements Entry { }
+    record Answered(long number, long atUs, Answer answer) implements Entry {}
 
     /** Was open when the node that took it was gone; said once, by the start that found it. */
-    record LeftOpen(long number, long atUs) implements Entry { }
+    record LeftOpen(long number, long atUs) implements Entry {}
 
     /**
      * Stands first in each segment: what was open as the one before was ended, so that a start need read the
--- a/src/main/java/kitemux/orders/EntryCodec.java
+++ b/src/main/java/kitemux/orders/EntryCodec.java
@@ -8,7 +8,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-
 import kitemux.orders.Entry.Answer;
 import kitemux.orders.Entry.Answered;
 import kitemux.orders.Entry.Checkpoint;
@@ -27,6 +26,7 @@
     static final int MOST_BYTES = 64 << 10;
     /** Of one text. Longer ones are cut, and say so by their last characters. */
     static final int MOST_TEXT = 8 << 10;
+
     private static final String CUT = "...";
 
     /** Most entries fit into it; it grows. */
@@ -39,7 +39,7 @@
     private static final byte LEFT_OPEN = 5;
     private static final byte CHECKPOINT = 6;
 
-    private EntryCodec() { }
+    private EntryCodec() {}
 
     static byte[] write(Entry entry) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(FIRST_ROOM);
@@ -101,8 +101,7 @@
             while ((bytes[end] & 0xc0) == 0x80) {
                 end--;
             }
-            bytes = (new String(bytes, 0, end, StandardCharsets.UTF_8) + CUT)
-                    .getBytes(StandardCharsets.UTF_8);
+            bytes = (new String(bytes, 0, end, StandardCharsets.UTF_8) + CUT).getBytes(StandardCharsets.UTF_8);
         }
         out.writeShort(bytes.length);
         out.write(bytes);
@@ -130,15 +129,23 @@
         long number = in.getLong();
         long atUs = in.getLong();
         return switch (type) {
-            case TAKEN -> new Taken(number, atUs, text(in), text(in), text(in), text(in), text(in),
-                    whole(in.getInt(), "body length"), digest(in));
+            case TAKEN ->
+                new Taken(
+                        number,
+                        atUs,
+                        text(in),
+                        text(in),
+                        text(in),
+                        text(in),
+                        text(in),
+                        whole(in.getInt(), "body length"),
+                        digest(in));
             case INTENT -> {
                 int attempt = Short.toUnsignedInt(in.getShort());
                 long untilUs = in.getLong();
                 yield new Intent(number, atUs, attempt, text(in), text(in), untilUs);
             }
-            case ENDED -> new Ended(number, atUs, Short.toUnsignedInt(in.getShort()), result(in.get()),
-                    flag(in.get()));
+            case ENDED -> new Ended(number, atUs, Short.toUnsignedInt(in.getShort()), result(in.get()), flag(in.get()));
             case ANSWERED -> new Answered(number, atUs, answer(in.get()));
             case LEFT_OPEN -> new LeftOpen(number, atUs);
             case CHECKPOINT -> checkpoint(number, atUs, in);
--- a/src/main/java/kitemux/orders/Journal.java
+++ b/src/main/java/kitemux/orders/Journal.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-
 import kitemux.disk.Disk;
 import kitemux.orders.Entry.Checkpoint;
 import kitemux.orders.Entry.LeftOpen;
@@ -33,7 +32,7 @@
      * @param keepBytes the oldest are taken away as well while all together have more than this, with nothing
      *     open in them; 0 keeps them however many
      */
-    record Limits(long bytes, long ageUs, long keepUs, long keepBytes) { }
+    record Limits(long bytes, long ageUs, long keepUs, long keepBytes) {}
 
     private final Disk disk;
     private final Limits limits;
@@ -46,8 +45,13 @@
     private Disk.Out out;
     private long length;
 
-    private Journal(Disk disk, Limits limits, LongSupplier clockUs, LongSupplier nonces,
-            Consumer<String> log, OpenOrders open) {
+    private Journal(
+            Disk disk,
+            Limits limits,
+            LongSupplier clockUs,
+            LongSupplier nonces,
+            Consumer<String> log,
+            OpenOrders open) {
         this.open = open;
         this.disk = disk;
         this.limits = limits;
@@ -63,8 +67,8 @@
      * @param nonces random numbers
      * @param log told of what was found spoilt
      */
-    static Journal open(Disk disk, Limits limits, LongSupplier clockUs, LongSupplier nonces,
-            Consumer<String> log) throws IOException {
+    static Journal open(Disk disk, Limits limits, LongSupplier clockUs, LongSupplier nonces, Consumer<String> log)
+            throws IOException {
         Journal journal = new Journal(disk, limits, clockUs, nonces, log, new OpenOrders());
         try {
             journal.recover();
@@ -80,8 +84,8 @@
      * files are left as they are, but for a new segment.
      */
     static Journal goOn(Journal failed) throws IOException {
-        Journal journal = new Journal(failed.disk, failed.limits, failed.clockUs, failed.nonces,
-                failed.log, failed.open);
+        Journal journal =
+                new Journal(failed.disk, failed.limits, failed.clockUs, failed.nonces, failed.log, failed.open);
         try {
             List<Long> segments = SegmentNames.sequences(failed.disk.list());
             long last = segments.isEmpty() ? 0 : segments.get(segments.size() - 1);
@@ -125,8 +129,8 @@
             return;
         }
         for (Fault fault : content.faults()) {
-            log.accept("orders: " + name + ", offset " + fault.offset() + ": " + fault.bytes()
-                    + " bytes are no entry: " + fault.reason());
+            log.accept("orders: " + name + ", offset " + fault.offset() + ": " + fault.bytes() + " bytes are no entry: "
+                    + fault.reason());
         }
         for (Segment.Placed placed : content.entries()) {
             open.add(placed.entry());
@@ -186,7 +190,8 @@
             long beyond = limits.keepBytes == 0 ? 0 : bytes(segments) - limits.keepBytes;
             for (int i = 0; i < Math.min(segments.size() - 1, MOST_TAKEN_AWAY); i++) {
                 Content next = Segment.read(disk.read(SegmentNames.of(segments.get(i + 1))));
-                if (!isBegun(next) || beyond <= 0 && !isOld(next.header())
+                if (!isBegun(next)
+                        || beyond <= 0 && !isOld(next.header())
                         || open.oldest() < next.entries().get(0).entry().number()) {
                     return;
                 }
--- a/src/main/java/kitemux/orders/JournalReader.java
+++ b/src/main/java/kitemux/orders/JournalReader.java
@@ -11,7 +11,6 @@
 import java.util.function.LongPredicate;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
-
 import kitemux.disk.Disk;
 import kitemux.orders.Entry.Checkpoint;
 import kitemux.orders.Entry.Taken;
@@ -63,21 +62,33 @@
      * The same of those only that have one of these ids, keys or idempotency keys; segments whose index says
      * that they took none of them are not read.
      */
-    public void storiesOf(Set<String> orders, Set<String> keys, Set<String> idempotencyKeys,
-            Predicate<Taken> about, Consumer<Story> found) throws IOException {
-        long[] hashes = Stream.of(orders.stream().map(By.ORDER::hash), keys.stream().map(By.KEY::hash),
-                idempotencyKeys.stream().map(By.IDEMPOTENCY::hash)).flatMap(each -> each)
-                .mapToLong(Long::longValue).toArray();
-        stories(hashes, about.and(taken -> orders.contains(taken.order()) || keys.contains(taken.key())
-                || idempotencyKeys.contains(taken.idempotencyKey())), found);
+    public void storiesOf(
+            Set<String> orders,
+            Set<String> keys,
+            Set<String> idempotencyKeys,
+            Predicate<Taken> about,
+            Consumer<Story> found)
+            throws IOException {
+        long[] hashes = Stream.of(
+                        orders.stream().map(By.ORDER::hash),
+                        keys.stream().map(By.KEY::hash),
+                        idempotencyKeys.stream().map(By.IDEMPOTENCY::hash))
+                .flatMap(each -> each)
+                .mapToLong(Long::longValue)
+                .toArray();
+        stories(
+                hashes,
+                about.and(taken -> orders.contains(taken.order())
+                        || keys.contains(taken.key())
+                        || idempotencyKeys.contains(taken.idempotencyKey())),
+                found);
     }
 
     private void stories(long[] hashes, Predicate<Taken> about, Consumer<Story> found) throws IOException {
         Map<Long, Story> open = new LinkedHashMap<>();
         long[] highest = new long[1];
         // Stories that are not over go on in the next segment.
-        each(segment -> hashes == null || !open.isEmpty() || mayHold(segment, hashes),
-                (name, last, content) -> {
+        each(segment -> hashes == null || !open.isEmpty() || mayHold(segment, hashes), (name, last, content) -> {
             for (Placed placed : content.entries()) {
                 Entry entry = placed.entry();
                 Story story = open.get(entry.number());
@@ -164,7 +175,7 @@
      * @param tornBytes at the end of the last file, as a process leaves them that dies while it writes, or
      *     one that is writing now: no fault
      */
-    public record Verdict(int segments, long entries, List<String> faults, int tornBytes) { }
+    public record Verdict(int segments, long entries, List<String> faults, int tornBytes) {}
 
     /** Checks every byte. */
     public Verdict verify() throws IOException {
@@ -180,10 +191,11 @@
                 return;
             }
             for (Fault fault : content.faults()) {
-                faults.add(name + ", offset " + fault.offset() + ": " + fault.bytes()
-                        + " bytes are no entry: " + fault.reason());
+                faults.add(name + ", offset " + fault.offset() + ": " + fault.bytes() + " bytes are no entry: "
+                        + fault.reason());
             }
-            if (content.header() != null && !name.equals(SegmentNames.of(content.header().sequence()))) {
+            if (content.header() != null
+                    && !name.equals(SegmentNames.of(content.header().sequence()))) {
                 faults.add(name + ": says that it is number " + content.header().sequence());
             }
         });
--- a/src/main/java/kitemux/orders/Kin.java
+++ b/src/main/java/kitemux/orders/Kin.java
@@ -24,14 +24,19 @@
 
     /** What one is to another. */
     public static Kin of(Taken one, Taken other) {
-        if (one.number() == other.number() || !one.requestClass().equals(other.requestClass())
+        if (one.number() == other.number()
+                || !one.requestClass().equals(other.requestClass())
                 || !one.tenant().equals(other.tenant())) {
             return NONE;
         }
         if (!one.idempotencyKey().isEmpty() || !other.idempotencyKey().isEmpty()) {
             return one.idempotencyKey().equals(other.idempotencyKey()) ? SAME : NONE;
         }
-        return !one.key().isEmpty() && one.key().equals(other.key()) && one.bodyBytes() == other.bodyBytes()
-                && one.digest().equals(other.digest()) ? PERHAPS : NONE;
+        return !one.key().isEmpty()
+                        && one.key().equals(other.key())
+                        && one.bodyBytes() == other.bodyBytes()
+                        && one.digest().equals(other.digest())
+                ? PERHAPS
+                : NONE;
     }
 }
--- a/src/main/java/kitemux/orders/OpenOrders.java
+++ b/src/main/java/kitemux/orders/OpenOrders.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.TreeMap;
-
 import kitemux.orders.Entry.Answered;
 import kitemux.orders.Entry.Checkpoint;
 import kitemux.orders.Entry.Ended;
--- a/src/main/java/kitemux/orders/OrderKeeper.java
+++ b/src/main/java/kitemux/orders/OrderKeeper.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-
 import kitemux.Balancer;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
@@ -42,6 +41,7 @@
     private final Map<Long, Long> numbers = new HashMap<>();
     /** Also changed by the writer. */
     private final AtomicLong waiting = new AtomicLong();
+
     private long next;
 
     /**
@@ -72,7 +72,9 @@
         numbers.put(id, number);
         long now = time.nowUs();
         RequestClass of = settings.classes.get(request.classIndex());
-        String tenant = request.tenant() < 0 ? "" : settings.tenants.get(request.tenant()).name();
+        String tenant = request.tenant() < 0
+                ? ""
+                : settings.tenants.get(request.tenant()).name();
         String key = request.key() == null ? "" : request.key();
         String idempotencyKey = request.idempotencyKey() == null ? "" : request.idempotencyKey();
         String txn = request.txn();
@@ -81,15 +83,14 @@
         long before = waiting.get();
         if (before > 0 && before + length > MOST_WAITING) {
             Digest digest = Digest.of(body);
-            orders.note(() -> new Taken(number, now, txn, of.name(), tenant, key, idempotencyKey, length,
-                    digest));
+            orders.note(() -> new Taken(number, now, txn, of.name(), tenant, key, idempotencyKey, length, digest));
             return;
         }
         // The digest is the writer's work: of a long body it would hold the loop up.
         waiting.addAndGet(length);
         LateDigest digest = new LateDigest(body, () -> waiting.addAndGet(-length));
-        if (!orders.note(() -> new Taken(number, now, txn, of.name(), tenant, key, idempotencyKey, length,
-                digest.get()))) {
+        if (!orders.note(
+                () -> new Taken(number, now, txn, of.name(), tenant, key, idempotencyKey, length, digest.get()))) {
             waiting.addAndGet(-length);
         }
     }
@@ -121,8 +122,14 @@
     }
 
     @Override
-    public void before(long id, Q request, int attempt, String serverId, Supplier<String> endpoint,
-            long untilUs, Consumer<Boolean> then) {
+    public void before(
+            long id,
+            Q request,
+            int attempt,
+            String serverId,
+            Supplier<String> endpoint,
+            long untilUs,
+            Consumer<Boolean> then) {
         Long number = numbers.get(id);
         if (number == null) {
             then.accept(true);
@@ -156,8 +163,7 @@
         Long number = numbers.get(id);
         if (number != null) {
             long now = time.nowUs();
-            orders.note(() -> new Ended(number, now, attempt, Entry.Result.valueOf(result.name()),
-                    !result.neverRan));
+            orders.note(() -> new Ended(number, now, attempt, Entry.Result.valueOf(result.name()), !result.neverRan));
         }
     }
 
--- a/src/main/java/kitemux/orders/OrderLog.java
+++ b/src/main/java/kitemux/orders/OrderLog.java
@@ -21,6 +21,7 @@
 public final class OrderLog {
     /** Entries that wait to be written. Guards memory while a disk is slow: some 8 MB at most. */
     static final int MOST_QUEUED = 4_096;
+
     private static final int MOST_AWAITED = MOST_QUEUED / 4 * 3;
     /** Between two tries at a disk that failed. */
     static final long RETRY_MS = 500;
@@ -36,7 +37,7 @@
     }
 
     /** One entry, made on the writer's thread, and who waits for it, or null. */
-    private record Item(Supplier<Entry> entry, Consumer<Boolean> told) { }
+    private record Item(Supplier<Entry> entry, Consumer<Boolean> told) {}
 
     private final Opener opener;
     private final Sync sync;
@@ -52,10 +53,12 @@
 
     /** The one that is written to, or null after it failed. */
     private Journal journal;
+
     private Journal failed;
     private boolean unsynced;
     /** When the oldest entry was written that no sync has followed. */
     private long unsyncedNanos;
+
     private long failedNanos;
 
     /** Opens a journal, and again one that failed. */
@@ -64,8 +67,7 @@
         Journal open(Journal failed) throws IOException;
     }
 
-    private OrderLog(Opener opener, Journal journal, Sync sync, long syncMs, Executor loop,
-            Consumer<String> log) {
+    private OrderLog(Opener opener, Journal journal, Sync sync, long syncMs, Executor loop, Consumer<String> log) {
         this.opener = opener;
         this.journal = journal;
         this.sync = sync;
@@ -203,8 +205,7 @@
 
     /** What nobody waits for. */
     private void syncIfDue() {
-        if (journal == null || sync == Sync.NEVER || !unsynced
-                || System.nanoTime() - unsyncedNanos < syncNanos) {
+        if (journal == null || sync == Sync.NEVER || !unsynced || System.nanoTime() - unsyncedNanos < syncNanos) {
             return;
         }
         try {
@@ -240,8 +241,8 @@
             journal = opener.open(failed);
             failed = null;
             unsynced = false;
-            log.accept("orders: the journal is written again, from " + SegmentNames.of(
-                    journal.header().sequence()) + " on");
+            log.accept("orders: the journal is written again, from "
+                    + SegmentNames.of(journal.header().sequence()) + " on");
         } catch (IOException e) {
             failedNanos = System.nanoTime();
         }
@@ -257,8 +258,8 @@
     }
 
     private void tell(List<Item> items, boolean durable) {
-        List<Consumer<Boolean>> waiting = items.stream().map(Item::told)
-                .filter(told -> told != null).toList();
+        List<Consumer<Boolean>> waiting =
+                items.stream().map(Item::told).filter(told -> told != null).toList();
         if (!waiting.isEmpty()) {
             loop.execute(() -> waiting.forEach(told -> told.accept(durable)));
         }
--- a/src/main/java/kitemux/orders/OrderSettings.java
+++ b/src/main/java/kitemux/orders/OrderSettings.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
-
 import kitemux.Balancer.RequestClass;
 import kitemux.config.FileSection;
 import kitemux.config.Json;
@@ -23,11 +22,18 @@
  * @param keepBytes the oldest are taken away while all together have more; 0 keeps them however many
  * @param classes of requests that are kept besides those that must never run twice
  */
-public record OrderSettings(Path folder, OrderLog.Sync sync, long syncMs, long lateMs, long segmentBytes,
-        long segmentHours, long keepDays, long keepBytes, Set<String> classes) {
-    private static final Set<String> FIELDS =
-            Set.of("folder", "sync", "syncMs", "lateMs", "segmentKiB", "segmentHours", "keepDays", "keepMiB",
-                    "classes");
+public record OrderSettings(
+        Path folder,
+        OrderLog.Sync sync,
+        long syncMs,
+        long lateMs,
+        long segmentBytes,
+        long segmentHours,
+        long keepDays,
+        long keepBytes,
+        Set<String> classes) {
+    private static final Set<String> FIELDS = Set.of(
+            "folder", "sync", "syncMs", "lateMs", "segmentKiB", "segmentHours", "keepDays", "keepMiB", "classes");
     private static final long MOST_DAYS = 36_500;
     private static final long MOST_KEPT_MIB = 1 << 20;
     private static final long MOST_MS = 60_000;
@@ -35,6 +41,7 @@
      * Smaller ones are all beginnings, and larger ones more than a node's memory has room to recover from.
      */
     private static final long LEAST_KIB = 64;
+
     private static final long MOST_KIB = 8 << 10;
 
     /**
@@ -59,9 +66,10 @@
         long keepDays = section.within("keepDays", 0, 0, MOST_DAYS);
         long keepMiB = section.within("keepMiB", 0, 0, MOST_KEPT_MIB);
         Set<String> classes = classes(json.path("classes"), known, faults);
-        return faults.size() > before ? null
-                : new OrderSettings(folder, sync, syncMs, lateMs, segment << 10, hours, keepDays,
-                        keepMiB << 20, classes);
+        return faults.size() > before
+                ? null
+                : new OrderSettings(
+                        folder, sync, syncMs, lateMs, segment << 10, hours, keepDays, keepMiB << 20, classes);
     }
 
     private static OrderLog.Sync sync(Json json, List<String> faults) {
--- a/src/main/java/kitemux/orders/Orders.java
+++ b/src/main/java/kitemux/orders/Orders.java
@@ -7,7 +7,6 @@
 import java.security.SecureRandom;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
-
 import kitemux.Balancer.Settings;
 import kitemux.disk.FolderDisk;
 import kitemux.engine.Asked;
@@ -42,16 +41,28 @@
         try {
             SecureRandom random = new SecureRandom();
             long[] next = new long[1];
-            OrderLog log = OrderLog.start(failed -> {
-                if (failed != null) {
-                    return Journal.goOn(failed);
-                }
-                Journal journal = Journal.open(disk, new Journal.Limits(settings.segmentBytes(),
-                        settings.segmentHours() * HOUR_US, settings.keepDays() * 24 * HOUR_US,
-                        settings.keepBytes()), time::nowUs, random::nextLong, say);
-                next[0] = journal.next();
-                return journal;
-            }, settings.sync(), settings.syncMs(), loop, say);
+            OrderLog log = OrderLog.start(
+                    failed -> {
+                        if (failed != null) {
+                            return Journal.goOn(failed);
+                        }
+                        Journal journal = Journal.open(
+                                disk,
+                                new Journal.Limits(
+                                        settings.segmentBytes(),
+                                        settings.segmentHours() * HOUR_US,
+                                        settings.keepDays() * 24 * HOUR_US,
+                                        settings.keepBytes()),
+                                time::nowUs,
+                                random::nextLong,
+                                say);
+                        next[0] = journal.next();
+                        return journal;
+                    },
+                    settings.sync(),
+                    settings.syncMs(),
+                    loop,
+                    say);
             return new Orders(disk, log, next[0], say);
         } catch (IOException e) {
             disk.close();
--- a/src/main/java/kitemux/orders/Segment.java
+++ b/src/main/java/kitemux/orders/Segment.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.CRC32C;
-
 import kitemux.orders.EntryCodec.BadEntryException;
 
 /**
@@ -21,7 +20,7 @@
     /** Begins each frame, so that what follows a spoilt one is found again. */
     private static final int MARK = 0x4b4d5231;
 
-    private Segment() { }
+    private Segment() {}
 
     /**
      * What a header says.
@@ -34,15 +33,20 @@
     record Header(long sequence, long nonce, long createdAtUs) {
         byte[] bytes() {
             ByteBuffer out = ByteBuffer.allocate(HEADER);
-            out.putLong(MAGIC).putShort(VERSION).putShort((short) HEADER).putInt(0)
-                    .putLong(sequence).putLong(nonce).putLong(createdAtUs);
+            out.putLong(MAGIC)
+                    .putShort(VERSION)
+                    .putShort((short) HEADER)
+                    .putInt(0)
+                    .putLong(sequence)
+                    .putLong(nonce)
+                    .putLong(createdAtUs);
             out.putInt(HEADER_SUM_AT, sum(out.array(), 0, HEADER_SUM_AT, new CRC32C()));
             return out.array();
         }
     }
 
     /** An entry and where its frame begins. */
-    record Placed(int offset, Entry entry) { }
+    record Placed(int offset, Entry entry) {}
 
     /**
      * Bytes that are no entry.
@@ -51,7 +55,7 @@
      * @param bytes how many, up to the next sound frame or the end
      * @param reason what is wrong with the first of them
      */
-    record Fault(int offset, int bytes, String reason) { }
+    record Fault(int offset, int bytes, String reason) {}
 
     /**
      * What a segment holds.
@@ -67,7 +71,8 @@
          * where it dies before the header is there.
          */
         boolean isTorn() {
-            return faults.size() == 1 && faults.get(0).offset() == soundUpTo
+            return faults.size() == 1
+                    && faults.get(0).offset() == soundUpTo
                     && (header != null || faults.get(0).bytes() < HEADER);
         }
     }
@@ -75,8 +80,12 @@
     /** An entry in its frame, for this place and no other. */
     static byte[] frame(Header header, long offset, Entry entry) {
         byte[] payload = EntryCodec.write(entry);
-        return ByteBuffer.allocate(FRAME + payload.length).putInt(MARK).putInt(payload.length)
-                .putInt(frameSum(header.nonce(), offset, payload, 0, payload.length)).put(payload).array();
+        return ByteBuffer.allocate(FRAME + payload.length)
+                .putInt(MARK)
+                .putInt(payload.length)
+                .putInt(frameSum(header.nonce(), offset, payload, 0, payload.length))
+                .put(payload)
+                .array();
     }
 
     /** Reads all of a file; it fails at nothing. */
@@ -147,13 +156,18 @@
         if (length > bytes.length - at - FRAME) {
             return "its end is missing";
         }
-        return in.getInt(at + 8) == frameSum(header.nonce(), at, bytes, at + FRAME, length) ? null
+        return in.getInt(at + 8) == frameSum(header.nonce(), at, bytes, at + FRAME, length)
+                ? null
                 : "its checksum is wrong";
     }
 
     private static int frameSum(long nonce, long offset, byte[] bytes, int from, int length) {
         CRC32C sum = new CRC32C();
-        sum.update(ByteBuffer.allocate(20).putLong(nonce).putLong(offset).putInt(length).flip());
+        sum.update(ByteBuffer.allocate(20)
+                .putLong(nonce)
+                .putLong(offset)
+                .putInt(length)
+                .flip());
         return sum(bytes, from, length, sum);
     }
 
--- a/src/main/java/kitemux/orders/SegmentIndex.java
+++ b/src/main/java/kitemux/orders/SegmentIndex.java
@@ -6,7 +6,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.zip.CRC32C;
-
 import kitemux.orders.Entry.Taken;
 
 /**
@@ -74,10 +73,18 @@
 
         /** The index of the segment of this number and length. */
         byte[] bytes(long sequence, long segmentBytes) {
-            long[] sorted = hashes.stream().mapToLong(Long::longValue).sorted().distinct().toArray();
+            long[] sorted = hashes.stream()
+                    .mapToLong(Long::longValue)
+                    .sorted()
+                    .distinct()
+                    .toArray();
             ByteBuffer out = ByteBuffer.allocate(HEADER + sorted.length * Long.BYTES + SUM);
-            out.putLong(MAGIC).putShort(VERSION).putShort((short) 0).putInt(sorted.length)
-                    .putLong(sequence).putLong(segmentBytes);
+            out.putLong(MAGIC)
+                    .putShort(VERSION)
+                    .putShort((short) 0)
+                    .putInt(sorted.length)
+                    .putLong(sequence)
+                    .putLong(segmentBytes);
             for (long hash : sorted) {
                 out.putLong(hash);
             }
@@ -89,7 +96,9 @@
     /** Reads what a builder wrote; null if it is anything else. */
     static SegmentIndex read(byte[] bytes) {
         ByteBuffer in = ByteBuffer.wrap(bytes);
-        if (bytes.length < HEADER + SUM || in.getLong(0) != MAGIC || in.getShort(8) != VERSION
+        if (bytes.length < HEADER + SUM
+                || in.getLong(0) != MAGIC
+                || in.getShort(8) != VERSION
                 || bytes.length != HEADER + (long) in.getInt(12) * Long.BYTES + SUM
                 || in.getInt(bytes.length - SUM) != sum(bytes, bytes.length - SUM)) {
             return null;
--- a/src/main/java/kitemux/orders/SegmentNames.java
+++ b/src/main/java/kitemux/orders/SegmentNames.java
@@ -9,9 +9,10 @@
 final class SegmentNames {
     /** Behind the name of a file that was set aside. */
     static final String ASIDE = ".aside";
+
     private static final Pattern SEGMENT = Pattern.compile("([0-9]{16})\\.orders");
 
-    private SegmentNames() { }
+    private SegmentNames() {}
 
     static String of(long sequence) {
         String digits = Long.toString(sequence);
@@ -25,7 +26,11 @@
 
     /** The numbers of the segments among these files, in their order. */
     static List<Long> sequences(Collection<String> names) {
-        return names.stream().map(SEGMENT::matcher).filter(Matcher::matches)
-                .map(matcher -> Long.parseLong(matcher.group(1))).sorted().toList();
+        return names.stream()
+                .map(SEGMENT::matcher)
+                .filter(Matcher::matches)
+                .map(matcher -> Long.parseLong(matcher.group(1)))
+                .sorted()
+                .toList();
     }
 }
--- a/src/main/java/kitemux/orders/Story.java
+++ b/src/main/java/kitemux/orders/Story.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
 import kitemux.orders.Entry.Answer;
 import kitemux.orders.Entry.Answered;
 import kitemux.orders.Entry.Ended;
@@ -55,8 +54,8 @@
         if (entry instanceof Intent intent) {
             attempts.add(new Attempt(intent, null));
         } else if (entry instanceof Ended ended) {
-            attempts.replaceAll(a -> a.ended == null && a.intent.attempt() == ended.attempt()
-                    ? new Attempt(a.intent, ended) : a);
+            attempts.replaceAll(
+                    a -> a.ended == null && a.intent.attempt() == ended.attempt() ? new Attempt(a.intent, ended) : a);
         } else if (entry instanceof Answered said && answered == null) {
             answered = said;
         } else if (entry instanceof LeftOpen left) {
@@ -66,8 +65,7 @@
 
     /** Whether nothing more will be said of it. */
     public boolean isOver() {
-        return leftOpen != null
-                || answered != null && attempts.stream().allMatch(a -> a.ended != null);
+        return leftOpen != null || answered != null && attempts.stream().allMatch(a -> a.ended != null);
     }
 
     /** How it was taken. */
--- a/src/main/java/kitemux/orders/StoryText.java
+++ b/src/main/java/kitemux/orders/StoryText.java
@@ -1,15 +1,13 @@
 package kitemux.orders;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.Locale;
-
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-
 import kitemux.orders.Entry.Result;
 import kitemux.orders.Entry.Taken;
 import kitemux.orders.Story.Attempt;
@@ -18,17 +16,17 @@
 public final class StoryText {
     /** The first line of an export as CSV. */
     public static final String CSV_HEAD =
-            "order,class,tenant,key,taken,state,server,endpoint,sent,result,ended,answer,answered,"
-            + "body_sha256";
+            "order,class,tenant,key,taken,state,server,endpoint,sent,result,ended,answer,answered," + "body_sha256";
+
     private static final JsonFactory JSON = new JsonFactory();
 
-    private StoryText() { }
+    private StoryText() {}
 
     /** A sentence. */
     public static String sentence(Story story, boolean live) {
         Taken taken = story.taken();
-        StringBuilder text = new StringBuilder("order ").append(taken.order()).append(" (")
-                .append(taken.requestClass());
+        StringBuilder text =
+                new StringBuilder("order ").append(taken.order()).append(" (").append(taken.requestClass());
         if (!taken.tenant().isEmpty()) {
             text.append(", ").append(taken.tenant());
         }
@@ -37,12 +35,16 @@
         }
         text.append("), taken ").append(time(taken.atUs())).append(": ").append(fate(story, live));
         if (story.answered() != null) {
-            text.append("; the client ").append(switch (story.answered().answer()) {
-                case SERVED -> "was served";
-                case REFUSED -> "was told to try again";
-                case FAILED, BROKEN -> "was told that it failed";
-                case LEFT -> "had left";
-            }).append(" at ").append(time(story.answered().atUs()));
+            text.append("; the client ")
+                    .append(
+                            switch (story.answered().answer()) {
+                                case SERVED -> "was served";
+                                case REFUSED -> "was told to try again";
+                                case FAILED, BROKEN -> "was told that it failed";
+                                case LEFT -> "had left";
+                            })
+                    .append(" at ")
+                    .append(time(story.answered().atUs()));
         }
         return text.toString();
     }
@@ -54,14 +56,17 @@
             case REFUSED -> "refused, no server ran it";
             case UNDER_WAY -> attempt == null ? "under way, not sent yet" : "under way, " + sent(attempt);
             case UNKNOWN -> sent(attempt) + ", answer unknown";
-            case ANSWERED -> sent(attempt) + ", answered " + status(attempt) + " at "
-                    + time(attempt.ended().atUs());
+            case ANSWERED ->
+                sent(attempt) + ", answered " + status(attempt) + " at "
+                        + time(attempt.ended().atUs());
         };
     }
 
     private static String sent(Attempt attempt) {
         return "sent to " + attempt.intent().server()
-                + (attempt.intent().endpoint().isEmpty() ? "" : " (" + attempt.intent().endpoint() + ")")
+                + (attempt.intent().endpoint().isEmpty()
+                        ? ""
+                        : " (" + attempt.intent().endpoint() + ")")
                 + " at " + time(attempt.intent().atUs());
     }
 
@@ -101,8 +106,8 @@
                 out.writeStringField("endpoint", attempt.intent().endpoint());
                 out.writeStringField("sent", time(attempt.intent().atUs()));
                 if (attempt.ended() != null) {
-                    out.writeStringField("result",
-                            attempt.ended().result().name().toLowerCase(Locale.ROOT));
+                    out.writeStringField(
+                            "result", attempt.ended().result().name().toLowerCase(Locale.ROOT));
                     out.writeBooleanField("mayHaveRun", attempt.ended().mayHaveRun());
                     out.writeStringField("ended", time(attempt.ended().atUs()));
                 }
@@ -110,8 +115,7 @@
             }
             out.writeEndArray();
             if (story.answered() != null) {
-                out.writeStringField("answer",
-                        story.answered().answer().name().toLowerCase(Locale.ROOT));
+                out.writeStringField("answer", story.answered().answer().name().toLowerCase(Locale.ROOT));
                 out.writeStringField("answered", time(story.answered().atUs()));
             }
             out.writeNumberField("bodyBytes", taken.bodyBytes());
@@ -131,16 +135,20 @@
         Taken taken = story.taken();
         Attempt attempt = story.telling();
         boolean over = attempt != null && attempt.ended() != null;
-        return String.join(",", cell(taken.order()), cell(taken.requestClass()), cell(taken.tenant()),
-                cell(taken.key()), time(taken.atUs()),
+        return String.join(
+                ",",
+                cell(taken.order()),
+                cell(taken.requestClass()),
+                cell(taken.tenant()),
+                cell(taken.key()),
+                time(taken.atUs()),
                 story.state(live).name().toLowerCase(Locale.ROOT),
                 attempt == null ? "" : cell(attempt.intent().server()),
                 attempt == null ? "" : cell(attempt.intent().endpoint()),
                 attempt == null ? "" : time(attempt.intent().atUs()),
                 over ? attempt.ended().result().name().toLowerCase(Locale.ROOT) : "",
                 over ? time(attempt.ended().atUs()) : "",
-                story.answered() == null ? ""
-                        : story.answered().answer().name().toLowerCase(Locale.ROOT),
+                story.answered() == null ? "" : story.answered().answer().name().toLowerCase(Locale.ROOT),
                 story.answered() == null ? "" : time(story.answered().atUs()),
                 taken.digest().toString());
     }
--- a/src/main/java/kitemux/peers/Belief.java
+++ b/src/main/java/kitemux/peers/Belief.java
@@ -18,7 +18,8 @@
         if (other.standing == Standing.LEFT || standing == Standing.LEFT) {
             return other.standing != Standing.LEFT;
         }
-        return incarnation != other.incarnation ? incarnation > other.incarnation
+        return incarnation != other.incarnation
+                ? incarnation > other.incarnation
                 : standing.ordinal() > other.standing.ordinal();
     }
 
--- a/src/main/java/kitemux/peers/Datagram.java
+++ b/src/main/java/kitemux/peers/Datagram.java
@@ -15,22 +15,30 @@
     public static final int PLATFORM_BYTES = 256;
     /** Bytes of a word's text. */
     public static final int MOST_WORD = 128;
+
     static final int VERSION = 1;
     static final int HEAD = 28;
     static final int BELIEF = 15;
     static final int WORD = 18;
     /** Numbers of nodes are two bytes. */
     public static final int MOST_NODES = 65_535;
+
     private static final int CHECKSUM_AT = 5;
     private static final long MOST_LIFE = (1L << 48) - 1;
 
-    private Datagram() { }
+    private Datagram() {}
 
     /** Why bytes are no message. */
-    public enum Fault { TOO_SHORT, OTHER_VERSION, OTHER_FLEET, SPOILT, NOT_UNDERSTOOD }
+    public enum Fault {
+        TOO_SHORT,
+        OTHER_VERSION,
+        OTHER_FLEET,
+        SPOILT,
+        NOT_UNDERSTOOD
+    }
 
     /** A message, or why there is none. */
-    public record Read(Message message, Fault fault) { }
+    public record Read(Message message, Fault fault) {}
 
     /** Bytes that a message takes without beliefs and words; what is left of a datagram is theirs. */
     static int room(int mostBytes) {
@@ -45,10 +53,14 @@
      * @param fleet the fleet's name as a number; nodes of other fleets do not listen
      */
     public static byte[] write(Message message, int fleet) {
-        int size = HEAD + BELIEF * message.beliefs().size()
+        int size = HEAD
+                + BELIEF * message.beliefs().size()
                 + message.words().stream().mapToInt(Datagram::bytes).sum();
         ByteBuffer out = ByteBuffer.allocate(size);
-        out.put((byte) VERSION).putInt(fleet).putInt(0).put((byte) message.kind().ordinal())
+        out.put((byte) VERSION)
+                .putInt(fleet)
+                .putInt(0)
+                .put((byte) message.kind().ordinal())
                 .putShort((short) message.from());
         life(out, message.life());
         out.putInt(message.number()).putShort((short) message.about());
@@ -57,14 +69,19 @@
         for (Belief belief : message.beliefs()) {
             out.putShort((short) belief.node());
             life(out, belief.life());
-            out.putInt(belief.incarnation()).put((byte) belief.standing().ordinal())
+            out.putInt(belief.incarnation())
+                    .put((byte) belief.standing().ordinal())
                     .putShort((short) belief.by());
         }
         for (Word word : message.words()) {
             out.putShort((short) word.origin());
             life(out, word.life());
-            out.put((byte) word.topic()).putInt(word.version()).putShort((short) word.leftMs())
-                    .putShort((short) word.text().length).put((byte) 0).put(word.text());
+            out.put((byte) word.topic())
+                    .putInt(word.version())
+                    .putShort((short) word.leftMs())
+                    .putShort((short) word.text().length)
+                    .put((byte) 0)
+                    .put(word.text());
         }
         out.putInt(CHECKSUM_AT, checksum(out.array()));
         return out.array();
@@ -128,8 +145,7 @@
             if (standing >= Standing.values().length) {
                 return null;
             }
-            believed.add(new Belief(node, of, incarnation, Standing.values()[standing],
-                    in.getShort() & 0xffff));
+            believed.add(new Belief(node, of, incarnation, Standing.values()[standing], in.getShort() & 0xffff));
         }
         List<Word> said = new ArrayList<>(words);
         for (int i = 0; i < words; i++) {
@@ -143,8 +159,9 @@
             in.get(text);
             said.add(new Word(origin, of, topic, version, left, text));
         }
-        return in.hasRemaining() ? null : new Message(Message.Kind.values()[kind], from, life, number, about,
-                believed, said);
+        return in.hasRemaining()
+                ? null
+                : new Message(Message.Kind.values()[kind], from, life, number, about, believed, said);
     }
 
     /** Whether a time is one that a life's number can hold. */
--- a/src/main/java/kitemux/peers/Members.java
+++ b/src/main/java/kitemux/peers/Members.java
@@ -23,7 +23,7 @@
     /** Confirmations that bring a suspect's time down to the least. */
     private static final int ENOUGH_CONFIRM = 3;
     /** One probe in so many goes to a node that was given up, where there is one,
-            and one to a suspect: it has
+     * and one to a suspect: it has
      * the more chances to hear of that, and is the sooner confirmed where it does not answer. */
     private static final int SPECIAL_EVERY = 3;
 
@@ -43,6 +43,7 @@
     /** When the next tick was due as the last one ended: one that comes a period later, or more, tells that
      * this process stood still. */
     private long dueAtUs;
+
     private int probes;
     private int slow;
     private int numbers;
@@ -61,10 +62,10 @@
         void changed(Belief now);
 
         /** A word that is new here; its time is not over. */
-        default void heard(Word word) { }
+        default void heard(Word word) {}
 
         /** Another process has this node's place: this one is silent from now on. */
-        default void replaced(Belief by) { }
+        default void replaced(Belief by) {}
     }
 
     /** One of the fleet. */
@@ -73,6 +74,7 @@
         private long sinceUs;
         /** While it is suspected: when it is given up, and who suspects it. */
         private long giveUpAtUs = Long.MAX_VALUE;
+
         private long suspectedAtUs;
         private final BitSet suspecting = new BitSet();
     }
@@ -85,6 +87,7 @@
         private final long endsAtUs;
         /** Who asked for it and by which number; -1 for this node itself. */
         private final int askedBy;
+
         private final int askedNumber;
         private boolean helped;
         private int nacksDue;
@@ -173,8 +176,8 @@
         if (silent) {
             return Long.MAX_VALUE;
         }
-        long next = probe == null ? probeAtUs : probe.helped || terms.helpers() == 0 ? probe.endsAtUs
-                : probe.answerAtUs;
+        long next =
+                probe == null ? probeAtUs : probe.helped || terms.helpers() == 0 ? probe.endsAtUs : probe.answerAtUs;
         for (Probe one : asked) {
             next = Math.min(next, one.answerAtUs);
         }
@@ -247,8 +250,8 @@
     /** All that are there in turn, in an order that is drawn anew each time, but for special ones. */
     private int choose() {
         int kind = ++probes % SPECIAL_EVERY;
-        int special = kind == 0 ? oneOf(Standing.GONE, new BitSet())
-                : kind == 1 ? oneOf(Standing.SUSPECT, new BitSet()) : -1;
+        int special =
+                kind == 0 ? oneOf(Standing.GONE, new BitSet()) : kind == 1 ? oneOf(Standing.SUSPECT, new BitSet()) : -1;
         if (special >= 0) {
             return special;
         }
@@ -279,7 +282,9 @@
         int found = -1;
         int seen = 0;
         for (int i = 0; i < members.length; i++) {
-            if (i != terms.me() && !but.get(i) && members[i].belief.standing() == standing
+            if (i != terms.me()
+                    && !but.get(i)
+                    && members[i].belief.standing() == standing
                     && random.nextInt(++seen) == 0) {
                 found = i;
             }
@@ -364,8 +369,8 @@
             }
             case ACK -> answered(message);
             case ASK -> {
-                Probe forOther = new Probe(message.about(), ++numbers, nowUs + terms.answerUs(), 0, from,
-                        message.number());
+                Probe forOther =
+                        new Probe(message.about(), ++numbers, nowUs + terms.answerUs(), 0, from, message.number());
                 asked.add(forOther);
                 send(forOther.node, Message.Kind.PING, forOther.number, 0);
             }
@@ -427,7 +432,9 @@
             watcher.replaced(said);
             return;
         }
-        if (said.life() == me.life() && !leaving && said.standing() != Standing.ALIVE
+        if (said.life() == me.life()
+                && !leaving
+                && said.standing() != Standing.ALIVE
                 && said.incarnation() >= me.incarnation()) {
             // Whoever is suspected may well be slow.
             slow = Math.min(MOST_SLOW, slow + 1);
@@ -480,8 +487,7 @@
      */
     public void tell(int topic, int version, int forMs, byte[] text) {
         if (topic < 0 || topic > 255 || forMs < 1 || forMs > 65_535 || text.length > Datagram.MOST_WORD) {
-            throw new IllegalArgumentException("topic " + topic + ", " + forMs + " ms, " + text.length
-                    + " bytes");
+            throw new IllegalArgumentException("topic " + topic + ", " + forMs + " ms, " + text.length + " bytes");
         }
         news.hears(new Word(terms.me(), me.life(), topic, version, forMs, text.clone()), nowUs);
     }
--- a/src/main/java/kitemux/peers/Message.java
+++ b/src/main/java/kitemux/peers/Message.java
@@ -12,8 +12,7 @@
  * @param beliefs what the sender believes of nodes, itself first
  * @param words what nodes tell all others
  */
-public record Message(Kind kind, int from, long life, int number, int about, List<Belief> beliefs,
-        List<Word> words) {
+public record Message(Kind kind, int from, long life, int number, int about, List<Belief> beliefs, List<Word> words) {
 
     /** What it wants. */
     public enum Kind {
--- a/src/main/java/kitemux/peers/News.java
+++ b/src/main/java/kitemux/peers/News.java
@@ -40,7 +40,7 @@
         }
     }
 
-    private record Kept(Word word, long endsUs) { }
+    private record Kept(Word word, long endsUs) {}
 
     News(Terms terms) {
         this.terms = terms;
@@ -48,22 +48,22 @@
 
     /** To be passed on, in place of what was told of the node before. */
     void told(Belief belief) {
-        beliefs.put(belief.node(), new Piece<>(belief, -++order));
+        beliefs.put(belief.node(), new Piece<>(belief, - ++order));
     }
 
     /** A word has come; whether it is new. */
     boolean hears(Word word, long nowUs) {
         Map<Integer, Kept> of = words.computeIfAbsent(word.origin(), o -> new HashMap<>());
         Kept before = of.get(word.topic());
-        if (word.leftMs() == 0 || before != null && !word.isNewerThan(before.word)
+        if (word.leftMs() == 0
+                || before != null && !word.isNewerThan(before.word)
                 || before == null && of.size() >= MOST_TOPICS) {
             return false;
         }
         Kept kept = new Kept(word, nowUs + word.leftMs() * 1_000L);
         of.put(word.topic(), kept);
-        toTell.removeIf(piece -> piece.of.word.origin() == word.origin()
-                && piece.of.word.topic() == word.topic());
-        toTell.add(new Piece<>(kept, -++order));
+        toTell.removeIf(piece -> piece.of.word.origin() == word.origin() && piece.of.word.topic() == word.topic());
+        toTell.add(new Piece<>(kept, - ++order));
         return true;
     }
 
--- a/src/main/java/kitemux/peers/Terms.java
+++ b/src/main/java/kitemux/peers/Terms.java
@@ -14,8 +14,7 @@
  * @param suspicion so many times the period, and the more the larger the fleet, a suspect has to answer
  * @param mostBytes of a datagram
  */
-public record Terms(int nodes, int me, long periodUs, long answerUs, int helpers, double suspicion,
-        int mostBytes) {
+public record Terms(int nodes, int me, long periodUs, long answerUs, int helpers, double suspicion, int mostBytes) {
     /** Itself, whom it speaks of, and room for news. */
     private static final int LEAST_BYTES = Datagram.HEAD + 4 * Datagram.BELIEF;
 
@@ -27,17 +26,16 @@
     /** All that cannot be, one line each with field and reason; empty where there is nothing. */
     public List<String> faults() {
         List<String> found = new ArrayList<>();
-        require(found, nodes >= 1 && nodes <= Datagram.MOST_NODES, "nodes: is not from 1 to "
-                + Datagram.MOST_NODES);
+        require(found, nodes >= 1 && nodes <= Datagram.MOST_NODES, "nodes: is not from 1 to " + Datagram.MOST_NODES);
         require(found, me >= 0 && me < nodes, "me: is not from 0 to nodes - 1");
         require(found, periodUs >= 10_000, "period: is under 10ms");
-        require(found, answerUs >= 1_000 && 2 * answerUs <= periodUs,
-                "answer: is not from 1ms to half a period");
+        require(found, answerUs >= 1_000 && 2 * answerUs <= periodUs, "answer: is not from 1ms to half a period");
         require(found, helpers >= 0 && helpers <= 16, "helpers: is not from 0 to 16");
         require(found, suspicion >= 1 && suspicion <= 100, "suspicion: is not from 1 to 100");
-        require(found, mostBytes >= LEAST_BYTES && mostBytes <= 65_000, "most_bytes: is not from "
-                + LEAST_BYTES
-                + " to 65000");
+        require(
+                found,
+                mostBytes >= LEAST_BYTES && mostBytes <= 65_000,
+                "most_bytes: is not from " + LEAST_BYTES + " to 65000");
         return found;
     }
 
--- a/src/main/java/kitemux/peers/Word.java
+++ b/src/main/java/kitemux/peers/Word.java
@@ -23,8 +23,13 @@
 
     @Override
     public boolean equals(Object other) {
-        return other instanceof Word word && origin == word.origin && life == word.life && topic == word.topic
-                && version == word.version && leftMs == word.leftMs && Arrays.equals(text, word.text);
+        return other instanceof Word word
+                && origin == word.origin
+                && life == word.life
+                && topic == word.topic
+                && version == word.version
+                && leftMs == word.leftMs
+                && Arrays.equals(text, word.text);
     }
 
     @Override
--- a/src/main/java/kitemux/plan/Estimate.java
+++ b/src/main/java/kitemux/plan/Estimate.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Locale;
-
 import org.apache.commons.statistics.distribution.TDistribution;
 
 /**
@@ -20,7 +19,8 @@
         if (n < 2) {
             return new Estimate(mean, Double.NEGATIVE_INFINITY, Double.POSITIVE_INFINITY, n);
         }
-        double variance = values.stream().mapToDouble(v -> (v - mean) * (v - mean)).sum() / (n - 1);
+        double variance =
+                values.stream().mapToDouble(v -> (v - mean) * (v - mean)).sum() / (n - 1);
         double half = TDistribution.of(n - 1).inverseCumulativeProbability(1 - (1 - CONFIDENCE) / 2)
                 * Math.sqrt(variance / n);
         return new Estimate(mean, mean - half, mean + half, n);
--- a/src/main/java/kitemux/plan/FleetFile.java
+++ b/src/main/java/kitemux/plan/FleetFile.java
@@ -1,13 +1,11 @@
 package kitemux.plan;
 
+import com.bertramlabs.plugins.hcl4j.HCLParser;
+import com.bertramlabs.plugins.hcl4j.HCLParserException;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-
-import com.bertramlabs.plugins.hcl4j.HCLParser;
-import com.bertramlabs.plugins.hcl4j.HCLParserException;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
@@ -20,7 +18,7 @@
  * fields.
  */
 public final class FleetFile {
-    private FleetFile() { }
+    private FleetFile() {}
 
     /** Where descriptions are that others name. */
     public interface Texts {
@@ -28,9 +26,16 @@
         String read(String path) throws IOException;
     }
 
-    private enum MayRepeat { SAFE, KEYED, NEVER_TWICE }
+    private enum MayRepeat {
+        SAFE,
+        KEYED,
+        NEVER_TWICE
+    }
 
-    private enum Drops { ALL, RACK }
+    private enum Drops {
+        ALL,
+        RACK
+    }
 
     /**
      * Reads a fleet that another description names.
@@ -89,9 +94,19 @@
         for (Section fault : all.repeated("fault")) {
             wrong.add(fault(fault));
         }
-        Fleet fleet = new Fleet(kinds, all.whole("racks", 1), zones(all.part("zones")), nodes, choke, links,
-                list, clients, classes,
-                tenants, load, wrong);
+        Fleet fleet = new Fleet(
+                kinds,
+                all.whole("racks", 1),
+                zones(all.part("zones")),
+                nodes,
+                choke,
+                links,
+                list,
+                clients,
+                classes,
+                tenants,
+                load,
+                wrong);
         all.end();
         if (faults.isEmpty()) {
             faults.addAll(fleet.faultsFound());
@@ -101,17 +116,29 @@
 
     /** Something that goes wrong. */
     public static Fleet.Fault fault(Section of) {
-        Fleet.Fault fault = new Fleet.Fault(of.word("trouble", Fleet.Trouble.class, null),
-                of.word("among", Fleet.Among.class, Fleet.Among.ANY), of.whole("which", 0),
-                of.whole("count", 0), of.time("at", -1), of.time("for", -1), of.number("size", 1));
+        Fleet.Fault fault = new Fleet.Fault(
+                of.word("trouble", Fleet.Trouble.class, null),
+                of.word("among", Fleet.Among.class, Fleet.Among.ANY),
+                of.whole("which", 0),
+                of.whole("count", 0),
+                of.time("at", -1),
+                of.time("for", -1),
+                of.number("size", 1));
         of.end();
         return fault;
     }
 
     private static Fleet.Kind kind(String name, Section box) {
-        Fleet.Kind kind = new Fleet.Kind(name, box.whole("count", Double.NaN), box.whole("cores", 1),
-                box.number("speed", 1), box.number("speed_cv", 0), box.whole("queue", 1_000),
-                box.number("cold_from", 1), box.time("cold", 0), box.yes("warms_by_work", false),
+        Fleet.Kind kind = new Fleet.Kind(
+                name,
+                box.whole("count", Double.NaN),
+                box.whole("cores", 1),
+                box.number("speed", 1),
+                box.number("speed_cv", 0),
+                box.whole("queue", 1_000),
+                box.number("cold_from", 1),
+                box.time("cold", 0),
+                box.yes("warms_by_work", false),
                 box.number("cost", 1));
         box.end();
         return kind;
@@ -120,28 +147,44 @@
     private static Fleet.Work work(String name, Section of) {
         MayRepeat repeat = of.word("repeat", MayRepeat.class, null);
         Drops group = of.word("group", Drops.class, Drops.ALL);
-        RequestClass cls = new RequestClass(name, of.time("aim", -1), 0, of.time("deadline", -1),
-                of.number("worth", 1), of.number("late_worth", 0), switch (repeat) {
+        RequestClass cls = new RequestClass(
+                name,
+                of.time("aim", -1),
+                0,
+                of.time("deadline", -1),
+                of.number("worth", 1),
+                of.number("late_worth", 0),
+                switch (repeat) {
                     case SAFE -> Repeat.SAFE;
                     case KEYED -> Repeat.KEYED;
                     case NEVER_TWICE -> Repeat.UNSAFE;
-                }, group == Drops.ALL ? Group.ALL : Group.CELL, of.time("window", 0), false);
-        Fleet.Work work = new Fleet.Work(cls, of.number("share", Double.NaN), of.time("work", -1),
-                of.word("spread", Fleet.Spread.class, Fleet.Spread.EXPONENTIAL), of.number("cv", 1));
+                },
+                group == Drops.ALL ? Group.ALL : Group.CELL,
+                of.time("window", 0),
+                false);
+        Fleet.Work work = new Fleet.Work(
+                cls,
+                of.number("share", Double.NaN),
+                of.time("work", -1),
+                of.word("spread", Fleet.Spread.class, Fleet.Spread.EXPONENTIAL),
+                of.number("cv", 1));
         of.end();
         return work;
     }
 
     private static Fleet.Nodes nodes(Section of) {
-        Fleet.Nodes nodes = new Fleet.Nodes(of.whole("count", Double.NaN), of.time("event", 60),
-                of.number("cores", 1), of.time("start", 1_500_000), of.time("notice", 2_000_000));
+        Fleet.Nodes nodes = new Fleet.Nodes(
+                of.whole("count", Double.NaN),
+                of.time("event", 60),
+                of.number("cores", 1),
+                of.time("start", 1_500_000),
+                of.time("notice", 2_000_000));
         of.end();
         return nodes;
     }
 
     private static Fleet.Zones zones(Section of) {
-        Fleet.Zones zones = new Fleet.Zones(of.whole("count", 1), of.time("across", 0),
-                of.number("price", 0));
+        Fleet.Zones zones = new Fleet.Zones(of.whole("count", 1), of.time("across", 0), of.number("price", 0));
         of.end();
         return zones;
     }
@@ -150,17 +193,26 @@
         if (of == null) {
             return null;
         }
-        Fleet.Choke choke = new Fleet.Choke(of.number("at", Double.NaN), of.time("over", -1),
-                of.number("slower", Double.NaN), of.number("below", 0.3), of.time("rest", -1),
+        Fleet.Choke choke = new Fleet.Choke(
+                of.number("at", Double.NaN),
+                of.time("over", -1),
+                of.number("slower", Double.NaN),
+                of.number("below", 0.3),
+                of.time("rest", -1),
                 of.time("most", -1));
         of.end();
         return choke;
     }
 
     private static Fleet.Links links(Section of) {
-        Fleet.Links links = new Fleet.Links(of.time("way", 200), of.number("jitter", 0.2),
-                of.whole("handshakes", 2), of.time("handshake", 0), of.whole("most_per_core", 1_000),
-                of.time("idle", 60_000_000), of.time("connect", 250_000));
+        Fleet.Links links = new Fleet.Links(
+                of.time("way", 200),
+                of.number("jitter", 0.2),
+                of.whole("handshakes", 2),
+                of.time("handshake", 0),
+                of.whole("most_per_core", 1_000),
+                of.time("idle", 60_000_000),
+                of.time("connect", 250_000));
         of.end();
         return links;
     }
@@ -177,9 +229,14 @@
     }
 
     private static Fleet.Clients clients(Section of) {
-        Fleet.Clients clients = new Fleet.Clients(of.time("way", 700), of.whole("retries", 2),
-                of.number("try_from", 0.4), of.number("try_to", 0.8), of.time("backoff", 20_000),
-                of.number("honour", 0.85), of.time("most_retry_after", 1_000_000),
+        Fleet.Clients clients = new Fleet.Clients(
+                of.time("way", 700),
+                of.whole("retries", 2),
+                of.number("try_from", 0.4),
+                of.number("try_to", 0.8),
+                of.time("backoff", 20_000),
+                of.number("honour", 0.85),
+                of.time("most_retry_after", 1_000_000),
                 of.number("skew", 0));
         of.end();
         return clients;
@@ -191,8 +248,12 @@
             shape.add(new Fleet.Point(point.time("at", 0), point.number("times", Double.NaN)));
             point.end();
         }
-        Fleet.Load load = new Fleet.Load(of.number("rate", Double.NaN), of.time("length", 40_000_000), shape,
-                of.number("quota", 0), of.number("over_share_worth", 0.1));
+        Fleet.Load load = new Fleet.Load(
+                of.number("rate", Double.NaN),
+                of.time("length", 40_000_000),
+                shape,
+                of.number("quota", 0),
+                of.number("over_share_worth", 0.1));
         of.end();
         return load;
     }
--- a/src/main/java/kitemux/plan/FromCapture.java
+++ b/src/main/java/kitemux/plan/FromCapture.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-
 import kitemux.fleet.Fleet;
 import kitemux.load.Speeds;
 import kitemux.load.Summary;
@@ -16,9 +15,10 @@
     private static final long LEAST_WANTED = 100;
     /** Deviations over means under which work counts as fixed, and so near 1 as exponential. */
     private static final double FIXED = 0.05;
+
     private static final double LIKE_EXPONENTIAL = 0.1;
 
-    private FromCapture() { }
+    private FromCapture() {}
 
     /**
      * The same fleet under captured load: rate and shape over time, shares of classes, and what tenants ask
@@ -29,8 +29,8 @@
      */
     public static Fleet load(Fleet fleet, Summary summary, List<String> faults) {
         if (summary.wanted() < LEAST_WANTED || summary.seconds() < 1) {
-            faults.add("--load: holds " + summary.wanted() + " first tries in " + summary.seconds()
-                    + " s; at least " + LEAST_WANTED + " in 1 s are needed");
+            faults.add("--load: holds " + summary.wanted() + " first tries in " + summary.seconds() + " s; at least "
+                    + LEAST_WANTED + " in 1 s are needed");
             return fleet;
         }
         for (String name : summary.classes().keySet()) {
@@ -51,11 +51,9 @@
         for (Fleet.Work work : fleet.classes()) {
             Summary.OfClass of = summary.classes().get(work.of().name());
             double share = of == null ? 0 : (double) of.wanted() / summary.wanted();
-            classes.add(new Fleet.Work(work.of(), Math.max(NOTHING, share), work.meanUs(), work.spread(),
-                    work.cv()));
+            classes.add(new Fleet.Work(work.of(), Math.max(NOTHING, share), work.meanUs(), work.spread(), work.cv()));
         }
-        return fleet.withClasses(classes).withTenants(tenants(fleet, summary))
-                .with(shape(fleet.load(), summary));
+        return fleet.withClasses(classes).withTenants(tenants(fleet, summary)).with(shape(fleet.load(), summary));
     }
 
     /**
@@ -66,13 +64,17 @@
      * @param works what captures tell; a class that they do not tell of stays as it is described
      */
     public static Fleet work(Fleet fleet, List<Speeds.Work> works) {
-        double logs = fleet.kinds().stream().mapToDouble(k -> k.count() * Math.log(k.speed())).sum();
+        double logs = fleet.kinds().stream()
+                .mapToDouble(k -> k.count() * Math.log(k.speed()))
+                .sum();
         double meanSpeed = Math.exp(logs / fleet.boxes());
         List<Fleet.Work> classes = new ArrayList<>();
         for (Fleet.Work described : fleet.classes()) {
-            classes.add(works.stream().filter(w -> w.name().equals(described.of().name())).findFirst()
-                    .map(w -> new Fleet.Work(described.of(), described.share(), w.meanUs() * meanSpeed,
-                            spread(w.cv()), w.cv()))
+            classes.add(works.stream()
+                    .filter(w -> w.name().equals(described.of().name()))
+                    .findFirst()
+                    .map(w -> new Fleet.Work(
+                            described.of(), described.share(), w.meanUs() * meanSpeed, spread(w.cv()), w.cv()))
                     .orElse(described));
         }
         return fleet.withClasses(classes);
@@ -86,11 +88,19 @@
     }
 
     private static List<Fleet.Share> tenants(Fleet fleet, Summary summary) {
-        double entitled = fleet.tenants().stream().mapToDouble(Fleet.Share::share).sum();
+        double entitled =
+                fleet.tenants().stream().mapToDouble(Fleet.Share::share).sum();
         Map<String, Long> wanted = summary.wantedByTenant();
-        return fleet.tenants().stream().map(t -> new Fleet.Share(t.name(), t.share(), Math.max(NOTHING,
-                wanted.getOrDefault(t.name(),
-                        0L) / (double) summary.wanted() / (t.share() / entitled)))).toList();
+        return fleet.tenants().stream()
+                .map(t -> new Fleet.Share(
+                        t.name(),
+                        t.share(),
+                        Math.max(
+                                NOTHING,
+                                wanted.getOrDefault(t.name(), 0L)
+                                        / (double) summary.wanted()
+                                        / (t.share() / entitled))))
+                .toList();
     }
 
     private static Fleet.Load shape(Fleet.Load load, Summary summary) {
@@ -99,10 +109,15 @@
         List<Summary.Step> steps = summary.steps();
         // A step's rate is that of its middle; the last one is not whole.
         for (int i = 0; i < Math.max(1, steps.size() - 1); i++) {
-            double middleS = i + 1 < steps.size() ? (steps.get(i).atS() + steps.get(i + 1).atS()) / 2 : 0;
+            double middleS = i + 1 < steps.size()
+                    ? (steps.get(i).atS() + steps.get(i + 1).atS()) / 2
+                    : 0;
             shape.add(new Fleet.Point((long) (middleS * 1e6), steps.get(i).wantedPerS() / rate));
         }
-        return new Fleet.Load(rate, Math.max(1_000_000, (long) (summary.seconds() * 1e6)), shape,
+        return new Fleet.Load(
+                rate,
+                Math.max(1_000_000, (long) (summary.seconds() * 1e6)),
+                shape,
                 load.quotaPerS(),
                 load.overShareWorth());
     }
--- a/src/main/java/kitemux/plan/Planner.java
+++ b/src/main/java/kitemux/plan/Planner.java
@@ -8,7 +8,6 @@
 import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
-
 import kitemux.fleet.Fleet;
 import kitemux.fleet.Result;
 
@@ -21,11 +20,13 @@
 public final class Planner {
     /** Seeds that are played at once, and at most for one question. */
     private static final int BATCH = 8;
+
     private static final int MOST_SEEDS = 32;
     /** An interval this narrow decides, on whichever side its middle lies. */
     private static final double NARROW = 0.004;
     /** Loads are told to this part. */
     private static final double LOAD_STEP = 0.02;
+
     private static final double LEAST_LOAD = 0.05;
     private static final double MOST_LOAD = 8;
     private static final int MOST_BOXES = 2_000;
@@ -33,6 +34,7 @@
     private static final double GAINS = 0.1;
     /** A pulse that asks whether an overload ends by itself: so many times the load, for so long. */
     private static final double PULSE = 2.5;
+
     private static final long PULSE_US = 5_000_000;
     /** A tenant that heeds no share asks so many times as much. */
     private static final double GREEDY = 10;
@@ -65,22 +67,28 @@
      * @param surely whether the interval lies on one side of the goal
      * @param breaks rules broken in all runs together
      */
-    public record Verdict(boolean holds, boolean surely, Estimate inTime, Estimate worstWindow, long breaks,
-            List<Result> runs) { }
+    public record Verdict(
+            boolean holds, boolean surely, Estimate inTime, Estimate worstWindow, long breaks, List<Result> runs) {}
 
     /** Plays seeds until the interval is on one side of the goal, or narrow, or all are played. */
     public Verdict holds(Fleet fleet) {
         List<Result> runs = new ArrayList<>();
         Estimate inTime;
         do {
-            runs.addAll(player.play(fleet, LongStream.range(runs.size() + 1, runs.size() + 1 + BATCH).boxed()
-                    .toList()));
+            runs.addAll(player.play(
+                    fleet,
+                    LongStream.range(runs.size() + 1, runs.size() + 1 + BATCH)
+                            .boxed()
+                            .toList()));
             inTime = Estimate.of(runs.stream().map(Result::inTime).toList());
-        } while (inTime.low() <= goal && inTime.high() >= goal && inTime.half() > NARROW
-                && runs.size() < MOST_SEEDS);
-        return new Verdict(inTime.mean() >= goal, inTime.low() > goal || inTime.high() < goal, inTime,
+        } while (inTime.low() <= goal && inTime.high() >= goal && inTime.half() > NARROW && runs.size() < MOST_SEEDS);
+        return new Verdict(
+                inTime.mean() >= goal,
+                inTime.low() > goal || inTime.high() < goal,
+                inTime,
                 Estimate.of(runs.stream().map(Result::worstWindow).toList()),
-                runs.stream().mapToLong(Result::breaks).sum(), List.copyOf(runs));
+                runs.stream().mapToLong(Result::breaks).sum(),
+                List.copyOf(runs));
     }
 
     // ---------------------------------------------------------------- what breaks first
@@ -92,7 +100,7 @@
      * @param breaksAt the lowest at which it did not; infinite if it held at all that were tried
      * @param by what gains most of what is missing there when it is taken out of the way, most first
      */
-    public record Break(double holdsAt, double breaksAt, List<Cause> by) { }
+    public record Break(double holdsAt, double breaksAt, List<Cause> by) {}
 
     /**
      * Something that holds a fleet back.
@@ -100,7 +108,7 @@
      * @param what in words
      * @param gains part of what is missing to the goal that comes back without it; above 1 where it is more
      */
-    public record Cause(String what, double gains) { }
+    public record Cause(String what, double gains) {}
 
     /** Finds the load at which the goal breaks, to {@link #LOAD_STEP}, and by what it does. */
     public Break breaksAt(Fleet fleet) {
@@ -134,10 +142,21 @@
             Fleet.Kind kind = fleet.kinds().get(k);
             if (kind.count() > 0) {
                 List<Fleet.Kind> swifter = new ArrayList<>(fleet.kinds());
-                swifter.set(k, new Fleet.Kind(kind.name(), kind.count(), kind.cores(), kind.speed() * 1.25,
-                        kind.speedCv(), kind.room(), kind.coldFrom(), kind.coldUs(), kind.warmsByWork(),
-                        kind.cost()));
-                without.put("processors of " + kind.name() + " servers (a quarter more would help)",
+                swifter.set(
+                        k,
+                        new Fleet.Kind(
+                                kind.name(),
+                                kind.count(),
+                                kind.cores(),
+                                kind.speed() * 1.25,
+                                kind.speedCv(),
+                                kind.room(),
+                                kind.coldFrom(),
+                                kind.coldUs(),
+                                kind.warmsByWork(),
+                                kind.cost()));
+                without.put(
+                        "processors of " + kind.name() + " servers (a quarter more would help)",
                         fleet.withKinds(swifter));
             }
         }
@@ -145,27 +164,56 @@
             without.put("servers that turn slow when crowded", fleet.with((Fleet.Choke) null));
         }
         Fleet.Links links = fleet.links();
-        without.put("connections that a server accepts", fleet.with(new Fleet.Links(links.oneWayUs(),
-                links.jitter(), links.handshakeRtts(), links.handshakeUs(), 1_000_000, links.idleUs(),
-                links.connectUs())));
-        without.put("work of new connections", fleet.with(new Fleet.Links(links.oneWayUs(), links.jitter(), 0,
-                0,
-                links.most(), links.idleUs(), links.connectUs())));
+        without.put(
+                "connections that a server accepts",
+                fleet.with(new Fleet.Links(
+                        links.oneWayUs(),
+                        links.jitter(),
+                        links.handshakeRtts(),
+                        links.handshakeUs(),
+                        1_000_000,
+                        links.idleUs(),
+                        links.connectUs())));
+        without.put(
+                "work of new connections",
+                fleet.with(new Fleet.Links(
+                        links.oneWayUs(), links.jitter(), 0, 0, links.most(), links.idleUs(), links.connectUs())));
         Fleet.Nodes nodes = fleet.nodes();
-        without.put("processors of nodes", fleet.with(new Fleet.Nodes(nodes.count(), 0, nodes.cores(),
-                nodes.startUs(), nodes.noticeUs())));
+        without.put(
+                "processors of nodes",
+                fleet.with(new Fleet.Nodes(nodes.count(), 0, nodes.cores(), nodes.startUs(), nodes.noticeUs())));
         Fleet.Clients clients = fleet.clients();
-        without.put("clients that ask again", fleet.with(new Fleet.Clients(clients.oneWayUs(), 0,
-                clients.tryFrom(), clients.tryTo(), clients.backoffUs(), clients.honour(),
-                clients.mostRetryAfterUs(), clients.skew())));
+        without.put(
+                "clients that ask again",
+                fleet.with(new Fleet.Clients(
+                        clients.oneWayUs(),
+                        0,
+                        clients.tryFrom(),
+                        clients.tryTo(),
+                        clients.backoffUs(),
+                        clients.honour(),
+                        clients.mostRetryAfterUs(),
+                        clients.skew())));
         if (!fleet.tenants().isEmpty()) {
             without.put("a tenant's use beside its share", fleet.withoutShares());
         }
-        if (fleet.kinds().stream().anyMatch(k -> k.coldUs() > 0) && !fleet.faults().isEmpty()) {
-            without.put("servers that come back cold", fleet.withKinds(fleet.kinds().stream()
-                    .map(k -> new Fleet.Kind(k.name(), k.count(), k.cores(), k.speed(), k.speedCv(), k.room(),
-                            1, 0,
-                            k.warmsByWork(), k.cost())).toList()));
+        if (fleet.kinds().stream().anyMatch(k -> k.coldUs() > 0)
+                && !fleet.faults().isEmpty()) {
+            without.put(
+                    "servers that come back cold",
+                    fleet.withKinds(fleet.kinds().stream()
+                            .map(k -> new Fleet.Kind(
+                                    k.name(),
+                                    k.count(),
+                                    k.cores(),
+                                    k.speed(),
+                                    k.speedCv(),
+                                    k.room(),
+                                    1,
+                                    0,
+                                    k.warmsByWork(),
+                                    k.cost()))
+                            .toList()));
         }
         if (!fleet.faults().isEmpty()) {
             without.put("what goes wrong", fleet.withFaults(List.of()));
@@ -181,7 +229,9 @@
 
     private double mean(Fleet fleet) {
         return player.play(fleet, LongStream.rangeClosed(1, BATCH).boxed().toList()).stream()
-                .mapToDouble(Result::inTime).average().orElse(0);
+                .mapToDouble(Result::inTime)
+                .average()
+                .orElse(0);
     }
 
     // ---------------------------------------------------------------- how many servers
@@ -193,7 +243,7 @@
      * @param why where none does
      * @param cost of the whole fleet then
      */
-    public record Fewest(String kind, int count, double cost, String why) { }
+    public record Fewest(String kind, int count, double cost, String why) {}
 
     /** For each kind by itself. */
     public List<Fewest> fewest(Fleet fleet) {
@@ -230,7 +280,8 @@
     /** With so many servers that work cannot be it, what is left is named. */
     private String whyNone(Fleet fleet) {
         List<Cause> causes = causes(fleet);
-        return causes.isEmpty() ? "the goal is beyond what work and ways take where nothing waits"
+        return causes.isEmpty()
+                ? "the goal is beyond what work and ways take where nothing waits"
                 : "held back by " + causes.get(0).what();
     }
 
@@ -241,8 +292,19 @@
     private static Fleet with(Fleet fleet, int kind, int count) {
         List<Fleet.Kind> kinds = new ArrayList<>(fleet.kinds());
         Fleet.Kind of = kinds.get(kind);
-        kinds.set(kind, new Fleet.Kind(of.name(), count, of.cores(), of.speed(), of.speedCv(), of.room(),
-                of.coldFrom(), of.coldUs(), of.warmsByWork(), of.cost()));
+        kinds.set(
+                kind,
+                new Fleet.Kind(
+                        of.name(),
+                        count,
+                        of.cores(),
+                        of.speed(),
+                        of.speedCv(),
+                        of.room(),
+                        of.coldFrom(),
+                        of.coldUs(),
+                        of.warmsByWork(),
+                        of.cost()));
         return fleet.withKinds(kinds);
     }
 
@@ -259,15 +321,25 @@
      *     asks beyond it, of the others
      * @param bySecond share in time of each second, in the mean
      */
-    public record Loss(String what, Estimate inTime, Estimate worstWindow, Estimate worstTenant,
-            double backAfterS, double never, long breaks, List<Double> bySecond) { }
+    public record Loss(
+            String what,
+            Estimate inTime,
+            Estimate worstWindow,
+            Estimate worstTenant,
+            double backAfterS,
+            double never,
+            long breaks,
+            List<Double> bySecond) {}
 
     /** Share in time of each second, in the mean over runs. */
     public static List<Double> bySecond(List<Result> runs) {
         int seconds = runs.stream().mapToInt(run -> run.bySecond().size()).min().orElse(0);
-        return IntStream.range(0,
-                seconds).mapToObj(s -> runs.stream().mapToDouble(run -> run.bySecond().get(s))
-                .average().orElse(Double.NaN)).toList();
+        return IntStream.range(0, seconds)
+                .mapToObj(s -> runs.stream()
+                        .mapToDouble(run -> run.bySecond().get(s))
+                        .average()
+                        .orElse(Double.NaN))
+                .toList();
     }
 
     /**
@@ -279,35 +351,60 @@
         long atUs = fleet.load().lengthUs() / 4;
         List<Loss> losses = new ArrayList<>();
         if (fleet.racks() > 1) {
-            losses.add(loss(fleet, "a rack dies for 15 s", atUs, new Fleet.Fault(Fleet.Trouble.DIE,
-                    Fleet.Among.RACK, 0, 0, atUs, 15_000_000, 0)));
-            losses.add(loss(fleet, "a rack goes silent for 15 s", atUs, new Fleet.Fault(Fleet.Trouble.VANISH,
-                    Fleet.Among.RACK, 0, 0, atUs, 15_000_000, 0)));
+            losses.add(loss(
+                    fleet,
+                    "a rack dies for 15 s",
+                    atUs,
+                    new Fleet.Fault(Fleet.Trouble.DIE, Fleet.Among.RACK, 0, 0, atUs, 15_000_000, 0)));
+            losses.add(loss(
+                    fleet,
+                    "a rack goes silent for 15 s",
+                    atUs,
+                    new Fleet.Fault(Fleet.Trouble.VANISH, Fleet.Among.RACK, 0, 0, atUs, 15_000_000, 0)));
         }
         if (fleet.zones().count() > 1) {
             // The last one: discovery has its place in the first.
             int zone = fleet.zones().count() - 1;
-            losses.add(loss(fleet, "a zone is lost for 15 s, its nodes too", atUs,
+            losses.add(loss(
+                    fleet,
+                    "a zone is lost for 15 s, its nodes too",
+                    atUs,
                     new Fleet.Fault(Fleet.Trouble.VANISH, Fleet.Among.ZONE, zone, 0, atUs, 15_000_000, 0),
-                    new Fleet.Fault(Fleet.Trouble.NODES_RESTART, Fleet.Among.ZONE, zone, 0, atUs, 15_000_000,
+                    new Fleet.Fault(
+                            Fleet.Trouble.NODES_RESTART,
+                            Fleet.Among.ZONE,
+                            zone,
+                            0,
+                            atUs,
+                            15_000_000,
                             fleet.nodes().count())));
-            losses.add(loss(fleet, "a zone is cut off for 15 s", atUs, new Fleet.Fault(Fleet.Trouble.CUT,
-                    Fleet.Among.ZONE, zone, 0, atUs, 15_000_000, 0)));
+            losses.add(loss(
+                    fleet,
+                    "a zone is cut off for 15 s",
+                    atUs,
+                    new Fleet.Fault(Fleet.Trouble.CUT, Fleet.Among.ZONE, zone, 0, atUs, 15_000_000, 0)));
         }
         int fifth = Math.max(1, fleet.boxes() / 5);
-        losses.add(loss(fleet, fifth + " of " + fleet.boxes() + " servers die for 15 s", atUs,
-                new Fleet.Fault(
-                Fleet.Trouble.DIE, Fleet.Among.ANY, 0, fifth, atUs, 15_000_000, 0)));
-        Fleet.Fault release = new Fleet.Fault(Fleet.Trouble.RELEASE, Fleet.Among.ANY, 0, 0, atUs, 1_000_000,
-                fifth);
+        losses.add(loss(
+                fleet,
+                fifth + " of " + fleet.boxes() + " servers die for 15 s",
+                atUs,
+                new Fleet.Fault(Fleet.Trouble.DIE, Fleet.Among.ANY, 0, fifth, atUs, 15_000_000, 0)));
+        Fleet.Fault release = new Fleet.Fault(Fleet.Trouble.RELEASE, Fleet.Among.ANY, 0, 0, atUs, 1_000_000, fifth);
         losses.add(loss(fleet, "a release, " + fifth + " servers at a time", atUs, release));
         if (fleet.racks() > 1) {
-            losses.add(loss(fleet, "a rack dies for 15 s in the middle of such a release", atUs, release,
-                    new Fleet.Fault(Fleet.Trouble.DIE, Fleet.Among.RACK, 0, 0, atUs + 4_000_000, 15_000_000,
-                            0)));
+            losses.add(loss(
+                    fleet,
+                    "a rack dies for 15 s in the middle of such a release",
+                    atUs,
+                    release,
+                    new Fleet.Fault(Fleet.Trouble.DIE, Fleet.Among.RACK, 0, 0, atUs + 4_000_000, 15_000_000, 0)));
         }
-        losses.add(loss(fleet, "all nodes restart, one at a time", atUs, new Fleet.Fault(
-                Fleet.Trouble.NODES_RESTART, Fleet.Among.ANY, 0, 0, atUs, 500_000, 1)));
+        losses.add(loss(
+                fleet,
+                "all nodes restart, one at a time",
+                atUs,
+                new Fleet.Fault(Fleet.Trouble.NODES_RESTART, Fleet.Among.ANY, 0, 0, atUs, 500_000, 1)));
         if (fleet.tenants().size() > 1) {
             losses.add(greedy(fleet, atUs));
         }
@@ -319,16 +416,25 @@
      * before.
      */
     private Loss greedy(Fleet fleet, long atUs) {
-        Fleet.Share least = fleet.tenants().stream().min(Comparator.comparingDouble(Fleet.Share::share))
+        Fleet.Share least = fleet.tenants().stream()
+                .min(Comparator.comparingDouble(Fleet.Share::share))
                 .orElseThrow();
-        double all = fleet.tenants().stream().mapToDouble(t -> t.share() * t.usage()).sum();
+        double all =
+                fleet.tenants().stream().mapToDouble(t -> t.share() * t.usage()).sum();
         double more = (GREEDY - 1) * least.share() * least.usage() / all;
-        Fleet asking = fleet.withTenants(fleet.tenants().stream().map(t -> t.equals(least)
-                ? new Fleet.Share(t.name(), t.share(), t.usage() * GREEDY) : t).toList());
+        Fleet asking = fleet.withTenants(fleet.tenants().stream()
+                .map(t -> t.equals(least) ? new Fleet.Share(t.name(), t.share(), t.usage() * GREEDY) : t)
+                .toList());
         int greedy = fleet.tenants().indexOf(least);
-        return loss(least.name() + " asks " + (int) GREEDY + " times as much", atUs,
-                asking.with(fleet.load().times(1 + more)), run -> IntStream.range(0, run.byTenant().size())
-                        .filter(t -> t != greedy).mapToDouble(t -> run.byTenant().get(t)).min().orElse(1));
+        return loss(
+                least.name() + " asks " + (int) GREEDY + " times as much",
+                atUs,
+                asking.with(fleet.load().times(1 + more)),
+                run -> IntStream.range(0, run.byTenant().size())
+                        .filter(t -> t != greedy)
+                        .mapToDouble(t -> run.byTenant().get(t))
+                        .min()
+                        .orElse(1));
     }
 
     private Loss loss(Fleet fleet, String what, long atUs, Fleet.Fault... more) {
@@ -338,26 +444,37 @@
     }
 
     private Loss loss(String what, long atUs, Fleet fleet, ToDoubleFunction<Result> worstTenant) {
-        List<Result> runs = player.play(fleet, LongStream.rangeClosed(1, 2 * BATCH).boxed().toList());
+        List<Result> runs =
+                player.play(fleet, LongStream.rangeClosed(1, 2 * BATCH).boxed().toList());
         int from = (int) (atUs / 1_000_000);
-        List<Integer> back = runs.stream().map(run -> run.backAfterS(from, goal)).toList();
-        return new Loss(what, Estimate.of(runs.stream().map(Result::inTime).toList()),
+        List<Integer> back =
+                runs.stream().map(run -> run.backAfterS(from, goal)).toList();
+        return new Loss(
+                what,
+                Estimate.of(runs.stream().map(Result::inTime).toList()),
                 Estimate.of(runs.stream().map(Result::worstWindow).toList()),
                 Estimate.of(runs.stream().map(worstTenant::applyAsDouble).toList()),
                 back.stream().filter(s -> s >= 0).mapToInt(s -> s).average().orElse(Double.NaN),
                 (double) back.stream().filter(s -> s < 0).count() / back.size(),
-                runs.stream().mapToLong(Result::breaks).sum(), bySecond(runs));
+                runs.stream().mapToLong(Result::breaks).sum(),
+                bySecond(runs));
     }
 
     /** Whether an overload ends by itself: a pulse of load, and how long the way back takes from its end. */
     public Loss pulse(Fleet fleet) {
         long atUs = fleet.load().lengthUs() / 4;
         Fleet.Load load = fleet.load();
-        List<Fleet.Point> shape = List.of(new Fleet.Point(0, 1), new Fleet.Point(atUs, 1),
-                new Fleet.Point(atUs + 1, PULSE), new Fleet.Point(atUs + PULSE_US, PULSE),
+        List<Fleet.Point> shape = List.of(
+                new Fleet.Point(0, 1),
+                new Fleet.Point(atUs, 1),
+                new Fleet.Point(atUs + 1, PULSE),
+                new Fleet.Point(atUs + PULSE_US, PULSE),
                 new Fleet.Point(atUs + PULSE_US + 1, 1));
-        return loss("load of " + PULSE + " times for " + PULSE_US / 1_000_000 + " s", atUs + PULSE_US,
-                fleet.with(new Fleet.Load(load.ratePerS(), load.lengthUs(), shape, load.quotaPerS(),
-                        load.overShareWorth())), Result::worstTenant);
+        return loss(
+                "load of " + PULSE + " times for " + PULSE_US / 1_000_000 + " s",
+                atUs + PULSE_US,
+                fleet.with(new Fleet.Load(
+                        load.ratePerS(), load.lengthUs(), shape, load.quotaPerS(), load.overShareWorth())),
+                Result::worstTenant);
     }
 }
--- a/src/main/java/kitemux/plan/Queues.java
+++ b/src/main/java/kitemux/plan/Queues.java
@@ -5,7 +5,7 @@
  * what cannot be before anything is played. Loads are in erlangs: arrivals a second times seconds of work.
  */
 public final class Queues {
-    private Queues() { }
+    private Queues() {}
 
     /**
      * Share of arrivals that find all servers busy where nobody waits (Erlang B).
@@ -58,8 +58,7 @@
      * @param wasted share of the work that clients gave up which is done all the same, in [0, 1)
      */
     public static Storm storm(double offered, int repeats, double wasted) {
-        return new Storm(fixedPoint(offered, repeats, wasted, 1),
-                fixedPoint(offered, repeats, wasted, 1 + repeats));
+        return new Storm(fixedPoint(offered, repeats, wasted, 1), fixedPoint(offered, repeats, wasted, 1 + repeats));
     }
 
     /**
--- a/src/main/java/kitemux/rollout/Ballot.java
+++ b/src/main/java/kitemux/rollout/Ballot.java
@@ -13,8 +13,7 @@
 
     @Override
     public int compareTo(Ballot other) {
-        return round != other.round ? Long.compare(round, other.round)
-                : Integer.compare(keeper, other.keeper);
+        return round != other.round ? Long.compare(round, other.round) : Integer.compare(keeper, other.keeper);
     }
 
     @Override
--- a/src/main/java/kitemux/rollout/History.java
+++ b/src/main/java/kitemux/rollout/History.java
@@ -18,6 +18,7 @@
 
     /** Values as of the version before the oldest that is kept. */
     private SortedMap<String, String> oldest = new TreeMap<>();
+
     private SortedMap<String, String> values = new TreeMap<>();
     private long before;
     private final ArrayDeque<Version> versions = new ArrayDeque<>();
@@ -132,12 +133,12 @@
     public Outcome against(Change change, Rules rules) {
         Version known = chosen(change.id());
         if (known != null) {
-            return known.change().equals(change) ? new Outcome.Taken(known.rev())
+            return known.change().equals(change)
+                    ? new Outcome.Taken(known.rev())
                     : new Outcome.Faulty(List.of(new Fault("id", "was used for another change")));
         }
         if (change.base() > rev()) {
-            return new Outcome.Unavailable("version " + change.base() + " is not known here, the newest is "
-                    + rev());
+            return new Outcome.Unavailable("version " + change.base() + " is not known here, the newest is " + rev());
         }
         List<Fault> faults = shape(change);
         if (!faults.isEmpty()) {
@@ -182,8 +183,7 @@
         }
         int bytes = RolloutText.write(change).length;
         if (bytes > Terms.MOST_CHANGE_BYTES) {
-            faults.add(new Fault("change", "has " + bytes + " bytes; " + Terms.MOST_CHANGE_BYTES
-                    + " are allowed"));
+            faults.add(new Fault("change", "has " + bytes + " bytes; " + Terms.MOST_CHANGE_BYTES + " are allowed"));
         }
         return faults;
     }
@@ -191,8 +191,7 @@
     private static List<Fault> bounds(SortedMap<String, String> next) {
         List<Fault> faults = new ArrayList<>();
         if (next.size() > Terms.MOST_PATHS) {
-            faults.add(new Fault("set", "makes " + next.size() + " paths; " + Terms.MOST_PATHS
-                    + " are allowed"));
+            faults.add(new Fault("set", "makes " + next.size() + " paths; " + Terms.MOST_PATHS + " are allowed"));
         }
         long bytes = 0;
         for (Map.Entry<String, String> value : next.entrySet()) {
--- a/src/main/java/kitemux/rollout/Inventory.java
+++ b/src/main/java/kitemux/rollout/Inventory.java
@@ -10,13 +10,20 @@
     private final Map<Integer, Heard> heard = new TreeMap<>();
     private long refusedForRoom;
 
-    private record Heard(Report report, long atUs) { }
+    private record Heard(Report report, long atUs) {}
 
     /** A report, and how long ago it came, in microseconds: clocks of keepers are not compared. */
-    public record Row(Report report, long ageUs) { }
+    public record Row(Report report, long ageUs) {}
 
     /** What counts for a node. */
-    public enum Standing { UNHEARD, BEHIND, IN_FORCE, WAITS_RESTART, REFUSED, SILENT }
+    public enum Standing {
+        UNHEARD,
+        BEHIND,
+        IN_FORCE,
+        WAITS_RESTART,
+        REFUSED,
+        SILENT
+    }
 
     /** Reports of nodes that found no room. */
     public long refusedForRoom() {
@@ -35,7 +42,9 @@
 
     /** All that is known here, for other keepers. */
     public List<Row> rows(long nowUs) {
-        return heard.values().stream().map(h -> new Row(h.report, nowUs - h.atUs)).toList();
+        return heard.values().stream()
+                .map(h -> new Row(h.report, nowUs - h.atUs))
+                .toList();
     }
 
     /** Rows of several keepers as one a node: the highest life counts, then the newest report. */
@@ -43,9 +52,12 @@
         Map<Integer, Row> best = new TreeMap<>();
         for (List<Row> some : all) {
             for (Row row : some) {
-                best.merge(row.report.node(), row, (a, b) -> a.report.life() != b.report.life()
-                        ? a.report.life() > b.report.life() ? a : b
-                        : a.ageUs <= b.ageUs ? a : b);
+                best.merge(
+                        row.report.node(),
+                        row,
+                        (a, b) -> a.report.life() != b.report.life()
+                                ? a.report.life() > b.report.life() ? a : b
+                                : a.ageUs <= b.ageUs ? a : b);
             }
         }
         return best;
@@ -63,13 +75,11 @@
         if (report.rev() >= rev) {
             return report.waitRestart().isEmpty() ? Standing.IN_FORCE : Standing.WAITS_RESTART;
         }
-        return report.refused().stream().anyMatch(refusal -> refusal.rev() >= rev) ? Standing.REFUSED
-                : Standing.BEHIND;
+        return report.refused().stream().anyMatch(refusal -> refusal.rev() >= rev) ? Standing.REFUSED : Standing.BEHIND;
     }
 
     /** Numbers of nodes by how they stand to a version, of a fleet of so many; each node once. */
-    public static Map<Standing, List<Integer>> status(Terms terms, Map<Integer, Row> merged, int nodes,
-            long rev) {
+    public static Map<Standing, List<Integer>> status(Terms terms, Map<Integer, Row> merged, int nodes, long rev) {
         Map<Standing, List<Integer>> found = new TreeMap<>();
         for (Standing each : Standing.values()) {
             found.put(each, new ArrayList<>());
--- a/src/main/java/kitemux/rollout/KeeperMachine.java
+++ b/src/main/java/kitemux/rollout/KeeperMachine.java
@@ -30,6 +30,7 @@
     private final Map<Integer, Long> heardUs = new HashMap<>();
     /** The newest version that another keeper has told of. */
     private long newestHeard;
+
     private boolean caughtUp;
     private long pulseAtUs;
     private long finishAtUs = Long.MAX_VALUE;
@@ -48,8 +49,15 @@
      * @param kept what was written, in order; what {@link #kept} gives will do as well
      * @param seed of what it draws
      */
-    public KeeperMachine(Terms terms, Voter me, int keepers, List<Voter> founding, Rules rules,
-            List<Kept> kept, long seed, long nowUs) {
+    public KeeperMachine(
+            Terms terms,
+            Voter me,
+            int keepers,
+            List<Voter> founding,
+            Rules rules,
+            List<Kept> kept,
+            long seed,
+            long nowUs) {
         this.terms = terms;
         this.me = me;
         this.keepers = keepers;
@@ -78,7 +86,9 @@
     @Override
     public String toString() {
         Vote vote = acceptor.vote();
-        return history.after(0, Terms.HISTORY).stream().map(v -> v.change().id()).toList() + " "
+        return history.after(0, Terms.HISTORY).stream()
+                        .map(v -> v.change().id())
+                        .toList() + " "
                 + vote.rev() + " " + vote.promised() + " " + vote.acceptedAt() + " "
                 + (vote.accepted() == null ? "" : vote.accepted().id()) + " " + proposer;
     }
@@ -293,9 +303,11 @@
     /** A node wants to be told what comes after a version; lines follow, or the watch is refused. */
     public List<Effect> watch(long now, long watch, long after) {
         return events(now, () -> {
-            String reason = !caughtUp ? NOT_CAUGHT_UP
-                    : after > history.rev() ? "version " + after + " is not known here yet"
-                    : watches.size() >= Terms.MOST_WATCHES ? Terms.MOST_WATCHES + " watches are open" : null;
+            String reason = !caughtUp
+                    ? NOT_CAUGHT_UP
+                    : after > history.rev()
+                            ? "version " + after + " is not known here yet"
+                            : watches.size() >= Terms.MOST_WATCHES ? Terms.MOST_WATCHES + " watches are open" : null;
             if (reason != null) {
                 refusedWatches++;
                 out.add(new Effect.RefuseWatch(watch, reason));
@@ -333,8 +345,10 @@
 
     /** Voters that were heard within a time, itself among them if it votes. */
     private long heard(long withinUs) {
-        return history.voters().stream().filter(voter -> voter.equals(me)
-                || heardUs.getOrDefault(voter.keeper(), Long.MIN_VALUE / 2) >= nowUs - withinUs).count();
+        return history.voters().stream()
+                .filter(voter -> voter.equals(me)
+                        || heardUs.getOrDefault(voter.keeper(), Long.MIN_VALUE / 2) >= nowUs - withinUs)
+                .count();
     }
 
     /** What follows from any event: whether it has caught up, and whether something waits to be finished. */
--- a/src/main/java/kitemux/rollout/Line.java
+++ b/src/main/java/kitemux/rollout/Line.java
@@ -6,14 +6,14 @@
 /** A line of a node's watch. */
 public sealed interface Line {
     /** The next version. */
-    record Next(long rev, SortedMap<String, String> set, SortedSet<String> drop) implements Line { }
+    record Next(long rev, SortedMap<String, String> set, SortedSet<String> drop) implements Line {}
 
     /** A part of the whole, from 1 to {@code of}; it is in force only with the last. */
-    record Part(long rev, int part, int of, SortedMap<String, String> set) implements Line { }
+    record Part(long rev, int part, int of, SortedMap<String, String> set) implements Line {}
 
     /** The keeper is there, and hears a majority. */
-    record Beat() implements Line { }
+    record Beat() implements Line {}
 
     /** The keeper is there, and hears no majority: there may be later versions than its own. */
-    record Alone(long rev) implements Line { }
+    record Alone(long rev) implements Line {}
 }
--- a/src/main/java/kitemux/rollout/Proposer.java
+++ b/src/main/java/kitemux/rollout/Proposer.java
@@ -30,13 +30,18 @@
     private Ballot highest;
     /** What is to be accepted, or null while that is not known. */
     private Change value;
+
     private long highestRound;
     private long refusedForRoom;
 
     /** CHECKING of the design is no state: it takes no time. */
-    private enum State { IDLE, PREPARING, ACCEPTING }
+    private enum State {
+        IDLE,
+        PREPARING,
+        ACCEPTING
+    }
 
-    private record Call(long call, Change change) { }
+    private record Call(long call, Change change) {}
 
     /** What is under way; own is null where another's change is finished. */
     private static final class Attempt {
@@ -73,8 +78,10 @@
     public String toString() {
         return state + " " + rev + " " + ballot + " " + agreed + " " + highest + " "
                 + (value == null ? "" : value.id()) + " " + highestRound + " " + waiting.size()
-                + (isIdle() ? "" : (attempt.own == null ? "" : attempt.own.change.id()) + " "
-                + attempt.ownSent + " " + attempt.tries);
+                + (isIdle()
+                        ? ""
+                        : (attempt.own == null ? "" : attempt.own.change.id()) + " " + attempt.ownSent + " "
+                                + attempt.tries);
     }
 
     /** Whether nothing is under way. */
@@ -96,8 +103,7 @@
     public void propose(long nowUs, long call, Change change, List<Effect> out) {
         if (waiting.size() >= Terms.MOST_PROPOSALS) {
             refusedForRoom++;
-            out.add(new Effect.Conclude(call,
-                    new Outcome.Unavailable(Terms.MOST_PROPOSALS + " changes wait")));
+            out.add(new Effect.Conclude(call, new Outcome.Unavailable(Terms.MOST_PROPOSALS + " changes wait")));
             return;
         }
         waiting.add(new Call(call, change));
@@ -148,8 +154,11 @@
 
     private void prepare(long nowUs, List<Effect> out) {
         if (attempt.tries >= terms.tries() || nowUs - attempt.beganUs >= terms.triesUs()) {
-            end(attempt.ownSent ? new Outcome.Unknown()
-                    : new Outcome.Unavailable("no majority of the voters agreed in time"), out);
+            end(
+                    attempt.ownSent
+                            ? new Outcome.Unknown()
+                            : new Outcome.Unavailable("no majority of the voters agreed in time"),
+                    out);
             return;
         }
         attempt.tries++;
@@ -185,8 +194,9 @@
             if (isMine(state, a.rev(), a.ballot())) {
                 // Not at once, and the longer the more often it was tried: two that hinder each other would
                 // spend their tries within milliseconds. Until then the others may still agree.
-                untilUs = Math.min(untilUs, nowUs + terms.leastWaitUs()
-                        + draws.nextLong(attempt.tries * terms.leastPhaseUs() / 2));
+                untilUs = Math.min(
+                        untilUs,
+                        nowUs + terms.leastWaitUs() + draws.nextLong(attempt.tries * terms.leastPhaseUs() / 2));
             }
         }
         next(nowUs, out);
--- a/src/main/java/kitemux/rollout/Report.java
+++ b/src/main/java/kitemux/rollout/Report.java
@@ -14,5 +14,5 @@
  */
 public record Report(int node, long life, long rev, SortedSet<String> waitRestart, List<Refusal> refused) {
     /** A fault of a version that stays out of force. */
-    public record Refusal(long rev, String path, String reason) { }
+    public record Refusal(long rev, String path, String reason) {}
 }
