--- a/src/main/java/kitemux/rollout/RolloutText.java
+++ b/src/main/java/kitemux/rollout/RolloutText.java
@@ -12,7 +12,6 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.regex.Pattern;
-
 import kitemux.config.Json;
 
 /**
@@ -26,7 +25,7 @@
     /** A whole number as it may stand in an address or a file's name, too. */
     private static final long MOST = Long.MAX_VALUE;
 
-    private RolloutText() { }
+    private RolloutText() {}
 
     /**
      * What was read.
@@ -34,7 +33,7 @@
      * @param value null where there are faults
      * @param faults all that is wrong, each with its place
      */
-    public record Read<T>(T value, List<Fault> faults) { }
+    public record Read<T>(T value, List<Fault> faults) {}
 
     /** How many bytes a text has. */
     static int bytes(String text) {
@@ -156,12 +155,17 @@
     }
 
     private static Text text(Change change) {
-        return new Text().text("id", change.id()).number("base", change.base()).values("set", change.set())
+        return new Text()
+                .text("id", change.id())
+                .number("base", change.base())
+                .values("set", change.set())
                 .texts("drop", change.drop());
     }
 
     private static Text text(Version version) {
-        return new Text().number("rev", version.rev()).raw("change", text(version.change()).toString());
+        return new Text()
+                .number("rev", version.rev())
+                .raw("change", text(version.change()).toString());
     }
 
     /** A change. */
@@ -172,11 +176,18 @@
     /** A line of a watch, without its end; a beat is empty. */
     public static byte[] write(Line line) {
         if (line instanceof Line.Next next) {
-            return new Text().number("rev", next.rev()).values("set", next.set()).texts("drop", next.drop())
+            return new Text()
+                    .number("rev", next.rev())
+                    .values("set", next.set())
+                    .texts("drop", next.drop())
                     .bytes();
         } else if (line instanceof Line.Part part) {
-            return new Text().number("rev", part.rev()).number("part", part.part()).number("of", part.of())
-                    .values("set", part.set()).bytes();
+            return new Text()
+                    .number("rev", part.rev())
+                    .number("part", part.part())
+                    .number("of", part.of())
+                    .values("set", part.set())
+                    .bytes();
         } else if (line instanceof Line.Alone alone) {
             return new Text().number("rev", alone.rev()).raw("alone", "true").bytes();
         }
@@ -186,11 +197,16 @@
     private static Text text(Report report) {
         List<Text> refused = new ArrayList<>();
         for (Report.Refusal each : report.refused()) {
-            refused.add(new Text().number("rev", each.rev()).text("path", each.path())
+            refused.add(new Text()
+                    .number("rev", each.rev())
+                    .text("path", each.path())
                     .text("reason", each.reason()));
         }
-        return new Text().number("node", report.node()).number("life", report.life())
-                .number("rev", report.rev()).texts("waits_restart", report.waitRestart())
+        return new Text()
+                .number("node", report.node())
+                .number("life", report.life())
+                .number("rev", report.rev())
+                .texts("waits_restart", report.waitRestart())
                 .objects("refused", refused);
     }
 
@@ -203,7 +219,9 @@
     public static byte[] writeRows(List<Inventory.Row> rows) {
         List<Text> all = new ArrayList<>();
         for (Inventory.Row row : rows) {
-            all.add(new Text().number("age_us", row.ageUs()).raw("report", text(row.report()).toString()));
+            all.add(new Text()
+                    .number("age_us", row.ageUs())
+                    .raw("report", text(row.report()).toString()));
         }
         return new Text().objects("rows", all).bytes();
     }
@@ -211,57 +229,96 @@
     /** What one keeper asks another. */
     public static byte[] write(Request request) {
         if (request instanceof Request.Prepare asked) {
-            return new Text().text("kind", "prepare").number("rev", asked.rev())
-                    .ballot("ballot", asked.ballot()).bytes();
+            return new Text()
+                    .text("kind", "prepare")
+                    .number("rev", asked.rev())
+                    .ballot("ballot", asked.ballot())
+                    .bytes();
         } else if (request instanceof Request.Accept asked) {
-            return new Text().text("kind", "accept").number("rev", asked.rev())
-                    .ballot("ballot", asked.ballot()).raw("value", text(asked.value()).toString()).bytes();
+            return new Text()
+                    .text("kind", "accept")
+                    .number("rev", asked.rev())
+                    .ballot("ballot", asked.ballot())
+                    .raw("value", text(asked.value()).toString())
+                    .bytes();
         } else if (request instanceof Request.Chosen asked) {
-            return new Text().text("kind", "chosen").raw("version", text(asked.version()).toString()).bytes();
+            return new Text()
+                    .text("kind", "chosen")
+                    .raw("version", text(asked.version()).toString())
+                    .bytes();
         }
-        return new Text().text("kind", "ask").number("after", ((Request.Ask) request).after()).bytes();
+        return new Text()
+                .text("kind", "ask")
+                .number("after", ((Request.Ask) request).after())
+                .bytes();
     }
 
     /** What a keeper answers. */
     public static byte[] write(Answer answer) {
         if (answer instanceof Answer.Promised a) {
-            Text text = new Text().text("kind", "promised").number("rev", a.rev())
-                    .ballot("ballot", a.ballot());
+            Text text =
+                    new Text().text("kind", "promised").number("rev", a.rev()).ballot("ballot", a.ballot());
             if (a.accepted() != null) {
-                text.ballot("accepted_at", a.acceptedAt()).raw("accepted", text(a.accepted()).toString());
+                text.ballot("accepted_at", a.acceptedAt())
+                        .raw("accepted", text(a.accepted()).toString());
             }
             return text.bytes();
         } else if (answer instanceof Answer.Accepted a) {
-            return new Text().text("kind", "accepted").number("rev", a.rev()).ballot("ballot", a.ballot())
+            return new Text()
+                    .text("kind", "accepted")
+                    .number("rev", a.rev())
+                    .ballot("ballot", a.ballot())
                     .bytes();
         } else if (answer instanceof Answer.Refused a) {
-            return new Text().text("kind", "refused").number("rev", a.rev()).ballot("ballot", a.ballot())
-                    .ballot("promised", a.promised()).bytes();
+            return new Text()
+                    .text("kind", "refused")
+                    .number("rev", a.rev())
+                    .ballot("ballot", a.ballot())
+                    .ballot("promised", a.promised())
+                    .bytes();
         } else if (answer instanceof Answer.Behind a) {
-            return new Text().text("kind", "behind").number("rev", a.rev())
-                    .number("known", a.known()).bytes();
+            return new Text()
+                    .text("kind", "behind")
+                    .number("rev", a.rev())
+                    .number("known", a.known())
+                    .bytes();
         } else if (answer instanceof Answer.Known a) {
-            return new Text().text("kind", "known").number("after", a.after()).number("known", a.known())
-                    .objects("versions", a.versions().stream().map(RolloutText::text).toList()).bytes();
+            return new Text()
+                    .text("kind", "known")
+                    .number("after", a.after())
+                    .number("known", a.known())
+                    .objects(
+                            "versions",
+                            a.versions().stream().map(RolloutText::text).toList())
+                    .bytes();
         }
         Answer.Whole a = (Answer.Whole) answer;
-        return new Text().text("kind", "whole").number("known", a.known()).values("values", a.values())
+        return new Text()
+                .text("kind", "whole")
+                .number("known", a.known())
+                .values("values", a.values())
                 .bytes();
     }
 
     /** What a keeper writes to its folder. */
     public static byte[] write(Kept kept) {
         if (kept instanceof Kept.Chosen k) {
-            return new Text().text("kind", "chosen").raw("version", text(k.version()).toString()).bytes();
+            return new Text()
+                    .text("kind", "chosen")
+                    .raw("version", text(k.version()).toString())
+                    .bytes();
         } else if (kept instanceof Kept.Whole k) {
-            return new Text().text("kind", "whole").number("rev", k.rev()).values("values", k.values())
+            return new Text()
+                    .text("kind", "whole")
+                    .number("rev", k.rev())
+                    .values("values", k.values())
                     .bytes();
         }
         Vote vote = ((Kept.Voted) kept).vote();
-        Text text = new Text().text("kind", "voted").number("rev", vote.rev())
-                .ballot("promised", vote.promised());
+        Text text = new Text().text("kind", "voted").number("rev", vote.rev()).ballot("promised", vote.promised());
         if (vote.accepted() != null) {
-            text.ballot("accepted_at", vote.acceptedAt()).raw("accepted", text(vote.accepted()).toString());
+            text.ballot("accepted_at", vote.acceptedAt())
+                    .raw("accepted", text(vote.accepted()).toString());
         }
         return text.bytes();
     }
@@ -271,14 +328,23 @@
         if (outcome instanceof Outcome.Taken o) {
             return new Text().number("rev", o.rev()).bytes();
         } else if (outcome instanceof Outcome.Faulty o) {
-            return new Text().objects("faults", o.faults().stream().map(fault -> new Text()
-                    .text("path", fault.path()).text("reason", fault.reason())).toList()).bytes();
+            return new Text()
+                    .objects(
+                            "faults",
+                            o.faults().stream()
+                                    .map(fault -> new Text()
+                                            .text("path", fault.path())
+                                            .text("reason", fault.reason()))
+                                    .toList())
+                    .bytes();
         } else if (outcome instanceof Outcome.Conflict o) {
             return new Text().text("path", o.path()).number("rev", o.rev()).bytes();
         } else if (outcome instanceof Outcome.Unavailable o) {
             return new Text().text("reason", o.reason()).bytes();
         }
-        return new Text().text("reason", "not known whether it was chosen: ask again by its id").bytes();
+        return new Text()
+                .text("reason", "not known whether it was chosen: ask again by its id")
+                .bytes();
     }
 
     /** Values as the parts of a whole, in order; one at least, and each of one value at least. */
@@ -320,7 +386,9 @@
                 faults.add(new Fault(place.isEmpty() ? "body" : place, "is no object"));
             }
             List<String> names = List.of(known);
-            json.fields().keySet().stream().filter(name -> !names.contains(name)).sorted()
+            json.fields().keySet().stream()
+                    .filter(name -> !names.contains(name))
+                    .sorted()
                     .forEach(name -> fault(name, "is not known; known are " + String.join(", ", names)));
         }
 
@@ -344,8 +412,7 @@
             Json given = json.path(name);
             long value = given.isWhole() ? given.whole(least - 1) : least - 1;
             if (!given.isWhole() || value < least || value > most) {
-                fault(name, given.isMissing() ? "is missing" : "is not a whole number from " + least + " to "
-                        + most);
+                fault(name, given.isMissing() ? "is missing" : "is not a whole number from " + least + " to " + most);
                 return least;
             }
             return value;
@@ -365,8 +432,11 @@
 
         Ballot ballot(String name) {
             List<Json> pair = json.path(name).values();
-            if (pair.size() != 2 || !pair.get(0).isWhole() || !pair.get(1).isWhole()
-                    || pair.get(0).whole(-1) < 0 || pair.get(1).whole(-2) < -1
+            if (pair.size() != 2
+                    || !pair.get(0).isWhole()
+                    || !pair.get(1).isWhole()
+                    || pair.get(0).whole(-1) < 0
+                    || pair.get(1).whole(-2) < -1
                     || pair.get(1).whole(-2) > Integer.MAX_VALUE) {
                 fault(name, "is no ballot as [round, keeper]");
                 return Ballot.NONE;
@@ -392,8 +462,9 @@
 
         void path(String path) {
             if (!PATH.matcher(path).matches() || path.length() > Terms.MOST_PATH_CHARS) {
-                faults.add(new Fault(path, "is no path: a section, a slash and a name, at most "
-                        + Terms.MOST_PATH_CHARS + " characters"));
+                faults.add(new Fault(
+                        path,
+                        "is no path: a section, a slash and a name, at most " + Terms.MOST_PATH_CHARS + " characters"));
             }
         }
 
@@ -464,8 +535,10 @@
     /** An operator's change. */
     public static Read<Change> readChange(byte[] text) {
         if (text.length > Terms.MOST_CHANGE_BYTES) {
-            return new Read<>(null, List.of(new Fault("change", "has " + text.length + " bytes; "
-                    + Terms.MOST_CHANGE_BYTES + " are allowed")));
+            return new Read<>(
+                    null,
+                    List.of(new Fault(
+                            "change", "has " + text.length + " bytes; " + Terms.MOST_CHANGE_BYTES + " are allowed")));
         }
         return read(text, (json, faults) -> change(json, "", faults));
     }
@@ -486,8 +559,7 @@
             if (!json.path("part").isMissing()) {
                 Source from = new Source(json, "", faults, "rev", "part", "of", "set");
                 int of = (int) from.whole("of", 1, Terms.MOST_PATHS);
-                return new Line.Part(from.rev("rev", 1), (int) from.whole("part", 1, of), of,
-                        from.values("set"));
+                return new Line.Part(from.rev("rev", 1), (int) from.whole("part", 1, of), of, from.values("set"));
             }
             Source from = new Source(json, "", faults, "rev", "set", "drop");
             SortedSet<String> drop = from.texts("drop");
@@ -507,8 +579,12 @@
         if (refused.size() > Terms.MOST_TOLD || waits.size() > Terms.MOST_TOLD) {
             from.fault("refused", "or waits_restart has more than " + Terms.MOST_TOLD);
         }
-        return new Report((int) from.whole("node", 0, Integer.MAX_VALUE), from.whole("life", 0, MOST),
-                from.rev("rev", 0), waits, List.copyOf(refused));
+        return new Report(
+                (int) from.whole("node", 0, Integer.MAX_VALUE),
+                from.whole("life", 0, MOST),
+                from.rev("rev", 0),
+                waits,
+                List.copyOf(refused));
     }
 
     /** A node's report. */
@@ -523,8 +599,8 @@
             List<Inventory.Row> rows = new ArrayList<>();
             for (Json each : from.list("rows")) {
                 Source row = new Source(each, "rows", faults, "age_us", "report");
-                rows.add(new Inventory.Row(report(row.json("report"), "rows.report", faults),
-                        row.whole("age_us", 0, MOST)));
+                rows.add(new Inventory.Row(
+                        report(row.json("report"), "rows.report", faults), row.whole("age_us", 0, MOST)));
             }
             return List.copyOf(rows);
         });
@@ -541,8 +617,7 @@
                 Source from = new Source(json, "", faults, "kind", "rev", "ballot", "value");
                 yield new Request.Accept(from.rev("rev", 1), from.ballot("ballot"), from.change("value"));
             }
-            case "chosen" -> new Request.Chosen(new Source(json, "", faults, "kind", "version")
-                    .version("version"));
+            case "chosen" -> new Request.Chosen(new Source(json, "", faults, "kind", "version").version("version"));
             case "ask" -> new Request.Ask(new Source(json, "", faults, "kind", "after").rev("after", 0));
             default -> {
                 faults.add(new Fault("kind", "is none of prepare, accept, chosen, ask"));
@@ -555,11 +630,13 @@
     public static Read<Answer> readAnswer(byte[] text) {
         return read(text, (json, faults) -> switch (json.path("kind").text()) {
             case "promised" -> {
-                Source from = new Source(json, "", faults, "kind", "rev", "ballot",
-                        "accepted_at", "accepted");
+                Source from = new Source(json, "", faults, "kind", "rev", "ballot", "accepted_at", "accepted");
                 boolean is = from.has("accepted") || from.has("accepted_at");
-                yield new Answer.Promised(from.rev("rev", 1), from.ballot("ballot"),
-                        is ? from.ballot("accepted_at") : Ballot.NONE, is ? from.change("accepted") : null);
+                yield new Answer.Promised(
+                        from.rev("rev", 1),
+                        from.ballot("ballot"),
+                        is ? from.ballot("accepted_at") : Ballot.NONE,
+                        is ? from.change("accepted") : null);
             }
             case "accepted" -> {
                 Source from = new Source(json, "", faults, "kind", "rev", "ballot");
@@ -596,18 +673,19 @@
     /** What a keeper's folder holds. */
     public static Read<Kept> readKept(byte[] text) {
         return read(text, (json, faults) -> switch (json.path("kind").text()) {
-            case "chosen" -> new Kept.Chosen(new Source(json, "", faults, "kind", "version")
-                    .version("version"));
+            case "chosen" -> new Kept.Chosen(new Source(json, "", faults, "kind", "version").version("version"));
             case "whole" -> {
                 Source from = new Source(json, "", faults, "kind", "rev", "values");
                 yield new Kept.Whole(from.rev("rev", 1), from.values("values"));
             }
             case "voted" -> {
-                Source from = new Source(json, "", faults, "kind", "rev", "promised",
-                        "accepted_at", "accepted");
+                Source from = new Source(json, "", faults, "kind", "rev", "promised", "accepted_at", "accepted");
                 boolean is = from.has("accepted") || from.has("accepted_at");
-                yield new Kept.Voted(new Vote(from.rev("rev", 1), from.ballot("promised"),
-                        is ? from.ballot("accepted_at") : Ballot.NONE, is ? from.change("accepted") : null));
+                yield new Kept.Voted(new Vote(
+                        from.rev("rev", 1),
+                        from.ballot("promised"),
+                        is ? from.ballot("accepted_at") : Ballot.NONE,
+                        is ? from.change("accepted") : null));
             }
             default -> {
                 faults.add(new Fault("kind", "is none of chosen, whole, voted"));
--- a/src/main/java/kitemux/rollout/Subscriber.java
+++ b/src/main/java/kitemux/rollout/Subscriber.java
@@ -16,7 +16,12 @@
  */
 public final class Subscriber {
     /** How it stands to keepers. */
-    public enum State { DIALING, CATCHING_UP, CURRENT, ALONE }
+    public enum State {
+        DIALING,
+        CATCHING_UP,
+        CURRENT,
+        ALONE
+    }
 
     private final Terms terms;
     private final Rules rules;
@@ -26,12 +31,14 @@
     private final SplittableRandom draws;
     /** What the process has started with. */
     private final SortedMap<String, String> first;
+
     private State state = State.DIALING;
     private List<Effect> out = new ArrayList<>();
     private long nowUs;
 
     /** In force. */
     private long rev;
+
     private SortedMap<String, String> values;
 
     /**
@@ -40,16 +47,19 @@
      * since again.
      */
     private long sideRev;
+
     private SortedMap<String, String> side;
     private final List<Report.Refusal> refused = new ArrayList<>();
     /** Parts of a whole: of which version, and the last that came. */
     private long wholeRev;
+
     private int lastPart;
     private SortedMap<String, String> whole;
 
     private long watches;
     /** The watch, or its dial; 0 where there is none. */
     private long watch;
+
     private int keeper = -1;
     private boolean connected;
     private long silentAtUs = Long.MAX_VALUE;
@@ -57,6 +67,7 @@
     private long reportAtUs = Long.MAX_VALUE;
     /** While ALONE: another keeper that is tried; the watch stays until that says that it is not alone. */
     private long trial;
+
     private int trialKeeper;
     private boolean trialConnected;
     private long trialEndsAtUs = Long.MAX_VALUE;
@@ -75,8 +86,16 @@
      * @param rev the version of {@code values}, 0 where the file tells none
      * @param seed of what it draws
      */
-    public Subscriber(Terms terms, Rules rules, int node, long life, int keepers, long rev,
-            SortedMap<String, String> values, long seed, long nowUs) {
+    public Subscriber(
+            Terms terms,
+            Rules rules,
+            int node,
+            long life,
+            int keepers,
+            long rev,
+            SortedMap<String, String> values,
+            long seed,
+            long nowUs) {
         this.terms = terms;
         this.rules = rules;
         this.node = node;
@@ -119,8 +138,7 @@
 
     /** When {@link #tick} is to be called, in microseconds. */
     public long nextAtUs() {
-        return Math.min(Math.min(Math.min(silentAtUs, dialAtUs), reportAtUs),
-                Math.min(trialEndsAtUs, trialAtUs));
+        return Math.min(Math.min(Math.min(silentAtUs, dialAtUs), reportAtUs), Math.min(trialEndsAtUs, trialAtUs));
     }
 
     private List<Effect> events(long now, Runnable event) {
@@ -281,8 +299,10 @@
             out.add(new Effect.HangUp(trial));
         }
         dropTrial();
-        trialAtUs = nowUs + (tried.size() < keepers
-                ? draws.nextLong(terms.leastWaitUs(), terms.mostWaitUs()) : terms.aloneTryUs());
+        trialAtUs = nowUs
+                + (tried.size() < keepers
+                        ? draws.nextLong(terms.leastWaitUs(), terms.mostWaitUs())
+                        : terms.aloneTryUs());
     }
 
     /** A line of a watch. */
@@ -385,8 +405,9 @@
         if (faults.isEmpty()) {
             out.add(new Effect.PutInForce(sideRev, side));
         } else {
-            faults.stream().limit(Terms.MOST_TOLD).forEach(fault ->
-                    refused.add(new Report.Refusal(sideRev, fault.path(), fault.reason())));
+            faults.stream()
+                    .limit(Terms.MOST_TOLD)
+                    .forEach(fault -> refused.add(new Report.Refusal(sideRev, fault.path(), fault.reason())));
             report();
         }
     }
--- a/src/main/java/kitemux/rollout/Terms.java
+++ b/src/main/java/kitemux/rollout/Terms.java
@@ -33,10 +33,28 @@
  * @param partBytes a part of a whole configuration is about this long; 3,072, half a second of the pace,
  *     so that versions and beats do not wait
  */
-public record Terms(long beatUs, long leastPatienceUs, long mostPatienceUs, long dialUs, long leastWaitUs,
-        long mostWaitUs, long longestWaitUs, long aloneTryUs, long reportUs, long silentUs, long leastPhaseUs,
-        long mostPhaseUs, int tries, long triesUs, long pulseUs, long heardUs, long finishUs, long paceBytes,
-        long paceAtOnce, long paceFirst, int partBytes) {
+public record Terms(
+        long beatUs,
+        long leastPatienceUs,
+        long mostPatienceUs,
+        long dialUs,
+        long leastWaitUs,
+        long mostWaitUs,
+        long longestWaitUs,
+        long aloneTryUs,
+        long reportUs,
+        long silentUs,
+        long leastPhaseUs,
+        long mostPhaseUs,
+        int tries,
+        long triesUs,
+        long pulseUs,
+        long heardUs,
+        long finishUs,
+        long paceBytes,
+        long paceAtOnce,
+        long paceFirst,
+        int partBytes) {
     /** Of a change as JSON: half a second of a node's 8 KB, and parsed in one turn. Beyond: refused, 400. */
     public static final int MOST_CHANGE_BYTES = 4_096;
     /** 11,000 tenants, 2,800 routes, 230 services and half as much again. Beyond: refused, 400. */
@@ -69,8 +87,27 @@
 
     /** Those of the design. */
     public static Terms usual() {
-        return new Terms(400_000, 1_000_000, 1_600_000, 500_000, 50_000, 250_000, 2_000_000, 1_000_000,
-                10_000_000, 25_000_000, 300_000, 600_000, 5, 2_000_000, 400_000, 1_200_000, 1_000_000,
-                6_000, 4_096, 0, 3_072);
+        return new Terms(
+                400_000,
+                1_000_000,
+                1_600_000,
+                500_000,
+                50_000,
+                250_000,
+                2_000_000,
+                1_000_000,
+                10_000_000,
+                25_000_000,
+                300_000,
+                600_000,
+                5,
+                2_000_000,
+                400_000,
+                1_200_000,
+                1_000_000,
+                6_000,
+                4_096,
+                0,
+                3_072);
     }
 }
--- a/src/main/java/kitemux/rollout/Version.java
+++ b/src/main/java/kitemux/rollout/Version.java
@@ -6,4 +6,4 @@
  * @param rev its number, from 1, without gaps
  * @param change what it changes
  */
-public record Version(long rev, Change change) { }
+public record Version(long rev, Change change) {}
--- a/src/main/java/kitemux/rollout/Watch.java
+++ b/src/main/java/kitemux/rollout/Watch.java
@@ -6,9 +6,11 @@
 final class Watch {
     /** Lines of the whole that goes, with {@code at} to go next; null where versions go one by one. */
     private List<Line.Part> whole;
+
     private int at;
     /** Told up to this version; the whole that goes counts as told. */
     private long told;
+
     private final Pace pace;
     private long lastUs;
 
@@ -34,7 +36,8 @@
             return whole.get(0);
         }
         Version version = history.version(told + 1);
-        return new Line.Next(version.rev(), version.change().set(), version.change().drop());
+        return new Line.Next(
+                version.rev(), version.change().set(), version.change().drop());
     }
 
     private static int bytes(Line line) {
@@ -42,8 +45,7 @@
     }
 
     /** Sends what may go now; when something may go again, in microseconds. */
-    long send(long nowUs, long id, Terms terms, History history, Wholes wholes, boolean isAlone,
-            List<Effect> out) {
+    long send(long nowUs, long id, Terms terms, History history, Wholes wholes, boolean isAlone, List<Effect> out) {
         while (true) {
             Line line = next(history, wholes);
             int bytes = line == null ? 0 : bytes(line);
--- a/src/main/java/kitemux/scale/Asker.java
+++ b/src/main/java/kitemux/scale/Asker.java
@@ -15,7 +15,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
-
 import org.HdrHistogram.Histogram;
 
 /**
@@ -73,12 +72,14 @@
         List<Thread> threads = new ArrayList<>();
         List<Slice> slices = new ArrayList<>();
         for (Client client : clients) {
-            Thread thread = new Thread(() -> {
-                Slice slice = client.ask(at, rate / CLIENTS, begins, begins + us * 1_000);
-                synchronized (slices) {
-                    slices.add(slice);
-                }
-            }, "client");
+            Thread thread = new Thread(
+                    () -> {
+                        Slice slice = client.ask(at, rate / CLIENTS, begins, begins + us * 1_000);
+                        synchronized (slices) {
+                            slices.add(slice);
+                        }
+                    },
+                    "client");
             thread.setDaemon(true);
             threads.add(thread);
             thread.start();
@@ -197,8 +198,9 @@
                 throw new IOException("an answer of no told length");
             }
             int end = text.indexOf('\r', at);
-            int whole = head + Integer.parseInt(text.substring(at + "content-length:".length(),
-                    end < 0 ? text.length() : end).trim());
+            int whole = head
+                    + Integer.parseInt(text.substring(at + "content-length:".length(), end < 0 ? text.length() : end)
+                            .trim());
             while (have < whole) {
                 have += more(in, have);
             }
--- a/src/main/java/kitemux/scale/CapacityPage.java
+++ b/src/main/java/kitemux/scale/CapacityPage.java
@@ -17,14 +17,14 @@
  * {@code <!--/-->}; both are what kept results make them.
  */
 public final class CapacityPage {
-    private static final Pattern TABLE = Pattern.compile(
-            "(?ms)^<!-- scale:([a-z0-9]+) -->\\n(.*?)^<!-- /scale:\\1 -->$");
+    private static final Pattern TABLE =
+            Pattern.compile("(?ms)^<!-- scale:([a-z0-9]+) -->\\n(.*?)^<!-- /scale:\\1 -->$");
     private static final Pattern TABLE_MARK = Pattern.compile("(?m)^.*<!-- /?scale:([^ ]*) -->.*$");
-    private static final Pattern FIGURE = Pattern.compile(
-            "<!--scale:([a-z0-9]+)\\.([a-z0-9_-]+)\\.([a-z0-9_]+)-->(.*?)<!--/-->");
+    private static final Pattern FIGURE =
+            Pattern.compile("<!--scale:([a-z0-9]+)\\.([a-z0-9_-]+)\\.([a-z0-9_]+)-->(.*?)<!--/-->");
     private static final Pattern FIGURE_MARK = Pattern.compile("<!--scale:|<!--/-->");
 
-    private CapacityPage() { }
+    private CapacityPage() {}
 
     /** What a table or a figure should be; null where kept results make none. */
     private interface Made {
@@ -38,7 +38,8 @@
     private static Made figure(Path folder) {
         return found -> {
             Tables.Shown shown = Tables.shown(found.group(1), folder);
-            return shown == null ? null
+            return shown == null
+                    ? null
                     : shown.cells().getOrDefault(found.group(2), Map.of()).get(found.group(3));
         };
     }
@@ -82,10 +83,10 @@
             faults.add("a mark of a table has no other, or stands with other text on its line: "
                     + count(page, TABLE_MARK) + " marks, " + whole + " tables");
         }
-        int figures = compare(page, FIGURE, 4, figure(folder), faults, found -> { });
+        int figures = compare(page, FIGURE, 4, figure(folder), faults, found -> {});
         if (count(page, FIGURE_MARK) != 2 * figures) {
-            faults.add("a mark of a figure has no other, or is not NAME.ROW.COLUMN: "
-                    + count(page, FIGURE_MARK) + " marks, " + figures + " figures");
+            faults.add("a mark of a figure has no other, or is not NAME.ROW.COLUMN: " + count(page, FIGURE_MARK)
+                    + " marks, " + figures + " figures");
         }
         for (String name : Tables.names()) {
             if (!named.contains(name) && Tables.markdown(name, folder) != null) {
@@ -95,8 +96,9 @@
         return faults;
     }
 
-    private static int compare(String page, Pattern pattern, int group, Made made, List<String> faults,
-            Consumer<Matcher> each) throws IOException {
+    private static int compare(
+            String page, Pattern pattern, int group, Made made, List<String> faults, Consumer<Matcher> each)
+            throws IOException {
         Matcher found = pattern.matcher(page);
         int count = 0;
         while (found.find()) {
@@ -132,6 +134,7 @@
     }
 
     private static String place(String page, int at) {
-        return "line " + (1 + page.substring(0, at).chars().filter(c -> c == '\n').count()) + ": ";
+        return "line "
+                + (1 + page.substring(0, at).chars().filter(c -> c == '\n').count()) + ": ";
     }
 }
--- a/src/main/java/kitemux/scale/Commands.java
+++ b/src/main/java/kitemux/scale/Commands.java
@@ -4,7 +4,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-
 import kitemux.standin.Builds;
 
 /** How processes of a run are started. */
@@ -40,7 +39,10 @@
 
     /** Flags of a process of hollow nodes: together they hold under half of a machine of 24 GB. */
     static List<String> roomy(int processes) {
-        return List.of("-Xmx" + Math.min(1_024, 9_000 / processes) + "m", "-XX:MaxDirectMemorySize=64m",
-                "-XX:ReservedCodeCacheSize=48m", "-XX:MaxMetaspaceSize=64m");
+        return List.of(
+                "-Xmx" + Math.min(1_024, 9_000 / processes) + "m",
+                "-XX:MaxDirectMemorySize=64m",
+                "-XX:ReservedCodeCacheSize=48m",
+                "-XX:MaxMetaspaceSize=64m");
     }
 }
--- a/src/main/java/kitemux/scale/Hollow.java
+++ b/src/main/java/kitemux/scale/Hollow.java
@@ -1,5 +1,8 @@
 package kitemux.scale;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.netty.util.concurrent.Future;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -9,12 +12,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-
-import io.netty.util.concurrent.Future;
-
 import kitemux.config.ConfigException;
 import kitemux.config.Json;
 import kitemux.engine.Log;
@@ -29,7 +26,7 @@
 public final class Hollow {
     private static final JsonFactory JSON = new JsonFactory();
 
-    private Hollow() { }
+    private Hollow() {}
 
     /**
      * What a process is told.
@@ -49,10 +46,19 @@
 
         static Told read(String line) throws IOException {
             Json json = Json.read(line.getBytes(StandardCharsets.UTF_8));
-            return new Told(whole(json, "first"), whole(json, "count"), new Sized(whole(json, "nodes"),
-                    whole(json, "servers"), whole(json, "services"), whole(json, "zones"),
-                    whole(json, "tenants")), json.path("list").text(), whole(json, "place"),
-                    json.path("peers").flag(), json.path("seed").whole(0));
+            return new Told(
+                    whole(json, "first"),
+                    whole(json, "count"),
+                    new Sized(
+                            whole(json, "nodes"),
+                            whole(json, "servers"),
+                            whole(json, "services"),
+                            whole(json, "zones"),
+                            whole(json, "tenants")),
+                    json.path("list").text(),
+                    whole(json, "place"),
+                    json.path("peers").flag(),
+                    json.path("seed").whole(0));
         }
 
         private static int whole(Json json, String field) {
@@ -86,8 +92,7 @@
                     case "figures" -> out.println(figures(nodes));
                     case "forget" -> {
                         // Whoever asked tells nodes something next, and its turn must not be forgotten too.
-                        nodes.stream().map(HollowNode::forgetLongest).toList()
-                                .forEach(Future::syncUninterruptibly);
+                        nodes.stream().map(HollowNode::forgetLongest).toList().forEach(Future::syncUninterruptibly);
                         out.println("{}");
                     }
                     default -> throw new IOException("not known: " + line);
@@ -101,8 +106,7 @@
         }
     }
 
-    private static void begin(Told told, List<HollowNode> nodes, PrintStream out)
-            throws ConfigException {
+    private static void begin(Told told, List<HollowNode> nodes, PrintStream out) throws ConfigException {
         InetSocketAddress list = Addresses.read("list", told.list);
         InetSocketAddress[] peers = null;
         if (told.peers) {
@@ -112,8 +116,7 @@
             }
         }
         for (int i = told.first; i < told.first + told.count; i++) {
-            HollowNode node = new HollowNode(i, told.size.settings(i), list, peers, told.seed * 31 + i,
-                    QUIET);
+            HollowNode node = new HollowNode(i, told.size.settings(i), list, peers, told.seed * 31 + i, QUIET);
             nodes.add(node);
             node.start();
         }
@@ -124,7 +127,7 @@
     /** Defects must not pass unseen; what the watch has to tell is expected here. */
     private static final Log QUIET = new Log() {
         @Override
-        public void line(String text) { }
+        public void line(String text) {}
 
         @Override
         public void error(String what, Throwable cause) {
@@ -141,9 +144,19 @@
             for (HollowNode node : nodes) {
                 HollowNode.Figures of = node.figures();
                 json.writeStartArray();
-                for (long figure : new long[] {of.cpuNanos(), of.longestNanos(), of.readBytes(),
-                    of.writtenBytes(), of.datagrams(), of.datagramBytes(), of.heardDatagrams(), of.rev(),
-                    of.heardAtUs(), of.calls(), of.alive()}) {
+                for (long figure : new long[] {
+                    of.cpuNanos(),
+                    of.longestNanos(),
+                    of.readBytes(),
+                    of.writtenBytes(),
+                    of.datagrams(),
+                    of.datagramBytes(),
+                    of.heardDatagrams(),
+                    of.rev(),
+                    of.heardAtUs(),
+                    of.calls(),
+                    of.alive()
+                }) {
                     json.writeNumber(figure);
                 }
                 json.writeEndArray();
@@ -157,9 +170,10 @@
     static List<HollowNode.Figures> figures(String line) throws IOException {
         List<HollowNode.Figures> all = new ArrayList<>();
         for (Json node : Json.read(line.getBytes(StandardCharsets.UTF_8))) {
-            long[] of = node.values().stream().mapToLong(figure -> figure.whole(0)).toArray();
-            all.add(new HollowNode.Figures(of[0], of[1], of[2], of[3], of[4], of[5], of[6], of[7],
-                    of[8], (int) of[9], (int) of[10]));
+            long[] of =
+                    node.values().stream().mapToLong(figure -> figure.whole(0)).toArray();
+            all.add(new HollowNode.Figures(
+                    of[0], of[1], of[2], of[3], of[4], of[5], of[6], of[7], of[8], (int) of[9], (int) of[10]));
         }
         return all;
     }
--- a/src/main/java/kitemux/scale/HollowNode.java
+++ b/src/main/java/kitemux/scale/HollowNode.java
@@ -1,11 +1,5 @@
 package kitemux.scale;
 
-import java.lang.management.ManagementFactory;
-import java.lang.management.ThreadMXBean;
-import java.net.InetSocketAddress;
-import java.util.List;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -22,7 +16,11 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.util.concurrent.Future;
-
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Settings;
 import kitemux.ServiceQBalancer;
@@ -40,7 +38,6 @@
 import kitemux.net.SelectorLoop;
 import kitemux.net.ServerPool;
 import kitemux.net.Sockets;
-import kitemux.peers.Belief;
 import kitemux.peers.Datagram;
 import kitemux.peers.Members;
 import kitemux.peers.Message;
@@ -98,8 +95,18 @@
      * @param calls calls of discovery
      * @param alive nodes that it believes to be there, itself among them; 0 where it has no peers
      */
-    record Figures(long cpuNanos, long longestNanos, long readBytes, long writtenBytes, long datagrams,
-            long datagramBytes, long heardDatagrams, long rev, long heardAtUs, int calls, int alive) { }
+    record Figures(
+            long cpuNanos,
+            long longestNanos,
+            long readBytes,
+            long writtenBytes,
+            long datagrams,
+            long datagramBytes,
+            long heardDatagrams,
+            long rev,
+            long heardAtUs,
+            int calls,
+            int alive) {}
 
     /**
      * Starts nothing yet.
@@ -107,17 +114,23 @@
      * @param peers where the beliefs of each node of the fleet are heard, by number; null where nodes tell
      *     one another nothing
      */
-    HollowNode(int me, Settings settings, InetSocketAddress list, InetSocketAddress[] peers, long seed,
-            Log log) {
+    HollowNode(int me, Settings settings, InetSocketAddress list, InetSocketAddress[] peers, long seed, Log log) {
         this.me = me;
         this.peers = peers;
         this.seed = seed;
         loop = SelectorLoop.open();
         time = LoopTime.of(loop);
         Network network = new Counted();
-        pool = new ServerPool<>(loop, network, new Sockets(SOCKETS), time, settings.connectTimeoutUs,
-                CONN_IDLE_US, new NoRequests());
-        discovery = new Discovery(loop, network, list, settings.zones, 0, Discovery.MOST_SILENCE_US, seed,
+        pool = new ServerPool<>(
+                loop, network, new Sockets(SOCKETS), time, settings.connectTimeoutUs, CONN_IDLE_US, new NoRequests());
+        discovery = new Discovery(
+                loop,
+                network,
+                list,
+                settings.zones,
+                0,
+                Discovery.MOST_SILENCE_US,
+                seed,
                 new Discovery.Listener() {
                     @Override
                     public void listed(HostList told) {
@@ -130,9 +143,17 @@
                     public void failed(String reason) {
                         engine.listFailed();
                     }
-                }, log);
-        engine = new Engine<>(settings.maxAttempts, time, pool, discovery, Observer.NONE, SendGate.open(),
-                log, actions -> new ServiceQBalancer(settings, seed, actions));
+                },
+                log);
+        engine = new Engine<>(
+                settings.maxAttempts,
+                time,
+                pool,
+                discovery,
+                Observer.NONE,
+                SendGate.open(),
+                log,
+                actions -> new ServiceQBalancer(settings, seed, actions));
     }
 
     private void put(HostList list, ListKind kind) {
@@ -156,7 +177,9 @@
     // ---------------------------------------------------------------- other nodes
 
     private void meet() {
-        new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+        new Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel.class)
                 .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                     @Override
                     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
@@ -167,11 +190,18 @@
                     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
                         // What cannot be delivered is lost, as datagrams are.
                     }
-                }).bind(peers[me]).addListener(bound -> {
+                })
+                .bind(peers[me])
+                .addListener(bound -> {
                     if (bound.isSuccess()) {
                         datagrams = ((ChannelFuture) bound).channel();
-                        members = new Members(Terms.usual(peers.length, me), time.nowUs() / 1_000, seed,
-                                time.nowUs(), this::send, now -> count());
+                        members = new Members(
+                                Terms.usual(peers.length, me),
+                                time.nowUs() / 1_000,
+                                seed,
+                                time.nowUs(),
+                                this::send,
+                                now -> count());
                         count();
                         tick();
                     }
@@ -217,8 +247,17 @@
 
     /** All so far; from any thread. */
     Figures figures() {
-        return new Figures(threadId == 0 ? 0 : Math.max(0, THREADS.getThreadCpuTime(threadId)), longestNanos,
-                readBytes, writtenBytes, datagramCount, datagramBytes, heardDatagrams, rev, heardAtUs, calls,
+        return new Figures(
+                threadId == 0 ? 0 : Math.max(0, THREADS.getThreadCpuTime(threadId)),
+                longestNanos,
+                readBytes,
+                writtenBytes,
+                datagramCount,
+                datagramBytes,
+                heardDatagrams,
+                rev,
+                heardAtUs,
+                calls,
                 alive);
     }
 
@@ -284,8 +323,7 @@
         }
 
         @Override
-        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
-                throws Exception {
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
             if (message instanceof ByteBuf bytes) {
                 writtenBytes += bytes.readableBytes();
             }
--- a/src/main/java/kitemux/scale/HollowNodes.java
+++ b/src/main/java/kitemux/scale/HollowNodes.java
@@ -15,7 +15,7 @@
     /** Whoever ends a run that takes too long kills them from a thread of its own. */
     private final List<Child> children = new CopyOnWriteArrayList<>();
 
-    private record Child(Process process, BufferedReader answers, PrintStream asks, long pid) { }
+    private record Child(Process process, BufferedReader answers, PrintStream asks, long pid) {}
 
     /** What they have used and heard so far, node by node, and what their processes hold. */
     record Figures(List<HollowNode.Figures> nodes, List<ProcessFigures> processes) {
@@ -44,12 +44,20 @@
     void start(Commands commands, Hollow.Told told, int nodes, int inProcess) throws IOException {
         int processes = (nodes + inProcess - 1) / inProcess;
         for (int first = 0; first < nodes; first += inProcess) {
-            Process process = commands.hollow(processes).redirectError(ProcessBuilder.Redirect.INHERIT)
+            Process process = commands.hollow(processes)
+                    .redirectError(ProcessBuilder.Redirect.INHERIT)
                     .start();
             PrintStream asks = new PrintStream(process.getOutputStream(), true, StandardCharsets.UTF_8);
             children.add(new Child(process, process.inputReader(), asks, process.pid()));
-            asks.println(new Hollow.Told(first, Math.min(inProcess, nodes - first), told.size(),
-                    told.list(), told.place(), told.peers(), told.seed()).line());
+            asks.println(new Hollow.Told(
+                            first,
+                            Math.min(inProcess, nodes - first),
+                            told.size(),
+                            told.list(),
+                            told.place(),
+                            told.peers(),
+                            told.seed())
+                    .line());
         }
         for (Child child : children) {
             answer(child);
--- a/src/main/java/kitemux/scale/Lateness.java
+++ b/src/main/java/kitemux/scale/Lateness.java
@@ -17,13 +17,15 @@
 
     /** Looks from now on. */
     Lateness() {
-        Thread thread = new Thread(() -> {
-            while (!over) {
-                long until = System.nanoTime() + BEAT_NANOS;
-                LockSupport.parkNanos(BEAT_NANOS);
-                mostNanos.accumulateAndGet(System.nanoTime() - until, Math::max);
-            }
-        }, "lateness");
+        Thread thread = new Thread(
+                () -> {
+                    while (!over) {
+                        long until = System.nanoTime() + BEAT_NANOS;
+                        LockSupport.parkNanos(BEAT_NANOS);
+                        mostNanos.accumulateAndGet(System.nanoTime() - until, Math::max);
+                    }
+                },
+                "lateness");
         thread.setDaemon(true);
         thread.start();
     }
--- a/src/main/java/kitemux/scale/PairedTimes.java
+++ b/src/main/java/kitemux/scale/PairedTimes.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-
 import org.HdrHistogram.Histogram;
 
 /**
@@ -17,6 +16,7 @@
     static final String DIRECT = "direct";
     /** What a node may add for 99 in 100. */
     private static final long BUDGET_US = 2_100;
+
     private static final double P99 = 99;
 
     private final Map<String, List<Asker.Slice>> slices = new LinkedHashMap<>();
@@ -46,8 +46,8 @@
         });
     }
 
-    private static void row(Results into, String row, List<Asker.Slice> direct, Asker.Slice without,
-            List<Asker.Slice> through) {
+    private static void row(
+            Results into, String row, List<Asker.Slice> direct, Asker.Slice without, List<Asker.Slice> through) {
         Asker.Slice with = sum(through);
         double least = Double.POSITIVE_INFINITY;
         double most = Double.NEGATIVE_INFINITY;
--- a/src/main/java/kitemux/scale/Plan.java
+++ b/src/main/java/kitemux/scale/Plan.java
@@ -11,11 +11,22 @@
  * @param full the size to plan for
  * @param told events, in order
  */
-public record Plan(long seed, long settleUs, long limitUs, Full full, Lists list, Nodes nodes, Peers peers,
-        Tenants tenants, Changes changes, Paired p99, Events events, List<Event> told) {
+public record Plan(
+        long seed,
+        long settleUs,
+        long limitUs,
+        Full full,
+        Lists list,
+        Nodes nodes,
+        Peers peers,
+        Tenants tenants,
+        Changes changes,
+        Paired p99,
+        Events events,
+        List<Event> told) {
 
     /** The size to plan for, and what it is held against. */
-    record Full(int nodes, int servers, int services, int zones, int tenants, int changesAMinute) { }
+    record Full(int nodes, int servers, int services, int zones, int tenants, int changesAMinute) {}
 
     /**
      * A real node's cost by the servers listed.
@@ -26,10 +37,10 @@
      * @param everyUs between two changes
      * @param wholes how often the whole list is told
      */
-    record Lists(List<Integer> servers, long quietUs, int first, int changes, long everyUs, int wholes) { }
+    record Lists(List<Integer> servers, long quietUs, int first, int changes, long everyUs, int wholes) {}
 
     /** What many hollow nodes cost, and those whom they ask. */
-    record Nodes(List<Integer> nodes, int servers, int inProcess, long quietUs, int changes, long everyUs) { }
+    record Nodes(List<Integer> nodes, int servers, int inProcess, long quietUs, int changes, long everyUs) {}
 
     /**
      * What hollow nodes tell one another of the fleet.
@@ -37,20 +48,19 @@
      * @param mostUs how long it is waited for until what they had to tell at their start is told
      * @param quietUs how long they are watched then
      */
-    record Peers(List<Integer> nodes, int servers, int inProcess, long mostUs, long quietUs) { }
+    record Peers(List<Integer> nodes, int servers, int inProcess, long mostUs, long quietUs) {}
 
     /** A real node's cost by tenants, which ask it at this rate. */
-    record Tenants(List<Integer> tenants, int servers, long quietUs, int changes, long everyUs,
-            double rate) { }
+    record Tenants(List<Integer> tenants, int servers, long quietUs, int changes, long everyUs, double rate) {}
 
     /** A real node's cost by changes a minute. */
-    record Changes(List<Integer> aMinute, int servers, long lengthUs) { }
+    record Changes(List<Integer> aMinute, int servers, long lengthUs) {}
 
     /** What a real node adds to a request's time, at these rates, in slices of this length. */
-    record Paired(List<Integer> rates, int servers, int turns, long sliceUs) { }
+    record Paired(List<Integer> rates, int servers, int turns, long sliceUs) {}
 
     /** What events cost a real node, a hollow one that has the machine to itself, and one among so many. */
-    record Events(int nodes, int servers, int inProcess, long quietUs, int times) { }
+    record Events(int nodes, int servers, int inProcess, long quietUs, int times) {}
 
     /**
      * Something that befalls servers: they are told to go and to be back.
--- a/src/main/java/kitemux/scale/PlanFile.java
+++ b/src/main/java/kitemux/scale/PlanFile.java
@@ -1,13 +1,11 @@
 package kitemux.scale;
 
+import com.bertramlabs.plugins.hcl4j.HCLParser;
+import com.bertramlabs.plugins.hcl4j.HCLParserException;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-
-import com.bertramlabs.plugins.hcl4j.HCLParser;
-import com.bertramlabs.plugins.hcl4j.HCLParserException;
-
 import kitemux.hcl.Places;
 import kitemux.hcl.Section;
 
@@ -18,12 +16,14 @@
     private static final int MOST_TENANTS = 50_000;
     /** Half of what the machine may hold of processes for this; each takes a JVM. */
     private static final int MOST_PROCESSES = 100;
+
     private static final long MOST_STAGE_US = 300_000_000L;
     /** News of a large fleet takes minutes to be told; nothing else is measured meanwhile. */
     private static final long MOST_PEERS_US = 600_000_000L;
+
     private static final long MOST_LIMIT_US = 900_000_000L;
 
-    private PlanFile() { }
+    private PlanFile() {}
 
     /**
      * @param file what faults call the description
@@ -36,7 +36,8 @@
         try {
             parsed = new HCLParser().parse(text);
         } catch (HCLParserException | IOException | RuntimeException e) {
-            faults.add(file + ": this is not HCL: " + String.valueOf(e.getMessage()).replace('\n', ' '));
+            faults.add(file + ": this is not HCL: "
+                    + String.valueOf(e.getMessage()).replace('\n', ' '));
             return null;
         }
         List<String> own = new ArrayList<>();
@@ -55,27 +56,41 @@
         private Plan plan(Section all) {
             long seed = all.whole("seed", 1);
             Section of = all.part("full");
-            Plan.Full full = new Plan.Full(number(of, "nodes", 420, MOST_NODES),
-                    number(of, "servers", 4_800, MOST_SERVERS), number(of, "services", 230, MOST_SERVERS),
-                    number(of, "zones", 8, 100), number(of, "tenants", 11_000, MOST_TENANTS),
+            Plan.Full full = new Plan.Full(
+                    number(of, "nodes", 420, MOST_NODES),
+                    number(of, "servers", 4_800, MOST_SERVERS),
+                    number(of, "services", 230, MOST_SERVERS),
+                    number(of, "zones", 8, 100),
+                    number(of, "tenants", 11_000, MOST_TENANTS),
                     number(of, "changes_a_minute", 600, 6_000));
             of.end();
             List<Plan.Event> told = new ArrayList<>();
             all.labelled("event", false).forEach((name, event) -> {
                 boolean ends = event.yes("watches_end", false);
-                told.add(new Plan.Event(name, ends ? -1 : number(event, "servers", Double.NaN,
-                        full.servers()),
-                        number(event, "in_line", 1, MOST_SERVERS), event.yes("drains", false),
+                told.add(new Plan.Event(
+                        name,
+                        ends ? -1 : number(event, "servers", Double.NaN, full.servers()),
+                        number(event, "in_line", 1, MOST_SERVERS),
+                        event.yes("drains", false),
                         event.yes("hollow", true)));
                 if (!name.matches("[a-z0-9-]+")) {
                     faults.add("event \"" + name + "\": its name is not of a to z, 0 to 9 and -");
                 }
                 event.end();
             });
-            Plan plan = new Plan(seed, time(all, "settle", 3_000_000),
-                    time(all, "limit", 600_000_000, MOST_LIMIT_US), full, list(all), nodes(all),
-                    peers(all), tenants(all, full), changes(all, full),
-                    paired(all, full, told.size()), events(all, full), told);
+            Plan plan = new Plan(
+                    seed,
+                    time(all, "settle", 3_000_000),
+                    time(all, "limit", 600_000_000, MOST_LIMIT_US),
+                    full,
+                    list(all),
+                    nodes(all),
+                    peers(all),
+                    tenants(all, full),
+                    changes(all, full),
+                    paired(all, full, told.size()),
+                    events(all, full),
+                    told);
             all.end();
             return plan;
         }
@@ -91,10 +106,12 @@
         private List<Integer> numbers(Section of, String field, int most) {
             List<Integer> found = new ArrayList<>();
             for (double number : of.numbers(field)) {
-                if (number < 1 || number > most || number != Math.rint(number)
+                if (number < 1
+                        || number > most
+                        || number != Math.rint(number)
                         || !found.isEmpty() && number <= found.get(found.size() - 1)) {
-                    faults.add(of.at(field) + ": must hold whole numbers from 1 to " + most
-                            + " that grow, not " + number);
+                    faults.add(
+                            of.at(field) + ": must hold whole numbers from 1 to " + most + " that grow, not " + number);
                     return List.of(1);
                 }
                 found.add((int) number);
@@ -129,8 +146,8 @@
 
         private void bounded(Section of, double us, long most) {
             if (us > most) {
-                faults.add(of.at("").replaceAll("\\.$", "") + ": takes " + Math.round(us / 1e6)
-                        + " s, more than " + most / 1_000_000);
+                faults.add(of.at("").replaceAll("\\.$", "") + ": takes " + Math.round(us / 1e6) + " s, more than "
+                        + most / 1_000_000);
             }
         }
 
@@ -139,12 +156,18 @@
             if (of == null) {
                 return null;
             }
-            Plan.Lists lists = new Plan.Lists(numbers(of, "servers", MOST_SERVERS), time(of, "quiet",
-                    10_000_000), number(of, "first", 20, 10_000), number(of, "changes", 200, 10_000),
-                    time(of, "every", 50_000), number(of, "wholes", 5, 100));
+            Plan.Lists lists = new Plan.Lists(
+                    numbers(of, "servers", MOST_SERVERS),
+                    time(of, "quiet", 10_000_000),
+                    number(of, "first", 20, 10_000),
+                    number(of, "changes", 200, 10_000),
+                    time(of, "every", 50_000),
+                    number(of, "wholes", 5, 100));
             of.end();
-            bounded(of, lists.servers().size() * (lists.quietUs() + (lists.first() + lists.changes())
-                    * (double) lists.everyUs()));
+            bounded(
+                    of,
+                    lists.servers().size()
+                            * (lists.quietUs() + (lists.first() + lists.changes()) * (double) lists.everyUs()));
             return lists;
         }
 
@@ -162,9 +185,13 @@
                 return null;
             }
             List<Integer> nodes = numbers(of, "counts", MOST_NODES);
-            Plan.Nodes stage = new Plan.Nodes(nodes, number(of, "servers", 4_800, MOST_SERVERS),
-                    inProcess(of, nodes.get(nodes.size() - 1)), time(of, "quiet", 10_000_000),
-                    number(of, "changes", 20, 10_000), time(of, "every", 500_000));
+            Plan.Nodes stage = new Plan.Nodes(
+                    nodes,
+                    number(of, "servers", 4_800, MOST_SERVERS),
+                    inProcess(of, nodes.get(nodes.size() - 1)),
+                    time(of, "quiet", 10_000_000),
+                    number(of, "changes", 20, 10_000),
+                    time(of, "every", 500_000));
             of.end();
             bounded(of, nodes.size() * (stage.quietUs() + stage.changes() * (double) stage.everyUs()));
             return stage;
@@ -176,8 +203,11 @@
                 return null;
             }
             List<Integer> nodes = numbers(of, "counts", MOST_NODES);
-            Plan.Peers stage = new Plan.Peers(nodes, number(of, "servers", 60, MOST_SERVERS),
-                    inProcess(of, nodes.get(nodes.size() - 1)), time(of, "most", 200_000_000),
+            Plan.Peers stage = new Plan.Peers(
+                    nodes,
+                    number(of, "servers", 60, MOST_SERVERS),
+                    inProcess(of, nodes.get(nodes.size() - 1)),
+                    time(of, "most", 200_000_000),
                     time(of, "quiet", 10_000_000));
             of.end();
             bounded(of, nodes.size() * (double) (stage.mostUs() + stage.quietUs()), MOST_PEERS_US);
@@ -189,13 +219,15 @@
             if (of == null) {
                 return null;
             }
-            Plan.Tenants stage = new Plan.Tenants(numbers(of, "counts", MOST_TENANTS),
-                    number(of, "servers", full.servers(), MOST_SERVERS), time(of, "quiet", 10_000_000),
-                    number(of, "changes", 50, 10_000), time(of, "every", 50_000),
+            Plan.Tenants stage = new Plan.Tenants(
+                    numbers(of, "counts", MOST_TENANTS),
+                    number(of, "servers", full.servers(), MOST_SERVERS),
+                    time(of, "quiet", 10_000_000),
+                    number(of, "changes", 50, 10_000),
+                    time(of, "every", 50_000),
                     number(of, "rate", 117, 2_000));
             of.end();
-            bounded(of, stage.tenants().size() * (2.0 * stage.quietUs()
-                    + stage.changes() * (double) stage.everyUs()));
+            bounded(of, stage.tenants().size() * (2.0 * stage.quietUs() + stage.changes() * (double) stage.everyUs()));
             return stage;
         }
 
@@ -204,8 +236,10 @@
             if (of == null) {
                 return null;
             }
-            Plan.Changes stage = new Plan.Changes(numbers(of, "a_minute", 6_000), number(of, "servers",
-                    full.servers(), MOST_SERVERS), time(of, "length", 20_000_000));
+            Plan.Changes stage = new Plan.Changes(
+                    numbers(of, "a_minute", 6_000),
+                    number(of, "servers", full.servers(), MOST_SERVERS),
+                    time(of, "length", 20_000_000));
             of.end();
             bounded(of, stage.aMinute().size() * (double) stage.lengthUs());
             return stage;
@@ -216,8 +250,10 @@
             if (of == null) {
                 return null;
             }
-            Plan.Paired stage = new Plan.Paired(numbers(of, "rates", 2_000), number(of, "servers",
-                    full.servers(), MOST_SERVERS), number(of, "turns", 4, 100),
+            Plan.Paired stage = new Plan.Paired(
+                    numbers(of, "rates", 2_000),
+                    number(of, "servers", full.servers(), MOST_SERVERS),
+                    number(of, "turns", 4, 100),
                     time(of, "slice", 4_000_000));
             of.end();
             bounded(of, stage.rates().size() * (2.0 + events) * stage.turns() * stage.sliceUs());
@@ -230,8 +266,12 @@
                 return null;
             }
             int nodes = number(of, "nodes", full.nodes(), MOST_NODES);
-            Plan.Events stage = new Plan.Events(nodes, number(of, "servers", full.servers(), MOST_SERVERS),
-                    inProcess(of, nodes), time(of, "quiet", 10_000_000), number(of, "times", 3, 100));
+            Plan.Events stage = new Plan.Events(
+                    nodes,
+                    number(of, "servers", full.servers(), MOST_SERVERS),
+                    inProcess(of, nodes),
+                    time(of, "quiet", 10_000_000),
+                    number(of, "times", 3, 100));
             of.end();
             return stage;
         }
--- a/src/main/java/kitemux/scale/RealNode.java
+++ b/src/main/java/kitemux/scale/RealNode.java
@@ -1,5 +1,6 @@
 package kitemux.scale;
 
+import io.netty.util.NetUtil;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -7,9 +8,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-
-import io.netty.util.NetUtil;
-
 import kitemux.config.ConfigText;
 import kitemux.lab.Guard;
 
@@ -37,13 +35,30 @@
      * @param known the servers that it begins with
      * @throws IOException if it does not start; the message holds what it said
      */
-    static RealNode start(Commands commands, Sized size, InetSocketAddress listen, InetSocketAddress list,
-            List<ConfigText.Server> known, long seed, Path folder) throws IOException {
+    static RealNode start(
+            Commands commands,
+            Sized size,
+            InetSocketAddress listen,
+            InetSocketAddress list,
+            List<ConfigText.Server> known,
+            long seed,
+            Path folder)
+            throws IOException {
         String port = Integer.toString(listen.getPort());
         Path config = folder.resolve("node-" + port + ".json");
-        Files.writeString(config, ConfigText.node(new ConfigText.Node("n0",
-                NetUtil.toSocketAddressString(listen), NetUtil.toSocketAddressString(list),
-                Long.toHexString(seed), SOCKETS, 0, CONN_IDLE_US), size.settings(0), known));
+        Files.writeString(
+                config,
+                ConfigText.node(
+                        new ConfigText.Node(
+                                "n0",
+                                NetUtil.toSocketAddressString(listen),
+                                NetUtil.toSocketAddressString(list),
+                                Long.toHexString(seed),
+                                SOCKETS,
+                                0,
+                                CONN_IDLE_US),
+                        size.settings(0),
+                        known));
         Path temporary = Files.createDirectories(folder.resolve("tmp-" + port));
         ProcessBuilder node = Guard.before(commands.node()).redirectErrorStream(true);
         node.environment().put("PROXY_CONFIG", config.toString());
@@ -56,10 +71,12 @@
         while ((line = lines.readLine()) != null) {
             said.append(line).append('\n');
             if (line.contains("listening on")) {
-                Thread rest = new Thread(() -> lines.lines().forEach(each -> { }), "node's log");
+                Thread rest = new Thread(() -> lines.lines().forEach(each -> {}), "node's log");
                 rest.setDaemon(true);
                 rest.start();
-                long pid = guard.children().findFirst().map(ProcessHandle::pid)
+                long pid = guard.children()
+                        .findFirst()
+                        .map(ProcessHandle::pid)
                         .orElseThrow(() -> new IOException("a node has ended: " + said));
                 return new RealNode(guard, pid, listen, (System.nanoTime() - began) / 1e9);
             }
--- a/src/main/java/kitemux/scale/Results.java
+++ b/src/main/java/kitemux/scale/Results.java
@@ -1,5 +1,9 @@
 package kitemux.scale;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.util.DefaultIndenter;
+import com.fasterxml.jackson.core.util.DefaultPrettyPrinter;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.math.BigDecimal;
@@ -12,12 +16,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-import com.fasterxml.jackson.core.util.DefaultIndenter;
-import com.fasterxml.jackson.core.util.DefaultPrettyPrinter;
-
 import kitemux.config.Json;
 
 /**
@@ -45,7 +43,8 @@
     }
 
     private static double digits(double value) {
-        return value == 0 || !Double.isFinite(value) ? 0
+        return value == 0 || !Double.isFinite(value)
+                ? 0
                 : new BigDecimal(value).round(new MathContext(4)).doubleValue();
     }
 
@@ -74,8 +73,7 @@
         Path file = file(folder, before != null && before.brokeOff() == null ? stage + ".broke-off" : stage);
         StringWriter text = new StringWriter();
         try (JsonGenerator json = JSON.createGenerator(text)) {
-            json.setPrettyPrinter(new DefaultPrettyPrinter()
-                    .withObjectIndenter(new DefaultIndenter("  ", "\n")));
+            json.setPrettyPrinter(new DefaultPrettyPrinter().withObjectIndenter(new DefaultIndenter("  ", "\n")));
             json.writeStartObject();
             json.writeStringField("stage", stage);
             json.writeObjectFieldStart("facts");
--- a/src/main/java/kitemux/scale/ScaleRun.java
+++ b/src/main/java/kitemux/scale/ScaleRun.java
@@ -12,19 +12,21 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
-
 import kitemux.Balancer.ServerEntry;
 
 /** Runs the stages of a plan one after another, and keeps what each measured. */
 public final class ScaleRun {
     /** A node whose loop used no more than this in that time has nothing left to do. */
     private static final long STILL_MS = 400;
+
     private static final long STILL_CPU_MS = 20;
     /** News has been told where a datagram holds its sender alone, 43 bytes, but for one in five or less. */
     private static final double TOLD_OUT_BYTES = 46;
+
     private static final long LOOK_US = 2_000_000;
     /** Requests a second by which a node is brought to where it has compiled what requests need. */
     private static final int WARMING_RATE = 1_000;
+
     private static final int WARMING_CHANGES = 200;
     private static final double MEGA = 1024 * 1024;
 
@@ -45,8 +47,7 @@
      * @param only stages to run; all where it is empty
      * @param out told what goes on, line by line
      */
-    public ScaleRun(Plan plan, Commands commands, Path to, String commit, Set<String> only,
-            Consumer<String> out) {
+    public ScaleRun(Plan plan, Commands commands, Path to, String commit, Set<String> only, Consumer<String> out) {
         this.plan = plan;
         this.commands = commands;
         this.to = to;
@@ -94,11 +95,14 @@
                         into.facts().put(Results.BROKE_OFF, failure);
                         broken.add(stage.getKey() + ": " + failure);
                     }
-                    String kept = failure != null && into.rows().isEmpty() ? "nothing to keep"
+                    String kept = failure != null && into.rows().isEmpty()
+                            ? "nothing to keep"
                             : "kept as " + into.keep(to).getFileName();
                     out.accept(stage.getKey() + ": " + kept
-                            + (lateness.isLate() ? ", but the run was late by " + lateness.mostUs() / 1_000
-                            + " ms" : "") + (failure == null ? "" : ", and broke off: " + failure));
+                            + (lateness.isLate()
+                                    ? ", but the run was late by " + lateness.mostUs() / 1_000 + " ms"
+                                    : "")
+                            + (failure == null ? "" : ", and broke off: " + failure));
                 }
             }
         }
@@ -161,7 +165,11 @@
     }
 
     private Sized sized(int nodes, int servers, int tenants) {
-        return new Sized(nodes, servers, Math.min(servers, plan.full().services()), plan.full().zones(),
+        return new Sized(
+                nodes,
+                servers,
+                Math.min(servers, plan.full().services()),
+                plan.full().zones(),
                 tenants);
     }
 
@@ -186,13 +194,15 @@
     /** Waits until a node has done all that it was given. */
     private static void still(RealNode node) throws IOException, InterruptedException {
         ProcessFigures[] before = {node.figures()};
-        Stand.until(() -> {
-            Thread.sleep(STILL_MS);
-            ProcessFigures now = node.figures();
-            boolean still = now.since(before[0]).loopMs() <= STILL_CPU_MS;
-            before[0] = now;
-            return still;
-        }, "a node is not done");
+        Stand.until(
+                () -> {
+                    Thread.sleep(STILL_MS);
+                    ProcessFigures now = node.figures();
+                    boolean still = now.since(before[0]).loopMs() <= STILL_CPU_MS;
+                    before[0] = now;
+                    return still;
+                },
+                "a node is not done");
     }
 
     /** What a node used while nothing happened, in milliseconds for each microsecond; loop and process. */
@@ -232,7 +242,8 @@
                 throws IOException {
             double tookUs = (System.nanoTime() - beganNanos) / 1e3;
             ProcessFigures used = node.figures().since(before);
-            return new Cost(Math.max(0, used.loopMs() - quiet.loop * tookUs) / count,
+            return new Cost(
+                    Math.max(0, used.loopMs() - quiet.loop * tookUs) / count,
                     Math.max(0, used.cpuMs() - quiet.all * tookUs) / count);
         }
     }
@@ -251,16 +262,14 @@
                 settle(into);
                 Quiet quiet = Quiet.of(node, of.quietUs());
                 into.put(row, "quiet_percent", quiet.percent());
-                into.put(row, "first_ms", Cost.ofChanges(stand, node, quiet, 0, of.first(),
-                        of.everyUs()).loop);
+                into.put(row, "first_ms", Cost.ofChanges(stand, node, quiet, 0, of.first(), of.everyUs()).loop);
                 // What was compiled meanwhile stays: a node runs for days.
                 Cost.ofChanges(stand, node, quiet, of.first(), of.changes(), of.everyUs());
                 long written = stand.desk().writtenBytes();
                 Cost change = Cost.ofChanges(stand, node, quiet, of.first(), of.changes(), of.everyUs());
                 into.put(row, "change_ms", change.loop);
                 into.put(row, "change_all_ms", change.all);
-                into.put(row, "change_bytes", (stand.desk().writtenBytes() - written)
-                        / (double) of.changes());
+                into.put(row, "change_bytes", (stand.desk().writtenBytes() - written) / (double) of.changes());
                 written = stand.desk().writtenBytes();
                 ProcessFigures before = node.figures();
                 long began = System.nanoTime();
@@ -309,8 +318,7 @@
                 long began = System.nanoTime();
                 double worstMs = 0;
                 for (int i = 0; i < of.changes(); i++) {
-                    worstMs = Math.max(worstMs, heard(hollow, System.currentTimeMillis() * 1_000,
-                            stand.change(i)));
+                    worstMs = Math.max(worstMs, heard(hollow, System.currentTimeMillis() * 1_000, stand.change(i)));
                     long rest = began + (i + 1) * of.everyUs() * 1_000 - System.nanoTime();
                     if (rest > 0) {
                         sleepUs(rest / 1_000);
@@ -318,8 +326,11 @@
                 }
                 double tookS = (System.nanoTime() - began) / 1e9;
                 after = hollow.figures();
-                into.put(row, "change_ms", Math.max(0, grown(before, after, f -> f.cpuNanos() / 1e6) / nodes
-                        - quietMs * tookS) / of.changes());
+                into.put(
+                        row,
+                        "change_ms",
+                        Math.max(0, grown(before, after, f -> f.cpuNanos() / 1e6) / nodes - quietMs * tookS)
+                                / of.changes());
                 into.put(row, "heard_ms", worstMs);
                 into.put(row, "stall_ms", after.most(f -> f.longestNanos() / 1e6));
                 into.put(row, "desk_change_ms", (stand.deskMs() - desk) / of.changes());
@@ -333,8 +344,14 @@
                 into.put(row, "return_mb", (stand.desk().writtenBytes() - written) / MEGA);
                 into.put(row, "return_calls", grown(before, after, HollowNode.Figures::calls));
                 into.put(row, "return_stall_ms", after.most(f -> f.longestNanos() / 1e6));
-                into.put(row, "node_mb", after.processes().stream().mapToLong(ProcessFigures::residentKb)
-                        .sum() / 1024.0 / nodes);
+                into.put(
+                        row,
+                        "node_mb",
+                        after.processes().stream()
+                                        .mapToLong(ProcessFigures::residentKb)
+                                        .sum()
+                                / 1024.0
+                                / nodes);
             }
             told(into, row);
         }
@@ -380,28 +397,31 @@
             long began = System.nanoTime();
             sleepUs(us);
             HollowNodes.Figures after = hollow.figures();
-            double nodeSeconds = (System.nanoTime() - began) / 1e9 * after.nodes().size();
+            double nodeSeconds =
+                    (System.nanoTime() - began) / 1e9 * after.nodes().size();
             double sent = grown(before, after, HollowNode.Figures::datagrams);
-            return new Told(sent / nodeSeconds,
+            return new Told(
+                    sent / nodeSeconds,
                     grown(before, after, HollowNode.Figures::datagramBytes) / nodeSeconds,
                     sent == 0 ? 0 : 100 * grown(before, after, HollowNode.Figures::heardDatagrams) / sent,
                     grown(before, after, HollowNode.Figures::cpuNanos) / 1e7 / nodeSeconds);
         }
     }
 
-    private static double grown(HollowNodes.Figures before, HollowNodes.Figures after,
-            ToDoubleFunction<HollowNode.Figures> of) {
+    private static double grown(
+            HollowNodes.Figures before, HollowNodes.Figures after, ToDoubleFunction<HollowNode.Figures> of) {
         return after.sum(of) - before.sum(of);
     }
 
     /** Waits until all have this version; how long after that time the last one had it, in milliseconds. */
-    private static double heard(HollowNodes hollow, long beganUs, long rev)
-            throws IOException, InterruptedException {
+    private static double heard(HollowNodes hollow, long beganUs, long rev) throws IOException, InterruptedException {
         HollowNodes.Figures[] last = new HollowNodes.Figures[1];
-        Stand.until(() -> {
-            last[0] = hollow.figures();
-            return last[0].haveAll(rev);
-        }, "hollow nodes do not hear");
+        Stand.until(
+                () -> {
+                    last[0] = hollow.figures();
+                    return last[0].haveAll(rev);
+                },
+                "hollow nodes do not hear");
         return Math.max(0, last[0].most(HollowNode.Figures::heardAtUs) - beganUs) / 1e3;
     }
 
@@ -422,11 +442,13 @@
                 ProcessFigures before = node.figures();
                 Asker.Slice slice = asker.ask(node.address(), of.rate(), of.quietUs());
                 lateness.was(slice.lateUs());
-                into.put(row, "asked_percent", percent(node.figures().since(before).cpuMs(), of.quietUs()));
+                into.put(
+                        row,
+                        "asked_percent",
+                        percent(node.figures().since(before).cpuMs(), of.quietUs()));
                 still(node);
                 Cost.ofChanges(stand, node, quiet, 0, of.changes(), of.everyUs());
-                into.put(row, "change_ms", Cost.ofChanges(stand, node, quiet, 0, of.changes(),
-                        of.everyUs()).loop);
+                into.put(row, "change_ms", Cost.ofChanges(stand, node, quiet, 0, of.changes(), of.everyUs()).loop);
                 into.put(row, "resident_mb", node.figures().residentKb() / 1024.0);
             }
             told(into, row);
@@ -493,8 +515,7 @@
                         times.get(rate).add(way, slice);
                     }
                     times.get(rate).put(into, rate + "_");
-                    out.accept(into.stage() + " " + rate + " a second, turn " + (turn + 1) + " of "
-                            + of.turns());
+                    out.accept(into.stage() + " " + rate + " a second, turn " + (turn + 1) + " of " + of.turns());
                 }
             }
         }
@@ -507,7 +528,9 @@
         if (way.equals(PairedTimes.DIRECT)) {
             return asker.ask(stand.server(), rate, us);
         }
-        Plan.Event event = plan.told().stream().filter(one -> one.name().equals(way)).findFirst()
+        Plan.Event event = plan.told().stream()
+                .filter(one -> one.name().equals(way))
+                .findFirst()
                 .orElse(null);
         if (event == null) {
             return asker.ask(node.address(), rate, us);
@@ -602,8 +625,7 @@
             eachEvent(of, (event, back) -> {
                 one.forgetLongest();
                 heard(one, 0, befall(stand, event, back).rev());
-                worst(into, row(event, back), "alone_stall_ms",
-                        one.figures().most(f -> f.longestNanos() / 1e6));
+                worst(into, row(event, back), "alone_stall_ms", one.figures().most(f -> f.longestNanos() / 1e6));
             });
         }
     }
@@ -643,8 +665,8 @@
             settle(into);
             HollowNodes.Figures before = hollow.figures();
             sleepUs(of.quietUs());
-            double quietMs = grown(before, hollow.figures(), f -> f.cpuNanos() / 1e6) / of.nodes()
-                    / (of.quietUs() / 1e6);
+            double quietMs =
+                    grown(before, hollow.figures(), f -> f.cpuNanos() / 1e6) / of.nodes() / (of.quietUs() / 1e6);
             into.put("quiet-minute", "node_ms", quietMs * 60);
             eachEvent(of, (event, back) -> {
                 if (event.hollow()) {
@@ -654,10 +676,9 @@
         }
     }
 
-    private record Befell(long rev, int lines) { }
+    private record Befell(long rev, int lines) {}
 
-    private static Befell befall(Stand stand, Plan.Event event, boolean back)
-            throws IOException, InterruptedException {
+    private static Befell befall(Stand stand, Plan.Event event, boolean back) throws IOException, InterruptedException {
         if (event.endsWatches()) {
             return new Befell(wholeAgain(stand), 1);
         }
@@ -666,8 +687,9 @@
     }
 
     /** The worst of all times stands for what nodes heard late, and the last for what it cost. */
-    private void hollowEvent(Results into, Stand stand, HollowNodes hollow, Plan.Event event, boolean back,
-            double quietMs) throws IOException, InterruptedException {
+    private void hollowEvent(
+            Results into, Stand stand, HollowNodes hollow, Plan.Event event, boolean back, double quietMs)
+            throws IOException, InterruptedException {
         String row = row(event, back);
         hollow.forgetLongest();
         HollowNodes.Figures before = hollow.figures();
@@ -678,8 +700,14 @@
         double heardMs = heard(hollow, beganUs, befell.rev());
         double tookS = (System.nanoTime() - began) / 1e9;
         HollowNodes.Figures after = hollow.figures();
-        into.put(row, "node_ms", Math.max(0, grown(before, after, f -> f.cpuNanos() / 1e6)
-                / after.nodes().size() - quietMs * tookS));
+        into.put(
+                row,
+                "node_ms",
+                Math.max(
+                        0,
+                        grown(before, after, f -> f.cpuNanos() / 1e6)
+                                        / after.nodes().size()
+                                - quietMs * tookS));
         worst(into, row, "stall_ms", after.most(f -> f.longestNanos() / 1e6));
         worst(into, row, "heard_ms", heardMs);
         into.put(row, "desk_ms", stand.deskMs() - desk);
--- a/src/main/java/kitemux/scale/Sized.java
+++ b/src/main/java/kitemux/scale/Sized.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
@@ -22,6 +21,7 @@
 record Sized(int nodes, int servers, int services, int zones, int tenants) {
     /** What a tenant may ask for, over all nodes: its part of 49,000 a second, and three times that. */
     private static final double QUOTA_TIMES = 3;
+
     private static final double ALL_PER_S = 49_000;
 
     /** Zones by name, as lists tell them. */
@@ -73,8 +73,8 @@
         set.zones.addAll(zoneNames());
         set.myZone = me % zones;
         set.classes.add(new RequestClass("page", 500_000, 0, 2_000_000, 1, 0.2, Repeat.SAFE, null, 0, false));
-        set.classes.add(new RequestClass("order", 800_000, 0, 3_000_000, 4, 0.2, Repeat.KEYED, Group.ALL,
-                60_000_000, false));
+        set.classes.add(
+                new RequestClass("order", 800_000, 0, 3_000_000, 4, 0.2, Repeat.KEYED, Group.ALL, 60_000_000, false));
         for (int t = 0; t < tenants; t++) {
             set.tenants.add(new Tenant(tenant(t), QUOTA_TIMES * ALL_PER_S / tenants));
         }
--- a/src/main/java/kitemux/scale/StageLimit.java
+++ b/src/main/java/kitemux/scale/StageLimit.java
@@ -19,25 +19,27 @@
      *     another thread
      */
     StageLimit(long us, Runnable ends) {
-        watcher = new Thread(() -> {
-            long until = System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(us);
-            synchronized (this) {
-                while (!over) {
-                    long leftMs = TimeUnit.NANOSECONDS.toMillis(until - System.nanoTime());
-                    if (leftMs <= 0) {
-                        reached = true;
-                        ends.run();
-                        stage.interrupt();
-                        return;
+        watcher = new Thread(
+                () -> {
+                    long until = System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(us);
+                    synchronized (this) {
+                        while (!over) {
+                            long leftMs = TimeUnit.NANOSECONDS.toMillis(until - System.nanoTime());
+                            if (leftMs <= 0) {
+                                reached = true;
+                                ends.run();
+                                stage.interrupt();
+                                return;
+                            }
+                            try {
+                                wait(leftMs);
+                            } catch (InterruptedException e) {
+                                return;
+                            }
+                        }
                     }
-                    try {
-                        wait(leftMs);
-                    } catch (InterruptedException e) {
-                        return;
-                    }
-                }
-            }
-        }, "limit of a stage");
+                },
+                "limit of a stage");
         watcher.setDaemon(true);
         watcher.start();
     }
--- a/src/main/java/kitemux/scale/Stand.java
+++ b/src/main/java/kitemux/scale/Stand.java
@@ -1,5 +1,10 @@
 package kitemux.scale;
 
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
@@ -17,13 +22,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
-
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.NetUtil;
-
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.lab.ListDesk;
@@ -55,6 +53,7 @@
     private final List<BoxServer> servers = new ArrayList<>();
     /** A run that takes too long ends them from a thread of its own. */
     private final List<AutoCloseable> nodes = new CopyOnWriteArrayList<>();
+
     private final Map<String, InetSocketAddress> addresses;
     private final ListDesk desk;
     private final AtomicLong calls = new AtomicLong();
@@ -79,12 +78,12 @@
         }
         addresses = size.addresses(listening);
         list = place.address(0, LIST_PORT);
-        desk = on(() -> new ListDesk(list, loop, size.zoneNames(), addresses,
-                watch -> calls.incrementAndGet()));
+        desk = on(() -> new ListDesk(list, loop, size.zoneNames(), addresses, watch -> calls.incrementAndGet()));
         loopThread = on(() -> Thread.currentThread().getId());
         ChannelFuture opening = desk.opening();
         if (!opening.await().isSuccess()) {
-            throw new IOException("discovery's stand-in cannot listen: " + opening.cause().getMessage());
+            throw new IOException(
+                    "discovery's stand-in cannot listen: " + opening.cause().getMessage());
         }
         tell(size.all());
     }
@@ -125,8 +124,14 @@
     /** Starts a real node that begins with the list as it is, and waits until it watches. */
     RealNode real() throws IOException, InterruptedException {
         int watching = desk.watching();
-        RealNode node = RealNode.start(commands, size, place.address(started++, NODE_PORT), list,
-                ListDesk.placed(size.all(), addresses), seed, folder);
+        RealNode node = RealNode.start(
+                commands,
+                size,
+                place.address(started++, NODE_PORT),
+                list,
+                ListDesk.placed(size.all(), addresses),
+                seed,
+                folder);
         nodes.add(node);
         until(() -> desk.watching() > watching, "a node does not watch");
         return node;
@@ -140,8 +145,11 @@
     HollowNodes hollow(int count, int inProcess, boolean peers) throws IOException, InterruptedException {
         HollowNodes all = new HollowNodes();
         nodes.add(all);
-        all.start(commands, new Hollow.Told(0, 0, size, NetUtil.toSocketAddressString(list), place.number(),
-                peers, seed), count, inProcess);
+        all.start(
+                commands,
+                new Hollow.Told(0, 0, size, NetUtil.toSocketAddressString(list), place.number(), peers, seed),
+                count,
+                inProcess);
         long rev = on(desk::rev);
         until(() -> all.figures().haveAll(rev), "hollow nodes do not hear");
         return all;
@@ -215,12 +223,16 @@
 
     /** Zone by zone, as most events befall what is near one another. */
     private List<List<ServerEntry>> lines(Plan.Event event, ServerState state, long startedAtUs) {
-        List<Integer> near = IntStream.range(0, size.servers()).boxed()
-                .sorted(Comparator.comparingInt(i -> i % size.zones())).limit(event.servers()).toList();
+        List<Integer> near = IntStream.range(0, size.servers())
+                .boxed()
+                .sorted(Comparator.comparingInt(i -> i % size.zones()))
+                .limit(event.servers())
+                .toList();
         List<List<ServerEntry>> lines = new ArrayList<>();
         for (int i = 0; i < near.size(); i += event.inLine()) {
             lines.add(near.subList(i, Math.min(near.size(), i + event.inLine())).stream()
-                    .map(server -> size.entry(server, state, startedAtUs)).toList());
+                    .map(server -> size.entry(server, state, startedAtUs))
+                    .toList());
         }
         return lines;
     }
@@ -256,8 +268,7 @@
         loop.submit(desk::close).awaitUninterruptibly();
         servers.forEach(BoxServer::close);
         for (MultiThreadIoEventLoopGroup loops : List.of(group, answering)) {
-            loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(MOST_WAIT_S,
-                    TimeUnit.SECONDS);
+            loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(MOST_WAIT_S, TimeUnit.SECONDS);
         }
         place.close();
         try (Stream<Path> files = Files.walk(folder)) {
--- a/src/main/java/kitemux/sidecar/Beside.java
+++ b/src/main/java/kitemux/sidecar/Beside.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-
 import kitemux.node.Signals;
 
 /**
--- a/src/main/java/kitemux/sidecar/Fetch.java
+++ b/src/main/java/kitemux/sidecar/Fetch.java
@@ -18,8 +18,10 @@
 final class Fetch {
     private static final int MOST_BYTES = 8 << 20;
 
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-            .followRedirects(HttpClient.Redirect.NEVER).build();
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .followRedirects(HttpClient.Redirect.NEVER)
+            .build();
 
     /**
      * The answer's body. Fails with the reason where there is none within the time, where it is no 200, or
@@ -27,16 +29,17 @@
      * longer than any list.
      */
     CompletableFuture<byte[]> get(URI uri, long withinMs) {
-        HttpRequest ask = HttpRequest.newBuilder(uri).timeout(Duration.ofMillis(withinMs)).build();
-        CompletableFuture<HttpResponse<byte[]>> answer = client.sendAsync(ask, head ->
-                new Bounded(head.statusCode()));
+        HttpRequest ask =
+                HttpRequest.newBuilder(uri).timeout(Duration.ofMillis(withinMs)).build();
+        CompletableFuture<HttpResponse<byte[]>> answer = client.sendAsync(ask, head -> new Bounded(head.statusCode()));
         // A request's own time covers the way to the answer's head alone.
         return within(answer, withinMs).thenApply(HttpResponse::body);
     }
 
     /** Whether it answers 200 to 299 within the time; never fails. */
     CompletableFuture<Boolean> isWell(URI uri, long withinMs) {
-        HttpRequest ask = HttpRequest.newBuilder(uri).timeout(Duration.ofMillis(withinMs)).build();
+        HttpRequest ask =
+                HttpRequest.newBuilder(uri).timeout(Duration.ofMillis(withinMs)).build();
         return within(client.sendAsync(ask, HttpResponse.BodyHandlers.discarding()), withinMs)
                 .handle((answer, failed) -> failed == null && answer.statusCode() / 100 == 2);
     }
--- a/src/main/java/kitemux/sidecar/LineLog.java
+++ b/src/main/java/kitemux/sidecar/LineLog.java
@@ -1,5 +1,7 @@
 package kitemux.sidecar;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.StringWriter;
@@ -9,13 +11,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
-
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-
-import org.jctools.queues.MpscArrayQueue;
-
 import kitemux.engine.Log;
+import org.jctools.queues.MpscArrayQueue;
 
 /**
  * Lines for the operators, as text or as JSON, written by a thread of its own. Whoever has something to say
@@ -26,6 +23,7 @@
     private static final JsonFactory JSON = new JsonFactory();
     /** The writer looks again after so long though nobody woke it. */
     private static final long LOOK_NS = 100_000_000;
+
     private static final long MOST_FLUSH_NS = 1_000_000_000;
     /** Frames of a defect that are told. */
     private static final int MOST_FRAMES = 20;
@@ -39,7 +37,7 @@
     /** Whether nothing waits and nothing is being written. */
     private volatile boolean written = true;
 
-    private record Entry(Instant at, String level, String text, String cause) { }
+    private record Entry(Instant at, String level, String text, String cause) {}
 
     /**
      * @param queue lines that wait to be written, at most
@@ -101,9 +99,11 @@
             }
             long lost = leftOut.getAndSet(0);
             if (lost > 0) {
-                out.println(shown(new Entry(next.at, "warning", lost
-                        + " lines were left out: they came faster than they"
-                        + " could be written", "")));
+                out.println(shown(new Entry(
+                        next.at,
+                        "warning",
+                        lost + " lines were left out: they came faster than they" + " could be written",
+                        "")));
             }
             out.println(shown(next));
         }
@@ -112,8 +112,8 @@
     private String shown(Entry entry) {
         String at = entry.at.truncatedTo(ChronoUnit.MILLIS).toString();
         if (!json) {
-            return at + " " + entry.level + " " + oneLine(entry.text + (entry.cause.isEmpty() ? "" : ": "
-                    + entry.cause));
+            return at + " " + entry.level + " "
+                    + oneLine(entry.text + (entry.cause.isEmpty() ? "" : ": " + entry.cause));
         }
         StringWriter text = new StringWriter();
         try (JsonGenerator to = JSON.createGenerator(text)) {
--- a/src/main/java/kitemux/sidecar/Sidecar.java
+++ b/src/main/java/kitemux/sidecar/Sidecar.java
@@ -19,7 +19,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-
 import kitemux.app.App;
 import kitemux.app.ConfigWriter;
 import kitemux.app.Watch;
@@ -61,7 +60,7 @@
     private final Instant beganAt = Instant.now();
     private final long beganNs = System.nanoTime();
     private App app;
-    private Runnable reload = () -> { };
+    private Runnable reload = () -> {};
     private byte[] fileSeen;
     private byte[] fileTaken;
     private boolean unsaved;
@@ -76,7 +75,7 @@
      * @param seed for the node's random numbers, 1 to 16 hex digits
      * @param command of the application, which is started once clients can connect; empty for none
      */
-    public record Options(Path file, long lookMs, String seed, List<String> command) { }
+    public record Options(Path file, long lookMs, String seed, List<String> command) {}
 
     /**
      * @param app a description that is sound
@@ -88,11 +87,17 @@
         log = new LineLog(System.err, app.logs().json(), app.logs().queue(), Instant::now);
         App.Members from = app.members();
         App.Health how = app.health();
-        members = new Members(new MemberSettings(from.mostLost(), from.sureUs(), how == null ? null
-                : new MemberSettings.Health(how.fall(), how.rise(), how.mostOut(), how.holdUs(),
-                        how.mostHoldUs())));
-        refresh = new Refresh(from.refreshUs(), from.backOffUs(), () -> ThreadLocalRandom.current()
-                .nextDouble());
+        members = new Members(new MemberSettings(
+                from.mostLost(),
+                from.sureUs(),
+                how == null
+                        ? null
+                        : new MemberSettings.Health(
+                                how.fall(), how.rise(), how.mostOut(), how.holdUs(), how.mostHoldUs())));
+        refresh = new Refresh(
+                from.refreshUs(),
+                from.backOffUs(),
+                () -> ThreadLocalRandom.current().nextDouble());
         watch = new Watch(app, text);
         state = from.state().isEmpty() ? null : new StateFolder(Path.of(from.state()), app.name());
         Path folder = Files.createTempDirectory("kitemux-sidecar");
@@ -188,8 +193,10 @@
             list(fileSeen, app.members().file());
         } else {
             try {
-                list(fetch.get(URI.create(app.members().list()), FIRST_WITHIN_MS).join(), app.members()
-                        .list());
+                list(
+                        fetch.get(URI.create(app.members().list()), FIRST_WITHIN_MS)
+                                .join(),
+                        app.members().list());
             } catch (CompletionException e) {
                 trouble(app.members().list(), reason(e));
             }
@@ -205,9 +212,8 @@
     }
 
     private static String reason(Throwable failed) {
-        Throwable cause = failed instanceof CompletionException && failed.getCause() != null
-                ? failed.getCause()
-                : failed;
+        Throwable cause =
+                failed instanceof CompletionException && failed.getCause() != null ? failed.getCause() : failed;
         return cause.getMessage() == null ? cause.getClass().getSimpleName() : cause.getMessage();
     }
 
@@ -257,8 +263,12 @@
 
     private void tell(List<Members.Serving> serving) {
         try {
-            write(ConfigWriter.json(app, serving.stream().map(one -> ConfigWriter.server(one.member(),
-                    one.draining(), one.startedUs())).toList(), options.seed()));
+            write(ConfigWriter.json(
+                    app,
+                    serving.stream()
+                            .map(one -> ConfigWriter.server(one.member(), one.draining(), one.startedUs()))
+                            .toList(),
+                    options.seed()));
             reload.run();
         } catch (IOException e) {
             log.line("the configuration cannot be written: " + e);
@@ -311,18 +321,21 @@
 
     private void askForList() {
         String from = app.members().list();
-        fetch.get(URI.create(from), LIST_WITHIN_MS).whenCompleteAsync((text, failed) -> guarded(() -> {
-            long pauseUs;
-            if (failed == null && list(text, from)) {
-                pauseUs = refresh.answered();
-            } else {
-                pauseUs = refresh.failed();
-                if (failed != null) {
-                    trouble(from, reason(failed));
-                }
-            }
-            keeper.schedule(this::askForList, pauseUs / 1_000, TimeUnit.MILLISECONDS);
-        }), keeper);
+        fetch.get(URI.create(from), LIST_WITHIN_MS)
+                .whenCompleteAsync(
+                        (text, failed) -> guarded(() -> {
+                            long pauseUs;
+                            if (failed == null && list(text, from)) {
+                                pauseUs = refresh.answered();
+                            } else {
+                                pauseUs = refresh.failed();
+                                if (failed != null) {
+                                    trouble(from, reason(failed));
+                                }
+                            }
+                            keeper.schedule(this::askForList, pauseUs / 1_000, TimeUnit.MILLISECONDS);
+                        }),
+                        keeper);
     }
 
     /** Each server once, spread over the pause, and none that is being asked still. */
@@ -339,12 +352,15 @@
         if (!checking.add(one.name())) {
             return;
         }
-        fetch.isWell(URI.create("http://" + one.address() + app.health().path()), app.health()
-                .timeoutUs() / 1_000)
-                .whenCompleteAsync((well, failed) -> guarded(() -> {
-                    checking.remove(one.name());
-                    take(members.checked(nowUs(), one.name(), Boolean.TRUE.equals(well)));
-                }), keeper);
+        fetch.isWell(
+                        URI.create("http://" + one.address() + app.health().path()),
+                        app.health().timeoutUs() / 1_000)
+                .whenCompleteAsync(
+                        (well, failed) -> guarded(() -> {
+                            checking.remove(one.name());
+                            take(members.checked(nowUs(), one.name(), Boolean.TRUE.equals(well)));
+                        }),
+                        keeper);
     }
 
     private void save() {
--- a/src/main/java/kitemux/sidecar/StateFolder.java
+++ b/src/main/java/kitemux/sidecar/StateFolder.java
@@ -6,7 +6,6 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.Optional;
-
 import kitemux.members.SavedMembers;
 
 /**
--- a/src/main/java/kitemux/sim/ColdWork.java
+++ b/src/main/java/kitemux/sim/ColdWork.java
@@ -16,6 +16,7 @@
     private final long withinUs;
     /** Time, work and how much of that came from nodes that knew, in order of time. */
     private final ArrayDeque<double[]> in = new ArrayDeque<>();
+
     private double sumUs;
     private double toldUs;
     private double highest;
--- a/src/main/java/kitemux/sim/Scheduler.java
+++ b/src/main/java/kitemux/sim/Scheduler.java
@@ -26,6 +26,7 @@
         private Runnable what;
         /** Where it stands in the heap. */
         private int place;
+
         private final Scheduler of;
 
         private Event(Scheduler of, long at, long order, Runnable what) {
--- a/src/main/java/kitemux/soak/Message.java
+++ b/src/main/java/kitemux/soak/Message.java
@@ -23,7 +23,9 @@
         Map<String, String> headers = new TreeMap<>();
         for (String line = line(in); !line.isEmpty(); line = line(in)) {
             int colon = line.indexOf(':');
-            headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
+            headers.put(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).strip());
         }
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
         if (in.readNBytes(length).length < length) {
--- a/src/main/java/kitemux/soak/Plan.java
+++ b/src/main/java/kitemux/soak/Plan.java
@@ -38,7 +38,7 @@
      * @param termTwice whether SIGTERM is sent twice
      * @param termAfterMs for {@link Kind#TERM_IN_START}: when SIGTERM comes, counted from the start
      */
-    record Step(Kind kind, int hanging, long crowdAfterMs, int hangUps, boolean termTwice, long termAfterMs) { }
+    record Step(Kind kind, int hanging, long crowdAfterMs, int hangUps, boolean termTwice, long termAfterMs) {}
 
     /** The plan of a seed. */
     static Plan of(long seed, List<Kind> kinds, int steps, int servers) {
@@ -48,9 +48,12 @@
         List<Step> drawn = new ArrayList<>();
         for (int i = 0; i < steps; i++) {
             long lifeMs = Math.min(deadlineMs, SoakNode.MOST_DEADLINE_MS) + SoakNode.KILL_AFTER_DEADLINE_MS;
-            drawn.add(new Step(kinds.get(random.nextInt(kinds.size())), random.nextInt(servers),
+            drawn.add(new Step(
+                    kinds.get(random.nextInt(kinds.size())),
+                    random.nextInt(servers),
                     random.nextBoolean() ? random.nextLong(lifeMs) : -1,
-                    random.nextBoolean() ? 0 : random.nextInt(MOST_HANG_UPS) + 1, random.nextInt(4) == 0,
+                    random.nextBoolean() ? 0 : random.nextInt(MOST_HANG_UPS) + 1,
+                    random.nextInt(4) == 0,
                     random.nextLong(1_000)));
         }
         return new Plan(seed, deadlineMs, List.copyOf(drawn));
--- a/src/main/java/kitemux/soak/Request.java
+++ b/src/main/java/kitemux/soak/Request.java
@@ -10,8 +10,8 @@
  * @param usedBefore whether its connection had carried another request
  * @param endedUs when the client knew the outcome
  */
-record Request(String txn, int classIndex, long sentUs, long remainingUs, boolean usedBefore, Outcome outcome,
-        long endedUs) {
+record Request(
+        String txn, int classIndex, long sentUs, long remainingUs, boolean usedBefore, Outcome outcome, long endedUs) {
     static final List<String> CLASSES = List.of("page", "photo", "order");
     static final List<String> REPEATS = List.of("safe", "keyed", "unsafe");
     /** The index of the class that must not run twice. */
--- a/src/main/java/kitemux/soak/Soak.java
+++ b/src/main/java/kitemux/soak/Soak.java
@@ -65,7 +65,13 @@
      * @param lateMs how late the player itself was, at most
      * @param findings a line for each rule that was broken, with the request's time-line
      */
-    public record Result(long seed, long deadlineMs, int requests, int sigkills, long turnedBack, long lateMs,
+    public record Result(
+            long seed,
+            long deadlineMs,
+            int requests,
+            int sigkills,
+            long turnedBack,
+            long lateMs,
             List<String> findings) {
         /** Whether the player kept its own time, so that what it found can be relied on. */
         public boolean isPunctual() {
@@ -89,8 +95,9 @@
      * @param changes of processes, one after another
      * @param folder for what the processes need; not cleared
      */
-    public static Result play(Launcher launcher, boolean traced, long seed, boolean upgradesOnly,
-            int changes, Path folder) throws IOException, InterruptedException {
+    public static Result play(
+            Launcher launcher, boolean traced, long seed, boolean upgradesOnly, int changes, Path folder)
+            throws IOException, InterruptedException {
         List<Plan.Kind> kinds = upgradesOnly ? List.of(Plan.Kind.UPGRADE) : List.of(Plan.Kind.values());
         return new Soak(launcher, traced, Plan.of(seed, kinds, changes, SERVERS), folder).play();
     }
@@ -118,8 +125,10 @@
             daemon("soak lateness", this::measureLateness);
             SplittableRandom random = new SplittableRandom(plan.seed());
             for (int i = 0; i < CLIENTS; i++) {
-                Thread client = new Thread(new SoakClient("c" + i, i % 4 != 0, clientsPort, plan.deadlineMs(), crowd,
-                        requests, random.split()), "soak client " + i);
+                Thread client = new Thread(
+                        new SoakClient(
+                                "c" + i, i % 4 != 0, clientsPort, plan.deadlineMs(), crowd, requests, random.split()),
+                        "soak client " + i);
                 clients.add(client);
                 client.start();
             }
@@ -150,8 +159,14 @@
             lines.add(finding.rule() + ": " + finding.request());
             finding.timeline().forEach(line -> lines.add("    " + line));
         }
-        return new Result(plan.seed(), plan.deadlineMs(), requests.size(), sigkills,
-                SoakJudge.turnedBackUnheard(requests, found), lateMs.get(), lines);
+        return new Result(
+                plan.seed(),
+                plan.deadlineMs(),
+                requests.size(),
+                sigkills,
+                SoakJudge.turnedBackUnheard(requests, found),
+                lateMs.get(),
+                lines);
     }
 
     private List<String> traces() throws IOException {
@@ -180,7 +195,8 @@
 
     /** A port that stays free for the processes of the node. */
     private int hold() throws IOException {
-        SocketChannel holder = SocketChannel.open().setOption(StandardSocketOptions.SO_REUSEADDR, true)
+        SocketChannel holder = SocketChannel.open()
+                .setOption(StandardSocketOptions.SO_REUSEADDR, true)
                 .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         holders.add(holder);
         return ((InetSocketAddress) holder.getLocalAddress()).getPort();
--- a/src/main/java/kitemux/soak/SoakClient.java
+++ b/src/main/java/kitemux/soak/SoakClient.java
@@ -16,6 +16,7 @@
     private static final long BUSY_REST_MS = 400;
     /** Longer than a process lives after SIGTERM. */
     private static final long IDLE_REST_MS = 4_500;
+
     private static final long DIAL_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
     private static final int ONE_LEAVES_OF = 40;
 
@@ -35,7 +36,13 @@
      *
      * @param idle whether it rests for long, and joins crowds
      */
-    SoakClient(String name, boolean idle, int port, long deadlineMs, Crowd crowd, Queue<Request> requests,
+    SoakClient(
+            String name,
+            boolean idle,
+            int port,
+            long deadlineMs,
+            Crowd crowd,
+            Queue<Request> requests,
             SplittableRandom random) {
         this.name = name;
         this.idle = idle;
@@ -111,9 +118,11 @@
             if (answer.isLast()) {
                 hangUp();
             }
-            return answer.status() == 200 ? Request.Outcome.SERVED
-                    : answer.status() == 429 || answer.status() == 503 ? Request.Outcome.REFUSED
-                    : Request.Outcome.FAILED;
+            return answer.status() == 200
+                    ? Request.Outcome.SERVED
+                    : answer.status() == 429 || answer.status() == 503
+                            ? Request.Outcome.REFUSED
+                            : Request.Outcome.FAILED;
         } catch (SocketTimeoutException e) {
             hangUp();
             return leaves ? Request.Outcome.LEFT : Request.Outcome.SILENT;
--- a/src/main/java/kitemux/soak/SoakJudge.java
+++ b/src/main/java/kitemux/soak/SoakJudge.java
@@ -16,12 +16,12 @@
     private static final long GONE_SLACK_US = 100_000;
 
     /** A process that was killed with no signal before: what it held is left to the client. Unix microseconds. */
-    record Killed(long atUs) { }
+    record Killed(long atUs) {}
 
     /** A rule that was broken, the request and what is known of it. */
-    record Finding(String rule, Request request, List<String> timeline) { }
+    record Finding(String rule, Request request, List<String> timeline) {}
 
-    private SoakJudge() { }
+    private SoakJudge() {}
 
     /**
      * All that is broken.
@@ -29,10 +29,14 @@
      * @param traces lines of all processes' traces
      * @param killed processes that were killed with no SIGTERM before
      */
-    static List<Finding> judge(Collection<Request> requests, Collection<SoakServer.Arrival> arrivals,
-            List<String> traces, List<Killed> killed) {
+    static List<Finding> judge(
+            Collection<Request> requests,
+            Collection<SoakServer.Arrival> arrivals,
+            List<String> traces,
+            List<Killed> killed) {
         Map<String, List<SoakServer.Arrival>> byTxn = new HashMap<>();
-        arrivals.forEach(one -> byTxn.computeIfAbsent(one.txn(), txn -> new ArrayList<>()).add(one));
+        arrivals.forEach(one ->
+                byTxn.computeIfAbsent(one.txn(), txn -> new ArrayList<>()).add(one));
         Set<String> read = new HashSet<>(byTxn.keySet());
         Map<String, List<String>> lines = new HashMap<>();
         for (String line : traces) {
@@ -54,24 +58,30 @@
         return found;
     }
 
-    private static String broken(Request request, List<SoakServer.Arrival> attempts, List<String> timeline,
-            boolean read, List<Killed> killed) {
-        boolean unanswered = request.outcome() == Request.Outcome.SILENT
-                || request.outcome() == Request.Outcome.BROKEN && read;
-        if (unanswered && killed.stream().noneMatch(kill -> request.sentUs() <= kill.atUs
-                && kill.atUs <= request.endedUs())) {
+    private static String broken(
+            Request request,
+            List<SoakServer.Arrival> attempts,
+            List<String> timeline,
+            boolean read,
+            List<Killed> killed) {
+        boolean unanswered =
+                request.outcome() == Request.Outcome.SILENT || request.outcome() == Request.Outcome.BROKEN && read;
+        if (unanswered
+                && killed.stream().noneMatch(kill -> request.sentUs() <= kill.atUs && kill.atUs <= request.endedUs())) {
             return "lost";
         }
         if (request.classIndex() == Request.UNSAFE && attempts.size() > 1) {
             return "run twice";
         }
-        if (attempts.stream().anyMatch(attempt -> attempt.remainingUs()
-                > request.sentUs() + request.remainingUs() - attempt.atUs() + DEADLINE_SLACK_US)) {
+        if (attempts.stream()
+                .anyMatch(attempt -> attempt.remainingUs()
+                        > request.sentUs() + request.remainingUs() - attempt.atUs() + DEADLINE_SLACK_US)) {
             return "deadline told too long";
         }
-        if (request.outcome() == Request.Outcome.LEFT && timeline.stream()
-                .filter(line -> line.contains(" attempt ") && line.contains(" us left"))
-                .anyMatch(line -> Long.parseLong(line.split(" ")[0]) > request.endedUs() + GONE_SLACK_US)) {
+        if (request.outcome() == Request.Outcome.LEFT
+                && timeline.stream()
+                        .filter(line -> line.contains(" attempt ") && line.contains(" us left"))
+                        .anyMatch(line -> Long.parseLong(line.split(" ")[0]) > request.endedUs() + GONE_SLACK_US)) {
             return "sent on after its client had left";
         }
         return null;
@@ -81,7 +91,9 @@
     static long turnedBackUnheard(Collection<Request> requests, List<Finding> found) {
         Set<String> lost = new HashSet<>();
         found.forEach(finding -> lost.add(finding.request().txn()));
-        return requests.stream().filter(request -> request.outcome() == Request.Outcome.BROKEN)
-                .filter(request -> !lost.contains(request.txn())).count();
+        return requests.stream()
+                .filter(request -> request.outcome() == Request.Outcome.BROKEN)
+                .filter(request -> !lost.contains(request.txn()))
+                .count();
     }
 }
--- a/src/main/java/kitemux/soak/SoakNode.java
+++ b/src/main/java/kitemux/soak/SoakNode.java
@@ -15,7 +15,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-
 import kitemux.lab.Guard;
 
 /** One process of the node that is played, behind a guard by which it does not outlive the soak. */
@@ -24,6 +23,7 @@
     static final long KILL_AFTER_DEADLINE_MS = 700;
     /** A longest deadline above this counts as this. */
     static final long MOST_DEADLINE_MS = 3_000;
+
     private static final long START_S = 30;
 
     private final Process guard;
@@ -44,14 +44,23 @@
      * @param folder shared by all processes of the node
      * @param traced whether it writes a trace to {@code traces} in the folder
      */
-    static SoakNode start(ProcessBuilder launcher, Path folder, int clientsPort, int operatorsPort,
-            long deadlineMs, List<SoakServer> servers, boolean traced) throws IOException {
-        Path config = Files.writeString(folder.resolve("config-" + operatorsPort + ".json"),
+    static SoakNode start(
+            ProcessBuilder launcher,
+            Path folder,
+            int clientsPort,
+            int operatorsPort,
+            long deadlineMs,
+            List<SoakServer> servers,
+            boolean traced)
+            throws IOException {
+        Path config = Files.writeString(
+                folder.resolve("config-" + operatorsPort + ".json"),
                 config(clientsPort, operatorsPort, deadlineMs, servers));
         launcher.environment().put("PROXY_CONFIG", config.toString());
         launcher.environment().put("TMPDIR", folder.toString());
         if (traced) {
-            Path settings = Files.writeString(folder.resolve("settings.json"),
+            Path settings = Files.writeString(
+                    folder.resolve("settings.json"),
                     "{\"trace\":{\"folder\":\"%s\"}}".formatted(folder.resolve("traces")));
             launcher.environment().put("KITEMUX_SETTINGS", settings.toString());
         }
@@ -59,14 +68,18 @@
     }
 
     private static String config(int clientsPort, int operatorsPort, long deadlineMs, List<SoakServer> servers) {
-        String targets = IntStream.range(0, servers.size()).mapToObj(i -> ("{\"uid\":\"s%d\",\"endpoint\":"
-                + "\"127.0.0.1:%d\",\"az\":\"\",\"pod_group\":0,\"state\":\"Ready\",\"capacity_hint\":1.0,"
-                + "\"boot_ms\":0}").formatted(i, servers.get(i).address().getPort()))
+        String targets = IntStream.range(0, servers.size())
+                .mapToObj(i -> ("{\"uid\":\"s%d\",\"endpoint\":"
+                                + "\"127.0.0.1:%d\",\"az\":\"\",\"pod_group\":0,\"state\":\"Ready\",\"capacity_hint\":1.0,"
+                                + "\"boot_ms\":0}")
+                        .formatted(i, servers.get(i).address().getPort()))
+                .collect(Collectors.joining(","));
+        String classes = IntStream.range(0, Request.CLASSES.size())
+                .mapToObj(i -> ("{\"name\":\"%s\","
+                                + "\"onTimeUs\":%d,\"giveUpUs\":%d,\"repeat\":\"%s\",\"group\":\"all\",\"windowUs\":1200000}")
+                        .formatted(
+                                Request.CLASSES.get(i), deadlineMs * 500, deadlineMs * 1_000, Request.REPEATS.get(i)))
                 .collect(Collectors.joining(","));
-        String classes = IntStream.range(0, Request.CLASSES.size()).mapToObj(i -> ("{\"name\":\"%s\","
-                + "\"onTimeUs\":%d,\"giveUpUs\":%d,\"repeat\":\"%s\",\"group\":\"all\",\"windowUs\":1200000}")
-                .formatted(Request.CLASSES.get(i), deadlineMs * 500, deadlineMs * 1_000,
-                        Request.REPEATS.get(i))).collect(Collectors.joining(","));
         return """
                 {"listen":"127.0.0.1:%d","mgmt":"127.0.0.1:%d","discovery":"127.0.0.1:9","seed":"1",
                  "limits":{"sockets":1024},"known":{"rev":1,"all":true,"targets":[%s]},
@@ -97,8 +110,8 @@
     private boolean isReady() {
         try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), operatorsPort)) {
             caller.setSoTimeout(1_000);
-            caller.getOutputStream().write("GET /ops/readiness HTTP/1.1\r\nHost: ops\r\n\r\n"
-                    .getBytes(StandardCharsets.US_ASCII));
+            caller.getOutputStream()
+                    .write("GET /ops/readiness HTTP/1.1\r\nHost: ops\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             return Message.read(caller.getInputStream()).status() == 200;
         } catch (IOException e) {
             return false;
@@ -109,7 +122,9 @@
     void signal(String name) throws IOException, InterruptedException {
         ProcessHandle node = guard.children().findFirst().orElse(null);
         if (node != null) {
-            new ProcessBuilder("kill", "-" + name, Long.toString(node.pid())).redirectErrorStream(true).start()
+            new ProcessBuilder("kill", "-" + name, Long.toString(node.pid()))
+                    .redirectErrorStream(true)
+                    .start()
                     .waitFor();
         }
     }
--- a/src/main/java/kitemux/soak/SoakServer.java
+++ b/src/main/java/kitemux/soak/SoakServer.java
@@ -22,7 +22,7 @@
      * @param atUs Unix time in microseconds
      * @param remainingUs what the node said that it will wait
      */
-    record Arrival(String txn, long atUs, long remainingUs) { }
+    record Arrival(String txn, long atUs, long remainingUs) {}
 
     private final Queue<Arrival> arrivals;
     private final Queue<Socket> open = new ConcurrentLinkedQueue<>();
--- a/src/main/java/kitemux/standin/BoxServer.java
+++ b/src/main/java/kitemux/standin/BoxServer.java
@@ -1,8 +1,5 @@
 package kitemux.standin;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -20,6 +17,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 
 /** A web box that answers all that it is asked at once, on a loopback port of the system's choice. */
 public final class BoxServer implements AutoCloseable {
@@ -39,16 +38,21 @@
     /** The same at this address. */
     public static BoxServer start(EventLoopGroup loops, int answerBytes, InetSocketAddress at) {
         byte[] body = new byte[answerBytes];
-        return new BoxServer(new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+        return new BoxServer(new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
-                                new Answers(body));
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY), new Answers(body));
                     }
-                }).bind(at).syncUninterruptibly().channel());
+                })
+                .bind(at)
+                .syncUninterruptibly()
+                .channel());
     }
 
     /** Where it listens. */
@@ -70,9 +74,8 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.OK,
-                    Unpooled.wrappedBuffer(body));
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             context.writeAndFlush(response);
         }
--- a/src/main/java/kitemux/standin/Builds.java
+++ b/src/main/java/kitemux/standin/Builds.java
@@ -12,7 +12,7 @@
 public final class Builds {
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"exec java (.*) -jar ");
 
-    private Builds() { }
+    private Builds() {}
 
     /**
      * A command of a build, run as its own deployment says and from its own folder: flags, archive and what
@@ -31,8 +31,11 @@
         if (deployed) {
             command.addAll(List.of(run.group(1).split(" ")));
         }
-        command.addAll(List.of("-jar", deployed ? root.relativize(jar.toAbsolutePath().normalize()).toString()
-                : jar.toAbsolutePath().toString()));
+        command.addAll(List.of(
+                "-jar",
+                deployed
+                        ? root.relativize(jar.toAbsolutePath().normalize()).toString()
+                        : jar.toAbsolutePath().toString()));
         command.addAll(List.of(arguments));
         return new ProcessBuilder(command).directory(deployed ? root.toFile() : null);
     }
--- a/src/main/java/kitemux/standin/OrderBox.java
+++ b/src/main/java/kitemux/standin/OrderBox.java
@@ -96,8 +96,9 @@
                 }
                 boolean fails = lot == 2;
                 did.put(id, fails ? Did.FAILED : Did.SERVED);
-                peer.getOutputStream().write(("HTTP/1.1 " + (fails ? "500 No" : "200 OK")
-                        + "\r\nContent-Length: 2\r\n\r\nok").getBytes(StandardCharsets.US_ASCII));
+                peer.getOutputStream()
+                        .write(("HTTP/1.1 " + (fails ? "500 No" : "200 OK") + "\r\nContent-Length: 2\r\n\r\nok")
+                                .getBytes(StandardCharsets.US_ASCII));
             }
         } catch (IOException e) {
             // The node has gone; what it did is remembered.
--- a/src/main/java/kitemux/standin/OrderDatabase.java
+++ b/src/main/java/kitemux/standin/OrderDatabase.java
@@ -22,7 +22,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
-
 import kitemux.standin.OrderTable.Given;
 import kitemux.standin.OrderTable.Session;
 import kitemux.standin.SqlPackets.Fields;
@@ -44,26 +43,26 @@
     private static final int NONCE = 20;
     private static final int TEXT_TYPE = 0xfd;
     private static final int UTF8MB4 = 45;
-    private static final long CAPABILITIES = 1 | 1 << 1 | 1 << 2 | 1 << 3 | 1 << 9 | 1 << 13 | 1 << 15
-            | 1 << 17 | 1 << 18 | 1 << 19 | 1 << 20 | 1 << 21 | 1 << 24;
+    private static final long CAPABILITIES = 1 | 1 << 1 | 1 << 2 | 1 << 3 | 1 << 9 | 1 << 13 | 1 << 15 | 1 << 17
+            | 1 << 18 | 1 << 19 | 1 << 20 | 1 << 21 | 1 << 24;
     private static final long DEPRECATE_EOF = 1 << 24;
 
     /** What goes wrong with a command. */
     public sealed interface Fault {
         /** Nothing. */
-        record None() implements Fault { }
+        record None() implements Fault {}
 
         /** The connection breaks before the command has any effect. */
-        record Drop() implements Fault { }
+        record Drop() implements Fault {}
 
         /** It has its effect, and the answer breaks off behind so many packets, or bytes. */
-        record BreakOff(long packets, long bytes) implements Fault { }
+        record BreakOff(long packets, long bytes) implements Fault {}
 
         /** An error in place of its effect. */
-        record Error(int code, String state, String message) implements Fault { }
+        record Error(int code, String state, String message) implements Fault {}
 
         /** It has its effect, and the answer's packets are numbered wrongly. */
-        record Misnumber() implements Fault { }
+        record Misnumber() implements Fault {}
     }
 
     private final ServerSocket listening;
@@ -88,8 +87,8 @@
      * @param switchTo the plugin that it then asks for after all; null for none
      */
     public static OrderDatabase start(String plugin, String switchTo) throws IOException {
-        OrderDatabase database = new OrderDatabase(
-                new ServerSocket(0, 256, InetAddress.getLoopbackAddress()), plugin, switchTo);
+        OrderDatabase database =
+                new OrderDatabase(new ServerSocket(0, 256, InetAddress.getLoopbackAddress()), plugin, switchTo);
         database.accepting = daemon(database::accept);
         return database;
     }
@@ -171,7 +170,7 @@
     // ---------------------------------------------------------------- one connection
 
     /** A statement that was prepared. */
-    private record Prepared(String sql, int parameters, int[] types) { }
+    private record Prepared(String sql, int parameters, int[] types) {}
 
     private final class Connection {
         private final SqlPackets packets;
@@ -181,7 +180,8 @@
         private int lastStatement;
 
         Connection(Socket peer) throws IOException {
-            packets = new SqlPackets(new DataInputStream(new BufferedInputStream(peer.getInputStream())),
+            packets = new SqlPackets(
+                    new DataInputStream(new BufferedInputStream(peer.getInputStream())),
                     new BufferedOutputStream(peer.getOutputStream()));
         }
 
@@ -201,10 +201,22 @@
 
         private boolean login() throws IOException {
             byte[] nonce = nonce();
-            packets.write(new Payload().num(10, 1).zeroed("8.4.0-standin").num(7, 4)
-                    .raw(Arrays.copyOf(nonce, 8)).num(0, 1).num(CAPABILITIES, 2).num(UTF8MB4, 1).num(2, 2)
-                    .num(CAPABILITIES >> 16, 2).num(NONCE + 1, 1).raw(new byte[10])
-                    .raw(Arrays.copyOfRange(nonce, 8, NONCE)).num(0, 1).zeroed(plugin).done());
+            packets.write(new Payload()
+                    .num(10, 1)
+                    .zeroed("8.4.0-standin")
+                    .num(7, 4)
+                    .raw(Arrays.copyOf(nonce, 8))
+                    .num(0, 1)
+                    .num(CAPABILITIES, 2)
+                    .num(UTF8MB4, 1)
+                    .num(2, 2)
+                    .num(CAPABILITIES >> 16, 2)
+                    .num(NONCE + 1, 1)
+                    .raw(new byte[10])
+                    .raw(Arrays.copyOfRange(nonce, 8, NONCE))
+                    .num(0, 1)
+                    .zeroed(plugin)
+                    .done());
             packets.flush();
             Fields answer = new Fields(packets.read());
             capabilities = answer.num(4) & CAPABILITIES;
@@ -219,7 +231,12 @@
             if (switchTo != null || !used.equals(asked)) {
                 asked = switchTo == null ? asked : switchTo;
                 nonce = nonce();
-                packets.write(new Payload().num(0xfe, 1).zeroed(asked).raw(nonce).num(0, 1).done());
+                packets.write(new Payload()
+                        .num(0xfe, 1)
+                        .zeroed(asked)
+                        .raw(nonce)
+                        .num(0, 1)
+                        .done());
                 packets.flush();
                 proof = packets.read();
             }
@@ -301,8 +318,14 @@
             int parameters = OrderTable.parameters(sql);
             List<String> columns = OrderTable.columns(sql);
             prepared.put(id, new Prepared(sql, parameters, new int[parameters]));
-            packets.write(new Payload().num(0, 1).num(id, 4).num(columns.size(), 2).num(parameters, 2)
-                    .num(0, 1).num(0, 2).done());
+            packets.write(new Payload()
+                    .num(0, 1)
+                    .num(id, 4)
+                    .num(columns.size(), 2)
+                    .num(parameters, 2)
+                    .num(0, 1)
+                    .num(0, 2)
+                    .done());
             for (int i = 0; i < parameters; i++) {
                 column("?");
             }
@@ -369,27 +392,45 @@
             }
             eofIfUsed();
             for (List<String> row : given.rows()) {
-                Payload out = binary ? new Payload().num(0, 1).raw(new byte[(row.size() + 9) / 8])
-                        : new Payload();
+                Payload out = binary ? new Payload().num(0, 1).raw(new byte[(row.size() + 9) / 8]) : new Payload();
                 row.forEach(out::text);
                 packets.write(out.done());
             }
             if ((capabilities & DEPRECATE_EOF) != 0) {
-                packets.write(new Payload().num(0xfe, 1).len(0).len(0).num(status(), 2).num(0, 2).done());
+                packets.write(new Payload()
+                        .num(0xfe, 1)
+                        .len(0)
+                        .len(0)
+                        .num(status(), 2)
+                        .num(0, 2)
+                        .done());
             } else {
                 eofIfUsed();
             }
         }
 
         private void column(String name) throws IOException {
-            packets.write(new Payload().text("def").text("shop").text("orders").text("orders").text(name)
-                    .text(name).len(0x0c).num(UTF8MB4, 2).num(1024, 4).num(TEXT_TYPE, 1).num(0, 2).num(0, 1)
-                    .num(0, 2).done());
+            packets.write(new Payload()
+                    .text("def")
+                    .text("shop")
+                    .text("orders")
+                    .text("orders")
+                    .text(name)
+                    .text(name)
+                    .len(0x0c)
+                    .num(UTF8MB4, 2)
+                    .num(1024, 4)
+                    .num(TEXT_TYPE, 1)
+                    .num(0, 2)
+                    .num(0, 1)
+                    .num(0, 2)
+                    .done());
         }
 
         private void eofIfUsed() throws IOException {
             if ((capabilities & DEPRECATE_EOF) == 0) {
-                packets.write(new Payload().num(0xfe, 1).num(0, 2).num(status(), 2).done());
+                packets.write(
+                        new Payload().num(0xfe, 1).num(0, 2).num(status(), 2).done());
             }
         }
 
@@ -398,12 +439,21 @@
         }
 
         private void ok(int changed) throws IOException {
-            packets.write(new Payload().num(0, 1).len(changed).len(0).num(status(), 2).num(0, 2).done());
+            packets.write(new Payload()
+                    .num(0, 1)
+                    .len(changed)
+                    .len(0)
+                    .num(status(), 2)
+                    .num(0, 2)
+                    .done());
         }
 
         private void error(int code, String state, String message) throws IOException {
-            packets.write(new Payload().num(0xff, 1).num(code, 2).raw(("#" + state + message)
-                    .getBytes(StandardCharsets.UTF_8)).done());
+            packets.write(new Payload()
+                    .num(0xff, 1)
+                    .num(code, 2)
+                    .raw(("#" + state + message).getBytes(StandardCharsets.UTF_8))
+                    .done());
         }
     }
 
--- a/src/main/java/kitemux/standin/OrderTable.java
+++ b/src/main/java/kitemux/standin/OrderTable.java
@@ -16,19 +16,35 @@
  * would refuse.
  */
 final class OrderTable {
-    private static final Pattern INSERT = Pattern.compile(
-            "INSERT INTO ORDERS (?:\\(ID, SCHOOL\\) )?VALUES (.+)", Pattern.CASE_INSENSITIVE);
-    private static final Pattern VALUES = Pattern.compile(
-            "\\(\\s*(?:'([^']*)'|\\?)\\s*,\\s*(?:'([^']*)'|\\?)\\s*\\)");
+    private static final Pattern INSERT =
+            Pattern.compile("INSERT INTO ORDERS (?:\\(ID, SCHOOL\\) )?VALUES (.+)", Pattern.CASE_INSENSITIVE);
+    private static final Pattern VALUES = Pattern.compile("\\(\\s*(?:'([^']*)'|\\?)\\s*,\\s*(?:'([^']*)'|\\?)\\s*\\)");
     private static final Pattern SELECT = Pattern.compile(
             "SELECT ID, SCHOOL FROM ORDERS(?: WHERE ID = (?:'([^']*)'|\\?))?", Pattern.CASE_INSENSITIVE);
     private static final Pattern ROWS = Pattern.compile("SELECT (\\d+) ROWS", Pattern.CASE_INSENSITIVE);
-    private static final Pattern SETTING = Pattern.compile("(@@[\\w.]+)(?:\\s+AS\\s+(\\w+))?",
-            Pattern.CASE_INSENSITIVE);
-    private static final Map<String, String> SETTINGS = Map.of("auto_increment_increment", "1",
-            "max_allowed_packet", "67108864", "net_write_timeout", "60", "wait_timeout", "28800",
-            "interactive_timeout", "28800", "lower_case_table_names", "0", "system_time_zone", "UTC",
-            "time_zone", "SYSTEM", "transaction_read_only", "0", "sql_mode", "");
+    private static final Pattern SETTING =
+            Pattern.compile("(@@[\\w.]+)(?:\\s+AS\\s+(\\w+))?", Pattern.CASE_INSENSITIVE);
+    private static final Map<String, String> SETTINGS = Map.of(
+            "auto_increment_increment",
+            "1",
+            "max_allowed_packet",
+            "67108864",
+            "net_write_timeout",
+            "60",
+            "wait_timeout",
+            "28800",
+            "interactive_timeout",
+            "28800",
+            "lower_case_table_names",
+            "0",
+            "system_time_zone",
+            "UTC",
+            "time_zone",
+            "SYSTEM",
+            "transaction_read_only",
+            "0",
+            "sql_mode",
+            "");
 
     private final Map<String, String> rows = new LinkedHashMap<>();
     private final Map<String, Integer> inserts = new HashMap<>();
@@ -79,12 +95,16 @@
 
     /** The columns that a text gives, before it is run. */
     static List<String> columns(String sql) {
-        return SELECT.matcher(clean(sql)).matches() ? List.of("id", "school")
+        return SELECT.matcher(clean(sql)).matches()
+                ? List.of("id", "school")
                 : ROWS.matcher(clean(sql)).matches() ? List.of("n") : List.of();
     }
 
     private static String clean(String sql) {
-        return sql.replaceAll("(?s)/\\*.*?\\*/", " ").replaceAll("\\s+", " ").strip().replaceAll(";$", "");
+        return sql.replaceAll("(?s)/\\*.*?\\*/", " ")
+                .replaceAll("\\s+", " ")
+                .strip()
+                .replaceAll(";$", "");
     }
 
     /** Runs a statement with these values for its question marks. */
@@ -109,8 +129,12 @@
         Matcher many = ROWS.matcher(text);
         if (many.matches()) {
             int count = Integer.parseInt(many.group(1));
-            return new Given(List.of("n"), () -> java.util.stream.IntStream.range(0, count)
-                    .mapToObj(i -> List.of(Integer.toString(i))).iterator(), 0);
+            return new Given(
+                    List.of("n"),
+                    () -> java.util.stream.IntStream.range(0, count)
+                            .mapToObj(i -> List.of(Integer.toString(i)))
+                            .iterator(),
+                    0);
         }
         if (upper.startsWith("SELECT @@")) {
             return settings(text);
@@ -172,11 +196,14 @@
         List<String> values = new ArrayList<>();
         Matcher each = SETTING.matcher(text);
         while (each.find()) {
-            String name = each.group(1).substring(each.group(1).lastIndexOf('.') + 1).replace("@@", "");
+            String name =
+                    each.group(1).substring(each.group(1).lastIndexOf('.') + 1).replace("@@", "");
             names.add(each.group(2) == null ? each.group(1) : each.group(2));
-            values.add(SETTINGS.getOrDefault(name.toLowerCase(Locale.ROOT),
-                    name.startsWith("character") ? "utf8mb4" : name.startsWith("collation")
-                            ? "utf8mb4_0900_ai_ci" : ""));
+            values.add(SETTINGS.getOrDefault(
+                    name.toLowerCase(Locale.ROOT),
+                    name.startsWith("character")
+                            ? "utf8mb4"
+                            : name.startsWith("collation") ? "utf8mb4_0900_ai_ci" : ""));
         }
         return new Given(names, List.of(values), 0);
     }
--- a/src/main/java/kitemux/standin/SqlPackets.java
+++ b/src/main/java/kitemux/standin/SqlPackets.java
@@ -119,8 +119,11 @@
 
         /** A length-encoded number. */
         Payload len(long value) {
-            return value < 251 ? num(value, 1) : value < 1 << 16 ? num(0xfc, 1).num(value, 2)
-                    : num(0xfd, 1).num(value, 3);
+            return value < 251
+                    ? num(value, 1)
+                    : value < 1 << 16
+                            ? num(0xfc, 1).num(value, 2)
+                            : num(0xfd, 1).num(value, 3);
         }
 
         /** A text with its length in front; null as such in a row. */
--- a/src/main/java/kitemux/telemetry/RequestTrace.java
+++ b/src/main/java/kitemux/telemetry/RequestTrace.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
-
 import kitemux.Balancer.Result;
 import kitemux.engine.Asked;
 import kitemux.engine.Observer;
@@ -43,7 +42,8 @@
     public static RequestTrace open(TraceSettings settings, String name, Time time, Consumer<String> say)
             throws IOException {
         Files.createDirectories(settings.folder());
-        Path path = settings.folder().resolve(name + "-" + ProcessHandle.current().pid() + ".trace");
+        Path path =
+                settings.folder().resolve(name + "-" + ProcessHandle.current().pid() + ".trace");
         return new RequestTrace(time, new TraceFile(path, settings.ring(), say));
     }
 
--- a/src/main/java/kitemux/telemetry/TraceFile.java
+++ b/src/main/java/kitemux/telemetry/TraceFile.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
-
 import org.jctools.queues.SpscArrayQueue;
 
 /**
--- a/src/main/java/kitemux/telemetry/TraceSettings.java
+++ b/src/main/java/kitemux/telemetry/TraceSettings.java
@@ -3,7 +3,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
-
 import kitemux.config.FileSection;
 import kitemux.config.Json;
 
--- a/src/main/java/kitemux/world/Ask.java
+++ b/src/main/java/kitemux/world/Ask.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
 import kitemux.Balancer.RequestClass;
 
 /** One try of a client: what it asked for, and what became of it as clients and servers saw it. */
@@ -12,10 +11,12 @@
     final RequestClass cls;
     /** Method, path and query. */
     final String what;
+
     final String idempotencyKey;
     final byte[] body;
     /** Its work on a standard core, in microseconds. */
     final long workUs;
+
     final long remainingUs;
     /** The bytes as they go to a node. */
     byte[] wire;
@@ -33,6 +34,7 @@
     int status;
     /** When the node wrote the last of that, and when it was there. */
     long answerSentAt;
+
     long answeredAt;
     /** Attempts that came to servers whole, in the order of coming. */
     final List<Run> runs = new ArrayList<>();
@@ -45,6 +47,7 @@
         final End end;
         /** When its first byte was written, and when its last was there. */
         final long sentAt;
+
         final long arrivedAt;
         boolean turnedAway;
         /** When word of that was at the node's machine; -1 if it was not. */
@@ -71,7 +74,13 @@
         }
     }
 
-    Ask(long number, String txn, RequestClass cls, String what, String idempotencyKey, byte[] body,
+    Ask(
+            long number,
+            String txn,
+            RequestClass cls,
+            String what,
+            String idempotencyKey,
+            byte[] body,
             long workUs,
             long remainingUs) {
         this.number = number;
@@ -86,7 +95,10 @@
 
     /** The attempt whose long answer goes on, on a connection that no fault broke; null if there is none. */
     Run given() {
-        return runs.stream().filter(run -> run.giving && !run.end.cut).findFirst().orElse(null);
+        return runs.stream()
+                .filter(run -> run.giving && !run.end.cut)
+                .findFirst()
+                .orElse(null);
     }
 
     boolean isAnswered() {
--- a/src/main/java/kitemux/world/Box.java
+++ b/src/main/java/kitemux/world/Box.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.SplittableRandom;
-
 import kitemux.Balancer.Settings;
 import kitemux.sim.ColdWork;
 
@@ -17,6 +16,7 @@
     private static final int MOST_CONNECTIONS = 90;
     /** How crowded it must be, and for how long it is then slow, in requests that wait. */
     private static final int CROWDED = 12;
+
     private static final int IDLE = 1;
     /** The first piece of a long answer, which is passed on from there, and the most that follows. */
     private static final int LONG = 70_000;
@@ -33,6 +33,7 @@
     private final int room;
     /** Whether it turns slow when crowded, and how much. */
     private final double slowBy;
+
     private final long crowdedForUs;
     private final long idleForUs;
 
@@ -41,34 +42,46 @@
     private int connections;
     /** Counts its processes: what an old one began is no concern of the next. */
     private int process;
+
     private boolean up = true;
     /** It fell over and stays down. */
     boolean fallen;
     /** When its process started, in milliseconds of Unix time; 0 for long ago. */
     long bootMs;
+
     private long startedUs = Long.MIN_VALUE / 2;
     boolean draining;
     /** Share of requests that it fails quickly, and of answers that it spoils. */
     double failing;
+
     double spoiling;
     /** Share of answers that are long and come bit by bit. */
     double givingLong;
+
     private final Set<Ask.Run> giving = new HashSet<>();
     /** Share of requests on whose coming it resets their connection, before any answer; it serves them
      * still. */
     double resetting;
+
     private boolean slow;
     /** A fault makes it slow however little it has to do. */
     double slowed = 1;
+
     private long crowdedSinceUs = -1;
     private long idleSinceUs = -1;
     /** What came to it while cold. */
     private final ColdWork coldWork;
 
     /** A request in its waiting room or in work. */
-    private record Job(Ask ask, Ask.Run run, Line line, long takenUs, long leftUs, long dialUs) { }
-
-    Box(World world, Settings settings, SplittableRandom random, Machine machine, int cell, double speed,
+    private record Job(Ask ask, Ask.Run run, Line line, long takenUs, long leftUs, long dialUs) {}
+
+    Box(
+            World world,
+            Settings settings,
+            SplittableRandom random,
+            Machine machine,
+            int cell,
+            double speed,
             boolean chokes) {
         this.world = world;
         this.settings = settings;
@@ -172,8 +185,7 @@
                 try {
                     reader.take(next, this::got);
                 } catch (IllegalArgumentException e) {
-                    world.judge.breach(Rule.UNCHANGED, Box.this + " was sent what is no request: "
-                            + e.getMessage());
+                    world.judge.breach(Rule.UNCHANGED, Box.this + " was sent what is no request: " + e.getMessage());
                     end.abort();
                 }
             }
@@ -190,8 +202,7 @@
                 return;
             }
             if (busy) {
-                world.judge.breach(Rule.UNCHANGED, Box.this + " was sent two requests at once on #"
-                        + end.connection);
+                world.judge.breach(Rule.UNCHANGED, Box.this + " was sent two requests at once on #" + end.connection);
             }
             Ask ask = world.judge.askOf(request);
             NodeHost from = world.nodeAt(end.peer.machine);
@@ -204,8 +215,8 @@
             Ask.Run run = new Ask.Run(Box.this, end, request.firstSentAt(), world.time.now());
             world.tape.note(Tape.What.ATTEMPT, ask.number, machine.number);
             if (world.tape.isOn()) {
-                world.tape.line(Tape.What.ATTEMPT, ask + " at " + Box.this + " from " + from + " on #"
-                        + end.connection);
+                world.tape.line(
+                        Tape.What.ATTEMPT, ask + " at " + Box.this + " from " + from + " on #" + end.connection);
             }
             world.judge.arrived(ask, run, from);
             busy = true;
@@ -216,14 +227,13 @@
                 return;
             }
             String left = request.header("x-remaining");
-            Job job = new Job(ask, run, this, world.time.nowUs(),
-                    Long.parseLong(left.substring(0, left.length() - 1)), dialUs);
+            Job job = new Job(
+                    ask, run, this, world.time.nowUs(), Long.parseLong(left.substring(0, left.length() - 1)), dialUs);
             dialUs = 0;
             if (connections > MOST_CONNECTIONS || waiting.size() >= room || draining) {
                 turnAway(job, "503 Full");
             } else if (failing > 0 && random.nextDouble() < failing) {
-                afterwards(500 + random.nextInt(3_000), () -> answer(job, "HTTP/1.1 500 Failed",
-                        new byte[0]));
+                afterwards(500 + random.nextInt(3_000), () -> answer(job, "HTTP/1.1 500 Failed", new byte[0]));
             } else {
                 if (resetting > 0 && random.nextDouble() < resetting) {
                     end.abort();
@@ -288,7 +298,11 @@
             int pieces = 3 + random.nextInt(30);
             job.run.giving = true;
             giving.add(job.run);
-            give(job, Messages.write("HTTP/1.1 200 OK", "", body), 0, pieces,
+            give(
+                    job,
+                    Messages.write("HTTP/1.1 200 OK", "", body),
+                    0,
+                    pieces,
                     random.nextInt(5) == 0 ? 1 + random.nextInt(pieces - 1) : 0);
             return;
         }
@@ -353,8 +367,7 @@
                 line.write(java.util.Arrays.copyOf(whole, random.nextInt(whole.length)), job);
                 line.end.abort();
             }
-            case 2 -> line.write(Messages.bytes("HTTP/1.1 200 OK\r\nno colon in here\r\n\r\nwhat is this"),
-                    job);
+            case 2 -> line.write(Messages.bytes("HTTP/1.1 200 OK\r\nno colon in here\r\n\r\nwhat is this"), job);
             case 3 -> {
                 // Sound: the end of the connection ends it (RFC 9112, 6.3).
                 job.ask.made.add(Messages.bytes("without a length"));
@@ -364,8 +377,7 @@
             case 4 -> {
                 // Sound, behind interim answers.
                 job.ask.made.add(body);
-                line.end.write(Messages.bytes("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 100 "
-                        + "Continue\r\n\r\n"));
+                line.end.write(Messages.bytes("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 100 " + "Continue\r\n\r\n"));
                 line.write(whole, job);
             }
             case 5 -> {
@@ -391,8 +403,13 @@
     // ---------------------------------------------------------------- what pushes it
 
     private boolean isPushedOver(Ask ask, NodeHost from) {
-        return warmth() < 1 && world.judge.fallsOver(this, coldWork, ask.workUs, from.knowsStartOf(this),
-                settings.fallMultiple * speed * warmth() * settings.fallUs);
+        return warmth() < 1
+                && world.judge.fallsOver(
+                        this,
+                        coldWork,
+                        ask.workUs,
+                        from.knowsStartOf(this),
+                        settings.fallMultiple * speed * warmth() * settings.fallUs);
     }
 
     private void watchCrowd() {
--- a/src/main/java/kitemux/world/Breach.java
+++ b/src/main/java/kitemux/world/Breach.java
@@ -12,7 +12,6 @@
 record Breach(Rule rule, long step, double atMs, String what) {
     @Override
     public String toString() {
-        return String.format(Locale.ROOT, "%s (%s) at step %d, %.3f ms: %s", rule, rule.text, step, atMs,
-                what);
+        return String.format(Locale.ROOT, "%s (%s) at step %d, %.3f ms: %s", rule, rule.text, step, atMs, what);
     }
 }
--- a/src/main/java/kitemux/world/Checked.java
+++ b/src/main/java/kitemux/world/Checked.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
-
 import kitemux.Balancer;
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Outcome;
@@ -21,6 +20,7 @@
     private final Balancer module;
     /** How many attempts each request has had, and how many of them have not ended. */
     private final Map<Long, int[]> attempts = new HashMap<>();
+
     private final Map<Long, Integer> open = new HashMap<>();
     private int inFlight;
 
@@ -57,12 +57,14 @@
         int number = outcome.attempt();
         tape.note(Tape.What.OUTCOME, id, number * 16 + outcome.result().ordinal());
         if (tape.isOn()) {
-            tape.line(Tape.What.OUTCOME, "request " + id + " attempt " + number + " " + outcome.result()
-                    + (outcome.requestEnded() ? ", over" : ""));
+            tape.line(
+                    Tape.What.OUTCOME,
+                    "request " + id + " attempt " + number + " " + outcome.result()
+                            + (outcome.requestEnded() ? ", over" : ""));
         }
         if (number >= ended.length) {
-            judge.breach(Rule.ENDS, "the end of attempt " + number + " of request " + id
-                    + ", which is not out, was told");
+            judge.breach(
+                    Rule.ENDS, "the end of attempt " + number + " of request " + id + ", which is not out, was told");
         } else if (ended[number]++ > 0) {
             judge.breach(Rule.ENDS, "the end of attempt " + number + " of request " + id + " was told twice");
         } else {
--- a/src/main/java/kitemux/world/Clients.java
+++ b/src/main/java/kitemux/world/Clients.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
@@ -21,9 +20,11 @@
     private static final int MOST_TRIES = 3;
     /** Of what is asked; the rest must not be repeated. */
     private static final double SAFE_SHARE = 0.51;
+
     private static final double KEYED_SHARE = 0.3;
     /** A connection that has not come up by then is given up. */
     private static final long DIAL_MS = 1_000;
+
     private static final long UP_EVERY_MS = 100;
 
     private final World world;
@@ -47,7 +48,7 @@
     }
 
     /** What somebody wants, over all tries. */
-    private record Want(RequestClass cls, int tenant, long workUs, int tries, String key) { }
+    private record Want(RequestClass cls, int tenant, long workUs, int tries, String key) {}
 
     // ---------------------------------------------------------------- the front
 
@@ -102,8 +103,7 @@
         }
         wanted++;
         double pick = random.nextDouble();
-        RequestClass cls = settings.classes.get(pick < SAFE_SHARE ? 0
-                : pick < SAFE_SHARE + KEYED_SHARE ? 1 : 2);
+        RequestClass cls = settings.classes.get(pick < SAFE_SHARE ? 0 : pick < SAFE_SHARE + KEYED_SHARE ? 1 : 2);
         int tenant = (int) (settings.tenants.size() * random.nextDouble() * random.nextDouble());
         want(new Want(cls, tenant, workOf(cls), 0, Long.toHexString(random.nextLong())));
         world.time.afterUs(gapUs(), this::arrive);
@@ -124,7 +124,8 @@
 
     /** Mean work of what is asked, in microseconds on a core of speed 1. */
     static double meanWorkUs() {
-        return SAFE_SHARE * meanWorkUs(Repeat.SAFE) + KEYED_SHARE * meanWorkUs(Repeat.KEYED)
+        return SAFE_SHARE * meanWorkUs(Repeat.SAFE)
+                + KEYED_SHARE * meanWorkUs(Repeat.KEYED)
                 + (1 - SAFE_SHARE - KEYED_SHARE) * meanWorkUs(Repeat.UNSAFE);
     }
 
@@ -160,10 +161,9 @@
         long number = ++asked;
         String txn = Long.toHexString(Tape.mix(number)) + "-" + number;
         boolean safe = cls.repeat() == Repeat.SAFE;
-        String what = (safe ? "GET" : "POST") + " /api/" + want.key
-                + (number % 5 == 0 ? "?page=" + number : "");
-        byte[] body = safe ? new byte[0] : new byte[random.nextInt(12) == 0 ? random.nextInt(30_000)
-                : random.nextInt(300)];
+        String what = (safe ? "GET" : "POST") + " /api/" + want.key + (number % 5 == 0 ? "?page=" + number : "");
+        byte[] body =
+                safe ? new byte[0] : new byte[random.nextInt(12) == 0 ? random.nextInt(30_000) : random.nextInt(300)];
         java.util.Arrays.fill(body, (byte) ('A' + number % 26));
         String idempotencyKey = world.isKeyed(cls) ? "k" + want.key : null;
         long remainingUs = (long) (cls.deadlineUs() * (0.4 + 0.4 * random.nextDouble()));
@@ -173,7 +173,8 @@
                 + (number % 2 == 0 ? remainingUs + "u" : remainingUs / 1_000 + "m") + "\r\n"
                 + (idempotencyKey == null ? "" : "Idempotency-Key: " + idempotencyKey + "\r\n")
                 + (want.tries > 0 ? "X-Resent: 1\r\n" : "");
-        ask.wire = safe ? Messages.bytes(what + " HTTP/1.1\r\n" + headers + "\r\n")
+        ask.wire = safe
+                ? Messages.bytes(what + " HTTP/1.1\r\n" + headers + "\r\n")
                 : Messages.write(what + " HTTP/1.1", headers, body);
         world.judge.asked(ask);
         world.tape.note(Tape.What.ASK, number, ask.wire.length);
@@ -184,12 +185,13 @@
     }
 
     private byte[] garbage() {
-        return Messages.bytes(switch (random.nextInt(4)) {
-            case 0 -> "what is this\r\n\r\n";
-            case 1 -> "GET /api/x HTTP/1.1\r\nX-Txn: g\r\n\r\n";
-            case 2 -> "POST /api/x HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n";
-            default -> "POST /api/x HTTP/1.1\r\nContent-Length: 900000\r\n\r\n";
-        });
+        return Messages.bytes(
+                switch (random.nextInt(4)) {
+                    case 0 -> "what is this\r\n\r\n";
+                    case 1 -> "GET /api/x HTTP/1.1\r\nX-Txn: g\r\n\r\n";
+                    case 2 -> "POST /api/x HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n";
+                    default -> "POST /api/x HTTP/1.1\r\nContent-Length: 900000\r\n\r\n";
+                });
     }
 
     // ---------------------------------------------------------------- trying again
@@ -204,8 +206,10 @@
     private void answered(Want want, Messages.Message answer) {
         int status = answer.status();
         boolean refused = status == 429 || status == 503;
-        boolean mayTryAgain = refused || status != 200 && (want.cls.repeat() == Repeat.SAFE
-                || want.cls.repeat() == Repeat.KEYED && want.cls.group() == Group.ALL);
+        boolean mayTryAgain = refused
+                || status != 200
+                        && (want.cls.repeat() == Repeat.SAFE
+                                || want.cls.repeat() == Repeat.KEYED && want.cls.group() == Group.ALL);
         if (mayTryAgain) {
             String after = answer.header("retry-after");
             long us = after == null ? 50_000 : (long) (Double.parseDouble(after) * 1e6);
@@ -237,7 +241,7 @@
     }
 
     /** What a client sent and waits for. */
-    private record Sent(Ask ask, Want want) { }
+    private record Sent(Ask ask, Want want) {}
 
     /** A connection to a node. */
     private final class Line implements End.Listener {
@@ -250,6 +254,7 @@
         private long offset;
         /** When anything last came. */
         private long heardAt;
+
         private boolean last;
         private boolean gone;
         private boolean mute;
@@ -267,8 +272,7 @@
         }
 
         boolean isFree() {
-            return !gone && !last && !mute && waiting.isEmpty() && end.connected && !end.finIn
-                    && !end.resetIn;
+            return !gone && !last && !mute && waiting.isEmpty() && end.connected && !end.finIn && !end.resetIn;
         }
 
         void sendOnceUp(byte[] bytes) {
@@ -337,8 +341,10 @@
                 return;
             }
             if (isTaken(ask)) {
-                world.judge.lost(ask, "has no answer " + ask.remainingUs / 1_000
-                        + " ms and more after it was sent, on #" + end.connection);
+                world.judge.lost(
+                        ask,
+                        "has no answer " + ask.remainingUs / 1_000 + " ms and more after it was sent, on #"
+                                + end.connection);
             }
             ask.over = true;
             close();
@@ -420,7 +426,8 @@
                 while ((next = unsent.poll()) != null) {
                     end.write(next);
                 }
-                waiting.stream().filter(s -> s.ask.sentAt < 0 && s.ask.offset <= end.written)
+                waiting.stream()
+                        .filter(s -> s.ask.sentAt < 0 && s.ask.offset <= end.written)
                         .forEach(s -> sent(s.ask));
             }
             End.Segment segment;
@@ -429,8 +436,8 @@
                 try {
                     reader.take(segment, this::got);
                 } catch (IllegalArgumentException e) {
-                    world.judge.breach(Rule.UNCHANGED, "an answer on #" + end.connection + " is none: "
-                            + e.getMessage());
+                    world.judge.breach(
+                            Rule.UNCHANGED, "an answer on #" + end.connection + " is none: " + e.getMessage());
                     close();
                 }
             }
@@ -446,9 +453,11 @@
             Sent sent = waiting.poll();
             if (sent == null) {
                 if (!mute) {
-                    world.judge.breach(Rule.ANSWERED, "an answer " + answer.status() + " on #"
-                            + end.connection
-                            + " is one that nobody waits for");
+                    world.judge.breach(
+                            Rule.ANSWERED,
+                            "an answer " + answer.status() + " on #"
+                                    + end.connection
+                                    + " is one that nobody waits for");
                 }
                 return;
             }
@@ -491,8 +500,15 @@
         private void ended(Sent sent, boolean killed, boolean brokenOff) {
             Ask ask = sent.ask;
             boolean taken = ask.sentAt >= 0 && isTaken(ask);
-            if (!taken && !killed && !end.cut && !reader.isAmid() && !last && sent.want != null && !ask.behind
-                    && ask.sentAt >= 0 && end.connected) {
+            if (!taken
+                    && !killed
+                    && !end.cut
+                    && !reader.isAmid()
+                    && !last
+                    && sent.want != null
+                    && !ask.behind
+                    && ask.sentAt >= 0
+                    && end.connected) {
                 // It crossed the end of the connection: once more, on a new one.
                 resend(sent);
                 return;
@@ -501,8 +517,8 @@
             if (taken && !last && brokenOff) {
                 world.judge.brokenOff(ask);
             } else if (taken && !last) {
-                world.judge.lost(ask, "was taken, and its connection #" + end.connection
-                        + " ended with no whole answer");
+                world.judge.lost(
+                        ask, "was taken, and its connection #" + end.connection + " ended with no whole answer");
             } else if (sent.want != null && (!end.connected || sent.want.cls.repeat() == Repeat.SAFE)) {
                 later(sent.want, 100_000 + random.nextInt(400_000));
             }
--- a/src/main/java/kitemux/world/Defect.java
+++ b/src/main/java/kitemux/world/Defect.java
@@ -1,19 +1,17 @@
 package kitemux.world;
 
-import java.util.function.Function;
-
 import io.netty.channel.Channel;
-
+import java.util.function.Function;
 import kitemux.Balancer;
 import kitemux.engine.Transport;
-import kitemux.net.Answer;
 import kitemux.http.ClientRequest;
+import kitemux.net.Answer;
 
 /** Puts unsound parts in the place of sound ones, to see that they are found. All of these leave things
  * alone. */
 public interface Defect {
     /** None. */
-    Defect NONE = new Defect() { };
+    Defect NONE = new Defect() {};
 
     /** The decision module, and what it asks for. */
     default Function<Balancer.Actions, Balancer> module(Function<Balancer.Actions, Balancer> sound) {
@@ -36,5 +34,5 @@
     }
 
     /** A connection that a node has just taken in or is about to open, before its handlers are there. */
-    default void opened(Channel channel, boolean accepted) { }
+    default void opened(Channel channel, boolean accepted) {}
 }
--- a/src/main/java/kitemux/world/DiskGate.java
+++ b/src/main/java/kitemux/world/DiskGate.java
@@ -1,12 +1,10 @@
 package kitemux.world;
 
+import io.netty.channel.EventLoop;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-
-import io.netty.channel.EventLoop;
-
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.Settings;
 import kitemux.engine.SendGate;
@@ -20,6 +18,7 @@
 final class DiskGate implements SendGate<ClientRequest> {
     /** As the journal's own bound: a send waits for its record no longer. */
     private static final long LATE_US = 100_000;
+
     private static final long PERIOD_US = 700_000;
 
     private final EventLoop loop;
@@ -37,8 +36,14 @@
     }
 
     @Override
-    public void before(long id, ClientRequest request, int attempt, String serverId,
-            Supplier<String> endpoint, long untilUs, Consumer<Boolean> then) {
+    public void before(
+            long id,
+            ClientRequest request,
+            int attempt,
+            String serverId,
+            Supplier<String> endpoint,
+            long untilUs,
+            Consumer<Boolean> then) {
         if (mood == 0 || settings.classes.get(request.classIndex()).repeat() != Repeat.UNSAFE) {
             then.accept(true);
             return;
@@ -46,7 +51,9 @@
         boolean bad = mood > 1 && time.nowUs() / PERIOD_US % 3 == 1;
         boolean gone = bad && mood == 3;
         long takesUs = 100 + random.nextInt(bad ? 300_000 : 3_000);
-        loop.schedule(() -> then.accept(!gone && takesUs < LATE_US), gone ? 10 : Math.min(takesUs, LATE_US),
+        loop.schedule(
+                () -> then.accept(!gone && takesUs < LATE_US),
+                gone ? 10 : Math.min(takesUs, LATE_US),
                 TimeUnit.MICROSECONDS);
     }
 
--- a/src/main/java/kitemux/world/End.java
+++ b/src/main/java/kitemux/world/End.java
@@ -15,7 +15,7 @@
     }
 
     /** Bytes with the time at which their sender wrote them. */
-    record Segment(byte[] bytes, long sentAt) { }
+    record Segment(byte[] bytes, long sentAt) {}
 
     /** What a sender may have on its way and unread at the other end. */
     private static final int WINDOW = 64 << 10;
@@ -24,6 +24,7 @@
     final Machine machine;
     /** Numbers the connection; both ends have the same. */
     final long connection;
+
     End peer;
     Listener listener;
     boolean connected;
@@ -32,6 +33,7 @@
     boolean finIn;
     /** The connection is broken; the process finds out as it reads or writes. */
     boolean resetIn;
+
     boolean finOut;
     /** The process has let go of it. */
     boolean closed;
@@ -47,6 +49,7 @@
     long arrivedAt;
     /** Bytes that were written. */
     long written;
+
     private final ArrayDeque<Segment> inbox = new ArrayDeque<>();
     private int unread;
     private int onTheWay;
@@ -112,7 +115,7 @@
 
     /** Writes, whatever the room; pieces arrive in order. Dropped if the connection is over. */
     void write(byte[] bytes) {
-        write(bytes, () -> { });
+        write(bytes, () -> {});
     }
 
     /** The same; should the last of it come while the other process has the connection open, that is told. */
@@ -131,7 +134,7 @@
     void writeAtOnce(byte[] bytes) {
         if (!closed && !finOut && !resetIn && connected && !severed) {
             written += bytes.length;
-            send(List.of(bytes), () -> { });
+            send(List.of(bytes), () -> {});
         }
     }
 
--- a/src/main/java/kitemux/world/Fabric.java
+++ b/src/main/java/kitemux/world/Fabric.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-
 import kitemux.config.ConfigException;
 import kitemux.net.Addresses;
 import kitemux.sim.Scheduler;
@@ -14,6 +13,7 @@
 final class Fabric {
     /** Shortest way, and the mean of what comes on top, in nanoseconds: one server room. */
     private static final long LEAST_WAY = 30_000;
+
     private static final double MEAN_MORE = 80_000;
     /** Most pieces that one write is cut into. */
     private static final int MOST_PIECES = 24;
@@ -25,11 +25,13 @@
     private long connections;
     /** Share of connections whose bytes come in small pieces, and of those that come in two or three. */
     double shredded = 0.05;
+
     double pieced = 0.2;
     /** Added to every way, in nanoseconds. */
     long slower;
     /** Share of connects that never come up, and of connections that break at some write. */
     double hanging;
+
     double breaking;
 
     Fabric(Scheduler time, Tape tape, SplittableRandom random) {
@@ -67,7 +69,8 @@
     /** Cuts what is written into the pieces that arrive, and may break the connection between two of them. */
     List<byte[]> cut(End from, byte[] bytes) {
         double kind = random.nextDouble();
-        int pieces = kind < shredded ? 2 + random.nextInt(MOST_PIECES)
+        int pieces = kind < shredded
+                ? 2 + random.nextInt(MOST_PIECES)
                 : kind < shredded + pieced ? 2 + random.nextInt(2) : 1;
         pieces = Math.min(pieces, Math.max(1, bytes.length));
         if (breaking > 0 && random.nextDouble() < breaking) {
--- a/src/main/java/kitemux/world/Fault.java
+++ b/src/main/java/kitemux/world/Fault.java
@@ -62,8 +62,7 @@
 
     @Override
     public String toString() {
-        return String.format(Locale.ROOT, "%s at %d ms for %d ms (share %.2f, pick %.2f)", kind, atMs,
-                forMs, share,
-                pick);
+        return String.format(
+                Locale.ROOT, "%s at %d ms for %d ms (share %.2f, pick %.2f)", kind, atMs, forMs, share, pick);
     }
 }
--- a/src/main/java/kitemux/world/FaultRuns.java
+++ b/src/main/java/kitemux/world/FaultRuns.java
@@ -36,8 +36,8 @@
         scenario = Scenario.of(kind);
         this.defect = defect;
         if (scenario == null) {
-            throw new IllegalArgumentException("there is no kind " + kind + "; there are "
-                    + String.join(", ", kinds()));
+            throw new IllegalArgumentException(
+                    "there is no kind " + kind + "; there are " + String.join(", ", kinds()));
         }
     }
 
@@ -52,8 +52,17 @@
      * @param failing for each failing seed what is said of it
      * @param digest of all seeds' digests, in order
      */
-    public record Summary(long seeds, long steps, double virtualMs, double realMs, long asked, long served,
-            long refused, long failed, TreeMap<Long, List<Breach>> failing, long digest) {
+    public record Summary(
+            long seeds,
+            long steps,
+            double virtualMs,
+            double realMs,
+            long asked,
+            long served,
+            long refused,
+            long failed,
+            TreeMap<Long, List<Breach>> failing,
+            long digest) {
 
         /** Seeds of which a rule was broken. */
         public int broken() {
@@ -62,8 +71,11 @@
 
         /** The first failing seed's breaches, as lines; empty if there is none. */
         public List<String> firstBroken() {
-            return failing.isEmpty() ? List.of()
-                    : failing.firstEntry().getValue().stream().map(Breach::toString).toList();
+            return failing.isEmpty()
+                    ? List.of()
+                    : failing.firstEntry().getValue().stream()
+                            .map(Breach::toString)
+                            .toList();
         }
 
         /** The first failing seed, or -1. */
@@ -78,8 +90,7 @@
     }
 
     /** The same, to the first seed that breaks this rule. */
-    Summary playUntil(long first, long last, int jobs, Rule rule, PrintStream progress)
-            throws InterruptedException {
+    Summary playUntil(long first, long last, int jobs, Rule rule, PrintStream progress) throws InterruptedException {
         AtomicLong next = new AtomicLong(first);
         AtomicLong done = new AtomicLong();
         TreeMap<Long, World.Verdict> verdicts = new TreeMap<>();
@@ -105,8 +116,8 @@
         while (!workers.awaitTermination(PROGRESS_MS, TimeUnit.MILLISECONDS)) {
             if (progress != null) {
                 double s = (System.nanoTime() - began) / 1e9;
-                progress.printf(Locale.ROOT, "%d of %d seeds, %.1f a second%n", done.get(), last - first + 1,
-                        done.get() / s);
+                progress.printf(
+                        Locale.ROOT, "%d of %d seeds, %.1f a second%n", done.get(), last - first + 1, done.get() / s);
             }
         }
         return summary(verdicts, (System.nanoTime() - began) / 1e6, firstBroken.get());
@@ -144,18 +155,25 @@
         sum.failing.entrySet().stream().limit(MOST_LISTED).forEach(each -> {
             out.println("seed " + each.getKey() + ": " + each.getValue().get(0)
                     + (each.getValue().size() > 1 ? " (and " + (each.getValue().size() - 1) + " more)" : ""));
-            out.println("  play it again: java -jar target/kitemux.jar faults --seed " + each.getKey()
-                    + only());
+            out.println("  play it again: java -jar target/kitemux.jar faults --seed " + each.getKey() + only());
         });
         if (sum.broken() > MOST_LISTED) {
             out.println("and " + (sum.broken() - MOST_LISTED) + " more seeds");
         }
         Runtime memory = Runtime.getRuntime();
-        out.printf(Locale.ROOT, "%.1f seeds a second, virtual over real time %.0f, heap %d MiB of %d; "
-                + "%d tries, %d served, %d refused, %d failed; digest %016x%n",
-                        sum.seeds / (sum.realMs / 1e3),
-                sum.virtualMs / sum.realMs, memory.totalMemory() - memory.freeMemory() >> 20,
-                memory.maxMemory() >> 20, sum.asked, sum.served, sum.refused, sum.failed, sum.digest);
+        out.printf(
+                Locale.ROOT,
+                "%.1f seeds a second, virtual over real time %.0f, heap %d MiB of %d; "
+                        + "%d tries, %d served, %d refused, %d failed; digest %016x%n",
+                sum.seeds / (sum.realMs / 1e3),
+                sum.virtualMs / sum.realMs,
+                memory.totalMemory() - memory.freeMemory() >> 20,
+                memory.maxMemory() >> 20,
+                sum.asked,
+                sum.served,
+                sum.refused,
+                sum.failed,
+                sum.digest);
         long breaches = sum.failing.values().stream().mapToLong(List::size).sum();
         out.println(sum.seeds + " seeds, " + sum.steps + " steps, " + breaches + " broken rules");
         return sum.broken() == 0 ? 0 : 1;
@@ -186,16 +204,24 @@
         if (trace == null) {
             verdict = World.play(plan.with(left), defect, null);
         } else {
-            try (PrintWriter lines = new PrintWriter(Files.newBufferedWriter(trace,
-                    StandardCharsets.UTF_8))) {
+            try (PrintWriter lines = new PrintWriter(Files.newBufferedWriter(trace, StandardCharsets.UTF_8))) {
                 verdict = World.play(plan.with(left), defect, lines);
             }
         }
         verdict.breaches().forEach(out::println);
-        out.printf(Locale.ROOT, "%d boxes, %d nodes, %.1f s: %d tries, %d served, %d refused, %d failed; "
-                + "digest %016x%n", plan.boxes(), plan.nodes(), verdict.virtualMs() / 1e3, verdict.asked(),
-                verdict.served(), verdict.refused(), verdict.failed(), verdict.digest());
-        out.println("1 seeds, " + verdict.steps() + " steps, " + verdict.breaches().size() + " broken rules");
+        out.printf(
+                Locale.ROOT,
+                "%d boxes, %d nodes, %.1f s: %d tries, %d served, %d refused, %d failed; " + "digest %016x%n",
+                plan.boxes(),
+                plan.nodes(),
+                verdict.virtualMs() / 1e3,
+                verdict.asked(),
+                verdict.served(),
+                verdict.refused(),
+                verdict.failed(),
+                verdict.digest());
+        out.println(
+                "1 seeds, " + verdict.steps() + " steps, " + verdict.breaches().size() + " broken rules");
         return verdict.breaches().isEmpty() ? 0 : 1;
     }
 
@@ -232,13 +258,20 @@
                 without.add(i);
             }
         }
-        Breach first = verdict.breaches().stream().filter(b -> b.rule() == rule).findFirst().orElseThrow();
-        out.println("seed " + seed + " still breaks with " + left.size() + " of " + plan.faults().size()
-                + " faults: " + first);
+        Breach first = verdict.breaches().stream()
+                .filter(b -> b.rule() == rule)
+                .findFirst()
+                .orElseThrow();
+        out.println("seed " + seed + " still breaks with " + left.size() + " of "
+                + plan.faults().size() + " faults: " + first);
         left.forEach(f -> out.println("  " + f));
         out.println("  play it again: java -jar target/kitemux.jar faults --seed " + seed + only()
-                + (without.isEmpty() ? "" : " --without "
-                + String.join(",", without.stream().map(String::valueOf).toList())));
+                + (without.isEmpty()
+                        ? ""
+                        : " --without "
+                                + String.join(
+                                        ",",
+                                        without.stream().map(String::valueOf).toList())));
         return left.stream().map(Fault::toString).toList();
     }
 }
--- a/src/main/java/kitemux/world/Judge.java
+++ b/src/main/java/kitemux/world/Judge.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
@@ -35,6 +34,7 @@
     private static final long WITHHELD_US = 2_000_000;
     /** After a request's time its final answer is not lost for so long, by the same. */
     private static final long LAST_ANSWER_US = 500_000;
+
     private static final int MOST_BREACHES = 20;
 
     private final Scheduler time;
@@ -42,10 +42,12 @@
     private final Settings settings;
     /** By how much more a node of this world may be late. */
     final long moreGraceNanos;
+
     private final List<Breach> breaches = new ArrayList<>();
     private final Map<String, Ask> asks = new HashMap<>();
     /** Attempts that are with servers and whose answer is not at the node's machine yet. */
     private final List<Ask.Run> out = new ArrayList<>();
+
     int served;
     int refused;
     int failed;
@@ -141,20 +143,23 @@
             return heardAt + (WITHHELD_US + LONGER_US) * 1_000;
         }
         long stoppedAt = ask.runs.stream().mapToLong(run -> run.stoppedAt).max().orElse(-1);
-        return Math.max(ask.sentAt + (ask.remainingUs + LAST_ANSWER_US) * 1_000,
-                (stoppedAt < 0 ? heardAt : stoppedAt) + WITHHELD_US * 1_000) + LONGER_US * 1_000;
+        return Math.max(
+                        ask.sentAt + (ask.remainingUs + LAST_ANSWER_US) * 1_000,
+                        (stoppedAt < 0 ? heardAt : stoppedAt) + WITHHELD_US * 1_000)
+                + LONGER_US * 1_000;
     }
 
     /** A long answer has stood for longer than it may. */
     void stands(Ask ask, long heardAt) {
-        breach(Rule.LONG_ANSWERS, ask + (ask.given() != null ? " is withheld since " : " has no end since ")
-                + (time.now() - heardAt) / 1_000_000 + " ms");
+        breach(
+                Rule.LONG_ANSWERS,
+                ask + (ask.given() != null ? " is withheld since " : " has no end since ")
+                        + (time.now() - heardAt) / 1_000_000 + " ms");
     }
 
     private void checkRefusal(Ask ask, Ask.Run run) {
         RequestClass cls = ask.cls;
-        boolean harmless = cls.repeat() == Repeat.SAFE
-                || cls.repeat() == Repeat.KEYED && cls.group() == Group.ALL;
+        boolean harmless = cls.repeat() == Repeat.SAFE || cls.repeat() == Repeat.KEYED && cls.group() == Group.ALL;
         if (!harmless && run.mayHaveRun(ask.answerSentAt)) {
             breach(Rule.EFFECTS, ask + " was refused though it may have run at " + run.box);
         }
@@ -174,7 +179,8 @@
             breach(Rule.UNCHANGED, "a server was asked for " + request.start() + " that no client sent");
             return null;
         }
-        if (!request.start().equals(ask.what + " HTTP/1.1") || !Arrays.equals(request.body(), ask.body)
+        if (!request.start().equals(ask.what + " HTTP/1.1")
+                || !Arrays.equals(request.body(), ask.body)
                 || !Objects.equals(ask.idempotencyKey, request.header("idempotency-key"))) {
             breach(Rule.UNCHANGED, ask + " came to a server changed: " + request.start());
         }
@@ -188,8 +194,10 @@
             breach(Rule.ANSWERED, ask + " was sent to " + run.box + " after its final answer");
         }
         if (ask.leftAt >= 0 && run.sentAt - ask.leftAt > (LEFT_US + LONGER_US) * 1_000) {
-            breach(Rule.GONE, ask + " was sent to " + run.box + " " + (run.sentAt - ask.leftAt) / 1_000_000
-                    + " ms after its client had left");
+            breach(
+                    Rule.GONE,
+                    ask + " was sent to " + run.box + " " + (run.sentAt - ask.leftAt) / 1_000_000
+                            + " ms after its client had left");
         }
         if (ask.status == 429 || ask.status == 503) {
             checkRefusal(ask, run);
@@ -202,26 +210,30 @@
                 continue;
             }
             if (cls.repeat() == Repeat.UNSAFE) {
-                breach(Rule.EFFECTS, ask + " was sent to " + run.box + " though it may have run at "
-                        + earlier.box);
-            } else if (cls.repeat() == Repeat.KEYED && cls.group() == Group.CELL
-                    && earlier.box.cell != run.box.cell) {
-                breach(Rule.EFFECTS, ask + " was repeated at " + run.box + ", outside the group of "
-                        + earlier.box);
+                breach(Rule.EFFECTS, ask + " was sent to " + run.box + " though it may have run at " + earlier.box);
+            } else if (cls.repeat() == Repeat.KEYED && cls.group() == Group.CELL && earlier.box.cell != run.box.cell) {
+                breach(Rule.EFFECTS, ask + " was repeated at " + run.box + ", outside the group of " + earlier.box);
             } else if (cls.repeat() == Repeat.KEYED
                     && run.sentAt - earlier.sentAt > (cls.windowUs() + LONGER_US) * 1_000) {
-                breach(Rule.EFFECTS, ask + " was repeated " + (run.sentAt - earlier.sentAt) / 1_000_000
-                        + " ms after it was sent to " + earlier.box);
+                breach(
+                        Rule.EFFECTS,
+                        ask + " was repeated " + (run.sentAt - earlier.sentAt) / 1_000_000 + " ms after it was sent to "
+                                + earlier.box);
             }
-            if (!settings.secondCopies && !earlier.answerHeard && !earlier.end.peer.closed
-                    && !earlier.end.peer.resetIn && !earlier.end.closed) {
+            if (!settings.secondCopies
+                    && !earlier.answerHeard
+                    && !earlier.end.peer.closed
+                    && !earlier.end.peer.resetIn
+                    && !earlier.end.closed) {
                 breach(Rule.EFFECTS, ask + " was at " + earlier.box + " and " + run.box + " at once");
             }
         }
         Long told = from.toldGone(run.box.uid);
         if (told != null && run.sentAt > told + (settings.drainGraceUs + LONGER_US) * 1_000) {
-            breach(Rule.DRAINS, ask + " was sent to " + run.box + " " + (run.sentAt - told) / 1_000_000
-                    + " ms after " + from + " was told that it drains or has gone");
+            breach(
+                    Rule.DRAINS,
+                    ask + " was sent to " + run.box + " " + (run.sentAt - told) / 1_000_000 + " ms after " + from
+                            + " was told that it drains or has gone");
         }
         ask.runs.add(run);
         out.add(run);
@@ -236,9 +248,11 @@
     boolean fallsOver(Box box, ColdWork sent, double workUs, boolean fromTold, double allowedUs) {
         ColdWork.Verdict verdict = sent.came(time.nowUs(), workUs, fromTold, allowedUs);
         if (verdict == ColdWork.Verdict.PUSHED_OVER) {
-            breach(Rule.COLD, box + " was sent " + Math.round(sent.requests()) + " requests in "
-                    + settings.fallUs / 1_000 + " ms, in which it may get "
-                    + Math.round(allowedUs / Clients.meanWorkUs()));
+            breach(
+                    Rule.COLD,
+                    box + " was sent " + Math.round(sent.requests()) + " requests in "
+                            + settings.fallUs / 1_000 + " ms, in which it may get "
+                            + Math.round(allowedUs / Clients.meanWorkUs()));
         }
         return verdict != ColdWork.Verdict.STANDS;
     }
@@ -247,8 +261,8 @@
 
     /** Attempts of a node that are with servers, unanswered, on connections that its process has open. */
     int outOf(Machine node) {
-        out.removeIf(run -> run.answerHeard || run.end.closed || run.end.resetIn || run.end.peer.closed
-                || run.end.peer.resetIn);
+        out.removeIf(run ->
+                run.answerHeard || run.end.closed || run.end.resetIn || run.end.peer.closed || run.end.peer.resetIn);
         int count = 0;
         for (Ask.Run run : out) {
             count += run.end.peer.machine == node ? 1 : 0;
--- a/src/main/java/kitemux/world/ListServer.java
+++ b/src/main/java/kitemux/world/ListServer.java
@@ -21,6 +21,7 @@
     private final List<Version> versions = new ArrayList<>();
     /** Which of them is told as the newest: an older one while it is behind. */
     private int shown;
+
     private boolean behind;
     private final Set<Watch> watches = new LinkedHashSet<>();
     private boolean up = true;
@@ -30,13 +31,13 @@
         String json() {
             return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + endpoint
                     + "\",\"az\":\"amman-room\",\"model\":\"std-box\",\"pod_group\":" + cell
-                            + ",\"state\":\"" + state
+                    + ",\"state\":\"" + state
                     + "\",\"capacity_hint\":1.0,\"boot_ms\":" + bootMs + "}";
         }
     }
 
     /** The list at one time. */
-    private record Version(long rev, Map<String, Entry> entries) { }
+    private record Version(long rev, Map<String, Entry> entries) {}
 
     ListServer(World world, Machine machine, long firstRev, List<Entry> entries) {
         this.world = world;
@@ -180,15 +181,16 @@
         }
 
         private void write(String text, Runnable whenHeard) {
-            end.write(Messages.bytes(Integer.toHexString(text.length()).toLowerCase(Locale.ROOT) + "\r\n"
-                    + text
-                    + "\r\n"), whenHeard);
+            end.write(
+                    Messages.bytes(
+                            Integer.toHexString(text.length()).toLowerCase(Locale.ROOT) + "\r\n" + text + "\r\n"),
+                    whenHeard);
         }
 
         private void beat() {
             world.time.afterMs(BEAT_MS, () -> {
                 if (watches.contains(this) && !end.closed && up) {
-                    write("\n", () -> { });
+                    write("\n", () -> {});
                     beat();
                 }
             });
--- a/src/main/java/kitemux/world/Messages.java
+++ b/src/main/java/kitemux/world/Messages.java
@@ -27,8 +27,7 @@
      * @param firstSentAt when its first byte was written
      * @param lastSentAt when its last byte was written
      */
-    record Message(String start, Map<String, String> headers, byte[] body, long firstSentAt,
-            long lastSentAt) {
+    record Message(String start, Map<String, String> headers, byte[] body, long firstSentAt, long lastSentAt) {
         String header(String name) {
             return headers.get(name);
         }
@@ -37,7 +36,8 @@
         int status() {
             String[] parts = start.split(" ");
             return parts.length > 1 && parts[0].equals("HTTP/1.1") && parts[1].matches("[0-9]{3}")
-                    ? Integer.parseInt(parts[1]) : -1;
+                    ? Integer.parseInt(parts[1])
+                    : -1;
         }
 
         boolean isLast() {
@@ -115,7 +115,8 @@
             if (colon <= 0) {
                 throw new IllegalArgumentException("no header: " + lines[i]);
             }
-            headers.put(lines[i].substring(0, colon).toLowerCase(Locale.ROOT),
+            headers.put(
+                    lines[i].substring(0, colon).toLowerCase(Locale.ROOT),
                     lines[i].substring(colon + 1).strip());
         }
         begun = new Message(lines[0], headers, null, 0, 0);
