--- a/src/main/java/kitemux/world/NodeHost.java
+++ b/src/main/java/kitemux/world/NodeHost.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.SplittableRandom;
-
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.Balancer.Settings;
@@ -29,6 +28,7 @@
 final class NodeHost {
     /** What a turn costs, and what each thing done in it adds: a node on a part of a core. */
     private static final long TURN_NS = 20_000;
+
     private static final long THING_NS = 30_000;
     private static final long LATENESS_NS = 40_000;
 
@@ -51,18 +51,27 @@
     private long inTurnUntil;
     /** When it stood still: begin and end of each time, which do not overlap. */
     private final List<long[]> stalls = new ArrayList<>();
+
     private Scheduler.Event turn;
     private long turnAt;
 
     /** What the process was last told of each server, and the version that said so at its place. */
     private Map<String, ListServer.Entry> known = new LinkedHashMap<>();
+
     private long knownRev;
     private ListServer knownFrom;
     /** When the process was told that a server drains or has gone, in nanoseconds. */
     private final Map<String, Long> gone = new HashMap<>();
 
-    NodeHost(World world, Settings settings, SplittableRandom random, Machine machine, ListServer listServer,
-            int sockets, long rev, List<ListServer.Entry> entries) {
+    NodeHost(
+            World world,
+            Settings settings,
+            SplittableRandom random,
+            Machine machine,
+            ListServer listServer,
+            int sockets,
+            long rev,
+            List<ListServer.Entry> entries) {
         this.world = world;
         this.settings = settings;
         this.random = random;
@@ -93,8 +102,8 @@
         List<HostList.Host> hosts = new ArrayList<>();
         for (ListServer.Entry e : known.values()) {
             ServerState state = e.state().equals("Ready") ? ServerState.READY : ServerState.DRAINING;
-            hosts.add(new HostList.Host(new ServerEntry(e.uid(), 0, e.cell(), state, 1, e.bootMs() * 1_000),
-                    Fabric.address(e.endpoint())));
+            hosts.add(new HostList.Host(
+                    new ServerEntry(e.uid(), 0, e.cell(), state, 1, e.bootMs() * 1_000), Fabric.address(e.endpoint())));
             if (state == ServerState.DRAINING) {
                 gone.put(e.uid(), world.time.now());
             }
@@ -102,15 +111,23 @@
         NodeConfig config = config(new HostList(knownRev, true, hosts));
         loop = new WorldLoop(world.time, machine, new Random(random.nextLong()));
         network = new WorldNetwork(world.fabric, machine, loop, this::soon, world.defect);
-        Node.Parts parts = new Node.Parts(network, LoopTime.startingAt(loop, world.unixUs()),
-                new TapeLog(), Observer.NONE, ConnectionObserver.NONE,
+        Node.Parts parts = new Node.Parts(
+                network,
+                LoopTime.startingAt(loop, world.unixUs()),
+                new TapeLog(),
+                Observer.NONE,
+                ConnectionObserver.NONE,
                 new DiskGate(loop, world.time, settings, world.plan.seed()),
                 actions -> {
-                    checked = new Checked(world.judge, world.tape, actions,
-                            world.defect.module(asked -> new ServiceQBalancer(
-                                    world.defect.settings(settings), config.seed(), asked)));
+                    checked = new Checked(
+                            world.judge,
+                            world.tape,
+                            actions,
+                            world.defect.module(asked ->
+                                    new ServiceQBalancer(world.defect.settings(settings), config.seed(), asked)));
                     return world.defect.told(checked);
-                }, world.defect::transport);
+                },
+                world.defect::transport);
         node = new Node(config, loop, parts);
         node.start();
         busyUntil = 0;
@@ -121,8 +138,16 @@
     }
 
     private NodeConfig config(HostList list) {
-        return new NodeConfig(machine.address, null, listServer.machine.address, random.nextLong(), sockets,
-                settings.connectTimeoutUs * 1_200, Path.of(""), list, settings);
+        return new NodeConfig(
+                machine.address,
+                null,
+                listServer.machine.address,
+                random.nextLong(),
+                sockets,
+                settings.connectTimeoutUs * 1_200,
+                Path.of(""),
+                list,
+                settings);
     }
 
     /** It is killed. */
@@ -153,12 +178,14 @@
         world.nodeNote(this, "is told to end");
         draining = true;
         int of = process;
-        node.drain(false, () -> world.time.afterUs(1, () -> {
-            if (of == process) {
-                world.nodeNote(this, "has ended");
-                end();
-            }
-        }));
+        node.drain(
+                false,
+                () -> world.time.afterUs(1, () -> {
+                    if (of == process) {
+                        world.nodeNote(this, "has ended");
+                        end();
+                    }
+                }));
         soon();
         world.time.afterMs(killAfterMs, () -> {
             if (of == process) {
@@ -262,8 +289,12 @@
         }
         world.tape.note(Tape.What.TOLD, machine.number, rev);
         if (world.tape.isOn()) {
-            world.tape.line(Tape.What.TOLD, this + " by " + from + " rev " + rev + (all ? " all " : " ")
-                    + entries.stream().map(e -> e.uid() + "=" + e.state()).toList());
+            world.tape.line(
+                    Tape.What.TOLD,
+                    this + " by " + from + " rev " + rev + (all ? " all " : " ")
+                            + entries.stream()
+                                    .map(e -> e.uid() + "=" + e.state())
+                                    .toList());
         }
         if (from == knownFrom && rev < knownRev) {
             // What it has been told since is not taken back by this.
@@ -315,17 +346,18 @@
         int believed = node.engine().outstandingCount();
         int out = world.judge.outOf(machine);
         if (out > believed) {
-            world.judge.breach(Rule.FLIGHT, this + " has " + out + " attempts out and believes in "
-                    + believed);
+            world.judge.breach(Rule.FLIGHT, this + " has " + out + " attempts out and believes in " + believed);
         }
         if (checked.inFlight() > believed) {
-            world.judge.breach(Rule.ENDS, this + " has told its module of " + checked.inFlight()
-                    + " attempts in flight and believes in " + believed);
+            world.judge.breach(
+                    Rule.ENDS,
+                    this + " has told its module of " + checked.inFlight() + " attempts in flight and believes in "
+                            + believed);
         }
         if (node.openSockets() > network.openCount()) {
-            world.judge.breach(Rule.LEFT_OVER, this + " counts " + node.openSockets()
-                    + " open sockets and has "
-                    + network.openCount());
+            world.judge.breach(
+                    Rule.LEFT_OVER,
+                    this + " counts " + node.openSockets() + " open sockets and has " + network.openCount());
         }
     }
 
@@ -337,8 +369,9 @@
         }
         check();
         if (node.engine().heldCount() > 0 || checked.inFlight() > 0) {
-            world.judge.breach(Rule.LEFT_OVER, this + " holds " + node.engine().heldCount() + " requests and "
-                    + checked.inFlight() + " attempts");
+            world.judge.breach(
+                    Rule.LEFT_OVER,
+                    this + " holds " + node.engine().heldCount() + " requests and " + checked.inFlight() + " attempts");
         }
         node.close();
         for (int i = 0; i < 8; i++) {
@@ -372,8 +405,9 @@
         @Override
         public void error(String what, Throwable cause) {
             StackTraceElement[] stack = cause.getStackTrace();
-            world.judge.breach(Rule.CRASH, NodeHost.this + ": " + what + ": " + cause
-                    + (stack.length > 0 ? " at " + stack[0] : ""));
+            world.judge.breach(
+                    Rule.CRASH,
+                    NodeHost.this + ": " + what + ": " + cause + (stack.length > 0 ? " at " + stack[0] : ""));
         }
     }
 
--- a/src/main/java/kitemux/world/Plan.java
+++ b/src/main/java/kitemux/world/Plan.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-
 import kitemux.Balancer.Group;
 import kitemux.world.Fault.Kind;
 
@@ -25,9 +24,24 @@
  * @param wholeLists whether discovery always answers with the whole list first
  * @param startMs how long a node takes to start
  */
-record Plan(long seed, int boxes, int nodes, int cells, long lengthMs, int requests, double load, double rude,
-        double leaving, boolean chokes, boolean secondCopies, Group group, long windowUs, int sockets,
-        boolean wholeLists, long startMs, List<Fault> faults) {
+record Plan(
+        long seed,
+        int boxes,
+        int nodes,
+        int cells,
+        long lengthMs,
+        int requests,
+        double load,
+        double rude,
+        double leaving,
+        boolean chokes,
+        boolean secondCopies,
+        Group group,
+        long windowUs,
+        int sockets,
+        boolean wholeLists,
+        long startMs,
+        List<Fault> faults) {
 
     /** How long each kind lasts, in milliseconds: from and to. */
     private static final Map<Kind, long[]> LENGTHS = new EnumMap<>(Map.ofEntries(
@@ -67,8 +81,7 @@
     static Plan draw(long seed) {
         SplittableRandom random = new SplittableRandom(Tape.mix(seed));
         int boxes = 3 + random.nextInt(6);
-        double load = random.nextInt(6) == 0 ? 0.9 + 0.4 * random.nextDouble() : 0.35
-                + 0.45 * random.nextDouble();
+        double load = random.nextInt(6) == 0 ? 0.9 + 0.4 * random.nextDouble() : 0.35 + 0.45 * random.nextDouble();
         int requests = 150 + random.nextInt(450);
         long lengthMs = (long) (requests / (boxes * World.SERVED_PER_S * load) * 1_000);
         lengthMs = Math.max(5_000, Math.min(20_000, lengthMs));
@@ -79,12 +92,24 @@
         for (int i = 0; i < count; i++) {
             faults.add(fault(kinds[random.nextInt(Kind.NODE_SLOW.ordinal())], lengthMs, random));
         }
-        return new Plan(seed, boxes, 1 + random.nextInt(3), 1 + random.nextInt(3), lengthMs, requests, load,
+        return new Plan(
+                seed,
+                boxes,
+                1 + random.nextInt(3),
+                1 + random.nextInt(3),
+                lengthMs,
+                requests,
+                load,
                 random.nextInt(3) == 0 ? 0.3 * random.nextDouble() : 0,
-                random.nextInt(2) == 0 ? 0.2 * random.nextDouble() : 0.01, random.nextInt(3) == 0,
-                random.nextInt(4) != 0, random.nextInt(4) == 0 ? Group.ALL : Group.CELL,
-                random.nextInt(4) == 0 ? 60_000 : 1_200_000, random.nextInt(8) == 0 ? 160 : 384,
-                random.nextInt(4) == 0, 600 + random.nextInt(2_000), List.copyOf(faults));
+                random.nextInt(2) == 0 ? 0.2 * random.nextDouble() : 0.01,
+                random.nextInt(3) == 0,
+                random.nextInt(4) != 0,
+                random.nextInt(4) == 0 ? Group.ALL : Group.CELL,
+                random.nextInt(4) == 0 ? 60_000 : 1_200_000,
+                random.nextInt(8) == 0 ? 160 : 384,
+                random.nextInt(4) == 0,
+                600 + random.nextInt(2_000),
+                List.copyOf(faults));
     }
 
     static Fault fault(Kind kind, long lengthMs, SplittableRandom random) {
@@ -92,14 +117,33 @@
         long forMs = length[0] + random.nextInt((int) (length[1] - length[0] + 1));
         // A day is shorter here than there, and an end of a trouble is worth seeing as well.
         forMs = random.nextBoolean() ? Math.max(100, forMs / 5) : forMs;
-        return new Fault(kind, (long) (lengthMs * (0.05 + 0.8 * random.nextDouble())), forMs,
-                mostShare(kind) * random.nextDouble(), random.nextDouble());
+        return new Fault(
+                kind,
+                (long) (lengthMs * (0.05 + 0.8 * random.nextDouble())),
+                forMs,
+                mostShare(kind) * random.nextDouble(),
+                random.nextDouble());
     }
 
     Plan with(List<Fault> others) {
-        return new Plan(seed, boxes, nodes, cells, lengthMs, requests, load, rude, leaving, chokes,
+        return new Plan(
+                seed,
+                boxes,
+                nodes,
+                cells,
+                lengthMs,
+                requests,
+                load,
+                rude,
+                leaving,
+                chokes,
                 secondCopies,
-                group, windowUs, sockets, wholeLists, startMs, List.copyOf(others));
+                group,
+                windowUs,
+                sockets,
+                wholeLists,
+                startMs,
+                List.copyOf(others));
     }
 
     /** The same with so many nodes. */
@@ -109,8 +153,23 @@
 
     /** The same, asked and served otherwise. */
     Plan like(int nodeCount, double leavingShare, boolean copies, Group keyedGroup, long keyedWindowUs) {
-        return new Plan(seed, boxes, nodeCount, cells, lengthMs, requests, load, rude, leavingShare,
-                chokes, copies,
-                keyedGroup, keyedWindowUs, sockets, wholeLists, startMs, faults);
+        return new Plan(
+                seed,
+                boxes,
+                nodeCount,
+                cells,
+                lengthMs,
+                requests,
+                load,
+                rude,
+                leavingShare,
+                chokes,
+                copies,
+                keyedGroup,
+                keyedWindowUs,
+                sockets,
+                wholeLists,
+                startMs,
+                faults);
     }
 }
--- a/src/main/java/kitemux/world/Scenario.java
+++ b/src/main/java/kitemux/world/Scenario.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
-
 import kitemux.Balancer.Group;
 import kitemux.world.Fault.Kind;
 
@@ -32,9 +31,17 @@
             SplittableRandom random = random(seed);
             long at = plan.lengthMs() / 4;
             return plan.with(List.of(
-                    new Fault(random.nextBoolean() ? Kind.NODE_KILLED : Kind.NODE_TERMINATED, at,
-                            200 + random.nextInt(1_500), 1, random.nextDouble()),
-                    new Fault(Kind.BOXES_DIE, at + random.nextInt(2_000), 500 + random.nextInt(2_000), 0.22,
+                    new Fault(
+                            random.nextBoolean() ? Kind.NODE_KILLED : Kind.NODE_TERMINATED,
+                            at,
+                            200 + random.nextInt(1_500),
+                            1,
+                            random.nextDouble()),
+                    new Fault(
+                            Kind.BOXES_DIE,
+                            at + random.nextInt(2_000),
+                            500 + random.nextInt(2_000),
+                            0.22,
                             random.nextDouble())));
         }
     },
@@ -47,8 +54,12 @@
             long at = plan.lengthMs() / 4;
             return plan.with(List.of(
                     new Fault(Kind.NODE_TERMINATED, at, 100 + random.nextInt(400), 1, 0),
-                    new Fault(Kind.NODE_TERMINATED, at + random.nextInt((int) plan.startMs()),
-                            100 + random.nextInt(400), 1, 0.9)));
+                    new Fault(
+                            Kind.NODE_TERMINATED,
+                            at + random.nextInt((int) plan.startMs()),
+                            100 + random.nextInt(400),
+                            1,
+                            0.9)));
         }
     },
     /** The only node ends in good order, and later with none. */
@@ -70,8 +81,7 @@
             SplittableRandom random = random(seed);
             long at = plan.lengthMs() / 4;
             return plan.with(List.of(
-                    new Fault(Kind.LIST_DOWN, at - 500, 1_000 + random.nextInt(4_000), 0.9,
-                            random.nextDouble()),
+                    new Fault(Kind.LIST_DOWN, at - 500, 1_000 + random.nextInt(4_000), 0.9, random.nextDouble()),
                     new Fault(Kind.NODE_KILLED, at, 200 + random.nextInt(800), 1, random.nextDouble()),
                     new Fault(Kind.BOXES_DIE, at - 300, plan.lengthMs(), 0.22, random.nextDouble()),
                     new Fault(Kind.BOX_DRAINS, at + 100, 8_000, 1, random.nextDouble())));
@@ -85,8 +95,12 @@
             SplittableRandom random = random(seed);
             long at = plan.lengthMs() / 4;
             return plan.with(List.of(
-                    new Fault(random.nextBoolean() ? Kind.NODE_KILLED : Kind.NODE_TERMINATED, at,
-                            200 + random.nextInt(800), 1, random.nextDouble()),
+                    new Fault(
+                            random.nextBoolean() ? Kind.NODE_KILLED : Kind.NODE_TERMINATED,
+                            at,
+                            200 + random.nextInt(800),
+                            1,
+                            random.nextDouble()),
                     new Fault(Kind.BURST, at - 200, 1_000 + plan.startMs(), 1, 0),
                     new Fault(Kind.NODE_STALLS, at + plan.startMs(), 1_500, 0.5, 0)));
         }
@@ -97,9 +111,8 @@
         Plan plan(long seed) {
             Plan plan = Plan.draw(seed);
             SplittableRandom random = random(seed);
-            return plan.with(List.of(new Fault(Kind.BOXES_RESET, 500, plan.lengthMs(),
-                    0.2 + random.nextDouble() / 2,
-                    random.nextDouble())));
+            return plan.with(List.of(new Fault(
+                    Kind.BOXES_RESET, 500, plan.lengthMs(), 0.2 + random.nextDouble() / 2, random.nextDouble())));
         }
     },
     /** Servers drain while attempts wait for a connection to them. */
@@ -112,8 +125,12 @@
             faults.add(new Fault(Kind.NET_HANGS, 100, plan.lengthMs(), 0.5, 0));
             faults.add(new Fault(Kind.NET_BREAKS, 100, plan.lengthMs(), 0.5, 0));
             for (int i = 0; i < 4; i++) {
-                faults.add(new Fault(Kind.BOX_DRAINS, 500 + random.nextInt((int) plan.lengthMs() / 2),
-                        1_000 + random.nextInt(3_000), 1, random.nextDouble()));
+                faults.add(new Fault(
+                        Kind.BOX_DRAINS,
+                        500 + random.nextInt((int) plan.lengthMs() / 2),
+                        1_000 + random.nextInt(3_000),
+                        1,
+                        random.nextDouble()));
             }
             return plan.with(faults);
         }
@@ -124,12 +141,17 @@
         Plan plan(long seed) {
             Plan plan = Plan.draw(seed);
             SplittableRandom random = random(seed);
-            return plan.like(plan.nodes(), plan.leaving(), random.nextBoolean(), Group.CELL,
-                    20_000 + random.nextInt(120_000)).with(List.of(
-                    new Fault(Kind.BOXES_SLOW, 200, plan.lengthMs(), 0.4, random.nextDouble()),
-                    new Fault(Kind.BOXES_SILENT, 1_000, 6_000, 0.18, random.nextDouble()),
-                    new Fault(Kind.BOXES_RESET, 500, plan.lengthMs(), 0.3, random.nextDouble()),
-                    new Fault(Kind.BOXES_FAIL, 500, plan.lengthMs(), 0.2, random.nextDouble())));
+            return plan.like(
+                            plan.nodes(),
+                            plan.leaving(),
+                            random.nextBoolean(),
+                            Group.CELL,
+                            20_000 + random.nextInt(120_000))
+                    .with(List.of(
+                            new Fault(Kind.BOXES_SLOW, 200, plan.lengthMs(), 0.4, random.nextDouble()),
+                            new Fault(Kind.BOXES_SILENT, 1_000, 6_000, 0.18, random.nextDouble()),
+                            new Fault(Kind.BOXES_RESET, 500, plan.lengthMs(), 0.3, random.nextDouble()),
+                            new Fault(Kind.BOXES_FAIL, 500, plan.lengthMs(), 0.2, random.nextDouble())));
         }
     },
     /** Answers come in the same turn as deadlines, clients' leaving and the word to end. */
@@ -142,8 +164,8 @@
             faults.add(new Fault(Kind.NODE_STALLS, 300, plan.lengthMs(), 0.3 + random.nextDouble() / 2, 0));
             faults.add(new Fault(Kind.BOXES_SLOW, 300, plan.lengthMs(), 0.4, random.nextDouble()));
             faults.add(new Fault(Kind.NODE_TERMINATED, plan.lengthMs() / 3, 500, 1, random.nextDouble()));
-            return plan.like(plan.nodes(), 0.3, plan.secondCopies(), plan.group(),
-                    plan.windowUs()).with(faults);
+            return plan.like(plan.nodes(), 0.3, plan.secondCopies(), plan.group(), plan.windowUs())
+                    .with(faults);
         }
     },
     /** Discovery tells an old list after a newer one, while servers drain. */
@@ -157,8 +179,7 @@
             for (int i = 0; i < 3; i++) {
                 faults.add(new Fault(Kind.BOX_DRAINS, at + 700L * i, 8_000, 1, random.nextDouble()));
             }
-            faults.add(new Fault(Kind.LIST_DOWN, at + 2_500, 300 + random.nextInt(1_000), 0.9,
-                    random.nextDouble()));
+            faults.add(new Fault(Kind.LIST_DOWN, at + 2_500, 300 + random.nextInt(1_000), 0.9, random.nextDouble()));
             return plan.with(faults);
         }
     },
@@ -168,8 +189,8 @@
         Plan plan(long seed) {
             Plan plan = Plan.draw(seed);
             SplittableRandom random = random(seed);
-            return plan.with(List.of(new Fault(Kind.ALL_SILENT, 1_000 + random.nextInt(1_000),
-                    500 + random.nextInt(2_500), 1, 0)));
+            return plan.with(List.of(
+                    new Fault(Kind.ALL_SILENT, 1_000 + random.nextInt(1_000), 500 + random.nextInt(2_500), 1, 0)));
         }
     },
     /** A node is a tenth of a second behind on its own loop. */
@@ -207,8 +228,8 @@
             SplittableRandom random = random(seed);
             List<Fault> faults = new ArrayList<>();
             for (long at = 700; at < plan.lengthMs() - 1_500; at += 1_500 + random.nextInt(1_500)) {
-                faults.add(new Fault(Kind.NODE_SLOW, at, 1_000 + random.nextInt(500), random.nextDouble(),
-                        random.nextDouble()));
+                faults.add(new Fault(
+                        Kind.NODE_SLOW, at, 1_000 + random.nextInt(500), random.nextDouble(), random.nextDouble()));
                 faults.add(new Fault(Kind.BURST, at - 200, 600, random.nextDouble() / 2, 0));
             }
             return plan.with(faults);
--- a/src/main/java/kitemux/world/Tape.java
+++ b/src/main/java/kitemux/world/Tape.java
@@ -2,7 +2,6 @@
 
 import java.io.PrintWriter;
 import java.util.Locale;
-
 import kitemux.sim.Scheduler;
 
 /** What happened, as a digest always and as lines on request. Both tell two runs apart in the same places. */
@@ -13,9 +12,25 @@
 
     /** What a line is about; each has a place in the digest by its number. */
     enum What {
-        CONNECT, OPEN, ACCEPT, REFUSED, DATA, END, RESET, ASK, ANSWER, LEAVE, ATTEMPT, REPLY, TOLD, FAULT,
-                NODE,
-        SEND, OUTCOME, LOG, BREACH
+        CONNECT,
+        OPEN,
+        ACCEPT,
+        REFUSED,
+        DATA,
+        END,
+        RESET,
+        ASK,
+        ANSWER,
+        LEAVE,
+        ATTEMPT,
+        REPLY,
+        TOLD,
+        FAULT,
+        NODE,
+        SEND,
+        OUTCOME,
+        LOG,
+        BREACH
     }
 
     /** Lines go to the writer, unless it is null. */
--- a/src/main/java/kitemux/world/World.java
+++ b/src/main/java/kitemux/world/World.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
@@ -22,6 +21,7 @@
 final class World {
     /** First tries that a server of the brief's kinds serves in a second when it does nothing else. */
     static final double SERVED_PER_S = 38;
+
     private static final long UNIX_US = 1_790_000_000_000_000L;
     /** After the last request: every deadline has passed, and what is told late has been told. */
     private static final long SETTLE_MS = 4_000;
@@ -29,6 +29,7 @@
     private static final long KILL_AFTER_MS = 3_700;
     /** How long a node that turns slow has no processor at all: at least, and what comes on top at most. */
     private static final long NO_PROCESSOR_MS = 200;
+
     private static final long MORE_NO_PROCESSOR_MS = 345;
     /**
      * What each thing costs it from then on: cold code on a part of a core. More, and refusing alone
@@ -62,8 +63,16 @@
      * @param digest of all that happened
      * @param served tries that were served, and so on
      */
-    record Verdict(Plan plan, long steps, double virtualMs, long digest, int asked, int served, int refused,
-            int failed, List<Breach> breaches) { }
+    record Verdict(
+            Plan plan,
+            long steps,
+            double virtualMs,
+            long digest,
+            int asked,
+            int served,
+            int refused,
+            int failed,
+            List<Breach> breaches) {}
 
     /**
      * What nodes are told beside what holds: a description may say of a class what its owner did not mean.
@@ -72,7 +81,7 @@
      * @param truth by which servers and clients act and nodes are judged
      * @param draining servers of these numbers drain from the beginning, and nodes are told so
      */
-    record Terms(Settings told, Settings truth, Set<Integer> draining) { }
+    record Terms(Settings told, Settings truth, Set<Integer> draining) {}
 
     private World(Plan plan, Terms terms, Defect defect, PrintWriter trace) {
         this.plan = plan;
@@ -86,23 +95,34 @@
         chance = random("faults");
         SplittableRandom fleet = random("fleet");
         for (int i = 0; i < plan.boxes(); i++) {
-            double speed = fleet.nextDouble() < 0.48 ? 0.85 + 0.25 * fleet.nextDouble()
-                    : 0.64 + 0.22 * fleet.nextDouble();
-            boxes.add(new Box(this, settings, random("box" + i),
-                    fabric.add("b" + i, 100 + i, "10.1.0." + (i + 1) + ":8000"), i % plan.cells(), speed,
+            double speed =
+                    fleet.nextDouble() < 0.48 ? 0.85 + 0.25 * fleet.nextDouble() : 0.64 + 0.22 * fleet.nextDouble();
+            boxes.add(new Box(
+                    this,
+                    settings,
+                    random("box" + i),
+                    fabric.add("b" + i, 100 + i, "10.1.0." + (i + 1) + ":8000"),
+                    i % plan.cells(),
+                    speed,
                     plan.chokes()));
         }
         terms.draining().forEach(number -> boxes.get(number).draining = true);
-        List<ListServer.Entry> entries = boxes.stream().map(b ->
-                entry(b, b.draining ? "Terminating" : "Ready"))
+        List<ListServer.Entry> entries = boxes.stream()
+                .map(b -> entry(b, b.draining ? "Terminating" : "Ready"))
                 .toList();
         lists.add(new ListServer(this, fabric.add("discovery", 50, "10.2.0.1:8500"), 41, entries));
         lists.add(new ListServer(this, fabric.add("discovery2", 51, "10.2.0.2:8500"), 7, entries));
-        clients = new Clients(this, plan, settings, random("clients"),
-                fabric.add("clients", 1, "10.3.0.1:1"));
+        clients = new Clients(this, plan, settings, random("clients"), fabric.add("clients", 1, "10.3.0.1:1"));
         for (int i = 0; i < plan.nodes(); i++) {
-            NodeHost node = new NodeHost(this, told, random("node" + i), fabric.add("n" + i, 10 + i,
-                    "10.0.0." + (i + 1) + ":8000"), lists.get(0), plan.sockets(), 41, entries);
+            NodeHost node = new NodeHost(
+                    this,
+                    told,
+                    random("node" + i),
+                    fabric.add("n" + i, 10 + i, "10.0.0." + (i + 1) + ":8000"),
+                    lists.get(0),
+                    plan.sockets(),
+                    41,
+                    entries);
             nodes.add(node);
             nodeByMachine.put(node.machine, node);
         }
@@ -124,12 +144,12 @@
         Settings set = new Settings();
         set.nodes = plan.nodes();
         set.zones.add("amman-room");
-        set.classes.add(new RequestClass("view-page", 100_000, 0, 500_000, 1, 0, Repeat.SAFE, Group.ALL,
-                5_000_000, false));
-        set.classes.add(new RequestClass("add-photo", 200_000, 0, 600_000, 5, 0, Repeat.KEYED, plan.group(),
-                plan.windowUs(), false));
-        set.classes.add(new RequestClass("place-order", 300_000, 0, 1_000_000, 5, 0, Repeat.UNSAFE, Group.ALL,
-                5_000_000, false));
+        set.classes.add(
+                new RequestClass("view-page", 100_000, 0, 500_000, 1, 0, Repeat.SAFE, Group.ALL, 5_000_000, false));
+        set.classes.add(new RequestClass(
+                "add-photo", 200_000, 0, 600_000, 5, 0, Repeat.KEYED, plan.group(), plan.windowUs(), false));
+        set.classes.add(new RequestClass(
+                "place-order", 300_000, 0, 1_000_000, 5, 0, Repeat.UNSAFE, Group.ALL, 5_000_000, false));
         double all = plan.boxes() * SERVED_PER_S;
         for (int i = 0; i < 3; i++) {
             set.tenants.add(new Tenant("school-" + (char) ('a' + i), all / 3));
@@ -209,20 +229,31 @@
             nodes.forEach(NodeHost::checkEnd);
             if (clients.openCount() > 0 && nodes.stream().noneMatch(NodeHost::isUp)) {
                 // Connections to nodes that run end with them; to others there must be none.
-                judge.breach(Rule.LEFT_OVER, clients.openCount()
-                        + " connections of clients are open to no node");
+                judge.breach(Rule.LEFT_OVER, clients.openCount() + " connections of clients are open to no node");
             }
         } catch (RuntimeException | AssertionError e) {
             StackTraceElement[] stack = e.getStackTrace();
             judge.breach(Rule.CRASH, e + (stack.length > 0 ? " at " + stack[0] : ""));
         }
-        return new Verdict(plan, time.steps(), time.now() / 1e6, tape.digest(), clients.asked(), judge.served,
-                judge.refused, judge.failed, List.copyOf(judge.breaches()));
+        return new Verdict(
+                plan,
+                time.steps(),
+                time.now() / 1e6,
+                tape.digest(),
+                clients.asked(),
+                judge.served,
+                judge.refused,
+                judge.failed,
+                List.copyOf(judge.breaches()));
     }
 
     private ListServer.Entry entry(Box box, String state) {
-        return new ListServer.Entry(box.uid, box.machine.address.getAddress().getHostAddress() + ":"
-                + box.machine.address.getPort(), box.cell, state, box.bootMs);
+        return new ListServer.Entry(
+                box.uid,
+                box.machine.address.getAddress().getHostAddress() + ":" + box.machine.address.getPort(),
+                box.cell,
+                state,
+                box.bootMs);
     }
 
     /** Discovery hears of it after a while, at each of its places for itself. */
@@ -241,26 +272,31 @@
             case BOXES_DIE -> some(fault).forEach(box -> down(box, false, fault.forMs()));
             case BOXES_SILENT -> some(fault).forEach(box -> down(box, true, fault.forMs()));
             case ALL_SILENT -> boxes.forEach(box -> down(box, true, fault.forMs()));
-            case BOXES_FAIL -> some(fault).forEach(box -> {
-                box.failing = 0.44 + 0.53 * fault.pick();
-                until(fault, () -> box.failing = 0);
-            });
-            case BOXES_SPOIL -> some(fault).forEach(box -> {
-                box.spoiling = 0.1 + 0.6 * fault.pick();
-                until(fault, () -> box.spoiling = 0);
-            });
-            case BOXES_RESET -> some(fault).forEach(box -> {
-                box.resetting = 0.1 + 0.8 * fault.pick();
-                until(fault, () -> box.resetting = 0);
-            });
-            case BOXES_GIVE_LONG -> some(fault).forEach(box -> {
-                box.givingLong = 0.05 + 0.25 * fault.pick();
-                until(fault, () -> box.givingLong = 0);
-            });
-            case BOXES_SLOW -> some(fault).forEach(box -> {
-                box.slowed = 2 + 1.5 * fault.pick();
-                until(fault, () -> box.slowed = 1);
-            });
+            case BOXES_FAIL ->
+                some(fault).forEach(box -> {
+                    box.failing = 0.44 + 0.53 * fault.pick();
+                    until(fault, () -> box.failing = 0);
+                });
+            case BOXES_SPOIL ->
+                some(fault).forEach(box -> {
+                    box.spoiling = 0.1 + 0.6 * fault.pick();
+                    until(fault, () -> box.spoiling = 0);
+                });
+            case BOXES_RESET ->
+                some(fault).forEach(box -> {
+                    box.resetting = 0.1 + 0.8 * fault.pick();
+                    until(fault, () -> box.resetting = 0);
+                });
+            case BOXES_GIVE_LONG ->
+                some(fault).forEach(box -> {
+                    box.givingLong = 0.05 + 0.25 * fault.pick();
+                    until(fault, () -> box.givingLong = 0);
+                });
+            case BOXES_SLOW ->
+                some(fault).forEach(box -> {
+                    box.slowed = 2 + 1.5 * fault.pick();
+                    until(fault, () -> box.slowed = 1);
+                });
             case BOX_DRAINS -> drain(boxes.get((int) (fault.pick() * boxes.size())), fault.forMs());
             case NODE_KILLED -> {
                 NodeHost node = node(fault);
@@ -295,8 +331,8 @@
             }
             case NODE_SLOW -> {
                 NodeHost node = node(fault);
-                node.slow(NO_PROCESSOR_MS + (long) (MORE_NO_PROCESSOR_MS * fault.share()),
-                        (long) (MOST_THING_NS * (0.2 + 0.8 * fault.pick())));
+                node.slow(NO_PROCESSOR_MS + (long) (MORE_NO_PROCESSOR_MS * fault.share()), (long)
+                        (MOST_THING_NS * (0.2 + 0.8 * fault.pick())));
                 until(fault, () -> node.slow(0, 0));
             }
             case BURST -> {
--- a/src/main/java/kitemux/world/WorldChannel.java
+++ b/src/main/java/kitemux/world/WorldChannel.java
@@ -1,11 +1,5 @@
 package kitemux.world;
 
-import java.io.IOException;
-import java.net.ConnectException;
-import java.net.SocketAddress;
-import java.nio.channels.ClosedChannelException;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.AbstractChannel;
 import io.netty.channel.Channel;
@@ -18,7 +12,11 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
-
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.SocketAddress;
+import java.nio.channels.ClosedChannelException;
+import java.util.concurrent.TimeUnit;
 import kitemux.net.QuietChannel;
 
 /**
@@ -116,12 +114,16 @@
             network.machine().does();
             attach(network.connect(to));
             int timeout = config.getConnectTimeoutMillis();
-            connectTimeout = eventLoop().schedule(() -> {
-                ChannelPromise late = connecting;
-                if (late != null && late.tryFailure(new ConnectTimeoutException("timed out: " + to))) {
-                    close(voidPromise());
-                }
-            }, timeout, TimeUnit.MILLISECONDS);
+            connectTimeout = eventLoop()
+                    .schedule(
+                            () -> {
+                                ChannelPromise late = connecting;
+                                if (late != null && late.tryFailure(new ConnectTimeoutException("timed out: " + to))) {
+                                    close(voidPromise());
+                                }
+                            },
+                            timeout,
+                            TimeUnit.MILLISECONDS);
         }
 
         void finishConnect() {
--- a/src/main/java/kitemux/world/WorldListener.java
+++ b/src/main/java/kitemux/world/WorldListener.java
@@ -1,12 +1,10 @@
 package kitemux.world;
 
-import java.net.SocketAddress;
-import java.util.ArrayDeque;
-
 import io.netty.channel.AbstractServerChannel;
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.EventLoop;
-
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
 import kitemux.net.Network;
 
 /** Where a node listens in the world. The machine takes connections in; the process has them when it
--- a/src/main/java/kitemux/world/WorldLoop.java
+++ b/src/main/java/kitemux/world/WorldLoop.java
@@ -1,5 +1,11 @@
 package kitemux.world;
 
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoRegistration;
+import io.netty.channel.ManualIoEventLoop;
+import io.netty.util.concurrent.Ticker;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashSet;
@@ -7,14 +13,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-
-import io.netty.channel.IoHandle;
-import io.netty.channel.IoHandler;
-import io.netty.channel.IoHandlerContext;
-import io.netty.channel.IoRegistration;
-import io.netty.channel.ManualIoEventLoop;
-import io.netty.util.concurrent.Ticker;
-
 import kitemux.net.PollingLoop;
 import kitemux.sim.Scheduler;
 
@@ -106,7 +104,7 @@
         }
 
         @Override
-        public void wakeup() { }
+        public void wakeup() {}
 
         @Override
         public boolean isCompatible(Class<? extends IoHandle> type) {
--- a/src/main/java/kitemux/world/WorldNetwork.java
+++ b/src/main/java/kitemux/world/WorldNetwork.java
@@ -1,14 +1,12 @@
 package kitemux.world;
 
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ServerChannel;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.LinkedHashSet;
 import java.util.Set;
-
-import io.netty.buffer.UnpooledByteBufAllocator;
-import io.netty.channel.Channel;
-import io.netty.channel.ServerChannel;
-
 import kitemux.net.Network;
 import kitemux.net.QuietChannel;
 
--- a/src/test/java/kitemux/ArchitectureTest.java
+++ b/src/test/java/kitemux/ArchitectureTest.java
@@ -4,14 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.TreeMap;
-import java.util.TreeSet;
-
-import org.junit.jupiter.api.Test;
-
 import com.tngtech.archunit.base.DescribedPredicate;
 import com.tngtech.archunit.core.domain.Dependency;
 import com.tngtech.archunit.core.domain.JavaCall;
@@ -20,11 +12,18 @@
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.lang.ArchRule;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
 
 /** Which package may know which: arrows go one way, and what decides reaches nothing outside itself. */
 class ArchitectureTest {
     private static final JavaClasses PROGRAM = new ClassFileImporter()
-            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("kitemux");
+            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("kitemux");
 
     /** For each package those that it may know besides itself. The root holds the decisions. */
     private static final Map<String, Set<String>> MAY_KNOW = Map.ofEntries(
@@ -41,8 +40,21 @@
             Map.entry("ops", Set.of("", "engine", "net")),
             Map.entry("load", Set.of("", "engine", "config")),
             Map.entry("telemetry", Set.of("", "engine", "http", "config")),
-            Map.entry("node", Set.of("", "engine", "net", "http", "discovery", "config", "orders", "ops",
-                    "load", "keeper", "rollout", "telemetry")),
+            Map.entry(
+                    "node",
+                    Set.of(
+                            "",
+                            "engine",
+                            "net",
+                            "http",
+                            "discovery",
+                            "config",
+                            "orders",
+                            "ops",
+                            "load",
+                            "keeper",
+                            "rollout",
+                            "telemetry")),
             Map.entry("sim", Set.of()),
             Map.entry("world", Set.of("", "engine", "net", "http", "node", "config", "sim")),
             Map.entry("fleet", Set.of("", "engine", "sim")),
@@ -58,13 +70,13 @@
             Map.entry("soak", Set.of("lab")),
             Map.entry("drill", Set.of("", "fleet", "plan", "sim", "hcl", "lab")),
             Map.entry("keeper", Set.of("", "rollout", "net", "config", "engine", "disk", "hcl")),
-            Map.entry("scale", Set.of("", "engine", "net", "discovery", "config", "peers", "hcl", "standin",
-                    "lab")),
-            Map.entry("bench", Set.of("", "engine", "standin", "config", "orders", "fleet", "sim",
-                    "load")),
-            Map.entry("cli", Set.of("adapter", "node", "world", "bench", "standin", "orders",
-                    "fleet", "plan", "lab", "load", "hcl", "app", "sidecar", "drill", "scale", "keeper",
-                    "soak")));
+            Map.entry("scale", Set.of("", "engine", "net", "discovery", "config", "peers", "hcl", "standin", "lab")),
+            Map.entry("bench", Set.of("", "engine", "standin", "config", "orders", "fleet", "sim", "load")),
+            Map.entry(
+                    "cli",
+                    Set.of(
+                            "adapter", "node", "world", "bench", "standin", "orders", "fleet", "plan", "lab", "load",
+                            "hcl", "app", "sidecar", "drill", "scale", "keeper", "soak")));
 
     private static String room(JavaClass c) {
         String[] parts = c.getPackageName().split("\\.");
@@ -112,15 +124,25 @@
 
     private static final DescribedPredicate<JavaClass> OUTSIDE =
             new DescribedPredicate<>("Netty, JSON, files, sockets, threads or the system's clocks") {
-                private static final List<String> PACKAGES = List.of("io.netty", "com.fasterxml", "picocli",
-                        "java.io", "java.net", "java.nio", "java.time", "java.util.concurrent", "sun.",
+                private static final List<String> PACKAGES = List.of(
+                        "io.netty",
+                        "com.fasterxml",
+                        "picocli",
+                        "java.io",
+                        "java.net",
+                        "java.nio",
+                        "java.time",
+                        "java.util.concurrent",
+                        "sun.",
                         "jdk.");
 
                 @Override
                 public boolean test(JavaClass c) {
                     return PACKAGES.stream().anyMatch(p -> c.getPackageName().startsWith(p))
-                            || c.isEquivalentTo(Thread.class) || c.isEquivalentTo(Process.class)
-                            || c.isEquivalentTo(ProcessBuilder.class) || c.isEquivalentTo(Runtime.class);
+                            || c.isEquivalentTo(Thread.class)
+                            || c.isEquivalentTo(Process.class)
+                            || c.isEquivalentTo(ProcessBuilder.class)
+                            || c.isEquivalentTo(Runtime.class);
                 }
             };
 
@@ -135,10 +157,13 @@
             };
 
     private static ArchRule pure(String... packages) {
-        return noClasses().that().resideInAnyPackage(packages)
-                .should().dependOnClassesThat(OUTSIDE)
-                .orShould().callMethodWhere(DescribedPredicate.describe(SYSTEM_CALLS.getDescription(),
-                        SYSTEM_CALLS::test));
+        return noClasses()
+                .that()
+                .resideInAnyPackage(packages)
+                .should()
+                .dependOnClassesThat(OUTSIDE)
+                .orShould()
+                .callMethodWhere(DescribedPredicate.describe(SYSTEM_CALLS.getDescription(), SYSTEM_CALLS::test));
     }
 
     @Test
@@ -149,34 +174,50 @@
     /** Bytes are all that it may know of what is outside, and only where messages become bytes. */
     @Test
     void whoDecidesAboutMembersReachesNothingOutside() {
-        pure("kitemux.peers").check(PROGRAM.that(DescribedPredicate.describe("decide",
-                c -> !c.getSimpleName().equals("Datagram"))));
+        pure("kitemux.peers")
+                .check(PROGRAM.that(DescribedPredicate.describe(
+                        "decide", c -> !c.getSimpleName().equals("Datagram"))));
     }
 
     /** JSON's text is all that it may know of what is outside, and only where records become bytes. */
     @Test
     void whoPassesConfigurationOnReachesNothingOutside() {
-        pure("kitemux.rollout").check(PROGRAM.that(DescribedPredicate.describe("decide",
-                c -> !c.getName().startsWith("kitemux.rollout.RolloutText"))));
+        pure("kitemux.rollout")
+                .check(PROGRAM.that(DescribedPredicate.describe(
+                        "decide", c -> !c.getName().startsWith("kitemux.rollout.RolloutText"))));
     }
 
     /** Whatever else a node loads must not bring it along: it is off unless the operator's file has it. */
     @Test
     void onlyItsLinkAndItsCommandKnowOfConfigurationThatIsPassedOn() {
-        noClasses().that().resideOutsideOfPackages("kitemux.rollout..", "kitemux.keeper..")
-                .and(DescribedPredicate.describe("are not those that begin it",
-                        c -> !c.getName().matches("kitemux\\.node\\.(RolloutLink|LiveSettings)(\\$.*)?"
-                                + "|kitemux\\.cli\\.KeepCommand(\\$.*)?")))
-                .should().dependOnClassesThat().resideInAnyPackage("kitemux.rollout..", "kitemux.keeper..")
+        noClasses()
+                .that()
+                .resideOutsideOfPackages("kitemux.rollout..", "kitemux.keeper..")
+                .and(DescribedPredicate.describe(
+                        "are not those that begin it",
+                        c -> !c.getName()
+                                .matches("kitemux\\.node\\.(RolloutLink|LiveSettings)(\\$.*)?"
+                                        + "|kitemux\\.cli\\.KeepCommand(\\$.*)?")))
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("kitemux.rollout..", "kitemux.keeper..")
                 .check(PROGRAM);
-        assertThrows(AssertionError.class, () -> noClasses().that().resideInAPackage("kitemux.node..")
-                .should().dependOnClassesThat().resideInAPackage("kitemux.engine..").check(PROGRAM));
+        assertThrows(
+                AssertionError.class,
+                () -> noClasses()
+                        .that()
+                        .resideInAPackage("kitemux.node..")
+                        .should()
+                        .dependOnClassesThat()
+                        .resideInAPackage("kitemux.engine..")
+                        .check(PROGRAM));
     }
 
     @Test
     void aReachOutsideIsFound() {
         assertThrows(AssertionError.class, () -> pure("kitemux.node").check(PROGRAM));
-        assertThrows(AssertionError.class,
+        assertThrows(
+                AssertionError.class,
                 () -> pure("kitemux").check(new ClassFileImporter().importClasses(ReadsTheClock.class)));
     }
 
--- a/src/test/java/kitemux/ColdServerTest.java
+++ b/src/test/java/kitemux/ColdServerTest.java
@@ -5,13 +5,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Result;
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
+import org.junit.jupiter.api.Test;
 
 /** Rule 4: a node's part of a cold server's budget. */
 class ColdServerTest {
@@ -36,7 +34,10 @@
             }
             node.advance(10_000);
             // Only one of ten is answered, so that arrivals are ten times what the fleet gets done.
-            burst.stream().map(node::last).filter(s -> s != null && !s.server().equals("cold")).findFirst()
+            burst.stream()
+                    .map(node::last)
+                    .filter(s -> s != null && !s.server().equals("cold"))
+                    .findFirst()
                     .ifPresent(s -> node.answer(s.request(), Result.OK, 0));
         }
         long toCold = node.sentTo("cold");
@@ -107,7 +108,8 @@
             }
             toCold[run % 2] += node.sentTo("cold");
         }
-        assertTrue(5 * toCold[1] > 6 * toCold[0] && toCold[1] <= 20 * 4,
+        assertTrue(
+                5 * toCold[1] > 6 * toCold[0] && toCold[1] <= 20 * 4,
                 "sent to the cold server by nodes of eight: " + toCold[1] + ", by three: " + toCold[0]);
     }
 
--- a/src/test/java/kitemux/ExampleTest.java
+++ b/src/test/java/kitemux/ExampleTest.java
@@ -4,7 +4,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 
 /** The README's example, compiled and run. */
@@ -35,31 +34,33 @@
         }
 
         @Override
-        public void wakeAt(long atUs) { }
+        public void wakeAt(long atUs) {}
 
         @Override
-        public void probe(String serverId) { }
+        public void probe(String serverId) {}
 
         @Override
-        public void closeIdle(String serverId) { }
+        public void closeIdle(String serverId) {}
 
         @Override
-        public void subscribe() { }
+        public void subscribe() {}
 
         @Override
-        public void log(String line) { }
+        public void log(String line) {}
     }
 
     @Test
     void aRequestIsSentAndServed() {
         Balancer.Settings settings = new Balancer.Settings();
-        settings.classes.add(new Balancer.RequestClass("page", 200_000, 0, 1_000_000, 1, 0,
-                Balancer.Repeat.SAFE, Balancer.Group.ALL, 0, false));
+        settings.classes.add(new Balancer.RequestClass(
+                "page", 200_000, 0, 1_000_000, 1, 0, Balancer.Repeat.SAFE, Balancer.Group.ALL, 0, false));
         Proxy proxy = new Proxy();
         Balancer balancer = new ServiceQBalancer(settings, 42, proxy);
         long now = 0;
-        balancer.onServers(now, Balancer.ListKind.CACHED, List.of(
-                new Balancer.ServerEntry("10.0.0.1:80", 0, 0, Balancer.ServerState.READY, 1, 0)));
+        balancer.onServers(
+                now,
+                Balancer.ListKind.CACHED,
+                List.of(new Balancer.ServerEntry("10.0.0.1:80", 0, 0, Balancer.ServerState.READY, 1, 0)));
         balancer.onRequest(now, new Balancer.Request(1, 0, -1, 1_000_000, 0, false, null));
         assertEquals(List.of("send 1 to 10.0.0.1:80"), proxy.asked);
         now += 20_000;
--- a/src/test/java/kitemux/HealthTest.java
+++ b/src/test/java/kitemux/HealthTest.java
@@ -7,14 +7,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Result;
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.Balancer.Settings;
+import org.junit.jupiter.api.Test;
 
 /** Exceptions: ejection and trials, silent servers, zones. */
 class HealthTest {
@@ -40,8 +38,7 @@
     }
 
     private static void assertEjected(Node node) {
-        assertTrue(node.logged.stream().anyMatch(l -> l.startsWith("ejected server s0")),
-                node.logged.toString());
+        assertTrue(node.logged.stream().anyMatch(l -> l.startsWith("ejected server s0")), node.logged.toString());
     }
 
     @Test
@@ -63,7 +60,8 @@
         for (int i = 0; i < 4_000; i++) {
             long id = node.ask(Node.SAFE);
             for (int attempt = 0; attempt < node.attempts(id); attempt++) {
-                boolean reset = random.nextInt(14) == 0 || node.last(id).server().equals(bad);
+                boolean reset =
+                        random.nextInt(14) == 0 || node.last(id).server().equals(bad);
                 node.answer(id, reset ? Result.RESET : Result.OK, 5_000);
             }
         }
@@ -145,8 +143,10 @@
             crowd.add(node.ask(Node.SAFE, 30_000));
         }
         for (String server : List.of("s0", "s1")) {
-            long answered = crowd.stream().filter(id -> node.last(id).server().equals(server))
-                    .findFirst().get();
+            long answered = crowd.stream()
+                    .filter(id -> node.last(id).server().equals(server))
+                    .findFirst()
+                    .get();
             node.answer(answered, Result.OK, 1_000);
             crowd.remove(answered);
         }
--- a/src/test/java/kitemux/KeysTest.java
+++ b/src/test/java/kitemux/KeysTest.java
@@ -9,14 +9,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Result;
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.Balancer.Settings;
+import org.junit.jupiter.api.Test;
 
 /** Exception, keys: draws fixed by the request's key where servers remember keys. */
 class KeysTest {
@@ -73,11 +71,13 @@
         String first = node.last(node.askFor("hot", Node.UNSAFE)).server();
         String second = node.last(node.askFor("hot", Node.UNSAFE)).server();
         assertTrue(!first.equals(second));
-        assertEquals(List.of(first, second, first, second), List.of(
-                node.last(node.askFor("hot", Node.UNSAFE)).server(),
-                node.last(node.askFor("hot", Node.UNSAFE)).server(),
-                node.last(node.askFor("hot", Node.UNSAFE)).server(),
-                node.last(node.askFor("hot", Node.UNSAFE)).server()));
+        assertEquals(
+                List.of(first, second, first, second),
+                List.of(
+                        node.last(node.askFor("hot", Node.UNSAFE)).server(),
+                        node.last(node.askFor("hot", Node.UNSAFE)).server(),
+                        node.last(node.askFor("hot", Node.UNSAFE)).server(),
+                        node.last(node.askFor("hot", Node.UNSAFE)).server()));
     }
 
     @Test
@@ -86,8 +86,9 @@
         Map<String, String> before = placesOf(node);
         node.list(ListKind.CHANGES, List.of(new ServerEntry("s7", 0, 0, ServerState.GONE, 1, 0)));
         Map<String, String> after = placesOf(node);
-        long moved = before.keySet().stream().filter(k -> !before.get(k).equals("s7")
-                && !before.get(k).equals(after.get(k))).count();
+        long moved = before.keySet().stream()
+                .filter(k -> !before.get(k).equals("s7") && !before.get(k).equals(after.get(k)))
+                .count();
         assertTrue(!after.containsValue("s7"));
         assertTrue(moved < KEYS / 8, "other keys moved: " + moved);
     }
@@ -96,8 +97,11 @@
     void aServerWithErrorsLosesKeysAndTheOthersKeepTheirs() {
         Node node = node(0, true);
         Map<String, String> before = placesOf(node);
-        String key = before.keySet().stream().sorted().filter(k -> before.get(k).equals("s3"))
-                .findFirst().get();
+        String key = before.keySet().stream()
+                .sorted()
+                .filter(k -> before.get(k).equals("s3"))
+                .findFirst()
+                .get();
         // Two failures: two in three of its keys are now drawn elsewhere.
         assertEquals("s3", serve(node, key, Result.ERROR));
         for (int i = 0; i < KEYS && !serve(node, "x" + i, Result.ERROR).equals("s3"); i++) {
--- a/src/test/java/kitemux/LargeFleetTest.java
+++ b/src/test/java/kitemux/LargeFleetTest.java
@@ -10,14 +10,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Result;
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.Balancer.Settings;
+import org.junit.jupiter.api.Test;
 
 /** Exceptions of large fleets: subsets of servers, slow answers as errors, throttling. */
 class LargeFleetTest {
@@ -89,7 +87,9 @@
             sent.merge(node.serve(Node.SAFE, Result.OK, 5_000), 1, Integer::sum);
             node.advance(50_000);
         }
-        List<String> first = sent.keySet().stream().sorted((a, b) -> sent.get(b) - sent.get(a)).limit(5)
+        List<String> first = sent.keySet().stream()
+                .sorted((a, b) -> sent.get(b) - sent.get(a))
+                .limit(5)
                 .toList();
         int most = first.stream().mapToInt(sent::get).sum();
         // Five of nine alike would be 222.
@@ -167,8 +167,7 @@
             Node node = node(me).with(SERVERS);
             Set<String> before = inUse(node);
             node.closed.clear();
-            node.list(ListKind.CHANGES,
-                    List.of(new ServerEntry("s7", 0, 0, ServerState.GONE, 1, 0)));
+            node.list(ListKind.CHANGES, List.of(new ServerEntry("s7", 0, 0, ServerState.GONE, 1, 0)));
             Set<String> after = inUse(node);
             assertFalse(after.contains("s7"));
             for (String server : before) {
--- a/src/test/java/kitemux/LateNodeTest.java
+++ b/src/test/java/kitemux/LateNodeTest.java
@@ -4,16 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
-
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.Request;
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Result;
 import kitemux.Balancer.Settings;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What a node that is behind does with requests that it reads late; their aim is 200 ms after they came. */
 class LateNodeTest {
@@ -65,8 +63,8 @@
     @Test
     void whereALateAnswerIsWorthSomethingItIsSentAllTheSame() {
         Settings settings = Node.settings();
-        settings.classes.set(Node.SAFE, new RequestClass("safe", 200_000, 0, 1_000_000, 1, 0.5, Repeat.SAFE,
-                null, 0, false));
+        settings.classes.set(
+                Node.SAFE, new RequestClass("safe", 200_000, 0, 1_000_000, 1, 0.5, Repeat.SAFE, null, 0, false));
         Node node = node(settings);
         ask(node, Node.SAFE, 150_000);
         assertEquals(1, node.attempts(NEXT));
--- a/src/test/java/kitemux/ManyNodesTest.java
+++ b/src/test/java/kitemux/ManyNodesTest.java
@@ -5,14 +5,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Result;
 import kitemux.Balancer.Settings;
+import org.junit.jupiter.api.Test;
 
 /** What a node that shares its servers with many others does in a storm. */
 class ManyNodesTest {
@@ -90,7 +88,8 @@
     void whatHangsAtSilentServersLeavesTheOthersTheirRoom() {
         Node node = used(8, 8, 10_000);
         List<Long> hung = fill(node);
-        List<String> silent = hung.stream().map(id -> node.last(id).server()).distinct().toList();
+        List<String> silent =
+                hung.stream().map(id -> node.last(id).server()).distinct().toList();
         assertTrue(silent.size() >= 3 && silent.size() < 8, silent.toString());
         // Four times the usual latency has passed, and none has said anything.
         node.advance(60_000);
--- a/src/test/java/kitemux/MechanismTest.java
+++ b/src/test/java/kitemux/MechanismTest.java
@@ -9,14 +9,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
-
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Result;
 import kitemux.Balancer.Settings;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** The ordinary path of DESIGN: weighted draws, own requests in flight, counting, pass-on, deferral. */
 class MechanismTest {
@@ -91,7 +89,9 @@
         node.advance(50_000);
         assertTrue(node.sent.isEmpty());
         node.list(ListKind.CHANGES, List.of(Node.server("s0"), Node.server("s1")));
-        assertEquals(List.of(first, second), node.sent.stream().map(Node.Sent::request).toList());
+        assertEquals(
+                List.of(first, second),
+                node.sent.stream().map(Node.Sent::request).toList());
     }
 
     @Test
@@ -106,8 +106,8 @@
     @Test
     void aServerAtItsLimitIsPassedOverAndTheQueueServesWorthFirst() {
         Settings set = Node.settings();
-        set.classes.add(new Balancer.RequestClass("dear", 200_000, 0, 1_000_000, 9, 0, Balancer.Repeat.SAFE,
-                Balancer.Group.ALL, 0, false));
+        set.classes.add(new Balancer.RequestClass(
+                "dear", 200_000, 0, 1_000_000, 9, 0, Balancer.Repeat.SAFE, Balancer.Group.ALL, 0, false));
         set.nodes = 2;
         Node node = new Node(set, 3).with(2);
         List<Long> ids = new ArrayList<>();
@@ -159,7 +159,8 @@
         first.forEach(id -> node.answer(id, Result.OK, 1_000));
         node.answer(greedy.get(0), Result.OK, 1_000);
         node.answer(modest, Result.OK, 1_000);
-        assertEquals(List.of(greedy.get(0), modest, greedy.get(1), greedy.get(2)),
+        assertEquals(
+                List.of(greedy.get(0), modest, greedy.get(1), greedy.get(2)),
                 node.sent.stream().skip(4).limit(4).map(Node.Sent::request).toList());
     }
 
@@ -211,8 +212,8 @@
     @Test
     void answersFarSlowerThanTheirClassCanBeLowerALimitHoweverFarTheAim() {
         Settings set = Node.settings();
-        set.classes.add(new Balancer.RequestClass("patient", 20_000_000, 0, 30_000_000, 1, 0,
-                Balancer.Repeat.SAFE, Balancer.Group.ALL, 0, false));
+        set.classes.add(new Balancer.RequestClass(
+                "patient", 20_000_000, 0, 30_000_000, 1, 0, Balancer.Repeat.SAFE, Balancer.Group.ALL, 0, false));
         Node node = new Node(set, 3).with(1);
         for (int i = 0; i < 80; i++) {
             node.serve(5, Result.OK, i < 40 ? 10_000 : 200_000);
--- a/src/test/java/kitemux/Node.java
+++ b/src/test/java/kitemux/Node.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
 import kitemux.Balancer.Actions;
 import kitemux.Balancer.Group;
 import kitemux.Balancer.ListKind;
@@ -25,7 +24,7 @@
     static final int UNSAFE = 4;
 
     /** An attempt as it was asked for. */
-    record Sent(long atUs, long request, int attempt, String server, long untilUs) { }
+    record Sent(long atUs, long request, int attempt, String server, long untilUs) {}
 
     final Settings settings;
     final List<Sent> sent = new ArrayList<>();
@@ -130,8 +129,8 @@
     void answer(long request, Result result, long afterUs) {
         advance(afterUs);
         Sent attempt = last(request);
-        balancer.onOutcome(now, new Outcome(request, attempt.attempt, result, now - attempt.atUs,
-                result == Result.OK, null));
+        balancer.onOutcome(
+                now, new Outcome(request, attempt.attempt, result, now - attempt.atUs, result == Result.OK, null));
     }
 
     /** One request sent and ended; its server. */
--- a/src/test/java/kitemux/RandomEventsTest.java
+++ b/src/test/java/kitemux/RandomEventsTest.java
@@ -11,10 +11,6 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
-
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Outcome;
@@ -25,6 +21,8 @@
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.Balancer.Settings;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Long odd sequences of events with fixed seeds; what the module does is held against all four rules. */
 class RandomEventsTest {
@@ -44,8 +42,10 @@
         final List<Attempt> attempts = new ArrayList<>();
 
         Attempt binding() {
-            return attempts.stream().filter(a -> a.result == null || !a.result.neverRan)
-                    .findFirst().orElse(null);
+            return attempts.stream()
+                    .filter(a -> a.result == null || !a.result.neverRan)
+                    .findFirst()
+                    .orElse(null);
         }
     }
 
@@ -67,8 +67,17 @@
 
         Judge(long seed) {
             random = new SplittableRandom(seed);
-            set.classes.replaceAll(c -> new RequestClass(c.name(), c.aimUs(), 0, c.deadlineUs(), c.worth(),
-                    random.nextInt(2) * 0.5, c.repeat(), c.group(), 80_000, false));
+            set.classes.replaceAll(c -> new RequestClass(
+                    c.name(),
+                    c.aimUs(),
+                    0,
+                    c.deadlineUs(),
+                    c.worth(),
+                    random.nextInt(2) * 0.5,
+                    c.repeat(),
+                    c.group(),
+                    80_000,
+                    false));
             set.nodes = 1 + random.nextInt(5);
             set.maxAttempts = 1 + random.nextInt(5);
             set.cancel = random.nextBoolean();
@@ -85,7 +94,11 @@
 
         @Override
         public void send(long requestId, String serverId, long untilUs) {
-            trace.append(now).append(" send ").append(requestId).append(serverId).append('\n');
+            trace.append(now)
+                    .append(" send ")
+                    .append(requestId)
+                    .append(serverId)
+                    .append('\n');
             Held request = held.get(requestId);
             ServerEntry server = servers.get(serverId);
             assertNotNull(request, "a request that is held");
@@ -98,8 +111,7 @@
                 assertTrue(request.cls.repeat() != Repeat.UNSAFE, "rule 2: an unsafe request may have run");
                 if (request.cls.repeat() == Repeat.KEYED) {
                     assertTrue(now <= binding.sentAt + request.cls.windowUs(), "rule 2: inside the window");
-                    assertTrue(sameGroup(request.cls.group(), binding.server, server),
-                            "rule 2: in the group");
+                    assertTrue(sameGroup(request.cls.group(), binding.server, server), "rule 2: in the group");
                 }
                 assertTrue(set.secondCopies || request.attempts.stream().allMatch(a -> a.result != null));
             }
@@ -113,8 +125,12 @@
             request.attempts.add(attempt);
             boolean timesOut = random.nextInt(30) == 0;
             long at = timesOut ? untilUs : Math.min(untilUs, now + 1_000 + random.nextInt(120_000));
-            answers.add(new long[] {at, requestId, request.attempts.size() - 1,
-                timesOut || at == untilUs ? Result.TIMEOUT.ordinal() : draw()});
+            answers.add(new long[] {
+                at,
+                requestId,
+                request.attempts.size() - 1,
+                timesOut || at == untilUs ? Result.TIMEOUT.ordinal() : draw()
+            });
         }
 
         private int draw() {
@@ -133,8 +149,9 @@
             assertFalse(request.over, "rule 1: one final answer only");
             assertTrue(now <= request.deadlineAt + set.tickUs, "rule 1: the answer comes in time");
             if (refusal && request.binding() != null) {
-                assertTrue(request.cls.repeat() == Repeat.SAFE
-                        || request.cls.repeat() == Repeat.KEYED && request.cls.group() == Group.ALL,
+                assertTrue(
+                        request.cls.repeat() == Repeat.SAFE
+                                || request.cls.repeat() == Repeat.KEYED && request.cls.group() == Group.ALL,
                         "rule 2: a refusal promises that trying again is harmless");
             }
             request.over = true;
@@ -168,8 +185,7 @@
         }
 
         @Override
-        public void closeIdle(String serverId) {
-        }
+        public void closeIdle(String serverId) {}
 
         @Override
         public void probe(String serverId) {
@@ -194,8 +210,16 @@
             request.deadlineAt = now + left;
             long id = nextId++;
             held.put(id, request);
-            balancer.onRequest(now, new Request(id, classIndex, random.nextInt(2) - 1, left, 0, false,
-                    random.nextInt(4) == 0 ? null : "k" + random.nextInt(40)));
+            balancer.onRequest(
+                    now,
+                    new Request(
+                            id,
+                            classIndex,
+                            random.nextInt(2) - 1,
+                            left,
+                            0,
+                            false,
+                            random.nextInt(4) == 0 ? null : "k" + random.nextInt(40)));
         }
 
         void changeList() {
@@ -203,7 +227,12 @@
             for (int i = 0; i < 1 + random.nextInt(3); i++) {
                 int number = random.nextInt(9);
                 ServerState state = ServerState.values()[Math.max(0, random.nextInt(5) - 2)];
-                ServerEntry entry = new ServerEntry("s" + number, number % 2, number % 3, state, 1,
+                ServerEntry entry = new ServerEntry(
+                        "s" + number,
+                        number % 2,
+                        number % 3,
+                        state,
+                        1,
                         state == ServerState.READY && random.nextInt(3) == 0 ? now : 0);
                 if (servers.containsKey(entry.id()) || state != ServerState.GONE) {
                     changes.add(entry);
@@ -211,8 +240,8 @@
             }
             if (random.nextInt(6) == 0) {
                 changes.removeIf(e -> e.state() == ServerState.GONE);
-                servers.replaceAll((id, e) -> new ServerEntry(id, e.zone(), e.cell(), ServerState.GONE, 1,
-                        e.startedAtUs()));
+                servers.replaceAll(
+                        (id, e) -> new ServerEntry(id, e.zone(), e.cell(), ServerState.GONE, 1, e.startedAtUs()));
                 changes.forEach(e -> servers.put(e.id(), e));
                 balancer.onServers(now, ListKind.FULL, changes);
             } else {
@@ -230,8 +259,8 @@
                 finals++;
                 served++;
             }
-            balancer.onOutcome(now, new Outcome(due[1], (int) due[2], attempt.result, now - attempt.sentAt,
-                    request.over, null));
+            balancer.onOutcome(
+                    now, new Outcome(due[1], (int) due[2], attempt.result, now - attempt.sentAt, request.over, null));
         }
 
         void run(int events) {
@@ -240,7 +269,7 @@
                 changeList();
             }
             long nextEvent = now;
-            for (int done = 0; done < events || !answers.isEmpty() || open() > 0;) {
+            for (int done = 0; done < events || !answers.isEmpty() || open() > 0; ) {
                 long at = done < events ? nextEvent : Long.MAX_VALUE;
                 at = Math.min(at, answers.isEmpty() ? Long.MAX_VALUE : answers.peek()[0]);
                 at = Math.min(at, wakes.isEmpty() ? Long.MAX_VALUE : wakes.peek());
@@ -269,7 +298,9 @@
         }
 
         private long ready() {
-            return servers.values().stream().filter(e -> e.state() == ServerState.READY).count();
+            return servers.values().stream()
+                    .filter(e -> e.state() == ServerState.READY)
+                    .count();
         }
 
         private long open() {
@@ -301,11 +332,14 @@
         judge.coldSends.forEach((start, sends) -> {
             for (long[] first : sends) {
                 List<long[]> span = sends.stream()
-                        .filter(s -> s[0] >= first[0] && s[0] < first[0] + set.fallUs).toList();
-                double ready = Math.min(3, span.stream().mapToLong(s -> s[1]).min().getAsLong());
+                        .filter(s -> s[0] >= first[0] && s[0] < first[0] + set.fallUs)
+                        .toList();
+                double ready =
+                        Math.min(3, span.stream().mapToLong(s -> s[1]).min().getAsLong());
                 double age = Math.min(1, (first[0] + set.fallUs - start.startedAtUs()) / (double) set.coldUs);
                 double share = set.coldFrom + (1 - set.coldFrom) * age;
-                assertTrue(span.size() - 2 <= set.fallMultiple * share * rate / ready * set.fallUs / 1e6,
+                assertTrue(
+                        span.size() - 2 <= set.fallMultiple * share * rate / ready * set.fallUs / 1e6,
                         "rule 4: " + span.size() + " sends in one span");
             }
         });
--- a/src/test/java/kitemux/RulesTest.java
+++ b/src/test/java/kitemux/RulesTest.java
@@ -5,11 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
-
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Outcome;
 import kitemux.Balancer.Request;
@@ -17,6 +12,9 @@
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.Balancer.Settings;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Rules 1 to 3 in named cases. */
 class RulesTest {
@@ -28,15 +26,29 @@
     /** After a first attempt that ends so: does another follow, and else which final answer? */
     @ParameterizedTest
     @CsvSource({
-        "0, ERROR, again", "0, FULL, again", "0, TIMEOUT, again", "0, CONNECT_FAILED, again",
+        "0, ERROR, again",
+        "0, FULL, again",
+        "0, TIMEOUT, again",
+        "0, CONNECT_FAILED, again",
         "0, RESET, again",
-        "1, ERROR, again", "1, FULL, again", "1, TIMEOUT, again", "1, CONNECT_FAILED, again",
+        "1, ERROR, again",
+        "1, FULL, again",
+        "1, TIMEOUT, again",
+        "1, CONNECT_FAILED, again",
         "1, RESET, again",
-        "3, ERROR, again", "3, FULL, again", "3, TIMEOUT, again", "3, CONNECT_FAILED, again",
+        "3, ERROR, again",
+        "3, FULL, again",
+        "3, TIMEOUT, again",
+        "3, CONNECT_FAILED, again",
         "3, RESET, again",
-        "4, ERROR, failed", "4, FULL, again", "4, TIMEOUT, failed", "4, CONNECT_FAILED, again",
+        "4, ERROR, failed",
+        "4, FULL, again",
+        "4, TIMEOUT, failed",
+        "4, CONNECT_FAILED, again",
         "4, RESET, failed",
-        "4, CANCELLED, failed", "4, MOOT, again"})
+        "4, CANCELLED, failed",
+        "4, MOOT, again"
+    })
     void repeatsFollowTheClass(int classIndex, Result result, String then) {
         Node node = new Node().with(4);
         long id = node.ask(classIndex);
@@ -50,9 +62,13 @@
     void aKeyedRequestThatMayHaveRunStaysInItsCellAndZone() {
         for (int classIndex : new int[] {Node.KEYED_CELL, Node.KEYED_ZONE}) {
             Node node = new Node();
-            node.list(ListKind.CACHED, List.of(in("a", 0, 1, ServerState.READY),
-                    in("x", 1, 2, ServerState.READY),
-                    in("b", 0, 1, ServerState.READY), in("y", 1, 2, ServerState.READY)));
+            node.list(
+                    ListKind.CACHED,
+                    List.of(
+                            in("a", 0, 1, ServerState.READY),
+                            in("x", 1, 2, ServerState.READY),
+                            in("b", 0, 1, ServerState.READY),
+                            in("y", 1, 2, ServerState.READY)));
             long id = node.ask(classIndex);
             String first = node.last(id).server();
             node.answer(id, Result.RESET, 1_000);
@@ -65,8 +81,7 @@
     @Test
     void aKeyedRequestThatSurelyNeverRanMayGoAnywhere() {
         Node node = new Node();
-        node.list(ListKind.CACHED, List.of(in("a", 0, 1, ServerState.READY),
-                    in("x", 1, 2, ServerState.READY)));
+        node.list(ListKind.CACHED, List.of(in("a", 0, 1, ServerState.READY), in("x", 1, 2, ServerState.READY)));
         long id = node.ask(Node.KEYED_CELL);
         node.answer(id, Result.FULL, 1_000);
         assertEquals(2, node.attempts(id));
@@ -233,10 +248,12 @@
         assertThrows(IllegalArgumentException.class, () -> new Node(zone, 1));
         Node node = new Node().with(1);
         assertThrows(IllegalArgumentException.class, () -> node.ask(99));
-        assertThrows(IllegalArgumentException.class,
+        assertThrows(
+                IllegalArgumentException.class,
                 () -> node.balancer.onRequest(node.now, new Request(5, 0, 7, 1_000, 0, false, null)));
         node.balancer.onRequest(node.now, new Request(6, 0, -1, 1_000_000, 0, false, null));
-        assertThrows(IllegalArgumentException.class,
+        assertThrows(
+                IllegalArgumentException.class,
                 () -> node.balancer.onRequest(node.now, new Request(6, 0, -1, 1_000_000, 0, false, null)));
     }
 }
--- a/src/test/java/kitemux/SilenceTest.java
+++ b/src/test/java/kitemux/SilenceTest.java
@@ -6,12 +6,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.Balancer.Outcome;
 import kitemux.Balancer.Result;
 import kitemux.Balancer.Settings;
+import org.junit.jupiter.api.Test;
 
 /** Exceptions: silence counts while an attempt is out, hedges, health by class. */
 class SilenceTest {
@@ -116,8 +114,7 @@
         // The node stands still for a second; the late wake-up is handled first, then the answers.
         node.now += 1_000_000 - 1;
         node.balancer.onWake(node.now);
-        ids.forEach(id -> node.balancer.onOutcome(node.now,
-                new Outcome(id, 0, Result.OK, USUAL_US, true, null)));
+        ids.forEach(id -> node.balancer.onOutcome(node.now, new Outcome(id, 0, Result.OK, USUAL_US, true, null)));
         assertEquals(sent, node.sent.size());
         assertTrue(node.logged.isEmpty(), node.logged.toString());
     }
--- a/src/test/java/kitemux/adapter/LinkTest.java
+++ b/src/test/java/kitemux/adapter/LinkTest.java
@@ -7,7 +7,6 @@
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -21,9 +20,8 @@
     private static final String LIST = "roster setId=0 nodesList=1\n"
             + "server server=10.0.0.7:8003 site=z generationHw=k block=0 lifecycle=Running scale=1 extra=2\n"
             + "topology node=node-3 setId=0 generation=1 kind=stale_copy\n";
-    private static final String ITEM = "work_item node=node-3 handle=b7c6f2075d3a91c4 lane=view"
-            + " patienceLeftUs=240000"
-            + " novel=x\n";
+    private static final String ITEM =
+            "work_item node=node-3 handle=b7c6f2075d3a91c4 lane=view" + " patienceLeftUs=240000" + " novel=x\n";
     private static final String OPEN = "begin_batch timeUs=1000000\n";
 
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -41,8 +39,8 @@
     @Test
     void aRequestIsRoutedAndItsIdGivenBackUnchanged() throws Exception {
         String reply = run(OPEN + BOOT + LIST + ITEM + "eob\n");
-        assertTrue(reply.contains("route node=node-3 handle=b7c6f2075d3a91c4"
-                + " server=10.0.0.7:8003 untilUs=1240000\n"),
+        assertTrue(
+                reply.contains("route node=node-3 handle=b7c6f2075d3a91c4" + " server=10.0.0.7:8003 untilUs=1240000\n"),
                 reply);
         assertTrue(reply.endsWith("next\n"));
     }
@@ -55,30 +53,33 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "begin_batch timeUs=1 | the input ends inside a batch",
-        "begin_batch timeUs=1;mystery node=node-3 x=1;eob | node",
-        "begin_batch timeUs=x;eob | timeUs",
-        "begin_batch;eob | timeUs",
-        "hello;eob | begin_batch",
-        "begin_batch timeUs=1;bell node=node-9 label=w;eob | never started",
-        "B;mystery node=node-3 x=1;eob | unknown event mystery",
-        "B;topology node=node-3 setId=4 generation=1 kind=whole;eob | never given",
-        "B;topology node=node-3 setId=99 generation=1 kind=whole;eob | setId",
-        "B;topology node=node-3 setId=0 generation=1 kind=odd;eob | kind",
-        "B;work_item node=node-3 handle=b7c6 lane=view patienceLeftUs=1;eob | handle",
-        "B;work_item node=node-3 handle=b7c6f2075d3a91c4 lane=other patienceLeftUs=1;eob | lane",
-        "B;work_item node=node-3 handle=b7c6f2075d3a91c4 lane=view;eob | patienceLeftUs",
-        "B;resolved node=node-3 handle=b7c6f2075d3a91c4 rc=11 seqNo=0;eob | rc",
-        "B;roster setId=0 nodesList=2;server server=a lifecycle=Running;eob | roster",
-        "B;roster setId=0 nodesList=1;server server=a lifecycle=Odd;eob | lifecycle",
-        "begin_batch timeUs=1;boot node=n initSeed=1 classes.count=1;eob | classes.0.",
-        "B;boot node=n initSeed=1 limits.probes=maybe;eob | limits.probes",
-        "B;boot node=n initSeed=1 rules.coldFrom=NaN;eob | rules.coldFrom",
-        "B;boot node=n initSeed=1 costs.crossZone=Infinity;eob | costs.crossZone",
-        "B;roster setId=0 nodesList=1;server server=a lifecycle=Running;topology node=node-3 setId=0;eob"
-            + " | kind",
-        "begin_batch timeUs=1;boot node=n initSeed=1;eob | classes is empty"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "begin_batch timeUs=1 | the input ends inside a batch",
+                "begin_batch timeUs=1;mystery node=node-3 x=1;eob | node",
+                "begin_batch timeUs=x;eob | timeUs",
+                "begin_batch;eob | timeUs",
+                "hello;eob | begin_batch",
+                "begin_batch timeUs=1;bell node=node-9 label=w;eob | never started",
+                "B;mystery node=node-3 x=1;eob | unknown event mystery",
+                "B;topology node=node-3 setId=4 generation=1 kind=whole;eob | never given",
+                "B;topology node=node-3 setId=99 generation=1 kind=whole;eob | setId",
+                "B;topology node=node-3 setId=0 generation=1 kind=odd;eob | kind",
+                "B;work_item node=node-3 handle=b7c6 lane=view patienceLeftUs=1;eob | handle",
+                "B;work_item node=node-3 handle=b7c6f2075d3a91c4 lane=other patienceLeftUs=1;eob | lane",
+                "B;work_item node=node-3 handle=b7c6f2075d3a91c4 lane=view;eob | patienceLeftUs",
+                "B;resolved node=node-3 handle=b7c6f2075d3a91c4 rc=11 seqNo=0;eob | rc",
+                "B;roster setId=0 nodesList=2;server server=a lifecycle=Running;eob | roster",
+                "B;roster setId=0 nodesList=1;server server=a lifecycle=Odd;eob | lifecycle",
+                "begin_batch timeUs=1;boot node=n initSeed=1 classes.count=1;eob | classes.0.",
+                "B;boot node=n initSeed=1 limits.probes=maybe;eob | limits.probes",
+                "B;boot node=n initSeed=1 rules.coldFrom=NaN;eob | rules.coldFrom",
+                "B;boot node=n initSeed=1 costs.crossZone=Infinity;eob | costs.crossZone",
+                "B;roster setId=0 nodesList=1;server server=a lifecycle=Running;topology node=node-3 setId=0;eob"
+                        + " | kind",
+                "begin_batch timeUs=1;boot node=n initSeed=1;eob | classes is empty"
+            })
     void malformedInputIsNamedByLineAndFieldAndNothingIsWritten(String lines, String named) {
         String input = lines.trim().replace("B;", OPEN + BOOT).replace(';', '\n') + "\n";
         WireException e = assertThrows(WireException.class, () -> run(input));
@@ -101,8 +102,13 @@
                     + ITEM.replace("novel=x", "routeKey=k:same") + "eob\n");
         }
         // Whatever the seed, the key draws the same server.
-        assertEquals(1, out.toString(StandardCharsets.UTF_8).lines().filter(l -> l.startsWith("route"))
-                .distinct().count());
+        assertEquals(
+                1,
+                out.toString(StandardCharsets.UTF_8)
+                        .lines()
+                        .filter(l -> l.startsWith("route"))
+                        .distinct()
+                        .count());
     }
 
     @Test
@@ -121,10 +127,12 @@
     void instancesActAlikeAloneAndTogether() throws Exception {
         String one = run(OPEN + BOOT + LIST + ITEM + "eob\n");
         out.reset();
-        String both = run(OPEN + BOOT.replace("node-3", "node-5") + LIST.replace("node=node-3", "node=node-5")
-                + BOOT + LIST + ITEM.replace("node-3", "node-5") + ITEM + "eob\n");
+        String both = run(OPEN + BOOT.replace("node-3", "node-5") + LIST.replace("node=node-3", "node=node-5") + BOOT
+                + LIST + ITEM.replace("node-3", "node-5") + ITEM + "eob\n");
         StringBuilder own = new StringBuilder();
-        both.lines().filter(l -> !l.contains("node-5")).forEach(l -> own.append(l).append('\n'));
+        both.lines()
+                .filter(l -> !l.contains("node-5"))
+                .forEach(l -> own.append(l).append('\n'));
         assertEquals(one, own.toString());
     }
 }
--- a/src/test/java/kitemux/app/FieldsTest.java
+++ b/src/test/java/kitemux/app/FieldsTest.java
@@ -12,13 +12,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
-
+import kitemux.config.Json;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
-import kitemux.config.Json;
-
 /** The one table of fields: what is read, told and drawn from it. */
 class FieldsTest {
     /** A description in which each block stands, with what must be given. */
@@ -46,8 +44,9 @@
     }
 
     private static String number(Field field, double value) {
-        return field.kind() == Field.Kind.TIME ? "\"" + Math.round(value) + "us\"" : value == Math.rint(value)
-                ? Long.toString((long) value) : Double.toString(value);
+        return field.kind() == Field.Kind.TIME
+                ? "\"" + Math.round(value) + "us\""
+                : value == Math.rint(value) ? Long.toString((long) value) : Double.toString(value);
     }
 
     static Stream<Field> bounded() {
@@ -59,9 +58,9 @@
     }
 
     private static boolean isTold(Field field, String text) {
-        return findings(text).stream().anyMatch(line -> line.contains(field.name() + ": " + field.beyond()
-                .code()
-                + " is not " + field.range()));
+        return findings(text).stream()
+                .anyMatch(line ->
+                        line.contains(field.name() + ": " + field.beyond().code() + " is not " + field.range()));
     }
 
     @ParameterizedTest
@@ -72,14 +71,12 @@
         assertFalse(isTold(field, with(field, number(field, least))), () -> "least of " + field);
         // A time cannot be written that is under 0.
         if (field.kind() != Field.Kind.TIME || field.least() > 0) {
-            assertTrue(isTold(field, with(field, number(field, least - step))), () -> "under the least of "
-                    + field);
+            assertTrue(isTold(field, with(field, number(field, least - step))), () -> "under the least of " + field);
         }
         if (!Double.isInfinite(field.most())) {
             assertFalse(isTold(field, with(field, number(field, field.most()))), () -> "most of " + field);
-            assertTrue(isTold(field, with(field, number(field, field.most() + step))), () ->
-                    "over the most of "
-                    + field);
+            assertTrue(
+                    isTold(field, with(field, number(field, field.most() + step))), () -> "over the most of " + field);
         }
     }
 
@@ -89,23 +86,30 @@
         for (Field field : Fields.all()) {
             if (field.otherwise() == null && field.block().isEmpty()) {
                 String without = LEAST.replaceFirst("(?m)^" + field.name() + " = .*\n", "");
-                assertTrue(findings(without).contains(field.name() + ": KX001 must be given; "
-                        + Rule.SHAPE.cure()), findings(without)::toString);
+                assertTrue(
+                        findings(without).contains(field.name() + ": KX001 must be given; " + Rule.SHAPE.cure()),
+                        findings(without)::toString);
             }
-            String unlike = switch (field.kind()) {
-                case TEXT, ADDRESS, TIME, WORD, TEXTS -> "7";
-                case NUMBER, WHOLE, YES -> "\"seven\"";
-            };
-            assertTrue(findings(with(field, unlike)).stream().anyMatch(line -> line.contains(field.name())
-                    && line.contains("KX001 must be")), () -> field + ": " + findings(with(field, unlike)));
+            String unlike =
+                    switch (field.kind()) {
+                        case TEXT, ADDRESS, TIME, WORD, TEXTS -> "7";
+                        case NUMBER, WHOLE, YES -> "\"seven\"";
+                    };
+            assertTrue(
+                    findings(with(field, unlike)).stream()
+                            .anyMatch(line -> line.contains(field.name()) && line.contains("KX001 must be")),
+                    () -> field + ": " + findings(with(field, unlike)));
         }
     }
 
     @Test
     void thePageAndTheSchemaInTheRepositoryAreOfThisTable() throws IOException {
-        assertEquals(Files.readString(Path.of("docs", "operate", "fields.md")), Reference.page(),
+        assertEquals(
+                Files.readString(Path.of("docs", "operate", "fields.md")),
+                Reference.page(),
                 "make it anew: config reference > docs/operate/fields.md");
-        assertEquals(Files.readString(Path.of("docs", "schema", "application.schema.json")),
+        assertEquals(
+                Files.readString(Path.of("docs", "schema", "application.schema.json")),
                 Reference.schema(),
                 "make it anew: config schema > docs/schema/application.schema.json");
         Json schema = Json.read(Reference.schema().getBytes(StandardCharsets.UTF_8));
@@ -113,22 +117,24 @@
             Json properties = schema.path("properties");
             if (!field.block().isEmpty()) {
                 properties = properties.path(field.block());
-                properties = (Fields.isLabelled(field.block()) ? properties.path("additionalProperties")
-                        : properties)
+                properties = (Fields.isLabelled(field.block()) ? properties.path("additionalProperties") : properties)
                         .path("properties");
             }
-            assertEquals(field.why(), properties.path(field.name()).path("description").text(), field.key());
+            assertEquals(
+                    field.why(),
+                    properties.path(field.name()).path("description").text(),
+                    field.key());
         }
     }
 
     @Test
     void aFieldIsExplainedByItsKeyItsNameOrItsBlock() {
-        assertEquals("limits.attempts: whole number, from 1 to 16, default 4. of one request; more "
-                + "would feed a storm",
+        assertEquals(
+                "limits.attempts: whole number, from 1 to 16, default 4. of one request; more " + "would feed a storm",
                 Reference.line(Fields.get("limits.attempts")));
-        assertEquals(List.of("class.attempts", "limits.attempts"), Fields.like("attempts").stream()
-                .map(Field::key)
-                .toList());
+        assertEquals(
+                List.of("class.attempts", "limits.attempts"),
+                Fields.like("attempts").stream().map(Field::key).toList());
         assertEquals(Fields.of("health"), Fields.like("health"));
         assertEquals(List.of(), Fields.like("wisdom"));
         assertThrows(IllegalArgumentException.class, () -> Fields.get("wisdom"));
@@ -147,23 +153,31 @@
         String text = LEAST.replace("\"200ms\"", "\"2s\"").replace("\"127.0.0.1:9001\"", "\"web:9001\"");
         List<Report.Found> found = new ArrayList<>(Report.of("a.hcl", AppFile.read(text)));
         Json json = Json.read(Report.json(found).getBytes(StandardCharsets.UTF_8));
-        assertEquals(List.of("KX301", "KX401"), json.values().stream().map(one -> one.path("code").text())
-                .sorted()
-                .toList());
+        assertEquals(
+                List.of("KX301", "KX401"),
+                json.values().stream()
+                        .map(one -> one.path("code").text())
+                        .sorted()
+                        .toList());
         for (Json one : json) {
             assertEquals("a.hcl", one.path("file").text());
             String line = text.lines().toList().get((int) one.path("line").whole(0) - 1);
             assertTrue(line.contains(one.path("code").text().equals("KX301") ? "aim" : "address"), line);
-            assertTrue(!one.path("cure").text().isEmpty() && !one.path("what").text().isEmpty());
+            assertTrue(!one.path("cure").text().isEmpty()
+                    && !one.path("what").text().isEmpty());
         }
-        Json run = Json.read(Report.sarif(found).getBytes(StandardCharsets.UTF_8)).path("runs").values()
+        Json run = Json.read(Report.sarif(found).getBytes(StandardCharsets.UTF_8))
+                .path("runs")
+                .values()
                 .get(0);
         List<Json> rules = run.path("tool").path("driver").path("rules").values();
         assertEquals(2, run.path("results").values().size());
         for (Json result : run.path("results")) {
-            assertEquals(result.path("ruleId").text(), rules.get((int) result.path("ruleIndex").whole(-1))
-                    .path("id")
-                    .text());
+            assertEquals(
+                    result.path("ruleId").text(),
+                    rules.get((int) result.path("ruleIndex").whole(-1))
+                            .path("id")
+                            .text());
             Json place = result.path("locations").values().get(0).path("physicalLocation");
             assertEquals("a.hcl", place.path("artifactLocation").path("uri").text());
             assertTrue(place.path("region").path("startLine").whole(0) > 3);
--- a/src/test/java/kitemux/app/MigrateTest.java
+++ b/src/test/java/kitemux/app/MigrateTest.java
@@ -9,7 +9,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -50,14 +49,15 @@
                 + "{\"name\":\"c\",\"onTimeUs\":2000000,\"giveUpUs\":1000000,\"repeat\":\"safe\","
                 + "\"group\":\"zone\","
                 + "\"stream\":true}]}}"));
-        for (String part : List.of("discovery", "balancers", "zones", "countedBy", "costs", "realms",
-                "group is a zone",
-                "stream")) {
-            assertTrue(result.left().stream().anyMatch(line -> line.contains(part)), part + " in "
-                    + result.left());
+        for (String part : List.of(
+                "discovery", "balancers", "zones", "countedBy", "costs", "realms", "group is a zone", "stream")) {
+            assertTrue(result.left().stream().anyMatch(line -> line.contains(part)), part + " in " + result.left());
         }
-        assertEquals(List.of(Rule.TIMES), AppFile.read(result.text()).findings().stream().map(Finding::rule)
-                .toList(),
+        assertEquals(
+                List.of(Rule.TIMES),
+                AppFile.read(result.text()).findings().stream()
+                        .map(Finding::rule)
+                        .toList(),
                 result.text());
         assertThrows(IOException.class, () -> Migrate.of(bytes("{}")));
         assertThrows(IOException.class, () -> Migrate.of(bytes("no")));
--- a/src/test/java/kitemux/app/WatchTest.java
+++ b/src/test/java/kitemux/app/WatchTest.java
@@ -8,7 +8,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -39,16 +38,20 @@
 
     @Test
     void aServerThatDrainsOneThatComesAndOneThatGoesAreFollowed() {
-        String next = text.replace("rack    = 1\n}",
-                "rack    = 1\n  state   = \"draining\"\n}\n\nserver \"web-4\" {\n"
-                + "  address = \"127.0.0.1:9004\"\n}").replace("server \"web-3\"", "server \"web-5\"");
+        String next = text.replace(
+                        "rack    = 1\n}",
+                        "rack    = 1\n  state   = \"draining\"\n}\n\nserver \"web-4\" {\n"
+                                + "  address = \"127.0.0.1:9004\"\n}")
+                .replace("server \"web-3\"", "server \"web-5\"");
         Watch.Decision taken = settled(next);
-        assertTrue(taken.app().servers().stream().anyMatch(one -> one.name().equals("web-4")),
-                taken.toString());
-        assertEquals(List.of("server web-2 is draining, before ready: it gets nothing new and finishes what"
-                        + " it has",
-                "server web-4 is new", "server web-5 is new", "server web-3 is described no more"),
-                        taken.say());
+        assertTrue(taken.app().servers().stream().anyMatch(one -> one.name().equals("web-4")), taken.toString());
+        assertEquals(
+                List.of(
+                        "server web-2 is draining, before ready: it gets nothing new and finishes what" + " it has",
+                        "server web-4 is new",
+                        "server web-5 is new",
+                        "server web-3 is described no more"),
+                taken.say());
         nothingMoreOf(next);
     }
 
@@ -68,7 +71,8 @@
         Watch.Decision broken = settled(text.replace("again    = \"never-twice\"", "again    = \"safe\""));
         assertNull(broken.app());
         assertTrue(broken.say().get(0).contains("KX101"), broken.say()::toString);
-        assertEquals("the description has changed and is not sound; what it said before holds",
+        assertEquals(
+                "the description has changed and is not sound; what it said before holds",
                 broken.say().get(broken.say().size() - 1));
         Watch.Decision gone = settled(null);
         assertNull(gone.app());
@@ -76,17 +80,22 @@
         nothingMoreOf(null);
         // It comes back as it was, and then with a change.
         assertNull(settled(text).app());
-        assertTrue(settled(text.replace("127.0.0.1:9002", "127.0.0.1:9012")).app().toString()
+        assertTrue(settled(text.replace("127.0.0.1:9002", "127.0.0.1:9012"))
+                .app()
+                .toString()
                 .contains("9012"));
     }
 
     @Test
     void whatNeedsANewProcessHoldsBackAllOfAChange() {
         Watch.Decision both = settled(text.replace("deadline = \"1s\"", "deadline = \"2s\"")
-                .replace("quota = 300", "quota = 400").replace("127.0.0.1:9002", "127.0.0.1:9012"));
+                .replace("quota = 300", "quota = 400")
+                .replace("127.0.0.1:9002", "127.0.0.1:9012"));
         assertNull(both.app());
-        assertEquals(List.of("the description has changed in class, quota, which needs a new process; all of"
-                + " what it said before holds"), both.say());
+        assertEquals(
+                List.of("the description has changed in class, quota, which needs a new process; all of"
+                        + " what it said before holds"),
+                both.say());
     }
 
     @Test
--- a/src/test/java/kitemux/bench/HeldAddressTest.java
+++ b/src/test/java/kitemux/bench/HeldAddressTest.java
@@ -7,7 +7,6 @@
 import java.net.ConnectException;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-
 import org.junit.jupiter.api.Test;
 
 /** Ports for processes that are yet to start. */
@@ -16,7 +15,9 @@
     void aPortIsKeptForWhoeverWillListenOnItAndGivenToNobodyElse() throws Exception {
         try (HeldAddress held = new HeldAddress()) {
             for (int round = 0; round < 2; round++) {
-                assertThrows(ConnectException.class, () -> SocketChannel.open(held.address()).close());
+                assertThrows(
+                        ConnectException.class,
+                        () -> SocketChannel.open(held.address()).close());
                 try (SocketChannel other = SocketChannel.open()) {
                     assertThrows(BindException.class, () -> other.bind(held.address()));
                 }
--- a/src/test/java/kitemux/cli/ExamplesTest.java
+++ b/src/test/java/kitemux/cli/ExamplesTest.java
@@ -8,14 +8,12 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.Stream;
-
+import kitemux.app.AppFile;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
-import kitemux.app.AppFile;
-
 /** The applications of the examples: sound, and each starts as it stands but for its ports and folders. */
 class ExamplesTest {
     private static final Path FOLDER = Path.of("examples", "app");
@@ -40,11 +38,12 @@
         String text = Files.readString(example);
         assertEquals(List.of(), AppFile.read(text).findings());
         int port = SidecarProcess.freePort();
-        Path mine = Files.writeString(folder.resolve("app.hcl"), text
-                .replaceFirst("listen +=.*", "listen = \"127.0.0.1:" + port + "\"")
-                .replaceFirst("http://127.0.0.1:8500", "http://127.0.0.1:" + SidecarProcess.freePort())
-                .replace("\"state\"", "\"" + folder.resolve("state") + "\"")
-                .replace("\"editing-servers.json\"", "\"" + folder.resolve("servers.json") + "\""));
+        Path mine = Files.writeString(
+                folder.resolve("app.hcl"),
+                text.replaceFirst("listen +=.*", "listen = \"127.0.0.1:" + port + "\"")
+                        .replaceFirst("http://127.0.0.1:8500", "http://127.0.0.1:" + SidecarProcess.freePort())
+                        .replace("\"state\"", "\"" + folder.resolve("state") + "\"")
+                        .replace("\"editing-servers.json\"", "\"" + folder.resolve("servers.json") + "\""));
         SidecarProcess sidecar = new SidecarProcess(mine, port);
         try {
             sidecar.await("listening on");
--- a/src/test/java/kitemux/cli/KeepCommandTest.java
+++ b/src/test/java/kitemux/cli/KeepCommandTest.java
@@ -15,28 +15,31 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
-
 import picocli.CommandLine;
 
 class KeepCommandTest {
     @TempDir
     private Path folder;
+
     private final StringWriter out = new StringWriter();
     private final StringWriter err = new StringWriter();
 
     private int call(String... args) {
-        return new CommandLine(new KeepCommand()).setOut(new PrintWriter(out)).setErr(new PrintWriter(err))
+        return new CommandLine(new KeepCommand())
+                .setOut(new PrintWriter(out))
+                .setErr(new PrintWriter(err))
                 .execute(args);
     }
 
     private Path file(String voter) throws Exception {
-        return Files.writeString(folder.resolve("k.hcl"), "keeper = 0\nkeepers = [\"127.0.0.1:1\"]\n"
-                + "listen = \"127.0.0.1:0\"\nvoters = [\"" + voter + "\"]\nfolder = \"" + folder.resolve("f")
-                + "\"\nnodes = 1\n");
+        return Files.writeString(
+                folder.resolve("k.hcl"),
+                "keeper = 0\nkeepers = [\"127.0.0.1:1\"]\n"
+                        + "listen = \"127.0.0.1:0\"\nvoters = [\"" + voter + "\"]\nfolder = \"" + folder.resolve("f")
+                        + "\"\nnodes = 1\n");
     }
 
     @Test
@@ -73,9 +76,16 @@
         assertEquals(0, call("make", "--keeper", "0", folder.resolve("f").toString()));
         String settings = file(out.toString().strip()).toString();
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        Process keeper = new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"),
-                Main.class.getName(), "keep", "run", settings)
-                .redirectErrorStream(true).start();
+        Process keeper = new ProcessBuilder(
+                        java,
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Main.class.getName(),
+                        "keep",
+                        "run",
+                        settings)
+                .redirectErrorStream(true)
+                .start();
         try (BufferedReader lines = keeper.inputReader()) {
             Matcher port = null;
             boolean serves = false;
@@ -89,10 +99,14 @@
             err.getBuffer().setLength(0);
             assertEquals(2, call("run", settings), "its folder is held");
             assertTrue(err.toString().contains("another process writes to"), err.toString());
-            HttpResponse<String> told = HttpClient.newHttpClient().send(HttpRequest.newBuilder(URI.create(
-                    "http://127.0.0.1:" + port.group(1) + "/rollout/change")).POST(HttpRequest.BodyPublishers
-                            .ofString("{\"id\":\"0000000000000001\",\"base\":0,\"set\":{\"realms/a\":"
-                                    + "{\"quotaPerS\":1}}}")).build(), HttpResponse.BodyHandlers.ofString());
+            HttpResponse<String> told = HttpClient.newHttpClient()
+                    .send(
+                            HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port.group(1) + "/rollout/change"))
+                                    .POST(HttpRequest.BodyPublishers.ofString(
+                                            "{\"id\":\"0000000000000001\",\"base\":0,\"set\":{\"realms/a\":"
+                                                    + "{\"quotaPerS\":1}}}"))
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofString());
             assertEquals("200 {\"rev\":1}", told.statusCode() + " " + told.body());
             keeper.destroy();
             assertTrue(keeper.waitFor(30, TimeUnit.SECONDS));
--- a/src/test/java/kitemux/cli/LabCommandTest.java
+++ b/src/test/java/kitemux/cli/LabCommandTest.java
@@ -8,28 +8,30 @@
 import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-
 import picocli.CommandLine;
 
 class LabCommandTest {
     @TempDir
     private Path folder;
+
     private final StringWriter out = new StringWriter();
     private final StringWriter err = new StringWriter();
 
     private int lab(String... arguments) {
-        return new CommandLine(new LabCommand()).setOut(new PrintWriter(out)).setErr(new PrintWriter(err))
+        return new CommandLine(new LabCommand())
+                .setOut(new PrintWriter(out))
+                .setErr(new PrintWriter(err))
                 .execute(arguments);
     }
 
     private Path experiment(String where) throws IOException {
         Files.copy(Path.of("examples", "lab", "fleet.hcl"), folder.resolve("fleet.hcl"));
-        return Files.writeString(folder.resolve("e.hcl"),
-                "fleet = \"fleet.hcl\"\nlength = \"2s\"\nwhere = [\""
-                + where + "\"]\nscenario \"one\" { load = 0.5 }\n");
+        return Files.writeString(
+                folder.resolve("e.hcl"),
+                "fleet = \"fleet.hcl\"\nlength = \"2s\"\nwhere = [\"" + where
+                        + "\"]\nscenario \"one\" { load = 0.5 }\n");
     }
 
     @Test
@@ -50,8 +52,17 @@
     @Test
     void whatCannotBeUsedIsToldLineByLine() throws IOException {
         Path file = experiment("moon");
-        assertEquals(2, lab("run", file.toString(), "--to", folder.resolve("r").toString(), "--at-once", "0",
-                "--jar", folder.resolve("none.jar").toString()));
+        assertEquals(
+                2,
+                lab(
+                        "run",
+                        file.toString(),
+                        "--to",
+                        folder.resolve("r").toString(),
+                        "--at-once",
+                        "0",
+                        "--jar",
+                        folder.resolve("none.jar").toString()));
         assertEquals(3, err.toString().lines().count(), err.toString());
         assertTrue(err.toString().lines().allMatch(line -> line.startsWith("kitemux: ")), err.toString());
         assertEquals(2, lab("table", folder.toString()));
--- a/src/test/java/kitemux/cli/MainTest.java
+++ b/src/test/java/kitemux/cli/MainTest.java
@@ -10,7 +10,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -50,10 +49,24 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "nodes", "node --fast", "--nothing", "adapter x y", "faults --seeds 3",
-        "faults --seeds 9-1", "faults --jobs 0", "faults --only nothing", "faults --shrink",
+    @ValueSource(
+            strings = {
+                "",
+                "nodes",
+                "node --fast",
+                "--nothing",
+                "adapter x y",
+                "faults --seeds 3",
+                "faults --seeds 9-1",
+                "faults --jobs 0",
+                "faults --only nothing",
+                "faults --shrink",
                 "faults --seed x",
-        "bench --connections 0", "bench --jar no-such-file", "bench --rounds 0", "bench --half"})
+                "bench --connections 0",
+                "bench --jar no-such-file",
+                "bench --rounds 0",
+                "bench --half"
+            })
     void badArgumentsAreSaidInOneLine(String line) {
         String printed = run(line.isEmpty() ? new String[0] : line.split(" "));
         assertTrue(printed.startsWith("kitemux: "), printed);
@@ -65,9 +78,15 @@
     @Timeout(60)
     void theModesThatAreStartedOftenDoNotLoadTheReaderOfArguments() throws Exception {
         Path java = Path.of(System.getProperty("java.home"), "bin", "java");
-        Process process = new ProcessBuilder(java.toString(), "-Xlog:class+load", "-cp",
-                System.getProperty("java.class.path"), Main.class.getName(), "adapter")
-                .redirectErrorStream(true).start();
+        Process process = new ProcessBuilder(
+                        java.toString(),
+                        "-Xlog:class+load",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Main.class.getName(),
+                        "adapter")
+                .redirectErrorStream(true)
+                .start();
         process.getOutputStream().close();
         String loaded = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertTrue(process.waitFor(20, TimeUnit.SECONDS));
--- a/src/test/java/kitemux/cli/OrdersCommandTest.java
+++ b/src/test/java/kitemux/cli/OrdersCommandTest.java
@@ -8,32 +8,35 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-
-import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
-
 import kitemux.orders.Entry.Answer;
 import kitemux.orders.Entry.Answered;
 import kitemux.orders.Entry.Ended;
 import kitemux.orders.Entry.Intent;
 import kitemux.orders.Entry.Result;
 import kitemux.orders.JournalOnDisk;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** The questions that a desk asks, and the exit codes of the answers. */
 class OrdersCommandTest {
     @TempDir
     private Path folder;
+
     private Path journal;
     private String said = "";
 
     @BeforeEach
     void write() throws Exception {
         journal = folder.resolve("orders");
-        JournalOnDisk.write(journal,
-                JournalOnDisk.taken(1, "paid"), new Intent(1, 10, 0, "web-1", "127.0.0.1:80", 99),
-                new Ended(1, 20, 0, Result.OK, true), new Answered(1, 30, Answer.SERVED),
-                JournalOnDisk.taken(2, "lost"), new Intent(2, 10, 0, "web-2", "127.0.0.1:81", 99),
+        JournalOnDisk.write(
+                journal,
+                JournalOnDisk.taken(1, "paid"),
+                new Intent(1, 10, 0, "web-1", "127.0.0.1:80", 99),
+                new Ended(1, 20, 0, Result.OK, true),
+                new Answered(1, 30, Answer.SERVED),
+                JournalOnDisk.taken(2, "lost"),
+                new Intent(2, 10, 0, "web-2", "127.0.0.1:81", 99),
                 JournalOnDisk.taken(3, "kept"));
     }
 
@@ -59,8 +62,7 @@
         assertTrue(said.contains("never sent"), said);
         assertEquals(1, run("orders", "ask", "--journal", journal.toString(), "--order", "other"));
         assertTrue(said.contains("never taken"), said);
-        assertEquals(3, run("orders", "ask", "--journal", journal.toString(), "--state", "UNKNOWN",
-                "--json"));
+        assertEquals(3, run("orders", "ask", "--journal", journal.toString(), "--state", "UNKNOWN", "--json"));
         assertTrue(said.startsWith("{\"order\":\"lost\"") && said.lines().count() == 1, said);
     }
 
@@ -87,7 +89,9 @@
         assertTrue(said.contains("8 entries in 1 segments, 0 faults"), said);
         Path segment;
         try (var files = Files.list(journal)) {
-            segment = files.filter(file -> file.toString().endsWith(".orders")).findFirst().orElseThrow();
+            segment = files.filter(file -> file.toString().endsWith(".orders"))
+                    .findFirst()
+                    .orElseThrow();
         }
         byte[] bytes = Files.readAllBytes(segment);
         for (int i = 0; i < bytes.length; i++) {
@@ -111,15 +115,18 @@
 
     @Test
     void aSecondTryUnderAnotherIdIsNamedAsWhatItCanBeKnownToBe() throws Exception {
-        JournalOnDisk.write(journal, JournalOnDisk.again(9, "again", "cart-1", ""),
+        JournalOnDisk.write(
+                journal,
+                JournalOnDisk.again(9, "again", "cart-1", ""),
                 JournalOnDisk.again(10, "keyed", "cart-7", "k"),
                 JournalOnDisk.again(11, "rekeyed", "cart-8", "k"));
         run("orders", "ask", "--journal", journal.toString(), "--order", "paid");
-        assertTrue(said.lines().anyMatch(line -> line.startsWith("perhaps the same")
-                && line.contains("order again ")), said);
+        assertTrue(
+                said.lines().anyMatch(line -> line.startsWith("perhaps the same") && line.contains("order again ")),
+                said);
         run("orders", "ask", "--journal", journal.toString(), "--order", "keyed", "--json");
-        assertTrue(said.lines().anyMatch(line -> line.startsWith("{\"kin\":\"same\",\"order\":"
-                + "\"rekeyed\"")), said);
+        assertTrue(
+                said.lines().anyMatch(line -> line.startsWith("{\"kin\":\"same\",\"order\":" + "\"rekeyed\"")), said);
         run("orders", "ask", "--journal", journal.toString(), "--order", "kept");
         assertEquals(1, said.lines().count(), said);
     }
--- a/src/test/java/kitemux/cli/PlanCommandTest.java
+++ b/src/test/java/kitemux/cli/PlanCommandTest.java
@@ -11,12 +11,9 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.regex.Pattern;
-
 import kitemux.config.Json;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-
 import picocli.CommandLine;
 
 class PlanCommandTest {
@@ -29,7 +26,9 @@
     private final StringWriter err = new StringWriter();
 
     private int run(String... args) {
-        return new CommandLine(new PlanCommand()).setOut(new PrintWriter(out)).setErr(new PrintWriter(err))
+        return new CommandLine(new PlanCommand())
+                .setOut(new PrintWriter(out))
+                .setErr(new PrintWriter(err))
                 .execute(args);
     }
 
@@ -49,8 +48,10 @@
 
     @Test
     void aFleetThatDoesNotHoldIsFoundAndWhatItNeedsIsTold() throws IOException {
-        String more = Files.readString(EXAMPLE).replace("rate   = 220", "rate   = 600")
-                .replace("length = \"40s\"", "length = \"10s\"").replace("quota  = 300", "quota  = 900");
+        String more = Files.readString(EXAMPLE)
+                .replace("rate   = 220", "rate   = 600")
+                .replace("length = \"40s\"", "length = \"10s\"")
+                .replace("quota  = 300", "quota  = 900");
         assertEquals(1, run("--fleet", file(more).toString(), "--ask", "holds,boxes"), err.toString());
         assertTrue(out.toString().contains("does not hold"), out.toString());
         assertTrue(out.toString().matches("(?s).*std: \\d+ hold the goal.*"), out.toString());
@@ -59,8 +60,7 @@
     @Test
     void theAnswersAsJsonSayWhatTheTextSays() throws IOException {
         String shorter = Files.readString(EXAMPLE).replace("length = \"40s\"", "length = \"8s\"");
-        assertEquals(0, run("--fleet", file(shorter).toString(), "--ask", "holds,breaks", "--json"),
-                err.toString());
+        assertEquals(0, run("--fleet", file(shorter).toString(), "--ask", "holds,breaks", "--json"), err.toString());
         Json read = Json.read(out.toString().getBytes(StandardCharsets.UTF_8));
         assertTrue(read.path("today").path("holds").flag());
         assertTrue(read.path("today").path("inTime").path("mean").decimal(0) > 0.95);
@@ -70,17 +70,21 @@
 
     @Test
     void allThatIsWrongIsToldAtOnceALineEach() throws IOException {
-        String wrong = Files.readString(EXAMPLE).replace("way           = \"200us\"", "way = 5")
-                .replace("repeat   = \"safe\"", "repeat = \"often\"").replace("rate   = 220", "colour = 1")
+        String wrong = Files.readString(EXAMPLE)
+                .replace("way           = \"200us\"", "way = 5")
+                .replace("repeat   = \"safe\"", "repeat = \"often\"")
+                .replace("rate   = 220", "colour = 1")
                 .replace("count  = 2\n", "count = 2.5\n");
         assertEquals(2, run("--fleet", file(wrong).toString(), "--goal", "1.5"));
         List<String> lines = err.toString().lines().toList();
-        for (String field : List.of("--goal", "links.way", "class \"view-page\".repeat", "load.rate",
-                "load.colour",
-                "nodes.count")) {
-            assertEquals(1,
-                    lines.stream().filter(line -> line.matches("kitemux: (\\S+fleet[.]hcl:\\d+:\\d+: )?"
-                    + Pattern.quote(field) + "\\b.*")).count(),
+        for (String field : List.of(
+                "--goal", "links.way", "class \"view-page\".repeat", "load.rate", "load.colour", "nodes.count")) {
+            assertEquals(
+                    1,
+                    lines.stream()
+                            .filter(line -> line.matches(
+                                    "kitemux: (\\S+fleet[.]hcl:\\d+:\\d+: )?" + Pattern.quote(field) + "\\b.*"))
+                            .count(),
                     field + " in " + lines);
         }
         assertEquals(6, lines.size(), lines.toString());
@@ -98,8 +102,10 @@
     void thePageHoldsTheAnswersAndALineForEachLoss() throws IOException {
         String shorter = Files.readString(EXAMPLE).replace("length = \"40s\"", "length = \"8s\"");
         Path page = folder.resolve("plan.html");
-        assertEquals(0, run("--fleet", file(shorter).toString(), "--ask", "losses", "--html",
-                page.toString()), err.toString());
+        assertEquals(
+                0,
+                run("--fleet", file(shorter).toString(), "--ask", "losses", "--html", page.toString()),
+                err.toString());
         String text = Files.readString(page);
         for (String line : out.toString().lines().toList()) {
             assertTrue(text.contains(line.replace("\"", "&quot;")), line);
--- a/src/test/java/kitemux/cli/SidecarCommandTest.java
+++ b/src/test/java/kitemux/cli/SidecarCommandTest.java
@@ -2,28 +2,26 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
-
+import kitemux.standin.BoxServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-
-import kitemux.standin.BoxServer;
-
 /** A sidecar's process among servers that are told apart by how much they answer. */
 class SidecarCommandTest {
-    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
     @TempDir
     private Path folder;
+
     private SidecarProcess sidecar;
 
     @AfterEach
@@ -51,16 +49,18 @@
     @Test
     void serversAreFollowedAndWhatIsBrokenIsNot() throws Exception {
         int port = SidecarProcess.freePort();
-        try (BoxServer one = BoxServer.start(loops, 1); BoxServer two = BoxServer.start(loops, 2);
+        try (BoxServer one = BoxServer.start(loops, 1);
+                BoxServer two = BoxServer.start(loops, 2);
                 BoxServer three = BoxServer.start(loops, 3)) {
             Path file = Files.writeString(folder.resolve("app.hcl"), description(port, one, two));
             sidecar = new SidecarProcess(file, port);
             sidecar.await("listening on");
             assertEquals(Set.of(1, 2), lengths(60));
             // One drains; another takes its place.
-            String next = description(port, one, two).replace("rack    = 0\n}",
-                    "rack    = 0\n  state   = \"draining\"\n}")
-                    + "server \"web-4\" {\n  address = \"127.0.0.1:" + three.address().getPort() + "\"\n}\n";
+            String next =
+                    description(port, one, two).replace("rack    = 0\n}", "rack    = 0\n  state   = \"draining\"\n}")
+                            + "server \"web-4\" {\n  address = \"127.0.0.1:"
+                            + three.address().getPort() + "\"\n}\n";
             Files.writeString(file, next);
             sidecar.await("server web-1 is draining");
             sidecar.await("server web-4 is new");
@@ -78,8 +78,10 @@
 
     @Test
     void aDescriptionWithFaultsStartsNothing() throws Exception {
-        Path file = Files.writeString(folder.resolve("app.hcl"), Files.readString(Path.of("examples", "app",
-                "ordering-desk.hcl")).replace("window   = \"1200ms\"", "window = \"1h\""));
+        Path file = Files.writeString(
+                folder.resolve("app.hcl"),
+                Files.readString(Path.of("examples", "app", "ordering-desk.hcl"))
+                        .replace("window   = \"1200ms\"", "window = \"1h\""));
         sidecar = new SidecarProcess(file, 1);
         sidecar.await("KX102");
         assertEquals(1, sidecar.exit());
--- a/src/test/java/kitemux/cli/SidecarMembersTest.java
+++ b/src/test/java/kitemux/cli/SidecarMembersTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -14,23 +15,20 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-
+import kitemux.config.Json;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import com.sun.net.httpserver.HttpServer;
-
-import kitemux.config.Json;
-
 /**
  * A sidecar whose servers are told by a list, by a file and by checks, and what it leaves for the next one.
- * 
+ *
  */
 class SidecarMembersTest {
     @TempDir
     private Path folder;
+
     private final List<HttpServer> running = new ArrayList<>();
     private SidecarProcess sidecar;
     private int port;
@@ -124,9 +122,11 @@
     }
 
     private Path description(String more) throws IOException {
-        return Files.writeString(folder.resolve("app.hcl"), "name = \"desk\"\nlisten = \"127.0.0.1:" + port
-                + "\"\n"
-                + "class \"view-page\" {\n  again = \"safe\"\n  aim = \"3s\"\n  deadline = \"5s\"\n}\n"
+        return Files.writeString(
+                folder.resolve("app.hcl"),
+                "name = \"desk\"\nlisten = \"127.0.0.1:" + port
+                        + "\"\n"
+                        + "class \"view-page\" {\n  again = \"safe\"\n  aim = \"3s\"\n  deadline = \"5s\"\n}\n"
                         + more);
     }
 
@@ -183,10 +183,11 @@
     void aServerThatFailsItsChecksGetsNothingNewUntilItPassesThem() throws Exception {
         Web a = web("a");
         Web b = web("b");
-        sidecar = new SidecarProcess(description("server \"w1\" {\n  address = \"" + a.address + "\"\n}\n"
-                + "server \"w2\" {\n  address = \"" + b.address + "\"\n}\n"
-                + "health {\n  path = \"/healthz\"\n  every = \"100ms\"\n  timeout = \"100ms\"\n  hold "
-                + "= \"200ms\"\n}\n"),
+        sidecar = new SidecarProcess(
+                description("server \"w1\" {\n  address = \"" + a.address + "\"\n}\n"
+                        + "server \"w2\" {\n  address = \"" + b.address + "\"\n}\n"
+                        + "health {\n  path = \"/healthz\"\n  every = \"100ms\"\n  timeout = \"100ms\"\n  hold "
+                        + "= \"200ms\"\n}\n"),
                 port);
         sidecar.await("listening on");
         assertEquals(Set.of("a", "b"), sidecar.answers(40));
@@ -229,8 +230,14 @@
     @Test
     void itEndsWithItsApplicationAndSaysSoAsJson() throws Exception {
         Web a = web("a");
-        sidecar = new SidecarProcess(description("server \"w1\" {\n  address = \"" + a.address + "\"\n}\n"
-                + "logs {\n  form = \"json\"\n}\n"), port, "--", "sh", "-c", "exit 7");
+        sidecar = new SidecarProcess(
+                description(
+                        "server \"w1\" {\n  address = \"" + a.address + "\"\n}\n" + "logs {\n  form = \"json\"\n}\n"),
+                port,
+                "--",
+                "sh",
+                "-c",
+                "exit 7");
         Json line = Json.read(sidecar.await("has ended with exit code 7").getBytes(StandardCharsets.UTF_8));
         assertEquals("info", line.path("level").text());
         assertTrue(line.path("time").text().endsWith("Z"), line.path("time").text());
@@ -241,11 +248,10 @@
     @Test
     void onSigtermTheApplicationIsToldFirstAndServedUntilItHasEnded() throws Exception {
         Web a = web("a");
-        String asks = "trap 'echo told; read line; echo ends; exit 0' TERM; echo begun; while read line;"
-                + " do :; done";
-        sidecar = new SidecarProcess(description("server \"w1\" {\n  address = \"" + a.address + "\"\n}\n"),
-                port,
-                "--", "bash", "-c", asks);
+        String asks =
+                "trap 'echo told; read line; echo ends; exit 0' TERM; echo begun; while read line;" + " do :; done";
+        sidecar = new SidecarProcess(
+                description("server \"w1\" {\n  address = \"" + a.address + "\"\n}\n"), port, "--", "bash", "-c", asks);
         sidecar.await("begun");
         // By its handle: else its streams would be closed as well.
         sidecar.process.toHandle().destroy();
--- a/src/test/java/kitemux/cli/SidecarProcess.java
+++ b/src/test/java/kitemux/cli/SidecarProcess.java
@@ -34,9 +34,18 @@
      */
     SidecarProcess(Path description, int port, String... more) throws IOException {
         this.port = port;
-        List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElseThrow(),
-                "-Xmx64m", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                Main.class.getName(), "sidecar", "--app", description.toString(), "--look", "20"));
+        List<String> command = new ArrayList<>(List.of(
+                ProcessHandle.current().info().command().orElseThrow(),
+                "-Xmx64m",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName(),
+                "sidecar",
+                "--app",
+                description.toString(),
+                "--look",
+                "20"));
         command.addAll(List.of(more));
         process = new ProcessBuilder(command).redirectErrorStream(true).start();
         Thread reader = new Thread(this::read, "said");
@@ -77,8 +86,11 @@
 
     /** One answer, whatever it is. */
     HttpResponse<String> ask() throws IOException, InterruptedException {
-        return client.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/api/page"))
-                .header("X-Txn", "t" + asked++).header("X-Lane", "view-page").header("X-Remaining", "5000m")
+        return client.send(
+                HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/api/page"))
+                        .header("X-Txn", "t" + asked++)
+                        .header("X-Lane", "view-page")
+                        .header("X-Remaining", "5000m")
                         .build(),
                 HttpResponse.BodyHandlers.ofString());
     }
--- a/src/test/java/kitemux/config/ClassArchiveTest.java
+++ b/src/test/java/kitemux/config/ClassArchiveTest.java
@@ -7,22 +7,22 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Whether a JVM runs with its class archive, by what proc(5) says of it. */
 class ClassArchiveTest {
-    private static final String COMMAND =
-            "java\0-Xshare:auto\0-XX:SharedArchiveFile=target/a.jsa\0-jar\0x.jar\0";
+    private static final String COMMAND = "java\0-Xshare:auto\0-XX:SharedArchiveFile=target/a.jsa\0-jar\0x.jar\0";
 
     @TempDir
     private Path process;
 
     private Optional<Path> unused(String command, String mapped) throws IOException {
         Files.writeString(process.resolve("cmdline"), command);
-        Files.writeString(process.resolve("maps"), "7f0000000000-7f0000001000 r--p 00000000 08:01 7     "
-                + mapped + "\n7f0000002000-7f0000003000 rw-p 00000000 00:00 0 \n");
+        Files.writeString(
+                process.resolve("maps"),
+                "7f0000000000-7f0000001000 r--p 00000000 08:01 7     " + mapped
+                        + "\n7f0000002000-7f0000003000 rw-p 00000000 00:00 0 \n");
         return ClassArchive.unused(process);
     }
 
--- a/src/test/java/kitemux/config/JsonTest.java
+++ b/src/test/java/kitemux/config/JsonTest.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -57,7 +56,9 @@
     @Test
     void onlyWhatALongHoldsIsWhole() throws IOException {
         Json json = read("[9223372036854775807,9223372036854775808,1.0,\"1\"]");
-        assertEquals(List.of(true, false, false, false), json.values().stream().map(Json::isWhole).toList());
+        assertEquals(
+                List.of(true, false, false, false),
+                json.values().stream().map(Json::isWhole).toList());
         assertEquals(Long.MAX_VALUE, json.values().get(0).whole(0));
     }
 
--- a/src/test/java/kitemux/deploy/DeployLines.java
+++ b/src/test/java/kitemux/deploy/DeployLines.java
@@ -1,5 +1,7 @@
 package kitemux.deploy;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
@@ -12,9 +14,6 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
-
 /**
  * Holds a deploy file against what the platform asks of its lines where a fleet is tried: a node is one
  * process that the shell has become, linked dynamically against the C library, with sockets of IPv4 alone,
@@ -24,13 +23,19 @@
     /** Where a shell takes more than the words of one command. */
     private static final Pattern SHELL = Pattern.compile("[;&|<>`\\n(){}$]");
     /** The JVM starts a shell for these, or opens a listener or a socket of its own. */
-    private static final List<String> OTHERS = List.of("-XX:OnError", "-XX:OnOutOfMemoryError", "-agentlib:",
-            "-agentpath:", "-javaagent:", "-Dcom.sun.management.jmxremote");
+    private static final List<String> OTHERS = List.of(
+            "-XX:OnError",
+            "-XX:OnOutOfMemoryError",
+            "-agentlib:",
+            "-agentpath:",
+            "-javaagent:",
+            "-Dcom.sun.management.jmxremote");
+
     private static final String IPV4 = "-Djava.net.preferIPv4Stack=true";
     private static final int ELF = 0x7f454c46;
     private static final int INTERPRETER = 3;
 
-    private DeployLines() { }
+    private DeployLines() {}
 
     /**
      * Every fault of a deploy file, one line each with the field, what it holds and the reason.
@@ -57,8 +62,7 @@
         return faults;
     }
 
-    private static void command(String field, String line, List<Path> path, List<String> faults)
-            throws IOException {
+    private static void command(String field, String line, List<Path> path, List<String> faults) throws IOException {
         String fault = field + " = \"" + line + "\": ";
         Matcher shell = SHELL.matcher(line);
         if (shell.find()) {
@@ -75,8 +79,10 @@
             faults.add(fault + reason);
         }
         for (String word : words) {
-            OTHERS.stream().filter(word::startsWith).forEach(other -> faults.add(fault + other
-                    + " starts another program, or opens a socket that nobody asked for"));
+            OTHERS.stream()
+                    .filter(word::startsWith)
+                    .forEach(other -> faults.add(
+                            fault + other + " starts another program, or opens a socket that nobody asked for"));
         }
         if (field.equals("run") && !words.contains(IPV4)) {
             faults.add(fault + "lacks " + IPV4 + ": the JVM's sockets would be of IPv6");
@@ -85,8 +91,13 @@
 
     /** What is wrong with a program, or null. */
     private static String programFault(String program, List<Path> path) throws IOException {
-        Path found = program.contains("/") ? Path.of(program) : path.stream().map(p -> p.resolve(program))
-                .filter(Files::isExecutable).findFirst().orElse(null);
+        Path found = program.contains("/")
+                ? Path.of(program)
+                : path.stream()
+                        .map(p -> p.resolve(program))
+                        .filter(Files::isExecutable)
+                        .findFirst()
+                        .orElse(null);
         if (found == null || !Files.isExecutable(found)) {
             return program + " is not found";
         }
@@ -103,7 +114,8 @@
         if (!hasInterpreter(bytes.order(ByteOrder.LITTLE_ENDIAN))) {
             return program + " is linked statically: the bench's library cannot be loaded into it";
         }
-        return found.toRealPath().getFileName().toString().equals("java") ? null
+        return found.toRealPath().getFileName().toString().equals("java")
+                ? null
                 : program + " is not the JVM: a wrapper may start the node as a second process";
     }
 
--- a/src/test/java/kitemux/deploy/DeployLinesTest.java
+++ b/src/test/java/kitemux/deploy/DeployLinesTest.java
@@ -4,6 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import io.netty.channel.FileRegion;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
@@ -15,34 +21,36 @@
 import java.nio.file.attribute.PosixFilePermissions;
 import java.util.Arrays;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-import com.tngtech.archunit.core.domain.JavaClasses;
-import com.tngtech.archunit.core.importer.ClassFileImporter;
-import com.tngtech.archunit.core.importer.ImportOption;
-import com.tngtech.archunit.lang.ArchRule;
-import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
-
-import io.netty.channel.FileRegion;
-
 /** What the platform asks of the deploy file's lines, and of what a node calls. */
 class DeployLinesTest {
-    private static final List<Path> PATH = Arrays.stream(System.getenv("PATH").split(":")).map(Path::of)
-            .toList();
+    private static final List<Path> PATH =
+            Arrays.stream(System.getenv("PATH").split(":")).map(Path::of).toList();
     /** The folders that the deploy file names as the node's, and the decisions. */
-    private static final String[] NODE = {"kitemux", "kitemux.config", "kitemux.discovery", "kitemux.engine",
-        "kitemux.http", "kitemux.net", "kitemux.node", "kitemux.ops", "kitemux.orders"};
+    private static final String[] NODE = {
+        "kitemux",
+        "kitemux.config",
+        "kitemux.discovery",
+        "kitemux.engine",
+        "kitemux.http",
+        "kitemux.net",
+        "kitemux.node",
+        "kitemux.ops",
+        "kitemux.orders"
+    };
 
     @TempDir
     private Path folder;
 
     private static List<String> faults(String run, List<Path> path) throws IOException {
-        return DeployLines.faults("build = \"mvn package\"\nrun = \"" + run
-                + "\"\nsim = \"exec java -jar x.jar\"\npolicy = [\"a\"]\nnode = [\"b\"]\n", path);
+        return DeployLines.faults(
+                "build = \"mvn package\"\nrun = \"" + run
+                        + "\"\nsim = \"exec java -jar x.jar\"\npolicy = [\"a\"]\nnode = [\"b\"]\n",
+                path);
     }
 
     @Test
@@ -52,35 +60,46 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "java -Djava.net.preferIPv4Stack=true -jar x.jar | does not begin with exec: the shell stays",
-        "sleep 1; exec java -Djava.net.preferIPv4Stack=true -jar x.jar | holds ';'",
-        "exec java -Djava.net.preferIPv4Stack=true -jar x.jar & | holds '&'",
-        "exec java -Djava.net.preferIPv4Stack=true -jar $JAR | holds '$'",
-        "exec timeout 9 java -Djava.net.preferIPv4Stack=true -jar x.jar | timeout is not the JVM",
-        "exec java -jar x.jar | lacks -Djava.net.preferIPv4Stack=true",
-        "exec java -Djava.net.preferIPv4Stack=true -XX:OnOutOfMemoryError=reboot -jar x.jar "
-            + "| -XX:OnOutOfMemoryError starts another program",
-        "exec no-such-program-here -Djava.net.preferIPv4Stack=true | no-such-program-here is not found"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "java -Djava.net.preferIPv4Stack=true -jar x.jar | does not begin with exec: the shell stays",
+                "sleep 1; exec java -Djava.net.preferIPv4Stack=true -jar x.jar | holds ';'",
+                "exec java -Djava.net.preferIPv4Stack=true -jar x.jar & | holds '&'",
+                "exec java -Djava.net.preferIPv4Stack=true -jar $JAR | holds '$'",
+                "exec timeout 9 java -Djava.net.preferIPv4Stack=true -jar x.jar | timeout is not the JVM",
+                "exec java -jar x.jar | lacks -Djava.net.preferIPv4Stack=true",
+                "exec java -Djava.net.preferIPv4Stack=true -XX:OnOutOfMemoryError=reboot -jar x.jar "
+                        + "| -XX:OnOutOfMemoryError starts another program",
+                "exec no-such-program-here -Djava.net.preferIPv4Stack=true | no-such-program-here is not found"
+            })
     void aLineThatThePlatformRefusesIsToldWithItsReason(String run, String reason) throws IOException {
         List<String> faults = faults(run, PATH);
         assertEquals(1, faults.size(), faults::toString);
-        assertTrue(faults.get(0).startsWith("run = \"" + run) && faults.get(0).contains(reason),
-                faults::toString);
+        assertTrue(faults.get(0).startsWith("run = \"" + run) && faults.get(0).contains(reason), faults::toString);
     }
 
     @Test
     void everyFaultIsToldAndNotTheFirstAlone() throws IOException {
-        assertEquals(List.of("build: missing, or no text", "run: missing, or no text",
-                "sim: missing, or no text", "policy: missing, or no list of files",
-                "node: missing, or no list of files"),
+        assertEquals(
+                List.of(
+                        "build: missing, or no text",
+                        "run: missing, or no text",
+                        "sim: missing, or no text",
+                        "policy: missing, or no list of files",
+                        "node: missing, or no list of files"),
                 DeployLines.faults("packages = []", PATH));
     }
 
     @Test
     void aStaticProgramAndAScriptAreTold() throws IOException {
-        ByteBuffer elf = ByteBuffer.allocate(256).putInt(0, 0x7f454c46).order(ByteOrder.LITTLE_ENDIAN)
-                .putLong(32, 64).putShort(54, (short) 56).putShort(56, (short) 1).putInt(64, 1);
+        ByteBuffer elf = ByteBuffer.allocate(256)
+                .putInt(0, 0x7f454c46)
+                .order(ByteOrder.LITTLE_ENDIAN)
+                .putLong(32, 64)
+                .putShort(54, (short) 56)
+                .putShort(56, (short) 1)
+                .putInt(64, 1);
         program("static", elf.array());
         program("script", "#!/bin/sh\nexec java \"$@\"\n".repeat(4).getBytes());
         program("java", elf.putInt(64, 3).array());
@@ -100,25 +119,38 @@
 
     /** Refused where a fleet is tried: other programs, sendfile and splice, Unix sockets, native loops. */
     private static ArchRule asksNothingRefused(String... packages) {
-        return ArchRuleDefinition.noClasses().that().resideInAnyPackage(packages)
-                .should().dependOnClassesThat().areAssignableTo(ProcessBuilder.class)
-                .orShould().dependOnClassesThat().areAssignableTo(Process.class)
-                .orShould().callMethod(Runtime.class, "exec", String.class)
-                .orShould().callMethod(Runtime.class, "exec", String[].class)
-                .orShould().dependOnClassesThat().areAssignableTo(FileRegion.class)
-                .orShould().dependOnClassesThat().haveNameMatching(
-                        "java\\.net\\.UnixDomainSocketAddress|io\\.netty\\.channel\\.(epoll|uring|unix)\\..*")
-                .orShould().callMethod(FileChannel.class, "transferTo", long.class, long.class,
-                        WritableByteChannel.class)
-                .orShould().callMethod(FileChannel.class, "transferFrom", ReadableByteChannel.class,
-                        long.class, long.class);
+        return ArchRuleDefinition.noClasses()
+                .that()
+                .resideInAnyPackage(packages)
+                .should()
+                .dependOnClassesThat()
+                .areAssignableTo(ProcessBuilder.class)
+                .orShould()
+                .dependOnClassesThat()
+                .areAssignableTo(Process.class)
+                .orShould()
+                .callMethod(Runtime.class, "exec", String.class)
+                .orShould()
+                .callMethod(Runtime.class, "exec", String[].class)
+                .orShould()
+                .dependOnClassesThat()
+                .areAssignableTo(FileRegion.class)
+                .orShould()
+                .dependOnClassesThat()
+                .haveNameMatching("java\\.net\\.UnixDomainSocketAddress|io\\.netty\\.channel\\.(epoll|uring|unix)\\..*")
+                .orShould()
+                .callMethod(FileChannel.class, "transferTo", long.class, long.class, WritableByteChannel.class)
+                .orShould()
+                .callMethod(FileChannel.class, "transferFrom", ReadableByteChannel.class, long.class, long.class);
     }
 
     @Test
     void aNodeAsksForNothingThatIsRefused() {
-        JavaClasses program = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+        JavaClasses program = new ClassFileImporter()
+                .withImportOption(new ImportOption.DoNotIncludeTests())
                 .importPackages("kitemux");
         asksNothingRefused(NODE).check(program);
-        assertThrows(AssertionError.class, () -> asksNothingRefused("kitemux.bench").check(program));
+        assertThrows(
+                AssertionError.class, () -> asksNothingRefused("kitemux.bench").check(program));
     }
 }
--- a/src/test/java/kitemux/discovery/PatienceTest.java
+++ b/src/test/java/kitemux/discovery/PatienceTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.SplittableRandom;
-
 import org.junit.jupiter.api.Test;
 
 /** How long a watch may be silent. */
--- a/src/test/java/kitemux/disk/MemoryDisk.java
+++ b/src/test/java/kitemux/disk/MemoryDisk.java
@@ -18,9 +18,11 @@
     private final Map<String, ByteArrayOutputStream> files = new LinkedHashMap<>();
     /** What is on the platter: names as of the last sync of the folder, bytes as of the file's. */
     private final Map<String, ByteArrayOutputStream> safeNames = new LinkedHashMap<>();
+
     private final Map<ByteArrayOutputStream, byte[]> safeBytes = new LinkedHashMap<>();
     /** Operations until all fail; negative for never. */
     public int failAfter = -1;
+
     public int operations;
     /** Segments read. */
     public int reads;
--- a/src/test/java/kitemux/drill/DrillTest.java
+++ b/src/test/java/kitemux/drill/DrillTest.java
@@ -8,7 +8,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -96,7 +95,8 @@
                 .filter(line -> !line.contains("\"e\":\"fault\"") && !line.contains("\"e\":\"down\""))
                 .toList();
         Verdict unexcused = Judge.of(Files.write(folder.resolve("without.jsonl"), without));
-        assertTrue(unexcused.broken().stream().anyMatch(line -> line.contains("no request lost")),
+        assertTrue(
+                unexcused.broken().stream().anyMatch(line -> line.contains("no request lost")),
                 unexcused.lines().toString());
         assertTrue(DrillPage.of("t", folder.resolve("t.jsonl"), verdict).contains("is stopped"));
     }
@@ -140,16 +140,23 @@
         Verdict.Share storm = verdict.shares().get(1);
         assertTrue(storm.refused() > 100, verdict.lines().toString());
         // Orders and photos are three tenths of what is asked, and more than that is served.
-        assertTrue(storm.byClass().get(1).inTime() > storm.byClass().get(0).inTime(), verdict.lines()
-                .toString());
+        assertTrue(
+                storm.byClass().get(1).inTime() > storm.byClass().get(0).inTime(),
+                verdict.lines().toString());
     }
 
     @Test
     void noNodeOutlivesADrillThatIsKilled() throws Exception {
         Path timeline = folder.resolve("k.jsonl");
-        Process drill = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-cp",
-                System.getProperty("java.class.path"), Played.class.getName(), timeline.toString())
-                .redirectErrorStream(true).redirectOutput(folder.resolve("out").toFile()).start();
+        Process drill = new ProcessBuilder(
+                        ProcessHandle.current().info().command().orElseThrow(),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Played.class.getName(),
+                        timeline.toString())
+                .redirectErrorStream(true)
+                .redirectOutput(folder.resolve("out").toFile())
+                .start();
         // Two for each node: what guards it, and itself.
         while (drill.isAlive() && drill.descendants().count() < 10) {
             Thread.onSpinWait();
--- a/src/test/java/kitemux/drill/LinkTest.java
+++ b/src/test/java/kitemux/drill/LinkTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
@@ -14,24 +17,19 @@
 import java.net.SocketTimeoutException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-
 /** A way between two parties, with real sockets at both ends. */
 class LinkTest {
     private static final Link.State CUT = new Link.State(true, true, 0, 0, 0);
     /** Long enough for what passes, and short for what does not. */
     private static final int SILENT_MS = 150;
+
     private static final int MOST_MS = 10_000;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
     private final CompletableFuture<Throwable> failed = new CompletableFuture<>();
     private ServerSocket target;
@@ -45,8 +43,13 @@
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             near = new InetSocketAddress("127.0.0.1", free.getLocalPort());
         }
-        link = new Link(loop, near, (InetSocketAddress) target.getLocalSocketAddress(),
-                new InetSocketAddress("127.77.0.9", 0), 1, failed::complete);
+        link = new Link(
+                loop,
+                near,
+                (InetSocketAddress) target.getLocalSocketAddress(),
+                new InetSocketAddress("127.77.0.9", 0),
+                1,
+                failed::complete);
         loop.execute(link::open);
         link.opened().get(MOST_MS, TimeUnit.MILLISECONDS);
     }
@@ -90,7 +93,8 @@
 
     @Test
     void bytesAndEndsPassBothWaysAndTheFarSideSeesWhoDials() throws Exception {
-        try (Socket one = dial(); Socket other = target.accept()) {
+        try (Socket one = dial();
+                Socket other = target.accept()) {
             assertEquals("127.77.0.9", other.getInetAddress().getHostAddress());
             one.getOutputStream().write(7);
             assertEquals(7, other.getInputStream().read());
@@ -105,7 +109,8 @@
 
     @Test
     void aCutSaysNothingAndWhatWasOnItsWayComesLate() throws Exception {
-        try (Socket one = dial(); Socket other = target.accept()) {
+        try (Socket one = dial();
+                Socket other = target.accept()) {
             set(CUT);
             one.getOutputStream().write(7);
             one.shutdownOutput();
@@ -122,7 +127,8 @@
 
     @Test
     void aCutOfOneDirectionLeavesTheOther() throws Exception {
-        try (Socket one = dial(); Socket other = target.accept()) {
+        try (Socket one = dial();
+                Socket other = target.accept()) {
             set(new Link.State(false, true, 0, 0, 0));
             one.getOutputStream().write(7);
             assertEquals(7, other.getInputStream().read());
@@ -133,7 +139,8 @@
 
     @Test
     void aSlowWayIsAsLateAsItIsToldAndKeepsTheOrder() throws Exception {
-        try (Socket one = dial(); Socket other = target.accept()) {
+        try (Socket one = dial();
+                Socket other = target.accept()) {
             set(new Link.State(false, false, 100_000, 50_000, 0));
             long began = System.nanoTime();
             for (int i = 0; i < 20; i++) {
@@ -148,7 +155,8 @@
 
     @Test
     void aNarrowWayHoldsItsSenderBack() throws Exception {
-        try (Socket one = dial(); Socket other = target.accept()) {
+        try (Socket one = dial();
+                Socket other = target.accept()) {
             set(new Link.State(false, false, 0, 0, 100_000));
             long began = System.nanoTime();
             one.getOutputStream().write(new byte[20_000]);
@@ -160,7 +168,8 @@
 
     @Test
     void aResetIsToldOnBothSides() throws Exception {
-        try (Socket one = dial(); Socket other = target.accept()) {
+        try (Socket one = dial();
+                Socket other = target.accept()) {
             one.getOutputStream().write(1);
             assertEquals(1, other.getInputStream().read());
             loop.submit(link::reset).get();
@@ -173,7 +182,7 @@
     void whileNobodyListensBehindItADialIsRefused() throws Exception {
         loop.submit(() -> link.targetListens(false)).get();
         // The system lets go of a listener at the loop's next look.
-        loop.submit(() -> { }).get();
+        loop.submit(() -> {}).get();
         assertThrows(ConnectException.class, () -> {
             while (true) {
                 dial().close();
--- a/src/test/java/kitemux/drill/LongAnswerDrillTest.java
+++ b/src/test/java/kitemux/drill/LongAnswerDrillTest.java
@@ -9,20 +9,18 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.Stream;
-
 import javax.tools.ToolProvider;
-
+import kitemux.cli.Main;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-import kitemux.cli.Main;
-
 /** Real processes whose servers give long answers past their clients' time, sound ones and mutants. */
 class LongAnswerDrillTest {
     /** A machine that is busy with something else may be too late to tell. */
     private static final int TRIES = 3;
+
     private static final String DRILL = """
             fleet  = "small-fleet.hcl"
             nodes  = 2
@@ -65,8 +63,11 @@
         try (Stream<String> lines = Files.lines(folder.resolve("t.jsonl"))) {
             seen = lines.toList();
         }
-        assertTrue(count(seen, "\"how\":\"WHOLE\"") > 20 && count(seen, "\"how\":\"STOPPED\"") > 5
-                && count(seen, "\"e\":\"cut-off\"") > 5, "it was no idle drill");
+        assertTrue(
+                count(seen, "\"how\":\"WHOLE\"") > 20
+                        && count(seen, "\"how\":\"STOPPED\"") > 5
+                        && count(seen, "\"e\":\"cut-off\"") > 5,
+                "it was no idle drill");
     }
 
     private static long count(List<String> lines, String part) {
@@ -83,11 +84,24 @@
         assertTrue(text.contains(SOUND));
         Files.writeString(source, text.replace(SOUND, unsound));
         Path mutant = Files.createDirectories(folder.resolve("mutant"));
-        assertEquals(0, ToolProvider.getSystemJavaCompiler().run(null, null, null, "-proc:none", "-cp",
-                System.getProperty("java.class.path"), "-d", mutant.toString(), source.toString()));
+        assertEquals(
+                0,
+                ToolProvider.getSystemJavaCompiler()
+                        .run(
+                                null,
+                                null,
+                                null,
+                                "-proc:none",
+                                "-cp",
+                                System.getProperty("java.class.path"),
+                                "-d",
+                                mutant.toString(),
+                                source.toString()));
         Verdict verdict = judged(mutant);
-        assertTrue(verdict.broken().stream().anyMatch(line -> line.contains("long answers passed on")
-                && line.contains(told)), verdict.lines().toString());
+        assertTrue(
+                verdict.broken().stream()
+                        .anyMatch(line -> line.contains("long answers passed on") && line.contains(told)),
+                verdict.lines().toString());
         System.out.println(Main.class.getSimpleName() + " with \"" + unsound + "\": "
                 + verdict.broken().get(0));
     }
--- a/src/test/java/kitemux/drill/ScenarioFileTest.java
+++ b/src/test/java/kitemux/drill/ScenarioFileTest.java
@@ -8,7 +8,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -30,8 +29,7 @@
             """;
 
     private static Scenario read(String text, List<String> faults) {
-        return ScenarioFile.read("d.hcl", text, null, path -> Files.readString(EXAMPLES.resolve(path)),
-                faults);
+        return ScenarioFile.read("d.hcl", text, null, path -> Files.readString(EXAMPLES.resolve(path)), faults);
     }
 
     private static Scenario good(String text) {
@@ -55,12 +53,18 @@
         assertTrue(both.there() && both.back());
         // From the servers to a node is what comes back on the node's connections.
         Fault turned = good(GOOD.replace("from = [\"node-1\"]", "from = [\"web-2\"]")
-                .replace("to   = [\"web-2\", \"list\"]", "to = [\"node-1\"]\n ways = \"there\"")).faults()
+                        .replace("to   = [\"web-2\", \"list\"]", "to = [\"node-1\"]\n ways = \"there\""))
+                .faults()
                 .get(0);
         assertEquals("[node-1>web-2]", turned.links().toString());
         assertTrue(!turned.there() && turned.back());
-        assertEquals(3, good(GOOD.replace("[\"web-2\", \"list\"]", "[\"rack-0\"]")).faults().get(0).links()
-                .size());
+        assertEquals(
+                3,
+                good(GOOD.replace("[\"web-2\", \"list\"]", "[\"rack-0\"]"))
+                        .faults()
+                        .get(0)
+                        .links()
+                        .size());
     }
 
     @Test
@@ -77,21 +81,25 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', quoteCharacter = '^', value = {
-        "nodes = 3 | nodes = 17 | d.hcl:2:1: nodes: is not from 1 to 16",
-        "for  = \"1s\" | for  = \"later\" | d.hcl:6:3: fault \"f\".for: must be a time",
-        "\"cut\" | \"bang\" | must be one of cut, slow, flap, reset, kill, stop, crash",
-        "\"cut\" | \"kill\" | fault \"f\".on: must name parties",
-        "\"cut\" | \"flap\" | fault \"f\".every: must be given",
-        "\"cut\" | \"slow\" | fault \"f\".delay: must be given, or spread or bytes_per_s",
-        "[\"node-1\"] | [\"node-7\"] | there is no \"node-7\"",
-        "[\"node-1\"] | [\"web-1\"] | there is no way between",
-        "at   = \"1s\" | at   = \"99s\" | fault \"f\".at: is not within the drill's length",
-        "small-fleet | no-fleet | d.hcl:1:1: fleet: no-fleet.hcl cannot be read",
-        "nodes = 3 | long_answers { share = 2 } | long_answers: share or stops is not from 0 to 1",
-        "nodes = 3 | long_answers { lasts = \"9m\" } | long_answers.lasts: is not from 100ms to 60s",
-        "nodes = 3 | long_answers { last = \"1s\" } | long_answers.last: is not known here",
-        "nodes = 3 | nodse = 3 | d.hcl:2:1: nodse: is not known here"})
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '^',
+            value = {
+                "nodes = 3 | nodes = 17 | d.hcl:2:1: nodes: is not from 1 to 16",
+                "for  = \"1s\" | for  = \"later\" | d.hcl:6:3: fault \"f\".for: must be a time",
+                "\"cut\" | \"bang\" | must be one of cut, slow, flap, reset, kill, stop, crash",
+                "\"cut\" | \"kill\" | fault \"f\".on: must name parties",
+                "\"cut\" | \"flap\" | fault \"f\".every: must be given",
+                "\"cut\" | \"slow\" | fault \"f\".delay: must be given, or spread or bytes_per_s",
+                "[\"node-1\"] | [\"node-7\"] | there is no \"node-7\"",
+                "[\"node-1\"] | [\"web-1\"] | there is no way between",
+                "at   = \"1s\" | at   = \"99s\" | fault \"f\".at: is not within the drill's length",
+                "small-fleet | no-fleet | d.hcl:1:1: fleet: no-fleet.hcl cannot be read",
+                "nodes = 3 | long_answers { share = 2 } | long_answers: share or stops is not from 0 to 1",
+                "nodes = 3 | long_answers { lasts = \"9m\" } | long_answers.lasts: is not from 100ms to 60s",
+                "nodes = 3 | long_answers { last = \"1s\" } | long_answers.last: is not known here",
+                "nodes = 3 | nodse = 3 | d.hcl:2:1: nodse: is not known here"
+            })
     void whatCannotBePlayedIsToldWithItsPlace(String good, String bad, String told) {
         List<String> faults = new ArrayList<>();
         read(GOOD.replace(good, bad), faults);
--- a/src/test/java/kitemux/drill/UnsoundNodeTest.java
+++ b/src/test/java/kitemux/drill/UnsoundNodeTest.java
@@ -9,20 +9,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
-
 import kitemux.lab.Loopback;
 import kitemux.node.UnsoundNode;
 import kitemux.node.UnsoundNode.Defect;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** Processes of unsound nodes, and whether the judge names what they do. */
 @Timeout(120)
 class UnsoundNodeTest {
     /** A machine that is busy with something else may be too late to tell. */
     private static final int TRIES = 3;
+
     private static final int MEAN_WORK_US = 20_000;
 
     @TempDir
@@ -57,7 +56,8 @@
                 length = "3s"
                 """), unsound(Defect.SENDS_ON_LATE));
         List<String> late = verdict.broken().stream()
-                .filter(line -> line.contains("no one who left sent on")).toList();
+                .filter(line -> line.contains("no one who left sent on"))
+                .toList();
         assertTrue(!late.isEmpty(), verdict.lines().toString());
         System.out.println("drill, sends on late: " + late.get(0));
     }
@@ -71,7 +71,8 @@
                 length = "3s"
                 """), unsound(Defect.NEVER_ANSWERS));
         List<String> lost = verdict.broken().stream()
-                .filter(line -> line.contains("no request lost")).toList();
+                .filter(line -> line.contains("no request lost"))
+                .toList();
         assertTrue(!lost.isEmpty(), verdict.lines().toString());
         System.out.println("drill, never answers: " + lost.get(0));
     }
@@ -79,15 +80,22 @@
     /** Six nodes; three of ten servers vanish and come back cold, starting at 0.12 of what they can do. */
     private static Scenario coldServers() throws IOException {
         List<String> faults = new ArrayList<>();
-        Scenario scenario = ScenarioFile.read("d.hcl", """
+        Scenario scenario = ScenarioFile.read(
+                "d.hcl",
+                """
                 fleet  = "storm-fleet.hcl"
                 nodes  = 6
                 length = "6s"
-                """, null, path -> Files.readString(Path.of("examples", "drill", path))
-                .replace("cold_from = 0.5", "cold_from = 0.12").replace("cold      = \"2s\"",
-                        "cold      = \"20s\"").replaceAll("(?s)\\n  point \\{.*?\\n  \\}", "")
-                .replace("\"vanish\"", "\"die\"").replace("\"10s\"", "\"2s\"")
-                .replace("\"4s\"", "\"1s\""), faults);
+                """,
+                null,
+                path -> Files.readString(Path.of("examples", "drill", path))
+                        .replace("cold_from = 0.5", "cold_from = 0.12")
+                        .replace("cold      = \"2s\"", "cold      = \"20s\"")
+                        .replaceAll("(?s)\\n  point \\{.*?\\n  \\}", "")
+                        .replace("\"vanish\"", "\"die\"")
+                        .replace("\"10s\"", "\"2s\"")
+                        .replace("\"4s\"", "\"1s\""),
+                faults);
         assertEquals(List.of(), faults);
         return scenario;
     }
@@ -96,7 +104,8 @@
     void nodesThatBudgetEachByItselfAreFound() throws Exception {
         Verdict verdict = judged(coldServers(), unsound(Defect.BUDGETS_BY_NODE));
         List<String> cold = verdict.broken().stream()
-                .filter(line -> line.contains("no cold server pushed over")).toList();
+                .filter(line -> line.contains("no cold server pushed over"))
+                .toList();
         assertTrue(!cold.isEmpty(), verdict.lines().toString());
         System.out.println("drill, budgets by node: " + cold.get(0));
     }
@@ -105,8 +114,12 @@
     void sixSoundNodesPushNoColdServerOver() throws Exception {
         Verdict verdict = judged(coldServers(), Played::node);
         assertEquals(List.of(), verdict.broken());
-        System.out.printf(Locale.ROOT, "drill, six nodes: a cold server met at most %.2f of what it "
-                + "stands%n", verdict.sums().coldest());
-        assertTrue(verdict.sums().coldest() > 0.1, "cold servers were used: " + verdict.sums().coldest());
+        System.out.printf(
+                Locale.ROOT,
+                "drill, six nodes: a cold server met at most %.2f of what it " + "stands%n",
+                verdict.sums().coldest());
+        assertTrue(
+                verdict.sums().coldest() > 0.1,
+                "cold servers were used: " + verdict.sums().coldest());
     }
 }
--- a/src/test/java/kitemux/engine/EngineTest.java
+++ b/src/test/java/kitemux/engine/EngineTest.java
@@ -12,9 +12,6 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.Balancer;
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Outcome;
@@ -26,6 +23,7 @@
 import kitemux.Balancer.ServerState;
 import kitemux.Balancer.Settings;
 import kitemux.ServiceQBalancer;
+import org.junit.jupiter.api.Test;
 
 /** What the engine does at its gate and at deadlines. */
 class EngineTest {
@@ -89,7 +87,7 @@
 
     /** Timers that run when a test says so, as late as it likes. */
     private static final class HandTime implements Time {
-        private record Due(long atUs, Runnable task) { }
+        private record Due(long atUs, Runnable task) {}
 
         private final List<Due> due = new ArrayList<>();
         private long nowUs = 1_000_000;
@@ -114,8 +112,10 @@
 
         /** One turn's timers: those that are due now, and none that they set. */
         void runDue() {
-            List<Due> now = due.stream().filter(t -> t.atUs <= nowUs)
-                    .sorted(Comparator.comparingLong(Due::atUs)).toList();
+            List<Due> now = due.stream()
+                    .filter(t -> t.atUs <= nowUs)
+                    .sorted(Comparator.comparingLong(Due::atUs))
+                    .toList();
             due.removeAll(now);
             now.forEach(t -> t.task.run());
         }
@@ -129,6 +129,7 @@
     private final List<String> heard = new ArrayList<>();
     /** Whether the server's connection is still coming up, and what was taken back meanwhile. */
     private boolean dialing;
+
     private final List<Transport.Exchange<Ask, String>> withdrawn = new ArrayList<>();
     /** Attempts that the module begins at once. */
     private int sends = 1;
@@ -137,8 +138,14 @@
 
     private final SendGate<Ask> gate = new SendGate<>() {
         @Override
-        public void before(long id, Ask request, int attempt, String serverId, Supplier<String> endpoint,
-                long untilUs, Consumer<Boolean> then) {
+        public void before(
+                long id,
+                Ask request,
+                int attempt,
+                String serverId,
+                Supplier<String> endpoint,
+                long untilUs,
+                Consumer<Boolean> then) {
             if (atGate == null) {
                 then.accept(true);
             } else {
@@ -214,8 +221,8 @@
 
     /** A module that sends all to one server and fails what does not come back served. */
     private Balancer module(Balancer.Actions actions) {
-        return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
-                new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
+        return (Balancer) Proxy.newProxyInstance(
+                Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
                     if (method.getName().equals("onRequest")) {
                         assertEquals(agoUs, ((Request) args[1]).agoUs(), "as the protocol has it");
                         for (int i = 0; i < sends; i++) {
@@ -235,17 +242,25 @@
     }
 
     private Engine<Ask, String> engine(Function<Balancer.Actions, Balancer> module) {
-        return new Engine<>(3, time, transport, () -> { }, Observer.NONE, gate, new Log() {
-            @Override
-            public void line(String text) {
-                throw new AssertionError(text);
-            }
+        return new Engine<>(
+                3,
+                time,
+                transport,
+                () -> {},
+                Observer.NONE,
+                gate,
+                new Log() {
+                    @Override
+                    public void line(String text) {
+                        throw new AssertionError(text);
+                    }
 
-            @Override
-            public void error(String what, Throwable cause) {
-                throw new AssertionError(what, cause);
-            }
-        }, module);
+                    @Override
+                    public void error(String what, Throwable cause) {
+                        throw new AssertionError(what, cause);
+                    }
+                },
+                module);
     }
 
     private void ask(long leftUs) {
@@ -407,11 +422,14 @@
     void theDecisionModuleTriesNothingAgainOnceAnAnswerHasBegun() {
         Settings settings = new Settings();
         settings.zones.add("z");
-        settings.classes.add(new RequestClass("select", 200_000, 0, 1_000_000, 1, 0, Repeat.SAFE, null, 0,
-                true));
+        settings.classes.add(new RequestClass("select", 200_000, 0, 1_000_000, 1, 0, Repeat.SAFE, null, 0, true));
         Engine<Ask, String> engine = engine(actions -> new ServiceQBalancer(settings, 1, actions));
-        engine.listed(ListKind.FULL, List.of(new ServerEntry("a", 0, 0, ServerState.READY, 1, 0),
-                new ServerEntry("b", 0, 0, ServerState.READY, 1, 0)), () -> { });
+        engine.listed(
+                ListKind.FULL,
+                List.of(
+                        new ServerEntry("a", 0, 0, ServerState.READY, 1, 0),
+                        new ServerEntry("b", 0, 0, ServerState.READY, 1, 0)),
+                () -> {});
         engine.ask(engine.take(client, new Ask(LEFT_US)));
         assertTrue(exchange.begun("rows"));
         exchange.ended(Result.RESET, null);
@@ -466,7 +484,9 @@
         ask(LEFT_US);
         dialing = true;
         exchanges.get(0).ended(Result.OK, "yes");
-        assertEquals(List.of(Result.OK, Result.MOOT), told.stream().map(Outcome::result).toList());
+        assertEquals(
+                List.of(Result.OK, Result.MOOT),
+                told.stream().map(Outcome::result).toList());
         assertEquals(List.of("yes"), answers);
     }
 
--- a/src/test/java/kitemux/fleet/BoxTest.java
+++ b/src/test/java/kitemux/fleet/BoxTest.java
@@ -7,13 +7,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.DoubleSupplier;
-
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.Result;
 import kitemux.plan.Estimate;
 import kitemux.plan.Queues;
 import kitemux.sim.Scheduler;
-
 import org.junit.jupiter.api.Test;
 
 /** A server by itself, held against what queueing theory says exactly. */
@@ -29,8 +27,15 @@
     }
 
     private Box box(int cores, int room, Fleet.Choke choke) {
-        return new Box("b", 0, 0, fleet(new Fleet.Kind("b", 1, cores, 1, 0, room, 0.2, 10_000_000, false, 1),
-                choke), 1, time, rules, new Draws(1, Draws.Cause.BOXES));
+        return new Box(
+                "b",
+                0,
+                0,
+                fleet(new Fleet.Kind("b", 1, cores, 1, 0, room, 0.2, 10_000_000, false, 1), choke),
+                1,
+                time,
+                rules,
+                new Draws(1, Draws.Cause.BOXES));
     }
 
     /** Mean time in the queue and served in units of work, or the share that was turned away. */
@@ -50,8 +55,10 @@
             if (came > endUs) {
                 return;
             }
-            box.take(new Box.Job(new Rules.Asked(Fleets.of("c", 1, 2, 1, Repeat.SAFE), 1),
-                    workUs.getAsDouble(), came,
+            box.take(new Box.Job(
+                    new Rules.Asked(Fleets.of("c", 1, 2, 1, Repeat.SAFE), 1),
+                    workUs.getAsDouble(),
+                    came,
                     new Box.Reply() {
                         @Override
                         public void came(Result result) {
@@ -75,15 +82,14 @@
         return lost ? (double) counts[1] / (counts[0] + counts[1]) : sum[0] / counts[0] / WORK_US;
     }
 
-    private static void agrees(String what, double theory, int cores, double load, int room, boolean fixed,
-            boolean lost) {
+    private static void agrees(
+            String what, double theory, int cores, double load, int room, boolean fixed, boolean lost) {
         List<Double> values = new ArrayList<>();
         for (long seed = 1; seed <= SEEDS; seed++) {
             values.add(measured(cores, load, room, seed, fixed, lost));
         }
         Estimate seen = Estimate.of(values);
-        assertTrue(seen.low() <= theory && theory <= seen.high(), what + ": " + theory + " on paper, seen "
-                + seen);
+        assertTrue(seen.low() <= theory && theory <= seen.high(), what + ": " + theory + " on paper, seen " + seen);
         assertTrue(seen.half() < 0.1 * theory, what + ": the interval says little: " + seen);
     }
 
@@ -97,16 +103,15 @@
 
     private void send(Box box, int count, double workUs) {
         for (int i = 0; i < count; i++) {
-            box.take(new Box.Job(new Rules.Asked(Fleets.of("c", 1, 2, 1, Repeat.SAFE), i), workUs, 0,
-                    new Box.Reply() {
-                        @Override
-                        public void came(Result result) { }
-
-                        @Override
-                        public boolean isWanted() {
-                            return false;
-                        }
-                    }));
+            box.take(new Box.Job(new Rules.Asked(Fleets.of("c", 1, 2, 1, Repeat.SAFE), i), workUs, 0, new Box.Reply() {
+                @Override
+                public void came(Result result) {}
+
+                @Override
+                public boolean isWanted() {
+                    return false;
+                }
+            }));
         }
     }
 
@@ -136,21 +141,20 @@
         box.start();
         for (int i = 0; i < 203; i++) {
             boolean told = i % 2 == 0;
-            box.take(new Box.Job(new Rules.Asked(Fleets.of("c", 1, 2, 1, Repeat.SAFE), i), 10_000, 0,
-                    new Box.Reply() {
-                        @Override
-                        public void came(Result result) { }
-
-                        @Override
-                        public boolean isWanted() {
-                            return false;
-                        }
-
-                        @Override
-                        public boolean isFromTold() {
-                            return told;
-                        }
-                    }));
+            box.take(new Box.Job(new Rules.Asked(Fleets.of("c", 1, 2, 1, Repeat.SAFE), i), 10_000, 0, new Box.Reply() {
+                @Override
+                public void came(Result result) {}
+
+                @Override
+                public boolean isWanted() {
+                    return false;
+                }
+
+                @Override
+                public boolean isFromTold() {
+                    return told;
+                }
+            }));
         }
         assertTrue(box.hasFallen());
         assertEquals(0, rules.breaks(), rules.told().toString());
@@ -200,14 +204,15 @@
         assertEquals(4, rules.breaks());
         rules.runs(refused, box, 0);
         assertEquals(5, rules.breaks(), "it runs after it was refused");
-        assertTrue(rules.told().get(0).contains("request 7 of order runs again"), rules.told().toString());
+        assertTrue(
+                rules.told().get(0).contains("request 7 of order runs again"),
+                rules.told().toString());
     }
 
     @Test
     void aKeyedRequestRunsAgainOnlyInItsRackAndWhileThatRemembersIt() {
         Box here = box(1, 10, null);
-        Box elsewhere = new Box("e", 0, 1, fleet(here.of, null), 1, time, rules,
-                new Draws(1, Draws.Cause.BOXES));
+        Box elsewhere = new Box("e", 0, 1, fleet(here.of, null), 1, time, rules, new Draws(1, Draws.Cause.BOXES));
         Rules.Asked keyed = new Rules.Asked(Fleets.of("photo", 1, 2, 1, Repeat.KEYED), 7);
         rules.runs(keyed, here, 1_000);
         rules.runs(keyed, here, 1_000 + keyed.of.windowUs());
--- a/src/test/java/kitemux/fleet/BudgetsByNode.java
+++ b/src/test/java/kitemux/fleet/BudgetsByNode.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-
 import kitemux.Balancer;
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
@@ -53,15 +52,14 @@
     }
 
     private static <T> T around(Class<T> type, T sound, Before before) {
-        return type.cast(Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type},
-                (proxy, method, args) -> {
-                    before.call(method, args);
-                    try {
-                        return method.invoke(sound, args);
-                    } catch (InvocationTargetException e) {
-                        throw e.getCause();
-                    }
-                }));
+        return type.cast(Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type}, (proxy, method, args) -> {
+            before.call(method, args);
+            try {
+                return method.invoke(sound, args);
+            } catch (InvocationTargetException e) {
+                throw e.getCause();
+            }
+        }));
     }
 
     @SuppressWarnings("unchecked")
--- a/src/test/java/kitemux/fleet/ColdFleetTest.java
+++ b/src/test/java/kitemux/fleet/ColdFleetTest.java
@@ -5,12 +5,10 @@
 
 import java.util.List;
 import java.util.Locale;
-
 import kitemux.fleet.Fleet.Among;
 import kitemux.fleet.Fleet.Fault;
 import kitemux.fleet.Fleet.Point;
 import kitemux.fleet.Fleet.Trouble;
-
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -28,18 +26,55 @@
         Fleet of = Fleets.yearbook(servers / 2, servers - servers / 2, nodes, 0.5, 20);
         Fleet.Clients c = of.clients();
         Fleet.Load load = of.load();
-        return of.withKinds(of.kinds().stream().map(k -> new Fleet.Kind(k.name(), k.count(), k.cores(),
-                k.speed(), k.speedCv(), 40, 0.12, COLD_US, false, k.cost())).toList())
-                .with(new Fleet.Clients(c.oneWayUs(), c.retries(), c.tryFrom(), c.tryTo(), c.backoffUs(),
-                        c.honour(), c.mostRetryAfterUs(), 0.6))
-                .with(new Fleet.Load(load.ratePerS(), load.lengthUs(), List.of(new Point(6_000_000, 1),
-                        new Point(8_000_000, 2), new Point(13_000_000, 2), new Point(14_000_000, 1)),
-                        load.quotaPerS(), load.overShareWorth()))
+        return of.withKinds(of.kinds().stream()
+                        .map(k -> new Fleet.Kind(
+                                k.name(),
+                                k.count(),
+                                k.cores(),
+                                k.speed(),
+                                k.speedCv(),
+                                40,
+                                0.12,
+                                COLD_US,
+                                false,
+                                k.cost()))
+                        .toList())
+                .with(new Fleet.Clients(
+                        c.oneWayUs(),
+                        c.retries(),
+                        c.tryFrom(),
+                        c.tryTo(),
+                        c.backoffUs(),
+                        c.honour(),
+                        c.mostRetryAfterUs(),
+                        0.6))
+                .with(new Fleet.Load(
+                        load.ratePerS(),
+                        load.lengthUs(),
+                        List.of(
+                                new Point(6_000_000, 1),
+                                new Point(8_000_000, 2),
+                                new Point(13_000_000, 2),
+                                new Point(14_000_000, 1)),
+                        load.quotaPerS(),
+                        load.overShareWorth()))
                 .withFaults(List.of(
                         new Fault(Trouble.DIE, Among.ANY, 0, servers * 6 / 10, 4_000_000, 2_000_000, 0),
-                        new Fault(Trouble.NODES_RESTART, Among.ANY, 0, nodes / 3, 7_000_000, 200_000,
+                        new Fault(
+                                Trouble.NODES_RESTART,
+                                Among.ANY,
+                                0,
+                                nodes / 3,
+                                7_000_000,
+                                200_000,
                                 Math.max(1, nodes / 6)),
-                        new Fault(Trouble.RELEASE, Among.ANY, 0, servers / 4, 11_000_000, 500_000,
+                        new Fault(
+                                Trouble.RELEASE,
+                                Among.ANY,
+                                0,
+                                servers / 4,
+                                11_000_000,
+                                500_000,
                                 Math.max(1, servers / 8))));
     }
 
@@ -63,8 +98,12 @@
             peak = Math.max(peak, coldPeak(run));
             least = Math.min(least, coldPeak(run));
         }
-        System.out.printf(Locale.ROOT, "%d nodes, %d servers: a cold server met at most %.2f of what it "
-                + "stands%n", nodes, servers, peak);
+        System.out.printf(
+                Locale.ROOT,
+                "%d nodes, %d servers: a cold server met at most %.2f of what it " + "stands%n",
+                nodes,
+                servers,
+                peak);
         assertTrue(least > 0.1, "cold servers were used: " + least);
     }
 
@@ -72,9 +111,10 @@
     @CsvSource({"6, 12", "20, 16", "30, 16", "100, 60", "420, 84"})
     void aModuleThatBudgetsByNodeIsFound(int nodes, int servers) {
         Fleet fleet = fleet(nodes, servers);
-        Emulation run = Emulation.played(fleet, 1, (set, seed, out) ->
-                BudgetsByNode.module(set, seed, out, fleet.meanWorkUs()));
-        assertTrue(run.result().told().stream().anyMatch(b -> b.contains("no cold server pushed over")),
+        Emulation run = Emulation.played(
+                fleet, 1, (set, seed, out) -> BudgetsByNode.module(set, seed, out, fleet.meanWorkUs()));
+        assertTrue(
+                run.result().told().stream().anyMatch(b -> b.contains("no cold server pushed over")),
                 "told: " + run.result().told() + ", peak " + coldPeak(run));
     }
 }
--- a/src/test/java/kitemux/hcl/PlacesTest.java
+++ b/src/test/java/kitemux/hcl/PlacesTest.java
@@ -9,16 +9,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
-
+import kitemux.plan.FleetFile;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.CharRange;
 import net.jqwik.api.constraints.StringLength;
-
 import org.junit.jupiter.api.Test;
 
-import kitemux.plan.FleetFile;
-
 class PlacesTest {
 
     private static String at(String text, String fault) {
@@ -28,9 +25,10 @@
     @Test
     void eachFaultOfADescriptionStandsWhereItsFieldDoes() throws IOException {
         String text = Files.readString(Path.of("examples", "yearbook.hcl"))
-                .replace("cores  = 0.5", "cores  = \"half\"").replace("work     = \"22ms\"",
-                        "work     = \"22\"")
-                .replace("quota  = 300", "quotas = 300").replace("racks = 2", "racks = 2.5");
+                .replace("cores  = 0.5", "cores  = \"half\"")
+                .replace("work     = \"22ms\"", "work     = \"22\"")
+                .replace("quota  = 300", "quotas = 300")
+                .replace("racks = 2", "racks = 2.5");
         List<String> faults = new ArrayList<>();
         FleetFile.read(text, faults);
         List<String> lines = text.lines().toList();
@@ -70,8 +68,7 @@
         assertEquals(List.of(), Places.of(text).faults());
         assertEquals("f:4:5: scenario \"a\".fault[0].at: late", at(text, "scenario \"a\".fault[0].at: late"));
         assertEquals("f:8:5: scenario \"a\".fault[1].at: late", at(text, "scenario \"a\".fault[1].at: late"));
-        assertEquals("f:9:5: scenario \"a\".fault[1].names: odd", at(text,
-                "scenario \"a\".fault[1].names: odd"));
+        assertEquals("f:9:5: scenario \"a\".fault[1].names: odd", at(text, "scenario \"a\".fault[1].names: odd"));
         assertEquals("f:17:5: load.point[1].times: low", at(text, "load.point[1].times: low"));
         assertEquals("f:12:1: load: is odd", at(text, "load: is odd"));
         assertEquals("f:20:12: counts.std: low", at(text, "counts.std: low"));
@@ -86,16 +83,20 @@
 
     @Test
     void bracketsLeftOpenOrTooManyAreTold() {
-        assertEquals(List.of("2:9: the bracket { is never closed"),
+        assertEquals(
+                List.of("2:9: the bracket { is never closed"),
                 Places.of("a = 1\nbox \"b\" {\n  c = 2\n").faults());
-        assertEquals(List.of("1:7: the bracket ] closes nothing"), Places.of("a = 1 ]").faults());
-        assertEquals(List.of(), Places.of("a = \"}\" # }\nb = <<END\n }}} {\nEND\n").faults());
+        assertEquals(
+                List.of("1:7: the bracket ] closes nothing"),
+                Places.of("a = 1 ]").faults());
+        assertEquals(
+                List.of(), Places.of("a = \"}\" # }\nb = <<END\n }}} {\nEND\n").faults());
     }
 
     @Property(tries = 500)
-    void anyTextIsLookedThrough(@ForAll @StringLength(max = 60) @CharRange(from = ' ',
-            to = '~') String line) {
-        String text = line.chars().mapToObj(c -> c % 7 == 0 ? "\n" : String.valueOf((char) c))
+    void anyTextIsLookedThrough(@ForAll @StringLength(max = 60) @CharRange(from = ' ', to = '~') String line) {
+        String text = line.chars()
+                .mapToObj(c -> c % 7 == 0 ? "\n" : String.valueOf((char) c))
                 .collect(Collectors.joining());
         assertTrue(Places.of(text).with("f", "a.b: c").endsWith("a.b: c"));
     }
--- a/src/test/java/kitemux/hcl/TextTest.java
+++ b/src/test/java/kitemux/hcl/TextTest.java
@@ -4,19 +4,17 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.bertramlabs.plugins.hcl4j.HCLParser;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
-import com.bertramlabs.plugins.hcl4j.HCLParser;
-
 /** Texts that are read in pieces say what they say as a whole. */
 class TextTest {
 
@@ -26,7 +24,9 @@
 
     static List<Path> examples() throws IOException {
         try (Stream<Path> files = Files.walk(Path.of("examples"))) {
-            return files.filter(file -> file.toString().endsWith(".hcl")).sorted().toList();
+            return files.filter(file -> file.toString().endsWith(".hcl"))
+                    .sorted()
+                    .toList();
         }
     }
 
@@ -43,10 +43,12 @@
     void manyBlocksAmongOtherFieldsAreAllThereInOrder() throws Exception {
         StringBuilder text = new StringBuilder("name = \"a\" # server \"no\" {\n");
         for (int i = 0; i < 333; i++) {
-            text.append("server \"s").append(i)
+            text.append("server \"s")
+                    .append(i)
                     .append("\" {\n  address = \"}{\"\n  tags = [\"x\", \"y\"]\n  inner {\n    n = ")
-                    .append(i).append("\n  }\n}\n").append(i % 100 == 0 ? "field" + i + " = " + i + "\n"
-                            : "");
+                    .append(i)
+                    .append("\n  }\n}\n")
+                    .append(i % 100 == 0 ? "field" + i + " = " + i + "\n" : "");
         }
         text.append("limits {\n  sockets = 7\n}\n");
         Map<String, Object> read = parse(text.toString());
--- a/src/test/java/kitemux/http/LongAnswerBoundsTest.java
+++ b/src/test/java/kitemux/http/LongAnswerBoundsTest.java
@@ -5,6 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -16,17 +20,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.HttpMethod;
-
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
@@ -42,6 +35,10 @@
 import kitemux.net.NioNetwork;
 import kitemux.net.ServerPool;
 import kitemux.net.Sockets;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** The bounds of an answer that is passed on, over real sockets and on a clock that is moved by hand. */
 @Timeout(60)
@@ -82,8 +79,8 @@
     private final Exchange<ClientRequest, Answer> exchange = new Exchange<>() {
         @Override
         public ClientRequest request() {
-            return new ClientRequest(HttpMethod.GET, "/api/long", "t", null, List.of(), 0, -1, DEADLINE_US, 0,
-                    false, null, 0, false);
+            return new ClientRequest(
+                    HttpMethod.GET, "/api/long", "t", null, List.of(), 0, -1, DEADLINE_US, 0, false, null, 0, false);
         }
 
         @Override
@@ -112,25 +109,34 @@
     void anAnswerHasBegun() throws Exception {
         listening = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         Settings settings = new Settings();
-        settings.classes.add(new RequestClass("page", 100_000, 0, DEADLINE_US, 1, 0, Repeat.SAFE, Group.ALL,
-                0, false));
+        settings.classes.add(new RequestClass("page", 100_000, 0, DEADLINE_US, 1, 0, Repeat.SAFE, Group.ALL, 0, false));
         Log log = new Log() {
             @Override
-            public void line(String text) { }
+            public void line(String text) {}
 
             @Override
             public void error(String what, Throwable cause) {
                 throw new AssertionError(what, cause);
             }
         };
-        pool = new ServerPool<>(loop, NioNetwork.SYSTEM, new Sockets(256), clock, 1_000_000,
-                Long.MAX_VALUE / 2, new HttpServers(clock, settings, NioNetwork.SYSTEM.allocator(), log));
+        pool = new ServerPool<>(
+                loop,
+                NioNetwork.SYSTEM,
+                new Sockets(256),
+                clock,
+                1_000_000,
+                Long.MAX_VALUE / 2,
+                new HttpServers(clock, settings, NioNetwork.SYSTEM.allocator(), log));
         loop.submit(() -> {
-            pool.update(new HostList(1, true, List.of(new HostList.Host(
-                    new ServerEntry("s", 0, 0, ServerState.READY, 1, 0),
-                    (InetSocketAddress) listening.getLocalSocketAddress()))));
-            pool.start("s", exchange);
-        }).sync();
+                    pool.update(new HostList(
+                            1,
+                            true,
+                            List.of(new HostList.Host(
+                                    new ServerEntry("s", 0, 0, ServerState.READY, 1, 0),
+                                    (InetSocketAddress) listening.getLocalSocketAddress()))));
+                    pool.start("s", exchange);
+                })
+                .sync();
         server = listening.accept();
         give("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(FIRST));
         awaitPassed(FIRST);
@@ -171,7 +177,7 @@
             nowUs.addAndGet(LOOK_US);
             // The connection's end is told behind the call that closes it.
             loop.submit(() -> pool.closeOld()).sync();
-            loop.submit(() -> { }).sync();
+            loop.submit(() -> {}).sync();
         }
         return ends.peek();
     }
--- a/src/test/java/kitemux/http/RequestReaderTest.java
+++ b/src/test/java/kitemux/http/RequestReaderTest.java
@@ -2,25 +2,21 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.util.List;
-
-import org.junit.jupiter.api.Test;
-
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
-
+import java.util.List;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Settings;
+import org.junit.jupiter.api.Test;
 
 /** What is read of a request. */
 class RequestReaderTest {
     private static ClientRequest read(long agoUs) throws BadRequestException {
         Settings settings = new Settings();
-        settings.classes.add(new RequestClass("page", 100_000, 0, 500_000, 1, 0, Repeat.SAFE, null, 0,
-                false));
+        settings.classes.add(new RequestClass("page", 100_000, 0, 500_000, 1, 0, Repeat.SAFE, null, 0, false));
         HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/x");
         request.headers().set("X-Txn", "t").set("X-Lane", "page").set("X-Remaining", "300m");
         return new RequestReader(settings).read(request, List.of(), agoUs);
