--- a/src/test/java/kitemux/http/ShutdownScheduleTest.java
+++ b/src/test/java/kitemux/http/ShutdownScheduleTest.java
@@ -6,11 +6,9 @@
 import java.util.EnumSet;
 import java.util.Map;
 import java.util.Set;
-
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
-
 import org.junit.jupiter.api.Test;
 
 /** The instants of a shutdown against the platform's terms, and the order of its phases. */
@@ -19,7 +17,8 @@
 
     @Property
     void allIsAnsweredWhereSignalAndLoopAreLateBeforeTheEarliestKill(
-            @ForAll @LongRange(min = 1_000, max = 20_000_000) long deadlineUs, @ForAll boolean replaced,
+            @ForAll @LongRange(min = 1_000, max = 20_000_000) long deadlineUs,
+            @ForAll boolean replaced,
             @ForAll @LongRange(min = 0, max = 150_000) long signalLateUs,
             @ForAll @LongRange(min = 0, max = 150_000) long loopLateUs) {
         long killUs = SIGNAL_US - signalLateUs + Math.min(deadlineUs, 3_000_000) + 700_000;
@@ -34,7 +33,8 @@
     void whatComesUpToTheLastNewConnectionKeepsItsWholeDeadline(
             @ForAll @LongRange(min = 1_000, max = 3_000_000) long deadlineUs) {
         long lastUs = SIGNAL_US + 400_000;
-        assertTrue(lastUs + deadlineUs <= ShutdownSchedule.of(SIGNAL_US, deadlineUs, false).answerByUs());
+        assertTrue(lastUs + deadlineUs
+                <= ShutdownSchedule.of(SIGNAL_US, deadlineUs, false).answerByUs());
     }
 
     @Test
@@ -42,8 +42,7 @@
         assertEquals(new ShutdownSchedule(0, 1_000_000, 1_400_000), ShutdownSchedule.of(0, 1_000_000, true));
         assertEquals(new ShutdownSchedule(0, 1_500_000, 3_400_000), ShutdownSchedule.of(0, 5_000_000, true));
         assertEquals(new ShutdownSchedule(0, 250_000, 650_000), ShutdownSchedule.of(0, 250_000, true));
-        assertEquals(new ShutdownSchedule(500_000, 500_000, 1_400_000),
-                ShutdownSchedule.of(0, 1_000_000, false));
+        assertEquals(new ShutdownSchedule(500_000, 500_000, 1_400_000), ShutdownSchedule.of(0, 1_000_000, false));
     }
 
     @Test
--- a/src/test/java/kitemux/keeper/ConfigRulesTest.java
+++ b/src/test/java/kitemux/keeper/ConfigRulesTest.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-
 import org.junit.jupiter.api.Test;
 
 class ConfigRulesTest {
@@ -23,25 +22,38 @@
 
     @Test
     void whatANodeTakesIsSound() {
-        assertEquals("[]", faults("realms/acme", "{\"quotaPerS\":12.5}", "classes/get", GET,
-                "limits/attemptsCap", "3", "limits/cancelling", "true", "overShareWorth", "0.25",
-                "discovery", "\"127.0.0.1:80\"",
-                "keepers/voters", "[\"0:a\"]"));
+        assertEquals(
+                "[]",
+                faults(
+                        "realms/acme",
+                        "{\"quotaPerS\":12.5}",
+                        "classes/get",
+                        GET,
+                        "limits/attemptsCap",
+                        "3",
+                        "limits/cancelling",
+                        "true",
+                        "overShareWorth",
+                        "0.25",
+                        "discovery",
+                        "\"127.0.0.1:80\"",
+                        "keepers/voters",
+                        "[\"0:a\"]"));
     }
 
     @Test
     void whatItWouldRefuseIsToldWithItsPath() {
         assertEquals("[realms/a quotaPerS is negative]", faults("realms/a", "{\"quotaPerS\":-1}"));
         assertEquals("[realms/a quotaPerS is not a number]", faults("realms/a", "{\"quotaPerS\":\"12\"}"));
-        assertEquals("[realms/a quota is not known; known are quotaPerS]", faults("realms/a",
-                "{\"quota\":1}"));
+        assertEquals("[realms/a quota is not known; known are quotaPerS]", faults("realms/a", "{\"quota\":1}"));
         assertEquals("[realms/a is no object]", faults("realms/a", "12"));
-        assertEquals("[classes/g giveUpUs is missing]", faults("classes/g",
-                "{\"onTimeUs\":1,\"repeat\":\"safe\"}"));
-        assertEquals("[classes/g repeat is unknown: never]", faults("classes/g",
-                "{\"onTimeUs\":1,\"giveUpUs\":1,\"repeat\":\"never\"}"));
-        assertEquals("[classes/g class g has a length of time out of range]", faults("classes/g",
-                "{\"onTimeUs\":1,\"giveUpUs\":0,\"repeat\":\"safe\"}"));
+        assertEquals("[classes/g giveUpUs is missing]", faults("classes/g", "{\"onTimeUs\":1,\"repeat\":\"safe\"}"));
+        assertEquals(
+                "[classes/g repeat is unknown: never]",
+                faults("classes/g", "{\"onTimeUs\":1,\"giveUpUs\":1,\"repeat\":\"never\"}"));
+        assertEquals(
+                "[classes/g class g has a length of time out of range]",
+                faults("classes/g", "{\"onTimeUs\":1,\"giveUpUs\":0,\"repeat\":\"safe\"}"));
         assertEquals("[classes/g stream is no plain value]", faults("classes/g", "{\"stream\":[]}"));
         assertEquals("[limits/attemptsCap is not a number]", faults("limits/attemptsCap", "\"many\""));
         assertEquals("[limits/attemptsCap maxAttempts is under 1]", faults("limits/attemptsCap", "0"));
@@ -53,24 +65,42 @@
     @Test
     void allFaultsAreToldEachTime() {
         for (int i = 0; i < 2; i++) {
-            assertEquals("[overShareWorth is negative, realms/a quotaPerS is negative]", faults(
-                    "overShareWorth", "-1", "realms/a", "{\"quotaPerS\":-1}", "realms/b",
-                    "{\"quotaPerS\":1}"));
+            assertEquals(
+                    "[overShareWorth is negative, realms/a quotaPerS is negative]",
+                    faults("overShareWorth", "-1", "realms/a", "{\"quotaPerS\":-1}", "realms/b", "{\"quotaPerS\":1}"));
         }
-        assertEquals("[]", faults("overShareWorth", "1", "realms/a", "{\"quotaPerS\":1}", "realms/b",
-                "{\"quotaPerS\":1}"));
+        assertEquals(
+                "[]", faults("overShareWorth", "1", "realms/a", "{\"quotaPerS\":1}", "realms/b", "{\"quotaPerS\":1}"));
     }
 
     @Test
     void whatIsLiveDoesNotWaitForARestart() {
         String live = "{\"onTimeUs\":7,\"giveUpUs\":8,\"importance\":2,\"lateWorth\":1,\"repeat\":\"safe\"}";
-        Map<String, String> first = Map.of("classes/get", GET, "limits/attemptsCap", "3",
-                "overShareWorth", "1");
-        assertEquals(Set.of(), rules.waitRestart(first, Map.of("classes/get", live, "limits/attemptsCap", "3",
-                "realms/new", "{\"quotaPerS\":1}", "keepers/voters", "[]")));
-        assertEquals(Set.of("classes/get", "limits/attemptsCap", "classes/put"), rules.waitRestart(first,
-                Map.of("classes/get", GET.replace("safe", "unsafe"), "limits/attemptsCap", "4", "classes/put",
-                        GET)));
+        Map<String, String> first = Map.of("classes/get", GET, "limits/attemptsCap", "3", "overShareWorth", "1");
+        assertEquals(
+                Set.of(),
+                rules.waitRestart(
+                        first,
+                        Map.of(
+                                "classes/get",
+                                live,
+                                "limits/attemptsCap",
+                                "3",
+                                "realms/new",
+                                "{\"quotaPerS\":1}",
+                                "keepers/voters",
+                                "[]")));
+        assertEquals(
+                Set.of("classes/get", "limits/attemptsCap", "classes/put"),
+                rules.waitRestart(
+                        first,
+                        Map.of(
+                                "classes/get",
+                                GET.replace("safe", "unsafe"),
+                                "limits/attemptsCap",
+                                "4",
+                                "classes/put",
+                                GET)));
         assertEquals(Set.of("classes/get", "limits/attemptsCap"), rules.waitRestart(first, Map.of()));
     }
 }
--- a/src/test/java/kitemux/keeper/HookedDisk.java
+++ b/src/test/java/kitemux/keeper/HookedDisk.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.function.Consumer;
-
 import kitemux.disk.Disk;
 
 /** A disk at which a test is told of each write, and of each sync once it is done. */
--- a/src/test/java/kitemux/keeper/KeeperFileTest.java
+++ b/src/test/java/kitemux/keeper/KeeperFileTest.java
@@ -5,7 +5,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 
 class KeeperFileTest {
@@ -41,20 +40,22 @@
                 nodes   = 5000
                 folders = "/var/lib/keeper"
                 """));
-        assertEquals(String.join("\n",
-                "k.hcl: folder: must be given",
-                "k.hcl:1:1: keeper: is not from 0 to 2, the last of keepers",
-                "k.hcl:2:1: keepers: is not address:port: there",
-                "k.hcl:2:1: keepers: keepers[2] is there twice: 10.9.0.1:8600",
-                "k.hcl:3:1: voters: \"7:77aa\" is none of the 3 keepers",
-                "k.hcl:3:1: voters: \"x\" is no voter as \"0:9f2c\", the number of a keeper and the "
-                        + "identity of its folder",
-                "k.hcl:3:1: voters: keeper 0 is there twice",
-                "k.hcl:3:1: voters: names 4; 1, 3 or 5 are needed",
-                "k.hcl:4:1: listen: is not address:port: nowhere",
-                "k.hcl:5:1: nodes: is not from 1 to 1024",
-                "k.hcl:6:1: folders: is not known here; known are folder, keeper, keepers, listen, nodes, "
-                        + "voters"),
+        assertEquals(
+                String.join(
+                        "\n",
+                        "k.hcl: folder: must be given",
+                        "k.hcl:1:1: keeper: is not from 0 to 2, the last of keepers",
+                        "k.hcl:2:1: keepers: is not address:port: there",
+                        "k.hcl:2:1: keepers: keepers[2] is there twice: 10.9.0.1:8600",
+                        "k.hcl:3:1: voters: \"7:77aa\" is none of the 3 keepers",
+                        "k.hcl:3:1: voters: \"x\" is no voter as \"0:9f2c\", the number of a keeper and the "
+                                + "identity of its folder",
+                        "k.hcl:3:1: voters: keeper 0 is there twice",
+                        "k.hcl:3:1: voters: names 4; 1, 3 or 5 are needed",
+                        "k.hcl:4:1: listen: is not address:port: nowhere",
+                        "k.hcl:5:1: nodes: is not from 1 to 1024",
+                        "k.hcl:6:1: folders: is not known here; known are folder, keeper, keepers, listen, nodes, "
+                                + "voters"),
                 String.join("\n", faults.stream().sorted().toList()));
     }
 
--- a/src/test/java/kitemux/keeper/KeeperFolderTest.java
+++ b/src/test/java/kitemux/keeper/KeeperFolderTest.java
@@ -11,9 +11,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicLong;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.disk.Disk;
 import kitemux.disk.MemoryDisk;
 import kitemux.rollout.Ballot;
@@ -21,6 +18,7 @@
 import kitemux.rollout.Kept;
 import kitemux.rollout.Version;
 import kitemux.rollout.Vote;
+import org.junit.jupiter.api.Test;
 
 class KeeperFolderTest {
     private final AtomicLong draws = new AtomicLong(0x9f2c);
@@ -31,8 +29,8 @@
     }
 
     private static Change change(long rev) {
-        return Change.of(String.format("%016x", rev), rev - 1,
-                Map.of("realms/a", "{\"quotaPerS\":" + rev + "}"), List.of());
+        return Change.of(
+                String.format("%016x", rev), rev - 1, Map.of("realms/a", "{\"quotaPerS\":" + rev + "}"), List.of());
     }
 
     private static Kept chosen(long rev) {
@@ -44,8 +42,12 @@
     }
 
     private static final List<Kept> RECORDS = List.of(
-            new Kept.Whole(7, new TreeMap<>(Map.of("realms/b", "{\"quotaPerS\":2}"))), voted(8), chosen(8),
-            voted(9), chosen(9), voted(10));
+            new Kept.Whole(7, new TreeMap<>(Map.of("realms/b", "{\"quotaPerS\":2}"))),
+            voted(8),
+            chosen(8),
+            voted(9),
+            chosen(9),
+            voted(10));
 
     private MemoryDisk written() throws IOException {
         MemoryDisk disk = new MemoryDisk();
@@ -84,14 +86,15 @@
 
     @Test
     void anEmptyFolderHasANewIdentity() throws IOException {
-        assertNotEquals(open(new MemoryDisk()).identity(), open(new MemoryDisk()).identity());
+        assertNotEquals(
+                open(new MemoryDisk()).identity(), open(new MemoryDisk()).identity());
     }
 
     @Test
     void anotherKeepersFolderIsNotTaken() throws IOException {
         MemoryDisk disk = written();
-        IOException told = assertThrows(IOException.class,
-                () -> KeeperFolder.open(disk, 2, draws::incrementAndGet, said::add));
+        IOException told =
+                assertThrows(IOException.class, () -> KeeperFolder.open(disk, 2, draws::incrementAndGet, said::add));
         assertEquals("records is of keeper 3, and this is keeper 2", told.getMessage());
         assertEquals(RECORDS, open(disk).found());
     }
@@ -112,8 +115,10 @@
             KeeperFolder folder = open(disk);
             assertEquals(identity, folder.identity());
             assertEquals(RECORDS.subList(0, 5), folder.found());
-            assertEquals(List.of("folder: records, offset " + last + ": " + (length - last)
-                    + " bytes of a record that was not written to its end are cut off"), said);
+            assertEquals(
+                    List.of("folder: records, offset " + last + ": " + (length - last)
+                            + " bytes of a record that was not written to its end are cut off"),
+                    said);
             assertEquals(last, bytes(disk).length);
         }
     }
@@ -134,12 +139,17 @@
             assertNotEquals(identity, folder.identity(), "byte " + at);
             assertTrue(folder.found().stream().noneMatch(kept -> kept instanceof Kept.Voted), "byte " + at);
             if (at >= head) {
-                List<Kept> versions = RECORDS.stream().filter(kept -> !(kept instanceof Kept.Voted)).toList();
+                List<Kept> versions = RECORDS.stream()
+                        .filter(kept -> !(kept instanceof Kept.Voted))
+                        .toList();
                 assertEquals(versions.subList(0, folder.found().size()), folder.found());
             }
             assertEquals(1, said.size(), "byte " + at);
-            assertTrue(said.get(0).matches("folder: records, offset \\d+: .*; it is set aside as "
-                    + "records\\.spoilt-1, and this keeper begins anew without a vote"), said.get(0));
+            assertTrue(
+                    said.get(0)
+                            .matches("folder: records, offset \\d+: .*; it is set aside as "
+                                    + "records\\.spoilt-1, and this keeper begins anew without a vote"),
+                    said.get(0));
             assertEquals(spoilt.length, disk.files().get("records.spoilt-1").size(), "nothing is deleted");
             assertEquals(folder.identity(), open(disk).identity(), "and it stays that one");
         }
@@ -149,7 +159,7 @@
     @Test
     void whatWasSyncedIsThereAfterAPowerCut() throws IOException {
         int operations = 0;
-        for (int failAfter = 0;; failAfter++) {
+        for (int failAfter = 0; ; failAfter++) {
             MemoryDisk disk = new MemoryDisk();
             disk.failAfter = failAfter;
             int synced = 0;
--- a/src/test/java/kitemux/keeper/KeeperTest.java
+++ b/src/test/java/kitemux/keeper/KeeperTest.java
@@ -23,11 +23,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
-
 import kitemux.config.Json;
 import kitemux.disk.FolderDisk;
 import kitemux.rollout.Ballot;
@@ -36,6 +31,9 @@
 import kitemux.rollout.Terms;
 import kitemux.rollout.Version;
 import kitemux.rollout.Vote;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** Keepers and watchers over real sockets, cut, silenced and ended where it hurts. */
 @Timeout(120)
@@ -73,10 +71,12 @@
             }
             // The fifth node was never started; any keeper knows of all, also the one that does not vote.
             Json status = keepers.awaitInForce(3, 1, 4);
-            assertEquals("4", status.path("not_heard").path("nodes").values().get(0).text());
+            assertEquals(
+                    "4", status.path("not_heard").path("nodes").values().get(0).text());
             assertEquals(1, status.path("not_heard").path("count").whole(-1));
             assertEquals("false", status.path("keeper").path("votes").text());
-            assertEquals(List.of(), status.path("keeper").path("keepers_not_heard").values());
+            assertEquals(
+                    List.of(), status.path("keeper").path("keepers_not_heard").values());
             // The same call once more is the same change.
             assertTaken(1, Keepers.of(keepers.change(2, id(1), 0, ACME)));
             assertEquals(1, keepers.status(2, "").path("newest").whole(0));
@@ -106,7 +106,8 @@
             }
             assertEquals("[200 {\"rev\":2}, 200 {\"rev\":3}]", told.toString());
             node.awaitInForce(3);
-            assertEquals("[realms/acme, realms/b, realms/c]", node.values.keySet().toString());
+            assertEquals(
+                    "[realms/acme, realms/b, realms/c]", node.values.keySet().toString());
             for (int keeper = 0; keeper < 3; keeper++) {
                 try (Socket watch = keepers.watch(keeper, 0, 1)) {
                     List<String> lines = lines(watch, 3);
@@ -119,8 +120,7 @@
 
     /** Objects of a watch, without beats and the framing of chunks. */
     private static List<String> lines(Socket watch, int many) throws IOException {
-        BufferedReader in = new BufferedReader(new InputStreamReader(watch.getInputStream(),
-                StandardCharsets.UTF_8));
+        BufferedReader in = new BufferedReader(new InputStreamReader(watch.getInputStream(), StandardCharsets.UTF_8));
         String status = in.readLine();
         assertEquals("HTTP/1.1 200 OK", status);
         List<String> lines = new ArrayList<>();
@@ -144,16 +144,21 @@
             AtomicBoolean accepted = new AtomicBoolean();
             keepers.start(0, disk -> disk);
             keepers.start(1, disk -> disk);
-            keepers.start(2, disk -> new HookedDisk(disk, bytes -> {
-                if (new String(bytes, StandardCharsets.UTF_8).contains("\"accepted\":")) {
-                    accepted.set(true);
-                }
-            }, () -> {
-                if (accepted.get()) {
-                    synced.countDown();
-                    goOn.await();
-                }
-            }));
+            keepers.start(
+                    2,
+                    disk -> new HookedDisk(
+                            disk,
+                            bytes -> {
+                                if (new String(bytes, StandardCharsets.UTF_8).contains("\"accepted\":")) {
+                                    accepted.set(true);
+                                }
+                            },
+                            () -> {
+                                if (accepted.get()) {
+                                    synced.countDown();
+                                    goOn.await();
+                                }
+                            }));
             for (int k = 0; k < 3; k++) {
                 keepers.lines[k].await(0, " serves;");
             }
@@ -193,8 +198,10 @@
             // Two are left of three; with one of them gone there is no majority.
             assertTaken(2, Keepers.of(keepers.change(2, id(2), 1, "{\"realms/b\":{\"quotaPerS\":1}}")));
             keepers.stop(1);
-            assertEquals(503, Keepers.of(keepers.change(0, id(3), 2, "{\"realms/c\":{\"quotaPerS\":1}}"))
-                    .statusCode());
+            assertEquals(
+                    503,
+                    Keepers.of(keepers.change(0, id(3), 2, "{\"realms/c\":{\"quotaPerS\":1}}"))
+                            .statusCode());
         }
     }
 
@@ -206,17 +213,24 @@
                 keepers.cutOff(0, true);
                 assertEquals("{\"rev\":0,\"alone\":true}", lines(watch, 1).get(0));
                 HttpResponse<String> refused = Keepers.of(keepers.change(0, id(1), 0, ACME));
-                assertEquals("503 {\"reason\":\"no majority of the voters agreed in time\"}",
+                assertEquals(
+                        "503 {\"reason\":\"no majority of the voters agreed in time\"}",
                         refused.statusCode() + " " + refused.body());
                 assertTaken(1, Keepers.of(keepers.change(1, id(2), 0, "{\"realms/b\":{\"quotaPerS\":1}}")));
                 node.awaitInForce(1);
                 assertEquals("[realms/b]", node.values.keySet().toString());
                 Json status = keepers.awaitInForce(1, 1, 1);
-                assertEquals("0", status.path("keeper").path("keepers_not_heard").values().get(0).text());
+                assertEquals(
+                        "0",
+                        status.path("keeper")
+                                .path("keepers_not_heard")
+                                .values()
+                                .get(0)
+                                .text());
                 keepers.cutOff(0, false);
                 String line = "";
-                BufferedReader in = new BufferedReader(new InputStreamReader(watch.getInputStream(),
-                        StandardCharsets.UTF_8));
+                BufferedReader in =
+                        new BufferedReader(new InputStreamReader(watch.getInputStream(), StandardCharsets.UTF_8));
                 while (!line.startsWith("{\"rev\":1,\"set\"")) {
                     line = in.readLine();
                     assertNotNull(line, "the watch ended");
@@ -245,25 +259,46 @@
     void aWatchThatIsNotReadEnds() throws Exception {
         Terms usual = Terms.usual();
         // The pace would take minutes to fill what may be unwritten.
-        Terms fast = new Terms(usual.beatUs(), usual.leastPatienceUs(), usual.mostPatienceUs(),
-                usual.dialUs(), usual.leastWaitUs(), usual.mostWaitUs(), usual.longestWaitUs(),
+        Terms fast = new Terms(
+                usual.beatUs(),
+                usual.leastPatienceUs(),
+                usual.mostPatienceUs(),
+                usual.dialUs(),
+                usual.leastWaitUs(),
+                usual.mostWaitUs(),
+                usual.longestWaitUs(),
                 usual.aloneTryUs(),
-                usual.reportUs(), usual.silentUs(), usual.leastPhaseUs(), usual.mostPhaseUs(), usual.tries(),
-                usual.triesUs(), usual.pulseUs(), usual.heardUs(), usual.finishUs(), 1 << 30, 1 << 20,
-                1 << 20, usual.partBytes());
+                usual.reportUs(),
+                usual.silentUs(),
+                usual.leastPhaseUs(),
+                usual.mostPhaseUs(),
+                usual.tries(),
+                usual.triesUs(),
+                usual.pulseUs(),
+                usual.heardUs(),
+                usual.finishUs(),
+                1 << 30,
+                1 << 20,
+                1 << 20,
+                usual.partBytes());
         try (Keepers keepers = new Keepers(root, 1, 1, 2, fast).serving();
-                Socket unread = keepers.watch(0, 0, 0); Socket read = keepers.watch(0, 0, 1)) {
+                Socket unread = keepers.watch(0, 0, 0);
+                Socket read = keepers.watch(0, 0, 1)) {
             StringBuilder set = new StringBuilder("{");
             for (int i = 0; i < 100; i++) {
-                set.append(i == 0 ? "" : ",").append("\"realms/tenant-").append(i)
+                set.append(i == 0 ? "" : ",")
+                        .append("\"realms/tenant-")
+                        .append(i)
                         .append("\":{\"quotaPerS\":%d}");
             }
             set.append('}');
             int rev = 0;
             while (keepers.status(0, "").path("keeper").path("watches_unread").whole(0) == 0) {
                 assertTrue(rev < 1_000, "the watch that is not read never ends");
-                assertTaken(rev + 1, Keepers.of(keepers.change(0, id(rev + 1), rev,
-                        set.toString().replace("%d", Integer.toString(rev + 1)))));
+                assertTaken(
+                        rev + 1,
+                        Keepers.of(keepers.change(
+                                0, id(rev + 1), rev, set.toString().replace("%d", Integer.toString(rev + 1)))));
                 rev++;
                 lines(read, rev == 1 ? 1 : 0, rev);
             }
@@ -275,11 +310,27 @@
     @Test
     void aWatchWhoseNodeDoesNotReportEnds() throws Exception {
         Terms usual = Terms.usual();
-        Terms impatient = new Terms(usual.beatUs(), usual.leastPatienceUs(), usual.mostPatienceUs(),
-                usual.dialUs(), usual.leastWaitUs(), usual.mostWaitUs(), usual.longestWaitUs(),
-                usual.aloneTryUs(), usual.reportUs() / 10, usual.silentUs() / 10, usual.leastPhaseUs(),
-                usual.mostPhaseUs(), usual.tries(), usual.triesUs(), usual.pulseUs(), usual.heardUs(),
-                usual.finishUs(), usual.paceBytes(), usual.paceAtOnce(), usual.paceFirst(),
+        Terms impatient = new Terms(
+                usual.beatUs(),
+                usual.leastPatienceUs(),
+                usual.mostPatienceUs(),
+                usual.dialUs(),
+                usual.leastWaitUs(),
+                usual.mostWaitUs(),
+                usual.longestWaitUs(),
+                usual.aloneTryUs(),
+                usual.reportUs() / 10,
+                usual.silentUs() / 10,
+                usual.leastPhaseUs(),
+                usual.mostPhaseUs(),
+                usual.tries(),
+                usual.triesUs(),
+                usual.pulseUs(),
+                usual.heardUs(),
+                usual.finishUs(),
+                usual.paceBytes(),
+                usual.paceAtOnce(),
+                usual.paceFirst(),
                 usual.partBytes());
         try (Keepers keepers = new Keepers(root, 1, 1, 2, impatient).serving();
                 Socket mute = keepers.watch(0, 0, 1)) {
@@ -296,16 +347,14 @@
     @Test
     void aLongFileOfRecordsIsWrittenAnew() throws Exception {
         try (Keepers keepers = new Keepers(root, 1, 1, 1, Terms.usual())) {
-            Change large = Change.of(id(9), 0, Map.of("realms/a", "\"" + "x".repeat(4_000) + "\""),
-                    List.of());
+            Change large = Change.of(id(9), 0, Map.of("realms/a", "\"" + "x".repeat(4_000) + "\""), List.of());
             try (FolderDisk disk = FolderDisk.toWrite(keepers.folder(0))) {
-                KeeperFolder folder = KeeperFolder.open(disk, 0, () -> 1, line -> { });
+                KeeperFolder folder = KeeperFolder.open(disk, 0, () -> 1, line -> {});
                 while (!folder.isLong()) {
-                    folder.write(List.of(new Kept.Voted(new Vote(1, new Ballot(1, 0), new Ballot(1, 0),
-                            large))));
+                    folder.write(List.of(new Kept.Voted(new Vote(1, new Ballot(1, 0), new Ballot(1, 0), large))));
                 }
-                folder.write(List.of(new Kept.Chosen(new Version(1, Change.of(id(1), 0,
-                        Map.of("realms/b", "{\"quotaPerS\":1}"), List.of())))));
+                folder.write(List.of(new Kept.Chosen(
+                        new Version(1, Change.of(id(1), 0, Map.of("realms/b", "{\"quotaPerS\":1}"), List.of())))));
                 folder.sync();
                 folder.close();
             }
@@ -326,8 +375,7 @@
     /** Reads a watch up to a version. */
     private void lines(Socket watch, int first, int rev) throws IOException {
         if (first == 1) {
-            reader = new BufferedReader(new InputStreamReader(watch.getInputStream(),
-                    StandardCharsets.UTF_8));
+            reader = new BufferedReader(new InputStreamReader(watch.getInputStream(), StandardCharsets.UTF_8));
         }
         String line = "";
         while (!line.startsWith("{\"rev\":" + rev + ",")) {
@@ -346,7 +394,7 @@
         }
         try (Keepers keepers = new Keepers(root, 1, 1, 1, Terms.usual())) {
             try (FolderDisk disk = FolderDisk.toWrite(keepers.folder(0))) {
-                KeeperFolder folder = KeeperFolder.open(disk, 0, () -> 1, line -> { });
+                KeeperFolder folder = KeeperFolder.open(disk, 0, () -> 1, line -> {});
                 folder.write(List.of(new Kept.Whole(2_000, values)));
                 folder.sync();
                 folder.close();
@@ -358,8 +406,8 @@
                 Json first = Json.read(lines.get(0).getBytes(StandardCharsets.UTF_8));
                 int parts = (int) first.path("of").whole(0);
                 assertTrue(parts >= 5, lines.get(0));
-                BufferedReader in = new BufferedReader(new InputStreamReader(watch.getInputStream(),
-                        StandardCharsets.UTF_8));
+                BufferedReader in =
+                        new BufferedReader(new InputStreamReader(watch.getInputStream(), StandardCharsets.UTF_8));
                 long bytes = lines.get(0).length();
                 while (lines.size() < parts) {
                     String line = in.readLine();
@@ -375,12 +423,16 @@
                     Json part = Json.read(lines.get(i).getBytes(StandardCharsets.UTF_8));
                     assertEquals(i + 1, part.path("part").whole(0));
                     assertEquals(2_000, part.path("rev").whole(0));
-                    part.path("set").fields().forEach((path, value) -> told.put(path, "{\"quotaPerS\":"
-                            + value.path("quotaPerS").text() + "}"));
+                    part.path("set")
+                            .fields()
+                            .forEach((path, value) -> told.put(
+                                    path,
+                                    "{\"quotaPerS\":" + value.path("quotaPerS").text() + "}"));
                 }
                 assertEquals(values, told);
                 Terms terms = Terms.usual();
-                assertTrue(bytes <= terms.paceFirst() + terms.paceAtOnce() + terms.paceBytes() * tookS,
+                assertTrue(
+                        bytes <= terms.paceFirst() + terms.paceAtOnce() + terms.paceBytes() * tookS,
                         bytes + " bytes in " + tookS + " s");
             }
             Keepers.Node node = keepers.node(0, 0);
@@ -395,23 +447,52 @@
     void badCallsAreToldWithPathAndReason() throws Exception {
         try (Keepers keepers = keepers(1, 1, 2)) {
             String[][] bad = {
-                {"change", "{\"id\":\"x\",\"base\":-1,\"set\":{\"realms/a/b\":1},\"more\":1}", "400",
-                    "\"path\":\"more\"", "\"path\":\"id\"", "\"path\":\"base\"", "\"path\":\"realms/a/b\""},
+                {
+                    "change",
+                    "{\"id\":\"x\",\"base\":-1,\"set\":{\"realms/a/b\":1},\"more\":1}",
+                    "400",
+                    "\"path\":\"more\"",
+                    "\"path\":\"id\"",
+                    "\"path\":\"base\"",
+                    "\"path\":\"realms/a/b\""
+                },
                 {"change", "no JSON", "400", "\"path\":\"body\""},
-                {"change", change("{\"realms/a\":{\"quotaPerS\":-1}}"), "400",
-                    "{\"path\":\"realms/a\",\"reason\":\"quotaPerS is negative\"}"},
-                {"change", change("{\"classes/get\":{\"giveUpUs\":5},\"limits/none\":1,\"what\":1}"), "400",
-                    "{\"path\":\"classes/get\",\"reason\":\"repeat is missing\"}", "\"path\":\"limits/none\"",
-                    "\"path\":\"what\""},
+                {
+                    "change",
+                    change("{\"realms/a\":{\"quotaPerS\":-1}}"),
+                    "400",
+                    "{\"path\":\"realms/a\",\"reason\":\"quotaPerS is negative\"}"
+                },
+                {
+                    "change",
+                    change("{\"classes/get\":{\"giveUpUs\":5},\"limits/none\":1,\"what\":1}"),
+                    "400",
+                    "{\"path\":\"classes/get\",\"reason\":\"repeat is missing\"}",
+                    "\"path\":\"limits/none\"",
+                    "\"path\":\"what\""
+                },
                 {"change", change("{\"realms/a\":\"" + "x".repeat(5_000) + "\"}"), "400", "4096 are allowed"},
                 {"change", "x".repeat(20_000), "413", "\"path\":\"body\""},
-                {"report", "{\"node\":2,\"life\":1,\"rev\":0,\"waits_restart\":[],\"refused\":[]}", "400",
-                    "{\"path\":\"node\",\"reason\":\"is not from 0 to 1\"}"},
+                {
+                    "report",
+                    "{\"node\":2,\"life\":1,\"rev\":0,\"waits_restart\":[],\"refused\":[]}",
+                    "400",
+                    "{\"path\":\"node\",\"reason\":\"is not from 0 to 1\"}"
+                },
                 {"report", "{\"node\":0,\"life\":\"x\"}", "400", "\"path\":\"life\"", "\"path\":\"rev\""},
-                {"prepare", "{\"kind\":\"prepare\",\"rev\":0,\"ballot\":[1]}", "400", "\"path\":\"rev\"",
-                    "\"path\":\"ballot\""},
-                {"accept", "{\"kind\":\"prepare\",\"rev\":1,\"ballot\":[1,0]}", "400",
-                    "{\"path\":\"kind\",\"reason\":\"is not accept, as the path is\"}"},
+                {
+                    "prepare",
+                    "{\"kind\":\"prepare\",\"rev\":0,\"ballot\":[1]}",
+                    "400",
+                    "\"path\":\"rev\"",
+                    "\"path\":\"ballot\""
+                },
+                {
+                    "accept",
+                    "{\"kind\":\"prepare\",\"rev\":1,\"ballot\":[1,0]}",
+                    "400",
+                    "{\"path\":\"kind\",\"reason\":\"is not accept, as the path is\"}"
+                },
                 {"chosen", "{}", "400", "\"path\":\"kind\""},
                 {"ask", "[]", "400", "\"path\":"},
                 {"nothing", "", "404", "\"path\":\"/rollout/nothing\""},
@@ -438,12 +519,15 @@
                 }
             }
             HttpResponse<String> ahead = keepers.get(0, "/rollout/watch?after=5&node=0&life=1");
-            assertEquals("503 {\"reason\":\"version 5 is not known here yet\"}", ahead.statusCode() + " "
-                    + ahead.body());
+            assertEquals(
+                    "503 {\"reason\":\"version 5 is not known here yet\"}", ahead.statusCode() + " " + ahead.body());
             Json status = keepers.status(0, "");
             assertEquals(0, status.path("newest").whole(-1), "nothing of it was done");
-            assertEquals(bad.length + badGets.length, status.path("keeper").path("calls_faulty").whole(0));
-            try (Socket garbage = new Socket(keepers.at(0).getAddress(), keepers.at(0).getPort())) {
+            assertEquals(
+                    bad.length + badGets.length,
+                    status.path("keeper").path("calls_faulty").whole(0));
+            try (Socket garbage =
+                    new Socket(keepers.at(0).getAddress(), keepers.at(0).getPort())) {
                 garbage.getOutputStream().write("\1\2\3 what\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
                 String told = new String(garbage.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
                 assertTrue(told.startsWith("HTTP/1.1 400"), told);
@@ -469,7 +553,9 @@
             }
             HttpResponse<String> told = keepers.get(0, "/rollout/watch?after=0&node=0&life=1");
             assertEquals("503 {\"reason\":\"210 watches are open\"}", told.statusCode() + " " + told.body());
-            assertEquals(1, keepers.status(0, "").path("keeper").path("watches_refused").whole(0));
+            assertEquals(
+                    1,
+                    keepers.status(0, "").path("keeper").path("watches_refused").whole(0));
             sockets.get(0).close();
             long until = System.nanoTime() + 30_000_000_000L;
             while (keepers.status(0, "").path("keeper").path("watches").whole(0) == Terms.MOST_WATCHES) {
@@ -495,7 +581,12 @@
             Socket last = sockets.get(KeeperServer.MOST_CONNECTIONS);
             assertEquals(-1, last.getInputStream().read());
             assertEquals(-1, sockets.get(0).getInputStream().read());
-            assertEquals(1, keepers.status(0, "").path("keeper").path("connections_turned_away").whole(0));
+            assertEquals(
+                    1,
+                    keepers.status(0, "")
+                            .path("keeper")
+                            .path("connections_turned_away")
+                            .whole(0));
         } finally {
             for (Socket socket : sockets) {
                 socket.close();
@@ -512,10 +603,12 @@
             for (int i = 0; i < Terms.MOST_PROPOSALS + 2; i++) {
                 all.add(keepers.change(0, id(i + 1), 0, "{\"realms/a" + i + "\":{\"quotaPerS\":1}}"));
             }
-            HttpResponse<?> first = (HttpResponse<?>) CompletableFuture.anyOf(
-                    all.toArray(CompletableFuture[]::new)).get(60, TimeUnit.SECONDS);
+            HttpResponse<?> first = (HttpResponse<?>) CompletableFuture.anyOf(all.toArray(CompletableFuture[]::new))
+                    .get(60, TimeUnit.SECONDS);
             assertEquals("503 {\"reason\":\"16 changes wait\"}", first.statusCode() + " " + first.body());
-            assertEquals(1, keepers.status(0, "").path("keeper").path("changes_refused").whole(0));
+            assertEquals(
+                    1,
+                    keepers.status(0, "").path("keeper").path("changes_refused").whole(0));
         }
     }
 
@@ -525,11 +618,15 @@
             AtomicBoolean broken = new AtomicBoolean();
             for (int k = 0; k < 3; k++) {
                 int number = k;
-                keepers.start(k, disk -> number == 0 ? disk : new HookedDisk(disk, bytes -> { }, () -> {
-                    if (broken.get()) {
-                        throw new IOException("no sync");
-                    }
-                }));
+                keepers.start(
+                        k,
+                        disk -> number == 0
+                                ? disk
+                                : new HookedDisk(disk, bytes -> {}, () -> {
+                                    if (broken.get()) {
+                                        throw new IOException("no sync");
+                                    }
+                                }));
             }
             for (int k = 0; k < 3; k++) {
                 keepers.lines[k].await(0, " serves;");
--- a/src/test/java/kitemux/keeper/Keepers.java
+++ b/src/test/java/kitemux/keeper/Keepers.java
@@ -1,5 +1,8 @@
 package kitemux.keeper;
 
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -22,11 +25,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
-
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-
 import kitemux.config.Json;
 import kitemux.disk.Disk;
 import kitemux.disk.FolderDisk;
@@ -43,8 +41,7 @@
  * Keepers and nodes over real sockets, each with a loop of its own, and switches on all ways between them.
  */
 final class Keepers implements AutoCloseable {
-    private static final InetSocketAddress ANY_PORT = new InetSocketAddress(
-            InetAddress.getLoopbackAddress(), 0);
+    private static final InetSocketAddress ANY_PORT = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 
     private final Path root;
     private final Terms terms;
@@ -53,10 +50,13 @@
     /** Of the ways between. */
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     /** Dealt in turn to keepers and nodes. */
-    private final List<SelectorLoop> loops = Stream.generate(SelectorLoop::open).limit(4).toList();
+    private final List<SelectorLoop> loops =
+            Stream.generate(SelectorLoop::open).limit(4).toList();
+
     private int dealt;
     /** Ways from a keeper to another one, and the nodes' ways to each. */
     private final Switch[][] between;
+
     private final Switch[] toNodes;
     private final List<Voter> voters = new ArrayList<>();
     private final Keeper[] keepers;
@@ -65,7 +65,8 @@
     final Lines[] lines;
     final LinkedBlockingQueue<Exception> failed = new LinkedBlockingQueue<>();
     private final AtomicLong draws = new AtomicLong(7);
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final List<Node> started = new ArrayList<>();
 
     /** The first ones vote. */
@@ -121,12 +122,16 @@
         }
         disks[number] = FolderDisk.toWrite(folder(number));
         Keeper keeper = Keeper.open(
-                new KeeperSettings(number, others, ANY_PORT, folder(number), voters, nodes), terms,
+                new KeeperSettings(number, others, ANY_PORT, folder(number), voters, nodes),
+                terms,
                 new ConfigRules(),
                 new Keeper.Parts(loop, NioNetwork.SYSTEM, LoopTime.of(loop), lines[number]),
-                disk.apply(disks[number]), draws::incrementAndGet, failed::add);
+                disk.apply(disks[number]),
+                draws::incrementAndGet,
+                failed::add);
         keepers[number] = keeper;
-        at[number] = (InetSocketAddress) keeper.listen().syncUninterruptibly().channel().localAddress();
+        at[number] = (InetSocketAddress)
+                keeper.listen().syncUninterruptibly().channel().localAddress();
         toNodes[number].to(at[number]);
         for (int from = 0; from < count; from++) {
             between[from][number].to(at[number]);
@@ -178,7 +183,9 @@
     }
 
     CompletableFuture<HttpResponse<String>> post(int keeper, String path, String body) {
-        return send(request(keeper, path).POST(HttpRequest.BodyPublishers.ofString(body)).build());
+        return send(request(keeper, path)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build());
     }
 
     HttpResponse<String> get(int keeper, String path) {
@@ -186,8 +193,7 @@
     }
 
     CompletableFuture<HttpResponse<String>> change(int keeper, String id, long base, String set) {
-        return post(keeper, "/rollout/change", "{\"id\":\"" + id + "\",\"base\":" + base + ",\"set\":" + set
-                + "}");
+        return post(keeper, "/rollout/change", "{\"id\":\"" + id + "\",\"base\":" + base + ",\"set\":" + set + "}");
     }
 
     Json status(int keeper, String query) throws IOException {
@@ -219,8 +225,10 @@
         socket.setReceiveBufferSize(4_096);
         socket.connect(at[keeper]);
         socket.setSoTimeout(30_000);
-        socket.getOutputStream().write(("GET /rollout/watch?after=" + after + "&node=" + node
-                + "&life=1 HTTP/1.1\r\nHost: keeper\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream()
+                .write(("GET /rollout/watch?after=" + after + "&node=" + node
+                                + "&life=1 HTTP/1.1\r\nHost: keeper\r\n\r\n")
+                        .getBytes(StandardCharsets.US_ASCII));
         return socket;
     }
 
@@ -236,13 +244,30 @@
 
         Node(int number, List<InetSocketAddress> dialed) {
             LoopTime time = LoopTime.of(loop);
-            Subscriber machine = new Subscriber(terms, new ConfigRules(), number, 1, dialed.size(), 0,
-                    new TreeMap<>(), draws.incrementAndGet(), time.nowUs());
-            watch = new RolloutWatch(loop, NioNetwork.SYSTEM, time, dialed, machine, number, 1,
-                    new Sockets(1_024), (rev, all) -> {
+            Subscriber machine = new Subscriber(
+                    terms,
+                    new ConfigRules(),
+                    number,
+                    1,
+                    dialed.size(),
+                    0,
+                    new TreeMap<>(),
+                    draws.incrementAndGet(),
+                    time.nowUs());
+            watch = new RolloutWatch(
+                    loop,
+                    NioNetwork.SYSTEM,
+                    time,
+                    dialed,
+                    machine,
+                    number,
+                    1,
+                    new Sockets(1_024),
+                    (rev, all) -> {
                         values = all;
                         revs.add(rev);
-                    }, said);
+                    },
+                    said);
             watch.begin();
         }
 
@@ -260,7 +285,8 @@
 
     /** One that dials these keepers. */
     Node node(int number, Integer... dialed) {
-        Node node = new Node(number, List.of(dialed).stream().map(k -> toNodes[k].address()).toList());
+        Node node = new Node(
+                number, List.of(dialed).stream().map(k -> toNodes[k].address()).toList());
         started.add(node);
         return node;
     }
--- a/src/test/java/kitemux/keeper/Lines.java
+++ b/src/test/java/kitemux/keeper/Lines.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
 import kitemux.engine.Log;
 
 /** What was told to operators, to be waited for. */
--- a/src/test/java/kitemux/keeper/NodeFollowsTest.java
+++ b/src/test/java/kitemux/keeper/NodeFollowsTest.java
@@ -12,20 +12,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
-
 import kitemux.cli.Main;
 import kitemux.config.Json;
 import kitemux.rollout.Terms;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** A node as a process, with the section that names keepers and without it. */
 @Timeout(120)
 class NodeFollowsTest {
     @TempDir
     private Path root;
+
     private Path loaded;
 
     private Process node(String operator) throws Exception {
@@ -37,13 +36,20 @@
                   "classes":[{"name":"page","onTimeUs":100000,"giveUpUs":500000,"repeat":"safe"}]}}
                 """);
         List<String> command = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                "-Xlog:class+load:file=" + loaded, "-cp", System.getProperty("java.class.path"),
-                Main.class.getName(), "node"));
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1",
+                "-Xlog:class+load:file=" + loaded,
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName(),
+                "node"));
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("PROXY_CONFIG", config.toString());
-        builder.environment().put("KITEMUX_SETTINGS", Files.writeString(root.resolve("operator.json"),
-                operator).toString());
+        builder.environment()
+                .put(
+                        "KITEMUX_SETTINGS",
+                        Files.writeString(root.resolve("operator.json"), operator)
+                                .toString());
         return builder.redirectErrorStream(true).start();
     }
 
@@ -75,18 +81,26 @@
     @Test
     void withTheSectionItFollowsAndReports() throws Exception {
         try (Keepers keepers = new Keepers(root.resolve("keepers"), 1, 1, 2, Terms.usual()).serving()) {
-            Process node = node("{\"rollout\":{\"keepers\":[\"127.0.0.1:" + keepers.at(0).getPort()
-                    + "\"]}}");
+            Process node = node(
+                    "{\"rollout\":{\"keepers\":[\"127.0.0.1:" + keepers.at(0).getPort() + "\"]}}");
             try (BufferedReader lines = node.inputReader()) {
                 awaitLine(lines, "rollout: told all that its keeper knows");
-                assertEquals("200 {\"rev\":1}", told(keepers.change(0, "0000000000000001", 0,
-                        "{\"realms/acme\":{\"quotaPerS\":12.0}}")));
+                assertEquals(
+                        "200 {\"rev\":1}",
+                        told(keepers.change(0, "0000000000000001", 0, "{\"realms/acme\":{\"quotaPerS\":12.0}}")));
                 awaitLine(lines, "rollout: version 1 is taken in");
-                assertEquals("1", keepers.awaitInForce(0, 1, 1).path("in_force").path("nodes").values().get(0)
-                        .text());
+                assertEquals(
+                        "1",
+                        keepers.awaitInForce(0, 1, 1)
+                                .path("in_force")
+                                .path("nodes")
+                                .values()
+                                .get(0)
+                                .text());
                 // What its file does not have waits for one that has, and is never said to be in force.
-                assertEquals("200 {\"rev\":2}", told(keepers.change(0, "0000000000000002", 1,
-                        "{\"realms/new\":{\"quotaPerS\":1}}")));
+                assertEquals(
+                        "200 {\"rev\":2}",
+                        told(keepers.change(0, "0000000000000002", 1, "{\"realms/new\":{\"quotaPerS\":1}}")));
                 awaitLine(lines, "rollout: version 2 is taken in");
                 long until = System.nanoTime() + 30_000_000_000L;
                 Json status = keepers.status(0, "?rev=2");
@@ -115,10 +129,14 @@
         Process node = node("{\"rollout\":{\"keepers\":[\"here\"],\"more\":1}}");
         List<String> lines = node.inputReader().lines().toList();
         assertEquals(2, node.waitFor());
-        assertEquals(List.of("kitemux: rollout.more is not known; known are keepers",
-                "kitemux: rollout.keepers[0] is not address:port: here"), lines);
+        assertEquals(
+                List.of(
+                        "kitemux: rollout.more is not known; known are keepers",
+                        "kitemux: rollout.keepers[0] is not address:port: here"),
+                lines);
         Process empty = node("{\"rollout\":{}}");
-        assertEquals(List.of("kitemux: rollout.keepers is not a list of 1 to 32 addresses"),
+        assertEquals(
+                List.of("kitemux: rollout.keepers is not a list of 1 to 32 addresses"),
                 empty.inputReader().lines().toList());
         assertEquals(2, empty.waitFor());
     }
--- a/src/test/java/kitemux/keeper/RecordWriterTest.java
+++ b/src/test/java/kitemux/keeper/RecordWriterTest.java
@@ -9,19 +9,18 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-
 import kitemux.disk.MemoryDisk;
 import kitemux.rollout.Kept;
 import kitemux.rollout.Vote;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 @Timeout(60)
 class RecordWriterTest {
     private final MemoryDisk disk = new MemoryDisk();
     /** What runs on the loop, in order; each entry is one turn of it. */
     private final LinkedBlockingQueue<Runnable> loop = new LinkedBlockingQueue<>();
+
     private final LinkedBlockingQueue<Exception> failed = new LinkedBlockingQueue<>();
 
     private static Kept kept(int rev) {
@@ -29,7 +28,7 @@
     }
 
     private KeeperFolder folder(kitemux.disk.Disk on) throws IOException {
-        return KeeperFolder.open(on, 0, () -> 1, line -> { });
+        return KeeperFolder.open(on, 0, () -> 1, line -> {});
     }
 
     @Test
@@ -65,7 +64,7 @@
         KeeperFolder folder = folder(disk);
         disk.failAfter = 1;
         RecordWriter writer = new RecordWriter(folder, loop::add, failed::add);
-        writer.write(kept(1), () -> { });
+        writer.write(kept(1), () -> {});
         assertEquals("the power is off", failed.poll(30, TimeUnit.SECONDS).getMessage());
         writer.close();
         assertTrue(loop.isEmpty(), "nobody is answered");
@@ -77,7 +76,7 @@
         CountDownLatch release = new CountDownLatch(1);
         MemoryDisk other = new MemoryDisk();
         boolean[] holds = {false};
-        KeeperFolder slow = folder(new HookedDisk(other, bytes -> { }, () -> {
+        KeeperFolder slow = folder(new HookedDisk(other, bytes -> {}, () -> {
             if (holds[0]) {
                 again.countDown();
                 release.await();
@@ -85,19 +84,19 @@
         }));
         holds[0] = true;
         RecordWriter writer = new RecordWriter(slow, loop::add, failed::add);
-        writer.write(kept(1), () -> { });
+        writer.write(kept(1), () -> {});
         again.await();
         for (int i = 2; i <= RecordWriter.MOST_TAKEN; i++) {
             assertTrue(writer.hasRoom(), "with " + (i - 1) + " that wait");
-            writer.write(kept(i), () -> { });
+            writer.write(kept(i), () -> {});
         }
         assertFalse(writer.hasRoom());
         // The first is out of the queue already, being written.
         for (int i = RecordWriter.MOST_TAKEN + 1; i <= RecordWriter.MOST_QUEUED + 1; i++) {
-            writer.write(kept(i), () -> { });
+            writer.write(kept(i), () -> {});
         }
         assertTrue(failed.isEmpty());
-        writer.write(kept(9_999), () -> { });
+        writer.write(kept(9_999), () -> {});
         assertEquals("more than 1024 records wait to be written", failed.take().getMessage());
         release.countDown();
         writer.close();
--- a/src/test/java/kitemux/keeper/RolloutWatchTest.java
+++ b/src/test/java/kitemux/keeper/RolloutWatchTest.java
@@ -17,13 +17,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-
-
 import kitemux.net.LoopTime;
 import kitemux.net.NioNetwork;
 import kitemux.net.PollingLoop;
@@ -31,6 +24,10 @@
 import kitemux.net.Sockets;
 import kitemux.rollout.Subscriber;
 import kitemux.rollout.Terms;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** A node's watch before a keeper that says what a test writes. */
 @Timeout(60)
@@ -43,6 +40,7 @@
     private final LinkedBlockingQueue<String> reports = new LinkedBlockingQueue<>();
     /** Watches that were asked for, each with its path read. */
     private final LinkedBlockingQueue<Asked> asked = new LinkedBlockingQueue<>();
+
     private volatile SortedMap<String, String> values = new TreeMap<>();
     private final Sockets sockets = new Sockets(1_024);
     private ServerSocket listening;
@@ -73,12 +71,20 @@
         accepts.setDaemon(true);
         accepts.start();
         LoopTime time = LoopTime.of(loop);
-        watch = new RolloutWatch(loop, NioNetwork.SYSTEM, time, List.of((InetSocketAddress) listening
-                .getLocalSocketAddress()), new Subscriber(Terms.usual(), new ConfigRules(), 17, 5, 1, 0,
-                        new TreeMap<>(), 1, time.nowUs()), 17, 5, sockets, (rev, all) -> {
-                            values = all;
-                            revs.add(rev);
-                        }, said);
+        watch = new RolloutWatch(
+                loop,
+                NioNetwork.SYSTEM,
+                time,
+                List.of((InetSocketAddress) listening.getLocalSocketAddress()),
+                new Subscriber(Terms.usual(), new ConfigRules(), 17, 5, 1, 0, new TreeMap<>(), 1, time.nowUs()),
+                17,
+                5,
+                sockets,
+                (rev, all) -> {
+                    values = all;
+                    revs.add(rev);
+                },
+                said);
         watch.begin();
     }
 
@@ -94,13 +100,14 @@
         try {
             while (true) {
                 Socket socket = listening.accept();
-                BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                        StandardCharsets.UTF_8));
+                BufferedReader in =
+                        new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
                 String first = in.readLine();
                 int length = 0;
                 for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
                     length = line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")
-                            ? Integer.parseInt(line.substring(15).strip()) : length;
+                            ? Integer.parseInt(line.substring(15).strip())
+                            : length;
                 }
                 if (first == null) {
                     // Given up before it asked.
@@ -112,12 +119,11 @@
                     continue;
                 }
                 char[] body = new char[length];
-                for (int at = 0; at < length;) {
+                for (int at = 0; at < length; ) {
                     at += in.read(body, at, length - at);
                 }
                 reports.add(first.split(" ")[1] + " " + new String(body));
-                socket.getOutputStream().write("HTTP/1.1 204 No Content\r\n\r\n".getBytes(
-                        StandardCharsets.US_ASCII));
+                socket.getOutputStream().write("HTTP/1.1 204 No Content\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
                 socket.close();
             }
         } catch (IOException e) {
@@ -136,8 +142,7 @@
     }
 
     private static String part(int part, int of, String path) {
-        return "{\"rev\":5,\"part\":" + part + ",\"of\":" + of + ",\"set\":{\"" + path
-                + "\":{\"quotaPerS\":1}}}";
+        return "{\"rev\":5,\"part\":" + part + ",\"of\":" + of + ",\"set\":{\"" + path + "\":{\"quotaPerS\":1}}}";
     }
 
     private long badLines() throws Exception {
@@ -182,8 +187,10 @@
         sixth.lines(part(1, 2, "realms/x"), part(2, 2, "realms/y"));
         assertEquals(5, revs.take());
         assertEquals("[realms/x, realms/y]", values.keySet().toString());
-        assertTrue(said.all().stream().anyMatch(line -> line.contains("bad line: what is this")
-                || line.contains("bad line: w")), said.all().toString());
+        assertTrue(
+                said.all().stream()
+                        .anyMatch(line -> line.contains("bad line: what is this") || line.contains("bad line: w")),
+                said.all().toString());
     }
 
     @Test
--- a/src/test/java/kitemux/keeper/Switch.java
+++ b/src/test/java/kitemux/keeper/Switch.java
@@ -1,10 +1,5 @@
 package kitemux.keeper;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -16,6 +11,10 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** A way to somewhere that can be cut: connections stay, come up, and nothing passes any more. */
 final class Switch {
@@ -27,7 +26,9 @@
 
     Switch(EventLoopGroup loop) {
         this.loop = loop;
-        listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        listening = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.AUTO_READ, false)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -36,7 +37,10 @@
                         channel.closeFuture().addListener(done -> near.remove(channel));
                         dial(channel);
                     }
-                }).bind(InetAddress.getLoopbackAddress(), 0).syncUninterruptibly().channel();
+                })
+                .bind(InetAddress.getLoopbackAddress(), 0)
+                .syncUninterruptibly()
+                .channel();
     }
 
     private void dial(Channel channel) {
@@ -44,8 +48,8 @@
         if (cut || target == null) {
             return;
         }
-        Bootstrap dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .handler(new To(channel));
+        Bootstrap dialer =
+                new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(new To(channel));
         dialer.connect(target).addListener(done -> {
             if (!done.isSuccess()) {
                 channel.close();
--- a/src/test/java/kitemux/lab/DeedsTest.java
+++ b/src/test/java/kitemux/lab/DeedsTest.java
@@ -7,12 +7,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.fleet.Emulation;
 import kitemux.fleet.Fleet;
 import kitemux.fleet.Result;
+import org.junit.jupiter.api.Test;
 
 /** What is done to a fleet that is tried out: read from a script, and done to real nodes over loopback. */
 class DeedsTest {
@@ -30,8 +28,11 @@
     void aScriptIsReadInOrderOfTimeAndAllItsFaultsAreTold() {
         List<Deeds.Timed> deeds = read("# first the worst\n\n2.5s restart\n  1s kill " + box(0) + "\n");
         assertEquals(List.of(), faults);
-        assertEquals(List.of(new Deeds.Timed(1_000_000, Deeds.Deed.KILL, box(0)),
-                new Deeds.Timed(2_500_000, Deeds.Deed.RESTART, "")), deeds);
+        assertEquals(
+                List.of(
+                        new Deeds.Timed(1_000_000, Deeds.Deed.KILL, box(0)),
+                        new Deeds.Timed(2_500_000, Deeds.Deed.RESTART, "")),
+                deeds);
         read("kill\n1s burn " + box(0) + "\n1s kill\n1s slow nobody\n1s flood nobody\n");
         assertEquals(5, faults.size(), faults.toString());
         for (int line = 1; line <= 5; line++) {
@@ -52,24 +53,33 @@
     @Test
     void whatIsDoneIsSeenAndTheRunEndsWhenItIsToldTo() throws Exception {
         Fleet fleet = Fleets.small();
-        Fleet longer = fleet.with(new Fleet.Load(fleet.load().ratePerS(), 60_000_000, List.of(), fleet.load()
-                .quotaPerS(), 1));
-        List<Deeds.Deed> deeds = new ArrayList<>(List.of(Deeds.Deed.KILL, Deeds.Deed.BACK, Deeds.Deed.SLOW,
-                Deeds.Deed.BACK, Deeds.Deed.FAIL, Deeds.Deed.BACK, Deeds.Deed.SILENCE));
+        Fleet longer = fleet.with(new Fleet.Load(
+                fleet.load().ratePerS(), 60_000_000, List.of(), fleet.load().quotaPerS(), 1));
+        List<Deeds.Deed> deeds = new ArrayList<>(List.of(
+                Deeds.Deed.KILL,
+                Deeds.Deed.BACK,
+                Deeds.Deed.SLOW,
+                Deeds.Deed.BACK,
+                Deeds.Deed.FAIL,
+                Deeds.Deed.BACK,
+                Deeds.Deed.SILENCE));
         List<String> seen = new ArrayList<>();
         Result result = Loopback.play(longer, 1, Fleets::node, (live, nowUs) -> {
-            Emulation.BoxNow box = live.boxesNow().get(0);
-            seen.add(box.state());
-            if (deeds.isEmpty()) {
-                return false;
-            }
-            Deeds.act(deeds.remove(0), box.id(), longer, live);
-            return true;
-        }).result();
-        assertEquals(List.of("dead", "slow", "failing", "silent"), seen.stream()
-                .filter(state -> !state.equals("up") && !state.equals("cold")).toList());
+                    Emulation.BoxNow box = live.boxesNow().get(0);
+                    seen.add(box.state());
+                    if (deeds.isEmpty()) {
+                        return false;
+                    }
+                    Deeds.act(deeds.remove(0), box.id(), longer, live);
+                    return true;
+                })
+                .result();
+        assertEquals(
+                List.of("dead", "slow", "failing", "silent"),
+                seen.stream()
+                        .filter(state -> !state.equals("up") && !state.equals("cold"))
+                        .toList());
         assertEquals(List.of(), result.told());
-        assertTrue(result.wishes() > 0 && result.wishes() < 30 * longer.load().ratePerS(),
-                "it ended long before");
+        assertTrue(result.wishes() > 0 && result.wishes() < 30 * longer.load().ratePerS(), "it ended long before");
     }
 }
--- a/src/test/java/kitemux/lab/ExperimentFileTest.java
+++ b/src/test/java/kitemux/lab/ExperimentFileTest.java
@@ -9,20 +9,22 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.fleet.Fleet;
+import org.junit.jupiter.api.Test;
 
 class ExperimentFileTest {
 
     private static Experiment read(String text, List<String> faults) {
-        return ExperimentFile.read("e", text, path -> {
-            if (!path.equals("small.hcl")) {
-                throw new IOException("no such file");
-            }
-            return Fleets.SMALL;
-        }, faults);
+        return ExperimentFile.read(
+                "e",
+                text,
+                path -> {
+                    if (!path.equals("small.hcl")) {
+                        throw new IOException("no such file");
+                    }
+                    return Fleets.SMALL;
+                },
+                faults);
     }
 
     @Test
@@ -53,8 +55,15 @@
                 }
                 """, faults);
         assertEquals(List.of(), faults);
-        assertEquals(List.of("as it is", "rack lost", "load, load 1.0", "load, load 1.5", "servers, std 2",
-                "servers, std 3"), experiment.variants().stream().map(Experiment.Variant::name).toList());
+        assertEquals(
+                List.of(
+                        "as it is",
+                        "rack lost",
+                        "load, load 1.0",
+                        "load, load 1.5",
+                        "servers, std 2",
+                        "servers, std 3"),
+                experiment.variants().stream().map(Experiment.Variant::name).toList());
         Fleet asItIs = experiment.variants().get(0).fleet();
         assertEquals(5_000_000, asItIs.load().lengthUs());
         assertEquals(150, asItIs.load().ratePerS());
@@ -92,10 +101,15 @@
                 }
                 """, faults);
         String all = String.join("\n", faults);
-        for (String each : List.of("goal: is not above 0 and under 1", "seeds: is not from 1 to",
-                "length: is not from 2s to 10m", "where: must hold emulator, loopback or both, not \"moon\"",
-                "colour: is not known here", "scenario \"a\".load: must be a number, not \"much\"",
-                "there is no kind \"vast\"", "fault[0].for: must be a time with its unit")) {
+        for (String each : List.of(
+                "goal: is not above 0 and under 1",
+                "seeds: is not from 1 to",
+                "length: is not from 2s to 10m",
+                "where: must hold emulator, loopback or both, not \"moon\"",
+                "colour: is not known here",
+                "scenario \"a\".load: must be a number, not \"much\"",
+                "there is no kind \"vast\"",
+                "fault[0].for: must be a time with its unit")) {
             assertTrue(all.contains(each), each + " is not among:\n" + all);
         }
     }
@@ -134,8 +148,11 @@
     void theExampleCanBePlayed() throws IOException {
         List<String> faults = new ArrayList<>();
         Path examples = Path.of("examples", "lab");
-        Experiment experiment = ExperimentFile.read("e", Files.readString(examples.resolve("validation.hcl")),
-                path -> Files.readString(examples.resolve(path)), faults);
+        Experiment experiment = ExperimentFile.read(
+                "e",
+                Files.readString(examples.resolve("validation.hcl")),
+                path -> Files.readString(examples.resolve(path)),
+                faults);
         assertEquals(List.of(), faults);
         assertTrue(experiment.variants().size() >= 24);
     }
--- a/src/test/java/kitemux/lab/Fleets.java
+++ b/src/test/java/kitemux/lab/Fleets.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-
 import kitemux.cli.Main;
 import kitemux.fleet.Fleet;
 import kitemux.plan.FleetFile;
@@ -52,7 +51,7 @@
             }
             """;
 
-    private Fleets() { }
+    private Fleets() {}
 
     static Fleet small() {
         List<String> faults = new ArrayList<>();
@@ -65,8 +64,14 @@
 
     /** A node of the classes under test, in a process of its own. */
     static ProcessBuilder node() throws IOException {
-        return new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(), "-Xmx64m",
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                Main.class.getName(), "node");
+        return new ProcessBuilder(
+                ProcessHandle.current().info().command().orElseThrow(),
+                "-Xmx64m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName(),
+                "node");
     }
 }
--- a/src/test/java/kitemux/lab/GuardTest.java
+++ b/src/test/java/kitemux/lab/GuardTest.java
@@ -6,12 +6,13 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-
 import org.junit.jupiter.api.Test;
 
 class GuardTest {
     private static Process guarded(String script) throws Exception {
-        return Guard.before(new ProcessBuilder("sh", "-c", script)).redirectErrorStream(true).start();
+        return Guard.before(new ProcessBuilder("sh", "-c", script))
+                .redirectErrorStream(true)
+                .start();
     }
 
     /** Else whoever waits for a node that does not start waits for good. */
@@ -20,8 +21,11 @@
         Process guard = guarded("echo no such thing; exit 3");
         try {
             // On a thread of its own: a read of what never ends cannot be broken off.
-            assertEquals(List.of("no such thing"), CompletableFuture.supplyAsync(() ->
-                    guard.inputReader().lines().toList()).get(20, TimeUnit.SECONDS));
+            assertEquals(
+                    List.of("no such thing"),
+                    CompletableFuture.supplyAsync(
+                                    () -> guard.inputReader().lines().toList())
+                            .get(20, TimeUnit.SECONDS));
         } finally {
             guard.destroyForcibly();
         }
--- a/src/test/java/kitemux/lab/LatePlayerTest.java
+++ b/src/test/java/kitemux/lab/LatePlayerTest.java
@@ -3,21 +3,18 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
-
-import org.junit.jupiter.api.Test;
-
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-
 import kitemux.fleet.Fleet;
 import kitemux.fleet.Result;
 import kitemux.plan.FleetFile;
+import org.junit.jupiter.api.Test;
 
 /** A player that was late itself: it measures that, and does not hold it against nodes. */
 class LatePlayerTest {
@@ -65,24 +62,29 @@
             RealTime[] time = new RealTime[1];
             long[] dueUs = new long[1];
             loop.submit(() -> {
-                time[0] = new RealTime(loop, by -> told.add(new long[] {time[0].scheduler().nowUs(), by}));
-                time[0].begin();
-                time[0].happens(() -> {
-                    time[0].scheduler().afterUs(0, LatePlayerTest::stall);
-                    time[0].scheduler().afterUs(1_000, () -> { });
-                    dueUs[0] = time[0].scheduler().nowUs() + 1_000;
-                });
-                time[0].happens(() -> { });
-            }).sync();
+                        time[0] = new RealTime(
+                                loop,
+                                by -> told.add(new long[] {time[0].scheduler().nowUs(), by}));
+                        time[0].begin();
+                        time[0].happens(() -> {
+                            time[0].scheduler().afterUs(0, LatePlayerTest::stall);
+                            time[0].scheduler().afterUs(1_000, () -> {});
+                            dueUs[0] = time[0].scheduler().nowUs() + 1_000;
+                        });
+                        time[0].happens(() -> {});
+                    })
+                    .sync();
             loop.submit(() -> {
-                assertEquals(1, told.size());
-                long from = told.get(0)[0] - told.get(0)[1];
-                assertTrue(told.get(0)[1] >= STALL_NANOS / 1_000 - 1_000, "late by " + told.get(0)[1]);
-                assertTrue(from >= dueUs[0] && from < dueUs[0] + STALL_NANOS / 2_000, "told as of " + from
-                        + " us, where " + dueUs[0] + " was due");
-                assertTrue(time[0].mostLateUs() >= STALL_NANOS / 1_000 - 1_000);
-                time[0].stop();
-            }).sync();
+                        assertEquals(1, told.size());
+                        long from = told.get(0)[0] - told.get(0)[1];
+                        assertTrue(told.get(0)[1] >= STALL_NANOS / 1_000 - 1_000, "late by " + told.get(0)[1]);
+                        assertTrue(
+                                from >= dueUs[0] && from < dueUs[0] + STALL_NANOS / 2_000,
+                                "told as of " + from + " us, where " + dueUs[0] + " was due");
+                        assertTrue(time[0].mostLateUs() >= STALL_NANOS / 1_000 - 1_000);
+                        time[0].stop();
+                    })
+                    .sync();
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(20, TimeUnit.SECONDS);
         }
@@ -101,9 +103,10 @@
                 }
             });
             loop.submit(() -> {
-                beat.begin();
-                stall();
-            }).sync();
+                        beat.begin();
+                        stall();
+                    })
+                    .sync();
             assertTrue(told.get(20, TimeUnit.SECONDS) >= STALL_NANOS - 10_000_000);
             assertTrue(beat.heldUpNanos() >= STALL_NANOS - 10_000_000);
             loop.submit(beat::stop).sync();
--- a/src/test/java/kitemux/lab/LoopbackTest.java
+++ b/src/test/java/kitemux/lab/LoopbackTest.java
@@ -13,10 +13,6 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
-
 import kitemux.fleet.Emulation;
 import kitemux.fleet.Fleet;
 import kitemux.fleet.Result;
@@ -24,6 +20,8 @@
 import kitemux.load.Speeds;
 import kitemux.load.Summary;
 import kitemux.plan.FleetFile;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** Described fleets over sockets, with processes of real nodes. */
 class LoopbackTest {
@@ -33,8 +31,9 @@
     }
 
     private static long ended(Result result) {
-        return result.classes().stream().mapToLong(c -> c.inTime() + c.late() + c.refused()
-                + c.failed()).sum();
+        return result.classes().stream()
+                .mapToLong(c -> c.inTime() + c.late() + c.refused() + c.failed())
+                .sum();
     }
 
     @Test
@@ -50,22 +49,24 @@
 
     @Test
     void whoeverAsksADeadNodeIsToldAndAReleaseBreaksNoRule() throws Exception {
-        Fleet fleet = Fleets.small().withFaults(List.of(
-                new Fleet.Fault(Fleet.Trouble.RELEASE, Fleet.Among.ANY, 0, 2, 300_000, 200_000, 2),
-                new Fleet.Fault(Fleet.Trouble.NODES_RESTART, Fleet.Among.ANY, 0, 1, 1_000_000, 100_000, 1)));
+        Fleet fleet = Fleets.small()
+                .withFaults(List.of(
+                        new Fleet.Fault(Fleet.Trouble.RELEASE, Fleet.Among.ANY, 0, 2, 300_000, 200_000, 2),
+                        new Fleet.Fault(Fleet.Trouble.NODES_RESTART, Fleet.Among.ANY, 0, 1, 1_000_000, 100_000, 1)));
         Result happened = Loopback.play(fleet, 5, Fleets::node).result();
         assertEquals(happened.wishes(), ended(happened), "each wish ends once");
         assertEquals(List.of(), happened.told());
         // One of two nodes is gone for a second or more, which the front notices late; the other serves.
         assertTrue(happened.inTime() > 0.4, "in time " + happened.inTime());
-        assertTrue(happened.classes().stream().mapToLong(c -> c.failed()).sum() > 0,
-                "nobody met the dead node");
+        assertTrue(happened.classes().stream().mapToLong(c -> c.failed()).sum() > 0, "nobody met the dead node");
     }
 
     @Test
     void aNodeThatDoesNotStartIsToldWithWhatItSaid() {
-        IOException told = assertThrows(IOException.class, () -> Loopback.play(Fleets.small(), 1,
-                () -> new ProcessBuilder("sh", "-c", "echo no such thing; exit 3")));
+        IOException told = assertThrows(
+                IOException.class,
+                () -> Loopback.play(
+                        Fleets.small(), 1, () -> new ProcessBuilder("sh", "-c", "echo no such thing; exit 3")));
         assertTrue(told.getMessage().contains("no such thing"), told.getMessage());
     }
 
@@ -74,15 +75,16 @@
     void whatWasWantedIsFoundAgainBehindABadAfternoon(@TempDir Path folder) throws Exception {
         Fleet small = Fleets.small();
         // Clients that heed no advice and are back at once.
-        Fleet fleet = small.with(small.load().times(12))
-                .with(new Fleet.Clients(700, 4, 0.4, 0.8, 10_000, 0, 0, 0));
-        Path settings = Files.writeString(folder.resolve("own.json"),
+        Fleet fleet = small.with(small.load().times(12)).with(new Fleet.Clients(700, 4, 0.4, 0.8, 10_000, 0, 0, 0));
+        Path settings = Files.writeString(
+                folder.resolve("own.json"),
                 "{\"load\":{\"folder\":\"" + folder.resolve("load") + "\",\"ring\":65536}}");
         Result happened = Loopback.play(fleet, 7, () -> {
-            ProcessBuilder node = Fleets.node();
-            node.environment().put("KITEMUX_SETTINGS", settings.toString());
-            return node;
-        }).result();
+                    ProcessBuilder node = Fleets.node();
+                    node.environment().put("KITEMUX_SETTINGS", settings.toString());
+                    return node;
+                })
+                .result();
         Summary summary = new Summary(1_000_000, Map.of());
         try (Stream<Path> files = Files.list(folder.resolve("load"))) {
             for (Path file : files.toList()) {
@@ -94,8 +96,7 @@
         for (Result.OfClass of : happened.classes()) {
             // What the nodes had in their last batch as they were killed is missing: a fifth of a second
             // of some.
-            assertEquals(of.offered(), summary.classes().get(of.name()).wanted(), 0.05 * of.offered(),
-                    of.name());
+            assertEquals(of.offered(), summary.classes().get(of.name()).wanted(), 0.05 * of.offered(), of.name());
         }
     }
 
@@ -105,8 +106,10 @@
      */
     @Test
     void serversThatAllDieServeNobodyMeanwhile() throws Exception {
-        Fleet fleet = Fleets.small().with(Fleets.small().load().times(2)).withFaults(List.of(
-                new Fleet.Fault(Fleet.Trouble.DIE, Fleet.Among.ANY, 0, 0, 1_000_000, 1_000_000, 1)));
+        Fleet fleet = Fleets.small()
+                .with(Fleets.small().load().times(2))
+                .withFaults(
+                        List.of(new Fleet.Fault(Fleet.Trouble.DIE, Fleet.Among.ANY, 0, 0, 1_000_000, 1_000_000, 1)));
         Result predicted = Emulation.play(fleet, 2);
         Result happened = Loopback.play(fleet, 2, Fleets::node).result();
         assertEquals(List.of(), happened.told());
@@ -117,19 +120,23 @@
     @Test
     void speedsAreFoundAgainFromWhatTheNodesCaptured(@TempDir Path folder) throws Exception {
         List<String> faults = new ArrayList<>();
-        Fleet fleet = FleetFile.read(Fleets.SMALL.replace("boxes \"std\" {\n  count     = 4", """
+        Fleet fleet = FleetFile.read(
+                Fleets.SMALL
+                        .replace("boxes \"std\" {\n  count     = 4", """
                 boxes "old" {
                   count = 2
                   speed = 0.5
                 }
                 boxes "std" {
-                  count     = 2""").replace("work     =", "spread   = \"fixed\"\n  work     =")
-                .replace("work     = \"4ms\"", "work     = \"16ms\"").replace("length = \"3s\"",
-                        "length = \"8s\"")
-                .replace("rate   = 150", "rate   = 90"), faults);
+                  count     = 2""")
+                        .replace("work     =", "spread   = \"fixed\"\n  work     =")
+                        .replace("work     = \"4ms\"", "work     = \"16ms\"")
+                        .replace("length = \"3s\"", "length = \"8s\"")
+                        .replace("rate   = 150", "rate   = 90"),
+                faults);
         assertEquals(List.of(), faults);
-        Path settings = Files.writeString(folder.resolve("own.json"),
-                "{\"load\":{\"folder\":\"" + folder.resolve("load") + "\"}}");
+        Path settings = Files.writeString(
+                folder.resolve("own.json"), "{\"load\":{\"folder\":\"" + folder.resolve("load") + "\"}}");
         Loopback.play(fleet, 9, () -> {
             ProcessBuilder node = Fleets.node();
             node.environment().put("KITEMUX_SETTINGS", settings.toString());
@@ -141,8 +148,8 @@
                 speeds.add(Captured.read(file));
             }
         }
-        Map<String, Double> found = speeds.estimate().stream()
-                .collect(Collectors.toMap(Speeds.Speed::server, Speeds.Speed::speed));
+        Map<String, Double> found =
+                speeds.estimate().stream().collect(Collectors.toMap(Speeds.Speed::server, Speeds.Speed::speed));
         assertEquals(Set.of("old-0", "old-1", "std-0", "std-1"), found.keySet());
         assertEquals(2, found.get("std-0") / found.get("old-0"), 0.3, found::toString);
         assertEquals(2, found.get("std-1") / found.get("old-1"), 0.3, found::toString);
--- a/src/test/java/kitemux/lab/ResultsTest.java
+++ b/src/test/java/kitemux/lab/ResultsTest.java
@@ -13,7 +13,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -27,10 +26,18 @@
     }
 
     private static Experiment experiment(int seeds, Experiment.Where... where) {
-        return new Experiment(0.9, seeds, List.of(where), List.of(
-                new Experiment.Variant("a", "", 0, false, Fleets.small()),
-                new Experiment.Variant("b", "", 0, false,
-                        Fleets.small().with(Fleets.small().load().times(2)))));
+        return new Experiment(
+                0.9,
+                seeds,
+                List.of(where),
+                List.of(
+                        new Experiment.Variant("a", "", 0, false, Fleets.small()),
+                        new Experiment.Variant(
+                                "b",
+                                "",
+                                0,
+                                false,
+                                Fleets.small().with(Fleets.small().load().times(2)))));
     }
 
     private ResultsFolder results() throws IOException {
@@ -55,9 +62,10 @@
     void theSameSeedGivesTheSameLineHoweverManyArePlayedAtOnce() throws Exception {
         ResultsFolder one = ResultsFolder.of(folder.resolve("one"), Map.of());
         ResultsFolder many = ResultsFolder.of(folder.resolve("many"), Map.of());
-        new Lab(Fleets::node, 1, 1).play(experiment(3, Experiment.Where.EMULATOR), one, row -> { });
-        new Lab(Fleets::node, 8, 1).play(experiment(3, Experiment.Where.EMULATOR), many, row -> { });
-        assertEquals(one.rows().stream().map(Row::line).sorted().toList(),
+        new Lab(Fleets::node, 1, 1).play(experiment(3, Experiment.Where.EMULATOR), one, row -> {});
+        new Lab(Fleets::node, 8, 1).play(experiment(3, Experiment.Where.EMULATOR), many, row -> {});
+        assertEquals(
+                one.rows().stream().map(Row::line).sorted().toList(),
                 many.rows().stream().map(Row::line).sorted().toList());
     }
 
@@ -65,8 +73,7 @@
     void aLineThatWasCutOffIsPlayedAgainAndLeavesNothing() throws IOException {
         ResultsFolder results = results();
         results.add(row("a", Experiment.Where.LOOPBACK, 1, 0.5));
-        Files.writeString(folder.resolve("r").resolve("runs.tsv"), "a\tloopback\t2\t0.4",
-                StandardOpenOption.APPEND);
+        Files.writeString(folder.resolve("r").resolve("runs.tsv"), "a\tloopback\t2\t0.4", StandardOpenOption.APPEND);
         assertEquals(1, results.rows().size());
         results.add(row("a", Experiment.Where.LOOPBACK, 2, 0.6));
         assertEquals(List.of(0.5, 0.6), results.rows().stream().map(Row::inTime).toList());
@@ -75,8 +82,9 @@
     @Test
     void theResultsOfSomethingElseAreNotMixedIn() throws IOException {
         results();
-        IOException told = assertThrows(IOException.class, () -> ResultsFolder.of(folder.resolve("r"),
-                Map.of("experiment.hcl", "as it is now")));
+        IOException told = assertThrows(
+                IOException.class,
+                () -> ResultsFolder.of(folder.resolve("r"), Map.of("experiment.hcl", "as it is now")));
         assertTrue(told.getMessage().contains("experiment.hcl differs"), told.getMessage());
     }
 
@@ -92,12 +100,15 @@
 
     @Test
     void aPredictionIsHeldAgainstWhatHappened() {
-        List<Row> rows = List.of(row("a", Experiment.Where.EMULATOR, 1, 0.88),
-                row("a", Experiment.Where.LOOPBACK, 1, 0.8), row("b", Experiment.Where.EMULATOR, 1, 0.5));
+        List<Row> rows = List.of(
+                row("a", Experiment.Where.EMULATOR, 1, 0.88),
+                row("a", Experiment.Where.LOOPBACK, 1, 0.8),
+                row("b", Experiment.Where.EMULATOR, 1, 0.5));
         List<Findings.Line> lines = Findings.lines(experiment(1, Experiment.Where.values()), rows);
         assertEquals(0.1, lines.get(0).error(), 1e-9);
         assertTrue(Double.isNaN(lines.get(1).error()), "nothing happened that it could be held against");
-        assertTrue(Findings.table(experiment(1, Experiment.Where.values()), rows).get(2)
+        assertTrue(Findings.table(experiment(1, Experiment.Where.values()), rows)
+                .get(2)
                 .contains("| 0.880 | 0.800 | +10.0% |"));
     }
 
@@ -134,17 +145,17 @@
         assertTrue(Comparison.of(first, better).get(0).isTold());
         assertEquals(0.0245, Comparison.of(first, better).get(0).mean(), 1e-9);
         assertFalse(Comparison.of(first, other).get(0).isTold());
-        assertFalse(Comparison.of(first.subList(0, 1), better).get(0).isTold(),
-                "of one pair nothing is told");
+        assertFalse(Comparison.of(first.subList(0, 1), better).get(0).isTold(), "of one pair nothing is told");
         assertEquals(List.of(), Comparison.of(first, List.of(row("b", Experiment.Where.EMULATOR, 1, 1))));
         assertNotEquals(Comparison.of(first, better), Comparison.of(first, other));
     }
 
     @Test
     void thePageHoldsAllThatItNeeds() {
-        String page = Page.of("<trial> @DATA@", experiment(1, Experiment.Where.values()),
-                List.of(row("a", Experiment.Where.EMULATOR, 1, 0.95), row("a", Experiment.Where.LOOPBACK,
-                        1, 0.8)));
+        String page = Page.of(
+                "<trial> @DATA@",
+                experiment(1, Experiment.Where.values()),
+                List.of(row("a", Experiment.Where.EMULATOR, 1, 0.95), row("a", Experiment.Where.LOOPBACK, 1, 0.8)));
         assertTrue(page.contains("<h1>&lt;trial&gt; @DATA@</h1>"));
         assertTrue(page.contains("class=\"off\">+18.7%"), "a miss is marked");
         assertTrue(page.contains("\"predicted\":[0.95,null]"));
--- a/src/test/java/kitemux/load/CaptureTest.java
+++ b/src/test/java/kitemux/load/CaptureTest.java
@@ -13,35 +13,45 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-
+import kitemux.Balancer.Result;
+import kitemux.config.Json;
+import kitemux.engine.Observer;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import kitemux.Balancer.Result;
-import kitemux.config.Json;
-import kitemux.engine.Observer;
-
 /** Files of captured load: written, cut off, damaged, full and failing. */
 class CaptureTest {
     private static final long NOW = 1_790_000_000_000_000L;
+
     @TempDir
     private Path folder;
+
     private final BlockingQueue<String> said = new LinkedBlockingQueue<>();
 
     private static Seen seen(int number) {
-        return new Seen(NOW + number * 1_000L, number % 2, number % 3 - 1, number % 5 == 0, 500_000,
+        return new Seen(
+                NOW + number * 1_000L,
+                number % 2,
+                number % 3 - 1,
+                number % 5 == 0,
+                500_000,
                 List.of(new Seen.Attempt("s" + number % 7, 100, 20_000 + number, Result.OK)),
-                Observer.Answer.SERVED, 20_500 + number);
+                Observer.Answer.SERVED,
+                20_500 + number);
     }
 
     private Capture capture(Path into, int ring, int fileKiB, int keepMiB) throws IOException {
-        return new Capture(new LoadSettings(into, ring, (long) fileKiB << 10, (long) keepMiB << 20), "n0",
-                List.of("page", "order"), List.of("a", "b"), () -> NOW, said::add);
+        return new Capture(
+                new LoadSettings(into, ring, (long) fileKiB << 10, (long) keepMiB << 20),
+                "n0",
+                List.of("page", "order"),
+                List.of("a", "b"),
+                () -> NOW,
+                said::add);
     }
 
     private List<Path> files(Path in) throws IOException {
@@ -62,7 +72,12 @@
     @Test
     void whatIsWrittenIsReadAgain() throws IOException {
         Captured file = Captured.read(written(1_000));
-        assertEquals(Stream.iterate(0, i -> i + 1).limit(1_000).map(CaptureTest::seen).toList(), file.seen());
+        assertEquals(
+                Stream.iterate(0, i -> i + 1)
+                        .limit(1_000)
+                        .map(CaptureTest::seen)
+                        .toList(),
+                file.seen());
         assertEquals("", file.fault());
         assertEquals(0, file.leftOut());
         assertEquals("n0", file.node());
@@ -71,24 +86,29 @@
     }
 
     @Property(tries = 200)
-    void anyBatchIsReadAsItWas(@ForAll @Size(max = 40) List<@IntRange(min = 0,
-            max = 1_000_000) Integer> numbers)
+    void anyBatchIsReadAsItWas(@ForAll @Size(max = 40) List<@IntRange(min = 0, max = 1_000_000) Integer> numbers)
             throws IOException {
         List<Seen> all = new ArrayList<>();
         for (int n : numbers) {
             List<Seen.Attempt> attempts = new ArrayList<>();
             for (int i = 0; i < n % 4; i++) {
-                attempts.add(new Seen.Attempt("box-" + n % 11 + i, n * 31L, (long) n * n,
-                        Result.values()[n % Result.values().length]));
+                attempts.add(new Seen.Attempt(
+                        "box-" + n % 11 + i, n * 31L, (long) n * n, Result.values()[n % Result.values().length]));
             }
             // Times go back as well: who came first may be answered last.
-            all.add(new Seen(NOW - n * 977L, n % 2, n % 3 - 1, n % 2 == 0, n, attempts,
-                    Observer.Answer.values()[n % Observer.Answer.values().length], n * 13L));
+            all.add(new Seen(
+                    NOW - n * 977L,
+                    n % 2,
+                    n % 3 - 1,
+                    n % 2 == 0,
+                    n,
+                    attempts,
+                    Observer.Answer.values()[n % Observer.Answer.values().length],
+                    n * 13L));
         }
         LoadFormat.Head head = new LoadFormat.Head(7, "n", NOW, List.of("x", "y"), List.of("t", "u"));
         byte[] frame = LoadFormat.batch(new LoadFormat.Batch(numbers.size(), all));
-        LoadFormat.Batch read = LoadFormat.readBatch(LoadFormat.payload(java.nio.ByteBuffer.wrap(frame)),
-                head);
+        LoadFormat.Batch read = LoadFormat.readBatch(LoadFormat.payload(java.nio.ByteBuffer.wrap(frame)), head);
         assertEquals(new LoadFormat.Batch(numbers.size(), all), read);
     }
 
@@ -103,8 +123,7 @@
             Path file = Files.write(folder.resolve("cut"), java.util.Arrays.copyOf(all, cut));
             Captured read = Captured.read(file);
             assertEquals(cut == all.length ? 3 : 1, read.seen().size(), "cut at " + cut);
-            assertEquals(cut != all.length && cut != head.length, read.fault().startsWith("cut off"),
-                    "at " + cut);
+            assertEquals(cut != all.length && cut != head.length, read.fault().startsWith("cut off"), "at " + cut);
         }
     }
 
@@ -156,8 +175,13 @@
         Path into = folder.resolve("many");
         for (int round = 0; round < 12; round++) {
             long at = NOW + round;
-            try (Capture capture = new Capture(new LoadSettings(into, 8_192, 64 << 10, 192 << 10), "n0",
-                    List.of("page", "order"), List.of("a", "b"), () -> at, said::add)) {
+            try (Capture capture = new Capture(
+                    new LoadSettings(into, 8_192, 64 << 10, 192 << 10),
+                    "n0",
+                    List.of("page", "order"),
+                    List.of("a", "b"),
+                    () -> at,
+                    said::add)) {
                 for (int i = 0; i < 4_096; i++) {
                     capture.offer(seen(i * 7_919));
                 }
@@ -170,8 +194,7 @@
         }
         assertTrue(left.size() >= 2 && left.size() < 12, "files: " + left.size());
         assertTrue(bytes <= 256 << 10, "bytes: " + bytes);
-        assertTrue(left.get(left.size() - 1).getFileName().toString().startsWith("" + (NOW + 11)),
-                "the newest stays");
+        assertTrue(left.get(left.size() - 1).getFileName().toString().startsWith("" + (NOW + 11)), "the newest stays");
     }
 
     @Test
@@ -208,7 +231,8 @@
         assertEquals(5, found.size(), found::toString);
         assertTrue(found.get(0).startsWith("load.colour is not known"), found::toString);
         assertEquals("load.folder is missing", found.get(1));
-        assertEquals(List.of("load.keepMiB is less than one file has by load.fileKiB"),
+        assertEquals(
+                List.of("load.keepMiB is less than one file has by load.fileKiB"),
                 faults("{\"load\":{\"folder\":\"/x\",\"fileKiB\":4096,\"keepMiB\":2}}"));
     }
 }
--- a/src/test/java/kitemux/load/SpeedsTest.java
+++ b/src/test/java/kitemux/load/SpeedsTest.java
@@ -7,22 +7,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-
+import kitemux.Balancer.Result;
+import kitemux.engine.Observer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import kitemux.Balancer.Result;
-import kitemux.engine.Observer;
-
 /** Servers of known speeds with a queue each: work and waiting are seen as one. */
 class SpeedsTest {
     private static final double[] TRUE = {0.5, 0.8, 1, 1.6};
 
     /** One server's answers: clients come by themselves and wait in turn, so that it is busy so much. */
-    private static void serve(List<Seen> seen, String server, double speed, double busy, int classes,
-            int count,
-            long seed) {
+    private static void serve(
+            List<Seen> seen, String server, double speed, double busy, int classes, int count, long seed) {
         Random random = new Random(seed);
         double free = 0;
         double now = 0;
@@ -32,8 +29,15 @@
             double mean = (classes == 1 ? 20_000 : 35_000) / speed;
             now += mean / busy * -Math.log(1 - random.nextDouble());
             free = Math.max(free, now) + work;
-            seen.add(new Seen((long) now, of, -1, false, 0, List.of(new Seen.Attempt(server, 0,
-                    (long) Math.max(1, free - now), Result.OK)), Observer.Answer.SERVED, 0));
+            seen.add(new Seen(
+                    (long) now,
+                    of,
+                    -1,
+                    false,
+                    0,
+                    List.of(new Seen.Attempt(server, 0, (long) Math.max(1, free - now), Result.OK)),
+                    Observer.Answer.SERVED,
+                    0));
         }
     }
 
@@ -63,8 +67,9 @@
         for (int s = 0; s < TRUE.length; s++) {
             double speed = TRUE[s] / mean();
             assertEquals(speed, found.get(s).speed(), 0.1 * speed, found::toString);
-            assertTrue(found.get(s).low() < found.get(s).speed()
-                    && found.get(s).speed() < found.get(s).high(),
+            assertTrue(
+                    found.get(s).low() < found.get(s).speed()
+                            && found.get(s).speed() < found.get(s).high(),
                     found::toString);
         }
     }
@@ -89,7 +94,8 @@
         Speeds speeds = new Speeds(Map.of());
         speeds.add(new Captured(1, "n", 0, List.of("page", "photo"), List.of(), seen, 0, ""));
         List<Speeds.Work> found = speeds.work();
-        assertEquals(List.of("page", "photo"), found.stream().map(Speeds.Work::name).toList());
+        assertEquals(
+                List.of("page", "photo"), found.stream().map(Speeds.Work::name).toList());
         assertEquals(20_000 / mean(), found.get(0).meanUs(), 0.1 * 20_000 / mean(), found::toString);
         assertEquals(50_000 / mean(), found.get(1).meanUs(), 0.1 * 50_000 / mean(), found::toString);
         found.forEach(work -> assertEquals(1, work.cv(), 0.15, work.toString()));
@@ -123,8 +129,16 @@
         for (int i = 0; i < all.size(); i++) {
             Seen one = all.get(i);
             // The clock of one of the nodes is 5 s ahead.
-            (i % 2 == 0 ? here : there).add(new Seen(one.cameUs() + (i % 2) * 5_000_000L, one.classIndex(),
-                    one.tenant(), false, 0, one.attempts(), one.end(), 0));
+            (i % 2 == 0 ? here : there)
+                    .add(new Seen(
+                            one.cameUs() + (i % 2) * 5_000_000L,
+                            one.classIndex(),
+                            one.tenant(),
+                            false,
+                            0,
+                            one.attempts(),
+                            one.end(),
+                            0));
         }
         Speeds speeds = new Speeds(Map.of("there", -5_000_000L));
         speeds.add(new Captured(1, "here", 0, List.of("page"), List.of(), here, 0, ""));
@@ -138,18 +152,43 @@
         List<Seen> seen = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
             long at = i * 10_000_000L;
-            seen.add(new Seen(at, 0, -1, false, 0, List.of(new Seen.Attempt("s0", 0, 10_000,
-                    Result.CANCELLED)),
-                    Observer.Answer.LEFT, 0));
+            seen.add(new Seen(
+                    at,
+                    0,
+                    -1,
+                    false,
+                    0,
+                    List.of(new Seen.Attempt("s0", 0, 10_000, Result.CANCELLED)),
+                    Observer.Answer.LEFT,
+                    0));
             // Sent while the other may run still: its time is no measure.
-            seen.add(new Seen(at + 500_000, 0, -1, false, 0, List.of(new Seen.Attempt("s0", 0, 900_000,
-                    Result.OK)),
-                    Observer.Answer.SERVED, 0));
-            seen.add(new Seen(at + 5_000_000, 0, -1, false, 0, List.of(new Seen.Attempt("s0", 0, 20_000,
-                    Result.OK)),
-                    Observer.Answer.SERVED, 0));
-            seen.add(new Seen(at, 0, -1, false, 0, List.of(new Seen.Attempt("s1", 0, 20_000, Result.OK)),
-                    Observer.Answer.SERVED, 0));
+            seen.add(new Seen(
+                    at + 500_000,
+                    0,
+                    -1,
+                    false,
+                    0,
+                    List.of(new Seen.Attempt("s0", 0, 900_000, Result.OK)),
+                    Observer.Answer.SERVED,
+                    0));
+            seen.add(new Seen(
+                    at + 5_000_000,
+                    0,
+                    -1,
+                    false,
+                    0,
+                    List.of(new Seen.Attempt("s0", 0, 20_000, Result.OK)),
+                    Observer.Answer.SERVED,
+                    0));
+            seen.add(new Seen(
+                    at,
+                    0,
+                    -1,
+                    false,
+                    0,
+                    List.of(new Seen.Attempt("s1", 0, 20_000, Result.OK)),
+                    Observer.Answer.SERVED,
+                    0));
         }
         List<Speeds.Speed> found = estimate(seen);
         assertEquals(1, found.get(0).speed(), 1e-9, found::toString);
--- a/src/test/java/kitemux/load/SummaryTest.java
+++ b/src/test/java/kitemux/load/SummaryTest.java
@@ -7,13 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.Balancer.Result;
 import kitemux.engine.Asked;
 import kitemux.engine.Observer;
 import kitemux.engine.Time;
+import org.junit.jupiter.api.Test;
 
 /** What is gathered of requests, and what files of several nodes say together. */
 class SummaryTest {
@@ -67,17 +65,19 @@
     void aRequestIsHandedOnOnceNothingMoreIsHeardOfIt() {
         long[] now = {NOW};
         List<Seen> got = new ArrayList<>();
-        Recorder recorder = new Recorder(new Time() {
-            @Override
-            public long nowUs() {
-                return now[0];
-            }
-
-            @Override
-            public Timer after(long us, Runnable task) {
-                throw new IllegalStateException("a recorder waits for nothing");
-            }
-        }, got::add);
+        Recorder recorder = new Recorder(
+                new Time() {
+                    @Override
+                    public long nowUs() {
+                        return now[0];
+                    }
+
+                    @Override
+                    public Timer after(long us, Runnable task) {
+                        throw new IllegalStateException("a recorder waits for nothing");
+                    }
+                },
+                got::add);
         recorder.taken(1, asked(true, 300));
         recorder.sent(1, 0, "s1", NOW + 9_000);
         now[0] += 2_000;
@@ -89,10 +89,19 @@
         now[0] += 500;
         recorder.ended(1, 0, Result.CANCELLED);
         recorder.forgotten(1);
-        assertEquals(List.of(new Seen(NOW - 300, 1, -1, true, 400_000,
-                List.of(new Seen.Attempt("s1", 300, 3_500, Result.CANCELLED),
-                        new Seen.Attempt("s2", 2_300, 1_000, Result.OK)),
-                Observer.Answer.SERVED, 3_300)), got);
+        assertEquals(
+                List.of(new Seen(
+                        NOW - 300,
+                        1,
+                        -1,
+                        true,
+                        400_000,
+                        List.of(
+                                new Seen.Attempt("s1", 300, 3_500, Result.CANCELLED),
+                                new Seen.Attempt("s2", 2_300, 1_000, Result.OK)),
+                        Observer.Answer.SERVED,
+                        3_300)),
+                got);
         assertEquals(0, recorder.openCount());
         recorder.forgotten(7);
         assertEquals(1, got.size(), "of one that was not seen coming nothing is handed on");
@@ -110,8 +119,8 @@
         }
         all.add(file(1, "n0", seen));
         Summary.OfClass page = all.classes().get("page");
-        assertEquals(List.of(100L, 100L, 100L, 100L),
-                List.of(page.wanted(), page.repeats(), page.served(), page.refused()));
+        assertEquals(
+                List.of(100L, 100L, 100L, 100L), List.of(page.wanted(), page.repeats(), page.served(), page.refused()));
         assertEquals(20, all.steps().get(1).wantedPerS(), 1e-9);
         assertEquals(20, all.steps().get(1).repeatsPerS(), 1e-9);
         assertEquals(List.of(), all.remarks());
@@ -120,10 +129,14 @@
     @Test
     void repeatsThatAreNotMarkedAreWarnedOf() {
         Summary all = new Summary(1_000_000, Map.of());
-        all.add(file(1, "n0", List.of(seen(NOW, 0, false, Observer.Answer.REFUSED),
-                seen(NOW + 5, 0, false, Observer.Answer.SERVED))));
-        assertTrue(all.remarks().get(0).startsWith("of 1 refused tries hardly any was marked"),
-                all.remarks()::toString);
+        all.add(file(
+                1,
+                "n0",
+                List.of(
+                        seen(NOW, 0, false, Observer.Answer.REFUSED),
+                        seen(NOW + 5, 0, false, Observer.Answer.SERVED))));
+        assertTrue(
+                all.remarks().get(0).startsWith("of 1 refused tries hardly any was marked"), all.remarks()::toString);
     }
 
     @Test
@@ -143,8 +156,11 @@
     void whatIsMissingIsSaid() {
         Summary all = new Summary(1_000_000, Map.of());
         all.add(new Captured(1, "n0", NOW, List.of("page"), List.of(), List.of(), 12, "cut off: 3 bytes"));
-        assertEquals(List.of("a file of n0 is not whole: cut off: 3 bytes",
-                "12 requests were left out as they came: what is told is less than what was"), all.remarks());
+        assertEquals(
+                List.of(
+                        "a file of n0 is not whole: cut off: 3 bytes",
+                        "12 requests were left out as they came: what is told is less than what was"),
+                all.remarks());
         assertEquals(0, all.seconds());
         assertEquals(List.of(), all.steps());
     }
@@ -156,8 +172,8 @@
         List<Seen> bursts = new ArrayList<>();
         for (int i = 0; i < 4_000; i++) {
             alone.add(seen(NOW + (long) (random.nextDouble() * 100e6), 0, false, Observer.Answer.SERVED));
-            bursts.add(seen(NOW + random.nextInt(20) * 5_000_000L + random.nextInt(1_000), 0, false,
-                    Observer.Answer.SERVED));
+            bursts.add(seen(
+                    NOW + random.nextInt(20) * 5_000_000L + random.nextInt(1_000), 0, false, Observer.Answer.SERVED));
         }
         Summary one = new Summary(1_000_000, Map.of());
         one.add(file(1, "n0", alone));
--- a/src/test/java/kitemux/members/MembersTest.java
+++ b/src/test/java/kitemux/members/MembersTest.java
@@ -13,7 +13,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.stream.IntStream;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -39,7 +38,9 @@
 
     /** Names of those that get something new, of all that are served. */
     private List<String> ready() {
-        return members.serving().stream().filter(one -> !one.draining()).map(one -> one.member().name())
+        return members.serving().stream()
+                .filter(one -> !one.draining())
+                .map(one -> one.member().name())
                 .toList();
     }
 
@@ -56,17 +57,19 @@
         members.told(NOW, from(1, 9));
         Members.Decision lost = members.told(NOW + S, from(1, 2));
         assertNull(lost.serving(), "all stay");
-        assertEquals(List.of("the list of servers lacks 7 of 9 that it named, which is doubted: they "
-                + "stay for 30 s unless"
-                + " it names them again"), lost.say());
+        assertEquals(
+                List.of("the list of servers lacks 7 of 9 that it named, which is doubted: they "
+                        + "stay for 30 s unless"
+                        + " it names them again"),
+                lost.say());
         // Said again, it is neither told again nor sooner believed.
         assertEquals(new Members.Decision(null, List.of()), members.told(NOW + 20 * S, from(1, 2)));
         assertEquals(NOW + 31 * S, members.nextUs());
         assertNull(members.tick(NOW + 31 * S - 1).serving());
         Members.Decision sure = members.tick(NOW + 31 * S);
         assertEquals(List.of("web-1", "web-2"), ready());
-        assertTrue(sure.say().get(0).startsWith("7 servers that the list has lacked for 30 s are gone"),
-                sure::toString);
+        assertTrue(
+                sure.say().get(0).startsWith("7 servers that the list has lacked for 30 s are gone"), sure::toString);
         assertEquals(Long.MAX_VALUE, members.nextUs());
     }
 
@@ -121,8 +124,9 @@
     void whoJoinsOrMovesHasJustBegunAndWhoWasThereHasNot() {
         members.told(NOW, from(1, 2));
         members.told(NOW + S, List.of(member(1), new Member("web-2", "10.0.0.99:80", 0, false), member(3)));
-        assertEquals(List.of(0L, NOW + S, NOW + S), members.serving().stream().map(Members.Serving::startedUs)
-                .toList());
+        assertEquals(
+                List.of(0L, NOW + S, NOW + S),
+                members.serving().stream().map(Members.Serving::startedUs).toList());
     }
 
     // ---------------------------------------------------------------- checks
@@ -180,9 +184,11 @@
         }
         assertEquals(3, ready().size(), "no more than half, those first that failed first");
         assertTrue(ready().contains("web-4"), members::toString);
-        assertTrue(fourth.say()
-                .contains("4 of 6 servers fail their checks: no more than 3 are taken out, as the checks may"
-                + " be wrong"), fourth::toString);
+        assertTrue(
+                fourth.say()
+                        .contains("4 of 6 servers fail their checks: no more than 3 are taken out, as the checks may"
+                                + " be wrong"),
+                fourth::toString);
         checks(NOW + 8 * S, true, 1, 1);
         assertEquals(List.of("web-1", "web-5", "web-6"), ready(), "now it is the fourth's turn");
     }
@@ -216,7 +222,8 @@
         assertEquals(3, ready().size(), "its five seconds run on");
         checks(NOW + 6 * S, true, 1);
         assertEquals(4, ready().size());
-        assertEquals(List.of(NOW + 6 * S, 0L, 0L, 0L),
+        assertEquals(
+                List.of(NOW + 6 * S, 0L, 0L, 0L),
                 members.serving().stream().map(Members.Serving::startedUs).toList());
     }
 
@@ -239,8 +246,11 @@
     }
 
     private static String unusable(byte[] text, String app) {
-        return assertThrows(SavedMembers.UnusableException.class,
-                () -> SavedMembers.read(text, app), () -> new String(text)).getMessage();
+        return assertThrows(
+                        SavedMembers.UnusableException.class,
+                        () -> SavedMembers.read(text, app),
+                        () -> new String(text))
+                .getMessage();
     }
 
     // ---------------------------------------------------------------- whatever comes in whatever order
@@ -271,7 +281,9 @@
                 default -> members.checked(now, "web-" + (1 + random.nextInt(12)), random.nextInt(3) > 0);
             }
             List<Members.Serving> serving = members.serving();
-            long could = serving.stream().filter(one -> !said.get(one.member().name())).count();
+            long could = serving.stream()
+                    .filter(one -> !said.get(one.member().name()))
+                    .count();
             long gets = serving.stream().filter(one -> !one.draining()).count();
             for (Members.Serving one : serving) {
                 assertTrue(one.draining() || !said.get(one.member().name()), "step " + step + ": " + one);
@@ -304,23 +316,26 @@
     private static List<String> faults(String text) {
         List<String> faults = new ArrayList<>();
         List<Member> read = MemberText.read(text.getBytes(), address -> address.startsWith("10."), faults);
-        assertTrue(faults.isEmpty() != read.isEmpty() || text.contains("[]"),
-                "a list is taken whole or not at all");
+        assertTrue(faults.isEmpty() != read.isEmpty() || text.contains("[]"), "a list is taken whole or not at all");
         return faults;
     }
 
     @Test
     void aListIsTakenWholeOrNotAtAllAndEachFaultHasItsField() {
-        assertEquals(List.of(),
+        assertEquals(
+                List.of(),
                 faults("{\"servers\":[{\"name\":\"a\",\"address\":\"10.0.0.1:80\",\"rack\":1},"
-                + "{\"name\":\"b\",\"address\":\"10.0.0.2:80\",\"state\":\"draining\"}]}"));
+                        + "{\"name\":\"b\",\"address\":\"10.0.0.2:80\",\"state\":\"draining\"}]}"));
         assertEquals(List.of(), faults("{\"servers\":[]}"));
         assertEquals(List.of("servers: is missing or not a list"), faults("{}"));
         assertTrue(faults("{\"servers\":[{\"na").get(0).startsWith("is not JSON"));
-        assertEquals(List.of("servers[0].name: is missing",
-                "servers[0].address: \"11.0.0.1:80\" is no IPv4 address and port, or not allowed",
-                "servers[0].rack: is under 0", "servers[0].state: is neither ready nor draining: \"Gone\"",
-                "servers[2].name: \"a\" is there twice",
+        assertEquals(
+                List.of(
+                        "servers[0].name: is missing",
+                        "servers[0].address: \"11.0.0.1:80\" is no IPv4 address and port, or not allowed",
+                        "servers[0].rack: is under 0",
+                        "servers[0].state: is neither ready nor draining: \"Gone\"",
+                        "servers[2].name: \"a\" is there twice",
                         "servers[2].address: \"10.0.0.1:80\" is there twice"),
                 faults("{\"servers\":[{\"address\":\"11.0.0.1:80\",\"rack\":-4,\"state\":\"Gone\"},"
                         + "{\"name\":\"a\",\"address\":\"10.0.0.1:80\"},{\"name\":\"a\",\"address\":"
--- a/src/test/java/kitemux/mysql/AnswerTrackerTest.java
+++ b/src/test/java/kitemux/mysql/AnswerTrackerTest.java
@@ -5,17 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.SplittableRandom;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
 import kitemux.mysql.AnswerTracker.End;
 import kitemux.mysql.AnswerTracker.Form;
-
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -87,8 +84,10 @@
             for (int r = random.nextInt(4); r > 0; r--) {
                 all.add(row(random));
             }
-            all.add(fails && i == results - 1 ? error() : eofs ? eof(status)
-                    : ok(OkPacket.END_HEADER, status, capabilities));
+            all.add(
+                    fails && i == results - 1
+                            ? error()
+                            : eofs ? eof(status) : ok(OkPacket.END_HEADER, status, capabilities));
         }
         return all;
     }
@@ -103,10 +102,9 @@
     }
 
     @Property(seed = SEED, tries = 3_000)
-    void resultsEndWithTheirLastPacketAndNotBefore(@ForAll long seed, @ForAll boolean eofs,
-            @ForAll boolean tracks, @ForAll boolean fails) {
-        long capabilities = (eofs ? 0 : Capabilities.DEPRECATE_EOF)
-                | (tracks ? Capabilities.SESSION_TRACK : 0);
+    void resultsEndWithTheirLastPacketAndNotBefore(
+            @ForAll long seed, @ForAll boolean eofs, @ForAll boolean tracks, @ForAll boolean fails) {
+        long capabilities = (eofs ? 0 : Capabilities.DEPRECATE_EOF) | (tracks ? Capabilities.SESSION_TRACK : 0);
         List<byte[]> answer = results(new SplittableRandom(seed), capabilities, fails);
         AnswerTracker tracker = new AnswerTracker(Form.RESULTS, capabilities);
         assertFalse(tracker.hasBegun());
@@ -116,7 +114,8 @@
             assertTrue(tracker.hasBegun());
         }
         assertEquals(fails ? End.ERROR : End.OK, tracker.end());
-        assertEquals(fails ? 1317 : 0, tracker.error() == null ? 0 : tracker.error().code());
+        assertEquals(
+                fails ? 1317 : 0, tracker.error() == null ? 0 : tracker.error().code());
         assertThrows(Fault.class, () -> tracker.begins(0, 7), "nothing comes behind the end");
     }
 
@@ -164,13 +163,17 @@
 
     @Example
     void whatMayNotStandWhereItStandsIsAFault() {
-        assertThrows(Fault.class, () -> play(new AnswerTracker(Form.RESULTS, 0), bytes(0xfb, 'f')),
+        assertThrows(
+                Fault.class,
+                () -> play(new AnswerTracker(Form.RESULTS, 0), bytes(0xfb, 'f')),
                 "a server that asks for a file of the client's");
         assertThrows(Fault.class, () -> play(new AnswerTracker(Form.PLAIN, 0), bytes(1)), "rows of a ping");
         assertThrows(Fault.class, () -> play(new AnswerTracker(Form.RESULTS, 0), bytes()));
         assertThrows(Fault.class, () -> play(new AnswerTracker(Form.RESULTS, 0), bytes(1, 1)));
-        assertThrows(Fault.class, () -> play(new AnswerTracker(Form.RESULTS, 0), bytes(0xfe, 0, 0, 0, 0, 1, 0,
-                0, 0)), "more columns than any table has");
+        assertThrows(
+                Fault.class,
+                () -> play(new AnswerTracker(Form.RESULTS, 0), bytes(0xfe, 0, 0, 0, 0, 1, 0, 0, 0)),
+                "more columns than any table has");
         AnswerTracker tracker = new AnswerTracker(Form.RESULTS, 0);
         play(tracker, bytes(1));
         play(tracker, bytes(3, 'd', 'e', 'f'));
@@ -178,8 +181,8 @@
     }
 
     @Property(seed = SEED, tries = 5_000)
-    void garbageEndsOrIsAFault(@ForAll @Size(max = 12) List<@Size(max = 14) byte[]> payloads,
-            @ForAll Form form, @ForAll boolean eofs) {
+    void garbageEndsOrIsAFault(
+            @ForAll @Size(max = 12) List<@Size(max = 14) byte[]> payloads, @ForAll Form form, @ForAll boolean eofs) {
         AnswerTracker tracker = new AnswerTracker(form, eofs ? 0 : Capabilities.DEPRECATE_EOF);
         try {
             for (byte[] payload : payloads) {
--- a/src/test/java/kitemux/mysql/BackConnectionTest.java
+++ b/src/test/java/kitemux/mysql/BackConnectionTest.java
@@ -5,11 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.charset.StandardCharsets;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -19,7 +14,15 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import kitemux.Balancer.Result;
+import kitemux.mysql.AnswerTracker.Form;
+import kitemux.mysql.BackConnection.Account;
+import kitemux.standin.OrderDatabase;
+import kitemux.standin.OrderDatabase.Fault;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
@@ -27,12 +30,6 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-import kitemux.Balancer.Result;
-import kitemux.mysql.AnswerTracker.Form;
-import kitemux.mysql.BackConnection.Account;
-import kitemux.standin.OrderDatabase;
-import kitemux.standin.OrderDatabase.Fault;
-
 /** A connection to a server that drops, breaks off and misnumbers at scripted moments. */
 class BackConnectionTest {
     private static final String NATIVE = "mysql_native_password";
@@ -66,7 +63,7 @@
         private long bytes;
         private long packets;
         private long skip;
-        private Consumer<Outcome> onMore = outcome -> { };
+        private Consumer<Outcome> onMore = outcome -> {};
 
         @Override
         public boolean begun() {
@@ -111,30 +108,38 @@
         CompletableFuture<BackConnection> login = new CompletableFuture<>();
         Bootstrap dialer = new Bootstrap().group(loops).channel(NioSocketChannel.class);
         dialer.handler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                PacketDecoder decoder = new PacketDecoder();
-                channel.pipeline().addLast(decoder, new BackConnection(
-                        new Account(OrderDatabase.USER, password, ""), decoder,
-                        new BackConnection.LoginHeard() {
-                            @Override
-                            public void loggedIn(BackConnection connection) {
-                                login.complete(connection);
-                            }
-
-                            @Override
-                            public void refused(String why, ErrPacket error) {
-                                login.completeExceptionally(new IllegalStateException(why));
-                            }
-                        }));
-            }
-        }).connect(database.address());
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        PacketDecoder decoder = new PacketDecoder();
+                        channel.pipeline()
+                                .addLast(
+                                        decoder,
+                                        new BackConnection(
+                                                new Account(OrderDatabase.USER, password, ""),
+                                                decoder,
+                                                new BackConnection.LoginHeard() {
+                                                    @Override
+                                                    public void loggedIn(BackConnection connection) {
+                                                        login.complete(connection);
+                                                    }
+
+                                                    @Override
+                                                    public void refused(String why, ErrPacket error) {
+                                                        login.completeExceptionally(new IllegalStateException(why));
+                                                    }
+                                                }));
+                    }
+                })
+                .connect(database.address());
         return login.get(20, TimeUnit.SECONDS);
     }
 
     private static Outcome carry(BackConnection connection, String sql, Outcome outcome) {
-        loops.next().execute(() -> connection.carry(Unpooled.buffer().writeByte(3)
-                .writeBytes(sql.getBytes(StandardCharsets.UTF_8)), Form.RESULTS, outcome));
+        loops.next()
+                .execute(() -> connection.carry(
+                        Unpooled.buffer().writeByte(3).writeBytes(sql.getBytes(StandardCharsets.UTF_8)),
+                        Form.RESULTS,
+                        outcome));
         return outcome;
     }
 
@@ -149,8 +154,7 @@
         BackConnection connection = connect(OrderDatabase.PASSWORD);
         assertEquals(Result.OK, carry(connection, INSERT).get());
         assertEquals(1, database.inserts("o"));
-        Exception refused = org.junit.jupiter.api.Assertions.assertThrows(Exception.class,
-                () -> connect("wrong"));
+        Exception refused = org.junit.jupiter.api.Assertions.assertThrows(Exception.class, () -> connect("wrong"));
         assertTrue(refused.getMessage().contains("1045 Access denied"), refused.getMessage());
         assertEquals(1, database.logins());
     }
@@ -177,7 +181,7 @@
         CompletableFuture<Long> whenHeld = new CompletableFuture<>();
         Outcome rows = new Outcome();
         rows.onMore = first -> {
-            first.onMore = more -> { };
+            first.onMore = more -> {};
             connection.setReading(false);
             // Some turns of the loop later only what was read by then has come.
             loops.next().schedule(() -> whenHeld.complete(rows.bytes), 100, TimeUnit.MILLISECONDS);
--- a/src/test/java/kitemux/mysql/CodecTest.java
+++ b/src/test/java/kitemux/mysql/CodecTest.java
@@ -6,21 +6,18 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
-
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.buffer.UnpooledByteBufAllocator;
-import io.netty.channel.embedded.EmbeddedChannel;
-
 import kitemux.mysql.PacketDecoder.Part;
-
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -35,9 +32,13 @@
     private static final String SEED = "41";
 
     private static final UnpooledByteBufAllocator ALLOCATOR = UnpooledByteBufAllocator.DEFAULT;
-    private static final long ALL = Capabilities.PROTOCOL_41 | Capabilities.PLUGIN_AUTH
-            | Capabilities.PLUGIN_AUTH_LENENC_DATA | Capabilities.CONNECT_WITH_DB | Capabilities.CONNECT_ATTRS
-            | Capabilities.SECURE_CONNECTION | Capabilities.SESSION_TRACK;
+    private static final long ALL = Capabilities.PROTOCOL_41
+            | Capabilities.PLUGIN_AUTH
+            | Capabilities.PLUGIN_AUTH_LENENC_DATA
+            | Capabilities.CONNECT_WITH_DB
+            | Capabilities.CONNECT_ATTRS
+            | Capabilities.SECURE_CONNECTION
+            | Capabilities.SESSION_TRACK;
 
     private static byte[] written(Consumer<ByteBuf> by) {
         ByteBuf out = ALLOCATOR.buffer();
@@ -80,7 +81,8 @@
     }
 
     @Property(seed = SEED, tries = 300)
-    void payloadsComeOutAsTheyWentInHoweverTheyAreCut(@ForAll @Size(min = 1, max = 300) List<byte[]> payloads,
+    void payloadsComeOutAsTheyWentInHoweverTheyAreCut(
+            @ForAll @Size(min = 1, max = 300) List<byte[]> payloads,
             @ForAll @Size(min = 1, max = 9) List<@IntRange(min = 1, max = 40) Integer> pieces) {
         ByteBuf all = ALLOCATOR.buffer();
         int sequence = 0;
@@ -97,8 +99,12 @@
 
     @Example
     void aPayloadOfSixteenMebibytesAndMoreIsSeveralPacketsAndOnePayload() {
-        for (int length : new int[] {PacketDecoder.MOST_PAYLOAD - 1, PacketDecoder.MOST_PAYLOAD,
-            PacketDecoder.MOST_PAYLOAD + 1, 2 * PacketDecoder.MOST_PAYLOAD}) {
+        for (int length : new int[] {
+            PacketDecoder.MOST_PAYLOAD - 1,
+            PacketDecoder.MOST_PAYLOAD,
+            PacketDecoder.MOST_PAYLOAD + 1,
+            2 * PacketDecoder.MOST_PAYLOAD
+        }) {
             byte[] payload = new byte[length];
             new Random(length).nextBytes(payload);
             byte[] bytes = packets(payload, 254);
@@ -115,7 +121,9 @@
                     assertEquals(seen == 0, part.first());
                     assertTrue(part.bytes().readableBytes() <= 1 << 16, "no more is held than was read");
                     for (int i = 0; i < part.bytes().readableBytes(); i += 4_099) {
-                        assertEquals(payload[seen + i], part.bytes().getByte(part.bytes().readerIndex() + i));
+                        assertEquals(
+                                payload[seen + i],
+                                part.bytes().getByte(part.bytes().readerIndex() + i));
                     }
                     seen += part.bytes().readableBytes();
                     last = part.last();
@@ -136,10 +144,9 @@
     }
 
     @Property(seed = SEED)
-    void aPayloadBeyondTheBoundIsAFaultAndHoldsNothing(@ForAll @IntRange(min = 1, max = 500) int bound,
-            @ForAll @IntRange(min = 1, max = 300) int piece) {
-        Fault fault = assertThrows(Fault.class,
-                () -> read(packets(new byte[bound + 1], 0), List.of(piece), bound));
+    void aPayloadBeyondTheBoundIsAFaultAndHoldsNothing(
+            @ForAll @IntRange(min = 1, max = 500) int bound, @ForAll @IntRange(min = 1, max = 300) int piece) {
+        Fault fault = assertThrows(Fault.class, () -> read(packets(new byte[bound + 1], 0), List.of(piece), bound));
         assertEquals(Fault.Kind.TOO_LARGE, fault.kind());
         assertEquals(1, read(packets(new byte[bound], 0), List.of(piece), bound).size());
     }
@@ -164,39 +171,60 @@
     }
 
     @Property(seed = SEED)
-    void greetingsComeBack(@ForAll @AlphaChars String version, @ForAll @Size(20) byte[] nonce,
-            @ForAll int id, @ForAll @IntRange(max = 255) int charset,
+    void greetingsComeBack(
+            @ForAll @AlphaChars String version,
+            @ForAll @Size(20) byte[] nonce,
+            @ForAll int id,
+            @ForAll @IntRange(max = 255) int charset,
             @ForAll @IntRange(max = 65_535) int status,
             @ForAll @AlphaChars String plugin) {
-        ServerGreeting greeting = new ServerGreeting(version, id & 0xffffffffL, nonce, ALL, charset, status,
-                plugin);
+        ServerGreeting greeting = new ServerGreeting(version, id & 0xffffffffL, nonce, ALL, charset, status, plugin);
         byte[] bytes = written(greeting::write);
         ServerGreeting back = ServerGreeting.read(Unpooled.wrappedBuffer(bytes));
         assertArrayEquals(nonce, back.nonce());
-        assertEquals(greeting, new ServerGreeting(back.version(), back.connectionId(), nonce,
-                back.capabilities(), back.charset(), back.status(), back.plugin()));
+        assertEquals(
+                greeting,
+                new ServerGreeting(
+                        back.version(),
+                        back.connectionId(),
+                        nonce,
+                        back.capabilities(),
+                        back.charset(),
+                        back.status(),
+                        back.plugin()));
         cutsAreFaults(bytes, ServerGreeting::read);
     }
 
     @Property(seed = SEED)
-    void answersToGreetingsComeBack(@ForAll @AlphaChars String user, @ForAll @Size(max = 250) byte[] proof,
-            @ForAll @AlphaChars String database, @ForAll @AlphaChars String plugin,
+    void answersToGreetingsComeBack(
+            @ForAll @AlphaChars String user,
+            @ForAll @Size(max = 250) byte[] proof,
+            @ForAll @AlphaChars String database,
+            @ForAll @AlphaChars String plugin,
             @ForAll @Size(max = 9) Map<@AlphaChars String, @StringLength(max = 300) String> attributes,
             @ForAll boolean lenenc) {
         long capabilities = lenenc ? ALL : ALL & ~Capabilities.PLUGIN_AUTH_LENENC_DATA;
-        ClientGreeting greeting = new ClientGreeting(capabilities, 1 << 24, 45, user, proof, database, plugin,
-                attributes);
+        ClientGreeting greeting =
+                new ClientGreeting(capabilities, 1 << 24, 45, user, proof, database, plugin, attributes);
         byte[] bytes = written(greeting::write);
         ClientGreeting back = ClientGreeting.read(Unpooled.wrappedBuffer(bytes), ALL);
         assertArrayEquals(proof, back.proof());
-        assertEquals(greeting, new ClientGreeting(back.capabilities(), back.mostPacket(), back.charset(),
-                back.user(), proof, back.database(), back.plugin(), back.attributes()));
+        assertEquals(
+                greeting,
+                new ClientGreeting(
+                        back.capabilities(),
+                        back.mostPacket(),
+                        back.charset(),
+                        back.user(),
+                        proof,
+                        back.database(),
+                        back.plugin(),
+                        back.attributes()));
     }
 
     @Example
     void aWishForTlsHasNoUser() {
-        ClientGreeting wish = new ClientGreeting(ALL | Capabilities.SSL, 1, 45, null, new byte[0], "", "",
-                Map.of());
+        ClientGreeting wish = new ClientGreeting(ALL | Capabilities.SSL, 1, 45, null, new byte[0], "", "", Map.of());
         byte[] bytes = written(wish::write);
         assertEquals(32, bytes.length);
         ClientGreeting back = ClientGreeting.read(Unpooled.wrappedBuffer(bytes), ALL | Capabilities.SSL);
@@ -206,11 +234,16 @@
     }
 
     @Property(seed = SEED)
-    void okAndErrorsComeBack(@ForAll long rows, @ForAll long id, @ForAll @IntRange(max = 65_535) int warnings,
-            @ForAll String info, @ForAll @Size(max = 300) byte[] state, @ForAll boolean tracks,
+    void okAndErrorsComeBack(
+            @ForAll long rows,
+            @ForAll long id,
+            @ForAll @IntRange(max = 65_535) int warnings,
+            @ForAll String info,
+            @ForAll @Size(max = 300) byte[] state,
+            @ForAll boolean tracks,
             @ForAll @IntRange(max = 65_535) int code) {
-        String text = new String(info.getBytes(java.nio.charset.StandardCharsets.UTF_8),
-                java.nio.charset.StandardCharsets.UTF_8);
+        String text = new String(
+                info.getBytes(java.nio.charset.StandardCharsets.UTF_8), java.nio.charset.StandardCharsets.UTF_8);
         OkPacket ok = new OkPacket(rows, id, OkPacket.AUTOCOMMIT, warnings, text, tracks ? state : null);
         long capabilities = tracks ? ALL : ALL & ~Capabilities.SESSION_TRACK;
         byte[] bytes = written(out -> ok.write(out, OkPacket.HEADER, capabilities));
@@ -235,8 +268,12 @@
 
     @Property(seed = SEED, tries = 5_000)
     void garbageIsReadOrIsAFaultAndNothingElse(@ForAll @Size(max = 200) byte[] garbage) {
-        List<Consumer<ByteBuf>> readers = List.of(ServerGreeting::read, in -> ClientGreeting.read(in, -1L),
-                in -> OkPacket.read(in, ALL), in -> OkPacket.read(in, 0), ErrPacket::read,
+        List<Consumer<ByteBuf>> readers = List.of(
+                ServerGreeting::read,
+                in -> ClientGreeting.read(in, -1L),
+                in -> OkPacket.read(in, ALL),
+                in -> OkPacket.read(in, 0),
+                ErrPacket::read,
                 in -> Fields.lenencText(in, "it"));
         for (Consumer<ByteBuf> reader : readers) {
             try {
@@ -253,8 +290,10 @@
     }
 
     @Property(seed = SEED)
-    void aProofHoldsForItsPasswordAndNonceAlone(@ForAll @StringLength(min = 1, max = 40) String password,
-            @ForAll @StringLength(max = 40) String other, @ForAll @Size(20) byte[] nonce,
+    void aProofHoldsForItsPasswordAndNonceAlone(
+            @ForAll @StringLength(min = 1, max = 40) String password,
+            @ForAll @StringLength(max = 40) String other,
+            @ForAll @Size(20) byte[] nonce,
             @ForAll @IntRange(max = 19) int at) {
         for (Scramble scramble : Scramble.values()) {
             byte[] digest = scramble.digest(password);
@@ -276,7 +315,8 @@
     @Example
     void digestsAreThoseThatServersKeep() {
         // What PASSWORD('mypass') of MySQL 5.7 gives, by its reference manual ("Password Hashing in MySQL").
-        assertEquals("6C8989366EAF75BB670AD8EA7A7FC1176A95CEF4",
+        assertEquals(
+                "6C8989366EAF75BB670AD8EA7A7FC1176A95CEF4",
                 HexFormat.of().withUpperCase().formatHex(Scramble.NATIVE.digest("mypass")));
     }
 }
--- a/src/test/java/kitemux/mysql/FrontLoginTest.java
+++ b/src/test/java/kitemux/mysql/FrontLoginTest.java
@@ -5,6 +5,18 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -20,39 +32,27 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-
-import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-
+import kitemux.Balancer.Result;
+import kitemux.mysql.AnswerTracker.Form;
+import kitemux.mysql.PacketDecoder.Part;
+import kitemux.standin.OrderDatabase;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import kitemux.Balancer.Result;
-import kitemux.mysql.AnswerTracker.Form;
-import kitemux.mysql.PacketDecoder.Part;
-import kitemux.standin.OrderDatabase;
-
 /** Clients that log in here, real drivers among them, and their commands at a stand-in of a server. */
 class FrontLoginTest {
     private static final Users USERS = new Users(Map.of(
-            "both", Users.User.of("both", "secret"),
-            "old", new Users.User("old", Map.of(Scramble.NATIVE, Scramble.NATIVE.digest("secret"))),
-            "new", new Users.User("new", Map.of(Scramble.CACHING_SHA2,
-                    Scramble.CACHING_SHA2.digest("secret"))),
-            "open", Users.User.of("open", "")));
+            "both",
+            Users.User.of("both", "secret"),
+            "old",
+            new Users.User("old", Map.of(Scramble.NATIVE, Scramble.NATIVE.digest("secret"))),
+            "new",
+            new Users.User("new", Map.of(Scramble.CACHING_SHA2, Scramble.CACHING_SHA2.digest("secret"))),
+            "open",
+            Users.User.of("open", "")));
 
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<String> letIn = new CopyOnWriteArrayList<>();
@@ -119,55 +119,81 @@
         client.config().setAutoRead(false);
         Bootstrap dialer = new Bootstrap().group(client.eventLoop()).channel(NioSocketChannel.class);
         dialer.handler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                PacketDecoder back = new PacketDecoder();
-                channel.pipeline().addLast(back, new BackConnection(new BackConnection.Account(
-                        OrderDatabase.USER, OrderDatabase.PASSWORD, ""), back,
-                        new BackConnection.LoginHeard() {
-                            @Override
-                            public void loggedIn(BackConnection server) {
-                                client.pipeline().addLast(new Relay(client, decoder, server));
-                                client.config().setAutoRead(true);
-                            }
-
-                            @Override
-                            public void refused(String why, ErrPacket error) {
-                                client.close();
-                            }
-                        }));
-            }
-        }).connect(database.address());
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        PacketDecoder back = new PacketDecoder();
+                        channel.pipeline()
+                                .addLast(
+                                        back,
+                                        new BackConnection(
+                                                new BackConnection.Account(
+                                                        OrderDatabase.USER, OrderDatabase.PASSWORD, ""),
+                                                back,
+                                                new BackConnection.LoginHeard() {
+                                                    @Override
+                                                    public void loggedIn(BackConnection server) {
+                                                        client.pipeline().addLast(new Relay(client, decoder, server));
+                                                        client.config().setAutoRead(true);
+                                                    }
+
+                                                    @Override
+                                                    public void refused(String why, ErrPacket error) {
+                                                        client.close();
+                                                    }
+                                                }));
+                    }
+                })
+                .connect(database.address());
     }
 
     private InetSocketAddress listen(Scramble greeted, long loginMs) throws Exception {
         database = OrderDatabase.start("caching_sha2_password", null);
-        return (InetSocketAddress) new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+        return (InetSocketAddress) new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         PacketDecoder decoder = new PacketDecoder();
-                        channel.pipeline().addLast(decoder, new FrontLogin(USERS, 5, greeted, loginMs,
-                                decoder, (client, packets, greeting) -> {
-                                    letIn.add(greeting.user());
-                                    connectBack(client, packets);
-                                }));
+                        channel.pipeline()
+                                .addLast(
+                                        decoder,
+                                        new FrontLogin(
+                                                USERS, 5, greeted, loginMs, decoder, (client, packets, greeting) -> {
+                                                    letIn.add(greeting.user());
+                                                    connectBack(client, packets);
+                                                }));
                     }
-                }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel().localAddress();
+                })
+                .bind(InetAddress.getLoopbackAddress(), 0)
+                .sync()
+                .channel()
+                .localAddress();
     }
 
     private static Connection connect(String driver, InetSocketAddress at, String user, String password)
             throws SQLException {
-        return DriverManager.getConnection("jdbc:" + driver + "://127.0.0.1:" + at.getPort() + "/?"
-                + (driver.equals("mysql") ? "sslMode=DISABLED" : "sslMode=disable"), user, password);
+        return DriverManager.getConnection(
+                "jdbc:" + driver + "://127.0.0.1:" + at.getPort() + "/?"
+                        + (driver.equals("mysql") ? "sslMode=DISABLED" : "sslMode=disable"),
+                user,
+                password);
     }
 
     @ParameterizedTest
-    @CsvSource({"mysql, both, NATIVE", "mysql, both, CACHING_SHA2", "mysql, old, CACHING_SHA2",
-        "mysql, new, NATIVE", "mysql, open, NATIVE", "mariadb, both, NATIVE", "mariadb, both, CACHING_SHA2",
-        "mariadb, old, CACHING_SHA2", "mariadb, new, NATIVE", "mariadb, open, CACHING_SHA2"})
-    void driversLogInAndTheirCommandsAreCarried(String driver, String user, Scramble greeted)
-            throws Exception {
+    @CsvSource({
+        "mysql, both, NATIVE",
+        "mysql, both, CACHING_SHA2",
+        "mysql, old, CACHING_SHA2",
+        "mysql, new, NATIVE",
+        "mysql, open, NATIVE",
+        "mariadb, both, NATIVE",
+        "mariadb, both, CACHING_SHA2",
+        "mariadb, old, CACHING_SHA2",
+        "mariadb, new, NATIVE",
+        "mariadb, open, CACHING_SHA2"
+    })
+    void driversLogInAndTheirCommandsAreCarried(String driver, String user, Scramble greeted) throws Exception {
         InetSocketAddress at = listen(greeted, 20_000);
         try (Connection connection = connect(driver, at, user, user.equals("open") ? "" : "secret");
                 Statement statement = connection.createStatement()) {
@@ -177,16 +203,15 @@
                 assertEquals("s", found.getString(2));
                 assertFalse(found.next());
             }
-            SQLException unknown = assertThrows(SQLException.class,
-                    () -> statement.executeUpdate("INSERT INTO nowhere VALUES (1)"));
+            SQLException unknown =
+                    assertThrows(SQLException.class, () -> statement.executeUpdate("INSERT INTO nowhere VALUES (1)"));
             assertEquals("42000", unknown.getSQLState());
             assertTrue(connection.isValid(20));
         }
         assertEquals(List.of(user), letIn);
         assertEquals(1, database.inserts("o"));
         for (String[] other : new String[][] {{user, "wrong"}, {"nobody", "secret"}, {"nobody", ""}}) {
-            SQLException denied = assertThrows(SQLException.class,
-                    () -> connect(driver, at, other[0], other[1]));
+            SQLException denied = assertThrows(SQLException.class, () -> connect(driver, at, other[0], other[1]));
             assertEquals(1045, denied.getErrorCode(), denied.toString());
         }
         assertEquals(List.of(user), letIn, "nobody else");
--- a/src/test/java/kitemux/mysql/MysqlServersTest.java
+++ b/src/test/java/kitemux/mysql/MysqlServersTest.java
@@ -10,12 +10,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
-
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
@@ -38,6 +32,10 @@
 import kitemux.net.Sockets;
 import kitemux.standin.OrderDatabase;
 import kitemux.standin.OrderDatabase.Fault;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Commands through the engine, the decision module and the pool to servers that fail at scripted moments. */
 class MysqlServersTest {
@@ -126,8 +124,8 @@
         Settings settings = new Settings();
         settings.zones.add("here");
         for (Repeat repeat : List.of(Repeat.SAFE, Repeat.UNSAFE)) {
-            settings.classes.add(new RequestClass(repeat.name(), 1_000_000, 0, 5_000_000, 1, 0, repeat,
-                    null, 0, false));
+            settings.classes.add(
+                    new RequestClass(repeat.name(), 1_000_000, 0, 5_000_000, 1, 0, repeat, null, 0, false));
         }
         settings.maxAttempts = 4;
         settings.cancel = true;
@@ -144,20 +142,32 @@
                 lines.add(what + ": " + cause);
             }
         };
-        pool = new ServerPool<>(loop, NioNetwork.SYSTEM, new Sockets(256), time, settings.connectTimeoutUs,
-                60_000_000, new MysqlServers(new BackConnection.Account(OrderDatabase.USER,
-                        OrderDatabase.PASSWORD, ""), log));
-        engine = new Engine<>(settings.maxAttempts, time, pool, () -> { }, Observer.NONE, SendGate.open(),
-                log, actions -> new ServiceQBalancer(settings, 7, actions));
+        pool = new ServerPool<>(
+                loop,
+                NioNetwork.SYSTEM,
+                new Sockets(256),
+                time,
+                settings.connectTimeoutUs,
+                60_000_000,
+                new MysqlServers(new BackConnection.Account(OrderDatabase.USER, OrderDatabase.PASSWORD, ""), log));
+        engine = new Engine<>(
+                settings.maxAttempts,
+                time,
+                pool,
+                () -> {},
+                Observer.NONE,
+                SendGate.open(),
+                log,
+                actions -> new ServiceQBalancer(settings, 7, actions));
         List<HostList.Host> hosts = new ArrayList<>();
         for (int i = 0; i < servers; i++) {
             OrderDatabase database = OrderDatabase.start(NATIVE, null);
             databases.add(database);
-            hosts.add(new HostList.Host(new ServerEntry("s" + i, 0, 0, ServerState.READY, 1, 0),
-                    database.address()));
+            hosts.add(new HostList.Host(new ServerEntry("s" + i, 0, 0, ServerState.READY, 1, 0), database.address()));
         }
         HostList list = new HostList(1, true, hosts);
-        loop.submit(() -> engine.listed(ListKind.FULL, list.entries(), () -> pool.update(list))).sync();
+        loop.submit(() -> engine.listed(ListKind.FULL, list.entries(), () -> pool.update(list)))
+                .sync();
     }
 
     private Told ask(int classIndex, String sql) {
--- a/src/test/java/kitemux/net/ClientListenerTest.java
+++ b/src/test/java/kitemux/net/ClientListenerTest.java
@@ -4,6 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ServerChannel;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
@@ -16,13 +21,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFactory;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ServerChannel;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -44,20 +42,24 @@
         }
 
         @Override
-        public void taken() { }
+        public void taken() {}
 
         @Override
-        public void failed(IOException cause) { }
+        public void failed(IOException cause) {}
     };
 
     private Channel listen(ChannelFactory<ServerChannel> listener) {
-        return new ServerBootstrap().group(loop).channelFactory(listener)
+        return new ServerBootstrap()
+                .group(loop)
+                .channelFactory(listener)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         accepted.add(channel.remoteAddress());
                     }
-                }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).syncUninterruptibly()
+                })
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .syncUninterruptibly()
                 .channel();
     }
 
@@ -114,12 +116,13 @@
         try (SocketChannel waits = SocketChannel.open()) {
             CompletableFuture<Void> closed = new CompletableFuture<>();
             loop.execute(() -> listener.close().addListener(done -> {
-                assertThrows(ConnectException.class, () -> SocketChannel.open(at).close());
+                assertThrows(
+                        ConnectException.class, () -> SocketChannel.open(at).close());
                 closed.complete(null);
             }));
             loop.submit(() -> waits.connect(at)).sync();
             closed.get(5, TimeUnit.SECONDS);
-            loop.submit(() -> { }).sync();
+            loop.submit(() -> {}).sync();
             assertEquals(1, accepted.size());
             assertEquals(waits.getLocalAddress(), accepted.peek());
         }
--- a/src/test/java/kitemux/net/DueTimersTest.java
+++ b/src/test/java/kitemux/net/DueTimersTest.java
@@ -6,16 +6,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-
+import kitemux.engine.Time;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
-
 import org.junit.jupiter.api.Test;
 
-import kitemux.engine.Time;
-
 class DueTimersTest {
 
     /** Steps: below 50 sets one, 50 to 89 calls one off, the rest lets time pass. */
@@ -60,9 +57,9 @@
     @Test
     void whatIsCalledOffDoesNotPileUp() {
         DueTimers timers = new DueTimers();
-        timers.set(0, () -> { });
+        timers.set(0, () -> {});
         for (int i = 1; i <= 100_000; i++) {
-            timers.set(i, () -> { }).cancel();
+            timers.set(i, () -> {}).cancel();
             assertTrue(timers.size() <= 130, "kept " + timers.size());
         }
     }
--- a/src/test/java/kitemux/net/SelectorLoopTest.java
+++ b/src/test/java/kitemux/net/SelectorLoopTest.java
@@ -2,22 +2,20 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.nio.NioSocketChannel;
-
 class SelectorLoopTest {
     private final SelectorLoop loop = SelectorLoop.open();
 
@@ -33,8 +31,7 @@
         CompletableFuture<Long> waited = new CompletableFuture<>();
         loop.execute(() -> {
             long sinceNanos = loop.ticker().nanoTime();
-            loop.schedule(() -> waited.complete(loop.polledNanos() - sinceNanos), waitNanos,
-                    TimeUnit.NANOSECONDS);
+            loop.schedule(() -> waited.complete(loop.polledNanos() - sinceNanos), waitNanos, TimeUnit.NANOSECONDS);
         });
         long nanos = waited.get(20, TimeUnit.SECONDS);
         assertTrue(nanos >= waitNanos / 2, "polled " + nanos + " ns after the timer was set");
@@ -45,7 +42,9 @@
         CompletableFuture<Long> reading = new CompletableFuture<>();
         CompletableFuture<Long> behind = new CompletableFuture<>();
         try (ServerSocket far = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
                     .handler(new ChannelInboundHandlerAdapter() {
                         @Override
                         public void channelRead(ChannelHandlerContext context, Object bytes) {
@@ -53,7 +52,9 @@
                             reading.complete(loop.polledNanos());
                             loop.execute(() -> behind.complete(loop.polledNanos()));
                         }
-                    }).connect(far.getLocalSocketAddress()).sync();
+                    })
+                    .connect(far.getLocalSocketAddress())
+                    .sync();
             try (Socket peer = far.accept()) {
                 CountDownLatch standing = new CountDownLatch(1);
                 CountDownLatch release = new CountDownLatch(1);
--- a/src/test/java/kitemux/net/UnclaimedTest.java
+++ b/src/test/java/kitemux/net/UnclaimedTest.java
@@ -4,12 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.IOException;
-
 import org.junit.jupiter.api.Test;
 
-import io.netty.channel.embedded.EmbeddedChannel;
-
 class UnclaimedTest {
 
     @Test
--- a/src/test/java/kitemux/net/WholeMillisTest.java
+++ b/src/test/java/kitemux/net/WholeMillisTest.java
@@ -3,18 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.channels.spi.SelectorProvider;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
-
-import org.junit.jupiter.api.Test;
-
 import io.netty.channel.EventLoop;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SelectStrategy;
 import io.netty.channel.nio.NioIoHandler;
+import java.nio.channels.spi.SelectorProvider;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
 
 class WholeMillisTest {
     private static final int TIMERS = 50;
@@ -24,13 +22,11 @@
     /** How often the loop looks at its selector until so many timers have run, one after another. */
     private static int looks(boolean whole) throws InterruptedException {
         AtomicInteger looks = new AtomicInteger();
-        IoHandlerFactory plain = NioIoHandler.newFactory(SelectorProvider.provider(),
-                () -> (now, hasTasks) -> {
-                    looks.incrementAndGet();
-                    return hasTasks ? now.get() : SelectStrategy.SELECT;
-                });
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-                whole ? WholeMillis.over(plain) : plain);
+        IoHandlerFactory plain = NioIoHandler.newFactory(SelectorProvider.provider(), () -> (now, hasTasks) -> {
+            looks.incrementAndGet();
+            return hasTasks ? now.get() : SelectStrategy.SELECT;
+        });
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, whole ? WholeMillis.over(plain) : plain);
         EventLoop loop = (EventLoop) group.next();
         CountDownLatch ran = new CountDownLatch(TIMERS);
         Runnable again = new Runnable() {
@@ -63,8 +59,9 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, WholeMillis.factory());
         try {
             assertEquals("task", group.submit(() -> "task").get(20, TimeUnit.SECONDS));
-            assertEquals("timer", group.schedule(() -> "timer", 1, TimeUnit.MILLISECONDS)
-                    .get(20, TimeUnit.SECONDS));
+            assertEquals(
+                    "timer",
+                    group.schedule(() -> "timer", 1, TimeUnit.MILLISECONDS).get(20, TimeUnit.SECONDS));
         } finally {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS).sync();
         }
--- a/src/test/java/kitemux/node/BacklogTest.java
+++ b/src/test/java/kitemux/node/BacklogTest.java
@@ -3,19 +3,26 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -23,17 +30,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
-
-import org.junit.jupiter.api.Test;
-
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
-
 import kitemux.Balancer;
 import kitemux.Balancer.RequestClass;
 import kitemux.ServiceQBalancer;
@@ -41,6 +37,7 @@
 import kitemux.http.Limits;
 import kitemux.net.LoopTime;
 import kitemux.net.Sockets;
+import org.junit.jupiter.api.Test;
 
 /** A node that has fallen behind: its loop stood still while clients came and went. */
 class BacklogTest {
@@ -67,8 +64,8 @@
 
     /** A module; before it is told of a request, on the loop, something is done. */
     private static Balancer after(Balancer sound, Callable<?> before) {
-        return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
-                new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
+        return (Balancer) Proxy.newProxyInstance(
+                Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
                     if (method.getName().equals("onRequest")) {
                         before.call();
                     }
@@ -82,7 +79,8 @@
 
     @Test
     void aRequestWhoseClientHasLeftIsNotSent() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
             Socket leaves = site.connect();
             assertEquals(200, Site.ask(leaves, Http.page("before")).status());
             CountDownLatch release = holdUp(site.loop);
@@ -106,7 +104,8 @@
     void allWhoCameMeanwhileAreTakenTogether() throws Exception {
         AtomicInteger turns = new AtomicInteger();
         AtomicBoolean counted = new AtomicBoolean();
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet()) {
             site.module = actions -> after(new ServiceQBalancer(site.settings, 7, actions), () -> {
                 if (counted.compareAndSet(false, true)) {
                     turns.incrementAndGet();
@@ -134,7 +133,8 @@
     @Test
     void aConnectionOnWhichARequestWaitsUnreadIsNotClosedAsIdle() throws Exception {
         AtomicReference<Socket> asksNow = new AtomicReference<>();
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet()) {
             site.module = actions -> after(new ServiceQBalancer(site.settings, 7, actions), () -> {
                 Socket client = asksNow.getAndSet(null);
                 if (client != null) {
@@ -175,15 +175,16 @@
 
     @Test
     void aRequestsTimeRunsWhileItLiesUnread() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
             Socket kept = site.connect();
             assertEquals(200, Site.ask(kept, Http.page("before")).status());
             whatLiesUnreadRunsOutOfTime(site, server, kept, holdUp(site.loop));
         }
     }
 
-    private static void whatLiesUnreadRunsOutOfTime(Site site, FarServer server, Socket kept,
-            CountDownLatch release) throws Exception {
+    private static void whatLiesUnreadRunsOutOfTime(Site site, FarServer server, Socket kept, CountDownLatch release)
+            throws Exception {
         Site.write(kept, Http.page("/api/p", "on a connection that was there", "400m"));
         Socket fresh = site.connect();
         Site.write(fresh, Http.page("/api/p", "on a new one", "400m"));
@@ -204,7 +205,9 @@
         CountDownLatch release = new CountDownLatch(1);
         CountDownLatch standing = new CountDownLatch(1);
         try (ServerSocket far = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
                     .handler(new ChannelInboundHandlerAdapter() {
                         @Override
                         public void channelRead(ChannelHandlerContext context, Object bytes) {
@@ -216,7 +219,8 @@
                             });
                             context.close();
                         }
-                    }).connect(far.getLocalSocketAddress());
+                    })
+                    .connect(far.getLocalSocketAddress());
             try (Socket peer = far.accept()) {
                 peer.getOutputStream().write(0);
                 standing.await();
@@ -228,7 +232,8 @@
     /** Timers run behind the tasks that are there before them, and before the sockets are looked at again. */
     @Test
     void aBeatThatWaitedBehindWhatHeldTheLoopUpIsNoLookAtTheSockets() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
             Socket kept = site.connect();
             assertEquals(200, Site.ask(kept, Http.page("before")).status());
             whatLiesUnreadRunsOutOfTime(site, server, kept, holdUpBeforeTheBeat(site.loop));
@@ -240,11 +245,14 @@
     void aRequestsTimeRunsWhileTheLoopReadsAnother() throws Exception {
         CountDownLatch standing = new CountDownLatch(1);
         CountDownLatch release = new CountDownLatch(1);
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server);
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server);
                 ServerSocket far = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             Socket kept = site.connect();
             assertEquals(200, Site.ask(kept, Http.page("before")).status());
-            new Bootstrap().group(site.loop).channel(NioSocketChannel.class)
+            new Bootstrap()
+                    .group(site.loop)
+                    .channel(NioSocketChannel.class)
                     .handler(new ChannelInboundHandlerAdapter() {
                         @Override
                         public void channelRead(ChannelHandlerContext context, Object bytes) {
@@ -253,7 +261,8 @@
                             awaitRelease(release);
                             context.close();
                         }
-                    }).connect(far.getLocalSocketAddress());
+                    })
+                    .connect(far.getLocalSocketAddress());
             try (Socket peer = far.accept()) {
                 peer.getOutputStream().write(0);
                 standing.await();
@@ -264,7 +273,8 @@
 
     @Test
     void aBurstThatWasTakenWholeCostsLaterOnesNoTime() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet()) {
             site.sockets = 1_024;
             site.start(server);
             CountDownLatch release = holdUp(site.loop);
@@ -288,13 +298,24 @@
 
     @Test
     void whoComesBeforeTheListenerClosesIsServedHoweverFarBehindTheLoopIs() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet()) {
             site.sockets = 1_024;
             // Else what has lain unread for longer than the class's aim is refused at once, and rightly.
             RequestClass page = site.settings.classes.get(0);
-            site.settings.classes.set(0, new RequestClass(page.name(), 20_000_000, 0, 20_000_000,
-                    page.worth(), page.lateWorth(), page.repeat(), page.group(), page.windowUs(),
-                    page.stream()));
+            site.settings.classes.set(
+                    0,
+                    new RequestClass(
+                            page.name(),
+                            20_000_000,
+                            0,
+                            20_000_000,
+                            page.worth(),
+                            page.lateWorth(),
+                            page.repeat(),
+                            page.group(),
+                            page.windowUs(),
+                            page.stream()));
             site.start(server);
             CountDownLatch drained = new CountDownLatch(1);
             site.node.drain(false, drained::countDown);
@@ -319,8 +340,8 @@
 
     /** What the module is told, in order: which requests come, and what became of attempts. */
     private static Balancer told(Balancer sound, Queue<String> told) {
-        return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
-                new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
+        return (Balancer) Proxy.newProxyInstance(
+                Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
                     if (method.getName().equals("onRequest")) {
                         told.add("request");
                     } else if (method.getName().equals("onOutcome")) {
@@ -339,7 +360,8 @@
     void whoseTimeIsLongOverIsAnsweredBeforeThoseWhoCameMeanwhile() throws Exception {
         Queue<String> told = new ConcurrentLinkedQueue<>();
         CountDownLatch never = new CountDownLatch(1);
-        try (FarServer server = FarServer.servingFrom(never, "x"); Site site = Site.quiet()) {
+        try (FarServer server = FarServer.servingFrom(never, "x");
+                Site site = Site.quiet()) {
             site.sockets = 1_024;
             site.module = actions -> told(new ServiceQBalancer(site.settings, 7, actions), told);
             site.start(server);
@@ -378,13 +400,15 @@
     /** Guards against first requests that are refused as old since the loop was held up before it listened. */
     @Test
     void whatComesToANewListenerIsNoOlderThanTheListener() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet()) {
             NodeConfig config = site.config(Site.list(1, true, "s0=" + server.endpoint() + "=Ready"));
             CompletableFuture<Socket> client = new CompletableFuture<>();
             CountDownLatch release = holdUp(site.loop);
             Node node = new Node(config, site.loop, Node.Parts.real(site.loop, site.log, site.module));
             node.start().addListener(opened -> {
-                InetSocketAddress at = (InetSocketAddress) ((ChannelFuture) opened).channel().localAddress();
+                InetSocketAddress at =
+                        (InetSocketAddress) ((ChannelFuture) opened).channel().localAddress();
                 Socket first = new Socket(at.getAddress(), at.getPort());
                 Site.write(first, Http.page("first"));
                 client.complete(first);
@@ -398,7 +422,8 @@
     @Test
     void aLoopThatWasHeldUpSaysSoAndOneThatKeepsUpDoesNot() throws Exception {
         BlockingQueue<String> lines = new LinkedBlockingQueue<>();
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet()) {
             site.log = new Log() {
                 @Override
                 public void line(String text) {
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -16,21 +16,20 @@
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-
+import kitemux.http.Limits;
+import kitemux.http.RequestReader;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import kitemux.http.Limits;
-import kitemux.http.RequestReader;
-
 /** What clients see of a node. */
 class ClientServerTest {
 
     @Test
     void aRequestGoesOnUnchangedAndItsAnswerComesBack() throws Exception {
-        try (FarServer server = FarServer.serving("proof"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("proof");
+                Site site = Site.quiet().start(server)) {
             String photo = "POST /api/7f3a?x=1&y=%20 HTTP/1.1\r\nHost: h\r\nX-Txn: 9b1f\r\nX-Lane: photo\r\n"
                     + "X-Org: org\r\nX-Remaining: 480m\r\nIdempotency-Key: 5c0f\r\n"
                     + "Content-Length: 4\r\n\r\nbody";
@@ -49,7 +48,8 @@
 
     @Test
     void aConnectionCarriesOneRequestAfterAnother() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             for (int i = 0; i < 3; i++) {
                 assertEquals(200, Site.ask(client, Http.page("t" + i)).status());
@@ -60,8 +60,8 @@
 
     @Test
     void requestsSentAheadAreAnsweredInTheirOrder() throws Exception {
-        try (FarServer server = new FarServer((request, peer) ->
-                peer.write(Http.ok(request.headers().get("x-txn"))));
+        try (FarServer server = new FarServer(
+                        (request, peer) -> peer.write(Http.ok(request.headers().get("x-txn"))));
                 Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             Site.write(client, Http.page("a") + Http.page("b") + Http.page("c"));
@@ -72,23 +72,25 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {
-        "GET /api/x HTTP/1.1|X-Lane: page|X-Remaining: 400m",
-        "GET /api/x HTTP/1.1|X-Txn: t|X-Txn: u|X-Lane: page|X-Remaining: 400m",
-        "GET /api/x HTTP/1.1|X-Txn: t|X-Lane: none|X-Remaining: 400m",
-        "GET /api/x HTTP/1.1|X-Txn: t|X-Lane: page",
-        "GET /api/x HTTP/1.1|X-Txn: t|X-Lane: page|X-Remaining: 400",
-        "GET /api/x HTTP/1.1|X-Txn: t|X-Lane: page|X-Remaining: -4m",
-        "GET /api/x HTTP/1.1|X-Txn: t|X-Lane: page|X-Remaining: NaNm",
-        "GET /api/x HTTP/1.1|X-Txn: t|X-Lane: page|X-Remaining: 9999999999m",
-        "GET /api/x HTTP/1.1|X-Txn: t|X-Lane: photo|X-Remaining: 400m",
-        "POST /api/x HTTP/1.1|X-Txn: t|X-Lane: page|X-Remaining: 400m",
-        "POST /api/x HTTP/1.1|X-Txn: t|X-Lane: photo|X-Remaining: 400m",
-        "POST /api/x HTTP/1.1|X-Txn: t|X-Lane: order|X-Remaining: 400m|Idempotency-Key: k",
-        "not http at all",
-    })
+    @ValueSource(
+            strings = {
+                "GET /api/x HTTP/1.1|X-Lane: page|X-Remaining: 400m",
+                "GET /api/x HTTP/1.1|X-Txn: t|X-Txn: u|X-Lane: page|X-Remaining: 400m",
+                "GET /api/x HTTP/1.1|X-Txn: t|X-Lane: none|X-Remaining: 400m",
+                "GET /api/x HTTP/1.1|X-Txn: t|X-Lane: page",
+                "GET /api/x HTTP/1.1|X-Txn: t|X-Lane: page|X-Remaining: 400",
+                "GET /api/x HTTP/1.1|X-Txn: t|X-Lane: page|X-Remaining: -4m",
+                "GET /api/x HTTP/1.1|X-Txn: t|X-Lane: page|X-Remaining: NaNm",
+                "GET /api/x HTTP/1.1|X-Txn: t|X-Lane: page|X-Remaining: 9999999999m",
+                "GET /api/x HTTP/1.1|X-Txn: t|X-Lane: photo|X-Remaining: 400m",
+                "POST /api/x HTTP/1.1|X-Txn: t|X-Lane: page|X-Remaining: 400m",
+                "POST /api/x HTTP/1.1|X-Txn: t|X-Lane: photo|X-Remaining: 400m",
+                "POST /api/x HTTP/1.1|X-Txn: t|X-Lane: order|X-Remaining: 400m|Idempotency-Key: k",
+                "not http at all",
+            })
     void whatCannotBeUsedGets400AndReachesNoServer(String lines) throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
             assertEquals(400, site.ask(lines.replace("|", "\r\n") + "\r\n\r\n").status());
             assertEquals(0, server.connections.get());
             assertEquals(200, site.ask(Http.page("next")).status(), "the node goes on");
@@ -97,7 +99,8 @@
 
     @Test
     void anUnknownPathGets404() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
             assertEquals(404, site.ask(Http.page("/apis/x", "t", "400m")).status());
             assertEquals(0, server.connections.get());
         }
@@ -116,13 +119,16 @@
     @ValueSource(ints = {1, 255, 257, 65_535, 65_536, 65_537, 200_000, 3_000_000})
     void aBodyOfAnyLengthGoesOnUnchangedHoweverItComes(int length) throws Exception {
         String body = letters(length);
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
             String order = Http.order("t", "4000m");
-            assertEquals(200, site.ask(order.replace("2\r\n\r\nab", length + "\r\n\r\n" + body)).status());
+            assertEquals(
+                    200,
+                    site.ask(order.replace("2\r\n\r\nab", length + "\r\n\r\n" + body))
+                            .status());
             assertEquals(body, FarServer.next(server.requests).body());
             Socket client = site.connect();
-            Site.write(client, order.replace("Content-Length: 2\r\n\r\nab",
-                    "Transfer-Encoding: chunked\r\n\r\n"));
+            Site.write(client, order.replace("Content-Length: 2\r\n\r\nab", "Transfer-Encoding: chunked\r\n\r\n"));
             for (int at = 0; at < length; at += 50_000) {
                 Site.write(client, Site.chunk(body.substring(at, Math.min(length, at + 50_000))));
             }
@@ -134,18 +140,21 @@
 
     @Test
     void aBodyOver32MiBGets413() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
-            assertEquals(413, site.ask(Http.order("t", "4000m").replace("Length: 2\r\n\r\nab",
-                    "Length: 33554433\r\n\r\n")).status());
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
+            assertEquals(
+                    413,
+                    site.ask(Http.order("t", "4000m").replace("Length: 2\r\n\r\nab", "Length: 33554433\r\n\r\n"))
+                            .status());
             assertEquals(0, server.requests.size());
         }
     }
 
     @Test
     void longBodiesTogetherAreBoundedAndWhoFindsNoRoomIsToldWhenToComeBack() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
-            String large = Http.order("t", "4000m").replace("Length: 2\r\n\r\nab",
-                    "Length: 30000000\r\n\r\n");
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
+            String large = Http.order("t", "4000m").replace("Length: 2\r\n\r\nab", "Length: 30000000\r\n\r\n");
             Socket first = site.connect();
             Site.write(first, large);
             // Once what comes behind it is answered, the first is known to have been read.
@@ -163,10 +172,13 @@
 
     @Test
     void theAnswerToTooLargeABodyOutlastsWhatStillComes() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
-            Site.write(client, Http.order("t", "4000m").replace("Length: 2\r\n\r\nab",
-                    "Length: 40000000\r\n\r\n" + "a".repeat(8_000_000)));
+            Site.write(
+                    client,
+                    Http.order("t", "4000m")
+                            .replace("Length: 2\r\n\r\nab", "Length: 40000000\r\n\r\n" + "a".repeat(8_000_000)));
             assertEquals(413, Http.read(client.getInputStream()).status());
             assertEquals(-1, client.getInputStream().read());
             assertEquals(0, server.connections.get());
@@ -175,7 +187,7 @@
 
     @Test
     void aClientThatClosesIsGoneAndItsAttemptGivenUp() throws Exception {
-        try (FarServer server = new FarServer((request, peer) -> { });
+        try (FarServer server = new FarServer((request, peer) -> {});
                 Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             Site.write(client, Http.page("/api/x", "t", "5000m"));
@@ -189,10 +201,14 @@
     @Test
     void aNodeThatIsToldToEndAnswersAllThatWasSentAhead() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
-        try (FarServer server = FarServer.servingFrom(answer, "late"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.servingFrom(answer, "late");
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
-            Site.write(client, Http.page("/api/x", "t0", "3000m") + Http.page("/api/x", "t1", "3000m")
-                    + Http.page("/api/x", "t2", "3000m"));
+            Site.write(
+                    client,
+                    Http.page("/api/x", "t0", "3000m")
+                            + Http.page("/api/x", "t1", "3000m")
+                            + Http.page("/api/x", "t2", "3000m"));
             FarServer.next(server.requests);
             CountDownLatch done = new CountDownLatch(1);
             site.node.drain(true, done::countDown);
@@ -211,7 +227,8 @@
     /** Guards against a listener that stays open for as long as new connections keep coming. */
     @Test
     void aReplacedNodeClosesItsListenerHoweverManyConnectionsCome() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet()) {
             site.sockets = 1_024;
             site.start(server);
             CountDownLatch done = new CountDownLatch(1);
@@ -221,7 +238,10 @@
             while (listens) {
                 assertTrue(System.nanoTime() < until, "it still listens");
                 try (Socket client = site.connect()) {
-                    assertEquals(200, Site.ask(client, "GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status());
+                    assertEquals(
+                            200,
+                            Site.ask(client, "GET /up HTTP/1.1\r\nHost: h\r\n\r\n")
+                                    .status());
                 } catch (ConnectException e) {
                     listens = false;
                 }
@@ -260,7 +280,8 @@
 
     @Test
     void clientsLeaveRoomForConnectionsToServers() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet()) {
             site.sockets = 64;
             site.start(server);
             Socket first = site.connect();
@@ -274,7 +295,8 @@
 
     @Test
     void whatClientsKeepAndUseNoMoreIsBounded() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
             Socket usual = site.connect();
             Socket first = site.connect();
             assertEquals(200, Site.ask(first, Http.page("first")).status());
@@ -303,7 +325,8 @@
     @Timeout(4)
     void whatComesAtOnceIsBoundedToo() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
-        try (FarServer server = FarServer.servingFrom(answer, "x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.servingFrom(answer, "x");
+                Site site = Site.quiet().start(server)) {
             int most = site.sockets / 6;
             List<Socket> clients = new ArrayList<>();
             for (int i = 0; i < 2 * most; i++) {
@@ -327,7 +350,8 @@
 
     @Test
     void silentConnectionsMakeRoomBeforeThoseThatAsk() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet()) {
             site.sockets = 64;
             site.start(server);
             Socket usual = site.connect();
@@ -343,7 +367,8 @@
 
     @Test
     void whoDoesNotGetOnIsCutOff() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
             Socket silent = site.connect();
             Socket headOnly = site.connect();
             Site.write(headOnly, "POST /api/order HTTP/1.1\r\nX-Txn: a\r\n");
@@ -365,26 +390,31 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {
-        "Transfer-Encoding: chunked|Content-Length: 4",
-        "Content-Length: 4|Transfer-Encoding: chunked",
-        "Transfer-Encoding: chunked|Transfer-Encoding: chunked",
-        "Transfer-Encoding: gzip, chunked",
-        "Transfer-Encoding: identity",
-        "Content-Length: 4|Content-Length: 4",
-        "Content-Length: 4|Content-Length: 40",
-        "Content-Length: +4",
-        "Content-Length: -4",
-        "Content-Length: 0x4",
-        "Content-Length: 99999999999999999999",
-        "Content-Length : 4",
-        "no colon|Content-Length: 4",
-    })
+    @ValueSource(
+            strings = {
+                "Transfer-Encoding: chunked|Content-Length: 4",
+                "Content-Length: 4|Transfer-Encoding: chunked",
+                "Transfer-Encoding: chunked|Transfer-Encoding: chunked",
+                "Transfer-Encoding: gzip, chunked",
+                "Transfer-Encoding: identity",
+                "Content-Length: 4|Content-Length: 4",
+                "Content-Length: 4|Content-Length: 40",
+                "Content-Length: +4",
+                "Content-Length: -4",
+                "Content-Length: 0x4",
+                "Content-Length: 99999999999999999999",
+                "Content-Length : 4",
+                "no colon|Content-Length: 4",
+            })
     void whatMayHideAnotherRequestGets400AndNothingBehindItIsServed(String framing) throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
-            Site.write(client, Http.order("t", "4000m").replace("Content-Length: 2", framing
-                    .replace("|", "\r\n")).replace("ab", "0\r\n\r\n" + Http.page("hidden")));
+            Site.write(
+                    client,
+                    Http.order("t", "4000m")
+                            .replace("Content-Length: 2", framing.replace("|", "\r\n"))
+                            .replace("ab", "0\r\n\r\n" + Http.page("hidden")));
             assertEquals(400, Http.read(client.getInputStream()).status());
             assertEquals(-1, client.getInputStream().read());
             assertEquals(0, server.connections.get());
@@ -393,7 +423,8 @@
 
     @Test
     void behindAClientsErrorNothingIsServed() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             Site.write(client, Http.page("/api/p", "t", "soon") + Http.page("u"));
             assertEquals(400, Http.read(client.getInputStream()).status());
@@ -405,7 +436,8 @@
     @Test
     void anErrorBehindAnOpenRequestDoesNotCostThatOneItsAnswer() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
-        try (FarServer server = FarServer.servingFrom(answer, "x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.servingFrom(answer, "x");
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             Site.write(client, Http.page("/api/p", "t", "5000m"));
             FarServer.next(server.requests);
@@ -422,7 +454,8 @@
     @Test
     void anIdIsTakenOnceAtATime() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
-        try (FarServer server = FarServer.servingFrom(answer, "x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.servingFrom(answer, "x");
+                Site site = Site.quiet().start(server)) {
             Socket first = site.connect();
             Site.write(first, Http.order("same", "5000m"));
             FarServer.next(server.requests);
@@ -436,7 +469,8 @@
 
     @Test
     void whatIsSentAheadIsBounded() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             StringBuilder many = new StringBuilder();
             for (int i = 0; i < 300; i++) {
@@ -458,7 +492,8 @@
     @Timeout(60)
     void aClientThatNeverReadsIsServedNoFurtherAndCutOff() throws Exception {
         String large = "a".repeat(Limits.MOST_BODY);
-        try (FarServer server = FarServer.serving(large); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving(large);
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             int asked = 0;
             do {
@@ -479,7 +514,8 @@
     @Test
     void whoComesBeyondWhatThereIsRoomForIsAnsweredAll() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
-        try (FarServer server = FarServer.servingFrom(answer, "x"); Site site = Site.quiet()) {
+        try (FarServer server = FarServer.servingFrom(answer, "x");
+                Site site = Site.quiet()) {
             // Room for 19 that stay and 24 that are served.
             site.sockets = 128;
             site.start(server);
@@ -510,8 +546,7 @@
             for (Socket client : clients.subList(0, 59)) {
                 answers.merge(Http.read(client.getInputStream()).status(), 1, Integer::sum);
             }
-            assertEquals(59, answers.values().stream().mapToInt(n -> n).sum(),
-                    "each has its answer: " + answers);
+            assertEquals(59, answers.values().stream().mapToInt(n -> n).sum(), "each has its answer: " + answers);
             assertEquals(Set.of(200, 503), answers.keySet());
             assertEquals(200, site.ask(Http.page("afterwards")).status());
         }
@@ -519,8 +554,8 @@
 
     @Test
     void refusalsSayWhenToComeBack() throws Exception {
-        try (FarServer server = new FarServer((request, peer) ->
-                peer.write(Http.answer("503 Busy", "X-Turned-Away: 1\r\n", "")));
+        try (FarServer server = new FarServer(
+                        (request, peer) -> peer.write(Http.answer("503 Busy", "X-Turned-Away: 1\r\n", "")));
                 Site site = Site.quiet().start(server)) {
             Http.Message answer = site.ask(Http.order("t", "300m"));
             assertEquals(503, answer.status());
--- a/src/test/java/kitemux/node/ConfigTextTest.java
+++ b/src/test/java/kitemux/node/ConfigTextTest.java
@@ -11,10 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
@@ -26,12 +22,14 @@
 import kitemux.config.ConfigText;
 import kitemux.config.ConfigText.Server;
 import kitemux.net.HostList;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** What is written for a node is what a node reads. */
 class ConfigTextTest {
     /** The simulator's alone. */
-    private static final Set<String> NOT_WRITTEN = Set.of("worthByWork", "probes", "tickUs", "askWithinUs",
-            "crossZonePrice", "warmKeys", "reportFields");
+    private static final Set<String> NOT_WRITTEN =
+            Set.of("worthByWork", "probes", "tickUs", "askWithinUs", "crossZonePrice", "warmKeys", "reportFields");
 
     @TempDir
     private Path folder;
@@ -76,16 +74,14 @@
     }
 
     @Test
-    void aNodeReadsAllSettingsAsTheyWereWritten()
-            throws IOException, ConfigException, IllegalAccessException {
+    void aNodeReadsAllSettingsAsTheyWereWritten() throws IOException, ConfigException, IllegalAccessException {
         Settings written = settings();
         Settings read = read(node(64), written, List.of()).settings();
         Settings otherwise = new Settings();
         for (Field field : Settings.class.getFields()) {
             if (!NOT_WRITTEN.contains(field.getName())) {
                 assertEquals(field.get(written), field.get(read), field.getName());
-                assertNotEquals(field.get(otherwise), field.get(written),
-                        field.getName() + " would pass unwritten");
+                assertNotEquals(field.get(otherwise), field.get(written), field.getName() + " would pass unwritten");
             }
         }
     }
@@ -106,10 +102,16 @@
                 new ServerEntry("b1", 0, 4, ServerState.READY, 2.5, 17_000),
                 new ServerEntry("b2", 1, 0, ServerState.DRAINING, 1, 0),
                 new ServerEntry("b3", 1, 9, ServerState.READY, 0.5, 1_764_000_000_123_000L));
-        HostList known = read(node(64), settings(),
-                entries.stream().map(each -> new Server(each, "127.0.0.1:70" + each.id().charAt(1))).toList())
+        HostList known = read(
+                        node(64),
+                        settings(),
+                        entries.stream()
+                                .map(each -> new Server(
+                                        each, "127.0.0.1:70" + each.id().charAt(1)))
+                                .toList())
                 .known();
         assertEquals(entries, known.entries());
-        assertEquals(new InetSocketAddress("127.0.0.1", 703), known.hosts().get(2).endpoint());
+        assertEquals(
+                new InetSocketAddress("127.0.0.1", 703), known.hosts().get(2).endpoint());
     }
 }
