--- a/src/test/java/kitemux/node/CrowdTest.java
+++ b/src/test/java/kitemux/node/CrowdTest.java
@@ -21,12 +21,10 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
-
+import kitemux.cli.Main;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import kitemux.cli.Main;
-
 /**
  * Clients that hold connections and ask nothing fill the descriptors of a process that the system gives no
  * more, while discovery is down: there is room for what the node itself opens, and for one more client.
@@ -36,12 +34,14 @@
     private static final Pattern LOADED = Pattern.compile("[/\\\\](netty|jackson|picocli)-[^/\\\\]*$");
     /** More than the limit by far: some that have asked once and stay, and some that never ask. */
     private static final int STAYING = 300;
+
     private static final int SILENT = 600;
 
     /** A node as a process, and the crowd before it. */
     private static final class Crowded implements AutoCloseable {
         /** Calls that discovery answered. */
         final BlockingQueue<FarServer.Peer> heard = new LinkedBlockingQueue<>();
+
         private final CountDownLatch isBack = new CountDownLatch(1);
         private final FarServer discovery;
         private final SocketChannel held = SocketChannel.open();
@@ -68,18 +68,25 @@
                      "known":%s,"settings":
                      {"membershipMode":"on_request","limits":{"attemptsCap":1},"zones":["here"],
                       "classes":[{"name":"page","onTimeUs":1000000,"giveUpUs":5000000,"repeat":"safe"}]}}
-                    """.formatted(port, discovery.endpoint(), SOCKETS,
-                    Site.list(1, true, "s0=" + server.endpoint() + "=Ready")));
+                    """.formatted(
+                    port, discovery.endpoint(), SOCKETS, Site.list(1, true, "s0=" + server.endpoint() + "=Ready")));
             // The deployment has one jar, and its descriptor is among those that the node reserves: here it
             // is given one for each jar that it loads from, and no others on its path.
             List<String> path = Stream.of(System.getProperty("java.class.path").split(File.pathSeparator))
-                    .filter(part -> !part.endsWith(".jar") || LOADED.matcher(part).find()).toList();
+                    .filter(part ->
+                            !part.endsWith(".jar") || LOADED.matcher(part).find())
+                    .toList();
             long jars = path.stream().filter(part -> part.endsWith(".jar")).count();
-            ProcessBuilder builder = new ProcessBuilder("sh", "-c",
+            ProcessBuilder builder = new ProcessBuilder(
+                    "sh",
+                    "-c",
                     "ulimit -n " + (SOCKETS + jars - 1) + " && exec \"$0\" \"$@\"",
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-XX:TieredStopAtLevel=1", "-cp", String.join(File.pathSeparator, path),
-                    Main.class.getName(), "node");
+                    "-XX:TieredStopAtLevel=1",
+                    "-cp",
+                    String.join(File.pathSeparator, path),
+                    Main.class.getName(),
+                    "node");
             builder.environment().put("PROXY_CONFIG", config.toString());
             builder.environment().put("PROXY_DISCOVERY", discovery.endpoint());
             process = builder.redirectErrorStream(true).start();
@@ -134,17 +141,22 @@
             }
             held.close();
             discovery.close();
-            assertEquals(List.of(), lines.stream().filter(line -> line.contains("many open files")).toList());
+            assertEquals(
+                    List.of(),
+                    lines.stream()
+                            .filter(line -> line.contains("many open files"))
+                            .toList());
         }
     }
 
     @Test
     void discoveryIsDialledAtItsReturn(@TempDir Path folder) throws Exception {
-        try (FarServer server = FarServer.serving("old"); FarServer joined = FarServer.serving("joined");
+        try (FarServer server = FarServer.serving("old");
+                FarServer joined = FarServer.serving("joined");
                 Crowded node = new Crowded(folder, server)) {
             node.discoveryIsBack();
-            FarServer.next(node.heard).write(Site.chunk(Site.list(2, true, "s1=" + joined.endpoint()
-                    + "=Ready") + "\n"));
+            FarServer.next(node.heard)
+                    .write(Site.chunk(Site.list(2, true, "s1=" + joined.endpoint() + "=Ready") + "\n"));
             String body = "old";
             for (int i = 0; i < 2_000 && body.equals("old"); i++) {
                 body = node.ask().body();
@@ -158,7 +170,8 @@
         try (FarServer server = new FarServer((request, peer) -> {
                     peer.write(Http.answer("200 OK", "Connection: close\r\n", "x"));
                     peer.socket().close();
-                }); Crowded node = new Crowded(folder, server)) {
+                });
+                Crowded node = new Crowded(folder, server)) {
             int before = server.connections.get();
             for (int i = 1; i <= 50; i++) {
                 assertEquals(200, node.ask().status());
@@ -181,7 +194,8 @@
                         }
                     }
                     peer.write(Http.ok("x"));
-                }); Crowded node = new Crowded(folder, server)) {
+                });
+                Crowded node = new Crowded(folder, server)) {
             for (int i = 0; i < SOCKETS; i++) {
                 Site.write(node.connect(), Http.page("/api/hang", "h" + i, "5000m"));
             }
--- a/src/test/java/kitemux/node/Debuggee.java
+++ b/src/test/java/kitemux/node/Debuggee.java
@@ -2,13 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-
 import com.sun.jdi.Bootstrap;
 import com.sun.jdi.IncompatibleThreadStateException;
 import com.sun.jdi.Method;
@@ -28,6 +21,12 @@
 import com.sun.jdi.request.ClassPrepareRequest;
 import com.sun.jdi.request.EventRequest;
 import com.sun.jdi.request.StepRequest;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * A process under a debugger, which stops single threads of it at points of their code while the others run
@@ -37,6 +36,7 @@
     private static final long MOST_MS = 30_000;
     /** The opcodes ireturn to return, which end a method. */
     private static final int FIRST_RETURN = 0xac;
+
     private static final int LAST_RETURN = 0xb1;
 
     final Process process;
@@ -58,7 +58,9 @@
     static Debuggee start(List<String> command, Map<String, String> env)
             throws IOException, IllegalConnectorArgumentsException {
         ListeningConnector connector = Bootstrap.virtualMachineManager().listeningConnectors().stream()
-                .filter(each -> each.name().equals("com.sun.jdi.SocketListen")).findFirst().orElseThrow();
+                .filter(each -> each.name().equals("com.sun.jdi.SocketListen"))
+                .findFirst()
+                .orElseThrow();
         Map<String, Connector.Argument> arguments = connector.defaultArguments();
         arguments.get("localAddress").setValue("127.0.0.1");
         arguments.get("port").setValue("0");
@@ -104,11 +106,10 @@
     Stop awaitStop(String caller) throws InterruptedException, IncompatibleThreadStateException {
         return next(event -> {
             if (event instanceof ClassPrepareEvent loaded) {
-                ((Consumer<ReferenceType>) loaded.request().getProperty("then"))
-                        .accept(loaded.referenceType());
+                ((Consumer<ReferenceType>) loaded.request().getProperty("then")).accept(loaded.referenceType());
             }
-            if (event instanceof BreakpointEvent at && at.thread().frame(1).location().declaringType()
-                    .name().equals(caller)) {
+            if (event instanceof BreakpointEvent at
+                    && at.thread().frame(1).location().declaringType().name().equals(caller)) {
                 machine.eventRequestManager().deleteEventRequest(at.request());
                 return true;
             }
@@ -129,8 +130,8 @@
 
     /** A thread that stands still goes on to where its method was called, and stands still there. */
     Stop stepOut(Stop from) throws InterruptedException, IncompatibleThreadStateException {
-        StepRequest step = machine.eventRequestManager().createStepRequest(from.thread(),
-                StepRequest.STEP_MIN, StepRequest.STEP_OUT);
+        StepRequest step = machine.eventRequestManager()
+                .createStepRequest(from.thread(), StepRequest.STEP_MIN, StepRequest.STEP_OUT);
         step.setSuspendPolicy(EventRequest.SUSPEND_EVENT_THREAD);
         step.enable();
         from.goOn();
@@ -147,8 +148,8 @@
     private Stop next(Which which) throws InterruptedException, IncompatibleThreadStateException {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MOST_MS);
         while (true) {
-            EventSet events = machine.eventQueue()
-                    .remove(Math.max(1, TimeUnit.NANOSECONDS.toMillis(until - System.nanoTime())));
+            EventSet events =
+                    machine.eventQueue().remove(Math.max(1, TimeUnit.NANOSECONDS.toMillis(until - System.nanoTime())));
             assertTrue(events != null, "nothing comes to where it should stop");
             for (Event event : events) {
                 if (which.is(event)) {
@@ -163,8 +164,9 @@
     void awaitWaiting(String name) {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MOST_MS);
         try {
-            while (machine.allThreads().stream().noneMatch(thread -> thread.name().equals(name)
-                    && thread.status() == ThreadReference.THREAD_STATUS_WAIT)) {
+            while (machine.allThreads().stream()
+                    .noneMatch(thread ->
+                            thread.name().equals(name) && thread.status() == ThreadReference.THREAD_STATUS_WAIT)) {
                 assertTrue(System.nanoTime() < until, "no thread " + name + " waits");
             }
         } catch (VMDisconnectedException e) {
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -11,15 +11,13 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
-
 import kitemux.discovery.Discovery;
 import kitemux.net.Addresses;
 import kitemux.net.HostList;
 import kitemux.net.NioNetwork;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The watch on the list. */
 class DiscoveryTest {
@@ -27,21 +25,29 @@
     private static final String ENTRY = "s0=10.0.0.1:80=Ready";
 
     /** A watch alone; what it tells comes as a line. */
-    private static Discovery watch(Site site, long mostSilenceUs, BlockingQueue<String> told)
-            throws Exception {
-        Discovery discovery = new Discovery(site.loop, NioNetwork.SYSTEM,
-                Addresses.read("discovery", site.discovery.endpoint()), site.settings.zones, 41,
-                mostSilenceUs, 7, new Discovery.Listener() {
+    private static Discovery watch(Site site, long mostSilenceUs, BlockingQueue<String> told) throws Exception {
+        Discovery discovery = new Discovery(
+                site.loop,
+                NioNetwork.SYSTEM,
+                Addresses.read("discovery", site.discovery.endpoint()),
+                site.settings.zones,
+                41,
+                mostSilenceUs,
+                7,
+                new Discovery.Listener() {
                     @Override
                     public void listed(HostList list) {
-                        told.add(list.rev() + (list.all() ? " all " : " changes ") + list.hosts().size());
+                        told.add(list.rev()
+                                + (list.all() ? " all " : " changes ")
+                                + list.hosts().size());
                     }
 
                     @Override
                     public void failed(String reason) {
                         told.add("failed");
                     }
-                }, new StderrLog());
+                },
+                new StderrLog());
         site.loop.execute(discovery::subscribe);
         return discovery;
     }
@@ -51,7 +57,9 @@
         try (Site site = Site.quiet()) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
             Discovery discovery = watch(site, Discovery.MOST_SILENCE_US, told);
-            assertEquals("/discovery/hosts?watch=1&after=41", FarServer.next(site.discovery.requests).path());
+            assertEquals(
+                    "/discovery/hosts?watch=1&after=41",
+                    FarServer.next(site.discovery.requests).path());
             FarServer.Peer peer = FarServer.next(site.discovery.peers);
             String line = Site.list(43, true, ENTRY, "s1=10.0.0.2:80=Terminating");
             peer.write(Site.chunk(line.substring(0, 20)));
@@ -61,7 +69,9 @@
             peer.socket().close();
             assertEquals("failed", FarServer.next(told));
             site.loop.execute(discovery::subscribe);
-            assertEquals("/discovery/hosts?watch=1&after=44", FarServer.next(site.discovery.requests).path());
+            assertEquals(
+                    "/discovery/hosts?watch=1&after=44",
+                    FarServer.next(site.discovery.requests).path());
         }
     }
 
@@ -100,20 +110,21 @@
         try (Site site = Site.quiet()) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
             watch(site, Discovery.MOST_SILENCE_US, told);
-            FarServer.next(site.discovery.peers).write(Site.chunk("\n") + Site.chunk("\n")
-                    + Site.chunk(Site.list(42, false, ENTRY) + "\n"));
+            FarServer.next(site.discovery.peers)
+                    .write(Site.chunk("\n") + Site.chunk("\n") + Site.chunk(Site.list(42, false, ENTRY) + "\n"));
             assertEquals("41 changes 0", FarServer.next(told));
             assertEquals("42 changes 1", FarServer.next(told));
         }
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {
-        "{\"rev\":42,\"all\":false,\"targets\":[{}]}",
-        "{\"rev\":42,\"all\":false",
-        "[]",
-        "{\"rev\":42,\"all\":false,\"targets\":[{\"uid\":\"s\",\"endpoint\":\"x\",\"state\":\"Ready\"}]}",
-    })
+    @ValueSource(
+            strings = {
+                "{\"rev\":42,\"all\":false,\"targets\":[{}]}",
+                "{\"rev\":42,\"all\":false",
+                "[]",
+                "{\"rev\":42,\"all\":false,\"targets\":[{\"uid\":\"s\",\"endpoint\":\"x\",\"state\":\"Ready\"}]}",
+            })
     void aBadLineBreaksTheWatch(String line) throws Exception {
         try (Site site = Site.quiet()) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
@@ -191,10 +202,9 @@
 
     @Test
     void listsMayComeIndentedAndSplitAnywhere() throws Exception {
-        String line = Site.list(43, true, ENTRY, "s1=10.0.0.2:80=Terminating")
-                .replace("\"s1\"", "\"s}{\\\"[1\"");
-        String indented = line.replace(",", ",\r\n    ").replace("[{", "[\n  {\n")
-                .replace("}]}", "\n}\n]\n}");
+        String line = Site.list(43, true, ENTRY, "s1=10.0.0.2:80=Terminating").replace("\"s1\"", "\"s}{\\\"[1\"");
+        String indented =
+                line.replace(",", ",\r\n    ").replace("[{", "[\n  {\n").replace("}]}", "\n}\n]\n}");
         try (Site site = Site.quiet()) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
             watch(site, Discovery.MOST_SILENCE_US, told);
@@ -214,13 +224,13 @@
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
             Discovery discovery = watch(site, Discovery.MOST_SILENCE_US, told);
             String ready = Site.list(45, true, ENTRY, "s1=10.0.0.2:80=Ready");
-            FarServer.next(site.discovery.peers).write(Site.chunk(ready.replaceFirst("boot_ms\":0",
-                    "boot_ms\":7000") + "\n"));
+            FarServer.next(site.discovery.peers)
+                    .write(Site.chunk(ready.replaceFirst("boot_ms\":0", "boot_ms\":7000") + "\n"));
             assertEquals("45 all 2", FarServer.next(told));
             site.loop.execute(discovery::subscribe);
             FarServer.Peer peer = FarServer.next(site.discovery.peers);
-            peer.write(Site.chunk(Site.list(43, true, "s0=10.0.0.1:80=Terminating",
-                    "s1=10.0.0.2:80=Terminating") + "\n"));
+            peer.write(
+                    Site.chunk(Site.list(43, true, "s0=10.0.0.1:80=Terminating", "s1=10.0.0.2:80=Terminating") + "\n"));
             assertEquals("45 changes 1", FarServer.next(told), "s0 has started since");
             peer.write(Site.chunk(Site.list(44, false, "s1=10.0.0.2:80=Gone") + "\n"));
             assertEquals("45 changes 1", FarServer.next(told));
@@ -231,7 +241,8 @@
     @Test
     void afterAMoveTheWaitsBeginAnew() throws Exception {
         FarServer.Script refusing = (request, peer) -> peer.write(Http.answer("503 Busy", "", ""));
-        try (FarServer before = new FarServer(refusing); FarServer after = new FarServer(refusing);
+        try (FarServer before = new FarServer(refusing);
+                FarServer after = new FarServer(refusing);
                 Site site = new Site(before)) {
             String known = Site.list(1, true);
             site.startKnowing(known);
@@ -239,9 +250,16 @@
                 FarServer.next(before.requests);
             }
             NodeConfig old = site.config(known);
-            site.node.reload(new NodeConfig(old.listen(), old.operators(),
-                    Addresses.read("discovery", after.endpoint()), old.seed(), old.sockets(),
-                    old.connIdleUs(), old.folder(), old.known(), old.settings()));
+            site.node.reload(new NodeConfig(
+                    old.listen(),
+                    old.operators(),
+                    Addresses.read("discovery", after.endpoint()),
+                    old.seed(),
+                    old.sockets(),
+                    old.connIdleUs(),
+                    old.folder(),
+                    old.known(),
+                    old.settings()));
             FarServer.next(after.requests);
             // After five failures it would wait for 330 ms at least, after the first 75 at most.
             assertNotNull(after.requests.poll(300, TimeUnit.MILLISECONDS), "it waits as for the other place");
@@ -263,9 +281,11 @@
         AtomicInteger calls = new AtomicInteger();
         try (FarServer server = FarServer.serving("x");
                 FarServer discovery = new FarServer((request, peer) -> peer.write(
-                        calls.getAndIncrement() == 0 ? Http.answer("503 Busy", "", "")
-                        : Site.watchHead() + Site.chunk(
-                                Site.list(2, true, "s0=" + server.endpoint() + "=Ready") + "\n")));
+                        calls.getAndIncrement() == 0
+                                ? Http.answer("503 Busy", "", "")
+                                : Site.watchHead()
+                                        + Site.chunk(
+                                                Site.list(2, true, "s0=" + server.endpoint() + "=Ready") + "\n")));
                 Site site = new Site(discovery).startKnowing(Site.list(1, true))) {
             assertEquals(200, site.ask(Http.page("/api/p", "t", "5000m")).status());
             assertEquals(2, calls.get());
@@ -274,20 +294,24 @@
 
     @Test
     void aMoveAsksTheNewPlaceForAllThereIsAndTellsOfNoFailure() throws Exception {
-        try (Site site = Site.quiet(); FarServer there = new FarServer((request, peer) -> peer.write(
-                Site.watchHead() + Site.chunk(Site.list(7, true, ENTRY) + "\n")))) {
+        try (Site site = Site.quiet();
+                FarServer there = new FarServer((request, peer) ->
+                        peer.write(Site.watchHead() + Site.chunk(Site.list(7, true, ENTRY) + "\n")))) {
             BlockingQueue<String> told = new LinkedBlockingQueue<>();
             Discovery discovery = watch(site, Discovery.MOST_SILENCE_US, told);
             FarServer.next(site.discovery.requests);
             InetSocketAddress to = Addresses.read("discovery", there.endpoint());
             site.loop.execute(() -> discovery.moveTo(to));
             FarServer.next(site.discovery.ended);
-            assertEquals("/discovery/hosts?watch=1", FarServer.next(there.requests).path());
+            assertEquals(
+                    "/discovery/hosts?watch=1", FarServer.next(there.requests).path());
             assertEquals("7 all 1", FarServer.next(told));
             // Told of the same place again the watch stays; a later call goes to the new place too.
             site.loop.execute(() -> discovery.moveTo(to));
             site.loop.execute(discovery::subscribe);
-            assertEquals("/discovery/hosts?watch=1&after=7", FarServer.next(there.requests).path());
+            assertEquals(
+                    "/discovery/hosts?watch=1&after=7",
+                    FarServer.next(there.requests).path());
             assertEquals(2, there.connections.get());
             assertEquals(1, site.discovery.connections.get());
         }
@@ -310,8 +334,11 @@
             assertEquals("7 all 1", FarServer.next(told), "versions of another place tell nothing here");
             FarServer.next(site.discovery.ended);
             site.loop.execute(discovery::subscribe);
-            assertEquals("/discovery/hosts?watch=1", FarServer.next(there.requests).path());
-            assertEquals("/discovery/hosts?watch=1&after=7", FarServer.next(there.requests).path());
+            assertEquals(
+                    "/discovery/hosts?watch=1", FarServer.next(there.requests).path());
+            assertEquals(
+                    "/discovery/hosts?watch=1&after=7",
+                    FarServer.next(there.requests).path());
         }
     }
 
@@ -334,17 +361,23 @@
     @Test
     void aNodeThatHearsOfTheOldPlaceGoesOnAskingTheNewOne() throws Exception {
         AtomicInteger calls = new AtomicInteger();
-        try (FarServer after = new FarServer((request, peer) -> peer.write(
-                        calls.getAndIncrement() == 0 ? Http.answer("503 Busy", "", "")
-                            : Site.watchHead()));
+        try (FarServer after = new FarServer((request, peer) ->
+                        peer.write(calls.getAndIncrement() == 0 ? Http.answer("503 Busy", "", "") : Site.watchHead()));
                 Site site = Site.quiet()) {
             String known = Site.list(1, true);
             site.startKnowing(known);
             FarServer.Peer before = FarServer.next(site.discovery.peers);
             NodeConfig old = site.config(known);
-            site.node.reload(new NodeConfig(old.listen(), old.operators(),
-                    Addresses.read("discovery", after.endpoint()), old.seed(), old.sockets(),
-                    old.connIdleUs(), old.folder(), old.known(), old.settings()));
+            site.node.reload(new NodeConfig(
+                    old.listen(),
+                    old.operators(),
+                    Addresses.read("discovery", after.endpoint()),
+                    old.seed(),
+                    old.sockets(),
+                    old.connIdleUs(),
+                    old.folder(),
+                    old.known(),
+                    old.settings()));
             FarServer.next(after.ended);
             before.write(Site.chunk(Site.list(2, true, ENTRY) + "\n"));
             FarServer.next(after.requests);
--- a/src/test/java/kitemux/node/EndingsTest.java
+++ b/src/test/java/kitemux/node/EndingsTest.java
@@ -5,6 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.DefaultChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -16,19 +19,13 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-
+import kitemux.ServiceQBalancer;
+import kitemux.net.NioNetwork;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import io.netty.buffer.UnpooledByteBufAllocator;
-import io.netty.channel.DefaultChannelPromise;
-import io.netty.channel.embedded.EmbeddedChannel;
-
-import kitemux.ServiceQBalancer;
-import kitemux.net.NioNetwork;
-
 /** What is still owed in the instant in which something ends (docs/design/endings.md). */
 class EndingsTest {
 
@@ -82,7 +79,8 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void whatWaitsForAConnectionIsNotSentOnceItsClientHasLeft(boolean cancel) throws Exception {
-        try (Full server = new Full(); Site site = Site.quiet()) {
+        try (Full server = new Full();
+                Site site = Site.quiet()) {
             site.settings.cancel = cancel;
             site.startKnowing(Site.list(1, true, "s0=" + server.endpoint() + "=Ready"));
             Socket leaves = site.connect();
@@ -105,7 +103,7 @@
     @ParameterizedTest
     @CsvSource({"1, 0", "3, 0", "16, 0", "20, 0", "300, 0", "6000, 0", "60, 5000", "150, 5000"})
     void aClientThatSendsAheadAndLeavesIsGone(int ahead, int padding) throws Exception {
-        try (FarServer server = new FarServer((request, peer) -> { });
+        try (FarServer server = new FarServer((request, peer) -> {});
                 Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             Site.write(client, Http.page("/api/p", "open", "5000m"));
@@ -125,7 +123,7 @@
     /** Beyond what is kept of one client nothing is read of it: it waits with the system. */
     @Test
     void whatIsSentAheadWithoutEndIsBounded() throws Exception {
-        try (FarServer server = new FarServer((request, peer) -> { });
+        try (FarServer server = new FarServer((request, peer) -> {});
                 Site site = Site.quiet().start(server)) {
             UnpooledByteBufAllocator allocator = (UnpooledByteBufAllocator) NioNetwork.SYSTEM.allocator();
             Socket client = site.connect();
@@ -134,7 +132,9 @@
             long before = allocator.metric().usedHeapMemory();
             AtomicLong sent = new AtomicLong();
             Thread flood = new Thread(() -> {
-                byte[] more = padded(Http.page("/api/p", "ahead", "5000m"), 5_000).repeat(10).getBytes();
+                byte[] more = padded(Http.page("/api/p", "ahead", "5000m"), 5_000)
+                        .repeat(10)
+                        .getBytes();
                 try {
                     while (sent.get() < 1L << 30) {
                         client.getOutputStream().write(more);
@@ -164,9 +164,10 @@
     void allThatIsSentAheadIsServedInItsTurn() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
         try (FarServer server = new FarServer((request, peer) -> {
-            awaitQuietly(answer);
-            peer.write(Http.ok(request.headers().get("x-txn")));
-        }); Site site = Site.quiet().start(server)) {
+                    awaitQuietly(answer);
+                    peer.write(Http.ok(request.headers().get("x-txn")));
+                });
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             Site.write(client, Http.page("/api/p", "t0", "5000m"));
             FarServer.next(server.requests);
@@ -199,13 +200,13 @@
     void theLastAnswerIsNotCutOffByWhatLiesUnread() throws Exception {
         String body = "b".repeat(60_000);
         CountDownLatch answer = new CountDownLatch(1);
-        try (FarServer server = FarServer.servingFrom(answer, body); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.servingFrom(answer, body);
+                Site site = Site.quiet().start(server)) {
             Socket client = new Socket();
             client.setReceiveBufferSize(4_096);
             client.connect(site.connect().getRemoteSocketAddress());
             client.setSoTimeout(20_000);
-            Site.write(client, Http.page("/api/p", "last", "5000m").replace("Host:",
-                    "Connection: close\r\nHost:"));
+            Site.write(client, Http.page("/api/p", "last", "5000m").replace("Host:", "Connection: close\r\nHost:"));
             FarServer.next(server.requests);
             StringBuilder behind = new StringBuilder();
             for (int i = 0; i < 1_500; i++) {
@@ -231,16 +232,16 @@
                 FarServer discovery = new FarServer((request, peer) -> {
                     peer.write(Site.watchHead());
                     if (event.equals("onServers")) {
-                        peer.write(Site.chunk(Site.list(2, true, "s0=" + server.endpoint() + "=Ready")
-                                + "\n"));
+                        peer.write(Site.chunk(Site.list(2, true, "s0=" + server.endpoint() + "=Ready") + "\n"));
                     }
-                }); Site site = new Site(discovery)) {
-            site.module = actions -> NodeTest.breaking(new ServiceQBalancer(site.settings, 7, actions),
-                    event);
+                });
+                Site site = new Site(discovery)) {
+            site.module = actions -> NodeTest.breaking(new ServiceQBalancer(site.settings, 7, actions), event);
             site.startKnowing(Site.list(1, true));
             Socket client = site.connect();
             client.setSoTimeout(4_000);
-            assertEquals(status, Site.ask(client, Http.page("/api/p", "t", "2000m")).status());
+            assertEquals(
+                    status, Site.ask(client, Http.page("/api/p", "t", "2000m")).status());
         }
     }
 
--- a/src/test/java/kitemux/node/FailedStartTest.java
+++ b/src/test/java/kitemux/node/FailedStartTest.java
@@ -7,12 +7,10 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-
+import kitemux.cli.Main;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import kitemux.cli.Main;
-
 /** A start whose system calls fail ends with a line and a code. */
 class FailedStartTest {
     private static final int MOST_S = 25;
@@ -29,16 +27,21 @@
                  "settings":{"membershipMode":"on_request","limits":{"attemptsCap":1},
                   "classes":[{"name":"page","onTimeUs":1000000,"giveUpUs":5000000,"repeat":"safe"}]}}
                 """);
-        ProcessBuilder builder = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(),
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                Main.class.getName(), "node");
+        ProcessBuilder builder = new ProcessBuilder(
+                ProcessHandle.current().info().command().orElseThrow(),
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName(),
+                "node");
         builder.environment().put("PROXY_CONFIG", config.toString());
         Process process = builder.redirectErrorStream(true).start();
         try {
             assertTrue(process.waitFor(MOST_S, TimeUnit.SECONDS), "it lives and does not listen");
             List<String> lines = process.inputReader().lines().toList();
             assertEquals(1, process.exitValue(), () -> "it said " + lines);
-            assertTrue(lines.stream().anyMatch(line -> line.startsWith("kitemux: the start failed: ")),
+            assertTrue(
+                    lines.stream().anyMatch(line -> line.startsWith("kitemux: the start failed: ")),
                     () -> "it said " + lines);
         } finally {
             process.destroyForcibly();
--- a/src/test/java/kitemux/node/FarServer.java
+++ b/src/test/java/kitemux/node/FarServer.java
@@ -38,6 +38,7 @@
     final BlockingQueue<Http.Message> requests = new LinkedBlockingQueue<>();
     /** Where a request came from, once the script has answered it: what a test writes then comes after. */
     final BlockingQueue<Peer> peers = new LinkedBlockingQueue<>();
+
     final BlockingQueue<Peer> ended = new LinkedBlockingQueue<>();
     final AtomicInteger connections = new AtomicInteger();
     private final Queue<Socket> open = new ConcurrentLinkedQueue<>();
--- a/src/test/java/kitemux/node/GrowthTest.java
+++ b/src/test/java/kitemux/node/GrowthTest.java
@@ -12,7 +12,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -20,8 +19,7 @@
 class GrowthTest {
     private static final int TURNS = 150;
     /** These hold what the configuration says, for good. */
-    private static final Set<String> FIXED = Set.of("Settings", "NodeConfig", "RequestReader", "HostList",
-            "Discovery");
+    private static final Set<String> FIXED = Set.of("Settings", "NodeConfig", "RequestReader", "HostList", "Discovery");
 
     /** How much every table holds that can be reached from here through the node's own classes. */
     private static Map<String, Integer> tables(Object root) throws IllegalAccessException {
@@ -33,8 +31,10 @@
 
     private static void walk(Object at, Map<Object, Object> seen, Map<String, Integer> sizes)
             throws IllegalAccessException {
-        if (at == null || !at.getClass().getName().startsWith("kitemux.")
-                || FIXED.contains(at.getClass().getSimpleName()) || seen.put(at, at) != null) {
+        if (at == null
+                || !at.getClass().getName().startsWith("kitemux.")
+                || FIXED.contains(at.getClass().getSimpleName())
+                || seen.put(at, at) != null) {
             return;
         }
         for (Field field : at.getClass().getDeclaredFields()) {
@@ -42,8 +42,7 @@
                 field.setAccessible(true);
                 Object value = field.get(at);
                 if (value instanceof Collection<?> || value instanceof Map<?, ?>) {
-                    sizes.merge(at.getClass().getSimpleName() + "." + field.getName(), size(value),
-                            Integer::sum);
+                    sizes.merge(at.getClass().getSimpleName() + "." + field.getName(), size(value), Integer::sum);
                 } else {
                     walk(value, seen, sizes);
                 }
@@ -67,24 +66,30 @@
         String[] statuses = {"200 OK", "500 No", "200 OK", "200 OK", "503 Busy"};
         int[] count = {0};
         try (FarServer server = new FarServer((request, peer) -> {
-            String status = statuses[count[0]++ % statuses.length];
-            peer.write(Http.answer(status, status.startsWith("503") ? "X-Turned-Away: 1\r\n" : "", "x"));
-        }); Site site = Site.quiet()) {
+                    String status = statuses[count[0]++ % statuses.length];
+                    peer.write(Http.answer(status, status.startsWith("503") ? "X-Turned-Away: 1\r\n" : "", "x"));
+                });
+                Site site = Site.quiet()) {
             site.startKnowing(Site.list(1, true, "s0=" + server.endpoint() + "=Ready"));
             FarServer.Peer watch = FarServer.next(site.discovery.peers);
             Set<Integer> seen = new HashSet<>();
             for (int i = 1; i <= TURNS; i++) {
                 // The next server comes under a new id to the address of the one that goes.
-                watch.write(Site.chunk(Site.list(i + 1, false, "s" + i + "=" + server.endpoint() + "=Ready",
-                        "s" + (i - 1) + "=" + server.endpoint() + "=Gone") + "\n"));
+                watch.write(Site.chunk(Site.list(
+                                i + 1,
+                                false,
+                                "s" + i + "=" + server.endpoint() + "=Ready",
+                                "s" + (i - 1) + "=" + server.endpoint() + "=Gone")
+                        + "\n"));
                 try (Socket client = site.connect()) {
-                    seen.add(Site.ask(client, Http.page("/api/" + i, "p" + i, "2000m")).status());
+                    seen.add(Site.ask(client, Http.page("/api/" + i, "p" + i, "2000m"))
+                            .status());
                     seen.add(Site.ask(client, Http.order("o" + i, "300m")).status());
                 }
             }
             assertTrue(seen.contains(200) && seen.size() > 1, "answers " + seen);
-            watch.write(Site.chunk(Site.list(TURNS + 2, false,
-                    "s" + TURNS + "=" + server.endpoint() + "=Gone") + "\n"));
+            watch.write(
+                    Site.chunk(Site.list(TURNS + 2, false, "s" + TURNS + "=" + server.endpoint() + "=Gone") + "\n"));
             Map<String, Integer> left;
             long until = System.nanoTime() + 20_000_000_000L;
             do {
--- a/src/test/java/kitemux/node/Http.java
+++ b/src/test/java/kitemux/node/Http.java
@@ -11,7 +11,7 @@
 
 /** HTTP/1.1 messages as bytes, for the far sides of a node under test. */
 final class Http {
-    private Http() { }
+    private Http() {}
 
     /** A message; header names are in small letters. */
     record Message(String start, Map<String, String> headers, String body) {
@@ -30,7 +30,9 @@
         Map<String, String> headers = new TreeMap<>();
         for (String line = line(in); !line.isEmpty(); line = line(in)) {
             int colon = line.indexOf(':');
-            headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
+            headers.put(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).strip());
         }
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
         byte[] body = in.readNBytes(length);
@@ -56,8 +58,7 @@
     }
 
     static String answer(String status, String headers, String body) {
-        return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length()
-                + "\r\n\r\n" + body;
+        return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
     static String page(String txn) {
--- a/src/test/java/kitemux/node/LeavingTest.java
+++ b/src/test/java/kitemux/node/LeavingTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -17,12 +18,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Stream;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-import io.netty.channel.EventLoop;
-
 /**
  * A client that closes has gone: no attempt, first or further, begins more than 0.1 s later, wherever its
  * request waits then.
@@ -85,8 +83,10 @@
     }
 
     private static List<String> txns(FarServer... servers) {
-        return Stream.of(servers).flatMap(server -> server.requests.stream())
-                .map(request -> request.headers().get("x-txn")).toList();
+        return Stream.of(servers)
+                .flatMap(server -> server.requests.stream())
+                .map(request -> request.headers().get("x-txn"))
+                .toList();
     }
 
     /** A site of many nodes, each of which sends a server one at a time at first. */
@@ -99,7 +99,8 @@
     @Test
     void whatWaitsForAPlaceIsNotSentOnceItsClientHasLeft() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
-        try (FarServer server = holding("first", answer, Http.ok("x")); Site site = oneAtATime()) {
+        try (FarServer server = holding("first", answer, Http.ok("x"));
+                Site site = oneAtATime()) {
             site.start(server);
             Socket first = site.connect();
             Site.write(first, page("first"));
@@ -120,7 +121,8 @@
     @Test
     void whatWaitsForAPlaceIsNotSentWhereItsLeavingLiesUnreadBehindTheAnswer() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
-        try (FarServer server = holding("first", answer, Http.ok("x")); Site site = oneAtATime()) {
+        try (FarServer server = holding("first", answer, Http.ok("x"));
+                Site site = oneAtATime()) {
             site.start(server);
             Socket first = site.connect();
             Site.write(first, page("first"));
@@ -145,7 +147,8 @@
     void whatFailedIsNotTriedAgainWhereItsLeavingLiesUnreadBehindTheFailure() throws Exception {
         CountDownLatch fails = new CountDownLatch(1);
         String failure = Http.answer("500 Failed", "", "");
-        try (FarServer one = holding("left", fails, failure); FarServer two = holding("left", fails, failure);
+        try (FarServer one = holding("left", fails, failure);
+                FarServer two = holding("left", fails, failure);
                 Site site = Site.quiet().start(one, two)) {
             for (int i = 0; one.connections.get() == 0 || two.connections.get() == 0; i++) {
                 assertEquals(200, site.ask(page("before" + i)).status());
@@ -167,7 +170,9 @@
             letGoBy(GONE_MS);
             release.countDown();
             assertEquals(200, site.ask(page("after")).status());
-            assertEquals(1, txns(one, two).stream().filter("left"::equals).count(),
+            assertEquals(
+                    1,
+                    txns(one, two).stream().filter("left"::equals).count(),
                     () -> "attempts, of which one is a further one after the leaving: " + txns(one, two));
         }
     }
@@ -215,7 +220,8 @@
     /** Nothing can be sent anywhere; the list that changes that lies unread before the leaving does. */
     @Test
     void whatWaitsForAServerIsNotSentWhereItsLeavingLiesUnreadBehindTheList() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet()) {
             site.startKnowing(Site.list(1, true));
             FarServer.Peer watch = FarServer.next(site.discovery.peers);
             Socket leaves = site.connect();
--- a/src/test/java/kitemux/node/LiveSettingsTest.java
+++ b/src/test/java/kitemux/node/LiveSettingsTest.java
@@ -7,22 +7,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.Settings;
 import kitemux.Balancer.Tenant;
+import org.junit.jupiter.api.Test;
 
 class LiveSettingsTest {
-    private static final RequestClass PAGE = new RequestClass("page", 100, 0, 500, 1, 0, Repeat.SAFE,
-            Group.ALL, 0, false);
-    private static final RequestClass ORDER = new RequestClass("order", 100, 0, 500, 4, 0.5, Repeat.UNSAFE,
-            Group.CELL, 7, true);
-    private static final String FAST = "{\"onTimeUs\":50,\"giveUpUs\":300,\"importance\":2,"
-            + "\"lateWorth\":0.25,\"repeat\":\"safe\"}";
+    private static final RequestClass PAGE =
+            new RequestClass("page", 100, 0, 500, 1, 0, Repeat.SAFE, Group.ALL, 0, false);
+    private static final RequestClass ORDER =
+            new RequestClass("order", 100, 0, 500, 4, 0.5, Repeat.UNSAFE, Group.CELL, 7, true);
+    private static final String FAST =
+            "{\"onTimeUs\":50,\"giveUpUs\":300,\"importance\":2," + "\"lateWorth\":0.25,\"repeat\":\"safe\"}";
 
     private final Settings settings = new Settings();
     private final List<String> moved = new ArrayList<>();
@@ -37,11 +35,23 @@
 
     @Test
     void whatIsLiveIsInForceAndTheRestStaysAsTheFileHasIt() {
-        live.put(Map.of("realms/b", "{\"quotaPerS\":9.5}", "classes/page", FAST, "overShareWorth", "0.75",
-                "realms/new", "{\"quotaPerS\":1}", "limits/attemptsCap", "9", "classes/new", FAST));
+        live.put(Map.of(
+                "realms/b",
+                "{\"quotaPerS\":9.5}",
+                "classes/page",
+                FAST,
+                "overShareWorth",
+                "0.75",
+                "realms/new",
+                "{\"quotaPerS\":1}",
+                "limits/attemptsCap",
+                "9",
+                "classes/new",
+                FAST));
         assertEquals(List.of(new Tenant("a", 1), new Tenant("b", 9.5)), settings.tenants);
-        assertEquals(List.of(new RequestClass("page", 50, 0, 300, 2, 0.25, Repeat.SAFE, Group.ALL, 0, false),
-                ORDER), settings.classes);
+        assertEquals(
+                List.of(new RequestClass("page", 50, 0, 300, 2, 0.25, Repeat.SAFE, Group.ALL, 0, false), ORDER),
+                settings.classes);
         assertSame(ORDER, settings.classes.get(1));
         assertEquals(0.75, settings.overShareWorth);
         assertEquals(3, settings.maxAttempts);
@@ -54,19 +64,34 @@
 
     @Test
     void whatIsNotLiveIsSaidToWait() {
-        assertEquals(Set.of(), live.waitRestart(Map.of(), Map.of("realms/a", "{\"quotaPerS\":9}",
-                "classes/page", FAST, "overShareWorth", "1", "discovery", "\"127.0.0.1:1\"",
-                "keepers/voters", "[]")));
-        assertEquals(Set.of("realms/new", "classes/new", "limits/attemptsCap"), live.waitRestart(Map.of(),
-                Map.of("realms/new", "{}", "classes/new", FAST, "limits/attemptsCap", "9")));
+        assertEquals(
+                Set.of(),
+                live.waitRestart(
+                        Map.of(),
+                        Map.of(
+                                "realms/a",
+                                "{\"quotaPerS\":9}",
+                                "classes/page",
+                                FAST,
+                                "overShareWorth",
+                                "1",
+                                "discovery",
+                                "\"127.0.0.1:1\"",
+                                "keepers/voters",
+                                "[]")));
+        assertEquals(
+                Set.of("realms/new", "classes/new", "limits/attemptsCap"),
+                live.waitRestart(Map.of(), Map.of("realms/new", "{}", "classes/new", FAST, "limits/attemptsCap", "9")));
         String order = "{\"repeat\":\"unsafe\",\"group\":\"cell\",\"windowUs\":7,\"stream\":true}";
         assertEquals(Set.of(), live.waitRestart(Map.of(), Map.of("classes/order", order)));
-        for (String other : List.of(order.replace("unsafe", "safe"), order.replace("cell", "all"),
-                order.replace("7", "8"), order.replace("true", "false"),
-                order.replace("\"repeat\"", "\"aimStretch\":1,\"repeat\""), order.replace(
-                        "\"group\":\"cell\",", ""))) {
-            assertEquals(Set.of("classes/order"), live.waitRestart(Map.of(), Map.of("classes/order", other)),
-                    other);
+        for (String other : List.of(
+                order.replace("unsafe", "safe"),
+                order.replace("cell", "all"),
+                order.replace("7", "8"),
+                order.replace("true", "false"),
+                order.replace("\"repeat\"", "\"aimStretch\":1,\"repeat\""),
+                order.replace("\"group\":\"cell\",", ""))) {
+            assertEquals(Set.of("classes/order"), live.waitRestart(Map.of(), Map.of("classes/order", other)), other);
         }
     }
 
--- a/src/test/java/kitemux/node/LongAnswersTest.java
+++ b/src/test/java/kitemux/node/LongAnswersTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.UnpooledByteBufAllocator;
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -22,7 +23,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-
+import kitemux.cli.Main;
+import kitemux.net.NioNetwork;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -30,11 +32,6 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import io.netty.buffer.UnpooledByteBufAllocator;
-
-import kitemux.cli.Main;
-import kitemux.net.NioNetwork;
-
 /**
  * Answers that are too long to be held and are passed on as they come: their first bytes are timed, and
  * whoever cuts off what a server still gives, or withholds it, has lost the request.
@@ -50,14 +47,17 @@
 
     /** How the end of an answer is told (RFC 9112, 6.3). */
     enum Framing {
-        LENGTH, CHUNKED, CLOSE;
+        LENGTH,
+        CHUNKED,
+        CLOSE;
 
         String head(int length) {
-            return "HTTP/1.1 200 OK\r\n" + switch (this) {
-                case LENGTH -> "Content-Length: " + length + "\r\n\r\n";
-                case CHUNKED -> "Transfer-Encoding: chunked\r\n\r\n";
-                case CLOSE -> "\r\n";
-            };
+            return "HTTP/1.1 200 OK\r\n"
+                    + switch (this) {
+                        case LENGTH -> "Content-Length: " + length + "\r\n\r\n";
+                        case CHUNKED -> "Transfer-Encoding: chunked\r\n\r\n";
+                        case CLOSE -> "\r\n";
+                    };
         }
 
         String piece(String text) {
@@ -96,8 +96,7 @@
     }
 
     /** Pieces at this pace, for as long as they are wanted. */
-    private static void drip(FarServer.Peer peer, Framing framing, int pieces, long everyMs)
-            throws Exception {
+    private static void drip(FarServer.Peer peer, Framing framing, int pieces, long everyMs) throws Exception {
         CountDownLatch never = new CountDownLatch(1);
         for (int i = 0; i < pieces; i++) {
             assertFalse(never.await(everyMs, TimeUnit.MILLISECONDS));
@@ -172,9 +171,10 @@
             throws Exception {
         int length = FIRST + pieces * PIECE;
         try (FarServer server = giving(framing, FIRST, length, (peer, how) -> {
-            drip(peer, how, pieces, everyMs);
-            how.end(peer);
-        }); Site site = Site.quiet().start(server)) {
+                    drip(peer, how, pieces, everyMs);
+                    how.end(peer);
+                });
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             long askedAt = System.nanoTime();
             ask(client, "/api/long", "t");
@@ -189,10 +189,11 @@
     void aServerThatPausesIsHeardToTheLast() throws Exception {
         int length = FIRST + 40 * PIECE;
         try (FarServer server = giving(Framing.CHUNKED, FIRST, length, (peer, how) -> {
-            drip(peer, how, 39, 20);
-            drip(peer, how, 1, 1_200);
-            how.end(peer);
-        }); Site site = Site.quiet().start(server)) {
+                    drip(peer, how, 39, 20);
+                    drip(peer, how, 1, 1_200);
+                    how.end(peer);
+                });
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             ask(client, "/api/long", "t");
             assertEquals(length, body(client).length());
@@ -206,19 +207,21 @@
         CountDownLatch listed = new CountDownLatch(1);
         int length = FIRST + 40 * PIECE;
         try (FarServer server = giving(Framing.LENGTH, FIRST, length, (peer, how) -> {
-            listed.await();
-            drip(peer, how, 40, 20);
-        }); FarServer discovery = new FarServer((request, peer) -> {
-            peer.write(Site.watchHead());
-            awaitQuietly(listed);
-        }); Site site = new Site(discovery).start(server)) {
+                    listed.await();
+                    drip(peer, how, 40, 20);
+                });
+                FarServer discovery = new FarServer((request, peer) -> {
+                    peer.write(Site.watchHead());
+                    awaitQuietly(listed);
+                });
+                Site site = new Site(discovery).start(server)) {
             Socket client = site.connect();
             ask(client, "/api/long", "t");
             FarServer.next(discovery.requests);
             FarServer.next(server.requests);
             listed.countDown();
-            FarServer.next(discovery.peers).write(Site.chunk(Site.list(2, false,
-                    "s0=" + server.endpoint() + "=" + state) + "\n"));
+            FarServer.next(discovery.peers)
+                    .write(Site.chunk(Site.list(2, false, "s0=" + server.endpoint() + "=" + state) + "\n"));
             assertEquals(length, body(client).length());
         }
     }
@@ -237,7 +240,7 @@
     @ParameterizedTest
     @CsvSource({"LENGTH, 700", "CHUNKED, 700", "CLOSE, 700"})
     void oneThatStopsEndsSoonAfterItsTime(Framing framing, long timeMs) throws Exception {
-        try (FarServer server = giving(framing, FIRST, 2 * FIRST, (peer, how) -> { });
+        try (FarServer server = giving(framing, FIRST, 2 * FIRST, (peer, how) -> {});
                 Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             long askedAt = System.nanoTime();
@@ -253,9 +256,10 @@
     void oneThatStopsPastItsTimeEndsBeforeItPassesForWithheld() throws Exception {
         AtomicLong stoppedAt = new AtomicLong();
         try (FarServer server = giving(Framing.CHUNKED, FIRST, 0, (peer, how) -> {
-            drip(peer, how, 40, 20);
-            stoppedAt.set(System.nanoTime());
-        }); Site site = Site.quiet().start(server)) {
+                    drip(peer, how, 40, 20);
+                    stoppedAt.set(System.nanoTime());
+                });
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             ask(client, "/api/long", "t");
             untilReset(client, System.nanoTime());
@@ -269,9 +273,10 @@
     @CsvSource({"LENGTH", "CHUNKED", "CLOSE"})
     void oneThatIsResetPastItsTimeIsSeenToBeCut(Framing framing) throws Exception {
         try (FarServer server = giving(framing, FIRST, 2 * FIRST, (peer, how) -> {
-            drip(peer, how, 60, 20);
-            peer.reset();
-        }); Site site = Site.quiet().start(server)) {
+                    drip(peer, how, 60, 20);
+                    peer.reset();
+                });
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             long askedAt = System.nanoTime();
             ask(client, "/api/long", "t");
@@ -320,9 +325,10 @@
         CountDownLatch told = new CountDownLatch(1);
         int length = FIRST + 40 * PIECE;
         try (FarServer server = giving(Framing.LENGTH, FIRST, length, (peer, how) -> {
-            told.await();
-            drip(peer, how, 40, 20);
-        }); Site site = Site.quiet().start(server)) {
+                    told.await();
+                    drip(peer, how, 40, 20);
+                });
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             Site.write(client, Http.page("/api/long", "t", "4000m"));
             FarServer.next(server.requests);
@@ -356,11 +362,17 @@
                     {"listen":"127.0.0.1:%d","discovery":"127.0.0.1:9","seed":"1","limits":{"sockets":256},
                      "known":%s,"settings":{"membershipMode":"on_request","limits":{"attemptsCap":1},
                       "classes":[{"name":"page","onTimeUs":100000,"giveUpUs":5000000,"repeat":"safe"}]}}
-                    """.formatted(port, Site.list(1, true, "s0=" + server.endpoint() + "=Ready")
-                    .replace("\"here\"", "\"\"")));
-            ProcessBuilder builder = new ProcessBuilder(ProcessHandle.current().info().command()
-                    .orElseThrow(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                    Main.class.getName(), "node").redirectErrorStream(true);
+                    """.formatted(
+                    port,
+                    Site.list(1, true, "s0=" + server.endpoint() + "=Ready").replace("\"here\"", "\"\"")));
+            ProcessBuilder builder = new ProcessBuilder(
+                            ProcessHandle.current().info().command().orElseThrow(),
+                            "-XX:TieredStopAtLevel=1",
+                            "-cp",
+                            System.getProperty("java.class.path"),
+                            Main.class.getName(),
+                            "node")
+                    .redirectErrorStream(true);
             builder.environment().put("PROXY_CONFIG", config.toString());
             Process process = builder.start();
             try (BufferedReader lines = process.inputReader()) {
@@ -374,8 +386,7 @@
                 for (int i = 0; i < 100 && !head.startsWith("HTTP/1.1 200 "); i++) {
                     Socket client = new Socket(InetAddress.getLoopbackAddress(), port);
                     client.setSoTimeout(20_000);
-                    Site.write(client, Http.page("/api/long", "t" + i, "5000m").replace("HTTP/1.1",
-                            protocol));
+                    Site.write(client, Http.page("/api/long", "t" + i, "5000m").replace("HTTP/1.1", protocol));
                     in = client.getInputStream();
                     head = new String(in.readNBytes(13), StandardCharsets.US_ASCII);
                 }
@@ -414,11 +425,12 @@
         AtomicLong given = new AtomicLong();
         String piece = "y".repeat(100_000);
         try (FarServer server = giving(Framing.LENGTH, FIRST, (int) each, (peer, how) -> {
-            for (long at = FIRST; at < each; at += piece.length()) {
-                peer.write(piece);
-                given.addAndGet(piece.length());
-            }
-        }); Site site = Site.quiet()) {
+                    for (long at = FIRST; at < each; at += piece.length()) {
+                        peer.write(piece);
+                        given.addAndGet(piece.length());
+                    }
+                });
+                Site site = Site.quiet()) {
             site.sockets = 1_024;
             site.start(server);
             UnpooledByteBufAllocator allocator = (UnpooledByteBufAllocator) NioNetwork.SYSTEM.allocator();
@@ -431,7 +443,8 @@
             long most = 0;
             // Each round is an event of the node's loop: by then what could come on has come.
             for (int round = 0; round < 200; round++) {
-                assertEquals(200, site.ask("GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status());
+                assertEquals(
+                        200, site.ask("GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status());
                 most = Math.max(most, allocator.metric().usedHeapMemory());
             }
             assertTrue(given.get() < many * each, "they are held back");
@@ -444,12 +457,15 @@
 
     @Test
     void theNextRequestOnTheConnectionIsServed() throws Exception {
-        try (FarServer server = giving(Framing.LENGTH, FIRST, FIRST + 40 * PIECE,
-                (peer, how) -> drip(peer, how, 40, 20)); Site site = Site.quiet().start(server)) {
+        try (FarServer server =
+                        giving(Framing.LENGTH, FIRST, FIRST + 40 * PIECE, (peer, how) -> drip(peer, how, 40, 20));
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             ask(client, "/api/long", "t");
             assertEquals(FIRST + 40 * PIECE, body(client).length());
-            assertEquals("short", Site.ask(client, Http.page("/api/short", "u", "2000m")).body());
+            assertEquals(
+                    "short",
+                    Site.ask(client, Http.page("/api/short", "u", "2000m")).body());
             assertEquals(1, server.connections.get(), "its server's connection is used again");
         }
     }
--- a/src/test/java/kitemux/node/NodeConfigTest.java
+++ b/src/test/java/kitemux/node/NodeConfigTest.java
@@ -11,18 +11,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.ServerState;
 import kitemux.cli.Main;
 import kitemux.config.ConfigException;
 import kitemux.net.HostList;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** What a node is told at its start. */
 class NodeConfigTest {
@@ -69,7 +67,9 @@
         assertEquals(Group.CELL, config.settings().classes.get(0).group());
         assertEquals(85.0, config.settings().tenants.get(0).quotaPerS());
         HostList.Host host = config.known().hosts().get(0);
-        assertEquals("10.1.0.18:8000", host.endpoint().getHostString() + ":" + host.endpoint().getPort());
+        assertEquals(
+                "10.1.0.18:8000",
+                host.endpoint().getHostString() + ":" + host.endpoint().getPort());
         assertEquals(1, host.entry().zone());
         assertEquals(3, host.entry().cell());
         assertEquals(ServerState.DRAINING, host.entry().state());
@@ -78,8 +78,7 @@
 
     @Test
     void theEnvironmentsAddressesHoldWhereTheyAreSet() throws Exception {
-        NodeConfig config = read(CONFIG,
-                Map.of("PROXY_LISTEN", "127.0.0.7:81", "PROXY_DISCOVERY", "127.0.0.8:82"));
+        NodeConfig config = read(CONFIG, Map.of("PROXY_LISTEN", "127.0.0.7:81", "PROXY_DISCOVERY", "127.0.0.8:82"));
         assertEquals("127.0.0.7", config.listen().getHostString());
         assertEquals(82, config.discovery().getPort());
     }
@@ -89,37 +88,39 @@
         assertEquals(null, read(CONFIG, Map.of()).operators());
         String named = CONFIG.replace("\"listen\"", "\"mgmt\":\"127.0.0.1:9100\",\"listen\"");
         assertEquals(9100, read(named, Map.of()).operators().getPort());
-        assertEquals(9200, read(named, Map.of("PROXY_MGMT", "127.0.0.1:9200")).operators().getPort());
-        ConfigException e = assertThrows(ConfigException.class,
-                () -> read(CONFIG, Map.of("PROXY_MGMT", "here")));
+        assertEquals(
+                9200,
+                read(named, Map.of("PROXY_MGMT", "127.0.0.1:9200")).operators().getPort());
+        ConfigException e = assertThrows(ConfigException.class, () -> read(CONFIG, Map.of("PROXY_MGMT", "here")));
         assertTrue(e.getMessage().startsWith("mgmt "), e.getMessage());
         assertEquals(folder, read(CONFIG, Map.of("TMPDIR", folder.toString())).folder());
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "127.0.0.1:8000 | nowhere | listen",
-        "127.0.0.1:8500 | host.example:8500 | discovery",
-        "8c1f30d27a5be964 | xyz | seed",
-        "\"sockets\":1024 | \"sockets\":\"many\" | limits.sockets",
-        "\"onTimeUs\":200000, | '' | settings.classes.0.onTimeUs",
-        "\"keyed\" | \"never\" | settings.classes.0.repeat",
-        "\"me\":1 | \"me\":2 | settings: me",
-        "\"rev\":41 | \"rev\":\"x\" | known.rev",
-        "Terminating | Asleep | known.targets[0].state",
-        "\"settings\":{ | \"sittings\":{ | settings",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "127.0.0.1:8000 | nowhere | listen",
+                "127.0.0.1:8500 | host.example:8500 | discovery",
+                "8c1f30d27a5be964 | xyz | seed",
+                "\"sockets\":1024 | \"sockets\":\"many\" | limits.sockets",
+                "\"onTimeUs\":200000, | '' | settings.classes.0.onTimeUs",
+                "\"keyed\" | \"never\" | settings.classes.0.repeat",
+                "\"me\":1 | \"me\":2 | settings: me",
+                "\"rev\":41 | \"rev\":\"x\" | known.rev",
+                "Terminating | Asleep | known.targets[0].state",
+                "\"settings\":{ | \"sittings\":{ | settings",
+            })
     void aBadFieldIsNamed(String good, String bad, String field) {
-        ConfigException e = assertThrows(ConfigException.class,
-                () -> read(CONFIG.replace(good, bad), Map.of()));
+        ConfigException e = assertThrows(ConfigException.class, () -> read(CONFIG.replace(good, bad), Map.of()));
         assertTrue(e.getMessage().startsWith(field + " "), e.getMessage());
     }
 
     @Test
     void aMissingFileEndsTheProgramWithOneLineAndCode2() throws Exception {
         String java = ProcessHandle.current().info().command().orElseThrow();
-        ProcessBuilder builder = new ProcessBuilder(java, "-cp",
-                System.getProperty("java.class.path"), Main.class.getName(), "node");
+        ProcessBuilder builder =
+                new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"), Main.class.getName(), "node");
         builder.environment().put("PROXY_CONFIG", folder.resolve("none.json").toString());
         Process process = builder.start();
         String said = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
--- a/src/test/java/kitemux/node/NodeProcess.java
+++ b/src/test/java/kitemux/node/NodeProcess.java
@@ -18,7 +18,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-
 import kitemux.cli.Main;
 
 /** A process that runs {@code kitemux node}, with a trace of its requests and an address for operators. */
@@ -32,8 +31,7 @@
     private final CountDownLatch listening = new CountDownLatch(1);
     private final Path traces;
 
-    private NodeProcess(Process process, InetSocketAddress clients, InetSocketAddress operators,
-            Path traces) {
+    private NodeProcess(Process process, InetSocketAddress clients, InetSocketAddress operators, Path traces) {
         this.process = process;
         this.clients = clients;
         this.operators = operators;
@@ -45,7 +43,8 @@
 
     /** Keeps a port for processes that are yet to listen on it. */
     static SocketChannel holder() throws IOException {
-        return SocketChannel.open().setOption(StandardSocketOptions.SO_REUSEADDR, true)
+        return SocketChannel.open()
+                .setOption(StandardSocketOptions.SO_REUSEADDR, true)
                 .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     }
 
@@ -56,8 +55,9 @@
      * @param deadlineMs the longest deadline of any class
      * @param servers the servers that it knows, s0, s1, ...
      */
-    static NodeProcess start(Path folder, SocketChannel clientsAt, SocketChannel operatorsAt, long deadlineMs,
-            FarServer... servers) throws IOException {
+    static NodeProcess start(
+            Path folder, SocketChannel clientsAt, SocketChannel operatorsAt, long deadlineMs, FarServer... servers)
+            throws IOException {
         InetSocketAddress clients = (InetSocketAddress) clientsAt.getLocalAddress();
         InetSocketAddress operators = (InetSocketAddress) operatorsAt.getLocalAddress();
         String[] entries = new String[servers.length];
@@ -69,15 +69,22 @@
                  "limits":{"sockets":1024},"known":%s,
                  "settings":{"membershipMode":"on_request","limits":{"attemptsCap":2},
                   "classes":[{"name":"page","onTimeUs":%d,"giveUpUs":%d,"repeat":"safe"}]}}
-                """.formatted(clients.getPort(), operators.getPort(),
-                Site.list(1, true, entries).replace("\"here\"", "\"\""), deadlineMs * 500,
-                deadlineMs * 1_000));
+                """.formatted(
+                        clients.getPort(),
+                        operators.getPort(),
+                        Site.list(1, true, entries).replace("\"here\"", "\"\""),
+                        deadlineMs * 500,
+                        deadlineMs * 1_000));
         Path traces = folder.resolve("traces");
-        Path settings = Files.writeString(folder.resolve("settings.json"),
-                "{\"trace\":{\"folder\":\"%s\"}}".formatted(traces));
-        ProcessBuilder builder = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(),
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                Main.class.getName(), "node");
+        Path settings =
+                Files.writeString(folder.resolve("settings.json"), "{\"trace\":{\"folder\":\"%s\"}}".formatted(traces));
+        ProcessBuilder builder = new ProcessBuilder(
+                ProcessHandle.current().info().command().orElseThrow(),
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName(),
+                "node");
         builder.environment().put("PROXY_CONFIG", config.toString());
         builder.environment().put("KITEMUX_SETTINGS", settings.toString());
         builder.environment().put("TMPDIR", folder.toString());
@@ -124,7 +131,8 @@
     List<String> trace() throws IOException {
         try (Stream<Path> files = Files.list(traces)) {
             Path file = files.filter(each -> each.toString().endsWith("-" + process.pid() + ".trace"))
-                    .findFirst().orElseThrow();
+                    .findFirst()
+                    .orElseThrow();
             return Files.readAllLines(file);
         }
     }
--- a/src/test/java/kitemux/node/NodeTest.java
+++ b/src/test/java/kitemux/node/NodeTest.java
@@ -25,16 +25,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-
+import kitemux.Balancer;
+import kitemux.ServiceQBalancer;
+import kitemux.cli.Main;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import kitemux.Balancer;
-import kitemux.ServiceQBalancer;
-import kitemux.cli.Main;
-
 /** A node as a whole. */
 class NodeTest {
     private static final String JAVA = ProcessHandle.current().info().command().orElseThrow();
@@ -42,8 +40,8 @@
     /** A module that breaks the first time that it is told of this event. */
     static Balancer breaking(Balancer sound, String event) {
         boolean[] broken = {false};
-        return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
-                new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
+        return (Balancer) Proxy.newProxyInstance(
+                Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
                     if (method.getName().equals(event) && !broken[0]) {
                         broken[0] = true;
                         throw new IllegalStateException("broken for the test");
@@ -130,7 +128,8 @@
         Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
         List<String> lines = process.inputReader().lines().toList();
         assertEquals(0, process.waitFor(), lines.toString());
-        assertTrue(lines.stream().noneMatch(line -> line.matches("(?i).*(error|warning|usage|unrecogni).*")),
+        assertTrue(
+                lines.stream().noneMatch(line -> line.matches("(?i).*(error|warning|usage|unrecogni).*")),
                 lines.toString());
     }
 
@@ -163,10 +162,13 @@
                 process.destroy();
                 int status = 200;
                 for (int i = 0; i < 5_000 && status == 200; i++) {
-                    status = ask(client.getPort(), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status();
+                    status = ask(client.getPort(), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n")
+                            .status();
                 }
                 assertEquals(503, status, "it has heard the first time");
-                new ProcessBuilder("kill", "-TERM", Long.toString(process.pid())).start().waitFor();
+                new ProcessBuilder("kill", "-TERM", Long.toString(process.pid()))
+                        .start()
+                        .waitFor();
                 answer.countDown();
                 assertEquals("late", Http.read(client.getInputStream()).body());
                 assertTrue(process.waitFor(20, TimeUnit.SECONDS));
@@ -179,10 +181,10 @@
 
     /** What the agent has counts as told from the first moment of a process: none is served before that. */
     @Test
-    void whereListsArePushedNoneIsServedByTheListThatAProcessBeganWith(@TempDir Path folder)
-            throws Exception {
+    void whereListsArePushedNoneIsServedByTheListThatAProcessBeganWith(@TempDir Path folder) throws Exception {
         CountDownLatch served = new CountDownLatch(1);
-        try (FarServer drains = FarServer.serving("drains"); FarServer ready = FarServer.serving("ready");
+        try (FarServer drains = FarServer.serving("drains");
+                FarServer ready = FarServer.serving("ready");
                 FarServer agent = new FarServer((request, peer) -> {
                     peer.write(Site.watchHead());
                     try {
@@ -191,8 +193,13 @@
                     } catch (InterruptedException e) {
                         throw new IOException(e);
                     }
-                    peer.write(Site.chunk(Site.list(2, true, "s0=" + drains.endpoint() + "=Terminating",
-                            "s1=" + ready.endpoint() + "=Ready").replace("\"here\"", "\"\"") + "\n"));
+                    peer.write(Site.chunk(Site.list(
+                                            2,
+                                            true,
+                                            "s0=" + drains.endpoint() + "=Terminating",
+                                            "s1=" + ready.endpoint() + "=Ready")
+                                    .replace("\"here\"", "\"\"")
+                            + "\n"));
                 })) {
             Path config = knowing(folder, "s0=" + drains.endpoint() + "=Ready", "pushed", "500000");
             Process process = start(config, Map.of("PROXY_DISCOVERY", agent.endpoint()));
@@ -219,10 +226,16 @@
     private static Path knowing(Path folder, String entry, String mode, String giveUpUs) throws Exception {
         Path config = configure(folder, "127.0.0.1:9");
         try (SocketChannel holder = shared()) {
-            return Files.writeString(config, Files.readString(config)
-                    .replace("127.0.0.1:0", "127.0.0.1:" + port(holder)).replace("on_request", mode)
-                    .replace("500000,", giveUpUs + ",").replace("\"seed\"", "\"known\":"
-                            + Site.list(1, true, entry).replace("\"here\"", "\"\"") + ",\"seed\""));
+            return Files.writeString(
+                    config,
+                    Files.readString(config)
+                            .replace("127.0.0.1:0", "127.0.0.1:" + port(holder))
+                            .replace("on_request", mode)
+                            .replace("500000,", giveUpUs + ",")
+                            .replace(
+                                    "\"seed\"",
+                                    "\"known\":" + Site.list(1, true, entry).replace("\"here\"", "\"\"")
+                                            + ",\"seed\""));
         }
     }
 
@@ -230,7 +243,8 @@
     @ValueSource(strings = {"warming up", "listening on "})
     void aReloadHoldsHoweverSoonItComes(String when, @TempDir Path folder) throws Exception {
         FarServer.Script watch = (request, peer) -> peer.write(Site.watchHead());
-        try (FarServer before = new FarServer(watch); FarServer after = new FarServer(watch)) {
+        try (FarServer before = new FarServer(watch);
+                FarServer after = new FarServer(watch)) {
             Process process = program(configure(folder, before.endpoint()), before.endpoint());
             try {
                 awaitLine(process.inputReader(), when);
@@ -248,7 +262,9 @@
     private static Path archive(Path folder) throws Exception {
         Path archive = folder.resolve("node.jsa");
         Process dump = new ProcessBuilder(JAVA, "-Xshare:dump", "-XX:SharedArchiveFile=" + archive)
-                .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start();
         assertEquals(0, dump.waitFor());
         return archive;
     }
@@ -266,8 +282,7 @@
 
     @ParameterizedTest
     @ValueSource(strings = {"missing", "spoilt", "another JVM's", "sound"})
-    void aNodeStartsWhateverItsClassArchiveAndSaysIfThatIsOfNoUse(String what, @TempDir Path folder)
-            throws Exception {
+    void aNodeStartsWhateverItsClassArchiveAndSaysIfThatIsOfNoUse(String what, @TempDir Path folder) throws Exception {
         Path archive = what.equals("missing") ? folder.resolve("none.jsa") : archive(folder);
         if (what.equals("spoilt")) {
             Files.delete(archive);
@@ -275,12 +290,15 @@
         } else if (what.equals("another JVM's")) {
             pretendAnotherJvmMadeIt(archive);
         }
-        Process process = program(configure(folder, "127.0.0.1:9"), "127.0.0.1:9", "-Xshare:auto",
-                "-XX:SharedArchiveFile=" + archive);
+        Process process = program(
+                configure(folder, "127.0.0.1:9"), "127.0.0.1:9", "-Xshare:auto", "-XX:SharedArchiveFile=" + archive);
         try {
-            List<String> before = process.inputReader().lines()
-                    .takeWhile(line -> !line.contains("listening on ")).toList();
-            assertEquals(!what.equals("sound"),
+            List<String> before = process.inputReader()
+                    .lines()
+                    .takeWhile(line -> !line.contains("listening on "))
+                    .toList();
+            assertEquals(
+                    !what.equals("sound"),
                     before.stream().anyMatch(line -> line.contains("class archive " + archive)),
                     before.toString());
         } finally {
@@ -316,16 +334,15 @@
         List<String> lines = process.inputReader().lines().toList();
         assertEquals(2, process.waitFor());
         for (String field : List.of("color", "orders.folder", "orders.sync", "orders.lateMs")) {
-            assertTrue(lines.stream().anyMatch(line -> line.startsWith("kitemux: " + field + " ")),
-                    lines.toString());
+            assertTrue(lines.stream().anyMatch(line -> line.startsWith("kitemux: " + field + " ")), lines.toString());
         }
     }
 
     @Test
-    void onSighupTheWatchMovesToWhereTheFileSaysAndABadFileChangesNothing(@TempDir Path folder)
-            throws Exception {
+    void onSighupTheWatchMovesToWhereTheFileSaysAndABadFileChangesNothing(@TempDir Path folder) throws Exception {
         FarServer.Script watch = (request, peer) -> peer.write(Site.watchHead());
-        try (FarServer before = new FarServer(watch); FarServer after = new FarServer(watch)) {
+        try (FarServer before = new FarServer(watch);
+                FarServer after = new FarServer(watch)) {
             Path config = configure(folder, before.endpoint());
             Process process = program(config, before.endpoint());
             try {
@@ -380,14 +397,29 @@
 
     @Test
     void aSecondProcessTakesOverWithoutARequestLostAndKnowsWhatIsOut(@TempDir Path folder) throws Exception {
-        try (FarServer in = FarServer.serving("in"); FarServer out = FarServer.serving("out");
-                SocketChannel clients = shared(); SocketChannel first = shared();
+        try (FarServer in = FarServer.serving("in");
+                FarServer out = FarServer.serving("out");
+                SocketChannel clients = shared();
+                SocketChannel first = shared();
                 SocketChannel second = shared()) {
             Path config = configure(folder, "127.0.0.1:9");
-            Files.writeString(config, Files.readString(config).replace("\"seed\"", "\"known\":"
-                    + Site.list(1, true, "s0=" + in.endpoint() + "=Ready", "s1=" + out.endpoint() + "=Ready")
-                            .replace("\"here\"", "\"\"") + ",\"seed\""));
-            Map<String, String> env = Map.of("PROXY_LISTEN", "127.0.0.1:" + port(clients), "TMPDIR",
+            Files.writeString(
+                    config,
+                    Files.readString(config)
+                            .replace(
+                                    "\"seed\"",
+                                    "\"known\":"
+                                            + Site.list(
+                                                            1,
+                                                            true,
+                                                            "s0=" + in.endpoint() + "=Ready",
+                                                            "s1=" + out.endpoint() + "=Ready")
+                                                    .replace("\"here\"", "\"\"")
+                                            + ",\"seed\""));
+            Map<String, String> env = Map.of(
+                    "PROXY_LISTEN",
+                    "127.0.0.1:" + port(clients),
+                    "TMPDIR",
                     Files.createDirectory(folder.resolve("tmp")).toString());
             List<Process> processes = new ArrayList<>();
             try {
@@ -395,20 +427,28 @@
                 one.put("PROXY_MGMT", "127.0.0.1:" + port(first));
                 processes.add(start(config, one));
                 awaitLine(processes.get(0).inputReader(), "listening on ");
-                assertEquals(200, ask(port(first), call("POST", "/ops/servers/down/s1")).status());
+                assertEquals(
+                        200,
+                        ask(port(first), call("POST", "/ops/servers/down/s1")).status());
                 Map<String, String> two = new HashMap<>(env);
                 two.put("PROXY_MGMT", "127.0.0.1:" + port(second));
                 processes.add(start(config, two));
                 awaitLine(processes.get(1).inputReader(), "listening on ");
-                assertEquals(200, ask(port(second), call("GET", "/ops/readiness")).status());
+                assertEquals(
+                        200, ask(port(second), call("GET", "/ops/readiness")).status());
                 Socket kept = new Socket(InetAddress.getLoopbackAddress(), port(clients));
                 processes.get(0).destroy();
                 int asked = 0;
                 int crossed = 0;
                 while (processes.get(0).isAlive() || asked < 50) {
                     try {
-                        assertEquals(200, ask(port(clients), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status());
-                        assertEquals("in", ask(port(clients), Http.page("t" + asked++)).body());
+                        assertEquals(
+                                200,
+                                ask(port(clients), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n")
+                                        .status());
+                        assertEquals(
+                                "in",
+                                ask(port(clients), Http.page("t" + asked++)).body());
                     } catch (IOException e) {
                         // The system resets what waits at a listener that closes: a client asks once more.
                         crossed++;
@@ -417,8 +457,11 @@
                 assertTrue(crossed <= 2, crossed + " requests crossed the end of the old listener");
                 kept.close();
                 assertEquals(143, processes.get(0).exitValue(), "ended in good order");
-                assertEquals(200, ask(port(second), call("POST", "/ops/servers/up/s1")).status());
-                assertEquals(200, ask(port(second), call("GET", "/ops/readiness")).status());
+                assertEquals(
+                        200,
+                        ask(port(second), call("POST", "/ops/servers/up/s1")).status());
+                assertEquals(
+                        200, ask(port(second), call("GET", "/ops/readiness")).status());
             } finally {
                 processes.forEach(Process::destroyForcibly);
             }
--- a/src/test/java/kitemux/node/OperatorsTest.java
+++ b/src/test/java/kitemux/node/OperatorsTest.java
@@ -16,7 +16,6 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -39,8 +38,11 @@
     private static Map<String, Long> figures(Site site) throws IOException {
         Map<String, Long> figures = new HashMap<>();
         for (String line : site.call("GET", "/ops/stats").body().split("\n")) {
-            assertNull(figures.put(line.substring(0, line.indexOf('=')),
-                    Long.parseLong(line.substring(line.indexOf('=') + 1))), line);
+            assertNull(
+                    figures.put(
+                            line.substring(0, line.indexOf('=')),
+                            Long.parseLong(line.substring(line.indexOf('=') + 1))),
+                    line);
         }
         return figures;
     }
@@ -49,7 +51,8 @@
 
     @Test
     void aServerThatIsOutGetsNothingNewUntilItIsCalledBack() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = site().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = site().start(server)) {
             assertEquals(200, site.ask(Http.page("before")).status());
             assertEquals(200, site.call("POST", "/ops/servers/down/s0").status());
             assertEquals(200, site.call("POST", "/ops/servers/down/s0").status());
@@ -68,7 +71,8 @@
     void whatAwaitsAConnectionToAServerThatIsTakenOutGoesElsewhere() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
         try (FarServer first = FarServer.servingFrom(answer, "late");
-                FarServer second = FarServer.serving("other"); Site site = site().start(first, second)) {
+                FarServer second = FarServer.serving("other");
+                Site site = site().start(first, second)) {
             assertEquals(200, site.call("POST", "/ops/servers/down/s1").status());
             Socket client = site.connect();
             Site.write(client, Http.page("/api/held", "held", "4000m"));
@@ -78,13 +82,15 @@
             // What it has is still answered: out means that nothing new goes there.
             assertEquals("late", Http.read(client.getInputStream()).body());
             assertEquals(200, site.call("POST", "/ops/servers/up/s1").status());
-            assertEquals("other", site.ask(Http.page("/api/new", "new", "4000m")).body());
+            assertEquals(
+                    "other", site.ask(Http.page("/api/new", "new", "4000m")).body());
         }
     }
 
     @Test
     void aServerStaysOutForTheNextProcess() throws Exception {
-        try (FarServer out = FarServer.serving("out"); FarServer in = FarServer.serving("in")) {
+        try (FarServer out = FarServer.serving("out");
+                FarServer in = FarServer.serving("in")) {
             try (Site first = site().start(out, in)) {
                 assertEquals(200, first.call("POST", "/ops/servers/down/s0").status());
                 first.node.close();
@@ -100,11 +106,19 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"POST,/ops/servers/down/nobody,404", "POST,/ops/servers/up/nobody,404",
-        "POST,/ops/servers/down/%zz,400", "GET,/ops/servers/down/s0,405", "POST,/ops/stats,405",
-        "GET,/ops,404", "POST,/ops/drain/pause,404", "GET,/up,404"})
+    @CsvSource({
+        "POST,/ops/servers/down/nobody,404",
+        "POST,/ops/servers/up/nobody,404",
+        "POST,/ops/servers/down/%zz,400",
+        "GET,/ops/servers/down/s0,405",
+        "POST,/ops/stats,405",
+        "GET,/ops,404",
+        "POST,/ops/drain/pause,404",
+        "GET,/up,404"
+    })
     void whatCannotBeDoneIsOwedANo(String method, String path, int status) throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = site().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = site().start(server)) {
             assertEquals(status, site.call(method, path).status());
             assertEquals(200, site.ask(Http.page("t")).status(), "and changes nothing");
         }
@@ -115,7 +129,8 @@
     @Test
     void clientsAreSentAwayAndComeBack() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
-        try (FarServer server = FarServer.servingFrom(answer, "late"); Site site = site().start(server)) {
+        try (FarServer server = FarServer.servingFrom(answer, "late");
+                Site site = site().start(server)) {
             Socket held = site.connect();
             Site.write(held, Http.page("/api/held", "held", "5000m"));
             FarServer.next(server.requests);
@@ -151,15 +166,16 @@
     void figuresTellOfRequestsByClassAndOutcome() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
         try (FarServer server = new FarServer((request, peer) -> {
-            if (request.path().contains("held")) {
-                try {
-                    answer.await();
-                } catch (InterruptedException e) {
-                    throw new IOException(e);
-                }
-            }
-            peer.write(request.path().contains("order") ? Http.answer("500 No", "", "") : Http.ok("x"));
-        }); Site site = site().start(server)) {
+                    if (request.path().contains("held")) {
+                        try {
+                            answer.await();
+                        } catch (InterruptedException e) {
+                            throw new IOException(e);
+                        }
+                    }
+                    peer.write(request.path().contains("order") ? Http.answer("500 No", "", "") : Http.ok("x"));
+                });
+                Site site = site().start(server)) {
             assertEquals(200, site.ask(Http.page("a")).status());
             assertEquals(200, site.ask(Http.page("b")).status());
             assertEquals(502, site.ask(Http.order("c", "4000m")).status());
@@ -191,7 +207,8 @@
     @Test
     void whoIsTurnedAwayForWantOfDescriptorsCountsAsRefused() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
-        try (FarServer server = FarServer.servingFrom(answer, "x"); Site site = site()) {
+        try (FarServer server = FarServer.servingFrom(answer, "x");
+                Site site = site()) {
             site.sockets = 128;
             site.start(server);
             List<Socket> clients = new ArrayList<>();
@@ -213,7 +230,8 @@
 
     @Test
     void callersThatCompleteNoCallKeepNobodyOut() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = site().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = site().start(server)) {
             List<Socket> silent = new ArrayList<>();
             for (int i = 0; i < 60; i++) {
                 silent.add(site.callers());
@@ -227,10 +245,16 @@
 
     @Test
     void aCallComesInPiecesOrWithABodyAndGetsOneAnswer() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = site().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = site().start(server)) {
             Socket caller = site.callers();
-            for (String piece : List.of("PO", "ST /ops/dra", "in/start?x=1 HTTP/1.1\r", "\nHost: o\r\n",
-                    "Content-Length: 3\r\n\r\n", "ab")) {
+            for (String piece : List.of(
+                    "PO",
+                    "ST /ops/dra",
+                    "in/start?x=1 HTTP/1.1\r",
+                    "\nHost: o\r\n",
+                    "Content-Length: 3\r\n\r\n",
+                    "ab")) {
                 Site.write(caller, piece);
             }
             assertEquals(200, site.ask(UP).status(), "not before its last byte");
@@ -243,7 +267,8 @@
 
     @Test
     void whatIsNoHttpIsOwedANo() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = site().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = site().start(server)) {
             Socket caller = site.callers();
             Site.write(caller, "\u0000\u0001 what\r\n\r\n");
             assertEquals(400, Http.read(caller.getInputStream()).status());
@@ -253,7 +278,8 @@
 
     @Test
     void aLoopThatStandsStillAnswersOnceItRuns() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = site().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = site().start(server)) {
             CountDownLatch go = new CountDownLatch(1);
             CountDownLatch stands = new CountDownLatch(1);
             site.loop.execute(() -> {
--- a/src/test/java/kitemux/node/PushedListTest.java
+++ b/src/test/java/kitemux/node/PushedListTest.java
@@ -6,11 +6,9 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.discovery.PushedList;
 import kitemux.engine.Time;
+import org.junit.jupiter.api.Test;
 
 /** Lists that are pushed to an agent on the node's own machine, which only the node asks. */
 class PushedListTest {
@@ -55,8 +53,7 @@
         assertEquals(12, time.waits.size());
         for (int i = 0; i < 12; i++) {
             long wait = Math.min(150_000, 50_000L << i);
-            assertTrue(time.waits.get(i) >= wait / 2 && time.waits.get(i) < wait * 3 / 2,
-                    time.waits::toString);
+            assertTrue(time.waits.get(i) >= wait / 2 && time.waits.get(i) < wait * 3 / 2, time.waits::toString);
         }
         list.heard();
         list.failed();
@@ -69,7 +66,8 @@
 
     @Test
     void aNodeFollowsTheAgentAlsoAfterItWasGone() throws Exception {
-        try (FarServer first = FarServer.serving("first"); FarServer second = FarServer.serving("second");
+        try (FarServer first = FarServer.serving("first");
+                FarServer second = FarServer.serving("second");
                 Site site = Site.quiet()) {
             site.settings.listOnRequest = false;
             site.startKnowing(Site.list(1, true));
--- a/src/test/java/kitemux/node/ReadinessTest.java
+++ b/src/test/java/kitemux/node/ReadinessTest.java
@@ -17,13 +17,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-
+import kitemux.cli.Main;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-import kitemux.cli.Main;
-
 /** Processes that start at once are ready whatever discovery has for them. */
 class ReadinessTest {
     private static final int NODES = 3;
@@ -80,20 +78,26 @@
 
     private Process node(String name, String mode, SocketChannel holder, String discovery, String known)
             throws IOException {
-        Path config = Files.writeString(folder.resolve(name + ".json"), """
+        Path config =
+                Files.writeString(folder.resolve(name + ".json"), """
                 {"listen":"127.0.0.1:%d","discovery":"%s","seed":"1","limits":{"sockets":256},
                  "known":%s,"settings":{"membershipMode":"%s","limits":{"attemptsCap":1},
                   "classes":[{"name":"page","onTimeUs":1000000,"giveUpUs":5000000,"repeat":"safe"}]}}
                 """.formatted(port(holder), discovery, known, mode));
-        ProcessBuilder builder = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(),
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                Main.class.getName(), "node");
+        ProcessBuilder builder = new ProcessBuilder(
+                ProcessHandle.current().info().command().orElseThrow(),
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName(),
+                "node");
         builder.environment().put("PROXY_CONFIG", config.toString());
         return builder.redirectErrorStream(true).start();
     }
 
     private static SocketChannel holder() throws IOException {
-        return SocketChannel.open().setOption(StandardSocketOptions.SO_REUSEADDR, true)
+        return SocketChannel.open()
+                .setOption(StandardSocketOptions.SO_REUSEADDR, true)
                 .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     }
 
@@ -111,27 +115,38 @@
 
     /** Until then discovery has answered none: what they serve by is the list that they began with. */
     @ParameterizedTest
-    @CsvSource({"on_request, answers none", "on_request, refuses", "on_request, takes no call",
-        "pushed, answers none", "pushed, refuses", "pushed, takes no call"})
-    void processesThatStartAtOnceServeBeforeDiscoveryHasAnsweredAny(String mode, String how)
-            throws Exception {
+    @CsvSource({
+        "on_request, answers none",
+        "on_request, refuses",
+        "on_request, takes no call",
+        "pushed, answers none",
+        "pushed, refuses",
+        "pushed, takes no call"
+    })
+    void processesThatStartAtOnceServeBeforeDiscoveryHasAnsweredAny(String mode, String how) throws Exception {
         List<Process> nodes = new ArrayList<>();
         List<SocketChannel> holders = new ArrayList<>();
         try (FarServer server = FarServer.serving("served");
                 Crowded discovery = new Crowded(how, Site.list(2, true))) {
-            String known = Site.list(1, true, "s0=" + server.endpoint() + "=Ready")
-                    .replace("\"here\"", "\"\"");
+            String known =
+                    Site.list(1, true, "s0=" + server.endpoint() + "=Ready").replace("\"here\"", "\"\"");
             for (int i = 0; i < NODES; i++) {
                 holders.add(holder());
                 nodes.add(node("n" + i, mode, holders.get(i), discovery.endpoint(), known));
             }
             for (int i = 0; i < NODES; i++) {
                 Process node = nodes.get(i);
-                String line = CompletableFuture.supplyAsync(() -> node.inputReader().lines()
-                        .filter(each -> each.contains("listening on ")).findFirst().orElse("none"))
+                String line = CompletableFuture.supplyAsync(() -> node.inputReader()
+                                .lines()
+                                .filter(each -> each.contains("listening on "))
+                                .findFirst()
+                                .orElse("none"))
                         .get(MOST_S, TimeUnit.SECONDS);
                 assertTrue(line.endsWith("listening on /127.0.0.1:" + port(holders.get(i))), line);
-                assertEquals(200, ask(port(holders.get(i)), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status());
+                assertEquals(
+                        200,
+                        ask(port(holders.get(i)), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n")
+                                .status());
                 assertEquals("served", ask(port(holders.get(i)), Http.page("t")).body());
             }
         } finally {
--- a/src/test/java/kitemux/node/RehearsalTest.java
+++ b/src/test/java/kitemux/node/RehearsalTest.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
-
 import org.junit.jupiter.api.Test;
 
 /** What a starting process does before it listens. */
@@ -35,8 +34,7 @@
                     }
                 }
             });
-            long served = Rehearsal.play(site.config(Site.list(1, true)), site.loop,
-                    new StderrLog());
+            long served = Rehearsal.play(site.config(Site.list(1, true)), site.loop, new StderrLog());
             over.set(true);
             assertEquals(Rehearsal.REQUESTS, served);
         }
@@ -44,7 +42,8 @@
 
     @Test
     void aNodeThatIsClosedLeavesNothingOpen() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             assertEquals(200, Site.ask(client, Http.page("t")).status());
             site.node.close();
--- a/src/test/java/kitemux/node/ServerPoolTest.java
+++ b/src/test/java/kitemux/node/ServerPoolTest.java
@@ -6,6 +6,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -15,20 +19,13 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-
+import kitemux.net.NioNetwork;
+import kitemux.net.QuietChannel;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
-
-import kitemux.net.NioNetwork;
-import kitemux.net.QuietChannel;
-
 /** How attempts end, seen from outside: an order may go on to another server only if it never ran. */
 class ServerPoolTest {
     private static final int ASKED = 12;
@@ -42,7 +39,8 @@
 
     @Test
     void aRefusedConnectionNeverRan() throws Exception {
-        try (FarServer dead = FarServer.serving("x"); FarServer good = FarServer.serving("x");
+        try (FarServer dead = FarServer.serving("x");
+                FarServer good = FarServer.serving("x");
                 Site site = Site.quiet()) {
             dead.stop();
             site.start(dead, good);
@@ -53,9 +51,10 @@
 
     @Test
     void aRequestTurnedAwayNeverRan() throws Exception {
-        try (FarServer full = new FarServer((request, peer) ->
-                peer.write(Http.answer("504 Over", "X-Turned-Away: 1\r\n", "")));
-                FarServer good = FarServer.serving("x"); Site site = Site.quiet().start(full, good)) {
+        try (FarServer full = new FarServer(
+                        (request, peer) -> peer.write(Http.answer("504 Over", "X-Turned-Away: 1\r\n", "")));
+                FarServer good = FarServer.serving("x");
+                Site site = Site.quiet().start(full, good)) {
             allServed(site);
             assertEquals(ASKED, good.requests.size());
             assertTrue(full.requests.size() > 0);
@@ -63,28 +62,29 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {
-        "HTTP/1.1 500 Error\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
-        "",
-        "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly part of it",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\nonly part of it",
-        "what is this\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nno colon in here\r\nContent-Length: 1\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nx",
-        "HTTP/1.1 +200 OK\r\nContent-Length: 1\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nContent-Length: +1\r\n\r\nx",
-        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 3\r\n\r\nxyz",
-        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
-                + "1\r\nx\r\n0\r\n\r\n",
-    })
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 500 Error\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+                "",
+                "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly part of it",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\nonly part of it",
+                "what is this\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nno colon in here\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nx",
+                "HTTP/1.1 +200 OK\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: +1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 3\r\n\r\nxyz",
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n0\r\n\r\n",
+            })
     void aBadAnswerMayHaveRunAndIsNeverServed(String answer) throws Exception {
         try (FarServer bad = new FarServer((request, peer) -> {
-            peer.write(answer);
-            peer.socket().close();
-        }); Site site = Site.quiet().start(bad)) {
+                    peer.write(answer);
+                    peer.socket().close();
+                });
+                Site site = Site.quiet().start(bad)) {
             assertEquals(502, site.ask(Http.order("t", "4000m")).status());
             assertEquals(1, bad.requests.size(), "an order is sent once");
         }
@@ -93,9 +93,11 @@
     @Test
     void aRepeatableRequestPassesOnAfterAReset() throws Exception {
         try (FarServer bad = new FarServer((request, peer) -> peer.reset());
-                FarServer good = FarServer.serving("x"); Site site = Site.quiet().start(bad, good)) {
+                FarServer good = FarServer.serving("x");
+                Site site = Site.quiet().start(bad, good)) {
             for (int i = 0; i < ASKED; i++) {
-                assertEquals(200, site.ask(Http.page("/api/p", "t" + i, "4000m")).status());
+                assertEquals(
+                        200, site.ask(Http.page("/api/p", "t" + i, "4000m")).status());
             }
             assertTrue(bad.requests.size() > 0);
         }
@@ -103,8 +105,8 @@
 
     @Test
     void anAnswerPastAllBoundsIsGivenUpAtOnce() throws Exception {
-        try (FarServer bad = new FarServer((request, peer) ->
-                peer.write("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx"));
+        try (FarServer bad = new FarServer(
+                        (request, peer) -> peer.write("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx"));
                 Site site = Site.quiet().start(bad)) {
             assertEquals(502, site.ask(Http.order("t", "3600000m")).status());
             FarServer.next(bad.ended);
@@ -114,7 +116,8 @@
     @Test
     void anAnswerLargerThanRequestsMayBePassesOnWhole() throws Exception {
         String large = "photo".repeat(70_000);
-        try (FarServer server = FarServer.serving(large); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving(large);
+                Site site = Site.quiet().start(server)) {
             assertEquals(large, site.ask(Http.order("t", "4000m")).body());
             assertEquals(large, site.ask(Http.order("u", "4000m")).body());
             assertEquals(1, server.connections.get());
@@ -141,19 +144,22 @@
     void anAnswerOfAnyLengthPassesOnWholeHoweverItIsFramed(int length) throws Exception {
         String body = "yearbook!".repeat(length / 9 + 1).substring(0, length);
         try (FarServer server = new FarServer((request, peer) -> {
-            if (request.path().contains("chunked")) {
-                peer.write(chunked(body, 70_001));
-            } else if (request.path().contains("close")) {
-                peer.write("HTTP/1.1 200 OK\r\n\r\n" + body);
-                peer.socket().close();
-            } else {
-                peer.write(Http.ok(body));
-            }
-        }); Site site = Site.quiet().start(server)) {
+                    if (request.path().contains("chunked")) {
+                        peer.write(chunked(body, 70_001));
+                    } else if (request.path().contains("close")) {
+                        peer.write("HTTP/1.1 200 OK\r\n\r\n" + body);
+                        peer.socket().close();
+                    } else {
+                        peer.write(Http.ok(body));
+                    }
+                });
+                Site site = Site.quiet().start(server)) {
             for (String framing : List.of("length", "chunked", "close", "length")) {
                 Socket client = site.connect();
-                Site.write(client, Http.page("/api/" + framing, framing, "4000m")
-                        .replace("Host: b", "Connection: close\r\nHost: b"));
+                Site.write(
+                        client,
+                        Http.page("/api/" + framing, framing, "4000m")
+                                .replace("Host: b", "Connection: close\r\nHost: b"));
                 String answer = rest(client);
                 assertTrue(answer.startsWith("HTTP/1.1 200 "), framing);
                 String passed = answer.substring(answer.indexOf("\r\n\r\n") + 4);
@@ -182,15 +188,18 @@
     void aLongAnswerThatBreaksOffIsTriedNowhereElseAndSeenToBeCut(boolean chunked) throws Exception {
         String part = "p".repeat(100_000);
         try (FarServer bad = new FarServer((request, peer) -> {
-            peer.write(chunked ? Site.watchHead() + Site.chunk(part)
-                    : "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + part);
-            peer.reset();
-        }); Site site = Site.quiet().start(bad)) {
+                    peer.write(
+                            chunked
+                                    ? Site.watchHead() + Site.chunk(part)
+                                    : "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + part);
+                    peer.reset();
+                });
+                Site site = Site.quiet().start(bad)) {
             for (int i = 0; i < ASKED; i++) {
                 Socket client = site.connect();
                 Site.write(client, Http.page("/api/p", "t" + i, "4000m"));
-                assertThrows(IOException.class, () -> rest(client),
-                        "its end must not look like that of a whole answer");
+                assertThrows(
+                        IOException.class, () -> rest(client), "its end must not look like that of a whole answer");
                 assertEquals(i + 1, bad.requests.size());
             }
         }
@@ -199,9 +208,10 @@
     @Test
     void aBrokenEndOfWhatOnlyTheEndDelimitsIsNotServed() throws Exception {
         try (FarServer bad = new FarServer((request, peer) -> {
-            peer.write("HTTP/1.1 200 OK\r\n\r\nonly part of it");
-            peer.reset();
-        }); Site site = Site.quiet().start(bad)) {
+                    peer.write("HTTP/1.1 200 OK\r\n\r\nonly part of it");
+                    peer.reset();
+                });
+                Site site = Site.quiet().start(bad)) {
             assertEquals(502, site.ask(Http.order("t", "4000m")).status());
         }
     }
@@ -211,21 +221,22 @@
         AtomicLong written = new AtomicLong();
         CountDownLatch over = new CountDownLatch(1);
         try (FarServer server = new FarServer((request, peer) -> {
-            if (!request.path().contains("large")) {
-                peer.write(Http.ok("x"));
-                return;
-            }
-            try {
-                peer.write("HTTP/1.1 200 OK\r\nContent-Length: 500000000\r\n\r\n");
-                String piece = "y".repeat(100_000);
-                for (int i = 0; i < 5_000; i++) {
-                    peer.write(piece);
-                    written.addAndGet(100_000);
-                }
-            } finally {
-                over.countDown();
-            }
-        }); Site site = Site.quiet().start(server)) {
+                    if (!request.path().contains("large")) {
+                        peer.write(Http.ok("x"));
+                        return;
+                    }
+                    try {
+                        peer.write("HTTP/1.1 200 OK\r\nContent-Length: 500000000\r\n\r\n");
+                        String piece = "y".repeat(100_000);
+                        for (int i = 0; i < 5_000; i++) {
+                            peer.write(piece);
+                            written.addAndGet(100_000);
+                        }
+                    } finally {
+                        over.countDown();
+                    }
+                });
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             Site.write(client, Http.page("/api/large", "t", "4000m"));
             assertTrue(over.await(30, TimeUnit.SECONDS), "its server is let go");
@@ -237,10 +248,12 @@
     @Test
     void aClientThatLeavesInTheMiddleLetsGoOfTheServer() throws Exception {
         try (FarServer server = new FarServer((request, peer) -> {
-            peer.write(request.path().contains("large")
-                    ? "HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n" + "z".repeat(100_000)
-                    : Http.ok("x"));
-        }); Site site = Site.quiet().start(server)) {
+                    peer.write(
+                            request.path().contains("large")
+                                    ? "HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n" + "z".repeat(100_000)
+                                    : Http.ok("x"));
+                });
+                Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             Site.write(client, Http.page("/api/large", "t", "4000m"));
             assertEquals(100_000, client.getInputStream().readNBytes(100_000).length);
@@ -252,8 +265,8 @@
 
     @Test
     void anUnreadableLoadReportSpoilsNoAnswer() throws Exception {
-        try (FarServer server = new FarServer((request, peer) ->
-                peer.write(Http.answer("200 OK", "X-Pressure: TEXT %%=;{\"\r\n", "good")));
+        try (FarServer server = new FarServer(
+                        (request, peer) -> peer.write(Http.answer("200 OK", "X-Pressure: TEXT %%=;{\"\r\n", "good")));
                 Site site = Site.quiet().start(server)) {
             assertEquals("good", site.ask(Http.order("t", "4000m")).body());
         }
@@ -265,10 +278,14 @@
         EventLoop loop = Node.newLoop();
         try (ServerSocket far = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             // Nothing is read by itself, as when the loop has not come to it yet.
-            QuietChannel channel = (QuietChannel) new Bootstrap().group(loop)
-                    .channelFactory(NioNetwork.SYSTEM::dialer).option(ChannelOption.AUTO_READ, false)
+            QuietChannel channel = (QuietChannel) new Bootstrap()
+                    .group(loop)
+                    .channelFactory(NioNetwork.SYSTEM::dialer)
+                    .option(ChannelOption.AUTO_READ, false)
                     .handler(new ChannelInboundHandlerAdapter())
-                    .connect(far.getLocalSocketAddress()).sync().channel();
+                    .connect(far.getLocalSocketAddress())
+                    .sync()
+                    .channel();
             Socket server = far.accept();
             assertTrue(channel.isQuiet());
             server.getOutputStream().write('x');
@@ -288,8 +305,7 @@
 
     @Test
     void interimAnswersArePassedOver() throws Exception {
-        try (FarServer server = new FarServer((request, peer) ->
-                peer.write("HTTP/1.1 102 Processing\r\n\r\n"
+        try (FarServer server = new FarServer((request, peer) -> peer.write("HTTP/1.1 102 Processing\r\n\r\n"
                         + "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + Http.ok("final")));
                 Site site = Site.quiet().start(server)) {
             assertEquals("final", site.ask(Http.page("t")).body());
@@ -298,18 +314,19 @@
 
     @Test
     void whatComesBehindAnAnswerDoesNotAnswerTheNext() throws Exception {
-        try (FarServer server = new FarServer((request, peer) ->
-                peer.write(Http.ok(request.headers().get("x-txn")) + Http.ok("stray")));
+        try (FarServer server = new FarServer(
+                        (request, peer) -> peer.write(Http.ok(request.headers().get("x-txn")) + Http.ok("stray")));
                 Site site = Site.quiet().start(server)) {
             for (int i = 0; i < 3; i++) {
-                assertEquals("t" + i, site.ask(Http.page("/api/p", "t" + i, "4000m")).body());
+                assertEquals(
+                        "t" + i, site.ask(Http.page("/api/p", "t" + i, "4000m")).body());
             }
         }
     }
 
     @Test
     void anAttemptOutOfTimeIsGivenUpByClosingItsConnection() throws Exception {
-        try (FarServer silent = new FarServer((request, peer) -> { });
+        try (FarServer silent = new FarServer((request, peer) -> {});
                 Site site = Site.quiet().start(silent)) {
             assertEquals(502, site.ask(Http.order("t", "100m")).status());
             FarServer.next(silent.ended);
@@ -318,7 +335,8 @@
 
     @Test
     void theMostRecentlyUsedConnectionIsTakenAndOldOnesAreClosed() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet()) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet()) {
             site.connIdleUs = 200_000;
             site.start(server);
             assertEquals(200, site.ask(Http.page("a")).status());
@@ -337,7 +355,8 @@
         try (ServerSocket hanging = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
                 Socket one = new Socket(hanging.getInetAddress(), hanging.getLocalPort());
                 Socket two = new Socket(hanging.getInetAddress(), hanging.getLocalPort());
-                FarServer good = FarServer.serving("x"); Site site = Site.quiet()) {
+                FarServer good = FarServer.serving("x");
+                Site site = Site.quiet()) {
             assertTrue(one.isConnected() && two.isConnected());
             String hangs = "s0=127.0.0.1:" + hanging.getLocalPort();
             site.startKnowing(Site.list(1, true, hangs + "=Ready"));
@@ -346,15 +365,16 @@
             Site.write(client, Http.order("t", "5000m"));
             // Once the answer to a later request is there, the order has been taken up and awaits its turn.
             assertEquals(404, site.ask(Http.page("/nothing", "u", "1m")).status());
-            watch.write(Site.chunk(Site.list(2, false, hangs + "=Terminating",
-                    "s1=" + good.endpoint() + "=Ready") + "\n"));
+            watch.write(
+                    Site.chunk(Site.list(2, false, hangs + "=Terminating", "s1=" + good.endpoint() + "=Ready") + "\n"));
             assertEquals(200, Http.read(client.getInputStream()).status());
         }
     }
 
     @Test
     void aChangedEndpointMovesNewConnections() throws Exception {
-        try (FarServer before = FarServer.serving("old"); FarServer after = FarServer.serving("new");
+        try (FarServer before = FarServer.serving("old");
+                FarServer after = FarServer.serving("new");
                 Site site = Site.quiet().start(before)) {
             FarServer.Peer watch = FarServer.next(site.discovery.peers);
             assertEquals("old", site.ask(Http.page("a")).body());
--- a/src/test/java/kitemux/node/SignalAtOpeningTest.java
+++ b/src/test/java/kitemux/node/SignalAtOpeningTest.java
@@ -17,12 +17,10 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-
+import kitemux.cli.Main;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import kitemux.cli.Main;
-
 /** SIGTERM in each of the moments in which a process begins to listen, forced by a debugger. */
 class SignalAtOpeningTest {
     private static final int MOST_MS = 20_000;
@@ -37,16 +35,24 @@
                  "known":%s,
                  "settings":{"membershipMode":"on_request","limits":{"attemptsCap":1},
                   "classes":[{"name":"page","onTimeUs":1000000,"giveUpUs":20000000,"repeat":"safe"}]}}
-                """.formatted(port(holder), Site.list(1, true, "s0=" + server.endpoint() + "=Ready")
-                        .replace("\"here\"", "\"\"")));
-        return Debuggee.start(List.of(ProcessHandle.current().info().command().orElseThrow(),
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                Main.class.getName(), "node"), Map.of("PROXY_CONFIG", config.toString()));
+                """.formatted(
+                        port(holder),
+                        Site.list(1, true, "s0=" + server.endpoint() + "=Ready").replace("\"here\"", "\"\"")));
+        return Debuggee.start(
+                List.of(
+                        ProcessHandle.current().info().command().orElseThrow(),
+                        "-XX:TieredStopAtLevel=1",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Main.class.getName(),
+                        "node"),
+                Map.of("PROXY_CONFIG", config.toString()));
     }
 
     /** Keeps a port for a process that is yet to listen. */
     private static SocketChannel holder() throws IOException {
-        return SocketChannel.open().setOption(StandardSocketOptions.SO_REUSEADDR, true)
+        return SocketChannel.open()
+                .setOption(StandardSocketOptions.SO_REUSEADDR, true)
                 .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     }
 
@@ -79,7 +85,8 @@
 
     @Test
     void betweenTheHookAndTheListenerItEndsAndNeverListens() throws Exception {
-        try (FarServer server = FarServer.serving("x"); SocketChannel holder = holder();
+        try (FarServer server = FarServer.serving("x");
+                SocketChannel holder = holder();
                 Debuggee node = node(server, holder)) {
             node.stopAtEnd("java.lang.Runtime", "addShutdownHook");
             node.awaitStop(Node.class.getName());
@@ -94,7 +101,8 @@
     @Test
     void asTheListenerOpensWhoConnectsIsServed() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
-        try (FarServer server = FarServer.servingFrom(answer, "late"); SocketChannel holder = holder();
+        try (FarServer server = FarServer.servingFrom(answer, "late");
+                SocketChannel holder = holder();
                 Debuggee node = node(server, holder)) {
             node.stopAtBegin(Opening.class.getName(), "open");
             Debuggee.Stop opens = node.awaitStop(Node.class.getName());
@@ -117,7 +125,8 @@
     @Test
     void onceItListensAndHasDoneNothingElseWhoIsTakenIsServed() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
-        try (FarServer server = FarServer.servingFrom(answer, "late"); SocketChannel holder = holder();
+        try (FarServer server = FarServer.servingFrom(answer, "late");
+                SocketChannel holder = holder();
                 Debuggee node = node(server, holder)) {
             node.stopAtEnd(Opening.class.getName(), "open");
             node.stepOut(node.awaitStop(Node.class.getName()));
--- a/src/test/java/kitemux/node/Site.java
+++ b/src/test/java/kitemux/node/Site.java
@@ -13,7 +13,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
-
 import kitemux.Balancer;
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
@@ -42,6 +41,7 @@
     Function<Balancer.Actions, Balancer> module;
     /** Where the node says what operators are to know. */
     Log log = new StderrLog();
+
     Node node;
     private InetSocketAddress address;
     private final List<Socket> clients = new ArrayList<>();
@@ -83,17 +83,27 @@
         StringBuilder targets = new StringBuilder();
         for (String entry : entries) {
             String[] parts = entry.split("=");
-            targets.append(targets.isEmpty() ? "" : ",").append("{\"uid\":\"").append(parts[0])
-                    .append("\",\"endpoint\":\"").append(parts[1])
-                    .append("\",\"az\":\"here\",\"pod_group\":0,\"state\":\"").append(parts[2])
+            targets.append(targets.isEmpty() ? "" : ",")
+                    .append("{\"uid\":\"")
+                    .append(parts[0])
+                    .append("\",\"endpoint\":\"")
+                    .append(parts[1])
+                    .append("\",\"az\":\"here\",\"pod_group\":0,\"state\":\"")
+                    .append(parts[2])
                     .append("\",\"capacity_hint\":1.0,\"boot_ms\":0}");
         }
         return "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[" + targets + "]}";
     }
 
     NodeConfig config(String known) throws Exception {
-        return new NodeConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), operators,
-                Addresses.read("discovery", discovery.endpoint()), 7, sockets, connIdleUs, folder,
+        return new NodeConfig(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                operators,
+                Addresses.read("discovery", discovery.endpoint()),
+                7,
+                sockets,
+                connIdleUs,
+                folder,
                 HostListReader.read(Json.read(known.getBytes(StandardCharsets.UTF_8)), settings.zones, ""),
                 settings);
     }
@@ -110,7 +120,8 @@
     Site startKnowing(String known) throws Exception {
         node = new Node(config(known), loop, Node.Parts.real(loop, log, module));
         if (operators != null) {
-            operators = (InetSocketAddress) node.listenForOperators().sync().channel().localAddress();
+            operators = (InetSocketAddress)
+                    node.listenForOperators().sync().channel().localAddress();
         }
         address = (InetSocketAddress) node.start().sync().channel().localAddress();
         return this;
@@ -125,12 +136,14 @@
 
     /** Waits until no connection is taken: the system closes the listener a moment after the loop has. */
     void awaitNoneTaken() {
-        assertTimeoutPreemptively(Duration.ofSeconds(20), () -> assertThrows(IOException.class, () -> {
-            while (true) {
-                connect();
-                Thread.yield();
-            }
-        }));
+        assertTimeoutPreemptively(
+                Duration.ofSeconds(20),
+                () -> assertThrows(IOException.class, () -> {
+                    while (true) {
+                        connect();
+                        Thread.yield();
+                    }
+                }));
     }
 
     static Http.Message ask(Socket client, String request) throws IOException {
--- a/src/test/java/kitemux/node/TermsTest.java
+++ b/src/test/java/kitemux/node/TermsTest.java
@@ -19,17 +19,15 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
 import kitemux.ServiceQBalancer;
 import kitemux.http.RequestReader;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Single sentences of the operators' page that no other test forces over real sockets. */
 @Timeout(60)
@@ -53,7 +51,8 @@
     @Test
     void aFurtherAttemptTellsWhatIsLeft() throws Exception {
         AtomicInteger failed = new AtomicInteger();
-        try (FarServer one = failingAfter(300, failed); FarServer two = failingAfter(300, failed);
+        try (FarServer one = failingAfter(300, failed);
+                FarServer two = failingAfter(300, failed);
                 Site site = Site.quiet().start(one, two)) {
             long askedAt = System.nanoTime();
             assertEquals(200, site.ask(Http.page("/api/p", "t", "2000m")).status());
@@ -74,16 +73,16 @@
     /** A window for repeats that is shorter than the deadline: a server that fails after it is the last. */
     @ParameterizedTest
     @CsvSource({"50, 2, 200", "400, 1, 502"})
-    void aKeyedRequestIsRepeatedWithinItsWindowOnly(long failsAfterMs, int attempts, int status)
-            throws Exception {
+    void aKeyedRequestIsRepeatedWithinItsWindowOnly(long failsAfterMs, int attempts, int status) throws Exception {
         AtomicInteger failed = new AtomicInteger();
-        try (FarServer one = failingAfter(failsAfterMs, failed); FarServer two = failingAfter(failsAfterMs,
-                failed); Site site = Site.quiet()) {
-            site.settings.classes.set(1, new RequestClass("photo", 1_000_000, 0, 5_000_000, 1, 0,
-                    Repeat.KEYED, Group.CELL, 250_000, false));
+        try (FarServer one = failingAfter(failsAfterMs, failed);
+                FarServer two = failingAfter(failsAfterMs, failed);
+                Site site = Site.quiet()) {
+            site.settings.classes.set(
+                    1,
+                    new RequestClass("photo", 1_000_000, 0, 5_000_000, 1, 0, Repeat.KEYED, Group.CELL, 250_000, false));
             site.start(one, two);
-            String photo = Http.order("t", "4000m").replace("X-Lane: order",
-                    "X-Lane: photo\r\nIdempotency-Key: k");
+            String photo = Http.order("t", "4000m").replace("X-Lane: order", "X-Lane: photo\r\nIdempotency-Key: k");
             assertEquals(status, site.ask(photo).status());
             assertEquals(attempts, one.requests.size() + two.requests.size());
         }
@@ -124,7 +123,8 @@
     /** What comes on a resting connection once the node has ended it is not sent on. */
     @Test
     void whatComesAfterARestingConnectionWasEndedIsNotSentOn() throws Exception {
-        try (FarServer server = FarServer.serving("x"); Site site = Site.quiet().start(server)) {
+        try (FarServer server = FarServer.serving("x");
+                Site site = Site.quiet().start(server)) {
             Socket rests = site.connect();
             assertEquals(200, Site.ask(rests, Http.page("before")).status());
             CountDownLatch done = new CountDownLatch(1);
--- a/src/test/java/kitemux/node/UnsoundNode.java
+++ b/src/test/java/kitemux/node/UnsoundNode.java
@@ -1,5 +1,6 @@
 package kitemux.node;
 
+import io.netty.channel.EventLoop;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
 import java.util.HashMap;
@@ -7,9 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-
-import io.netty.channel.EventLoop;
-
 import kitemux.Balancer;
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
@@ -40,7 +38,7 @@
     private static final long LATE_MS = 200;
     private static final int ONE_OF = 10;
 
-    private UnsoundNode() { }
+    private UnsoundNode() {}
 
     /**
      * Runs until it is killed.
@@ -50,15 +48,24 @@
     public static void main(String[] args) throws Exception {
         NodeConfig config = NodeConfig.read(System.getenv());
         PollingLoop loop = Node.newLoop();
-        Node.Parts sound = Node.Parts.real(loop, new StderrLog(), actions ->
-                new ServiceQBalancer(config.settings(), config.seed(), actions));
-        Node.Parts parts = switch (Defect.valueOf(args[0])) {
-            case SENDS_ON_LATE -> new LateSender(loop, true).in(sound);
-            case NEVER_ANSWERS -> new LateSender(loop, false).in(sound);
-            case BUDGETS_BY_NODE -> new Node.Parts(NioNetwork.SYSTEM, LoopTime.of(loop), sound.log(),
-                    Observer.NONE, ConnectionObserver.NONE, SendGate.open(), actions -> BudgetsByNode.module(config.settings(),
-                            config.seed(), actions, Double.parseDouble(args[1])), sound.transport());
-        };
+        Node.Parts sound = Node.Parts.real(
+                loop, new StderrLog(), actions -> new ServiceQBalancer(config.settings(), config.seed(), actions));
+        Node.Parts parts =
+                switch (Defect.valueOf(args[0])) {
+                    case SENDS_ON_LATE -> new LateSender(loop, true).in(sound);
+                    case NEVER_ANSWERS -> new LateSender(loop, false).in(sound);
+                    case BUDGETS_BY_NODE ->
+                        new Node.Parts(
+                                NioNetwork.SYSTEM,
+                                LoopTime.of(loop),
+                                sound.log(),
+                                Observer.NONE,
+                                ConnectionObserver.NONE,
+                                SendGate.open(),
+                                actions -> BudgetsByNode.module(
+                                        config.settings(), config.seed(), actions, Double.parseDouble(args[1])),
+                                sound.transport());
+                };
         new Node(config, loop, parts).start().sync();
         System.err.println("listening on " + config.listen());
     }
@@ -78,17 +85,23 @@
         }
 
         Node.Parts in(Node.Parts sound) {
-            return new Node.Parts(sound.network(), sound.time(), sound.log(), this, sound.connections(),
+            return new Node.Parts(
+                    sound.network(),
+                    sound.time(),
+                    sound.log(),
+                    this,
+                    sound.connections(),
                     sound.gate(),
-                    actions -> around(sound.module().apply(actions)), to -> {
+                    actions -> around(sound.module().apply(actions)),
+                    to -> {
                         transport = to;
                         return to;
                     });
         }
 
         private Balancer around(Balancer module) {
-            return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
-                    new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
+            return (Balancer) Proxy.newProxyInstance(
+                    Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
                         switch (method.getName()) {
                             case "onRequest" -> {
                                 long id = ((Balancer.Request) args[1]).id();
@@ -125,20 +138,23 @@
         }
 
         private void later(ClientRequest request) {
-            loop.schedule(() -> transport.start(server, new Transport.Exchange<>() {
-                @Override
-                public ClientRequest request() {
-                    return request;
-                }
+            loop.schedule(
+                    () -> transport.start(server, new Transport.Exchange<>() {
+                        @Override
+                        public ClientRequest request() {
+                            return request;
+                        }
 
-                @Override
-                public long untilUs() {
-                    return Long.MAX_VALUE;
-                }
+                        @Override
+                        public long untilUs() {
+                            return Long.MAX_VALUE;
+                        }
 
-                @Override
-                public void ended(Balancer.Result result, kitemux.net.Answer answer) { }
-            }), LATE_MS, TimeUnit.MILLISECONDS);
+                        @Override
+                        public void ended(Balancer.Result result, kitemux.net.Answer answer) {}
+                    }),
+                    LATE_MS,
+                    TimeUnit.MILLISECONDS);
         }
 
         @Override
--- a/src/test/java/kitemux/node/UpgradeTest.java
+++ b/src/test/java/kitemux/node/UpgradeTest.java
@@ -15,7 +15,6 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -33,9 +32,13 @@
     private Path folder;
 
     /** What a request got that was sent on a connection of the old process. */
-    private enum Outcome { ANSWERED, CLOSED_UNSENT, ENDED_WITH_NO_ANSWER }
+    private enum Outcome {
+        ANSWERED,
+        CLOSED_UNSENT,
+        ENDED_WITH_NO_ANSWER
+    }
 
-    private record Sent(String txn, long afterMs, Outcome outcome) { }
+    private record Sent(String txn, long afterMs, Outcome outcome) {}
 
     private static String page(String path, String txn, long deadlineMs) {
         return Http.page(path, txn, deadlineMs + "m").replace("X-Org: org\r\n", "");
@@ -86,8 +89,10 @@
     void whatTheOldProcessReadIsAnsweredBeforeTheEarliestKill(long deadlineMs) throws Exception {
         CountDownLatch end = new CountDownLatch(1);
         ScheduledExecutorService clock = Executors.newScheduledThreadPool(64);
-        try (FarServer first = hanging(end); FarServer second = hanging(end);
-                SocketChannel clientsAt = NodeProcess.holder(); SocketChannel firstOperators = NodeProcess.holder();
+        try (FarServer first = hanging(end);
+                FarServer second = hanging(end);
+                SocketChannel clientsAt = NodeProcess.holder();
+                SocketChannel firstOperators = NodeProcess.holder();
                 SocketChannel secondOperators = NodeProcess.holder();
                 NodeProcess old = NodeProcess.start(folder, clientsAt, firstOperators, deadlineMs, first, second)
                         .awaitListening()) {
@@ -103,7 +108,10 @@
             List<Socket> resting = new ArrayList<>();
             for (int i = 0; i < instants.size(); i++) {
                 Socket client = old.connect();
-                assertEquals(200, Site.ask(client, page("/api/p", "before" + i, deadlineMs)).status());
+                assertEquals(
+                        200,
+                        Site.ask(client, page("/api/p", "before" + i, deadlineMs))
+                                .status());
                 resting.add(client);
             }
             try (NodeProcess next = NodeProcess.start(folder, clientsAt, secondOperators, deadlineMs, first, second)
@@ -116,11 +124,14 @@
                     Socket client = resting.get(i);
                     String txn = "late" + i;
                     long at = termNanos + instants.get(i) * 1_000_000 - System.nanoTime();
-                    sending.add(clock.schedule(() -> use(client, txn, deadlineMs, termNanos), at,
-                            TimeUnit.NANOSECONDS));
+                    sending.add(
+                            clock.schedule(() -> use(client, txn, deadlineMs, termNanos), at, TimeUnit.NANOSECONDS));
                 }
-                clock.schedule(() -> old.process.destroyForcibly(),
-                        termNanos + killMs * 1_000_000 - System.nanoTime(), TimeUnit.NANOSECONDS).get();
+                clock.schedule(
+                                () -> old.process.destroyForcibly(),
+                                termNanos + killMs * 1_000_000 - System.nanoTime(),
+                                TimeUnit.NANOSECONDS)
+                        .get();
                 List<Sent> ended = new ArrayList<>();
                 for (Future<Sent> one : sending) {
                     Sent sent = one.get(30, TimeUnit.SECONDS);
@@ -129,9 +140,12 @@
                     }
                 }
                 List<String> trace = old.trace();
-                List<Sent> lost = ended.stream().filter(sent -> trace.stream()
-                        .anyMatch(line -> line.contains("request " + sent.txn + " taken"))).toList();
-                assertTrue(trace.stream().anyMatch(line -> line.matches(".*request late\\d+ taken.*")),
+                List<Sent> lost = ended.stream()
+                        .filter(sent ->
+                                trace.stream().anyMatch(line -> line.contains("request " + sent.txn + " taken")))
+                        .toList();
+                assertTrue(
+                        trace.stream().anyMatch(line -> line.matches(".*request late\\d+ taken.*")),
                         "no request was read after SIGTERM: nothing was tried");
                 assertEquals(List.of(), lost, () -> "lost; the node said " + old.lines);
             }
--- a/src/test/java/kitemux/node/WrittenConfigTest.java
+++ b/src/test/java/kitemux/node/WrittenConfigTest.java
@@ -11,10 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
-
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.ServerState;
@@ -23,6 +19,8 @@
 import kitemux.app.ConfigWriter;
 import kitemux.config.ConfigException;
 import kitemux.net.HostList;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /**
  * Descriptions that something has happened to: lines dropped, doubled, swapped, values scaled or taken from
@@ -31,10 +29,28 @@
  */
 class WrittenConfigTest {
     private static final int MUTANTS = 4_000;
-    private static final String[] VALUES = {"0", "-1", "1", "0.5", "1e9", "\"\"", "\"1ms\"", "\"9h\"",
-            "true", "[]",
-        "\"safe\"", "\"keyed\"", "\"never-twice\"", "\"all\"", "\"rack\"", "\"draining\"", "\"gone\"",
-        "\"127.0.0.1:9001\"", "[\"web-1\"]", "\"10.0.0.0/8\""};
+    private static final String[] VALUES = {
+        "0",
+        "-1",
+        "1",
+        "0.5",
+        "1e9",
+        "\"\"",
+        "\"1ms\"",
+        "\"9h\"",
+        "true",
+        "[]",
+        "\"safe\"",
+        "\"keyed\"",
+        "\"never-twice\"",
+        "\"all\"",
+        "\"rack\"",
+        "\"draining\"",
+        "\"gone\"",
+        "\"127.0.0.1:9001\"",
+        "[\"web-1\"]",
+        "\"10.0.0.0/8\""
+    };
 
     @TempDir
     private Path folder;
@@ -52,10 +68,8 @@
                     lines.set(at, lines.get(other));
                     lines.set(other, line);
                 }
-                case 3 -> lines.set(at, lines.get(at).replaceAll("= .*", "= "
-                        + VALUES[random.nextInt(VALUES.length)]));
-                default -> lines.set(at, lines.get(at).replaceAll("(\\d)", random.nextBoolean() ? "$10"
-                        : ""));
+                case 3 -> lines.set(at, lines.get(at).replaceAll("= .*", "= " + VALUES[random.nextInt(VALUES.length)]));
+                default -> lines.set(at, lines.get(at).replaceAll("(\\d)", random.nextBoolean() ? "$10" : ""));
             }
         }
         return String.join("\n", lines);
@@ -68,21 +82,22 @@
             if (of.repeat() == Repeat.KEYED) {
                 assertTrue(of.windowUs() > 0 && of.windowUs() <= app.keys().keptUs(), text);
             }
-            assertTrue(of.aimUs() <= of.deadlineUs() && read.settings().connectTimeoutUs < of.deadlineUs(),
-                    text);
+            assertTrue(of.aimUs() <= of.deadlineUs() && read.settings().connectTimeoutUs < of.deadlineUs(), text);
         }
         app.neverTwice().forEach(name -> assertEquals(Repeat.UNSAFE, classes.get(name), text));
         app.classes().forEach(work -> assertEquals(work.again(), classes.get(work.name()), text));
         boolean ready = false;
         for (HostList.Host host : read.known().hosts()) {
-            App.Server described = app.servers().stream().filter(s -> s.name().equals(host.entry().id()))
-                    .findFirst().orElseThrow();
-            assertEquals(described.state() == App.State.READY, host.entry().state() == ServerState.READY,
-                    text);
+            App.Server described = app.servers().stream()
+                    .filter(s -> s.name().equals(host.entry().id()))
+                    .findFirst()
+                    .orElseThrow();
+            assertEquals(described.state() == App.State.READY, host.entry().state() == ServerState.READY, text);
             ready |= described.state() == App.State.READY;
         }
         assertTrue(ready || !app.discovery().isEmpty(), text);
-        double quota = read.settings().tenants.stream().mapToDouble(t -> t.quotaPerS()).sum();
+        double quota =
+                read.settings().tenants.stream().mapToDouble(t -> t.quotaPerS()).sum();
         assertTrue(quota <= app.quotaPerS() * (1 + 1e-6), text);
     }
 
@@ -102,14 +117,12 @@
                 try {
                     holds(reading.app(), NodeConfig.read(Map.of("PROXY_CONFIG", file.toString())), text);
                 } catch (ConfigException e) {
-                    throw new AssertionError("found sound, and a node does not read it: " + e.getMessage()
-                            + "\n"
-                            + text, e);
+                    throw new AssertionError(
+                            "found sound, and a node does not read it: " + e.getMessage() + "\n" + text, e);
                 }
             }
         }
-        assertTrue(passed > MUTANTS / 20, "only " + passed
-                + " were found sound: the mutants are too broken to tell");
+        assertTrue(passed > MUTANTS / 20, "only " + passed + " were found sound: the mutants are too broken to tell");
         assertTrue(passed < MUTANTS, "nothing was found in any");
     }
 }
--- a/src/test/java/kitemux/ops/ServersByHandTest.java
+++ b/src/test/java/kitemux/ops/ServersByHandTest.java
@@ -10,18 +10,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-
-import org.junit.jupiter.api.Test;
-
-import net.jqwik.api.ForAll;
-import net.jqwik.api.Property;
-import net.jqwik.api.constraints.IntRange;
-import net.jqwik.api.constraints.Size;
-
 import kitemux.Balancer.ServerEntry;
 import kitemux.Balancer.ServerState;
 import kitemux.net.HostList;
 import kitemux.net.HostList.Host;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
 
 class ServersByHandTest {
     private static Host host(String id, ServerState state, long startedAtUs) {
@@ -50,7 +47,9 @@
     @Test
     void whatIsOutDrainsWhateverTheListSays() {
         servers.told(list(true, host("a", ServerState.READY, 0), host("b", ServerState.READY, 0)));
-        assertEquals(ServerState.DRAINING, only(servers.takeOut(Map.of("a", 100L), 100)).state());
+        assertEquals(
+                ServerState.DRAINING,
+                only(servers.takeOut(Map.of("a", 100L), 100)).state());
         HostList again = servers.told(list(false, host("a", ServerState.READY, 50)));
         assertEquals(ServerState.DRAINING, only(again.hosts()).state());
         assertEquals(50, only(again.hosts()).startedAtUs());
@@ -58,8 +57,10 @@
         assertEquals(ServerState.GONE, only(gone.hosts()).state());
         assertEquals(1, servers.listed());
         assertTrue(servers.isKnown("a"), "it can still be called back");
-        assertEquals(ServerState.DRAINING,
-                only(servers.told(list(false, host("a", ServerState.READY, 60))).hosts()).state());
+        assertEquals(
+                ServerState.DRAINING,
+                only(servers.told(list(false, host("a", ServerState.READY, 60))).hosts())
+                        .state());
     }
 
     @Test
@@ -69,20 +70,31 @@
         ServerEntry back = only(servers.takeOut(Map.of(), 200));
         assertEquals(ServerState.READY, back.state());
         assertEquals(200, back.startedAtUs(), "full load would come too soon");
-        assertEquals(200, only(servers.told(list(false, host("a", ServerState.READY, 5))).hosts())
-                .startedAtUs());
-        assertEquals(150, only(servers.told(list(false, host("a", ServerState.READY, 150))).hosts())
-                .startedAtUs(), "the start that operators made");
-        assertEquals(0, only(servers.told(list(false, host("b", ServerState.READY, 0))).hosts())
-                .startedAtUs());
+        assertEquals(
+                200,
+                only(servers.told(list(false, host("a", ServerState.READY, 5))).hosts())
+                        .startedAtUs());
+        assertEquals(
+                150,
+                only(servers.told(list(false, host("a", ServerState.READY, 150)))
+                                .hosts())
+                        .startedAtUs(),
+                "the start that operators made");
+        assertEquals(
+                0,
+                only(servers.told(list(false, host("b", ServerState.READY, 0))).hosts())
+                        .startedAtUs());
     }
 
     @Test
     void whoseStartDiscoveryHasToldMeanwhileIsTakenAtItsWord() {
         servers.told(list(true, host("a", ServerState.READY, 5)));
         servers.takeOut(Map.of("a", 100L), 100);
-        assertEquals(ServerState.DRAINING, only(servers.told(list(false, host("a", ServerState.READY, 150)))
-                .hosts()).state());
+        assertEquals(
+                ServerState.DRAINING,
+                only(servers.told(list(false, host("a", ServerState.READY, 150)))
+                                .hosts())
+                        .state());
         assertEquals(150, only(servers.takeOut(Map.of(), 200)).startedAtUs());
     }
 
@@ -129,7 +141,8 @@
                 }
                 case 2 -> {
                     listed.remove(id);
-                    changes.addAll(under.told(list(false, host(id, ServerState.GONE, 0))).hosts());
+                    changes.addAll(under.told(list(false, host(id, ServerState.GONE, 0)))
+                            .hosts());
                 }
                 case 3 -> {
                     out.putIfAbsent(id, now);
--- a/src/test/java/kitemux/ops/SharedFolderTest.java
+++ b/src/test/java/kitemux/ops/SharedFolderTest.java
@@ -18,16 +18,15 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 class SharedFolderTest {
-    private static final InetSocketAddress LISTEN = new InetSocketAddress(InetAddress.getLoopbackAddress(),
-            8000);
+    private static final InetSocketAddress LISTEN = new InetSocketAddress(InetAddress.getLoopbackAddress(), 8000);
 
     @TempDir
     Path tmp;
+
     private final BlockingQueue<Map<String, Long>> told = new LinkedBlockingQueue<>();
 
     private static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
@@ -82,8 +81,8 @@
     @Test
     void nodesAtOtherAddressesKeepTheirOwn() throws Exception {
         try (SharedFolder here = new SharedFolder(tmp, LISTEN, told::add);
-                SharedFolder there = new SharedFolder(tmp,
-                        new InetSocketAddress(InetAddress.getByName("127.0.0.2"), 8000), told::add)) {
+                SharedFolder there = new SharedFolder(
+                        tmp, new InetSocketAddress(InetAddress.getByName("127.0.0.2"), 8000), told::add)) {
             assertNull(set(here, "a", true));
             assertNull(set(there, "b", true));
             assertEquals(Set.of("a"), told.poll().keySet());
--- a/src/test/java/kitemux/orders/JournalOnDisk.java
+++ b/src/test/java/kitemux/orders/JournalOnDisk.java
@@ -3,18 +3,17 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
-
 import kitemux.disk.FolderDisk;
 
 /** Journals in folders, for tests of other packages. */
 public final class JournalOnDisk {
-    private JournalOnDisk() { }
+    private JournalOnDisk() {}
 
     /** Writes entries to a journal as a node would that ends right after. */
     public static void write(Path folder, Entry... entries) throws IOException {
         try (FolderDisk disk = FolderDisk.toWrite(folder);
-                Journal journal = Journal.open(disk, new Journal.Limits(1 << 20, Long.MAX_VALUE, 0, 0),
-                        () -> 9, () -> 77, line -> { })) {
+                Journal journal = Journal.open(
+                        disk, new Journal.Limits(1 << 20, Long.MAX_VALUE, 0, 0), () -> 9, () -> 77, line -> {})) {
             journal.append(List.of(entries));
             journal.sync();
         }
@@ -23,8 +22,16 @@
     /** A request that is taken with this path key and idempotency key, and the body that all have. */
     public static Entry.Taken again(long number, String order, String key, String idempotencyKey) {
         Entry.Taken like = JournalTest.taken(number, order);
-        return new Entry.Taken(number, like.atUs(), order, like.requestClass(), like.tenant(), key,
-                idempotencyKey, like.bodyBytes(), like.digest());
+        return new Entry.Taken(
+                number,
+                like.atUs(),
+                order,
+                like.requestClass(),
+                like.tenant(),
+                key,
+                idempotencyKey,
+                like.bodyBytes(),
+                like.digest());
     }
 
     /** Holds a journal as a live node does. */
--- a/src/test/java/kitemux/orders/JournalTest.java
+++ b/src/test/java/kitemux/orders/JournalTest.java
@@ -12,9 +12,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.disk.Disk;
 import kitemux.disk.MemoryDisk;
 import kitemux.orders.Entry.Answer;
@@ -24,6 +21,7 @@
 import kitemux.orders.Entry.LeftOpen;
 import kitemux.orders.Entry.Result;
 import kitemux.orders.Entry.Taken;
+import org.junit.jupiter.api.Test;
 
 /** A journal whose power is cut, at each of its steps. */
 class JournalTest {
@@ -37,8 +35,12 @@
 
     private Journal open(Disk disk, long mostSegment, long seed) throws IOException {
         SplittableRandom random = new SplittableRandom(seed);
-        return Journal.open(disk, new Journal.Limits(mostSegment, ageUs, keepUs, keepBytes), () -> clockUs++,
-                random::nextLong, lines::add);
+        return Journal.open(
+                disk,
+                new Journal.Limits(mostSegment, ageUs, keepUs, keepBytes),
+                () -> clockUs++,
+                random::nextLong,
+                lines::add);
     }
 
     static Taken taken(long number, String order) {
@@ -68,12 +70,12 @@
             for (int i = 0; i < count; i++) {
                 long number = journal.next();
                 run.begun.add(number);
-                journal.append(List.of(taken(number, "o" + number),
-                        new Intent(number, 6, 0, "s1", "127.0.0.1:1", 900)));
+                journal.append(
+                        List.of(taken(number, "o" + number), new Intent(number, 6, 0, "s1", "127.0.0.1:1", 900)));
                 journal.sync();
                 run.durableIntents.add(number);
-                journal.append(List.of(new Ended(number, 7, 0, Result.OK, true),
-                        new Answered(number, 8, Answer.SERVED)));
+                journal.append(
+                        List.of(new Ended(number, 7, 0, Result.OK, true), new Answered(number, 8, Answer.SERVED)));
                 journal.sync();
                 run.durableAnswers.add(number);
             }
@@ -105,7 +107,9 @@
         assertTrue(run.begun.containsAll(taken.keySet()), "an order that nobody sent");
         assertTrue(taken.values().stream().allMatch(n -> n == 1), "an order recorded twice");
         for (long number : taken.keySet()) {
-            assertEquals(answers.contains(number) ? 0 : 1, left.getOrDefault(number, 0),
+            assertEquals(
+                    answers.contains(number) ? 0 : 1,
+                    left.getOrDefault(number, 0),
                     "open orders are marked, once, and no others: " + number);
         }
     }
@@ -154,9 +158,15 @@
         bytes[before.get(4).offset() + Segment.FRAME + 3] ^= 0x10;
         disk.put(name, bytes);
         open(disk, 1 << 20, 8).close();
-        assertTrue(lines.stream().anyMatch(line -> line.contains(name + ", offset "
-                + before.get(4).offset() + ":") && line.contains("checksum")), lines.toString());
-        assertEquals(before.size() - 1, entries(disk).stream().filter(e -> !(e instanceof LeftOpen)).count());
+        assertTrue(
+                lines.stream()
+                        .anyMatch(line ->
+                                line.contains(name + ", offset " + before.get(4).offset() + ":")
+                                        && line.contains("checksum")),
+                lines.toString());
+        assertEquals(
+                before.size() - 1,
+                entries(disk).stream().filter(e -> !(e instanceof LeftOpen)).count());
     }
 
     @Test
@@ -187,8 +197,13 @@
                 switch (random.nextInt(3)) {
                     case 0 -> bytes[at] ^= (byte) (1 << random.nextInt(8));
                     case 1 -> bytes = java.util.Arrays.copyOf(bytes, Math.max(1, at));
-                    default -> System.arraycopy(sound, 0, bytes, Math.min(at, bytes.length),
-                            Math.min(40, bytes.length - Math.min(at, bytes.length)));
+                    default ->
+                        System.arraycopy(
+                                sound,
+                                0,
+                                bytes,
+                                Math.min(at, bytes.length),
+                                Math.min(40, bytes.length - Math.min(at, bytes.length)));
                 }
             }
             Segment.Content content = Segment.read(bytes);
@@ -238,8 +253,7 @@
             long waiting = journal.next();
             journal.append(List.of(taken(waiting, "waits"), new Intent(waiting, 6, 0, "s", "", 9)));
             for (int i = 1; i < 12; i++) {
-                journal.append(List.of(taken(waiting + i, "o" + i), new Answered(waiting + i, 8,
-                        Answer.REFUSED)));
+                journal.append(List.of(taken(waiting + i, "o" + i), new Answered(waiting + i, 8, Answer.REFUSED)));
             }
             journal.sync();
             assertTrue(entries(disk).contains(taken(waiting, "waits")), "open, however old");
@@ -259,14 +273,14 @@
             bytes += disk.size(SegmentNames.of(segment));
         }
         assertTrue(bytes <= keepBytes + 1_000, bytes + " bytes: at most what one segment holds beyond");
-        assertTrue(disk.list().stream().noneMatch(name -> name.equals(SegmentNames.index(1))),
+        assertTrue(
+                disk.list().stream().noneMatch(name -> name.equals(SegmentNames.index(1))),
                 "an index goes with its segment");
         try (Journal journal = open(disk, 400, 8)) {
             long waiting = journal.next();
             journal.append(List.of(taken(waiting, "waits"), new Intent(waiting, 6, 0, "s", "", 9)));
             for (int i = 1; i < 30; i++) {
-                journal.append(List.of(taken(waiting + i, "o" + i), new Answered(waiting + i, 8,
-                        Answer.REFUSED)));
+                journal.append(List.of(taken(waiting + i, "o" + i), new Answered(waiting + i, 8, Answer.REFUSED)));
             }
             assertTrue(entries(disk).contains(taken(waiting, "waits")), "open, however much there is");
         }
@@ -300,15 +314,20 @@
         assertEquals(1, new JournalReader(disk).verify().faults().size(), "long enough, and no header");
         disk.put(SegmentNames.of(2), new byte[3]);
         disk.put(SegmentNames.of(3), first);
-        assertEquals(2, new JournalReader(disk).verify().faults().size(),
-                "not the last, and one that says it is another");
+        assertEquals(
+                2, new JournalReader(disk).verify().faults().size(), "not the last, and one that says it is another");
     }
 
     private static List<String> found(MemoryDisk disk, String order, int[] reads) throws IOException {
         List<String> found = new ArrayList<>();
         disk.reads = 0;
-        new JournalReader(disk).storiesOf(Set.of(order), Set.of(), Set.of(), taken -> true,
-                story -> found.add(story.taken().order() + " " + story.state(false)));
+        new JournalReader(disk)
+                .storiesOf(
+                        Set.of(order),
+                        Set.of(),
+                        Set.of(),
+                        taken -> true,
+                        story -> found.add(story.taken().order() + " " + story.state(false)));
         reads[0] = disk.reads;
         return found;
     }
--- a/src/test/java/kitemux/orders/KillRunsTest.java
+++ b/src/test/java/kitemux/orders/KillRunsTest.java
@@ -4,19 +4,21 @@
 
 import java.nio.file.Path;
 import java.util.List;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
-
 import kitemux.bench.KillRuns;
 import kitemux.cli.Main;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** A real node that is killed again and again while it takes orders. */
 class KillRunsTest {
     @Test
     void theJournalTellsTheTruthHoweverOftenItsNodeIsKilled(@TempDir Path folder) throws Exception {
-        ProcessBuilder node = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(),
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), Main.class.getName(),
+        ProcessBuilder node = new ProcessBuilder(
+                ProcessHandle.current().info().command().orElseThrow(),
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName(),
                 "node");
         assertEquals(List.of(), new KillRuns(node, 30, 1, folder).run(System.out));
     }
--- a/src/test/java/kitemux/orders/OrderKeeperTest.java
+++ b/src/test/java/kitemux/orders/OrderKeeperTest.java
@@ -13,9 +13,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.Balancer.Group;
 import kitemux.Balancer.Repeat;
 import kitemux.Balancer.RequestClass;
@@ -25,6 +22,7 @@
 import kitemux.engine.Asked;
 import kitemux.engine.Observer;
 import kitemux.engine.Time;
+import org.junit.jupiter.api.Test;
 
 /** Which requests a journal holds, and what becomes of a send whose record is late. */
 class OrderKeeperTest {
@@ -90,17 +88,26 @@
         for (Repeat repeat : List.of(Repeat.SAFE, Repeat.KEYED, Repeat.UNSAFE)) {
             settings.classes.add(new RequestClass(repeat.name(), 1, 0, 2, 1, 0, repeat, Group.ALL, 1, false));
         }
-        log = OrderLog.start(failed -> Journal.open(disk, new Journal.Limits(1 << 20, Long.MAX_VALUE, 0, 0),
-                () -> 50, () -> 3, line -> { }), OrderLog.Sync.EACH, 1, loop::add, line -> { });
-        return new OrderKeeper<>(settings, time, log, 1, new OrderSettings(Path.of("x"),
-                OrderLog.Sync.EACH, 1, 100, 1 << 20, 1, 0, 0, more));
+        log = OrderLog.start(
+                failed -> Journal.open(
+                        disk, new Journal.Limits(1 << 20, Long.MAX_VALUE, 0, 0), () -> 50, () -> 3, line -> {}),
+                OrderLog.Sync.EACH,
+                1,
+                loop::add,
+                line -> {});
+        return new OrderKeeper<>(
+                settings,
+                time,
+                log,
+                1,
+                new OrderSettings(Path.of("x"), OrderLog.Sync.EACH, 1, 100, 1 << 20, 1, 0, 0, more));
     }
 
     private List<String> kept() throws Exception {
         log.close();
         List<String> kept = new ArrayList<>();
-        new JournalReader(disk).stories(taken -> true,
-                story -> kept.add(story.taken().order() + " " + story.state(false)));
+        new JournalReader(disk)
+                .stories(taken -> true, story -> kept.add(story.taken().order() + " " + story.state(false)));
         return kept;
     }
 
--- a/src/test/java/kitemux/orders/OrderLogTest.java
+++ b/src/test/java/kitemux/orders/OrderLogTest.java
@@ -16,16 +16,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
-
 import kitemux.disk.Disk;
 import kitemux.disk.MemoryDisk;
 import kitemux.orders.Entry.Answer;
 import kitemux.orders.Entry.Answered;
 import kitemux.orders.Entry.Intent;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** The writer of a journal, on disks that do not do what they should. */
 class OrderLogTest {
@@ -117,10 +115,15 @@
     };
 
     private OrderLog start(OrderLog.Sync sync, long syncMs) throws IOException {
-        log = OrderLog.start(failed -> failed == null
-                ? Journal.open(moody, new Journal.Limits(1 << 20, Long.MAX_VALUE, 0, 0), () -> 1, () -> 5,
-                lines::add) : Journal.goOn(failed),
-                sync, syncMs, Runnable::run, lines::add);
+        log = OrderLog.start(
+                failed -> failed == null
+                        ? Journal.open(
+                                moody, new Journal.Limits(1 << 20, Long.MAX_VALUE, 0, 0), () -> 1, () -> 5, lines::add)
+                        : Journal.goOn(failed),
+                sync,
+                syncMs,
+                Runnable::run,
+                lines::add);
         return log;
     }
 
@@ -245,9 +248,11 @@
     @Test
     void aDefectCostsItsEntryAndNotTheWriter() throws Exception {
         start(OrderLog.Sync.EACH, 1);
-        log.commit(() -> {
-            throw new IllegalStateException("broken for the test");
-        }, told::add);
+        log.commit(
+                () -> {
+                    throw new IllegalStateException("broken for the test");
+                },
+                told::add);
         assertEquals(false, next());
         do {
             log.commit(() -> intent(2), told::add);
--- a/src/test/java/kitemux/orders/StoryTest.java
+++ b/src/test/java/kitemux/orders/StoryTest.java
@@ -6,9 +6,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.config.Json;
 import kitemux.orders.Entry.Answer;
 import kitemux.orders.Entry.Answered;
@@ -17,6 +14,7 @@
 import kitemux.orders.Entry.LeftOpen;
 import kitemux.orders.Entry.Result;
 import kitemux.orders.Story.State;
+import org.junit.jupiter.api.Test;
 
 /** What may be said of an order, and in which words. */
 class StoryTest {
@@ -45,27 +43,35 @@
         assertEquals(State.NEVER_SENT, story(new LeftOpen(1, 40)).state(false));
         assertEquals(State.NEVER_SENT, story().state(false));
         assertEquals(State.UNDER_WAY, story().state(true));
-        assertEquals(State.NEVER_SENT, story(intent(0), ended(0, Result.CONNECT_FAILED, false),
-                answered(Answer.FAILED)).state(false));
+        assertEquals(
+                State.NEVER_SENT,
+                story(intent(0), ended(0, Result.CONNECT_FAILED, false), answered(Answer.FAILED))
+                        .state(false));
     }
 
     @Test
     void whatWasRefusedRanNowhere() {
         assertEquals(State.REFUSED, story(answered(Answer.REFUSED)).state(false));
-        assertEquals(State.REFUSED, story(intent(0), ended(0, Result.MOOT, false), answered(Answer.REFUSED))
-                .state(false));
+        assertEquals(
+                State.REFUSED,
+                story(intent(0), ended(0, Result.MOOT, false), answered(Answer.REFUSED))
+                        .state(false));
     }
 
     @Test
     void whatMayHaveRunIsUnknownUnlessAServerAnswered() {
         assertEquals(State.UNKNOWN, story(intent(0), new LeftOpen(1, 40)).state(true));
-        assertEquals(State.UNKNOWN, story(intent(0), ended(0, Result.TIMEOUT, true), answered(Answer.FAILED))
-                .state(true));
+        assertEquals(
+                State.UNKNOWN,
+                story(intent(0), ended(0, Result.TIMEOUT, true), answered(Answer.FAILED))
+                        .state(true));
         assertEquals(State.UNKNOWN, story(intent(0)).state(false));
         assertEquals(State.UNDER_WAY, story(intent(0)).state(true));
         assertEquals(State.ANSWERED, story(intent(0), ended(0, Result.OK, true)).state(false));
-        assertEquals(State.ANSWERED, story(intent(0), ended(0, Result.ERROR, true), answered(Answer.FAILED))
-                .state(false));
+        assertEquals(
+                State.ANSWERED,
+                story(intent(0), ended(0, Result.ERROR, true), answered(Answer.FAILED))
+                        .state(false));
     }
 
     @Test
@@ -79,19 +85,20 @@
     @Test
     void itIsOverOnceAnsweredWithNothingOutOrLeftOpen() {
         assertTrue(!story(intent(0), answered(Answer.SERVED)).isOver());
-        assertTrue(story(intent(0), ended(0, Result.OK, true), answered(Answer.SERVED)).isOver());
+        assertTrue(story(intent(0), ended(0, Result.OK, true), answered(Answer.SERVED))
+                .isOver());
         assertTrue(story(intent(0), new LeftOpen(1, 40)).isOver());
     }
 
     @Test
     void sentencesNameWhoWhereAndWhen() {
-        assertEquals("order o1 (place-order, school, cart-1), taken 1970-01-01T00:00:00.000005Z: sent to "
-                + "web-0 (127.0.0.1:80) at 1970-01-01T00:00:00.000010Z, answered 200 at "
-                + "1970-01-01T00:00:00.000020Z; the client was served at 1970-01-01T00:00:00.000030Z",
-                StoryText.sentence(story(intent(0), ended(0, Result.OK, true), answered(Answer.SERVED)),
-                        false));
-        assertTrue(StoryText.sentence(story(intent(0), new LeftOpen(1, 40)), false)
-                .endsWith("Z, answer unknown"));
+        assertEquals(
+                "order o1 (place-order, school, cart-1), taken 1970-01-01T00:00:00.000005Z: sent to "
+                        + "web-0 (127.0.0.1:80) at 1970-01-01T00:00:00.000010Z, answered 200 at "
+                        + "1970-01-01T00:00:00.000020Z; the client was served at 1970-01-01T00:00:00.000030Z",
+                StoryText.sentence(story(intent(0), ended(0, Result.OK, true), answered(Answer.SERVED)), false));
+        assertTrue(
+                StoryText.sentence(story(intent(0), new LeftOpen(1, 40)), false).endsWith("Z, answer unknown"));
         assertTrue(StoryText.sentence(story(), false).endsWith(": never sent"));
     }
 
@@ -100,7 +107,8 @@
         Story story = story(intent(0), ended(0, Result.TIMEOUT, true), answered(Answer.FAILED));
         Json json = Json.read(StoryText.json(story, false).getBytes(UTF_8));
         assertEquals("unknown", json.path("state").text());
-        assertEquals("web-0", json.path("attempts").values().get(0).path("server").text());
+        assertEquals(
+                "web-0", json.path("attempts").values().get(0).path("server").text());
         String csv = StoryText.csv(story, false);
         assertEquals(StoryText.CSV_HEAD.split(",").length, csv.split(",", -1).length);
         assertTrue(csv.contains(",unknown,web-0,127.0.0.1:80,"), csv);
@@ -116,16 +124,19 @@
     void settingsSayEachFaultInALine() throws Exception {
         List<String> faults = new ArrayList<>();
         assertEquals(null, OrderSettings.read(Json.read("""
-                {"sync":"often","lateMs":0,"segmentKiB":"x","color":1,"classes":["none"]}""".getBytes(UTF_8)),
-                List.of(), faults));
+                {"sync":"often","lateMs":0,"segmentKiB":"x","color":1,"classes":["none"]}""".getBytes(UTF_8)), List.of(), faults));
         assertEquals(6, faults.size(), faults.toString());
-        for (String field : List.of("orders.folder", "orders.sync", "orders.lateMs", "orders.segmentKiB",
-                "orders.color", "orders.classes")) {
+        for (String field : List.of(
+                "orders.folder",
+                "orders.sync",
+                "orders.lateMs",
+                "orders.segmentKiB",
+                "orders.color",
+                "orders.classes")) {
             assertTrue(faults.stream().anyMatch(fault -> fault.startsWith(field + " ")), field);
         }
         faults.clear();
-        OrderSettings read = OrderSettings.read(Json.read("{\"folder\":\"/x\"}".getBytes(UTF_8)), List.of(),
-                faults);
+        OrderSettings read = OrderSettings.read(Json.read("{\"folder\":\"/x\"}".getBytes(UTF_8)), List.of(), faults);
         assertEquals(List.of(), faults);
         assertEquals(OrderLog.Sync.EACH, read.sync());
         assertEquals(4 << 20, read.segmentBytes());
--- a/src/test/java/kitemux/peers/DatagramTest.java
+++ b/src/test/java/kitemux/peers/DatagramTest.java
@@ -7,15 +7,13 @@
 
 import java.util.Arrays;
 import java.util.List;
-
-import org.junit.jupiter.api.Test;
-
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
 
 /** Messages as bytes, and bytes that are none. */
 class DatagramTest {
@@ -25,14 +23,26 @@
     Arbitrary<Message> messages() {
         Arbitrary<Integer> nodes = Arbitraries.integers().between(0, 65_535);
         Arbitrary<Long> lives = Arbitraries.longs().between(0, (1L << 48) - 1);
-        Arbitrary<Belief> beliefs = Combinators.combine(nodes, lives, Arbitraries.integers(),
-                Arbitraries.of(Standing.class), nodes).as(Belief::new);
-        Arbitrary<Word> words = Combinators.combine(nodes, lives, Arbitraries.integers().between(0, 255),
-                Arbitraries.integers(), nodes, Arbitraries.bytes().array(byte[].class).ofMaxSize(40))
+        Arbitrary<Belief> beliefs = Combinators.combine(
+                        nodes, lives, Arbitraries.integers(), Arbitraries.of(Standing.class), nodes)
+                .as(Belief::new);
+        Arbitrary<Word> words = Combinators.combine(
+                        nodes,
+                        lives,
+                        Arbitraries.integers().between(0, 255),
+                        Arbitraries.integers(),
+                        nodes,
+                        Arbitraries.bytes().array(byte[].class).ofMaxSize(40))
                 .as(Word::new);
-        return Combinators.combine(Arbitraries.of(Message.Kind.class), nodes, lives, Arbitraries.integers(),
-                nodes,
-                beliefs.list().ofMaxSize(5), words.list().ofMaxSize(2)).as(Message::new);
+        return Combinators.combine(
+                        Arbitraries.of(Message.Kind.class),
+                        nodes,
+                        lives,
+                        Arbitraries.integers(),
+                        nodes,
+                        beliefs.list().ofMaxSize(5),
+                        words.list().ofMaxSize(2))
+                .as(Message::new);
     }
 
     @Property(tries = 300)
@@ -61,8 +71,7 @@
 
     @Test
     void anotherVersionIsToldApart() {
-        byte[] bytes = Datagram.write(new Message(Message.Kind.PING, 1, 2, 3, 0, List.of(), List.of()),
-                FLEET);
+        byte[] bytes = Datagram.write(new Message(Message.Kind.PING, 1, 2, 3, 0, List.of(), List.of()), FLEET);
         assertEquals(Datagram.HEAD, bytes.length);
         bytes[0]++;
         assertEquals(Datagram.Fault.OTHER_VERSION, Datagram.read(bytes, FLEET).fault());
--- a/src/test/java/kitemux/peers/Meeting.java
+++ b/src/test/java/kitemux/peers/Meeting.java
@@ -5,7 +5,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
-
 import kitemux.sim.Scheduler;
 
 /**
@@ -31,13 +30,14 @@
     long mostLateUs = 2_000;
     /** Whether what goes from one to another is cut. */
     final boolean[][] cut;
+
     long datagrams;
     long bytes;
     int largest;
 
     /** What a defect does to a node's terms and messages; null for a message that is not passed on. */
     interface Change {
-        Change NONE = new Change() { };
+        Change NONE = new Change() {};
 
         default Terms terms(Terms terms) {
             return terms;
@@ -79,8 +79,13 @@
         }
 
         private Members process(long life) {
-            return new Members(change.terms(terms(number)), life, draws.nextLong(), time.nowUs(),
-                    (to, message) -> send(this, to, change.sent(this, to, message)), new Members.Watcher() {
+            return new Members(
+                    change.terms(terms(number)),
+                    life,
+                    draws.nextLong(),
+                    time.nowUs(),
+                    (to, message) -> send(this, to, change.sent(this, to, message)),
+                    new Members.Watcher() {
                         @Override
                         public void changed(Belief now) {
                             spoken.add(time.nowUs() + " " + number + " " + now);
@@ -185,9 +190,9 @@
             if (draws.nextDouble() < spoilt) {
                 copy[draws.nextInt(copy.length)] ^= (byte) (1 << draws.nextInt(8));
             }
-            byte[] whole = draws.nextDouble() < spoilt ? Arrays.copyOf(copy, draws.nextInt(copy.length))
-                    : copy;
-            time.afterUs(draws.nextLong(leastLateUs, mostLateUs), () -> seats.get(to).take(whole));
+            byte[] whole = draws.nextDouble() < spoilt ? Arrays.copyOf(copy, draws.nextInt(copy.length)) : copy;
+            time.afterUs(
+                    draws.nextLong(leastLateUs, mostLateUs), () -> seats.get(to).take(whole));
         }
     }
 
--- a/src/test/java/kitemux/peers/MembersTest.java
+++ b/src/test/java/kitemux/peers/MembersTest.java
@@ -7,7 +7,6 @@
 
 import java.util.List;
 import java.util.stream.IntStream;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -26,8 +25,9 @@
     void aNodeThatDiesIsSuspectedAndGivenUpByAll(int nodes) {
         Meeting meeting = well(nodes, nodes);
         meeting.seats.get(1).die();
-        assertTrue(meeting.until(Promises.GIVEN_UP_US, () -> meeting.allSee(meeting.but(1), 1,
-                Standing.GONE)) >= 0, meeting.spoken.toString());
+        assertTrue(
+                meeting.until(Promises.GIVEN_UP_US, () -> meeting.allSee(meeting.but(1), 1, Standing.GONE)) >= 0,
+                meeting.spoken.toString());
         assertEquals(nodes - 1, meeting.seats.get(0).members.alive());
     }
 
@@ -38,23 +38,31 @@
         meeting.seats.get(2).die();
         meeting.run(300_000);
         meeting.seats.get(2).start();
-        assertTrue(meeting.until(Promises.HEALED_US, () -> meeting.allAgreeThatAllAreThere() && meeting.but(2)
-                .stream().allMatch(i -> meeting.seats.get(i).members.of(2).life() > before)) >= 0);
+        assertTrue(meeting.until(
+                        Promises.HEALED_US,
+                        () -> meeting.allAgreeThatAllAreThere()
+                                && meeting.but(2).stream()
+                                        .allMatch(i -> meeting.seats
+                                                        .get(i)
+                                                        .members
+                                                        .of(2)
+                                                        .life()
+                                                > before))
+                >= 0);
     }
 
     @Test
     void aProcessThatWokeAfterItWasGivenUpTakesThatBackAndAccusesNobody() {
         Meeting meeting = well(5, 2);
         meeting.seats.get(3).stop();
-        assertTrue(meeting.until(Promises.GIVEN_UP_US, () -> meeting.allSee(meeting.but(3), 3,
-                Standing.GONE)) >= 0);
+        assertTrue(meeting.until(Promises.GIVEN_UP_US, () -> meeting.allSee(meeting.but(3), 3, Standing.GONE)) >= 0);
         meeting.run(40_000_000);
         int said = meeting.spoken.size();
         meeting.seats.get(3).goOn();
         assertTrue(meeting.until(Promises.HEALED_US, meeting::allAgreeThatAllAreThere) >= 0);
         List<String> after = meeting.spoken.subList(said, meeting.spoken.size());
-        assertTrue(after.stream().noneMatch(line -> line.contains("SUSPECT")
-                || line.contains("standing=GONE")),
+        assertTrue(
+                after.stream().noneMatch(line -> line.contains("SUSPECT") || line.contains("standing=GONE")),
                 after.toString());
     }
 
@@ -67,8 +75,16 @@
         long life = meeting.seats.get(0).members.of(2).life();
         assertTrue(life > old.of(2).life());
         // The old process speaks up, and is told.
-        old.receive(meeting.time.nowUs(), new Message(Message.Kind.ACK, 0, meeting.seats.get(0).members.of(0)
-                .life(), 1, 0, List.of(meeting.seats.get(0).members.of(2)), List.of()));
+        old.receive(
+                meeting.time.nowUs(),
+                new Message(
+                        Message.Kind.ACK,
+                        0,
+                        meeting.seats.get(0).members.of(0).life(),
+                        1,
+                        0,
+                        List.of(meeting.seats.get(0).members.of(2)),
+                        List.of()));
         assertTrue(old.isReplaced());
         assertEquals(Long.MAX_VALUE, old.nextAtUs());
     }
@@ -87,9 +103,11 @@
         Meeting meeting = well(6, 5);
         List<Integer> some = List.of(0, 1, 2);
         meeting.part(some, true);
-        assertTrue(meeting.until(3 * Promises.GIVEN_UP_US, () -> meeting.but(0, 1, 2).stream().allMatch(i ->
-                meeting.allSee(some, i, Standing.GONE)) && some.stream().allMatch(i ->
-                        meeting.allSee(meeting.but(0, 1, 2), i, Standing.GONE))) >= 0);
+        assertTrue(meeting.until(
+                        3 * Promises.GIVEN_UP_US,
+                        () -> meeting.but(0, 1, 2).stream().allMatch(i -> meeting.allSee(some, i, Standing.GONE))
+                                && some.stream().allMatch(i -> meeting.allSee(meeting.but(0, 1, 2), i, Standing.GONE)))
+                >= 0);
         assertTrue(meeting.seats.stream().allMatch(seat -> seat.members.isMinority()));
         meeting.part(some, false);
         assertTrue(meeting.until(Promises.HEALED_US, meeting::allAgreeThatAllAreThere) >= 0);
@@ -124,11 +142,13 @@
         Meeting meeting = well(9, 8);
         Members teller = meeting.seats.get(0).members;
         teller.tell(3, 1, 60_000, new byte[] {1});
-        assertTrue(meeting.until(15_000_000, () -> meeting.seats.stream().skip(1).allMatch(seat ->
-                !seat.heard.isEmpty())) >= 0);
+        assertTrue(meeting.until(
+                        15_000_000, () -> meeting.seats.stream().skip(1).allMatch(seat -> !seat.heard.isEmpty()))
+                >= 0);
         teller.tell(3, 2, 60_000, new byte[] {2});
-        assertTrue(meeting.until(15_000_000, () -> meeting.seats.stream().skip(1).allMatch(seat ->
-                seat.heard.size() == 2)) >= 0);
+        assertTrue(meeting.until(
+                        15_000_000, () -> meeting.seats.stream().skip(1).allMatch(seat -> seat.heard.size() == 2))
+                >= 0);
         meeting.run(30_000_000);
         meeting.seats.stream().skip(1).forEach(seat -> {
             assertEquals(2, seat.heard.size());
@@ -177,12 +197,11 @@
         Meeting meeting = well(3, 12);
         Members members = meeting.seats.get(0).members;
         Belief nobody = new Belief(9, 5, 0, Standing.GONE, 0);
-        members.receive(meeting.time.nowUs(), new Message(Message.Kind.PING, 9, 1, 1, 0, List.of(),
-                List.of()));
-        members.receive(meeting.time.nowUs(), new Message(Message.Kind.ASK, 1, 1, 1, 12, List.of(),
-                List.of()));
-        members.receive(meeting.time.nowUs(), new Message(Message.Kind.PING, 1, Long.MAX_VALUE >>> 16, 1, 0,
-                List.of(nobody), List.of()));
+        members.receive(meeting.time.nowUs(), new Message(Message.Kind.PING, 9, 1, 1, 0, List.of(), List.of()));
+        members.receive(meeting.time.nowUs(), new Message(Message.Kind.ASK, 1, 1, 1, 12, List.of(), List.of()));
+        members.receive(
+                meeting.time.nowUs(),
+                new Message(Message.Kind.PING, 1, Long.MAX_VALUE >>> 16, 1, 0, List.of(nobody), List.of()));
         meeting.run(2_000_000);
         assertTrue(meeting.allAgreeThatAllAreThere());
         assertThrows(IllegalArgumentException.class, () -> members.tell(256, 1, 10, new byte[0]));
--- a/src/test/java/kitemux/peers/Promises.java
+++ b/src/test/java/kitemux/peers/Promises.java
@@ -19,11 +19,12 @@
      * this.
      */
     private static final long WRONG_US = 15_000_000;
+
     private static final long WELL_US = 120_000_000;
     /** Each trouble may be drawn. */
     private static final int KINDS = 6;
 
-    private Promises() { }
+    private Promises() {}
 
     /** Plays a seed; what was broken, or null. */
     static String broken(long seed, Meeting.Change change) {
@@ -39,51 +40,65 @@
         }
         int who = draws.nextInt(nodes);
         List<Integer> others = meeting.but(who);
-        String told = switch (draws.nextInt(KINDS)) {
-            case 0 -> {
-                meeting.seats.get(who).die();
-                yield meeting.until(GIVEN_UP_US, () -> meeting.allSee(others, who, Standing.GONE)) < 0
-                        ? "a dead node is not given up" : null;
-            }
-            case 1 -> {
-                meeting.seats.get(who).stop();
-                meeting.run(50_000 + draws.nextLong(60_000_000));
-                meeting.seats.get(who).goOn();
-                yield healed(meeting, "after one stood still");
-            }
-            case 2 -> {
-                List<Integer> some = new ArrayList<>(meeting.all().subList(0, 1 + draws.nextInt(nodes - 1)));
-                meeting.part(some, true);
-                meeting.run(draws.nextLong(90_000_000));
-                meeting.part(some, false);
-                yield healed(meeting, "after a partition");
-            }
-            case 3 -> {
-                meeting.cut[who][others.get(0)] = true;
-                meeting.run(60_000_000);
-                yield nodes > 3 && !meeting.spoken.stream().noneMatch(l -> l.contains("standing=GONE"))
-                        ? "a cut of one direction has a node given up" : null;
-            }
-            case 4 -> {
-                meeting.seats.get(who).die();
-                meeting.run(draws.nextLong(30_000_000));
-                meeting.seats.get(who).start();
-                long life = meeting.seats.get(who).members.of(who).life();
-                yield meeting.until(HEALED_US, () -> meeting.allAgreeThatAllAreThere() && others.stream()
-                        .allMatch(i -> meeting.seats.get(i).members.of(who).life() == life)) < 0
-                        ? "a new life is not believed in" : null;
-            }
-            default -> {
-                meeting.loss = 0.1;
-                long longest = 0;
-                for (long us = 0; us < WELL_US; us += 1_000_000) {
-                    meeting.run(1_000_000);
-                    longest = Math.max(longest, longestGone(meeting));
-                }
-                yield longest > WRONG_US ? "a node that is well was given up for " + longest / 1_000_000
-                        + " s" : null;
-            }
-        };
+        String told =
+                switch (draws.nextInt(KINDS)) {
+                    case 0 -> {
+                        meeting.seats.get(who).die();
+                        yield meeting.until(GIVEN_UP_US, () -> meeting.allSee(others, who, Standing.GONE)) < 0
+                                ? "a dead node is not given up"
+                                : null;
+                    }
+                    case 1 -> {
+                        meeting.seats.get(who).stop();
+                        meeting.run(50_000 + draws.nextLong(60_000_000));
+                        meeting.seats.get(who).goOn();
+                        yield healed(meeting, "after one stood still");
+                    }
+                    case 2 -> {
+                        List<Integer> some = new ArrayList<>(meeting.all().subList(0, 1 + draws.nextInt(nodes - 1)));
+                        meeting.part(some, true);
+                        meeting.run(draws.nextLong(90_000_000));
+                        meeting.part(some, false);
+                        yield healed(meeting, "after a partition");
+                    }
+                    case 3 -> {
+                        meeting.cut[who][others.get(0)] = true;
+                        meeting.run(60_000_000);
+                        yield nodes > 3 && !meeting.spoken.stream().noneMatch(l -> l.contains("standing=GONE"))
+                                ? "a cut of one direction has a node given up"
+                                : null;
+                    }
+                    case 4 -> {
+                        meeting.seats.get(who).die();
+                        meeting.run(draws.nextLong(30_000_000));
+                        meeting.seats.get(who).start();
+                        long life = meeting.seats.get(who).members.of(who).life();
+                        yield meeting.until(
+                                                HEALED_US,
+                                                () -> meeting.allAgreeThatAllAreThere()
+                                                        && others.stream()
+                                                                .allMatch(i -> meeting.seats
+                                                                                .get(i)
+                                                                                .members
+                                                                                .of(who)
+                                                                                .life()
+                                                                        == life))
+                                        < 0
+                                ? "a new life is not believed in"
+                                : null;
+                    }
+                    default -> {
+                        meeting.loss = 0.1;
+                        long longest = 0;
+                        for (long us = 0; us < WELL_US; us += 1_000_000) {
+                            meeting.run(1_000_000);
+                            longest = Math.max(longest, longestGone(meeting));
+                        }
+                        yield longest > WRONG_US
+                                ? "a node that is well was given up for " + longest / 1_000_000 + " s"
+                                : null;
+                    }
+                };
         if (told == null && meeting.largest > Datagram.PLATFORM_BYTES) {
             told = "a datagram of " + meeting.largest + " bytes";
         }
@@ -95,8 +110,9 @@
         for (int by : meeting.all()) {
             for (int node : meeting.but(by)) {
                 if (meeting.seen(by, node) == Standing.GONE) {
-                    longest = Math.max(longest, meeting.time.nowUs()
-                            - meeting.seats.get(by).members.sinceUs(node));
+                    longest = Math.max(
+                            longest,
+                            meeting.time.nowUs() - meeting.seats.get(by).members.sinceUs(node));
                 }
             }
         }
--- a/src/test/java/kitemux/peers/PromisesTest.java
+++ b/src/test/java/kitemux/peers/PromisesTest.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.stream.LongStream;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -16,8 +15,12 @@
     private static final int SEEDS = Integer.getInteger("peers.seeds", 300);
 
     private static List<String> broken(int seeds, Meeting.Change change) {
-        return LongStream.rangeClosed(1, seeds).parallel().mapToObj(seed -> Promises.broken(seed, change))
-                .filter(Objects::nonNull).limit(5).toList();
+        return LongStream.rangeClosed(1, seeds)
+                .parallel()
+                .mapToObj(seed -> Promises.broken(seed, change))
+                .filter(Objects::nonNull)
+                .limit(5)
+                .toList();
     }
 
     @Test
@@ -44,8 +47,11 @@
         INCARNATIONS_ARE_IGNORED {
             @Override
             public Message received(Meeting.Seat by, Message message) {
-                return with(message, message.beliefs().stream().map(b -> new Belief(b.node(), b.life(), 0,
-                        b.standing(), b.by())).toList());
+                return with(
+                        message,
+                        message.beliefs().stream()
+                                .map(b -> new Belief(b.node(), b.life(), 0, b.standing(), b.by()))
+                                .toList());
             }
         },
         NOBODY_IS_ASKED_FOR_HELP {
@@ -57,42 +63,53 @@
         SUSPECTS_ARE_NEVER_GIVEN_UP {
             @Override
             public Terms terms(Terms t) {
-                return new Terms(t.nodes(), t.me(), t.periodUs(), t.answerUs(), t.helpers(), 100,
-                        t.mostBytes());
+                return new Terms(t.nodes(), t.me(), t.periodUs(), t.answerUs(), t.helpers(), 100, t.mostBytes());
             }
         },
         SUSPECTS_HAVE_NO_TIME {
             @Override
             public Terms terms(Terms t) {
-                return new Terms(t.nodes(), t.me(), t.periodUs(), t.answerUs(), t.helpers(), 1,
-                        t.mostBytes());
+                return new Terms(t.nodes(), t.me(), t.periodUs(), t.answerUs(), t.helpers(), 1, t.mostBytes());
             }
 
             @Override
             public Message received(Meeting.Seat by, Message message) {
                 // Whoever is suspected does not hear of it.
-                return with(message, message.beliefs().stream().filter(b -> b.node() != by.number).toList());
+                return with(
+                        message,
+                        message.beliefs().stream()
+                                .filter(b -> b.node() != by.number)
+                                .toList());
             }
         },
         OLD_LIVES_ARE_BELIEVED {
             @Override
             public Message received(Meeting.Seat by, Message message) {
-                return with(message, message.beliefs().stream().map(b -> new Belief(b.node(), 1,
-                        b.incarnation(), b.standing(), b.by())).toList());
+                return with(
+                        message,
+                        message.beliefs().stream()
+                                .map(b -> new Belief(b.node(), 1, b.incarnation(), b.standing(), b.by()))
+                                .toList());
             }
         },
         THE_GONE_ARE_NOT_SOUGHT {
             @Override
             public Message sent(Meeting.Seat by, int to, Message message) {
                 return message.kind() == Message.Kind.PING && by.members.of(to).standing() == Standing.GONE
-                        ? null : message;
+                        ? null
+                        : message;
             }
         },
         NOTHING_IS_TAKEN_BACK {
             @Override
             public Message sent(Meeting.Seat by, int to, Message message) {
-                return with(message, message.beliefs().stream().map(b -> b.node() == by.number
-                        ? new Belief(b.node(), b.life(), 0, b.standing(), b.by()) : b).toList());
+                return with(
+                        message,
+                        message.beliefs().stream()
+                                .map(b -> b.node() == by.number
+                                        ? new Belief(b.node(), b.life(), 0, b.standing(), b.by())
+                                        : b)
+                                .toList());
             }
         },
         ANSWERS_ARE_NOT_PASSED_ON {
