--- a/src/test/java/kitemux/peers/Sizes.java
+++ b/src/test/java/kitemux/peers/Sizes.java
@@ -11,7 +11,7 @@
 final class Sizes {
     private static final int PLAYS = 10;
 
-    private Sizes() { }
+    private Sizes() {}
 
     /** Plays each size so often, at a hundredth of all datagrams lost. */
     public static void main(String[] args) {
@@ -34,29 +34,43 @@
                 long began = System.nanoTime();
                 meeting.run(60_000_000);
                 cpuNanos += System.nanoTime() - began;
-                wrong += meeting.spoken.stream().skip(spoken).filter(line -> line.contains("GONE")).count();
+                wrong += meeting.spoken.stream()
+                        .skip(spoken)
+                        .filter(line -> line.contains("GONE"))
+                        .count();
                 datagrams += (meeting.datagrams - sent) / 60.0 / nodes / plays;
                 bytes += (meeting.bytes - size) / 60.0 / nodes / plays;
                 meeting.seats.get(1).die();
-                long one = meeting.until(120_000_000, () -> meeting.but(1).stream().anyMatch(i ->
-                        meeting.seen(i, 1) == Standing.GONE));
+                long one = meeting.until(
+                        120_000_000, () -> meeting.but(1).stream().anyMatch(i -> meeting.seen(i, 1) == Standing.GONE));
                 first.add(one / 1e6);
-                all.add((one + meeting.until(120_000_000, () -> meeting.allSee(meeting.but(1), 1,
-                        Standing.GONE))) / 1e6);
+                all.add((one + meeting.until(120_000_000, () -> meeting.allSee(meeting.but(1), 1, Standing.GONE)))
+                        / 1e6);
                 List<Integer> half = meeting.all().subList(0, nodes / 2);
                 meeting.part(half, true);
                 meeting.run(60_000_000);
                 meeting.part(half, false);
-                healed.add(meeting.until(900_000_000, () -> meeting.but(1).stream().allMatch(i ->
-                        meeting.allSee(meeting.but(1), i, Standing.ALIVE))) / 1e6);
+                healed.add(meeting.until(
+                                900_000_000,
+                                () -> meeting.but(1).stream()
+                                        .allMatch(i -> meeting.allSee(meeting.but(1), i, Standing.ALIVE)))
+                        / 1e6);
             }
             Collections.sort(first);
             Collections.sort(all);
             Collections.sort(healed);
-            System.out.printf(Locale.ROOT,
+            System.out.printf(
+                    Locale.ROOT,
                     "| %d | %.1f, %.1f | %.1f, %.1f | %.1f | %.2f, %.0f | %.0f | %.1f, %.1f |%n",
-                    nodes, first.get(plays / 2), first.get(plays - 1), all.get(plays / 2), all.get(plays - 1),
-                    wrong * 60 / plays, datagrams, bytes, cpuNanos / 1e3 / 60 / nodes / plays,
+                    nodes,
+                    first.get(plays / 2),
+                    first.get(plays - 1),
+                    all.get(plays / 2),
+                    all.get(plays - 1),
+                    wrong * 60 / plays,
+                    datagrams,
+                    bytes,
+                    cpuNanos / 1e3 / 60 / nodes / plays,
                     healed.get(plays / 2),
                     healed.get(plays - 1));
         }
--- a/src/test/java/kitemux/plan/FromCaptureTest.java
+++ b/src/test/java/kitemux/plan/FromCaptureTest.java
@@ -9,15 +9,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.engine.Observer;
 import kitemux.fleet.Fleet;
 import kitemux.load.Captured;
 import kitemux.load.Seen;
 import kitemux.load.Speeds;
 import kitemux.load.Summary;
+import org.junit.jupiter.api.Test;
 
 class FromCaptureTest {
     private static final long NOW = 1_790_000_000_000_000L;
@@ -38,15 +36,14 @@
             for (int i = 0; i < perS; i++) {
                 long at = NOW + s * 1_000_000L + i * 1_000_000L / perS;
                 int of = number % 10 == 0 ? 1 : 0;
-                seen.add(new Seen(at, of, number++ % 4 == 0 ? 0 : 1, false, 500_000, List.of(),
-                        Observer.Answer.REFUSED, 10));
+                seen.add(new Seen(
+                        at, of, number++ % 4 == 0 ? 0 : 1, false, 500_000, List.of(), Observer.Answer.REFUSED, 10));
                 seen.add(new Seen(at + 500, of, 1, true, 400_000, List.of(), Observer.Answer.SERVED, 10));
             }
         }
         Summary summary = new Summary(1_000_000, Map.of());
-        summary.add(new Captured(1, "n", NOW, List.of(aClass, "place-order"), List.of("school-a",
-                "school-b"), seen,
-                0, ""));
+        summary.add(new Captured(
+                1, "n", NOW, List.of(aClass, "place-order"), List.of("school-a", "school-b"), seen, 0, ""));
         return summary;
     }
 
@@ -64,15 +61,18 @@
         // A quarter asked by who has six tenths of the share, the rest by who has four.
         assertEquals(0.25 / 0.6, fleet.tenants().get(0).usage(), 0.01);
         assertEquals(0.75 / 0.4, fleet.tenants().get(1).usage(), 0.01);
-        assertEquals(yearbook().classes().get(0).meanUs(), fleet.classes().get(0).meanUs());
+        assertEquals(
+                yearbook().classes().get(0).meanUs(), fleet.classes().get(0).meanUs());
     }
 
     @Test
     void capturedWorkIsToldForAServerOfMeanSpeedAndTakenForTheDescribedOnes() throws IOException {
         Fleet described = yearbook();
-        Fleet fleet = FromCapture.work(described, List.of(
-                new Speeds.Work("view-page", 30_000, 29_000, 31_000, 0.97, 500),
-                new Speeds.Work("place-order", 40_000, 39_000, 41_000, 0.6, 500)));
+        Fleet fleet = FromCapture.work(
+                described,
+                List.of(
+                        new Speeds.Work("view-page", 30_000, 29_000, 31_000, 0.97, 500),
+                        new Speeds.Work("place-order", 40_000, 39_000, 41_000, 0.6, 500)));
         assertEquals(List.of(), fleet.faultsFound());
         assertEquals(30_000 * Math.sqrt(0.97 * 0.75), fleet.classes().get(0).meanUs(), 1);
         assertEquals(Fleet.Spread.EXPONENTIAL, fleet.classes().get(0).spread());
--- a/src/test/java/kitemux/plan/PlannerTest.java
+++ b/src/test/java/kitemux/plan/PlannerTest.java
@@ -10,11 +10,9 @@
 import java.util.List;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
-
 import kitemux.fleet.Fleet;
 import kitemux.fleet.Fleets;
 import kitemux.fleet.Result;
-
 import org.junit.jupiter.api.Test;
 
 /** The search by itself, over fleets whose answers are known. */
@@ -28,12 +26,33 @@
     private Planner.Player by(ToDoubleFunction<Fleet> share) {
         return (of, seeds) -> {
             played.add(of);
-            return seeds.stream().map(seed -> {
-                double inTime = Math.max(0, Math.min(1, share.applyAsDouble(of)
-                        + 0.002 * (seed % 2 * 2 - 1)));
-                return new Result(seed, inTime, inTime, List.of(), Collections.nCopies(40, inTime), List.of(),
-                        0, 0, 1, List.of(), 0, 0, 0, 0, 0, 0, 0, 0, 0, List.of(), 0);
-            }).toList();
+            return seeds.stream()
+                    .map(seed -> {
+                        double inTime = Math.max(0, Math.min(1, share.applyAsDouble(of) + 0.002 * (seed % 2 * 2 - 1)));
+                        return new Result(
+                                seed,
+                                inTime,
+                                inTime,
+                                List.of(),
+                                Collections.nCopies(40, inTime),
+                                List.of(),
+                                0,
+                                0,
+                                1,
+                                List.of(),
+                                0,
+                                0,
+                                0,
+                                0,
+                                0,
+                                0,
+                                0,
+                                0,
+                                0,
+                                List.of(),
+                                0);
+                    })
+                    .toList();
         };
     }
 
@@ -53,7 +72,9 @@
     @Test
     void whatBreaksItIsWhatHelpsMostWhenItIsOutOfTheWay() {
         Planner.Player nodes = by(of -> bound(of)
-                - (of.nodes().eventUs() > 0 && of.load().ratePerS() > 1.1 * fleet.load().ratePerS() ? 0.2
+                - (of.nodes().eventUs() > 0
+                                && of.load().ratePerS() > 1.1 * fleet.load().ratePerS()
+                        ? 0.2
                         : 0));
         Planner.Break found = new Planner(nodes, GOAL).breaksAt(fleet);
         assertEquals("processors of nodes", found.by().get(0).what());
@@ -91,25 +112,51 @@
         new Planner(by(of -> 0.99), GOAL).holds(fleet);
         assertEquals(1, played.size());
         played.clear();
-        Planner.Verdict close = new Planner((of, seeds) -> seeds.stream().map(seed ->
-                by(x -> seed % 2 == 0 ? 0.97 : 0.93).play(of, List.of(seed)).get(0)).toList(), GOAL)
-                        .holds(fleet);
+        Planner.Verdict close = new Planner(
+                        (of, seeds) -> seeds.stream()
+                                .map(seed -> by(x -> seed % 2 == 0 ? 0.97 : 0.93)
+                                        .play(of, List.of(seed))
+                                        .get(0))
+                                .toList(),
+                        GOAL)
+                .holds(fleet);
         assertTrue(close.runs().size() > 8, "seeds: " + close.runs().size());
         assertFalse(close.surely());
     }
 
     @Test
     void lossesAreToldWithTheWayBack() {
-        Planner.Player player = (of, seeds) -> by(x -> 1).play(of, seeds).stream().map(r ->
-                new Result(r.seed(),
-                r.inTime(), r.worstWindow(), List.of(), IntStream.range(0, 40)
-                        .mapToObj(s -> of.faults().isEmpty() || s < 10 || s >= 22 ? 1.0 : 0.5).toList(),
-                                List.of(), 0,
-                0, 1, List.of(), 0, 0, 0, 0, 0, 0, 0, 0, 0, List.of(), 0)).toList();
+        Planner.Player player = (of, seeds) -> by(x -> 1).play(of, seeds).stream()
+                .map(r -> new Result(
+                        r.seed(),
+                        r.inTime(),
+                        r.worstWindow(),
+                        List.of(),
+                        IntStream.range(0, 40)
+                                .mapToObj(s -> of.faults().isEmpty() || s < 10 || s >= 22 ? 1.0 : 0.5)
+                                .toList(),
+                        List.of(),
+                        0,
+                        0,
+                        1,
+                        List.of(),
+                        0,
+                        0,
+                        0,
+                        0,
+                        0,
+                        0,
+                        0,
+                        0,
+                        0,
+                        List.of(),
+                        0))
+                .toList();
         Planner planner = new Planner(player, GOAL);
         // A tenant that asks too much is no fault: what it costs here is nothing.
-        planner.losses(fleet).forEach(loss -> assertEquals(loss.what().contains("asks") ? 0 : 12,
-                loss.backAfterS(), 1e-9, loss.what()));
+        planner.losses(fleet)
+                .forEach(loss ->
+                        assertEquals(loss.what().contains("asks") ? 0 : 12, loss.backAfterS(), 1e-9, loss.what()));
         assertEquals(0, planner.pulse(fleet).backAfterS(), 1e-9);
     }
 
@@ -117,22 +164,31 @@
     void zonesAndTenantsAreAskedAfterWhereThereAreAny() {
         Planner planner = new Planner(by(of -> 1), GOAL);
         Fleet zones = Fleets.zoned(fleet, 2);
-        List<String> losses = planner.losses(zones).stream().map(Planner.Loss::what).toList();
+        List<String> losses =
+                planner.losses(zones).stream().map(Planner.Loss::what).toList();
         assertEquals(planner.losses(fleet).size() + 2, losses.size(), losses.toString());
         assertTrue(losses.contains("a zone is cut off for 15 s"), losses.toString());
-        List<String> alone = planner.losses(fleet.withoutShares()).stream().map(Planner.Loss::what).toList();
-        assertTrue(losses.contains("school-b asks 10 times as much")
-                && alone.stream().noneMatch(what -> what.contains("asks")), losses + " and " + alone);
+        List<String> alone = planner.losses(fleet.withoutShares()).stream()
+                .map(Planner.Loss::what)
+                .toList();
+        assertTrue(
+                losses.contains("school-b asks 10 times as much")
+                        && alone.stream().noneMatch(what -> what.contains("asks")),
+                losses + " and " + alone);
     }
 
     @Test
     void aTenantThatAsksTooMuchAsksAloneForMore() {
         new Planner(by(of -> 1), GOAL).losses(fleet);
-        Fleet asking = played.stream().filter(of -> of.load().ratePerS() > 1.5 * fleet.load().ratePerS())
+        Fleet asking = played.stream()
+                .filter(of -> of.load().ratePerS() > 1.5 * fleet.load().ratePerS())
                 .findFirst()
                 .orElseThrow();
-        double share = asking.tenants().get(0).share() * asking.tenants().get(0).usage()
-                / asking.tenants().stream().mapToDouble(t -> t.share() * t.usage()).sum();
+        double share = asking.tenants().get(0).share()
+                * asking.tenants().get(0).usage()
+                / asking.tenants().stream()
+                        .mapToDouble(t -> t.share() * t.usage())
+                        .sum();
         assertEquals(0.6 * fleet.load().ratePerS(), share * asking.load().ratePerS(), 1e-6);
     }
 
--- a/src/test/java/kitemux/rollout/BoundsTest.java
+++ b/src/test/java/kitemux/rollout/BoundsTest.java
@@ -13,7 +13,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-
 import org.junit.jupiter.api.Test;
 
 /** Each bound is reached, and what then happens is what its description says. */
@@ -23,8 +22,8 @@
 
     /** A keeper that is alone in the world and votes, on a disk that syncs at once. */
     private static final class Solo {
-        final KeeperMachine machine = new KeeperMachine(TERMS, ME, 1, List.of(ME), new ToyRules(false),
-                List.of(), 1, 0);
+        final KeeperMachine machine =
+                new KeeperMachine(TERMS, ME, 1, List.of(ME), new ToyRules(false), List.of(), 1, 0);
         final List<Effect> done = new ArrayList<>();
         final List<Kept> disk = new ArrayList<>();
         boolean hearsItself = true;
@@ -49,8 +48,11 @@
 
         Outcome change(long call, Change change) {
             carry(0, machine.change(0, call, change));
-            return done.stream().filter(e -> e instanceof Effect.Conclude c && c.call() == call)
-                    .map(e -> ((Effect.Conclude) e).outcome()).findFirst().orElse(null);
+            return done.stream()
+                    .filter(e -> e instanceof Effect.Conclude c && c.call() == call)
+                    .map(e -> ((Effect.Conclude) e).outcome())
+                    .findFirst()
+                    .orElse(null);
         }
 
         Outcome put(Map<String, String> set) {
@@ -61,8 +63,7 @@
     }
 
     private static void faulty(Outcome outcome, String what) {
-        assertTrue(outcome instanceof Outcome.Faulty f && f.faults().toString().contains(what),
-                () -> outcome + "");
+        assertTrue(outcome instanceof Outcome.Faulty f && f.faults().toString().contains(what), () -> outcome + "");
     }
 
     @Test
@@ -77,7 +78,9 @@
         set.put("realms/more", "1");
         set.put("realms/evenMore", "1");
         faulty(solo.put(set), "4096 are allowed");
-        assertTrue(RolloutText.readChange(new byte[Terms.MOST_CHANGE_BYTES + 1]).faults().toString()
+        assertTrue(RolloutText.readChange(new byte[Terms.MOST_CHANGE_BYTES + 1])
+                .faults()
+                .toString()
                 .contains("4096 are allowed"));
         assertEquals(1, solo.machine.history().rev());
     }
@@ -121,8 +124,8 @@
     }
 
     private static List<Fault> faultsOf(String path) {
-        return RolloutText.readLine(("{\"rev\":1,\"set\":{\"" + path + "\":1}}")
-                .getBytes(StandardCharsets.UTF_8)).faults();
+        return RolloutText.readLine(("{\"rev\":1,\"set\":{\"" + path + "\":1}}").getBytes(StandardCharsets.UTF_8))
+                .faults();
     }
 
     @Test
@@ -138,21 +141,24 @@
         solo.carry(1_000_000, solo.machine.tick(1_000_000));
         Line one = first(solo, 5);
         assertEquals(2, assertInstanceOf(Line.Next.class, one).rev());
-        assertEquals(new Line.Part(Terms.HISTORY + 1, 1, 1, solo.machine.history().values()), first(solo, 6));
-        assertInstanceOf(Outcome.Conflict.class, solo.change(9, Change.of("ffffffffffffffff", 0,
-                Map.of("limits/y", "1"), List.of())));
+        assertEquals(
+                new Line.Part(Terms.HISTORY + 1, 1, 1, solo.machine.history().values()), first(solo, 6));
+        assertInstanceOf(
+                Outcome.Conflict.class,
+                solo.change(9, Change.of("ffffffffffffffff", 0, Map.of("limits/y", "1"), List.of())));
         List<Kept> kept = solo.machine.kept();
         KeeperMachine again = new KeeperMachine(TERMS, ME, 1, List.of(ME), new ToyRules(false), kept, 2, 0);
         assertEquals(solo.machine.history().values(), again.history().values());
         assertEquals(kept, again.kept());
-        KeeperMachine fromDisk = new KeeperMachine(TERMS, ME, 1, List.of(ME), new ToyRules(false), solo.disk,
-                2, 0);
+        KeeperMachine fromDisk = new KeeperMachine(TERMS, ME, 1, List.of(ME), new ToyRules(false), solo.disk, 2, 0);
         assertEquals(kept, fromDisk.kept());
     }
 
     private static Line first(Solo solo, long watch) {
-        return solo.done.stream().filter(e -> e instanceof Effect.Tell t && t.watch() == watch
-                && !(t.line() instanceof Line.Beat)).map(e -> ((Effect.Tell) e).line()).findFirst()
+        return solo.done.stream()
+                .filter(e -> e instanceof Effect.Tell t && t.watch() == watch && !(t.line() instanceof Line.Beat))
+                .map(e -> ((Effect.Tell) e).line())
+                .findFirst()
                 .orElseThrow();
     }
 
@@ -177,26 +183,30 @@
         Solo solo = new Solo();
         solo.hearsItself = false;
         for (int i = 0; i <= Terms.MOST_PROPOSALS; i++) {
-            assertEquals(null, solo.change(i, Change.of(String.format("%016x", i), 0, Map.of("limits/x", "1"),
-                    List.of())));
+            assertEquals(
+                    null, solo.change(i, Change.of(String.format("%016x", i), 0, Map.of("limits/x", "1"), List.of())));
         }
-        assertInstanceOf(Outcome.Unavailable.class, solo.change(99, Change.of("ffffffffffffffff", 0,
-                Map.of("limits/x", "1"), List.of())));
+        assertInstanceOf(
+                Outcome.Unavailable.class,
+                solo.change(99, Change.of("ffffffffffffffff", 0, Map.of("limits/x", "1"), List.of())));
         assertEquals(1, solo.machine.refusedChanges());
         long phases = 0;
         long now = 0;
         while (solo.done.stream().noneMatch(e -> e instanceof Effect.Conclude c && c.call() == 0)) {
-            assertTrue(phases < TERMS.tries() && now <= TERMS.triesUs() + TERMS.mostPhaseUs(),
+            assertTrue(
+                    phases < TERMS.tries() && now <= TERMS.triesUs() + TERMS.mostPhaseUs(),
                     phases + " phases, " + now + " us");
             now = solo.machine.nextAtUs();
             List<Effect> effects = solo.machine.tick(now);
-            phases += effects.stream().filter(e -> e instanceof Effect.Send s
-                    && s.request() instanceof Request.Prepare).count();
+            phases += effects.stream()
+                    .filter(e -> e instanceof Effect.Send s && s.request() instanceof Request.Prepare)
+                    .count();
             solo.carry(now, effects);
         }
         assertTrue(phases > 1, "it has tried again");
-        assertTrue(solo.done.stream().anyMatch(e -> e instanceof Effect.Conclude c && c.call() == 0
-                && c.outcome() instanceof Outcome.Unavailable));
+        assertTrue(solo.done.stream()
+                .anyMatch(e ->
+                        e instanceof Effect.Conclude c && c.call() == 0 && c.outcome() instanceof Outcome.Unavailable));
     }
 
     @Test
@@ -205,7 +215,8 @@
         for (int i = 1; i <= Terms.MOST_VERSIONS + 1; i++) {
             solo.put(Map.of("limits/x", Integer.toString(i)));
         }
-        Effect.Reply reply = (Effect.Reply) solo.machine.asked(0, 3, new Request.Ask(0)).get(0);
+        Effect.Reply reply =
+                (Effect.Reply) solo.machine.asked(0, 3, new Request.Ask(0)).get(0);
         Answer.Known known = (Answer.Known) reply.answer();
         assertEquals(Terms.MOST_VERSIONS, known.versions().size());
         assertEquals(Terms.MOST_VERSIONS + 1, known.known());
@@ -228,7 +239,9 @@
         Rules rules = new Rules() {
             @Override
             public List<Fault> faults(Map<String, String> whole) {
-                return whole.keySet().stream().map(path -> new Fault(path, "is bad")).toList();
+                return whole.keySet().stream()
+                        .map(path -> new Fault(path, "is bad"))
+                        .toList();
             }
 
             @Override
@@ -239,8 +252,9 @@
         Subscriber subscriber = new Subscriber(TERMS, rules, 1, 1, 1, 0, new SortedValues(30, "1").map, 1, 0);
         long watch = ((Effect.Dial) subscriber.tick(0).get(0)).watch();
         subscriber.connected(1, watch);
-        Effect.SendReport report = (Effect.SendReport) subscriber.line(2, watch,
-                new Line.Next(1, new SortedValues(40, "2").map, new TreeSet<>())).get(0);
+        Effect.SendReport report = (Effect.SendReport) subscriber
+                .line(2, watch, new Line.Next(1, new SortedValues(40, "2").map, new TreeSet<>()))
+                .get(0);
         assertEquals(Terms.MOST_TOLD, report.report().refused().size());
         assertEquals(Terms.MOST_TOLD, report.report().waitRestart().size());
         assertEquals(0, subscriber.rev());
--- a/src/test/java/kitemux/rollout/Defect.java
+++ b/src/test/java/kitemux/rollout/Defect.java
@@ -3,7 +3,7 @@
 /** What a defect does to the parts of a fleet, each at its boundary; nothing of it here. */
 interface Defect {
     /** A fleet without one. */
-    Defect NONE = new Defect() { };
+    Defect NONE = new Defect() {};
 
     /** Where in a version lines go that a keeper asks of itself and its like. */
     default Terms terms(Terms terms) {
--- a/src/test/java/kitemux/rollout/Fleet.java
+++ b/src/test/java/kitemux/rollout/Fleet.java
@@ -9,7 +9,6 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-
 import kitemux.sim.Scheduler;
 
 /**
@@ -42,6 +41,7 @@
     double loss;
     /** Where above 0, all is late by up to this. */
     long mostLateUs;
+
     private long calls;
     private long lives;
     private long turns;
@@ -49,10 +49,16 @@
     final Map<String, Long> counts = new TreeMap<>();
     /** Everything that was seen, as it was seen, if kept. */
     final List<Judge.Seen> tape = new ArrayList<>();
+
     boolean keepsTape;
     private final Map<Long, Consumer<Outcome>> operators = new HashMap<>();
 
-    Fleet(int nodeCount, long firstRev, SortedMap<String, String> firstValues, long seed, Defect defect,
+    Fleet(
+            int nodeCount,
+            long firstRev,
+            SortedMap<String, String> firstValues,
+            long seed,
+            Defect defect,
             java.util.Set<Integer> oldNodes) {
         draws = new SplittableRandom(seed);
         this.defect = defect;
@@ -61,8 +67,7 @@
         terms = defect.terms(Terms.usual());
         Map<Long, Map<String, String>> first = new TreeMap<>(Map.of(firstRev, firstValues));
         first.put(0L, Map.of());
-        judge = new Judge(first, Fleet::isSound,
-                (node, values) -> !oldNodes.contains(node) || isKnownToOld(values));
+        judge = new Judge(first, Fleet::isSound, (node, values) -> !oldNodes.contains(node) || isKnownToOld(values));
         regionOfNode = new int[nodeCount];
         for (int k : VOTERS) {
             founding.add(new Voter(k, "first" + k));
@@ -86,15 +91,17 @@
 
     /** The judge's own reading of what may be chosen. */
     private static boolean isSound(Map<String, String> values) {
-        return values.entrySet().stream().noneMatch(v -> v.getKey().startsWith("realms/")
-                && Long.parseLong(v.getValue()) < 0)
+        return values.entrySet().stream()
+                        .noneMatch(v -> v.getKey().startsWith("realms/") && Long.parseLong(v.getValue()) < 0)
                 && Long.parseLong(values.getOrDefault("classes/a", "50"))
-                + Long.parseLong(values.getOrDefault("classes/b", "50")) == 100;
+                                + Long.parseLong(values.getOrDefault("classes/b", "50"))
+                        == 100;
     }
 
     private static boolean isKnownToOld(Map<String, String> values) {
-        return values.entrySet().stream().noneMatch(v -> v.getKey().startsWith("realms/")
-                && Long.parseLong(v.getValue()) >= ToyRules.NOT_KNOWN_TO_OLD);
+        return values.entrySet().stream()
+                .noneMatch(v ->
+                        v.getKey().startsWith("realms/") && Long.parseLong(v.getValue()) >= ToyRules.NOT_KNOWN_TO_OLD);
     }
 
     void see(Judge.Seen seen) {
@@ -149,8 +156,10 @@
             for (int v : VOTERS) {
                 KeeperHost b = keepers.get(v);
                 boolean votes = b.identity.equals("first" + v);
-                majority[a.number] += votes && a.isWell() && b.isWell() && !a.silent && !b.silent
-                        && !isCut(a.region, b.region) ? 1 : 0;
+                majority[a.number] +=
+                        votes && a.isWell() && b.isWell() && !a.silent && !b.silent && !isCut(a.region, b.region)
+                                ? 1
+                                : 0;
             }
         }
         for (NodeHost node : nodes) {
@@ -265,6 +274,7 @@
         KeeperMachine machine;
         /** Other keepers hear nothing of it, nor it of them; nodes do. */
         boolean silent;
+
         private long told = -1;
         private final Map<Long, Connection> lines = new HashMap<>();
         /** What it was asked, by call. */
@@ -293,16 +303,27 @@
 
         void start() {
             begins();
-            List<Kept> read = disk.stream().map(kept -> RolloutText.readKept(RolloutText.write(kept)).value())
+            List<Kept> read = disk.stream()
+                    .map(kept -> RolloutText.readKept(RolloutText.write(kept)).value())
                     .toList();
-            machine = new KeeperMachine(terms, new Voter(number, identity), KEEPERS, founding,
-                    defect.keeperRules(new ToyRules(false)), read, draws.nextLong(), nowUs());
+            machine = new KeeperMachine(
+                    terms,
+                    new Voter(number, identity),
+                    KEEPERS,
+                    founding,
+                    defect.keeperRules(new ToyRules(false)),
+                    read,
+                    draws.nextLong(),
+                    nowUs());
             told = -1;
             known();
             if (defect.servesAtOnce()) {
                 for (int v : VOTERS) {
-                    machine.answered(nowUs(), v, new Answer.Known(machine.history().rev(),
-                            machine.history().rev(), List.of()));
+                    machine.answered(
+                            nowUs(),
+                            v,
+                            new Answer.Known(
+                                    machine.history().rev(), machine.history().rev(), List.of()));
                 }
             }
             arm();
@@ -342,9 +363,16 @@
         private void synced(Kept kept) {
             disk.add(kept);
             if (kept instanceof Kept.Voted voted && voted.vote().accepted() != null) {
-                see(new Judge.OnDisk(nowUs(), number, voted.vote().rev(), voted.vote().accepted().id()));
+                see(new Judge.OnDisk(
+                        nowUs(),
+                        number,
+                        voted.vote().rev(),
+                        voted.vote().accepted().id()));
             } else if (kept instanceof Kept.Chosen chosen) {
-                see(new Judge.OnDisk(nowUs(), number, chosen.version().rev(),
+                see(new Judge.OnDisk(
+                        nowUs(),
+                        number,
+                        chosen.version().rev(),
                         chosen.version().change().id()));
             }
         }
@@ -355,8 +383,8 @@
                 return;
             }
             unsynced.add(effect.kept());
-            diskFreeUs = Math.max(diskFreeUs, nowUs()) + (draws.nextInt(20) == 0
-                    ? draws.nextLong(100_000, 500_000) : draws.nextLong(500, 20_000));
+            diskFreeUs = Math.max(diskFreeUs, nowUs())
+                    + (draws.nextInt(20) == 0 ? draws.nextLong(100_000, 500_000) : draws.nextLong(500, 20_000));
             long life = process;
             boolean waits = defect.waitsForSync();
             time.at(diskFreeUs * 1_000, () -> {
@@ -382,8 +410,12 @@
             if (history.rev() != told) {
                 told = history.rev();
                 Version version = history.version(told);
-                see(new Judge.Known(nowUs(), name(), told,
-                        version == null ? "" : version.change().id(), history.values()));
+                see(new Judge.Known(
+                        nowUs(),
+                        name(),
+                        told,
+                        version == null ? "" : version.change().id(),
+                        history.values()));
             }
         }
 
@@ -420,17 +452,20 @@
             if (isLost(from)) {
                 return;
             }
-            time.afterUs(from == this ? 0 : lateUs(region, from.region), () -> inLife(() -> {
-                Request read = RolloutText.readRequest(bytes).value();
-                long call = ++calls;
-                replies.put(call, answer -> answered(from, fromLife, read, answer));
-                done(machine.asked(nowUs(), call, defect.asked(read, ++turns)));
-            }).run());
+            time.afterUs(
+                    from == this ? 0 : lateUs(region, from.region),
+                    () -> inLife(() -> {
+                                Request read = RolloutText.readRequest(bytes).value();
+                                long call = ++calls;
+                                replies.put(call, answer -> answered(from, fromLife, read, answer));
+                                done(machine.asked(nowUs(), call, defect.asked(read, ++turns)));
+                            })
+                            .run());
         }
 
         private boolean isLost(KeeperHost other) {
-            return other != this && (isCut(region, other.region) || silent || other.silent
-                    || draws.nextDouble() < loss);
+            return other != this
+                    && (isCut(region, other.region) || silent || other.silent || draws.nextDouble() < loss);
         }
 
         private void answered(KeeperHost asker, long askerLife, Request request, Answer answer) {
@@ -441,13 +476,14 @@
             time.afterUs(asker == this ? 0 : lateUs(region, asker.region), () -> {
                 if (asker.process == askerLife && asker.isUp()) {
                     asker.inLife(() -> {
-                        Answer read = RolloutText.readAnswer(bytes).value();
-                        asker.done(asker.machine.answered(nowUs(), number, read));
-                        int also = defect.alsoFrom(number, read);
-                        if (also >= 0 && asker.isUp()) {
-                            asker.done(asker.machine.answered(nowUs(), also, read));
-                        }
-                    }).run();
+                                Answer read = RolloutText.readAnswer(bytes).value();
+                                asker.done(asker.machine.answered(nowUs(), number, read));
+                                int also = defect.alsoFrom(number, read);
+                                if (also >= 0 && asker.isUp()) {
+                                    asker.done(asker.machine.answered(nowUs(), also, read));
+                                }
+                            })
+                            .run();
                 }
             });
         }
@@ -455,11 +491,13 @@
         /** An operator's call; no answer where the process dies. */
         void change(Change change, Consumer<Outcome> to) {
             inLife(() -> {
-                long call = ++calls;
-                operators.put(call, to);
-                Change read = RolloutText.readChange(RolloutText.write(change)).value();
-                done(machine.change(nowUs(), call, read));
-            }).run();
+                        long call = ++calls;
+                        operators.put(call, to);
+                        Change read = RolloutText.readChange(RolloutText.write(change))
+                                .value();
+                        done(machine.change(nowUs(), call, read));
+                    })
+                    .run();
         }
 
         private void watch(Connection line, long after) {
@@ -513,9 +551,12 @@
 
         private void report(byte[] bytes, String process) {
             inLife(() -> {
-                see(new Judge.Heard(nowUs(), name(), process));
-                machine.reported(nowUs(), defect.report(RolloutText.readReport(bytes).value()));
-            }).run();
+                        see(new Judge.Heard(nowUs(), name(), process));
+                        machine.reported(
+                                nowUs(),
+                                defect.report(RolloutText.readReport(bytes).value()));
+                    })
+                    .run();
         }
     }
 
@@ -526,6 +567,7 @@
         Subscriber subscriber;
         /** What its file says. */
         long fileRev;
+
         private final Map<Long, Connection> lines = new HashMap<>();
         private long life;
         private long slowUntilUs;
@@ -564,8 +606,16 @@
         }
 
         private void subscribe(long rev) {
-            subscriber = new Subscriber(terms, rules, number, life, KEEPERS, rev,
-                    rev == 0 ? new TreeMap<>() : firstValues, draws.nextLong(), nowUs());
+            subscriber = new Subscriber(
+                    terms,
+                    rules,
+                    number,
+                    life,
+                    KEEPERS,
+                    rev,
+                    rev == 0 ? new TreeMap<>() : firstValues,
+                    draws.nextLong(),
+                    nowUs());
         }
 
         void die() {
@@ -596,8 +646,10 @@
                         if (now.rev() >= firstRev && judge.revOf(oldName) <= now.rev()) {
                             see(new Judge.InForce(nowUs(), number, oldName, now.rev(), now.values()));
                             see(new Judge.Reported(nowUs(), number));
-                            to.report(RolloutText.write(new Report(number, oldLife, now.rev(),
-                                    new java.util.TreeSet<>(), List.of())), oldName);
+                            to.report(
+                                    RolloutText.write(new Report(
+                                            number, oldLife, now.rev(), new java.util.TreeSet<>(), List.of())),
+                                    oldName);
                         }
                     }
                 });
@@ -621,8 +673,11 @@
         private long lackedBytes() {
             long bytes = 0;
             long from = subscriber == null ? 0 : Math.max(firstRev, subscriber.rev());
-            KeeperHost newest = keepers.stream().filter(KeeperHost::isUp).max(java.util.Comparator
-                    .comparingLong(k -> k.machine.history().rev())).orElse(null);
+            KeeperHost newest = keepers.stream()
+                    .filter(KeeperHost::isUp)
+                    .max(java.util.Comparator.comparingLong(
+                            k -> k.machine.history().rev()))
+                    .orElse(null);
             if (newest != null) {
                 for (Version version : newest.machine.history().after(from, Terms.HISTORY)) {
                     bytes += RolloutText.write(version.change()).length + Terms.LINE_BYTES;
@@ -657,8 +712,15 @@
             KeeperHost keeper = keepers.get(to);
             byte[] bytes = RolloutText.write(report);
             String by = name();
-            report.refused().forEach(refusal -> see(new Judge.Refused(nowUs(), number, refusal.rev(),
-                    defect.report(report).refused().get(report.refused().indexOf(refusal)).path())));
+            report.refused()
+                    .forEach(refusal -> see(new Judge.Refused(
+                            nowUs(),
+                            number,
+                            refusal.rev(),
+                            defect.report(report)
+                                    .refused()
+                                    .get(report.refused().indexOf(refusal))
+                                    .path())));
             if (!isCut(keeper.region, regionOfNode[number])) {
                 see(new Judge.Reported(nowUs(), number));
                 time.afterUs(lateUs(keeper.region, regionOfNode[number]), () -> keeper.report(bytes, by));
@@ -666,12 +728,12 @@
         }
 
         private void put(Effect.PutInForce put) {
-            long lateUs = draws.nextInt(20) == 0 ? draws.nextLong(200_000, 800_000)
-                    : draws.nextLong(100, 5_000);
+            long lateUs = draws.nextInt(20) == 0 ? draws.nextLong(200_000, 800_000) : draws.nextLong(100, 5_000);
             slowUntilUs = Math.max(slowUntilUs, nowUs() + lateUs);
             if (defect.reportsEarly()) {
-                report(draws.nextInt(KEEPERS), new Report(number, life, put.rev(), new java.util.TreeSet<>(),
-                        List.of()));
+                report(
+                        draws.nextInt(KEEPERS),
+                        new Report(number, life, put.rev(), new java.util.TreeSet<>(), List.of()));
             }
             Subscriber to = subscriber;
             time.at(slowUntilUs * 1_000, inLife(() -> {
@@ -706,10 +768,11 @@
                     return;
                 }
                 keeper.inLife(() -> {
-                    if (!line.closed) {
-                        keeper.watch(line, dial.after());
-                    }
-                }).run();
+                            if (!line.closed) {
+                                keeper.watch(line, dial.after());
+                            }
+                        })
+                        .run();
             });
         }
 
@@ -753,20 +816,18 @@
         List<List<Inventory.Row>> rows = new ArrayList<>();
         List<String> asked = new ArrayList<>();
         for (KeeperHost other : keepers) {
-            if (other.isWell() && (other == at || !isCut(other.region, at.region) && !at.silent
-                    && !other.silent)) {
+            if (other.isWell() && (other == at || !isCut(other.region, at.region) && !at.silent && !other.silent)) {
                 asked.add(other.name());
-                rows.add(RolloutText.readRows(RolloutText.writeRows(other.machine.inventory().rows(nowUs())))
+                rows.add(RolloutText.readRows(
+                                RolloutText.writeRows(other.machine.inventory().rows(nowUs())))
                         .value());
             }
         }
         long rev = at.machine.history().rev();
-        Map<Inventory.Standing, List<Integer>> status = Inventory.status(terms, Inventory.merged(rows),
-                nodes.size(), rev);
+        Map<Inventory.Standing, List<Integer>> status =
+                Inventory.status(terms, Inventory.merged(rows), nodes.size(), rev);
         status.forEach((standing, some) -> some.forEach(node -> count("status " + standing)));
-        status.get(Inventory.Standing.IN_FORCE).forEach(node -> see(new Judge.Counted(nowUs(), node, rev,
-                asked)));
-        status.get(Inventory.Standing.WAITS_RESTART).forEach(node ->
-                see(new Judge.Counted(nowUs(), node, rev, asked)));
+        status.get(Inventory.Standing.IN_FORCE).forEach(node -> see(new Judge.Counted(nowUs(), node, rev, asked)));
+        status.get(Inventory.Standing.WAITS_RESTART).forEach(node -> see(new Judge.Counted(nowUs(), node, rev, asked)));
     }
 }
--- a/src/test/java/kitemux/rollout/Judge.java
+++ b/src/test/java/kitemux/rollout/Judge.java
@@ -20,16 +20,26 @@
     static final long IN_FORCE_US = 4_000_000;
     /** Whoever is not heard is said to be so within this, and a second for the words to travel. */
     static final long SILENT_US = 26_000_000;
+
     private static final long WINDOW_US = 2_000_000;
     private static final long MOST_IN_WINDOW = 16_384;
     private static final int ENOUGH_DISKS = 3;
     private static final int MOST_BREACHES = 20;
 
     /** What is promised. */
-    enum Promise { ONE_HISTORY, MONOTONIC, WHOLE, TIMELY, TRUTHFUL, DURABLE, PACED, SOUND }
+    enum Promise {
+        ONE_HISTORY,
+        MONOTONIC,
+        WHOLE,
+        TIMELY,
+        TRUTHFUL,
+        DURABLE,
+        PACED,
+        SOUND
+    }
 
     /** A promise that was broken. */
-    record Breach(Promise promise, long atUs, String what) { }
+    record Breach(Promise promise, long atUs, String what) {}
 
     /** Something that was seen. */
     sealed interface Seen {
@@ -38,47 +48,45 @@
     }
 
     /** A keeper's process knows this to be chosen: the id of the change, and what the values are by it. */
-    record Known(long atUs, String process, long rev, String id, Map<String, String> values)
-            implements Seen { }
+    record Known(long atUs, String process, long rev, String id, Map<String, String> values) implements Seen {}
 
     /** A node's process has this in force. */
-    record InForce(long atUs, int node, String process, long rev, Map<String, String> values)
-            implements Seen { }
+    record InForce(long atUs, int node, String process, long rev, Map<String, String> values) implements Seen {}
 
     /** A node's process began; of two of a node the one that began later counts. */
-    record Began(long atUs, int node, String process) implements Seen { }
+    record Began(long atUs, int node, String process) implements Seen {}
 
     /** It ended. */
-    record Ended(long atUs, int node, String process) implements Seen { }
+    record Ended(long atUs, int node, String process) implements Seen {}
 
     /** A keeper that holds itself for current spoke to a node's process; the newest version that it knows. */
-    record Spoke(long atUs, String process, long keeperRev) implements Seen { }
+    record Spoke(long atUs, String process, long keeperRev) implements Seen {}
 
     /**
      * A voter's disk holds it that this was accepted or chosen for the version. One that is lost later is one
      * of the two that may be.
      */
-    record OnDisk(long atUs, int voter, long rev, String id) implements Seen { }
+    record OnDisk(long atUs, int voter, long rev, String id) implements Seen {}
 
     /** An operator was told that a change is chosen. */
-    record Answered(long atUs, String id, long rev) implements Seen { }
+    record Answered(long atUs, String id, long rev) implements Seen {}
 
     /** A process of a node has sent a report, and nothing was in its way. */
-    record Reported(long atUs, int node) implements Seen { }
+    record Reported(long atUs, int node) implements Seen {}
 
     /** A report of a node's process has come to a keeper's. */
-    record Heard(long atUs, String keeper, String process) implements Seen { }
+    record Heard(long atUs, String keeper, String process) implements Seen {}
 
     /**
      * An operator was told that a node has a version in force, by what these keepers' processes have heard.
      */
-    record Counted(long atUs, int node, long rev, List<String> keepers) implements Seen { }
+    record Counted(long atUs, int node, long rev, List<String> keepers) implements Seen {}
 
     /** A node was sent so many bytes. */
-    record Sent(long atUs, String process, int bytes) implements Seen { }
+    record Sent(long atUs, String process, int bytes) implements Seen {}
 
     /** A node says that it refuses a version for a fault at a path. */
-    record Refused(long atUs, int node, long rev, String path) implements Seen { }
+    record Refused(long atUs, int node, long rev, String path) implements Seen {}
 
     /**
      * Lines or processes have changed.
@@ -86,16 +94,17 @@
      * @param majority whether the node can reach a keeper that reaches a majority
      * @param moreUs what it needs beyond the usual time: keepers that it tries in vain, a whole at the pace
      */
-    record Reach(long atUs, int node, boolean majority, long moreUs) implements Seen { }
+    record Reach(long atUs, int node, boolean majority, long moreUs) implements Seen {}
 
     /** Time has passed, and nothing else. */
-    record Passed(long atUs) implements Seen { }
+    record Passed(long atUs) implements Seen {}
 
-    private record Chosen(String id, Map<String, String> values, long atUs) { }
+    private record Chosen(String id, Map<String, String> values, long atUs) {}
 
     private static final class Process {
         /** Keepers' processes to which a report of it has come. */
         final Set<String> heardBy = new HashSet<>();
+
         long rev = -1;
     }
 
@@ -129,7 +138,9 @@
      * @param isSound whether values may be chosen at all
      * @param takes whether a node's program takes them
      */
-    Judge(Map<Long, Map<String, String>> first, Predicate<Map<String, String>> isSound,
+    Judge(
+            Map<Long, Map<String, String>> first,
+            Predicate<Map<String, String>> isSound,
             BiPredicate<Integer, Map<String, String>> takes) {
         this.isSound = isSound;
         this.takes = takes;
@@ -238,7 +249,9 @@
         if (of == null || !of.id.isEmpty() && !of.id.equals(s.id)) {
             breach(Promise.DURABLE, s, "nobody knows it");
         }
-        long on = disks.values().stream().filter(disk -> disk.contains(s.rev + " " + s.id)).count();
+        long on = disks.values().stream()
+                .filter(disk -> disk.contains(s.rev + " " + s.id))
+                .count();
         if (on < ENOUGH_DISKS) {
             breach(Promise.DURABLE, s, "on " + on + " disks alone");
         }
--- a/src/test/java/kitemux/rollout/JudgeTest.java
+++ b/src/test/java/kitemux/rollout/JudgeTest.java
@@ -2,19 +2,17 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
-import com.tngtech.archunit.core.domain.JavaClasses;
-import com.tngtech.archunit.core.importer.ClassFileImporter;
-
 /**
  * The judge over toy histories, without any of the code that it judges: what is sound passes, each breach is
  * named.
@@ -24,8 +22,10 @@
     private static final Map<String, String> TWO = Map.of("realms/a", "2");
 
     private static List<Judge.Breach> judged(List<Judge.Seen> history) {
-        Judge judge = new Judge(Map.of(0L, Map.of()),
-                values -> !values.getOrDefault("realms/a", "0").startsWith("-"), (node, values) -> true);
+        Judge judge = new Judge(
+                Map.of(0L, Map.of()),
+                values -> !values.getOrDefault("realms/a", "0").startsWith("-"),
+                (node, values) -> true);
         history.forEach(judge::see);
         return judge.breaches();
     }
@@ -71,10 +71,13 @@
 
     @Test
     void whatNobodyWhoWasAskedHasHeardIsNotHeldAgainstThem() {
-        assertEquals(List.of(), judged(with(new Judge.Began(5_000_000, 0, "n0 again"),
-                new Judge.InForce(5_000_000, 0, "n0 again", 0, Map.of()),
-                new Judge.Heard(5_000_000, "k1", "n0 again"),
-                new Judge.Counted(5_000_001, 0, 1, List.of("k0")))));
+        assertEquals(
+                List.of(),
+                judged(with(
+                        new Judge.Began(5_000_000, 0, "n0 again"),
+                        new Judge.InForce(5_000_000, 0, "n0 again", 0, Map.of()),
+                        new Judge.Heard(5_000_000, "k1", "n0 again"),
+                        new Judge.Counted(5_000_001, 0, 1, List.of("k0")))));
     }
 
     @Test
@@ -102,26 +105,44 @@
                 Arguments.of(Judge.Promise.MONOTONIC, with(new Judge.Known(t, "k0", 0, "", Map.of()))),
                 Arguments.of(Judge.Promise.MONOTONIC, with(new Judge.Spoke(t, "n0", 0))),
                 Arguments.of(Judge.Promise.WHOLE, with(new Judge.InForce(t, 0, "n0", 1, TWO))),
-                Arguments.of(Judge.Promise.TIMELY, Stream.of(without(Judge.InForce.class, 1)).peek(all ->
-                        all.removeIf(s -> s instanceof Judge.Counted)).findFirst().orElseThrow()),
+                Arguments.of(
+                        Judge.Promise.TIMELY,
+                        Stream.of(without(Judge.InForce.class, 1))
+                                .peek(all -> all.removeIf(s -> s instanceof Judge.Counted))
+                                .findFirst()
+                                .orElseThrow()),
                 Arguments.of(Judge.Promise.TRUTHFUL, without(Judge.InForce.class, 1)),
-                Arguments.of(Judge.Promise.TRUTHFUL, with(new Judge.Began(t, 0, "n0 again"),
-                        new Judge.InForce(t, 0, "n0 again", 0, Map.of()),
-                        new Judge.Heard(t, "k1", "n0 again"),
-                        new Judge.Counted(t + 1, 0, 1, List.of("k0", "k1")))),
-                Arguments.of(Judge.Promise.TRUTHFUL, with(new Judge.Ended(t, 0, "n0"),
-                        new Judge.Counted(26_004_200, 0, 1, List.of("k0")))),
+                Arguments.of(
+                        Judge.Promise.TRUTHFUL,
+                        with(
+                                new Judge.Began(t, 0, "n0 again"),
+                                new Judge.InForce(t, 0, "n0 again", 0, Map.of()),
+                                new Judge.Heard(t, "k1", "n0 again"),
+                                new Judge.Counted(t + 1, 0, 1, List.of("k0", "k1")))),
+                Arguments.of(
+                        Judge.Promise.TRUTHFUL,
+                        with(new Judge.Ended(t, 0, "n0"), new Judge.Counted(26_004_200, 0, 1, List.of("k0")))),
                 Arguments.of(Judge.Promise.TRUTHFUL, without(Judge.Reported.class, 0)),
                 Arguments.of(Judge.Promise.DURABLE, without(Judge.OnDisk.class, 0)),
-                Arguments.of(Judge.Promise.DURABLE, Stream.of(sound()).peek(all ->
-                        all.set(4, new Judge.OnDisk(1_000, 1, 1, "x"))).findFirst().orElseThrow()),
-                Arguments.of(Judge.Promise.DURABLE, Stream.of(sound()).peek(all ->
-                        all.set(4, new Judge.OnDisk(1_000, 0, 1, "y"))).findFirst().orElseThrow()),
-                Arguments.of(Judge.Promise.PACED, with(new Judge.Sent(t, "n0", 8_000),
-                        new Judge.Sent(t + 1_000_000, "n0", 8_000),
-                        new Judge.Sent(t + 1_900_000, "n0", 400))),
-                Arguments.of(Judge.Promise.SOUND, with(new Judge.Known(t, "k0", 2, "z",
-                        Map.of("realms/a", "-1")))),
+                Arguments.of(
+                        Judge.Promise.DURABLE,
+                        Stream.of(sound())
+                                .peek(all -> all.set(4, new Judge.OnDisk(1_000, 1, 1, "x")))
+                                .findFirst()
+                                .orElseThrow()),
+                Arguments.of(
+                        Judge.Promise.DURABLE,
+                        Stream.of(sound())
+                                .peek(all -> all.set(4, new Judge.OnDisk(1_000, 0, 1, "y")))
+                                .findFirst()
+                                .orElseThrow()),
+                Arguments.of(
+                        Judge.Promise.PACED,
+                        with(
+                                new Judge.Sent(t, "n0", 8_000),
+                                new Judge.Sent(t + 1_000_000, "n0", 8_000),
+                                new Judge.Sent(t + 1_900_000, "n0", 400))),
+                Arguments.of(Judge.Promise.SOUND, with(new Judge.Known(t, "k0", 2, "z", Map.of("realms/a", "-1")))),
                 Arguments.of(Judge.Promise.SOUND, with(new Judge.Refused(t, 0, 1, ""))),
                 Arguments.of(Judge.Promise.SOUND, with(new Judge.Refused(t, 0, 1, "realms/b"))));
     }
@@ -137,7 +158,8 @@
     @Test
     void theJudgeIsBlindToWhatItJudges() {
         JavaClasses judge = new ClassFileImporter().importPackages("kitemux.rollout");
-        List<String> known = judge.stream().filter(c -> c.getName().startsWith(Judge.class.getName()))
+        List<String> known = judge.stream()
+                .filter(c -> c.getName().startsWith(Judge.class.getName()))
                 .flatMap(c -> c.getDirectDependenciesFromSelf().stream())
                 .map(d -> d.getTargetClass().getBaseComponentType().getName())
                 .filter(name -> name.startsWith("kitemux.") && !name.startsWith(Judge.class.getName()))
--- a/src/test/java/kitemux/rollout/Mutant.java
+++ b/src/test/java/kitemux/rollout/Mutant.java
@@ -23,8 +23,7 @@
         @Override
         public Answer answer(Request request, Answer answer) {
             if (answer instanceof Answer.Promised a) {
-                return new Answer.Promised(a.rev(), lowered(a.ballot()), lowered(a.acceptedAt()),
-                        a.accepted());
+                return new Answer.Promised(a.rev(), lowered(a.ballot()), lowered(a.acceptedAt()), a.accepted());
             } else if (answer instanceof Answer.Accepted a) {
                 return new Answer.Accepted(a.rev(), lowered(a.ballot()));
             }
@@ -41,7 +40,8 @@
         @Override
         public Answer answer(Request request, Answer answer) {
             return answer instanceof Answer.Promised a
-                    ? new Answer.Promised(a.rev(), a.ballot(), Ballot.NONE, null) : answer;
+                    ? new Answer.Promised(a.rev(), a.ballot(), Ballot.NONE, null)
+                    : answer;
         }
     },
     EMPTY_FOLDER_VOTES(Judge.Promise.ONE_HISTORY) {
@@ -71,7 +71,8 @@
         @Override
         public Line line(Line line, Rules rules, Subscriber subscriber) {
             return line instanceof Line.Part part && part.part() == 1
-                    ? new Line.Part(part.rev(), 1, 1, part.set()) : line;
+                    ? new Line.Part(part.rev(), 1, 1, part.set())
+                    : line;
         }
     },
     HALF_OF_A_CHANGE_AFTER_A_FAULT(Judge.Promise.WHOLE) {
@@ -80,8 +81,7 @@
             if (!(line instanceof Line.Next next)) {
                 return line;
             }
-            Map<String, String> after = new Change("", 0, next.set(), next.drop())
-                    .appliedTo(subscriber.values());
+            Map<String, String> after = new Change("", 0, next.set(), next.drop()).appliedTo(subscriber.values());
             SortedMap<String, String> sound = new TreeMap<>(next.set());
             rules.faults(after).forEach(fault -> sound.remove(fault.path()));
             return new Line.Next(next.rev(), sound, next.drop());
@@ -165,8 +165,14 @@
     FAULT_TOLD_WITHOUT_PATH(Judge.Promise.SOUND) {
         @Override
         public Report report(Report r) {
-            return new Report(r.node(), r.life(), r.rev(), r.waitRestart(), r.refused().stream()
-                    .map(each -> new Report.Refusal(each.rev(), "", each.reason())).toList());
+            return new Report(
+                    r.node(),
+                    r.life(),
+                    r.rev(),
+                    r.waitRestart(),
+                    r.refused().stream()
+                            .map(each -> new Report.Refusal(each.rev(), "", each.reason()))
+                            .toList());
         }
     };
 
@@ -186,9 +192,27 @@
     }
 
     private static Terms with(Terms t, int patience, long paceBytes, long paceFirst, int partBytes) {
-        return new Terms(t.beatUs(), patience * t.leastPatienceUs(), patience * t.mostPatienceUs(),
-                t.dialUs(), t.leastWaitUs(), t.mostWaitUs(), t.longestWaitUs(), t.aloneTryUs(), t.reportUs(),
-                t.silentUs(), t.leastPhaseUs(), t.mostPhaseUs(), t.tries(), t.triesUs(), t.pulseUs(),
-                t.heardUs(),                t.finishUs(), paceBytes, t.paceAtOnce(), paceFirst, partBytes);
+        return new Terms(
+                t.beatUs(),
+                patience * t.leastPatienceUs(),
+                patience * t.mostPatienceUs(),
+                t.dialUs(),
+                t.leastWaitUs(),
+                t.mostWaitUs(),
+                t.longestWaitUs(),
+                t.aloneTryUs(),
+                t.reportUs(),
+                t.silentUs(),
+                t.leastPhaseUs(),
+                t.mostPhaseUs(),
+                t.tries(),
+                t.triesUs(),
+                t.pulseUs(),
+                t.heardUs(),
+                t.finishUs(),
+                paceBytes,
+                t.paceAtOnce(),
+                paceFirst,
+                partBytes);
     }
 }
--- a/src/test/java/kitemux/rollout/Orders.java
+++ b/src/test/java/kitemux/rollout/Orders.java
@@ -37,6 +37,7 @@
     private final Defect defect;
     /** States by 64 bits of what they say: of a million, two fall together once in 36 million runs. */
     private final Set<Long> seen = ConcurrentHashMap.newKeySet();
+
     private volatile Judge.Breach breach;
     private final AtomicLong whole = new AtomicLong();
 
@@ -72,10 +73,15 @@
     private record Message(int from, int fromLife, int to, Request request) {
         @Override
         public String toString() {
-            String what = request instanceof Request.Prepare r ? "p" + r.rev() + " " + r.ballot()
-                    : request instanceof Request.Accept r ? "a" + r.rev() + " " + r.ballot() + r.value().id()
-                    : "c" + ((Request.Chosen) request).version().rev() + " "
-                    + ((Request.Chosen) request).version().change().id();
+            String what = request instanceof Request.Prepare r
+                    ? "p" + r.rev() + " " + r.ballot()
+                    : request instanceof Request.Accept r
+                            ? "a" + r.rev() + " " + r.ballot() + r.value().id()
+                            : "c" + ((Request.Chosen) request).version().rev() + " "
+                                    + ((Request.Chosen) request)
+                                            .version()
+                                            .change()
+                                            .id();
             return from + "/" + fromLife + ">" + to + what;
         }
     }
@@ -105,7 +111,8 @@
             path[node.path.length] = choice;
             World world = play(path);
             if (breach == null && seen.add(state(world))) {
-                if (Arrays.stream(world.keepers).anyMatch(keeper -> keeper.history().rev() >= 2)) {
+                if (Arrays.stream(world.keepers)
+                        .anyMatch(keeper -> keeper.history().rev() >= 2)) {
                     whole.incrementAndGet();
                 }
                 found.add(new Node(path, choices(world)));
@@ -115,7 +122,7 @@
     }
 
     /** A way to a state, and where it may go on. */
-    private record Node(byte[] path, byte[] choices) { }
+    private record Node(byte[] path, byte[] choices) {}
 
     private byte[] choices(World world) {
         byte[] found = new byte[world.flying.size() + 2 * KEEPERS];
@@ -139,7 +146,8 @@
         for (int k = 0; k < KEEPERS; k++) {
             text.append(world.keepers[k]).append(world.lives[k]).append('|');
         }
-        List<String> flying = world.flying.stream().map(Message::toString).sorted().toList();
+        List<String> flying =
+                world.flying.stream().map(Message::toString).sorted().toList();
         text.append(flying).append(world.timeouts).append(world.restarts);
         long hash = 0xcbf29ce484222325L;
         for (int i = 0; i < text.length(); i++) {
@@ -160,8 +168,12 @@
             for (int other = 0; other < KEEPERS; other++) {
                 world.keepers[k].answered(0, other, new Answer.Known(0, 0, List.of()));
             }
-            done(world, judge, k, world.keepers[k].change(0, k, Change.of(String.format("%016x", k + 1), 0,
-                    Map.of("realms/" + k, "1"), List.of())));
+            done(
+                    world,
+                    judge,
+                    k,
+                    world.keepers[k].change(
+                            0, k, Change.of(String.format("%016x", k + 1), 0, Map.of("realms/" + k, "1"), List.of())));
         }
         for (int i = 0; i < path.length; i++) {
             step(world, judge, path[i]);
@@ -174,8 +186,8 @@
 
     private void start(World world, int k) {
         List<Voter> voters = List.of(new Voter(0, "a"), new Voter(1, "a"), new Voter(2, "a"));
-        world.keepers[k] = new KeeperMachine(Terms.usual(), voters.get(k), KEEPERS, voters, NO_RULES,
-                world.disks.get(k), 7, world.nowUs[k]);
+        world.keepers[k] = new KeeperMachine(
+                Terms.usual(), voters.get(k), KEEPERS, voters, NO_RULES, world.disks.get(k), 7, world.nowUs[k]);
     }
 
     private void step(World world, Judge judge, int choice) {
@@ -198,8 +210,12 @@
         }
         Message message = world.flying.remove(choice);
         int k = message.to;
-        done(world, judge, k, world.keepers[k].asked(world.nowUs[k], 1,
-                defect.asked(message.request, ++world.turns)), message);
+        done(
+                world,
+                judge,
+                k,
+                world.keepers[k].asked(world.nowUs[k], 1, defect.asked(message.request, ++world.turns)),
+                message);
     }
 
     private void done(World world, Judge judge, int k, List<Effect> effects) {
@@ -212,22 +228,31 @@
                 world.flying.add(new Message(k, world.lives[k], send.to(), send.request()));
             } else if (effect instanceof Effect.Reply reply && world.lives[asked.from] == asked.fromLife) {
                 // An answer to an earlier life does not reach a later one.
-                done(world, judge, asked.from, world.keepers[asked.from].answered(world.nowUs[asked.from], k,
-                        defect.answer(asked.request, reply.answer())));
+                done(
+                        world,
+                        judge,
+                        asked.from,
+                        world.keepers[asked.from].answered(
+                                world.nowUs[asked.from], k, defect.answer(asked.request, reply.answer())));
             } else if (effect instanceof Effect.Write write) {
                 if (defect.syncs(write.kept())) {
                     world.disks.get(k).add(write.kept());
                 }
                 if (write.kept() instanceof Kept.Voted voted && voted.vote().accepted() != null) {
-                    judge.see(new Judge.OnDisk(0, k, voted.vote().rev(), voted.vote().accepted().id()));
+                    judge.see(new Judge.OnDisk(
+                            0, k, voted.vote().rev(), voted.vote().accepted().id()));
                 }
                 done(world, judge, k, write.then(), asked);
             }
         }
         History history = world.keepers[k].history();
         for (Version version : history.after(0, Terms.HISTORY)) {
-            judge.see(new Judge.Known(0, "keeper " + k + " of " + version.rev(), version.rev(),
-                    version.change().id(), Map.of("of", version.change().toString())));
+            judge.see(new Judge.Known(
+                    0,
+                    "keeper " + k + " of " + version.rev(),
+                    version.rev(),
+                    version.change().id(),
+                    Map.of("of", version.change().toString())));
         }
     }
 }
--- a/src/test/java/kitemux/rollout/OrdersTest.java
+++ b/src/test/java/kitemux/rollout/OrdersTest.java
@@ -19,15 +19,15 @@
     void noOrderMakesTwoHistories(int timeouts, int restarts, int steps) {
         Orders orders = new Orders(timeouts, restarts, steps, Defect.NONE);
         assertNull(orders.broken());
-        assertTrue(orders.states() > 20_000 && (steps < 9 || orders.whole() > 500),
+        assertTrue(
+                orders.states() > 20_000 && (steps < 9 || orders.whole() > 500),
                 orders.states() + " states, both changes chosen in " + orders.whole());
-        System.out.println("orders: " + timeouts + " timeouts, " + restarts + " restarts, " + steps
-                + " steps, " + orders.states() + " states, both chosen in " + orders.whole());
+        System.out.println("orders: " + timeouts + " timeouts, " + restarts + " restarts, " + steps + " steps, "
+                + orders.states() + " states, both chosen in " + orders.whole());
     }
 
     @ParameterizedTest
-    @EnumSource(names = {"BALLOTS_IGNORED", "PROMISE_NOT_SYNCED", "ACCEPTED_VALUE_NOT_TAKEN_UP",
-        "EMPTY_FOLDER_VOTES"})
+    @EnumSource(names = {"BALLOTS_IGNORED", "PROMISE_NOT_SYNCED", "ACCEPTED_VALUE_NOT_TAKEN_UP", "EMPTY_FOLDER_VOTES"})
     void aDefectOfVotersIsFound(Mutant mutant) {
         Judge.Breach breach = new Orders(0, 1, 9, mutant).broken();
         assertNotNull(breach, mutant + " is not found");
--- a/src/test/java/kitemux/rollout/Play.java
+++ b/src/test/java/kitemux/rollout/Play.java
@@ -13,6 +13,7 @@
 final class Play {
     /** One play in so many has a region cut off for an hour. */
     private static final int HOUR = 25;
+
     private static final long HOUR_US = 3_600_000_000L;
 
     final long seed;
@@ -74,7 +75,9 @@
         fleet.time.afterUs(draws.nextLong(200_000, 3_000_000), () -> {
             if (isContended) {
                 Fleet.KeeperHost keeper = fleet.keepers.get(draws.nextInt(Fleet.KEEPERS));
-                long learners = fleet.keepers.stream().filter(k -> !k.identity.startsWith("first")).count();
+                long learners = fleet.keepers.stream()
+                        .filter(k -> !k.identity.startsWith("first"))
+                        .count();
                 if (draws.nextInt(4) == 0 && learners < 2) {
                     keeper.loseDisk();
                 } else {
@@ -90,7 +93,9 @@
     Judge.Breach broken() {
         if (isContended) {
             contended();
-            return fleet.judge.breaches().isEmpty() ? null : fleet.judge.breaches().get(0);
+            return fleet.judge.breaches().isEmpty()
+                    ? null
+                    : fleet.judge.breaches().get(0);
         }
         if (draws.nextInt(4) == 0) {
             fleet.loss = 0.05 * draws.nextDouble();
@@ -120,8 +125,9 @@
             change();
             operators();
         });
-        fleet.time.afterUs(draws.nextLong(500_000, 3_000_000), () ->
-                fleet.status(fleet.keepers.get(draws.nextInt(Fleet.KEEPERS))));
+        fleet.time.afterUs(
+                draws.nextLong(500_000, 3_000_000),
+                () -> fleet.status(fleet.keepers.get(draws.nextInt(Fleet.KEEPERS))));
     }
 
     private void change() {
@@ -146,18 +152,24 @@
         String id = String.format("%016x", draws.nextLong());
         Fleet.KeeperHost by = fleet.keepers.get(draws.nextInt(Fleet.KEEPERS));
         long base = by.machine == null ? fleet.firstRev : by.machine.history().rev();
-        Map<String, String> values = by.machine == null ? fleet.firstValues : by.machine.history().values();
+        Map<String, String> values =
+                by.machine == null ? fleet.firstValues : by.machine.history().values();
         String realm = "realms/tenant-" + draws.nextInt(20);
         int a = draws.nextInt(101);
         return switch (what) {
-            case 0 -> Change.of(id, base, Map.of("classes/a", "" + a, "classes/b", "" + (100 - a),
-                    realm, "" + draws.nextInt(800)), List.of());
+            case 0 ->
+                Change.of(
+                        id,
+                        base,
+                        Map.of("classes/a", "" + a, "classes/b", "" + (100 - a), realm, "" + draws.nextInt(800)),
+                        List.of());
             case 1 -> Change.of(id, base, Map.of("classes/a", "" + a), List.of());
             case 2 -> Change.of(id, base, Map.of(realm, "-1"), List.of());
-            case 3 -> values.containsKey(realm) ? Change.of(id, base, Map.of(), List.of(realm))
-                    : Change.of(id, base, Map.of(realm, "7"), List.of());
-            case 4 -> Change.of(id, base, Map.of(realm, "" + draws.nextInt(880, 920), "realms/more", "3"),
-                    List.of());
+            case 3 ->
+                values.containsKey(realm)
+                        ? Change.of(id, base, Map.of(), List.of(realm))
+                        : Change.of(id, base, Map.of(realm, "7"), List.of());
+            case 4 -> Change.of(id, base, Map.of(realm, "" + draws.nextInt(880, 920), "realms/more", "3"), List.of());
             case 5 -> Change.of(id, base, Map.of("limits/dial", "" + draws.nextInt(3)), List.of());
             default -> {
                 Map<String, String> set = new TreeMap<>();
@@ -252,7 +264,10 @@
                 }
             }
             case 6 -> {
-                if (fleet.keepers.stream().filter(k -> !k.identity.startsWith("first")).count() < 2) {
+                if (fleet.keepers.stream()
+                                .filter(k -> !k.identity.startsWith("first"))
+                                .count()
+                        < 2) {
                     keeper.loseDisk();
                     later(500_000, 5_000_000, () -> startAgain(keeper));
                 }
--- a/src/test/java/kitemux/rollout/RolloutTextTest.java
+++ b/src/test/java/kitemux/rollout/RolloutTextTest.java
@@ -11,7 +11,6 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Function;
-
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -26,15 +25,26 @@
  */
 class RolloutTextTest {
     private static Arbitrary<String> values() {
-        return Arbitraries.of("1", "-0.5", "1e5", "true", "\"a \\\"b\\\"\"", "{}", "[]",
+        return Arbitraries.of(
+                "1",
+                "-0.5",
+                "1e5",
+                "true",
+                "\"a \\\"b\\\"\"",
+                "{}",
+                "[]",
                 "[1,null,{\"a\":\"\\\\\"}]",
-                "{\"aimMs\":250,\"deep\":{\"x\":[false]}}", "\"\\u00e9\\ud83d\\ude00\"",
+                "{\"aimMs\":250,\"deep\":{\"x\":[false]}}",
+                "\"\\u00e9\\ud83d\\ude00\"",
                 "123456789012345678901234567890");
     }
 
     private static Arbitrary<String> names() {
-        return Arbitraries.strings().withCharRange('a', 'z').withChars('-', '.', ' ', '"', '\\', '\u00e9')
-                .ofMinLength(1).ofMaxLength(12);
+        return Arbitraries.strings()
+                .withCharRange('a', 'z')
+                .withChars('-', '.', ' ', '"', '\\', '\u00e9')
+                .ofMinLength(1)
+                .ofMaxLength(12);
     }
 
     private static Arbitrary<String> paths() {
@@ -43,25 +53,34 @@
     }
 
     private static Arbitrary<Change> changes() {
-        return Combinators.combine(Arbitraries.longs(), Arbitraries.longs().between(0, Long.MAX_VALUE),
-                Arbitraries.maps(paths(), values()).ofMaxSize(5), paths().set().ofMaxSize(4))
-                .as((id, base, set, drop) -> Change.of(String.format("%016x", id), base,
-                        RolloutTextTest.canonical(set), drop));
+        return Combinators.combine(
+                        Arbitraries.longs(),
+                        Arbitraries.longs().between(0, Long.MAX_VALUE),
+                        Arbitraries.maps(paths(), values()).ofMaxSize(5),
+                        paths().set().ofMaxSize(4))
+                .as((id, base, set, drop) ->
+                        Change.of(String.format("%016x", id), base, RolloutTextTest.canonical(set), drop));
     }
 
     /** As they are kept: without spaces, and escaped as they are written. */
     private static Map<String, String> canonical(Map<String, String> set) {
         Map<String, String> as = new TreeMap<>();
-        set.forEach((path, value) -> as.put(path, RolloutText.readLine(("{\"rev\":1,\"part\":1,\"of\":1,"
-                + "\"set\":{\"realms/a\":" + value + "}}")
-                .getBytes(StandardCharsets.UTF_8)).value() instanceof Line.Part part
-                        ? part.set().get("realms/a") : null));
+        set.forEach((path, value) -> as.put(
+                path,
+                RolloutText.readLine(("{\"rev\":1,\"part\":1,\"of\":1," + "\"set\":{\"realms/a\":" + value + "}}")
+                                                .getBytes(StandardCharsets.UTF_8))
+                                        .value()
+                                instanceof Line.Part part
+                        ? part.set().get("realms/a")
+                        : null));
         return as;
     }
 
     private static Arbitrary<Ballot> ballots() {
-        return Combinators.combine(Arbitraries.longs().between(0, Long.MAX_VALUE),
-                Arbitraries.integers().between(-1, 7)).as(Ballot::new);
+        return Combinators.combine(
+                        Arbitraries.longs().between(0, Long.MAX_VALUE),
+                        Arbitraries.integers().between(-1, 7))
+                .as(Ballot::new);
     }
 
     private static Arbitrary<Long> revs() {
@@ -95,7 +114,8 @@
                 Combinators.combine(revs(), changes()).as((rev, c) -> new Line.Next(rev, c.set(), c.drop())),
                 Combinators.combine(revs(), Arbitraries.integers().between(1, 300), changes())
                         .as((rev, of, c) -> new Line.Part(rev, 1 + (int) (rev % of), of, c.set())),
-                Arbitraries.just(new Line.Beat()), revs().map(Line.Alone::new));
+                Arbitraries.just(new Line.Beat()),
+                revs().map(Line.Alone::new));
     }
 
     @Property(tries = 300)
@@ -105,11 +125,16 @@
 
     @Provide
     Arbitrary<Report> anyReport() {
-        return Combinators.combine(Arbitraries.integers().between(0, 419), revs(), revs(),
-                paths().set().ofMaxSize(3),
-                Combinators.combine(revs(), paths(), names()).as(Report.Refusal::new).list().ofMaxSize(3))
-                .as((node, life, rev, waits, refused) -> new Report(node, life, rev, new TreeSet<>(waits),
-                        refused));
+        return Combinators.combine(
+                        Arbitraries.integers().between(0, 419),
+                        revs(),
+                        revs(),
+                        paths().set().ofMaxSize(3),
+                        Combinators.combine(revs(), paths(), names())
+                                .as(Report.Refusal::new)
+                                .list()
+                                .ofMaxSize(3))
+                .as((node, life, rev, waits, refused) -> new Report(node, life, rev, new TreeSet<>(waits), refused));
     }
 
     @Property(tries = 200)
@@ -124,7 +149,8 @@
         return Arbitraries.oneOf(
                 Combinators.combine(revs(), ballots()).as(Request.Prepare::new),
                 Combinators.combine(revs(), ballots(), changes()).as(Request.Accept::new),
-                versions().map(Request.Chosen::new), revs().map(Request.Ask::new));
+                versions().map(Request.Chosen::new),
+                revs().map(Request.Ask::new));
     }
 
     @Property(tries = 200)
@@ -136,12 +162,12 @@
     Arbitrary<Answer> anyAnswer() {
         return Arbitraries.oneOf(
                 Combinators.combine(revs(), ballots(), ballots(), changes()).as(Answer.Promised::new),
-                Combinators.combine(revs(), ballots()).as((rev, b) -> new Answer.Promised(rev, b, Ballot.NONE,
-                        null)),
+                Combinators.combine(revs(), ballots()).as((rev, b) -> new Answer.Promised(rev, b, Ballot.NONE, null)),
                 Combinators.combine(revs(), ballots()).as(Answer.Accepted::new),
                 Combinators.combine(revs(), ballots(), ballots()).as(Answer.Refused::new),
                 Combinators.combine(revs(), revs()).as(Answer.Behind::new),
-                Combinators.combine(revs(), revs(), versions().list().ofMaxSize(3)).as(Answer.Known::new),
+                Combinators.combine(revs(), revs(), versions().list().ofMaxSize(3))
+                        .as(Answer.Known::new),
                 Combinators.combine(revs(), changes()).as((rev, c) -> new Answer.Whole(rev, c.set())));
     }
 
@@ -152,12 +178,13 @@
 
     @Provide
     Arbitrary<Kept> anyKept() {
-        return Arbitraries.oneOf(versions().map(Kept.Chosen::new),
+        return Arbitraries.oneOf(
+                versions().map(Kept.Chosen::new),
                 Combinators.combine(revs(), changes()).as((rev, c) -> new Kept.Whole(rev, c.set())),
-                Combinators.combine(revs(), ballots(), ballots(), changes()).as((rev, p, at, c) ->
-                        new Kept.Voted(new Vote(rev, p, at, c))),
-                Combinators.combine(revs(), ballots()).as((rev, p) ->
-                        new Kept.Voted(new Vote(rev, p, Ballot.NONE, null))));
+                Combinators.combine(revs(), ballots(), ballots(), changes())
+                        .as((rev, p, at, c) -> new Kept.Voted(new Vote(rev, p, at, c))),
+                Combinators.combine(revs(), ballots())
+                        .as((rev, p) -> new Kept.Voted(new Vote(rev, p, Ballot.NONE, null))));
     }
 
     @Property(tries = 200)
@@ -168,22 +195,28 @@
     private static void wholeOrFaults(RolloutText.Read<?> read) {
         assertEquals(read.value() == null, !read.faults().isEmpty(), "half taken in");
         read.faults().forEach(fault -> {
-            assertTrue(!fault.path().isEmpty() || fault.reason().startsWith("is no path"),
-                    () -> "no place: " + fault);
+            assertTrue(!fault.path().isEmpty() || fault.reason().startsWith("is no path"), () -> "no place: " + fault);
             assertTrue(!fault.reason().isEmpty(), () -> "no reason: " + fault);
         });
     }
 
     @Provide
     Arbitrary<byte[]> spoilt() {
-        Arbitrary<byte[]> texts = Arbitraries.oneOf(changes().map(RolloutText::write),
-                anyLine().map(RolloutText::write), anyReport().map(RolloutText::write),
-                anyRequest().map(RolloutText::write), anyAnswer().map(RolloutText::write),
+        Arbitrary<byte[]> texts = Arbitraries.oneOf(
+                changes().map(RolloutText::write),
+                anyLine().map(RolloutText::write),
+                anyReport().map(RolloutText::write),
+                anyRequest().map(RolloutText::write),
+                anyAnswer().map(RolloutText::write),
                 anyKept().map(RolloutText::write),
                 Arbitraries.of("", "null", "[]", "7", "{", "{\"rev\":null}")
                         .map(s -> s.getBytes(StandardCharsets.UTF_8)));
-        return Combinators.combine(texts, Arbitraries.integers().between(0, 10_000),
-                Arbitraries.integers().between(0, 2), Arbitraries.bytes()).as((text, at, how, with) -> {
+        return Combinators.combine(
+                        texts,
+                        Arbitraries.integers().between(0, 10_000),
+                        Arbitraries.integers().between(0, 2),
+                        Arbitraries.bytes())
+                .as((text, at, how, with) -> {
                     byte[] copy = text.clone();
                     if (copy.length == 0) {
                         return copy;
@@ -212,32 +245,51 @@
     @Test
     void everyFaultOfAChangeIsToldWithItsPlace() {
         RolloutText.Read<Change> read = RolloutText.readChange(("{\"id\":\"xyz\",\"base\":-1,\"more\":1,"
-                + "\"set\":{\"realms/a\":null,\"/b\":1},\"drop\":[\"realms/c\",\"realms/c\",7,\"a/b/c\"]}")
+                        + "\"set\":{\"realms/a\":null,\"/b\":1},\"drop\":[\"realms/c\",\"realms/c\",7,\"a/b/c\"]}")
                 .getBytes(StandardCharsets.UTF_8));
         assertNull(read.value());
-        assertEquals(List.of("more is not known; known are id, base, set, drop", "id is not 16 hex digits",
-                "base is not a whole number from 0 to 9223372036854775807",
-                "realms/a is null; to drop it, name it in drop",
-                "/b is no path: a section, a slash and a name, at most 128 characters",
-                "drop holds twice realms/c", "drop holds what is no string: 7",
-                "a/b/c is no path: a section, a slash and a name, at most 128 characters"),
+        assertEquals(
+                List.of(
+                        "more is not known; known are id, base, set, drop",
+                        "id is not 16 hex digits",
+                        "base is not a whole number from 0 to 9223372036854775807",
+                        "realms/a is null; to drop it, name it in drop",
+                        "/b is no path: a section, a slash and a name, at most 128 characters",
+                        "drop holds twice realms/c",
+                        "drop holds what is no string: 7",
+                        "a/b/c is no path: a section, a slash and a name, at most 128 characters"),
                 read.faults().stream().map(Fault::toString).toList());
     }
 
     @Test
     void whatIsMissingIsNamed() {
-        assertEquals(List.of("id is missing", "base is missing"), RolloutText.readChange("{}".getBytes(
-                StandardCharsets.UTF_8)).faults().stream().map(Fault::toString).toList());
-        assertEquals(Set.of("body"), Set.copyOf(RolloutText.readChange("[".getBytes(StandardCharsets.UTF_8))
-                .faults().stream().map(Fault::path).toList()));
+        assertEquals(
+                List.of("id is missing", "base is missing"),
+                RolloutText.readChange("{}".getBytes(StandardCharsets.UTF_8)).faults().stream()
+                        .map(Fault::toString)
+                        .toList());
+        assertEquals(
+                Set.of("body"),
+                Set.copyOf(RolloutText.readChange("[".getBytes(StandardCharsets.UTF_8)).faults().stream()
+                        .map(Fault::path)
+                        .toList()));
     }
 
     @Test
     void votersAreNamedOnceAndOdd() {
-        assertEquals(List.of(new Voter(0, "a"), new Voter(2, "b"), new Voter(1, "c")),
+        assertEquals(
+                List.of(new Voter(0, "a"), new Voter(2, "b"), new Voter(1, "c")),
                 RolloutText.voters("[\"0:a\",\"2:b\",\"1:c\"]"));
-        for (String bad : List.of("[]", "[\"0:a\",\"1:b\"]", "[\"0:a\",\"0:b\",\"1:c\"]", "[0]", "{}",
-                "\"0:a\"", "[\"0:\"]", "[\"x:a\"]", "[\"0:a b\"]",
+        for (String bad : List.of(
+                "[]",
+                "[\"0:a\",\"1:b\"]",
+                "[\"0:a\",\"0:b\",\"1:c\"]",
+                "[0]",
+                "{}",
+                "\"0:a\"",
+                "[\"0:\"]",
+                "[\"x:a\"]",
+                "[\"0:a b\"]",
                 "[\"0:a\",\"1:a\",\"2:a\",\"3:a\",\"4:a\",\"5:a\",\"6:a\"]")) {
             assertNull(RolloutText.voters(bad), bad);
         }
--- a/src/test/java/kitemux/scale/CapacityPageTest.java
+++ b/src/test/java/kitemux/scale/CapacityPageTest.java
@@ -7,7 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -70,13 +69,13 @@
     @Test
     void aChangedDigitIsFoundWhereverItStands() throws IOException {
         String page = filled();
-        hasFault(changed(page, "| 4,800 | - | 6.80", "| 4,800 | - | 6.81"),
+        hasFault(
+                changed(page, "| 4,800 | - | 6.80", "| 4,800 | - | 6.81"),
                 "line 5: <!-- scale:list -->: is not what the results make: \"| 4,800 | - | 6.81");
-        hasFault(changed(page, "60, 600, 4,800 | 1.00", "60, 600, 4,800 | 1.01"),
-                "<!-- scale:fit -->: is not");
-        hasFault(changed(page, "-->6.80<!--/-->", "-->6.8<!--/-->"),
-                "line 3: <!--scale:list.4800.change_ms-->: is not what the results make: \"6.8\", not "
-                        + "\"6.80\"");
+        hasFault(changed(page, "60, 600, 4,800 | 1.00", "60, 600, 4,800 | 1.01"), "<!-- scale:fit -->: is not");
+        hasFault(
+                changed(page, "-->6.80<!--/-->", "-->6.8<!--/-->"),
+                "line 3: <!--scale:list.4800.change_ms-->: is not what the results make: \"6.8\", not " + "\"6.80\"");
         hasFault(changed(page, "commit abc", "commit abd"), "<!-- scale:list -->");
     }
 
@@ -117,7 +116,8 @@
     /** The page of this repository, recomputed from the results that it keeps. */
     @Test
     void thePageSaysWhatTheKeptResultsSay() throws IOException {
-        assertEquals(List.of(), CapacityPage.faults(Files.readString(Path.of("docs", "CAPACITY.md")),
-                Path.of("docs", "capacity")));
+        assertEquals(
+                List.of(),
+                CapacityPage.faults(Files.readString(Path.of("docs", "CAPACITY.md")), Path.of("docs", "capacity")));
     }
 }
--- a/src/test/java/kitemux/scale/FitTest.java
+++ b/src/test/java/kitemux/scale/FitTest.java
@@ -27,9 +27,7 @@
     @Test
     void whatIsNoSeriesIsTurnedDown() {
         assertThrows(IllegalArgumentException.class, () -> Fit.of(new double[] {1, 2}, new double[] {1, 2}));
-        assertThrows(IllegalArgumentException.class,
-                () -> Fit.of(new double[] {1, 2, 3}, new double[] {1, 2}));
-        assertThrows(IllegalArgumentException.class,
-                () -> Fit.of(new double[] {7, 7, 7}, new double[] {1, 2, 3}));
+        assertThrows(IllegalArgumentException.class, () -> Fit.of(new double[] {1, 2, 3}, new double[] {1, 2}));
+        assertThrows(IllegalArgumentException.class, () -> Fit.of(new double[] {7, 7, 7}, new double[] {1, 2, 3}));
     }
 }
--- a/src/test/java/kitemux/scale/PairedTimesTest.java
+++ b/src/test/java/kitemux/scale/PairedTimesTest.java
@@ -4,7 +4,6 @@
 
 import java.util.List;
 import java.util.Map;
-
 import org.HdrHistogram.Histogram;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/kitemux/scale/ProcessFiguresTest.java
+++ b/src/test/java/kitemux/scale/ProcessFiguresTest.java
@@ -7,7 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
--- a/src/test/java/kitemux/scale/Processes.java
+++ b/src/test/java/kitemux/scale/Processes.java
@@ -2,15 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
-
 import kitemux.cli.Main;
 
 /** Processes of the classes that are tested, as no jar has been made of them yet. */
 final class Processes implements Commands {
     private static ProcessBuilder java(List<String> flags, String... arguments) {
         List<String> command = new ArrayList<>(List.of(
-                ProcessHandle.current().info().command().orElseThrow(), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1"));
+                ProcessHandle.current().info().command().orElseThrow(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
         command.addAll(flags);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName()));
         command.addAll(List.of(arguments));
--- a/src/test/java/kitemux/scale/RunAlone.java
+++ b/src/test/java/kitemux/scale/RunAlone.java
@@ -8,7 +8,7 @@
 
 /** A run in a process of its own, so that it can be killed. */
 final class RunAlone {
-    private RunAlone() { }
+    private RunAlone() {}
 
     /** Runs the description at the first path, and keeps results at the second. */
     public static void main(String[] args) throws Exception {
--- a/src/test/java/kitemux/scale/ScaleRunTest.java
+++ b/src/test/java/kitemux/scale/ScaleRunTest.java
@@ -16,7 +16,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -42,9 +41,12 @@
 
     private void run(String text) throws Exception {
         List<ProcessHandle> before = ProcessHandle.current().descendants().toList();
-        new ScaleRun(plan(text), new Processes(), folder, "test", Set.of(), line -> { }).run();
-        List<ProcessHandle> left = ProcessHandle.current().descendants().filter(p -> !before.contains(p))
-                .filter(ProcessHandle::isAlive).toList();
+        new ScaleRun(plan(text), new Processes(), folder, "test", Set.of(), line -> {}).run();
+        List<ProcessHandle> left = ProcessHandle.current()
+                .descendants()
+                .filter(p -> !before.contains(p))
+                .filter(ProcessHandle::isAlive)
+                .toList();
         assertEquals(List.of(), left, "it leaves no process behind");
     }
 
@@ -53,7 +55,8 @@
         run(Files.readString(Path.of("examples", "scale", "small.hcl")));
         Map<String, Map<String, Double>> list = rows("list");
         assertEquals(Set.of("10", "20", "40"), list.keySet());
-        assertTrue(list.get("40").get("whole_bytes") > 2 * list.get("10").get("whole_bytes"),
+        assertTrue(
+                list.get("40").get("whole_bytes") > 2 * list.get("10").get("whole_bytes"),
                 "a list has its servers: " + list);
         assertTrue(list.values().stream().allMatch(row -> row.get("resident_mb") > 10), list.toString());
         Map<String, Map<String, Double>> nodes = rows("nodes");
@@ -62,8 +65,7 @@
             assertTrue(row.get("return_calls") >= Integer.parseInt(count), "each calls anew: " + nodes);
             assertTrue(row.get("change_ms") > 0, "a change costs something: " + nodes);
         });
-        assertTrue(nodes.get("6").get("desk_bytes") > 2 * nodes.get("2").get("desk_bytes"),
-                "each is told: " + nodes);
+        assertTrue(nodes.get("6").get("desk_bytes") > 2 * nodes.get("2").get("desk_bytes"), "each is told: " + nodes);
         Map<String, Map<String, Double>> peers = rows("peers");
         assertEquals(Set.of("2", "4", "6"), peers.keySet());
         peers.forEach((count, row) -> {
@@ -111,16 +113,15 @@
                 event "end" { watches_end = true }
                 """);
         Map<String, Map<String, Double>> rows = rows("events");
-        assertEquals(Set.of("quiet-minute", "restart", "restart_return", "zone", "zone_return", "end"),
-                rows.keySet());
+        assertEquals(Set.of("quiet-minute", "restart", "restart_return", "zone", "zone_return", "end"), rows.keySet());
         assertEquals(2, rows.get("restart").get("lines"));
         assertEquals(4, rows.get("restart_return").get("lines"), "they have gone, and are back");
         assertEquals(3, rows.get("zone").get("lines"), "four in a line");
         assertFalse(rows.get("zone").containsKey("node_ms"), "hollow nodes did not hear of it");
         assertTrue(rows.get("end").get("bytes") > 4_000, "the whole list is told: " + rows);
         assertTrue(rows.get("end").get("heard_ms") > 0, rows.toString());
-        rows.forEach((event, row) -> assertTrue(event.equals("quiet-minute") || row.get("alone_stall_ms") > 0,
-                "a node alone hears of all: " + rows));
+        rows.forEach((event, row) -> assertTrue(
+                event.equals("quiet-minute") || row.get("alone_stall_ms") > 0, "a node alone hears of all: " + rows));
     }
 
     /** What a stage that takes too long has measured is kept, and the stages behind it run. */
@@ -181,20 +182,23 @@
                 """);
         assertEquals(Set.of("2", "400"), rows("tenants").keySet());
         Map<String, Map<String, Double>> changes = rows("changes");
-        assertTrue(changes.get("6000").get("bytes_s") > 3 * changes.get("600").get("bytes_s"),
+        assertTrue(
+                changes.get("6000").get("bytes_s") > 3 * changes.get("600").get("bytes_s"),
                 "ten times the changes: " + changes);
     }
 
     /** Whoever kills the run takes its nodes along: they hear that nobody is there any more. */
     @Test
     void aRunThatIsKilledLeavesNothingBehind() throws Exception {
-        Map<String, String> stages = Map.of("list", "servers = [10]",
-                "nodes", "counts = [4]\n servers = 20\n in_process = 2");
+        Map<String, String> stages =
+                Map.of("list", "servers = [10]", "nodes", "counts = [4]\n servers = 20\n in_process = 2");
         for (Map.Entry<String, String> stage : stages.entrySet()) {
-            Path file = Files.writeString(folder.resolve(stage.getKey() + ".hcl"), "settle = \"60s\"\n"
-                    + stage.getKey() + " {\n " + stage.getValue() + "\n}\n");
+            Path file = Files.writeString(
+                    folder.resolve(stage.getKey() + ".hcl"),
+                    "settle = \"60s\"\n" + stage.getKey() + " {\n " + stage.getValue() + "\n}\n");
             Process run = Processes.run(file.toString(), folder.resolve("to").toString())
-                    .redirectErrorStream(true).start();
+                    .redirectErrorStream(true)
+                    .start();
             Set<ProcessHandle> nodes = Set.of();
             try (BufferedReader lines = run.inputReader()) {
                 String line = lines.readLine();
--- a/src/test/java/kitemux/sidecar/LineLogTest.java
+++ b/src/test/java/kitemux/sidecar/LineLogTest.java
@@ -11,10 +11,8 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
-
-import org.junit.jupiter.api.Test;
-
 import kitemux.config.Json;
+import org.junit.jupiter.api.Test;
 
 class LineLogTest {
     private static final Instant NOW = Instant.parse("2026-12-01T10:00:00.123456Z");
@@ -31,8 +29,11 @@
         log.error("a defect", new IllegalStateException("why"));
         log.flush();
         assertEquals("2026-12-01T10:00:00.123Z info server web-1 is draining ", lines().get(0));
-        assertTrue(lines().get(1).startsWith("2026-12-01T10:00:00.123Z error a defect: java.lang.IllegalState"
-                + "Exception: why at kitemux.sidecar.LineLogTest."), lines()::toString);
+        assertTrue(
+                lines().get(1)
+                        .startsWith("2026-12-01T10:00:00.123Z error a defect: java.lang.IllegalState"
+                                + "Exception: why at kitemux.sidecar.LineLogTest."),
+                lines()::toString);
         assertEquals(2, lines().size());
     }
 
@@ -47,7 +48,9 @@
         assertEquals("info", first.path("level").text());
         assertEquals("a \"quoted\"\nword", first.path("text").text());
         assertTrue(first.path("cause").isMissing());
-        assertTrue(Json.read(lines().get(1).getBytes(StandardCharsets.UTF_8)).path("cause").text()
+        assertTrue(Json.read(lines().get(1).getBytes(StandardCharsets.UTF_8))
+                .path("cause")
+                .text()
                 .contains("why"));
     }
 
@@ -80,8 +83,8 @@
         goOn.countDown();
         log.flush();
         assertEquals(1 + 16 + 1, lines().size(), lines()::toString);
-        assertTrue(lines().get(1)
-                .endsWith("warning 84 lines were left out: they came faster than they could be written"),
+        assertTrue(
+                lines().get(1).endsWith("warning 84 lines were left out: they came faster than they could be written"),
                 lines().get(1));
         assertTrue(lines().get(17).endsWith("line 15"), lines().get(17));
     }
--- a/src/test/java/kitemux/sim/ColdWorkTest.java
+++ b/src/test/java/kitemux/sim/ColdWorkTest.java
@@ -2,12 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import kitemux.sim.ColdWork.Verdict;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-import kitemux.sim.ColdWork.Verdict;
-
 /** The rule on cold servers, by itself. */
 class ColdWorkTest {
     private static final double MEAN_US = 20_000;
--- a/src/test/java/kitemux/sim/SchedulerTest.java
+++ b/src/test/java/kitemux/sim/SchedulerTest.java
@@ -6,12 +6,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
-
 import org.junit.jupiter.api.Test;
 
 class SchedulerTest {
@@ -52,9 +50,9 @@
     void whatIsTooFarOffForTheClockDoesNotHappenAtOnce() {
         // A module asked to be woken so late that the sum overflowed, and was woken at once, again and again.
         Scheduler time = new Scheduler();
-        time.at(1_000_000, () -> { });
+        time.at(1_000_000, () -> {});
         time.step(Long.MAX_VALUE);
-        time.afterUs(Long.MAX_VALUE / 4, () -> { });
+        time.afterUs(Long.MAX_VALUE / 4, () -> {});
         assertFalse(time.step(60_000_000_000L));
         assertEquals(60_000_000_000L, time.now());
     }
--- a/src/test/java/kitemux/soak/SoakTest.java
+++ b/src/test/java/kitemux/soak/SoakTest.java
@@ -5,13 +5,11 @@
 
 import java.nio.file.Path;
 import java.util.List;
-
+import kitemux.cli.Main;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-import kitemux.cli.Main;
-
 /** A short soak of this build's node. */
 class SoakTest {
     private static final int CHANGES = 3;
@@ -20,8 +18,12 @@
     private Path folder;
 
     private static ProcessBuilder node() {
-        return new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(),
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), Main.class.getName(),
+        return new ProcessBuilder(
+                ProcessHandle.current().info().command().orElseThrow(),
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName(),
                 "node");
     }
 
--- a/src/test/java/kitemux/standin/OrderDatabaseCloseTest.java
+++ b/src/test/java/kitemux/standin/OrderDatabaseCloseTest.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-
 import org.junit.jupiter.api.Test;
 
 class OrderDatabaseCloseTest {
@@ -22,11 +21,14 @@
                 assertTrue(before.getInputStream().read() >= 0, "it greets");
             }
             database.close();
-            assertThrows(IOException.class, () -> {
-                try (Socket after = new Socket(at.getAddress(), at.getPort())) {
-                    after.getInputStream().read();
-                }
-            }, "after " + i + " others");
+            assertThrows(
+                    IOException.class,
+                    () -> {
+                        try (Socket after = new Socket(at.getAddress(), at.getPort())) {
+                            after.getInputStream().read();
+                        }
+                    },
+                    "after " + i + " others");
         }
     }
 }
--- a/src/test/java/kitemux/standin/OrderDatabaseTest.java
+++ b/src/test/java/kitemux/standin/OrderDatabaseTest.java
@@ -15,15 +15,13 @@
 import java.sql.SQLException;
 import java.sql.Statement;
 import java.util.Arrays;
-
+import kitemux.standin.OrderDatabase.Fault;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import kitemux.standin.OrderDatabase.Fault;
-
 /** The stand-in of a database, as real drivers see it. */
 class OrderDatabaseTest {
     private static final String NATIVE = "mysql_native_password";
@@ -32,8 +30,10 @@
     private OrderDatabase database;
 
     private Connection connect(String driver, String options) throws SQLException {
-        return DriverManager.getConnection("jdbc:" + driver + "://127.0.0.1:" + database.address().getPort()
-                + "/shop?" + options, OrderDatabase.USER, OrderDatabase.PASSWORD);
+        return DriverManager.getConnection(
+                "jdbc:" + driver + "://127.0.0.1:" + database.address().getPort() + "/shop?" + options,
+                OrderDatabase.USER,
+                OrderDatabase.PASSWORD);
     }
 
     /** Options that each driver has under a name of its own. */
@@ -49,9 +49,16 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"mysql, " + NATIVE + ",", "mysql, " + SHA2 + ",", "mariadb, " + NATIVE + ",",
-        "mariadb, " + SHA2 + ",", "mysql, " + NATIVE + ", " + SHA2, "mysql, " + SHA2 + ", " + NATIVE,
-        "mariadb, " + NATIVE + ", " + SHA2, "mariadb, " + SHA2 + ", " + NATIVE})
+    @CsvSource({
+        "mysql, " + NATIVE + ",",
+        "mysql, " + SHA2 + ",",
+        "mariadb, " + NATIVE + ",",
+        "mariadb, " + SHA2 + ",",
+        "mysql, " + NATIVE + ", " + SHA2,
+        "mysql, " + SHA2 + ", " + NATIVE,
+        "mariadb, " + NATIVE + ", " + SHA2,
+        "mariadb, " + SHA2 + ", " + NATIVE
+    })
     void driversLogInWithEachPluginAlsoWhereItIsSwitched(String driver, String plugin, String switchTo)
             throws Exception {
         database = OrderDatabase.start(plugin, switchTo);
@@ -59,9 +66,13 @@
             assertTrue(connection.isValid(20));
         }
         assertEquals(1, database.logins());
-        SQLException denied = assertThrows(SQLException.class, () -> DriverManager.getConnection("jdbc:"
-                + driver + "://127.0.0.1:" + database.address().getPort() + "/shop?" + options(driver, false),
-                OrderDatabase.USER, "wrong"));
+        SQLException denied = assertThrows(
+                SQLException.class,
+                () -> DriverManager.getConnection(
+                        "jdbc:" + driver + "://127.0.0.1:" + database.address().getPort() + "/shop?"
+                                + options(driver, false),
+                        OrderDatabase.USER,
+                        "wrong"));
         assertEquals("28000", denied.getSQLState());
         assertEquals(1, database.logins());
     }
@@ -71,10 +82,9 @@
     void ordersAreInsertedSelectedAndRolledBack(String driver, boolean prepared) throws Exception {
         database = OrderDatabase.start(NATIVE, null);
         try (Connection connection = connect(driver, options(driver, prepared));
-                PreparedStatement insert = connection.prepareStatement(
-                        "INSERT INTO orders (id, school) VALUES (?, ?)");
-                PreparedStatement select = connection.prepareStatement(
-                        "SELECT id, school FROM orders WHERE id = ?")) {
+                PreparedStatement insert =
+                        connection.prepareStatement("INSERT INTO orders (id, school) VALUES (?, ?)");
+                PreparedStatement select = connection.prepareStatement("SELECT id, school FROM orders WHERE id = ?")) {
             insert.setString(1, "o1");
             insert.setString(2, "school-a");
             assertEquals(1, insert.executeUpdate());
@@ -93,8 +103,8 @@
                 assertFalse(found.next());
             }
             assertEquals(java.util.Map.of("o1", 1, "o3", 1), database.inserts());
-            SQLException unknown = assertThrows(SQLException.class,
-                    () -> connection.createStatement().execute("DROP TABLE orders"));
+            SQLException unknown = assertThrows(
+                    SQLException.class, () -> connection.createStatement().execute("DROP TABLE orders"));
             assertEquals("42000", unknown.getSQLState());
             assertTrue(connection.isValid(20), "an error ends no connection");
         }
@@ -121,7 +131,8 @@
         try (Connection connection = connect("mysql", options("mysql", false));
                 Statement statement = connection.createStatement()) {
             database.script(sql -> sql.startsWith("INSERT") ? fault : new Fault.None());
-            assertThrows(SQLException.class,
+            assertThrows(
+                    SQLException.class,
                     () -> statement.executeUpdate("INSERT INTO orders (id, school) VALUES ('o', 's')"));
             assertEquals(inserted, database.inserts("o"));
         }
@@ -144,9 +155,9 @@
         try (Connection connection = connect("mysql", options("mysql", false))) {
             assertTrue(connection.isValid(20));
         }
-        try (Socket socket = new Socket(database.address().getAddress(), database.address().getPort())) {
-            SqlPackets packets = new SqlPackets(new DataInputStream(socket.getInputStream()),
-                    socket.getOutputStream());
+        try (Socket socket =
+                new Socket(database.address().getAddress(), database.address().getPort())) {
+            SqlPackets packets = new SqlPackets(new DataInputStream(socket.getInputStream()), socket.getOutputStream());
             SqlPackets.Fields greeting = new SqlPackets.Fields(packets.read());
             greeting.num(1);
             greeting.zeroed();
@@ -155,9 +166,16 @@
             greeting.raw(1 + 2 + 1 + 2 + 2 + 1 + 10);
             System.arraycopy(greeting.raw(12), 0, nonce, 8, 12);
             byte[] proof = OrderDatabase.proof(NATIVE, nonce);
-            packets.write(new SqlPackets.Payload().num(1 << 9 | 1 << 15 | 1 << 19, 4).num(1 << 24, 4)
-                    .num(45, 1).raw(new byte[23]).zeroed(OrderDatabase.USER).num(proof.length, 1).raw(proof)
-                    .zeroed(NATIVE).done());
+            packets.write(new SqlPackets.Payload()
+                    .num(1 << 9 | 1 << 15 | 1 << 19, 4)
+                    .num(1 << 24, 4)
+                    .num(45, 1)
+                    .raw(new byte[23])
+                    .zeroed(OrderDatabase.USER)
+                    .num(proof.length, 1)
+                    .raw(proof)
+                    .zeroed(NATIVE)
+                    .done());
             assertEquals(0, packets.read()[0], "logged in");
             packets.begin();
             packets.write(new byte[] {0x0e});
@@ -169,8 +187,7 @@
     @Test
     void anAnswerBreaksOffInTheMiddleOfItsRows() throws Exception {
         database = OrderDatabase.start(NATIVE, null);
-        database.script(sql -> sql.startsWith("SELECT 9") ? new Fault.BreakOff(6, Long.MAX_VALUE)
-                : new Fault.None());
+        database.script(sql -> sql.startsWith("SELECT 9") ? new Fault.BreakOff(6, Long.MAX_VALUE) : new Fault.None());
         int[] seen = new int[1];
         // Closing a statement whose rows broke off says so once more.
         assertThrows(SQLException.class, () -> {
--- a/src/test/java/kitemux/telemetry/RequestTraceTest.java
+++ b/src/test/java/kitemux/telemetry/RequestTraceTest.java
@@ -8,16 +8,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
-
 import kitemux.Balancer.Result;
 import kitemux.config.Json;
 import kitemux.engine.Asked;
 import kitemux.engine.Observer;
 import kitemux.engine.Time;
 import kitemux.http.CloseReason;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** The trace tells each step of a request and says what it left out. */
 class RequestTraceTest {
@@ -64,7 +62,7 @@
     @Test
     void eachStepOfARequestIsALineWithItsTimeAndId() throws Exception {
         FixedTime time = new FixedTime();
-        RequestTrace trace = RequestTrace.open(new TraceSettings(folder, 64), "node", time, line -> { });
+        RequestTrace trace = RequestTrace.open(new TraceSettings(folder, 64), "node", time, line -> {});
         trace.accepted(1, InetSocketAddress.createUnresolved("client", 7));
         trace.taken(9, new Page("t1"));
         trace.requested(1, "t1");
@@ -75,24 +73,33 @@
         trace.forgotten(9);
         trace.closed(1, CloseReason.LAST_ANSWER);
         trace.close();
-        assertEquals(List.of("1000 connection 1 accepted from client/<unresolved>:7",
-                "1000 request t1 taken, 400000 us left", "1000 request t1 on connection 1",
-                "1000 request t1 attempt 0 to s0, 300000 us left", "301000 request t1 attempt 0 ended TIMEOUT",
-                "301000 request t1 answered FAILED", "301000 connection 1 closed LAST_ANSWER"), written());
+        assertEquals(
+                List.of(
+                        "1000 connection 1 accepted from client/<unresolved>:7",
+                        "1000 request t1 taken, 400000 us left",
+                        "1000 request t1 on connection 1",
+                        "1000 request t1 attempt 0 to s0, 300000 us left",
+                        "301000 request t1 attempt 0 ended TIMEOUT",
+                        "301000 request t1 answered FAILED",
+                        "301000 connection 1 closed LAST_ANSWER"),
+                written());
     }
 
     @Test
     void whatFindsTheQueueFullIsCounted() throws Exception {
         CountDownLatch written = new CountDownLatch(1);
-        RequestTrace trace = RequestTrace.open(new TraceSettings(folder, 64), "node", new FixedTime(),
-                line -> written.countDown());
+        RequestTrace trace =
+                RequestTrace.open(new TraceSettings(folder, 64), "node", new FixedTime(), line -> written.countDown());
         for (int i = 0; i < 100_000; i++) {
             trace.closed(i, CloseReason.IDLE);
         }
         trace.close();
-        long leftOut = written().stream().filter(line -> line.endsWith("lines left out"))
-                .mapToLong(line -> Long.parseLong(line.split(" ")[0])).sum();
-        long told = written().stream().filter(line -> line.endsWith("closed IDLE")).count();
+        long leftOut = written().stream()
+                .filter(line -> line.endsWith("lines left out"))
+                .mapToLong(line -> Long.parseLong(line.split(" ")[0]))
+                .sum();
+        long told =
+                written().stream().filter(line -> line.endsWith("closed IDLE")).count();
         assertEquals(100_000, leftOut + told);
     }
 
@@ -100,7 +107,10 @@
     void aFieldThatIsNotKnownIsAFault() throws Exception {
         List<String> faults = new ArrayList<>();
         TraceSettings.read(Json.read("{\"folder\":\"x\",\"ring\":1,\"file\":\"y\"}".getBytes()), faults);
-        assertEquals(List.of("trace.file is not known; known are folder, ring",
-                "trace.ring is not a whole number from 64 to 65536"), faults);
+        assertEquals(
+                List.of(
+                        "trace.file is not known; known are folder, ring",
+                        "trace.ring is not a whole number from 64 to 65536"),
+                faults);
     }
 }
--- a/src/test/java/kitemux/world/CrowdedDiscoveryTest.java
+++ b/src/test/java/kitemux/world/CrowdedDiscoveryTest.java
@@ -14,11 +14,6 @@
 import java.util.SplittableRandom;
 import java.util.function.BiFunction;
 import java.util.function.UnaryOperator;
-
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
-
 import kitemux.Balancer;
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Repeat;
@@ -36,6 +31,9 @@
 import kitemux.node.Node;
 import kitemux.node.NodeConfig;
 import kitemux.sim.Scheduler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * All nodes of a fleet restart within a second, and discovery works through their calls in turn, slower than
@@ -45,13 +43,16 @@
     private static final int NODES = 100;
     /** How many of them have to be ready in time. */
     private static final int NINE_IN_TEN = 90;
+
     private static final long NANOS = 1_000_000;
     private static final long WITHIN_MS = 10_000;
     /** Calls that a node may make in that time: the waits between them grow. */
     private static final int MOST_CALLS_EACH = 4;
+
     private static final long UNIX_US = 1_790_000_000_000_000L;
     /** A turn of a node's loop in which something was done. */
     private static final long TURN_NS = 20_000;
+
     private static final String LIST = "{\"rev\":42,\"all\":true,\"targets\":[{\"uid\":\"s\",\"endpoint\":"
             + "\"10.1.0.1:8000\",\"az\":\"z\",\"model\":\"m\",\"pod_group\":0,\"state\":\"Ready\","
             + "\"capacity_hint\":1.0,\"boot_ms\":0}]}\n";
@@ -144,20 +145,39 @@
         long heardMs = Long.MAX_VALUE;
         private Scheduler.Event turn;
 
-        Restarted(Scheduler time, Fabric fabric, Machine machine, Machine discovery, SplittableRandom random,
+        Restarted(
+                Scheduler time,
+                Fabric fabric,
+                Machine machine,
+                Machine discovery,
+                SplittableRandom random,
                 BiFunction<Balancer, Balancer.Actions, Balancer> as) {
             this.time = time;
             loop = new WorldLoop(time, machine, new Random(random.nextLong()));
             Settings settings = settings();
-            HostList known = new HostList(41, true, List.of(new HostList.Host(
-                    new ServerEntry("s", 0, 0, ServerState.READY, 1, 0), Fabric.address("10.1.0.1:8000"))));
-            NodeConfig config = new NodeConfig(machine.address, null, discovery.address, random.nextLong(),
-                    256, 1_000_000, Path.of(""), known, settings);
+            HostList known = new HostList(
+                    41,
+                    true,
+                    List.of(new HostList.Host(
+                            new ServerEntry("s", 0, 0, ServerState.READY, 1, 0), Fabric.address("10.1.0.1:8000"))));
+            NodeConfig config = new NodeConfig(
+                    machine.address,
+                    null,
+                    discovery.address,
+                    random.nextLong(),
+                    256,
+                    1_000_000,
+                    Path.of(""),
+                    known,
+                    settings);
             Node.Parts parts = new Node.Parts(
                     new WorldNetwork(fabric, machine, loop, this::soon, Defect.NONE),
-                    LoopTime.startingAt(loop, UNIX_US + time.nowUs()), SILENT, Observer.NONE, ConnectionObserver.NONE,
-                    SendGate.open(), actions -> noting(as.apply(
-                            new ServiceQBalancer(settings, config.seed(), actions), actions)),
+                    LoopTime.startingAt(loop, UNIX_US + time.nowUs()),
+                    SILENT,
+                    Observer.NONE,
+                    ConnectionObserver.NONE,
+                    SendGate.open(),
+                    actions -> noting(as.apply(new ServiceQBalancer(settings, config.seed(), actions), actions)),
                     UnaryOperator.identity());
             new Node(config, loop, parts).start().addListener(opened -> listens = opened.isSuccess());
             soon();
@@ -196,8 +216,8 @@
     }
 
     private static Balancer told(Balancer module, Before before) {
-        return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
-                new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
+        return (Balancer) Proxy.newProxyInstance(
+                Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
                     if (!before.tells(method.getName(), args)) {
                         return null;
                     }
@@ -211,7 +231,7 @@
 
     private static final Log SILENT = new Log() {
         @Override
-        public void line(String text) { }
+        public void line(String text) {}
 
         @Override
         public void error(String what, Throwable cause) {
@@ -223,8 +243,8 @@
         Settings set = new Settings();
         set.nodes = NODES;
         set.zones.add("z");
-        set.classes.add(new RequestClass("page", 100_000, 0, 500_000, 1, 0, Repeat.SAFE, Balancer.Group.ALL,
-                5_000_000, false));
+        set.classes.add(
+                new RequestClass("page", 100_000, 0, 500_000, 1, 0, Repeat.SAFE, Balancer.Group.ALL, 5_000_000, false));
         set.listOnRequest = true;
         set.connectTimeoutUs = 1_000_000;
         return set;
@@ -237,11 +257,11 @@
      * @param heard nodes that discovery has told something
      * @param calls that discovery was asked
      */
-    private record Outcome(long listening, long heard, int calls) { }
+    private record Outcome(long listening, long heard, int calls) {}
 
     /** Ten seconds of it, for nodes whose module is made into this. */
-    private static Outcome play(long callMs, long mostWaitMs, long seed,
-            BiFunction<Balancer, Balancer.Actions, Balancer> as) {
+    private static Outcome play(
+            long callMs, long mostWaitMs, long seed, BiFunction<Balancer, Balancer.Actions, Balancer> as) {
         Scheduler time = new Scheduler();
         SplittableRandom random = new SplittableRandom(seed);
         Fabric fabric = new Fabric(time, new Tape(time, null), random.split());
@@ -251,15 +271,16 @@
         for (int i = 0; i < NODES; i++) {
             Machine machine = fabric.add("n" + i, 100 + i, "10.0.0." + (i + 1) + ":8000");
             SplittableRandom own = random.split();
-            time.afterMs(own.nextLong(1_000),
-                    () -> all.add(new Restarted(time, fabric, machine, discovery, own, as)));
+            time.afterMs(own.nextLong(1_000), () -> all.add(new Restarted(time, fabric, machine, discovery, own, as)));
         }
         boolean more = true;
         while (more) {
             more = time.step(WITHIN_MS * NANOS);
         }
-        return new Outcome(all.stream().filter(node -> node.listens).count(),
-                all.stream().filter(node -> node.heardMs <= WITHIN_MS).count(), crowded.calls);
+        return new Outcome(
+                all.stream().filter(node -> node.listens).count(),
+                all.stream().filter(node -> node.heardMs <= WITHIN_MS).count(),
+                crowded.calls);
     }
 
     /** Discovery can tell them all in two to seven seconds, and no call waits longer than a node does. */
@@ -276,19 +297,27 @@
 
     @Test
     void nodesThatAskAgainAtOnceAreFound() {
-        Outcome outcome = play(66, 500, 1, (sound, actions) -> told(sound, (event, args) -> {
-            if (event.equals("onListFailed")) {
-                actions.subscribe();
-            }
-            return !event.equals("onListFailed");
-        }));
+        Outcome outcome = play(
+                66,
+                500,
+                1,
+                (sound, actions) -> told(sound, (event, args) -> {
+                    if (event.equals("onListFailed")) {
+                        actions.subscribe();
+                    }
+                    return !event.equals("onListFailed");
+                }));
         assertFalse(outcome.calls <= NODES * MOST_CALLS_EACH, outcome::toString);
     }
 
     @Test
     void nodesThatGiveUpAfterAFailedCallAreFound() {
-        Outcome outcome = play(66, 500, 1, (sound, actions) -> told(sound,
-                (event, args) -> !event.equals("onListFailed") && !event.equals("onWake")));
+        Outcome outcome = play(
+                66,
+                500,
+                1,
+                (sound, actions) ->
+                        told(sound, (event, args) -> !event.equals("onListFailed") && !event.equals("onWake")));
         assertFalse(outcome.heard >= NINE_IN_TEN, outcome::toString);
     }
 }
--- a/src/test/java/kitemux/world/LateAttemptTest.java
+++ b/src/test/java/kitemux/world/LateAttemptTest.java
@@ -2,21 +2,18 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.List;
-import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
-
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
-
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import kitemux.Balancer.Result;
 import kitemux.engine.Transport;
 import kitemux.http.ClientRequest;
 import kitemux.net.Answer;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -50,8 +47,7 @@
                 private void again(String serverId, Exchange<ClientRequest, Answer> like) {
                     EventLoop loop = leaving.get();
                     if (loop != null) {
-                        loop.schedule(() -> sound.start(serverId, new Unheard(like)), LATE_MS,
-                                TimeUnit.MILLISECONDS);
+                        loop.schedule(() -> sound.start(serverId, new Unheard(like)), LATE_MS, TimeUnit.MILLISECONDS);
                     }
                 }
 
@@ -103,18 +99,19 @@
         }
 
         @Override
-        public void ended(Result result, Answer answer) { }
+        public void ended(Result result, Answer answer) {}
     }
 
     @Test
     void anAttemptThatBeginsTwoTenthsAfterItsClientLeftIsFound() throws Exception {
-        FaultRuns.Summary sum = new FaultRuns("random", new SendsOnLate()).playUntil(1, 500, 2, Rule.GONE,
-                null);
+        FaultRuns.Summary sum = new FaultRuns("random", new SendsOnLate()).playUntil(1, 500, 2, Rule.GONE, null);
         assertTrue(sum.broken() > 0, "not found in " + sum.seeds() + " seeds");
         List<Breach> gone = sum.failing().lastEntry().getValue().stream()
-                .filter(breach -> breach.rule() == Rule.GONE).toList();
+                .filter(breach -> breach.rule() == Rule.GONE)
+                .toList();
         assertTrue(!gone.isEmpty(), sum.failing().lastEntry().toString());
-        Matcher late = Pattern.compile("(\\d+) ms after its client had left").matcher(gone.get(0).what());
+        Matcher late = Pattern.compile("(\\d+) ms after its client had left")
+                .matcher(gone.get(0).what());
         assertTrue(late.find(), gone.toString());
         int ms = Integer.parseInt(late.group(1));
         assertTrue(ms >= LATE_MS && ms < 300, "less than what was held before: " + gone);
--- a/src/test/java/kitemux/world/LongAnswerMutantTest.java
+++ b/src/test/java/kitemux/world/LongAnswerMutantTest.java
@@ -2,16 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.charset.StandardCharsets;
-import java.util.List;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
-
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -30,11 +28,16 @@
                     channel.pipeline().addFirst(new Amid() {
                         @Override
                         void begun(ChannelHandlerContext context) {
-                            context.channel().eventLoop().schedule(() -> {
-                                if (isAmid()) {
-                                    context.channel().close();
-                                }
-                            }, 300, TimeUnit.MILLISECONDS);
+                            context.channel()
+                                    .eventLoop()
+                                    .schedule(
+                                            () -> {
+                                                if (isAmid()) {
+                                                    context.channel().close();
+                                                }
+                                            },
+                                            300,
+                                            TimeUnit.MILLISECONDS);
                         }
                     });
                 }
@@ -71,8 +74,7 @@
                         }
 
                         @Override
-                        public void write(ChannelHandlerContext context, Object message,
-                                ChannelPromise promise) {
+                        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
                             int before = passed;
                             passed += ((ByteBuf) message).readableBytes();
                             if (before > LONG) {
@@ -103,7 +105,7 @@
             return came > LONG && came < length;
         }
 
-        void begun(ChannelHandlerContext context) { }
+        void begun(ChannelHandlerContext context) {}
 
         @Override
         public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
@@ -132,12 +134,14 @@
     @ParameterizedTest
     @EnumSource(Mutant.class)
     void aDeliberateDefectIsFoundByName(Mutant mutant) throws Exception {
-        FaultRuns.Summary sum = new FaultRuns("long-answers", mutant).playUntil(1, 200, 4, Rule.LONG_ANSWERS,
-                null);
+        FaultRuns.Summary sum = new FaultRuns("long-answers", mutant).playUntil(1, 200, 4, Rule.LONG_ANSWERS, null);
         assertTrue(sum.broken() > 0, mutant + " was not found in " + sum.seeds() + " seeds");
         List<Breach> found = sum.failing().lastEntry().getValue();
-        assertTrue(found.stream().anyMatch(b -> b.rule() == Rule.LONG_ANSWERS
-                && b.toString().matches("(?s).*" + mutant.told + ".*")), mutant + ": " + found);
+        assertTrue(
+                found.stream()
+                        .anyMatch(b ->
+                                b.rule() == Rule.LONG_ANSWERS && b.toString().matches("(?s).*" + mutant.told + ".*")),
+                mutant + ": " + found);
         System.out.println(mutant + ": seed " + sum.failing().lastKey() + ", " + found);
     }
 }
--- a/src/test/java/kitemux/world/Mutant.java
+++ b/src/test/java/kitemux/world/Mutant.java
@@ -1,5 +1,10 @@
 package kitemux.world;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,13 +14,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelDuplexHandler;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelPromise;
-
 import kitemux.Balancer;
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Outcome;
@@ -23,8 +21,8 @@
 import kitemux.Balancer.Result;
 import kitemux.Balancer.ServerEntry;
 import kitemux.engine.Transport;
-import kitemux.net.Answer;
 import kitemux.http.ClientRequest;
+import kitemux.net.Answer;
 
 /** Deliberate defects, each with the rule that it breaks and the kind of world that it is looked for in. */
 enum Mutant implements Defect {
@@ -34,9 +32,17 @@
             return new Told(module) {
                 @Override
                 public void onOutcome(long nowUs, Outcome o) {
-                    super.onOutcome(nowUs, o.result() != Result.RESET ? o
-                            : new Outcome(o.requestId(), o.attempt(),
-                            Result.CONNECT_FAILED, o.latencyUs(), o.requestEnded(), o.report()));
+                    super.onOutcome(
+                            nowUs,
+                            o.result() != Result.RESET
+                                    ? o
+                                    : new Outcome(
+                                            o.requestId(),
+                                            o.attempt(),
+                                            Result.CONNECT_FAILED,
+                                            o.latencyUs(),
+                                            o.requestEnded(),
+                                            o.report()));
                 }
             };
         }
@@ -110,33 +116,44 @@
         @Override
         public Function<Balancer.Actions, Balancer> module(Function<Balancer.Actions, Balancer> sound) {
             Map<String, Integer> cells = new HashMap<>();
-            return out -> new Told(sound.apply(new Asked(out) {
-                private final Map<Long, Integer> first = new HashMap<>();
-
-                @Override
-                public void send(long requestId, String serverId, long untilUs) {
-                    Integer cell = first.putIfAbsent(requestId, cells.get(serverId));
-                    String other = cells.keySet().stream().sorted()
-                            .filter(s -> cell != null
-                                    && !cells.get(s).equals(cell)).findFirst().orElse(serverId);
-                    super.send(requestId, other, untilUs);
-                }
-            })) {
-                @Override
-                public void onServers(long nowUs, ListKind kind, List<ServerEntry> entries) {
-                    entries.forEach(e -> cells.put(e.id(), e.cell()));
-                    super.onServers(nowUs, kind, entries);
-                }
-            };
+            return out ->
+                    new Told(sound.apply(new Asked(out) {
+                        private final Map<Long, Integer> first = new HashMap<>();
+
+                        @Override
+                        public void send(long requestId, String serverId, long untilUs) {
+                            Integer cell = first.putIfAbsent(requestId, cells.get(serverId));
+                            String other = cells.keySet().stream()
+                                    .sorted()
+                                    .filter(s -> cell != null && !cells.get(s).equals(cell))
+                                    .findFirst()
+                                    .orElse(serverId);
+                            super.send(requestId, other, untilUs);
+                        }
+                    })) {
+                        @Override
+                        public void onServers(long nowUs, ListKind kind, List<ServerEntry> entries) {
+                            entries.forEach(e -> cells.put(e.id(), e.cell()));
+                            super.onServers(nowUs, kind, entries);
+                        }
+                    };
         }
     },
     KEYED_REPEATED_AFTER_ITS_WINDOW(Rule.EFFECTS, "window-ends") {
         @Override
         public Balancer.Settings settings(Balancer.Settings sound) {
             Balancer.Settings set = new Balancer.Settings();
-            sound.classes.forEach(c -> set.classes.add(new Balancer.RequestClass(c.name(), c.aimUs(),
-                    c.aimStretch(), c.deadlineUs(), c.worth(), c.lateWorth(), c.repeat(), c.group(),
-                    10_000_000, c.stream())));
+            sound.classes.forEach(c -> set.classes.add(new Balancer.RequestClass(
+                    c.name(),
+                    c.aimUs(),
+                    c.aimStretch(),
+                    c.deadlineUs(),
+                    c.worth(),
+                    c.lateWorth(),
+                    c.repeat(),
+                    c.group(),
+                    10_000_000,
+                    c.stream())));
             set.tenants.addAll(sound.tenants);
             set.zones.addAll(sound.zones);
             set.maxAttempts = sound.maxAttempts;
@@ -156,20 +173,23 @@
         @Override
         public Function<Balancer.Actions, Balancer> module(Function<Balancer.Actions, Balancer> sound) {
             Map<String, Long> starts = new HashMap<>();
-            return out -> new Told(sound.apply(new Asked(out) {
-                @Override
-                public void send(long requestId, String serverId, long untilUs) {
-                    String newest = starts.keySet().stream().sorted()
-                            .reduce((a, b) -> starts.get(b) > starts.get(a) ? b : a).orElse(serverId);
-                    super.send(requestId, starts.get(newest) > 0 ? newest : serverId, untilUs);
-                }
-            })) {
-                @Override
-                public void onServers(long nowUs, ListKind kind, List<ServerEntry> entries) {
-                    entries.forEach(e -> starts.put(e.id(), e.startedAtUs()));
-                    super.onServers(nowUs, kind, entries);
-                }
-            };
+            return out ->
+                    new Told(sound.apply(new Asked(out) {
+                        @Override
+                        public void send(long requestId, String serverId, long untilUs) {
+                            String newest = starts.keySet().stream()
+                                    .sorted()
+                                    .reduce((a, b) -> starts.get(b) > starts.get(a) ? b : a)
+                                    .orElse(serverId);
+                            super.send(requestId, starts.get(newest) > 0 ? newest : serverId, untilUs);
+                        }
+                    })) {
+                        @Override
+                        public void onServers(long nowUs, ListKind kind, List<ServerEntry> entries) {
+                            entries.forEach(e -> starts.put(e.id(), e.startedAtUs()));
+                            super.onServers(nowUs, kind, entries);
+                        }
+                    };
         }
     },
     NO_FINAL_ANSWER(Rule.ANSWERED, "random") {
@@ -177,7 +197,7 @@
         public Function<Balancer.Actions, Balancer> module(Function<Balancer.Actions, Balancer> sound) {
             return out -> sound.apply(new Asked(out) {
                 @Override
-                public void fail(long requestId) { }
+                public void fail(long requestId) {}
             });
         }
     },
@@ -206,8 +226,16 @@
                 @Override
                 public void onRequest(long nowUs, Request r) {
                     // Nor is it told how late it was read: a module that knows refuses most of them at once.
-                    super.onRequest(nowUs, new Request(r.id(), r.classIndex(), r.tenant(),
-                            r.leftUs() + 500_000, r.workUs(), r.retry(), r.key()));
+                    super.onRequest(
+                            nowUs,
+                            new Request(
+                                    r.id(),
+                                    r.classIndex(),
+                                    r.tenant(),
+                                    r.leftUs() + 500_000,
+                                    r.workUs(),
+                                    r.retry(),
+                                    r.key()));
                 }
             };
         }
@@ -374,7 +402,7 @@
             channel.pipeline().addFirst(new ChannelDuplexHandler() {
                 @Override
                 public void channelActive(ChannelHandlerContext context) {
-                    context.executor().schedule(() -> { }, 1, TimeUnit.HOURS);
+                    context.executor().schedule(() -> {}, 1, TimeUnit.HOURS);
                     context.fireChannelActive();
                 }
             });
@@ -424,7 +452,7 @@
         }
 
         @Override
-        public void ended(Result result, Answer answer) { }
+        public void ended(Result result, Answer answer) {}
     }
 
     /** Passes all on. */
--- a/src/test/java/kitemux/world/WorldTest.java
+++ b/src/test/java/kitemux/world/WorldTest.java
@@ -14,7 +14,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.Stream;
-
+import kitemux.cli.Main;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -23,8 +23,6 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
-import kitemux.cli.Main;
-
 /** Worlds on a virtual clock: what they find, that they find it, and that they are the same each time. */
 @Timeout(300)
 class WorldTest {
@@ -39,8 +37,7 @@
         FaultRuns.Summary sum = play("random", 1, 300, JOBS);
         assertEquals(List.of(), sum.firstBroken(), "seed " + sum.firstSeed());
         assertEquals(300, sum.seeds());
-        assertTrue(sum.served() > 50_000 && sum.refused() > 1_000 && sum.failed() > 100,
-                "it was no idle run");
+        assertTrue(sum.served() > 50_000 && sum.refused() > 1_000 && sum.failed() > 100, "it was no idle run");
     }
 
     static Stream<String> kinds() {
@@ -77,14 +74,17 @@
     @ParameterizedTest
     @EnumSource(Mutant.class)
     void aDeliberateDefectIsFound(Mutant mutant) throws Exception {
-        FaultRuns.Summary sum = new FaultRuns(mutant.kind, mutant).playUntil(1, 2_000, JOBS, mutant.rule,
-                null);
+        FaultRuns.Summary sum = new FaultRuns(mutant.kind, mutant).playUntil(1, 2_000, JOBS, mutant.rule, null);
         assertTrue(sum.broken() > 0, mutant + " was not found in " + sum.seeds() + " seeds");
         List<Breach> found = sum.failing().lastEntry().getValue();
-        assertTrue(found.stream().anyMatch(b -> b.rule() == mutant.rule),
+        assertTrue(
+                found.stream().anyMatch(b -> b.rule() == mutant.rule),
                 mutant + " seed " + sum.failing().lastKey() + ": " + found);
-        System.out.println(mutant + ": seed " + sum.failing().lastKey() + ", " + found.stream()
-                .filter(b -> b.rule() == mutant.rule).findFirst().orElseThrow());
+        System.out.println(mutant + ": seed " + sum.failing().lastKey() + ", "
+                + found.stream()
+                        .filter(b -> b.rule() == mutant.rule)
+                        .findFirst()
+                        .orElseThrow());
     }
 
     @Test
@@ -95,16 +95,23 @@
         assertEquals(alone.steps(), many.steps());
         assertNotEquals(alone.digest(), play("random", 2, 17, 7).digest());
         Process other = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                "-cp", System.getProperty("java.class.path"), Main.class.getName(), "faults", "--seeds",
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-XX:TieredStopAtLevel=1",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Main.class.getName(),
+                        "faults",
+                        "--seeds",
                         "1-16",
-                "--jobs", "3").redirectError(ProcessBuilder.Redirect.DISCARD).start();
+                        "--jobs",
+                        "3")
+                .redirectError(ProcessBuilder.Redirect.DISCARD)
+                .start();
         String said = new String(other.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(0, other.waitFor(), said);
         assertTrue(said.contains(String.format("digest %016x", alone.digest())), said);
-        assertTrue(said.endsWith("16 seeds, " + alone.steps() + " steps, 0 broken rules"
-                + System.lineSeparator()),
-                said);
+        assertTrue(
+                said.endsWith("16 seeds, " + alone.steps() + " steps, 0 broken rules" + System.lineSeparator()), said);
     }
 
     @Test
@@ -131,7 +138,8 @@
         assertTrue(said.contains("seed " + seed + ": DRAINS (drains are kept) at step "), said);
         assertTrue(said.contains("faults --seed " + seed + " --only drain-while-dialing"), said);
         List<String> left = runs.shrink(seed, out);
-        assertTrue(left.size() < Scenario.DRAIN_WHILE_DIALING.plan(seed).faults().size(), left.toString());
+        assertTrue(
+                left.size() < Scenario.DRAIN_WHILE_DIALING.plan(seed).faults().size(), left.toString());
         assertTrue(left.stream().allMatch(f -> f.startsWith("BOX_DRAINS")), left.toString());
         Path trace = folder.resolve("trace");
         assertEquals(1, runs.playOne(seed, List.of(), trace, out));
