--- a/src/main/java/kitemux/soak/SoakClient.java
+++ b/src/main/java/kitemux/soak/SoakClient.java
@@ -30,6 +30,8 @@
     private Socket connection;
     private boolean used;
     private int sent;
+    /** When the last byte of the request was written: its time counts from there. */
+    private long writtenUs;
 
     /**
      * Not connected yet.
@@ -77,9 +79,9 @@
         boolean leaves = random.nextInt(ONE_LEAVES_OF) == 0;
         String txn = name + "-" + sent++;
         boolean usedBefore = used;
-        long sentUs = Soak.nowUs();
+        writtenUs = Soak.nowUs();
         Request.Outcome outcome = exchange(txn, of, remainingMs, leaves);
-        requests.add(new Request(txn, of, sentUs, remainingMs * 1_000, usedBefore, outcome, Soak.nowUs()));
+        requests.add(new Request(txn, of, writtenUs, remainingMs * 1_000, usedBefore, outcome, Soak.nowUs()));
     }
 
     /** A client does not use a connection whose end it has seen. */
@@ -113,6 +115,7 @@
         try {
             connection.setSoTimeout((int) (leaves ? Math.max(1, remainingMs / 4) : remainingMs + LAST_ANSWER_MS));
             connection.getOutputStream().write(text(txn, of, remainingMs).getBytes(StandardCharsets.US_ASCII));
+            writtenUs = Soak.nowUs();
             Message answer = Message.read(connection.getInputStream());
             used = true;
             if (answer.isLast()) {
