Bound what a listener accepts as it closes by the backlog

Unused connections make room for one another, so that with a client quicker than the loop one always waits. Excluded: a listener told to wait for room (closed at the last phase in any case), the gate (never full).

Change: as many as can have waited, the backlog of 1,024, which the listener is bound with. ClientListenerTest.aCloseAcceptsNoMoreThanCanHaveWaited lets one more come with each accept: 1,500 accepted before, 1,024 now.

A test of ours was wrong as well: whatWaitsIsAcceptedAndNothingComesUp... connected in a task behind the one that closes, and was refused where the close was quicker (seen once). Both are in one task now; it is as strict.

--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -142,7 +142,7 @@
         ChannelFuture opening = listener.group(loop)
                 .channelFactory(() -> network.listener(gate))
                 .option(ChannelOption.SO_REUSEADDR, true)
-                .option(ChannelOption.SO_BACKLOG, 1024)
+                .option(ChannelOption.SO_BACKLOG, Network.BACKLOG)
                 .childOption(ChannelOption.ALLOCATOR, network.allocator())
                 .option(
                         ChannelOption.RECVBUF_ALLOCATOR,
--- a/src/main/java/kitemux/net/ClientListener.java
+++ b/src/main/java/kitemux/net/ClientListener.java
@@ -95,11 +95,14 @@
         }
     }
 
-    /** Accepts what waits, as far as the gate allows, and closes: the system resets the rest. */
+    /**
+     * Accepts what waits, as far as the gate allows, and closes: the system resets the rest. Where connections
+     * keep coming it would go on without end: it accepts as many as can have waited.
+     */
     @Override
     protected void doClose() throws Exception {
         List<Object> accepted = new ArrayList<>(1);
-        while (isActive() && doReadMessages(accepted) > 0) {
+        for (int i = 0; i < Network.BACKLOG && isActive() && doReadMessages(accepted) > 0; i++) {
             pipeline().fireChannelRead(accepted.remove(0));
         }
         super.doClose();
--- a/src/main/java/kitemux/net/Network.java
+++ b/src/main/java/kitemux/net/Network.java
@@ -6,6 +6,9 @@
 
 /** Where a node's channels come from: the system's sockets, or a world that plays them. */
 public interface Network {
+    /** Connections that wait for an accept, at most; listeners are bound with it. */
+    int BACKLOG = 1_024;
+
     /** Says how many connections a listener may take in. */
     interface Gate {
         /** Whether one more may be taken; while not, the listener takes none, and is to be told to stop
--- a/src/test/java/kitemux/net/ClientListenerTest.java
+++ b/src/test/java/kitemux/net/ClientListenerTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
@@ -28,6 +29,8 @@
 class ClientListenerTest {
     /** Calls of accept that fail on end. */
     private static final int FAILURES = 5;
+    /** Connections that come while a listener closes. */
+    private static final int FLOOD = 1_500;
 
     /** Half of how long a listener stops that leaves it to the network library. */
     private static final long STOPPED_NANOS = 500_000_000;
@@ -108,6 +111,31 @@
         }
     }
 
+    /** Guards against a loop that accepts without end as it closes its listener, where connections keep coming. */
+    @Test
+    void aCloseAcceptsNoMoreThanCanHaveWaited() throws Exception {
+        AtomicBoolean closing = new AtomicBoolean();
+        Queue<SocketChannel> flood = new ConcurrentLinkedQueue<>();
+        Channel listener = listen(() -> new ClientListener(OPEN) {
+            @Override
+            SocketChannel accept() throws IOException {
+                if (closing.get() && flood.size() < FLOOD) {
+                    flood.add(SocketChannel.open(localAddress()));
+                }
+                return super.accept();
+            }
+        });
+        try {
+            closing.set(true);
+            listener.close().get(20, TimeUnit.SECONDS);
+            assertEquals(Network.BACKLOG, accepted.size());
+        } finally {
+            for (SocketChannel one : flood) {
+                one.close();
+            }
+        }
+    }
+
     /** Guards against connections that the system has completed and resets as their listener closes. */
     @Test
     void whatWaitsIsAcceptedAndNothingComesUpOnceTheListenerIsClosed() throws Exception {
@@ -115,12 +143,16 @@
         SocketAddress at = listener.localAddress();
         try (SocketChannel waits = SocketChannel.open()) {
             CompletableFuture<Void> closed = new CompletableFuture<>();
-            loop.execute(() -> listener.close().addListener(done -> {
-                assertThrows(
-                        ConnectException.class, () -> SocketChannel.open(at).close());
-                closed.complete(null);
-            }));
-            loop.submit(() -> waits.connect(at)).sync();
+            loop.submit(() -> {
+                        listener.close().addListener(done -> {
+                            assertThrows(
+                                    ConnectException.class,
+                                    () -> SocketChannel.open(at).close());
+                            closed.complete(null);
+                        });
+                        return waits.connect(at);
+                    })
+                    .sync();
             closed.get(5, TimeUnit.SECONDS);
             loop.submit(() -> {}).sync();
             assertEquals(1, accepted.size());
