--- a/review/src/review/Box.java
+++ b/review/src/review/Box.java
@@ -19,7 +19,6 @@
     final Record record;
     private final ServerSocket listener;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
-    volatile boolean draining;
 
     Box(String uid, Record record) throws IOException {
         this.uid = uid;
@@ -65,13 +64,9 @@
             // The node has given up the attempt.
         } finally {
             sockets.remove(socket);
-            closed(socket);
         }
     }
 
-    /** Called when a connection has ended. */
-    void closed(Socket socket) {}
-
     /**
      * Answers a request.
      *
@@ -83,11 +78,6 @@
             write(socket, 404, "no id");
             return true;
         }
-        if (draining) {
-            record.line("box " + uid + " turns away " + describe(request) + " as it drains");
-            write(socket, "HTTP/1.1 503 Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
-            return true;
-        }
         record.line("box " + uid + " runs " + describe(request));
         Kit.sleep(workMs(request));
         write(socket, 200, body(request));
@@ -122,10 +112,12 @@
         out.flush();
     }
 
+    /** Ends as a process does: its connections are reset, and new ones are refused. */
     @Override
     public void close() throws IOException {
         listener.close();
         for (Socket socket : sockets) {
+            socket.setSoLinger(true, 0);
             socket.close();
         }
     }
--- a/review/src/review/CallInOutage.java
+++ b/review/src/review/CallInOutage.java
@@ -10,25 +10,71 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Discovery is down for 8 s. In that time an operator takes a server out by hand. Discovery returns, and another server
- * begins to drain: nothing new may go to it once the node counts as told.
+ * Discovery is down for 8 s. In that time an operator takes a server out by hand. Discovery returns, and a release replaces
+ * half of the servers one after another: nothing new may go to a server that drains once the node counts as told.
  */
 final class CallInOutage {
-    private static final int CLIENTS = 8;
+    private static final int CLIENTS = 24;
+    private static final int BOXES = 10;
     /** A change counts as told 6 s after discovery had it and could be reached, at the latest. */
     private static final long TOLD_MS = 6_000;
     /** The grace of a drain (500 ms), 50 ms more on sockets, and 0.15 s for which a node may be held up. */
     private static final long GRACE_MS = 700;
+    /** Time between two drains of the release. */
+    private static final long STEP_MS = 2_500;
+    /** How long a box drains before its process ends. */
+    private static final long DRAIN_MS = 10_000;
 
     private static final AtomicInteger SERVED = new AtomicInteger();
-    private static final AtomicInteger NOT_SERVED = new AtomicInteger();
-    private static final AtomicInteger SENT_IN_TIME = new AtomicInteger();
+    private static final AtomicInteger REFUSED = new AtomicInteger();
+    private static final AtomicInteger FAILED = new AtomicInteger();
     private static final AtomicInteger SENT_TOO_LATE = new AtomicInteger();
+    private static final AtomicInteger CUT_OFF = new AtomicInteger();
+    private static final AtomicInteger SERVED_AT_END = new AtomicInteger();
+    private static final AtomicInteger NOT_SERVED_AT_END = new AtomicInteger();
 
-    private static volatile long drainingSinceMs = Long.MAX_VALUE;
-    private static volatile long lastSentMs;
+    private static volatile boolean released;
     private static volatile boolean over;
 
+    /** A box that notes what is sent to it too late, and what its end cuts off. */
+    private static final class ReleasedBox extends Box {
+        private volatile long drainingSinceMs = Long.MAX_VALUE;
+        private volatile boolean ended;
+
+        ReleasedBox(String uid, Record record) throws IOException {
+            super(uid, record);
+        }
+
+        @Override
+        boolean answer(Http.Message request, Socket socket) throws IOException {
+            long sinceMs = request.beganMs() - drainingSinceMs;
+            boolean isTooLate = sinceMs > TOLD_MS + GRACE_MS;
+            if (isTooLate) {
+                SENT_TOO_LATE.incrementAndGet();
+                record.line("BROKEN: box " + uid + " is sent " + describe(request) + " " + sinceMs
+                        + " ms after it began to drain");
+            }
+            try {
+                return super.answer(request, socket);
+            } finally {
+                if (isTooLate && ended) {
+                    CUT_OFF.incrementAndGet();
+                    record.line("box " + uid + " ended while it ran " + describe(request));
+                }
+            }
+        }
+
+        void drain() {
+            drainingSinceMs = System.currentTimeMillis();
+        }
+
+        void end() throws IOException {
+            ended = true;
+            record.line("box " + uid + " ends, as its drain is over");
+            close();
+        }
+    }
+
     public static void main(String[] args) {
         Kit.play(args[0], CallInOutage::play);
     }
@@ -36,23 +82,10 @@
     private static int play(Path folder, Record record) throws Exception {
         Random random = new Random(1);
         Discovery discovery = new Discovery(record);
-        List<Box> boxes = new ArrayList<>();
-        for (int i = 0; i < 10; i++) {
-            Box box = new Box("web-" + i, record) {
-                @Override
-                boolean answer(Http.Message request, Socket socket) throws IOException {
-                    long sinceMs = request.beganMs() - drainingSinceMs;
-                    if (uid.equals("web-0") && sinceMs > 0) {
-                        lastSentMs = sinceMs;
-                        (sinceMs > TOLD_MS + GRACE_MS ? SENT_TOO_LATE : SENT_IN_TIME).incrementAndGet();
-                        record.line((sinceMs > TOLD_MS + GRACE_MS ? "BROKEN: " : "") + "box " + uid + " is sent "
-                                + describe(request) + " " + sinceMs + " ms after it began to drain");
-                    }
-                    return super.answer(request, socket);
-                }
-            };
-            boxes.add(box);
-            discovery.set(box, i / 5, "Ready", 0);
+        List<ReleasedBox> boxes = new ArrayList<>();
+        for (int i = 0; i < BOXES; i++) {
+            boxes.add(new ReleasedBox("web-" + i, record));
+            discovery.set(boxes.get(i), i / 5, "Ready", 0);
         }
         int code;
         try (Kit.Node node = new Kit.Node(folder, discovery, record, true)) {
@@ -60,7 +93,7 @@
                 Random own = new Random(random.nextLong());
                 Kit.daemon("client " + i, () -> client(node.port, own, record));
             }
-            Kit.sleep(5_000);
+            Kit.sleep(4_000);
             if (Kit.TROUBLE) {
                 discovery.setDown(true);
             }
@@ -71,24 +104,48 @@
                 discovery.setDown(false);
             }
             Kit.sleep(2_000);
-            // The server goes on serving while it drains, and stays to the end of the run.
-            drainingSinceMs = System.currentTimeMillis();
-            discovery.set(boxes.get(0), 0, "Terminating", 0);
-            Kit.sleep(60_000);
+            release(discovery, boxes, record);
+            released = true;
+            Kit.sleep(8_000);
             over = true;
             long lastCallMs = System.currentTimeMillis() - discovery.lastCallMs;
-            record.say("served " + SERVED + ", refused or failed " + NOT_SERVED + "; sent to the draining server " + SENT_IN_TIME
-                    + " in time and " + SENT_TOO_LATE + " too late, the last " + lastSentMs + " ms after it began to drain; "
-                    + "the node last called discovery " + lastCallMs + " ms before the end");
+            record.say("served " + SERVED + ", refused " + REFUSED + ", failed " + FAILED
+                    + "; sent too late to servers that drain " + SENT_TOO_LATE + ", of these cut off by the server's end "
+                    + CUT_OFF + "; after the release served " + SERVED_AT_END + ", refused or failed " + NOT_SERVED_AT_END
+                    + "; the node last called discovery " + lastCallMs + " ms before the end");
             code = !node.process.isAlive() || answer != 200 || SERVED.get() < 1_000 ? 2 : SENT_TOO_LATE.get() > 0 ? 1 : 0;
         }
-        for (Box box : boxes) {
-            box.close();
-        }
         discovery.close();
         return code;
     }
 
+    /** New boxes start, and half of the old ones drain and end, one after another. */
+    private static void release(Discovery discovery, List<ReleasedBox> boxes, Record record) throws Exception {
+        List<ReleasedBox> old = boxes.subList(0, BOXES / 2);
+        for (int i = 0; i < old.size(); i++) {
+            discovery.set(new Box("web-" + (BOXES + i), record), 0, "Ready", System.currentTimeMillis());
+        }
+        List<Thread> ends = new ArrayList<>();
+        for (int i = 0; i < old.size(); i++) {
+            ReleasedBox box = old.get(i);
+            box.drain();
+            discovery.set(box, 0, "Terminating", 0);
+            ends.add(Kit.daemon("end of " + box.uid, () -> {
+                Kit.sleep(DRAIN_MS);
+                try {
+                    discovery.set(box, 0, "Gone", 0);
+                    box.end();
+                } catch (IOException e) {
+                    record.line("box " + box.uid + " could not end: " + e);
+                }
+            }));
+            Kit.sleep(STEP_MS);
+        }
+        for (Thread end : ends) {
+            end.join();
+        }
+    }
+
     private static void client(int port, Random random, Record record) {
         try (Kit.Client client = new Kit.Client(port)) {
             while (!over) {
@@ -105,10 +162,13 @@
                             draw < 51 ? null : lane);
                     int status = answer == null ? 0 : answer.status();
                     record.line("client is answered " + status + " to txn=" + txn);
-                    (status == 200 ? SERVED : NOT_SERVED).incrementAndGet();
+                    (status == 200 ? SERVED : status == 503 ? REFUSED : FAILED).incrementAndGet();
+                    if (released) {
+                        (status == 200 ? SERVED_AT_END : NOT_SERVED_AT_END).incrementAndGet();
+                    }
                 } catch (IOException e) {
                     record.line("client has no answer to txn=" + txn + ": " + e);
-                    NOT_SERVED.incrementAndGet();
+                    FAILED.incrementAndGet();
                 }
             }
         }
