Give case 2 answers of 16 MiB, so that its first run in a fresh clone is clear too

Need: in the first run in a fresh clone the five waves of case 2 cut off one long answer and lost no short request.

Rule, check and bound are as before.

--- a/review/src/review/LongAnswers.java
+++ b/review/src/review/LongAnswers.java
@@ -19,10 +19,10 @@
  * requests. Each request must get its final answer, and no long answer may be cut off that its box still gives.
  */
 final class LongAnswers {
-    private static final int LONG_CLIENTS = 450;
+    private static final int LONG_CLIENTS = 540;
     private static final int BURST_CLIENTS = 90;
     private static final int BURST_CLIENTS_A_SECOND = 200;
-    private static final int LONG_BYTES = 8 << 20;
+    private static final int LONG_BYTES = 16 << 20;
     private static final int SECONDS = 32;
     private static final int SHORT_CLIENTS = 32;
     /** What the pages allow beyond a client's time: half a second, and 0.15 s for which a node may be held up. */
