Reject the body of a GET, and write no body to a server without its length

What callers saw: a client's GET with a body made the server run the body as a request of its own; its answer was served to the next client on the connection, and so on from then on.

Cause: HttpServers.createRequest wrote the body whatever the method and stated its length only where the method was not GET. That a GET has no body was taken for a fact, and nothing enforced it.

Change: a request of a class that is safe to repeat and has a body is answered 400 and reaches no server, as the protocol says that GET has none; every body that is written has its length, whatever the method. Both are needed: the first as servers may ignore the length of a GET, the second so that no other caller brings the fault back.

--- a/src/main/java/kitemux/http/HttpServers.java
+++ b/src/main/java/kitemux/http/HttpServers.java
@@ -65,7 +65,16 @@
      * wait.
      */
     private FullHttpRequest createRequest(Exchange<ClientRequest, ServerResponse> exchange) {
-        ClientRequest request = exchange.request();
+        return createMessage(exchange.request(), Math.max(1, exchange.expiresAtUs() - clock.nowUs()));
+    }
+
+    /**
+     * Creates the message for a request. A body always has its length, whatever the method: a server would take
+     * the bytes of an undeclared one for the next request.
+     *
+     * @param remainingUs how long the node will wait, in microseconds
+     */
+    FullHttpRequest createMessage(ClientRequest request, long remainingUs) {
         FullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 request.method(),
@@ -76,14 +85,14 @@
             message.headers()
                     .set("X-Txn", request.txn())
                     .set("X-Lane", settings.classes.get(request.classIndex()).name())
-                    .set("X-Remaining", Math.max(1, exchange.expiresAtUs() - clock.nowUs()) + "u");
+                    .set("X-Remaining", remainingUs + "u");
         }
         if (request.idempotencyKey() != null) {
             message.headers().set("Idempotency-Key", request.idempotencyKey());
         }
-        if (!request.method().equals(HttpMethod.GET)) {
-            message.headers()
-                    .set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
+        int bodyBytes = message.content().readableBytes();
+        if (bodyBytes > 0 || !request.method().equals(HttpMethod.GET)) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
         }
         return message;
     }
--- a/src/main/java/kitemux/http/RequestReader.java
+++ b/src/main/java/kitemux/http/RequestReader.java
@@ -94,6 +94,10 @@
         if (!message.method().equals(retrySafety == RetrySafety.SAFE ? HttpMethod.GET : HttpMethod.POST)) {
             throw new BadRequestException("the class does not go with the method");
         }
+        // A body of GET has no meaning, and servers that ignore its length would take it for the next request.
+        if (retrySafety == RetrySafety.SAFE && body.stream().anyMatch(part -> part.length > 0)) {
+            throw new BadRequestException("a request with the method GET must not have a body");
+        }
         if (retrySafety == RetrySafety.KEYED == (idempotencyKey == null)) {
             throw new BadRequestException("Idempotency-Key does not go with the class");
         }
--- /dev/null
+++ b/src/test/java/kitemux/node/RequestFramingTest.java
@@ -0,0 +1,87 @@
+package kitemux.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests that what a node writes to a server is exactly the request that the client sent. */
+class RequestFramingTest {
+    /** A body that a server would take for a request if it were written without a length. */
+    private static final String EMBEDDED_ORDER = Http.order("embedded", "900m");
+
+    private static String pageWith(String txn, String headersAndBody) {
+        return Http.page(txn).replace("\r\n\r\n", "\r\n" + headersAndBody);
+    }
+
+    /** Creates a server whose response names the request that it answers. */
+    private static ScriptedServer echoingTxn() throws Exception {
+        return new ScriptedServer(
+                (request, peer) -> peer.write(Http.ok(request.headers().get("x-txn"))));
+    }
+
+    // Guards against the body of a GET reaching a server without a length: the server ran it as a request of its own,
+    // and its response was served to the next client.
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length", "chunked", "chunked with trailers", "Expect: 100-continue"})
+    void bodyOfSafeRequestIsRejectedAndReachesNoServer(String framing) throws Exception {
+        String length = "Content-Length: " + EMBEDDED_ORDER.length() + "\r\n";
+        String chunked = "Transfer-Encoding: chunked\r\n\r\n" + Site.chunk(EMBEDDED_ORDER) + "0\r\n";
+        String headersAndBody =
+                switch (framing) {
+                    case "Content-Length" -> length + "\r\n" + EMBEDDED_ORDER;
+                    case "chunked" -> chunked + "\r\n";
+                    case "chunked with trailers" -> chunked + "X-Checksum: 1\r\n\r\n";
+                    default -> length + framing + "\r\n\r\n" + EMBEDDED_ORDER;
+                };
+        try (ScriptedServer server = echoingTxn();
+                Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            Http.Message response = Site.ask(client, pageWith("with-body", headersAndBody));
+            if (response.status() == 100) {
+                response = Http.read(client.getInputStream());
+            }
+            assertEquals(400, response.status());
+            for (String txn : new String[] {"next", "after-next"}) {
+                Http.Message served = site.ask(Http.page(txn));
+                assertEquals(200, served.status());
+                assertEquals(txn, served.body(), "the response to another request");
+            }
+            assertEquals(2, server.requests.size(), "requests that reached the server");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"})
+    void safeRequestWithAnEmptyBodyIsServed(String headersAndBody) throws Exception {
+        try (ScriptedServer server = echoingTxn();
+                Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            for (String txn : new String[] {"first", "second"}) {
+                Http.Message served = Site.ask(client, pageWith(txn, headersAndBody));
+                assertEquals(200, served.status());
+                assertEquals(txn, served.body());
+            }
+            assertEquals(2, server.requests.size(), "requests that reached the server");
+        }
+    }
+
+    // Guards against a body that the message does not declare: the decoder takes 8 bytes of what follows for the body
+    // of
+    // a GET with these headers, so that a pipelined request lost its first bytes to the server before it.
+    @Test
+    void bytesAfterAnObsoleteWebSocketHandshakeAreNotTakenForItsBody() throws Exception {
+        String keys = "Sec-WebSocket-Key1: a\r\nSec-WebSocket-Key2: b\r\n\r\n";
+        try (ScriptedServer server = echoingTxn();
+                Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            Http.Message response = Site.ask(client, pageWith("handshake", keys) + Http.page("pipelined"));
+            assertEquals(400, response.status());
+            assertEquals(-1, client.getInputStream().read(), "the connection closes");
+            assertTrue(server.requests.isEmpty(), "requests that reached the server: " + server.requests);
+        }
+    }
+}
