Reject a request for which the decoder assumes a body that it does not declare

What callers saw: a GET with Sec-WebSocket-Key1 and Sec-WebSocket-Key2 and no length was answered 408 after 3 s although it had come whole; with a request sent ahead behind it, that one lost its first 8 bytes, which reached the server.

Cause: Netty takes 8 bytes behind such a head for its body, as drafts of WebSocket had it (HttpUtil.getContentLength), while the message declares none. Found while looking for further ways by which bytes of one request become part of another.

Change: RequestReader.headError rejects a head whose body the decoder assumes without Content-Length or Transfer-Encoding, as it does for other heads whose end parsers find in different places.

--- a/src/main/java/kitemux/http/RequestReader.java
+++ b/src/main/java/kitemux/http/RequestReader.java
@@ -61,9 +61,13 @@
             // Another parser might find a different end of the body, and a smuggled request in what follows.
             return HttpResponseStatus.BAD_REQUEST;
         }
-        return HttpUtil.getContentLength(head, 0L) > Limits.MAX_REQUEST_BODY_BYTES
-                ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
-                : null;
+        long bodyBytes = HttpUtil.getContentLength(head, 0L);
+        if (!hasLength && codings.isEmpty() && bodyBytes > 0) {
+            // The decoder assumes a body that the message does not declare, as drafts of WebSocket had it, and takes
+            // what follows the request for it.
+            return HttpResponseStatus.BAD_REQUEST;
+        }
+        return bodyBytes > Limits.MAX_REQUEST_BODY_BYTES ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE : null;
     }
 
     /**
--- a/src/test/java/kitemux/node/RequestFramingTest.java
+++ b/src/test/java/kitemux/node/RequestFramingTest.java
@@ -13,6 +13,8 @@
     /** A body that a server would take for a request if it were written without a length. */
     private static final String EMBEDDED_ORDER = Http.order("embedded", "900m");
 
+    private static final String OBSOLETE_HANDSHAKE_KEYS = "Sec-WebSocket-Key1: a\r\nSec-WebSocket-Key2: b\r\n\r\n";
+
     private static String pageWith(String txn, String headersAndBody) {
         return Http.page(txn).replace("\r\n\r\n", "\r\n" + headersAndBody);
     }
@@ -69,16 +71,28 @@
         }
     }
 
-    // Guards against a body that the message does not declare: the decoder takes 8 bytes of what follows for the body
-    // of
-    // a GET with these headers, so that a pipelined request lost its first bytes to the server before it.
+    // Guards against a request that has come whole and has no answer in its time: the decoder waits for 8 bytes that
+    // drafts of WebSocket had behind a GET with these headers.
+    @Test
+    void obsoleteWebSocketHandshakeIsRejectedWithoutWaitingForMore() throws Exception {
+        try (ScriptedServer server = echoingTxn();
+                Site site = Site.quiet().start(server)) {
+            assertEquals(
+                    400,
+                    site.ask(pageWith("handshake", OBSOLETE_HANDSHAKE_KEYS)).status(),
+                    "not 408 after 3 s");
+            assertTrue(server.requests.isEmpty(), "requests that reached the server: " + server.requests);
+        }
+    }
+
+    // Guards against the same 8 bytes being taken from a pipelined request and written to the server.
     @Test
     void bytesAfterAnObsoleteWebSocketHandshakeAreNotTakenForItsBody() throws Exception {
-        String keys = "Sec-WebSocket-Key1: a\r\nSec-WebSocket-Key2: b\r\n\r\n";
         try (ScriptedServer server = echoingTxn();
                 Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
-            Http.Message response = Site.ask(client, pageWith("handshake", keys) + Http.page("pipelined"));
+            Http.Message response =
+                    Site.ask(client, pageWith("handshake", OBSOLETE_HANDSHAKE_KEYS) + Http.page("pipelined"));
             assertEquals(400, response.status());
             assertEquals(-1, client.getInputStream().read(), "the connection closes");
             assertTrue(server.requests.isEmpty(), "requests that reached the server: " + server.requests);
