Keep discovery's next call due when operators change a server during an outage

What callers saw: after an operator took a server out while discovery was down, the node never called discovery again. It sent to servers that drained until their processes ended, and used no new one.

Cause: ServiceQBalancer.onServers took each list event but the cached list for discovery's answer and set the time of the next call to "never". Operators' changes come in by the same event; one between a failed call and the next took away the only thing that would have called again.

Over sockets, a change during an outage (out, back, and out by way of another process) was followed by no call within 20 s, three of three.

Change: ListKind.OVERRIDES marks entries that operators changed. It answers no request: the next call stays due, the guard of an unanswered call stays, the backoff keeps its value. A switch over all kinds makes a further kind say whether it is discovery's answer.

--- a/src/main/java/kitemux/Balancer.java
+++ b/src/main/java/kitemux/Balancer.java
@@ -15,6 +15,7 @@
 
     /**
      * Reports the server list. Servers missing from a {@link ListKind#FULL} or {@link ListKind#CACHED} list are gone.
+     * {@link ListKind#FULL} and {@link ListKind#CHANGES} answer the last list request.
      */
     void onServers(long nowUs, ListKind kind, List<ServerEntry> entries);
 
@@ -95,7 +96,10 @@
         FULL,
 
         /** All entries as this node last knew them, possibly outdated; reported once, at the start. */
-        CACHED
+        CACHED,
+
+        /** Only the entries that the node's operators changed. It answers no list request. */
+        OVERRIDES
     }
 
     /** The state of a server in its list. */
--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -657,7 +657,7 @@
     @Override
     public void onServers(long nowUs, ListKind kind, List<ServerEntry> entries) {
         now = nowUs;
-        if (kind != ListKind.CHANGES) {
+        if (kind == ListKind.FULL || kind == ListKind.CACHED) {
             listedServers.forEach(server -> server.state = ServerState.GONE);
             listedServers.clear();
         }
@@ -681,16 +681,29 @@
         updateUsedServers();
         // Servers come and go for as long as a node runs, so gone servers without requests in flight are removed.
         serversById.values().removeIf(server -> server.state == ServerState.GONE && server.inFlight == 0);
-        if (settings.listOnRequest && kind == ListKind.CACHED) {
-            requestList();
-        } else {
-            nextListRequestAt = Long.MAX_VALUE;
-            listBackoffUs = INITIAL_LIST_BACKOFF_US;
-        }
+        scheduleListRequest(kind);
         serveQueue(KEYED_TRIES_PER_EVENT_COUNT);
         scheduleWake();
     }
 
+    /** Requests the list after a cached one, and schedules no further request once discovery has answered. */
+    private void scheduleListRequest(ListKind kind) {
+        switch (kind) {
+            case CACHED -> {
+                if (settings.listOnRequest) {
+                    requestList();
+                }
+            }
+            case FULL, CHANGES -> {
+                nextListRequestAt = Long.MAX_VALUE;
+                listBackoffUs = INITIAL_LIST_BACKOFF_US;
+            }
+            case OVERRIDES -> {
+                // Discovery has said nothing: a request that is due after a failure stays due.
+            }
+        }
+    }
+
     private void updateUsedServers() {
         Server[] previouslyUsed = usedServers;
         usedServers = selectUsedServers(
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -277,7 +277,7 @@
         Operations.NodeControl nodeControl = new Operations.NodeControl() {
             @Override
             public void updateServers(List<HostList.Host> hosts) {
-                applyServerList(new HostList(0, false, hosts), ListKind.CHANGES);
+                applyServerList(new HostList(0, false, hosts), ListKind.OVERRIDES);
             }
 
             @Override
--- a/src/test/java/kitemux/RulesTest.java
+++ b/src/test/java/kitemux/RulesTest.java
@@ -239,6 +239,66 @@
         }
     }
 
+    // Guards against an operators' change that is taken for discovery's answer: no list request was due any more, and
+    // the
+    // node heard of no drain again.
+    @Test
+    void operatorsChangesNeitherCancelNorDelayTheNextListRequest() {
+        for (int seed = 1; seed <= 100; seed++) {
+            Settings settings = TestNode.settings();
+            settings.listOnRequest = true;
+            TestNode node = new TestNode(settings, seed).withServers(2);
+            for (int failures = 1; failures <= 10; failures++) {
+                node.balancer.onListFailed(node.now);
+                for (int i = 0; i < 10; i++) {
+                    ServerState state = i % 2 == 0 ? ServerState.DRAINING : ServerState.READY;
+                    node.updateServers(ListKind.OVERRIDES, List.of(server("s0", 0, 0, state)));
+                    node.advance(100_000);
+                }
+                assertEquals(failures + 1, node.subscriptions, "seed " + seed + ", failure " + failures);
+            }
+        }
+    }
+
+    @Test
+    void operatorsChangeDoesNotCountAsTheAnswerToAnOpenListRequest() {
+        Settings settings = TestNode.settings();
+        settings.listOnRequest = true;
+        TestNode node = new TestNode(settings, 1).withServers(2);
+        node.updateServers(ListKind.OVERRIDES, List.of(server("s0", 0, 0, ServerState.DRAINING)));
+        node.advance(settings.askWithinUs - 1);
+        assertTrue(node.subscriptions >= 2, "the request is repeated");
+    }
+
+    @Test
+    void operatorsChangesKeepTheBackoffOfFailedListRequests() {
+        Settings settings = TestNode.settings();
+        settings.listOnRequest = true;
+        TestNode untouched = new TestNode(settings, 1).withServers(1);
+        TestNode overridden = new TestNode(settings, 1).withServers(1);
+        for (int failures = 1; failures <= 6; failures++) {
+            for (TestNode node : List.of(untouched, overridden)) {
+                node.balancer.onListFailed(node.now);
+                if (node == overridden) {
+                    node.updateServers(ListKind.OVERRIDES, List.of(TestNode.server("s0")));
+                }
+                for (int ms = 0; node.subscriptions == failures && ms < 1_000; ms++) {
+                    node.advance(1_000);
+                }
+            }
+            assertEquals(untouched.now, overridden.now, "time of request " + (failures + 1));
+        }
+    }
+
+    @Test
+    void operatorsChangesLeaveOtherServersListed() {
+        TestNode node = new TestNode().withServers(2);
+        node.updateServers(ListKind.OVERRIDES, List.of(server("s0", 0, 0, ServerState.DRAINING)));
+        for (int i = 0; i < 20; i++) {
+            assertEquals("s1", node.submitAndComplete(TestNode.UNSAFE, Result.OK, 1_000));
+        }
+    }
+
     @Test
     void unansweredListRequestIsRepeatedWithinAllowedTime() {
         Settings settings = TestNode.settings();
--- a/src/test/java/kitemux/node/OperatorsTest.java
+++ b/src/test/java/kitemux/node/OperatorsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -10,12 +11,14 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -29,7 +32,10 @@
     Path folder;
 
     private Site site() throws IOException {
-        Site site = Site.quiet();
+        return sharingFolder(Site.quiet());
+    }
+
+    private Site sharingFolder(Site site) {
         site.operators = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         site.folder = folder;
         return site;
@@ -47,6 +53,14 @@
         return metrics;
     }
 
+    private static void awaitDisabledServers(long count, Site site) {
+        assertTimeoutPreemptively(Duration.ofSeconds(20), () -> {
+            while (metrics(site).get("node.targets_disabled") != count) {
+                Thread.onSpinWait();
+            }
+        });
+    }
+
     // ---------------------------------------------------------------- servers drained by hand
 
     @Test
@@ -105,6 +119,53 @@
         }
     }
 
+    // Guards against an operators' change that ends the calls of discovery: one that came between a failed call and the
+    // next was taken for discovery's answer, no call was due any more, and the node heard of no drain again.
+    @ParameterizedTest
+    @CsvSource({"down,false", "up,false", "down,true"})
+    void operatorsChangeDuringAnOutageOfDiscoveryLeavesItsCallsDue(String call, boolean heardFromAnotherProcess)
+            throws Exception {
+        AtomicBoolean outage = new AtomicBoolean();
+        ScriptedServer discovery = new ScriptedServer((request, peer) -> {
+            if (outage.get()) {
+                peer.reset();
+            } else {
+                peer.write(Site.watchHead());
+            }
+        });
+        try (ScriptedServer draining = ScriptedServer.serving("draining");
+                ScriptedServer ready = ScriptedServer.serving("ready");
+                ScriptedServer other = ScriptedServer.serving("other");
+                Site site = sharingFolder(new Site(discovery)).start(draining, ready, other);
+                Site anotherProcess = site().start(draining, ready, other)) {
+            if (call.equals("up")) {
+                assertEquals(200, site.call("POST", "/ops/servers/down/s2").status());
+            }
+            ScriptedServer.next(discovery.requests);
+            ScriptedServer.Peer watch = ScriptedServer.next(discovery.answeredPeers);
+            outage.set(true);
+            watch.reset();
+            // The waits between failed calls grow, so that the change comes within one.
+            for (int failures = 0; failures < 4; failures++) {
+                ScriptedServer.next(discovery.requests);
+            }
+            Site called = heardFromAnotherProcess ? anotherProcess : site;
+            assertEquals(
+                    200, called.call("POST", "/ops/servers/" + call + "/s2").status());
+            awaitDisabledServers(call.equals("down") ? 1 : 0, site);
+            discovery.answeredPeers.clear();
+            outage.set(false);
+            ScriptedServer.next(discovery.answeredPeers)
+                    .write(Site.chunk(Site.list(2, false, "s0=" + draining.endpoint() + "=Terminating") + "\n"));
+            awaitDisabledServers(call.equals("down") ? 2 : 1, site);
+            draining.requests.clear();
+            for (int i = 0; i < 20; i++) {
+                assertEquals(200, site.ask(Http.page("t" + i)).status());
+            }
+            assertEquals(0, draining.requests.size(), "requests to a server that drains");
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({
         "POST,/ops/servers/down/nobody,404",
