Let the test of concurrent proposers wait until a keeper knows the base

The test failed once in four runs beside builds: the second pair of changes names version 1 as its base, and keeper 2 may not have learned that version yet. Forced by cutting keeper 2 off before the first pair, the test fails each time with the answer that was seen.

The test waits for version 1 at the keepers that it calls; what it asserts is as before. Added: changeAtKeeperThatHasNotLearnedItsBaseGets503WithoutEffect holds the promise of that 503, and that the same change is committed later.

--- a/src/test/java/kitemux/keeper/KeeperCluster.java
+++ b/src/test/java/kitemux/keeper/KeeperCluster.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 import kitemux.config.Json;
@@ -43,6 +44,9 @@
 final class KeeperCluster implements AutoCloseable {
     private static final InetSocketAddress ANY_PORT = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 
+    /** Longest wait for a keeper's status. */
+    private static final long STATUS_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(30);
+
     private final Path root;
     private final ProtocolParameters parameters;
     private final int nodes;
@@ -206,15 +210,32 @@
 
     /** Polls the status until a number of nodes has a version in force. */
     Json awaitInForce(int keeper, long rev, int count) throws IOException {
-        long until = System.nanoTime() + 30_000_000_000L;
+        return awaitStatus(
+                keeper,
+                "?rev=" + rev,
+                status -> status.path("in_force").path("count").asLong(-1) == count,
+                "version not in force at " + count + " nodes");
+    }
+
+    /** Polls the status until a keeper has learned a version or a later one. */
+    void awaitNewest(int keeper, long rev) throws IOException {
+        awaitStatus(
+                keeper,
+                "",
+                status -> status.path("newest").asLong(-1) >= rev,
+                "keeper " + keeper + " did not learn version " + rev);
+    }
+
+    private Json awaitStatus(int keeper, String query, Predicate<Json> reached, String failure) throws IOException {
+        long until = System.nanoTime() + STATUS_TIMEOUT_NANOS;
         while (true) {
-            Json status = status(keeper, "?rev=" + rev);
-            if (status.path("in_force").path("count").asLong(-1) == count) {
+            Json status = status(keeper, query);
+            if (reached.test(status)) {
                 return status;
             }
             if (System.nanoTime() > until) {
-                throw new AssertionError("version not in force at " + count + " nodes: "
-                        + get(keeper, "/rollout/status").body());
+                throw new AssertionError(
+                        failure + ": " + get(keeper, "/rollout/status").body());
             }
         }
     }
--- a/src/test/java/kitemux/keeper/KeeperTest.java
+++ b/src/test/java/kitemux/keeper/KeeperTest.java
@@ -97,7 +97,10 @@
                         + KeeperCluster.join(call).body());
             }
             assertEquals("[200 {\"rev\":1}, 409 {\"path\":\"realms/acme\",\"rev\":1}]", outcomes.toString());
-            // Two changes to different paths are both committed, one after the other.
+            // Two changes to different paths are both committed, one after the other. A keeper that has not learned
+            // their base yet may answer 503.
+            cluster.awaitNewest(0, 1);
+            cluster.awaitNewest(2, 1);
             List<CompletableFuture<HttpResponse<String>>> two = List.of(
                     cluster.change(0, id(3), 1, "{\"realms/b\":{\"quotaPerS\":1}}"),
                     cluster.change(2, id(4), 1, "{\"realms/c\":{\"quotaPerS\":2}}"));
@@ -120,6 +123,24 @@
         }
     }
 
+    // Guards against a change that is lost or decided twice where its keeper is behind: 503 promises that nothing was
+    // done, and the same change is committed once the keeper has caught up.
+    @Test
+    void changeAtKeeperThatHasNotLearnedItsBaseGets503WithoutEffect() throws Exception {
+        try (KeeperCluster cluster = startCluster(3, 3, 2)) {
+            cluster.isolate(2, true);
+            assertCommitted(1, KeeperCluster.join(cluster.change(0, id(1), 0, ACME)));
+            HttpResponse<String> behind =
+                    KeeperCluster.join(cluster.change(2, id(2), 1, "{\"realms/b\":{\"quotaPerS\":1}}"));
+            assertEquals(503, behind.statusCode());
+            assertTrue(behind.body().contains("version 1 is not known to this keeper"), behind.body());
+            cluster.isolate(2, false);
+            cluster.awaitNewest(2, 1);
+            assertEquals(1, cluster.status(0, "").path("newest").asLong(-1), "the rejected change has no effect");
+            assertCommitted(2, KeeperCluster.join(cluster.change(2, id(2), 1, "{\"realms/b\":{\"quotaPerS\":1}}")));
+        }
+    }
+
     /** Reads objects of a watch, without heartbeats and chunk framing. */
     private static List<String> lines(Socket watch, int count) throws IOException {
         BufferedReader in = new BufferedReader(new InputStreamReader(watch.getInputStream(), StandardCharsets.UTF_8));
