Forward the bytes of a path unchanged where they are beyond ASCII

What callers saw: a request for /api/schüler, its path sent as UTF-8, reached the server as another path, in which each byte beyond ASCII was encoded once more. The protocol has path and query go on unchanged.

Cause: Netty's decoder makes one character of each byte of the URI, its encoder writes characters as UTF-8.

Change: RequestEncoder writes the first line of a request to a server as ISO 8859-1, the inverse of the decoder.

--- a/src/main/java/kitemux/http/HttpServers.java
+++ b/src/main/java/kitemux/http/HttpServers.java
@@ -12,7 +12,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -47,7 +46,7 @@
 
     @Override
     public void initPipeline(ChannelPipeline pipeline) {
-        pipeline.addLast(new StrictResponseDecoder(), new HttpRequestEncoder());
+        pipeline.addLast(new StrictResponseDecoder(), new RequestEncoder());
     }
 
     @Override
--- a/src/test/java/kitemux/http/HttpServersTest.java
+++ b/src/test/java/kitemux/http/HttpServersTest.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestDecoder;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import kitemux.Balancer.RequestClass;
@@ -43,7 +42,7 @@
                 null,
                 0,
                 false);
-        EmbeddedChannel node = new EmbeddedChannel(new HttpRequestEncoder());
+        EmbeddedChannel node = new EmbeddedChannel(new RequestEncoder());
         EmbeddedChannel server =
                 new EmbeddedChannel(new HttpRequestDecoder(), new HttpObjectAggregator(MAX_BODY_BYTES));
         for (int i = 0; i < 2; i++) {
--- a/src/test/java/kitemux/node/RequestFramingTest.java
+++ b/src/test/java/kitemux/node/RequestFramingTest.java
@@ -71,6 +71,19 @@
         }
     }
 
+    // Guards against a path that reaches the server changed: bytes beyond ASCII were encoded a second time.
+    @ParameterizedTest
+    @ValueSource(strings = {"/api/sch\u00fcler", "/api/\u65e5\u672c?name=\u00e9t\u00e9", "/api/%C3%BC?next=http://h/x"})
+    void bytesOfThePathAreForwardedUnchanged(String uri) throws Exception {
+        try (ScriptedServer server = echoingTxn();
+                Site site = Site.quiet().start(server)) {
+            assertEquals(200, site.ask(Http.page(uri, "t", "400m")).status());
+            assertEquals(
+                    "GET " + uri + " HTTP/1.1",
+                    ScriptedServer.next(server.requests).startLine());
+        }
+    }
+
     // Guards against a request that has come whole and has no answer in its time: the decoder waits for 8 bytes that
     // drafts of WebSocket had behind a GET with these headers.
     @Test
