Reword the stand-ins and divide the MySQL one by its jobs

Names, comments and test names of kitemux.standin use the usual terms of the field (docs/GLOSSARY.md has the pairs). OrderDatabase (499 lines) had the listener, a connection's login, commands and responses, and password proofs; the connection, the proofs and the readers and writers of payloads are files of their own now, and commands, capabilities, types and error codes have names in place of numbers. Relay and RecordingOrderServer are divided into short methods.

What they do is as before but for the text of one exception, which a test of its own names ("sequence number 6 instead of 1"). No node loads these classes.

--- a/src/main/java/kitemux/bench/KillRuns.java
+++ b/src/main/java/kitemux/bench/KillRuns.java
@@ -20,8 +20,8 @@
 import kitemux.orders.OrderHistory;
 import kitemux.orders.OrderHistory.State;
 import kitemux.orders.OrderJournal;
-import kitemux.standin.OrderBox;
-import kitemux.standin.OrderBox.Did;
+import kitemux.standin.RecordingOrderServer;
+import kitemux.standin.RecordingOrderServer.Handling;
 
 /**
  * Kills a real node at random moments while clients place orders through it, again and again on the same
@@ -37,7 +37,7 @@
     private final int kills;
     private final SplittableRandom random;
     private final Path folder;
-    private final List<OrderBox> boxes = new ArrayList<>();
+    private final List<RecordingOrderServer> boxes = new ArrayList<>();
     /** What a client was told, by the order's id: a status, or 0 if the connection broke. */
     private final Map<String, Integer> told = new ConcurrentHashMap<>();
 
@@ -68,7 +68,7 @@
         List<String> wrong = new ArrayList<>();
         try {
             for (int i = 0; i < BOXES; i++) {
-                boxes.add(OrderBox.start());
+                boxes.add(RecordingOrderServer.start());
             }
             for (int i = 0; i <= kills; i++) {
                 round(i, i == kills);
@@ -78,7 +78,7 @@
             }
             hold(wrong, out);
         } finally {
-            for (OrderBox box : boxes) {
+            for (RecordingOrderServer box : boxes) {
                 box.close();
             }
         }
@@ -218,7 +218,7 @@
         int received = 0;
         for (int i = 0; i < BOXES; i++) {
             String uid = "b" + i;
-            for (String id : boxes.get(i).did().keySet()) {
+            for (String id : boxes.get(i).handlings().keySet()) {
                 received++;
                 OrderHistory story = stories.get(id);
                 if (story == null
@@ -226,7 +226,7 @@
                                 .noneMatch(a -> a.intent().server().equals(uid))) {
                     wrong.add(id + " came to " + uid + " with no intent on disk");
                 }
-                if (boxes.get(i).times(id) > 1) {
+                if (boxes.get(i).receptionCount(id) > 1) {
                     wrong.add(id + " came to " + uid + " twice");
                 }
             }
@@ -241,12 +241,12 @@
     }
 
     private void hold(String id, OrderHistory story, List<String> wrong) {
-        Did did = null;
+        Handling handling = null;
         int reached = 0;
-        for (OrderBox box : boxes) {
-            Did here = box.did().get(id);
-            reached += box.times(id);
-            did = here == null ? did : here;
+        for (RecordingOrderServer box : boxes) {
+            Handling here = box.handlings().get(id);
+            reached += box.receptionCount(id);
+            handling = here == null ? handling : here;
         }
         State state = story.state(false);
         boolean served = state == State.ANSWERED
@@ -258,8 +258,9 @@
         if ((state == State.NEVER_SENT || state == State.REFUSED) && reached > 0) {
             wrong.add(id + " is said to be " + state + ", and came to a box");
         }
-        if (state == State.ANSWERED && did != (served ? Did.SERVED : Did.FAILED)) {
-            wrong.add(id + " is said to be answered " + (served ? "200" : "with an error") + ", and the box " + did);
+        if (state == State.ANSWERED && handling != (served ? Handling.SERVED : Handling.FAILED)) {
+            wrong.add(
+                    id + " is said to be answered " + (served ? "200" : "with an error") + ", and the box " + handling);
         }
         int status = told.getOrDefault(id, 0);
         if (status == 200 && state != State.UNKNOWN && !served) {
--- a/src/main/java/kitemux/bench/LoadBench.java
+++ b/src/main/java/kitemux/bench/LoadBench.java
@@ -18,7 +18,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
-import kitemux.standin.BoxServer;
+import kitemux.standin.FixedResponseServer;
 
 /**
  * What a node costs under load, on loopback: the same requests straight to a box, through a relay of bytes
@@ -87,11 +87,11 @@
         EventLoopGroup loops = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
         Path folder = Files.createTempDirectory("kitemux-bench");
         List<Target> targets = new ArrayList<>();
-        List<BoxServer> boxes = new ArrayList<>();
+        List<FixedResponseServer> boxes = new ArrayList<>();
         List<HeldAddress> held = new ArrayList<>();
         try {
             for (int i = 0; i < BOXES; i++) {
-                boxes.add(BoxServer.start(loops, ANSWER_BYTES));
+                boxes.add(FixedResponseServer.start(loops, ANSWER_BYTES));
             }
             targets.add(new Target("box", boxes.get(0).address(), null));
             InetSocketAddress relay = hold(held);
@@ -139,7 +139,7 @@
             for (HeldAddress each : held) {
                 each.close();
             }
-            boxes.forEach(BoxServer::close);
+            boxes.forEach(FixedResponseServer::close);
             loops.shutdownGracefully();
             Processes.deleteAll(folder);
         }
--- a/src/main/java/kitemux/bench/Processes.java
+++ b/src/main/java/kitemux/bench/Processes.java
@@ -8,8 +8,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
-import kitemux.standin.BoxServer;
-import kitemux.standin.Builds;
+import kitemux.standin.BuildCommand;
+import kitemux.standin.FixedResponseServer;
 
 /** Starts nodes of any build, each as its own deployment starts them. */
 final class Processes {
@@ -40,7 +40,7 @@
 
     /** A command of a build, run as its own deployment says. */
     ProcessBuilder java(Path jar, String... arguments) throws IOException {
-        return Builds.java(pinned(), jar, arguments);
+        return BuildCommand.create(pinned(), jar, arguments);
     }
 
     /** A relay of bytes, up. */
@@ -54,12 +54,12 @@
     }
 
     /** A node, up. */
-    Process node(Path jar, InetSocketAddress listen, List<BoxServer> boxes, Path folder) throws IOException {
+    Process node(Path jar, InetSocketAddress listen, List<FixedResponseServer> boxes, Path folder) throws IOException {
         return started(nodeBuilder(jar, listen, boxes, folder), "listening");
     }
 
     /** A node, up, that keeps a journal of orders in a folder of its own and syncs it so. */
-    Process journaling(Path jar, InetSocketAddress listen, List<BoxServer> boxes, Path folder, String sync)
+    Process journaling(Path jar, InetSocketAddress listen, List<FixedResponseServer> boxes, Path folder, String sync)
             throws IOException {
         ProcessBuilder builder = nodeBuilder(jar, listen, boxes, folder);
         builder.environment()
@@ -74,7 +74,7 @@
     }
 
     /** A node that is to be started. */
-    ProcessBuilder nodeBuilder(Path jar, InetSocketAddress listen, List<BoxServer> boxes, Path folder)
+    ProcessBuilder nodeBuilder(Path jar, InetSocketAddress listen, List<FixedResponseServer> boxes, Path folder)
             throws IOException {
         StringBuilder targets = new StringBuilder();
         for (int i = 0; i < boxes.size(); i++) {
--- a/src/main/java/kitemux/bench/StartBench.java
+++ b/src/main/java/kitemux/bench/StartBench.java
@@ -21,7 +21,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import kitemux.config.ClassArchive;
-import kitemux.standin.BoxServer;
+import kitemux.standin.FixedResponseServer;
 
 /**
  * What a start costs: processor and wall time until {@code /up} says 200, and how the first requests after
@@ -66,11 +66,11 @@
         EventLoopGroup loops = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
         Path folder = Files.createTempDirectory("kitemux-starts");
         Processes processes = new Processes(pin);
-        List<BoxServer> boxes = new ArrayList<>();
+        List<FixedResponseServer> boxes = new ArrayList<>();
         Process busy = null;
         try {
             for (int i = 0; i < BOXES; i++) {
-                boxes.add(BoxServer.start(loops, 200));
+                boxes.add(FixedResponseServer.start(loops, 200));
             }
             if (half) {
                 List<String> command = new ArrayList<>(processes.pinned());
@@ -89,13 +89,14 @@
             if (busy != null) {
                 busy.destroyForcibly().waitFor();
             }
-            boxes.forEach(BoxServer::close);
+            boxes.forEach(FixedResponseServer::close);
             loops.shutdownGracefully();
             Processes.deleteAll(folder);
         }
     }
 
-    private Start start(Processes processes, Path jar, List<BoxServer> boxes, Path folder, EventLoopGroup loops)
+    private Start start(
+            Processes processes, Path jar, List<FixedResponseServer> boxes, Path folder, EventLoopGroup loops)
             throws IOException, InterruptedException {
         try (HeldAddress held = new HeldAddress()) {
             return start(processes, jar, held.address(), boxes, folder, loops);
@@ -106,7 +107,7 @@
             Processes processes,
             Path jar,
             InetSocketAddress listen,
-            List<BoxServer> boxes,
+            List<FixedResponseServer> boxes,
             Path folder,
             EventLoopGroup loops)
             throws IOException, InterruptedException {
--- a/src/main/java/kitemux/cli/DrillCommand.java
+++ b/src/main/java/kitemux/cli/DrillCommand.java
@@ -17,7 +17,7 @@
 import kitemux.drill.ScenarioFile;
 import kitemux.drill.Verdict;
 import kitemux.lab.LoopbackRun;
-import kitemux.standin.Builds;
+import kitemux.standin.BuildCommand;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -47,7 +47,7 @@
 
     /** Its nodes are of this build unless another is named. */
     DrillCommand() {
-        this(() -> Builds.java(List.of(), ownJar(), "node"));
+        this(() -> BuildCommand.create(List.of(), ownJar(), "node"));
     }
 
     DrillCommand(LoopbackRun.Launcher own) {
@@ -132,7 +132,10 @@
             for (Map.Entry<String, String> text : kept.entrySet()) {
                 Files.writeString(to.resolve(text.getKey()), text.getValue());
             }
-            Drill.play(scenario, jar == null ? own : () -> Builds.java(List.of(), jar, "node"), to.resolve(TIMELINE));
+            Drill.play(
+                    scenario,
+                    jar == null ? own : () -> BuildCommand.create(List.of(), jar, "node"),
+                    to.resolve(TIMELINE));
             return judged(to);
         });
     }
--- a/src/main/java/kitemux/cli/LabCommand.java
+++ b/src/main/java/kitemux/cli/LabCommand.java
@@ -19,7 +19,7 @@
 import kitemux.lab.ResultsComparison;
 import kitemux.lab.ResultsFolder;
 import kitemux.lab.ResultsPage;
-import kitemux.standin.Builds;
+import kitemux.standin.BuildCommand;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -134,7 +134,7 @@
                     experiment,
                     ResultsFolder.openOrCreate(to, kept),
                     new ExperimentRunner(
-                            () -> Builds.java(List.of(), build, "node"),
+                            () -> BuildCommand.create(List.of(), build, "node"),
                             jobs == 0 ? Runtime.getRuntime().availableProcessors() : jobs,
                             atOnce));
         });
--- a/src/main/java/kitemux/cli/SoakCommand.java
+++ b/src/main/java/kitemux/cli/SoakCommand.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import kitemux.soak.Soak;
-import kitemux.standin.Builds;
+import kitemux.standin.BuildCommand;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -57,8 +57,8 @@
         boolean clean = true;
         for (long one = seed; one < seed + seeds; one++) {
             Path folder = Files.createTempDirectory("kitemux-soak");
-            Soak.Result result =
-                    Soak.run(() -> Builds.java(List.of(), played(), "node"), !untraced, one, upgrades, changes, folder);
+            Soak.Result result = Soak.run(
+                    () -> BuildCommand.create(List.of(), played(), "node"), !untraced, one, upgrades, changes, folder);
             print(out, result);
             clean &= result.violations().isEmpty() && result.isOnSchedule();
         }
--- a/src/main/java/kitemux/cli/TryCommand.java
+++ b/src/main/java/kitemux/cli/TryCommand.java
@@ -21,7 +21,7 @@
 import kitemux.lab.FaultScript;
 import kitemux.lab.LoopbackRun;
 import kitemux.plan.FleetFile;
-import kitemux.standin.Builds;
+import kitemux.standin.BuildCommand;
 import org.jline.terminal.Attributes;
 import org.jline.terminal.Size;
 import org.jline.terminal.Terminal;
@@ -85,7 +85,7 @@
 
     /** Its node is of this build. */
     TryCommand() {
-        this(() -> Builds.java(List.of(), ownJar(), "node"));
+        this(() -> BuildCommand.create(List.of(), ownJar(), "node"));
     }
 
     TryCommand(LoopbackRun.Launcher launcher) {
--- a/src/main/java/kitemux/scale/Commands.java
+++ b/src/main/java/kitemux/scale/Commands.java
@@ -4,7 +4,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import kitemux.standin.Builds;
+import kitemux.standin.BuildCommand;
 
 /** How processes of a run are started. */
 public interface Commands {
@@ -23,12 +23,12 @@
         return new Commands() {
             @Override
             public ProcessBuilder node() throws IOException {
-                return Builds.java(List.of(), jar, "node");
+                return BuildCommand.create(List.of(), jar, "node");
             }
 
             @Override
             public ProcessBuilder hollow(int processes) throws IOException {
-                ProcessBuilder builder = Builds.java(List.of(), jar, "scale", "hollow");
+                ProcessBuilder builder = BuildCommand.create(List.of(), jar, "scale", "hollow");
                 List<String> command = new ArrayList<>(builder.command());
                 // Flags that come later hold.
                 command.addAll(command.indexOf("-jar"), roomy(processes));
--- a/src/main/java/kitemux/scale/Stand.java
+++ b/src/main/java/kitemux/scale/Stand.java
@@ -26,7 +26,7 @@
 import kitemux.Balancer.ServerState;
 import kitemux.lab.DiscoveryStub;
 import kitemux.lab.LoopbackSubnet;
-import kitemux.standin.BoxServer;
+import kitemux.standin.FixedResponseServer;
 
 /**
  * One size of a fleet, standing: servers that answer at once, discovery's stand-in, a real node or hollow
@@ -50,7 +50,7 @@
     private final MultiThreadIoEventLoopGroup answering;
     private final EventLoop loop;
     private final long loopThread;
-    private final List<BoxServer> servers = new ArrayList<>();
+    private final List<FixedResponseServer> servers = new ArrayList<>();
     /** A run that takes too long ends them from a thread of its own. */
     private final List<AutoCloseable> nodes = new CopyOnWriteArrayList<>();
 
@@ -73,7 +73,7 @@
         answering = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
         List<InetSocketAddress> listening = new ArrayList<>();
         for (int i = 0; i < LISTENING; i++) {
-            servers.add(BoxServer.start(answering.next(), ANSWER_BYTES, place.address(i, SERVER_PORT)));
+            servers.add(FixedResponseServer.start(answering.next(), ANSWER_BYTES, place.address(i, SERVER_PORT)));
             listening.add(servers.get(i).address());
         }
         addresses = size.addresses(listening);
@@ -266,7 +266,7 @@
             }
         }
         loop.submit(desk::close).awaitUninterruptibly();
-        servers.forEach(BoxServer::close);
+        servers.forEach(FixedResponseServer::close);
         for (MultiThreadIoEventLoopGroup loops : List.of(group, answering)) {
             loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(MOST_WAIT_S, TimeUnit.SECONDS);
         }
--- a/src/main/java/kitemux/standin/BoxServer.java
+++ b/src/main/java/kitemux/standin/FixedResponseServer.java
@@ -20,55 +20,59 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 
-/** A web box that answers all that it is asked at once, on a loopback port of the system's choice. */
-public final class BoxServer implements AutoCloseable {
-    private static final int MOST_BODY = 1 << 20;
+/** An HTTP server that answers every request at once with the same response. */
+public final class FixedResponseServer implements AutoCloseable {
+    private static final int MAX_REQUEST_BODY_BYTES = 1 << 20;
+    private static final int BACKLOG = 1024;
 
-    private final Channel listening;
+    private final Channel listener;
 
-    private BoxServer(Channel listening) {
-        this.listening = listening;
+    private FixedResponseServer(Channel listener) {
+        this.listener = listener;
     }
 
-    /** Starts one on these loops; its answers have so many bytes. */
-    public static BoxServer start(EventLoopGroup loops, int answerBytes) {
-        return start(loops, answerBytes, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    /** Starts a server on a free loopback port; its responses have this many bytes. */
+    public static FixedResponseServer start(EventLoopGroup loops, int responseBytes) {
+        return start(loops, responseBytes, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     }
 
-    /** The same at this address. */
-    public static BoxServer start(EventLoopGroup loops, int answerBytes, InetSocketAddress at) {
-        byte[] body = new byte[answerBytes];
-        return new BoxServer(new ServerBootstrap()
+    /** Starts a server at this address; its responses have this many bytes. */
+    public static FixedResponseServer start(EventLoopGroup loops, int responseBytes, InetSocketAddress address) {
+        byte[] body = new byte[responseBytes];
+        return new FixedResponseServer(new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1024)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
-                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY), new Answers(body));
+                                .addLast(
+                                        new HttpServerCodec(),
+                                        new HttpObjectAggregator(MAX_REQUEST_BODY_BYTES),
+                                        new ResponseWriter(body));
                     }
                 })
-                .bind(at)
+                .bind(address)
                 .syncUninterruptibly()
                 .channel());
     }
 
-    /** Where it listens. */
+    /** Returns the address at which it listens. */
     public InetSocketAddress address() {
-        return (InetSocketAddress) listening.localAddress();
+        return (InetSocketAddress) listener.localAddress();
     }
 
     @Override
     public void close() {
-        listening.close().syncUninterruptibly();
+        listener.close().syncUninterruptibly();
     }
 
-    private static final class Answers extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final class ResponseWriter extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final byte[] body;
 
-        Answers(byte[] body) {
+        ResponseWriter(byte[] body) {
             this.body = body;
         }
 
--- a/src/main/java/kitemux/standin/OrderTable.java
+++ b/src/main/java/kitemux/standin/OrderTable.java
@@ -8,12 +8,12 @@
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 
 /**
- * One table of orders, {@code orders (id, school)}, shared by all connections of a stand-in, with as much
- * SQL as tests need: inserts, selects by id, transactions, rows by the number and settings that drivers ask
- * for. It counts every insert that was committed by its id, also a second one, which a real table's key
- * would refuse.
+ * The table {@code orders (id, school)} of an {@link OrderDatabase}, shared by all its connections, with the SQL that
+ * tests need: inserts, selects by id, transactions, generated rows, and the settings that drivers query. It counts the
+ * committed inserts of each id and accepts duplicates, which the key of a real table would reject.
  */
 final class OrderTable {
     private static final Pattern INSERT =
@@ -22,6 +22,7 @@
     private static final Pattern SELECT = Pattern.compile(
             "SELECT ID, SCHOOL FROM ORDERS(?: WHERE ID = (?:'([^']*)'|\\?))?", Pattern.CASE_INSENSITIVE);
     private static final Pattern ROWS = Pattern.compile("SELECT (\\d+) ROWS", Pattern.CASE_INSENSITIVE);
+    private static final Pattern AUTOCOMMIT = Pattern.compile("AUTOCOMMIT ?= ?(\\d)");
     private static final Pattern SETTING =
             Pattern.compile("(@@[\\w.]+)(?:\\s+AS\\s+(\\w+))?", Pattern.CASE_INSENSITIVE);
     private static final Map<String, String> SETTINGS = Map.of(
@@ -46,33 +47,33 @@
             "sql_mode",
             "");
 
-    private final Map<String, String> rows = new LinkedHashMap<>();
-    private final Map<String, Integer> inserts = new HashMap<>();
+    private final Map<String, String> schoolsById = new LinkedHashMap<>();
+    private final Map<String, Integer> insertCounts = new HashMap<>();
 
-    /** What a statement gives: columns and rows, or changed rows where there are no columns. */
-    record Given(List<String> columns, Iterable<List<String>> rows, int changed) {
-        static Given ok(int changed) {
-            return new Given(List.of(), List.of(), changed);
+    /** The result of a statement: columns and rows, or the number of changed rows if there are no columns. */
+    record StatementResult(List<String> columns, Iterable<List<String>> rows, int changedRows) {
+        static StatementResult ok(int changedRows) {
+            return new StatementResult(List.of(), List.of(), changedRows);
         }
     }
 
-    /** A statement that this table does not know. */
-    static final class UnknownException extends Exception {
+    /** Thrown for a statement that the table does not support. */
+    static final class UnknownStatementException extends Exception {
         private static final long serialVersionUID = 1L;
 
-        UnknownException(String sql) {
+        UnknownStatementException(String sql) {
             super("the stand-in does not know: " + sql);
         }
     }
 
-    /** A connection's own part: the inserts of its open transaction. */
+    /** The transaction state of a connection, with its uncommitted inserts. */
     static final class Session {
         private final List<List<String>> pending = new ArrayList<>();
-        private boolean begun;
+        private boolean hasBegun;
         private boolean autocommit = true;
 
         boolean isInTransaction() {
-            return begun || !pending.isEmpty();
+            return hasBegun || !pending.isEmpty();
         }
 
         boolean isAutocommit() {
@@ -81,35 +82,40 @@
     }
 
     synchronized int inserts(String id) {
-        return inserts.getOrDefault(id, 0);
+        return insertCounts.getOrDefault(id, 0);
     }
 
     synchronized Map<String, Integer> inserts() {
-        return Map.copyOf(inserts);
+        return Map.copyOf(insertCounts);
     }
 
-    /** How many question marks a text has. */
-    static int parameters(String sql) {
+    /** Returns the number of parameters of a statement. */
+    static int countParameters(String sql) {
         return (int) sql.chars().filter(c -> c == '?').count();
     }
 
-    /** The columns that a text gives, before it is run. */
-    static List<String> columns(String sql) {
-        return SELECT.matcher(clean(sql)).matches()
+    /** Returns the result columns of a statement without executing it. */
+    static List<String> resultColumns(String sql) {
+        return SELECT.matcher(normalize(sql)).matches()
                 ? List.of("id", "school")
-                : ROWS.matcher(clean(sql)).matches() ? List.of("n") : List.of();
+                : ROWS.matcher(normalize(sql)).matches() ? List.of("n") : List.of();
     }
 
-    private static String clean(String sql) {
+    private static String normalize(String sql) {
         return sql.replaceAll("(?s)/\\*.*?\\*/", " ")
                 .replaceAll("\\s+", " ")
                 .strip()
                 .replaceAll(";$", "");
     }
 
-    /** Runs a statement with these values for its question marks. */
-    synchronized Given run(Session session, String sql, List<String> values) throws UnknownException {
-        String text = clean(sql);
+    /**
+     * Executes a statement with these parameter values.
+     *
+     * @throws UnknownStatementException if the table does not support the statement
+     */
+    synchronized StatementResult execute(Session session, String sql, List<String> values)
+            throws UnknownStatementException {
+        String text = normalize(sql);
         String upper = text.toUpperCase(Locale.ROOT);
         Matcher insert = INSERT.matcher(text);
         if (insert.matches()) {
@@ -119,19 +125,19 @@
         if (select.matches()) {
             String id = text.endsWith("?") ? values.get(0) : select.group(1);
             List<List<String>> found = new ArrayList<>();
-            rows.forEach((key, school) -> {
+            schoolsById.forEach((key, school) -> {
                 if (id == null || id.equals(key)) {
                     found.add(List.of(key, school));
                 }
             });
-            return new Given(List.of("id", "school"), found, 0);
+            return new StatementResult(List.of("id", "school"), found, 0);
         }
-        Matcher many = ROWS.matcher(text);
-        if (many.matches()) {
-            int count = Integer.parseInt(many.group(1));
-            return new Given(
+        Matcher generated = ROWS.matcher(text);
+        if (generated.matches()) {
+            int count = Integer.parseInt(generated.group(1));
+            return new StatementResult(
                     List.of("n"),
-                    () -> java.util.stream.IntStream.range(0, count)
+                    () -> IntStream.range(0, count)
                             .mapToObj(i -> List.of(Integer.toString(i)))
                             .iterator(),
                     0);
@@ -142,69 +148,71 @@
         switch (upper.replaceAll("[ =].*", "")) {
             case "BEGIN", "START" -> {
                 commit(session);
-                session.begun = true;
+                session.hasBegun = true;
             }
             case "COMMIT" -> commit(session);
             case "ROLLBACK" -> {
                 session.pending.clear();
-                session.begun = false;
+                session.hasBegun = false;
             }
             case "SET" -> {
-                Matcher auto = Pattern.compile("AUTOCOMMIT ?= ?(\\d)").matcher(upper);
-                if (auto.find()) {
-                    session.autocommit = auto.group(1).equals("1");
+                Matcher autocommit = AUTOCOMMIT.matcher(upper);
+                if (autocommit.find()) {
+                    session.autocommit = autocommit.group(1).equals("1");
                     if (session.autocommit) {
                         commit(session);
                     }
                 }
             }
-            default -> throw new UnknownException(text);
+            default -> throw new UnknownStatementException(text);
         }
-        return Given.ok(0);
+        return StatementResult.ok(0);
     }
 
-    private Given insert(Session session, String tuples, List<String> values) throws UnknownException {
-        Matcher each = VALUES.matcher(tuples);
-        int taken = 0;
+    private StatementResult insert(Session session, String tuples, List<String> values)
+            throws UnknownStatementException {
+        Matcher tuple = VALUES.matcher(tuples);
+        int usedValues = 0;
         int count = 0;
-        while (each.find()) {
-            String id = each.group(1) != null ? each.group(1) : values.get(taken++);
-            String school = each.group(2) != null ? each.group(2) : values.get(taken++);
+        while (tuple.find()) {
+            String id = tuple.group(1) != null ? tuple.group(1) : values.get(usedValues++);
+            String school = tuple.group(2) != null ? tuple.group(2) : values.get(usedValues++);
             session.pending.add(List.of(id, school));
             count++;
         }
         if (count == 0) {
-            throw new UnknownException(tuples);
+            throw new UnknownStatementException(tuples);
         }
-        if (session.autocommit && !session.begun) {
+        if (session.autocommit && !session.hasBegun) {
             commit(session);
         }
-        return Given.ok(count);
+        return StatementResult.ok(count);
     }
 
     private void commit(Session session) {
         session.pending.forEach(row -> {
-            rows.put(row.get(0), row.get(1));
-            inserts.merge(row.get(0), 1, Integer::sum);
+            schoolsById.put(row.get(0), row.get(1));
+            insertCounts.merge(row.get(0), 1, Integer::sum);
         });
         session.pending.clear();
-        session.begun = false;
+        session.hasBegun = false;
     }
 
-    private static Given settings(String text) {
+    private static StatementResult settings(String text) {
         List<String> names = new ArrayList<>();
         List<String> values = new ArrayList<>();
-        Matcher each = SETTING.matcher(text);
-        while (each.find()) {
-            String name =
-                    each.group(1).substring(each.group(1).lastIndexOf('.') + 1).replace("@@", "");
-            names.add(each.group(2) == null ? each.group(1) : each.group(2));
+        Matcher setting = SETTING.matcher(text);
+        while (setting.find()) {
+            String name = setting.group(1)
+                    .substring(setting.group(1).lastIndexOf('.') + 1)
+                    .replace("@@", "");
+            names.add(setting.group(2) == null ? setting.group(1) : setting.group(2));
             values.add(SETTINGS.getOrDefault(
                     name.toLowerCase(Locale.ROOT),
                     name.startsWith("character")
                             ? "utf8mb4"
                             : name.startsWith("collation") ? "utf8mb4_0900_ai_ci" : ""));
         }
-        return new Given(names, List.of(values), 0);
+        return new StatementResult(names, List.of(values), 0);
     }
 }
--- a/src/main/java/kitemux/standin/Relay.java
+++ b/src/main/java/kitemux/standin/Relay.java
@@ -12,12 +12,18 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 
-/** Passes bytes on, both ways, and knows nothing of them: the least that anything between two sockets
- * costs. */
+/**
+ * A TCP relay that forwards bytes in both directions without parsing them. Benchmarks compare a node with it, since no
+ * proxy between two sockets costs less.
+ */
 public final class Relay {
     private Relay() {}
 
-    /** Listens; each connection gets one of its own to the target. */
+    /**
+     * Starts a relay that opens a connection to the target for each one that it accepts.
+     *
+     * @return the listening channel
+     */
     public static Channel start(EventLoopGroup loop, InetSocketAddress listen, InetSocketAddress target) {
         return new ServerBootstrap()
                 .group(loop)
@@ -27,18 +33,8 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(Channel near) {
-                        new Bootstrap()
-                                .group(near.eventLoop())
-                                .channel(NioSocketChannel.class)
-                                .option(ChannelOption.TCP_NODELAY, true)
-                                .handler(new To(near))
-                                .connect(target)
-                                .addListener(done -> {
-                                    if (!done.isSuccess()) {
-                                        near.close();
-                                    }
-                                });
+                    protected void initChannel(Channel client) {
+                        connect(client, target);
                     }
                 })
                 .bind(listen)
@@ -46,18 +42,35 @@
                 .channel();
     }
 
-    /** Passes on to another channel what is read here; the far side's brings the near one up. */
-    private static final class To extends ChannelInboundHandlerAdapter {
+    private static void connect(Channel client, InetSocketAddress target) {
+        new Bootstrap()
+                .group(client.eventLoop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ForwardingHandler(client))
+                .connect(target)
+                .addListener(connected -> {
+                    if (!connected.isSuccess()) {
+                        client.close();
+                    }
+                });
+    }
+
+    /**
+     * Forwards what it reads to the other channel. Once the target's channel is connected, its handler starts reading
+     * from the client.
+     */
+    private static final class ForwardingHandler extends ChannelInboundHandlerAdapter {
         private final Channel other;
 
-        To(Channel other) {
+        ForwardingHandler(Channel other) {
             this.other = other;
         }
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
             if (!other.config().isAutoRead()) {
-                other.pipeline().addLast(new To(context.channel()));
+                other.pipeline().addLast(new ForwardingHandler(context.channel()));
                 other.config().setAutoRead(true);
             }
         }
--- a/src/test/java/kitemux/cli/ConfigCommandTest.java
+++ b/src/test/java/kitemux/cli/ConfigCommandTest.java
@@ -20,7 +20,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import kitemux.standin.BoxServer;
+import kitemux.standin.FixedResponseServer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
@@ -78,8 +78,8 @@
             free.bind(new InetSocketAddress("127.0.0.1", 0));
             port = free.getLocalPort();
         }
-        try (BoxServer one = BoxServer.start(loops, 5);
-                BoxServer two = BoxServer.start(loops, 5)) {
+        try (FixedResponseServer one = FixedResponseServer.start(loops, 5);
+                FixedResponseServer two = FixedResponseServer.start(loops, 5)) {
             Path file = Files.writeString(
                     folder.resolve("app.hcl"),
                     example()
--- a/src/test/java/kitemux/cli/SidecarCommandTest.java
+++ b/src/test/java/kitemux/cli/SidecarCommandTest.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
-import kitemux.standin.BoxServer;
+import kitemux.standin.FixedResponseServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -32,7 +32,7 @@
         loops.shutdownGracefully(0, 0, TimeUnit.SECONDS).sync();
     }
 
-    private static String description(int port, BoxServer one, BoxServer two) throws IOException {
+    private static String description(int port, FixedResponseServer one, FixedResponseServer two) throws IOException {
         return Files.readString(Path.of("examples", "app", "ordering-desk.hcl"))
                 .replace("127.0.0.1:8080", "127.0.0.1:" + port)
                 .replace("127.0.0.1:9001", "127.0.0.1:" + one.address().getPort())
@@ -49,9 +49,9 @@
     @Test
     void serversAreFollowedAndWhatIsBrokenIsNot() throws Exception {
         int port = SidecarProcess.freePort();
-        try (BoxServer one = BoxServer.start(loops, 1);
-                BoxServer two = BoxServer.start(loops, 2);
-                BoxServer three = BoxServer.start(loops, 3)) {
+        try (FixedResponseServer one = FixedResponseServer.start(loops, 1);
+                FixedResponseServer two = FixedResponseServer.start(loops, 2);
+                FixedResponseServer three = FixedResponseServer.start(loops, 3)) {
             Path file = Files.writeString(folder.resolve("app.hcl"), description(port, one, two));
             sidecar = new SidecarProcess(file, port);
             sidecar.await("listening on");
--- a/src/test/java/kitemux/mysql/BackendConnectionTest.java
+++ b/src/test/java/kitemux/mysql/BackendConnectionTest.java
@@ -203,17 +203,17 @@
         // The OK packet has 11 bytes with its header; only the last one completes it.
         for (int position = 0; position < 11; position++) {
             int bytes = position;
-            database.script(sql -> new Fault.BreakOff(Long.MAX_VALUE, bytes));
+            database.setScript(sql -> new Fault.CutOff(Long.MAX_VALUE, bytes));
             Outcome insert = sendCommand(connect(OrderDatabase.PASSWORD), INSERT);
             assertEquals(Result.RESET, insert.get(), "truncated after byte " + position);
             assertFalse(insert.started, "nothing was forwarded");
             assertEquals(++inserted, database.inserts("o"));
         }
-        database.script(sql -> new Fault.Drop());
+        database.setScript(sql -> new Fault.Drop());
         Outcome dropped = sendCommand(connect(OrderDatabase.PASSWORD), INSERT);
         assertEquals(Result.RESET, dropped.get(), "indistinguishable from a command that ran");
         assertEquals(inserted, database.inserts("o"));
-        database.script(sql -> new Fault.Misnumber());
+        database.setScript(sql -> new Fault.WrongSequenceNumbers());
         Outcome misnumbered = sendCommand(connect(OrderDatabase.PASSWORD), INSERT);
         assertEquals(Result.RESET, misnumbered.get());
         assertFalse(misnumbered.started);
@@ -224,7 +224,7 @@
         database = OrderDatabase.start(NATIVE, null);
         for (int position = 0; position < 6; position++) {
             int packets = position;
-            database.script(sql -> new Fault.BreakOff(packets, Long.MAX_VALUE));
+            database.setScript(sql -> new Fault.CutOff(packets, Long.MAX_VALUE));
             Outcome rows = sendCommand(connect(OrderDatabase.PASSWORD), "SELECT 3 ROWS");
             assertEquals(Result.RESET, rows.get());
             assertEquals(position > 0, rows.started);
--- a/src/test/java/kitemux/mysql/MysqlServerProtocolTest.java
+++ b/src/test/java/kitemux/mysql/MysqlServerProtocolTest.java
@@ -214,7 +214,7 @@
         start(2);
         AtomicInteger attemptCount = new AtomicInteger();
         for (OrderDatabase database : databases) {
-            database.script(sql -> {
+            database.setScript(sql -> {
                 attemptCount.incrementAndGet();
                 return new Fault.Error(1062, "23000", "Duplicate entry");
             });
@@ -231,7 +231,7 @@
     @ValueSource(ints = {1053, 1290, 1226})
     void serverErrorRetriesReadsButNotWrites(int code) throws Exception {
         start(2);
-        databases.get(0).script(sql -> new Fault.Error(code, "08S01", "not here"));
+        databases.get(0).setScript(sql -> new Fault.Error(code, "08S01", "not here"));
         int failedCount = 0;
         for (int i = 0; i < REQUEST_COUNT; i++) {
             assertEquals("served", send(SAFE, "SELECT 1 ROWS").get());
@@ -249,20 +249,20 @@
         start(2);
         AtomicInteger attemptCount = new AtomicInteger();
         for (OrderDatabase database : databases) {
-            database.script(sql -> {
+            database.setScript(sql -> {
                 attemptCount.incrementAndGet();
-                return new Fault.BreakOff(Long.MAX_VALUE, bytes);
+                return new Fault.CutOff(Long.MAX_VALUE, bytes);
             });
         }
         assertEquals("failed", send(NEVER_TWICE, INSERT).get());
         assertEquals(1, attemptCount.get());
         assertEquals(1, inserts(), "the connection dropped between commit and OK");
         // A read whose first packet is truncated: the column count has 5 bytes with its header.
-        databases.get(0).script(sql -> {
+        databases.get(0).setScript(sql -> {
             attemptCount.incrementAndGet();
-            return new Fault.BreakOff(Long.MAX_VALUE, bytes % 5);
+            return new Fault.CutOff(Long.MAX_VALUE, bytes % 5);
         });
-        databases.get(1).script(sql -> new Fault.None());
+        databases.get(1).setScript(sql -> new Fault.None());
         for (int i = 0; i < REQUEST_COUNT; i++) {
             assertEquals("served", send(SAFE, "SELECT 3 ROWS").get());
         }
@@ -276,9 +276,9 @@
             int packets = packetIndex;
             AtomicInteger attemptCount = new AtomicInteger();
             for (OrderDatabase database : databases) {
-                database.script(sql -> {
+                database.setScript(sql -> {
                     attemptCount.incrementAndGet();
-                    return new Fault.BreakOff(packets, Long.MAX_VALUE);
+                    return new Fault.CutOff(packets, Long.MAX_VALUE);
                 });
             }
             RecordingClient rows = send(SAFE, "SELECT 3 ROWS");
--- a/src/test/java/kitemux/standin/OrderDatabaseCloseTest.java
+++ b/src/test/java/kitemux/standin/OrderDatabaseCloseTest.java
@@ -9,26 +9,26 @@
 import org.junit.jupiter.api.Test;
 
 class OrderDatabaseCloseTest {
-    private static final int TIMES = 200;
+    private static final int DATABASE_COUNT = 200;
 
-    /** A thread that stands in accept holds the listening socket open for a moment longer than its close. */
+    /** The listening socket stays open until the thread that is blocked in accept has returned. */
     @Test
-    void nobodyComesUpToOneThatWasClosed() throws IOException {
-        for (int i = 0; i < TIMES; i++) {
+    void closedDatabaseAcceptsNoConnection() throws IOException {
+        for (int i = 0; i < DATABASE_COUNT; i++) {
             OrderDatabase database = OrderDatabase.start("mysql_native_password", null);
-            InetSocketAddress at = database.address();
-            try (Socket before = new Socket(at.getAddress(), at.getPort())) {
-                assertTrue(before.getInputStream().read() >= 0, "it greets");
+            InetSocketAddress address = database.address();
+            try (Socket before = new Socket(address.getAddress(), address.getPort())) {
+                assertTrue(before.getInputStream().read() >= 0, "greeting");
             }
             database.close();
             assertThrows(
                     IOException.class,
                     () -> {
-                        try (Socket after = new Socket(at.getAddress(), at.getPort())) {
+                        try (Socket after = new Socket(address.getAddress(), address.getPort())) {
                             after.getInputStream().read();
                         }
                     },
-                    "after " + i + " others");
+                    "database " + i);
         }
     }
 }
--- a/src/test/java/kitemux/standin/OrderDatabaseTest.java
+++ b/src/test/java/kitemux/standin/OrderDatabaseTest.java
@@ -22,7 +22,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** The stand-in of a database, as real drivers see it. */
+/** Tests the MySQL stand-in with real drivers. */
 class OrderDatabaseTest {
     private static final String NATIVE = "mysql_native_password";
     private static final String SHA2 = "caching_sha2_password";
@@ -36,7 +36,7 @@
                 OrderDatabase.PASSWORD);
     }
 
-    /** Options that each driver has under a name of its own. */
+    /** Returns connection options, which each driver names differently. */
     private static String options(String driver, boolean prepared) {
         return driver.equals("mysql")
                 ? "sslMode=DISABLED&allowPublicKeyRetrieval=true&useServerPrepStmts=" + prepared
@@ -59,8 +59,7 @@
         "mariadb, " + NATIVE + ", " + SHA2,
         "mariadb, " + SHA2 + ", " + NATIVE
     })
-    void driversLogInWithEachPluginAlsoWhereItIsSwitched(String driver, String plugin, String switchTo)
-            throws Exception {
+    void driversLogInWithEachPluginAndPluginSwitch(String driver, String plugin, String switchTo) throws Exception {
         database = OrderDatabase.start(plugin, switchTo);
         try (Connection connection = connect(driver, options(driver, false))) {
             assertTrue(connection.isValid(20));
@@ -94,7 +93,7 @@
             connection.rollback();
             insert.setString(1, "o3");
             insert.executeUpdate();
-            assertEquals(0, database.inserts("o3"), "not before its commit");
+            assertEquals(0, database.inserts("o3"), "uncommitted");
             connection.commit();
             select.setString(1, "o1");
             try (ResultSet found = select.executeQuery()) {
@@ -106,13 +105,13 @@
             SQLException unknown = assertThrows(
                     SQLException.class, () -> connection.createStatement().execute("DROP TABLE orders"));
             assertEquals("42000", unknown.getSQLState());
-            assertTrue(connection.isValid(20), "an error ends no connection");
+            assertTrue(connection.isValid(20), "the connection survives an error");
         }
     }
 
     @ParameterizedTest
     @ValueSource(strings = {"mysql", "mariadb"})
-    void rowsByTheThousandComeWhole(String driver) throws Exception {
+    void thousandsOfRowsAreReadCompletely(String driver) throws Exception {
         database = OrderDatabase.start(NATIVE, null);
         try (Connection connection = connect(driver, options(driver, false));
                 Statement statement = connection.createStatement()) {
@@ -130,66 +129,67 @@
     private void insertAndFail(Fault fault, int inserted) throws Exception {
         try (Connection connection = connect("mysql", options("mysql", false));
                 Statement statement = connection.createStatement()) {
-            database.script(sql -> sql.startsWith("INSERT") ? fault : new Fault.None());
+            database.setScript(sql -> sql.startsWith("INSERT") ? fault : new Fault.None());
             assertThrows(
                     SQLException.class,
                     () -> statement.executeUpdate("INSERT INTO orders (id, school) VALUES ('o', 's')"));
             assertEquals(inserted, database.inserts("o"));
         }
-        database.script(sql -> new Fault.None());
+        database.setScript(sql -> new Fault.None());
     }
 
     @Test
-    void whatTheScriptSaysGoesWrongBeforeOrBehindTheEffect() throws Exception {
+    void faultsOccurBeforeOrAfterTheEffect() throws Exception {
         database = OrderDatabase.start(NATIVE, null);
         insertAndFail(new Fault.Drop(), 0);
         insertAndFail(new Fault.Error(1205, "HY000", "Lock wait timeout exceeded"), 0);
-        insertAndFail(new Fault.BreakOff(0, Long.MAX_VALUE), 1);
-        insertAndFail(new Fault.BreakOff(Long.MAX_VALUE, 3), 2);
+        insertAndFail(new Fault.CutOff(0, Long.MAX_VALUE), 1);
+        insertAndFail(new Fault.CutOff(Long.MAX_VALUE, 3), 2);
     }
 
     @Test
-    void packetsAreMisnumberedWhichTheseDriversPassOver() throws Exception {
+    void driversIgnoreWrongSequenceNumbers() throws Exception {
         database = OrderDatabase.start(NATIVE, null);
-        database.script(sql -> sql.equals("ping") ? new Fault.Misnumber() : new Fault.None());
+        database.setScript(sql -> sql.equals("ping") ? new Fault.WrongSequenceNumbers() : new Fault.None());
         try (Connection connection = connect("mysql", options("mysql", false))) {
             assertTrue(connection.isValid(20));
         }
         try (Socket socket =
                 new Socket(database.address().getAddress(), database.address().getPort())) {
-            SqlPackets packets = new SqlPackets(new DataInputStream(socket.getInputStream()), socket.getOutputStream());
-            SqlPackets.Fields greeting = new SqlPackets.Fields(packets.read());
-            greeting.num(1);
-            greeting.zeroed();
-            greeting.num(4);
-            byte[] nonce = Arrays.copyOf(greeting.raw(8), 20);
-            greeting.raw(1 + 2 + 1 + 2 + 2 + 1 + 10);
-            System.arraycopy(greeting.raw(12), 0, nonce, 8, 12);
-            byte[] proof = OrderDatabase.proof(NATIVE, nonce);
-            packets.write(new SqlPackets.Payload()
-                    .num(1 << 9 | 1 << 15 | 1 << 19, 4)
-                    .num(1 << 24, 4)
-                    .num(45, 1)
-                    .raw(new byte[23])
-                    .zeroed(OrderDatabase.USER)
-                    .num(proof.length, 1)
-                    .raw(proof)
-                    .zeroed(NATIVE)
-                    .done());
+            MysqlPackets packets =
+                    new MysqlPackets(new DataInputStream(socket.getInputStream()), socket.getOutputStream());
+            PayloadReader greeting = new PayloadReader(packets.read());
+            greeting.fixedInt(1);
+            greeting.nullTerminated();
+            greeting.fixedInt(4);
+            byte[] nonce = Arrays.copyOf(greeting.bytes(8), 20);
+            greeting.bytes(1 + 2 + 1 + 2 + 2 + 1 + 10);
+            System.arraycopy(greeting.bytes(12), 0, nonce, 8, 12);
+            byte[] proof = PasswordProof.compute(NATIVE, OrderDatabase.PASSWORD, nonce);
+            packets.write(new PayloadWriter()
+                    .fixedInt(1 << 9 | 1 << 15 | 1 << 19, 4)
+                    .fixedInt(1 << 24, 4)
+                    .fixedInt(45, 1)
+                    .bytes(new byte[23])
+                    .nullTerminated(OrderDatabase.USER)
+                    .fixedInt(proof.length, 1)
+                    .bytes(proof)
+                    .nullTerminated(NATIVE)
+                    .toByteArray());
             assertEquals(0, packets.read()[0], "logged in");
-            packets.begin();
+            packets.startExchange();
             packets.write(new byte[] {0x0e});
             IOException off = assertThrows(IOException.class, packets::read);
-            assertEquals("packet 6 came where 1 was due", off.getMessage());
+            assertEquals("sequence number 6 instead of 1", off.getMessage());
         }
     }
 
     @Test
-    void anAnswerBreaksOffInTheMiddleOfItsRows() throws Exception {
+    void responseIsCutOffBetweenRows() throws Exception {
         database = OrderDatabase.start(NATIVE, null);
-        database.script(sql -> sql.startsWith("SELECT 9") ? new Fault.BreakOff(6, Long.MAX_VALUE) : new Fault.None());
+        database.setScript(sql -> sql.startsWith("SELECT 9") ? new Fault.CutOff(6, Long.MAX_VALUE) : new Fault.None());
         int[] seen = new int[1];
-        // Closing a statement whose rows broke off says so once more.
+        // Closing a statement whose rows were cut off throws again.
         assertThrows(SQLException.class, () -> {
             try (Connection connection = connect("mysql", options("mysql", false));
                     Statement statement = connection.createStatement()) {
@@ -201,6 +201,6 @@
                 }
             }
         });
-        assertTrue(seen[0] > 0 && seen[0] < 9, seen[0] + " rows were out");
+        assertTrue(seen[0] > 0 && seen[0] < 9, seen[0] + " rows were read");
     }
 }
