--- a/src/main/java/kitemux/bench/CaptureBench.java
+++ b/src/main/java/kitemux/bench/CaptureBench.java
@@ -15,51 +15,64 @@
 import kitemux.load.LoadSettings;
 
 /**
- * What capturing load costs the loop: nanoseconds for what an observer is told of one request, paired with an
- * observer that does nothing, and how much of it the writer keeps up with.
+ * Measures what capturing load costs the event loop: the time that an observer takes for the events of a request, compared
+ * with one that does nothing, and the share of requests that the writer drops at fixed rates.
  */
 public final class CaptureBench {
     private static final int ROUNDS = 7;
-    private static final int REQUESTS = 1_000_000;
-    /** Requests a second of a busy node, and of one far beyond what one thread serves. */
-    private static final int[] RATES = {20_000, 100_000};
+    private static final int REQUEST_COUNT = 1_000_000;
+    private static final int PACED_REQUEST_COUNT = REQUEST_COUNT / 10;
+    /** Rates of a busy node, and of more than one thread can serve, in requests per second. */
+    private static final int[] RATES_PER_S = {20_000, 100_000};
+
+    private static final int LARGE_RING_SIZE = 65_536;
+    private static final int DEFAULT_RING_SIZE = 8_192;
+    private static final int SEGMENT_BYTES = 4 << 20;
+    private static final int MAX_TOTAL_BYTES = 512 << 20;
 
     private final PrintStream out;
 
-    /** Prints to here. */
+    /** Creates a benchmark that prints to this stream. */
     public CaptureBench(PrintStream out) {
         this.out = out;
     }
 
-    /** Runs it; writes some hundred MB to a folder of its own, which goes again. */
+    /** Measures and prints the figures. It writes some hundred MB to a temporary folder and deletes it. */
     public void run() throws IOException {
         Path folder = Files.createTempDirectory("kitemux-capture");
-        double[] off = new double[ROUNDS];
-        double[] on = new double[ROUNDS];
+        double[] idleNanos = new double[ROUNDS];
+        double[] captureNanos = new double[ROUNDS];
         try {
-            Clock clock = new WallTime();
-            LoadSettings settings = new LoadSettings(folder, 65_536, 4 << 20, 512 << 20);
+            Clock clock = new SystemClock();
+            LoadSettings settings = new LoadSettings(folder, LARGE_RING_SIZE, SEGMENT_BYTES, MAX_TOTAL_BYTES);
             for (int round = 0; round < ROUNDS; round++) {
-                off[round] = nanosEach(Observer.NONE, clock, 0);
+                idleNanos[round] = nanosPerRequest(Observer.NONE, clock, 0);
                 try (CaptureWriter capture =
                         new CaptureWriter(settings, "n", List.of("page"), List.of(), clock::nowUs, out::println)) {
-                    on[round] = nanosEach(capture.recorder(clock), clock, 0);
+                    captureNanos[round] = nanosPerRequest(capture.recorder(clock), clock, 0);
                 }
             }
-            Arrays.sort(off);
-            Arrays.sort(on);
+            Arrays.sort(idleNanos);
+            Arrays.sort(captureNanos);
             out.printf(
                     "ns a request, %d rounds of %d: observer that does nothing %.0f (%.0f to %.0f), "
                             + "capture %.0f (%.0f to %.0f)%n",
-                    ROUNDS, REQUESTS, off[ROUNDS / 2], off[0], off[ROUNDS - 1], on[ROUNDS / 2], on[0], on[ROUNDS - 1]);
-            LoadSettings standing = new LoadSettings(folder, 8_192, 4 << 20, 512 << 20);
-            for (int rate : RATES) {
+                    ROUNDS,
+                    REQUEST_COUNT,
+                    idleNanos[ROUNDS / 2],
+                    idleNanos[0],
+                    idleNanos[ROUNDS - 1],
+                    captureNanos[ROUNDS / 2],
+                    captureNanos[0],
+                    captureNanos[ROUNDS - 1]);
+            LoadSettings defaults = new LoadSettings(folder, DEFAULT_RING_SIZE, SEGMENT_BYTES, MAX_TOTAL_BYTES);
+            for (int rate : RATES_PER_S) {
                 try (CaptureWriter capture =
-                        new CaptureWriter(standing, "n", List.of("page"), List.of(), clock::nowUs, out::println)) {
-                    nanosEach(capture.recorder(clock), clock, 1_000_000_000 / rate);
+                        new CaptureWriter(defaults, "n", List.of("page"), List.of(), clock::nowUs, out::println)) {
+                    nanosPerRequest(capture.recorder(clock), clock, 1_000_000_000 / rate);
                     out.printf(
                             "at %d a second, ring of %d: %d of %d were left out%n",
-                            rate, standing.ring(), capture.unreportedDropCount(), REQUESTS / 10);
+                            rate, defaults.ring(), capture.unreportedDropCount(), PACED_REQUEST_COUNT);
                 }
             }
         } finally {
@@ -72,24 +85,25 @@
         }
     }
 
-    private static double nanosEach(Observer observer, Clock clock, long eachNanos) {
-        RequestInfo asked = new Page();
-        int requests = eachNanos == 0 ? REQUESTS : REQUESTS / 10;
-        long began = System.nanoTime();
-        for (long id = 1; id <= requests; id++) {
-            while (eachNanos > 0 && System.nanoTime() - began < id * eachNanos) {
+    /** Returns the mean time for the events of a request, which are reported at this interval, or at once if it is 0. */
+    private static double nanosPerRequest(Observer observer, Clock clock, long intervalNanos) {
+        RequestInfo request = new PageRequest();
+        int requestCount = intervalNanos == 0 ? REQUEST_COUNT : PACED_REQUEST_COUNT;
+        long startNanos = System.nanoTime();
+        for (long id = 1; id <= requestCount; id++) {
+            while (intervalNanos > 0 && System.nanoTime() - startNanos < id * intervalNanos) {
                 Thread.onSpinWait();
             }
-            observer.onRequestAccepted(id, asked);
+            observer.onRequestAccepted(id, request);
             observer.onAttemptStarted(id, 0, "b7", clock.nowUs() + 500_000);
             observer.onAttemptEnded(id, 0, Result.OK);
             observer.onRequestAnswered(id, Observer.RequestOutcome.SERVED);
             observer.onRequestReleased(id);
         }
-        return (System.nanoTime() - began) / (double) requests;
+        return (System.nanoTime() - startNanos) / (double) requestCount;
     }
 
-    private static final class Page implements RequestInfo {
+    private static final class PageRequest implements RequestInfo {
         @Override
         public String txn() {
             return "t";
--- a/src/main/java/kitemux/bench/EmulatorBench.java
+++ b/src/main/java/kitemux/bench/EmulatorBench.java
@@ -11,42 +11,49 @@
 import kitemux.fleet.RunResult;
 import kitemux.sim.Scheduler;
 
-/** How many requests are emulated in a second at several sizes, and the event queue against a plain one. */
+/** Measures the emulator: requests per second at several fleet sizes, and its event queue against a binary heap. */
 public final class EmulatorBench {
-    private static final long WISHES = 400_000;
-    private static final int EVENTS = 2_000_000;
-    private static final int[] PENDING = {100, 10_000, 1_000_000};
+    private static final long REQUEST_COUNT = 400_000;
+    private static final int EVENT_COUNT = 2_000_000;
+    private static final int[] PENDING_COUNTS = {100, 10_000, 1_000_000};
     private static final int ROUNDS = 5;
+    private static final long MIN_RUN_US = 2_000_000;
+    /** Load of the emulated fleets, as a share of their capacity. */
+    private static final double LOAD_RATIO = 0.6;
+    /** Upper bound of the time until an event, in nanoseconds. */
+    private static final int MAX_EVENT_DELAY_NANOS = 1_000_000;
 
-    private final Fleet like;
+    private final Fleet template;
     private final PrintStream out;
 
     /**
-     * @param like a fleet whose classes, clients and links are played
+     * Creates a benchmark.
+     *
+     * @param template a fleet whose classes, clients and links are emulated
      */
-    public EmulatorBench(Fleet like, PrintStream out) {
-        this.like = like;
+    public EmulatorBench(Fleet template, PrintStream out) {
+        this.template = template;
         this.out = out;
     }
 
-    /** Plays all sizes, on the calling thread alone. */
+    /** Measures on the calling thread and prints tables. */
     public void run() {
         out.println("pending  ours ns  plain ns  ratio (least to most of " + ROUNDS + ")");
-        for (int pending : PENDING) {
-            queues(pending);
+        for (int pending : PENDING_COUNTS) {
+            compareQueues(pending);
         }
         out.println("boxes  nodes  requests/s: first run, then the median and all of " + ROUNDS
                 + "; events/s; heap MiB after");
-        size(20, 2);
-        size(1_000, 50);
-        size(10_000, 200);
+        measureFleet(20, 2);
+        measureFleet(1_000, 50);
+        measureFleet(10_000, 200);
     }
 
-    private void size(int boxes, int nodes) {
-        Fleet.ServerKind kind = like.kinds().get(0);
-        Fleet sized = like.withKinds(List.of(new Fleet.ServerKind(
+    private void measureFleet(int servers, int nodes) {
+        Fleet.ServerKind kind = template.kinds().get(0);
+        Fleet sized = template.withKinds(List.of(new Fleet.ServerKind(
                         kind.name(),
-                        boxes,
+                        servers,
                         kind.cores(),
                         kind.speed(),
                         kind.speedCv(),
@@ -57,30 +64,30 @@
                         kind.cost())))
                 .with(new Fleet.Nodes(
                         nodes,
-                        like.nodes().eventCostUs(),
-                        like.nodes().cores(),
-                        like.nodes().startupUs(),
-                        like.nodes().failureDetectionUs()))
+                        template.nodes().eventCostUs(),
+                        template.nodes().cores(),
+                        template.nodes().startupUs(),
+                        template.nodes().failureDetectionUs()))
                 .withoutTenants();
-        double ratePerS = 0.6 * sized.capacity() * 1e6 / sized.meanWorkUs();
-        long lengthUs = Math.max(2_000_000, (long) (WISHES / ratePerS * 1e6));
-        Fleet played = sized.with(new Fleet.Load(ratePerS, lengthUs, List.of(), 0, 1));
-        // The first run is mostly the JVM's compiling; a plan plays the same fleet hundreds of times.
-        double[] perS = new double[ROUNDS + 1];
+        double ratePerS = LOAD_RATIO * sized.capacity() * 1e6 / sized.meanWorkUs();
+        long lengthUs = Math.max(MIN_RUN_US, (long) (REQUEST_COUNT / ratePerS * 1e6));
+        Fleet fleet = sized.with(new Fleet.Load(ratePerS, lengthUs, List.of(), 0, 1));
+        // The first run is mostly compilation by the JVM; a plan emulates the same fleet hundreds of times.
+        double[] requestsPerS = new double[ROUNDS + 1];
         RunResult result = null;
         for (int round = 0; round <= ROUNDS; round++) {
-            long began = System.nanoTime();
-            result = Emulation.run(played, 1);
-            perS[round] = result.requests() / ((System.nanoTime() - began) / 1e9);
+            long startNanos = System.nanoTime();
+            result = Emulation.run(fleet, 1);
+            requestsPerS[round] = result.requests() / ((System.nanoTime() - startNanos) / 1e9);
         }
-        double first = perS[0];
-        double[] warm = Arrays.copyOfRange(perS, 1, perS.length);
+        double first = requestsPerS[0];
+        double[] warm = Arrays.copyOfRange(requestsPerS, 1, requestsPerS.length);
         Arrays.sort(warm);
         Runtime runtime = Runtime.getRuntime();
         out.printf(
                 Locale.ROOT,
                 "%5d  %5d  %7.0f  %7.0f (%.0f to %.0f)  %8.0f  %d%n",
-                boxes,
+                servers,
                 nodes,
                 first,
                 warm[ROUNDS / 2],
@@ -90,16 +97,16 @@
                 runtime.totalMemory() - runtime.freeMemory() >> 20);
     }
 
-    /** Of four events that are set three are called off, as a node's timers are: pairs, in turn. */
-    private void queues(int pending) {
+    /** Compares the queues in pairs of runs. Three of four events are cancelled, like the timers of a node. */
+    private void compareQueues(int pending) {
         double[] ratios = new double[ROUNDS];
-        double ours = 0;
-        double plain = 0;
+        double schedulerNanos = 0;
+        double heapNanos = 0;
         for (int round = 0; round <= ROUNDS; round++) {
-            ours = ours(pending);
-            plain = plain(pending);
+            schedulerNanos = measureScheduler(pending);
+            heapNanos = measureHeap(pending);
             if (round > 0) {
-                ratios[round - 1] = ours / plain;
+                ratios[round - 1] = schedulerNanos / heapNanos;
             }
         }
         Arrays.sort(ratios);
@@ -107,76 +114,79 @@
                 Locale.ROOT,
                 "%7d  %7.0f  %8.0f  %.2f (%.2f to %.2f)%n",
                 pending,
-                ours,
-                plain,
+                schedulerNanos,
+                heapNanos,
                 ratios[ROUNDS / 2],
                 ratios[0],
                 ratios[ROUNDS - 1]);
     }
 
-    private static double ours(int pending) {
+    /** Returns the nanoseconds per event of the emulator's queue. */
+    private static double measureScheduler(int pending) {
         SplittableRandom random = new SplittableRandom(1);
-        Scheduler time = new Scheduler();
-        Scheduler.Event[] set = new Scheduler.Event[pending];
+        Scheduler scheduler = new Scheduler();
+        Scheduler.Event[] events = new Scheduler.Event[pending];
         for (int i = 0; i < pending; i++) {
-            set[i] = time.scheduleAt(random.nextInt(1_000_000), () -> {});
+            events[i] = scheduler.scheduleAt(random.nextInt(MAX_EVENT_DELAY_NANOS), () -> {});
         }
-        long began = System.nanoTime();
-        for (int i = 0; i < EVENTS; i++) {
-            int which = random.nextInt(pending);
+        long startNanos = System.nanoTime();
+        for (int i = 0; i < EVENT_COUNT; i++) {
+            int index = random.nextInt(pending);
             if (i % 4 != 0) {
-                set[which].cancel();
+                events[index].cancel();
             } else {
-                time.runNext(Long.MAX_VALUE);
+                scheduler.runNext(Long.MAX_VALUE);
             }
-            set[which] = time.scheduleAt(time.nowNanos() + random.nextInt(1_000_000), () -> {});
+            events[index] =
+                    scheduler.scheduleAt(scheduler.nowNanos() + random.nextInt(MAX_EVENT_DELAY_NANOS), () -> {});
         }
-        return (System.nanoTime() - began) / (double) EVENTS;
+        return (System.nanoTime() - startNanos) / (double) EVENT_COUNT;
     }
 
-    /** What stands in a plain queue and is called off stays there until its time. */
-    private static final class Plain implements Comparable<Plain> {
+    /** An event of the heap. A cancelled one stays in it until its time. */
+    private static final class HeapEvent implements Comparable<HeapEvent> {
         private final long at;
-        private final long order;
-        private boolean off;
+        private final long sequenceNumber;
+        private boolean isCancelled;
 
-        Plain(long at, long order) {
+        HeapEvent(long at, long sequenceNumber) {
             this.at = at;
-            this.order = order;
+            this.sequenceNumber = sequenceNumber;
         }
 
         @Override
-        public int compareTo(Plain other) {
+        public int compareTo(HeapEvent other) {
             int byTime = Long.compare(at, other.at);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
+            return byTime != 0 ? byTime : Long.compare(sequenceNumber, other.sequenceNumber);
         }
     }
 
-    private static double plain(int pending) {
+    /** Returns the nanoseconds per event of a binary heap. */
+    private static double measureHeap(int pending) {
         SplittableRandom random = new SplittableRandom(1);
-        PriorityQueue<Plain> queue = new PriorityQueue<>();
-        Plain[] set = new Plain[pending];
-        long asked = 0;
+        PriorityQueue<HeapEvent> queue = new PriorityQueue<>();
+        HeapEvent[] events = new HeapEvent[pending];
+        long scheduledCount = 0;
         for (int i = 0; i < pending; i++) {
-            set[i] = new Plain(random.nextInt(1_000_000), asked++);
-            queue.add(set[i]);
+            events[i] = new HeapEvent(random.nextInt(MAX_EVENT_DELAY_NANOS), scheduledCount++);
+            queue.add(events[i]);
         }
         long now = 0;
-        long began = System.nanoTime();
-        for (int i = 0; i < EVENTS; i++) {
-            int which = random.nextInt(pending);
+        long startNanos = System.nanoTime();
+        for (int i = 0; i < EVENT_COUNT; i++) {
+            int index = random.nextInt(pending);
             if (i % 4 != 0) {
-                set[which].off = true;
+                events[index].isCancelled = true;
             } else {
-                Plain next = queue.poll();
-                while (next != null && next.off) {
+                HeapEvent next = queue.poll();
+                while (next != null && next.isCancelled) {
                     next = queue.poll();
                 }
                 now = next == null ? now : next.at;
             }
-            set[which] = new Plain(now + random.nextInt(1_000_000), asked++);
-            queue.add(set[which]);
+            events[index] = new HeapEvent(now + random.nextInt(MAX_EVENT_DELAY_NANOS), scheduledCount++);
+            queue.add(events[index]);
         }
-        return (System.nanoTime() - began) / (double) EVENTS;
+        return (System.nanoTime() - startNanos) / (double) EVENT_COUNT;
     }
 }
--- a/src/main/java/kitemux/bench/JournalBench.java
+++ b/src/main/java/kitemux/bench/JournalBench.java
@@ -22,27 +22,27 @@
 import kitemux.orders.OrderRecorder;
 import kitemux.orders.OrderSettings;
 
-/** What a journal of many orders costs: to write, to take up after a crash, to ask and to check. */
+/** Measures an order journal: writing it, recovering it after a crash, querying and verifying it. */
 public final class JournalBench {
-    /** Orders that are under way at a time; the last of them stay open. */
-    private static final int AT_A_TIME = 500;
+    /** Number of orders that are in flight together; the last batch stays open. */
+    private static final int BATCH_SIZE = 500;
 
-    private static final long PATIENCE_MS = 60_000;
+    private static final long MAX_SYNC_DELAY_MS = 60_000;
 
-    private final int orders;
+    private final int orderCount;
     private final PrintStream out;
 
     /**
-     * A run.
+     * Creates a benchmark.
      *
-     * @param orders how many; the last 500 are left open, as a crash leaves them
+     * @param orderCount number of orders; the last 500 stay open, as after a crash
      */
-    public JournalBench(int orders, PrintStream out) {
-        this.orders = orders;
+    public JournalBench(int orderCount, PrintStream out) {
+        this.orderCount = orderCount;
         this.out = out;
     }
 
-    /** An order of a few bytes. */
+    /** An order with a short body. */
     private record Order(String txn, List<byte[]> body) implements RequestInfo {
         @Override
         public int classIndex() {
@@ -80,20 +80,20 @@
         }
     }
 
-    /** Writes a journal in a folder of its own, measures, prints, and takes the folder away. */
+    /** Writes a journal in a temporary folder, measures, prints the figures, and deletes the folder. */
     public void run() throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("kitemux-journal");
         try {
             Path journal = folder.resolve("orders");
-            OrderSettings how = new OrderSettings(
-                    journal, JournalWriter.SyncPolicy.NEVER, 1, PATIENCE_MS, 4 << 20, 24, 0, 0, Set.of());
+            OrderSettings settings = new OrderSettings(
+                    journal, JournalWriter.SyncPolicy.NEVER, 1, MAX_SYNC_DELAY_MS, 4 << 20, 24, 0, 0, Set.of());
             out.printf(
                     Locale.ROOT,
                     "%d orders, Java %s, heap of at most %d MB%n",
-                    orders,
+                    orderCount,
                     System.getProperty("java.version"),
                     Runtime.getRuntime().maxMemory() >> 20);
-            timed("written, four entries each, no sync", () -> fill(how));
+            measure("written, four entries each, no sync", () -> fill(settings));
             long bytes = 0;
             try (Stream<Path> files = Files.list(journal)) {
                 for (Path file : files.toList()) {
@@ -101,74 +101,75 @@
                 }
             }
             out.printf(Locale.ROOT, "%-44s %9.1f MB%n", "on disk", bytes / 1e6);
-            timed(
+            measure(
                     "taken up after a crash",
-                    () -> OrderJournal.open(how, new WallTime(), Runnable::run, line -> out.println("  " + line))
+                    () -> OrderJournal.open(
+                                    settings, new SystemClock(), Runnable::run, line -> out.println("  " + line))
                             .close());
             JournalReader reader = OrderJournal.reader(journal);
-            String one = "order-" + orders / 2;
-            timed("asked for one by its id", () -> {
+            String wanted = "order-" + orderCount / 2;
+            measure("asked for one by its id", () -> {
                 int[] found = new int[1];
-                reader.findHistories(Set.of(one), Set.of(), Set.of(), taken -> true, story -> found[0]++);
+                reader.findHistories(Set.of(wanted), Set.of(), Set.of(), accepted -> true, history -> found[0]++);
                 if (found[0] != 1) {
-                    throw new IOException(one + " is found " + found[0] + " times");
+                    throw new IOException(wanted + " is found " + found[0] + " times");
                 }
             });
-            timed("all read", () -> {
+            measure("all read", () -> {
                 int[] found = new int[1];
-                reader.forEachHistory(taken -> true, story -> found[0]++);
-                if (found[0] != orders) {
-                    throw new IOException(found[0] + " of " + orders + " are found");
+                reader.forEachHistory(accepted -> true, history -> found[0]++);
+                if (found[0] != orderCount) {
+                    throw new IOException(found[0] + " of " + orderCount + " are found");
                 }
             });
-            timed("every byte checked", () -> {
+            measure("every byte checked", () -> {
                 List<String> faults = reader.verify().faults();
                 if (!faults.isEmpty()) {
                     throw new IOException(faults.get(0));
                 }
             });
         } finally {
-            Processes.deleteAll(folder);
+            ProcessStarter.deleteRecursively(folder);
         }
     }
 
-    private void fill(OrderSettings how) throws IOException, InterruptedException {
+    private void fill(OrderSettings orderSettings) throws IOException, InterruptedException {
         Settings settings = new Settings();
         settings.classes.add(new RequestClass("order", 1, 0, 2, 1, 0, RetrySafety.UNSAFE, null, 0, false));
-        WallTime time = new WallTime();
-        // What is told is told on the writer's thread: it only counts, and nothing here has a loop.
-        OrderJournal open = OrderJournal.open(how, time, Runnable::run, line -> {});
-        OrderRecorder<Order> keeper = open.recorder(how, settings, time);
-        for (int at = 0; at < orders; at += AT_A_TIME) {
-            int until = Math.min(orders, at + AT_A_TIME);
-            CountDownLatch written = new CountDownLatch(until - at);
-            for (int i = at; i < until; i++) {
+        SystemClock clock = new SystemClock();
+        // Callbacks run on the writer's thread, as there is no event loop.
+        OrderJournal journal = OrderJournal.open(orderSettings, clock, Runnable::run, line -> {});
+        OrderRecorder<Order> recorder = journal.recorder(orderSettings, settings, clock);
+        for (int start = 0; start < orderCount; start += BATCH_SIZE) {
+            int end = Math.min(orderCount, start + BATCH_SIZE);
+            CountDownLatch written = new CountDownLatch(end - start);
+            for (int i = start; i < end; i++) {
                 byte[] body = ("body " + i).getBytes(StandardCharsets.US_ASCII);
                 Order order = new Order("order-" + i, List.of(body));
-                keeper.onRequestAccepted(i, order);
-                keeper.admit(
-                        i, order, 0, "box-1", () -> "127.0.0.1:8080", time.nowUs(), durable -> written.countDown());
+                recorder.onRequestAccepted(i, order);
+                recorder.admit(
+                        i, order, 0, "box-1", () -> "127.0.0.1:8080", clock.nowUs(), durable -> written.countDown());
             }
             written.await();
-            for (int i = at; i < until; i++) {
-                if (until < orders) {
-                    keeper.onAttemptEnded(i, 0, Result.OK);
-                    keeper.onRequestAnswered(i, Observer.RequestOutcome.SERVED);
+            for (int i = start; i < end; i++) {
+                if (end < orderCount) {
+                    recorder.onAttemptEnded(i, 0, Result.OK);
+                    recorder.onRequestAnswered(i, Observer.RequestOutcome.SERVED);
                 }
-                keeper.onRequestReleased(i);
+                recorder.onRequestReleased(i);
             }
         }
-        open.close();
+        journal.close();
     }
 
-    /** A step of a run. */
+    /** A measured step. */
     private interface Step {
         void run() throws IOException, InterruptedException;
     }
 
-    private void timed(String what, Step step) throws IOException, InterruptedException {
-        long began = System.nanoTime();
+    private void measure(String description, Step step) throws IOException, InterruptedException {
+        long startNanos = System.nanoTime();
         step.run();
-        out.printf(Locale.ROOT, "%-44s %9.3f s%n", what, (System.nanoTime() - began) / 1e9);
+        out.printf(Locale.ROOT, "%-44s %9.3f s%n", description, (System.nanoTime() - startNanos) / 1e9);
     }
 }
--- a/src/main/java/kitemux/bench/KillRuns.java
+++ b/src/main/java/kitemux/bench/KillRuns.java
@@ -1,6 +1,5 @@
 package kitemux.bench;
 
-import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
@@ -12,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -24,103 +24,96 @@
 import kitemux.standin.RecordingOrderServer.Handling;
 
 /**
- * Kills a real node at random moments while clients place orders through it, again and again on the same
- * journal, and holds what the journal says then against what boxes and clients saw.
+ * Kills a real node at random times while clients place orders through it, repeatedly and with the same journal, and
+ * compares the journal with what servers and clients have seen.
  */
 public final class KillRuns {
-    private static final int BOXES = 3;
-    private static final int CLIENTS = 4;
-    private static final long MOST_MS = 250;
-    private static final long START_S = 60;
+    private static final int SERVER_COUNT = 3;
+    private static final int CLIENT_COUNT = 4;
+    private static final long MAX_RUN_US = 250_000;
+    private static final long SHUTDOWN_TIMEOUT_S = 60;
+    private static final int RESPONSE_TIMEOUT_MS = 5_000;
+    private static final String NODE_IS_UP = "listening on";
+    private static final String STATUS_LINE_START = "HTTP/1.1 ";
+    private static final int STATUS_LENGTH_CHARS = 3;
 
     private final ProcessBuilder node;
-    private final int kills;
+    private final int killCount;
     private final SplittableRandom random;
     private final Path folder;
-    private final List<RecordingOrderServer> boxes = new ArrayList<>();
-    /** What a client was told, by the order's id: a status, or 0 if the connection broke. */
-    private final Map<String, Integer> told = new ConcurrentHashMap<>();
+    private final List<RecordingOrderServer> servers = new ArrayList<>();
+    /** The response status of each order, by its id; 0 if the connection broke. */
+    private final Map<String, Integer> statuses = new ConcurrentHashMap<>();
 
     /**
-     * A run.
+     * Creates a run.
      *
      * @param node starts a node; its environment is set here
-     * @param folder for the configuration and the journal, in a folder "orders"
+     * @param folder folder for the configuration and, in its subfolder "orders", the journal
      */
-    public KillRuns(ProcessBuilder node, int kills, long seed, Path folder) {
+    public KillRuns(ProcessBuilder node, int killCount, long seed, Path folder) {
         this.node = node;
-        this.kills = kills;
+        this.killCount = killCount;
         this.folder = folder;
         random = new SplittableRandom(seed);
     }
 
-    /** The same with a build as its own deployment starts it. */
-    public static KillRuns of(Path jar, int kills, long seed, Path folder) throws IOException {
-        return new KillRuns(new Processes("").java(jar, "node"), kills, seed, folder);
+    /** Creates a run with a build that is started as its deployment says. */
+    public static KillRuns of(Path jar, int killCount, long seed, Path folder) throws IOException {
+        return new KillRuns(new ProcessStarter("").command(jar, "node"), killCount, seed, folder);
     }
 
     /**
-     * Plays all kills, and one end in good order.
+     * Runs all kills, and one orderly shutdown at the end.
      *
-     * @return what is wrong, one a line; empty if the journal told the truth
+     * @return the violations that were found; empty if the journal is correct
      */
     public List<String> run(PrintStream out) throws IOException, InterruptedException {
-        List<String> wrong = new ArrayList<>();
+        List<String> violations = new ArrayList<>();
         try {
-            for (int i = 0; i < BOXES; i++) {
-                boxes.add(RecordingOrderServer.start());
+            for (int i = 0; i < SERVER_COUNT; i++) {
+                servers.add(RecordingOrderServer.start());
             }
-            for (int i = 0; i <= kills; i++) {
-                round(i, i == kills);
-                VerificationResult verdict = OrderJournal.reader(journal()).verify();
-                int round = i;
-                verdict.faults().forEach(fault -> wrong.add("after kill " + round + ": " + fault));
+            for (int i = 0; i <= killCount; i++) {
+                runNode(i, i == killCount);
+                VerificationResult result = OrderJournal.reader(journalFolder()).verify();
+                int kill = i;
+                result.faults().forEach(fault -> violations.add("after kill " + kill + ": " + fault));
             }
-            hold(wrong, out);
+            checkJournal(violations, out);
         } finally {
-            for (RecordingOrderServer box : boxes) {
-                box.close();
+            for (RecordingOrderServer server : servers) {
+                server.close();
             }
         }
-        return wrong;
+        return violations;
     }
 
-    private Path journal() {
+    private Path journalFolder() {
         return folder.resolve("orders");
     }
 
-    private void round(int number, boolean last) throws IOException, InterruptedException {
-        try (HeldAddress held = new HeldAddress()) {
-            round(number, last, held.address());
+    private void runNode(int number, boolean shutsDown) throws IOException, InterruptedException {
+        try (ReservedAddress reserved = new ReservedAddress()) {
+            runNode(number, shutsDown, reserved.address());
         }
     }
 
-    private void round(int number, boolean last, InetSocketAddress listen) throws IOException, InterruptedException {
+    private void runNode(int number, boolean shutsDown, InetSocketAddress listen)
+            throws IOException, InterruptedException {
         configure(listen);
-        Process process = node.redirectErrorStream(true).start();
+        Process process = ProcessStarter.startAndAwait(node, NODE_IS_UP);
         try {
-            BufferedReader lines = process.inputReader();
-            String line;
-            StringBuilder said = new StringBuilder();
-            while ((line = lines.readLine()) != null && !line.contains("listening on")) {
-                said.append(line).append('\n');
-            }
-            if (line == null) {
-                throw new IOException("a node did not start: " + said);
-            }
-            Thread drain = new Thread(() -> readOn(lines), "drain");
-            drain.setDaemon(true);
-            drain.start();
             List<Thread> clients = new ArrayList<>();
-            for (int c = 0; c < CLIENTS; c++) {
-                String prefix = "o" + number + "-" + c + "-";
-                clients.add(new Thread(() -> place(listen, prefix), "client"));
+            for (int client = 0; client < CLIENT_COUNT; client++) {
+                String idPrefix = "o" + number + "-" + client + "-";
+                clients.add(new Thread(() -> placeOrders(listen, idPrefix), "client"));
             }
             clients.forEach(Thread::start);
-            TimeUnit.MICROSECONDS.sleep(1 + random.nextLong(MOST_MS * 1_000));
-            if (last) {
+            TimeUnit.MICROSECONDS.sleep(1 + random.nextLong(MAX_RUN_US));
+            if (shutsDown) {
                 process.destroy();
-                if (!process.waitFor(START_S, TimeUnit.SECONDS)) {
+                if (!process.waitFor(SHUTDOWN_TIMEOUT_S, TimeUnit.SECONDS)) {
                     throw new IOException("a node did not end");
                 }
             } else {
@@ -134,140 +127,141 @@
         }
     }
 
-    /** So that what a node says does not fill its pipe and hold it up. */
-    private static void readOn(BufferedReader lines) {
-        try {
-            while (lines.readLine() != null) {
-                // Nothing is looked for.
-            }
-        } catch (IOException e) {
-            // It was killed.
-        }
-    }
-
     private void configure(InetSocketAddress listen) throws IOException {
-        StringBuilder targets = new StringBuilder();
-        for (int i = 0; i < BOXES; i++) {
-            targets.append(i == 0 ? "" : ",")
-                    .append("{\"uid\":\"b")
-                    .append(i)
-                    .append("\",\"endpoint\":\"127.0.0.1:")
-                    .append(boxes.get(i).address().getPort())
-                    .append("\",\"az\":\"z\",\"pod_group\":0,\"state\":\"Ready\",\"boot_ms\":0}");
-        }
+        List<InetSocketAddress> addresses =
+                servers.stream().map(RecordingOrderServer::address).toList();
         Path config = Files.writeString(
                 folder.resolve("config.json"),
                 "{\"listen\":\"127.0.0.1:"
                         + listen.getPort() + "\",\"discovery\":\"127.0.0.1:"
-                        + listen.getPort() + "\",\"seed\":\"1\","
-                        + "\"limits\":{\"sockets\":256},\"known\":{\"rev\":1,\"all\":true,\"targets\":[" + targets
-                        + "]},\"settings\":{\"zones\":[\"z\"],\"myZone\":\"z\",\"membershipMode\":\"pushed\","
+                        + listen.getPort() + "\",\"seed\":\"1\",\"limits\":{\"sockets\":256},\"known\":"
+                        + ProcessStarter.serverList(addresses)
+                        + ",\"settings\":{\"zones\":[\"z\"],\"myZone\":\"z\",\"membershipMode\":\"pushed\","
                         + "\"limits\":{\"attemptsCap\":3,\"cancelling\":true},"
                         + "\"classes\":[{\"name\":\"place-order\",\"onTimeUs\":200000,\"giveUpUs\":1000000,"
                         + "\"repeat\":\"unsafe\"}]}}");
-        Path operator = Files.writeString(
+        Path operatorSettings = Files.writeString(
                 folder.resolve("operator.json"),
-                "{\"orders\":{\"folder\":\"" + journal() + "\",\"lateMs\":500,\"segmentKiB\":64}}");
+                "{\"orders\":{\"folder\":\"" + journalFolder() + "\",\"lateMs\":500,\"segmentKiB\":64}}");
         node.environment().put("PROXY_CONFIG", config.toString());
-        node.environment().put("KITEMUX_SETTINGS", operator.toString());
+        node.environment().put("KITEMUX_SETTINGS", operatorSettings.toString());
     }
 
-    /** Places one order after the other until the node is gone. */
-    private void place(InetSocketAddress listen, String prefix) {
+    /** Places orders one after the other until the node has ended. */
+    private void placeOrders(InetSocketAddress listen, String idPrefix) {
         for (int i = 0; ; i++) {
-            String id = prefix + i;
+            String id = idPrefix + i;
             try (Socket socket = new Socket(listen.getAddress(), listen.getPort())) {
-                told.put(id, 0);
-                socket.setSoTimeout(5_000);
-                socket.getOutputStream()
-                        .write(("POST /api/carts/" + id
-                                        + " HTTP/1.1\r\nHost: h\r\nX-Txn: " + id
-                                        + "\r\nX-Lane: place-order\r\nX-Remaining: 900m\r\nContent-Length: 4\r\n"
-                                        + "Connection: close\r\n\r\nbody")
-                                .getBytes(StandardCharsets.US_ASCII));
+                statuses.put(id, 0);
+                socket.setSoTimeout(RESPONSE_TIMEOUT_MS);
+                String request = "POST /api/carts/" + id + " HTTP/1.1\r\nHost: h\r\nX-Txn: " + id
+                        + "\r\nX-Lane: place-order\r\nX-Remaining: 900m\r\nContent-Length: 4\r\n"
+                        + "Connection: close\r\n\r\nbody";
+                socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
                 InputStream in = socket.getInputStream();
-                String answer = new String(in.readAllBytes(), StandardCharsets.US_ASCII);
-                if (answer.startsWith("HTTP/1.1 ") && answer.contains("\r\n\r\n")) {
-                    told.put(id, Integer.parseInt(answer.substring(9, 12)));
+                String response = new String(in.readAllBytes(), StandardCharsets.US_ASCII);
+                if (response.startsWith(STATUS_LINE_START) && response.contains("\r\n\r\n")) {
+                    int start = STATUS_LINE_START.length();
+                    statuses.put(id, Integer.parseInt(response.substring(start, start + STATUS_LENGTH_CHARS)));
                 }
             } catch (IOException e) {
-                if (!told.containsKey(id)) {
+                boolean isNodeGone = !statuses.containsKey(id);
+                if (isNodeGone) {
                     return;
                 }
             }
         }
     }
 
-    // ---------------------------------------------------------------- what the journal says of it
+    // ---------------------------------------------------------------- check of the journal
 
-    private void hold(List<String> wrong, PrintStream out) throws IOException {
-        Map<String, OrderHistory> stories = new TreeMap<>();
-        OrderJournal.reader(journal()).forEachHistory(taken -> true, story -> {
-            if (stories.put(story.accepted().orderId(), story) != null) {
-                wrong.add(story.accepted().orderId() + " is recorded twice");
+    private void checkJournal(List<String> violations, PrintStream out) throws IOException {
+        Map<String, OrderHistory> histories = readHistories(violations);
+        Map<State, Integer> stateCounts = new TreeMap<>();
+        histories.forEach((id, history) -> {
+            stateCounts.merge(history.state(false), 1, Integer::sum);
+            if (!statuses.containsKey(id)) {
+                violations.add(id + " is recorded, and nobody placed it");
             }
+            checkOrder(id, history, violations);
         });
-        Map<State, Integer> states = new TreeMap<>();
-        stories.forEach((id, story) -> {
-            states.merge(story.state(false), 1, Integer::sum);
-            if (!told.containsKey(id)) {
-                wrong.add(id + " is recorded, and nobody placed it");
+        int receivedCount = 0;
+        for (int i = 0; i < SERVER_COUNT; i++) {
+            receivedCount += checkReceived("b" + i, servers.get(i), histories, violations);
+        }
+        statuses.forEach((id, status) -> {
+            if (status != 0 && !isRefusal(status) && !histories.containsKey(id)) {
+                violations.add(id + " was answered " + status + " and is not recorded");
             }
-            hold(id, story, wrong);
         });
-        int received = 0;
-        for (int i = 0; i < BOXES; i++) {
-            String uid = "b" + i;
-            for (String id : boxes.get(i).handlings().keySet()) {
-                received++;
-                OrderHistory story = stories.get(id);
-                if (story == null
-                        || story.attempts().stream()
-                                .noneMatch(a -> a.intent().server().equals(uid))) {
-                    wrong.add(id + " came to " + uid + " with no intent on disk");
-                }
-                if (boxes.get(i).receptionCount(id) > 1) {
-                    wrong.add(id + " came to " + uid + " twice");
-                }
-            }
-        }
-        told.forEach((id, status) -> {
-            if (status != 0 && status != 429 && status != 503 && !stories.containsKey(id)) {
-                wrong.add(id + " was answered " + status + " and is not recorded");
+        out.println(killCount + " kills, " + statuses.size() + " orders placed, " + receivedCount
+                + " came to boxes, journal: " + stateCounts + ", " + violations.size() + " wrong");
+    }
+
+    private Map<String, OrderHistory> readHistories(List<String> violations) throws IOException {
+        Map<String, OrderHistory> histories = new TreeMap<>();
+        OrderJournal.reader(journalFolder()).forEachHistory(accepted -> true, history -> {
+            String id = history.accepted().orderId();
+            if (histories.put(id, history) != null) {
+                violations.add(id + " is recorded twice");
             }
         });
-        out.println(kills + " kills, " + told.size() + " orders placed, " + received + " came to boxes, journal: "
-                + states + ", " + wrong.size() + " wrong");
+        return histories;
     }
 
-    private void hold(String id, OrderHistory story, List<String> wrong) {
+    /** Checks that a server received only orders whose intent is recorded, each once; returns their number. */
+    private static int checkReceived(
+            String serverId,
+            RecordingOrderServer server,
+            Map<String, OrderHistory> histories,
+            List<String> violations) {
+        Set<String> received = server.handlings().keySet();
+        for (String id : received) {
+            OrderHistory history = histories.get(id);
+            boolean hasIntent = history != null
+                    && history.attempts().stream()
+                            .anyMatch(attempt -> attempt.intent().server().equals(serverId));
+            if (!hasIntent) {
+                violations.add(id + " came to " + serverId + " with no intent on disk");
+            }
+            if (server.receptionCount(id) > 1) {
+                violations.add(id + " came to " + serverId + " twice");
+            }
+        }
+        return received.size();
+    }
+
+    private void checkOrder(String id, OrderHistory history, List<String> violations) {
         Handling handling = null;
-        int reached = 0;
-        for (RecordingOrderServer box : boxes) {
-            Handling here = box.handlings().get(id);
-            reached += box.receptionCount(id);
-            handling = here == null ? handling : here;
+        int receptionCount = 0;
+        for (RecordingOrderServer server : servers) {
+            handling = server.handlings().getOrDefault(id, handling);
+            receptionCount += server.receptionCount(id);
         }
-        State state = story.state(false);
-        boolean served = state == State.ANSWERED
-                && story.decisiveAttempt().ended().mayHaveRun()
-                && story.decisiveAttempt().ended().result().name().equals("OK");
-        if (reached > 1) {
-            wrong.add(id + " came to boxes " + reached + " times");
+        State state = history.state(false);
+        boolean isServed = state == State.ANSWERED
+                && history.decisiveAttempt().ended().mayHaveRun()
+                && history.decisiveAttempt().ended().result().name().equals("OK");
+        if (receptionCount > 1) {
+            violations.add(id + " came to boxes " + receptionCount + " times");
         }
-        if ((state == State.NEVER_SENT || state == State.REFUSED) && reached > 0) {
-            wrong.add(id + " is said to be " + state + ", and came to a box");
+        if ((state == State.NEVER_SENT || state == State.REFUSED) && receptionCount > 0) {
+            violations.add(id + " is said to be " + state + ", and came to a box");
         }
-        if (state == State.ANSWERED && handling != (served ? Handling.SERVED : Handling.FAILED)) {
-            wrong.add(
-                    id + " is said to be answered " + (served ? "200" : "with an error") + ", and the box " + handling);
+        if (state == State.ANSWERED && handling != (isServed ? Handling.SERVED : Handling.FAILED)) {
+            violations.add(id + " is said to be answered " + (isServed ? "200" : "with an error") + ", and the box "
+                    + handling);
         }
-        int status = told.getOrDefault(id, 0);
-        if (status == 200 && state != State.UNKNOWN && !served) {
-            wrong.add(id + " was answered 200, and is said to be " + state);
+        int status = statuses.getOrDefault(id, 0);
+        if (status == 200 && state != State.UNKNOWN && !isServed) {
+            violations.add(id + " was answered 200, and is said to be " + state);
         }
-        if ((status == 429 || status == 503) && state != State.REFUSED && state != State.NEVER_SENT) {
-            wrong.add(id + " was refused, and is said to be " + state);
+        if (isRefusal(status) && state != State.REFUSED && state != State.NEVER_SENT) {
+            violations.add(id + " was refused, and is said to be " + state);
         }
     }
+
+    private static boolean isRefusal(int status) {
+        return status == 429 || status == 503;
+    }
 }
--- a/src/main/java/kitemux/bench/LoadBench.java
+++ b/src/main/java/kitemux/bench/LoadBench.java
@@ -18,251 +18,282 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
+import kitemux.bench.LoadGenerator.LoadResult;
 import kitemux.standin.FixedResponseServer;
 
 /**
- * What a node costs under load, on loopback: the same requests straight to a box, through a relay of bytes
- * and through nodes of one or more builds, in turn, so that the machine's moods meet all of them.
+ * Measures throughput and latency over loopback: directly at a server, through a relay, and through nodes of one or more
+ * builds. The targets are measured in turn, so that changes in the machine's speed affect all of them.
  */
 public final class LoadBench {
-    private static final int BOXES = 4;
-    private static final int ANSWER_BYTES = 200;
-
-    /** Connections of those who ask for pages, and of the flood beside them. */
-    private static final int PAGES = 4;
+    private static final int LOOP_COUNT = 3;
+    private static final int SERVER_COUNT = 4;
+    private static final int RESPONSE_BYTES = 200;
+    private static final int PAGE_CONNECTION_COUNT = 4;
+    private static final int ORDER_CONNECTION_COUNT = 16;
+    /**
+     * Rate of the orders beside which pages are measured: over twice that of the busiest hour, and below full load, where
+     * pages would wait for the processor and not for the journal.
+     */
+    private static final double ORDER_RATE_PER_S = 500;
+    /** Size of an order's journal entries up to its dispatch. */
+    private static final int ORDER_ENTRY_BYTES = 200;
 
-    private static final int FLOOD = 16;
-    /** Orders a second of that flood: more than twice what the busiest hour has been, and no full load, in
-     * which pages wait for the processor and not for the journal. */
-    private static final double FLOOD_PER_S = 500;
-    /** Of an order's entries up to its being sent. */
-    private static final int ORDER_BYTES = 200;
+    private static final int MAX_SYNC_COUNT = 1 << 20;
+    private static final List<String> SYNC_POLICIES = List.of("each", "timed", "never");
 
     private final List<Path> jars;
-    private final int[] connections;
-    private final double warmS;
-    private final double seconds;
+    private final int[] connectionCounts;
+    private final double warmUpS;
+    private final double measuredS;
     private final int rounds;
-    private final String pin;
-    private final boolean orders;
-    private final Processes processes;
+    private final String cpu;
+    private final boolean sendsOrders;
+    private final ProcessStarter starter;
     private final PrintStream out;
 
+    /** The event loops and everything that was started, which is ended in {@link #close}. */
+    private final class TestBed implements AutoCloseable {
+        final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(LOOP_COUNT, NioIoHandler.newFactory());
+        final Path folder = Files.createTempDirectory("kitemux-bench");
+        final List<Target> targets = new ArrayList<>();
+        private final List<FixedResponseServer> servers = new ArrayList<>();
+        private final List<ReservedAddress> reserved = new ArrayList<>();
+
+        TestBed() throws IOException {}
+
+        void start() throws IOException {
+            for (int i = 0; i < SERVER_COUNT; i++) {
+                servers.add(FixedResponseServer.start(loops, RESPONSE_BYTES));
+            }
+            InetSocketAddress server = servers.get(0).address();
+            targets.add(new Target("box", server, null));
+            InetSocketAddress relay = reserveAddress();
+            targets.add(new Target("a relay of bytes", relay, starter.startRelay(relay, server)));
+            for (Path jar : sendsOrders ? jars.subList(0, 1) : jars) {
+                InetSocketAddress listen = reserveAddress();
+                Process node = starter.startNode(jar, listen, servers, folder);
+                targets.add(new Target("node " + ProcessStarter.buildName(jar), listen, node));
+            }
+            for (String policy : sendsOrders ? SYNC_POLICIES : List.<String>of()) {
+                InetSocketAddress listen = reserveAddress();
+                Process node = starter.startNodeWithJournal(jars.get(0), listen, servers, folder, policy);
+                targets.add(new Target("node, journal synced " + policy, listen, node));
+            }
+        }
+
+        private InetSocketAddress reserveAddress() throws IOException {
+            ReservedAddress address = new ReservedAddress();
+            reserved.add(address);
+            return address.address();
+        }
+
+        List<Target> nodes() {
+            return targets.subList(2, targets.size());
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (Target target : targets) {
+                if (target.process != null) {
+                    target.process.destroyForcibly().onExit().join();
+                }
+            }
+            for (ReservedAddress address : reserved) {
+                address.close();
+            }
+            servers.forEach(FixedResponseServer::close);
+            loops.shutdownGracefully();
+            ProcessStarter.deleteRecursively(folder);
+        }
+    }
+
+    /** A target of requests, and its process, or null if it runs in this one. */
+    private record Target(String name, InetSocketAddress address, Process process) {}
+
     /**
-     * A run.
+     * Creates a benchmark.
      *
-     * @param jars builds to compare; the first is what the others are held against
-     * @param warmS seconds that do not count before each measurement
-     * @param seconds length of each measurement
-     * @param rounds how often each is measured
-     * @param pin the processor that nodes and the relay run on, as taskset names it; empty for any
-     * @param orders whether orders are placed, at the first build with no journal and with each way to sync
-     *     one, in place of pages that are asked for at all builds
+     * @param jars builds to compare with the first
+     * @param connectionCounts numbers of connections to measure with
+     * @param warmUpS seconds before each measurement
+     * @param measuredS seconds of each measurement
+     * @param rounds number of measurements of each target
+     * @param cpu processor of the nodes and the relay, in taskset's notation; empty for any
+     * @param sendsOrders whether orders are measured, at the first build without a journal and with each sync policy;
+     *     otherwise pages at all builds
      */
     public LoadBench(
             List<Path> jars,
-            int[] connections,
-            double warmS,
-            double seconds,
+            int[] connectionCounts,
+            double warmUpS,
+            double measuredS,
             int rounds,
-            String pin,
-            boolean orders,
+            String cpu,
+            boolean sendsOrders,
             PrintStream out) {
-        this.orders = orders;
+        this.sendsOrders = sendsOrders;
         this.jars = jars;
-        this.connections = connections;
-        this.warmS = warmS;
-        this.seconds = seconds;
+        this.connectionCounts = connectionCounts;
+        this.warmUpS = warmUpS;
+        this.measuredS = measuredS;
         this.rounds = rounds;
-        this.pin = pin;
-        processes = new Processes(pin);
+        this.cpu = cpu;
+        starter = new ProcessStarter(cpu);
         this.out = out;
     }
 
-    /** Something to ask, and the process behind it, or null. */
-    private record Target(String name, InetSocketAddress address, Process process) {}
-
-    /** Measures and prints a table; ends all that it started. */
+    /** Measures, prints tables, and ends everything that it started. */
     public void run() throws IOException, InterruptedException {
-        EventLoopGroup loops = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
-        Path folder = Files.createTempDirectory("kitemux-bench");
-        List<Target> targets = new ArrayList<>();
-        List<FixedResponseServer> boxes = new ArrayList<>();
-        List<HeldAddress> held = new ArrayList<>();
-        try {
-            for (int i = 0; i < BOXES; i++) {
-                boxes.add(FixedResponseServer.start(loops, ANSWER_BYTES));
-            }
-            targets.add(new Target("box", boxes.get(0).address(), null));
-            InetSocketAddress relay = hold(held);
-            targets.add(new Target(
-                    "a relay of bytes",
-                    relay,
-                    processes.relay(relay, boxes.get(0).address())));
-            for (Path jar : orders ? jars.subList(0, 1) : jars) {
-                InetSocketAddress listen = hold(held);
-                targets.add(
-                        new Target("node " + Processes.name(jar), listen, processes.node(jar, listen, boxes, folder)));
-            }
-            for (String sync : orders ? List.of("each", "timed", "never") : List.<String>of()) {
-                InetSocketAddress listen = hold(held);
-                targets.add(new Target(
-                        "node, journal synced " + sync,
-                        listen,
-                        processes.journaling(jars.get(0), listen, boxes, folder, sync)));
-            }
-            if (orders) {
-                printSyncs(folder);
+        try (TestBed testBed = new TestBed()) {
+            testBed.start();
+            if (sendsOrders) {
+                printSyncLatency(testBed.folder);
             }
             out.printf(
                     Locale.ROOT,
                     "%d boxes, %d rounds of %.0f s after %.0f s, %s, Java %s, %d processors%n",
-                    BOXES,
+                    SERVER_COUNT,
                     rounds,
-                    seconds,
-                    warmS,
-                    pin.isEmpty() ? "not pinned" : "pinned to " + pin,
+                    measuredS,
+                    warmUpS,
+                    cpu.isEmpty() ? "not pinned" : "pinned to " + cpu,
                     System.getProperty("java.version"),
                     Runtime.getRuntime().availableProcessors());
-            for (int n : connections) {
-                measure(loops, targets, n);
-            }
-            if (orders) {
-                measurePages(loops, targets.subList(2, targets.size()));
-            }
-        } finally {
-            for (Target target : targets) {
-                if (target.process != null) {
-                    target.process.destroyForcibly().waitFor();
-                }
+            for (int connections : connectionCounts) {
+                measure(testBed, connections);
             }
-            for (HeldAddress each : held) {
-                each.close();
+            if (sendsOrders) {
+                measurePages(testBed);
             }
-            boxes.forEach(FixedResponseServer::close);
-            loops.shutdownGracefully();
-            Processes.deleteAll(folder);
         }
     }
 
-    private static InetSocketAddress hold(List<HeldAddress> held) throws IOException {
-        HeldAddress one = new HeldAddress();
-        held.add(one);
-        return one.address();
-    }
-
-    /** What the disk does by itself, with as many bytes as an order's two commits have. */
-    private void printSyncs(Path folder) throws IOException {
-        Path file = folder.resolve("syncs");
-        long[] took = new long[1 << 20];
+    /** Measures the disk alone, with as many bytes for each sync as an order writes. */
+    private void printSyncLatency(Path folder) throws IOException {
+        long[] latenciesNanos = new long[MAX_SYNC_COUNT];
         int count = 0;
-        long until = System.nanoTime() + (long) (seconds * 1e9);
-        try (FileChannel bare = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
-            for (long now = System.nanoTime(); now < until && count < took.length; count++) {
-                bare.write(ByteBuffer.allocate(ORDER_BYTES));
-                bare.force(false);
+        long untilNanos = System.nanoTime() + (long) (measuredS * 1e9);
+        try (FileChannel file =
+                FileChannel.open(folder.resolve("syncs"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            for (long now = System.nanoTime(); now < untilNanos && count < MAX_SYNC_COUNT; count++) {
+                file.write(ByteBuffer.allocate(ORDER_ENTRY_BYTES));
+                file.force(false);
                 long after = System.nanoTime();
-                took[count] = after - now;
+                latenciesNanos[count] = after - now;
                 now = after;
             }
         }
-        long[] sorted = Arrays.copyOf(took, count);
+        long[] sorted = Arrays.copyOf(latenciesNanos, count);
         Arrays.sort(sorted);
         out.printf(
                 Locale.ROOT,
                 "bare fdatasync of %d bytes: %.0f a second, p50 %.1f us, p99 %.1f us%n",
-                ORDER_BYTES,
-                count / seconds,
-                Load.at(sorted, 0.5),
-                Load.at(sorted, 0.99));
+                ORDER_ENTRY_BYTES,
+                count / measuredS,
+                LoadGenerator.quantileUs(sorted, 0.5),
+                LoadGenerator.quantileUs(sorted, 0.99));
     }
 
-    private void measure(EventLoopGroup loops, List<Target> targets, int n) throws InterruptedException {
-        Map<Target, List<Load.Figures>> figures = new LinkedHashMap<>();
-        targets.forEach(t -> figures.put(t, new ArrayList<>()));
+    private void measure(TestBed testBed, int connections) throws InterruptedException {
+        Map<Target, List<LoadResult>> results = new LinkedHashMap<>();
+        testBed.targets.forEach(target -> results.put(target, new ArrayList<>()));
         for (int round = 0; round < rounds; round++) {
-            for (Target target : targets) {
-                figures.get(target).add(Load.run(loops, target.address, n, warmS, seconds, orders, 0));
+            for (Target target : testBed.targets) {
+                results.get(target)
+                        .add(LoadGenerator.measure(
+                                testBed.loops, target.address, connections, warmUpS, measuredS, sendsOrders, 0));
             }
         }
         out.printf(
                 "%n%d connections%n%-28s %9s %17s %9s %9s %7s %14s%n",
-                n, "", "requests", "", "", "", "", "pair by pair");
+                connections, "", "requests", "", "", "", "", "pair by pair");
         out.printf(
                 "%-28s %9s %17s %9s %9s %7s %14s%n",
                 "through", "a second", "least to most", "p50 us", "p99 us", "failed", "with the first");
-        Target first = targets.size() > 2 ? targets.get(2) : null;
-        figures.forEach((target, all) -> {
-            double[] perS =
-                    all.stream().mapToDouble(Load.Figures::perS).sorted().toArray();
-            out.printf(
-                    Locale.ROOT,
-                    "%-28s %9.0f %8.0f %8.0f %9.1f %9.1f %7d %s%n",
-                    target.name,
-                    median(perS),
-                    perS[0],
-                    perS[perS.length - 1],
-                    median(all, Load.Figures::p50Us),
-                    median(all, Load.Figures::p99Us),
-                    all.stream().mapToInt(Load.Figures::failed).sum(),
-                    first == null || target == first || !target.name.startsWith("node")
-                            ? ""
-                            : ratio(all, figures.get(first)));
-        });
+        List<LoadResult> baseline =
+                testBed.nodes().isEmpty() ? null : results.get(testBed.nodes().get(0));
+        results.forEach((target, ofTarget) -> printRow(target, ofTarget, baseline));
     }
 
-    /** Pages that a few clients ask for, by themselves and beside a flood of orders. */
-    private void measurePages(EventLoopGroup loops, List<Target> nodes) throws InterruptedException {
+    private void printRow(Target target, List<LoadResult> results, List<LoadResult> baseline) {
+        double[] requestsPerS =
+                results.stream().mapToDouble(LoadResult::requestsPerS).sorted().toArray();
+        boolean isCompared = baseline != null && results != baseline && target.name.startsWith("node");
+        out.printf(
+                Locale.ROOT,
+                "%-28s %9.0f %8.0f %8.0f %9.1f %9.1f %7d %s%n",
+                target.name,
+                median(requestsPerS),
+                requestsPerS[0],
+                requestsPerS[requestsPerS.length - 1],
+                median(results, LoadResult::p50Us),
+                median(results, LoadResult::p99Us),
+                results.stream().mapToInt(LoadResult::failedCount).sum(),
+                isCompared ? formatRatios(results, baseline) : "");
+    }
+
+    /** Measures pages on a few connections, alone and beside orders at a fixed rate. */
+    private void measurePages(TestBed testBed) throws InterruptedException {
         out.printf(
                 "%npages on %d connections%n%-28s %24s %30s%n%-28s %11s %12s %17s %12s%n",
-                PAGES,
+                PAGE_CONNECTION_COUNT,
                 "",
                 "by themselves",
-                String.format(Locale.ROOT, "beside %.0f orders a second", FLOOD_PER_S),
+                String.format(Locale.ROOT, "beside %.0f orders a second", ORDER_RATE_PER_S),
                 "through",
                 "p50 us",
                 "p99 us",
                 "p50 us",
                 "p99 us");
-        Map<Target, List<Load.Figures>> alone = new LinkedHashMap<>();
-        Map<Target, List<Load.Figures>> beside = new LinkedHashMap<>();
+        Map<Target, List<LoadResult>> alone = new LinkedHashMap<>();
+        Map<Target, List<LoadResult>> besideOrders = new LinkedHashMap<>();
         for (int round = 0; round < rounds; round++) {
-            for (Target node : nodes) {
-                alone.computeIfAbsent(node, t -> new ArrayList<>())
-                        .add(Load.run(loops, node.address, PAGES, warmS, seconds, false, 0));
-                Thread flood = new Thread(() -> flood(loops, node), "flood");
-                flood.start();
-                beside.computeIfAbsent(node, t -> new ArrayList<>())
-                        .add(Load.run(loops, node.address, PAGES, warmS, seconds, false, 0));
-                flood.join();
+            for (Target node : testBed.nodes()) {
+                alone.computeIfAbsent(node, t -> new ArrayList<>()).add(measurePages(testBed, node));
+                Thread orders = new Thread(() -> sendOrders(testBed, node), "orders");
+                orders.start();
+                besideOrders.computeIfAbsent(node, t -> new ArrayList<>()).add(measurePages(testBed, node));
+                orders.join();
             }
         }
-        alone.forEach((node, figures) -> out.printf(
+        alone.forEach((node, results) -> out.printf(
                 Locale.ROOT,
                 "%-28s %11.1f %12.1f %17.1f %12.1f%n",
                 node.name,
-                median(figures, Load.Figures::p50Us),
-                median(figures, Load.Figures::p99Us),
-                median(beside.get(node), Load.Figures::p50Us),
-                median(beside.get(node), Load.Figures::p99Us)));
+                median(results, LoadResult::p50Us),
+                median(results, LoadResult::p99Us),
+                median(besideOrders.get(node), LoadResult::p50Us),
+                median(besideOrders.get(node), LoadResult::p99Us)));
+    }
+
+    private LoadResult measurePages(TestBed testBed, Target node) throws InterruptedException {
+        return LoadGenerator.measure(testBed.loops, node.address, PAGE_CONNECTION_COUNT, warmUpS, measuredS, false, 0);
     }
 
-    private void flood(EventLoopGroup loops, Target node) {
+    private void sendOrders(TestBed testBed, Target node) {
         try {
-            Load.run(loops, node.address, FLOOD, 0, warmS + seconds, true, FLOOD_PER_S);
+            LoadGenerator.measure(
+                    testBed.loops,
+                    node.address,
+                    ORDER_CONNECTION_COUNT,
+                    0,
+                    warmUpS + measuredS,
+                    true,
+                    ORDER_RATE_PER_S);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private static double median(List<Load.Figures> figures, ToDoubleFunction<Load.Figures> of) {
-        return median(figures.stream().mapToDouble(of).toArray());
+    private static double median(List<LoadResult> results, ToDoubleFunction<LoadResult> figure) {
+        return median(results.stream().mapToDouble(figure).toArray());
     }
 
-    private static String ratio(List<Load.Figures> these, List<Load.Figures> those) {
-        double[] ratios = new double[these.size()];
+    private static String formatRatios(List<LoadResult> results, List<LoadResult> baseline) {
+        double[] ratios = new double[results.size()];
         for (int i = 0; i < ratios.length; i++) {
-            ratios[i] = these.get(i).perS() / those.get(i).perS();
+            ratios[i] = results.get(i).requestsPerS() / baseline.get(i).requestsPerS();
         }
         Arrays.sort(ratios);
         return String.format(
@@ -272,7 +303,7 @@
     static double median(double[] values) {
         double[] sorted = values.clone();
         Arrays.sort(sorted);
-        int half = sorted.length / 2;
-        return sorted.length % 2 == 1 ? sorted[half] : (sorted[half - 1] + sorted[half]) / 2;
+        int middle = sorted.length / 2;
+        return sorted.length % 2 == 1 ? sorted[middle] : (sorted[middle - 1] + sorted[middle]) / 2;
     }
 }
--- a/src/main/java/kitemux/bench/StartBench.java
+++ b/src/main/java/kitemux/bench/StartBench.java
@@ -20,119 +20,129 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
 import kitemux.config.ClassArchive;
 import kitemux.standin.FixedResponseServer;
 
 /**
- * What a start costs: processor and wall time until {@code /up} says 200, and how the first requests after
- * it fare. Builds are started in turn. With half a core, another process that never rests has the same
- * processor.
+ * Measures starts of nodes: processor and wall time until {@code /up} answers 200, and the latency of the first requests
+ * after it. Builds are started in turn. For half a core, a process in a busy loop runs on the same processor.
  */
 public final class StartBench {
-    private static final int BOXES = 4;
-    private static final int FIRST_REQUESTS = 500;
-    private static final int CONNECTIONS = 16;
-    private static final double IN_TIME_US = 100_000;
+    private static final int LOOP_COUNT = 3;
+    private static final int SERVER_COUNT = 4;
+    private static final int RESPONSE_BYTES = 200;
+    private static final int FIRST_REQUEST_COUNT = 500;
+    private static final int CONNECTION_COUNT = 16;
+    private static final double MAX_TIMELY_LATENCY_US = 100_000;
+    /** Unit of the times in /proc/PID/stat. */
     private static final double TICKS_PER_S = 100;
 
+    private static final long START_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(60);
+
     private final List<Path> jars;
-    private final int starts;
-    private final String pin;
-    private final boolean half;
+    private final int startCount;
+    private final String cpu;
+    private final boolean halfCore;
     private final PrintStream out;
-    /** The archives that builds were told of and did not use. */
-    private final Set<Path> slowed = new LinkedHashSet<>();
+    /** The class archives that builds are configured with and did not use. */
+    private final Set<Path> unusedArchives = new LinkedHashSet<>();
 
     /**
-     * A run.
+     * Creates a benchmark.
      *
-     * @param jars builds to compare; the first is what the others are held against
-     * @param starts how often each is started
-     * @param pin the processor that nodes run on, as taskset names it; empty for any
-     * @param half whether another process takes its half of that processor
+     * @param jars builds to compare with the first
+     * @param startCount number of starts of each build
+     * @param cpu processor of the nodes, in taskset's notation; empty for any
+     * @param halfCore whether another process uses half of that processor
      */
-    public StartBench(List<Path> jars, int starts, String pin, boolean half, PrintStream out) {
+    public StartBench(List<Path> jars, int startCount, String cpu, boolean halfCore, PrintStream out) {
         this.jars = jars;
-        this.starts = starts;
-        this.pin = pin;
-        this.half = half;
+        this.startCount = startCount;
+        this.cpu = cpu;
+        this.halfCore = halfCore;
         this.out = out;
     }
 
-    /** One start. */
-    private record Start(double cpuS, double wallS, double inTime, double p50Us, double p99Us) {}
-    /** Measures and prints a table; ends all that it started. */
+    /** The figures of one start. */
+    private record Start(double cpuS, double wallS, double timelyRatio, double p50Us, double p99Us) {}
+
+    /** Measures, prints a table, and ends everything that it started. */
     public void run() throws IOException, InterruptedException {
-        EventLoopGroup loops = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
+        EventLoopGroup loops = new MultiThreadIoEventLoopGroup(LOOP_COUNT, NioIoHandler.newFactory());
         Path folder = Files.createTempDirectory("kitemux-starts");
-        Processes processes = new Processes(pin);
-        List<FixedResponseServer> boxes = new ArrayList<>();
-        Process busy = null;
+        ProcessStarter starter = new ProcessStarter(cpu);
+        List<FixedResponseServer> servers = new ArrayList<>();
+        Process busyLoop = null;
         try {
-            for (int i = 0; i < BOXES; i++) {
-                boxes.add(FixedResponseServer.start(loops, 200));
+            for (int i = 0; i < SERVER_COUNT; i++) {
+                servers.add(FixedResponseServer.start(loops, RESPONSE_BYTES));
             }
-            if (half) {
-                List<String> command = new ArrayList<>(processes.pinned());
+            if (halfCore) {
+                List<String> command = new ArrayList<>(starter.affinityPrefix());
                 command.addAll(List.of("sh", "-c", "while :; do :; done"));
-                busy = new ProcessBuilder(command).start();
+                busyLoop = new ProcessBuilder(command).start();
             }
-            Map<Path, List<Start>> all = new LinkedHashMap<>();
-            jars.forEach(jar -> all.put(jar, new ArrayList<>()));
-            for (int i = 0; i < starts; i++) {
+            Map<Path, List<Start>> starts = new LinkedHashMap<>();
+            jars.forEach(jar -> starts.put(jar, new ArrayList<>()));
+            for (int i = 0; i < startCount; i++) {
                 for (Path jar : jars) {
-                    all.get(jar).add(start(processes, jar, boxes, folder, loops));
+                    starts.get(jar).add(start(starter, jar, servers, folder, loops));
                 }
             }
-            print(all);
+            print(starts);
         } finally {
-            if (busy != null) {
-                busy.destroyForcibly().waitFor();
+            if (busyLoop != null) {
+                busyLoop.destroyForcibly().waitFor();
             }
-            boxes.forEach(FixedResponseServer::close);
+            servers.forEach(FixedResponseServer::close);
             loops.shutdownGracefully();
-            Processes.deleteAll(folder);
+            ProcessStarter.deleteRecursively(folder);
         }
     }
 
     private Start start(
-            Processes processes, Path jar, List<FixedResponseServer> boxes, Path folder, EventLoopGroup loops)
+            ProcessStarter starter, Path jar, List<FixedResponseServer> servers, Path folder, EventLoopGroup loops)
             throws IOException, InterruptedException {
-        try (HeldAddress held = new HeldAddress()) {
-            return start(processes, jar, held.address(), boxes, folder, loops);
+        try (ReservedAddress reserved = new ReservedAddress()) {
+            return start(starter, jar, reserved.address(), servers, folder, loops);
         }
     }
 
     private Start start(
-            Processes processes,
+            ProcessStarter starter,
             Path jar,
             InetSocketAddress listen,
-            List<FixedResponseServer> boxes,
+            List<FixedResponseServer> servers,
             Path folder,
             EventLoopGroup loops)
             throws IOException, InterruptedException {
-        ProcessBuilder builder = processes
-                .nodeBuilder(jar, listen, boxes, folder)
+        ProcessBuilder builder = starter.nodeBuilder(jar, listen, servers, folder)
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.DISCARD);
-        long began = System.nanoTime();
+        long startNanos = System.nanoTime();
         Process process = builder.start();
         try {
             while (!isUp(listen)) {
-                if (!process.isAlive() || System.nanoTime() - began > 60_000_000_000L) {
+                if (!process.isAlive() || System.nanoTime() - startNanos > START_TIMEOUT_NANOS) {
                     throw new IOException("a node of " + jar + " did not come up");
                 }
                 TimeUnit.MILLISECONDS.sleep(1);
             }
-            double wallS = (System.nanoTime() - began) / 1e9;
+            double wallS = (System.nanoTime() - startNanos) / 1e9;
             double cpuS = cpuS(process.pid());
             Path proc = Path.of("/proc", Long.toString(process.pid()));
-            ClassArchive.findUnused(proc).ifPresent(slowed::add);
-            long[] first = Load.first(loops, listen, CONNECTIONS, FIRST_REQUESTS);
-            long inTime = Arrays.stream(first)
-                    .filter(nanos -> nanos <= IN_TIME_US * 1e3)
+            ClassArchive.findUnused(proc).ifPresent(unusedArchives::add);
+            long[] latenciesNanos = LoadGenerator.measureFirst(loops, listen, CONNECTION_COUNT, FIRST_REQUEST_COUNT);
+            long timelyCount = Arrays.stream(latenciesNanos)
+                    .filter(nanos -> nanos <= MAX_TIMELY_LATENCY_US * 1e3)
                     .count();
-            return new Start(cpuS, wallS, (double) inTime / FIRST_REQUESTS, Load.at(first, 0.5), Load.at(first, 0.99));
+            return new Start(
+                    cpuS,
+                    wallS,
+                    (double) timelyCount / FIRST_REQUEST_COUNT,
+                    LoadGenerator.quantileUs(latenciesNanos, 0.5),
+                    LoadGenerator.quantileUs(latenciesNanos, 0.99));
         } finally {
             process.destroyForcibly().waitFor();
         }
@@ -150,43 +160,45 @@
         }
     }
 
-    /** User and system time of a process so far, as proc(5) counts it. */
+    /** Returns the user and system time that a process has used, in seconds. */
     private static double cpuS(long pid) throws IOException {
         String stat = Files.readString(Path.of("/proc", Long.toString(pid), "stat"));
         String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
         return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / TICKS_PER_S;
     }
 
-    private void print(Map<Path, List<Start>> all) {
-        slowed.forEach(archive -> out.println("not in use, so that its build is held back: " + archive));
+    private void print(Map<Path, List<Start>> starts) {
+        unusedArchives.forEach(archive -> out.println("not in use, so that its build is held back: " + archive));
         out.printf(
                 "%d starts of each in turn, %s, %s; median and worst%n",
-                starts, pin.isEmpty() ? "not pinned" : "pinned to " + pin, half ? "half a core" : "the core alone");
+                startCount,
+                cpu.isEmpty() ? "not pinned" : "pinned to " + cpu,
+                halfCore ? "half a core" : "the core alone");
         out.printf(
                 "%-28s %15s %15s %15s %19s %19s %s%n",
                 "", "CPU s", "wall s", "in time", "p50 us", "p99 us", "CPU, pair by pair");
-        List<Start> first = all.values().iterator().next();
-        all.forEach((jar, list) -> {
-            double[] ratios = new double[list.size()];
+        List<Start> baseline = starts.values().iterator().next();
+        starts.forEach((jar, ofBuild) -> {
+            double[] ratios = new double[ofBuild.size()];
             for (int i = 0; i < ratios.length; i++) {
-                ratios[i] = list.get(i).cpuS / first.get(i).cpuS;
+                ratios[i] = ofBuild.get(i).cpuS / baseline.get(i).cpuS;
             }
             Arrays.sort(ratios);
             out.printf(
                     Locale.ROOT,
                     "%-28s %7.2f %7.2f %7.2f %7.2f %7.3f %7.3f %9.0f %9.0f %9.0f %9.0f %s%n",
-                    Processes.name(jar),
-                    median(list, Start::cpuS),
-                    most(list, Start::cpuS),
-                    median(list, Start::wallS),
-                    most(list, Start::wallS),
-                    median(list, Start::inTime),
-                    -most(list, s -> -s.inTime()),
-                    median(list, Start::p50Us),
-                    most(list, Start::p50Us),
-                    median(list, Start::p99Us),
-                    most(list, Start::p99Us),
-                    list == first
+                    ProcessStarter.buildName(jar),
+                    median(ofBuild, Start::cpuS),
+                    max(ofBuild, Start::cpuS),
+                    median(ofBuild, Start::wallS),
+                    max(ofBuild, Start::wallS),
+                    median(ofBuild, Start::timelyRatio),
+                    -max(ofBuild, s -> -s.timelyRatio()),
+                    median(ofBuild, Start::p50Us),
+                    max(ofBuild, Start::p50Us),
+                    median(ofBuild, Start::p99Us),
+                    max(ofBuild, Start::p99Us),
+                    ofBuild == baseline
                             ? ""
                             : String.format(
                                     Locale.ROOT,
@@ -197,11 +209,11 @@
         });
     }
 
-    private static double median(List<Start> starts, java.util.function.ToDoubleFunction<Start> of) {
-        return LoadBench.median(starts.stream().mapToDouble(of).toArray());
+    private static double median(List<Start> starts, ToDoubleFunction<Start> figure) {
+        return LoadBench.median(starts.stream().mapToDouble(figure).toArray());
     }
 
-    private static double most(List<Start> starts, java.util.function.ToDoubleFunction<Start> of) {
-        return starts.stream().mapToDouble(of).max().orElse(0);
+    private static double max(List<Start> starts, ToDoubleFunction<Start> figure) {
+        return starts.stream().mapToDouble(figure).max().orElse(0);
     }
 }
--- a/src/test/java/kitemux/bench/HeldAddressTest.java
+++ b/src/test/java/kitemux/bench/ReservedAddressTest.java
@@ -9,23 +9,23 @@
 import java.nio.channels.SocketChannel;
 import org.junit.jupiter.api.Test;
 
-/** Ports for processes that are yet to start. */
-class HeldAddressTest {
+/** Tests the reservation of addresses for processes that start later. */
+class ReservedAddressTest {
     @Test
-    void aPortIsKeptForWhoeverWillListenOnItAndGivenToNobodyElse() throws Exception {
-        try (HeldAddress held = new HeldAddress()) {
+    void reservedPortCanBeListenedOnAndIsAssignedToNobodyElse() throws Exception {
+        try (ReservedAddress reserved = new ReservedAddress()) {
             for (int round = 0; round < 2; round++) {
                 assertThrows(
                         ConnectException.class,
-                        () -> SocketChannel.open(held.address()).close());
+                        () -> SocketChannel.open(reserved.address()).close());
                 try (SocketChannel other = SocketChannel.open()) {
-                    assertThrows(BindException.class, () -> other.bind(held.address()));
+                    assertThrows(BindException.class, () -> other.bind(reserved.address()));
                 }
-                // As a node does after each kill; round two finds what round one's connection left behind.
-                try (ServerSocketChannel node = ServerSocketChannel.open().bind(held.address());
-                        SocketChannel client = SocketChannel.open(held.address());
-                        SocketChannel taken = node.accept()) {
-                    assertEquals(client.getLocalAddress(), taken.getRemoteAddress());
+                // The second round finds the port as a node does that was killed and starts again.
+                try (ServerSocketChannel node = ServerSocketChannel.open().bind(reserved.address());
+                        SocketChannel client = SocketChannel.open(reserved.address());
+                        SocketChannel accepted = node.accept()) {
+                    assertEquals(client.getLocalAddress(), accepted.getRemoteAddress());
                 }
             }
         }
