--- a/src/main/java/kitemux/bench/CaptureBench.java
+++ b/src/main/java/kitemux/bench/CaptureBench.java
@@ -27,7 +27,7 @@
 
     private static final int LARGE_RING_SIZE = 65_536;
     private static final int DEFAULT_RING_SIZE = 8_192;
-    private static final int SEGMENT_BYTES = 4 << 20;
+    private static final int FILE_BYTES = 4 << 20;
     private static final int MAX_TOTAL_BYTES = 512 << 20;
 
     private final PrintStream out;
@@ -44,7 +44,7 @@
         double[] captureNanos = new double[ROUNDS];
         try {
             Clock clock = new SystemClock();
-            LoadSettings settings = new LoadSettings(folder, LARGE_RING_SIZE, SEGMENT_BYTES, MAX_TOTAL_BYTES);
+            LoadSettings settings = new LoadSettings(folder, LARGE_RING_SIZE, FILE_BYTES, MAX_TOTAL_BYTES);
             for (int round = 0; round < ROUNDS; round++) {
                 idleNanos[round] = nanosPerRequest(Observer.NONE, clock, 0);
                 try (CaptureWriter capture =
@@ -65,7 +65,7 @@
                     captureNanos[ROUNDS / 2],
                     captureNanos[0],
                     captureNanos[ROUNDS - 1]);
-            LoadSettings defaults = new LoadSettings(folder, DEFAULT_RING_SIZE, SEGMENT_BYTES, MAX_TOTAL_BYTES);
+            LoadSettings defaults = new LoadSettings(folder, DEFAULT_RING_SIZE, FILE_BYTES, MAX_TOTAL_BYTES);
             for (int rate : RATES_PER_S) {
                 try (CaptureWriter capture =
                         new CaptureWriter(defaults, "n", List.of("page"), List.of(), clock::nowUs, out::println)) {
--- a/src/main/java/kitemux/bench/JournalBench.java
+++ b/src/main/java/kitemux/bench/JournalBench.java
@@ -27,7 +27,7 @@
     /** Number of orders that are in flight together; the last batch stays open. */
     private static final int BATCH_SIZE = 500;
 
-    private static final long MAX_SYNC_DELAY_MS = 60_000;
+    private static final long COMMIT_TIMEOUT_MS = 60_000;
 
     private final int orderCount;
     private final PrintStream out;
@@ -86,7 +86,7 @@
         try {
             Path journal = folder.resolve("orders");
             OrderSettings settings = new OrderSettings(
-                    journal, JournalWriter.SyncPolicy.NEVER, 1, MAX_SYNC_DELAY_MS, 4 << 20, 24, 0, 0, Set.of());
+                    journal, JournalWriter.SyncPolicy.NEVER, 1, COMMIT_TIMEOUT_MS, 4 << 20, 24, 0, 0, Set.of());
             out.printf(
                     Locale.ROOT,
                     "%d orders, Java %s, heap of at most %d MB%n",
--- a/src/test/java/kitemux/RulesTest.java
+++ b/src/test/java/kitemux/RulesTest.java
@@ -239,9 +239,8 @@
         }
     }
 
-    // Guards against an operators' change that is taken for discovery's answer: no list request was due any more, and
-    // the
-    // node heard of no drain again.
+    // Guards against an operators' change that is taken for discovery's answer: no list request was due any more,
+    // and the node heard of no drain again.
     @Test
     void operatorsChangesNeitherCancelNorDelayTheNextListRequest() {
         for (int seed = 1; seed <= 100; seed++) {
