Report what a node's buffers hold among the operators' figures

Change: /ops/stats has four more figures, node.buffers.direct_bytes, .response_bytes, .unsent_bytes and .request_bytes. The names before are as they were. A test holds them.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -616,6 +617,12 @@
         return ticker.nanoTime() - waitingSinceNanos > TimeUnit.MILLISECONDS.toNanos(ms);
     }
 
+    /** Returns the number of bytes queued for the client. */
+    long unsentBytes() {
+        ChannelOutboundBuffer queued = channel.unsafe().outboundBuffer();
+        return queued == null ? 0 : queued.totalPendingWriteBytes();
+    }
+
     /** Closes the connection if its client takes too long to send a request or to read a response. */
     void closeIfExpired() {
         if (openRequest != null && (streamedResponse == null || channel.isWritable()) || discardsInput && !isBusy) {
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -357,6 +357,18 @@
         return all;
     }
 
+    /** Returns the memory reserved for long bodies and buffered input, in bytes. */
+    public long reservedBytes() {
+        return reservedBytes;
+    }
+
+    /** Returns the number of bytes queued for clients that have not taken them yet. */
+    public long unsentBytes() {
+        return allConnections().stream()
+                .mapToLong(ClientConnection::unsentBytes)
+                .sum();
+    }
+
     /** Closes connections whose clients exceeded a timeout. */
     public void closeExpired() {
         allConnections().forEach(ClientConnection::closeIfExpired);
--- a/src/main/java/kitemux/http/HttpServers.java
+++ b/src/main/java/kitemux/http/HttpServers.java
@@ -44,6 +44,11 @@
         this.log = log;
     }
 
+    /** Returns the total size of the responses that are buffered and not complete, in bytes. */
+    public long bufferedResponseBytes() {
+        return bufferedResponseBytes;
+    }
+
     @Override
     public void initPipeline(ChannelPipeline pipeline) {
         pipeline.addLast(new StrictResponseDecoder(), new RequestEncoder());
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -1,5 +1,7 @@
 package kitemux.node;
 
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufAllocatorMetricProvider;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
@@ -38,6 +40,7 @@
 import kitemux.http.ShutdownSchedule;
 import kitemux.load.CaptureWriter;
 import kitemux.load.LoadSettings;
+import kitemux.net.BufferUsage;
 import kitemux.net.EventLoopClock;
 import kitemux.net.HostList;
 import kitemux.net.Network;
@@ -76,6 +79,7 @@
     private final NodeConfig config;
     private final EventLoop loop;
     private final SocketBudget sockets;
+    private final HttpServers servers;
     private final ServerPool<ClientRequest, ServerResponse> serverPool;
     private final ClientServer clientServer;
     private final Discovery discovery;
@@ -193,6 +197,8 @@
         clock = dependencies.time();
         sockets = new SocketBudget(config.maxSockets());
         operations = config.managementAddress() == null ? null : operations(dependencies);
+        servers = new HttpServers(
+                dependencies.time(), config.settings(), dependencies.network().allocator(), log);
         serverPool = new ServerPool<>(
                 loop,
                 dependencies.network(),
@@ -200,11 +206,7 @@
                 dependencies.time(),
                 config.settings().connectTimeoutUs,
                 config.connIdleUs(),
-                new HttpServers(
-                        dependencies.time(),
-                        config.settings(),
-                        dependencies.network().allocator(),
-                        log));
+                servers);
         discovery = new Discovery(
                 loop,
                 dependencies.network(),
@@ -299,6 +301,11 @@
             public int ejectedServerCount() {
                 return engine.ejectedServerCount();
             }
+
+            @Override
+            public BufferUsage bufferUsage() {
+                return Node.this.bufferUsage(dependencies.network().allocator());
+            }
         };
         try {
             return new Operations(
@@ -660,6 +667,14 @@
         engine.updateServers(kind, list.entries(), () -> serverPool.update(list));
     }
 
+    private BufferUsage bufferUsage(ByteBufAllocator allocator) {
+        return new BufferUsage(
+                ((ByteBufAllocatorMetricProvider) allocator).metric().usedDirectMemory(),
+                servers.bufferedResponseBytes(),
+                clientServer.unsentBytes(),
+                clientServer.reservedBytes());
+    }
+
     // ---------------------------------------------------------------- state for tests and checks
 
     /** Returns the engine. Only the event loop may access it. */
--- a/src/main/java/kitemux/ops/Operations.java
+++ b/src/main/java/kitemux/ops/Operations.java
@@ -14,6 +14,7 @@
 import kitemux.engine.Clock;
 import kitemux.engine.Log;
 import kitemux.engine.Observer;
+import kitemux.net.BufferUsage;
 import kitemux.net.HostList;
 import kitemux.net.SocketBudget;
 
@@ -51,6 +52,9 @@
 
         /** Returns the number of servers that the balancer has ejected. */
         int ejectedServerCount();
+
+        /** Returns what the node's buffers hold. */
+        BufferUsage bufferUsage();
     }
 
     /**
@@ -157,7 +161,8 @@
                     metrics.format(
                             nodeControl.dispatchCount(),
                             serverOverrides.listed(),
-                            serverOverrides.unavailableCount() + nodeControl.ejectedServerCount()));
+                            serverOverrides.unavailableCount() + nodeControl.ejectedServerCount(),
+                            nodeControl.bufferUsage()));
         } else if (path.startsWith(SERVER_DOWN_PREFIX) || path.startsWith(SERVER_UP_PREFIX)) {
             boolean down = path.startsWith(SERVER_DOWN_PREFIX);
             setServerDrained(path.substring((down ? SERVER_DOWN_PREFIX : SERVER_UP_PREFIX).length()), down, responder);
--- a/src/main/java/kitemux/ops/RequestMetrics.java
+++ b/src/main/java/kitemux/ops/RequestMetrics.java
@@ -6,6 +6,7 @@
 import kitemux.Balancer.RequestClass;
 import kitemux.engine.Observer;
 import kitemux.engine.RequestInfo;
+import kitemux.net.BufferUsage;
 
 /** Counts the outcomes of requests since the start of the process. It keeps one map entry for each open request. */
 final class RequestMetrics implements Observer {
@@ -63,8 +64,9 @@
      * @param dispatches attempts written in full to servers
      * @param targets servers on the list
      * @param disabled servers on the list that the node does not use
+     * @param buffers what the node's buffers hold
      */
-    String format(long dispatches, int targets, int disabled) {
+    String format(long dispatches, int targets, int disabled, BufferUsage buffers) {
         StringBuilder text = new StringBuilder();
         for (int classIndex = 0; classIndex < replyCounts.length; classIndex++) {
             for (int outcome = 0; outcome < OUTCOMES.size(); outcome++) {
@@ -80,6 +82,10 @@
         appendLine(text, "targets_disabled", disabled);
         appendLine(text, "reload_success", successfulReloads);
         appendLine(text, "reload_failure", failedReloads);
+        appendLine(text, "buffers.direct_bytes", buffers.directBytes());
+        appendLine(text, "buffers.response_bytes", buffers.responseBytes());
+        appendLine(text, "buffers.unsent_bytes", buffers.unsentBytes());
+        appendLine(text, "buffers.request_bytes", buffers.requestBytes());
         return text.toString();
     }
 
--- a/src/test/java/kitemux/node/OperatorsTest.java
+++ b/src/test/java/kitemux/node/OperatorsTest.java
@@ -61,6 +61,28 @@
         });
     }
 
+    /** What a client does not take shows in the figures, and only while it is held. */
+    @Test
+    void metricsReportWhatBuffersHold() throws Exception {
+        String body = "y".repeat(16 << 20);
+        try (ScriptedServer server = ScriptedServer.serving(body);
+                Site site = site().start(server)) {
+            assertEquals(0, metrics(site).get("node.buffers.unsent_bytes"));
+            Socket client = site.connect();
+            Site.write(client, Http.page("/api/long", "t", "4000m"));
+            assertTimeoutPreemptively(Duration.ofSeconds(20), () -> {
+                while (metrics(site).get("node.buffers.unsent_bytes") == 0) {
+                    Thread.onSpinWait();
+                }
+            });
+            assertTrue(metrics(site).get("node.buffers.direct_bytes") > 0);
+            assertEquals(body, Http.read(client.getInputStream()).body());
+            assertEquals(0, metrics(site).get("node.buffers.unsent_bytes"));
+            assertEquals(0, metrics(site).get("node.buffers.response_bytes"));
+            assertEquals(0, metrics(site).get("node.buffers.request_bytes"));
+        }
+    }
+
     // ---------------------------------------------------------------- servers drained by hand
 
     @Test
