Bound the direct memory that reads of all connections hold together

What callers saw: with some 130 long answers on their way to slow clients, short requests of other clients got no answer or a late one, and long answers were cut off while their servers still gave them.

Cause: a streamed answer is read into direct buffers of up to 64 KiB, which are released when the client's socket has taken their last byte. Reading stopped once more than 64 KiB were queued for the client, so that each stream held two buffers, and nothing bounded the sum. 128 streams fill the 16 MiB of the deploy file. A read without memory then waits 0.5 s inside the JDK, on the event loop, and Netty closes its connection.

Change: the next read from a server follows once the client's socket has taken the one before (ResponseStream, taken out of ClientConnection). A read takes at most 1/128 of what is left of 8 MiB, and no less than 4 KiB (BoundedReadBuffers), so that 1,024 connections stay under 12 MiB; beyond that, and when an allocation fails, buffers come from the heap. One stream reads 64 KiB at once as before. Not taken, by reasoning and not by a run: fixed reads of 16 KiB, which fit as well but take four times the system calls where one stream runs alone.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -122,7 +121,7 @@
     /** The engine's handle of the request that is being served, or null. */
     private Engine.PendingRequest<ClientRequest, ServerResponse> openRequest;
     /** The response that is being streamed to the client, or null. */
-    private ServerResponse streamedResponse;
+    private ResponseStream stream;
 
     /** A queued request, or the error status for input that was rejected instead of one. */
     private record QueuedRequest(HttpRequest head, List<byte[]> body, long arrivedUs, HttpResponseStatus errorStatus) {}
@@ -440,7 +439,6 @@
 
     @Override
     public void onResponseStarted(ServerResponse response) {
-        streamedResponse = response;
         waitingSinceNanos = ticker.nanoTime();
         HttpResponse responseHead = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         if (response.length() >= 0) {
@@ -455,19 +453,8 @@
         }
         addCloseHeaderIfLast(responseHead);
         channel.write(responseHead);
-        response.streamTo(bytes -> {
-            channel.writeAndFlush(new DefaultHttpContent(bytes))
-                    .addListener(written -> waitingSinceNanos = ticker.nanoTime());
-            // A client that has left reads nothing more: an attempt that cannot be cancelled is read to its end.
-            response.setReading(channel.isWritable() || !channel.isActive());
-        });
-    }
-
-    @Override
-    public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (streamedResponse != null) {
-            streamedResponse.setReading(channel.isWritable());
-        }
+        stream = new ResponseStream(channel, response, () -> waitingSinceNanos = ticker.nanoTime());
+        stream.start();
     }
 
     @Override
@@ -477,7 +464,7 @@
             return;
         }
         openRequest = null;
-        streamedResponse = null;
+        endStream();
         // The response head did not announce the close if the node started to shut down meanwhile. Left open, the
         // connection would carry further requests until the process is killed during one. Pipelined requests still
         // get their responses, the last of which announces the close.
@@ -494,16 +481,21 @@
      * @return whether a response was being streamed
      */
     private boolean abortIfStreaming() {
-        if (streamedResponse == null) {
+        if (stream == null) {
             return false;
         }
         openRequest = null;
-        streamedResponse = null;
+        endStream();
         channel.config().setOption(ChannelOption.SO_LINGER, 0);
         close(CloseReason.ANSWER_BROKEN_OFF);
         return true;
     }
 
+    private void endStream() {
+        stream.end();
+        stream = null;
+    }
+
     @Override
     public void onRefused(long retryAfterUs) {
         if (abortIfStreaming()) {
@@ -625,7 +617,7 @@
 
     /** Closes the connection if its client takes too long to send a request or to read a response. */
     void closeIfExpired() {
-        if (openRequest != null && (streamedResponse == null || channel.isWritable()) || discardsInput && !isBusy) {
+        if (openRequest != null && (stream == null || !stream.hasUnsentParts()) || discardsInput && !isBusy) {
             return;
         }
         if (isBusy) {
@@ -685,8 +677,8 @@
         discardPartialRequest();
         releaseQueuedBodies();
         releaseUnparsed();
-        if (streamedResponse != null) {
-            streamedResponse.setReading(true);
+        if (stream != null) {
+            stream.onClientLeft();
         }
         if (lingerTimer != null) {
             lingerTimer.cancel(false);
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -1,7 +1,6 @@
 package kitemux.http;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -23,6 +22,7 @@
 import java.util.function.IntConsumer;
 import kitemux.engine.Engine;
 import kitemux.engine.Log;
+import kitemux.net.BoundedReadBuffers;
 import kitemux.net.EventLoopClock;
 import kitemux.net.InputAwareChannel;
 import kitemux.net.Network;
@@ -34,11 +34,6 @@
  * shuts down.
  */
 public final class ClientServer {
-    /**
-     * Maximum number of reads from one connection in a turn of the event loop, Netty's default; then the other
-     * connections are read.
-     */
-    private static final int MAX_READS_PER_TURN_COUNT = 16;
     /** Minimum interval between two log lines about connections that could not be accepted. */
     private static final long ACCEPT_FAILURE_LOG_INTERVAL_US = 1_000_000;
 
@@ -165,11 +160,7 @@
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(SocketBudget.MAX_ACCEPTS_PER_TURN))
                 // Each connection is read until no input is left, its end included, so that a client that has left
                 // is not served.
-                .childOption(
-                        ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator()
-                                .respectMaybeMoreData(false)
-                                .maxMessagesPerRead(MAX_READS_PER_TURN_COUNT))
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new BoundedReadBuffers().respectMaybeMoreData(false))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
--- a/src/main/java/kitemux/net/ServerPool.java
+++ b/src/main/java/kitemux/net/ServerPool.java
@@ -83,6 +83,7 @@
                 // Servers have IP addresses only, so no name resolver is needed.
                 .disableResolver()
                 .option(ChannelOption.ALLOCATOR, network.allocator())
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new BoundedReadBuffers())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1_000))
                 .handler(new ChannelInitializer<Channel>() {
--- a/src/main/java/kitemux/net/ServerResponse.java
+++ b/src/main/java/kitemux/net/ServerResponse.java
@@ -5,7 +5,7 @@
 /**
  * A server's response body, either buffered completely or, if it is long, streamed. A streamed body is forwarded
  * from the server's connection to the client's on the event loop. The receiver controls when reading continues,
- * so that no more than a few reads are buffered.
+ * so that no more than one read is buffered.
  */
 public final class ServerResponse {
     /** Receives a streamed body. */
--- /dev/null
+++ b/src/test/java/kitemux/node/BufferLimitsTest.java
@@ -0,0 +1,111 @@
+package kitemux.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.UnpooledByteBufAllocator;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicLong;
+import kitemux.net.BoundedReadBuffers;
+import kitemux.net.NioNetwork;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Guards against a node that runs out of memory since many connections hold buffers at once: each read that finds no
+ * room blocks the event loop and ends its connection.
+ */
+@Timeout(120)
+class BufferLimitsTest {
+    private static final UnpooledByteBufAllocator ALLOCATOR = (UnpooledByteBufAllocator) NioNetwork.SYSTEM.allocator();
+    private static final int SOCKET_LIMIT = 1_024;
+    /** Size of a long response: more than the sockets' buffers take, so that the rest waits. */
+    private static final int LONG_RESPONSE_BYTES = 16 << 20;
+    /** Number of health checks in a row without progress after which nothing moves any more. */
+    private static final int QUIET_CHECK_COUNT = 300;
+
+    private static final String UP = "GET /up HTTP/1.1\r\nHost: h\r\n\r\n";
+
+    /** How servers send the body of a long response. */
+    enum Form {
+        LENGTH("Content-Length: " + LONG_RESPONSE_BYTES, 16 << 10, false),
+        CLOSE("Connection: close", 16 << 10, false),
+        LONG_CHUNKS("Transfer-Encoding: chunked", 100_000, true),
+        SHORT_CHUNKS("Transfer-Encoding: chunked", 1_000, true);
+
+        private final String header;
+        private final int pieceBytes;
+        private final boolean isChunked;
+
+        Form(String header, int pieceBytes, boolean isChunked) {
+            this.header = header;
+            this.pieceBytes = pieceBytes;
+            this.isChunked = isChunked;
+        }
+
+        void send(ScriptedServer.Peer peer, AtomicLong sentBytes) throws IOException {
+            peer.write("HTTP/1.1 200 OK\r\n" + header + "\r\n\r\n");
+            String piece = "y".repeat(pieceBytes);
+            String framed = isChunked ? Site.chunk(piece) : piece;
+            byte[] bytes = framed.repeat(Math.max(1, 4_096 / framed.length())).getBytes(StandardCharsets.US_ASCII);
+            for (long sent = 0; sent < LONG_RESPONSE_BYTES; sent += bytes.length) {
+                peer.socket().getOutputStream().write(bytes);
+                sentBytes.addAndGet(bytes.length);
+            }
+        }
+    }
+
+    private static void checkHealth(Socket client) throws IOException {
+        assertEquals(200, Site.ask(client, UP).status());
+    }
+
+    /** Connects a client that requests a long response and takes its first byte. */
+    private static Socket requestLongResponse(Site site, int number) throws IOException {
+        Socket client = site.connect();
+        Site.write(client, Http.page("/api/long", "t" + number, "4000m"));
+        assertEquals('H', client.getInputStream().read(), "the response has started");
+        return client;
+    }
+
+    /** Guards against review/2: clients that take long responses slowly hold two reads each until none is possible. */
+    @ParameterizedTest
+    @EnumSource
+    void manyLongResponsesToClientsThatDoNotReadLeaveDirectMemory(Form form) throws Exception {
+        int clientCount = 150;
+        AtomicLong sentBytes = new AtomicLong();
+        try (ScriptedServer server = new ScriptedServer((request, peer) -> {
+                    if (request.path().contains("short")) {
+                        peer.write(Http.ok("short"));
+                    } else {
+                        form.send(peer, sentBytes);
+                    }
+                });
+                Site site = Site.quiet()) {
+            site.sockets = SOCKET_LIMIT;
+            site.start(server);
+            for (int i = 0; i < clientCount; i++) {
+                requestLongResponse(site, i);
+            }
+            Socket checker = site.connect();
+            long maxDirectBytes = 0;
+            long lastSentBytes = -1;
+            for (int quiet = 0; quiet < QUIET_CHECK_COUNT; quiet++) {
+                checkHealth(checker);
+                maxDirectBytes = Math.max(maxDirectBytes, ALLOCATOR.metric().usedDirectMemory());
+                quiet = sentBytes.get() == lastSentBytes ? quiet : 0;
+                lastSentBytes = sentBytes.get();
+            }
+            assertTrue(
+                    maxDirectBytes <= BoundedReadBuffers.MAX_DIRECT_BYTES,
+                    "direct memory in use: " + maxDirectBytes + " bytes");
+            assertEquals(
+                    "short", site.ask(Http.page("/api/short", "next", "4000m")).body(), "other requests are served");
+            InputStream next = requestLongResponse(site, clientCount).getInputStream();
+            assertEquals(LONG_RESPONSE_BYTES, next.readNBytes(LONG_RESPONSE_BYTES).length, "another one is streamed");
+        }
+    }
+}
