Send on to slow clients before the system reports their sockets as writable

What callers saw: a client that takes a long answer at 64 kB/s was cut off some 5 s after the answer began, while its server still gave it.

Cause: the system reports a socket as writable only once about a third of its send buffer is free, and the buffer grows to 4 MB on loopback. At 64 kB/s that takes some 20 s, in which the node sees no progress; WRITE_TIMEOUT_MS of 5 s takes such a client for one that reads nothing.

Change: the check that looks for such clients every 200 ms first writes what the socket takes now, and takes each byte for progress. No limit is changed.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -609,10 +609,22 @@
         return ticker.nanoTime() - waitingSinceNanos > TimeUnit.MILLISECONDS.toNanos(ms);
     }
 
-    /** Returns the number of bytes queued for the client. */
+    /** Returns the number of bytes queued for the client, apart from those that its socket has taken. */
     long unsentBytes() {
         ChannelOutboundBuffer queued = channel.unsafe().outboundBuffer();
-        return queued == null ? 0 : queued.totalPendingWriteBytes();
+        return queued == null ? 0 : queued.totalPendingWriteBytes() - queued.currentProgress();
+    }
+
+    /**
+     * Sends on what the client's socket has room for. A client that takes 64 kB/s frees the part of a socket's buffer from
+     * which the system reports it as writable only after many seconds, and would be taken for one that reads nothing.
+     */
+    private void sendOn() {
+        long unsentBefore = unsentBytes();
+        if (unsentBefore > 0) {
+            channel.retryWrite();
+            waitingSinceNanos = unsentBytes() < unsentBefore ? ticker.nanoTime() : waitingSinceNanos;
+        }
     }
 
     /** Closes the connection if its client takes too long to send a request or to read a response. */
@@ -621,6 +633,7 @@
             return;
         }
         if (isBusy) {
+            sendOn();
             closeIfWaitingLongerThan(Limits.WRITE_TIMEOUT_MS, CloseReason.ANSWER_NOT_TAKEN);
         } else if (!isReceivingRequest) {
             if (hasNoUnreadInput()) {
--- a/src/main/java/kitemux/net/ClientListener.java
+++ b/src/main/java/kitemux/net/ClientListener.java
@@ -120,6 +120,11 @@
             super(listener, socket);
         }
 
+        @Override
+        public void retryWrite() {
+            unsafe().forceFlush();
+        }
+
         /** Whether all received data has been read, or the connection has ended; reads nothing from the socket. */
         @Override
         public boolean hasNoUnreadInput() {
--- a/src/main/java/kitemux/net/InputAwareChannel.java
+++ b/src/main/java/kitemux/net/InputAwareChannel.java
@@ -9,4 +9,11 @@
      * in their result for a connection that has ended and in whether they consume a received byte.
      */
     boolean hasNoUnreadInput();
+
+    /**
+     * Writes queued output as far as the socket takes it now. Systems report a socket as writable only once a good part
+     * of its buffer is free, while a write succeeds as soon as any of it is; a channel without that difference does
+     * nothing here.
+     */
+    default void retryWrite() {}
 }
--- a/src/test/java/kitemux/node/StreamedResponsesTest.java
+++ b/src/test/java/kitemux/node/StreamedResponsesTest.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import kitemux.cli.Main;
+import kitemux.http.Limits;
 import kitemux.net.NioNetwork;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -484,6 +485,32 @@
         }
     }
 
+    /**
+     * Guards against a client that takes 64 kB/s and is cut off as if it took nothing: the system reports its socket as
+     * writable only after many seconds.
+     */
+    @Test
+    void slowClientIsNotCutOff() throws Exception {
+        int length = 16 << 20;
+        int bytesPerSecond = 64_000;
+        long slowSeconds = 2 * Limits.WRITE_TIMEOUT_MS / 1_000;
+        try (ScriptedServer server = ScriptedServer.serving("y".repeat(length));
+                Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            sendRequest(client, "/api/long", "t");
+            InputStream in = client.getInputStream();
+            int headAndSlowBytes = 0;
+            CountDownLatch never = new CountDownLatch(1);
+            for (int second = 0; second < slowSeconds; second++) {
+                headAndSlowBytes += in.readNBytes(bytesPerSecond).length;
+                assertFalse(never.await(1, TimeUnit.SECONDS));
+            }
+            assertEquals(slowSeconds * bytesPerSecond, headAndSlowBytes);
+            int restBytes = length - headAndSlowBytes;
+            assertEquals(restBytes, in.readNBytes(restBytes).length, "the rest of the response arrives");
+        }
+    }
+
     @Test
     void nextRequestOnConnectionIsServed() throws Exception {
         try (ScriptedServer server = streamingServer(
