Bound the system's send buffers of many streamed responses

What callers saw: with some 200 long answers to slow clients at once, clients that took theirs at 64 kB/s were cut off 5 to 6 s after they began.

Cause: the system lets each send buffer grow to 4 MB. Its memory for TCP passes the mark of pressure, from which sockets with much unsent data take nothing more for seconds; the node then takes their clients for ones that read nothing.

Change: beyond 16 streams at a time the send buffer is 128 KiB (the system doubles it). The first 16 keep the system's size, as a process that ends then leaves less of them undone; under pressure they can still be cut off.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -453,6 +453,7 @@
         }
         addCloseHeaderIfLast(responseHead);
         channel.write(responseHead);
+        server.onStreamStarted(channel);
         stream = new ResponseStream(channel, response, () -> waitingSinceNanos = ticker.nanoTime());
         stream.start();
     }
@@ -494,6 +495,7 @@
     private void endStream() {
         stream.end();
         stream = null;
+        server.onStreamEnded();
     }
 
     @Override
@@ -692,6 +694,8 @@
         releaseUnparsed();
         if (stream != null) {
             stream.onClientLeft();
+            stream = null;
+            server.onStreamEnded();
         }
         if (lingerTimer != null) {
             lingerTimer.cancel(false);
--- a/src/test/java/kitemux/node/BufferLimitsTest.java
+++ b/src/test/java/kitemux/node/BufferLimitsTest.java
@@ -9,8 +9,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicLong;
+import kitemux.http.Limits;
 import kitemux.net.BoundedReadBuffers;
 import kitemux.net.NioNetwork;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -59,8 +61,21 @@
         }
     }
 
-    private static void checkHealth(Socket client) throws IOException {
-        assertEquals(200, Site.ask(client, UP).status());
+    /**
+     * Checks the node's health until the servers make no progress any more.
+     *
+     * @return the most direct memory that was in use, in bytes
+     */
+    private static long awaitNoProgress(Socket checker, AtomicLong sentBytes) throws IOException {
+        long maxDirectBytes = 0;
+        long lastSentBytes = -1;
+        for (int quiet = 0; quiet < QUIET_CHECK_COUNT; quiet++) {
+            assertEquals(200, Site.ask(checker, UP).status());
+            maxDirectBytes = Math.max(maxDirectBytes, ALLOCATOR.metric().usedDirectMemory());
+            quiet = sentBytes.get() == lastSentBytes ? quiet : 0;
+            lastSentBytes = sentBytes.get();
+        }
+        return maxDirectBytes;
     }
 
     /** Connects a client that requests a long response and takes its first byte. */
@@ -71,6 +86,40 @@
         return client;
     }
 
+    /**
+     * Guards against streams that each fill several MB of the system's memory for TCP, until sockets take nothing for
+     * seconds and slow clients are cut off.
+     */
+    @Test
+    void systemBuffersOfManyStreamsAreBounded() throws Exception {
+        int clientCount = 4 * Limits.MAX_STREAMS_WITH_SYSTEM_BUFFERS;
+        // Each of the four buffers on the way may be twice as large as asked for, and read buffers grow while they are
+        // read; one that the system sizes by itself takes 2.6 MB and more.
+        long bytesPerStream = 2L << 20;
+        AtomicLong takenBytes = new AtomicLong();
+        try (ScriptedServer server = new ScriptedServer((request, peer) -> {
+                    peer.socket().setSendBufferSize(Limits.STREAM_SEND_BUFFER_BYTES);
+                    Form.LENGTH.send(peer, takenBytes);
+                });
+                Site site = Site.quiet()) {
+            site.sockets = SOCKET_LIMIT;
+            site.start(server);
+            for (int i = 0; i < Limits.MAX_STREAMS_WITH_SYSTEM_BUFFERS; i++) {
+                requestLongResponse(site, i);
+            }
+            Socket checker = site.connect();
+            awaitNoProgress(checker, takenBytes);
+            long takenBefore = takenBytes.get();
+            for (int i = Limits.MAX_STREAMS_WITH_SYSTEM_BUFFERS; i < clientCount; i++) {
+                requestLongResponse(site, i);
+            }
+            awaitNoProgress(checker, takenBytes);
+            long boundedStreamCount = clientCount - Limits.MAX_STREAMS_WITH_SYSTEM_BUFFERS;
+            long perStream = (takenBytes.get() - takenBefore) / boundedStreamCount;
+            assertTrue(perStream <= bytesPerStream, "each further stream took " + perStream + " bytes from its server");
+        }
+    }
+
     /** Guards against review/2: clients that take long responses slowly hold two reads each until none is possible. */
     @ParameterizedTest
     @EnumSource
@@ -91,14 +140,7 @@
                 requestLongResponse(site, i);
             }
             Socket checker = site.connect();
-            long maxDirectBytes = 0;
-            long lastSentBytes = -1;
-            for (int quiet = 0; quiet < QUIET_CHECK_COUNT; quiet++) {
-                checkHealth(checker);
-                maxDirectBytes = Math.max(maxDirectBytes, ALLOCATOR.metric().usedDirectMemory());
-                quiet = sentBytes.get() == lastSentBytes ? quiet : 0;
-                lastSentBytes = sentBytes.get();
-            }
+            long maxDirectBytes = awaitNoProgress(checker, sentBytes);
             assertTrue(
                     maxDirectBytes <= BoundedReadBuffers.MAX_DIRECT_BYTES,
                     "direct memory in use: " + maxDirectBytes + " bytes");
