Write long request bodies to servers part by part

What callers saw: a request with a body of 32 MB was refused, 503 after 1.16 s, and the event loop stood for half a second with each attempt. Shorter bodies left their size less of the direct memory for reads, for good.

Cause: a body was handed to the connection as one message. Netty passes all its parts to one system call, for which the JDK copies them into direct memory and keeps the copies for later calls. The deploy file allows 16 MiB.

Evidence: one node with the deployed run line, one server, a body of 8 MB and one of 32 MB: the first is served, the second is cut off at 0 bytes twice. The JDK's count of direct memory rises by 33.7 MB with a body of 32 MiB in a test without that limit.

Change: a body of more than one part (64 KiB) is a RequestMessage, which Netty's ChunkedWriteHandler writes as the connection takes it. Shorter ones are written as before.

Measured: BufferLimitsTest.longRequestBodiesTakeLittleDirectMemory: before, 33.7 MB kept; now under 1 MiB. The node with the deployed run line serves three bodies of 32 MB in 0.06 to 0.11 s each. Passed: BufferLimitsTest, HttpServersTest, RequestFramingTest, ServerPoolTest, ClientServerTest.

--- a/src/main/java/kitemux/http/HttpServers.java
+++ b/src/main/java/kitemux/http/HttpServers.java
@@ -7,16 +7,20 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.stream.ChunkedWriteHandler;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import kitemux.Balancer.Result;
@@ -51,7 +55,7 @@
 
     @Override
     public void initPipeline(ChannelPipeline pipeline) {
-        pipeline.addLast(new StrictResponseDecoder(), new RequestEncoder());
+        pipeline.addLast(new StrictResponseDecoder(), new RequestEncoder(), new ChunkedWriteHandler());
     }
 
     @Override
@@ -68,8 +72,12 @@
      * Creates the request once a connection is available to send it, since it states how long the node will
      * wait.
      */
-    private FullHttpRequest createRequest(Exchange<ClientRequest, ServerResponse> exchange) {
-        return createMessage(exchange.request(), Math.max(1, exchange.expiresAtUs() - clock.nowUs()));
+    private Object createRequest(Exchange<ClientRequest, ServerResponse> exchange) {
+        ClientRequest request = exchange.request();
+        long remainingUs = Math.max(1, exchange.expiresAtUs() - clock.nowUs());
+        return request.body().size() <= 1
+                ? createMessage(request, remainingUs)
+                : new RequestMessage(createHead(request, remainingUs), request.body());
     }
 
     /**
@@ -84,21 +92,31 @@
                 request.method(),
                 request.uri(),
                 Unpooled.wrappedBuffer(request.body().toArray(byte[][]::new)));
-        message.headers().set(HttpHeaderNames.HOST, "backend.local");
+        setHeaders(message.headers(), request, remainingUs);
+        return message;
+    }
+
+    /** Creates the head of a request whose body follows in parts. */
+    private HttpRequest createHead(ClientRequest request, long remainingUs) {
+        HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
+        setHeaders(head.headers(), request, remainingUs);
+        return head;
+    }
+
+    private void setHeaders(HttpHeaders headers, ClientRequest request, long remainingUs) {
+        headers.set(HttpHeaderNames.HOST, "backend.local");
         if (request.txn() != null) {
-            message.headers()
-                    .set("X-Txn", request.txn())
+            headers.set("X-Txn", request.txn())
                     .set("X-Lane", settings.classes.get(request.classIndex()).name())
                     .set("X-Remaining", remainingUs + "u");
         }
         if (request.idempotencyKey() != null) {
-            message.headers().set("Idempotency-Key", request.idempotencyKey());
+            headers.set("Idempotency-Key", request.idempotencyKey());
         }
-        int bodyBytes = message.content().readableBytes();
+        long bodyBytes = request.body().stream().mapToLong(part -> part.length).sum();
         if (bodyBytes > 0 || !request.method().equals(HttpMethod.GET)) {
-            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
         }
-        return message;
     }
 
     // ---------------------------------------------------------------- connection
--- a/src/test/java/kitemux/node/BufferLimitsTest.java
+++ b/src/test/java/kitemux/node/BufferLimitsTest.java
@@ -6,6 +6,8 @@
 import io.netty.buffer.UnpooledByteBufAllocator;
 import java.io.IOException;
 import java.io.InputStream;
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicLong;
@@ -120,6 +122,41 @@
         }
     }
 
+    private static long jdkDirectBytes() {
+        return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
+                .filter(pool -> pool.getName().equals("direct"))
+                .mapToLong(BufferPoolMXBean::getMemoryUsed)
+                .sum();
+    }
+
+    private static String order(String txn, long bodyBytes) {
+        return "POST /api/order HTTP/1.1\r\nHost: backend.local\r\nX-Txn: " + txn
+                + "\r\nX-Lane: order\r\nX-Org: org\r\nX-Remaining: 4000m\r\nContent-Length: " + bodyBytes + "\r\n\r\n";
+    }
+
+    /**
+     * Guards against a long request body that is written at once: the JDK copies several MB of it into direct memory for
+     * one system call and keeps them, so that reads find none.
+     */
+    @Test
+    void longRequestBodiesTakeLittleDirectMemory() throws Exception {
+        try (ScriptedServer server = new ScriptedServer((request, peer) ->
+                        peer.write(Http.ok(Integer.toString(request.body().length()))));
+                Site site = Site.quiet().start(server)) {
+            assertEquals("2", site.ask(Http.order("first", "4000m")).body());
+            long bytesBefore = jdkDirectBytes();
+            String body = "z".repeat(Limits.MAX_REQUEST_BODY_BYTES);
+            Socket client = site.connect();
+            Site.write(client, order("long", body.length()));
+            Site.write(client, body);
+            assertEquals(
+                    Integer.toString(body.length()),
+                    Http.read(client.getInputStream()).body());
+            long keptBytes = jdkDirectBytes() - bytesBefore;
+            assertTrue(keptBytes < 1 << 20, "direct memory kept: " + keptBytes + " bytes");
+        }
+    }
+
     /** Guards against review/2: clients that take long responses slowly hold two reads each until none is possible. */
     @ParameterizedTest
     @EnumSource
