Discard the bodies of servers' error responses instead of buffering them

Cause: the body of a response that is not 200 was copied into a buffer of its own, up to 1 MiB each, and only responses with 200 counted against the limit of 16 MiB for all. Nothing ever reads such a body.

Change: its bytes are counted, for the limit of 1 MiB stays, and dropped.

--- a/src/main/java/kitemux/http/HttpServers.java
+++ b/src/main/java/kitemux/http/HttpServers.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -126,9 +127,11 @@
         private HttpResponse head;
         /**
          * The received part of a response that is being buffered; null before a response, and while one is
-         * streamed.
+         * streamed or reports an error.
          */
         private ByteBuf body;
+        /** Number of bytes of an error response's body that have been discarded. */
+        private int discardedErrorBytes;
         /** The response that is being streamed, or null. */
         private ServerResponse streamedResponse;
 
@@ -180,8 +183,11 @@
                     fail();
                     return;
                 }
-                body = allocator.buffer(
-                        (int) Math.min(HttpUtil.getContentLength(response, 256L), Limits.MAX_INITIAL_BUFFER_BYTES));
+                discardedErrorBytes = 0;
+                if (isSuccess()) {
+                    body = allocator.buffer(
+                            (int) Math.min(HttpUtil.getContentLength(response, 256L), Limits.MAX_INITIAL_BUFFER_BYTES));
+                }
             }
             if (message instanceof HttpContent content && !addContent(content.content())) {
                 return;
@@ -212,22 +218,40 @@
                 return exchange() != null;
             }
             int bytes = content.readableBytes();
-            if (head.status().code() != 200
-                    ? body.readableBytes() + bytes > Limits.MAX_ERROR_BODY_BYTES
-                    : bufferedResponseBytes + bytes > Limits.MAX_TOTAL_BUFFERED_RESPONSE_BYTES) {
+            if (!isSuccess()) {
+                return discardErrorBytes(bytes);
+            }
+            if (bufferedResponseBytes + bytes > Limits.MAX_TOTAL_BUFFERED_RESPONSE_BYTES) {
                 fail();
                 return false;
             }
             bufferedResponseBytes += bytes;
             body.writeBytes(content);
-            if (head.status().code() == 200
-                    && Math.max(body.readableBytes(), HttpUtil.getContentLength(head, 0L))
-                            > Limits.MAX_BUFFERED_RESPONSE_BYTES) {
+            if (Math.max(body.readableBytes(), HttpUtil.getContentLength(head, 0L))
+                    > Limits.MAX_BUFFERED_RESPONSE_BYTES) {
                 return startStreaming();
             }
             return true;
         }
 
+        /**
+         * Counts the bytes of an error response, whose body nobody gets.
+         *
+         * @return false if the exchange has ended
+         */
+        private boolean discardErrorBytes(int bytes) {
+            discardedErrorBytes += bytes;
+            if (discardedErrorBytes > Limits.MAX_ERROR_BODY_BYTES) {
+                fail();
+                return false;
+            }
+            return true;
+        }
+
+        private boolean isSuccess() {
+            return head.status().code() == HttpResponseStatus.OK.code();
+        }
+
         /**
          * Starts to stream a response that is too long to be buffered; the request cannot be retried on another
          * server from here on.
@@ -278,9 +302,9 @@
         }
 
         private void finishResponse() {
-            byte[] bytes = streamedResponse != null ? null : ByteBufUtil.getBytes(body);
+            byte[] bytes = body == null ? null : ByteBufUtil.getBytes(body);
             int status = head.status().code();
-            Result result = status == 200
+            Result result = isSuccess()
                     ? Result.OK
                     : (status == 503 || status == 504)
                                     && "1".equals(head.headers().get("X-Turned-Away"))
@@ -291,7 +315,7 @@
                 channel().close();
             }
             releaseResponse();
-            completeExchange(result, result == Result.OK && bytes != null ? ServerResponse.buffered(bytes) : null);
+            completeExchange(result, bytes == null ? null : ServerResponse.buffered(bytes));
         }
 
         @Override
--- a/src/test/java/kitemux/node/BufferLimitsTest.java
+++ b/src/test/java/kitemux/node/BufferLimitsTest.java
@@ -122,6 +122,34 @@
         }
     }
 
+    /** Guards against the bodies of error responses, which are buffered without a bound in total though nobody gets them. */
+    @Test
+    void bodiesOfErrorResponsesAreNotBuffered() throws Exception {
+        AtomicLong sentBytes = new AtomicLong();
+        String incompleteBody = "e".repeat(Limits.MAX_ERROR_BODY_BYTES - 1);
+        try (Site site = Site.quiet()) {
+            // A server that has not answered yet gets few requests.
+            ScriptedServer[] servers = new ScriptedServer[8];
+            for (int i = 0; i < servers.length; i++) {
+                servers[i] = new ScriptedServer((request, peer) -> {
+                    peer.write("HTTP/1.1 500 No\r\nContent-Length: " + Limits.MAX_ERROR_BODY_BYTES + "\r\n\r\n");
+                    peer.write(incompleteBody);
+                    sentBytes.addAndGet(incompleteBody.length());
+                });
+            }
+            site.start(servers);
+            for (int i = 0; i < 5 * servers.length; i++) {
+                Site.write(site.connect(), Http.page("/api/error", "t" + i, "4000m"));
+            }
+            Socket checker = site.connect();
+            do {
+                awaitNoProgress(checker, sentBytes);
+            } while (sentBytes.get() < 4L * incompleteBody.length());
+            long heapBytes = ALLOCATOR.metric().usedHeapMemory();
+            assertTrue(heapBytes < 1 << 20, "heap bytes in use: " + heapBytes);
+        }
+    }
+
     private static long jdkDirectBytes() {
         return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
                 .filter(pool -> pool.getName().equals("direct"))
