Stream a response that there is no room to buffer, and count those that wait

Cause: buffered responses counted towards their limit of 16 MiB only while they arrived. Once complete they waited for their clients uncounted, as did what a chunked response had buffered before it was streamed. And when the limit was reached, the next response was cut off although its server gave it.

Change: one budget counts what responses hold on the heap until their clients have taken it, 8 MiB. When it is used up a response is streamed however short it is, which needs no more than one read; nothing is cut off for it.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -454,7 +454,7 @@
         addCloseHeaderIfLast(responseHead);
         channel.write(responseHead);
         server.onStreamStarted(channel);
-        stream = new ResponseStream(channel, response, () -> waitingSinceNanos = ticker.nanoTime());
+        stream = new ResponseStream(channel, response, server.responses(), () -> waitingSinceNanos = ticker.nanoTime());
         stream.start();
     }
 
@@ -548,7 +548,11 @@
             response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterUs / 1e6);
         }
         addCloseHeaderIfLast(response);
-        channel.writeAndFlush(response).addListener(written -> onResponseWritten(written.isSuccess()));
+        server.responses().add(content.length);
+        channel.writeAndFlush(response).addListener(written -> {
+            server.responses().release(content.length);
+            onResponseWritten(written.isSuccess());
+        });
     }
 
     private void addCloseHeaderIfLast(HttpResponse response) {
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -23,6 +23,7 @@
 import kitemux.engine.Engine;
 import kitemux.engine.Log;
 import kitemux.net.BoundedReadBuffers;
+import kitemux.net.ByteBudget;
 import kitemux.net.EventLoopClock;
 import kitemux.net.InputAwareChannel;
 import kitemux.net.Network;
@@ -43,6 +44,7 @@
     private final SocketBudget sockets;
     private final Engine<ClientRequest, ServerResponse> engine;
     private final EventLoopClock clock;
+    private final ByteBudget responses;
     private final IntConsumer onRejected;
     private final ConnectionObserver observer;
     private final Log log;
@@ -117,6 +119,7 @@
     /**
      * Creates a server that does not listen yet; requests go to the engine, which runs on the same event loop.
      *
+     * @param responses counts the responses on the heap that wait for their clients
      * @param onRejected called with the class of each request that is rejected before it reaches the engine
      * @param observer notified of the events of connections
      */
@@ -127,9 +130,11 @@
             SocketBudget sockets,
             Engine<ClientRequest, ServerResponse> engine,
             EventLoopClock clock,
+            ByteBudget responses,
             IntConsumer onRejected,
             ConnectionObserver observer,
             Log log) {
+        this.responses = responses;
         this.onRejected = onRejected;
         this.observer = observer;
         this.loop = loop;
@@ -352,6 +357,11 @@
         return true;
     }
 
+    /** Returns the budget that counts the responses on the heap. */
+    ByteBudget responses() {
+        return responses;
+    }
+
     void onRejected(ClientRequest request) {
         onRejected.accept(request.classIndex());
     }
--- a/src/main/java/kitemux/http/HttpServers.java
+++ b/src/main/java/kitemux/http/HttpServers.java
@@ -29,6 +29,7 @@
 import kitemux.engine.Clock;
 import kitemux.engine.Log;
 import kitemux.engine.Transport.Exchange;
+import kitemux.net.ByteBudget;
 import kitemux.net.ServerPool;
 import kitemux.net.ServerResponse;
 
@@ -38,22 +39,23 @@
     private final Settings settings;
     private final ByteBufAllocator allocator;
     private final Log log;
-    /** Total size of the responses that are buffered and not complete. */
-    private int bufferedResponseBytes;
+    /** Holds the size of the responses that are buffered, and of those that wait for their clients. */
+    private final ByteBudget responses;
 
-    /** Creates the protocol for the classes of these settings. */
-    public HttpServers(Clock clock, Settings settings, ByteBufAllocator allocator, Log log) {
+    /**
+     * Creates the protocol for the classes of these settings.
+     *
+     * @param responses what all responses on the heap may hold together; once it is used up they are streamed, however
+     *     short they are
+     */
+    public HttpServers(Clock clock, Settings settings, ByteBufAllocator allocator, ByteBudget responses, Log log) {
+        this.responses = responses;
         this.clock = clock;
         this.settings = settings;
         this.allocator = allocator;
         this.log = log;
     }
 
-    /** Returns the total size of the responses that are buffered and not complete, in bytes. */
-    public long bufferedResponseBytes() {
-        return bufferedResponseBytes;
-    }
-
     @Override
     public void initPipeline(ChannelPipeline pipeline) {
         pipeline.addLast(new StrictResponseDecoder(), new RequestEncoder(), new ChunkedWriteHandler());
@@ -221,16 +223,11 @@
             if (!isSuccess()) {
                 return discardErrorBytes(bytes);
             }
-            if (bufferedResponseBytes + bytes > Limits.MAX_TOTAL_BUFFERED_RESPONSE_BYTES) {
-                fail();
-                return false;
+            long expectedBytes = Math.max(body.readableBytes() + bytes, HttpUtil.getContentLength(head, 0L));
+            if (expectedBytes > Limits.MAX_BUFFERED_RESPONSE_BYTES || !responses.tryReserve(bytes)) {
+                return startStreaming() && addContent(content);
             }
-            bufferedResponseBytes += bytes;
             body.writeBytes(content);
-            if (Math.max(body.readableBytes(), HttpUtil.getContentLength(head, 0L))
-                    > Limits.MAX_BUFFERED_RESPONSE_BYTES) {
-                return startStreaming();
-            }
             return true;
         }
 
@@ -253,8 +250,8 @@
         }
 
         /**
-         * Starts to stream a response that is too long to be buffered; the request cannot be retried on another
-         * server from here on.
+         * Starts to stream a response that is too long to be buffered, or for which there is no room; the request cannot
+         * be retried on another server from here on.
          *
          * @return false if the exchange has ended
          */
@@ -266,11 +263,11 @@
             }
             streamedResponse = response;
             streamingSinceUs = clock.nowUs();
-            bufferedResponseBytes -= body.readableBytes();
-            ByteBuf first = body;
-            body = null;
-            streamedBytes = first.readableBytes();
-            streamedResponse.deliver(first);
+            streamedBytes = body.readableBytes();
+            if (streamedBytes > 0) {
+                streamedResponse.deliver(body.retain());
+            }
+            releaseBody();
             return exchange() != null;
         }
 
@@ -338,7 +335,7 @@
 
         private void releaseBody() {
             if (body != null) {
-                bufferedResponseBytes -= body.readableBytes();
+                responses.release(body.writerIndex());
                 body.release();
                 body = null;
             }
--- a/src/main/java/kitemux/http/Limits.java
+++ b/src/main/java/kitemux/http/Limits.java
@@ -53,10 +53,10 @@
      */
     public static final long MAX_STREAMING_US = 600_000_000;
     /**
-     * Maximum total size of all responses that are buffered while they arrive from servers: a quarter of the
-     * heap.
+     * Maximum total size of all responses on the heap, while they arrive from servers and while they wait for their
+     * clients: an eighth of the heap. Beyond it responses are streamed.
      */
-    public static final int MAX_TOTAL_BUFFERED_RESPONSE_BYTES = 16 << 20;
+    public static final int MAX_TOTAL_BUFFERED_RESPONSE_BYTES = 8 << 20;
     /**
      * Number of responses that may be streamed at once with send buffers that the system sizes by itself, up to several
      * MB each. Many such buffers would use up the system's memory for TCP, and sockets would take nothing for seconds.
--- a/src/main/java/kitemux/http/ResponseStream.java
+++ b/src/main/java/kitemux/http/ResponseStream.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import kitemux.net.ByteBudget;
 import kitemux.net.ServerResponse;
 
 /**
@@ -13,6 +14,7 @@
 final class ResponseStream {
     private final Channel client;
     private final ServerResponse response;
+    private final ByteBudget responses;
     private final Runnable onPartSent;
     /** Number of parts of the body that wait to be sent. */
     private int unsentPartCount;
@@ -22,11 +24,13 @@
     /**
      * Creates the stream; the response's head must have been written.
      *
+     * @param responses counts the parts on the heap until they are sent
      * @param onPartSent called whenever the client's socket has taken a part of the body
      */
-    ResponseStream(Channel client, ServerResponse response, Runnable onPartSent) {
+    ResponseStream(Channel client, ServerResponse response, ByteBudget responses, Runnable onPartSent) {
         this.client = client;
         this.response = response;
+        this.responses = responses;
         this.onPartSent = onPartSent;
     }
 
@@ -37,8 +41,12 @@
 
     private void forward(ByteBuf bytes) {
         unsentPartCount++;
+        // Direct memory is bounded where it is read into.
+        int heapBytes = bytes.isDirect() ? 0 : bytes.readableBytes();
+        responses.add(heapBytes);
         client.writeAndFlush(new DefaultHttpContent(bytes)).addListener(sent -> {
             unsentPartCount--;
+            responses.release(heapBytes);
             onPartSent.run();
             updateReading();
         });
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -36,11 +36,13 @@
 import kitemux.http.ClientServer;
 import kitemux.http.ConnectionObserver;
 import kitemux.http.HttpServers;
+import kitemux.http.Limits;
 import kitemux.http.RequestReader;
 import kitemux.http.ShutdownSchedule;
 import kitemux.load.CaptureWriter;
 import kitemux.load.LoadSettings;
 import kitemux.net.BufferUsage;
+import kitemux.net.ByteBudget;
 import kitemux.net.EventLoopClock;
 import kitemux.net.HostList;
 import kitemux.net.Network;
@@ -79,7 +81,7 @@
     private final NodeConfig config;
     private final EventLoop loop;
     private final SocketBudget sockets;
-    private final HttpServers servers;
+    private final ByteBudget responses = new ByteBudget(Limits.MAX_TOTAL_BUFFERED_RESPONSE_BYTES);
     private final ServerPool<ClientRequest, ServerResponse> serverPool;
     private final ClientServer clientServer;
     private final Discovery discovery;
@@ -197,8 +199,6 @@
         clock = dependencies.time();
         sockets = new SocketBudget(config.maxSockets());
         operations = config.managementAddress() == null ? null : operations(dependencies);
-        servers = new HttpServers(
-                dependencies.time(), config.settings(), dependencies.network().allocator(), log);
         serverPool = new ServerPool<>(
                 loop,
                 dependencies.network(),
@@ -206,7 +206,12 @@
                 dependencies.time(),
                 config.settings().connectTimeoutUs,
                 config.connIdleUs(),
-                servers);
+                new HttpServers(
+                        dependencies.time(),
+                        config.settings(),
+                        dependencies.network().allocator(),
+                        responses,
+                        log));
         discovery = new Discovery(
                 loop,
                 dependencies.network(),
@@ -266,6 +271,7 @@
                 sockets,
                 engine,
                 dependencies.time(),
+                responses,
                 classIndex -> {
                     if (operations != null) {
                         operations.recordRejectedRequest(classIndex);
@@ -670,7 +676,7 @@
     private BufferUsage bufferUsage(ByteBufAllocator allocator) {
         return new BufferUsage(
                 ((ByteBufAllocatorMetricProvider) allocator).metric().usedDirectMemory(),
-                servers.bufferedResponseBytes(),
+                responses.usedBytes(),
                 clientServer.unsentBytes(),
                 clientServer.reservedBytes());
     }
--- a/src/test/java/kitemux/http/HttpServersTest.java
+++ b/src/test/java/kitemux/http/HttpServersTest.java
@@ -14,6 +14,7 @@
 import kitemux.Balancer.RequestClass;
 import kitemux.Balancer.RetrySafety;
 import kitemux.Balancer.Settings;
+import kitemux.net.ByteBudget;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -27,7 +28,8 @@
     void serverReadsEachRequestAsOneMessage(String method, String body) {
         Settings settings = new Settings();
         settings.classes.add(new RequestClass("page", 100_000, 0, 500_000, 1, 0, RetrySafety.SAFE, null, 0, false));
-        HttpServers servers = new HttpServers(null, settings, UnpooledByteBufAllocator.DEFAULT, null);
+        HttpServers servers =
+                new HttpServers(null, settings, UnpooledByteBufAllocator.DEFAULT, new ByteBudget(0), null);
         ClientRequest request = new ClientRequest(
                 HttpMethod.valueOf(method),
                 "/api/x",
--- a/src/test/java/kitemux/http/StreamedResponseLimitsTest.java
+++ b/src/test/java/kitemux/http/StreamedResponseLimitsTest.java
@@ -30,6 +30,7 @@
 import kitemux.engine.Clock;
 import kitemux.engine.Log;
 import kitemux.engine.Transport.Exchange;
+import kitemux.net.ByteBudget;
 import kitemux.net.HostList;
 import kitemux.net.NioNetwork;
 import kitemux.net.ServerPool;
@@ -54,6 +55,7 @@
     private final AtomicLong streamedBytes = new AtomicLong();
     private final BlockingQueue<Long> progress = new LinkedBlockingQueue<>();
     private final BlockingQueue<Result> results = new LinkedBlockingQueue<>();
+    private final ByteBudget responses = new ByteBudget(Limits.MAX_TOTAL_BUFFERED_RESPONSE_BYTES);
     private ServerSocket listener;
     private Socket server;
     private ServerResponse response;
@@ -127,7 +129,7 @@
                 clock,
                 1_000_000,
                 Long.MAX_VALUE / 2,
-                new HttpServers(clock, settings, NioNetwork.SYSTEM.allocator(), log));
+                new HttpServers(clock, settings, NioNetwork.SYSTEM.allocator(), responses, log));
         loop.submit(() -> {
                     pool.update(new HostList(
                             1,
@@ -238,6 +240,32 @@
         assertEquals(Result.RESET, resultWithin(200_000));
     }
 
+    private void readRequestHead() throws IOException {
+        String head = "";
+        while (!head.endsWith("\r\n\r\n")) {
+            head += (char) server.getInputStream().read();
+        }
+    }
+
+    /** Guards against short responses that are cut off since all buffered ones together have reached their limit. */
+    @Test
+    void shortResponseIsStreamedWhenThereIsNoRoomToBufferIt() throws Exception {
+        sendFromServer("0\r\n\r\n");
+        assertEquals(Result.OK, results.poll(20, TimeUnit.SECONDS));
+        loop.submit(() -> {
+                    responses.add(Limits.MAX_TOTAL_BUFFERED_RESPONSE_BYTES);
+                    pool.start("s", exchange);
+                })
+                .sync();
+        readRequestHead();
+        readRequestHead();
+        sendFromServer("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + "a".repeat(1_000));
+        awaitStreamed(FIRST_BYTES + 1_000);
+        assertEquals(Result.OK, results.poll(20, TimeUnit.SECONDS));
+        long heldBytes = loop.submit(responses::usedBytes).get();
+        assertEquals(Limits.MAX_TOTAL_BUFFERED_RESPONSE_BYTES, heldBytes, "nothing more is held");
+    }
+
     /** Data that arrived during a stall of the event loop is unread, so the server may not have stalled. */
     @Test
     void loopStallIsNotTakenForServerStall() throws Exception {
