Bound request bodies up to 64 KiB together with the long ones

Cause: a body up to 64 KiB did not count towards the limit for all. The descriptors allow some 700 clients, each with one: 45 MB, beside 34 MiB of long bodies and 16 MiB of responses, in a heap of 64 MiB.

Change: all bodies and buffered input together take 40 MiB, and no long body or further input is taken from 36 MiB on, so that short ones have room. A body counts with the memory that it takes, from its head on where its length is declared. What finds no room is refused, 503, as long bodies were before. A node that serves nothing holds 2.8 MB of live objects (jcmd, run line of the deploy file), so that 40 MiB and the 8 MiB of responses fit.

Measured: BufferLimitsTest.shortRequestBodiesAreBoundedTogether: before, the one beyond the limit waited until 408; now it gets 503, and room that is given back is used. BufferLimitsTest, ClientServerTest, HttpServersTest, RequestFramingTest and ArchitectureTest passed.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -223,7 +223,7 @@
         long receivedBytes = bytes.readableBytes();
         unparsed.discardReadBytes().writeBytes(bytes);
         bytes.release();
-        boolean isReserved = server.reserve(receivedBytes);
+        boolean isReserved = server.requests().tryReserve(receivedBytes, Limits.MAX_TOTAL_BEFORE_LONG_REQUEST_BYTES);
         unparsedReservedBytes += isReserved ? receivedBytes : 0;
         if (!isReserved || unparsed.readableBytes() >= Limits.MAX_PIPELINED_BYTES) {
             channel.config().setAutoRead(false);
@@ -247,7 +247,7 @@
                 releaseUnparsed();
             } else {
                 long parsedBytes = Math.max(0, unparsedReservedBytes - unparsed.readableBytes());
-                server.reserve(-parsedBytes);
+                server.requests().release(parsedBytes);
                 unparsedReservedBytes -= parsedBytes;
             }
         }
@@ -258,7 +258,7 @@
         if (unparsed != null) {
             unparsed.release();
             unparsed = null;
-            server.reserve(-unparsedReservedBytes);
+            server.requests().release(unparsedReservedBytes);
             unparsedReservedBytes = 0;
         }
     }
@@ -335,16 +335,23 @@
      * @return false if there is no room; nothing more is reserved then
      */
     private boolean reserveBody(long bytes) {
-        long additionalBytes = bytes <= Limits.SMALL_REQUEST_BODY_BYTES ? 0 : bytes - incomingBodyBytes;
-        if (additionalBytes > 0 && !server.reserve(additionalBytes)) {
+        long additionalBytes = RequestBody.capacityFor(bytes) - incomingBodyBytes;
+        if (additionalBytes <= 0) {
+            return true;
+        }
+        boolean isShort = bytes <= Limits.SMALL_REQUEST_BODY_BYTES;
+        if (!server.requests()
+                .tryReserve(
+                        additionalBytes,
+                        isShort ? Limits.MAX_TOTAL_REQUEST_BYTES : Limits.MAX_TOTAL_BEFORE_LONG_REQUEST_BYTES)) {
             return false;
         }
-        incomingBodyBytes += Math.max(0, additionalBytes);
+        incomingBodyBytes += additionalBytes;
         return true;
     }
 
     private void releaseQueuedBodies() {
-        server.reserve(-queuedBodyBytes);
+        server.requests().release(queuedBodyBytes);
         queuedBodyBytes = 0;
     }
 
@@ -352,7 +359,7 @@
     private void discardPartialRequest() {
         head = null;
         body = null;
-        server.reserve(-incomingBodyBytes);
+        server.requests().release(incomingBodyBytes);
         incomingBodyBytes = 0;
         isReceivingRequest = false;
     }
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -69,8 +69,8 @@
     private long unreportedAcceptFailures;
 
     private long acceptFailureLoggedUs;
-    /** Total size of the long bodies of requests without a response, and of buffered input. */
-    private long reservedBytes;
+    /** Holds the size of the bodies of requests without a response, and of buffered input. */
+    private final ByteBudget requests = new ByteBudget(Limits.MAX_TOTAL_REQUEST_BYTES);
     /** Whether connections were left in the backlog in this turn for lack of descriptors. */
     private boolean hasBacklogInTurn;
     /** Number of responses that are being streamed. */
@@ -344,17 +344,9 @@
         finishIfEmpty();
     }
 
-    /**
-     * Reserves this many bytes for long bodies and buffered input, or releases them if negative.
-     *
-     * @return false if there is no room
-     */
-    boolean reserve(long bytes) {
-        if (bytes > 0 && reservedBytes + bytes > Limits.MAX_TOTAL_REQUEST_BODY_BYTES) {
-            return false;
-        }
-        reservedBytes += bytes;
-        return true;
+    /** Returns the budget of the bodies of requests without a response, and of buffered input. */
+    ByteBudget requests() {
+        return requests;
     }
 
     /** Returns the budget that counts the responses on the heap. */
@@ -373,9 +365,9 @@
         return all;
     }
 
-    /** Returns the memory reserved for long bodies and buffered input, in bytes. */
+    /** Returns the memory reserved for bodies and buffered input, in bytes. */
     public long reservedBytes() {
-        return reservedBytes;
+        return requests.usedBytes();
     }
 
     /** Returns the number of bytes queued for clients that have not taken them yet. */
--- a/src/main/java/kitemux/http/RequestBody.java
+++ b/src/main/java/kitemux/http/RequestBody.java
@@ -10,30 +10,40 @@
  * buffer.
  */
 final class RequestBody {
-    /** Size of the first part when it is created; it grows up to the maximum. */
-    private static final int INITIAL_PART_BYTES = 256;
+    /** Minimum size of a part that holds anything. */
+    private static final int MIN_PART_BYTES = 256;
     /** Size of a part that is full. */
     private static final int MAX_PART_BYTES = 64 << 10;
 
     private final List<byte[]> parts = new ArrayList<>(1);
-    private byte[] lastPart = new byte[INITIAL_PART_BYTES];
+    private byte[] lastPart = {};
     private int lastPartSize;
     private int size;
 
+    /** Returns the memory that a body of this size takes while it is being received, in bytes. */
+    static long capacityFor(long bodyBytes) {
+        long fullPartBytes = bodyBytes / MAX_PART_BYTES * MAX_PART_BYTES;
+        return fullPartBytes + lastPartCapacity((int) (bodyBytes - fullPartBytes));
+    }
+
+    /** Returns the size of a part that holds this many bytes, a power of two. */
+    private static int lastPartCapacity(int bytes) {
+        return bytes == 0 ? 0 : Math.max(MIN_PART_BYTES, Integer.highestOneBit(2 * bytes - 1));
+    }
+
     /** Appends all readable bytes of the buffer. */
     void append(ByteBuf bytes) {
         while (bytes.isReadable()) {
-            if (lastPartSize == lastPart.length) {
-                if (lastPartSize < MAX_PART_BYTES) {
-                    int newLength = Math.max(2 * lastPartSize, lastPartSize + bytes.readableBytes());
-                    lastPart = Arrays.copyOf(lastPart, Math.min(MAX_PART_BYTES, newLength));
-                } else {
-                    parts.add(lastPart);
-                    lastPart = new byte[MAX_PART_BYTES];
-                    lastPartSize = 0;
-                }
+            if (lastPartSize == MAX_PART_BYTES) {
+                parts.add(lastPart);
+                lastPart = new byte[0];
+                lastPartSize = 0;
+            }
+            int neededBytes = Math.min(MAX_PART_BYTES, lastPartSize + bytes.readableBytes());
+            if (neededBytes > lastPart.length) {
+                lastPart = Arrays.copyOf(lastPart, lastPartCapacity(neededBytes));
             }
-            int copied = Math.min(bytes.readableBytes(), lastPart.length - lastPartSize);
+            int copied = neededBytes - lastPartSize;
             bytes.readBytes(lastPart, lastPartSize, copied);
             lastPartSize += copied;
             size += copied;
@@ -45,9 +55,11 @@
         return size;
     }
 
-    /** Returns the body in parts. Nothing may be appended afterwards. */
+    /** Returns the body in parts; an empty one has none. Nothing may be appended afterwards. */
     List<byte[]> parts() {
-        parts.add(lastPartSize == lastPart.length ? lastPart : Arrays.copyOf(lastPart, lastPartSize));
+        if (lastPartSize > 0) {
+            parts.add(lastPartSize == lastPart.length ? lastPart : Arrays.copyOf(lastPart, lastPartSize));
+        }
         return parts;
     }
 }
--- a/src/main/java/kitemux/net/ByteBudget.java
+++ b/src/main/java/kitemux/net/ByteBudget.java
@@ -23,7 +23,16 @@
      * @return false if there is no room; nothing is reserved then
      */
     public boolean tryReserve(long bytes) {
-        if (usedBytes + bytes > limitBytes) {
+        return tryReserve(bytes, limitBytes);
+    }
+
+    /**
+     * Reserves this many bytes if no more than a lower limit is in use afterwards, so that room for others is left.
+     *
+     * @return false if there is no room; nothing is reserved then
+     */
+    public boolean tryReserve(long bytes, long lowerLimitBytes) {
+        if (usedBytes + bytes > lowerLimitBytes) {
             return false;
         }
         usedBytes += bytes;
--- a/src/test/java/kitemux/node/BufferLimitsTest.java
+++ b/src/test/java/kitemux/node/BufferLimitsTest.java
@@ -10,6 +10,8 @@
 import java.lang.management.ManagementFactory;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import kitemux.http.Limits;
 import kitemux.net.BoundedReadBuffers;
@@ -150,6 +152,34 @@
         }
     }
 
+    /** Guards against short request bodies that are bounded one by one only, and together use up the heap. */
+    @Test
+    void shortRequestBodiesAreBoundedTogether() throws Exception {
+        long roomForShortBytes = Limits.MAX_TOTAL_REQUEST_BYTES - Limits.MAX_REQUEST_BODY_BYTES;
+        int roomCount = (int) (roomForShortBytes / Limits.SMALL_REQUEST_BODY_BYTES);
+        String body = "b".repeat(60_000);
+        try (ScriptedServer server = ScriptedServer.serving("done");
+                Site site = Site.quiet()) {
+            site.sockets = SOCKET_LIMIT;
+            site.start(server);
+            Site.write(site.connect(), order("long", Limits.MAX_REQUEST_BODY_BYTES));
+            List<Socket> clients = new ArrayList<>();
+            for (int i = 0; i < roomCount; i++) {
+                clients.add(site.connect());
+                Site.write(clients.get(i), order("t" + i, body.length()));
+            }
+            assertEquals(200, site.ask(UP).status());
+            Http.Message refused = site.ask(order("beyond", body.length()));
+            assertEquals(503, refused.status(), "there is no room for one more");
+            assertEquals("0.25", refused.headers().get("retry-after"));
+            Site.write(clients.get(0), body);
+            assertEquals("done", Http.read(clients.get(0).getInputStream()).body());
+            Socket next = site.connect();
+            Site.write(next, order("next", body.length()) + body);
+            assertEquals("done", Http.read(next.getInputStream()).body(), "room is given back");
+        }
+    }
+
     private static long jdkDirectBytes() {
         return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
                 .filter(pool -> pool.getName().equals("direct"))
