Hold only what has arrived of a request that is not complete

Cause: the decoder keeps the beginning of an unfinished message in the buffer that it was read into, up to 64 KiB for a few bytes, until the rest comes or 3 s are over. Clients that stop within a head behind a body hold that each.

Change: the buffer that the decoder keeps is cut to what has arrived.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -84,6 +84,9 @@
      */
     private long bufferedSinceUs = Long.MAX_VALUE;
 
+    /** The buffer in which the decoder keeps the beginning of an unfinished message, or null. */
+    private ByteBuf keptInput;
+
     /** Context of the handler in front of the decoder, which passes input on to it. */
     private ChannelHandlerContext gateContext;
 
@@ -197,6 +200,23 @@
             waitingSinceNanos = hasReceivedRequest && !isBusy ? ticker.nanoTime() : waitingSinceNanos;
         }
         gateContext.fireChannelRead(bytes);
+        if (bytes.refCnt() > 0) {
+            keptInput = bytes;
+        }
+        trimKeptInput();
+    }
+
+    /**
+     * Shrinks the buffer that the decoder keeps to the part of a message in it. Clients that stop within a message would
+     * otherwise hold a buffer of up to 64 KiB for a few bytes each.
+     */
+    private void trimKeptInput() {
+        if (keptInput != null && keptInput.refCnt() == 0) {
+            keptInput = null;
+        }
+        if (keptInput != null && keptInput.refCnt() == 1) {
+            keptInput.discardReadBytes().capacity(keptInput.readableBytes());
+        }
     }
 
     /**
--- a/src/test/java/kitemux/node/BufferLimitsTest.java
+++ b/src/test/java/kitemux/node/BufferLimitsTest.java
@@ -152,6 +152,28 @@
         }
     }
 
+    /** Guards against clients that stop within a request and hold the buffer of a whole read for a few bytes each. */
+    @Test
+    void partialRequestsHoldOnlyWhatHasArrived() throws Exception {
+        int clientCount = 100;
+        String body = "b".repeat(60_000);
+        String partialHead = "POST /api/next HTTP/1.1\r\nHost: ";
+        try (ScriptedServer server = ScriptedServer.serving("done");
+                Site site = Site.quiet()) {
+            site.sockets = SOCKET_LIMIT;
+            site.start(server);
+            for (int i = 0; i < clientCount; i++) {
+                Socket client = site.connect();
+                Site.write(client, order("t" + i, body.length()) + body + partialHead);
+                assertEquals("done", Http.read(client.getInputStream()).body());
+            }
+            assertEquals(200, site.ask(UP).status());
+            long heldBytes =
+                    ALLOCATOR.metric().usedDirectMemory() + ALLOCATOR.metric().usedHeapMemory();
+            assertTrue(heldBytes <= clientCount * 1_024L, "held for partial requests: " + heldBytes + " bytes");
+        }
+    }
+
     /** Guards against short request bodies that are bounded one by one only, and together use up the heap. */
     @Test
     void shortRequestBodiesAreBoundedTogether() throws Exception {
