Join the rest of a read with the next one in a buffer of their size

Cause: where a chunk of a response lies across two reads, Netty's cumulator lets the direct buffer of the first grow to twice its size for the second, and a stream then holds that until its client has taken it.

Change: the two are joined in a buffer of exactly their size, allocated like those of reads: from the heap where the direct memory is used up.

--- a/src/main/java/kitemux/http/HttpServers.java
+++ b/src/main/java/kitemux/http/HttpServers.java
@@ -29,6 +29,7 @@
 import kitemux.engine.Clock;
 import kitemux.engine.Log;
 import kitemux.engine.Transport.Exchange;
+import kitemux.net.BoundedReadBuffers;
 import kitemux.net.ByteBudget;
 import kitemux.net.ServerPool;
 import kitemux.net.ServerResponse;
@@ -39,6 +40,7 @@
     private final Settings settings;
     private final ByteBufAllocator allocator;
     private final Log log;
+    private final BoundedReadBuffers readBuffers = new BoundedReadBuffers();
     /** Holds the size of the responses that are buffered, and of those that wait for their clients. */
     private final ByteBudget responses;
 
@@ -58,7 +60,7 @@
 
     @Override
     public void initPipeline(ChannelPipeline pipeline) {
-        pipeline.addLast(new StrictResponseDecoder(), new RequestEncoder(), new ChunkedWriteHandler());
+        pipeline.addLast(new StrictResponseDecoder(readBuffers), new RequestEncoder(), new ChunkedWriteHandler());
     }
 
     @Override
--- a/src/main/java/kitemux/http/StrictResponseDecoder.java
+++ b/src/main/java/kitemux/http/StrictResponseDecoder.java
@@ -1,9 +1,12 @@
 package kitemux.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import kitemux.net.BoundedReadBuffers;
 
 /**
  * Decodes servers' responses and rejects those that are ambiguous. Netty's decoder is lenient: it accepts a
@@ -11,6 +14,38 @@
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
 
+    /**
+     * Creates a decoder.
+     *
+     * @param readBuffers allocates the buffers in which the rest of one read and the next one are joined
+     */
+    StrictResponseDecoder(BoundedReadBuffers readBuffers) {
+        setCumulator((allocator, kept, next) -> join(readBuffers, allocator, kept, next));
+    }
+
+    /**
+     * Joins what is left of one read with the next one in a buffer of exactly their size. Netty's own cumulator lets the
+     * buffer of the first read grow to twice the size and keeps it.
+     */
+    private static ByteBuf join(
+            BoundedReadBuffers readBuffers, ByteBufAllocator allocator, ByteBuf kept, ByteBuf next) {
+        if (!kept.isReadable()) {
+            kept.release();
+            return next;
+        }
+        if (kept == next) {
+            next.release();
+            return kept;
+        }
+        try {
+            ByteBuf joined = readBuffers.allocate(allocator, kept.readableBytes() + next.readableBytes());
+            return joined.writeBytes(kept).writeBytes(next);
+        } finally {
+            kept.release();
+            next.release();
+        }
+    }
+
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
         String status = initialLine[1];
