Count long bodies apart, so that short ones do not keep them out

Cause: long bodies were refused once all bodies together took 36 MiB, whatever kind held them.

BodyReservation, taken out of ClientConnection, holds both counts.

Measured: BufferLimitsTest.shortRequestBodiesAreBoundedTogether has the long body now, and passes; ClientServerTest, RequestFramingTest and ArchitectureTest too.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -92,11 +92,10 @@
 
     private HttpRequest head;
     private RequestBody body;
-    /** Bytes reserved for the body that is being received. */
-    private long incomingBodyBytes;
-
-    /** Bytes reserved for the bodies of complete requests that have no response yet. */
-    private long queuedBodyBytes;
+    /** Room for the body that is being received. */
+    private final BodyReservation incomingBody;
+    /** Room for the bodies of complete requests that have no response yet. */
+    private final BodyReservation queuedBodies;
     /** Whether input was received since the last complete request. */
     private boolean isReceivingRequest;
     /** Whether all further input is discarded. */
@@ -146,6 +145,8 @@
         this.earliestOpenedUs = earliestOpenedUs;
         this.log = log;
         this.channel = channel;
+        incomingBody = server.newBodyReservation();
+        queuedBodies = server.newBodyReservation();
         ticker = channel.eventLoop().ticker();
         waitingSinceNanos = ticker.nanoTime();
     }
@@ -243,7 +244,7 @@
         long receivedBytes = bytes.readableBytes();
         unparsed.discardReadBytes().writeBytes(bytes);
         bytes.release();
-        boolean isReserved = server.requests().tryReserve(receivedBytes, Limits.MAX_TOTAL_BEFORE_LONG_REQUEST_BYTES);
+        boolean isReserved = server.requests().tryReserve(receivedBytes, Limits.MAX_TOTAL_BEFORE_INPUT_WAITS_BYTES);
         unparsedReservedBytes += isReserved ? receivedBytes : 0;
         if (!isReserved || unparsed.readableBytes() >= Limits.MAX_PIPELINED_BYTES) {
             channel.config().setAutoRead(false);
@@ -308,7 +309,7 @@
                 rejectInput(error);
                 return;
             }
-            if (!reserveBody(HttpUtil.getContentLength(request, 0L))) {
+            if (!incomingBody.growTo(HttpUtil.getContentLength(request, 0L))) {
                 rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE);
                 return;
             }
@@ -323,7 +324,7 @@
                 rejectInput(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
                 return;
             }
-            if (!reserveBody(body.size() + bytes.readableBytes())) {
+            if (!incomingBody.growTo(body.size() + bytes.readableBytes())) {
                 rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE);
                 return;
             }
@@ -331,8 +332,7 @@
         }
         if (part instanceof LastHttpContent) {
             QueuedRequest complete = new QueuedRequest(head, body.parts(), earliestArrivalUs(), null);
-            queuedBodyBytes += incomingBodyBytes;
-            incomingBodyBytes = 0;
+            incomingBody.moveTo(queuedBodies);
             discardPartialRequest();
             enqueue(complete);
         }
@@ -349,38 +349,11 @@
         hasReadBefore = true;
     }
 
-    /**
-     * Reserves room for this many bytes of the body that is being received.
-     *
-     * @return false if there is no room; nothing more is reserved then
-     */
-    private boolean reserveBody(long bytes) {
-        long additionalBytes = RequestBody.capacityFor(bytes) - incomingBodyBytes;
-        if (additionalBytes <= 0) {
-            return true;
-        }
-        boolean isShort = bytes <= Limits.SMALL_REQUEST_BODY_BYTES;
-        if (!server.requests()
-                .tryReserve(
-                        additionalBytes,
-                        isShort ? Limits.MAX_TOTAL_REQUEST_BYTES : Limits.MAX_TOTAL_BEFORE_LONG_REQUEST_BYTES)) {
-            return false;
-        }
-        incomingBodyBytes += additionalBytes;
-        return true;
-    }
-
-    private void releaseQueuedBodies() {
-        server.requests().release(queuedBodyBytes);
-        queuedBodyBytes = 0;
-    }
-
     /** Drops a partially received request and releases the bytes reserved for its body. */
     private void discardPartialRequest() {
         head = null;
         body = null;
-        server.requests().release(incomingBodyBytes);
-        incomingBodyBytes = 0;
+        incomingBody.release();
         isReceivingRequest = false;
     }
 
@@ -597,7 +570,7 @@
      */
     private void onResponseWritten(boolean isWritten) {
         if (queue.isEmpty()) {
-            releaseQueuedBodies();
+            queuedBodies.release();
         }
         isBusy = false;
         waitingSinceNanos = ticker.nanoTime();
@@ -721,7 +694,7 @@
         discardsInput = true;
         queue.clear();
         discardPartialRequest();
-        releaseQueuedBodies();
+        queuedBodies.release();
         releaseUnparsed();
         if (stream != null) {
             stream.onClientLeft();
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -71,6 +71,8 @@
     private long acceptFailureLoggedUs;
     /** Holds the size of the bodies of requests without a response, and of buffered input. */
     private final ByteBudget requests = new ByteBudget(Limits.MAX_TOTAL_REQUEST_BYTES);
+    /** Holds the size of the long ones among these bodies. */
+    private final ByteBudget longBodies = new ByteBudget(Limits.MAX_TOTAL_LONG_REQUEST_BODY_BYTES);
     /** Whether connections were left in the backlog in this turn for lack of descriptors. */
     private boolean hasBacklogInTurn;
     /** Number of responses that are being streamed. */
@@ -349,6 +351,11 @@
         return requests;
     }
 
+    /** Creates a reservation for the bodies of a connection. */
+    BodyReservation newBodyReservation() {
+        return new BodyReservation(requests, longBodies);
+    }
+
     /** Returns the budget that counts the responses on the heap. */
     ByteBudget responses() {
         return responses;
--- a/src/main/java/kitemux/http/Limits.java
+++ b/src/main/java/kitemux/http/Limits.java
@@ -7,15 +7,17 @@
      * sent again.
      */
     public static final int MAX_REQUEST_BODY_BYTES = 32 << 20;
-    /** Size up to which a body is a short one, for which {@link #MAX_TOTAL_REQUEST_BYTES} leaves room. */
+    /** Size up to which a body does not count towards {@link #MAX_TOTAL_LONG_REQUEST_BODY_BYTES}. */
     public static final int SMALL_REQUEST_BODY_BYTES = 64 << 10;
     /**
      * Maximum total size of all request bodies and of buffered input. Together with all other buffers they have to fit
      * into a heap of 64 MiB.
      */
-    public static final long MAX_TOTAL_REQUEST_BYTES = 40L << 20;
-    /** Total size from which no long body and no further input is buffered: the longest body and some more. */
-    public static final long MAX_TOTAL_BEFORE_LONG_REQUEST_BYTES = 36L << 20;
+    public static final long MAX_TOTAL_REQUEST_BYTES = 44L << 20;
+    /** Maximum total size of all long request bodies: the longest one and some more. */
+    public static final long MAX_TOTAL_LONG_REQUEST_BODY_BYTES = 34L << 20;
+    /** Total size of bodies and buffered input from which no further input is buffered, so that bodies have room. */
+    public static final long MAX_TOTAL_BEFORE_INPUT_WAITS_BYTES = 40L << 20;
     /**
      * Size up to which a response is buffered, so that another server can be asked if it is cut off; a longer
      * response is streamed.
@@ -75,7 +77,7 @@
     public static final int MAX_PIPELINED_REQUEST_COUNT = 16;
     /**
      * Size up to which unparsed input is buffered behind queued requests, within {@link
-     * #MAX_TOTAL_BEFORE_LONG_REQUEST_BYTES}. Input is read so that a client's disconnect is noticed, as only reading
+     * #MAX_TOTAL_BEFORE_INPUT_WAITS_BYTES}. Input is read so that a client's disconnect is noticed, as only reading
      * reports the end of a socket here. With one more read the buffer reaches 1 MiB.
      */
     public static final int MAX_PIPELINED_BYTES = 960 << 10;
--- a/src/test/java/kitemux/node/BufferLimitsTest.java
+++ b/src/test/java/kitemux/node/BufferLimitsTest.java
@@ -184,13 +184,16 @@
                 Site site = Site.quiet()) {
             site.sockets = SOCKET_LIMIT;
             site.start(server);
-            Site.write(site.connect(), order("long", Limits.MAX_REQUEST_BODY_BYTES));
             List<Socket> clients = new ArrayList<>();
             for (int i = 0; i < roomCount; i++) {
                 clients.add(site.connect());
                 Site.write(clients.get(i), order("t" + i, body.length()));
             }
             assertEquals(200, site.ask(UP).status());
+            Socket longBodied = site.connect();
+            Site.write(longBodied, order("long", Limits.MAX_REQUEST_BODY_BYTES));
+            assertEquals(200, site.ask(UP).status());
+            assertEquals(0, longBodied.getInputStream().available(), "the short ones leave room for a long one");
             Http.Message refused = site.ask(order("beyond", body.length()));
             assertEquals(503, refused.status(), "there is no room for one more");
             assertEquals("0.25", refused.headers().get("retry-after"));
