Report written attempts, paused reads, reasons of closes and stalls of the loop

Change: the trace has 'attempt N written' and 'connection N paused' and 'resumed'; GET /ops/stats has node.clients.connections, .paused, .closed.REASON and node.loop.stalls, .longest_stall_us.

Measured: RequestTraceTest, OperatorsTest, ClientServerTest and ArchitectureTest pass. No decision is changed.

--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -343,6 +343,11 @@
             return pending.deadlineUs;
         }
 
+        @Override
+        public void onWriting() {
+            observer.onAttemptWritten(pending.id, number);
+        }
+
         void requestAdmission() {
             pending.inFlightAttempts++;
             observer.onAttemptStarted(pending.id, number, serverId, expiresAtUs);
--- a/src/main/java/kitemux/engine/Observer.java
+++ b/src/main/java/kitemux/engine/Observer.java
@@ -27,6 +27,12 @@
                 next.onAttemptStarted(id, attempt, serverId, expiresAtUs);
             }
 
+            @Override
+            public void onAttemptWritten(long id, int attempt) {
+                current.onAttemptWritten(id, attempt);
+                next.onAttemptWritten(id, attempt);
+            }
+
             @Override
             public void onAttemptEnded(long id, int attempt, Result result) {
                 current.onAttemptEnded(id, attempt, result);
@@ -66,6 +72,9 @@
      */
     default void onAttemptStarted(long id, int attempt, String serverId, long expiresAtUs) {}
 
+    /** The first byte of an attempt is about to be written to its server; called at most once for each attempt. */
+    default void onAttemptWritten(long id, int attempt) {}
+
     /** An attempt has ended; called exactly once for each {@link #onAttemptStarted}. */
     default void onAttemptEnded(long id, int attempt, Result result) {}
 
--- a/src/main/java/kitemux/engine/Transport.java
+++ b/src/main/java/kitemux/engine/Transport.java
@@ -28,6 +28,9 @@
             return expiresAtUs();
         }
 
+        /** The first byte of the request is about to be written; called at most once. */
+        default void onWriting() {}
+
         /**
          * A response has started that is not buffered: its remaining data arrives through the response object,
          * and its end is reported by {@link #onEnded} as usual. The request is not retried from here on,
--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -228,7 +228,15 @@
         discardedBytes += bytes.readableBytes();
         bytes.release();
         if (discardedBytes > Limits.MAX_DISCARDED_BYTES && (isBusy || !queue.isEmpty())) {
-            channel.config().setAutoRead(false);
+            setReading(false);
+        }
+    }
+
+    /** Pauses or resumes reading; while it is paused the client's disconnect is not noticed. */
+    private void setReading(boolean enabled) {
+        if (channel.config().isAutoRead() != enabled) {
+            channel.config().setAutoRead(enabled);
+            server.onReadingChanged(this, enabled);
         }
     }
 
@@ -247,7 +255,7 @@
         boolean isReserved = server.requests().tryReserve(receivedBytes, Limits.MAX_TOTAL_BEFORE_INPUT_WAITS_BYTES);
         unparsedReservedBytes += isReserved ? receivedBytes : 0;
         if (!isReserved || unparsed.readableBytes() >= Limits.MAX_PIPELINED_BYTES) {
-            channel.config().setAutoRead(false);
+            setReading(false);
         }
     }
 
@@ -272,7 +280,7 @@
                 unparsedReservedBytes -= parsedBytes;
             }
         }
-        channel.config().setAutoRead(unparsed == null || unparsed.readableBytes() < Limits.MAX_PIPELINED_BYTES);
+        setReading(unparsed == null || unparsed.readableBytes() < Limits.MAX_PIPELINED_BYTES);
     }
 
     private void releaseUnparsed() {
@@ -586,7 +594,7 @@
                 // client has not received yet. The input stays unread, so that the client sends it again
                 // elsewhere.
                 lingerMs = Limits.LINGER_MS;
-                channel.config().setAutoRead(false);
+                setReading(false);
             }
             lingerTimer =
                     channel.eventLoop().schedule(() -> close(CloseReason.LAST_ANSWER), lingerMs, TimeUnit.MILLISECONDS);
@@ -690,6 +698,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        setReading(true);
         keepAlive = false;
         discardsInput = true;
         queue.clear();
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -14,16 +14,21 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
+import java.util.stream.Stream;
 import kitemux.engine.Engine;
 import kitemux.engine.Log;
 import kitemux.net.BoundedReadBuffers;
 import kitemux.net.ByteBudget;
+import kitemux.net.ClientUsage;
 import kitemux.net.EventLoopClock;
 import kitemux.net.InputAwareChannel;
 import kitemux.net.Network;
@@ -75,6 +80,10 @@
     private final ByteBudget longBodies = new ByteBudget(Limits.MAX_TOTAL_LONG_REQUEST_BODY_BYTES);
     /** Whether connections were left in the backlog in this turn for lack of descriptors. */
     private boolean hasBacklogInTurn;
+    /** Number of open connections from which nothing is read. */
+    private int pausedCount;
+    /** Number of connections closed since the start, by reason. */
+    private final Map<CloseReason, Long> closeCounts = new EnumMap<>(CloseReason.class);
     /** Number of responses that are being streamed. */
     private int streamCount;
     /** Number of connections accepted since the start. */
@@ -338,8 +347,19 @@
         observer.requestReceived(client.number(), request.txn());
     }
 
+    /** Records that reading from a connection was paused or resumed. */
+    void onReadingChanged(ClientConnection client, boolean isReading) {
+        pausedCount += isReading ? -1 : 1;
+        if (isReading) {
+            observer.readingResumed(client.number());
+        } else {
+            observer.readingPaused(client.number());
+        }
+    }
+
     void onClosed(ClientConnection client, CloseReason reason) {
         observer.connectionClosed(client.number(), reason);
+        closeCounts.merge(reason, 1L, Long::sum);
         newConnections.remove(client);
         busyConnections.remove(client);
         idleConnections.remove(client);
@@ -384,6 +404,15 @@
                 .sum();
     }
 
+    /** Returns what the connections do at present, and why earlier ones were closed. */
+    public ClientUsage clientUsage() {
+        List<ClientUsage.CloseCount> closes = Stream.of(CloseReason.values())
+                .map(reason -> new ClientUsage.CloseCount(
+                        reason.name().toLowerCase(Locale.ROOT), closeCounts.getOrDefault(reason, 0L)))
+                .toList();
+        return new ClientUsage(allConnections().size(), pausedCount, closes);
+    }
+
     /** Closes connections whose clients exceeded a timeout. */
     public void closeExpired() {
         allConnections().forEach(ClientConnection::closeIfExpired);
--- a/src/main/java/kitemux/http/ConnectionObserver.java
+++ b/src/main/java/kitemux/http/ConnectionObserver.java
@@ -17,6 +17,12 @@
     /** Called when the request with this transaction id was received completely and is about to be dispatched. */
     default void requestReceived(long connection, String txn) {}
 
+    /** Called when reading from a connection is paused; its end is not noticed until reading resumes. */
+    default void readingPaused(long connection) {}
+
+    /** Called when reading from a paused connection resumes. */
+    default void readingResumed(long connection) {}
+
     /** Called when a phase of the shutdown begins. */
     default void shutdownPhaseEntered(ShutdownPhase phase) {}
 
--- a/src/main/java/kitemux/net/ServerPool.java
+++ b/src/main/java/kitemux/net/ServerPool.java
@@ -435,6 +435,7 @@
         private void sendRequest(Exchange<Q, A> next) {
             // Created first, so that a failure here does not lose the connection.
             Object message = createMessage(next);
+            next.onWriting();
             upstream.idleConnections.remove(this);
             exchange = next;
             requestWritten = false;
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -45,8 +45,10 @@
 import kitemux.net.ByteBudget;
 import kitemux.net.EventLoopClock;
 import kitemux.net.HostList;
+import kitemux.net.LoopUsage;
 import kitemux.net.Network;
 import kitemux.net.NioNetwork;
+import kitemux.net.NodeUsage;
 import kitemux.net.PollingLoop;
 import kitemux.net.SelectorLoop;
 import kitemux.net.ServerPool;
@@ -95,6 +97,10 @@
     private final Operations operations;
 
     private boolean listening;
+    /** Stalls of the event loop that were logged. */
+    private long stallCount;
+
+    private long longestStallUs;
     /** Released when discovery has delivered its first server list. */
     private final CountDownLatch firstListReceived = new CountDownLatch(1);
 
@@ -309,8 +315,11 @@
             }
 
             @Override
-            public BufferUsage bufferUsage() {
-                return Node.this.bufferUsage(dependencies.network().allocator());
+            public NodeUsage usage() {
+                return new NodeUsage(
+                        bufferUsage(dependencies.network().allocator()),
+                        clientServer.clientUsage(),
+                        new LoopUsage(stallCount, longestStallUs));
             }
         };
         try {
@@ -583,7 +592,9 @@
 
     private void tick() {
         long delayUs = clock.tick();
+        longestStallUs = Math.max(longestStallUs, delayUs);
         if (delayUs >= LOOP_STALL_WARNING_US) {
+            stallCount++;
             log.info("loop held up for " + delayUs / 1_000 + " ms with " + engine.pendingCount()
                     + " requests open: this process got no CPU time, or one loop iteration took that long");
         }
--- a/src/main/java/kitemux/ops/Operations.java
+++ b/src/main/java/kitemux/ops/Operations.java
@@ -14,8 +14,8 @@
 import kitemux.engine.Clock;
 import kitemux.engine.Log;
 import kitemux.engine.Observer;
-import kitemux.net.BufferUsage;
 import kitemux.net.HostList;
+import kitemux.net.NodeUsage;
 import kitemux.net.SocketBudget;
 
 /**
@@ -53,8 +53,8 @@
         /** Returns the number of servers that the balancer has ejected. */
         int ejectedServerCount();
 
-        /** Returns what the node's buffers hold. */
-        BufferUsage bufferUsage();
+        /** Returns what the node holds and how it keeps up. */
+        NodeUsage usage();
     }
 
     /**
@@ -162,7 +162,7 @@
                             nodeControl.dispatchCount(),
                             serverOverrides.listed(),
                             serverOverrides.unavailableCount() + nodeControl.ejectedServerCount(),
-                            nodeControl.bufferUsage()));
+                            nodeControl.usage()));
         } else if (path.startsWith(SERVER_DOWN_PREFIX) || path.startsWith(SERVER_UP_PREFIX)) {
             boolean down = path.startsWith(SERVER_DOWN_PREFIX);
             setServerDrained(path.substring((down ? SERVER_DOWN_PREFIX : SERVER_UP_PREFIX).length()), down, responder);
--- a/src/main/java/kitemux/ops/RequestMetrics.java
+++ b/src/main/java/kitemux/ops/RequestMetrics.java
@@ -7,6 +7,8 @@
 import kitemux.engine.Observer;
 import kitemux.engine.RequestInfo;
 import kitemux.net.BufferUsage;
+import kitemux.net.ClientUsage;
+import kitemux.net.NodeUsage;
 
 /** Counts the outcomes of requests since the start of the process. It keeps one map entry for each open request. */
 final class RequestMetrics implements Observer {
@@ -64,9 +66,9 @@
      * @param dispatches attempts written in full to servers
      * @param targets servers on the list
      * @param disabled servers on the list that the node does not use
-     * @param buffers what the node's buffers hold
+     * @param usage what the node holds and how it keeps up
      */
-    String format(long dispatches, int targets, int disabled, BufferUsage buffers) {
+    String format(long dispatches, int targets, int disabled, NodeUsage usage) {
         StringBuilder text = new StringBuilder();
         for (int classIndex = 0; classIndex < replyCounts.length; classIndex++) {
             for (int outcome = 0; outcome < OUTCOMES.size(); outcome++) {
@@ -82,11 +84,24 @@
         appendLine(text, "targets_disabled", disabled);
         appendLine(text, "reload_success", successfulReloads);
         appendLine(text, "reload_failure", failedReloads);
+        appendBuffers(text, usage.buffers());
+        appendClients(text, usage.clients());
+        appendLine(text, "loop.stalls", usage.loop().stallCount());
+        appendLine(text, "loop.longest_stall_us", usage.loop().longestStallUs());
+        return text.toString();
+    }
+
+    private static void appendClients(StringBuilder text, ClientUsage clients) {
+        appendLine(text, "clients.connections", clients.connectionCount());
+        appendLine(text, "clients.paused", clients.pausedCount());
+        clients.closes().forEach(close -> appendLine(text, "clients.closed." + close.reason(), close.count()));
+    }
+
+    private static void appendBuffers(StringBuilder text, BufferUsage buffers) {
         appendLine(text, "buffers.direct_bytes", buffers.directBytes());
         appendLine(text, "buffers.response_bytes", buffers.responseBytes());
         appendLine(text, "buffers.unsent_bytes", buffers.unsentBytes());
         appendLine(text, "buffers.request_bytes", buffers.requestBytes());
-        return text.toString();
     }
 
     private static void appendLine(StringBuilder text, String name, long value) {
--- a/src/main/java/kitemux/telemetry/RequestTrace.java
+++ b/src/main/java/kitemux/telemetry/RequestTrace.java
@@ -65,6 +65,16 @@
         writeLine("request " + txn + " on connection " + connection);
     }
 
+    @Override
+    public void readingPaused(long connection) {
+        writeLine("connection " + connection + " paused");
+    }
+
+    @Override
+    public void readingResumed(long connection) {
+        writeLine("connection " + connection + " resumed");
+    }
+
     @Override
     public void connectionClosed(long connection, CloseReason reason) {
         writeLine("connection " + connection + " closed " + reason);
@@ -86,6 +96,11 @@
         writeRequestLine(id, "attempt " + attempt + " to " + serverId + ", " + (untilUs - clock.nowUs()) + " us left");
     }
 
+    @Override
+    public void onAttemptWritten(long id, int attempt) {
+        writeRequestLine(id, "attempt " + attempt + " written");
+    }
+
     @Override
     public void onAttemptEnded(long id, int attempt, Result result) {
         writeRequestLine(id, "attempt " + attempt + " ended " + result);
--- a/src/test/java/kitemux/telemetry/RequestTraceTest.java
+++ b/src/test/java/kitemux/telemetry/RequestTraceTest.java
@@ -67,6 +67,9 @@
         trace.onRequestAccepted(9, new FakeRequest("t1"));
         trace.requestReceived(1, "t1");
         trace.onAttemptStarted(9, 0, "s0", 301_000);
+        trace.onAttemptWritten(9, 0);
+        trace.readingPaused(1);
+        trace.readingResumed(1);
         time.nowUs = 301_000;
         trace.onAttemptEnded(9, 0, Result.TIMEOUT);
         trace.onRequestAnswered(9, Observer.RequestOutcome.FAILED);
@@ -79,6 +82,9 @@
                         "1000 request t1 taken, 400000 us left",
                         "1000 request t1 on connection 1",
                         "1000 request t1 attempt 0 to s0, 300000 us left",
+                        "1000 request t1 attempt 0 written",
+                        "1000 connection 1 paused",
+                        "1000 connection 1 resumed",
                         "301000 request t1 attempt 0 ended TIMEOUT",
                         "301000 request t1 answered FAILED",
                         "301000 connection 1 closed LAST_ANSWER"),
