Begin no attempt for a client from which nothing is read

Cause: a client that has sent much behind its request is not read beyond 960 KiB of queued input, or 1 MiB of discarded input. The system reports the end of a connection, by FIN or by reset, to a NIO channel only when it is read. The decision to try again rested on that report.

Change: a client says whether its input is read, unread, or paused. The engine asks before each attempt, first or further, and the pool asks again when a connection comes up. Unread input is read first; where reading is paused no attempt begins, and the request is refused, or failed if it may have run. The class is any decision that rests on an event which only reading reports; the check stands where attempts begin, not where reading is paused, so it holds for each reason of a pause. The same question ends an attempt whose time is over when its connection comes up.

Cost: a client that sends more than 960 KiB ahead is refused until less than that is unread; each gets its answer (clientThatSendsMuchAheadIsAnsweredInFull). node.withheld.REASON and the trace count such attempts.

--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -343,6 +343,28 @@
             return pending.deadlineUs;
         }
 
+        @Override
+        public boolean mayBeWritten() {
+            if (finished || pending.answered) {
+                return false;
+            }
+            Observer.WithheldReason reason = withheldReason();
+            if (reason != null) {
+                observer.onAttemptWithheld(pending.id, number, reason);
+            }
+            return reason == null;
+        }
+
+        /** Returns why the attempt must not be written now, or null if it may be. */
+        private Observer.WithheldReason withheldReason() {
+            if (clock.nowUs() >= expiresAtUs) {
+                return Observer.WithheldReason.EXPIRED;
+            }
+            return pending.client.clientInput() == ResponseSink.ClientInput.PAUSED
+                    ? Observer.WithheldReason.CLIENT_INPUT_PAUSED
+                    : null;
+        }
+
         @Override
         public void onWriting() {
             observer.onAttemptWritten(pending.id, number);
@@ -371,27 +393,60 @@
             if (finished) {
                 return;
             }
-            if (admitted && clock.readLagUs() > 0) {
-                // A loop that is behind has unread input, which may include the disconnect of this client. It is
-                // read in this loop iteration and reported in the next.
-                clock.schedule(0, () -> clock.schedule(0, this::startExchange));
-            } else if (admitted) {
-                startExchange();
-            } else {
-                if (!pending.answered && pending.attempts.stream().noneMatch(Attempt::mayHaveRun)) {
-                    // No part of the request has been sent, so the client can safely retry immediately.
-                    markAnswered(pending, Observer.RequestOutcome.REFUSED);
-                    pending.client.onRefused(sendGate.retryAfterUs());
-                    Engine.this.withdrawUnsentAttempts(pending);
-                }
+            if (!admitted) {
+                refuseIfNeverRan();
                 onEnded(Result.MOOT, null);
+            } else if (clock.readLagUs() > 0) {
+                startAfterReading();
+            } else {
+                startExchange();
             }
         }
 
+        /**
+         * Starts the exchange after the next iteration of the event loop. Unread input may include the disconnect of
+         * the client; it is read in this iteration and reported in the next.
+         */
+        private void startAfterReading() {
+            clock.schedule(0, () -> clock.schedule(0, this::startExchange));
+        }
+
         private void startExchange() {
-            if (!finished) {
-                sent = true;
-                transport.start(serverId, this);
+            if (finished) {
+                return;
+            }
+            switch (pending.client.clientInput()) {
+                case READ -> {
+                    sent = true;
+                    transport.start(serverId, this);
+                }
+                case UNREAD -> startAfterReading();
+                case PAUSED -> {
+                    observer.onAttemptWithheld(pending.id, number, Observer.WithheldReason.CLIENT_INPUT_PAUSED);
+                    answerWithoutAttempt();
+                    onEnded(Result.MOOT, null);
+                }
+            }
+        }
+
+        /** Refuses the request if no part of it can have run, so that the client can safely retry at once. */
+        private void refuseIfNeverRan() {
+            if (!pending.answered && pending.attempts.stream().noneMatch(Attempt::mayHaveRun)) {
+                markAnswered(pending, Observer.RequestOutcome.REFUSED);
+                pending.client.onRefused(sendGate.retryAfterUs());
+                Engine.this.withdrawUnsentAttempts(pending);
+            }
+        }
+
+        /** Gives the final answer of a request for which no attempt may begin, unless another attempt is in flight. */
+        private void answerWithoutAttempt() {
+            refuseIfNeverRan();
+            boolean isAttemptInFlight =
+                    pending.attempts.stream().anyMatch(attempt -> attempt.sent && !attempt.finished);
+            if (!pending.answered && !isAttemptInFlight) {
+                markAnswered(pending, Observer.RequestOutcome.FAILED);
+                pending.client.onFailed();
+                Engine.this.withdrawUnsentAttempts(pending);
             }
         }
 
--- a/src/main/java/kitemux/engine/Observer.java
+++ b/src/main/java/kitemux/engine/Observer.java
@@ -33,6 +33,12 @@
                 next.onAttemptWritten(id, attempt);
             }
 
+            @Override
+            public void onAttemptWithheld(long id, int attempt, WithheldReason reason) {
+                current.onAttemptWithheld(id, attempt, reason);
+                next.onAttemptWithheld(id, attempt, reason);
+            }
+
             @Override
             public void onAttemptEnded(long id, int attempt, Result result) {
                 current.onAttemptEnded(id, attempt, result);
@@ -75,6 +81,17 @@
     /** The first byte of an attempt is about to be written to its server; called at most once for each attempt. */
     default void onAttemptWritten(long id, int attempt) {}
 
+    /** Why an attempt was not written although it had begun. */
+    enum WithheldReason {
+        /** Its time was over. */
+        EXPIRED,
+        /** Reading from its client is paused, so that the client may have disconnected unnoticed. */
+        CLIENT_INPUT_PAUSED
+    }
+
+    /** An attempt is not written to its server, and ends. */
+    default void onAttemptWithheld(long id, int attempt, WithheldReason reason) {}
+
     /** An attempt has ended; called exactly once for each {@link #onAttemptStarted}. */
     default void onAttemptEnded(long id, int attempt, Result result) {}
 
--- a/src/main/java/kitemux/engine/ResponseSink.java
+++ b/src/main/java/kitemux/engine/ResponseSink.java
@@ -8,6 +8,21 @@
  * @param <A> type of the servers' responses
  */
 public interface ResponseSink<A> {
+    /** What the node knows of whether a client has disconnected: only reading its input reports that. */
+    enum ClientInput {
+        /** All input that has arrived is read, so the client is still connected as far as the node can know. */
+        READ,
+        /** Some input is unread; it is read in the next iterations of the event loop. */
+        UNREAD,
+        /** Some input may be unread, and reading is paused: a disconnect behind it would not be noticed. */
+        PAUSED
+    }
+
+    /** Returns how much of the client's input is read; no attempt may begin for a client whose input is not. */
+    default ClientInput clientInput() {
+        return ClientInput.READ;
+    }
+
     /**
      * A response has started whose remaining data arrives through the given object. The response is complete
      * once {@link #onServed} is called with null, and truncated if any other final method is called.
--- a/src/main/java/kitemux/engine/Transport.java
+++ b/src/main/java/kitemux/engine/Transport.java
@@ -28,6 +28,15 @@
             return expiresAtUs();
         }
 
+        /**
+         * Whether the request may be written now. The transport asks right before the first byte of the request, as
+         * any condition that held when the server was chosen may have changed while the exchange waited for a
+         * connection. If the answer is false, nothing is written and the exchange ends with {@link Result#MOOT}.
+         */
+        default boolean mayBeWritten() {
+            return true;
+        }
+
         /** The first byte of the request is about to be written; called at most once. */
         default void onWriting() {}
 
--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -445,6 +445,14 @@
         engine.dispatch(accepted);
     }
 
+    @Override
+    public ClientInput clientInput() {
+        if (!channel.config().isAutoRead()) {
+            return ClientInput.PAUSED;
+        }
+        return channel.hasNoUnreadInput() ? ClientInput.READ : ClientInput.UNREAD;
+    }
+
     @Override
     public void onResponseStarted(ServerResponse response) {
         waitingSinceNanos = ticker.nanoTime();
--- a/src/main/java/kitemux/net/ServerPool.java
+++ b/src/main/java/kitemux/net/ServerPool.java
@@ -174,7 +174,7 @@
     @Override
     public void start(String serverId, Exchange<Q, A> exchange) {
         Upstream<Q, A> upstream = upstreams.get(serverId);
-        if (upstream == null || !upstream.ready) {
+        if (upstream == null || !upstream.ready || !exchange.mayBeWritten()) {
             exchange.onEnded(Result.MOOT, null);
             return;
         }
@@ -426,9 +426,18 @@
             }
             idleSinceUs = pool.clock.nowUs();
             upstream.idleConnections.push(this);
-            Exchange<Q, A> next = upstream.waitingExchanges.poll();
-            if (next != null) {
-                sendRequest(next);
+            sendNextWaiting();
+        }
+
+        /** Sends the first waiting exchange that may still be written; the end of another may bring a new one. */
+        private void sendNextWaiting() {
+            Exchange<Q, A> next;
+            while (exchange == null && channel.isActive() && (next = upstream.waitingExchanges.poll()) != null) {
+                if (next.mayBeWritten()) {
+                    sendRequest(next);
+                } else {
+                    next.onEnded(Result.MOOT, null);
+                }
             }
         }
 
--- a/src/main/java/kitemux/ops/RequestMetrics.java
+++ b/src/main/java/kitemux/ops/RequestMetrics.java
@@ -1,7 +1,9 @@
 package kitemux.ops;
 
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import kitemux.Balancer.RequestClass;
 import kitemux.engine.Observer;
@@ -22,6 +24,9 @@
     /** The class index of each request that has not been answered yet. */
     private final Map<Long, Integer> openRequestClasses = new HashMap<>();
 
+    /** Attempts that were not written, by reason. */
+    private final Map<WithheldReason, Long> withheldCounts = new EnumMap<>(WithheldReason.class);
+
     private long successfulReloads;
     private long failedReloads;
 
@@ -46,6 +51,11 @@
         }
     }
 
+    @Override
+    public void onAttemptWithheld(long id, int attempt, WithheldReason reason) {
+        withheldCounts.merge(reason, 1L, Long::sum);
+    }
+
     /** Counts a request of this class that was rejected before it was processed. */
     void recordRejectedRequest(int classIndex) {
         replyCounts[classIndex][OVERLOAD]++;
@@ -79,6 +89,12 @@
             }
         }
         appendLine(text, "dispatches", dispatches);
+        for (WithheldReason reason : WithheldReason.values()) {
+            appendLine(
+                    text,
+                    "withheld." + reason.name().toLowerCase(Locale.ROOT),
+                    withheldCounts.getOrDefault(reason, 0L));
+        }
         appendLine(text, "concurrent", openRequestClasses.size());
         appendLine(text, "targets", targets);
         appendLine(text, "targets_disabled", disabled);
--- a/src/main/java/kitemux/telemetry/RequestTrace.java
+++ b/src/main/java/kitemux/telemetry/RequestTrace.java
@@ -101,6 +101,11 @@
         writeRequestLine(id, "attempt " + attempt + " written");
     }
 
+    @Override
+    public void onAttemptWithheld(long id, int attempt, WithheldReason reason) {
+        writeRequestLine(id, "attempt " + attempt + " withheld " + reason);
+    }
+
     @Override
     public void onAttemptEnded(long id, int attempt, Result result) {
         writeRequestLine(id, "attempt " + attempt + " ended " + result);
--- a/src/test/java/kitemux/node/ClientDisconnectTest.java
+++ b/src/test/java/kitemux/node/ClientDisconnectTest.java
@@ -1,6 +1,7 @@
 package kitemux.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
@@ -20,6 +21,8 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Guards against attempts on behalf of clients that have disconnected: no attempt, first or retry, may begin
@@ -242,4 +245,91 @@
             assertEquals(List.of("after"), txns(server));
         }
     }
+
+    /** What a client has sent behind its request when it leaves, and how it leaves. */
+    private enum Leaving {
+        REQUESTS_AND_END(true, false),
+        REQUESTS_AND_RESET(true, true),
+        NO_REQUEST_AND_END(false, false),
+        NO_REQUEST_AND_RESET(false, true);
+
+        private final boolean sendsRequests;
+        private final boolean resets;
+
+        Leaving(boolean sendsRequests, boolean resets) {
+            this.sendsRequests = sendsRequests;
+            this.resets = resets;
+        }
+
+        /** Returns 3 MB: twelve further requests, or bytes that are no request. */
+        private byte[] input() {
+            String part = "x".repeat(256 << 10);
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < 12; i++) {
+                String head = sendsRequests
+                        ? Http.order("behind" + i, "5000m").replace("Length: 2\r\n\r\nab", "Length: " + part.length())
+                                + "\r\n\r\n"
+                        : "";
+                all.append(head).append(part);
+            }
+            return all.toString().getBytes(StandardCharsets.US_ASCII);
+        }
+    }
+
+    /** Guards against retries for a client whose end the node cannot see, since it reads no more of its input. */
+    @ParameterizedTest
+    @EnumSource(Leaving.class)
+    void requestIsNotRetriedWhenDisconnectIsBehindInputThatIsNotRead(Leaving leaving) throws Exception {
+        CountDownLatch rejects = new CountDownLatch(1);
+        String rejection = Http.answer("503 Busy", "X-Turned-Away: 1\r\n", "");
+        try (ScriptedServer one = serverHolding("left", rejects, rejection);
+                ScriptedServer two = serverHolding("left", rejects, rejection);
+                Site site = Site.quiet().start(one, two)) {
+            Socket disconnecting = site.connect();
+            Site.write(disconnecting, pageRequest("left"));
+            while (one.requests.isEmpty() && two.requests.isEmpty()) {
+                Thread.onSpinWait();
+            }
+            Thread sender = sendInBackground(disconnecting, leaving.input());
+            parkFor(DISCONNECT_AGE_MS);
+            disconnecting.setSoLinger(leaving.resets, 0);
+            disconnecting.close();
+            parkFor(DISCONNECT_AGE_MS);
+            rejects.countDown();
+            sender.join();
+            assertEquals(200, site.ask(pageRequest("after")).status());
+            assertEquals(200, site.ask(upRequest()).status());
+            List<String> attempts =
+                    txns(one, two).stream().filter(txn -> !"after".equals(txn)).toList();
+            assertEquals(List.of("left"), attempts, "attempts, of which only the first began before the client left");
+        }
+    }
+
+    private static Thread sendInBackground(Socket client, byte[] input) {
+        Thread sender = new Thread(() -> {
+            try {
+                client.getOutputStream().write(input);
+            } catch (IOException e) {
+                // The client has left meanwhile.
+            }
+        });
+        sender.setDaemon(true);
+        sender.start();
+        return sender;
+    }
+
+    /** Guards against a lost request: a client that stays gets a final answer for each that it has sent ahead. */
+    @Test
+    void clientThatSendsMuchAheadIsAnsweredInFull() throws Exception {
+        try (ScriptedServer server = ScriptedServer.serving("x");
+                Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            Thread sender = sendInBackground(client, Leaving.REQUESTS_AND_END.input());
+            for (int i = 0; i < 12; i++) {
+                int status = Http.read(client.getInputStream()).status();
+                assertTrue(status == 200 || status == 503, "status " + status + " of request " + i);
+            }
+            sender.join();
+        }
+    }
 }
