Ask for a keyed request's window when it is written, not only when it is chosen

Cause: ServiceQBalancer.mayRetry compares the window when it chooses a server. The attempt may then wait for a connection, one second for a SYN that is sent again, and was written up to the client's deadline; nothing compared again.

Within the window a late connection is still used (keyedRequestIsRepeatedWithinItsWindowWhenItWaitedForAConnection).

Change: the pool asks the engine, and the engine the module (Balancer.mayWrite), right before the first byte: the client's deadline, the state of the server on the list, and the window counted from the earliest other attempt that may have run, with 0.15 s of allowance (RetryTerms). The allowance holds at the choice too, else a repeat would be chosen and not written. The class is each term that is checked once, at the choice; drains and operators' calls end what waits when they come, and are asked again here.

Tests changed: RulesTest.dedupWindowStartsAtFirstAttemptThatMayHaveRun and TermsTest.keyedRequestIsRetriedWithinItsWindowOnly had a window without the allowance; they now hold the bound with it, the first to the microsecond as before. The full backlog of two tests is a class of its own.

--- a/src/main/java/kitemux/Balancer.java
+++ b/src/main/java/kitemux/Balancer.java
@@ -48,6 +48,15 @@
     /** Reports that the time requested with {@link Actions#wakeAt} has come. */
     void onWake(long nowUs);
 
+    /**
+     * Returns whether an attempt may be written to its server at this time. The node asks right before the first byte,
+     * since an attempt may have waited for a connection after it was chosen. The call changes nothing and may come from
+     * within an action. If the answer is no, the attempt ends as {@link Result#MOOT}.
+     */
+    default boolean mayWrite(long nowUs, long requestId, int attempt) {
+        return true;
+    }
+
     /** Returns the number of listed servers that the module itself has ejected, so that they receive only trials. */
     default int ejectedServerCount() {
         return 0;
--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -606,8 +606,13 @@
 
         /** Returns the number of the earliest attempt that may have run, or -1. It restricts retries and refusals. */
         int firstPossiblyExecutedAttempt() {
+            return firstPossiblyExecutedAttemptBesides(-1);
+        }
+
+        /** Returns the number of the earliest attempt but this one that may have run, or -1. */
+        int firstPossiblyExecutedAttemptBesides(int excluded) {
             for (int i = 0; i < attemptCount; i++) {
-                if (results[i] == null || !results[i].neverRan) {
+                if (i != excluded && (results[i] == null || !results[i].neverRan)) {
                     return i;
                 }
             }
@@ -1682,13 +1687,23 @@
         if (pending.attemptCount >= settings.maxAttempts || now >= pending.deadlineAt || pending.streaming) {
             return false;
         }
-        int executedAttempt = pending.firstPossiblyExecutedAttempt();
+        return allowsRepeat(pending, pending.firstPossiblyExecutedAttempt(), now);
+    }
+
+    private static boolean allowsRepeat(PendingRequest pending, int executedAttempt, long nowUs) {
         return executedAttempt < 0
-                || switch (pending.requestClass.retrySafety()) {
-                    case SAFE -> true;
-                    case KEYED -> now <= pending.sentAt[executedAttempt] + pending.requestClass.dedupWindowUs();
-                    case UNSAFE -> false;
-                };
+                || RetryTerms.allowRepeat(pending.requestClass, pending.sentAt[executedAttempt], nowUs);
+    }
+
+    /** Rules 1 to 3 at the time of the write: the deadline, the window of a keyed request, and the server's state. */
+    @Override
+    public boolean mayWrite(long nowUs, long requestId, int attempt) {
+        PendingRequest pending = pendingRequests.get(requestId);
+        return pending != null
+                && !pending.ended
+                && nowUs < pending.deadlineAt
+                && pending.servers[attempt].state == ServerState.READY
+                && allowsRepeat(pending, pending.firstPossiblyExecutedAttemptBesides(attempt), nowUs);
     }
 
     /**
--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -360,9 +360,10 @@
             if (clock.nowUs() >= expiresAtUs) {
                 return Observer.WithheldReason.EXPIRED;
             }
-            return pending.client.clientInput() == ResponseSink.ClientInput.PAUSED
-                    ? Observer.WithheldReason.CLIENT_INPUT_PAUSED
-                    : null;
+            if (pending.client.clientInput() == ResponseSink.ClientInput.PAUSED) {
+                return Observer.WithheldReason.CLIENT_INPUT_PAUSED;
+            }
+            return balancer.mayWrite(clock.nowUs(), pending.id, number) ? null : Observer.WithheldReason.NOT_ALLOWED;
         }
 
         @Override
--- a/src/main/java/kitemux/engine/Observer.java
+++ b/src/main/java/kitemux/engine/Observer.java
@@ -85,6 +85,8 @@
     enum WithheldReason {
         /** Its time was over. */
         EXPIRED,
+        /** The balancer no longer allows it: the window of a keyed request is over, or its server may not be used. */
+        NOT_ALLOWED,
         /** Reading from its client is paused, so that the client may have disconnected unnoticed. */
         CLIENT_INPUT_PAUSED
     }
--- a/src/main/java/kitemux/world/Checked.java
+++ b/src/main/java/kitemux/world/Checked.java
@@ -109,6 +109,11 @@
         module.onClientGone(nowUs, requestId);
     }
 
+    @Override
+    public boolean mayWrite(long nowUs, long requestId, int attempt) {
+        return module.mayWrite(nowUs, requestId, attempt);
+    }
+
     @Override
     public void onProbe(long nowUs, String serverId, Result result, long latencyUs, double[] report) {
         module.onProbe(nowUs, serverId, result, latencyUs, report);
--- a/src/test/java/kitemux/RulesTest.java
+++ b/src/test/java/kitemux/RulesTest.java
@@ -109,10 +109,10 @@
         TestNode node = new TestNode().withServers(4);
         long id = node.submit(TestNode.KEYED_ALL);
         node.complete(id, Result.CONNECT_FAILED, 300_000);
-        node.complete(id, Result.ERROR, 300_000);
-        assertEquals(3, node.attemptCount(id));
-        node.complete(id, Result.ERROR, 100_001);
+        node.complete(id, Result.ERROR, 200_000);
         assertEquals(3, node.attemptCount(id));
+        node.complete(id, Result.ERROR, 50_001);
+        assertEquals(3, node.attemptCount(id), "a retry that is written 0.15 s later would be 1 us late");
     }
 
     @Test
--- a/src/test/java/kitemux/node/ClientDisconnectTest.java
+++ b/src/test/java/kitemux/node/ClientDisconnectTest.java
@@ -5,19 +5,11 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -57,14 +49,6 @@
         return release;
     }
 
-    /** Waits for real time to pass, so that the disconnect is this long ago. */
-    private static void parkFor(long ms) {
-        long deadlineNanos = System.nanoTime() + ms * 1_000_000;
-        while (System.nanoTime() < deadlineNanos) {
-            LockSupport.parkNanos(deadlineNanos - System.nanoTime());
-        }
-    }
-
     private static void await(CountDownLatch latch) throws IOException {
         try {
             latch.await();
@@ -140,7 +124,7 @@
             answer.countDown();
             ScriptedServer.next(server.answeredPeers);
             disconnecting.close();
-            parkFor(DISCONNECT_AGE_MS);
+            Site.parkFor(DISCONNECT_AGE_MS);
             release.countDown();
             assertEquals(200, Http.read(first.getInputStream()).status());
             assertEquals(200, site.ask(pageRequest("after")).status());
@@ -173,7 +157,7 @@
             fails.countDown();
             ScriptedServer.next(attempted.answeredPeers);
             disconnecting.close();
-            parkFor(DISCONNECT_AGE_MS);
+            Site.parkFor(DISCONNECT_AGE_MS);
             release.countDown();
             assertEquals(200, site.ask(pageRequest("after")).status());
             assertEquals(
@@ -186,20 +170,9 @@
     /** The connection is established before the disconnect is read; both events are handled in one turn. */
     @Test
     void requestAwaitingConnectionIsNotSentWhenDisconnectIsUnreadBehindConnect() throws Exception {
-        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        try (FullListener full = new FullListener();
                 Site site = Site.quiet()) {
-            // No connection is established while the listen backlog is full.
-            Set<Integer> filling = new HashSet<>();
-            List<SocketChannel> fillers = new ArrayList<>();
-            for (int i = 0; i < 4; i++) {
-                SocketChannel filler = SocketChannel.open();
-                filler.configureBlocking(false);
-                filler.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-                filler.connect(full.getLocalSocketAddress());
-                filling.add(((InetSocketAddress) filler.getLocalAddress()).getPort());
-                fillers.add(filler);
-            }
-            site.startKnowing(Site.list(1, true, "s0=127.0.0.1:" + full.getLocalPort() + "=Ready"));
+            site.startKnowing(Site.list(1, true, "s0=" + full.endpoint() + "=Ready"));
             Socket disconnecting = site.connect();
             Site.write(disconnecting, pageRequest("left"));
             assertEquals(
@@ -207,19 +180,12 @@
                     site.ask(upRequest()).status(),
                     "the request has been read, and its server connection is being opened");
             CountDownLatch release = stallLoop(site.loop);
-            for (SocketChannel filler : fillers) {
-                filler.close();
-            }
-            Socket peer = full.accept();
-            while (filling.contains(peer.getPort())) {
-                peer = full.accept();
-            }
+            Socket peer = full.acceptNode();
             disconnecting.close();
-            parkFor(DISCONNECT_AGE_MS);
+            Site.parkFor(DISCONNECT_AGE_MS);
             release.countDown();
             Socket connected = site.connect();
             Site.write(connected, pageRequest("stays"));
-            peer.setSoTimeout(20_000);
             assertEquals("stays", Http.read(peer.getInputStream()).headers().get("x-txn"));
             peer.getOutputStream().write(Http.ok("x").getBytes(StandardCharsets.US_ASCII));
             assertEquals(200, Http.read(connected.getInputStream()).status());
@@ -239,7 +205,7 @@
             CountDownLatch release = stallLoop(site.loop);
             watch.write(Site.chunk(Site.list(2, false, "s0=" + server.endpoint() + "=Ready") + "\n"));
             disconnecting.close();
-            parkFor(DISCONNECT_AGE_MS);
+            Site.parkFor(DISCONNECT_AGE_MS);
             release.countDown();
             assertEquals(200, site.ask(pageRequest("after")).status());
             assertEquals(List.of("after"), txns(server));
@@ -291,10 +257,10 @@
                 Thread.onSpinWait();
             }
             Thread sender = sendInBackground(disconnecting, leaving.input());
-            parkFor(DISCONNECT_AGE_MS);
+            Site.parkFor(DISCONNECT_AGE_MS);
             disconnecting.setSoLinger(leaving.resets, 0);
             disconnecting.close();
-            parkFor(DISCONNECT_AGE_MS);
+            Site.parkFor(DISCONNECT_AGE_MS);
             rejects.countDown();
             sender.join();
             assertEquals(200, site.ask(pageRequest("after")).status());
--- a/src/test/java/kitemux/node/Site.java
+++ b/src/test/java/kitemux/node/Site.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 import kitemux.Balancer;
 import kitemux.Balancer.DedupScope;
@@ -165,6 +166,14 @@
                 }));
     }
 
+    /** Waits for real time to pass, which is what the case is about. */
+    static void parkFor(long ms) {
+        long deadlineNanos = System.nanoTime() + ms * 1_000_000;
+        while (System.nanoTime() < deadlineNanos) {
+            LockSupport.parkNanos(deadlineNanos - System.nanoTime());
+        }
+    }
+
     static Http.Message ask(Socket client, String request) throws IOException {
         write(client, request);
         return Http.read(client.getInputStream());
--- a/src/test/java/kitemux/node/TermsTest.java
+++ b/src/test/java/kitemux/node/TermsTest.java
@@ -5,16 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -80,54 +74,92 @@
         try (ScriptedServer one = failingAfter(failsAfterMs, failed);
                 ScriptedServer two = failingAfter(failsAfterMs, failed);
                 Site site = Site.quiet()) {
-            site.settings.classes.set(
-                    1,
-                    new RequestClass(
-                            "photo",
-                            1_000_000,
-                            0,
-                            5_000_000,
-                            1,
-                            0,
-                            RetrySafety.KEYED,
-                            DedupScope.CELL,
-                            250_000,
-                            false));
+            setPhotoWindow(site, 400_000);
             site.start(one, two);
-            String photo = Http.order("t", "4000m").replace("X-Lane: order", "X-Lane: photo\r\nIdempotency-Key: k");
-            assertEquals(status, site.ask(photo).status());
+            assertEquals(status, site.ask(photo("t")).status());
             assertEquals(attempts, one.requests.size() + two.requests.size());
         }
     }
 
+    private static void setPhotoWindow(Site site, long windowUs) {
+        site.settings.classes.set(
+                1,
+                new RequestClass(
+                        "photo", 1_000_000, 0, 5_000_000, 1, 0, RetrySafety.KEYED, DedupScope.CELL, windowUs, false));
+    }
+
+    private static String photo(String txn) {
+        return Http.order(txn, "4000m").replace("X-Lane: order", "X-Lane: photo\r\nIdempotency-Key: k");
+    }
+
+    /** Guards against a repeat of a keyed request that is chosen within its window and written after it. */
+    @Test
+    void keyedRequestIsNotRepeatedAfterItsWindowWhenItWaitedForAConnection() throws Exception {
+        CountDownLatch resets = new CountDownLatch(1);
+        try (ScriptedServer first = resettingAfter(resets);
+                FullListener full = new FullListener();
+                Site site = Site.quiet()) {
+            setPhotoWindow(site, 900_000);
+            site.start(first);
+            ScriptedServer.Peer watch = ScriptedServer.next(site.discovery.answeredPeers);
+            Socket client = site.connect();
+            Site.write(client, photo("t"));
+            ScriptedServer.next(first.requests);
+            watch.write(Site.chunk(Site.list(2, false, "s1=" + full.endpoint() + "=Ready") + "\n"));
+            resets.countDown();
+            ScriptedServer.next(first.disconnectedPeers);
+            Site.parkFor(900);
+            Socket second = full.acceptNode();
+            assertEquals(502, Http.read(client.getInputStream()).status());
+            assertEquals(0, second.getInputStream().available(), "bytes written after the window");
+        }
+    }
+
+    /** Guards against refusing a repeat whose connection comes up late, but within the window. */
+    @Test
+    void keyedRequestIsRepeatedWithinItsWindowWhenItWaitedForAConnection() throws Exception {
+        CountDownLatch resets = new CountDownLatch(1);
+        try (ScriptedServer first = resettingAfter(resets);
+                FullListener full = new FullListener();
+                Site site = Site.quiet()) {
+            setPhotoWindow(site, 4_000_000);
+            site.start(first);
+            ScriptedServer.Peer watch = ScriptedServer.next(site.discovery.answeredPeers);
+            Socket client = site.connect();
+            Site.write(client, photo("t"));
+            ScriptedServer.next(first.requests);
+            watch.write(Site.chunk(Site.list(2, false, "s1=" + full.endpoint() + "=Ready") + "\n"));
+            resets.countDown();
+            Socket second = full.acceptNode();
+            assertEquals("t", Http.read(second.getInputStream()).headers().get("x-txn"));
+            second.getOutputStream().write(Http.ok("late").getBytes(StandardCharsets.US_ASCII));
+            assertEquals("late", Http.read(client.getInputStream()).body());
+        }
+    }
+
+    private static ScriptedServer resettingAfter(CountDownLatch resets) throws IOException {
+        return new ScriptedServer((request, peer) -> {
+            try {
+                resets.await();
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+            peer.reset();
+        });
+    }
+
     /**
      * A connection that is established by the system's next SYN, a second later, carries the request that waits for it.
      */
     @Test
     void lateConnectionIsUsed() throws Exception {
-        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        try (FullListener full = new FullListener();
                 Site site = Site.quiet()) {
-            Set<Integer> filling = new HashSet<>();
-            List<SocketChannel> fillers = new ArrayList<>();
-            for (int i = 0; i < 4; i++) {
-                SocketChannel filler = SocketChannel.open();
-                filler.configureBlocking(false);
-                filler.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-                filler.connect(full.getLocalSocketAddress());
-                filling.add(((InetSocketAddress) filler.getLocalAddress()).getPort());
-                fillers.add(filler);
-            }
-            site.startKnowing(Site.list(1, true, "s0=127.0.0.1:" + full.getLocalPort() + "=Ready"));
+            site.startKnowing(Site.list(1, true, "s0=" + full.endpoint() + "=Ready"));
             Socket client = site.connect();
             Site.write(client, Http.page("/api/p", "t", "5000m"));
             assertEquals(404, site.ask(Http.page("/nothing", "u", "1m")).status(), "the request must have been read");
-            for (SocketChannel filler : fillers) {
-                filler.close();
-            }
-            Socket peer = full.accept();
-            while (filling.contains(peer.getPort())) {
-                peer = full.accept();
-            }
+            Socket peer = full.acceptNode();
             assertEquals("t", Http.read(peer.getInputStream()).headers().get("x-txn"));
             peer.getOutputStream().write(Http.ok("late").getBytes(StandardCharsets.US_ASCII));
             assertEquals("late", Http.read(client.getInputStream()).body());
--- a/src/test/java/kitemux/world/Mutant.java
+++ b/src/test/java/kitemux/world/Mutant.java
@@ -581,6 +581,11 @@
             module.onFirstByte(nowUs, requestId, attempt);
         }
 
+        @Override
+        public boolean mayWrite(long nowUs, long requestId, int attempt) {
+            return module.mayWrite(nowUs, requestId, attempt);
+        }
+
         @Override
         public void onClientGone(long nowUs, long requestId) {
             module.onClientGone(nowUs, requestId);
