Stream an answer that its server still gives at the client's deadline

Cause, two in one rule: an answer of unknown length is buffered up to 64 KiB, and the deadline ended an exchange whose answer had begun but was not streamed yet.

Change: at the deadline the engine asks the transport to start what has begun and has no known short length; of a long answer only the first bytes are due by then. A long answer may pause for 1.75 s at any time. One that may be short and sends nothing past the deadline is given up after 0.2 s as before, or after twice its longest pause so far, so that the final answer stays within half a second where the server has stopped.

--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -474,6 +474,9 @@
         }
 
         private void expire() {
+            if (transport.startPartialResponse(serverId, this) || finished) {
+                return;
+            }
             expiredLate = clock.nowUs() - expiresAtUs > LATE_EXPIRY_THRESHOLD_US;
             // A request that was not written because no connection opened is known not to have run.
             endWithoutResponse(transport.abandon(serverId, this) ? Result.TIMEOUT : Result.CONNECT_FAILED);
--- a/src/main/java/kitemux/engine/Transport.java
+++ b/src/main/java/kitemux/engine/Transport.java
@@ -73,6 +73,16 @@
      */
     boolean abandon(String serverId, Exchange<Q, A> exchange);
 
+    /**
+     * Starts to pass on a response that has begun to arrive and whose end is not known, by {@link
+     * Exchange#onResponseStarted}. Called at the client's deadline, when the exchange would be abandoned otherwise.
+     *
+     * @return false if no such response has begun
+     */
+    default boolean startPartialResponse(String serverId, Exchange<Q, A> exchange) {
+        return false;
+    }
+
     /**
      * Withdraws an exchange of which nothing has been written, without reporting its end.
      *
--- a/src/main/java/kitemux/http/HttpServers.java
+++ b/src/main/java/kitemux/http/HttpServers.java
@@ -143,6 +143,8 @@
         private boolean reading = true;
 
         private long lastReadUs;
+        /** The longest time between two parts of the response so far, in microseconds. */
+        private long longestPauseUs;
         /** Number of bytes of the response that have been streamed. */
         private long streamedBytes;
 
@@ -178,9 +180,10 @@
                 fail();
                 return;
             }
-            lastReadUs = clock.nowUs();
             if (message instanceof HttpResponse response) {
                 head = response;
+                longestPauseUs = 0;
+                lastReadUs = clock.nowUs();
                 releaseBody();
                 // A response with an excessive Content-Length is rejected before any of its body has arrived.
                 if (HttpUtil.getContentLength(response, 0L) > Limits.MAX_RESPONSE_BYTES) {
@@ -193,6 +196,8 @@
                             (int) Math.min(HttpUtil.getContentLength(response, 256L), Limits.MAX_INITIAL_BUFFER_BYTES));
                 }
             }
+            longestPauseUs = Math.max(longestPauseUs, clock.nowUs() - lastReadUs);
+            lastReadUs = clock.nowUs();
             if (message instanceof HttpContent content && !addContent(content.content())) {
                 return;
             }
@@ -273,6 +278,21 @@
             return exchange() != null;
         }
 
+        /**
+         * Streams what has arrived of a response that may be long; the server still gives it. The end of one with a
+         * short length is what its deadline applies to.
+         */
+        @Override
+        protected boolean startPartialResponse() {
+            boolean isShort = head != null && HttpUtil.isContentLengthSet(head) && !isLong();
+            return body != null && streamedResponse == null && !isShort && startStreaming();
+        }
+
+        /** Returns whether the response is too long to be buffered, as far as is known. */
+        private boolean isLong() {
+            return Math.max(streamedBytes, HttpUtil.getContentLength(head, 0L)) > Limits.MAX_BUFFERED_RESPONSE_BYTES;
+        }
+
         private void setReading(boolean enabled) {
             if (reading != enabled) {
                 reading = enabled;
@@ -289,12 +309,17 @@
             // Data that arrived since the event loop last polled may be unread: a stall of the loop is not a stall
             // of the server.
             long lookedUs = clock.nowUs() - clock.readLagUs();
-            long deadlineUs = exchange().deadlineUs();
             boolean silent = lookedUs - lastReadUs > Limits.STALL_TIMEOUT_US
-                    || lastReadUs <= deadlineUs && lookedUs - deadlineUs > Limits.DEADLINE_GRACE_US;
+                    || !isLong() && lastReadUs <= exchange().deadlineUs() && hasStoppedBeforeDeadline(lookedUs);
             return reading && silent || lookedUs - streamingSinceUs > Limits.MAX_STREAMING_US;
         }
 
+        /** Returns whether a server that sent its last bytes before the client's deadline has paused for too long. */
+        private boolean hasStoppedBeforeDeadline(long lookedUs) {
+            return lookedUs - exchange().deadlineUs() > Limits.DEADLINE_GRACE_US
+                    && lookedUs - lastReadUs > Limits.PAUSE_RATIO * longestPauseUs;
+        }
+
         /** Returns whether only the end of the connection marks the end of the body (RFC 9112, section 6.3). */
         private boolean isEndedByClose() {
             return !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
--- a/src/main/java/kitemux/http/Limits.java
+++ b/src/main/java/kitemux/http/Limits.java
@@ -41,12 +41,14 @@
      */
     public static final long STALL_TIMEOUT_US = 1_750_000;
     /**
-     * How long after the client's deadline a server may stay silent that sent its last bytes before it. A
-     * server that keeps sending is read to the end. One that has stopped would delay the final response, which
-     * is due within half a second after the deadline; a check every 200 ms and a delay of the event loop have
-     * to fit in as well.
+     * How long after the client's deadline a server may stay silent that sent its last bytes before it, unless its
+     * response is known to be longer than {@link #MAX_BUFFERED_RESPONSE_BYTES}: of a long one only the first bytes are
+     * due by the deadline. One that has stopped would delay the final response, which is due within half a second after
+     * the deadline; a check every 200 ms and a delay of the event loop have to fit in as well.
      */
     public static final long DEADLINE_GRACE_US = 200_000;
+    /** How many times its longest earlier pause a server may pause beyond {@link #DEADLINE_GRACE_US}. */
+    public static final long PAUSE_RATIO = 2;
     /**
      * Maximum duration of a streamed response, from its first bytes to its last. The longest one, of 32 MiB,
      * takes 512 s at the lowest rate at which peers write, 64 kB/s. A response that trickles forever would
--- a/src/main/java/kitemux/net/ServerPool.java
+++ b/src/main/java/kitemux/net/ServerPool.java
@@ -211,6 +211,12 @@
         return connection.requestWritten;
     }
 
+    @Override
+    public boolean startPartialResponse(String serverId, Exchange<Q, A> exchange) {
+        ServerConnection<Q, A> connection = connectionsByExchange.get(exchange);
+        return connection != null && connection.startPartialResponse();
+    }
+
     @Override
     public boolean withdraw(String serverId, Exchange<Q, A> exchange) {
         Upstream<Q, A> upstream = upstreams.get(serverId);
@@ -357,6 +363,15 @@
         /** Creates the message for an exchange; called only when a connection is available to send it. */
         protected abstract Object createMessage(Exchange<Q, A> next);
 
+        /**
+         * Starts to pass on a response that has begun to arrive and whose end is not known.
+         *
+         * @return false if no such response has begun
+         */
+        protected boolean startPartialResponse() {
+            return false;
+        }
+
         /** Whether the response to the current exchange has started and no longer makes progress. */
         protected boolean isStalled() {
             return false;
