Reject the id of a request that may have run after its client has left

Cause: the engine forgot an id as soon as its request was answered or its client had left, also while an attempt was still running at a server. An unsafe request with the same id was then sent as a new one, a keyed one without regard to the group of its first attempt.

Evidence: ClientDisconnectTest.unsafeRequestIsNotRunAgainWhenItsIdReturnsAfterDisconnect failed before (200 and a second run instead of 400).

Ids whose request reached no server are free at once, those of answered requests as before.

Open: the other process of an upgrade does not know them.

--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -54,6 +54,9 @@
      */
     private final Set<String> openTxnIds = new HashSet<>();
 
+    /** Transaction ids of requests that may have run and whose clients disconnected before the answer. */
+    private final RecentRequestIds abandonedTxnIds = new RecentRequestIds();
+
     private long lastRequestId;
     /** Events not yet delivered to the balancer, which must not be called from inside one of its events. */
     private final ArrayDeque<Event<Q, A>> events = new ArrayDeque<>();
@@ -199,10 +202,10 @@
      * Accepts a request; from now on the client is owed an answer.
      *
      * @return the handle to pass to {@link #dispatch} and {@link #clientDisconnected}, or null if a request with
-     *     the same id is open; no answer is owed in that case
+     *     the same id is open, or may have run although its client disconnected; no answer is owed in that case
      */
     public PendingRequest<Q, A> accept(ResponseSink<A> client, Q request) {
-        if (!openTxnIds.add(request.txn())) {
+        if (abandonedTxnIds.contains(request.txn(), clock.nowUs()) || !openTxnIds.add(request.txn())) {
             return null;
         }
         long deadlineUs = Math.min(clock.nowUs() + request.remainingUs(), answerDeadlineUs);
@@ -241,6 +244,9 @@
             }
             balancer.onClientGone(clock.nowUs(), pending.id);
             withdrawUnsentAttempts(pending);
+            if (!pending.request.isSafeToRepeat() && pending.attempts.stream().anyMatch(Attempt::mayHaveRun)) {
+                abandonedTxnIds.add(pending.request.txn(), clock.nowUs());
+            }
             releaseIfFinished(pending);
         });
     }
--- a/src/main/java/kitemux/engine/RequestInfo.java
+++ b/src/main/java/kitemux/engine/RequestInfo.java
@@ -26,6 +26,11 @@
         return false;
     }
 
+    /** Whether the request may run any number of times without a difference to its effect. */
+    default boolean isSafeToRepeat() {
+        return false;
+    }
+
     /** Returns the estimated work in microseconds on a standard core, or 0 if it is unknown. */
     default long workUs() {
         return 0;
--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -438,7 +438,7 @@
     private void dispatch(ClientRequest request) throws BadRequestException {
         Engine.PendingRequest<ClientRequest, ServerResponse> accepted = engine.accept(this, request);
         if (accepted == null) {
-            throw new BadRequestException("X-Txn is that of an open request");
+            throw new BadRequestException("X-Txn is that of a request that is open or may have run");
         }
         openRequest = accepted;
         server.onRequestReceived(this, request);
--- a/src/main/java/kitemux/http/ClientRequest.java
+++ b/src/main/java/kitemux/http/ClientRequest.java
@@ -40,4 +40,9 @@
     /** The request that probes a server, where the settings allow probes. */
     static final ClientRequest PROBE =
             new ClientRequest(HttpMethod.GET, "/alive", null, null, List.of(), -1, -1, 0, 0, false, null, 0, false);
+
+    @Override
+    public boolean isSafeToRepeat() {
+        return method.equals(HttpMethod.GET);
+    }
 }
--- a/src/test/java/kitemux/node/ClientDisconnectTest.java
+++ b/src/test/java/kitemux/node/ClientDisconnectTest.java
@@ -271,6 +271,43 @@
         }
     }
 
+    /** Guards against an order that runs twice, as its id comes again after its client has left. */
+    @Test
+    void unsafeRequestIsNotRunAgainWhenItsIdReturnsAfterDisconnect() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (ScriptedServer server = serverHolding("left", answer, Http.ok("x"));
+                Site site = Site.quiet().start(server)) {
+            Socket disconnecting = site.connect();
+            Site.write(disconnecting, Http.order("left", "5000m"));
+            ScriptedServer.next(server.requests);
+            disconnecting.close();
+            assertEquals(200, site.ask(upRequest()).status());
+            assertEquals(200, site.ask(upRequest()).status(), "the disconnect has been read by now");
+            assertEquals(400, site.ask(Http.order("left", "5000m")).status());
+            answer.countDown();
+            assertEquals(200, site.ask(Http.order("after", "5000m")).status());
+            assertEquals(400, site.ask(Http.order("left", "5000m")).status(), "it may have run");
+            assertEquals(List.of("after"), txns(server));
+        }
+    }
+
+    /** Guards against rejecting an id for good although its request reached no server. */
+    @Test
+    void idOfRequestThatReachedNoServerIsFreeAfterDisconnect() throws Exception {
+        try (ScriptedServer server = ScriptedServer.serving("x");
+                Site site = Site.quiet()) {
+            site.startKnowing(Site.list(1, true));
+            ScriptedServer.Peer watch = ScriptedServer.next(site.discovery.answeredPeers);
+            Socket disconnecting = site.connect();
+            Site.write(disconnecting, Http.order("left", "5000m"));
+            assertEquals(200, site.ask(upRequest()).status());
+            disconnecting.close();
+            assertEquals(200, site.ask(upRequest()).status());
+            watch.write(Site.chunk(Site.list(2, false, "s0=" + server.endpoint() + "=Ready") + "\n"));
+            assertEquals(200, site.ask(Http.order("left", "5000m")).status());
+        }
+    }
+
     private static Thread sendInBackground(Socket client, byte[] input) {
         Thread sender = new Thread(() -> {
             try {
