Keep only the header fields that the node reads, and count them over all clients

Cause: a field of 5 bytes takes some 150 bytes on the heap once it is parsed, and heads, trailers and heads of answers counted towards no bound. 420 heads of 1,500 fields need 92 MB of a heap of 64 MiB.

Evidence: CrowdTest.shortRequestsAreServedBesideCrowd, a process with the options of the deploy file beside 420 clients that send heads or trailers of 1,500 fields in six parts: both forms failed before (the process answered nothing more), none now.

Change: of a head the decoder keeps the fields that the node reads, 32 at most, and validates and drops the others; none of them was passed on. Trailers are dropped whole. Kept fields reserve their memory, 4 MiB for all heads that are received or queued, 4 KiB for each of 1,024 descriptors; beyond it a request is refused with 503. Answers of servers have the same headers.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -96,6 +96,10 @@
     private final BodyReservation incomingBody;
     /** Room for the bodies of complete requests that have no response yet. */
     private final BodyReservation queuedBodies;
+    /** Memory reserved for the head that is being received, in bytes. */
+    private long incomingHeadBytes;
+    /** Memory reserved for the heads of queued requests, in bytes. */
+    private long queuedHeadBytes;
     /** Whether input was received since the last complete request. */
     private boolean isReceivingRequest;
     /** Whether all further input is discarded. */
@@ -304,9 +308,28 @@
         }
     }
 
+    /**
+     * Reserves memory for a field of the head that is being received.
+     *
+     * @return false if the heads of all requests have used up their memory
+     */
+    boolean reserveHeadField(int bytes) {
+        if (!server.heads().tryReserve(bytes)) {
+            return false;
+        }
+        incomingHeadBytes += bytes;
+        return true;
+    }
+
+    private void releaseQueuedHeads() {
+        server.heads().release(queuedHeadBytes);
+        queuedHeadBytes = 0;
+    }
+
     private void readPart(HttpObject part) {
         if (part.decoderResult().isFailure()) {
-            rejectInput(HttpResponseStatus.BAD_REQUEST);
+            boolean hasNoRoom = part.decoderResult().cause() instanceof KeptHeaders.NoRoomException;
+            rejectInput(hasNoRoom ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.BAD_REQUEST);
             return;
         }
         if (part instanceof HttpRequest request) {
@@ -341,6 +364,8 @@
         if (part instanceof LastHttpContent) {
             QueuedRequest complete = new QueuedRequest(head, body.parts(), earliestArrivalUs(), null);
             incomingBody.moveTo(queuedBodies);
+            queuedHeadBytes += incomingHeadBytes;
+            incomingHeadBytes = 0;
             discardPartialRequest();
             enqueue(complete);
         }
@@ -362,6 +387,8 @@
         head = null;
         body = null;
         incomingBody.release();
+        server.heads().release(incomingHeadBytes);
+        incomingHeadBytes = 0;
         isReceivingRequest = false;
     }
 
@@ -618,6 +645,10 @@
         if (next != null) {
             serve(next);
         }
+        if (queue.isEmpty()) {
+            // The head of the request that is being served is no longer needed.
+            releaseQueuedHeads();
+        }
         // After the last response nothing more is read, except for the remaining input of a rejected request.
         if (queue.isEmpty() && channel.isActive() && (keepAlive || discardsInput)) {
             resumeParsing();
@@ -712,6 +743,7 @@
         queue.clear();
         discardPartialRequest();
         queuedBodies.release();
+        releaseQueuedHeads();
         releaseUnparsed();
         if (stream != null) {
             stream.onClientLeft();
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -14,12 +14,10 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
@@ -76,14 +74,16 @@
     private long acceptFailureLoggedUs;
     /** Holds the size of the bodies of requests without a response, and of buffered input. */
     private final ByteBudget requests = new ByteBudget(Limits.MAX_TOTAL_REQUEST_BYTES);
+    /** Holds the memory of the heads of requests that are received or queued. */
+    private final ByteBudget heads = new ByteBudget(Limits.MAX_TOTAL_HEAD_BYTES);
     /** Holds the size of the long ones among these bodies. */
     private final ByteBudget longBodies = new ByteBudget(Limits.MAX_TOTAL_LONG_REQUEST_BODY_BYTES);
     /** Whether connections were left in the backlog in this turn for lack of descriptors. */
     private boolean hasBacklogInTurn;
     /** Number of open connections from which nothing is read. */
     private int pausedCount;
-    /** Number of connections closed since the start, by reason. */
-    private final Map<CloseReason, Long> closeCounts = new EnumMap<>(CloseReason.class);
+    /** Number of connections closed since the start, by the ordinal of the reason. */
+    private final long[] closeCounts = new long[CloseReason.values().length];
     /** Number of responses that are being streamed. */
     private int streamCount;
     /** Number of connections accepted since the start. */
@@ -222,7 +222,10 @@
         channel.pipeline()
                 .addLast(
                         client.createInputGate(),
-                        new HttpServerCodec(new HttpDecoderConfig().setMaxChunkSize(Limits.SMALL_REQUEST_BODY_BYTES)),
+                        new HttpServerCodec(new HttpDecoderConfig()
+                                .setMaxChunkSize(Limits.SMALL_REQUEST_BODY_BYTES)
+                                .setHeadersFactory(KeptHeaders.forRequests(client::reserveHeadField))
+                                .setTrailersFactory(KeptHeaders.forTrailers())),
                         client);
         clock.runOverdueTimers();
     }
@@ -359,7 +362,7 @@
 
     void onClosed(ClientConnection client, CloseReason reason) {
         observer.connectionClosed(client.number(), reason);
-        closeCounts.merge(reason, 1L, Long::sum);
+        closeCounts[reason.ordinal()]++;
         newConnections.remove(client);
         busyConnections.remove(client);
         idleConnections.remove(client);
@@ -371,6 +374,11 @@
         return requests;
     }
 
+    /** Returns the budget of the heads of requests that are received or queued. */
+    ByteBudget heads() {
+        return heads;
+    }
+
     /** Creates a reservation for the bodies of a connection. */
     BodyReservation newBodyReservation() {
         return new BodyReservation(requests, longBodies);
@@ -392,9 +400,9 @@
         return all;
     }
 
-    /** Returns the memory reserved for bodies and buffered input, in bytes. */
+    /** Returns the memory reserved for heads, bodies and buffered input, in bytes. */
     public long reservedBytes() {
-        return requests.usedBytes();
+        return requests.usedBytes() + heads.usedBytes();
     }
 
     /** Returns the number of bytes queued for clients that have not taken them yet. */
@@ -408,7 +416,7 @@
     public ClientUsage clientUsage() {
         List<ClientUsage.CloseCount> closes = Stream.of(CloseReason.values())
                 .map(reason -> new ClientUsage.CloseCount(
-                        reason.name().toLowerCase(Locale.ROOT), closeCounts.getOrDefault(reason, 0L)))
+                        reason.name().toLowerCase(Locale.ROOT), closeCounts[reason.ordinal()]))
                 .toList();
         return new ClientUsage(allConnections().size(), pausedCount, closes);
     }
--- a/src/main/java/kitemux/http/Limits.java
+++ b/src/main/java/kitemux/http/Limits.java
@@ -16,6 +16,8 @@
     public static final long MAX_TOTAL_REQUEST_BYTES = 44L << 20;
     /** Maximum total size of all long request bodies: the longest one and some more. */
     public static final long MAX_TOTAL_LONG_REQUEST_BODY_BYTES = 34L << 20;
+    /** Maximum memory of the heads of all requests that are received or queued: 4 KiB for each descriptor. */
+    public static final long MAX_TOTAL_HEAD_BYTES = 4L << 20;
     /** Total size of bodies and buffered input from which no further input is buffered, so that bodies have room. */
     public static final long MAX_TOTAL_BEFORE_INPUT_WAITS_BYTES = 40L << 20;
     /**
--- a/src/main/java/kitemux/http/StrictResponseDecoder.java
+++ b/src/main/java/kitemux/http/StrictResponseDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -20,6 +21,9 @@
      * @param readBuffers allocates the buffers in which the rest of one read and the next one are joined
      */
     StrictResponseDecoder(BoundedReadBuffers readBuffers) {
+        super(new HttpDecoderConfig()
+                .setHeadersFactory(KeptHeaders.forResponses())
+                .setTrailersFactory(KeptHeaders.forTrailers()));
         setCumulator((allocator, kept, next) -> join(readBuffers, allocator, kept, next));
     }
 
--- a/src/main/java/kitemux/ops/RequestMetrics.java
+++ b/src/main/java/kitemux/ops/RequestMetrics.java
@@ -1,6 +1,5 @@
 package kitemux.ops;
 
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -24,8 +23,8 @@
     /** The class index of each request that has not been answered yet. */
     private final Map<Long, Integer> openRequestClasses = new HashMap<>();
 
-    /** Attempts that were not written, by reason. */
-    private final Map<WithheldReason, Long> withheldCounts = new EnumMap<>(WithheldReason.class);
+    /** Number of attempts that were not written, by the ordinal of the reason. */
+    private final long[] withheldCounts = new long[WithheldReason.values().length];
 
     private long successfulReloads;
     private long failedReloads;
@@ -53,7 +52,7 @@
 
     @Override
     public void onAttemptWithheld(long id, int attempt, WithheldReason reason) {
-        withheldCounts.merge(reason, 1L, Long::sum);
+        withheldCounts[reason.ordinal()]++;
     }
 
     /** Counts a request of this class that was rejected before it was processed. */
@@ -90,10 +89,7 @@
         }
         appendLine(text, "dispatches", dispatches);
         for (WithheldReason reason : WithheldReason.values()) {
-            appendLine(
-                    text,
-                    "withheld." + reason.name().toLowerCase(Locale.ROOT),
-                    withheldCounts.getOrDefault(reason, 0L));
+            appendLine(text, "withheld." + reason.name().toLowerCase(Locale.ROOT), withheldCounts[reason.ordinal()]);
         }
         appendLine(text, "concurrent", openRequestClasses.size());
         appendLine(text, "targets", targets);
--- a/src/test/java/kitemux/node/NodeProcess.java
+++ b/src/test/java/kitemux/node/NodeProcess.java
@@ -12,11 +12,14 @@
 import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import kitemux.cli.Main;
 
@@ -58,6 +61,38 @@
     static NodeProcess start(
             Path folder, SocketChannel clientsAt, SocketChannel operatorsAt, long deadlineMs, ScriptedServer... servers)
             throws IOException {
+        return start(List.of("-XX:TieredStopAtLevel=1"), folder, clientsAt, operatorsAt, deadlineMs, servers);
+    }
+
+    /**
+     * Starts a process with the JVM options of the deploy file, its bounds on memory among them; the longest deadline is
+     * 1 s.
+     *
+     * @param moreOptions further JVM options, which override those of the deploy file
+     */
+    static NodeProcess startDeployed(Path folder, List<String> moreOptions, ScriptedServer... servers)
+            throws IOException {
+        Matcher run = Pattern.compile("(?m)^run = \"exec java (.*) -jar ")
+                .matcher(Files.readString(Path.of("deploy", "balancer.toml")));
+        assertTrue(run.find(), "the deploy file has no line run");
+        List<String> options = new ArrayList<>(List.of(run.group(1).split(" ")));
+        // The archive belongs to the packaged jar.
+        options.removeIf(option -> option.contains("SharedArchiveFile"));
+        options.addAll(moreOptions);
+        try (SocketChannel clientsAt = reservePort();
+                SocketChannel operatorsAt = reservePort()) {
+            return start(options, folder, clientsAt, operatorsAt, 1_000, servers);
+        }
+    }
+
+    private static NodeProcess start(
+            List<String> options,
+            Path folder,
+            SocketChannel clientsAt,
+            SocketChannel operatorsAt,
+            long deadlineMs,
+            ScriptedServer... servers)
+            throws IOException {
         InetSocketAddress clients = (InetSocketAddress) clientsAt.getLocalAddress();
         InetSocketAddress operators = (InetSocketAddress) operatorsAt.getLocalAddress();
         String[] entries = new String[servers.length];
@@ -78,13 +113,11 @@
         Path traces = folder.resolve("traces");
         Path settings =
                 Files.writeString(folder.resolve("settings.json"), "{\"trace\":{\"folder\":\"%s\"}}".formatted(traces));
-        ProcessBuilder builder = new ProcessBuilder(
-                ProcessHandle.current().info().command().orElseThrow(),
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path"),
-                Main.class.getName(),
-                "node");
+        List<String> command =
+                new ArrayList<>(List.of(ProcessHandle.current().info().command().orElseThrow()));
+        command.addAll(options);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName(), "node"));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("PROXY_CONFIG", config.toString());
         builder.environment().put("KITEMUX_SETTINGS", settings.toString());
         builder.environment().put("TMPDIR", folder.toString());
