Bound the time that parsing takes in one turn of the loop, over all connections

Cause: a read was parsed whole in the turn that read it, whatever it held: the gate that pauses parsing acts between reads. 420 clients with 192 kB in chunks of one byte are 13 million chunks; a read of small requests is hundreds of them, beyond the 128 that Netty's codec allows to wait, which it reports as an error. Pipelined requests went on within one batch of the loop's tasks.

Change: input is parsed in small parts, 5 ms of them while the sockets are read and 5 ms among the tasks of a turn, for all connections together (ParseScheduler). The rest waits in pieces that take little more than its bytes (InputBacklog; the buffer before it grew to twice its size, uncounted, and was moved with each read). Connections take turns, those that have just begun to wait first. Input that has waited for 0.2 s is refused with 503, so that its client has an answer soon after its time.

Tests changed: pipelinedRequestCountIsBounded sent 300 requests in one piece and held that the eighteenth is rejected, which depended on how they were read; they are all answered now (manyPipelinedRequestsAreParsedAsTheyAreServed), and the bound of 16 is held with requests that fit into one part.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -41,8 +41,12 @@
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter implements ResponseSink<ServerResponse> {
     private static final byte[] EMPTY_BODY = {};
-    /** How much buffered input is parsed at once; it holds fewer requests than a client may pipeline. */
-    private static final int REPLAY_PART_BYTES = 512;
+    /** How much input is parsed at once; it holds fewer requests than a client may pipeline. */
+    private static final int HEAD_PART_BYTES = 512;
+    /** How much input of a body in chunks is parsed at once. */
+    private static final int CHUNKS_PART_BYTES = 2 << 10;
+    /** How much input of a body of known length, which costs little to parse, is parsed at once. */
+    private static final int BODY_PART_BYTES = 64 << 10;
 
     private final ClientServer server;
     /** Position of this connection in the order in which connections were accepted, from 1. */
@@ -69,13 +73,13 @@
      * is noticed, and buffered.
      */
     private boolean isParsingPaused;
-    /** Input buffered while parsing is paused, or null. */
-    private ByteBuf unparsed;
+    /** Input that has been read and waits to be parsed. */
+    private final InputBacklog backlog;
+
+    private final ParseScheduler parseScheduler;
+    /** Whether the scheduler will have this connection parse its backlog. */
+    private boolean isWaitingToParse;
 
-    /** When the oldest buffered input arrived, in microseconds on the event loop's clock. */
-    private long unparsedSinceUs;
-    /** Bytes reserved for the buffered input. */
-    private long unparsedReservedBytes;
     /** Size of the input that was discarded after an invalid request. */
     private long discardedBytes;
     /**
@@ -149,6 +153,8 @@
         this.earliestOpenedUs = earliestOpenedUs;
         this.log = log;
         this.channel = channel;
+        backlog = new InputBacklog(server.requests());
+        parseScheduler = server.parseScheduler();
         incomingBody = server.newBodyReservation();
         queuedBodies = server.newBodyReservation();
         ticker = channel.eventLoop().ticker();
@@ -180,13 +186,7 @@
 
             @Override
             public void channelRead(ChannelHandlerContext context, Object bytes) {
-                if (discardsInput) {
-                    discard((ByteBuf) bytes);
-                } else if (isParsingPaused) {
-                    bufferInput((ByteBuf) bytes);
-                } else {
-                    parse((ByteBuf) bytes);
-                }
+                receive((ByteBuf) bytes);
             }
 
             @Override
@@ -199,6 +199,42 @@
         };
     }
 
+    /** Parses the input as far as there is time, and keeps the rest for later. */
+    private void receive(ByteBuf input) {
+        if (mayParseNow() && input.readableBytes() <= maxPartBytes()) {
+            parseScheduler.parse(() -> parse(input));
+            return;
+        }
+        while (mayParseNow() && input.isReadable()) {
+            int partBytes = Math.min(maxPartBytes(), input.readableBytes());
+            ByteBuf part = channel.alloc().heapBuffer(partBytes).writeBytes(input, partBytes);
+            parseScheduler.parse(() -> parse(part));
+        }
+        if (discardsInput) {
+            discard(input.readableBytes());
+        } else if (input.isReadable()) {
+            keepForLater(input);
+        }
+        input.release();
+    }
+
+    private boolean canParse() {
+        return !isParsingPaused && !discardsInput && channel.isActive();
+    }
+
+    private boolean mayParseNow() {
+        return canParse() && backlog.isEmpty() && parseScheduler.hasTime();
+    }
+
+    /** Returns how much input may be parsed at once; each part costs little time, whatever it holds. */
+    private int maxPartBytes() {
+        if (body == null) {
+            return HEAD_PART_BYTES;
+        }
+        long missingBytes = HttpUtil.getContentLength(head, 0L) - body.size();
+        return missingBytes <= 0 ? CHUNKS_PART_BYTES : (int) Math.min(BODY_PART_BYTES, missingBytes);
+    }
+
     private void parse(ByteBuf bytes) {
         if (!isReceivingRequest) {
             isReceivingRequest = true;
@@ -228,9 +264,8 @@
      * Discards input. Reading goes on so that the disconnect of a client that sent an invalid request is
      * noticed before its error response is due, but reading stops if the client sends without end.
      */
-    private void discard(ByteBuf bytes) {
-        discardedBytes += bytes.readableBytes();
-        bytes.release();
+    private void discard(int bytes) {
+        discardedBytes += bytes;
         if (discardedBytes > Limits.MAX_DISCARDED_BYTES && (isBusy || !queue.isEmpty())) {
             setReading(false);
         }
@@ -245,54 +280,61 @@
     }
 
     /**
-     * Buffers input while requests are queued. Beyond the limits the rest, and a disconnect behind it, stays
-     * unread in the socket.
+     * Keeps input while requests are queued or no time is left to parse it. Beyond the limits the rest, and a
+     * disconnect behind it, stays unread in the socket.
      */
-    private void bufferInput(ByteBuf bytes) {
-        if (unparsed == null) {
-            unparsed = channel.alloc().heapBuffer(bytes.readableBytes());
-            unparsedSinceUs = earliestArrivalUs();
-        }
-        long receivedBytes = bytes.readableBytes();
-        unparsed.discardReadBytes().writeBytes(bytes);
-        bytes.release();
-        boolean isReserved = server.requests().tryReserve(receivedBytes, Limits.MAX_TOTAL_BEFORE_INPUT_WAITS_BYTES);
-        unparsedReservedBytes += isReserved ? receivedBytes : 0;
-        if (!isReserved || unparsed.readableBytes() >= Limits.MAX_PIPELINED_BYTES) {
+    private void keepForLater(ByteBuf input) {
+        boolean hasRoom = backlog.append(input, earliestArrivalUs());
+        if (!hasRoom || backlog.readableBytes() >= Limits.MAX_PIPELINED_BYTES) {
             setReading(false);
         }
+        scheduleParsing();
+    }
+
+    private void scheduleParsing() {
+        if (canParse() && !backlog.isEmpty() && !isWaitingToParse) {
+            isWaitingToParse = true;
+            parseScheduler.enqueue(this);
+        }
     }
 
     /**
-     * Resumes parsing when no request is queued any more: buffered input is parsed in parts, until a request
-     * has to be queued again.
+     * Parses a part of the backlog.
+     *
+     * @return whether more of it can be parsed
      */
+    boolean parseBacklogPart() {
+        isWaitingToParse = false;
+        if (!canParse() || backlog.isEmpty()) {
+            return false;
+        }
+        bufferedSinceUs = backlog.oldestArrivalUs();
+        parse(backlog.read(channel.alloc(), maxPartBytes()));
+        bufferedSinceUs = Long.MAX_VALUE;
+        if (discardsInput) {
+            backlog.clear();
+        }
+        if (backlog.isEmpty()) {
+            gateContext.fireChannelReadComplete();
+        }
+        resumeReading();
+        isWaitingToParse = canParse() && !backlog.isEmpty();
+        return isWaitingToParse;
+    }
+
+    /** Resumes parsing when no request is queued any more. */
     private void resumeParsing() {
         isParsingPaused = false;
-        if (unparsed != null) {
-            bufferedSinceUs = unparsedSinceUs;
-            while (!isParsingPaused && !discardsInput && unparsed.isReadable()) {
-                parse(unparsed.readBytes(Math.min(REPLAY_PART_BYTES, unparsed.readableBytes())));
-            }
-            bufferedSinceUs = Long.MAX_VALUE;
-            gateContext.fireChannelReadComplete();
-            if (discardsInput || !unparsed.isReadable()) {
-                releaseUnparsed();
-            } else {
-                long parsedBytes = Math.max(0, unparsedReservedBytes - unparsed.readableBytes());
-                server.requests().release(parsedBytes);
-                unparsedReservedBytes -= parsedBytes;
-            }
+        if (discardsInput) {
+            backlog.clear();
         }
-        setReading(unparsed == null || unparsed.readableBytes() < Limits.MAX_PIPELINED_BYTES);
+        scheduleParsing();
+        resumeReading();
     }
 
-    private void releaseUnparsed() {
-        if (unparsed != null) {
-            unparsed.release();
-            unparsed = null;
-            server.requests().release(unparsedReservedBytes);
-            unparsedReservedBytes = 0;
+    private void resumeReading() {
+        if (backlog.readableBytes() < Limits.MAX_PIPELINED_BYTES) {
+            setReading(true);
         }
     }
 
@@ -512,7 +554,7 @@
         // The response head did not announce the close if the node started to shut down meanwhile. Left open, the
         // connection would carry further requests until the process is killed during one. Pipelined requests still
         // get their responses, the last of which announces the close.
-        keepAlive &= !queue.isEmpty() || unparsed != null || !server.closesAfterResponse();
+        keepAlive &= !queue.isEmpty() || !backlog.isEmpty() || !server.closesAfterResponse();
         channel.config().setOption(ChannelOption.SO_LINGER, -1);
         channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
                 .addListener(written -> onResponseWritten(written.isSuccess()));
@@ -600,7 +642,7 @@
 
     private void addCloseHeaderIfLast(HttpResponse response) {
         // Pipelined requests get their responses first.
-        boolean hasPipelinedRequests = !queue.isEmpty() || unparsed != null;
+        boolean hasPipelinedRequests = !queue.isEmpty() || !backlog.isEmpty();
         if (!keepAlive || closesAfterFirstResponse || server.closesAfterResponse() && !hasPipelinedRequests) {
             keepAlive = false;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -682,6 +724,7 @@
 
     /** Closes the connection if its client takes too long to send a request or to read a response. */
     void closeIfExpired() {
+        rejectIfBacklogIsOld();
         if (openRequest != null && (stream == null || !stream.hasUnsentParts()) || discardsInput && !isBusy) {
             return;
         }
@@ -699,6 +742,14 @@
         }
     }
 
+    /** Rejects a request whose input has been waiting too long to be parsed: its client is owed an answer in time. */
+    private void rejectIfBacklogIsOld() {
+        if (canParse() && !backlog.isEmpty() && clock.nowUs() - backlog.oldestArrivalUs() > Limits.MAX_BACKLOG_AGE_US) {
+            backlog.clear();
+            rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
+    }
+
     private void closeIfWaitingLongerThan(long ms, CloseReason reason) {
         if (isWaitingLongerThan(ms)) {
             close(reason);
@@ -722,9 +773,9 @@
         return isReceivingRequest;
     }
 
-    /** Returns whether all input that has arrived is read. */
+    /** Returns whether all input that has arrived is read and parsed. */
     boolean hasNoUnreadInput() {
-        return channel.hasNoUnreadInput();
+        return backlog.isEmpty() && channel.hasNoUnreadInput();
     }
 
     /** Closes the connection for this reason, unless it is being closed for another one. */
@@ -744,7 +795,7 @@
         discardPartialRequest();
         queuedBodies.release();
         releaseQueuedHeads();
-        releaseUnparsed();
+        backlog.clear();
         if (stream != null) {
             stream.onClientLeft();
             stream = null;
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -48,6 +48,7 @@
     private final Engine<ClientRequest, ServerResponse> engine;
     private final EventLoopClock clock;
     private final ByteBudget responses;
+    private final ParseScheduler parseScheduler;
     private final IntConsumer onRejected;
     private final ConnectionObserver observer;
     private final Log log;
@@ -149,6 +150,7 @@
         this.onRejected = onRejected;
         this.observer = observer;
         this.loop = loop;
+        parseScheduler = new ParseScheduler(loop.next());
         this.network = network;
         this.reader = reader;
         this.sockets = sockets;
@@ -374,6 +376,11 @@
         return requests;
     }
 
+    /** Returns what bounds the processor time of parsing. */
+    ParseScheduler parseScheduler() {
+        return parseScheduler;
+    }
+
     /** Returns the budget of the heads of requests that are received or queued. */
     ByteBudget heads() {
         return heads;
--- a/src/main/java/kitemux/http/HttpServers.java
+++ b/src/main/java/kitemux/http/HttpServers.java
@@ -309,14 +309,15 @@
             // Data that arrived since the event loop last polled may be unread: a stall of the loop is not a stall
             // of the server.
             long lookedUs = clock.nowUs() - clock.readLagUs();
+            long deadlineUs = exchange().deadlineUs();
             boolean silent = lookedUs - lastReadUs > Limits.STALL_TIMEOUT_US
-                    || !isLong() && lastReadUs <= exchange().deadlineUs() && hasStoppedBeforeDeadline(lookedUs);
+                    || !isLong() && lastReadUs <= deadlineUs && isPausingBeyond(deadlineUs, lookedUs);
             return reading && silent || lookedUs - streamingSinceUs > Limits.MAX_STREAMING_US;
         }
 
         /** Returns whether a server that sent its last bytes before the client's deadline has paused for too long. */
-        private boolean hasStoppedBeforeDeadline(long lookedUs) {
-            return lookedUs - exchange().deadlineUs() > Limits.DEADLINE_GRACE_US
+        private boolean isPausingBeyond(long deadlineUs, long lookedUs) {
+            return lookedUs - deadlineUs > Limits.DEADLINE_GRACE_US
                     && lookedUs - lastReadUs > Limits.PAUSE_RATIO * longestPauseUs;
         }
 
--- /dev/null
+++ b/src/main/java/kitemux/http/InputBacklog.java
@@ -0,0 +1,114 @@
+package kitemux.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import java.util.ArrayDeque;
+import kitemux.net.ByteBudget;
+
+/**
+ * Input of a connection that has been read and not parsed yet. It is held in pieces of at most {@link #MAX_PIECE_BYTES},
+ * so that it takes little more memory than its bytes and is never moved.
+ */
+final class InputBacklog {
+    private static final int MIN_PIECE_BYTES = 512;
+    private static final int MAX_PIECE_BYTES = 16 << 10;
+
+    private final ByteBudget budget;
+    private final ArrayDeque<Piece> pieces = new ArrayDeque<>();
+    private int readableBytes;
+    private long reservedBytes;
+
+    /** Bytes that arrived together, and when they arrived at the earliest. */
+    private static final class Piece {
+        private final byte[] bytes;
+        private final long arrivedUs;
+        /** Whether the piece's memory is reserved. */
+        private final boolean isReserved;
+
+        private int readPosition;
+        private int writePosition;
+
+        private Piece(int capacity, long arrivedUs, boolean isReserved) {
+            bytes = new byte[capacity];
+            this.arrivedUs = arrivedUs;
+            this.isReserved = isReserved;
+        }
+    }
+
+    /** Creates an empty backlog whose memory counts in this budget. */
+    InputBacklog(ByteBudget budget) {
+        this.budget = budget;
+    }
+
+    /**
+     * Appends all readable bytes of the input.
+     *
+     * @param arrivedUs the earliest time at which the input may have arrived, in microseconds
+     * @return false if the memory is used up; the input is held all the same, and no more may be read
+     */
+    boolean append(ByteBuf input, long arrivedUs) {
+        boolean isReserved = true;
+        readableBytes += input.readableBytes();
+        while (input.isReadable()) {
+            Piece last = pieces.peekLast();
+            if (last == null || last.writePosition == last.bytes.length) {
+                last = addPiece(input.readableBytes(), arrivedUs);
+            }
+            int count = Math.min(input.readableBytes(), last.bytes.length - last.writePosition);
+            input.readBytes(last.bytes, last.writePosition, count);
+            last.writePosition += count;
+            isReserved &= last.isReserved;
+        }
+        return isReserved;
+    }
+
+    private Piece addPiece(int neededBytes, long arrivedUs) {
+        int capacity = Math.max(MIN_PIECE_BYTES, Math.min(MAX_PIECE_BYTES, neededBytes));
+        boolean isReserved = budget.tryReserve(capacity, Limits.MAX_TOTAL_BEFORE_INPUT_WAITS_BYTES);
+        reservedBytes += isReserved ? capacity : 0;
+        Piece piece = new Piece(capacity, arrivedUs, isReserved);
+        pieces.add(piece);
+        return piece;
+    }
+
+    /** Removes up to {@code maxBytes} of the oldest input, which must not be empty, into a new buffer on the heap. */
+    ByteBuf read(ByteBufAllocator allocator, int maxBytes) {
+        Piece oldest = pieces.element();
+        int count = Math.min(maxBytes, oldest.writePosition - oldest.readPosition);
+        ByteBuf part = allocator.heapBuffer(count).writeBytes(oldest.bytes, oldest.readPosition, count);
+        oldest.readPosition += count;
+        readableBytes -= count;
+        if (oldest.readPosition == oldest.writePosition) {
+            release(pieces.remove());
+        }
+        return part;
+    }
+
+    private void release(Piece piece) {
+        if (piece.isReserved) {
+            budget.release(piece.bytes.length);
+            reservedBytes -= piece.bytes.length;
+        }
+    }
+
+    /** Returns the earliest time at which the oldest input may have arrived; the backlog must not be empty. */
+    long oldestArrivalUs() {
+        return pieces.element().arrivedUs;
+    }
+
+    int readableBytes() {
+        return readableBytes;
+    }
+
+    boolean isEmpty() {
+        return readableBytes == 0;
+    }
+
+    /** Drops all input and gives its memory back. */
+    void clear() {
+        pieces.clear();
+        readableBytes = 0;
+        budget.release(reservedBytes);
+        reservedBytes = 0;
+    }
+}
--- a/src/main/java/kitemux/http/Limits.java
+++ b/src/main/java/kitemux/http/Limits.java
@@ -85,6 +85,11 @@
      * reports the end of a socket here. With one more read the buffer reaches 1 MiB.
      */
     public static final int MAX_PIPELINED_BYTES = 960 << 10;
+    /**
+     * How long input may wait to be parsed. Input that costs too much time is refused, so that its client has its answer
+     * soon after its time and the input of others does not wait behind it.
+     */
+    public static final long MAX_BACKLOG_AGE_US = 200_000;
     /**
      * Size up to which input is read and discarded from a client that sent an invalid request and waits for its
      * error response, so that its disconnect is noticed. Reading a flood must not use up the processor.
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -489,16 +489,30 @@
         }
     }
 
+    /** Guards against requests that are sent ahead in one piece and parsed all at once. */
     @Test
-    void pipelinedRequestCountIsBounded() throws Exception {
-        try (ScriptedServer server = ScriptedServer.serving("x");
+    void manyPipelinedRequestsAreParsedAsTheyAreServed() throws Exception {
+        try (ScriptedServer server = new ScriptedServer(
+                        (request, peer) -> peer.write(Http.ok(request.headers().get("x-txn"))));
                 Site site = Site.quiet().start(server)) {
             Socket client = site.connect();
             StringBuilder many = new StringBuilder();
             for (int i = 0; i < 300; i++) {
-                many.append(Http.page("t" + i));
+                many.append(Http.page("/api/p", "t" + i, "20000m"));
             }
             Site.write(client, many.toString());
+            for (int i = 0; i < 300; i++) {
+                assertEquals("t" + i, Http.read(client.getInputStream()).body());
+            }
+        }
+    }
+
+    @Test
+    void pipelinedRequestCountIsBounded() throws Exception {
+        try (ScriptedServer server = ScriptedServer.serving("x");
+                Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            Site.write(client, "GET /up HTTP/1.1\r\n\r\n".repeat(300));
             int served = 0;
             Http.Message answer = Http.read(client.getInputStream());
             for (; answer.status() == 200; answer = Http.read(client.getInputStream())) {
--- a/src/test/java/kitemux/node/NodeProcess.java
+++ b/src/test/java/kitemux/node/NodeProcess.java
@@ -103,12 +103,15 @@
                 {"listen":"127.0.0.1:%d","mgmt":"127.0.0.1:%d","discovery":"127.0.0.1:9","seed":"1",
                  "limits":{"sockets":1024},"known":%s,
                  "settings":{"membershipMode":"on_request","limits":{"attemptsCap":2},
-                  "classes":[{"name":"page","onTimeUs":%d,"giveUpUs":%d,"repeat":"safe"}]}}
+                  "classes":[{"name":"page","onTimeUs":%d,"giveUpUs":%d,"repeat":"safe"},
+                             {"name":"order","onTimeUs":%d,"giveUpUs":%d,"repeat":"unsafe"}]}}
                 """.formatted(
                         clients.getPort(),
                         operators.getPort(),
                         Site.list(1, true, entries).replace("\"here\"", "\"\""),
                         deadlineMs * 500,
+                        deadlineMs * 1_000,
+                        deadlineMs * 500,
                         deadlineMs * 1_000));
         Path traces = folder.resolve("traces");
         Path settings =
