--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -79,6 +79,8 @@
     private static final long FIRST_LIST_TIMEOUT_MS = 1_000;
     /** Exit code of a process that could not start for a reason other than its configuration. */
     private static final int START_FAILED_EXIT_CODE = 1;
+    /** Exit code of a process whose event loop has ended. */
+    private static final int LOOP_ENDED_EXIT_CODE = 4;
 
     private final NodeConfig config;
     private final EventLoop loop;
@@ -379,7 +381,7 @@
             errors.forEach(error -> System.err.println("kitemux: " + error));
             System.exit(2);
         }
-        PollingLoop loop = newLoop();
+        PollingLoop loop = SelectorLoop.open(Node::haltWithoutLoop);
         EventLoopClock clock = EventLoopClock.of(loop);
         OrderJournal orders = null;
         if (operatorSettings.orders() != null) {
@@ -530,6 +532,18 @@
         }
     }
 
+    /**
+     * Ends the process at once: without its event loop it would keep its connections and answer nothing, and an orderly
+     * shutdown would wait for the loop.
+     */
+    private static void haltWithoutLoop() {
+        try {
+            System.err.println("kitemux: the event loop has ended, and the process with it");
+        } finally {
+            Runtime.getRuntime().halt(LOOP_ENDED_EXIT_CODE);
+        }
+    }
+
     static PollingLoop newLoop() {
         return SelectorLoop.open();
     }
