Tell a server's process from the one before at the same id or address

Cause, three of one class, an identity that is no more than an id or an address: (1) the module compared the group of a keyed request's first attempt through the server object, which a later list changes in place; (2) a request that waits for a connection kept waiting when its server's entry became that of another process, and was written to it; (3) a change that names a new server at the address of another one left both in use until the list told that the other one is gone.

Waiting requests are given back when an entry becomes another process. A new server at an address ends the one before (EndpointOwners), unless the news is older.

--- a/src/main/java/kitemux/ServiceQBalancer.java
+++ b/src/main/java/kitemux/ServiceQBalancer.java
@@ -495,6 +495,11 @@
             healthByClass = Stream.generate(Health::new).limit(classCount).toArray(Health[]::new);
         }
 
+        /** Returns the process that the id stands for at present. */
+        ServerProcess process() {
+            return new ServerProcess(zone, cell, startedAt);
+        }
+
         boolean isEjectedFor(int classIndex) {
             return overallHealth.ejected || healthByClass[classIndex].ejected;
         }
@@ -551,6 +556,9 @@
         final long targetAt;
         final long deadlineAt;
         final Server[] servers;
+        /** The process of each attempt's server when the attempt was sent. */
+        final ServerProcess[] processes;
+
         final long[] sentAt;
         final Result[] results;
 
@@ -596,6 +604,7 @@
             deadlineAt = now + Math.max(0, request.remainingUs());
             targetAt = Math.min(deadlineAt, arrivedAt + targetUs);
             servers = new Server[settings.maxAttempts];
+            processes = new ServerProcess[settings.maxAttempts];
             sentAt = new long[settings.maxAttempts];
             results = new Result[settings.maxAttempts];
             silent = new boolean[settings.maxAttempts];
@@ -604,6 +613,11 @@
                     : 0;
         }
 
+        /** Returns whether an attempt's server is still the process that it was sent to. */
+        boolean isSameProcess(int attempt) {
+            return processes[attempt].equals(servers[attempt].process());
+        }
+
         /** Returns the number of the earliest attempt that may have run, or -1. It restricts retries and refusals. */
         int firstPossiblyExecutedAttempt() {
             return firstPossiblyExecutedAttemptBesides(-1);
@@ -932,7 +946,9 @@
         server.silentInFlight -= pending.silent[attempt] ? 1 : 0;
         closeIfUnused(server);
         Health classHealth = server.healthByClass[pending.request.classIndex()];
-        if (result == Result.OK) {
+        // What the process before did says nothing about the one that the id stands for now.
+        boolean isSameProcess = pending.isSameProcess(attempt);
+        if (result == Result.OK && isSameProcess) {
             recordSuccess(
                     server,
                     classHealth,
@@ -940,7 +956,11 @@
                             > (sparse ? 1 : SLOW_LATENCY_MARGIN_RATIO)
                                     * SLOW_LATENCY_RATIO
                                     * meanLatencyUs[pending.request.classIndex()]);
-        } else if (result != Result.CANCELLED && result != Result.MOOT && !pending.silent[attempt]) {
+        } else if (result != Result.OK
+                && result != Result.CANCELLED
+                && result != Result.MOOT
+                && !pending.silent[attempt]
+                && isSameProcess) {
             // A time-out of a server that has answered the class since, like a FULL result, indicates load and not
             // silence; the limit accounts for it.
             recordFailure(
@@ -949,8 +969,11 @@
                     result != Result.FULL
                             && (result != Result.TIMEOUT || classHealth.lastAnsweredAt < pending.sentAt[attempt]));
         }
-        classHealth.lastAnsweredAt = result == Result.OK || result == Result.ERROR ? now : classHealth.lastAnsweredAt;
-        adaptLimit(pending, attempt, outcome);
+        if (isSameProcess) {
+            classHealth.lastAnsweredAt =
+                    result == Result.OK || result == Result.ERROR ? now : classHealth.lastAnsweredAt;
+            adaptLimit(pending, attempt, outcome);
+        }
         if (outcome.requestEnded()) {
             finish(pending);
         } else if (!pending.ended && pending.outstandingCount == 0) {
@@ -1372,7 +1395,7 @@
     private void handleSilentAttempt(PendingRequest pending, int attempt) {
         Server server = pending.servers[attempt];
         Health classHealth = server.healthByClass[pending.request.classIndex()];
-        if (classHealth.lastAnsweredAt < pending.sentAt[attempt]) {
+        if (classHealth.lastAnsweredAt < pending.sentAt[attempt] && pending.isSameProcess(attempt)) {
             pending.silent[attempt] = true;
             server.silentInFlight++;
             totalInFlight -= countsTowardTotals(server) ? 1 : 0;
@@ -1631,6 +1654,7 @@
     private void send(PendingRequest pending, Server server) {
         int attempt = pending.attemptCount++;
         pending.servers[attempt] = server;
+        pending.processes[attempt] = server.process();
         pending.sentAt[attempt] = now;
         pending.outstandingCount++;
         hedgeBudget = Math.min(MAX_HEDGE_BUDGET_COUNT, hedgeBudget + (attempt == 0 ? HEDGE_BUDGET_RATIO : 0));
@@ -1703,6 +1727,7 @@
                 && !pending.ended
                 && nowUs < pending.deadlineAt
                 && pending.servers[attempt].state == ServerState.READY
+                && pending.isSameProcess(attempt)
                 && allowsRepeat(pending, pending.firstPossiblyExecutedAttemptBesides(attempt), nowUs);
     }
 
@@ -1724,11 +1749,8 @@
         int executedAttempt =
                 pending.requestClass.retrySafety() == RetrySafety.KEYED ? pending.firstPossiblyExecutedAttempt() : -1;
         return executedAttempt < 0
-                || switch (pending.requestClass.dedupScope()) {
-                    case ALL -> true;
-                    case ZONE -> server.zone == pending.servers[executedAttempt].zone;
-                    case CELL -> server.cell == pending.servers[executedAttempt].cell;
-                };
+                || pending.processes[executedAttempt].sharesKeysWith(
+                        server.process(), pending.requestClass.dedupScope());
     }
 
     private boolean isCold(Server server) {
--- a/src/main/java/kitemux/net/ServerPool.java
+++ b/src/main/java/kitemux/net/ServerPool.java
@@ -104,6 +104,10 @@
 
         InetSocketAddress endpoint;
         long startedAtUs;
+        int zone;
+        /** Number of the server's group. */
+        int cell;
+
         boolean ready;
         /** Connections that are being opened and cannot carry an exchange yet. */
         int connectingCount;
@@ -111,6 +115,14 @@
         Upstream(String id) {
             this.id = id;
         }
+
+        /** Returns whether a listed entry of this id is another process than the one before. */
+        boolean isReplacedBy(HostList.Host host) {
+            return !host.endpoint().equals(endpoint)
+                    || host.entry().startedAtUs() > startedAtUs
+                    || host.entry().zone() != zone
+                    || host.entry().cell() != cell;
+        }
     }
 
     // ---------------------------------------------------------------- server list
@@ -128,19 +140,19 @@
                 continue;
             }
             Upstream<Q, A> upstream = upstreams.computeIfAbsent(id, Upstream::new);
-            // Connections to a former address, or to a process that has ended, are not usable: a request written
-            // to one would end in a reset, after which it might not be allowed to run again.
-            boolean replaced =
-                    !host.endpoint().equals(upstream.endpoint) || host.entry().startedAtUs() > upstream.startedAtUs;
+            boolean isReplaced = upstream.isReplacedBy(host);
             upstream.endpoint = host.endpoint();
             upstream.startedAtUs = host.entry().startedAtUs();
+            upstream.zone = host.entry().zone();
+            upstream.cell = host.entry().cell();
             upstream.ready = host.entry().state() == ServerState.READY;
-            if (replaced || !upstream.ready) {
+            if (isReplaced || !upstream.ready) {
+                // Connections to a former address, or to a process that has ended, are not usable: a request written
+                // to one would end in a reset, after which it might not be allowed to run again.
                 List.copyOf(upstream.idleConnections).stream()
                         .filter(connection -> !connection.isUsable())
                         .forEach(ServerConnection::close);
-            }
-            if (!upstream.ready) {
+                // Waiting exchanges were chosen for the process before; the new one may be cold or of another group.
                 endWaitingExchanges(upstream);
             }
         }
@@ -156,7 +168,7 @@
         }
     }
 
-    /** Ends the exchanges that wait for a connection to a server that takes no new requests; they never ran. */
+    /** Ends the exchanges that wait for a connection to a server's process that takes no more; they never ran. */
     private static <Q, A> void endWaitingExchanges(Upstream<Q, A> upstream) {
         Exchange<Q, A> exchange;
         while ((exchange = upstream.waitingExchanges.poll()) != null) {
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -43,6 +43,7 @@
 import kitemux.load.LoadSettings;
 import kitemux.net.BufferUsage;
 import kitemux.net.ByteBudget;
+import kitemux.net.EndpointOwners;
 import kitemux.net.EventLoopClock;
 import kitemux.net.HostList;
 import kitemux.net.LoopUsage;
@@ -98,6 +99,7 @@
     /** The management interface; null if no management address is configured. */
     private final Operations operations;
 
+    private final EndpointOwners endpointOwners = new EndpointOwners();
     private boolean listening;
     /** Stalls of the event loop that were logged. */
     private long stallCount;
@@ -293,7 +295,8 @@
         Operations.NodeControl nodeControl = new Operations.NodeControl() {
             @Override
             public void updateServers(List<HostList.Host> hosts) {
-                applyServerList(new HostList(0, false, hosts), ListKind.OVERRIDES);
+                List<HostList.Host> current = endpointOwners.withoutSuperseded(hosts);
+                applyServerList(new HostList(0, false, current), ListKind.OVERRIDES);
             }
 
             @Override
@@ -691,7 +694,8 @@
     }
 
     private void updateServerList(HostList list, ListKind kind) {
-        applyServerList(operations == null ? list : operations.applyOverrides(list), kind);
+        HostList current = operations == null ? list : operations.applyOverrides(list);
+        applyServerList(endpointOwners.withSuperseded(current), kind);
     }
 
     private void applyServerList(HostList list, ListKind kind) {
--- a/src/test/java/kitemux/RulesTest.java
+++ b/src/test/java/kitemux/RulesTest.java
@@ -1,9 +1,11 @@
 package kitemux;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import kitemux.Balancer.ListKind;
 import kitemux.Balancer.Outcome;
@@ -115,6 +117,52 @@
         assertEquals(3, node.attemptCount(id), "a retry that is written 0.15 s later would be 1 us late");
     }
 
+    private static ServerEntry server(String id, int cell, long startedAtUs) {
+        return new ServerEntry(id, 0, cell, ServerState.READY, 1, startedAtUs);
+    }
+
+    /** Guards against a repeat in another group, as the id of the first server has come to stand for a new process. */
+    @Test
+    void keyedRequestIsRepeatedInTheGroupOfItsFirstProcessThoughTheIdHasMoved() {
+        TestNode node = new TestNode();
+        node.updateServers(ListKind.CACHED, List.of(server("s0", 1, 0)));
+        long id = node.submit(TestNode.KEYED_CELL);
+        assertEquals("s0", node.lastAttempt(id).server());
+        node.updateServers(ListKind.FULL, List.of(server("s0", 2, 0), server("s1", 2, 0)));
+        node.complete(id, Result.RESET, 1_000);
+        assertEquals(1, node.attemptCount(id), "both servers are in another group now");
+        node.updateServers(ListKind.CHANGES, List.of(server("s2", 1, 0)));
+        assertEquals("s2", node.lastAttempt(id).server());
+    }
+
+    /** Guards against an attempt that is written to a process for which it was not chosen. */
+    @Test
+    void attemptIsNotWrittenOnceItsServerIsAnotherProcess() {
+        TestNode node = new TestNode().withServers(1);
+        long id = node.submit(TestNode.UNSAFE);
+        assertTrue(node.balancer.mayWrite(node.now, id, 0));
+        node.updateServers(ListKind.CHANGES, List.of(server("s0", 0, node.now)));
+        assertFalse(node.balancer.mayWrite(node.now, id, 0));
+    }
+
+    /** Guards against ejecting a new process for the failures of the one before. */
+    @Test
+    void failuresOfTheProcessBeforeDoNotCountAgainstTheNewOne() {
+        TestNode node = new TestNode().withServers(4);
+        List<Long> ids = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            ids.add(node.submit(TestNode.UNSAFE));
+        }
+        List<ServerEntry> restarted = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            restarted.add(server("s" + i, 0, node.now));
+        }
+        node.updateServers(ListKind.FULL, restarted);
+        ids.stream().filter(id -> node.attemptCount(id) > 0).forEach(id -> node.complete(id, Result.RESET, 0));
+        assertEquals(0, node.balancer.ejectedServerCount());
+        assertEquals(List.of(), node.logged);
+    }
+
     @Test
     void timeoutAtDeadlineIsAnsweredImmediatelyWithoutRetry() {
         TestNode node = new TestNode().withServers(3);
--- a/src/test/java/kitemux/node/TermsTest.java
+++ b/src/test/java/kitemux/node/TermsTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,6 +23,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Tests guarantees of the operators' page over real sockets that no other test covers. */
 @Timeout(60)
@@ -137,6 +139,76 @@
         }
     }
 
+    /** How a new process of another group comes to the address at which a request waits for a connection. */
+    private enum Takeover {
+        SAME_ID {
+            @Override
+            String change(String endpoint) {
+                return inOtherGroup(Site.list(3, false, "s1=" + endpoint + "=Ready"));
+            }
+        },
+        NEW_ID_AND_OLD_GONE {
+            @Override
+            String change(String endpoint) {
+                return inOtherGroup(Site.list(3, false, "s2=" + endpoint + "=Ready", "s1=" + endpoint + "=Gone"));
+            }
+        },
+        NEW_ID_ALONE {
+            @Override
+            String change(String endpoint) {
+                return inOtherGroup(Site.list(3, false, "s2=" + endpoint + "=Ready"));
+            }
+        };
+
+        private static String inOtherGroup(String list) {
+            return list.replace("\"pod_group\":0", "\"pod_group\":1")
+                    .replace("\"boot_ms\":0", "\"boot_ms\":" + System.currentTimeMillis());
+        }
+
+        abstract String change(String endpoint);
+    }
+
+    /** Guards against a keyed request that is repeated at a process of another group, taken for the one before. */
+    @ParameterizedTest
+    @EnumSource(Takeover.class)
+    void keyedRequestIsNotRepeatedAtNewProcessOfOtherGroup(Takeover takeover) throws Exception {
+        CountDownLatch resets = new CountDownLatch(1);
+        try (ScriptedServer first = resettingAfter(resets);
+                FullListener full = new FullListener();
+                Site site = Site.quiet()) {
+            setPhotoWindow(site, 4_000_000);
+            site.start(first);
+            ScriptedServer.Peer watch = ScriptedServer.next(site.discovery.answeredPeers);
+            Socket client = site.connect();
+            Site.write(client, photo("t"));
+            ScriptedServer.next(first.requests);
+            watch.write(Site.chunk(Site.list(2, false, "s1=" + full.endpoint() + "=Ready") + "\n"));
+            resets.countDown();
+            ScriptedServer.next(first.disconnectedPeers);
+            // The repeat waits for a connection meanwhile, which the system begins anew after a second.
+            Site.parkFor(300);
+            watch.write(Site.chunk(takeover.change(full.endpoint()) + "\n"));
+            Socket second = full.acceptNode();
+            second.setSoTimeout(1_000);
+            assertEquals("", readUntilQuiet(second), "what the new process got");
+        }
+    }
+
+    /** Reads until the connection ends or nothing comes within its timeout. */
+    private static String readUntilQuiet(Socket socket) throws IOException {
+        StringBuilder text = new StringBuilder();
+        try {
+            for (int next = socket.getInputStream().read();
+                    next >= 0;
+                    next = socket.getInputStream().read()) {
+                text.append((char) next);
+            }
+        } catch (SocketTimeoutException e) {
+            // Nothing more comes.
+        }
+        return text.toString();
+    }
+
     private static ScriptedServer resettingAfter(CountDownLatch resets) throws IOException {
         return new ScriptedServer((request, peer) -> {
             try {
