Soak nodes with faulty servers, late connections, crowds and input left unread

Change: servers reset, turn away, answer in lumps or steadily across the deadline, and read long bodies slowly; connections to one server come up late in half of the seeds; clients leave with 3 MB unread behind their request; a third of the seeds has a crowd of 150. New rules of the judge: an answer cut off while no process ends, a keyed request written again after its window. A told deadline is not judged at the server that accepts late: it reads 0.1 s and more after the system has taken the bytes (trace: written with 568 ms left, read later).

Found with it and fixed here: an answer in one lump of 45 kB before a deadline of 0.16 s was cut off 0.2 s after it, before the next lump. What a response that may be short has given now pays for its pauses at 64 kB a second, the lowest rate at which peers write; and one that trickles below half of that ends after 1 s, where it would have been streamed for 600 s (endlesslyTricklingResponseEnds).

--- a/src/main/java/kitemux/http/HttpServers.java
+++ b/src/main/java/kitemux/http/HttpServers.java
@@ -143,8 +143,8 @@
         private boolean reading = true;
 
         private long lastReadUs;
-        /** The longest time between two parts of the response so far, in microseconds. */
-        private long longestPauseUs;
+        /** When the head of the response was read, in microseconds on the event loop's clock. */
+        private long headReadUs;
         /** Number of bytes of the response that have been streamed. */
         private long streamedBytes;
 
@@ -182,8 +182,7 @@
             }
             if (message instanceof HttpResponse response) {
                 head = response;
-                longestPauseUs = 0;
-                lastReadUs = clock.nowUs();
+                headReadUs = clock.nowUs();
                 releaseBody();
                 // A response with an excessive Content-Length is rejected before any of its body has arrived.
                 if (HttpUtil.getContentLength(response, 0L) > Limits.MAX_RESPONSE_BYTES) {
@@ -196,7 +195,6 @@
                             (int) Math.min(HttpUtil.getContentLength(response, 256L), Limits.MAX_INITIAL_BUFFER_BYTES));
                 }
             }
-            longestPauseUs = Math.max(longestPauseUs, clock.nowUs() - lastReadUs);
             lastReadUs = clock.nowUs();
             if (message instanceof HttpContent content && !addContent(content.content())) {
                 return;
@@ -311,14 +309,21 @@
             long lookedUs = clock.nowUs() - clock.readLagUs();
             long deadlineUs = exchange().deadlineUs();
             boolean silent = lookedUs - lastReadUs > Limits.STALL_TIMEOUT_US
-                    || !isLong() && lastReadUs <= deadlineUs && isPausingBeyond(deadlineUs, lookedUs);
+                    || !isLong() && lookedUs - deadlineUs > Limits.DEADLINE_GRACE_US && isTooSlow(deadlineUs, lookedUs);
             return reading && silent || lookedUs - streamingSinceUs > Limits.MAX_STREAMING_US;
         }
 
-        /** Returns whether a server that sent its last bytes before the client's deadline has paused for too long. */
-        private boolean isPausingBeyond(long deadlineUs, long lookedUs) {
-            return lookedUs - deadlineUs > Limits.DEADLINE_GRACE_US
-                    && lookedUs - lastReadUs > Limits.PAUSE_RATIO * longestPauseUs;
+        /**
+         * Returns whether a response that may be short comes more slowly than servers send long ones, which are passed
+         * on past the deadline: nothing has come since the deadline, or too little since the response began.
+         */
+        private boolean isTooSlow(long deadlineUs, long lookedUs) {
+            long elapsedUs = lookedUs - headReadUs;
+            boolean isPausing = lastReadUs <= deadlineUs
+                    && elapsedUs - Limits.RESPONSE_PAUSE_US > streamedBytes * 1_000 / Limits.SLOW_PEER_BYTES_PER_MS;
+            boolean isTrickling =
+                    elapsedUs - Limits.RESPONSE_TRICKLE_US > streamedBytes * 1_000 / Limits.MIN_BODY_RATE_BYTES_PER_MS;
+            return isPausing || isTrickling;
         }
 
         /** Returns whether only the end of the connection marks the end of the body (RFC 9112, section 6.3). */
--- a/src/main/java/kitemux/http/Limits.java
+++ b/src/main/java/kitemux/http/Limits.java
@@ -49,8 +49,18 @@
      * the deadline; a check every 200 ms and a delay of the event loop have to fit in as well.
      */
     public static final long DEADLINE_GRACE_US = 200_000;
-    /** How many times its longest earlier pause a server may pause beyond {@link #DEADLINE_GRACE_US}. */
-    public static final long PAUSE_RATIO = 2;
+    /** The lowest rate at which peers write a long message, in bytes per millisecond: 64 kB/s. */
+    public static final long SLOW_PEER_BYTES_PER_MS = 64;
+    /**
+     * How much longer than {@link #SLOW_PEER_BYTES_PER_MS} allows a server may pause across the client's deadline in a
+     * response that may be short; a server that sends in lumps is ahead of that rate after each of them.
+     */
+    public static final long RESPONSE_PAUSE_US = 200_000;
+    /**
+     * How much longer than half of that rate allows a response that may be short may take. One that trickles without end
+     * would keep its client from a final response.
+     */
+    public static final long RESPONSE_TRICKLE_US = 1_000_000;
     /**
      * Maximum duration of a streamed response, from its first bytes to its last. The longest one, of 32 MiB,
      * takes 512 s at the lowest rate at which peers write, 64 kB/s. A response that trickles forever would
--- a/src/main/java/kitemux/soak/HttpMessage.java
+++ b/src/main/java/kitemux/soak/HttpMessage.java
@@ -10,7 +10,7 @@
 import java.util.TreeMap;
 
 /**
- * An HTTP/1.1 message whose body has a Content-Length.
+ * An HTTP/1.1 message whose body has a Content-Length or is chunked.
  *
  * @param startLine request line or status line
  * @param headers values by header name in lower case
@@ -19,6 +19,13 @@
 
     /** Reads a whole message and discards its body. */
     static HttpMessage read(InputStream in) throws IOException {
+        HttpMessage message = readHead(in);
+        message.skipBody(in);
+        return message;
+    }
+
+    /** Reads a message up to the end of its head. */
+    static HttpMessage readHead(InputStream in) throws IOException {
         String startLine = readLine(in);
         Map<String, String> headers = new TreeMap<>();
         for (String line = readLine(in); !line.isEmpty(); line = readLine(in)) {
@@ -27,11 +34,32 @@
                     line.substring(0, colon).toLowerCase(Locale.ROOT),
                     line.substring(colon + 1).strip());
         }
-        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
-        if (in.readNBytes(length).length < length) {
+        return new HttpMessage(startLine, headers);
+    }
+
+    /** Reads and discards the body, which follows the head. */
+    void skipBody(InputStream in) throws IOException {
+        if (!"chunked".equalsIgnoreCase(headers.get("transfer-encoding"))) {
+            skip(in, contentLength());
+            return;
+        }
+        int chunkBytes;
+        do {
+            chunkBytes = Integer.parseInt(readLine(in), 16);
+            skip(in, chunkBytes);
+            readLine(in);
+        } while (chunkBytes > 0);
+    }
+
+    /** Returns the announced length of the body in bytes; 0 if none is announced. */
+    int contentLength() {
+        return Integer.parseInt(headers.getOrDefault("content-length", "0"));
+    }
+
+    private static void skip(InputStream in, int bytes) throws IOException {
+        if (in.readNBytes(bytes).length < bytes) {
             throw new EOFException("HTTP message body truncated");
         }
-        return new HttpMessage(startLine, headers);
     }
 
     private static String readLine(InputStream in) throws IOException {
--- a/src/main/java/kitemux/soak/Plan.java
+++ b/src/main/java/kitemux/soak/Plan.java
@@ -10,11 +10,15 @@
  * @param seed of the random choices
  * @param deadlineMs longest deadline of a request class
  * @param steps process changes in their order
+ * @param hasCrowd whether many clients write slowly, stop within a request and leave
+ * @param hasLateConnections whether connections to a server come up late
  */
-record Plan(long seed, long deadlineMs, List<Step> steps) {
+record Plan(long seed, long deadlineMs, List<Step> steps, boolean hasCrowd, boolean hasLateConnections) {
     private static final double MIN_DEADLINE_MS = 250;
     private static final double MAX_DEADLINE_MS = 3_500;
     private static final int MAX_SIGHUP_COUNT = 4;
+    /** One of so many seeds has a crowd. */
+    private static final int CROWD_INTERVAL_SEEDS = 3;
 
     /** How one process of the node is replaced. */
     enum Kind {
@@ -72,6 +76,7 @@
                     random.nextInt(4) == 0,
                     random.nextLong(1_000)));
         }
-        return new Plan(seed, deadlineMs, List.copyOf(drawnSteps));
+        boolean hasCrowd = random.nextInt(CROWD_INTERVAL_SEEDS) == 0;
+        return new Plan(seed, deadlineMs, List.copyOf(drawnSteps), hasCrowd, random.nextBoolean());
     }
 }
--- a/src/main/java/kitemux/soak/Request.java
+++ b/src/main/java/kitemux/soak/Request.java
@@ -19,6 +19,10 @@
     static final List<String> CLASSES = List.of("page", "photo", "order");
     /** Retry safety of each class, as in the settings of the node. */
     static final List<String> RETRY_SAFETY = List.of("safe", "keyed", "unsafe");
+    /** Index of the class whose requests carry a key. */
+    static final int KEYED_CLASS_INDEX = 1;
+    /** How long servers remember keys, in microseconds, as in the settings of the node. */
+    static final long DEDUP_WINDOW_US = 1_200_000;
     /** Index of the class whose requests must not run twice. */
     static final int UNSAFE_CLASS_INDEX = 2;
 
@@ -32,6 +36,8 @@
         FAILED,
         /** The connection ended before a whole response had arrived. */
         BROKEN,
+        /** The connection ended, or was silent for too long, after the head of a response of status 200. */
+        TRUNCATED,
         /** No response arrived within half a second after the deadline. */
         SILENT,
         /** The client closed the connection while it waited. */
--- a/src/main/java/kitemux/soak/Soak.java
+++ b/src/main/java/kitemux/soak/Soak.java
@@ -13,7 +13,9 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -26,6 +28,7 @@
 public final class Soak {
     private static final int SERVER_COUNT = 3;
     private static final int CLIENT_COUNT = 40;
+    private static final int CROWD_COUNT = 150;
     private static final long SETTLE_MS = 300;
     private static final long LATENESS_TICK_MS = 5;
     /** A run whose own waits ended later than this is unreliable. */
@@ -53,6 +56,8 @@
     private final List<SoakServer> servers = new ArrayList<>();
     private final List<SoakVerifier.UnannouncedKill> unannouncedKills = new ArrayList<>();
     private final List<SocketChannel> portHolders = new ArrayList<>();
+    private final ConcurrentMap<String, Integer> attemptCounts = new ConcurrentHashMap<>();
+    private final List<SoakVerifier.ProcessEnd> processEnds = new ArrayList<>();
     private final ClientGate gate = new ClientGate();
     private final AtomicLong maxLatenessMs = new AtomicLong();
     private int clientPort;
@@ -124,7 +129,7 @@
     private Result run() throws IOException, InterruptedException {
         clientPort = reservePort();
         for (int i = 0; i < SERVER_COUNT; i++) {
-            servers.add(new SoakServer(arrivals));
+            servers.add(new SoakServer(arrivals, attemptCounts, i == 0 && plan.hasLateConnections()));
         }
         List<Thread> clients = new ArrayList<>();
         SoakNode node = start();
@@ -140,6 +145,13 @@
                 clients.add(client);
                 client.start();
             }
+            for (int i = 0; plan.hasCrowd() && i < CROWD_COUNT; i++) {
+                Thread crowd = new Thread(
+                        new CrowdClient("crowd" + i, clientPort, plan.deadlineMs(), gate, random.split()),
+                        "soak crowd " + i);
+                clients.add(crowd);
+                crowd.start();
+            }
             for (Plan.Step step : plan.steps()) {
                 TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
                 node = applyStep(node, step);
@@ -162,7 +174,7 @@
 
     private Result buildResult() throws IOException {
         List<SoakVerifier.Violation> violations =
-                SoakVerifier.verify(requests, arrivals, readTraces(), unannouncedKills);
+                SoakVerifier.verify(requests, arrivals, readTraces(), unannouncedKills, processEnds);
         List<String> lines = new ArrayList<>();
         for (SoakVerifier.Violation violation : violations) {
             lines.add(violation.rule() + ": " + violation.request());
@@ -240,10 +252,12 @@
     }
 
     private SoakNode kill(SoakNode current) throws IOException, InterruptedException {
-        unannouncedKills.add(new SoakVerifier.UnannouncedKill(nowUs()));
+        long killUs = nowUs();
+        unannouncedKills.add(new SoakVerifier.UnannouncedKill(killUs));
         current.sendSignal("KILL");
         unannouncedKills.add(new SoakVerifier.UnannouncedKill(nowUs()));
         current.close();
+        processEnds.add(new SoakVerifier.ProcessEnd(killUs, nowUs()));
         return startAndAwaitReady();
     }
 
@@ -272,6 +286,7 @@
             node.sendSignal("HUP");
         }
         gate.setHolding(step.burstAfterMs() >= 0);
+        long termUs = nowUs();
         node.sendSignal("TERM");
         long termNanos = System.nanoTime();
         long killMs = Math.min(plan.deadlineMs(), SoakNode.MAX_DEADLINE_MS) + SoakNode.KILL_AFTER_DEADLINE_MS;
@@ -290,6 +305,7 @@
             node.sendSignal("KILL");
         }
         node.close();
+        processEnds.add(new SoakVerifier.ProcessEnd(termUs, nowUs()));
     }
 
     private static long sinceMs(long nanos) {
--- a/src/main/java/kitemux/soak/SoakClient.java
+++ b/src/main/java/kitemux/soak/SoakClient.java
@@ -5,6 +5,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Queue;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -18,7 +19,13 @@
     private static final long MAX_IDLE_PAUSE_MS = 4_500;
 
     private static final long RECONNECT_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
-    private static final int REQUESTS_PER_ABANDON_COUNT = 40;
+    private static final int REQUESTS_PER_ABANDON_COUNT = 20;
+    /** One of so many clients that leave has sent much behind its request. */
+    private static final int UNREAD_INPUT_INTERVAL = 2;
+
+    private static final int UNREAD_INPUT_BYTES = 3 << 20;
+    private static final int REQUESTS_PER_LONG_BODY_COUNT = 20;
+    private static final int LONG_BODY_BYTES = 300_000;
 
     private final String name;
     private final boolean mostlyIdle;
@@ -86,7 +93,10 @@
         String txn = name + "-" + sentCount++;
         boolean usedBefore = connectionUsed;
         writtenUs = Soak.nowUs();
-        Request.Outcome outcome = exchange(txn, classIndex, remainingMs, abandons);
+        boolean leavesInput = abandons && random.nextInt(UNREAD_INPUT_INTERVAL) == 0;
+        Request.Outcome outcome = leavesInput
+                ? leaveInputUnread(txn, classIndex, remainingMs)
+                : exchange(txn, classIndex, remainingMs, abandons);
         requests.add(new Request(txn, classIndex, writtenUs, remainingMs * 1_000, usedBefore, outcome, Soak.nowUs()));
     }
 
@@ -120,11 +130,12 @@
     private Request.Outcome exchange(String txn, int classIndex, long remainingMs, boolean abandons) {
         try {
             connection.setSoTimeout((int) (abandons ? Math.max(1, remainingMs / 4) : remainingMs + RESPONSE_GRACE_MS));
-            connection
-                    .getOutputStream()
-                    .write(formatRequest(txn, classIndex, remainingMs).getBytes(StandardCharsets.US_ASCII));
+            connection.getOutputStream().write(formatRequest(txn, classIndex, remainingMs, drawBodyBytes(classIndex)));
             writtenUs = Soak.nowUs();
-            HttpMessage response = HttpMessage.read(connection.getInputStream());
+            HttpMessage response = HttpMessage.readHead(connection.getInputStream());
+            if (!readBody(response)) {
+                return response.status() == 200 ? Request.Outcome.TRUNCATED : Request.Outcome.BROKEN;
+            }
             connectionUsed = true;
             if (response.closesConnection()) {
                 closeConnection();
@@ -143,11 +154,53 @@
         }
     }
 
-    private static String formatRequest(String txn, int classIndex, long remainingMs) {
-        return (classIndex == 0 ? "GET" : "POST") + " /api/p HTTP/1.1\r\nHost: h\r\nX-Txn: " + txn + "\r\nX-Lane: "
+    /** Reads the body; returns false if the connection ended or fell silent before its end. */
+    private boolean readBody(HttpMessage response) {
+        try {
+            response.skipBody(connection.getInputStream());
+            return true;
+        } catch (IOException e) {
+            closeConnection();
+            return false;
+        }
+    }
+
+    /** Sends a request and much behind it, and leaves before an answer is due, by an end or by a reset. */
+    private Request.Outcome leaveInputUnread(String txn, int classIndex, long remainingMs) {
+        Socket leaving = connection;
+        try {
+            leaving.getOutputStream().write(formatRequest(txn, classIndex, remainingMs, 0));
+            writtenUs = Soak.nowUs();
+            Soak.startDaemon("soak client input", () -> writeUnread(leaving));
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(Math.max(1, remainingMs / 4)));
+            leaving.setSoLinger(random.nextBoolean(), 0);
+        } catch (IOException e) {
+            // The node has closed the connection; the client leaves all the same.
+        }
+        closeConnection();
+        return Request.Outcome.LEFT;
+    }
+
+    private static void writeUnread(Socket leaving) {
+        try {
+            leaving.getOutputStream().write(new byte[UNREAD_INPUT_BYTES]);
+        } catch (IOException e) {
+            // The client has left.
+        }
+    }
+
+    private int drawBodyBytes(int classIndex) {
+        return classIndex != 0 && random.nextInt(REQUESTS_PER_LONG_BODY_COUNT) == 0 ? LONG_BODY_BYTES : 0;
+    }
+
+    private static byte[] formatRequest(String txn, int classIndex, long remainingMs, int bodyBytes) {
+        String head = (classIndex == 0 ? "GET" : "POST") + " /api/p HTTP/1.1\r\nHost: h\r\nX-Txn: " + txn
+                + "\r\nX-Lane: "
                 + Request.CLASSES.get(classIndex) + "\r\nX-Remaining: " + remainingMs + "m\r\n"
-                + (classIndex == 1 ? "Idempotency-Key: k" + txn + "\r\n" : "")
-                + (classIndex == 0 ? "" : "Content-Length: 0\r\n") + "\r\n";
+                + (classIndex == Request.KEYED_CLASS_INDEX ? "Idempotency-Key: k" + txn + "\r\n" : "")
+                + (classIndex == 0 ? "" : "Content-Length: " + bodyBytes + "\r\n") + "\r\n";
+        byte[] headBytes = head.getBytes(StandardCharsets.US_ASCII);
+        return Arrays.copyOf(headBytes, headBytes.length + bodyBytes);
     }
 
     private void closeConnection() {
--- a/src/main/java/kitemux/soak/SoakNode.java
+++ b/src/main/java/kitemux/soak/SoakNode.java
@@ -82,12 +82,13 @@
                 .collect(Collectors.joining(","));
         String classes = IntStream.range(0, Request.CLASSES.size())
                 .mapToObj(i -> ("{\"name\":\"%s\","
-                                + "\"onTimeUs\":%d,\"giveUpUs\":%d,\"repeat\":\"%s\",\"group\":\"all\",\"windowUs\":1200000}")
+                                + "\"onTimeUs\":%d,\"giveUpUs\":%d,\"repeat\":\"%s\",\"group\":\"all\",\"windowUs\":%d}")
                         .formatted(
                                 Request.CLASSES.get(i),
                                 deadlineMs * 500,
                                 deadlineMs * 1_000,
-                                Request.RETRY_SAFETY.get(i)))
+                                Request.RETRY_SAFETY.get(i),
+                                Request.DEDUP_WINDOW_US))
                 .collect(Collectors.joining(","));
         return """
                 {"listen":"127.0.0.1:%d","mgmt":"127.0.0.1:%d","discovery":"127.0.0.1:9","seed":"1",
--- a/src/main/java/kitemux/soak/SoakVerifier.java
+++ b/src/main/java/kitemux/soak/SoakVerifier.java
@@ -15,6 +15,8 @@
 final class SoakVerifier {
     /** How much more time than the client has left an attempt may announce to its server. */
     private static final long DEADLINE_SLACK_US = 150_000;
+    /** By how much the rule on a keyed request's window is longer over sockets. */
+    private static final long WINDOW_SLACK_US = 50_000;
     /** How long after its client has disconnected an attempt may still begin. */
     private static final long DISCONNECT_SLACK_US = 100_000;
 
@@ -25,6 +27,14 @@
      */
     record UnannouncedKill(long atUs) {}
 
+    /**
+     * The time from SIGTERM to the end of a process, or of a kill; long answers may be cut off in it.
+     *
+     * @param fromUs Unix time in microseconds
+     * @param toUs Unix time in microseconds
+     */
+    record ProcessEnd(long fromUs, long toUs) {}
+
     /**
      * A broken rule.
      *
@@ -43,12 +53,14 @@
      * @param arrivals all attempts that reached a server
      * @param traces trace lines of all processes
      * @param kills kills without SIGTERM before
+     * @param ends ends of processes
      */
     static List<Violation> verify(
             Collection<Request> requests,
             Collection<SoakServer.Arrival> arrivals,
             List<String> traces,
-            List<UnannouncedKill> kills) {
+            List<UnannouncedKill> kills,
+            List<ProcessEnd> ends) {
         Map<String, List<SoakServer.Arrival>> byTxn = new HashMap<>();
         arrivals.forEach(arrival ->
                 byTxn.computeIfAbsent(arrival.txn(), txn -> new ArrayList<>()).add(arrival));
@@ -65,7 +77,7 @@
         for (Request request : requests) {
             List<SoakServer.Arrival> attempts = byTxn.getOrDefault(request.txn(), List.of());
             List<String> timeline = traceLines.getOrDefault(request.txn(), List.of());
-            String rule = findBrokenRule(request, attempts, timeline, readByNode.contains(request.txn()), kills);
+            String rule = findBrokenRule(request, attempts, timeline, readByNode.contains(request.txn()), kills, ends);
             if (rule != null) {
                 violations.add(new Violation(rule, request, timeline));
             }
@@ -78,31 +90,56 @@
             List<SoakServer.Arrival> attempts,
             List<String> timeline,
             boolean readByNode,
-            List<UnannouncedKill> kills) {
+            List<UnannouncedKill> kills,
+            List<ProcessEnd> ends) {
+        if (request.outcome() == Request.Outcome.TRUNCATED
+                && ends.stream()
+                        .noneMatch(end -> request.sentUs() <= end.toUs() && end.fromUs() <= request.endedUs())) {
+            return "answer cut off";
+        }
         boolean unanswered = request.outcome() == Request.Outcome.SILENT
                 || request.outcome() == Request.Outcome.BROKEN && readByNode;
         if (unanswered
                 && kills.stream().noneMatch(kill -> request.sentUs() <= kill.atUs && kill.atUs <= request.endedUs())) {
             return "lost";
         }
-        if (request.classIndex() == Request.UNSAFE_CLASS_INDEX && attempts.size() > 1) {
+        if (request.classIndex() == Request.UNSAFE_CLASS_INDEX
+                && attempts.stream().filter(SoakServer.Arrival::mayHaveRun).count() > 1) {
             return "run twice";
         }
+        List<Long> writtenUs = timesOf(timeline, " written");
+        if (request.classIndex() == Request.KEYED_CLASS_INDEX
+                && !writtenUs.isEmpty()
+                && writtenUs.get(writtenUs.size() - 1) - writtenUs.get(0) > Request.DEDUP_WINDOW_US + WINDOW_SLACK_US
+                && attempts.stream().filter(SoakServer.Arrival::mayHaveRun).count() > 1) {
+            return "keyed request repeated after its window";
+        }
         if (attempts.stream()
+                .filter(SoakServer.Arrival::isReadAtOnce)
                 .anyMatch(attempt -> attempt.remainingUs()
                         > request.sentUs() + request.remainingUs() - attempt.atUs() + DEADLINE_SLACK_US)) {
             return "announced deadline too long";
         }
+        // A build that does not trace writes is held by its choices.
+        boolean tracesWrites =
+                !writtenUs.isEmpty() || !timesOf(timeline, " withheld").isEmpty();
+        List<Long> begunUs = tracesWrites ? writtenUs : timesOf(timeline, " us left");
         if (request.outcome() == Request.Outcome.LEFT
-                && timeline.stream()
-                        .filter(line -> line.contains(" attempt ") && line.contains(" us left"))
-                        .anyMatch(
-                                line -> Long.parseLong(line.split(" ")[0]) > request.endedUs() + DISCONNECT_SLACK_US)) {
+                && begunUs.stream().anyMatch(atUs -> atUs > request.endedUs() + DISCONNECT_SLACK_US)) {
             return "attempt begun after the client disconnected";
         }
         return null;
     }
 
+    /** Returns the times of the lines on attempts with this text, in their order, in microseconds. */
+    private static List<Long> timesOf(List<String> timeline, String text) {
+        return timeline.stream()
+                .filter(line -> line.contains(" attempt ") && line.contains(text))
+                .map(line -> Long.parseLong(line.split(" ")[0]))
+                .sorted()
+                .toList();
+    }
+
     /**
      * Counts requests whose connection ended before the node had read them. This breaks no rule, but is
      * reported as a cost.
--- a/src/test/java/kitemux/node/StreamedResponsesTest.java
+++ b/src/test/java/kitemux/node/StreamedResponsesTest.java
@@ -323,6 +323,26 @@
         }
     }
 
+    /** Guards against a response of unknown length that trickles without end and keeps its client waiting. */
+    @ParameterizedTest
+    @CsvSource({"CHUNKED", "CLOSE"})
+    void endlesslyTricklingResponseEnds(Framing framing) throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        try (ScriptedServer server = streamingServer(framing, 100, 0, (peer, responseFraming) -> {
+                    while (!never.await(50, TimeUnit.MILLISECONDS)) {
+                        peer.write(responseFraming.piece("a"));
+                    }
+                });
+                Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            long sentAtNanos = System.nanoTime();
+            sendRequest(client, "/api/drip", "t");
+            long ms = msUntilReset(client, sentAtNanos);
+            assertTrue(ms >= DEADLINE_MS - 100 && ms < 1_000 + GRACE_MS, "ended after " + ms + " ms");
+            ScriptedServer.next(server.disconnectedPeers);
+        }
+    }
+
     /** A response that may be short and stalls before its client's deadline ends within half a second after it. */
     @ParameterizedTest
     @CsvSource({"CHUNKED, 700", "CLOSE, 700"})
