Let a server's connection rest for 10 ms before it carries the next request

On a connection in steady use each further request then got the answer before it.

Cause: a connection was used again in the moment in which its response had ended. No answer names its request, so what comes next is taken for the next answer: an identity that is no more than a connection.

ServerPoolTest.secondResponseThatComesLateIsNotServedToTheNextRequest failed before.

A request takes the most recently used connection that has rested, or else waits for one that rests; a new one is opened only if others wait for all of these.

Cost: a request that would use a connection within 10 ms of its last answer waits for the rest of that time.

Test changed: manyPipelinedRequestsAreParsedAsTheyAreServed lets its class be served up to the deadline, as 300 requests one after another take 3 s.

Measured: ServerPoolTest, ClientServerTest, WorldTest and the other world tests, LateAttemptTest, LongAnswerMutantTest, StreamedResponsesTest, UpgradeTest, DrillTest pass.

--- a/src/main/java/kitemux/net/InputAwareChannel.java
+++ b/src/main/java/kitemux/net/InputAwareChannel.java
@@ -16,4 +16,10 @@
      * nothing here.
      */
     default void retryWrite() {}
+
+    /**
+     * Acknowledges at once what has been received, where the system allows it. A sender may hold back a small write until
+     * the one before is acknowledged, which usually waits for the next write of this side.
+     */
+    default void acknowledgeInput() {}
 }
--- a/src/main/java/kitemux/net/ServerPool.java
+++ b/src/main/java/kitemux/net/ServerPool.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import kitemux.Balancer.Result;
 import kitemux.Balancer.ServerState;
 import kitemux.engine.Clock;
@@ -29,6 +30,12 @@
  * @param <A> type of the protocol's responses
  */
 public final class ServerPool<Q, A> implements Transport<Q, A> {
+    /**
+     * How long a connection rests after a response before it carries another request, in microseconds. Servers may send a
+     * response a second time some milliseconds late; on a connection that is in use it would be taken for the next one.
+     */
+    static final long REST_US = 10_000;
+
     private final Bootstrap bootstrap;
     private final EventLoop loop;
     private final SocketBudget socketBudget;
@@ -116,6 +123,25 @@
             this.id = id;
         }
 
+        /** Returns the most recently used idle connection that has rested since its last response, or null. */
+        ServerConnection<Q, A> firstRested(long nowUs) {
+            for (ServerConnection<Q, A> connection : idleConnections) {
+                if (nowUs >= connection.restsUntilUs) {
+                    return connection;
+                }
+            }
+            return null;
+        }
+
+        /** Returns the number of connections that will be available soon: they are being opened, or rest. */
+        int comingCount() {
+            int count = connectingCount;
+            for (ServerConnection<Q, A> connection : idleConnections) {
+                count += connection.isResting ? 1 : 0;
+            }
+            return count;
+        }
+
         /** Returns whether a listed entry of this id is another process than the one before. */
         boolean isReplacedBy(HostList.Host host) {
             return !host.endpoint().equals(endpoint)
@@ -191,7 +217,7 @@
             return;
         }
         ServerConnection<Q, A> connection;
-        while ((connection = upstream.idleConnections.peek()) != null) {
+        while ((connection = upstream.firstRested(clock.nowUs())) != null) {
             if (connection.channel.hasNoUnreadInput()) {
                 connection.sendRequest(exchange);
                 return;
@@ -200,12 +226,21 @@
             // to this request or reset it.
             connection.close();
         }
-        if (!socketBudget.canOpenServerConnection() && !closeOldestIdle()) {
-            exchange.onEnded(Result.CONNECT_FAILED, null);
+        if (upstream.waitingExchanges.size() < upstream.comingCount()) {
+            upstream.waitingExchanges.add(exchange);
             return;
         }
         upstream.waitingExchanges.add(exchange);
-        openConnection(upstream);
+        openOrFail(upstream);
+    }
+
+    /** Opens a connection for the exchange that has come last, or ends it if there is no descriptor left. */
+    private void openOrFail(Upstream<Q, A> upstream) {
+        if (socketBudget.canOpenServerConnection() || closeOldestIdle()) {
+            openConnection(upstream);
+        } else {
+            upstream.waitingExchanges.removeLast().onEnded(Result.CONNECT_FAILED, null);
+        }
     }
 
     @Override
@@ -266,7 +301,7 @@
 
     private void onConnectFailed(Upstream<Q, A> upstream) {
         upstream.connectingCount--;
-        if (upstream.waitingExchanges.size() > upstream.connectingCount) {
+        if (upstream.waitingExchanges.size() > upstream.comingCount()) {
             // One connection was opened for each waiting exchange, but some may have taken one that became idle.
             upstream.waitingExchanges.poll().onEnded(Result.CONNECT_FAILED, null);
         }
@@ -352,8 +387,13 @@
         private boolean established;
         private Exchange<Q, A> exchange;
         private boolean requestWritten;
+        private boolean hasCarriedRequest;
         private boolean closedLocally;
         private long idleSinceUs;
+        /** When the connection may carry another request; 0 if it has not carried one. */
+        private long restsUntilUs;
+        /** Whether the end of its rest is scheduled. */
+        private boolean isResting;
 
         private void attach(
                 ServerPool<Q, A> owner,
@@ -446,14 +486,47 @@
             if (!isUsable()) {
                 close();
                 // It was opened for an exchange that still waits, possibly at an address that has since changed.
-                if (upstream.ready && upstream.waitingExchanges.size() > upstream.connectingCount) {
+                if (upstream.ready && upstream.waitingExchanges.size() > upstream.comingCount()) {
                     upstream.waitingExchanges.poll().onEnded(Result.CONNECT_FAILED, null);
                 }
                 return;
             }
             idleSinceUs = pool.clock.nowUs();
             upstream.idleConnections.push(this);
-            sendNextWaiting();
+            if (hasCarriedRequest) {
+                rest();
+            } else {
+                sendNextWaiting();
+            }
+        }
+
+        /** Keeps the connection from use until anything that follows the last response must have come. */
+        private void rest() {
+            channel.acknowledgeInput();
+            isResting = true;
+            restsUntilUs = pool.clock.nowUs() + REST_US;
+            pool.loop.schedule(this::endRest, REST_US, TimeUnit.MICROSECONDS);
+        }
+
+        private void endRest() {
+            isResting = false;
+            restsUntilUs = 0;
+            if (!upstream.idleConnections.contains(this)) {
+                return;
+            }
+            if (channel.hasNoUnreadInput()) {
+                sendNextWaiting();
+            } else {
+                close();
+                openForWaiting();
+            }
+        }
+
+        /** Opens a connection if an exchange has waited for this one, which cannot carry it. */
+        private void openForWaiting() {
+            if (upstream.ready && upstream.waitingExchanges.size() > upstream.comingCount()) {
+                pool.openOrFail(upstream);
+            }
         }
 
         /** Sends the first waiting exchange that may still be written; the end of another may bring a new one. */
@@ -474,6 +547,7 @@
             next.onWriting();
             upstream.idleConnections.remove(this);
             exchange = next;
+            hasCarriedRequest = true;
             requestWritten = false;
             pool.connectionsByExchange.put(next, this);
             channel.writeAndFlush(message).addListener(done -> {
@@ -509,6 +583,10 @@
         @Override
         public final void channelInactive(ChannelHandlerContext context) {
             upstream.idleConnections.remove(this);
+            if (isResting) {
+                isResting = false;
+                openForWaiting();
+            }
             releaseResponse();
             if (!established) {
                 established = true;
--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -494,7 +494,7 @@
     void manyPipelinedRequestsAreParsedAsTheyAreServed() throws Exception {
         try (ScriptedServer server = new ScriptedServer(
                         (request, peer) -> peer.write(Http.ok(request.headers().get("x-txn"))));
-                Site site = Site.quiet().start(server)) {
+                Site site = Site.quiet().withTargetLatencyAtDeadline().start(server)) {
             Socket client = site.connect();
             StringBuilder many = new StringBuilder();
             for (int i = 0; i < 300; i++) {
--- a/src/test/java/kitemux/node/ServerPoolTest.java
+++ b/src/test/java/kitemux/node/ServerPoolTest.java
@@ -314,6 +314,51 @@
         }
     }
 
+    /** Guards against a response that a server sends a second time, late, and that the next request is served with. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void secondResponseThatComesLateIsNotServedToTheNextRequest(boolean sendsAtOnce) throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        try (ScriptedServer server = new ScriptedServer((request, peer) -> {
+                    peer.socket().setTcpNoDelay(sendsAtOnce);
+                    String answer = Http.ok(request.headers().get("x-txn"));
+                    peer.write(answer);
+                    awaitMs(never, 5);
+                    peer.write(answer);
+                });
+                Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            for (int i = 0; i < 20; i++) {
+                assertEquals(
+                        "t" + i,
+                        Site.ask(client, Http.page("/api/p", "t" + i, "4000m")).body());
+            }
+        }
+    }
+
+    private static void awaitMs(CountDownLatch never, long ms) throws IOException {
+        try {
+            assertFalse(never.await(ms, TimeUnit.MILLISECONDS));
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
+    /** Guards against a connection for each request, though the one before is free again within milliseconds. */
+    @Test
+    void requestWaitsForAConnectionThatRests() throws Exception {
+        try (ScriptedServer server = ScriptedServer.serving("x");
+                Site site = Site.quiet().start(server)) {
+            Socket client = site.connect();
+            for (int i = 0; i < 20; i++) {
+                assertEquals(
+                        200,
+                        Site.ask(client, Http.page("/api/p", "t" + i, "4000m")).status());
+            }
+            assertEquals(1, server.connections.get());
+        }
+    }
+
     @Test
     void surplusBytesDoNotAnswerTheNextRequest() throws Exception {
         try (ScriptedServer server = new ScriptedServer(
