Count the wait of a backlog from when it can be parsed

What callers would see: a client that sends requests ahead may be refused and closed, although its input only waits behind its own requests.

Cause: the wait for processor time, after which input is refused, was counted from the arrival of the input. Behind queued requests it may be older when its turn comes, and the check every 200 ms took it for one that had waited for the processor.

Change: the wait counts from when the backlog could be parsed, or from the arrival of its oldest piece if that is later.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -79,6 +79,8 @@
     private final ParseScheduler parseScheduler;
     /** Whether the scheduler will have this connection parse its backlog. */
     private boolean isWaitingToParse;
+    /** Since when the backlog could be parsed, in microseconds; before that, requests were queued in front of it. */
+    private long parsableSinceUs;
 
     /** Size of the input that was discarded after an invalid request. */
     private long discardedBytes;
@@ -294,6 +296,7 @@
     private void scheduleParsing() {
         if (canParse() && !backlog.isEmpty() && !isWaitingToParse) {
             isWaitingToParse = true;
+            parsableSinceUs = clock.nowUs();
             parseScheduler.enqueue(this);
         }
     }
@@ -743,7 +746,10 @@
 
     /** Rejects a request whose input has been waiting too long to be parsed: its client is owed an answer in time. */
     private void rejectIfBacklogIsOld() {
-        if (canParse() && !backlog.isEmpty() && clock.nowUs() - backlog.oldestArrivalUs() > Limits.MAX_BACKLOG_AGE_US) {
+        if (isWaitingToParse
+                && canParse()
+                && !backlog.isEmpty()
+                && clock.nowUs() - Math.max(parsableSinceUs, backlog.oldestArrivalUs()) > Limits.MAX_BACKLOG_AGE_US) {
             backlog.clear();
             rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
