--- a/src/test/java/kitemux/node/TermsTest.java
+++ b/src/test/java/kitemux/node/TermsTest.java
@@ -94,25 +94,43 @@
         return Http.order(txn, "4000m").replace("X-Lane: order", "X-Lane: photo\r\nIdempotency-Key: k");
     }
 
-    /** Guards against a repeat of a keyed request that is chosen within its window and written after it. */
-    @Test
-    void keyedRequestIsNotRepeatedAfterItsWindowWhenItWaitedForAConnection() throws Exception {
-        CountDownLatch resets = new CountDownLatch(1);
-        try (ScriptedServer first = resettingAfter(resets);
-                FullListener full = new FullListener();
-                Site site = Site.quiet()) {
-            setPhotoWindow(site, 900_000);
+    /** A keyed request that its first server resets, and whose repeat waits for a connection to the second one. */
+    private static final class WaitingRepeat implements AutoCloseable {
+        private final FullListener full = new FullListener();
+        private final ScriptedServer first;
+        private final Site site = Site.quiet();
+        private final ScriptedServer.Peer watch;
+        private final Socket client;
+
+        WaitingRepeat(long windowUs) throws Exception {
+            CountDownLatch resets = new CountDownLatch(1);
+            first = resettingAfter(resets);
+            setPhotoWindow(site, windowUs);
             site.start(first);
-            ScriptedServer.Peer watch = ScriptedServer.next(site.discovery.answeredPeers);
-            Socket client = site.connect();
+            watch = ScriptedServer.next(site.discovery.answeredPeers);
+            client = site.connect();
             Site.write(client, photo("t"));
             ScriptedServer.next(first.requests);
             watch.write(Site.chunk(Site.list(2, false, "s1=" + full.endpoint() + "=Ready") + "\n"));
             resets.countDown();
             ScriptedServer.next(first.disconnectedPeers);
+        }
+
+        @Override
+        public void close() throws IOException {
+            site.close();
+            first.close();
+            full.close();
+        }
+    }
+
+    /** Guards against a repeat of a keyed request that is chosen within its window and written after it. */
+    @Test
+    void keyedRequestIsNotRepeatedAfterItsWindowWhenItWaitedForAConnection() throws Exception {
+        try (WaitingRepeat repeat = new WaitingRepeat(900_000)) {
             Site.parkFor(900);
-            Socket second = full.acceptNode();
-            assertEquals(502, Http.read(client.getInputStream()).status());
+            Socket second = repeat.full.acceptNode();
+            assertEquals(502, Http.read(repeat.client.getInputStream()).status());
             assertEquals(0, second.getInputStream().available(), "bytes written after the window");
         }
     }
@@ -120,22 +138,11 @@
     /** Guards against refusing a repeat whose connection comes up late, but within the window. */
     @Test
     void keyedRequestIsRepeatedWithinItsWindowWhenItWaitedForAConnection() throws Exception {
-        CountDownLatch resets = new CountDownLatch(1);
-        try (ScriptedServer first = resettingAfter(resets);
-                FullListener full = new FullListener();
-                Site site = Site.quiet()) {
-            setPhotoWindow(site, 4_000_000);
-            site.start(first);
-            ScriptedServer.Peer watch = ScriptedServer.next(site.discovery.answeredPeers);
-            Socket client = site.connect();
-            Site.write(client, photo("t"));
-            ScriptedServer.next(first.requests);
-            watch.write(Site.chunk(Site.list(2, false, "s1=" + full.endpoint() + "=Ready") + "\n"));
-            resets.countDown();
-            Socket second = full.acceptNode();
+        try (WaitingRepeat repeat = new WaitingRepeat(4_000_000)) {
+            Socket second = repeat.full.acceptNode();
             assertEquals("t", Http.read(second.getInputStream()).headers().get("x-txn"));
             second.getOutputStream().write(Http.ok("late").getBytes(StandardCharsets.US_ASCII));
-            assertEquals("late", Http.read(client.getInputStream()).body());
+            assertEquals("late", Http.read(repeat.client.getInputStream()).body());
         }
     }
 
@@ -172,23 +179,11 @@
     @ParameterizedTest
     @EnumSource(Takeover.class)
     void keyedRequestIsNotRepeatedAtNewProcessOfOtherGroup(Takeover takeover) throws Exception {
-        CountDownLatch resets = new CountDownLatch(1);
-        try (ScriptedServer first = resettingAfter(resets);
-                FullListener full = new FullListener();
-                Site site = Site.quiet()) {
-            setPhotoWindow(site, 4_000_000);
-            site.start(first);
-            ScriptedServer.Peer watch = ScriptedServer.next(site.discovery.answeredPeers);
-            Socket client = site.connect();
-            Site.write(client, photo("t"));
-            ScriptedServer.next(first.requests);
-            watch.write(Site.chunk(Site.list(2, false, "s1=" + full.endpoint() + "=Ready") + "\n"));
-            resets.countDown();
-            ScriptedServer.next(first.disconnectedPeers);
+        try (WaitingRepeat repeat = new WaitingRepeat(4_000_000)) {
             // The repeat waits for a connection meanwhile, which the system begins anew after a second.
             Site.parkFor(300);
-            watch.write(Site.chunk(takeover.change(full.endpoint()) + "\n"));
-            Socket second = full.acceptNode();
+            repeat.watch.write(Site.chunk(takeover.change(repeat.full.endpoint()) + "\n"));
+            Socket second = repeat.full.acceptNode();
             second.setSoTimeout(1_000);
             assertEquals("", readUntilQuiet(second), "what the new process got");
         }
