Give a connection whose rest is over to the requests that wait for it first

Cause, found by reading: a request counts on a connection that rests and opens none. Between the end of the rest and the timer that serves those who wait, another request could take the connection, and the first one waited for its end, up to its deadline.

Change: a connection rests until its timer has served those who wait; the time is no longer compared. Not reproduced, no test of its own: the window is the lateness of one timer.

Measured: ServerPoolTest, ClientServerTest, TermsTest pass.

--- a/src/main/java/kitemux/net/ServerPool.java
+++ b/src/main/java/kitemux/net/ServerPool.java
@@ -123,10 +123,13 @@
             this.id = id;
         }
 
-        /** Returns the most recently used idle connection that has rested since its last response, or null. */
-        ServerConnection<Q, A> firstRested(long nowUs) {
+        /**
+         * Returns the most recently used idle connection that has rested since its last response, or null. One whose
+         * rest is over goes to the exchanges that wait before it is returned here.
+         */
+        ServerConnection<Q, A> firstRested() {
             for (ServerConnection<Q, A> connection : idleConnections) {
-                if (nowUs >= connection.restsUntilUs) {
+                if (!connection.isResting) {
                     return connection;
                 }
             }
@@ -217,7 +220,7 @@
             return;
         }
         ServerConnection<Q, A> connection;
-        while ((connection = upstream.firstRested(clock.nowUs())) != null) {
+        while ((connection = upstream.firstRested()) != null) {
             if (connection.channel.hasNoUnreadInput()) {
                 connection.sendRequest(exchange);
                 return;
@@ -390,9 +393,7 @@
         private boolean hasCarriedRequest;
         private boolean closedLocally;
         private long idleSinceUs;
-        /** When the connection may carry another request; 0 if it has not carried one. */
-        private long restsUntilUs;
-        /** Whether the end of its rest is scheduled. */
+        /** Whether the connection must not carry another request yet, as its last response has just ended. */
         private boolean isResting;
 
         private void attach(
@@ -504,13 +505,11 @@
         private void rest() {
             channel.acknowledgeInput();
             isResting = true;
-            restsUntilUs = pool.clock.nowUs() + REST_US;
             pool.loop.schedule(this::endRest, REST_US, TimeUnit.MICROSECONDS);
         }
 
         private void endRest() {
             isResting = false;
-            restsUntilUs = 0;
             if (!upstream.idleConnections.contains(this)) {
                 return;
             }
