--- a/src/test/java/kitemux/node/ClientServerTest.java
+++ b/src/test/java/kitemux/node/ClientServerTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -497,25 +496,28 @@
     @Test
     void manyPipelinedRequestsAreParsedAsTheyAreServed() throws Exception {
         int clientCount = 12;
-        int requestCount = 300;
+        int roundCount = 3;
+        int requestCount = 100;
         try (ScriptedServer server = new ScriptedServer(
                         (request, peer) -> peer.write(Http.ok(request.headers().get("x-txn"))));
                 Site site = Site.quiet().withTargetLatencyAtDeadline().start(server)) {
             List<Socket> clients = new ArrayList<>();
             for (int c = 0; c < clientCount; c++) {
-                StringBuilder many = new StringBuilder();
-                for (int i = 0; i < requestCount; i++) {
-                    many.append(Http.page("/api/p", "t" + c + "-" + i, "20000m"));
-                }
                 clients.add(site.connect());
-                Site.write(clients.get(c), many.toString());
             }
-            for (int c = 0; c < clientCount; c++) {
-                for (int i = 0; i < requestCount; i++) {
-                    Http.Message answer = Http.read(clients.get(c).getInputStream());
-                    // A node that is busy may refuse a request, and has to go on with the next.
-                    assertTrue(answer.status() == 503 || answer.body().equals("t" + c + "-" + i), answer.toString());
-                    assertNotEquals("close", answer.headers().get("connection"), "answer " + i + ": " + answer);
+            for (int round = 0; round < roundCount; round++) {
+                for (int c = 0; c < clientCount; c++) {
+                    StringBuilder many = new StringBuilder();
+                    for (int i = 0; i < requestCount; i++) {
+                        many.append(Http.page("/api/p", round + "-" + c + "-" + i, "20000m"));
+                    }
+                    Site.write(clients.get(c), many.toString());
+                }
+                for (int c = 0; c < clientCount; c++) {
+                    for (int i = 0; i < requestCount; i++) {
+                        Http.Message answer = Http.read(clients.get(c).getInputStream());
+                        assertEquals(round + "-" + c + "-" + i, answer.body(), answer.toString());
+                    }
                 }
             }
         }
