Trace how connections are lost, and the system's memory for TCP while it is short

A silent server, a client that takes nothing, a reset, and input that the system dropped for want of memory looked the same.

Change: an attempt whose connection is lost says who ended it and why, and how much of the body had come (ConnectionLoss); a client's close says what was unsent and for how long it had waited; a reset by the network is a close reason of its own (network_error); the trace's own thread samples the system's memory for TCP and its drops every half second while they grow. Counters node.lost.*. The count of streamed bytes is reset with its response: it was that of an earlier one until the next stream.

--- a/src/main/java/kitemux/engine/Engine.java
+++ b/src/main/java/kitemux/engine/Engine.java
@@ -540,6 +540,13 @@
             return true;
         }
 
+        @Override
+        public void onConnectionLost(ConnectionLoss loss) {
+            if (!finished) {
+                observer.onConnectionLost(pending.id, number, loss);
+            }
+        }
+
         @Override
         public void onEnded(Result transportResult, A response) {
             if (finished) {
--- a/src/main/java/kitemux/engine/Observer.java
+++ b/src/main/java/kitemux/engine/Observer.java
@@ -39,6 +39,12 @@
                 next.onAttemptWithheld(id, attempt, reason);
             }
 
+            @Override
+            public void onConnectionLost(long id, int attempt, ConnectionLoss loss) {
+                current.onConnectionLost(id, attempt, loss);
+                next.onConnectionLost(id, attempt, loss);
+            }
+
             @Override
             public void onAttemptEnded(long id, int attempt, Result result) {
                 current.onAttemptEnded(id, attempt, result);
@@ -94,6 +100,9 @@
     /** An attempt is not written to its server, and ends. */
     default void onAttemptWithheld(long id, int attempt, WithheldReason reason) {}
 
+    /** The connection of a written attempt was lost; {@link #onAttemptEnded} follows. */
+    default void onConnectionLost(long id, int attempt, ConnectionLoss loss) {}
+
     /** An attempt has ended; called exactly once for each {@link #onAttemptStarted}. */
     default void onAttemptEnded(long id, int attempt, Result result) {}
 
--- a/src/main/java/kitemux/engine/Transport.java
+++ b/src/main/java/kitemux/engine/Transport.java
@@ -54,6 +54,9 @@
             return false;
         }
 
+        /** The connection was lost after the request had been written; {@link #onEnded} follows. */
+        default void onConnectionLost(ConnectionLoss loss) {}
+
         /**
          * The exchange has ended; called at most once.
          *
--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -142,6 +142,10 @@
     private boolean rejectsRequest;
     /** The reason for which this side closed the connection, or null if it did not. */
     private CloseReason closeReason;
+    /** What was queued for the client when this side closed the connection, in bytes. */
+    private long unsentBytesAtClose;
+    /** The error that the system reported; null if there was none. */
+    private String networkError;
     /** The engine's handle of the request that is being served, or null. */
     private Engine.PendingRequest<ClientRequest, ServerResponse> openRequest;
     /** The response that is being streamed to the client, or null. */
@@ -907,6 +911,7 @@
     void close(CloseReason reason) {
         if (closeReason == null) {
             closeReason = reason;
+            unsentBytesAtClose = unsentBytes();
         }
         channel.close();
     }
@@ -927,17 +932,26 @@
         if (lingerTimer != null) {
             lingerTimer.cancel(false);
         }
-        server.onClosed(this, closeReason == null ? CloseReason.BY_CLIENT : closeReason);
+        server.onClosed(this, describeClose());
         if (openRequest != null) {
             engine.clientDisconnected(openRequest);
         }
     }
 
+    private ClientClose describeClose() {
+        long waitingMs = TimeUnit.NANOSECONDS.toMillis(ticker.nanoTime() - waitingSinceNanos);
+        CloseReason reason = closeReason == null ? CloseReason.BY_CLIENT : closeReason;
+        return new ClientClose(reason, unsentBytesAtClose, waitingMs, networkError == null ? "" : networkError);
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (!(cause instanceof IOException)) {
-            log.error("connection to a client", cause);
+        if (cause instanceof IOException) {
+            networkError = cause.toString();
+            close(CloseReason.NETWORK_ERROR);
+            return;
         }
+        log.error("connection to a client", cause);
         close(CloseReason.ERROR);
     }
 }
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -357,9 +357,9 @@
         }
     }
 
-    void onClosed(ClientConnection client, CloseReason reason) {
-        observer.connectionClosed(client.number(), reason);
-        closeCounts[reason.ordinal()]++;
+    void onClosed(ClientConnection client, ClientClose close) {
+        observer.connectionClosed(client.number(), close);
+        closeCounts[close.reason().ordinal()]++;
         inputAdmission.remove(client);
         newConnections.remove(client);
         busyConnections.remove(client);
--- a/src/main/java/kitemux/http/CloseReason.java
+++ b/src/main/java/kitemux/http/CloseReason.java
@@ -20,7 +20,9 @@
     SENT_AWAY,
     /** The process is shutting down and the connection was idle. */
     SHUTDOWN,
-    /** A network error or an unexpected exception broke the connection. */
+    /** The system reported an error of the connection: a reset by the client, or its own end of the connection. */
+    NETWORK_ERROR,
+    /** An unexpected exception of this node broke the connection. */
     ERROR,
     /** The node closed all its connections at once. */
     NODE_CLOSED
--- a/src/main/java/kitemux/http/ConnectionObserver.java
+++ b/src/main/java/kitemux/http/ConnectionObserver.java
@@ -27,5 +27,5 @@
     default void shutdownPhaseEntered(ShutdownPhase phase) {}
 
     /** Called when a connection was closed. */
-    default void connectionClosed(long connection, CloseReason reason) {}
+    default void connectionClosed(long connection, ClientClose close) {}
 }
--- a/src/main/java/kitemux/http/HttpServers.java
+++ b/src/main/java/kitemux/http/HttpServers.java
@@ -27,6 +27,7 @@
 import kitemux.Balancer.Result;
 import kitemux.Balancer.Settings;
 import kitemux.engine.Clock;
+import kitemux.engine.ConnectionLoss;
 import kitemux.engine.Log;
 import kitemux.engine.Transport.Exchange;
 import kitemux.net.BoundedReadBuffers;
@@ -154,6 +155,10 @@
         private boolean isReusable;
         /** Whether the connection failed, so that its end does not mark the end of a response. */
         private boolean isBroken;
+        /** Why this node ended the connection; null if it did not. */
+        private ConnectionLoss.Cause ownCause;
+        /** The error that the system reported; null if there was none. */
+        private String networkError;
 
         @Override
         protected void onConnected() {
@@ -329,11 +334,23 @@
             }
             // Data that arrived since the event loop last polled may be unread: a stall of the loop is not a stall
             // of the server.
-            long lookedUs = clock.nowUs() - clock.readLagUs();
-            long deadlineUs = exchange().deadlineUs();
-            boolean silent = lookedUs - lastReadUs > Limits.STALL_TIMEOUT_US
-                    || !isLong() && lookedUs > deadlineUs && isTrickling(lookedUs);
-            return reading && silent || lookedUs - streamingSinceUs > Limits.MAX_STREAMING_US;
+            ownCause = stallCause(clock.nowUs() - clock.readLagUs());
+            return ownCause != null;
+        }
+
+        /** Returns why the response is ended at this time, or null if it goes on. */
+        private ConnectionLoss.Cause stallCause(long lookedUs) {
+            if (lookedUs - streamingSinceUs > Limits.MAX_STREAMING_US) {
+                return ConnectionLoss.Cause.RESPONSE_TOO_LONG;
+            }
+            if (!reading) {
+                return null;
+            }
+            if (lookedUs - lastReadUs > Limits.STALL_TIMEOUT_US) {
+                return ConnectionLoss.Cause.SERVER_SILENT;
+            }
+            boolean isTooSlow = !isLong() && lookedUs > exchange().deadlineUs() && isTrickling(lookedUs);
+            return isTooSlow ? ConnectionLoss.Cause.SERVER_TOO_SLOW : null;
         }
 
         /** Returns whether a response that may be short comes more slowly than any server sends a long one. */
@@ -377,11 +394,24 @@
         /** Fails the exchange: neither the response nor anything after it can be used. */
         private void fail() {
             isReusable = false;
+            if (!isClosedLocally() && !isBroken) {
+                ownCause = ConnectionLoss.Cause.RESPONSE_MALFORMED;
+            }
             close();
+            reportLoss();
             releaseResponse();
             completeExchange(Result.RESET, null);
         }
 
+        @Override
+        protected ConnectionLoss describeLoss() {
+            ConnectionLoss.Cause otherCause =
+                    isBroken ? ConnectionLoss.Cause.NETWORK_ERROR : ConnectionLoss.Cause.ENDED_BY_SERVER;
+            long bodyBytes = body == null ? streamedBytes : body.readableBytes();
+            return new ConnectionLoss(
+                    ownCause == null ? otherCause : ownCause, bodyBytes, networkError == null ? "" : networkError);
+        }
+
         private void releaseBody() {
             if (body != null) {
                 responses.release(body.capacity());
@@ -394,6 +424,7 @@
         protected void releaseResponse() {
             head = null;
             streamedResponse = null;
+            streamedBytes = 0;
             releaseBody();
             setReading(true);
         }
@@ -401,6 +432,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             isBroken = true;
+            networkError = cause.toString();
             if (!(cause instanceof IOException)) {
                 log.error("connection to server " + serverId(), cause);
             }
--- a/src/main/java/kitemux/net/ServerPool.java
+++ b/src/main/java/kitemux/net/ServerPool.java
@@ -19,6 +19,7 @@
 import kitemux.Balancer.Result;
 import kitemux.Balancer.ServerState;
 import kitemux.engine.Clock;
+import kitemux.engine.ConnectionLoss;
 import kitemux.engine.Transport;
 
 /**
@@ -586,6 +587,9 @@
                 isResting = false;
                 openForWaiting();
             }
+            if (requestWritten) {
+                reportLoss();
+            }
             releaseResponse();
             if (!established) {
                 established = true;
@@ -593,5 +597,17 @@
             }
             completeExchange(requestWritten ? Result.RESET : Result.CONNECT_FAILED, null);
         }
+
+        /** Tells the current exchange, if there is one, how its connection was lost. */
+        protected final void reportLoss() {
+            if (exchange != null) {
+                exchange.onConnectionLost(describeLoss());
+            }
+        }
+
+        /** Describes how the connection was lost; called before the current exchange ends. */
+        protected ConnectionLoss describeLoss() {
+            return new ConnectionLoss(ConnectionLoss.Cause.ENDED_BY_SERVER, 0, "");
+        }
     }
 }
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -55,6 +55,7 @@
 import kitemux.net.ServerPool;
 import kitemux.net.ServerResponse;
 import kitemux.net.SocketBudget;
+import kitemux.net.TcpMemorySampler;
 import kitemux.ops.Operations;
 import kitemux.orders.OrderJournal;
 import kitemux.orders.OrderRecorder;
@@ -510,7 +511,8 @@
     /** Opens the request trace, or exits the process if its folder cannot be used. */
     private static RequestTrace openTrace(TraceSettings settings, NodeConfig config, EventLoopClock clock, Log log) {
         try {
-            return RequestTrace.open(settings, "node-" + config.listen().getPort(), clock, log::info);
+            TcpMemorySampler sampler = new TcpMemorySampler(Path.of("/proc"));
+            return RequestTrace.open(settings, "node-" + config.listen().getPort(), clock, sampler::sample, log::info);
         } catch (IOException e) {
             System.err.println("kitemux: trace.folder cannot be used: " + e.getMessage());
             System.exit(2);
--- a/src/main/java/kitemux/ops/RequestMetrics.java
+++ b/src/main/java/kitemux/ops/RequestMetrics.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import kitemux.Balancer.RequestClass;
+import kitemux.engine.ConnectionLoss;
 import kitemux.engine.Observer;
 import kitemux.engine.RequestInfo;
 import kitemux.net.BufferUsage;
@@ -28,6 +29,9 @@
     /** Number of attempts that were not written, by the ordinal of the reason. */
     private final long[] withheldCounts = new long[WithheldReason.values().length];
 
+    /** Number of connections lost under a written attempt, by the ordinal of the cause. */
+    private final long[] lossCounts = new long[ConnectionLoss.Cause.values().length];
+
     private long successfulReloads;
     private long failedReloads;
 
@@ -57,6 +61,11 @@
         withheldCounts[reason.ordinal()]++;
     }
 
+    @Override
+    public void onConnectionLost(long id, int attempt, ConnectionLoss loss) {
+        lossCounts[loss.cause().ordinal()]++;
+    }
+
     /** Counts a request of this class that was rejected before it was processed. */
     void recordRejectedRequest(int classIndex) {
         replyCounts[classIndex][OVERLOAD]++;
@@ -93,6 +102,9 @@
         for (WithheldReason reason : WithheldReason.values()) {
             appendLine(text, "withheld." + reason.name().toLowerCase(Locale.ROOT), withheldCounts[reason.ordinal()]);
         }
+        for (ConnectionLoss.Cause cause : ConnectionLoss.Cause.values()) {
+            appendLine(text, "lost." + cause.name().toLowerCase(Locale.ROOT), lossCounts[cause.ordinal()]);
+        }
         appendLine(text, "concurrent", openRequestClasses.size());
         appendLine(text, "targets", targets);
         appendLine(text, "targets_disabled", disabled);
--- a/src/main/java/kitemux/telemetry/RequestTrace.java
+++ b/src/main/java/kitemux/telemetry/RequestTrace.java
@@ -7,11 +7,13 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import kitemux.Balancer.Result;
 import kitemux.engine.Clock;
+import kitemux.engine.ConnectionLoss;
 import kitemux.engine.Observer;
 import kitemux.engine.RequestInfo;
-import kitemux.http.CloseReason;
+import kitemux.http.ClientClose;
 import kitemux.http.ConnectionObserver;
 import kitemux.http.ShutdownPhase;
 
@@ -36,15 +38,26 @@
      * Opens a trace in a new file in the configured folder.
      *
      * @param name prefix of the file name
+     * @param systemSampler called every half second, on a thread of the trace's own; returns what the system says of its
+     *     sockets, or null for nothing new
      * @param onWarning called once if lines can no longer be written
      * @throws IOException if the file cannot be created
      */
-    public static RequestTrace open(TraceSettings settings, String name, Clock clock, Consumer<String> onWarning)
+    public static RequestTrace open(
+            TraceSettings settings,
+            String name,
+            Clock clock,
+            Supplier<String> systemSampler,
+            Consumer<String> onWarning)
             throws IOException {
         Files.createDirectories(settings.folder());
         Path path =
                 settings.folder().resolve(name + "-" + ProcessHandle.current().pid() + ".trace");
-        return new RequestTrace(clock, new TraceFile(path, settings.queueCapacity(), onWarning));
+        Supplier<String> sampledLine = () -> {
+            String sample = systemSampler.get();
+            return sample == null ? null : clock.nowUs() + " " + sample;
+        };
+        return new RequestTrace(clock, new TraceFile(path, settings.queueCapacity(), sampledLine, onWarning));
     }
 
     private void writeLine(String text) {
@@ -76,8 +89,13 @@
     }
 
     @Override
-    public void connectionClosed(long connection, CloseReason reason) {
-        writeLine("connection " + connection + " closed " + reason);
+    public void connectionClosed(long connection, ClientClose close) {
+        writeLine("connection " + connection + " closed " + close.reason() + ", " + close.unsentBytes()
+                + " bytes unsent, waiting for " + close.waitingMs() + " ms" + inParentheses(close.detail()));
+    }
+
+    private static String inParentheses(String detail) {
+        return detail.isEmpty() ? "" : " (" + detail + ")";
     }
 
     @Override
@@ -106,6 +124,14 @@
         writeRequestLine(id, "attempt " + attempt + " withheld " + reason);
     }
 
+    @Override
+    public void onConnectionLost(long id, int attempt, ConnectionLoss loss) {
+        writeRequestLine(
+                id,
+                "attempt " + attempt + " lost " + loss.cause() + " after " + loss.responseBytes() + " bytes of a body"
+                        + inParentheses(loss.detail()));
+    }
+
     @Override
     public void onAttemptEnded(long id, int attempt, Result result) {
         writeRequestLine(id, "attempt " + attempt + " ended " + result);
--- a/src/main/java/kitemux/telemetry/TraceFile.java
+++ b/src/main/java/kitemux/telemetry/TraceFile.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.jctools.queues.SpscArrayQueue;
 
 /**
@@ -16,10 +17,12 @@
  */
 final class TraceFile implements AutoCloseable {
     private static final long POLL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+    private static final long SAMPLE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final SpscArrayQueue<String> queuedLines;
     private final AtomicLong droppedLines = new AtomicLong();
     private final Writer file;
+    private final Supplier<String> sampler;
     private final Consumer<String> onWarning;
     private final Thread writer = new Thread(this::writeUntilClosed, "trace");
     private volatile boolean isClosing;
@@ -28,11 +31,13 @@
      * Creates a file and starts its writer thread.
      *
      * @param queueCapacity limit of queued lines
+     * @param sampler called by the writer thread every half second; returns a line, or null for none
      * @param onWarning called once if the file cannot be written
      * @throws IOException if the file cannot be created
      */
-    TraceFile(Path path, int queueCapacity, Consumer<String> onWarning) throws IOException {
+    TraceFile(Path path, int queueCapacity, Supplier<String> sampler, Consumer<String> onWarning) throws IOException {
         queuedLines = new SpscArrayQueue<>(queueCapacity);
+        this.sampler = sampler;
         this.onWarning = onWarning;
         file = Files.newBufferedWriter(path);
         writer.setDaemon(true);
@@ -48,9 +53,14 @@
 
     private void writeUntilClosed() {
         try (file) {
+            long sampledNanos = System.nanoTime();
             while (true) {
                 boolean isLastPass = isClosing;
                 writeQueuedLines();
+                if (System.nanoTime() - sampledNanos >= SAMPLE_INTERVAL_NANOS) {
+                    sampledNanos = System.nanoTime();
+                    writeSample();
+                }
                 if (isLastPass) {
                     return;
                 }
@@ -78,6 +88,15 @@
         }
     }
 
+    private void writeSample() throws IOException {
+        String sample = sampler.get();
+        if (sample != null) {
+            file.write(sample);
+            file.write('\n');
+            file.flush();
+        }
+    }
+
     /** Writes the queued lines and closes the file. */
     @Override
     public void close() {
--- a/src/test/java/kitemux/telemetry/RequestTraceTest.java
+++ b/src/test/java/kitemux/telemetry/RequestTraceTest.java
@@ -11,8 +11,10 @@
 import kitemux.Balancer.Result;
 import kitemux.config.Json;
 import kitemux.engine.Clock;
+import kitemux.engine.ConnectionLoss;
 import kitemux.engine.Observer;
 import kitemux.engine.RequestInfo;
+import kitemux.http.ClientClose;
 import kitemux.http.CloseReason;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -62,7 +64,7 @@
     @Test
     void eachStepIsOneLineWithTimeAndId() throws Exception {
         ManualClock time = new ManualClock();
-        RequestTrace trace = RequestTrace.open(new TraceSettings(folder, 64), "node", time, line -> {});
+        RequestTrace trace = RequestTrace.open(new TraceSettings(folder, 64), "node", time, () -> null, line -> {});
         trace.connectionAccepted(1, InetSocketAddress.createUnresolved("client", 7));
         trace.onRequestAccepted(9, new FakeRequest("t1"));
         trace.requestReceived(1, "t1");
@@ -71,10 +73,12 @@
         trace.readingPaused(1);
         trace.readingResumed(1);
         time.nowUs = 301_000;
+        trace.onConnectionLost(9, 0, new ConnectionLoss(ConnectionLoss.Cause.SERVER_SILENT, 12, ""));
         trace.onAttemptEnded(9, 0, Result.TIMEOUT);
         trace.onRequestAnswered(9, Observer.RequestOutcome.FAILED);
         trace.onRequestReleased(9);
-        trace.connectionClosed(1, CloseReason.LAST_ANSWER);
+        trace.connectionClosed(1, new ClientClose(CloseReason.LAST_ANSWER, 0, 2, ""));
+        trace.connectionClosed(2, new ClientClose(CloseReason.ANSWER_NOT_TAKEN, 70, 5_100, "reset"));
         trace.close();
         assertEquals(
                 List.of(
@@ -85,9 +89,11 @@
                         "1000 request t1 attempt 0 written",
                         "1000 connection 1 paused",
                         "1000 connection 1 resumed",
+                        "301000 request t1 attempt 0 lost SERVER_SILENT after 12 bytes of a body",
                         "301000 request t1 attempt 0 ended TIMEOUT",
                         "301000 request t1 answered FAILED",
-                        "301000 connection 1 closed LAST_ANSWER"),
+                        "301000 connection 1 closed LAST_ANSWER, 0 bytes unsent, waiting for 2 ms",
+                        "301000 connection 2 closed ANSWER_NOT_TAKEN, 70 bytes unsent, waiting for 5100 ms (reset)"),
                 readTrace());
     }
 
@@ -95,9 +101,9 @@
     void droppedLinesAreCounted() throws Exception {
         CountDownLatch written = new CountDownLatch(1);
         RequestTrace trace = RequestTrace.open(
-                new TraceSettings(folder, 64), "node", new ManualClock(), line -> written.countDown());
+                new TraceSettings(folder, 64), "node", new ManualClock(), () -> null, line -> written.countDown());
         for (int i = 0; i < 100_000; i++) {
-            trace.connectionClosed(i, CloseReason.IDLE);
+            trace.connectionClosed(i, new ClientClose(CloseReason.IDLE, 0, 0, ""));
         }
         trace.close();
         long droppedLines = readTrace().stream()
@@ -105,7 +111,7 @@
                 .mapToLong(line -> Long.parseLong(line.split(" ")[0]))
                 .sum();
         long writtenLines = readTrace().stream()
-                .filter(line -> line.endsWith("closed IDLE"))
+                .filter(line -> line.contains("closed IDLE"))
                 .count();
         assertEquals(100_000, droppedLines + writtenLines);
     }
