Bound the system's buffers of every socket, as a share of its memory for TCP

Cause: no receive buffer had a bound. The system let those towards servers grow to 0.47 MB; short of memory it drops input of sockets that hold more than their even part, which comes again after 0.2 to 1.6 s, and the node took the server for silent (trace: 111 of 111 SERVER_SILENT beside 6,950 drops).

Change: SocketBuffers has a bound for each kind of socket (clients, servers, discovery, operators, keepers) in both directions; the sum at all descriptors, a full backlog and two processes is at most half of the system's mark for pressure, and bounds are reduced where that is less. Buffered answers and bodies have it like streams. node.sockets.* in the figures.

--- a/src/main/java/kitemux/discovery/Discovery.java
+++ b/src/main/java/kitemux/discovery/Discovery.java
@@ -35,6 +35,7 @@
 import kitemux.net.HostList;
 import kitemux.net.JsonFrameReader;
 import kitemux.net.Network;
+import kitemux.net.SocketBuffers;
 
 /**
  * A client of discovery that watches the server list. A failure of the watch is reported; the balancer decides
@@ -118,6 +119,7 @@
     /**
      * Creates a client that has not subscribed yet.
      *
+     * @param buffers bounds of what the system holds for its sockets
      * @param knownRev the revision of the list that the node started with
      * @param maxSilenceUs the longest silence after which a watch counts as broken, in microseconds; each watch
      *     draws a somewhat shorter timeout
@@ -126,6 +128,7 @@
     public Discovery(
             EventLoop loop,
             Network network,
+            SocketBuffers buffers,
             InetSocketAddress address,
             List<String> zones,
             long knownRev,
@@ -153,6 +156,7 @@
                         channel.pipeline().addLast(new HttpClientCodec());
                     }
                 });
+        buffers.bound(SocketBuffers.Kind.DISCOVERY).applyTo(bootstrap);
     }
 
     /** An address of discovery and what is known of its revisions. */
--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -635,7 +635,6 @@
             responseHead.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
         addCloseHeaderIfLast(responseHead);
-        setSocketOption(ChannelOption.SO_SNDBUF, Limits.STREAM_SEND_BUFFER_BYTES);
         stream = new ResponseStream(
                 channel,
                 responseHead,
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -31,6 +31,7 @@
 import kitemux.net.Network;
 import kitemux.net.ServerResponse;
 import kitemux.net.SocketBudget;
+import kitemux.net.SocketBuffers;
 
 /**
  * The server side of the node towards clients: accepts connections, closes some to make room for others, and
@@ -162,6 +163,7 @@
      */
     public ChannelFuture listen(InetSocketAddress address, boolean shared) {
         ServerBootstrap bootstrap = new ServerBootstrap();
+        sockets.buffers().bound(SocketBuffers.Kind.CLIENT).applyTo(bootstrap);
         if (shared) {
             bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
         }
--- a/src/main/java/kitemux/http/Limits.java
+++ b/src/main/java/kitemux/http/Limits.java
@@ -64,12 +64,6 @@
      * clients. Beyond it responses are streamed.
      */
     public static final int MAX_TOTAL_BUFFERED_RESPONSE_BYTES = 5 << 19;
-    /**
-     * Size of the system's send buffer of a streamed response, in bytes: more than a second of a client at 64 kB/s. The
-     * system would let it grow to several MB. Many such buffers use up its memory for TCP, and from then on sockets whose
-     * buffers it sizes by itself take nothing for seconds.
-     */
-    public static final int STREAM_SEND_BUFFER_BYTES = 128 << 10;
     /**
      * Maximum number of requests that a client may pipeline: each takes memory, and usual clients send one at a
      * time.
--- a/src/main/java/kitemux/keeper/KeeperClient.java
+++ b/src/main/java/kitemux/keeper/KeeperClient.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import kitemux.net.Network;
+import kitemux.net.SocketBuffers;
 
 /**
  * HTTP client for calls to the other keepers. Each call uses a connection exclusively, and idle connections are
@@ -76,6 +77,7 @@
                         channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES));
                     }
                 });
+        SocketBuffers.full().bound(SocketBuffers.Kind.KEEPER).applyTo(bootstrap);
     }
 
     /**
--- a/src/main/java/kitemux/keeper/KeeperServer.java
+++ b/src/main/java/kitemux/keeper/KeeperServer.java
@@ -37,6 +37,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import kitemux.net.NioNetwork;
+import kitemux.net.SocketBuffers;
 import kitemux.rollout.ProtocolParameters;
 
 /**
@@ -80,6 +81,9 @@
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(
+                        ChannelOption.SO_RCVBUF,
+                        SocketBuffers.full().bound(SocketBuffers.Kind.KEEPER).receiveBytes())
                 .childOption(ChannelOption.ALLOCATOR, NioNetwork.SYSTEM.allocator())
                 .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .childOption(
--- a/src/main/java/kitemux/keeper/RolloutWatch.java
+++ b/src/main/java/kitemux/keeper/RolloutWatch.java
@@ -35,6 +35,7 @@
 import kitemux.net.JsonFrameReader;
 import kitemux.net.Network;
 import kitemux.net.SocketBudget;
+import kitemux.net.SocketBuffers;
 import kitemux.rollout.Effect;
 import kitemux.rollout.Report;
 import kitemux.rollout.RolloutText;
@@ -114,6 +115,7 @@
                         channel.pipeline().addLast(new HttpClientCodec());
                     }
                 });
+        sockets.buffers().bound(SocketBuffers.Kind.KEEPER).applyTo(bootstrap);
     }
 
     /** Starts to watch a keeper; may be called from any thread. */
--- a/src/main/java/kitemux/net/NodeUsage.java
+++ b/src/main/java/kitemux/net/NodeUsage.java
@@ -7,9 +7,15 @@
  *
  * @param buffers memory held by buffers
  * @param budgets what each budget of memory holds
+ * @param sockets what the system may hold for the sockets
  * @param heap the heap of the process
  * @param clients connections of clients
  * @param loop delays of the event loop
  */
 public record NodeUsage(
-        BufferUsage buffers, List<ByteBudget.Usage> budgets, HeapUsage heap, ClientUsage clients, LoopUsage loop) {}
+        BufferUsage buffers,
+        List<ByteBudget.Usage> budgets,
+        SocketUsage sockets,
+        HeapUsage heap,
+        ClientUsage clients,
+        LoopUsage loop) {}
--- a/src/main/java/kitemux/net/ServerPool.java
+++ b/src/main/java/kitemux/net/ServerPool.java
@@ -101,6 +101,7 @@
                         channel.pipeline().addLast(new ConnectErrorHandler());
                     }
                 });
+        socketBudget.buffers().bound(SocketBuffers.Kind.SERVER).applyTo(bootstrap);
     }
 
     /** A server at its last listed address. */
--- a/src/main/java/kitemux/net/SocketBudget.java
+++ b/src/main/java/kitemux/net/SocketBudget.java
@@ -41,12 +41,27 @@
     /** Connections registered and rejected; they close after their answer. */
     private int rejectedClients;
 
+    private final int limit;
+    private final SocketBuffers buffers;
+
     /**
-     * Creates a budget with no open sockets.
+     * Creates a budget with no open sockets, whose buffers have their full size.
      *
      * @param limit number of descriptors that the process may hold
      */
     public SocketBudget(int limit) {
+        this(limit, SocketBuffers.full());
+    }
+
+    /**
+     * Creates a budget with no open sockets.
+     *
+     * @param limit number of descriptors that the process may hold
+     * @param buffers bounds of what the system holds for each socket
+     */
+    public SocketBudget(int limit, SocketBuffers buffers) {
+        this.buffers = buffers;
+        this.limit = limit;
         maxOpenCount = Math.max(8, limit - RESERVED_DESCRIPTOR_COUNT);
         maxIdleClients = (int) (IDLE_CLIENT_RATIO * limit);
     }
@@ -120,6 +135,16 @@
         return openCount - acceptedClients <= maxOpenCount && registeredClients <= KEPT_CLIENT_RATIO * maxOpenCount;
     }
 
+    /** Returns the bounds of what the system holds for the sockets. */
+    public SocketBuffers buffers() {
+        return buffers;
+    }
+
+    /** Returns what the system may hold for the sockets. */
+    public SocketUsage usage() {
+        return new SocketUsage(openCount, buffers.bytesOf(openCount), buffers.nodeBytes(limit));
+    }
+
     /** Returns the number of open sockets. */
     public int openCount() {
         return openCount;
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -55,6 +55,7 @@
 import kitemux.net.ServerPool;
 import kitemux.net.ServerResponse;
 import kitemux.net.SocketBudget;
+import kitemux.net.SocketBuffers;
 import kitemux.net.TcpMemorySampler;
 import kitemux.ops.Operations;
 import kitemux.orders.OrderJournal;
@@ -210,7 +211,7 @@
         this.loop = loop;
         log = dependencies.log();
         clock = dependencies.time();
-        sockets = new SocketBudget(config.maxSockets());
+        sockets = new SocketBudget(config.maxSockets(), SocketBuffers.forSystem(config.maxSockets()));
         memory = memoryAccount(config.maxMemoryBytes(), log);
         operations = config.managementAddress() == null ? null : operations(dependencies);
         serverPool = new ServerPool<>(
@@ -229,6 +230,7 @@
         discovery = new Discovery(
                 loop,
                 dependencies.network(),
+                sockets.buffers(),
                 config.discovery(),
                 config.settings().zones,
                 config.initialServers().revision(),
@@ -341,6 +343,7 @@
                 return new NodeUsage(
                         bufferUsage(dependencies.network().allocator()),
                         memory.usages(),
+                        sockets.usage(),
                         HeapUsage.current(),
                         clientServer.clientUsage(),
                         new LoopUsage(stallCount, longestStallUs));
--- a/src/main/java/kitemux/ops/OperatorServer.java
+++ b/src/main/java/kitemux/ops/OperatorServer.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.TimeUnit;
 import kitemux.net.NioNetwork;
 import kitemux.net.SocketBudget;
+import kitemux.net.SocketBuffers;
 
 /**
  * HTTP/1.1 server for operators, with one call per connection. It handles framing and slow callers; a {@link
@@ -72,7 +73,9 @@
 
     /** Starts to listen. The future completes when the listener is bound. */
     ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bindFuture = new ServerBootstrap()
+        ServerBootstrap bootstrap = new ServerBootstrap();
+        sockets.buffers().bound(SocketBuffers.Kind.OPERATOR).applyTo(bootstrap);
+        ChannelFuture bindFuture = bootstrap
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
--- a/src/main/java/kitemux/ops/RequestMetrics.java
+++ b/src/main/java/kitemux/ops/RequestMetrics.java
@@ -112,6 +112,9 @@
         appendLine(text, "reload_failure", failedReloads);
         appendBuffers(text, usage.buffers());
         usage.budgets().forEach(budget -> appendBudget(text, budget));
+        appendLine(text, "sockets.open", usage.sockets().openCount());
+        appendLine(text, "sockets.open_bytes", usage.sockets().openBytes());
+        appendLine(text, "sockets.limit_bytes", usage.sockets().limitBytes());
         appendHeap(text, usage.heap());
         appendClients(text, usage.clients());
         appendLine(text, "loop.stalls", usage.loop().stallCount());
--- a/src/main/java/kitemux/scale/HollowNode.java
+++ b/src/main/java/kitemux/scale/HollowNode.java
@@ -38,6 +38,7 @@
 import kitemux.net.SelectorLoop;
 import kitemux.net.ServerPool;
 import kitemux.net.SocketBudget;
+import kitemux.net.SocketBuffers;
 import kitemux.peers.Datagram;
 import kitemux.peers.Membership;
 import kitemux.peers.MembershipConfig;
@@ -132,6 +133,7 @@
         discovery = new Discovery(
                 loop,
                 network,
+                SocketBuffers.full(),
                 list,
                 settings.zones,
                 0,
--- a/src/test/java/kitemux/node/BufferLimitsTest.java
+++ b/src/test/java/kitemux/node/BufferLimitsTest.java
@@ -17,6 +17,7 @@
 import kitemux.http.Limits;
 import kitemux.net.BoundedReadBuffers;
 import kitemux.net.NioNetwork;
+import kitemux.net.SocketBuffers;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -83,9 +84,18 @@
         return maxDirectBytes;
     }
 
+    /** Send buffer of a server, so that the system does not let it grow. */
+    private static final int SERVER_SEND_BUFFER_BYTES = 128 << 10;
+
+    /** Receive buffer of a client that reads nothing. */
+    private static final int CLIENT_RECEIVE_BUFFER_BYTES = 64 << 10;
+
+    private static final SocketBuffers FULL = SocketBuffers.full();
+
     /** Connects a client that requests a long response and takes its first byte. */
     private static Socket requestLongResponse(Site site, int number) throws IOException {
         Socket client = site.connect();
+        client.setReceiveBufferSize(CLIENT_RECEIVE_BUFFER_BYTES);
         Site.write(client, Http.page("/api/long", "t" + number, "4000m"));
         assertEquals('H', client.getInputStream().read(), "the response has started");
         return client;
@@ -98,12 +108,17 @@
     @Test
     void systemBuffersOfManyStreamsAreBounded() throws Exception {
         int clientCount = 64;
-        // Each of the four buffers on the way may be twice as large as asked for, and read buffers grow while they are
-        // read; one that the system sizes by itself takes 2.6 MB and more.
-        long bytesPerStream = 2L << 20;
+        // On the way are the server's buffer, the node's two, one read and the client's buffer. The system may hold
+        // twice what
+        // is asked for in each.
+        long bytesPerStream = 2L * SERVER_SEND_BUFFER_BYTES
+                + 2L * FULL.bound(SocketBuffers.Kind.SERVER).receiveBytes()
+                + BoundedReadBuffers.MAX_READ_BYTES
+                + 2L * FULL.bound(SocketBuffers.Kind.CLIENT).sendBytes()
+                + 2L * CLIENT_RECEIVE_BUFFER_BYTES;
         AtomicLong takenBytes = new AtomicLong();
         try (ScriptedServer server = new ScriptedServer((request, peer) -> {
-                    peer.socket().setSendBufferSize(Limits.STREAM_SEND_BUFFER_BYTES);
+                    peer.socket().setSendBufferSize(SERVER_SEND_BUFFER_BYTES);
                     Form.LENGTH.send(peer, takenBytes);
                 });
                 Site site = Site.quiet()) {
--- a/src/test/java/kitemux/node/DiscoveryTest.java
+++ b/src/test/java/kitemux/node/DiscoveryTest.java
@@ -15,6 +15,7 @@
 import kitemux.net.Addresses;
 import kitemux.net.HostList;
 import kitemux.net.NioNetwork;
+import kitemux.net.SocketBuffers;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -29,6 +30,7 @@
         Discovery discovery = new Discovery(
                 site.loop,
                 NioNetwork.SYSTEM,
+                SocketBuffers.full(),
                 Addresses.parse("discovery", site.discovery.endpoint()),
                 site.settings.zones,
                 41,
--- a/src/test/java/kitemux/node/NodeProcess.java
+++ b/src/test/java/kitemux/node/NodeProcess.java
@@ -65,7 +65,8 @@
     static NodeProcess start(
             Path folder, SocketChannel clientsAt, SocketChannel operatorsAt, long deadlineMs, ScriptedServer... servers)
             throws IOException {
-        return start(List.of("-XX:TieredStopAtLevel=1"), folder, clientsAt, operatorsAt, deadlineMs, servers);
+        return start(
+                List.of("-XX:TieredStopAtLevel=1"), folder, clientsAt, operatorsAt, deadlineMs, endpoints(servers));
     }
 
     /**
@@ -76,6 +77,15 @@
      */
     static NodeProcess startDeployed(Path folder, List<String> moreOptions, ScriptedServer... servers)
             throws IOException {
+        return startDeployedAt(folder, moreOptions, endpoints(servers));
+    }
+
+    private static String[] endpoints(ScriptedServer... servers) {
+        return Stream.of(servers).map(ScriptedServer::endpoint).toArray(String[]::new);
+    }
+
+    /** Starts a process as {@link #startDeployed} does, with servers at these addresses. */
+    static NodeProcess startDeployedAt(Path folder, List<String> moreOptions, String... endpoints) throws IOException {
         Matcher run = Pattern.compile("(?m)^run = \"exec java (.*) -jar ")
                 .matcher(Files.readString(Path.of("deploy", "balancer.toml")));
         assertTrue(run.find(), "the deploy file has no line run");
@@ -85,7 +95,7 @@
         options.addAll(moreOptions);
         try (SocketChannel clientsAt = reservePort();
                 SocketChannel operatorsAt = reservePort()) {
-            return start(options, folder, clientsAt, operatorsAt, 1_000, servers);
+            return start(options, folder, clientsAt, operatorsAt, 1_000, endpoints);
         }
     }
 
@@ -95,13 +105,13 @@
             SocketChannel clientsAt,
             SocketChannel operatorsAt,
             long deadlineMs,
-            ScriptedServer... servers)
+            String... endpoints)
             throws IOException {
         InetSocketAddress clients = (InetSocketAddress) clientsAt.getLocalAddress();
         InetSocketAddress operators = (InetSocketAddress) operatorsAt.getLocalAddress();
-        String[] entries = new String[servers.length];
-        for (int i = 0; i < servers.length; i++) {
-            entries[i] = "s" + i + "=" + servers[i].endpoint() + "=Ready";
+        String[] entries = new String[endpoints.length];
+        for (int i = 0; i < endpoints.length; i++) {
+            entries[i] = "s" + i + "=" + endpoints[i] + "=Ready";
         }
         Path config = Files.writeString(folder.resolve("config-" + operators.getPort() + ".json"), """
                 {"listen":"127.0.0.1:%d","mgmt":"127.0.0.1:%d","discovery":"127.0.0.1:9","seed":"1",
