Refuse a request that has begun to arrive instead of closing its connection

Cause: only idle connections with half a request were spared when room was needed, new ones were not. Found beside it: a streamed response that began before the shutdown did not announce its close and was closed over the next request; an unexpected exception closed whatever had arrived; a request whose input was paused when the last phase of the shutdown began was refused by nobody.

Change: ClientConnections decides which connection gives way, and closes without an answer only where no byte has arrived. Else the longest begun request is refused with 503, and its input discarded for up to 1 s, 0.1 s at least.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -656,7 +656,7 @@
         // The response head did not announce the close if the node started to shut down meanwhile. Left open, the
         // connection would carry further requests until the process is killed during one. Pipelined requests still
         // get their responses, the last of which announces the close.
-        keepAlive &= !queue.isEmpty() || !backlog.isEmpty() || !server.closesAfterResponse();
+        keepAlive &= hasFurtherRequest() || !server.closesAfterResponse();
         setSocketOption(ChannelOption.SO_LINGER, -1);
         finished.finish().addListener(written -> onResponseWritten(written.isSuccess()));
     }
@@ -764,6 +764,11 @@
         });
     }
 
+    /** Returns whether another request has begun to arrive behind the one that is being answered. */
+    private boolean hasFurtherRequest() {
+        return !queue.isEmpty() || isReceivingRequest || !hasNoUnreadInput();
+    }
+
     private void addCloseHeaderIfLast(HttpResponse response) {
         // Pipelined requests get their responses first.
         boolean hasPipelinedRequests = !queue.isEmpty() || !backlog.isEmpty();
@@ -886,7 +891,7 @@
 
     /** Rejects a request that has been received in part, as its rest would come too late. */
     void rejectPartialRequest() {
-        if (isReceivingRequest && !isBusy && queue.isEmpty() && !discardsInput) {
+        if (hasPartialRequest()) {
             rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
     }
@@ -896,9 +901,26 @@
         return number;
     }
 
-    /** Returns whether a request has been received in part. */
+    /** Returns whether a request has been received in part and nothing else keeps the connection busy. */
     boolean hasPartialRequest() {
-        return isReceivingRequest;
+        return isReceivingRequest && !isBusy && queue.isEmpty() && !discardsInput;
+    }
+
+    /** Returns whether nothing has arrived that is not answered, so that the connection may be closed. */
+    boolean isUnused() {
+        return !isReceivingRequest
+                && hasNoUnreadInput()
+                && !(isLingering() && !isWaitingLongerThan(Limits.MIN_LINGER_MS));
+    }
+
+    /** Returns whether a request was answered that had not arrived completely, so that its rest may still come. */
+    boolean isLingering() {
+        return discardsInput && lingerTimer != null;
+    }
+
+    /** Returns since when the connection has been waiting for its client. */
+    long waitingSinceNanos() {
+        return waitingSinceNanos;
     }
 
     /** Returns whether all input that has arrived is read and parsed. */
@@ -951,6 +973,11 @@
             return;
         }
         log.error("connection to a client", cause);
-        close(CloseReason.ERROR);
+        if (discardsInput || !channel.isActive()) {
+            close(CloseReason.ERROR);
+        } else {
+            // A request that has begun to arrive is owed an answer, and so are those before it.
+            rejectInput(HttpResponseStatus.INTERNAL_SERVER_ERROR);
+        }
     }
 }
--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -13,12 +13,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
-import java.util.ArrayList;
-import java.util.Iterator;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
 import java.util.stream.Stream;
@@ -53,12 +49,7 @@
     private final IntConsumer onRejected;
     private final ConnectionObserver observer;
     private final Log log;
-    /** Connections that have not received a complete request yet, oldest first. */
-    private final Set<ClientConnection> newConnections = new LinkedHashSet<>();
-    /** Connections with a request whose response is not written yet. */
-    private final Set<ClientConnection> busyConnections = new LinkedHashSet<>();
-    /** All other connections, longest idle first. */
-    private final Set<ClientConnection> idleConnections = new LinkedHashSet<>();
+    private final ClientConnections connections = new ClientConnections();
 
     private Channel listener;
     /** When the listener was opened; no connection can be older. */
@@ -199,7 +190,7 @@
         ClientConnection client =
                 new ClientConnection(this, acceptedCount, reader, engine, clock, log, channel, earliestOpenedUs());
         observer.connectionAccepted(acceptedCount, channel.remoteAddress());
-        if (!sockets.canKeepClient() && !makeRoom()) {
+        if (!sockets.canKeepClient() && !connections.makeRoom()) {
             // Every connection has an open request. The new one may have brought a request too, which must be
             // answered: it is served, or rejected if even that would exceed the limits, and then the connection
             // closes. The cost is that clients beyond the limit open a connection for each request.
@@ -216,7 +207,7 @@
                 onConnectionsWaiting();
             }
         }
-        newConnections.add(client);
+        connections.add(client);
         // Each connection is read until no input is left, its end included, so that a client that has left is not
         // served; but never more than there is room for.
         channel.config()
@@ -285,50 +276,9 @@
         }
     }
 
-    /**
-     * Closes a connection to make room: the oldest one without a request unless it is new, otherwise the
-     * longest idle one. If connections without a request are the majority they are closed however new they are,
-     * so that a flood of them does not cost the other clients their connections.
-     *
-     * @return false if all connections are in use
-     */
-    private boolean makeRoom() {
-        if (!newConnections.isEmpty()) {
-            ClientConnection oldest = newConnections.iterator().next();
-            if ((newConnections.size() > busyConnections.size() + idleConnections.size()
-                            || oldest.isWaitingLongerThan(Limits.NEW_CONNECTION_GRACE_MS))
-                    && closeFirstWithoutInput(newConnections)) {
-                return true;
-            }
-        }
-        return closeFirstWithoutInput(idleConnections);
-    }
-
-    /**
-     * Closes the first connection without unread input; a node that has fallen behind would otherwise lose
-     * requests of clients that it takes for idle. The connection is removed at once, since the event loop
-     * reports its end later and it would be chosen again until then. The cost is that a flood of connections
-     * has to be searched.
-     *
-     * @return false if there is none
-     */
-    private boolean closeFirstWithoutInput(Set<ClientConnection> clients) {
-        for (Iterator<ClientConnection> iterator = clients.iterator(); iterator.hasNext(); ) {
-            ClientConnection client = iterator.next();
-            if (client.hasNoUnreadInput() && !(client.hasPartialRequest() && clients == idleConnections)) {
-                iterator.remove();
-                client.close(CloseReason.NO_ROOM);
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** Marks a connection as busy when a request was received on it. */
     void markBusy(ClientConnection client) {
-        newConnections.remove(client);
-        idleConnections.remove(client);
-        busyConnections.add(client);
+        connections.markBusy(client);
     }
 
     /**
@@ -336,12 +286,10 @@
      * clients that keep unused ones would otherwise hold all descriptors.
      */
     void markIdle(ClientConnection client) {
-        if (busyConnections.remove(client)) {
-            idleConnections.add(client);
-            if (idleConnections.size() > sockets.maxIdleClients()
-                    || !listener.config().isAutoRead()) {
-                closeFirstWithoutInput(idleConnections);
-            }
+        if (connections.markIdle(client)
+                && (connections.idleCount() > sockets.maxIdleClients()
+                        || !listener.config().isAutoRead())) {
+            connections.closeUnusedIdle();
         }
     }
 
@@ -363,9 +311,7 @@
         observer.connectionClosed(client.number(), close);
         closeCounts[close.reason().ordinal()]++;
         inputAdmission.remove(client);
-        newConnections.remove(client);
-        busyConnections.remove(client);
-        idleConnections.remove(client);
+        connections.remove(client);
         finishIfEmpty();
     }
 
@@ -388,16 +334,9 @@
         onRejected.accept(request.classIndex());
     }
 
-    private List<ClientConnection> allConnections() {
-        List<ClientConnection> all = new ArrayList<>(newConnections);
-        all.addAll(busyConnections);
-        all.addAll(idleConnections);
-        return all;
-    }
-
     /** Returns the number of bytes queued for clients that have not taken them yet. */
     public long unsentBytes() {
-        return allConnections().stream()
+        return connections.all().stream()
                 .mapToLong(ClientConnection::unsentBytes)
                 .sum();
     }
@@ -408,17 +347,25 @@
                 .map(reason -> new ClientUsage.CloseCount(
                         reason.name().toLowerCase(Locale.ROOT), closeCounts[reason.ordinal()]))
                 .toList();
-        return new ClientUsage(allConnections().size(), pausedCount, closes);
+        return new ClientUsage(connections.all().size(), pausedCount, closes);
     }
 
     /** Closes connections whose clients exceeded a timeout. */
     public void closeExpired() {
-        allConnections().forEach(ClientConnection::closeIfExpired);
+        connections.all().forEach(ClientConnection::closeIfExpired);
+        if (!listener.config().isAutoRead()) {
+            // Connections wait to be accepted behind requests that do not arrive completely.
+            connections.refusePartialRequests(sockets.clientsBeyondKept());
+            connections.closeAllLingering();
+        }
+        if (isAnsweringRemaining()) {
+            connections.refuseAllPartialRequests();
+        }
         if (phase.compareTo(ShutdownPhase.CLOSING_IDLE) >= 0) {
-            closeUnused(Limits.NEW_CONNECTION_GRACE_MS, CloseReason.SHUTDOWN);
+            connections.closeUnused(Limits.NEW_CONNECTION_GRACE_MS, CloseReason.SHUTDOWN);
         } else if (drainingSinceUs != Long.MAX_VALUE
                 && clock.nowUs() - drainingSinceUs >= Limits.IDLE_DRAIN_MS * 1_000) {
-            closeUnused(Limits.MIN_UNUSED_MS, CloseReason.SENT_AWAY);
+            connections.closeUnused(Limits.MIN_UNUSED_MS, CloseReason.SENT_AWAY);
         }
     }
 
@@ -489,7 +436,7 @@
 
     private void closeIdle() {
         enterPhase(ShutdownPhase.CLOSING_IDLE);
-        closeUnused(0, CloseReason.SHUTDOWN);
+        connections.closeUnused(0, CloseReason.SHUTDOWN);
         finishIfEmpty();
     }
 
@@ -500,8 +447,8 @@
     private void answerRemaining() {
         if (phase != ShutdownPhase.CLOSED) {
             enterPhase(ShutdownPhase.ANSWERING_REST);
-            closeUnused(0, CloseReason.SHUTDOWN);
-            allConnections().forEach(ClientConnection::rejectPartialRequest);
+            connections.closeUnused(0, CloseReason.SHUTDOWN);
+            connections.refuseAllPartialRequests();
             finishIfEmpty();
         }
     }
@@ -511,28 +458,15 @@
         return phase == ShutdownPhase.ANSWERING_REST;
     }
 
-    /**
-     * Closes the connections that neither have a request nor unread input; the others are served, and their
-     * response closes them.
-     */
-    private void closeUnused(long minUnusedMs, CloseReason reason) {
-        List<ClientConnection> unused = allConnections();
-        unused.removeAll(busyConnections);
-        unused.removeIf(client -> client.hasPartialRequest()
-                || !client.hasNoUnreadInput()
-                || minUnusedMs > 0 && !client.isWaitingLongerThan(minUnusedMs));
-        unused.forEach(client -> client.close(reason));
-    }
-
     /** Closes the listener and all connections immediately. */
     public void close() {
         listener.close();
-        allConnections().forEach(client -> client.close(CloseReason.NODE_CLOSED));
+        connections.all().forEach(client -> client.close(CloseReason.NODE_CLOSED));
     }
 
     private void finishIfEmpty() {
         boolean canFinish = phase == ShutdownPhase.CLOSING_IDLE || phase == ShutdownPhase.ANSWERING_REST;
-        if (canFinish && !listener.isOpen() && allConnections().isEmpty()) {
+        if (canFinish && !listener.isOpen() && connections.isEmpty()) {
             enterPhase(ShutdownPhase.CLOSED);
             onAllClosed.run();
         }
--- a/src/main/java/kitemux/http/Limits.java
+++ b/src/main/java/kitemux/http/Limits.java
@@ -102,6 +102,11 @@
      * immediate close would cut off the response.
      */
     public static final long LINGER_MS = 1_000;
+    /**
+     * How long the remaining input of a refused request is discarded at least, also if descriptors are short: its client has
+     * read the answer by then.
+     */
+    public static final long MIN_LINGER_MS = 100;
     /** Age below which a new connection is not closed to make room: its first request may be on its way. */
     public static final long NEW_CONNECTION_GRACE_MS = 100;
     /**
--- a/src/main/java/kitemux/net/SocketBudget.java
+++ b/src/main/java/kitemux/net/SocketBudget.java
@@ -130,6 +130,11 @@
         return registeredClients <= SERVED_CLIENT_RATIO * maxOpenCount;
     }
 
+    /** Returns the number of client connections beyond those that may be kept open; never negative. */
+    public int clientsBeyondKept() {
+        return Math.max(0, registeredClients + acceptedClients - (int) (KEPT_CLIENT_RATIO * maxOpenCount));
+    }
+
     /** Whether a client connection may be kept open for further requests. */
     public boolean canKeepClient() {
         return openCount - acceptedClients <= maxOpenCount && registeredClients <= KEPT_CLIENT_RATIO * maxOpenCount;
