Play some seeds of the soak with the system short of memory for TCP

Change: in a quarter of the seeds the player takes the system's memory for TCP to half-way between its mark for pressure and its limit. Drawn apart, so that other seeds are what they were. The test of the bounds uses the same class.

--- a/src/main/java/kitemux/soak/Plan.java
+++ b/src/main/java/kitemux/soak/Plan.java
@@ -13,9 +13,16 @@
  * @param crowdCount number of clients that write slowly, stop within a request, read slowly and leave; 0 for no crowd
  * @param isHeldUp whether the process is held up before each change, so that what clients write comes at once
  * @param hasLateConnections whether connections to a server come up late
+ * @param isShortOfTcpMemory whether the system is short of memory for TCP throughout
  */
 record Plan(
-        long seed, long deadlineMs, List<Step> steps, int crowdCount, boolean isHeldUp, boolean hasLateConnections) {
+        long seed,
+        long deadlineMs,
+        List<Step> steps,
+        int crowdCount,
+        boolean isHeldUp,
+        boolean hasLateConnections,
+        boolean isShortOfTcpMemory) {
     private static final double MIN_DEADLINE_MS = 250;
     private static final double MAX_DEADLINE_MS = 3_500;
     private static final int MAX_SIGHUP_COUNT = 4;
@@ -23,6 +30,8 @@
     private static final List<Integer> CROWD_COUNTS = List.of(150, 420, 760);
     /** One of so many seeds has a crowd. */
     private static final int CROWD_INTERVAL_SEEDS = 3;
+    /** One of so many seeds has the system short of memory for TCP. */
+    private static final int TCP_MEMORY_INTERVAL_SEEDS = 4;
 
     /** How one process of the node is replaced. */
     enum Kind {
@@ -83,7 +92,16 @@
         boolean hasCrowd = random.nextInt(CROWD_INTERVAL_SEEDS) == 0;
         boolean hasLateConnections = random.nextBoolean();
         int crowdCount = hasCrowd ? CROWD_COUNTS.get(random.nextInt(CROWD_COUNTS.size())) : 0;
+        boolean isHeldUp = random.nextBoolean();
+        // Drawn apart, so that all else of a seed stays as it is.
+        boolean isShortOfTcpMemory = new SplittableRandom(~seed).nextInt(TCP_MEMORY_INTERVAL_SEEDS) == 0;
         return new Plan(
-                seed, deadlineMs, List.copyOf(drawnSteps), crowdCount, random.nextBoolean(), hasLateConnections);
+                seed,
+                deadlineMs,
+                List.copyOf(drawnSteps),
+                crowdCount,
+                isHeldUp,
+                hasLateConnections,
+                isShortOfTcpMemory);
     }
 }
--- a/src/main/java/kitemux/soak/Soak.java
+++ b/src/main/java/kitemux/soak/Soak.java
@@ -71,6 +71,7 @@
      * @param seed of the run
      * @param deadlineMs longest deadline that the seed drew, in milliseconds
      * @param requests number of requests that were sent
+     * @param isShortOfTcpMemory whether the system was short of memory for TCP
      * @param sigkills number of processes that got SIGKILL after SIGTERM
      * @param unreadRequests number of requests whose connection ended before the node had read them
      * @param maxLatenessMs largest lateness of the run's own waits, in milliseconds
@@ -80,6 +81,7 @@
             long seed,
             long deadlineMs,
             int requests,
+            boolean isShortOfTcpMemory,
             int sigkills,
             long unreadRequests,
             long maxLatenessMs,
@@ -129,6 +131,18 @@
     }
 
     private Result run() throws IOException, InterruptedException {
+        if (!plan.isShortOfTcpMemory()) {
+            return play();
+        }
+        try (TcpMemoryPressure pressure = new TcpMemoryPressure()) {
+            if (!pressure.isShort()) {
+                throw new IOException("the system's memory for TCP could not be taken");
+            }
+            return play();
+        }
+    }
+
+    private Result play() throws IOException, InterruptedException {
         clientPort = reservePort();
         for (int i = 0; i < SERVER_COUNT; i++) {
             servers.add(new SoakServer(arrivals, attemptCounts, i == 0 && plan.hasLateConnections()));
@@ -197,6 +211,7 @@
                 plan.seed(),
                 plan.deadlineMs(),
                 requests.size(),
+                plan.isShortOfTcpMemory(),
                 sigkillCount,
                 SoakVerifier.countUnreadRequests(requests, violations),
                 maxLatenessMs.get(),
--- a/src/test/java/kitemux/node/TcpMemoryFiller.java
+++ b/src/main/java/kitemux/soak/TcpMemoryPressure.java
@@ -1,4 +1,4 @@
-package kitemux.node;
+package kitemux.soak;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -11,13 +11,13 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import kitemux.net.TcpMemoryLimits;
 
 /**
- * Takes the system's memory for TCP up to a level between its mark for pressure and its limit, with many connections of
- * which each holds little, so that the even part of a socket becomes small. Closing it gives the memory back.
+ * Takes the system's memory for TCP up to a level between its mark for pressure and its limit, over loopback, with many
+ * connections of which each holds little, so that the even part of a socket becomes small. It needs two descriptors for
+ * each of some thousand connections. Closing it gives the memory back.
  */
-final class TcpMemoryFiller implements AutoCloseable {
+public final class TcpMemoryPressure implements AutoCloseable {
     private static final Path PROC = Path.of("/proc");
     /** What remains for each socket once the system is short, in bytes. */
     private static final long EVEN_PART_BYTES = 384 << 10;
@@ -29,11 +29,25 @@
     private static final int MAX_PASS_COUNT = 100;
     private static final int CONNECTIONS_PER_LISTENER = 500;
     private static final int PAGE_BYTES = 4 << 10;
+    private static final int PRESSURE_FIELD = 1;
+    private static final int LIMIT_FIELD = 2;
 
     private final List<SocketChannel> sockets = new ArrayList<>();
-    private final TcpMemoryLimits limits = TcpMemoryLimits.read(PROC);
+    private final long pressureBytes;
+    private final long limitBytes;
 
-    TcpMemoryFiller() throws IOException {
+    /**
+     * Takes the memory.
+     *
+     * @throws IOException if the system does not tell its limits, or has no more descriptors
+     */
+    public TcpMemoryPressure() throws IOException {
+        String[] pages = Files.readAllLines(PROC.resolve("sys/net/ipv4/tcp_mem"))
+                .get(0)
+                .strip()
+                .split("\\s+");
+        pressureBytes = Long.parseLong(pages[PRESSURE_FIELD]) * PAGE_BYTES;
+        limitBytes = Long.parseLong(pages[LIMIT_FIELD]) * PAGE_BYTES;
         try {
             fill();
         } catch (IOException | RuntimeException e) {
@@ -43,12 +57,12 @@
     }
 
     private void fill() throws IOException {
-        int connectionCount = (int) (limits.limitBytes() / EVEN_PART_BYTES / 2);
+        int connectionCount = (int) (limitBytes / EVEN_PART_BYTES / 2);
         List<SocketChannel> senders = new ArrayList<>();
         while (senders.size() < connectionCount) {
             connect(Math.min(CONNECTIONS_PER_LISTENER, connectionCount - senders.size()), senders);
         }
-        long targetBytes = (limits.pressureBytes() + limits.limitBytes()) / 2;
+        long targetBytes = (pressureBytes + limitBytes) / 2;
         ByteBuffer piece = ByteBuffer.allocateDirect(PIECE_BYTES);
         for (int pass = 0; pass < MAX_PASS_COUNT && usedBytes() < targetBytes; pass++) {
             for (SocketChannel sender : senders) {
@@ -83,9 +97,13 @@
         throw new IOException("the system does not tell its memory for TCP");
     }
 
-    /** Returns whether the system is short of memory for TCP. */
-    boolean isUnderPressure() throws IOException {
-        return usedBytes() > limits.pressureBytes();
+    /**
+     * Returns whether the system is short of memory for TCP.
+     *
+     * @throws IOException if the system does not tell
+     */
+    public boolean isShort() throws IOException {
+        return usedBytes() > pressureBytes;
     }
 
     @Override
--- a/src/test/java/kitemux/node/TcpMemoryPressureTest.java
+++ b/src/test/java/kitemux/node/TcpMemoryPressureTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import kitemux.soak.TcpMemoryPressure;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -67,7 +68,7 @@
         CountDownLatch isOver = new CountDownLatch(1);
         AtomicInteger cutOffs = new AtomicInteger();
         try (NodeProcess node = NodeProcess.startDeployed(folder, List.of(), servers);
-                TcpMemoryFiller filler = new TcpMemoryFiller()) {
+                TcpMemoryPressure pressure = new TcpMemoryPressure()) {
             node.awaitListening();
             for (int i = 0; i < STREAM_COUNT; i++) {
                 Thread client = new Thread(new SlowClient(node, i, isOver, cutOffs)::run, "client " + i);
@@ -76,7 +77,7 @@
                 Site.parkFor(10);
             }
             Site.parkFor(TimeUnit.SECONDS.toMillis(PLAY_SECONDS));
-            assertTrue(filler.isUnderPressure(), "the system is short of memory for TCP");
+            assertTrue(pressure.isShort(), "the system is short of memory for TCP");
             assertEquals(0, cutOffs.get(), "answers cut off while their servers still gave them");
         } finally {
             isOver.countDown();
