Take the request that is being received out of ClientConnection

Change: IncomingRequest has the head, the body and the reservations of the request that is being received, and of the decoder's buffer. No change of behaviour.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -44,14 +44,6 @@
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter implements ResponseSink<ServerResponse> {
     private static final byte[] EMPTY_BODY = {};
-    /** Initial capacity of the decoder's buffer for a line, in bytes. */
-    private static final int MIN_LINE_CAPACITY_BYTES = 128;
-    /** How much input is parsed at once; it holds fewer requests than a client may pipeline. */
-    private static final int HEAD_PART_BYTES = 512;
-    /** How much input of a body in chunks is parsed at once. */
-    private static final int CHUNKS_PART_BYTES = 2 << 10;
-    /** How much input of a body of known length, which costs little to parse, is parsed at once. */
-    private static final int BODY_PART_BYTES = 64 << 10;
 
     private final ClientServer server;
     /** Position of this connection in the order in which connections were accepted, from 1. */
@@ -108,16 +100,7 @@
     /** Context of the handler in front of the decoder, which passes input on to it. */
     private ChannelHandlerContext gateContext;
 
-    private HttpRequest head;
-    private RequestBody body;
-    /** The memory of the request that is being received. */
-    private RequestReservation incoming;
-    /** The memory of the decoder's buffer, which grows to the longest line that it has read. */
-    private final RequestReservation decoder;
-    /** Number of bytes of the line of a head that is being received. */
-    private int lineBytes;
-    /** Capacity of the decoder's buffer, in bytes. */
-    private int lineCapacityBytes = MIN_LINE_CAPACITY_BYTES;
+    private final IncomingRequest incoming;
     /** Whether input was received since the last complete request. */
     private boolean isReceivingRequest;
     /** Whether all further input is discarded. */
@@ -178,8 +161,7 @@
         this.channel = channel;
         backlog = new InputBacklog(server.memory().input());
         parseScheduler = server.parseScheduler();
-        incoming = new RequestReservation(server.memory());
-        decoder = new RequestReservation(server.memory());
+        incoming = new IncomingRequest(server.memory());
         ticker = channel.eventLoop().ticker();
         waitingSinceNanos = ticker.nanoTime();
     }
@@ -224,12 +206,12 @@
 
     /** Parses the input as far as there is time, and keeps the rest for later. */
     private void receive(ByteBuf input) {
-        if (mayParseNow() && input.readableBytes() <= maxPartBytes()) {
+        if (mayParseNow() && input.readableBytes() <= incoming.maxPartBytes()) {
             parseScheduler.parse(() -> parse(input));
             return;
         }
         while (mayParseNow() && input.isReadable()) {
-            int partBytes = Math.min(maxPartBytes(), input.readableBytes());
+            int partBytes = Math.min(incoming.maxPartBytes(), input.readableBytes());
             ByteBuf part = channel.alloc().heapBuffer(partBytes).writeBytes(input, partBytes);
             parseScheduler.parse(() -> parse(part));
         }
@@ -249,21 +231,12 @@
         return canParse() && backlog.isEmpty() && parseScheduler.hasTime();
     }
 
-    /** Returns how much input may be parsed at once; each part costs little time, whatever it holds. */
-    private int maxPartBytes() {
-        if (body == null) {
-            return HEAD_PART_BYTES;
-        }
-        long missingBytes = HttpUtil.getContentLength(head, 0L) - body.size();
-        return missingBytes <= 0 ? CHUNKS_PART_BYTES : (int) Math.min(BODY_PART_BYTES, missingBytes);
-    }
-
     private void parse(ByteBuf bytes) {
         if (!isReceivingRequest) {
             isReceivingRequest = true;
             waitingSinceNanos = hasReceivedRequest && !isBusy ? ticker.nanoTime() : waitingSinceNanos;
         }
-        boolean hasRoom = body != null || reserveLine(bytes);
+        boolean hasRoom = incoming.hasHead() || incoming.reserveLine(bytes);
         gateContext.fireChannelRead(bytes);
         if (!hasRoom && !discardsInput) {
             rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE);
@@ -274,33 +247,6 @@
         trimKeptInput();
     }
 
-    /**
-     * Reserves the memory of the decoder's buffer for the longest line of these bytes, and of those before.
-     *
-     * @return false if there is no room
-     */
-    private boolean reserveLine(ByteBuf bytes) {
-        if (lineBytes + bytes.readableBytes() <= lineCapacityBytes) {
-            lineBytes += bytes.readableBytes();
-            return true;
-        }
-        int longestBytes = 0;
-        int lineStart = bytes.readerIndex();
-        int lineEnd;
-        while ((lineEnd = bytes.indexOf(lineStart, bytes.writerIndex(), (byte) '\n')) >= 0) {
-            longestBytes = Math.max(longestBytes, lineBytes + lineEnd - lineStart);
-            lineBytes = 0;
-            lineStart = lineEnd + 1;
-        }
-        lineBytes += bytes.writerIndex() - lineStart;
-        longestBytes = Math.max(longestBytes, lineBytes);
-        int neededBytes = Integer.highestOneBit(2 * Math.max(longestBytes, MIN_LINE_CAPACITY_BYTES) - 1);
-        if (neededBytes > lineCapacityBytes && decoder.addToHead(neededBytes - lineCapacityBytes)) {
-            lineCapacityBytes = neededBytes;
-        }
-        return neededBytes <= lineCapacityBytes;
-    }
-
     /**
      * Shrinks the buffer that the decoder keeps to the part of a message in it. Clients that stop within a message would
      * otherwise hold a buffer of up to 64 KiB for a few bytes each.
@@ -392,7 +338,7 @@
             return false;
         }
         bufferedSinceUs = backlog.oldestArrivalUs();
-        parse(backlog.read(channel.alloc(), maxPartBytes()));
+        parse(backlog.read(channel.alloc(), incoming.maxPartBytes()));
         bufferedSinceUs = Long.MAX_VALUE;
         if (discardsInput) {
             backlog.clear();
@@ -439,7 +385,7 @@
      * @return false if the heads of all requests have used up their memory
      */
     boolean reserveHeadField(int bytes) {
-        return incoming.addToHead(bytes);
+        return incoming.reserveHeadField(bytes);
     }
 
     private void readPart(HttpObject part) {
@@ -449,40 +395,32 @@
             return;
         }
         if (part instanceof HttpRequest request) {
-            head = request;
-            body = new RequestBody();
-            HttpResponseStatus error = RequestReader.headError(request);
+            HttpResponseStatus error = incoming.begin(request);
             if (error != null) {
                 rejectInput(error);
                 return;
             }
-            if (!incoming.addToHead(Limits.REQUEST_BYTES + 2L * request.uri().length())
-                    || !incoming.growBodyTo(HttpUtil.getContentLength(request, 0L))) {
-                rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE);
-                return;
-            }
-            if (HttpUtil.is100ContinueExpected(request) && !isBusy && queue.isEmpty()) {
-                channel.writeAndFlush(new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
-            }
+            sendContinueIfExpected(request);
         }
         if (part instanceof HttpContent content) {
-            ByteBuf bytes = content.content();
-            if (body.size() + bytes.readableBytes() > Limits.MAX_REQUEST_BODY_BYTES) {
-                rejectInput(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-                return;
-            }
-            if (!incoming.growBodyTo(body.size() + bytes.readableBytes())) {
-                rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            HttpResponseStatus error = incoming.append(content.content());
+            if (error != null) {
+                rejectInput(error);
                 return;
             }
-            body.append(bytes);
         }
         if (part instanceof LastHttpContent) {
-            QueuedRequest complete = new QueuedRequest(head, body.parts(), incoming, earliestArrivalUs(), null);
-            incoming = new RequestReservation(server.memory());
-            discardPartialRequest();
-            enqueue(complete);
+            IncomingRequest.Complete complete = incoming.complete();
+            isReceivingRequest = false;
+            enqueue(new QueuedRequest(
+                    complete.head(), complete.body(), complete.reservation(), earliestArrivalUs(), null));
+        }
+    }
+
+    private void sendContinueIfExpected(HttpRequest request) {
+        if (HttpUtil.is100ContinueExpected(request) && !isBusy && queue.isEmpty()) {
+            channel.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
     }
 
@@ -502,10 +440,7 @@
 
     /** Drops a partially received request and gives its memory back. */
     private void discardPartialRequest() {
-        head = null;
-        body = null;
-        incoming.release();
-        lineBytes = 0;
+        incoming.discard();
         isReceivingRequest = false;
     }
 
@@ -858,8 +793,8 @@
                 closeIfWaitingLongerThan(
                         hasReceivedRequest ? Limits.IDLE_TIMEOUT_MS : Limits.REQUEST_READ_TIMEOUT_MS, CloseReason.IDLE);
             }
-        } else if (isWaitingLongerThan(Limits.REQUEST_READ_TIMEOUT_MS
-                + (body == null ? 0 : body.size() / Limits.MIN_BODY_RATE_BYTES_PER_MS))) {
+        } else if (isWaitingLongerThan(
+                Limits.REQUEST_READ_TIMEOUT_MS + incoming.bodyBytes() / Limits.MIN_BODY_RATE_BYTES_PER_MS)) {
             rejectInput(HttpResponseStatus.REQUEST_TIMEOUT);
         }
     }
@@ -944,7 +879,7 @@
         discardsInput = true;
         clearQueue();
         discardPartialRequest();
-        decoder.release();
+        incoming.close();
         backlog.clear();
         if (stream != null) {
             stream.onClientLeft();
