Trace the loop's waits for a processor, and judge late answers in the soak by them

A loop that has too much to do and one that the machine holds up looked the same.

Change: the trace has the loop's run and wait times each half second (ProcessorWaitSampler). The soak excuses an answer that is only late within such a sample of more than 0.15 s, counts and prints it; a connection that ends without an answer is not excused.

--- a/src/main/java/kitemux/cli/SoakCommand.java
+++ b/src/main/java/kitemux/cli/SoakCommand.java
@@ -73,13 +73,14 @@
     private void print(PrintWriter out, Soak.Result result) {
         out.printf(
                 "seed %d: deadline %d ms%s, %d requests, %d SIGKILLs after SIGTERM, %d turned back unheard, "
-                        + "player late by %d ms%s, %d findings%n",
+                        + "%d late as the node had no processor, player late by %d ms%s, %d findings%n",
                 result.seed(),
                 result.deadlineMs(),
                 result.isShortOfTcpMemory() ? ", short of memory for TCP" : "",
                 result.requests(),
                 result.sigkills(),
                 result.unreadRequests(),
+                result.heldUpRequests(),
                 result.maxLatenessMs(),
                 result.isOnSchedule() ? "" : " (too late to rely on)",
                 result.violations().stream()
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import kitemux.Balancer;
 import kitemux.Balancer.ListKind;
@@ -51,6 +52,7 @@
 import kitemux.net.NioNetwork;
 import kitemux.net.NodeUsage;
 import kitemux.net.PollingLoop;
+import kitemux.net.ProcessorWaitSampler;
 import kitemux.net.SelectorLoop;
 import kitemux.net.ServerPool;
 import kitemux.net.ServerResponse;
@@ -430,7 +432,7 @@
             }
         }
         RequestTrace trace =
-                operatorSettings.trace() == null ? null : openTrace(operatorSettings.trace(), config, clock, log);
+                operatorSettings.trace() == null ? null : openTrace(operatorSettings.trace(), config, loop, clock, log);
         Node node;
         try {
             node = new Node(
@@ -512,10 +514,11 @@
     }
 
     /** Opens the request trace, or exits the process if its folder cannot be used. */
-    private static RequestTrace openTrace(TraceSettings settings, NodeConfig config, EventLoopClock clock, Log log) {
+    private static RequestTrace openTrace(
+            TraceSettings settings, NodeConfig config, EventLoop loop, EventLoopClock clock, Log log) {
         try {
-            TcpMemorySampler sampler = new TcpMemorySampler(Path.of("/proc"));
-            return RequestTrace.open(settings, "node-" + config.listen().getPort(), clock, sampler::sample, log::info);
+            return RequestTrace.open(
+                    settings, "node-" + config.listen().getPort(), clock, systemSamplers(loop), log::info);
         } catch (IOException e) {
             System.err.println("kitemux: trace.folder cannot be used: " + e.getMessage());
             System.exit(2);
@@ -523,6 +526,15 @@
         }
     }
 
+    /** Returns what the system says of itself beside the trace of the node; called before the loop has any work. */
+    private static List<Supplier<String>> systemSamplers(EventLoop loop) {
+        Path proc = Path.of("/proc");
+        String threadName = loop.submit(() -> Thread.currentThread().getName())
+                .syncUninterruptibly()
+                .getNow();
+        return List.of(new TcpMemorySampler(proc)::sample, new ProcessorWaitSampler(proc, threadName)::sample);
+    }
+
     private static CaptureWriter openCapture(LoadSettings settings, NodeConfig config, Log log) throws IOException {
         return new CaptureWriter(
                 settings,
--- a/src/main/java/kitemux/soak/Soak.java
+++ b/src/main/java/kitemux/soak/Soak.java
@@ -74,6 +74,8 @@
      * @param isShortOfTcpMemory whether the system was short of memory for TCP
      * @param sigkills number of processes that got SIGKILL after SIGTERM
      * @param unreadRequests number of requests whose connection ended before the node had read them
+     * @param heldUpRequests number of requests whose answer was late while the machine left the node without a processor for
+     *     longer than the platform does
      * @param maxLatenessMs largest lateness of the run's own waits, in milliseconds
      * @param violations a line for each broken rule, followed by the request's timeline in indented lines
      */
@@ -84,6 +86,7 @@
             boolean isShortOfTcpMemory,
             int sigkills,
             long unreadRequests,
+            long heldUpRequests,
             long maxLatenessMs,
             List<String> violations) {
         /** Whether the run kept its own schedule, so that its violations are reliable. */
@@ -200,8 +203,9 @@
     }
 
     private Result buildResult() throws IOException {
+        List<String> traces = readTraces();
         List<SoakVerifier.Violation> violations =
-                SoakVerifier.verify(requests, arrivals, readTraces(), unannouncedKills, processEnds);
+                SoakVerifier.verify(requests, arrivals, traces, unannouncedKills, processEnds);
         List<String> lines = new ArrayList<>();
         for (SoakVerifier.Violation violation : violations) {
             lines.add(violation.rule() + ": " + violation.request());
@@ -214,6 +218,7 @@
                 plan.isShortOfTcpMemory(),
                 sigkillCount,
                 SoakVerifier.countUnreadRequests(requests, violations),
+                SoakVerifier.countHeldUpRequests(requests, traces),
                 maxLatenessMs.get(),
                 lines);
     }
@@ -281,9 +286,8 @@
 
     private SoakNode kill(SoakNode current) throws IOException, InterruptedException {
         long killUs = nowUs();
-        unannouncedKills.add(new SoakVerifier.UnannouncedKill(killUs));
         current.sendSignal("KILL");
-        unannouncedKills.add(new SoakVerifier.UnannouncedKill(nowUs()));
+        unannouncedKills.add(new SoakVerifier.UnannouncedKill(killUs, nowUs()));
         current.close();
         processEnds.add(new SoakVerifier.ProcessEnd(killUs, nowUs()));
         return startAndAwaitReady();
--- a/src/main/java/kitemux/soak/SoakVerifier.java
+++ b/src/main/java/kitemux/soak/SoakVerifier.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Checks the observations of clients, servers and traces against the rules of the platform, independently of
@@ -20,12 +22,40 @@
     /** How long after its client has disconnected an attempt may still begin. */
     private static final long DISCONNECT_SLACK_US = 100_000;
 
+    private static final String LOST = "lost";
+    /** For how long the platform may hold a node up, in milliseconds. */
+    private static final long MAX_HOLD_MS = 150;
+    /** Interval of the trace's samples of the waits for a processor, and their own lateness, in microseconds. */
+    private static final long SAMPLE_INTERVAL_US = 600_000;
+
+    private static final Pattern PROCESSOR_WAIT =
+            Pattern.compile("(\\d+) loop ran for \\d+ ms, waited for a processor for (\\d+)");
+
+    /**
+     * SIGKILL of a process without SIGTERM before, which came between these times; the requests that it held are the
+     * client's to retry.
+     *
+     * @param fromUs Unix time in microseconds
+     * @param toUs Unix time in microseconds
+     */
+    record UnannouncedKill(long fromUs, long toUs) {
+        boolean isWithin(Request request) {
+            return request.sentUs() <= toUs && fromUs <= request.endedUs();
+        }
+    }
+
     /**
-     * SIGKILL of a process without SIGTERM before; the requests that it held are the client's to retry.
+     * A time in which the machine held a node up for longer than the platform does: its event loop was ready to run and had
+     * no processor.
      *
-     * @param atUs Unix time in microseconds
+     * @param fromUs Unix time in microseconds
+     * @param toUs Unix time in microseconds
      */
-    record UnannouncedKill(long atUs) {}
+    private record Hold(long fromUs, long toUs) {
+        boolean isWithin(Request request) {
+            return request.sentUs() <= toUs && fromUs <= request.endedUs();
+        }
+    }
 
     /**
      * The time from SIGTERM to the end of a process, or of a kill; long answers may be cut off in it.
@@ -76,19 +106,51 @@
         // A build that traces no write at all is held by its choices.
         boolean tracesWrites =
                 traces.stream().anyMatch(line -> line.contains(" written") || line.contains(" withheld"));
+        List<Hold> holds = findHolds(traces);
         List<Violation> violations = new ArrayList<>();
         for (Request request : requests) {
             List<SoakServer.Arrival> attempts = byTxn.getOrDefault(request.txn(), List.of());
             List<String> timeline = traceLines.getOrDefault(request.txn(), List.of());
             String rule = findBrokenRule(
                     request, attempts, timeline, readByNode.contains(request.txn()), tracesWrites, kills, ends);
-            if (rule != null) {
+            if (rule != null && !isExcused(request, rule, holds)) {
                 violations.add(new Violation(rule, request, timeline));
             }
         }
         return violations;
     }
 
+    private static List<Hold> findHolds(List<String> traces) {
+        List<Hold> holds = new ArrayList<>();
+        for (String line : traces) {
+            Matcher wait = PROCESSOR_WAIT.matcher(line);
+            if (wait.matches() && Long.parseLong(wait.group(2)) > MAX_HOLD_MS) {
+                long toUs = Long.parseLong(wait.group(1));
+                holds.add(new Hold(toUs - SAMPLE_INTERVAL_US, toUs));
+            }
+        }
+        return holds;
+    }
+
+    /**
+     * Returns whether an answer is only late, and the machine held a node up meanwhile. A connection that ends without an
+     * answer is not excused by that.
+     */
+    private static boolean isExcused(Request request, String rule, List<Hold> holds) {
+        return rule.equals(LOST)
+                && request.outcome() == Request.Outcome.SILENT
+                && holds.stream().anyMatch(hold -> hold.isWithin(request));
+    }
+
+    /** Counts requests whose answer was late while the machine held a node up. */
+    static long countHeldUpRequests(Collection<Request> requests, List<String> traces) {
+        List<Hold> holds = findHolds(traces);
+        return requests.stream()
+                .filter(request -> request.outcome() == Request.Outcome.SILENT)
+                .filter(request -> holds.stream().anyMatch(hold -> hold.isWithin(request)))
+                .count();
+    }
+
     private static String findBrokenRule(
             Request request,
             List<SoakServer.Arrival> attempts,
@@ -105,9 +167,8 @@
         }
         boolean unanswered = request.outcome() == Request.Outcome.SILENT
                 || request.outcome() == Request.Outcome.BROKEN && readByNode;
-        if (unanswered
-                && kills.stream().noneMatch(kill -> request.sentUs() <= kill.atUs && kill.atUs <= request.endedUs())) {
-            return "lost";
+        if (unanswered && kills.stream().noneMatch(kill -> kill.isWithin(request))) {
+            return LOST;
         }
         if (request.classIndex() == Request.UNSAFE_CLASS_INDEX
                 && attempts.stream().filter(SoakServer.Arrival::mayHaveRun).count() > 1) {
--- a/src/main/java/kitemux/telemetry/RequestTrace.java
+++ b/src/main/java/kitemux/telemetry/RequestTrace.java
@@ -5,7 +5,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import kitemux.Balancer.Result;
@@ -38,8 +40,8 @@
      * Opens a trace in a new file in the configured folder.
      *
      * @param name prefix of the file name
-     * @param systemSampler called every half second, on a thread of the trace's own; returns what the system says of its
-     *     sockets, or null for nothing new
+     * @param systemSamplers called every half second, on a thread of the trace's own; each returns what the system says, or
+     *     null for nothing new
      * @param onWarning called once if lines can no longer be written
      * @throws IOException if the file cannot be created
      */
@@ -47,17 +49,18 @@
             TraceSettings settings,
             String name,
             Clock clock,
-            Supplier<String> systemSampler,
+            List<Supplier<String>> systemSamplers,
             Consumer<String> onWarning)
             throws IOException {
         Files.createDirectories(settings.folder());
         Path path =
                 settings.folder().resolve(name + "-" + ProcessHandle.current().pid() + ".trace");
-        Supplier<String> sampledLine = () -> {
-            String sample = systemSampler.get();
-            return sample == null ? null : clock.nowUs() + " " + sample;
-        };
-        return new RequestTrace(clock, new TraceFile(path, settings.queueCapacity(), sampledLine, onWarning));
+        Supplier<List<String>> sampledLines = () -> systemSamplers.stream()
+                .map(Supplier::get)
+                .filter(Objects::nonNull)
+                .map(line -> clock.nowUs() + " " + line)
+                .toList();
+        return new RequestTrace(clock, new TraceFile(path, settings.queueCapacity(), sampledLines, onWarning));
     }
 
     private void writeLine(String text) {
--- a/src/main/java/kitemux/telemetry/TraceFile.java
+++ b/src/main/java/kitemux/telemetry/TraceFile.java
@@ -4,6 +4,7 @@
 import java.io.Writer;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -22,7 +23,7 @@
     private final SpscArrayQueue<String> queuedLines;
     private final AtomicLong droppedLines = new AtomicLong();
     private final Writer file;
-    private final Supplier<String> sampler;
+    private final Supplier<List<String>> sampler;
     private final Consumer<String> onWarning;
     private final Thread writer = new Thread(this::writeUntilClosed, "trace");
     private volatile boolean isClosing;
@@ -31,11 +32,12 @@
      * Creates a file and starts its writer thread.
      *
      * @param queueCapacity limit of queued lines
-     * @param sampler called by the writer thread every half second; returns a line, or null for none
+     * @param sampler called by the writer thread every half second; returns lines
      * @param onWarning called once if the file cannot be written
      * @throws IOException if the file cannot be created
      */
-    TraceFile(Path path, int queueCapacity, Supplier<String> sampler, Consumer<String> onWarning) throws IOException {
+    TraceFile(Path path, int queueCapacity, Supplier<List<String>> sampler, Consumer<String> onWarning)
+            throws IOException {
         queuedLines = new SpscArrayQueue<>(queueCapacity);
         this.sampler = sampler;
         this.onWarning = onWarning;
@@ -89,12 +91,11 @@
     }
 
     private void writeSample() throws IOException {
-        String sample = sampler.get();
-        if (sample != null) {
-            file.write(sample);
+        for (String line : sampler.get()) {
+            file.write(line);
             file.write('\n');
-            file.flush();
         }
+        file.flush();
     }
 
     /** Writes the queued lines and closes the file. */
