--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -191,7 +191,7 @@
                 new ClientConnection(this, acceptedCount, reader, engine, clock, log, channel, earliestOpenedUs());
         observer.connectionAccepted(acceptedCount, channel.remoteAddress());
         if (!sockets.canKeepClient() && !connections.makeRoom()) {
-            // Every connection has an open request. The new one may have brought a request too, which must be
+            // No connection could be closed at once. The new one may have brought a request too, which must be
             // answered: it is served, or rejected if even that would exceed the limits, and then the connection
             // closes. The cost is that clients beyond the limit open a connection for each request.
             boolean isServed = sockets.canServeClient();
