Keep the bounds of sockets' buffers in an array instead of a map

Cause: GrowthTest counts what a node's own collections hold when all servers, clients and requests are gone; the five bounds, which stay for the life of a node, stood in a map.

Change: an array by the ordinal of the kind, as for counters. The test is as it was.

--- a/src/main/java/kitemux/net/SocketBuffers.java
+++ b/src/main/java/kitemux/net/SocketBuffers.java
@@ -5,8 +5,7 @@
 import io.netty.channel.ChannelOption;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.EnumMap;
-import java.util.Map;
+import java.util.stream.Stream;
 
 /**
  * Bounds of the buffers that the system holds for the sockets of a node, for each kind of socket and in both directions.
@@ -83,12 +82,11 @@
         }
     }
 
-    private final Map<Kind, Bound> bounds = new EnumMap<>(Kind.class);
+    /** The bounds by the ordinal of their kind. */
+    private final Bound[] bounds;
 
     private SocketBuffers(double scale) {
-        for (Kind kind : Kind.values()) {
-            bounds.put(kind, kind.full.scaledBy(scale));
-        }
+        bounds = Stream.of(Kind.values()).map(kind -> kind.full.scaledBy(scale)).toArray(Bound[]::new);
     }
 
     /** Returns the bounds of a system whose memory for TCP is not short. */
@@ -117,7 +115,7 @@
 
     /** Returns the bound of this kind of socket. */
     public Bound bound(Kind kind) {
-        return bounds.get(kind);
+        return bounds[kind.ordinal()];
     }
 
     /**
@@ -135,6 +133,6 @@
     /** Returns what the system may hold for this many sockets at most, in bytes, whatever they are used for. */
     long bytesOf(int socketCount) {
         return socketCount
-                * bounds.values().stream().mapToLong(Bound::systemBytes).max().orElseThrow();
+                * Stream.of(bounds).mapToLong(Bound::systemBytes).max().orElseThrow();
     }
 }
