Keep the memory for TCP taken for as long as a test asks for it

Change: TcpMemoryPressure looks at the level every 50 ms and takes what others have given back. The check is as it was.

--- a/src/main/java/kitemux/soak/TcpMemoryPressure.java
+++ b/src/main/java/kitemux/soak/TcpMemoryPressure.java
@@ -11,11 +11,14 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Takes the system's memory for TCP up to a level between its mark for pressure and its limit, over loopback, with many
  * connections of which each holds little, so that the even part of a socket becomes small. It needs two descriptors for
- * each of some thousand connections. Closing it gives the memory back.
+ * each of some thousand connections. It takes more whenever the level falls, as others give back what they held. Closing it
+ * gives the memory back.
  */
 public final class TcpMemoryPressure implements AutoCloseable {
     private static final Path PROC = Path.of("/proc");
@@ -32,7 +35,11 @@
     private static final int PRESSURE_FIELD = 1;
     private static final int LIMIT_FIELD = 2;
 
+    private static final long REFILL_INTERVAL_MS = 50;
+
     private final List<SocketChannel> sockets = new ArrayList<>();
+    private final List<SocketChannel> senders = new ArrayList<>();
+    private final CountDownLatch closed = new CountDownLatch(1);
     private final long pressureBytes;
     private final long limitBytes;
 
@@ -49,19 +56,31 @@
         pressureBytes = Long.parseLong(pages[PRESSURE_FIELD]) * PAGE_BYTES;
         limitBytes = Long.parseLong(pages[LIMIT_FIELD]) * PAGE_BYTES;
         try {
+            int connectionCount = (int) (limitBytes / EVEN_PART_BYTES / 2);
+            while (senders.size() < connectionCount) {
+                connect(Math.min(CONNECTIONS_PER_LISTENER, connectionCount - senders.size()));
+            }
             fill();
         } catch (IOException | RuntimeException e) {
             close();
             throw e;
         }
+        Soak.startDaemon("soak tcp memory", this::refill);
     }
 
-    private void fill() throws IOException {
-        int connectionCount = (int) (limitBytes / EVEN_PART_BYTES / 2);
-        List<SocketChannel> senders = new ArrayList<>();
-        while (senders.size() < connectionCount) {
-            connect(Math.min(CONNECTIONS_PER_LISTENER, connectionCount - senders.size()), senders);
+    private void refill() {
+        try {
+            while (!closed.await(REFILL_INTERVAL_MS, TimeUnit.MILLISECONDS)) {
+                fill();
+            }
+        } catch (IOException e) {
+            // The sockets have been closed.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
+    }
+
+    private void fill() throws IOException {
         long targetBytes = (pressureBytes + limitBytes) / 2;
         ByteBuffer piece = ByteBuffer.allocateDirect(PIECE_BYTES);
         for (int pass = 0; pass < MAX_PASS_COUNT && usedBytes() < targetBytes; pass++) {
@@ -71,7 +90,7 @@
         }
     }
 
-    private void connect(int count, List<SocketChannel> senders) throws IOException {
+    private void connect(int count) throws IOException {
         try (ServerSocketChannel listener = ServerSocketChannel.open()) {
             listener.setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
             listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -108,6 +127,7 @@
 
     @Override
     public void close() throws IOException {
+        closed.countDown();
         for (SocketChannel socket : sockets) {
             socket.close();
         }
