Make the mutants of the long answers' drill from the check as it stands

Change: the mutants replace the check for a silent server as it stands: one ends an answer at its client's time, one never ends it. As strict: the same two faults have to be found by the same words.

--- a/src/test/java/kitemux/drill/LongAnswerDrillTest.java
+++ b/src/test/java/kitemux/drill/LongAnswerDrillTest.java
@@ -31,7 +31,7 @@
               stops = 0.3
             }
             """;
-    private static final String SOUND = "return reading && silent ||";
+    private static final String SOUND = "if (lookedUs - lastReadUs > Limits.STALL_TIMEOUT_US) {";
 
     @TempDir
     Path folder;
@@ -76,7 +76,7 @@
 
     /** The program with one line changed, as a node's process. */
     @ParameterizedTest
-    @CsvSource({"return lookedUs > deadlineUs ||, was cut off though", "return false &&, had no end"})
+    @CsvSource({"if (lookedUs > exchange().deadlineUs()) {, was cut off though", "if (false) {, had no end"})
     void aMutantIsFoundByName(String unsound, String told) throws Exception {
         Path source = folder.resolve("src/kitemux/http/HttpServers.java");
         Files.createDirectories(source.getParent());
