--- a/review/src-2/review2/StoppedClient.java
+++ b/review/src-2/review2/StoppedClient.java
@@ -66,7 +66,6 @@
             Thread.sleep(50);
         }
         lab.note("before: another client's long photo is answered " + sendPhoto(OTHER_BODY_BYTES));
-        Lab.daemon(this::sendPhotos);
         return Lab.hasTrouble() ? stopWithin() : sendWhole();
     }
 
@@ -84,6 +83,7 @@
             writeBody(socket.getOutputStream(), SENT_BYTES);
             long stoppedMs = lab.nowMs();
             lab.note("the client has sent " + SENT_BYTES + " bytes of " + BODY_BYTES + ", stops and stays");
+            Lab.daemon(this::sendPhotos);
             socket.setSoTimeout(WAIT_MS);
             String end;
             try {
