--- a/review/src-2/review2/DrainAcrossUpgrade.java
+++ b/review/src-2/review2/DrainAcrossUpgrade.java
@@ -1,7 +1,7 @@
 package review2;
 
-import java.net.Socket;
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
