Show that an upgrade during an outage of discovery forgets which servers drain

Cause: the new process begins with the list in its configuration file and asks discovery; nothing of the list that the old process was told is handed over.

--- a/review/src-2/review2/Boxes.java
+++ b/review/src-2/review2/Boxes.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.concurrent.atomic.AtomicLongArray;
 
 /** Stand-in web boxes: each listens at an address of its own and answers every request after a fixed time. */
@@ -27,6 +28,7 @@
     /** The ids of the requests that the boxes have begun, in this order. */
     private final Set<String> begun = Collections.synchronizedSet(new LinkedHashSet<>());
     private final AtomicLongArray lastBegunMs;
+    private final AtomicIntegerArray begunCounts;
     private final List<String> addresses = new ArrayList<>();
     private final ExecutorService connections = Executors.newCachedThreadPool(task -> {
         Thread thread = new Thread(task);
@@ -39,6 +41,7 @@
         this.lab = lab;
         this.workMs = workMs;
         lastBegunMs = new AtomicLongArray(count);
+        begunCounts = new AtomicIntegerArray(count);
         Selector selector = Selector.open();
         for (int i = 0; i < count; i++) {
             lastBegunMs.set(i, -1);
@@ -62,6 +65,11 @@
         return lastBegunMs.get(box);
     }
 
+    /** Returns how many requests this box has begun. */
+    int begunCount(int box) {
+        return begunCounts.get(box);
+    }
+
     /** Returns the ids of the requests that the boxes have begun. */
     List<String> begun() {
         synchronized (begun) {
@@ -97,6 +105,7 @@
                 String txn = request.fields().getOrDefault("x-txn", "");
                 begun.add(txn);
                 lastBegunMs.set(box, lab.nowMs());
+                begunCounts.incrementAndGet(box);
                 lab.note("box " + box + " runs " + txn);
                 Thread.sleep(workMs);
                 byte[] body = ("done " + txn).getBytes(StandardCharsets.US_ASCII);
--- a/review/src-2/review2/DiscoveryStandIn.java
+++ b/review/src-2/review2/DiscoveryStandIn.java
@@ -7,10 +7,14 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** A stand-in of discovery: a whole list first, then an empty line every 2 s, as the protocol page says. */
+/**
+ * A stand-in of discovery: a whole list first, then changes as they are made and an empty line every 2 s, as the protocol
+ * page says. While it is down its watches have ended, and calls are answered 503.
+ */
 final class DiscoveryStandIn {
     private static final long HEARTBEAT_MS = 2_000;
 
@@ -19,6 +23,8 @@
     private List<Target> targets;
     private long revision = 41;
     private final List<OutputStream> watches = new CopyOnWriteArrayList<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private volatile boolean isDown;
 
     /** A server as discovery lists it. */
     record Target(String uid, String endpoint, int group, String state, long bootMs) {
@@ -63,6 +69,12 @@
             Http.Message call = Http.read(new BufferedInputStream(socket.getInputStream()));
             lab.note("discovery is called: " + (call == null ? "nothing" : call.firstLine()));
             OutputStream out = socket.getOutputStream();
+            if (isDown) {
+                out.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+                        .getBytes(StandardCharsets.US_ASCII));
+                return;
+            }
+            sockets.add(socket);
             out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             writeChunk(out, list() + "\n");
             watches.add(out);
@@ -75,6 +87,50 @@
         }
     }
 
+    /** Ends all watches, and answers no call from now on. */
+    void goDown() {
+        lab.note("discovery goes down");
+        isDown = true;
+        for (Socket socket : sockets) {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                lab.note("a watch cannot be ended: " + e);
+            }
+        }
+        sockets.clear();
+        watches.clear();
+    }
+
+    /** Answers calls again. */
+    void comeBack() {
+        lab.note("discovery is back");
+        isDown = false;
+    }
+
+    /** Lets these servers drain, and tells all watches. */
+    void drain(List<String> uids) {
+        push(applyDrain(uids));
+    }
+
+    private synchronized String applyDrain(List<String> uids) {
+        revision++;
+        List<String> changed = new ArrayList<>();
+        targets = targets.stream()
+                .map(target -> {
+                    if (!uids.contains(target.uid())) {
+                        return target;
+                    }
+                    Target draining = new Target(
+                            target.uid(), target.endpoint(), target.group(), "Terminating", target.bootMs());
+                    changed.add(draining.json());
+                    return draining;
+                })
+                .toList();
+        lab.note("discovery tells that " + uids + " drain");
+        return "{\"rev\":" + revision + ",\"all\":false,\"targets\":[" + String.join(",", changed) + "]}";
+    }
+
     /** Writes a line to all open watches. */
     void push(String line) {
         for (OutputStream watch : watches) {
