Record what was sent, bound each run and state limits in the review's cases

Need: the records lacked what was sent, and case 9's the answers; no bound held a run under 120 s whatever it waited for; case 6 could hold with no traffic; case 9 did not look at the age of a request; two claims stated their limits loosely.

Change: the plays and the claims. A run is given up after 110 s with code 2. No bound or check is wider than before.

--- a/review/src-2/review2/Clients.java
+++ b/review/src-2/review2/Clients.java
@@ -12,7 +12,8 @@
     private Clients() {}
 
     /** Writes a request for a page of a school's yearbook. */
-    static void writeViewPage(Socket socket, String txn) throws IOException {
+    static void writeViewPage(Lab lab, String name, Socket socket, String txn) throws IOException {
+        lab.note(name + " sends " + txn);
         socket.getOutputStream()
                 .write(("GET /api/page-7 HTTP/1.1\r\nHost: backend.local\r\nX-Txn: " + txn
                                 + "\r\nX-Lane: view-page\r\nX-Org: school-a\r\nX-Remaining: 400m\r\n\r\n")
@@ -29,7 +30,7 @@
         InputStream in = new BufferedInputStream(socket.getInputStream());
         while (true) {
             String txn = UUID.randomUUID().toString();
-            writeViewPage(socket, txn);
+            writeViewPage(lab, name, socket, txn);
             Http.Message answer = Http.read(in);
             if (answer == null) {
                 return served;
--- a/review/src-2/review2/DrainForgottenByUpgrade.java
+++ b/review/src-2/review2/DrainForgottenByUpgrade.java
@@ -92,11 +92,20 @@
         Lab.daemon(() -> killLater(first));
         Thread.sleep(bindsMs - lab.nowMs());
         int begunBefore = begunAtDraining();
+        int allBegunBefore = boxes.begun().size();
         lab.note("from now on nothing new may begin at the draining servers");
         Thread.sleep(Math.max(0, outageEndMs - lab.nowMs()));
         int late = begunAtDraining() - begunBefore;
         lab.note("the node has sent " + late + " requests to the draining servers since");
-        discovery.comeBack();
+        int all = boxes.begun().size() - allBegunBefore;
+        lab.note("the node has sent " + all + " requests to all servers since");
+        if (Lab.hasTrouble()) {
+            discovery.comeBack();
+        }
+        if (all == 0 || !second.isAlive()) {
+            lab.note("the node has not served meanwhile");
+            return Lab.COULD_NOT_RUN;
+        }
         return late > 0 ? Lab.RULE_BROKEN : Lab.RULE_HELD;
     }
 
--- a/review/src-2/review2/Lab.java
+++ b/review/src-2/review2/Lab.java
@@ -25,6 +25,9 @@
     /** Longest time from a start to readiness after which a case gives up; the pages allow 30 s. */
     static final long READY_TIMEOUT_MS = 30_000;
 
+    /** Time after which a case is given up, whatever it waits for; a run may take 120 s. */
+    private static final long LONGEST_RUN_MS = 110_000;
+
     private final Path root;
     private final Path temporary;
     private final PrintWriter record;
@@ -48,6 +51,7 @@
         try (Lab lab = new Lab(Path.of(args[0]))) {
             Thread ending = new Thread(lab::endProcesses);
             Runtime.getRuntime().addShutdownHook(ending);
+            daemon(lab::endAfterLongestRun);
             try {
                 code = play.run(lab);
             } catch (Exception e) {
@@ -60,6 +64,17 @@
         System.exit(code);
     }
 
+    private void endAfterLongestRun() {
+        try {
+            Thread.sleep(LONGEST_RUN_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return;
+        }
+        note("the case is given up after " + LONGEST_RUN_MS + " ms");
+        System.exit(COULD_NOT_RUN);
+    }
+
     /** Returns whether the disruption is to happen. */
     static boolean hasTrouble() {
         return !"0".equals(System.getenv("TROUBLE"));
--- a/review/src-2/review2/PipelineAcrossDrain.java
+++ b/review/src-2/review2/PipelineAcrossDrain.java
@@ -9,7 +9,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.UUID;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -25,6 +27,8 @@
     private static final long RUN_BEFORE_DRAIN_MS = 2_000;
     /** From this time after the call on, holding a connection with a request of the last 2 s breaks the rule. */
     private static final long HELD_IS_BROKEN_AFTER_MS = 4_050;
+    /** A request that was sent longer ago does not count as one of the last 2 s. */
+    private static final long RECENT_MS = 2_000;
     /** Time from the call to the look at the connections. */
     private static final long LOOK_AFTER_MS = 8_000;
 
@@ -34,6 +38,9 @@
     private volatile long drainCalledMs = Long.MAX_VALUE;
     private volatile boolean isStopping;
 
+    /** A request that has no answer yet, and when it was sent. */
+    private record Sent(String txn, long sentMs) {}
+
     private PipelineAcrossDrain(Lab lab) throws IOException {
         this.lab = lab;
     }
@@ -91,6 +98,7 @@
 
     private void play(String name) {
         Semaphore room = new Semaphore(Lab.hasTrouble() ? WINDOW : 1);
+        Queue<Sent> open = new ConcurrentLinkedQueue<>();
         boolean[] isClosing = {false};
         boolean isHeld = false;
         try (Socket socket = Http.connect(listen, CALL_TIMEOUT_MS)) {
@@ -98,7 +106,9 @@
                 try {
                     while (!isStopping && !isClosing[0]) {
                         if (room.tryAcquire(100, TimeUnit.MILLISECONDS)) {
-                            Clients.writeViewPage(socket, UUID.randomUUID().toString());
+                            String txn = UUID.randomUUID().toString();
+                            open.add(new Sent(txn, lab.nowMs()));
+                            Clients.writeViewPage(lab, name, socket, txn);
                         }
                     }
                 } catch (IOException | InterruptedException e) {
@@ -108,13 +118,18 @@
             InputStream in = new BufferedInputStream(socket.getInputStream());
             while (!isStopping) {
                 Http.Message answer = Http.read(in);
+                Sent answered = open.poll();
+                if (answer != null && answered != null) {
+                    lab.note(name + " gets " + answer.status() + " for " + answered.txn());
+                }
                 boolean ends = answer == null || "close".equalsIgnoreCase(answer.fields().get("connection"));
                 if (ends) {
                     isClosing[0] = true;
                     lab.note(name + ": the node ends its connection " + sinceDrainMs() + " ms after drain/start");
                     break;
                 }
-                if (!isHeld && sinceDrainMs() >= HELD_IS_BROKEN_AFTER_MS) {
+                boolean isRecent = answered != null && lab.nowMs() - answered.sentMs() <= RECENT_MS;
+                if (!isHeld && isRecent && sinceDrainMs() >= HELD_IS_BROKEN_AFTER_MS) {
                     isHeld = true;
                     held.incrementAndGet();
                     lab.note(name + " gets " + answer.status() + " on a connection that is still held "
--- a/review/src-2/review2/StoppedClient.java
+++ b/review/src-2/review2/StoppedClient.java
@@ -130,8 +130,10 @@
         }
     }
 
-    private static void writeHead(OutputStream out, int bytes) throws IOException {
-        out.write(("POST /api/photo-7 HTTP/1.1\r\nHost: backend.local\r\nX-Txn: " + UUID.randomUUID()
+    private void writeHead(OutputStream out, int bytes) throws IOException {
+        String txn = UUID.randomUUID().toString();
+        lab.note("a client sends " + txn + " with a body of " + bytes + " bytes");
+        out.write(("POST /api/photo-7 HTTP/1.1\r\nHost: backend.local\r\nX-Txn: " + txn
                         + "\r\nX-Lane: add-photo\r\nX-Org: school-a\r\nX-Remaining: 600m\r\nIdempotency-Key: "
                         + UUID.randomUUID() + "\r\nContent-Length: " + bytes + "\r\n\r\n")
                 .getBytes(StandardCharsets.US_ASCII));
--- a/review/src-2/review2/UnrecordedOrders.java
+++ b/review/src-2/review2/UnrecordedOrders.java
@@ -125,6 +125,7 @@
         while (!isEnding) {
             String txn = UUID.randomUUID().toString();
             try (Socket socket = Http.connect(listen, CALL_TIMEOUT_MS)) {
+                lab.note(name + " sends " + txn);
                 byte[] body = ("one yearbook of " + name).getBytes(StandardCharsets.US_ASCII);
                 socket.getOutputStream()
                         .write(("POST /api/pupil-7 HTTP/1.1\r\nHost: backend.local\r\nX-Txn: " + txn
