--- a/review/src-2/review2/Lab.java
+++ b/review/src-2/review2/Lab.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.PrintWriter;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -13,6 +14,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -28,6 +30,10 @@
     /** Time after which a case is given up, whatever it waits for; a run may take 120 s. */
     private static final long LONGEST_RUN_MS = 110_000;
 
+    private static final int FIRST_PORT = 12_000;
+    private static final int LAST_PORT = 32_000;
+    private static final int MOST_PORTS_TRIED = 100;
+
     private final Path root;
     private final Path temporary;
     private final PrintWriter record;
@@ -94,11 +100,20 @@
         return Files.createDirectories(temporary.resolve(name));
     }
 
-    /** Returns a loopback address with a port that was free a moment ago. */
+    /**
+     * Returns a loopback address with a port that was free a moment ago, below those that the system gives to the near
+     * side of connections: one of them could take it before the program has it.
+     */
     static String freeAddress() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return "127.0.0.1:" + probe.getLocalPort();
+        for (int i = 0; i < MOST_PORTS_TRIED; i++) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return "127.0.0.1:" + probe.getLocalPort();
+            } catch (BindException e) {
+                // The port is in use; the next one may be free.
+            }
         }
+        throw new IOException("no free port was found");
     }
 
     /** Returns a command of the deploy file. */
