End requests whose clients stop or trickle within 3 s of their last byte

Cause: closeIfExpired allowed 3 s and the time that the received bytes would have taken at 32 kB/s, counted from the request's first byte, so that early bytes paid for minutes of silence. A request that began in the read that ended another one was not noted at all (closed as idle after 5 s), and behind a request being served the 3 s began with its answer. The check's interval was not deducted from the 3 s.

Change: ReceiveDeadline (no I/O, no clock). A pause lasts 2.5 s at most, each byte of a body extends the deadline by its share of 32 kB/s, up to one pause ahead, a head has 3 s in all; input that the node leaves unread starts the pause anew. The beginning of a request behind another counts. A stop behind a request being served is rejected at once and answered after it.

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -101,6 +101,8 @@
     private ChannelHandlerContext gateContext;
 
     private final IncomingRequest incoming;
+    /** When the client has to have sent more of the request that is being received. */
+    private final ReceiveDeadline receiveDeadline;
     /** Whether input was received since the last complete request. */
     private boolean isReceivingRequest;
     /** Whether all further input is discarded. */
@@ -163,6 +165,7 @@
         parseScheduler = server.parseScheduler();
         incoming = new IncomingRequest(server.memory());
         ticker = channel.eventLoop().ticker();
+        receiveDeadline = new ReceiveDeadline(clock.nowUs());
         waitingSinceNanos = ticker.nanoTime();
     }
 
@@ -206,6 +209,7 @@
 
     /** Parses the input as far as there is time, and keeps the rest for later. */
     private void receive(ByteBuf input) {
+        receiveDeadline.onInput(input.readableBytes(), clock.nowUs() - clock.readLagUs());
         if (mayParseNow() && input.readableBytes() <= incoming.maxPartBytes()) {
             parseScheduler.parse(() -> parse(input));
             return;
@@ -233,8 +237,7 @@
 
     private void parse(ByteBuf bytes) {
         if (!isReceivingRequest) {
-            isReceivingRequest = true;
-            waitingSinceNanos = hasReceivedRequest && !isBusy ? ticker.nanoTime() : waitingSinceNanos;
+            beginRequest();
         }
         boolean hasRoom = incoming.hasHead() || incoming.reserveLine(bytes);
         gateContext.fireChannelRead(bytes);
@@ -245,6 +248,18 @@
             keptInput = bytes;
         }
         trimKeptInput();
+        if (!isReceivingRequest && !discardsInput && keptInput != null && keptInput.isReadable()) {
+            // The input ended with the beginning of another request.
+            beginRequest();
+        }
+    }
+
+    private void beginRequest() {
+        isReceivingRequest = true;
+        receiveDeadline.onRequestBegun();
+        if (hasReceivedRequest && !isBusy) {
+            waitingSinceNanos = ticker.nanoTime();
+        }
     }
 
     /**
@@ -302,6 +317,9 @@
     private void setReading(boolean enabled) {
         if (channel.config().isAutoRead() != enabled) {
             unreadSinceUs = enabled ? unreadSinceUs : Math.min(unreadSinceUs, earliestArrivalUs());
+            if (enabled) {
+                receiveDeadline.restart(clock.nowUs());
+            }
             channel.config().setAutoRead(enabled);
             server.onReadingChanged(this, enabled);
         }
@@ -400,6 +418,10 @@
                 rejectInput(error);
                 return;
             }
+            if (!isReceivingRequest) {
+                beginRequest();
+            }
+            receiveDeadline.onHeadReceived();
             sendContinueIfExpected(request);
         }
         if (part instanceof HttpContent content) {
@@ -782,6 +804,7 @@
     /** Closes the connection if its client takes too long to send a request or to read a response. */
     void closeIfExpired() {
         rejectIfInputIsOld();
+        rejectIfClientStopped();
         if (openRequest != null && (stream == null || !stream.hasUnsentParts()) || discardsInput && !isBusy) {
             return;
         }
@@ -793,9 +816,21 @@
                 closeIfWaitingLongerThan(
                         hasReceivedRequest ? Limits.IDLE_TIMEOUT_MS : Limits.REQUEST_READ_TIMEOUT_MS, CloseReason.IDLE);
             }
-        } else if (isWaitingLongerThan(
-                Limits.REQUEST_READ_TIMEOUT_MS + incoming.bodyBytes() / Limits.MIN_BODY_RATE_BYTES_PER_MS)) {
+        }
+    }
+
+    /**
+     * Rejects a request whose client has stopped within it or sends it too slowly. Behind a request that is still being
+     * served the rejection waits for its turn.
+     */
+    private void rejectIfClientStopped() {
+        if (!isReceivingRequest || discardsInput || !receiveDeadline.isPast(clock.nowUs())) {
+            return;
+        }
+        if (channel.config().isAutoRead() && hasNoUnreadInput()) {
             rejectInput(HttpResponseStatus.REQUEST_TIMEOUT);
+        } else {
+            receiveDeadline.restart(clock.nowUs());
         }
     }
 
--- a/src/main/java/kitemux/http/IncomingRequest.java
+++ b/src/main/java/kitemux/http/IncomingRequest.java
@@ -51,11 +51,6 @@
         return body != null;
     }
 
-    /** Returns the size of the body that has been received, in bytes. */
-    int bodyBytes() {
-        return body == null ? 0 : body.size();
-    }
-
     /** Returns how much input may be parsed at once; each part costs little time, whatever it holds. */
     int maxPartBytes() {
         if (body == null) {
--- a/src/main/java/kitemux/http/Limits.java
+++ b/src/main/java/kitemux/http/Limits.java
@@ -85,7 +85,13 @@
      * a head.
      */
     public static final long REQUEST_READ_TIMEOUT_MS = 3_000;
-    /** Minimum rate of a body beyond {@link #REQUEST_READ_TIMEOUT_MS}: half of what slow clients achieve. */
+    /**
+     * How long a client may pause within a request. One that stops is owed its error within 3 s of its last byte; the rest of
+     * them is for the interval of the check, for a loop that is held up for 0.15 s and for the answer. Slow clients send
+     * their bodies in lumps up to 2 s apart.
+     */
+    public static final long MAX_REQUEST_PAUSE_MS = 2_500;
+    /** Minimum rate of a body: half of what slow clients achieve. */
     public static final long MIN_BODY_RATE_BYTES_PER_MS = 32;
     /**
      * How long a connection may be idle. Clients with many connections use few of them, and some never come
