Share what discovery has told with the other processes of a node

Cause: what discovery tells was kept in the memory of one process. A new one began with `known` of the configuration, as old as the old process.

Change: a process with an operators' address shares the servers that discovery has told it in one file in $TMPDIR (SharedFile: version, length, checksum, 4 MiB at most, replaced by a rename, on the folder's thread, at most four times a second). A new process begins with it unless its configuration is newer, and resumes discovery's revisions from it; in the overlap each takes over what is newer. What cannot be used is logged and passed over.

--- a/src/main/java/kitemux/discovery/Discovery.java
+++ b/src/main/java/kitemux/discovery/Discovery.java
@@ -108,6 +108,8 @@
     private final Bootstrap bootstrap;
     private final SplittableRandom random;
     private Endpoint endpoint;
+    /** The address that delivered the last list; null before the first one. */
+    private InetSocketAddress lastSource;
     /** Start time of each listed server in microseconds, by its id, as last received. */
     private final Map<String, Long> serverStartUs = new HashMap<>();
 
@@ -226,6 +228,45 @@
         }
     }
 
+    /** Records the start times of the listed servers. */
+    private void recordServerStarts(HostList list) {
+        if (list.isFull()) {
+            serverStartUs.clear();
+        }
+        for (HostList.Host host : list.hosts()) {
+            if (host.entry().state() == ServerState.GONE) {
+                serverStartUs.remove(host.entry().id());
+            } else {
+                serverStartUs.put(host.entry().id(), host.entry().startedAtUs());
+            }
+        }
+    }
+
+    /** Returns the address at which lists are requested. */
+    public InetSocketAddress address() {
+        return endpoint.address;
+    }
+
+    /** Returns the address that delivered the last list; null before the first one. */
+    public InetSocketAddress lastSource() {
+        return lastSource;
+    }
+
+    /**
+     * Resumes from a list that another process of this node has been told. What its address tells later counts as old below
+     * that list's revision, as if this process had been told it; at another address the full list is requested.
+     */
+    public void resumeFrom(ToldServers told) {
+        if (!told.discovery().equals(endpoint.address)) {
+            endpoint.isOwnRevision = false;
+            return;
+        }
+        recordServerStarts(told.asList());
+        endpoint.revision = told.revision();
+        endpoint.isOwnRevision = true;
+        endpoint.receivedRevision = told.revision();
+    }
+
     /** Requests the full list again, as after a broken watch. */
     @Override
     public void requestFullList() {
@@ -391,6 +432,7 @@
                 if (this == currentWatch && previousWatch != null) {
                     previousWatch.close();
                 }
+                lastSource = endpoint.address;
                 listener.onList(update);
                 if (currentWatch == null && isSubscribed) {
                     // The list came from the previous watch and there is no current one yet, which still has to be
@@ -434,20 +476,6 @@
                             <= host.entry().startedAtUs();
         }
 
-        /** Records the start times of the listed servers. */
-        private void recordServerStarts(HostList list) {
-            if (list.isFull()) {
-                serverStartUs.clear();
-            }
-            for (HostList.Host host : list.hosts()) {
-                if (host.entry().state() == ServerState.GONE) {
-                    serverStartUs.remove(host.entry().id());
-                } else {
-                    serverStartUs.put(host.entry().id(), host.entry().startedAtUs());
-                }
-            }
-        }
-
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             fail("connection ended");
--- a/src/main/java/kitemux/net/Addresses.java
+++ b/src/main/java/kitemux/net/Addresses.java
@@ -29,4 +29,9 @@
         }
         throw new ConfigException(field, "is not address:port: " + text);
     }
+
+    /** Formats an address so that {@link #parse} reads it. */
+    public static String format(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
 }
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -104,6 +104,8 @@
     private final Log log;
     /** The management interface; null if no management address is configured. */
     private final Operations operations;
+    /** Shares the server list with other processes of the node; null without operations, or if no list is told. */
+    private final ServerListSharing serverListSharing;
 
     private final EndpointOwners endpointOwners = new EndpointOwners();
     private boolean listening;
@@ -244,6 +246,9 @@
                         if (pushedListWatcher != null) {
                             pushedListWatcher.onUpdate();
                         }
+                        if (serverListSharing != null) {
+                            serverListSharing.onTold(list);
+                        }
                         updateServerList(list, list.isFull() ? ListKind.FULL : ListKind.CHANGES);
                         firstListReceived.countDown();
                     }
@@ -268,6 +273,19 @@
                     }
                 },
                 log);
+        serverListSharing = operations == null || config.namesAllServers()
+                ? null
+                : new ServerListSharing(
+                        operations,
+                        config.settings().zones,
+                        discovery,
+                        loop,
+                        clock,
+                        log,
+                        config.initialServers(),
+                        endpointOwners::withoutSuperseded,
+                        // It is no answer of discovery: a call that is due stays due.
+                        news -> updateServerList(news, ListKind.OVERRIDES));
         pushedListWatcher = config.settings().listOnRequest || config.namesAllServers()
                 ? null
                 : new PushedListWatcher(clock, discovery::subscribe, config.seed());
@@ -320,6 +338,13 @@
                 applyServerList(new HostList(0, false, current), ListKind.OVERRIDES);
             }
 
+            @Override
+            public void receiveServerList(byte[] content) {
+                if (serverListSharing != null) {
+                    serverListSharing.receive(content);
+                }
+            }
+
             @Override
             public void setDraining(boolean draining) {
                 clientServer.setDraining(draining);
@@ -597,7 +622,11 @@
     private void bootstrap() {
         isBootstrapped = true;
         loop.execute(() -> {
-            updateServerList(config.initialServers(), ListKind.CACHED);
+            if (serverListSharing != null) {
+                serverListSharing.loadInitialServers();
+            }
+            updateServerList(
+                    serverListSharing == null ? config.initialServers() : serverListSharing.servers(), ListKind.CACHED);
             if (pushedListWatcher != null) {
                 pushedListWatcher.start();
             }
@@ -707,7 +736,12 @@
                 .max()
                 .orElse(0);
         ShutdownSchedule schedule = ShutdownSchedule.of(signalUs, longestDeadlineUs, replaced);
-        loop.execute(() -> clientServer.shutDown(schedule, replaced, whenEmpty));
+        loop.execute(() -> {
+            if (serverListSharing != null) {
+                serverListSharing.shareNow();
+            }
+            clientServer.shutDown(schedule, replaced, whenEmpty);
+        });
     }
 
     /** Closes all sockets and cancels all timers at once. */
--- a/src/main/java/kitemux/ops/Operations.java
+++ b/src/main/java/kitemux/ops/Operations.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.function.Supplier;
 import kitemux.Balancer.RequestClass;
 import kitemux.engine.Clock;
 import kitemux.engine.Log;
@@ -41,6 +42,9 @@
         /** Applies changed entries of the server list. */
         void updateServers(List<HostList.Host> hosts);
 
+        /** Takes a server list that another process of the node has shared. Called on a thread of its own. */
+        void receiveServerList(byte[] content);
+
         /** Starts or stops draining clients. */
         void setDraining(boolean draining);
 
@@ -79,14 +83,44 @@
         this.clock = clock;
         this.log = log;
         metrics = new RequestMetrics(classes);
-        sharedFolder = new SharedFolder(
-                stateFolder,
-                clientAddress,
-                drainedSinceUs -> loopExecutor.execute(() -> setDrainedServers(drainedSinceUs)));
+        sharedFolder = new SharedFolder(stateFolder, clientAddress, new FolderListener());
         serverOverrides.setDrained(sharedFolder.initiallyDrained(), 0);
         server = new OperatorServer(loop, sockets, this);
     }
 
+    /** Passes changes in the folder on to the event loop. */
+    private final class FolderListener implements SharedFolder.Listener {
+        @Override
+        public void onServersDrained(Map<String, Long> drainedSinceUs) {
+            loopExecutor.execute(() -> setDrainedServers(drainedSinceUs));
+        }
+
+        @Override
+        public void onServerList(byte[] content) {
+            nodeControl.receiveServerList(content);
+        }
+
+        @Override
+        public void onProblem(String problem) {
+            log.info("shared state: " + problem);
+        }
+    }
+
+    /** Returns the server list that another process of the node had shared before this one started, or null. */
+    public byte[] initialServerList() {
+        return sharedFolder.initialServerList();
+    }
+
+    /**
+     * Shares a server list with the other processes of the node.
+     *
+     * @param encode encodes the list; called on another thread
+     * @param onDone called on that thread once the list is shared, or cannot be
+     */
+    public void shareServerList(Supplier<byte[]> encode, Runnable onDone) {
+        sharedFolder.shareServerList(encode, onDone);
+    }
+
     /** Returns the observer that counts requests and their outcomes. */
     public Observer observer() {
         return metrics;
