Keep a drain of clients across upgrades until a call ends it

Cause: the drain was kept in the memory of the process that was called; servers out by hand are kept in files that both processes read.

Change: the drain is a file in that folder. A call at either process creates or deletes it, the other one hears of it within 0.25 s, and a process that starts begins with it. Readiness says yes at a process that has not said yes before, as an upgrade waits for it. A call that cannot be kept is answered 500. Only one call of an operators' connection is read: with answers that wait for the folder a second one was carried out.

--- a/src/main/java/kitemux/http/ClientServer.java
+++ b/src/main/java/kitemux/http/ClientServer.java
@@ -376,7 +376,12 @@
 
     /** Returns whether the load balancer in front may send clients to this address. */
     public boolean isUp() {
-        return drainingSinceUs == Long.MAX_VALUE && (phase == ShutdownPhase.SERVING || isReplaced);
+        return drainingSinceUs == Long.MAX_VALUE && isTakingClients();
+    }
+
+    /** Returns whether clients can connect to this address and will be able to, drained or not. */
+    public boolean isTakingClients() {
+        return phase == ShutdownPhase.SERVING || isReplaced;
     }
 
     /**
--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -315,6 +315,9 @@
                 },
                 dependencies.connectionObserver(),
                 log);
+        if (operations != null) {
+            operations.applyInitialDrain();
+        }
     }
 
     /** Returns an account with which this process stays below its limit of memory. */
@@ -352,7 +355,7 @@
 
             @Override
             public boolean isAcceptingClients() {
-                return listening && clientServer.isUp();
+                return listening && clientServer.isTakingClients();
             }
 
             @Override
@@ -781,6 +784,11 @@
 
     // ---------------------------------------------------------------- state for tests and checks
 
+    /** Stops to share state with other processes, and waits; a test deletes its folder then. */
+    boolean closeSharedFolder(long timeoutMs) throws InterruptedException {
+        return operations == null || operations.closeSharedFolder(timeoutMs);
+    }
+
     /** Returns the engine. Only the event loop may access it. */
     public Engine<ClientRequest, ServerResponse> engine() {
         return engine;
--- a/src/main/java/kitemux/ops/Operations.java
+++ b/src/main/java/kitemux/ops/Operations.java
@@ -36,6 +36,11 @@
     private final RequestMetrics metrics;
     private final SharedFolder sharedFolder;
     private final OperatorServer server;
+    private boolean areClientsDrained;
+    /** Whether a caller has been told that this process takes clients. */
+    private boolean hasSaidReady;
+    /** Whether clients are drained by a call at this process after it had said that it takes clients. */
+    private boolean isDrainedAfterReady;
 
     /** The node as the management interface uses it. */
     public interface NodeControl {
@@ -48,7 +53,7 @@
         /** Starts or stops draining clients. */
         void setDraining(boolean draining);
 
-        /** Returns whether clients can connect and are not being drained. */
+        /** Returns whether clients can connect, and will be able to. */
         boolean isAcceptingClients();
 
         /** Returns the number of attempts written in full to servers. */
@@ -88,6 +93,13 @@
         server = new OperatorServer(loop, sockets, this);
     }
 
+    /** Begins with the drain of clients that another process of the node has left. */
+    public void applyInitialDrain() {
+        if (sharedFolder.areClientsInitiallyDrained()) {
+            setClientsDrained(true);
+        }
+    }
+
     /** Passes changes in the folder on to the event loop. */
     private final class FolderListener implements SharedFolder.Listener {
         @Override
@@ -95,6 +107,11 @@
             loopExecutor.execute(() -> setDrainedServers(drainedSinceUs));
         }
 
+        @Override
+        public void onClientsDrained(boolean isDrained) {
+            loopExecutor.execute(() -> setClientsDrained(isDrained));
+        }
+
         @Override
         public void onServerList(byte[] content) {
             nodeControl.receiveServerList(content);
@@ -145,6 +162,13 @@
         }
     }
 
+    private void setClientsDrained(boolean drained) {
+        log.info(drained ? "draining clients" : "clients are no longer drained");
+        areClientsDrained = drained;
+        isDrainedAfterReady &= drained;
+        nodeControl.setDraining(drained);
+    }
+
     /** Counts a request that was rejected before it reached the engine. */
     public void recordRejectedRequest(int classIndex) {
         metrics.recordRejectedRequest(classIndex);
@@ -173,6 +197,16 @@
         sharedFolder.close();
     }
 
+    /**
+     * Stops to share state with other processes and waits until nothing of it is written any more. Called on any thread but the
+     * event loop's.
+     *
+     * @return false if that takes longer than the time allowed
+     */
+    public boolean closeSharedFolder(long timeoutMs) throws InterruptedException {
+        return sharedFolder.closeAndAwait(timeoutMs);
+    }
+
     // ---------------------------------------------------------------- calls
 
     @Override
@@ -187,7 +221,11 @@
         } else if (!method.equals(isQuery ? "GET" : "POST")) {
             responder.respond(405, "to be called with " + (isQuery ? "GET" : "POST") + "\n");
         } else if (path.endsWith("/readiness")) {
-            boolean ready = nodeControl.isAcceptingClients();
+            // Whoever replaces a process waits for its successor's yes, whatever is drained. A process that is sent
+            // away from by
+            // its own operators says no.
+            boolean ready = nodeControl.isAcceptingClients() && !isDrainedAfterReady;
+            hasSaidReady |= ready;
             responder.respond(ready ? 200 : 503, ready ? "takes clients\n" : "takes no clients\n");
         } else if (path.endsWith("/stats")) {
             responder.respond(
@@ -201,13 +239,25 @@
             boolean down = path.startsWith(SERVER_DOWN_PREFIX);
             setServerDrained(path.substring((down ? SERVER_DOWN_PREFIX : SERVER_UP_PREFIX).length()), down, responder);
         } else {
-            boolean draining = path.endsWith("/start");
-            log.info(draining ? "draining clients" : "clients are no longer drained");
-            nodeControl.setDraining(draining);
-            responder.respond(200, draining ? "sending clients away\n" : "taking clients\n");
+            drainClients(path.endsWith("/start"), responder);
         }
     }
 
+    private void drainClients(boolean drained, OperatorServer.Responder responder) {
+        boolean beginsAfterReady = drained && hasSaidReady && !areClientsDrained;
+        sharedFolder.setClientsDrained(
+                drained,
+                error -> loopExecutor.execute(() -> {
+                    if (error == null) {
+                        isDrainedAfterReady |= beginsAfterReady && areClientsDrained;
+                        responder.respond(200, drained ? "sending clients away\n" : "taking clients\n");
+                    } else {
+                        log.info("the operators' change to the drain of clients cannot be kept: " + error);
+                        responder.respond(500, "cannot be kept, nothing has changed: " + error + "\n");
+                    }
+                }));
+    }
+
     private void setServerDrained(String encodedId, boolean drained, OperatorServer.Responder responder) {
         String id;
         try {
--- a/src/main/java/kitemux/ops/OperatorServer.java
+++ b/src/main/java/kitemux/ops/OperatorServer.java
@@ -117,11 +117,14 @@
     /** Reads one call from a connection and writes its response. */
     private final class CallReader extends SimpleChannelInboundHandler<HttpObject> {
         private HttpRequest request;
+        /** Whether the call has been read; nothing that follows it on the connection is. */
+        private boolean hasCall;
+
         private boolean hasResponded;
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
-            if (hasResponded) {
+            if (hasCall || hasResponded) {
                 return;
             }
             if (part.decoderResult().isFailure()) {
@@ -132,6 +135,7 @@
                 request = begun;
             }
             if (part instanceof LastHttpContent) {
+                hasCall = true;
                 int queryStart = request.uri().indexOf('?');
                 callHandler.handle(
                         request.method().name(),
--- a/src/main/java/kitemux/ops/SharedFolder.java
+++ b/src/main/java/kitemux/ops/SharedFolder.java
@@ -15,14 +15,15 @@
 import java.util.TreeMap;
 import java.util.UUID;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
- * State that the processes of a node share through files: which servers are drained by hand, what discovery has told, and
- * which process serves clients. Each drained server has its own file, so that two overlapping processes do not undo each
+ * State that the processes of a node share through files: which servers are drained by hand, whether clients are, what
+ * discovery has told, and which process serves clients. Each drained server has its own file, so that two overlapping processes do not undo each
  * other's changes. A file that cannot be used is logged and passed over. The folder lives as long as the node's {@code $TMPDIR}; nothing is synced, as the state need not outlive the machine.
  *
  * <p>One thread does all reads and writes and notifies the listener in their order. Its queue is bounded by the
@@ -39,6 +40,9 @@
 
     private static final String DRAINED_FILE_PREFIX = "out-";
     private static final String SERVING_FILE_NAME = "serving";
+    /** Exists while clients are drained by hand. */
+    private static final String CLIENTS_DRAINED_FILE_NAME = "clients-drained";
+
     private static final String SERVER_LIST_FILE_NAME = "servers";
     /** Ending of files that a process writes before it renames them. */
     private static final String NEW_FILE_SUFFIX = ".new";
@@ -60,12 +64,17 @@
     });
     /** The start of each drain by server, in microseconds of Unix time, as last read. */
     private Map<String, Long> lastDrained;
+    /** Whether clients are drained, as last read. */
+    private boolean areClientsDrained;
 
     /** Receives what other processes, or calls at this one, have changed; called on the folder's thread. */
     interface Listener {
         /** All drained servers, on each change, with the start of each drain in microseconds of Unix time. */
         void onServersDrained(Map<String, Long> drainedSinceUs);
 
+        /** Clients are drained, or are no longer; called on each change. */
+        default void onClientsDrained(boolean isDrained) {}
+
         /** Another process has shared a server list. */
         default void onServerList(byte[] content) {}
 
@@ -88,9 +97,19 @@
         serverList = new SharedFile(folder.resolve(SERVER_LIST_FILE_NAME), newFile(SERVER_LIST_FILE_NAME));
         deleteAbandonedFiles();
         lastDrained = readDrained();
+        areClientsDrained = Files.exists(clientsDrainedFile());
         initialServerList = readServerList();
     }
 
+    private Path clientsDrainedFile() {
+        return folder.resolve(CLIENTS_DRAINED_FILE_NAME);
+    }
+
+    /** Returns whether clients were drained when the folder was opened. Must be called before {@link #startPolling}. */
+    boolean areClientsInitiallyDrained() {
+        return areClientsDrained;
+    }
+
     private Path newFile(String name) {
         return folder.resolve(name + "-" + processToken + NEW_FILE_SUFFIX);
     }
@@ -127,17 +146,20 @@
      * @param onDone called on the folder's thread once it is shared, or cannot be
      */
     void shareServerList(Supplier<byte[]> encode, Runnable onDone) {
-        if (thread.isShutdown()) {
-            return;
+        try {
+            thread.execute(() -> writeServerList(encode, onDone));
+        } catch (RejectedExecutionException e) {
+            // The folder is closed.
         }
-        thread.execute(() -> {
-            try {
-                serverList.write(encode.get());
-            } catch (IOException e) {
-                reportProblem("the server list cannot be shared: " + e.getMessage());
-            }
-            onDone.run();
-        });
+    }
+
+    private void writeServerList(Supplier<byte[]> encode, Runnable onDone) {
+        try {
+            serverList.write(encode.get());
+        } catch (IOException e) {
+            reportProblem("the server list cannot be shared: " + e.getMessage());
+        }
+        onDone.run();
     }
 
     /** Returns the server list of another process if it has changed, otherwise null. */
@@ -169,11 +191,20 @@
      * @param onDone receives null, or the reason of a failure, in which case nothing has changed
      */
     void setDrained(String id, boolean drained, Consumer<String> onDone) {
+        Path file = folder.resolve(DRAINED_FILE_PREFIX
+                + Base64.getUrlEncoder().withoutPadding().encodeToString(id.getBytes(StandardCharsets.UTF_8)));
+        setExists(file, drained, onDone);
+    }
+
+    /** Drains clients, or ends their drain, for all processes of the node; as {@link #setDrained}. */
+    void setClientsDrained(boolean drained, Consumer<String> onDone) {
+        setExists(clientsDrainedFile(), drained, onDone);
+    }
+
+    private void setExists(Path file, boolean exists, Consumer<String> onDone) {
         thread.execute(() -> {
-            Path file = folder.resolve(DRAINED_FILE_PREFIX
-                    + Base64.getUrlEncoder().withoutPadding().encodeToString(id.getBytes(StandardCharsets.UTF_8)));
             try {
-                if (drained) {
+                if (exists) {
                     createIfAbsent(file);
                 } else {
                     Files.deleteIfExists(file);
@@ -191,12 +222,13 @@
         try {
             Files.createFile(file);
         } catch (FileAlreadyExistsException e) {
-            // The server is already drained, and a second call changes nothing.
+            // It is drained already, and a second call changes nothing.
         }
     }
 
     private void poll() {
         pollDrained();
+        pollClientsDrained();
         byte[] servers = readServerList();
         if (servers != null) {
             listener.onServerList(servers);
@@ -217,6 +249,14 @@
         }
     }
 
+    private void pollClientsDrained() {
+        boolean areDrained = Files.exists(clientsDrainedFile());
+        if (areDrained != areClientsDrained) {
+            areClientsDrained = areDrained;
+            listener.onClientsDrained(areDrained);
+        }
+    }
+
     private Map<String, Long> readDrained() throws IOException {
         Map<String, Long> drained = new TreeMap<>();
         try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, DRAINED_FILE_PREFIX + "*")) {
@@ -281,4 +321,14 @@
     public void close() {
         thread.shutdown();
     }
+
+    /**
+     * Closes the folder and waits until nothing is written to it any more.
+     *
+     * @return false if that takes longer than the time allowed
+     */
+    boolean closeAndAwait(long timeoutMs) throws InterruptedException {
+        close();
+        return thread.awaitTermination(timeoutMs, TimeUnit.MILLISECONDS);
+    }
 }
--- a/src/test/java/kitemux/node/Site.java
+++ b/src/test/java/kitemux/node/Site.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -29,6 +30,8 @@
 
 /** A node on loopback sockets, with the servers of its list and a discovery that the test scripts. */
 final class Site implements AutoCloseable {
+    private static final long FOLDER_TIMEOUT_MS = 20_000;
+
     final Settings settings = new Settings();
     final ScriptedServer discovery;
     final PollingLoop loop = Node.newLoop();
@@ -208,6 +211,11 @@
             client.close();
         }
         discovery.close();
+        try {
+            assertTrue(node == null || node.closeSharedFolder(FOLDER_TIMEOUT_MS), "the folder is still written to");
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
         loop.parent().shutdownGracefully();
     }
 }
