Tell the next process which servers were called back, and how news is shared

News of discovery is written at once, then after a rest of 0.25 to 1 s by the size of the list, and from SIGTERM on without one.

--- a/src/main/java/kitemux/node/Node.java
+++ b/src/main/java/kitemux/node/Node.java
@@ -741,7 +741,7 @@
         ShutdownSchedule schedule = ShutdownSchedule.of(signalUs, longestDeadlineUs, replaced);
         loop.execute(() -> {
             if (serverListSharing != null) {
-                serverListSharing.shareNow();
+                serverListSharing.shareAtOnce();
             }
             clientServer.shutDown(schedule, replaced, whenEmpty);
         });
--- a/src/main/java/kitemux/node/ServerListSharing.java
+++ b/src/main/java/kitemux/node/ServerListSharing.java
@@ -21,14 +21,20 @@
 
 /**
  * Shares what discovery has told with the other processes of the node, since all of them count as one: what one has been told
- * binds the other, also one that starts while discovery is down. A process writes what it has been told at most once in
- * {@link #WRITE_INTERVAL_MS}, and takes over what another one has been told by the same address if it is newer.
+ * binds the other, also one that starts while discovery is down. A process writes what it has been told at once, but spends at
+ * most a {@link #WRITE_TIME_DIVISOR}th of its time with it, and takes over what another one has been told by the same address if it is newer.
  *
  * <p>All methods but {@link #receive} are called on the event loop, or before it runs.
  */
 final class ServerListSharing {
-    /** Interval between two writes; with the interval at which the folder is read, news arrives within 0.5 s. */
-    static final long WRITE_INTERVAL_MS = 250;
+    /** Shortest interval between two writes, that at which the folder is read. */
+    static final long MIN_WRITE_INTERVAL_US = 250_000;
+    /** Longest interval between two writes. */
+    static final long MAX_WRITE_INTERVAL_US = 1_000_000;
+    /** Part of the time that writes may take, as each writes the whole list. */
+    private static final long WRITE_TIME_DIVISOR = 100;
+    /** Delay of the first write, since a process that starts has no processor time to spare. */
+    private static final long FIRST_WRITE_DELAY_US = 1_000_000;
 
     private final Operations operations;
     private final ToldServersCodec codec;
@@ -51,6 +57,10 @@
 
     private boolean isWritePending;
     private boolean isWriting;
+    private boolean isEnding;
+    private long writeStartUs;
+    /** When the next list may be written, in microseconds on the loop's clock. */
+    private long nextWriteUs;
 
     /**
      * Creates a sharer that has shared nothing yet.
@@ -78,6 +88,7 @@
         this.known = known;
         this.withoutSuperseded = withoutSuperseded;
         this.onNews = onNews;
+        nextWriteUs = clock.nowUs() + FIRST_WRITE_DELAY_US;
     }
 
     /** Begins with the newest list that this node has: that of the configuration, or what another process has been told. */
@@ -137,12 +148,21 @@
     private void shareSoon() {
         if (!isWritePending) {
             isWritePending = true;
-            loop.schedule(this::shareNow, WRITE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+            scheduleWrite();
         }
     }
 
-    /** Shares what has been told and not shared yet, as the interval is over or the process is about to end. */
-    void shareNow() {
+    private void scheduleWrite() {
+        loop.schedule(this::shareNow, Math.max(0, nextWriteUs - clock.nowUs()), TimeUnit.MICROSECONDS);
+    }
+
+    /** The process is about to end: from now on all that it is told is shared at once. */
+    void shareAtOnce() {
+        isEnding = true;
+        shareNow();
+    }
+
+    private void shareNow() {
         if (!isWritePending || isWriting) {
             return;
         }
@@ -154,12 +174,19 @@
         ToldServers told = new ToldServers(source, revision, known.revision(), clock.nowUs(), hosts);
         shared = told;
         isWriting = true;
+        writeStartUs = clock.nowUs();
         operations.shareServerList(() -> codec.encode(told), () -> loop.execute(this::onWritten));
     }
 
     private void onWritten() {
         isWriting = false;
-        shareNow();
+        long nowUs = clock.nowUs();
+        long restUs = (nowUs - writeStartUs) * WRITE_TIME_DIVISOR;
+        long intervalUs = Math.min(MAX_WRITE_INTERVAL_US, Math.max(MIN_WRITE_INTERVAL_US, restUs));
+        nextWriteUs = isEnding ? nowUs : nowUs + intervalUs;
+        if (isWritePending) {
+            scheduleWrite();
+        }
     }
 
     /** Another process has shared a list. Called on any thread. */
--- a/src/main/java/kitemux/ops/Operations.java
+++ b/src/main/java/kitemux/ops/Operations.java
@@ -90,6 +90,7 @@
         metrics = new RequestMetrics(classes);
         sharedFolder = new SharedFolder(stateFolder, clientAddress, new FolderListener());
         serverOverrides.setDrained(sharedFolder.initiallyDrained(), 0);
+        serverOverrides.addPastDrains(sharedFolder.initialPastDrains());
         server = new OperatorServer(loop, sockets, this);
     }
 
--- a/src/main/java/kitemux/ops/ServerOverrides.java
+++ b/src/main/java/kitemux/ops/ServerOverrides.java
@@ -22,9 +22,6 @@
     /** Finished drains, by server; an entry is removed when its server leaves the list. */
     private final Map<String, DrainPeriod> pastDrains = new HashMap<>();
 
-    /** A finished drain, in microseconds of Unix time. */
-    private record DrainPeriod(long sinceUs, long untilUs) {}
-
     /** Applies the overrides to a list from discovery and keeps its order. */
     HostList apply(HostList list) {
         if (list.isFull()) {
@@ -78,17 +75,22 @@
         return changes;
     }
 
+    /** Adds drains that had ended before this process started; those of servers that the next list does not have are dropped. */
+    void addPastDrains(Map<String, DrainPeriod> drains) {
+        pastDrains.putAll(drains);
+    }
+
     private HostList.Host withOverride(HostList.Host host) {
         ServerEntry entry = host.entry();
         boolean isDrained = entry.state() == ServerState.READY && drainedSinceUs.containsKey(entry.id());
         long startedAtUs = entry.startedAtUs();
         DrainPeriod drainPeriod = pastDrains.get(entry.id());
-        if (drainPeriod != null && startedAtUs < drainPeriod.sinceUs) {
+        if (drainPeriod != null && startedAtUs < drainPeriod.sinceUs()) {
             // Operators restart servers that they drain. Discovery may report the restart seconds later, or never if
             // only the machine was serviced. Until then a restored server counts as just started, as full load could
             // overload a cold server. The cost is that a server that was not restarted gets less than its share for a
             // while.
-            startedAtUs = drainPeriod.untilUs;
+            startedAtUs = drainPeriod.untilUs();
         }
         return new HostList.Host(
                 new ServerEntry(
--- a/src/main/java/kitemux/ops/SharedFolder.java
+++ b/src/main/java/kitemux/ops/SharedFolder.java
@@ -10,7 +10,10 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.nio.file.attribute.FileTime;
+import java.util.ArrayList;
 import java.util.Base64;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.UUID;
@@ -35,15 +38,23 @@
     /** Interval at which changes of other processes are read. They must be in force within 1 s. */
     private static final long POLL_INTERVAL_MS = 250;
 
-    /** Servers that may be out by hand at once, more than any list has. */
-    private static final int MAX_DRAINED_COUNT = 10_000;
+    /** Servers that may be out by hand at once, or restored, more than any list has. */
+    private static final int MAX_SERVER_FILE_COUNT = 10_000;
+    /** Longest number in a file, in bytes. */
+    private static final int MAX_NUMBER_BYTES = 20;
 
     private static final String DRAINED_FILE_PREFIX = "out-";
     private static final String SERVING_FILE_NAME = "serving";
+    /** A server that was drained and restored; the file holds the start of the drain, and its time is the end. */
+    private static final String RESTORED_FILE_PREFIX = "back-";
+    /** Age from which a restored server is warm, however slowly servers warm up and discovery reports restarts. */
+    private static final long RESTORED_MAX_AGE_MS = 600_000;
     /** Exists while clients are drained by hand. */
     private static final String CLIENTS_DRAINED_FILE_NAME = "clients-drained";
 
     private static final String SERVER_LIST_FILE_NAME = "servers";
+    /** Name under which a value of one line is written before it is renamed; long ids leave no room for one of their own. */
+    private static final String VALUE_FILE_NAME = "value";
     /** Ending of files that a process writes before it renames them. */
     private static final String NEW_FILE_SUFFIX = ".new";
     /** Age from which such a file is of a process that ended while it wrote. */
@@ -54,6 +65,7 @@
     private final String processToken = UUID.randomUUID().toString();
     private final SharedFile serverList;
     private final byte[] initialServerList;
+    private final Map<String, DrainPeriod> initialPastDrains;
     /** The last problem with a file that was logged. */
     private String lastProblem = "";
 
@@ -97,6 +109,7 @@
         serverList = new SharedFile(folder.resolve(SERVER_LIST_FILE_NAME), newFile(SERVER_LIST_FILE_NAME));
         deleteAbandonedFiles();
         lastDrained = readDrained();
+        initialPastDrains = readPastDrains();
         areClientsDrained = Files.exists(clientsDrainedFile());
         initialServerList = readServerList();
     }
@@ -191,24 +204,42 @@
      * @param onDone receives null, or the reason of a failure, in which case nothing has changed
      */
     void setDrained(String id, boolean drained, Consumer<String> onDone) {
-        Path file = folder.resolve(DRAINED_FILE_PREFIX
-                + Base64.getUrlEncoder().withoutPadding().encodeToString(id.getBytes(StandardCharsets.UTF_8)));
-        setExists(file, drained, onDone);
+        String encodedId = Base64.getUrlEncoder().withoutPadding().encodeToString(id.getBytes(StandardCharsets.UTF_8));
+        Path drainedFile = folder.resolve(DRAINED_FILE_PREFIX + encodedId);
+        Path restoredFile = folder.resolve(RESTORED_FILE_PREFIX + encodedId);
+        change(
+                () -> {
+                    if (drained) {
+                        createIfAbsent(drainedFile);
+                    } else {
+                        restore(drainedFile, restoredFile);
+                    }
+                },
+                onDone);
     }
 
     /** Drains clients, or ends their drain, for all processes of the node; as {@link #setDrained}. */
     void setClientsDrained(boolean drained, Consumer<String> onDone) {
-        setExists(clientsDrainedFile(), drained, onDone);
+        change(
+                () -> {
+                    if (drained) {
+                        createIfAbsent(clientsDrainedFile());
+                    } else {
+                        Files.deleteIfExists(clientsDrainedFile());
+                    }
+                },
+                onDone);
     }
 
-    private void setExists(Path file, boolean exists, Consumer<String> onDone) {
+    /** A change of files in the folder. */
+    private interface Change {
+        void apply() throws IOException;
+    }
+
+    private void change(Change change, Consumer<String> onDone) {
         thread.execute(() -> {
             try {
-                if (exists) {
-                    createIfAbsent(file);
-                } else {
-                    Files.deleteIfExists(file);
-                }
+                change.apply();
             } catch (IOException e) {
                 onDone.accept(e.toString());
                 return;
@@ -218,6 +249,21 @@
         });
     }
 
+    private void restore(Path drainedFile, Path restoredFile) throws IOException {
+        if (!Files.exists(drainedFile)) {
+            return;
+        }
+        long sinceUs = Files.getLastModifiedTime(drainedFile).to(TimeUnit.MICROSECONDS);
+        replace(restoredFile, Long.toString(sinceUs));
+        Files.deleteIfExists(drainedFile);
+    }
+
+    private void replace(Path file, String text) throws IOException {
+        Path newFile = newFile(VALUE_FILE_NAME);
+        Files.writeString(newFile, text);
+        Files.move(newFile, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+    }
+
     private static void createIfAbsent(Path file) throws IOException {
         try {
             Files.createFile(file);
@@ -259,31 +305,68 @@
 
     private Map<String, Long> readDrained() throws IOException {
         Map<String, Long> drained = new TreeMap<>();
-        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, DRAINED_FILE_PREFIX + "*")) {
-            for (Path file : files) {
-                String name = file.getFileName().toString();
-                if (drained.size() >= MAX_DRAINED_COUNT) {
-                    reportProblem("more than " + MAX_DRAINED_COUNT + " servers are out by hand");
-                    break;
+        for (Path file : serverFiles(DRAINED_FILE_PREFIX)) {
+            try {
+                drained.put(
+                        serverId(file, DRAINED_FILE_PREFIX),
+                        Files.getLastModifiedTime(file).to(TimeUnit.MICROSECONDS));
+            } catch (IllegalArgumentException e) {
+                reportProblem(file.getFileName() + " names no server");
+            } catch (NoSuchFileException e) {
+                // Another process has restored the server since the folder was listed.
+            }
+        }
+        return drained;
+    }
+
+    /** Returns the servers that were drained and restored before the folder was opened. */
+    Map<String, DrainPeriod> initialPastDrains() {
+        return initialPastDrains;
+    }
+
+    private Map<String, DrainPeriod> readPastDrains() throws IOException {
+        Map<String, DrainPeriod> pastDrains = new TreeMap<>();
+        long oldestMs = System.currentTimeMillis() - RESTORED_MAX_AGE_MS;
+        for (Path file : serverFiles(RESTORED_FILE_PREFIX)) {
+            try {
+                FileTime until = Files.getLastModifiedTime(file);
+                if (until.toMillis() < oldestMs) {
+                    Files.deleteIfExists(file);
+                } else if (Files.size(file) > MAX_NUMBER_BYTES) {
+                    reportProblem(file.getFileName() + " holds no time");
+                } else {
+                    long sinceUs = Long.parseLong(Files.readString(file));
+                    pastDrains.put(
+                            serverId(file, RESTORED_FILE_PREFIX),
+                            new DrainPeriod(sinceUs, until.to(TimeUnit.MICROSECONDS)));
                 }
-                try {
-                    drained.put(
-                            decodeId(name.substring(DRAINED_FILE_PREFIX.length())),
-                            Files.getLastModifiedTime(file).to(TimeUnit.MICROSECONDS));
-                } catch (IllegalArgumentException e) {
-                    reportProblem(name + " names no server");
-                } catch (NoSuchFileException e) {
-                    // Another process has called the server back since the folder was listed.
+            } catch (IOException | IllegalArgumentException e) {
+                reportProblem(file.getFileName() + " cannot be used: " + e);
+            }
+        }
+        return pastDrains;
+    }
+
+    /** Returns the files of servers with this prefix, as many as there may be. */
+    private List<Path> serverFiles(String prefix) throws IOException {
+        List<Path> files = new ArrayList<>();
+        try (DirectoryStream<Path> all = Files.newDirectoryStream(folder, prefix + "*")) {
+            for (Path file : all) {
+                if (files.size() == MAX_SERVER_FILE_COUNT) {
+                    reportProblem("more than " + MAX_SERVER_FILE_COUNT + " files " + prefix + "*");
+                    break;
                 }
+                files.add(file);
             }
         } catch (DirectoryIteratorException e) {
             throw e.getCause();
         }
-        return drained;
+        return files;
     }
 
-    private static String decodeId(String encoded) {
-        return new String(Base64.getUrlDecoder().decode(encoded), StandardCharsets.UTF_8);
+    private static String serverId(Path file, String prefix) {
+        String encodedId = file.getFileName().toString().substring(prefix.length());
+        return new String(Base64.getUrlDecoder().decode(encodedId), StandardCharsets.UTF_8);
     }
 
     /**
@@ -294,13 +377,7 @@
     void markServing(Consumer<IOException> onFailure) {
         thread.execute(() -> {
             try {
-                Path newFile = newFile(SERVING_FILE_NAME);
-                Files.writeString(newFile, processToken);
-                Files.move(
-                        newFile,
-                        folder.resolve(SERVING_FILE_NAME),
-                        StandardCopyOption.REPLACE_EXISTING,
-                        StandardCopyOption.ATOMIC_MOVE);
+                replace(folder.resolve(SERVING_FILE_NAME), processToken);
             } catch (IOException e) {
                 onFailure.accept(e);
             }
--- a/src/test/java/kitemux/node/UpgradeClientDrainTest.java
+++ b/src/test/java/kitemux/node/UpgradeClientDrainTest.java
@@ -128,6 +128,12 @@
     void drainThatCannotBeKeptIsNotBegun() throws Exception {
         try (Site site = process()) {
             Path shared = folder.resolve("kitemux-127.0.0.1-0");
+            assertTimeoutPreemptively(START_TIMEOUT, () -> {
+                // The last file that a process writes by itself.
+                while (!Files.exists(shared.resolve("serving"))) {
+                    Site.parkFor(POLL_INTERVAL_MS);
+                }
+            });
             try (var files = Files.list(shared)) {
                 for (Path file : files.toList()) {
                     Files.delete(file);
--- a/src/test/java/kitemux/ops/SharedFolderTest.java
+++ b/src/test/java/kitemux/ops/SharedFolderTest.java
@@ -11,6 +11,9 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -18,6 +21,9 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import kitemux.Balancer.ServerEntry;
+import kitemux.Balancer.ServerState;
+import kitemux.net.HostList;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -62,6 +68,63 @@
         }
     }
 
+    /** Guards against full load on a server that was restarted by hand right before an upgrade and is still cold. */
+    @Test
+    void nextProcessFindsWhenServersWereRestored() throws Exception {
+        String longestId = "x".repeat(SharedFolder.MAX_ID_BYTES);
+        long beforeUs = System.currentTimeMillis() * 1_000;
+        try (SharedFolder first = new SharedFolder(stateFolder, LISTEN, notifications::add)) {
+            assertNull(setDrained(first, longestId, true));
+            assertNull(setDrained(first, longestId, false));
+            assertNull(setDrained(first, "never out", false));
+        }
+        try (SharedFolder second = new SharedFolder(stateFolder, LISTEN, notifications::add)) {
+            assertEquals(Set.of(longestId), second.initialPastDrains().keySet());
+            DrainPeriod period = second.initialPastDrains().get(longestId);
+            assertTrue(beforeUs <= period.sinceUs() + 1_000_000 && period.sinceUs() <= period.untilUs());
+            ServerOverrides overrides = new ServerOverrides();
+            overrides.addPastDrains(second.initialPastDrains());
+            HostList list = overrides.apply(new HostList(
+                    1,
+                    true,
+                    List.of(new HostList.Host(new ServerEntry(longestId, 0, 0, ServerState.READY, 1, 0), null))));
+            assertEquals(period.untilUs(), list.hosts().get(0).entry().startedAtUs());
+        }
+    }
+
+    @Test
+    void foreignFilesAreReportedAndPassedOver() throws Exception {
+        List<String> problems = new ArrayList<>();
+        Path shared = stateFolder.resolve("kitemux-127.0.0.1-8000");
+        Files.createDirectories(shared);
+        Files.writeString(shared.resolve("out-%"), "");
+        Files.writeString(shared.resolve("back-YQ"), "yesterday");
+        Files.createDirectory(shared.resolve("back-YWE"));
+        Files.writeString(shared.resolve("serving"), "nobody");
+        Path abandoned = Files.writeString(shared.resolve("servers-x.new"), "half");
+        Files.setLastModifiedTime(abandoned, FileTime.fromMillis(0));
+        SharedFolder.Listener listener = new SharedFolder.Listener() {
+            @Override
+            public void onServersDrained(Map<String, Long> drainedSinceUs) {
+                notifications.add(drainedSinceUs);
+            }
+
+            @Override
+            public void onProblem(String problem) {
+                problems.add(problem);
+            }
+        };
+        try (SharedFolder folder = new SharedFolder(stateFolder, LISTEN, listener)) {
+            assertEquals(Map.of(), folder.initiallyDrained());
+            assertEquals(Map.of(), folder.initialPastDrains());
+            assertFalse(folder.isReplaced());
+            assertFalse(Files.exists(abandoned));
+            assertNull(setDrained(folder, "a", true));
+            assertEquals(Set.of("a"), notifications.poll().keySet());
+        }
+        assertTrue(problems.size() >= 3, problems::toString);
+    }
+
     @Test
     void overlappingProcessesSeeAndKeepEachOthersChanges() throws Exception {
         BlockingQueue<Map<String, Long>> toSecond = new LinkedBlockingQueue<>();
