Notice a request that begins with whole lines behind another one

Cause: the beginning of a request behind another was seen by what the decoder left unread, and of whole lines it leaves nothing.

Change: it is seen at the end of the request in front, by whether the input goes on there; empty lines do not count.

Measured: StoppedClientTest has two more places (behind a request, at the end of a line; behind one with a body).

--- a/src/main/java/kitemux/http/ClientConnection.java
+++ b/src/main/java/kitemux/http/ClientConnection.java
@@ -94,6 +94,8 @@
      */
     private long bufferedSinceUs = Long.MAX_VALUE;
 
+    /** The input that the decoder is parsing; it has been merged into the kept input if it is released. Null between parts. */
+    private ByteBuf parsedInput;
     /** The buffer in which the decoder keeps the beginning of an unfinished message, or null. */
     private ByteBuf keptInput;
 
@@ -239,19 +241,17 @@
         if (!isReceivingRequest) {
             beginRequest();
         }
+        parsedInput = bytes;
         boolean hasRoom = incoming.hasHead() || incoming.reserveLine(bytes);
         gateContext.fireChannelRead(bytes);
         if (!hasRoom && !discardsInput) {
             rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
+        parsedInput = null;
         if (bytes.refCnt() > 0) {
             keptInput = bytes;
         }
         trimKeptInput();
-        if (!isReceivingRequest && !discardsInput && keptInput != null && keptInput.isReadable()) {
-            // The input ended with the beginning of another request.
-            beginRequest();
-        }
     }
 
     private void beginRequest() {
@@ -436,9 +436,20 @@
             isReceivingRequest = false;
             enqueue(new QueuedRequest(
                     complete.head(), complete.body(), complete.reservation(), earliestArrivalUs(), null));
+            if (!discardsInput && hasFurtherInput()) {
+                beginRequest();
+            }
         }
     }
 
+    /** Returns whether the input goes on behind the message that the decoder has just read; empty lines do not count. */
+    private boolean hasFurtherInput() {
+        ByteBuf input = parsedInput.refCnt() > 0 ? parsedInput : keptInput;
+        // The decoder releases input that it has read to its end before it passes the last message on.
+        boolean isReadToEnd = input == null || input.refCnt() == 0;
+        return !isReadToEnd && input.forEachByte(next -> next == '\r' || next == '\n') >= 0;
+    }
+
     private void sendContinueIfExpected(HttpRequest request) {
         if (HttpUtil.is100ContinueExpected(request) && !isBusy && queue.isEmpty()) {
             channel.writeAndFlush(new DefaultFullHttpResponse(
--- a/src/test/java/kitemux/node/StoppedClientTest.java
+++ b/src/test/java/kitemux/node/StoppedClientTest.java
@@ -88,6 +88,10 @@
         stops.put("within the last chunk", chunked + chunk + "0\r");
         stops.put("within a trailer", chunked + chunk + "0\r\nX-Sum: 1");
         stops.put("behind one request", Http.page("first") + photo("b", lengthOf(MEGABYTE)) + bytes(300_000));
+        stops.put("behind one request, at the end of a line", Http.page("first3") + "GET /api/pa HTTP/1.1\r\n");
+        stops.put(
+                "behind one request with a body",
+                Http.order("first4", "4000m") + photo("e", lengthOf(10)).replaceAll("\r\n$", ""));
         stops.put("behind two requests", Http.page("first2") + Http.page("second2") + "GET /api/pa");
         return stops;
     }
